--- /dev/null
+++ b/cmake/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/modules/zr_base/invariants.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace zr {
+
+/** The promises that hold at all times; each has a counter of violations. */
+enum class Invariant {
+  kAdmittedFinishes,     // an admitted request finishes or fails within its time
+  kNoKvLeak,             // no engine loses KV memory for good
+  kFreshNotOverrun,      // a fresh endpoint carries no more than it can bear
+  kDrainedDomainIdle,    // a drained domain gets no new work
+  kAnswerIntegrity,      // a caller receives the whole answer to its own request
+  kNotRunTrue,           // "not run" is said only when nothing was run
+  kAtMostOnce,           // a non-repeatable operation runs at most once
+  kLeavingEndpointIdle,  // a leaving endpoint gets no new work
+  kGracefulStop,         // a planned stop cuts no request
+  kConfigNoRevert,       // an accepted configuration never reverts
+  kInternal,             // any other asserted precondition
+};
+
+inline constexpr size_t kInvariantCount = static_cast<size_t>(Invariant::kInternal) + 1;
+
+/** Metric name of an invariant, for example "no_kv_leak". */
+std::string_view ToString(Invariant invariant);
+
+/** Process-wide counters of invariant violations. Any thread may call it. */
+class Invariants {
+ public:
+  using ViolationHandler = void (*)(Invariant, std::string_view message);
+
+  /** Counts a violation and passes it to the handler, if one is set. */
+  static void Report(Invariant invariant, std::string_view message);
+
+  /** Sets the function that logs violations; nullptr removes it. */
+  static void SetHandler(ViolationHandler handler);
+
+  static uint64_t Count(Invariant invariant);
+  /** Sum over all invariants. */
+  static uint64_t Total();
+  /** Clears all counters; for tests. */
+  static void Reset();
+};
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_base/zr_base.h
@@ -0,0 +1,19 @@
+#pragma once
+
+/**
+ * zr_base: value types and small utilities that every other module uses.
+ *
+ * Dependencies: none besides the standard library, tl::expected and xxHash.
+ * Threads: value types are immutable or externally synchronised; Invariants
+ * may be called from any thread.
+ */
+
+#include "zr_base/assert.h"
+#include "zr_base/error.h"
+#include "zr_base/hash.h"
+#include "zr_base/ids.h"
+#include "zr_base/invariants.h"
+#include "zr_base/random.h"
+#include "zr_base/time.h"
+#include "zr_base/token_bucket.h"
+#include "zr_base/token_count.h"
--- /dev/null
+++ b/modules/zr_wire/message_fields.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "zr_wire/messages.h"
+
+namespace zr {
+
+/**
+ * Field lists of the messages, in wire order. New fields go to the end only,
+ * so that VMs of two versions understand each other during an upgrade.
+ *
+ * Each Fields() overload calls the archive with the message's members; the
+ * archive either writes or reads them.
+ */
+template <typename A>
+void Fields(A& a, SenderStamp& m) {
+  a(m.vm, m.incarnation, m.sequence);
+}
+template <typename A>
+void Fields(A& a, TeamDemand& m) {
+  a(m.team, m.tokens_per_second, m.kv_held);
+}
+template <typename A>
+void Fields(A& a, PoolDemand& m) {
+  a(m.pool, m.short_tokens_per_second, m.long_tokens_per_second);
+}
+template <typename A>
+void Fields(A& a, Heartbeat& m) {
+  a(m.origin, m.domain, m.region, m.peer_address, m.ready, m.leaving, m.config_version,
+    m.config_digest, m.hops, m.team_demand, m.pool_demand);
+}
+template <typename A>
+void Fields(A& a, Summary& m) {
+  a(m.endpoint, m.pool, m.domain, m.owner, m.owner_incarnation, m.sequence, m.accepts_new,
+    m.kv_free, m.kv_capacity, m.wait_short, m.wait_long, m.prefixes);
+}
+template <typename A>
+void Fields(A& a, AdmissionRequest& m) {
+  a(m.request, m.attempt, m.endpoint, m.pool, m.team, m.request_class, m.prompt, m.max_answer,
+    m.time_left, m.fingerprint, m.run_alone, m.queue_if_busy, m.plain_service, m.prefixes);
+}
+template <typename A>
+void Fields(A& a, Grant& m) {
+  a(m.request, m.attempt, m.endpoint, m.number, m.owner, m.owner_incarnation, m.kv_tokens,
+    m.start_within, m.priority, m.boot);
+}
+template <typename A>
+void Fields(A& a, Refusal& m) {
+  a(m.request, m.attempt, m.endpoint, m.reason, m.wait_hint);
+}
+template <typename A>
+void Fields(A& a, Release& m) {
+  a(m.request, m.attempt, m.endpoint, m.number, m.outcome, m.prompt, m.answered, m.run_time);
+}
+template <typename A>
+void Fields(A& a, HeldGrant& m) {
+  a(m.request, m.attempt, m.number, m.owner, m.owner_incarnation, m.kv_tokens, m.prompt,
+    m.fingerprint, m.long_prompt, m.started);
+}
+template <typename A>
+void Fields(A& a, HeldGrants& m) {
+  a(m.holder, m.endpoint, m.grants);
+}
+template <typename A>
+void Fields(A& a, CancelAdmission& m) {
+  a(m.request, m.attempt, m.endpoint);
+}
+template <typename A>
+void Fields(A& a, Suspect& m) {
+  a(m.fingerprint, m.endpoint, m.boot, m.age);
+}
+template <typename A>
+void Fields(A& a, FindStream& m) {
+  a(m.request, m.team);
+}
+template <typename A>
+void Fields(A& a, StreamLocation& m) {
+  a(m.request, m.found, m.team, m.endpoint, m.stream, m.attempt, m.holder);
+}
+template <typename A>
+void Fields(A& a, ConfigOffer& m) {
+  a(m.version, m.digest, m.document);
+}
+template <typename A>
+void Fields(A& a, ConfigFetch& m) {
+  a(m.at_least);
+}
+template <typename A>
+void Fields(A& a, GatherReserve& m) {
+  a(m.request, m.attempt, m.endpoint, m.kv_tokens, m.hold_for);
+}
+template <typename A>
+void Fields(A& a, GatherReply& m) {
+  a(m.request, m.attempt, m.endpoint, m.reserved, m.number, m.wait_hint);
+}
+template <typename A>
+void Fields(A& a, GatherRelease& m) {
+  a(m.request, m.attempt, m.endpoint, m.number);
+}
+
+/** Largest valid value of each enumeration on the wire. */
+template <typename E>
+inline constexpr uint8_t kEnumMax = 0;
+template <>
+inline constexpr uint8_t kEnumMax<RefusalReason> = static_cast<uint8_t>(RefusalReason::kSuspect);
+template <>
+inline constexpr uint8_t kEnumMax<ReleaseOutcome> =
+    static_cast<uint8_t>(ReleaseOutcome::kEndpointRefused);
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_wire/messages.h
@@ -0,0 +1,260 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "zr_base/zr_base.h"
+
+namespace zr {
+
+/** Identifies a message's sender and orders the sender's messages. */
+struct SenderStamp {
+  VmId vm;
+  Incarnation incarnation;
+  uint64_t sequence = 0;  // rises with each message of an incarnation
+  friend auto operator<=>(const SenderStamp&, const SenderStamp&) = default;
+};
+
+/** A team's use of its limits at one VM. */
+struct TeamDemand {
+  TeamId team;
+  int64_t tokens_per_second = 0;  // offered in the last seconds
+  TokenCount kv_held;
+  friend auto operator<=>(const TeamDemand&, const TeamDemand&) = default;
+};
+
+/** Offered load of one pool at one VM, split by prompt length. */
+struct PoolDemand {
+  PoolId pool;
+  int64_t short_tokens_per_second = 0;
+  int64_t long_tokens_per_second = 0;
+  friend auto operator<=>(const PoolDemand&, const PoolDemand&) = default;
+};
+
+/** Sent to each linked VM every heartbeat period; relayed when links are bounded. */
+struct Heartbeat {
+  SenderStamp origin;  // the VM that the heartbeat is about
+  DomainId domain;
+  std::string region;
+  std::string peer_address;  // "ip:port" of the origin's peer listener
+  bool ready = false;
+  bool leaving = false;
+  ObjectVersion config_version;
+  std::string config_digest;  // hex SHA-256
+  uint32_t hops = 0;          // relays so far
+  std::vector<TeamDemand> team_demand;
+  std::vector<PoolDemand> pool_demand;
+  friend auto operator<=>(const Heartbeat&, const Heartbeat&) = default;
+};
+
+/** Published by an owner for each of its endpoints. */
+struct Summary {
+  EndpointId endpoint;
+  PoolId pool;
+  DomainId domain;
+  VmId owner;
+  Incarnation owner_incarnation;
+  uint64_t sequence = 0;  // rises with each summary of an owner's incarnation
+  bool accepts_new = false;
+  TokenCount kv_free;
+  TokenCount kv_capacity;
+  Duration wait_short;  // expected wait of a short prompt
+  Duration wait_long;   // expected wait of a long prompt
+  std::vector<PrefixHash> prefixes;
+  friend auto operator<=>(const Summary&, const Summary&) = default;
+};
+
+/** An ingress asks the owner of an endpoint for admission. */
+struct AdmissionRequest {
+  RequestId request;
+  AttemptNumber attempt;
+  EndpointId endpoint;
+  PoolId pool;
+  TeamId team;
+  ClassId request_class;
+  TokenCount prompt;      // tokens of the whole prompt
+  TokenCount max_answer;  // bound on the answer's tokens
+  Duration time_left;     // until the deadline, at sending
+  Fingerprint fingerprint;
+  bool run_alone = false;            // suspect: nothing else may run on the endpoint
+  bool queue_if_busy = false;        // false: answer "busy" in place of queueing
+  bool plain_service = false;        // a call of a plain service; token counts are 0
+  std::vector<PrefixHash> prefixes;  // hashes of the prompt's prefix blocks, shortest first
+  friend auto operator<=>(const AdmissionRequest&, const AdmissionRequest&) = default;
+};
+
+/** The owner admits an attempt. */
+struct Grant {
+  RequestId request;
+  AttemptNumber attempt;
+  EndpointId endpoint;
+  GrantNumber number;
+  VmId owner;
+  Incarnation owner_incarnation;
+  TokenCount kv_tokens;   // reserved
+  Duration start_within;  // void if the call has not started by then
+  int32_t priority = 0;   // passed to the engine; higher is sooner
+  BootNumber boot;        // the endpoint's boot number as the owner knows it
+  friend auto operator<=>(const Grant&, const Grant&) = default;
+};
+
+enum class RefusalReason : uint8_t {
+  kBusy,          // cannot start soon; wait_hint tells when
+  kDeadline,      // cannot finish before the deadline
+  kNotOwner,      // the receiver does not own the endpoint
+  kNotAccepting,  // draining, leaving or not live
+  kTooLarge,      // does not fit the endpoint even when empty
+  kTeamLimit,     // the team's limit is used up
+  kSuspect,       // the fingerprint has crashed two endpoints
+};
+
+/** The owner refuses an attempt; nothing was run. */
+struct Refusal {
+  RequestId request;
+  AttemptNumber attempt;
+  EndpointId endpoint;
+  RefusalReason reason = RefusalReason::kBusy;
+  Duration wait_hint;  // expected wait, for kBusy
+  friend auto operator<=>(const Refusal&, const Refusal&) = default;
+};
+
+enum class ReleaseOutcome : uint8_t {
+  kCompleted,        // the stream ended normally
+  kCancelled,        // the stream was cancelled at the engine
+  kNeverStarted,     // no byte was sent to the endpoint
+  kEndpointDied,     // the connection broke; the engine's state is unknown
+  kEndpointRefused,  // the endpoint answered that it did not run the call
+};
+
+/** The holder of a grant gives it back. */
+struct Release {
+  RequestId request;
+  AttemptNumber attempt;
+  EndpointId endpoint;
+  GrantNumber number;
+  ReleaseOutcome outcome = ReleaseOutcome::kCompleted;
+  TokenCount prompt;    // prefilled
+  TokenCount answered;  // generated
+  Duration run_time;    // from start to end of the call
+  friend auto operator<=>(const Release&, const Release&) = default;
+};
+
+/** A grant as its holder knows it. */
+struct HeldGrant {
+  RequestId request;
+  AttemptNumber attempt;
+  GrantNumber number;
+  VmId owner;
+  Incarnation owner_incarnation;
+  TokenCount kv_tokens;
+  TokenCount prompt;
+  Fingerprint fingerprint;
+  bool long_prompt = false;
+  bool started = false;
+  friend auto operator<=>(const HeldGrant&, const HeldGrant&) = default;
+};
+
+/** The full list of a holder's grants on one endpoint, repeated while any is held. */
+struct HeldGrants {
+  SenderStamp holder;
+  EndpointId endpoint;
+  std::vector<HeldGrant> grants;
+  friend auto operator<=>(const HeldGrants&, const HeldGrants&) = default;
+};
+
+/** The ingress no longer wants an admission that it asked for. */
+struct CancelAdmission {
+  RequestId request;
+  AttemptNumber attempt;
+  EndpointId endpoint;
+  friend auto operator<=>(const CancelAdmission&, const CancelAdmission&) = default;
+};
+
+/** A request that was in progress on an endpoint that died. */
+struct Suspect {
+  Fingerprint fingerprint;
+  EndpointId endpoint;
+  BootNumber boot;  // with the endpoint, names one death
+  Duration age;     // since the death
+  friend auto operator<=>(const Suspect&, const Suspect&) = default;
+};
+
+/** Asks a VM whether it holds or knows the stream of a request. */
+struct FindStream {
+  RequestId request;
+  TeamId team;
+  friend auto operator<=>(const FindStream&, const FindStream&) = default;
+};
+
+/** Answer to FindStream. */
+struct StreamLocation {
+  RequestId request;
+  bool found = false;
+  TeamId team;
+  EndpointId endpoint;
+  std::string stream;  // the engine's stream id
+  AttemptNumber attempt;
+  VmId holder;  // the VM that reads the stream, empty if it died
+  friend auto operator<=>(const StreamLocation&, const StreamLocation&) = default;
+};
+
+/** A configuration document with its version. */
+struct ConfigOffer {
+  ObjectVersion version;
+  std::string digest;    // hex SHA-256 of the document
+  std::string document;  // INI text
+  friend auto operator<=>(const ConfigOffer&, const ConfigOffer&) = default;
+};
+
+/** Asks a VM for a configuration at least as new as the given version. */
+struct ConfigFetch {
+  ObjectVersion at_least;
+  friend auto operator<=>(const ConfigFetch&, const ConfigFetch&) = default;
+};
+
+/** The coordinator of a gather asks an owner to reserve a member's memory. */
+struct GatherReserve {
+  RequestId request;
+  AttemptNumber attempt;
+  EndpointId endpoint;
+  TokenCount kv_tokens;
+  Duration hold_for;  // the reservation lapses unless confirmed
+  friend auto operator<=>(const GatherReserve&, const GatherReserve&) = default;
+};
+
+/** Answer to GatherReserve. */
+struct GatherReply {
+  RequestId request;
+  AttemptNumber attempt;
+  EndpointId endpoint;
+  bool reserved = false;
+  GrantNumber number;
+  Duration wait_hint;
+  friend auto operator<=>(const GatherReply&, const GatherReply&) = default;
+};
+
+/** Returns a gather reservation that is not used. */
+struct GatherRelease {
+  RequestId request;
+  AttemptNumber attempt;
+  EndpointId endpoint;
+  GrantNumber number;
+  friend auto operator<=>(const GatherRelease&, const GatherRelease&) = default;
+};
+
+/** Any message between entry VMs. The order is part of the wire format. */
+using Message = std::variant<Heartbeat, Summary, AdmissionRequest, Grant, Refusal, Release,
+                             HeldGrants, CancelAdmission, Suspect, FindStream, StreamLocation,
+                             ConfigOffer, ConfigFetch, GatherReserve, GatherReply, GatherRelease>;
+
+/** A message with the VM it goes to. */
+struct OutgoingMessage {
+  VmId to;
+  Message message;
+  friend auto operator<=>(const OutgoingMessage&, const OutgoingMessage&) = default;
+};
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_wire/tests/wire_test.cc
@@ -0,0 +1,78 @@
+#include <catch2/catch.hpp>
+#include <vector>
+
+#include "zr_wire/zr_wire.h"
+
+namespace zr {
+namespace {
+
+AdmissionRequest SampleAdmission() {
+  AdmissionRequest m;
+  m.request = RequestId("r-1");
+  m.attempt = AttemptNumber(2);
+  m.endpoint = EndpointId("engine-7");
+  m.prompt = TokenCount(1'000'000);
+  m.time_left = Duration::Milliseconds(1500);
+  m.fingerprint = Fingerprint(0xFFFF'FFFF'FFFF'FFFFULL);
+  m.run_alone = true;
+  m.prefixes = {PrefixHash(1), PrefixHash(2)};
+  return m;
+}
+
+// Guards against a field that is lost or swapped between two VMs.
+TEST_CASE("A message survives encoding and decoding") {
+  Heartbeat heartbeat;
+  heartbeat.origin = {VmId("vm-1"), Incarnation(9), 44};
+  heartbeat.team_demand = {{TeamId("customs"), 1200, TokenCount(5)}};
+  Refusal refusal;
+  refusal.reason = RefusalReason::kSuspect;
+  HeldGrants held;
+  held.grants.resize(2);
+  held.grants[1].started = true;
+  for (const Message& message :
+       std::vector<Message>{SampleAdmission(), heartbeat, refusal, held, Summary{}, Grant{},
+                            Release{}, Suspect{}, GatherReply{}, ConfigOffer{}}) {
+    auto decoded = DecodeMessage(EncodeMessage(message));
+    REQUIRE(decoded);
+    REQUIRE(*decoded == message);
+  }
+}
+
+// Guards against a peer whose broken frame crashes a VM or changes its state.
+TEST_CASE("A bad frame is refused") {
+  const std::vector<uint8_t> good = EncodeMessage(SampleAdmission());
+  SECTION("when truncated at any length") {
+    for (size_t n = 0; n < good.size(); ++n) {
+      REQUIRE_FALSE(DecodeMessage(std::span(good).first(n)));
+    }
+  }
+  SECTION("when nested too deeply") {
+    std::vector<uint8_t> deep(60'000, 0x81);
+    REQUIRE_FALSE(DecodeMessage(deep));
+  }
+  SECTION("when larger than its bound") {
+    std::vector<uint8_t> large((1 << 20) + 1, 0);
+    auto decoded = DecodeMessage(large);
+    REQUIRE_FALSE(decoded);
+    REQUIRE(decoded.error().code == ErrorCode::kTooLarge);
+  }
+  SECTION("when a heartbeat exceeds the bound of ordinary frames") {
+    Heartbeat heartbeat;
+    heartbeat.config_digest.assign(70'000, 'x');
+    auto decoded = DecodeMessage(EncodeMessage(heartbeat));
+    REQUIRE_FALSE(decoded);
+    REQUIRE(decoded.error().code == ErrorCode::kTooLarge);
+  }
+  SECTION("when its type is unknown") {
+    REQUIRE_FALSE(DecodeMessage(std::vector<uint8_t>{0x81, 0x18, 0x63}));
+  }
+  SECTION("when an enumeration is out of range") {
+    std::vector<uint8_t> frame = EncodeMessage(Refusal{});
+    // [4, "", 0, "", reason, wait]: the reason is the last but one byte.
+    frame[frame.size() - 2] = 0x17;
+    REQUIRE_FALSE(DecodeMessage(frame));
+  }
+}
+
+}  // namespace
+}  // namespace zr
