--- /dev/null
+++ b/modules/zr_peer/websocket/websocket_transport.cc
@@ -0,0 +1,212 @@
+#include "zr_peer/websocket/websocket_transport.h"
+
+#include <map>
+#include <mutex>
+#include <utility>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace zr {
+namespace {
+
+using Server = websocketpp::server<websocketpp::config::asio>;
+using Client = websocketpp::client<websocketpp::config::asio_client>;
+using ConnectionHandle = websocketpp::connection_hdl;
+
+constexpr long kOpenTimeoutMs = 2000;  // NOLINT(google-runtime-int): websocketpp's type
+constexpr long kCloseTimeoutMs = 500;  // NOLINT(google-runtime-int): websocketpp's type
+
+class Transport final : public WebsocketTransport, public std::enable_shared_from_this<Transport> {
+ public:
+  Transport(size_t max_message_bytes, std::weak_ptr<Listener> listener)
+      : max_message_bytes_(max_message_bytes), listener_(std::move(listener)) {}
+
+  bool Open(asio::io_context& context, const std::string& ip, uint16_t port, std::string* error) {
+    websocketpp::lib::error_code code;
+    SetUp(server_, context, code);
+    if (!code) SetUp(client_, context, code);
+    if (!code) {
+      server_.set_reuse_addr(true);
+      server_.listen(ip, std::to_string(port), code);
+    }
+    if (!code) server_.start_accept(code);
+    if (code) *error = code.message();
+    return !code;
+  }
+
+  LinkId Connect(const std::string& ip, uint16_t port) override {
+    const LinkId link = NextId();
+    websocketpp::lib::error_code code;
+    auto connection =
+        client_.get_connection("ws://" + ip + ":" + std::to_string(port) + "/peer", code);
+    if (code) {
+      NotifyClosed(link, code.message());
+      return link;
+    }
+    {
+      std::lock_guard<std::mutex> lock(mutex_);
+      links_[link] = Link{connection->get_handle(), true};
+      ids_[connection->get_handle()] = link;
+    }
+    client_.connect(connection);
+    return link;
+  }
+
+  void Send(LinkId link, const std::string& payload, size_t max_buffered) override {
+    Link found;
+    if (!Find(link, &found)) return;
+    if (found.outgoing) {
+      SendOn(client_, link, found.handle, payload, max_buffered);
+    } else {
+      SendOn(server_, link, found.handle, payload, max_buffered);
+    }
+  }
+
+  void Close(LinkId link, const std::string& reason) override {
+    Link found;
+    if (!Find(link, &found)) return;
+    websocketpp::lib::error_code code;
+    const auto status = websocketpp::close::status::normal;
+    if (found.outgoing) {
+      client_.close(found.handle, status, reason, code);
+    } else {
+      server_.close(found.handle, status, reason, code);
+    }
+  }
+
+  void Stop() override {
+    websocketpp::lib::error_code code;
+    if (server_.is_listening()) server_.stop_listening(code);
+    std::map<LinkId, Link> links;
+    {
+      std::lock_guard<std::mutex> lock(mutex_);
+      links = links_;
+    }
+    for (const auto& entry : links) Close(entry.first, "stopping");
+  }
+
+ private:
+  struct Link {
+    ConnectionHandle handle;
+    bool outgoing = false;
+  };
+
+  template <typename E>
+  void SetUp(E& endpoint, asio::io_context& context, websocketpp::lib::error_code& code) {
+    endpoint.clear_access_channels(websocketpp::log::alevel::all);
+    endpoint.clear_error_channels(websocketpp::log::elevel::all);
+    endpoint.init_asio(&context, code);
+    if (code) return;
+    endpoint.set_max_message_size(max_message_bytes_);
+    endpoint.set_open_handshake_timeout(kOpenTimeoutMs);
+    endpoint.set_close_handshake_timeout(kCloseTimeoutMs);
+    std::weak_ptr<Transport> weak = shared_from_this();
+    const bool outgoing = std::is_same<E, Client>::value;
+    endpoint.set_open_handler([weak, outgoing, &endpoint](ConnectionHandle handle) {
+      asio::error_code ignored;
+      endpoint.get_con_from_hdl(handle)->get_raw_socket().set_option(asio::ip::tcp::no_delay(true),
+                                                                     ignored);
+      if (auto self = weak.lock()) self->Opened(handle, outgoing);
+    });
+    endpoint.set_message_handler([weak](ConnectionHandle handle, const auto& message) {
+      auto self = weak.lock();
+      if (!self) return;
+      const LinkId link = self->IdOf(handle);
+      auto listener = self->listener_.lock();
+      if (link != 0 && listener) listener->OnMessage(link, message->get_payload());
+    });
+    endpoint.set_close_handler(
+        [weak, &endpoint](ConnectionHandle handle) { Ended(weak, endpoint, std::move(handle)); });
+    endpoint.set_fail_handler(
+        [weak, &endpoint](ConnectionHandle handle) { Ended(weak, endpoint, std::move(handle)); });
+  }
+
+  template <typename E>
+  static void Ended(const std::weak_ptr<Transport>& weak, E& endpoint, ConnectionHandle handle) {
+    auto self = weak.lock();
+    if (!self) return;
+    auto connection = endpoint.get_con_from_hdl(handle);
+    const LinkId link = self->Forget(handle);
+    if (link != 0) self->NotifyClosed(link, connection->get_ec().message());
+  }
+
+  template <typename E>
+  void SendOn(E& endpoint, LinkId link, const ConnectionHandle& handle, const std::string& payload,
+              size_t max_buffered) {
+    websocketpp::lib::error_code code;
+    auto connection = endpoint.get_con_from_hdl(handle, code);
+    if (code) return;
+    if (connection->get_buffered_amount() > max_buffered) {
+      Close(link, "send buffer is full");
+      return;
+    }
+    endpoint.send(handle, payload, websocketpp::frame::opcode::binary, code);
+  }
+
+  void Opened(const ConnectionHandle& handle, bool outgoing) {
+    LinkId link = IdOf(handle);
+    if (link == 0) {
+      link = NextId();
+      std::lock_guard<std::mutex> lock(mutex_);
+      links_[link] = Link{handle, outgoing};
+      ids_[handle] = link;
+    }
+    if (auto listener = listener_.lock()) listener->OnOpen(link, outgoing);
+  }
+
+  LinkId IdOf(const ConnectionHandle& handle) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    auto it = ids_.find(handle);
+    return it == ids_.end() ? 0 : it->second;
+  }
+
+  LinkId Forget(const ConnectionHandle& handle) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    auto it = ids_.find(handle);
+    if (it == ids_.end()) return 0;
+    const LinkId link = it->second;
+    ids_.erase(it);
+    links_.erase(link);
+    return link;
+  }
+
+  bool Find(LinkId link, Link* found) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    auto it = links_.find(link);
+    if (it == links_.end()) return false;
+    *found = it->second;
+    return true;
+  }
+
+  LinkId NextId() {
+    std::lock_guard<std::mutex> lock(mutex_);
+    return ++last_id_;
+  }
+
+  void NotifyClosed(LinkId link, const std::string& reason) {
+    if (auto listener = listener_.lock()) listener->OnClosed(link, reason);
+  }
+
+  size_t max_message_bytes_;
+  std::weak_ptr<Listener> listener_;
+  Server server_;
+  Client client_;
+  std::mutex mutex_;
+  LinkId last_id_ = 0;
+  std::map<LinkId, Link> links_;
+  std::map<ConnectionHandle, LinkId, std::owner_less<ConnectionHandle>> ids_;
+};
+
+}  // namespace
+
+std::shared_ptr<WebsocketTransport> WebsocketTransport::Create(
+    asio::io_context& context, const std::string& listen_ip, uint16_t port,
+    size_t max_message_bytes, std::weak_ptr<Listener> listener, std::string* error) {
+  auto transport = std::make_shared<Transport>(max_message_bytes, std::move(listener));
+  if (!transport->Open(context, listen_ip, port, error)) return nullptr;
+  return transport;
+}
+
+}  // namespace zr
