Add the daemon's settings

Cause: the daemon and other modules need typed settings with exact messages. Conclusion: Settings::Parse can be used by other modules.

--- a/modules/zr_config/zr_config.h
+++ b/modules/zr_config/zr_config.h
@@ -7,4 +7,7 @@
  * Threads: all types are plain values.
  */
 
+#include "zr_config/address.h"
 #include "zr_config/policies.h"
+#include "zr_config/problem.h"
+#include "zr_config/settings.h"
