--- a/modules/zr_config/ini_text.cc
+++ b/modules/zr_config/ini_text.cc
@@ -97,7 +97,7 @@
       skipping_ = false;
       out_.sections.push_back(IniSection{line_, std::string(name), {}});
     }
-    // The fixed name keeps inih's notion of continuation lines in step with this class.
+    // inih would cut a long name; the fixed one only tells it that a section starts.
     return "[section]\n";
   }
 
--- a/modules/zr_config/ini_text.h
+++ b/modules/zr_config/ini_text.h
@@ -32,8 +32,8 @@
 struct IniText {
   /** Longest line in bytes; inih's buffer holds 200 with the line end. */
   static constexpr int kMaxLineBytes = 190;
-  /** Longest section name in bytes; inih cuts names at 50 with the terminator. */
-  static constexpr int kMaxSectionBytes = 48;
+  /** Longest section name in bytes: "drain endpoint " and a name of 64. */
+  static constexpr int kMaxSectionBytes = 80;
   /** Longest text in bytes: an object of the platform holds 1 MB. */
   static constexpr size_t kMaxTextBytes = 900'000;
 
