Add Membership: the live view of entry VMs from heartbeats

Cause: ownership, readiness and grants need to know which VMs are live, and a VM that was paused must not take its silent peers for dead. Change: zr_membership with ClusterView and Membership. Heartbeats carry a weight for ownership as a new last field.

--- /dev/null
+++ b/modules/zr_membership/zr_membership.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/**
+ * zr_membership: which entry VMs are live, who owns what, and which
+ * configuration version is in force.
+ *
+ * Dependencies: zr_base, zr_wire, zr_config.
+ * Threads: the classes are externally synchronised; ClusterView is immutable
+ * once published and may be read from any thread.
+ */
+
+#include "zr_membership/cluster_view.h"
+#include "zr_membership/membership.h"
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -26,7 +26,7 @@
 template <typename A>
 void Fields(A& a, Heartbeat& m) {
   a(m.origin, m.domain, m.region, m.peer_address, m.ready, m.leaving, m.config_version,
-    m.config_digest, m.hops, m.team_demand, m.pool_demand);
+    m.config_digest, m.hops, m.team_demand, m.pool_demand, m.weight);
 }
 template <typename A>
 void Fields(A& a, Summary& m) {
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -47,6 +47,7 @@
   uint32_t hops = 0;          // relays so far
   std::vector<TeamDemand> team_demand;
   std::vector<PoolDemand> pool_demand;
+  uint32_t weight = 1;  // relative share of endpoints to own, from 1
   friend auto operator<=>(const Heartbeat&, const Heartbeat&) = default;
 };
 
