Add Ownership and SummaryTable

Cause: each endpoint needs one VM that does its accounting, and an ingress needs the newest state of the endpoints of a pool while views differ. Change: pure rendezvous functions over a ClusterView; a table of summaries per endpoint and claimed owner. VMs that are leaving, drained by name or without a configuration own nothing. VMs of a drained domain own endpoints of that domain only, so that running work keeps its owner. Conclusion: readiness is no condition of ownership, because it flips in store outages and each change of owner costs a take-over.

--- a/modules/zr_membership/zr_membership.h
+++ b/modules/zr_membership/zr_membership.h
@@ -11,3 +11,5 @@
 
 #include "zr_membership/cluster_view.h"
 #include "zr_membership/membership.h"
+#include "zr_membership/ownership.h"
+#include "zr_membership/summary_table.h"
