Add ConfigTracker and the in-force report

Cause: an accepted configuration must be in force everywhere and never revert, while the store or parts of the fleet are unreachable. Change: ConfigTracker adopts rising versions only, confirms its version by the store or by more than half of the last known peers, and decides what to fetch. MakeInForceReport evaluates a written version for apply.

--- a/modules/zr_membership/cluster_view.h
+++ b/modules/zr_membership/cluster_view.h
@@ -53,6 +53,8 @@
    */
   bool settled = false;
   TimePoint taken_at;
+  /** Start of this process or end of its last pause; silence before it says nothing. */
+  TimePoint listening_since;
   std::map<VmId, VmView> live;    // includes the VM itself
   std::map<VmId, VmView> silent;  // remembered, not live
   /** Addresses to link to, from the platform list and from heartbeats; without self. */
--- /dev/null
+++ b/modules/zr_membership/config_tracker.cc
@@ -0,0 +1,227 @@
+#include "zr_membership/config_tracker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace zr {
+
+std::string_view ToString(ConfigReadiness readiness) {
+  switch (readiness) {
+    case ConfigReadiness::kReady:
+      return "ready";
+    case ConfigReadiness::kNoConfiguration:
+      return "no_configuration";
+    case ConfigReadiness::kUnconfirmed:
+      return "unconfirmed";
+    case ConfigReadiness::kLagging:
+      return "lagging";
+  }
+  return "unknown";
+}
+
+ConfigTracker::ConfigTracker(ConfigTrackerOptions options) : options_(std::move(options)) {
+  ZR_ASSERT(options_.check != nullptr, "a configuration tracker needs a document check");
+  ZR_ASSERT(options_.confirm_within > Duration() && options_.fetch_retry > Duration() &&
+                options_.store_read_period > Duration(),
+            "configuration periods must be positive");
+}
+
+// -----------------------------------------------------------------------------
+// Input
+
+OfferOutcome ConfigTracker::OnStoreRead(TimePoint now, TimePoint asked_at,
+                                        const ConfigOffer& offer) {
+  LearnVersion(now, offer.version);
+  const OfferOutcome outcome = Adopt(offer);
+  // A store that went back, for example after a restore, confirms nothing.
+  if (outcome == OfferOutcome::kOlder) {
+    ++store_regressions_;
+    return outcome;
+  }
+  if (outcome == OfferOutcome::kAdopted || outcome == OfferOutcome::kSame) {
+    store_heard_ = true;
+    store_asked_at_ = std::max(store_asked_at_, asked_at);
+    NoteConfirmation(now);
+  }
+  return outcome;
+}
+
+void ConfigTracker::OnStoreAbsent() {
+  if (current_) ++store_regressions_;
+}
+
+void ConfigTracker::OnStoreUnchanged(TimePoint now, TimePoint asked_at, ObjectVersion version) {
+  // The watch may be older than the version that a peer supplied.
+  if (!current_ || version < current_->version) return;
+  store_heard_ = true;
+  store_asked_at_ = std::max(store_asked_at_, asked_at);
+  NoteConfirmation(now);
+}
+
+OfferOutcome ConfigTracker::OnOffer(TimePoint now, const VmId& from, const ConfigOffer& offer) {
+  const OfferOutcome outcome = Adopt(offer);
+  // A rejected document proves nothing about the versions that exist.
+  if (outcome != OfferOutcome::kRejected) LearnVersion(now, offer.version);
+  if (outcome == OfferOutcome::kRejected && from == last_fetch_) next_fetch_ = now;
+  return outcome;
+}
+
+void ConfigTracker::OnView(TimePoint now, const ClusterView& view) {
+  const auto take = [&](const VmView& vm) {
+    if (vm.vm == options_.self) return;
+    Peer& peer = peers_[vm.vm];
+    peer.last_heard = vm.last_heard;
+    peer.version = vm.config_version;
+    peer.leaving = vm.leaving;
+    peer.ready = vm.ready;
+    peer.was_ready |= vm.ready;
+    LearnVersion(now, vm.config_version);
+    if (current_ && vm.config_version == current_->version &&
+        vm.config_digest != current_->digest && peer.conflict != vm.config_version) {
+      peer.conflict = vm.config_version;
+      ++digest_conflicts_;
+    }
+  };
+  for (const auto& [id, vm] : view.live) take(vm);
+  for (const auto& [id, vm] : view.silent) take(vm);
+  has_list_ = !view.listed.empty();
+  unheard_listed_.clear();
+  for (const auto& [id, domain] : view.listed) {
+    if (!peers_.contains(id)) unheard_listed_.push_back(id);
+  }
+  NoteConfirmation(now);
+}
+
+void ConfigTracker::OnSelfPaused(TimePoint now) {
+  not_before_ = now + options_.settle_after_pause;
+  store_heard_ = false;
+  next_store_read_ = now;
+  next_action_ = now;
+}
+
+// -----------------------------------------------------------------------------
+// Adoption
+
+OfferOutcome ConfigTracker::Adopt(const ConfigOffer& offer) {
+  if (current_ && offer.version < current_->version) return OfferOutcome::kOlder;
+  if (current_ && offer.version == current_->version) {
+    if (offer.digest == current_->digest) return OfferOutcome::kSame;
+    ++digest_conflicts_;
+    return OfferOutcome::kConflict;
+  }
+  if (offer.version.value() == 0 || !options_.check(offer)) {
+    ++rejected_offers_;
+    return OfferOutcome::kRejected;
+  }
+  ZR_ASSERT_INVARIANT(kConfigNoRevert, offer.version > version(),
+                      "a configuration was replaced by one that is not newer");
+  current_ = std::make_shared<const ConfigOffer>(offer);
+  fetches_ = 0;
+  last_fetch_ = VmId();
+  return OfferOutcome::kAdopted;
+}
+
+void ConfigTracker::LearnVersion(TimePoint now, ObjectVersion learned) {
+  if (learned <= highest_known_) return;
+  // The grace runs from the first version that is missing, so that a series of
+  // changes cannot extend it.
+  if (highest_known_ <= version()) behind_since_ = now;
+  highest_known_ = learned;
+  next_action_ = std::min(next_action_, now);
+}
+
+// -----------------------------------------------------------------------------
+// Confirmation
+
+bool ConfigTracker::StoreConfirms(TimePoint now) const {
+  return store_heard_ && now - store_asked_at_ <= options_.confirm_within;
+}
+
+/**
+ * More than half of the last known peers were heard. Only peers that were once
+ * ready count, so that VMs which start inside an isolated minority cannot make
+ * it a majority. A VM that has been confirmed for less than the memory of
+ * peers does not know all of them: it adds the platform's list, or without a
+ * list hears only those that are ready (confirmed) themselves.
+ */
+bool ConfigTracker::PeersConfirm(TimePoint now) const {
+  const bool young = !ever_confirmed_ || now - first_confirmed_ < options_.remember_for;
+  size_t known = young ? unheard_listed_.size() : 0;
+  size_t heard = 0;
+  for (const auto& [id, peer] : peers_) {
+    if (peer.leaving || !peer.was_ready) continue;
+    ++known;
+    const bool counts = !young || has_list_ || peer.ready;
+    if (counts && now - peer.last_heard <= options_.confirm_within &&
+        peer.last_heard >= not_before_) {
+      ++heard;
+    }
+  }
+  return heard * 2 > known;
+}
+
+void ConfigTracker::NoteConfirmation(TimePoint now) {
+  if (!current_ || !Confirmed(now)) return;
+  if (!ever_confirmed_) {
+    ever_confirmed_ = true;
+    first_confirmed_ = now;
+  }
+  // Peers are forgotten only while the version is confirmed. An isolated
+  // minority would otherwise forget the majority and then confirm itself.
+  std::erase_if(peers_, [&](const auto& entry) {
+    return now - entry.second.last_heard > options_.remember_for;
+  });
+}
+
+ConfigReadiness ConfigTracker::Readiness(TimePoint now) const {
+  if (!current_) return ConfigReadiness::kNoConfiguration;
+  if (!Confirmed(now)) return ConfigReadiness::kUnconfirmed;
+  if (highest_known_ > current_->version && now - behind_since_ > options_.lag_grace) {
+    return ConfigReadiness::kLagging;
+  }
+  return ConfigReadiness::kReady;
+}
+
+// -----------------------------------------------------------------------------
+// Fetching
+
+std::vector<ConfigAction> ConfigTracker::OnTick(TimePoint now) {
+  std::vector<ConfigAction> actions;
+  const bool behind = !current_ || highest_known_ > current_->version;
+  if (behind && now >= next_fetch_) PlanFetch(now, actions);
+  // Peers that nearly all know the version spare the store its reads.
+  if ((!current_ || !PeersConfirm(now)) && now >= next_store_read_) {
+    actions.push_back({ConfigAction::Kind::kReadStore, VmId(), {}});
+    next_store_read_ = now + (current_ ? options_.store_read_period : options_.fetch_retry);
+  }
+  next_action_ = now + options_.fetch_retry;
+  return actions;
+}
+
+void ConfigTracker::PlanFetch(TimePoint now, std::vector<ConfigAction>& actions) {
+  // Tries the peers that have a newer version in turn, the newest first.
+  const VmId* next = nullptr;
+  const VmId* first = nullptr;
+  for (const auto& [id, peer] : peers_) {
+    if (peer.version <= version() || now - peer.last_heard > options_.confirm_within) continue;
+    if (peer.version < highest_known_ && fetches_ == 0) continue;
+    if (first == nullptr) first = &id;
+    if (next == nullptr && id > last_fetch_) next = &id;
+  }
+  const VmId* chosen = next != nullptr ? next : first;
+  ++fetches_;
+  next_fetch_ = now + options_.fetch_retry;
+  if (chosen != nullptr) {
+    last_fetch_ = *chosen;
+    actions.push_back({ConfigAction::Kind::kFetchFromPeer, *chosen, {version().Next()}});
+  }
+  // The store is asked only when no peer helps, because at a change every VM
+  // of the fleet would read it at once.
+  constexpr uint64_t kPeerFetchesBeforeStore = 2;
+  if (current_ && (chosen == nullptr || fetches_ > kPeerFetchesBeforeStore)) {
+    actions.push_back({ConfigAction::Kind::kReadStore, VmId(), {}});
+    next_store_read_ = now + options_.store_read_period;
+  }
+}
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_membership/in_force_report.cc
@@ -0,0 +1,45 @@
+#include "zr_membership/in_force_report.h"
+
+#include <algorithm>
+
+namespace zr {
+namespace {
+
+bool HasVersion(const VmView& vm, ObjectVersion version, const std::string& digest) {
+  if (vm.config_version == version) return vm.config_digest == digest;
+  return vm.config_version > version;
+}
+
+}  // namespace
+
+InForceReport MakeInForceReport(TimePoint now, ObjectVersion version, const std::string& digest,
+                                const ClusterView& view, Duration silence) {
+  InForceReport report;
+  size_t total = 0;
+  const auto add = [&](const VmId& id, TimePoint last_heard) {
+    const bool silent = now - std::max(last_heard, view.listening_since) > silence;
+    (silent ? report.silent : report.lagging).push_back(id);
+  };
+  for (const auto& [id, vm] : view.live) {
+    ++total;
+    if (!HasVersion(vm, version, digest)) add(id, vm.last_heard);
+  }
+  for (const auto& [id, vm] : view.silent) {
+    if (vm.leaving) continue;
+    ++total;
+    if (!HasVersion(vm, version, digest)) add(id, vm.last_heard);
+  }
+  // A listed VM that was never heard may run with an older version.
+  for (const auto& [id, domain] : view.listed) {
+    if (view.live.contains(id) || view.silent.contains(id)) continue;
+    ++total;
+    add(id, view.listening_since);
+  }
+  const bool silent_are_fewer = report.silent.size() * 2 < total;
+  if (view.settled && report.lagging.empty() && silent_are_fewer) {
+    report.state = InForceReport::State::kAccepted;
+  }
+  return report;
+}
+
+}  // namespace zr
--- a/modules/zr_membership/membership.cc
+++ b/modules/zr_membership/membership.cc
@@ -184,12 +184,14 @@
     started_ = true;
     last_tick_ = now;
     settle_at_ = round_end;
+    listening_since_ = now;
     return;
   }
   if (now - last_tick_ <= options_.suspect_after) return;
   last_tick_ = now;
   settled_ = false;
   settle_at_ = round_end;
+  listening_since_ = now;
   events.push_back({Kind::kSelfPaused, options_.self, options_.incarnation});
   Publish(now, true);
 }
@@ -279,6 +281,7 @@
   view->revision = revision_;
   view->settled = settled_;
   view->taken_at = now;
+  view->listening_since = listening_since_;
   for (const auto& [vm, entry] : platform_) {
     if (vm == options_.self) continue;
     if (!entry.address.empty()) view->candidates[vm] = entry.address;
--- a/modules/zr_membership/membership.h
+++ b/modules/zr_membership/membership.h
@@ -162,6 +162,7 @@
   bool started_ = false;
   TimePoint last_tick_;
   TimePoint settle_at_;
+  TimePoint listening_since_;
   TimePoint next_heartbeat_;
   std::shared_ptr<const ClusterView> view_;
 };
--- a/modules/zr_membership/tests/ownership_test.cc
+++ b/modules/zr_membership/tests/ownership_test.cc
@@ -73,6 +73,8 @@
   SECTION("a drained domain keeps its own endpoints and gets no others") {
     for (auto& [id, vm] : view.live) vm.domain_drained = vm.domain == DomainId("d1");
     REQUIRE(owners() == before);
+    for (auto& [id, vm] : view.live) vm.leaving = vm.domain == DomainId("d2");
+    REQUIRE(view.live[*OwnerOf(Endpoint(1, "d2"), view)].domain == DomainId("d3"));
     for (int i = 0; i < 200; ++i) {
       const std::string name = std::to_string(i);
       REQUIRE(view.live[*CoordinatorOf(PoolId(name), view)].domain != DomainId("d1"));
--- a/modules/zr_membership/zr_membership.h
+++ b/modules/zr_membership/zr_membership.h
@@ -10,6 +10,8 @@
  */
 
 #include "zr_membership/cluster_view.h"
+#include "zr_membership/config_tracker.h"
+#include "zr_membership/in_force_report.h"
 #include "zr_membership/membership.h"
 #include "zr_membership/ownership.h"
 #include "zr_membership/summary_table.h"
