Add DrainRules

Cause: several sources say whether an endpoint or VM may get work, and a lagging one must not hide a stricter one.

--- a/modules/zr_membership/zr_membership.h
+++ b/modules/zr_membership/zr_membership.h
@@ -11,6 +11,7 @@
 
 #include "zr_membership/cluster_view.h"
 #include "zr_membership/config_tracker.h"
+#include "zr_membership/drain_rules.h"
 #include "zr_membership/in_force_report.h"
 #include "zr_membership/membership.h"
 #include "zr_membership/ownership.h"
