Add the request machine

Cause: an ingress VM needs one place that decides admission, attempts, retries, resumption and reattachment of a request. Change: zr_request with RequestMachine, its actions, grant ledger, answer cursor, run record and retry budget. zr_wire gains TakeOver, HandOver, SuspectTurn and SuspectTurnReply; FindStream and StreamLocation gain fields at their end. Conclusion: compiles; the randomised tests follow.

--- /dev/null
+++ b/modules/zr_request/answer_cursor.cc
@@ -0,0 +1,31 @@
+#include "zr_request/answer_cursor.h"
+
+#include <utility>
+
+namespace zr {
+
+void AnswerCursor::Open(AttemptNumber attempt, std::string stream_id) {
+  ZR_ASSERT(attempt > attempt_, "attempt numbers rise");
+  attempt_ = attempt;
+  stream_id_ = std::move(stream_id);
+  open_ = true;
+}
+
+void AnswerCursor::Close() { open_ = false; }
+
+AnswerCursor::Verdict AnswerCursor::Take(AttemptNumber attempt, std::string_view stream_id,
+                                         int64_t offset, int64_t tokens) {
+  const bool own = IsCurrent(attempt) && stream_id == stream_id_;
+  if ((!own && !ignore_attempts_) || tokens <= 0 || offset < offset_) {
+    ++dropped_;
+    return Verdict::kDrop;
+  }
+  if (offset > offset_) {
+    ++dropped_;
+    return Verdict::kGap;
+  }
+  offset_ += tokens;
+  return Verdict::kAccept;
+}
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_request/request_machine_reattach.cc
@@ -0,0 +1,198 @@
+#include <algorithm>
+
+#include "zr_request/request_machine.h"
+
+namespace zr {
+
+//==============================================================================
+// Searching
+
+void RequestMachine::Conflict(TimePoint now) {
+  EndWithError(now, 409,
+               {ErrorCode::kConflict, "reattach", "", "the request id is in use for another call"});
+}
+
+RequestActions RequestMachine::OnStreamFound(TimePoint now, const StreamLocation& location) {
+  if (Expire(now) || state_ != State::kLocating) return Take(now);
+  const bool other_prompt =
+      location.fingerprint != Fingerprint() && location.fingerprint != options_.fingerprint;
+  if (location.conflict || location.team != options_.team || other_prompt) {
+    Conflict(now);
+    return Take(now);
+  }
+  found_ = location;
+  if (found_.holder.empty()) {
+    TakeOverFailed(now);
+  } else {
+    first_take_over_ = now;
+    SendTakeOver(now);
+  }
+  return Take(now);
+}
+
+RequestActions RequestMachine::OnStreamNotFound(TimePoint now, bool certain) {
+  if (Expire(now) || state_ != State::kLocating) return Take(now);
+  if (!certain) run_.SetUnknown();
+  RunWithoutStream(now);
+  return Take(now);
+}
+
+/** No run of the request is left to read from. */
+void RequestMachine::RunWithoutStream(TimePoint now) {
+  if (options_.resume_offset == 0 && options_.idempotent) {
+    BeginRun(now);
+    return;
+  }
+  // A new run's answer need not continue what the caller has.
+  EndWithError(now, 404,
+               {ErrorCode::kNotFound, "reattach", "",
+                "the request's stream is gone; call again "
+                "with a new request id to run it anew"});
+}
+
+void RequestMachine::AdoptStream(TimePoint now, const std::string& id, const EndpointId& endpoint,
+                                 const std::vector<Grant>& grants) {
+  Stream stream;
+  stream.endpoint = endpoint;
+  stream.id = id;
+  stream.started_at = now;
+  if (!grants.empty()) stream.boot = grants.front().boot;
+  for (const Grant& grant : grants) {
+    if (ledger_.Add(grant)) stream.grants.push_back(grant);
+  }
+  stream_ = std::move(stream);
+  run_.SetUnknown();
+  Resume(now);
+}
+
+//==============================================================================
+// Taking a stream over from another VM
+
+void RequestMachine::SendTakeOver(TimePoint now) {
+  state_ = State::kTakingOver;
+  timer_ = now + timings_.ask_again;
+  Do(SendToVm{found_.holder, TakeOver{options_.request, options_.team, options_.fingerprint}});
+}
+
+/** The holder is dead, silent or has ended; the endpoint may still have the stream. */
+void RequestMachine::TakeOverFailed(TimePoint now) {
+  run_.SetUnknown();
+  next_attempt_ = std::max(next_attempt_, found_.attempt.Next());
+  if (found_.stream.empty()) {
+    RunWithoutStream(now);
+  } else {
+    AdoptStream(now, found_.stream, found_.endpoint, found_.grants);
+  }
+}
+
+RequestActions RequestMachine::OnHandOver(TimePoint now, const HandOver& hand_over) {
+  const bool expired = Expire(now);
+  if (hand_over.request != options_.request) return Take(now);
+  if (expired || state_ != State::kTakingOver) {
+    // Nobody else holds a stream that arrives late; it is cancelled, unless it is the one that
+    // this machine reads already.
+    if (stream_ && stream_->id == hand_over.stream) {
+      for (const Grant& grant : hand_over.grants) {
+        if (ledger_.Add(grant)) stream_->grants.push_back(grant);
+      }
+      return Take(now);
+    }
+    std::vector<Grant> orphans;
+    for (const Grant& grant : hand_over.grants) {
+      if (ledger_.Add(grant)) orphans.push_back(grant);
+    }
+    if (orphans.empty()) return Take(now);
+    const EndpointId endpoint = orphans.front().endpoint;
+    Do(CancelUpstream{endpoint, hand_over.stream});
+    closing_[hand_over.stream] = {std::move(orphans), endpoint, now + timings_.cancel_confirm, {}};
+    return Take(now);
+  }
+  next_attempt_ = std::max(next_attempt_, hand_over.next_attempt);
+  if (hand_over.may_have_run) run_.SetUnknown();
+  if (hand_over.conflict) {
+    Conflict(now);
+  } else if (!hand_over.accepted) {
+    TakeOverFailed(now);
+  } else if (hand_over.stream.empty() || hand_over.grants.empty()) {
+    RunWithoutStream(now);
+  } else {
+    run_alone_ = run_alone_ || hand_over.run_alone;
+    if (hand_over.run_alone) {
+      turn_held_ = true;
+      renew_turn_ = now;
+    }
+    AdoptStream(now, hand_over.stream, hand_over.grants.front().endpoint, hand_over.grants);
+  }
+  return Take(now);
+}
+
+//==============================================================================
+// Handing over
+
+HandOver RequestMachine::UnknownRequest(const RequestId& request) {
+  HandOver reply;
+  reply.request = request;
+  return reply;
+}
+
+RequestActions RequestMachine::OnTakeOver(TimePoint now, const VmId& from,
+                                          const TakeOver& request) {
+  HandOver reply = UnknownRequest(options_.request);
+  const bool expired = Expire(now);
+  reply.conflict = request.team != options_.team || request.fingerprint != options_.fingerprint;
+  if (expired || reply.conflict) {
+    Do(SendToVm{from, std::move(reply)});
+    return Take(now);
+  }
+  reply.accepted = true;
+  reply.may_have_run = run_.state() != RunState::kNotRun;
+  reply.next_attempt = next_attempt_;
+  if (stream_) {
+    if (cursor_.is_open()) Do(DetachUpstream{stream_->endpoint, stream_->id, cursor_.attempt()});
+    cursor_.Close();
+    reply.stream = stream_->id;
+    reply.grants = stream_->grants;
+    for (const Grant& grant : stream_->grants) ledger_.HandOver(grant);
+    // The right to run a suspect goes with the stream and is renewed by the receiver.
+    reply.run_alone = turn_held_;
+    turn_held_ = false;
+    stream_.reset();
+  }
+  Do(SendToVm{from, std::move(reply)});
+  EndWithError(now, 409,
+               {ErrorCode::kConflict, "reattach", from.value(),
+                "another call with this request id took the answer over"});
+  return Take(now);
+}
+
+Result<RequestActions> RequestMachine::Reattach(TimePoint now, const TeamId& team,
+                                                Fingerprint fingerprint, int64_t offset) {
+  if (team != options_.team || fingerprint != options_.fingerprint) {
+    return Fail(ErrorCode::kConflict, "reattach", "", "the request id is in use for another call");
+  }
+  const bool searching = state_ == State::kLocating || state_ == State::kTakingOver;
+  if (ended() || offset < 0 || (offset > 0 && !stream_ && !searching)) {
+    return Fail(ErrorCode::kNotFound, "reattach", "", "the request's stream is gone");
+  }
+  if (Expire(now)) return Take(now);
+  if (!caller_gone_) {
+    Do(DropCaller{{ErrorCode::kConflict, "reattach", "",
+                   "another call with this request id took the answer over"}});
+  }
+  caller_gone_ = false;
+  blocked_ = false;
+  head_sent_ = false;
+  options_.resume_offset = offset;
+  options_.may_be_repeat = true;
+  cursor_.MoveTo(offset);
+  emitted_to_ = offset;
+  if (offset > 0) run_.SetUnknown();
+  if (stream_) {
+    if (cursor_.is_open()) Do(DetachUpstream{stream_->endpoint, stream_->id, cursor_.attempt()});
+    cursor_.Close();
+    Resume(now);
+  }
+  return Take(now);
+}
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_request/request_options.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "zr_base/zr_base.h"
+#include "zr_config/policies.h"
+#include "zr_wire/messages.h"
+
+namespace zr {
+
+/** What the SuspectTable says about a fingerprint. */
+enum class SuspectVerdict : uint8_t {
+  kClear,     // no known death
+  kRunAlone,  // one death: alone on one endpoint, nowhere else at once
+  kRefuse,    // two deaths: refused until the suspicion ages out
+};
+
+/** All that a RequestMachine needs to know of a call when it arrives. */
+struct RequestOptions {
+  RequestId request;
+  TeamId team;
+  ClassPolicy request_class;
+  PoolPolicy pool;
+  TokenCount prompt;      // 0 for plain services
+  TokenCount max_answer;  // 0 for plain services
+  std::vector<PrefixHash> prefixes;
+  Fingerprint fingerprint;
+  TimePoint deadline;
+  bool idempotent = true;  // may be run again if an attempt fails before the first token
+  /** The caller named the request id itself, so that a run of it may exist: it is looked for first.
+   */
+  bool may_be_repeat = false;
+  /** Offset in tokens from which the caller wants the answer; above 0 only for a reattach. */
+  int64_t resume_offset = 0;
+  SuspectVerdict suspect = SuspectVerdict::kClear;
+  /** Number of the first attempt; raised by the daemon if this VM ran the same id before. */
+  AttemptNumber first_attempt{1};
+};
+
+/** Periods and bounds of a RequestMachine. */
+struct RequestTimings {
+  Duration ask_again = Duration::Milliseconds(500);        // a silent owner is asked again
+  Duration ask_elsewhere = Duration::Milliseconds(1500);   // a silent owner is given up
+  Duration queued_ask_again = Duration::Seconds(2);        // a queued admission is repeated
+  Duration grant_margin = Duration::Milliseconds(200);     // covers transit and local delays
+  Duration select_back_off = Duration::Milliseconds(200);  // first pause when nobody has room
+  Duration max_back_off = Duration::Seconds(2);
+  Duration resume_back_off = Duration::Milliseconds(50);  // doubled with each fruitless try
+  int resume_tries = 5;                                   // fruitless tries in a row
+  int max_starts = 4;                                     // runs of one request, first included
+  Duration find_stream = Duration::Seconds(2);            // bound on a search
+  Duration cancel_confirm = Duration::Seconds(2);         // bound on a cancellation's answer
+  Duration turn_again = Duration::Milliseconds(500);      // a suspect's turn is asked for again
+  Duration finish_margin = Duration::Milliseconds(20);    // an end is told this long ahead
+};
+
+/** An endpoint that may take the request, best first. */
+struct Candidate {
+  EndpointId endpoint;
+  DomainId domain;
+  VmId owner;
+  friend auto operator<=>(const Candidate&, const Candidate&) = default;
+};
+
+/** Why an upstream connection ended before the answer did. */
+enum class UpstreamFailure : uint8_t {
+  kNotRun,    // 503 with run=not-run, or no byte was sent
+  kBroken,    // the connection broke after bytes were sent
+  kTimedOut,  // no sign of life within the daemon's bound
+  kRejected,  // the endpoint answered with a final error status
+  kNoStream,  // resume only: the endpoint does not know the stream
+};
+
+/** Engine stream id of a granted attempt; unique, as grant numbers are, and known to the owner. */
+std::string MakeStreamId(const RequestId& request, const VmId& owner, Incarnation owner_incarnation,
+                         GrantNumber number);
+std::string MakeStreamId(const Grant& grant);
+/** Stream id of a listed grant. */
+std::string MakeStreamId(const HeldGrant& grant);
+/** The request id in a stream id; empty if the id is not one of ours. */
+RequestId RequestOfStreamId(const std::string& stream_id);
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_request/zr_request.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/**
+ * zr_request: the life of a repeatable request at its ingress VM, and the state
+ * that requests share: streams by request id, retry budgets, suspects.
+ *
+ * Core module: no I/O; events, the time and typed actions only.
+ * Dependencies: zr_base, zr_wire, zr_config.
+ * Threads: not thread-safe; the daemon calls each object from one strand.
+ */
+
+#include "zr_request/request_actions.h"
+#include "zr_request/request_machine.h"
+#include "zr_request/request_options.h"
+#include "zr_request/retry_budget.h"
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -70,11 +70,12 @@
 }
 template <typename A>
 void Fields(A& a, FindStream& m) {
-  a(m.request, m.team);
+  a(m.request, m.team, m.fingerprint, m.claim);
 }
 template <typename A>
 void Fields(A& a, StreamLocation& m) {
-  a(m.request, m.found, m.team, m.endpoint, m.stream, m.attempt, m.holder);
+  a(m.request, m.found, m.team, m.endpoint, m.stream, m.attempt, m.holder, m.fingerprint,
+    m.conflict, m.done, m.grants);
 }
 template <typename A>
 void Fields(A& a, ConfigOffer& m) {
@@ -97,6 +98,24 @@
   a(m.request, m.attempt, m.endpoint, m.number);
 }
 
+template <typename A>
+void Fields(A& a, TakeOver& m) {
+  a(m.request, m.team, m.fingerprint);
+}
+template <typename A>
+void Fields(A& a, HandOver& m) {
+  a(m.request, m.accepted, m.conflict, m.may_have_run, m.run_alone, m.next_attempt, m.stream,
+    m.grants);
+}
+template <typename A>
+void Fields(A& a, SuspectTurn& m) {
+  a(m.fingerprint, m.request, m.holding, m.returned, m.harmless);
+}
+template <typename A>
+void Fields(A& a, SuspectTurnReply& m) {
+  a(m.fingerprint, m.request, m.answer, m.wait_hint);
+}
+
 /** Largest valid value of each enumeration on the wire. */
 template <typename E>
 inline constexpr uint8_t kEnumMax = 0;
@@ -105,5 +124,7 @@
 template <>
 inline constexpr uint8_t kEnumMax<ReleaseOutcome> =
     static_cast<uint8_t>(ReleaseOutcome::kEndpointRefused);
+template <>
+inline constexpr uint8_t kEnumMax<TurnAnswer> = static_cast<uint8_t>(TurnAnswer::kClear);
 
 }  // namespace zr
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -186,6 +186,8 @@
 struct FindStream {
   RequestId request;
   TeamId team;
+  Fingerprint fingerprint;
+  bool claim = false;  // to the locator: if nothing is found, the sender will run the request
   friend auto operator<=>(const FindStream&, const FindStream&) = default;
 };
 
@@ -198,6 +200,10 @@
   std::string stream;  // the engine's stream id
   AttemptNumber attempt;
   VmId holder;  // the VM that reads the stream, empty if it died
+  Fingerprint fingerprint;
+  bool conflict = false;      // the id is in use by another team or for another prompt
+  bool done = false;          // the engine generated the whole answer
+  std::vector<Grant> grants;  // of the run, if known; several for a gathered run
   friend auto operator<=>(const StreamLocation&, const StreamLocation&) = default;
 };
 
@@ -245,10 +251,59 @@
   friend auto operator<=>(const GatherRelease&, const GatherRelease&) = default;
 };
 
+/** Asks the VM that holds a request to hand its stream over to the sender. */
+struct TakeOver {
+  RequestId request;
+  TeamId team;
+  Fingerprint fingerprint;
+  friend auto operator<=>(const TakeOver&, const TakeOver&) = default;
+};
+
+/** Answer to TakeOver; with it the grants and the stream belong to the receiver. */
+struct HandOver {
+  RequestId request;
+  bool accepted = false;       // false: the sender does not hold the request
+  bool conflict = false;       // the id is in use by another team or for another prompt
+  bool may_have_run = false;   // an attempt was sent to an endpoint
+  bool run_alone = false;      // the run is one of a suspect
+  AttemptNumber next_attempt;  // the receiver counts on from here
+  std::string stream;          // the engine's stream id, empty if no run is in progress
+  std::vector<Grant> grants;   // the first is of the endpoint that streams
+  friend auto operator<=>(const HandOver&, const HandOver&) = default;
+};
+
+/** Asks the locator of a fingerprint for the right to run a suspect, renews or returns it. */
+struct SuspectTurn {
+  Fingerprint fingerprint;
+  RequestId request;
+  bool holding = false;   // the run is in progress: renewal
+  bool returned = false;  // the run has ended
+  bool harmless = false;  // with returned: the run completed, so the suspicion is unfounded
+  friend auto operator<=>(const SuspectTurn&, const SuspectTurn&) = default;
+};
+
+/** Answer of the locator VM to a suspect that wants to run. */
+enum class TurnAnswer : uint8_t {
+  kGranted,  // may run, alone
+  kWait,     // another run of the fingerprint is or may be in progress
+  kRefused,  // two deaths are known
+  kClear,    // not a suspect any more; runs as usual
+};
+
+/** Answer to SuspectTurn. */
+struct SuspectTurnReply {
+  Fingerprint fingerprint;
+  RequestId request;
+  TurnAnswer answer = TurnAnswer::kWait;
+  Duration wait_hint;  // for kWait
+  friend auto operator<=>(const SuspectTurnReply&, const SuspectTurnReply&) = default;
+};
+
 /** Any message between entry VMs. The order is part of the wire format. */
 using Message = std::variant<Heartbeat, Summary, AdmissionRequest, Grant, Refusal, Release,
                              HeldGrants, CancelAdmission, Suspect, FindStream, StreamLocation,
-                             ConfigOffer, ConfigFetch, GatherReserve, GatherReply, GatherRelease>;
+                             ConfigOffer, ConfigFetch, GatherReserve, GatherReply, GatherRelease,
+                             TakeOver, HandOver, SuspectTurn, SuspectTurnReply>;
 
 /** A message with the VM it goes to. */
 struct OutgoingMessage {
