--- a/modules/zr_request/request_machine.h
+++ b/modules/zr_request/request_machine.h
@@ -76,6 +76,8 @@
    *                    before the pause, so that a late grant is recognised.
    */
   RequestActions OnGrant(TimePoint now, TimePoint not_before, const Grant& grant);
+  /** Gives back a grant for a request that this VM does not know (any more). */
+  static OutgoingMessage ReleaseOfUnknown(const Grant& grant);
   RequestActions OnRefusal(TimePoint now, const Refusal& refusal);
   /** A VM was found dead, or a message to it could not be delivered. */
   RequestActions OnVmUnreachable(TimePoint now, const VmId& vm);
--- a/modules/zr_request/request_machine_admission.cc
+++ b/modules/zr_request/request_machine_admission.cc
@@ -280,6 +280,12 @@
   Do(SendToVm{out.to, std::move(out.message)});
 }
 
+OutgoingMessage RequestMachine::ReleaseOfUnknown(const Grant& grant) {
+  GrantLedger ledger;
+  ledger.Add(grant);
+  return ledger.MakeRelease(grant, ReleaseOutcome::kNeverStarted, RunReport{});
+}
+
 RequestActions RequestMachine::OnGrant(TimePoint now, TimePoint not_before, const Grant& grant) {
   Expire(now);
   const bool wanted = ask_ && grant.request == options_.request && grant.attempt == ask_->attempt &&
--- a/modules/zr_request/request_machine_reattach.cc
+++ b/modules/zr_request/request_machine_reattach.cc
@@ -171,10 +171,14 @@
     return Fail(ErrorCode::kConflict, "reattach", "", "the request id is in use for another call");
   }
   const bool searching = state_ == State::kLocating || state_ == State::kTakingOver;
-  if (ended() || offset < 0 || (offset > 0 && !stream_ && !searching)) {
+  if (!IsModel()) {
+    return Fail(ErrorCode::kConflict, "reattach", "", "a service call with this id is in progress");
+  }
+  // The call ends with the deadline of its first arrival.
+  const bool late = now >= options_.deadline - timings_.finish_margin;
+  if (ended() || late || offset < 0 || (offset > 0 && !stream_ && !searching)) {
     return Fail(ErrorCode::kNotFound, "reattach", "", "the request's stream is gone");
   }
-  if (Expire(now)) return Take(now);
   if (!caller_gone_) {
     Do(DropCaller{{ErrorCode::kConflict, "reattach", "",
                    "another call with this request id took the answer over"}});
--- a/modules/zr_request/request_machine_stream.cc
+++ b/modules/zr_request/request_machine_stream.cc
@@ -4,6 +4,14 @@
 #include "zr_request/request_machine.h"
 
 namespace zr {
+namespace {
+
+/** Whether a grant is of the given boot; an owner may not have known the boot number yet. */
+bool IsOn(const Grant& grant, const EndpointId& endpoint, BootNumber boot) {
+  return grant.endpoint == endpoint && (grant.boot == boot || grant.boot == BootNumber());
+}
+
+}  // namespace
 
 //==============================================================================
 // Starting
@@ -167,6 +175,13 @@
   if (cursor_.is_open()) Do(DetachUpstream{stream_->endpoint, stream_->id, cursor_.attempt()});
   cursor_.Close();
   if (!IsModel() || ++fruitless_resumes_ > timings_.resume_tries) {
+    if (IsModel() && !Delivered()) {
+      excluded_.insert(stream_->endpoint);
+      avoid_domain_ = stream_->domain;
+      CloseStream(now);
+      RetryElsewhere(now, reason);
+      return;
+    }
     EndWithError(now, 502,
                  {ErrorCode::kUnknownOutcome, "stream", stream_->endpoint.value(),
                   std::string(reason) + " at offset " + std::to_string(cursor_.offset())});
@@ -214,9 +229,7 @@
 RequestActions RequestMachine::OnEndpointDied(TimePoint now, const EndpointId& endpoint,
                                               BootNumber boot) {
   const bool expired = Expire(now);
-  const auto hit = [&](const Grant& grant) {
-    return grant.endpoint == endpoint && grant.boot == boot;
-  };
+  const auto hit = [&](const Grant& grant) { return IsOn(grant, endpoint, boot); };
   const bool running = !expired && stream_ &&
                        ((stream_->endpoint == endpoint && stream_->boot == boot) ||
                         std::any_of(stream_->grants.begin(), stream_->grants.end(), hit));
@@ -287,7 +300,7 @@
 void RequestMachine::ReleaseDead(const EndpointId& endpoint, BootNumber boot) {
   for (auto it = closing_.begin(); it != closing_.end();) {
     std::erase_if(it->second.grants, [&](const Grant& grant) {
-      if (grant.endpoint != endpoint || grant.boot != boot) return false;
+      if (!IsOn(grant, endpoint, boot)) return false;
       OutgoingMessage out =
           ledger_.MakeRelease(grant, ReleaseOutcome::kEndpointDied, it->second.report);
       Do(SendToVm{out.to, std::move(out.message)});
