--- /dev/null
+++ b/standins/common/token_text.cc
@@ -0,0 +1,32 @@
+#include "standins/common/token_text.h"
+
+#include <algorithm>
+
+#include "zr_base/zr_base.h"
+
+namespace zr {
+
+std::string TokenText(std::string_view prompt, int64_t index) {
+  uint64_t hash = Hash64(prompt, static_cast<uint64_t>(index) + 1);
+  std::string word;
+  const uint64_t length = 2 + hash % 5;
+  hash /= 5;
+  for (uint64_t i = 0; i < length; ++i) {
+    word += static_cast<char>('a' + hash % 26);
+    hash /= 26;
+  }
+  word += ' ';
+  return word;
+}
+
+std::string AnswerText(std::string_view prompt, int64_t count) {
+  std::string text;
+  for (int64_t i = 0; i < count; ++i) text += TokenText(prompt, i);
+  return text;
+}
+
+int64_t PromptTokensOf(std::string_view prompt) {
+  return std::max<int64_t>(1, static_cast<int64_t>(prompt.size() / 4));
+}
+
+}  // namespace zr
--- /dev/null
+++ b/standins/platform/platform_server.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "standins/common/host.h"
+#include "standins/platform/object_store.h"
+#include "zr_base/zr_base.h"
+
+namespace zr {
+
+struct PlatformOptions {
+  std::string listen;        // "ip:port" of the object API
+  std::string fault_listen;  // "ip:port" of the fault port; empty for none
+  uint64_t seed = 1;
+  Duration vm_list_lag = Duration::Seconds(2);
+  double writes_per_second = 500;
+  double reads_per_second = 2000;
+  Duration weight_load_time = Duration::Seconds(5);  // of one load at the full rate
+  size_t history = 20'000;
+};
+
+/**
+ * The platform stand-in: object API, list of VMs, weight store and a fault
+ * port. All members run on one io_context thread.
+ */
+class PlatformServer {
+ public:
+  static Result<std::unique_ptr<PlatformServer>> Start(asio::io_context& context,
+                                                       PlatformOptions options);
+
+  PlatformServer(const PlatformServer&) = delete;
+  PlatformServer& operator=(const PlatformServer&) = delete;
+
+ private:
+  struct Watch {
+    std::string kind;
+    uint64_t after = 0;
+    HttpResponsePtr response;
+    bool answered = false;
+  };
+  struct Vm {
+    std::string name;
+    std::string address;
+    std::string domain;
+    std::string state;
+  };
+  /** State of the VM list from a point in time on. */
+  struct VmChange {
+    int64_t at_ms = 0;
+    std::map<std::string, Vm> vms;
+  };
+  struct Faults {
+    bool outage = false;             // no call is answered
+    bool refuse = false;             // calls are answered with 503
+    int64_t slow_ms = 0;             // added to every answer
+    double lost_answers = 0;         // probability that a write's answer is lost
+    double lost_requests = 0;        // probability that a write is lost before it takes effect
+    int64_t delayed_effect_ms = 0;   // a write takes effect this much later
+    double delayed_probability = 1;  // of delayed_effect_ms
+    int64_t stale_reads = 0;         // reads see the state this many versions ago
+  };
+
+  PlatformServer(asio::io_context& context, PlatformOptions options);
+
+  void Handle(HttpRequest request, HttpResponsePtr response);
+  void Dispatch(const HttpRequest& request, const HttpResponsePtr& response);
+  void HandleObject(const HttpRequest& request, const HttpResponsePtr& response,
+                    const std::vector<std::string>& path);
+  void HandleWrite(const HttpRequest& request, const HttpResponsePtr& response,
+                   const std::string& kind, const std::string& name);
+  void ApplyWrite(const HttpRequest& request, const HttpResponsePtr& response,
+                  const std::string& kind, const std::string& name, bool lose_answer);
+  void HandleList(const HttpRequest& request, const HttpResponsePtr& response,
+                  const std::string& kind);
+  void HandleWatch(const HttpRequest& request, const HttpResponsePtr& response,
+                   const std::string& kind);
+  bool AnswerWatch(Watch& watch, bool timed_out);
+  void NotifyWatches();
+  void HandleVms(const HttpRequest& request, const HttpResponsePtr& response);
+  void HandleWeights(const HttpRequest& request, const HttpResponsePtr& response);
+  void HandleFault(const HttpRequest& request, const HttpResponsePtr& response);
+  void SetFault(const std::string& name, const HttpRequest& request);
+  nlohmann::json State() const;
+  TimePoint Now() const;
+
+  asio::io_context& context_;
+  PlatformOptions options_;
+  Random random_;
+  ObjectStore store_;
+  Faults faults_;
+  TokenBucket read_bucket_;
+  TokenBucket write_bucket_;
+  std::vector<std::shared_ptr<Watch>> watches_;
+  std::deque<VmChange> vm_history_;
+  std::map<std::string, Vm> vms_;
+  std::map<std::string, int64_t> calls_;
+  double weight_busy_until_ms_ = 0;
+  std::vector<HttpResponsePtr> unanswered_;  // calls held during an outage
+  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<HttpServer> fault_server_;
+};
+
+}  // namespace zr
