Add EndpointOwner: grants, queue, slow start and reconciliation

An owner of an endpoint reserves KV memory for each grant, queues requests by class weight, slack and team share, and reconciles with the engine's reports. Summary, Grant and GatherReply get new fields at their ends: the observed prefill speed, the members of a gather and the owner's incarnation.

--- /dev/null
+++ b/modules/zr_admission/endpoint_owner.cc
@@ -0,0 +1,313 @@
+#include "zr_admission/endpoint_owner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace zr {
+namespace {
+
+// A suspect that must run alone waits at most this long for the endpoint to
+// drain; other requests are held back for that time.
+constexpr Duration kAloneWait = Duration::Seconds(10);
+// Share of the remaining time that is kept free when a request joins the queue,
+// so that a small error of the forecast does not make it late.
+constexpr int64_t kArrivalReserve = 20;  // a twentieth
+
+}  // namespace
+
+Result<std::unique_ptr<EndpointOwner>> EndpointOwner::Create(OwnerOptions options, TimePoint now) {
+  auto invalid = [&](const char* message) {
+    return Fail(ErrorCode::kInvalidArgument, "admission", options.endpoint.endpoint.value(),
+                message);
+  };
+  const PoolPolicy& pool = options.policies.pool;
+  if (options.self.empty() || options.endpoint.endpoint.empty()) return invalid("empty id");
+  if (options.endpoint.pool != pool.pool) return invalid("the endpoint is of another pool");
+  if (!options.policies.classes || !options.policies.teams) return invalid("policies are missing");
+  if (pool.max_requests < 1 || pool.fresh_requests < 1) return invalid("request limit below 1");
+  if (pool.kind == PoolKind::kModel && pool.prefill_tokens_per_second < 1) {
+    return invalid("prefill speed below 1");
+  }
+  if (pool.kind == PoolKind::kModel && pool.decode_tokens_per_second < 1) {
+    return invalid("decode speed below 1");
+  }
+  return std::unique_ptr<EndpointOwner>(new EndpointOwner(std::move(options), now));
+}
+
+EndpointOwner::EndpointOwner(OwnerOptions options, TimePoint now)
+    : options_(std::move(options)),
+      model_(options_.policies.pool),
+      ramp_(options_.policies.pool),
+      engine_(options_.policies.pool, options_.taken_over, now),
+      planner_(options_.policies.pool, grants_, queue_, model_, ramp_, engine_),
+      last_grant_(options_.last_grant),
+      advanced_to_(now) {
+  queue_.SetTeams(options_.policies.teams);
+}
+
+void EndpointOwner::Advance(TimePoint now) {
+  ZR_ASSERT(now >= advanced_to_, "time went back");
+  if (now > advanced_to_) WorkForecast::Advance(grants_, model_, now - advanced_to_);
+  advanced_to_ = std::max(advanced_to_, now);
+  engine_.TakingOver(now);
+  if (wanted_gather_ && now >= wanted_gather_->until) wanted_gather_.reset();
+}
+
+OwnerActions EndpointOwner::Finish(TimePoint now, OwnerActions actions) {
+  Expire(now, actions);
+  Pump(now, actions);
+  grants_.ForgetOld(now);
+  engine_.NoteReserved(now, grants_.reserved(), grants_.size());
+  const bool cancelling = grants_.CountState(GrantState::kCancelling) > 0;
+  if (reachable_ && engine_.TakeListRequest(now, cancelling)) {
+    actions.emplace_back(RequestStreamList{});
+  }
+  CheckInvariants(now);
+  return actions;
+}
+
+void EndpointOwner::CheckInvariants(TimePoint now) const {
+  const Duration window = options_.policies.pool.unclaimed_window;
+  grants_.CheckInvariants(now, std::max(window + Duration::Seconds(2), Duration::Seconds(5)));
+}
+
+bool EndpointOwner::Accepting() const {
+  return !state_.drained && !state_.leaving && !engine_leaving_ && reachable_;
+}
+
+// -----------------------------------------------------------------------------
+// Admission
+
+QueuedRequest EndpointOwner::MakeQueued(TimePoint now, const VmId& from,
+                                        const AdmissionRequest& request) const {
+  QueuedRequest item;
+  item.from = from;
+  item.request = request;
+  item.arrived = now;
+  item.deadline = now + request.time_left;
+  int64_t weight = 1;
+  if (const auto it = options_.policies.classes->find(request.request_class);
+      it != options_.policies.classes->end()) {
+    weight = it->second.weight;
+    item.priority = it->second.priority;
+  }
+  item.long_prompt = !request.plain_service && request.prompt > options_.policies.pool.long_prompt;
+  // Engines honour priorities, so within a class short prompts overtake long
+  // ones in the engine as well.
+  item.priority = item.priority * 2 + (item.long_prompt ? 0 : 1);
+  if (request.plain_service) {
+    item.demand.plain_seconds = model_.PlainTime(request.request_class).seconds();
+    item.run_time = model_.PlainTime(request.request_class);
+  } else {
+    const TokenCount prompt = std::max(TokenCount(0), request.prompt);
+    const TokenCount answer = std::max(TokenCount(0), request.max_answer);
+    item.uncached = prompt - prefixes_.CachedTokens(prompt, request.prefixes);
+    item.kv = item.uncached + answer;
+    item.cost = static_cast<double>(std::max<int64_t>(1, item.kv.value()));
+    item.demand.prefill = static_cast<double>(item.uncached.value());
+    item.demand.answer = model_.ExpectedAnswer(request.request_class, answer);
+    item.run_time = WorkForecast::RunTime(grants_, model_, item.demand, planner_.UsualBatch());
+  }
+  // The endpoint's time that the request takes: its prefill, and its part of
+  // a full batch while it decodes.
+  const double batch = static_cast<double>(options_.policies.pool.max_requests);
+  const double seconds =
+      item.demand.prefill / model_.PrefillSpeed() +
+      (item.demand.answer / model_.DecodeSpeed(batch) + item.demand.plain_seconds) / batch;
+  item.density = static_cast<double>(std::max<int64_t>(1, weight)) / std::max(seconds, 1e-4);
+  if (request.run_alone) item.give_up = now + kAloneWait;
+  return item;
+}
+
+OwnerActions EndpointOwner::OnAdmissionRequest(TimePoint now, const VmId& from,
+                                               const AdmissionRequest& request) {
+  Advance(now);
+  OwnerActions actions;
+  if (AnswerRepeat(now, from, request, actions)) return Finish(now, std::move(actions));
+  QueuedRequest item = MakeQueued(now, from, request);
+  if (!Accepting()) {
+    Refuse(item, RefusalReason::kNotAccepting, Duration(), actions);
+    return Finish(now, std::move(actions));
+  }
+  const TokenCount whole = request.prompt + request.max_answer;
+  if (!request.plain_service && engine_.has_load() && whole > engine_.KvWhenEmpty()) {
+    Refuse(item, RefusalReason::kTooLarge, Duration(), actions);
+    return Finish(now, std::move(actions));
+  }
+  const Duration alone = WorkForecast::RunTimeAlone(model_, item.demand);
+  if (now + alone > item.deadline) {
+    Refuse(item, RefusalReason::kDeadline, Duration(), actions);
+    return Finish(now, std::move(actions));
+  }
+  const StreamKey key = item.key();
+  queue_.Push(std::move(item));
+  Expire(now, actions);
+  Pump(now, actions);
+  JudgeQueued(now, key, actions);
+  return Finish(now, std::move(actions));
+}
+
+bool EndpointOwner::AnswerRepeat(TimePoint now, const VmId& from, const AdmissionRequest& request,
+                                 OwnerActions& actions) {
+  const StreamKey key{request.request, request.attempt};
+  if (QueuedRequest* waiting = queue_.Find(key)) {
+    waiting->from = from;
+    if (request.queue_if_busy && !request.run_alone) waiting->give_up = TimePoint::Max();
+    return true;
+  }
+  GrantEntry* entry = grants_.Find(key);
+  if (entry == nullptr) return false;
+  const bool unused = entry->state == GrantState::kOffered ||
+                      (entry->state == GrantState::kHeld && !entry->started);
+  if (unused && !entry->adopted && entry->holder == from && Accepting()) {
+    // The first answer was lost. The holder has not started the call, so the
+    // same grant may be offered again.
+    entry->state = GrantState::kOffered;
+    entry->expires = now + kReclaimAfter;
+    SendGrant(*entry, actions);
+    return true;
+  }
+  QueuedRequest item = MakeQueued(now, from, request);
+  Refuse(item, Accepting() ? RefusalReason::kBusy : RefusalReason::kNotAccepting, kReclaimAfter,
+         actions);
+  return true;
+}
+
+void EndpointOwner::JudgeQueued(TimePoint now, const StreamKey& key, OwnerActions& actions) {
+  QueuedRequest* item = queue_.Find(key);
+  if (item == nullptr) return;
+  const std::vector<const QueuedRequest*> ahead = queue_.OrderedUpTo(*item, now);
+  const TimePoint start = planner_.ExpectedStart(ahead, now);
+  // A full endpoint whose end of work is unknown is asked again after a while.
+  const Duration hint = start == TimePoint::Max() ? Duration::Seconds(1) : start - now;
+  const bool too_long_to_drain = item->request.run_alone && start > item->give_up;
+  if (!item->request.queue_if_busy || too_long_to_drain) {
+    if (too_long_to_drain || start > now + kBusyTolerance || item->request.run_alone) {
+      Refuse(*item, RefusalReason::kBusy, hint, actions);
+      queue_.Remove(key);
+    } else {
+      item->give_up = now + kBusyTolerance;
+    }
+    return;
+  }
+  if (!engine_.has_load() && !item->request.plain_service) return;
+  const Duration reserve = item->request.time_left / kArrivalReserve;
+  if (start == TimePoint::Max() || start > item->LatestStart() - reserve) {
+    queue_.OnCapacityRefusal(now, item->density);
+    Refuse(*item, RefusalReason::kDeadline, hint, actions);
+    queue_.Remove(key);
+  }
+}
+
+void EndpointOwner::Pump(TimePoint now, OwnerActions& actions) {
+  if (!Accepting()) {
+    RefuseAll(RefusalReason::kNotAccepting, actions);
+    return;
+  }
+  while (!queue_.empty()) {
+    const Plan plan = planner_.MakePlan(now, wanted_gather_);
+    for (const PlannedRefusal& refusal : plan.refusals) {
+      const std::optional<QueuedRequest> item = queue_.Remove(refusal.key);
+      if (!item) continue;
+      if (refusal.reason == RefusalReason::kDeadline) {
+        queue_.OnCapacityRefusal(now, item->density);
+      }
+      Refuse(*item, refusal.reason, refusal.wait_hint, actions);
+    }
+    if (engine_.in_doubt() || !plan.start) return;
+    GrantQueued(now, *plan.start, actions);
+  }
+}
+
+void EndpointOwner::GrantQueued(TimePoint now, const StreamKey& key, OwnerActions& actions) {
+  const std::optional<QueuedRequest> item = queue_.TakeGranted(key);
+  if (!item) return;
+  const AdmissionRequest& request = item->request;
+  last_grant_ = last_grant_.Next();
+  GrantEntry entry;
+  entry.key = key;
+  entry.holder = item->from;
+  entry.owner = options_.self;
+  entry.owner_incarnation = options_.incarnation;
+  entry.number = last_grant_;
+  entry.kv = item->kv;
+  entry.run_alone = request.run_alone;
+  entry.long_prompt = item->long_prompt;
+  entry.plain = request.plain_service;
+  entry.priority = item->priority;
+  entry.team = request.team;
+  entry.request_class = request.request_class;
+  entry.fingerprint = request.fingerprint;
+  entry.boot = engine_.boot();
+  entry.max_answer = request.max_answer;
+  entry.granted = now;
+  entry.deadline = item->deadline;
+  entry.expires = now + kReclaimAfter;
+  entry.uncached = entry.prefill_left = item->demand.prefill;
+  entry.expected_answer = entry.answer_left = item->demand.answer;
+  entry.plain_left = item->demand.plain_seconds;
+  ZR_ASSERT_INVARIANT(kAdmittedFinishes, now < entry.deadline, "a grant after its deadline");
+  ZR_ASSERT_INVARIANT(kDrainedDomainIdle, !state_.drained, "a grant on a drained endpoint");
+  ZR_ASSERT_INVARIANT(kLeavingEndpointIdle, !state_.leaving && !engine_leaving_,
+                      "a grant on a leaving endpoint");
+  ZR_ASSERT_INVARIANT(kFreshNotOverrun, planner_.FreeSlots() >= 1, "a grant beyond the allowance");
+  ZR_ASSERT_INVARIANT(kNoKvLeak, entry.plain || planner_.FreeKv() >= entry.kv,
+                      "a grant beyond the memory");
+  SendGrant(grants_.Add(std::move(entry)), actions);
+  ++counters_.grants;
+}
+
+void EndpointOwner::SendGrant(const GrantEntry& entry, OwnerActions& actions) const {
+  Grant grant;
+  grant.request = entry.key.request;
+  grant.attempt = entry.key.attempt;
+  grant.endpoint = options_.endpoint.endpoint;
+  grant.number = entry.number;
+  grant.owner = options_.self;
+  grant.owner_incarnation = options_.incarnation;
+  grant.kv_tokens = entry.kv;
+  grant.start_within = kStartWithin;
+  grant.priority = entry.priority;
+  grant.boot = entry.boot;
+  actions.emplace_back(SendMessage{entry.holder, std::move(grant)});
+}
+
+void EndpointOwner::Refuse(const QueuedRequest& item, RefusalReason reason, Duration wait_hint,
+                           OwnerActions& actions) {
+  Refusal refusal;
+  refusal.request = item.request.request;
+  refusal.attempt = item.request.attempt;
+  refusal.endpoint = options_.endpoint.endpoint;
+  refusal.reason = reason;
+  refusal.wait_hint = wait_hint;
+  actions.emplace_back(SendMessage{item.from, std::move(refusal)});
+  if (reason == RefusalReason::kBusy) {
+    ++counters_.refused_busy;
+  } else if (reason == RefusalReason::kDeadline) {
+    ++counters_.refused_deadline;
+  } else {
+    ++counters_.refused_other;
+  }
+}
+
+void EndpointOwner::RefuseAll(RefusalReason reason, OwnerActions& actions) {
+  for (const QueuedRequest& item : queue_.Clear()) Refuse(item, reason, Duration(), actions);
+}
+
+OwnerActions EndpointOwner::OnCancel(TimePoint now, const VmId& from,
+                                     const CancelAdmission& cancel) {
+  Advance(now);
+  const StreamKey key{cancel.request, cancel.attempt};
+  if (const QueuedRequest* item = queue_.Find(key); item != nullptr && item->from == from) {
+    queue_.Remove(key);
+  }
+  // A grant that crosses the cancellation is never used by its receiver.
+  const GrantEntry* entry = grants_.Find(key);
+  if (entry != nullptr && entry->holder == from && !entry->ever_started &&
+      entry->state == GrantState::kOffered) {
+    grants_.Remove(key, now);
+  }
+  return Finish(now, {});
+}
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_admission/engine_reports.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "zr_base/zr_base.h"
+
+namespace zr {
+
+/** A load report of an endpoint (`GET /engine/load`). */
+struct EngineLoad {
+  BootNumber boot;
+  uint64_t sequence = 0;  // rises with each report of a boot
+  Duration engine_time;   // the engine's own clock, not comparable with ours
+  TokenCount kv_capacity;
+  TokenCount kv_used;
+  int64_t running = 0;
+  int64_t waiting = 0;
+  std::string model;
+  std::string version;
+  std::vector<std::string> adapters;
+  std::string role;
+  bool leaving = false;
+  double tokens_per_second = 0;  // generated, over all streams
+  friend auto operator<=>(const EngineLoad&, const EngineLoad&) = default;
+};
+
+/** What holds memory at an engine. */
+enum class EngineStreamKind : uint8_t { kStream, kImport, kExport };
+
+/** One entry of an engine's stream list. */
+struct EngineStream {
+  std::string id;
+  EngineStreamKind kind = EngineStreamKind::kStream;
+  TokenCount kv_tokens;
+  int64_t offset = 0;  // tokens generated
+  bool done = false;
+  friend auto operator<=>(const EngineStream&, const EngineStream&) = default;
+};
+
+/** All streams, imports and exports of an engine (`GET /engine/streams`). */
+struct EngineStreams {
+  BootNumber boot;
+  std::vector<EngineStream> streams;
+  friend auto operator<=>(const EngineStreams&, const EngineStreams&) = default;
+};
+
+enum class CacheOperation : uint8_t { kStored, kEvicted, kCleared };
+
+/** A change of an engine's prefix cache. */
+struct CacheEvent {
+  uint64_t sequence = 0;
+  CacheOperation operation = CacheOperation::kStored;
+  PrefixHash hash;  // unused for kCleared
+  friend auto operator<=>(const CacheEvent&, const CacheEvent&) = default;
+};
+
+/** Cache events after the last known one (`GET /engine/cache_events`). */
+struct CacheEvents {
+  BootNumber boot;
+  std::vector<CacheEvent> events;  // ascending sequence, possibly with gaps
+  friend auto operator<=>(const CacheEvents&, const CacheEvents&) = default;
+};
+
+/** An attempt of a request; names the engine's stream. */
+struct StreamKey {
+  RequestId request;
+  AttemptNumber attempt;
+  friend auto operator<=>(const StreamKey&, const StreamKey&) = default;
+};
+
+/** The engine's stream id of an attempt: `<request id>#<attempt>`. */
+std::string MakeStreamId(const RequestId& request, AttemptNumber attempt);
+
+/** The attempt that a stream id names; nullopt if the id was not made by MakeStreamId. */
+std::optional<StreamKey> ParseStreamId(std::string_view id);
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_admission/grant_table.cc
@@ -0,0 +1,85 @@
+#include "zr_admission/grant_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace zr {
+namespace {
+
+// Holder lists are sent every 500 ms and may be delayed by a paused process
+// for a few seconds; after this time no list can name an ended grant by accident.
+constexpr Duration kRememberEnded = Duration::Seconds(30);
+constexpr size_t kMaxEnded = 4096;
+
+}  // namespace
+
+GrantEntry& GrantTable::Add(GrantEntry entry) {
+  reserved_ += entry.kv;
+  if (entry.adopted) ++adopted_;
+  if (entry.run_alone) ++run_alone_;
+  StreamKey key = entry.key;
+  const auto [it, inserted] = entries_.emplace(std::move(key), std::move(entry));
+  ZR_ASSERT_INVARIANT(kNoKvLeak, inserted, "an attempt was granted twice");
+  return it->second;
+}
+
+GrantEntry* GrantTable::Find(const StreamKey& key) {
+  const auto it = entries_.find(key);
+  return it == entries_.end() ? nullptr : &it->second;
+}
+
+const GrantEntry* GrantTable::Find(const StreamKey& key) const {
+  const auto it = entries_.find(key);
+  return it == entries_.end() ? nullptr : &it->second;
+}
+
+void GrantTable::Remove(const StreamKey& key, TimePoint now) {
+  const auto it = entries_.find(key);
+  if (it == entries_.end()) return;
+  const GrantEntry& entry = it->second;
+  reserved_ -= entry.kv;
+  if (entry.adopted) --adopted_;
+  if (entry.run_alone) --run_alone_;
+  ended_.push_back(Ended{entry.key, entry.owner, entry.number, now});
+  if (ended_.size() > kMaxEnded) ended_.pop_front();
+  entries_.erase(it);
+}
+
+void GrantTable::SetKv(GrantEntry& entry, TokenCount kv) {
+  reserved_ += kv - entry.kv;
+  entry.kv = kv;
+}
+
+int64_t GrantTable::CountState(GrantState state) const {
+  return std::count_if(entries_.begin(), entries_.end(),
+                       [state](const auto& item) { return item.second.state == state; });
+}
+
+TimePoint GrantTable::NextExpiry() const {
+  TimePoint next = TimePoint::Max();
+  for (const auto& [key, entry] : entries_) next = std::min(next, entry.expires);
+  return next;
+}
+
+bool GrantTable::EndedRecently(const StreamKey& key, const VmId& owner, GrantNumber number) const {
+  return std::any_of(ended_.begin(), ended_.end(), [&](const Ended& ended) {
+    return ended.number == number && ended.key == key && ended.owner == owner;
+  });
+}
+
+void GrantTable::ForgetOld(TimePoint now) {
+  while (!ended_.empty() && now - ended_.front().at > kRememberEnded) ended_.pop_front();
+}
+
+void GrantTable::CheckInvariants(TimePoint now, Duration longest_hold) const {
+  TokenCount sum;
+  for (const auto& [key, entry] : entries_) {
+    sum += entry.kv;
+    ZR_ASSERT_INVARIANT(kNoKvLeak, entry.kv >= TokenCount(0), "a reservation is negative");
+    ZR_ASSERT_INVARIANT(kNoKvLeak, entry.expires <= now + longest_hold,
+                        "a reservation has no bounded expiry");
+  }
+  ZR_ASSERT_INVARIANT(kNoKvLeak, sum == reserved_, "the reservations do not sum up");
+}
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_admission/service_time_model.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+
+#include "zr_base/zr_base.h"
+#include "zr_config/zr_config.h"
+
+namespace zr {
+
+/**
+ * Estimates how fast an endpoint works: prefill speed (shared by all prompts
+ * in prefill), decode speed of one stream by batch size, the share of the
+ * answer bound that answers of a class use, and the time of plain calls.
+ * Starts from the pool's policy and follows what releases show.
+ */
+class ServiceTimeModel {
+ public:
+  explicit ServiceTimeModel(const PoolPolicy& policy);
+
+  /** What a completed call showed. */
+  struct Observation {
+    ClassId request_class;
+    double prefill_tokens = 0;   // uncached prompt tokens
+    double prefill_sharing = 1;  // mean number of prompts in prefill beside it, itself included
+    double answered = 0;         // tokens
+    double max_answer = 0;       // bound on the answer
+    double batch = 1;            // mean batch size over its run
+    Duration run_time;
+  };
+
+  void ObserveModelCall(const Observation& observation);
+  void ObservePlainCall(const ClassId& request_class, Duration run_time);
+
+  /** Tokens a second, of all prompts in prefill together. */
+  double PrefillSpeed() const { return prefill_; }
+  /** Tokens a second of one stream in a batch of the given size (at least 1). */
+  double DecodeSpeed(double batch) const;
+  /** Expected answer length in tokens: the bound times the class's usual share of it. */
+  double ExpectedAnswer(const ClassId& request_class, TokenCount max_answer) const;
+  /** Expected time of a plain call. */
+  Duration PlainTime(const ClassId& request_class) const;
+
+ private:
+  struct Running {
+    double mean = 0;
+    double deviation = 0;
+    int64_t samples = 0;
+    void Add(double value);
+  };
+
+  static constexpr int kBuckets = 8;  // batch sizes 1, 2, 3-4, 5-8, ..., 65 and more
+  static int BucketOf(double batch);
+  static double BucketSize(int bucket);
+  double PriorDecodeSpeed(double batch) const;
+
+  double first_prefill_;
+  double first_decode_;
+  double prefill_;
+  std::array<Running, kBuckets> decode_ratio_;  // observed speed / first estimate
+  std::map<ClassId, Running> answer_share_;
+  std::map<ClassId, Running> plain_time_;  // seconds
+};
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_admission/tests/owner_fixture.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "zr_admission/zr_admission.h"
+
+namespace zr {
+
+inline TimePoint AtMs(int64_t ms) { return TimePoint::FromMicroseconds(ms * 1000); }
+
+/** One owner with its policies; time is in milliseconds. */
+struct OwnerFixture {
+  PoolPolicy pool;
+  std::shared_ptr<ClassPolicies> classes = std::make_shared<ClassPolicies>();
+  std::shared_ptr<TeamPolicies> teams = std::make_shared<TeamPolicies>();
+  std::unique_ptr<EndpointOwner> owner;
+  uint64_t load_sequence = 0;
+  uint64_t list_sequence = 0;
+  OwnerActions last;
+
+  OwnerFixture() {
+    pool.pool = PoolId("reader");
+    pool.fresh_requests = 4;
+    pool.max_requests = 16;
+    pool.warm_after_requests = 0;  // warm from the start unless a test says otherwise
+    for (const char* name : {"check", "audit"}) {
+      ClassPolicy policy;
+      policy.name = ClassId(name);
+      (*classes)[policy.name] = policy;
+    }
+  }
+
+  OwnerPolicies Policies() const { return OwnerPolicies{pool, classes, teams}; }
+
+  void Start(TimePoint now, bool taken_over = false, int64_t capacity = 100'000) {
+    OwnerOptions options;
+    options.self = VmId("owner");
+    options.incarnation = Incarnation(7);
+    options.endpoint.endpoint = EndpointId("e1");
+    options.endpoint.pool = pool.pool;
+    options.endpoint.domain = DomainId("sala");
+    options.policies = Policies();
+    options.taken_over = taken_over;
+    owner = EndpointOwner::Create(std::move(options), now).value();
+    if (capacity > 0) Load(now, capacity);
+    if (capacity > 0) last = owner->OnStreamList(now, EngineStreams{BootNumber(1), {}});
+  }
+
+  EngineLoad MakeLoad(int64_t capacity, int64_t used = 0, int64_t running = 0, uint64_t boot = 1) {
+    EngineLoad load;
+    load.boot = BootNumber(boot);
+    load.sequence = ++load_sequence;
+    load.kv_capacity = TokenCount(capacity);
+    load.kv_used = TokenCount(used);
+    load.running = running;
+    return load;
+  }
+
+  void Load(TimePoint now, int64_t capacity, int64_t used = 0, int64_t running = 0,
+            uint64_t boot = 1) {
+    last = owner->OnLoadReport(now, MakeLoad(capacity, used, running, boot));
+  }
+
+  AdmissionRequest Request(const std::string& id, int64_t prompt, int64_t answer,
+                           int64_t time_left_ms = 30'000) const {
+    AdmissionRequest request;
+    request.request = RequestId(id);
+    request.attempt = AttemptNumber(1);
+    request.endpoint = EndpointId("e1");
+    request.pool = pool.pool;
+    request.team = TeamId("t");
+    request.request_class = ClassId("check");
+    request.prompt = TokenCount(prompt);
+    request.max_answer = TokenCount(answer);
+    request.time_left = Duration::Milliseconds(time_left_ms);
+    request.fingerprint = Fingerprint(Hash64(id));
+    request.queue_if_busy = true;
+    return request;
+  }
+
+  void Ask(TimePoint now, const AdmissionRequest& request, const char* from = "vm1") {
+    last = owner->OnAdmissionRequest(now, VmId(from), request);
+  }
+
+  void List(TimePoint now, const char* from, std::vector<HeldGrant> grants) {
+    HeldGrants list;
+    list.holder = SenderStamp{VmId(from), Incarnation(1), ++list_sequence};
+    list.endpoint = EndpointId("e1");
+    list.grants = std::move(grants);
+    last = owner->OnHeldGrants(now, list);
+  }
+
+  HeldGrant Held(const std::string& id, bool started = true) const {
+    HeldGrant held;
+    held.request = RequestId(id);
+    held.attempt = AttemptNumber(1);
+    if (const GrantEntry* entry = Entry(id)) {
+      held.number = entry->number;
+      held.owner = entry->owner;
+      held.owner_incarnation = entry->owner_incarnation;
+      held.kv_tokens = entry->kv;
+    }
+    held.started = started;
+    return held;
+  }
+
+  void Release(TimePoint now, const std::string& id,
+               ReleaseOutcome outcome = ReleaseOutcome::kCompleted) {
+    zr::Release release;
+    release.request = RequestId(id);
+    release.attempt = AttemptNumber(1);
+    release.endpoint = EndpointId("e1");
+    if (const GrantEntry* entry = Entry(id)) release.number = entry->number;
+    release.outcome = outcome;
+    last = owner->OnRelease(now, VmId("vm1"), release);
+  }
+
+  const GrantEntry* Entry(const std::string& id) const {
+    return owner->grants().Find(StreamKey{RequestId(id), AttemptNumber(1)});
+  }
+
+  /** Messages of a kind among the last actions. */
+  template <typename T>
+  std::vector<T> Sent() const {
+    std::vector<T> found;
+    for (const OwnerAction& action : last) {
+      const auto* send = std::get_if<SendMessage>(&action);
+      if (send == nullptr) continue;
+      if (const T* message = std::get_if<T>(&send->message)) found.push_back(*message);
+    }
+    return found;
+  }
+
+  template <typename T>
+  std::vector<T> Actions() const {
+    std::vector<T> found;
+    for (const OwnerAction& action : last) {
+      if (const T* typed = std::get_if<T>(&action)) found.push_back(*typed);
+    }
+    return found;
+  }
+
+  bool Granted(const std::string& id) const {
+    for (const Grant& grant : Sent<Grant>()) {
+      if (grant.request == RequestId(id)) return true;
+    }
+    return false;
+  }
+
+  std::optional<RefusalReason> Refused(const std::string& id) const {
+    for (const Refusal& refusal : Sent<Refusal>()) {
+      if (refusal.request == RequestId(id)) return refusal.reason;
+    }
+    return std::nullopt;
+  }
+};
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_admission/work_forecast.cc
@@ -0,0 +1,155 @@
+#include "zr_admission/work_forecast.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace zr {
+namespace {
+
+Duration FromSeconds(double seconds) {
+  // A day bounds the arithmetic; no deadline is that long.
+  return Duration::Microseconds(static_cast<int64_t>(std::clamp(seconds, 0.0, 86'400.0) * 1e6));
+}
+
+bool Works(const GrantEntry& entry) {
+  return entry.state == GrantState::kOffered || entry.state == GrantState::kHeld;
+}
+
+/** Seconds until the prefill of `own` tokens ends when it shares the speed with the others. */
+double PrefillSeconds(const GrantTable& grants, const GrantEntry* self, double own, double extra,
+                      double speed) {
+  if (own <= 0) return 0;
+  double work = own + std::min(extra, own);
+  for (const auto& [key, entry] : grants.entries()) {
+    if (&entry == self || entry.prefill_left <= 0 || !Works(entry)) continue;
+    work += std::min(entry.prefill_left, own);
+  }
+  return work / speed;
+}
+
+}  // namespace
+
+Duration EstimateMargin(Duration run_time) {
+  // 5% of the run time, and 20 ms for the way to the endpoint and back.
+  return run_time / 20 + Duration::Milliseconds(20);
+}
+
+void WorkForecast::Advance(GrantTable& grants, const ServiceTimeModel& model, Duration elapsed) {
+  double left = elapsed.seconds();
+  const auto batch = static_cast<double>(std::max<int64_t>(1, Batch(grants)));
+  const double decode = model.DecodeSpeed(batch);
+  while (left > 1e-7) {
+    // Each step ends when the shortest prefill ends, which changes the shares.
+    int in_prefill = 0;
+    double shortest = 0;
+    for (const auto& [key, entry] : grants.entries()) {
+      if (!Works(entry) || entry.prefill_left <= 0) continue;
+      shortest = in_prefill == 0 ? entry.prefill_left : std::min(shortest, entry.prefill_left);
+      ++in_prefill;
+    }
+    const double share = in_prefill == 0 ? 0 : model.PrefillSpeed() / in_prefill;
+    const double step = in_prefill == 0 ? left : std::min(left, shortest / share + 1e-6);
+    for (auto& [key, entry] : grants.entries()) {
+      if (!Works(entry)) continue;
+      entry.batch_seconds += batch * step;
+      entry.plain_left = std::max(0.0, entry.plain_left - step);
+      if (entry.prefill_left > 0) {
+        entry.prefill_left = std::max(0.0, entry.prefill_left - share * step);
+        entry.prefill_seconds += step;
+        entry.prefill_share_seconds += in_prefill * step;
+      } else {
+        entry.answer_left = std::max(0.0, entry.answer_left - decode * step);
+      }
+    }
+    left -= step;
+  }
+}
+
+int64_t WorkForecast::Batch(const GrantTable& grants) {
+  return grants.size() - grants.CountState(GrantState::kGathered);
+}
+
+Duration WorkForecast::RunTime(const GrantTable& grants, const ServiceTimeModel& model,
+                               const WorkDemand& demand, double batch) {
+  const double prefill = PrefillSeconds(grants, nullptr, demand.prefill, 0, model.PrefillSpeed());
+  return FromSeconds(prefill + demand.answer / model.DecodeSpeed(batch) + demand.plain_seconds);
+}
+
+Duration WorkForecast::RunTimeAlone(const ServiceTimeModel& model, const WorkDemand& demand) {
+  return FromSeconds(demand.prefill / model.PrefillSpeed() + demand.answer / model.DecodeSpeed(1) +
+                     demand.plain_seconds);
+}
+
+Duration WorkForecast::Remaining(const GrantTable& grants, const ServiceTimeModel& model,
+                                 const GrantEntry& entry, double batch, double extra_prefill) {
+  const double prefill =
+      PrefillSeconds(grants, &entry, entry.prefill_left, extra_prefill, model.PrefillSpeed());
+  return FromSeconds(prefill + entry.answer_left / model.DecodeSpeed(batch) + entry.plain_left);
+}
+
+bool WorkForecast::WouldDelayPastDeadline(const GrantTable& grants, const ServiceTimeModel& model,
+                                          const WorkDemand& demand, TimePoint now) {
+  const auto batch = static_cast<double>(std::max<int64_t>(1, Batch(grants)));
+  for (const auto& [key, entry] : grants.entries()) {
+    if (!Works(entry) || entry.deadline == TimePoint::Max()) continue;
+    const Duration with = Remaining(grants, model, entry, batch + 1, demand.prefill);
+    if (now + with + EstimateMargin(with) / 2 <= entry.deadline) continue;
+    // A grant that misses its deadline anyway is no reason to hold others back.
+    const Duration without = Remaining(grants, model, entry, batch, 0);
+    if (now + without <= entry.deadline && with > without) return true;
+  }
+  return false;
+}
+
+double WorkForecast::PrefillInProgress(const GrantTable& grants, bool long_only) {
+  double sum = 0;
+  for (const auto& [key, entry] : grants.entries()) {
+    if (Works(entry) && (entry.long_prompt || !long_only)) sum += entry.prefill_left;
+  }
+  return sum;
+}
+
+void CapacityTimeline::AddRunning(TimePoint end, TokenCount kv) {
+  ends_.push_back(End{std::max(end, now_), kv});
+  std::push_heap(ends_.begin(), ends_.end(), std::greater<>());
+}
+
+TimePoint CapacityTimeline::Place(TokenCount kv, Duration run_time) {
+  TimePoint start = now_;
+  while (free_kv_ < kv || free_slots_ < 1) {
+    if (ends_.empty()) return TimePoint::Max();
+    std::pop_heap(ends_.begin(), ends_.end(), std::greater<>());
+    start = std::max(start, ends_.back().at);
+    free_kv_ += ends_.back().kv;
+    ++free_slots_;
+    ends_.pop_back();
+  }
+  now_ = start;
+  free_kv_ -= kv;
+  --free_slots_;
+  AddRunning(start + run_time, kv);
+  return start;
+}
+
+TimePoint CapacityTimeline::PeekStart(TokenCount kv) const {
+  CapacityTimeline copy = *this;
+  return copy.Place(kv, Duration());
+}
+
+TokenCount CapacityTimeline::FreeKvAt(TimePoint time) const {
+  TokenCount free = free_kv_;
+  for (const End& end : ends_) {
+    if (end.at <= time) free += end.kv;
+  }
+  return free;
+}
+
+int64_t CapacityTimeline::FreeSlotsAt(TimePoint time) const {
+  int64_t free = free_slots_;
+  for (const End& end : ends_) {
+    if (end.at <= time) ++free;
+  }
+  return free;
+}
+
+}  // namespace zr
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -31,7 +31,7 @@
 template <typename A>
 void Fields(A& a, Summary& m) {
   a(m.endpoint, m.pool, m.domain, m.owner, m.owner_incarnation, m.sequence, m.accepts_new,
-    m.kv_free, m.kv_capacity, m.wait_short, m.wait_long, m.prefixes);
+    m.kv_free, m.kv_capacity, m.wait_short, m.wait_long, m.prefixes, m.prefill_tokens_per_second);
 }
 template <typename A>
 void Fields(A& a, AdmissionRequest& m) {
@@ -39,9 +39,13 @@
     m.time_left, m.fingerprint, m.run_alone, m.queue_if_busy, m.plain_service, m.prefixes);
 }
 template <typename A>
+void Fields(A& a, GatherMember& m) {
+  a(m.endpoint, m.number, m.owner, m.owner_incarnation, m.kv_tokens);
+}
+template <typename A>
 void Fields(A& a, Grant& m) {
   a(m.request, m.attempt, m.endpoint, m.number, m.owner, m.owner_incarnation, m.kv_tokens,
-    m.start_within, m.priority, m.boot);
+    m.start_within, m.priority, m.boot, m.members);
 }
 template <typename A>
 void Fields(A& a, Refusal& m) {
@@ -90,7 +94,7 @@
 }
 template <typename A>
 void Fields(A& a, GatherReply& m) {
-  a(m.request, m.attempt, m.endpoint, m.reserved, m.number, m.wait_hint);
+  a(m.request, m.attempt, m.endpoint, m.reserved, m.number, m.wait_hint, m.owner_incarnation);
 }
 template <typename A>
 void Fields(A& a, GatherRelease& m) {
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -64,6 +64,7 @@
   Duration wait_short;  // expected wait of a short prompt
   Duration wait_long;   // expected wait of a long prompt
   std::vector<PrefixHash> prefixes;
+  int64_t prefill_tokens_per_second = 0;  // as observed, 0 if unknown
   friend auto operator<=>(const Summary&, const Summary&) = default;
 };
 
@@ -86,6 +87,16 @@
   friend auto operator<=>(const AdmissionRequest&, const AdmissionRequest&) = default;
 };
 
+/** A part of a gather: memory reserved on one more endpoint. */
+struct GatherMember {
+  EndpointId endpoint;
+  GrantNumber number;
+  VmId owner;
+  Incarnation owner_incarnation;
+  TokenCount kv_tokens;
+  friend auto operator<=>(const GatherMember&, const GatherMember&) = default;
+};
+
 /** The owner admits an attempt. */
 struct Grant {
   RequestId request;
@@ -94,10 +105,11 @@
   GrantNumber number;
   VmId owner;
   Incarnation owner_incarnation;
-  TokenCount kv_tokens;   // reserved
-  Duration start_within;  // void if the call has not started by then
-  int32_t priority = 0;   // passed to the engine; higher is sooner
-  BootNumber boot;        // the endpoint's boot number as the owner knows it
+  TokenCount kv_tokens;               // reserved
+  Duration start_within;              // void if the call has not started by then
+  int32_t priority = 0;               // passed to the engine; higher is sooner
+  BootNumber boot;                    // the endpoint's boot number as the owner knows it
+  std::vector<GatherMember> members;  // of a gather: the other endpoints, empty otherwise
   friend auto operator<=>(const Grant&, const Grant&) = default;
 };
 
@@ -233,6 +245,7 @@
   bool reserved = false;
   GrantNumber number;
   Duration wait_hint;
+  Incarnation owner_incarnation;
   friend auto operator<=>(const GatherReply&, const GatherReply&) = default;
 };
 
