--- a/modules/zr_config/diff.cc
+++ b/modules/zr_config/diff.cc
@@ -41,15 +41,11 @@
 
 std::string Change::ToString() const {
   const std::string where = "[" + section + "]" + (key.empty() ? "" : " " + key);
-  switch (kind) {
-    case ChangeKind::kAdded:
-      return "+ " + where + (key.empty() ? "" : " = " + after);
-    case ChangeKind::kRemoved:
-      return "- " + where + (key.empty() ? "" : " = " + before);
-    case ChangeKind::kChanged:
-      return "~ " + where + ": " + before + " -> " + after;
-  }
-  return where;
+  if (kind == ChangeKind::kChanged) return "~ " + where + ": " + before + " -> " + after;
+  const bool added = kind == ChangeKind::kAdded;
+  std::string text = (added ? "+ " : "- ") + where;
+  if (!key.empty()) text += " = " + (added ? after : before);
+  return text;
 }
 
 std::vector<Change> Diff(const Environment& from, const Environment& to) {
--- a/modules/zr_config/environment_reader.cc
+++ b/modules/zr_config/environment_reader.cc
@@ -75,23 +75,22 @@
 void EnvironmentReader::ReadOne(const IniSection& section) {
   const std::vector<std::string> words = SectionWords(section.name);
   const std::string& kind = words.front();
+  const bool named = words.size() == 2 && IsName(words[1]);
   if (kind == "environment" && words.size() == 1) {
     EnvironmentHeader header;
     ReadKeys(section, EnvironmentFields(), header);
     environment_.name_ = header.name;
   } else if (kind == "drain" && words.size() == 3 && IsName(words[2])) {
     ReadDrain(section, words);
-  } else if (words.size() != 2 || !IsName(words[1])) {
-    Report(section.name, "", std::string("unknown section; ") + kAllowedSections);
-  } else if (kind == "pool") {
+  } else if (named && kind == "pool") {
     PoolPolicy& pool = environment_.pools_[PoolId(words[1])];
     pool.pool = PoolId(words[1]);
     ReadKeys(section, PoolFields(), pool);
-  } else if (kind == "class") {
+  } else if (named && kind == "class") {
     ClassPolicy& policy = environment_.classes_[ClassId(words[1])];
     policy.name = ClassId(words[1]);
     ReadKeys(section, ClassFields(), policy);
-  } else if (kind == "team") {
+  } else if (named && kind == "team") {
     TeamPolicy& team = environment_.teams_[TeamId(words[1])];
     team.team = TeamId(words[1]);
     ReadKeys(section, TeamFields(), team);
