--- a/apps/zinniarillctl/main.cc
+++ b/apps/zinniarillctl/main.cc
@@ -9,6 +9,7 @@
 
 #include "zinniarillctl/commands.h"
 #include "zinniarillctl/curl_transport.h"
+#include "zinniarillctl/flag_parser.h"
 
 DEFINE_string(server, "127.0.0.1:8081", "ip:port of a daemon's operator port");
 DEFINE_string(token, "", "operator token; the environment variable ZR_TOKEN if empty");
@@ -20,17 +21,9 @@
 DEFINE_int64(call_timeout_ms, 10'000, "longest time of one call to the daemon, in ms");
 DEFINE_int64(base_version, -1, "the version that a change replaces; the current one if negative");
 
-namespace gflags {
-// Called by gflags after it has reported a bad flag; defined in its library.
-extern void (*gflags_exitfunc)(int);
-}  // namespace gflags
-
 namespace zr {
 namespace {
 
-/** Ends the program after a bad flag; gflags itself would exit with 1. */
-void ExitOnBadFlag(int code) { std::exit(code == 0 ? 0 : static_cast<int>(ExitCode::kInvalid)); }
-
 std::string FlagOrVariable(const std::string& flag, const char* variable) {
   if (!flag.empty()) return flag;
   const char* value = std::getenv(variable);
@@ -106,30 +99,20 @@
   return static_cast<int>(commands.Run(words));
 }
 
-/** Usage and flags for --help, which gflags would end with an error code. */
-bool PrintHelp(int argc, char** argv) {
-  for (int i = 1; i < argc; ++i) {
-    const std::string_view word = argv[i];
-    if (word != "--help" && word != "-help" && word != "-h") continue;
-    std::cout << "zinniarillctl COMMAND [FLAGS]\n\n" << Commands::Usage() << "\nflags:\n";
-    std::vector<gflags::CommandLineFlagInfo> flags;
-    gflags::GetAllFlags(&flags);
-    for (const auto& flag : flags) {
-      if (flag.filename.find("zinniarillctl") == std::string::npos) continue;
-      std::cout << "--" << flag.name << " (" << flag.default_value << "): " << flag.description
-                << "\n";
-    }
-    return true;
-  }
-  return false;
-}
-
 }  // namespace
 }  // namespace zr
 
 int main(int argc, char** argv) {
-  if (zr::PrintHelp(argc, argv)) return 0;
-  gflags::gflags_exitfunc = &zr::ExitOnBadFlag;
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
-  return zr::Main(std::vector<std::string>(argv + 1, argv + argc));
+  const zr::ParsedFlags parsed = zr::ParseFlags(argc, argv);
+  if (parsed.help) {
+    std::cout << "zinniarillctl COMMAND [FLAGS]\n\n"
+              << zr::Commands::Usage() << "\nflags:\n"
+              << zr::FlagHelp();
+    return 0;
+  }
+  if (!parsed.fault.empty()) {
+    std::cerr << "zinniarillctl: " << parsed.fault << "\n";
+    return static_cast<int>(zr::ExitCode::kInvalid);
+  }
+  return zr::Main(parsed.words);
 }
--- a/apps/zinniarillctl/show_commands.cc
+++ b/apps/zinniarillctl/show_commands.cc
@@ -20,6 +20,7 @@
   for (const char* column : columns) rows[0].emplace_back(column);
   for (const json& item : list) {
     std::vector<std::string> row;
+    row.reserve(columns.size());
     for (const char* column : columns) row.push_back(Cell(item, column));
     rows.push_back(std::move(row));
   }
