Add zr_records: at-most-once records, retention and the store budget

Non-repeatable calls need a record in the object API that survives lost answers, late writes, crashes and pauses. OperationMachine holds the protocol as a state machine without I/O; RecordCodec, RetentionSweeper and StoreBudget complete the module.

--- /dev/null
+++ b/modules/zr_records/operation_machine_impl.h
@@ -0,0 +1,365 @@
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "zr_records/operation_machine.h"
+
+// Member definitions of BasicOperationMachine; included by operation_machine.cc
+// and by tests that replace rules.
+
+namespace zr {
+
+template <typename Rules>
+BasicOperationMachine<Rules>::BasicOperationMachine(OperationCall call, AttemptId self,
+                                                    OperationOptions options, uint64_t seed)
+    : call_(std::move(call)), self_(std::move(self)), options_(options), random_(seed) {}
+
+template <typename Rules>
+auto BasicOperationMachine<Rules>::Handle(const OperationEvent& event, TimePoint now) -> Actions {
+  now_ = now;
+  actions_.clear();
+  // The deadline goes first, so that a reply after it starts no call of the service.
+  if (now >= call_.deadline && !std::holds_alternative<OpStart>(event)) On(OpDeadline{});
+  std::visit([this](const auto& e) { On(e); }, event);
+  const TimePoint wakeup = NextWakeup();
+  if (wakeup != timer_ && wakeup != TimePoint::Max()) actions_.emplace_back(OpSetTimer{wakeup});
+  timer_ = wakeup;
+  return std::move(actions_);
+}
+
+template <typename Rules>
+TimePoint BasicOperationMachine<Rules>::NextWakeup() const {
+  if (ended() || step_ == Step::kIdle) return TimePoint::Max();
+  TimePoint wakeup = answered_ ? TimePoint::Max() : call_.deadline;
+  if (step_ == Step::kPause) wakeup = std::min(wakeup, wake_);
+  return wakeup;
+}
+
+// ---------------------------------------------------------------------------
+// Events
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::On(const OpStart&) {
+  ZR_ASSERT(step_ == Step::kIdle, "an operation starts once");
+  started_ = now_;
+  Read();
+  if (now_ >= call_.deadline) On(OpDeadline{});
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::On(const OpReadReply& event) {
+  if (step_ != Step::kReading || event.op != op_) return;
+  switch (event.status) {
+    case ReadStatus::kFound:
+      version_ = event.version;
+      record_ = event.record;
+      break;
+    case ReadStatus::kAbsent:
+      version_ = ObjectVersion();
+      record_ = OperationRecord();
+      break;
+    case ReadStatus::kUnreadable:
+      // A later format, perhaps: the operation may have run under it.
+      if (!answered_) {
+        Answer({RunState::kMayHaveRun, std::nullopt, std::nullopt,
+                Error{ErrorCode::kInternal, "records", "", "the record cannot be decoded"}});
+      }
+      return End();
+    case ReadStatus::kError:
+    case ReadStatus::kUnknown:
+      return StoreFailed();
+  }
+  known_ = true;
+  failures_ = 0;
+  Decide();
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::On(const OpWriteReply& event) {
+  if (step_ != Step::kWriting || event.op != op_) return;
+  if (event.status == WriteStatus::kOk ||
+      (event.status == WriteStatus::kUnknown && !Rules::kRereadAfterUnknown)) {
+    // All our earlier writes were conditional on an older version and fail from now on.
+    write_unknown_ = false;
+    version_ = event.version;
+    record_ = std::move(writing_);
+    known_ = true;
+    failures_ = 0;
+    return Decide();
+  }
+  if (event.status == WriteStatus::kConflict) return Read();
+  if (event.status == WriteStatus::kUnknown) write_unknown_ = true;
+  StoreFailed();
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::On(const OpServiceReply& event) {
+  if (step_ != Step::kCalling) return;
+  switch (event.status) {
+    case ServiceStatus::kOutcome:
+      outcome_ = event.outcome;
+      // The caller need not wait for the store: a lost outcome record only turns
+      // the answer to a repeat into "may have run".
+      if (!answered_) Answer({RunState::kRan, RecordState::kDispatched, outcome_, std::nullopt});
+      if (outcome_->body.size() > kMaxInlineBody) {
+        outcome_->body.clear();
+        outcome_->body_kept = false;
+      }
+      StartBackground(Goal::kStoreOutcome);
+      return Decide();
+    case ServiceStatus::kNotRun:
+      service_refused_ = true;
+      StartBackground(Goal::kRelease);
+      return Decide();
+    case ServiceStatus::kUnknown:
+      if (!answered_) Refuse(ErrorCode::kUnknownOutcome, "the service's answer was lost");
+      return End();
+  }
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::On(const OpOwnerLiveness& event) {
+  if (step_ != Step::kCheckingOwner || event.attempt != record_.attempt) return;
+  if (event.alive) {
+    ++polls_;
+    return Pause();
+  }
+  Write(RecordState::kClaimed);
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::On(const OpDeadline&) {
+  if (answered_ || step_ == Step::kIdle || step_ == Step::kEnded) return;
+  Refuse(ErrorCode::kDeadlineExceeded, "the operation did not finish before the deadline");
+  if (step_ != Step::kCalling) StopAcquiring();
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::On(const OpCallerGone&) {
+  answered_ = true;
+  if (step_ == Step::kIdle) return End();
+  if (step_ != Step::kCalling && step_ != Step::kEnded) StopAcquiring();
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::On(const OpTick&) {
+  if (step_ == Step::kPause && now_ >= wake_) Read();
+}
+
+// ---------------------------------------------------------------------------
+// Decisions
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::Decide() {
+  switch (goal_) {
+    case Goal::kAcquire:
+      return DecideAcquire();
+    case Goal::kStoreOutcome:
+      return DecideStoreOutcome();
+    case Goal::kRelease:
+      return DecideRelease();
+  }
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::DecideAcquire() {
+  if (record_.state == RecordState::kAbsent) return Write(RecordState::kClaimed);
+  if (AnswerFromRecord()) return;
+  const bool own = record_.attempt == self_;
+  switch (record_.state) {
+    case RecordState::kAbsent:
+    case RecordState::kReleased:
+      return Write(RecordState::kClaimed);
+    case RecordState::kClaimed:
+      return own ? Write(RecordState::kDispatched) : DecideClaimedByOther();
+    case RecordState::kDispatched:
+      if (own) return CallService();
+      if (!Rules::kDispatchedIsFinal) return DecideClaimedByOther();
+      Refuse(ErrorCode::kUnknownOutcome, "an earlier call was sent and its outcome is not known");
+      return End();
+    case RecordState::kDone:
+      return;  // AnswerFromRecord has answered
+  }
+}
+
+template <typename Rules>
+bool BasicOperationMachine<Rules>::AnswerFromRecord() {
+  if (record_.fingerprint != call_.fingerprint) {
+    Answer({RunState::kNotRun, record_.state, std::nullopt,
+            Error{ErrorCode::kConflict, "records", "",
+                  "the idempotency key was used with a different request"}});
+    End();
+    return true;
+  }
+  if (record_.state != RecordState::kDone) return false;
+  ZR_ASSERT_INVARIANT(kAtMostOnce, record_.attempt != self_,
+                      "an outcome is stored only after the call");
+  Answer({RunState::kRan, RecordState::kDone, record_.outcome, std::nullopt});
+  End();
+  return true;
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::DecideClaimedByOther() {
+  // The clocks of two VMs may differ; an early claim is safe, because the other
+  // attempt's dispatch is conditional on the version that it claimed.
+  if (UnixMs() - record_.updated_unix_ms > options_.claim_max_age.milliseconds()) {
+    return Write(RecordState::kClaimed);
+  }
+  step_ = Step::kCheckingOwner;
+  actions_.emplace_back(OpCheckOwner{record_.attempt});
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::DecideStoreOutcome() {
+  const bool own = record_.attempt == self_;
+  if (own && record_.state == RecordState::kDispatched) return Write(RecordState::kDone);
+  // Nobody else changes a dispatched record, except that retention deletes it after days.
+  ZR_ASSERT_INVARIANT(
+      kAtMostOnce,
+      record_.state == RecordState::kAbsent || (own && record_.state == RecordState::kDone),
+      "another attempt changed a dispatched record");
+  End();
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::DecideRelease() {
+  const bool own = record_.attempt == self_;
+  // Writing over an absent record fails a delayed create of this attempt.
+  const bool absent = record_.state == RecordState::kAbsent;
+  const bool ours =
+      own && (record_.state == RecordState::kClaimed || record_.state == RecordState::kDispatched);
+  if (ours || (absent && write_unknown_)) return Write(RecordState::kReleased);
+  // After a release whose answer was lost, another attempt may have run the operation.
+  if (!answered_ && !own && !absent && AnswerFromRecord()) return;
+  End();
+}
+
+// ---------------------------------------------------------------------------
+// Steps
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::Read() {
+  step_ = Step::kReading;
+  actions_.emplace_back(OpRead{++op_, call_.object_name});
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::Write(RecordState state) {
+  ZR_ASSERT_INVARIANT(kAtMostOnce, !called_ || state == RecordState::kDone || service_refused_,
+                      "after the call only its outcome is written");
+  step_ = Step::kWriting;
+  write_sent_ = true;
+  writing_ = OperationRecord{state,
+                             self_,
+                             call_.fingerprint,
+                             call_.team,
+                             call_.service,
+                             call_.key,
+                             UnixMs(),
+                             state == RecordState::kDone ? outcome_ : std::nullopt};
+  actions_.emplace_back(OpWrite{++op_, call_.object_name, version_, writing_});
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::CallService() {
+  ZR_ASSERT_INVARIANT(kAtMostOnce, !called_, "an attempt calls the service once");
+  ZR_ASSERT_INVARIANT(kAtMostOnce,
+                      record_.state == RecordState::kDispatched && record_.attempt == self_,
+                      "the service is called only after this attempt's dispatch took effect");
+  ZR_ASSERT_INVARIANT(kNotRunTrue, !answered_not_run_, "no call after the answer \"not run\"");
+  called_ = true;
+  step_ = Step::kCalling;
+  actions_.emplace_back(OpCallService{self_});
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::StoreFailed() {
+  ++failures_;
+  if (goal_ != Goal::kAcquire) {
+    if (now_ >= background_until_) return End();
+  } else if (!call_.may_wait && failures_ >= options_.store_tries) {
+    step_ = Step::kPause;
+    Refuse(ErrorCode::kUnavailable, "the object store cannot be reached");
+    return StopAcquiring();
+  }
+  Pause();
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::Pause() {
+  const int doublings = std::min(failures_ + polls_, 10);
+  const Duration pause =
+      std::min(options_.backoff_max, options_.backoff_base * (int64_t{1} << doublings));
+  // Jitter keeps VMs from returning to the store in step after an outage.
+  const auto jittered = static_cast<int64_t>(static_cast<double>(pause.microseconds()) *
+                                             (0.5 + 0.5 * random_.Unit()));
+  step_ = Step::kPause;
+  wake_ = now_ + Duration::Microseconds(jittered);
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::StartBackground(Goal goal) {
+  goal_ = goal;
+  failures_ = 0;
+  background_until_ = now_ + options_.background_window;
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::StopAcquiring() {
+  if (goal_ != Goal::kAcquire) return;
+  if (!write_sent_) return End();
+  StartBackground(Goal::kRelease);
+  // A store call in progress is waited for; its reply leads to DecideRelease.
+  if (step_ == Step::kCheckingOwner || step_ == Step::kPause) Pause();
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::Refuse(ErrorCode code, std::string message) {
+  const bool may_have_run =
+      (called_ && !service_refused_) || ClaimedByOther() ||
+      (known_ && record_.state == RecordState::kDispatched && record_.attempt != self_);
+  Answer({may_have_run ? RunState::kMayHaveRun : RunState::kNotRun, KnownState(), std::nullopt,
+          Error{code, "records", "", std::move(message)}});
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::Answer(OpAnswer answer) {
+  ZR_ASSERT_INVARIANT(kAnswerIntegrity, !answered_, "a caller is answered once");
+  if (answer.run == RunState::kNotRun) {
+    ZR_ASSERT_INVARIANT(kNotRunTrue, !called_ || service_refused_,
+                        "\"not run\" after the call was sent");
+    answered_not_run_ = true;
+  }
+  answered_ = true;
+  actions_.emplace_back(std::move(answer));
+}
+
+template <typename Rules>
+void BasicOperationMachine<Rules>::End() {
+  if (!answered_) Refuse(ErrorCode::kOverloaded, "the service did not run the call");
+  step_ = Step::kEnded;
+}
+
+// ---------------------------------------------------------------------------
+// Knowledge
+
+template <typename Rules>
+std::optional<RecordState> BasicOperationMachine<Rules>::KnownState() const {
+  if (!known_) return std::nullopt;
+  return record_.state;
+}
+
+template <typename Rules>
+bool BasicOperationMachine<Rules>::ClaimedByOther() const {
+  return known_ && record_.state == RecordState::kClaimed && record_.attempt != self_;
+}
+
+template <typename Rules>
+int64_t BasicOperationMachine<Rules>::UnixMs() const {
+  return call_.start_unix_ms + (now_ - started_).milliseconds();
+}
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_records/store_budget.cc
@@ -0,0 +1,65 @@
+#include "zr_records/store_budget.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace zr {
+
+std::string_view ToString(StorePurpose purpose) {
+  static constexpr std::array<std::string_view, kStorePurposeCount> kNames = {
+      "config", "records", "lease", "status", "endpoints"};
+  return kNames[static_cast<size_t>(purpose)];
+}
+
+StoreBudget::StoreBudget(StoreBudgetOptions options) : options_(options) {
+  ZR_ASSERT(std::accumulate(options_.shares.begin(), options_.shares.end(), 0.0) <= 1.0 + 1e-9,
+            "the shares of a store budget exceed 1");
+  for (size_t i = 0; i < kStorePurposeCount; ++i) {
+    const auto bucket = [&](double total) {
+      const double rate = total * options_.shares[i];
+      return TokenBucket(rate, std::max(1.0, rate * options_.burst_seconds));
+    };
+    lanes_[i].reads = bucket(options_.reads_per_second);
+    lanes_[i].writes = bucket(options_.writes_per_second);
+  }
+}
+
+void StoreBudget::SetVmCount(int vms) {
+  ZR_ASSERT(vms >= 1, "a store budget is shared by at least one VM");
+  for (size_t i = 0; i < kStorePurposeCount; ++i) {
+    const auto configure = [&](TokenBucket& bucket, double total) {
+      const double rate = total * options_.shares[i] / std::max(1, vms);
+      bucket.Configure(rate, std::max(1.0, rate * options_.burst_seconds));
+    };
+    configure(lanes_[i].reads, options_.reads_per_second);
+    configure(lanes_[i].writes, options_.writes_per_second);
+  }
+}
+
+bool StoreBudget::Take(Lane& lane, TokenBucket& bucket, TimePoint now) {
+  if (bucket.TryTake(now)) return true;
+  ++lane.refused;
+  return false;
+}
+
+bool StoreBudget::TryRead(StorePurpose purpose, TimePoint now) {
+  return Take(At(purpose), At(purpose).reads, now);
+}
+
+bool StoreBudget::TryWrite(StorePurpose purpose, TimePoint now) {
+  return Take(At(purpose), At(purpose).writes, now);
+}
+
+bool StoreBudget::TryWatch(StorePurpose purpose, TimePoint now) { return TryRead(purpose, now); }
+
+Duration StoreBudget::UntilRead(StorePurpose purpose, TimePoint now) const {
+  return At(purpose).reads.TimeUntil(now, 1);
+}
+
+Duration StoreBudget::UntilWrite(StorePurpose purpose, TimePoint now) const {
+  return At(purpose).writes.TimeUntil(now, 1);
+}
+
+uint64_t StoreBudget::refused(StorePurpose purpose) const { return At(purpose).refused; }
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_records/store_budget.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+#include "zr_base/zr_base.h"
+
+namespace zr {
+
+/** What a call to the object API is for. */
+enum class StorePurpose : uint8_t { kConfig, kRecords, kLease, kStatus, kEndpoints };
+
+inline constexpr size_t kStorePurposeCount = 5;
+
+/** "config", "records", "lease", "status" or "endpoints". */
+std::string_view ToString(StorePurpose purpose);
+
+struct StoreBudgetOptions {
+  double reads_per_second = 1'600;  // of all VMs; below the platform's 2,000
+  double writes_per_second = 240;   // of all VMs; below the platform's several hundred
+  double burst_seconds = 2;         // a bucket holds this many seconds of its rate, at least one
+  /** Share of each purpose, in the order of StorePurpose; the sum is at most 1. */
+  std::array<double, kStorePurposeCount> shares = {0.15, 0.6, 0.05, 0.1, 0.1};
+};
+
+/**
+ * One VM's part of the object API's rate, split by purpose. Purposes do not
+ * borrow from one another, so that a burst of records delays neither the
+ * configuration nor the lease.
+ */
+class StoreBudget {
+ public:
+  explicit StoreBudget(StoreBudgetOptions options);
+
+  /**
+   * Sets the number of VMs that share the rate.
+   *
+   * @param vms  live VMs including this one, at least 1
+   */
+  void SetVmCount(int vms);
+
+  /** Takes one get or list. False: the caller waits or refuses. */
+  bool TryRead(StorePurpose purpose, TimePoint now);
+  /** Takes one put or delete. */
+  bool TryWrite(StorePurpose purpose, TimePoint now);
+  /** Takes one read for a watch, which counts as one call however long it waits. */
+  bool TryWatch(StorePurpose purpose, TimePoint now);
+
+  /** Time until TryRead can succeed; Duration::Max() if never. */
+  Duration UntilRead(StorePurpose purpose, TimePoint now) const;
+  /** Time until TryWrite can succeed; Duration::Max() if never. */
+  Duration UntilWrite(StorePurpose purpose, TimePoint now) const;
+
+  /** Calls that were refused since the start. */
+  uint64_t refused(StorePurpose purpose) const;
+
+ private:
+  struct Lane {
+    TokenBucket reads{0, 0};
+    TokenBucket writes{0, 0};
+    uint64_t refused = 0;
+  };
+
+  bool Take(Lane& lane, TokenBucket& bucket, TimePoint now);
+  Lane& At(StorePurpose purpose) { return lanes_[static_cast<size_t>(purpose)]; }
+  const Lane& At(StorePurpose purpose) const { return lanes_[static_cast<size_t>(purpose)]; }
+
+  StoreBudgetOptions options_;
+  std::array<Lane, kStorePurposeCount> lanes_;
+};
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_records/tests/operation_world.h
@@ -0,0 +1,341 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "zr_records/operation_machine_impl.h"
+#include "zr_records/record_codec.h"
+
+namespace zr {
+
+struct WorldOptions {
+  double lost = 0.05;  // share of store and service messages that are lost or late
+  bool outages = true;
+};
+
+/**
+ * Several VMs with operation machines, an object store and a service, under
+ * virtual time. Everything is drawn from one seed.
+ */
+template <typename Machine>
+class OperationWorld {
+ public:
+  OperationWorld(uint64_t seed, WorldOptions options) : random_(seed), options_(options) {}
+
+  /** Runs all callers to their end; the result lists the broken promises. */
+  std::vector<std::string> Run() {
+    for (int key = 0; key < kKeys; ++key) At(Ms(0, 200), [this, key] { StartCall(key); });
+    for (int i = 0; i < 4; ++i) At(Ms(0, 6000), [this] { DisturbVm(); });
+    if (options_.outages && random_.Chance(0.5)) {
+      At(Ms(0, 4000), [this] {
+        outage_ = true;
+        At(Ms(100, 4000), [this] { outage_ = false; });
+      });
+    }
+    while (!queue_.empty()) {
+      const Event event = queue_.top();
+      queue_.pop();
+      now_ = event.at;
+      event.run();
+    }
+    CheckCalls();
+    return violations_;
+  }
+
+  int executions() const { return executions_; }
+  int answered_not_run() const { return answered_not_run_; }
+  int answered_ran() const { return answered_ran_; }
+  int stored_answers() const { return stored_answers_; }
+
+ private:
+  static constexpr int kVms = 3;
+  static constexpr int kKeys = 2;
+  static constexpr int kCallsPerKey = 6;
+
+  struct Call;
+  struct Event {
+    TimePoint at;
+    uint64_t order;
+    std::function<void()> run;
+    bool operator<(const Event& other) const {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+  struct Vm {
+    uint64_t incarnation = 1;
+    TimePoint paused_until;
+    std::deque<std::pair<Call*, OperationEvent>> inbox;  // what arrived during the pause
+  };
+  struct Object {
+    uint64_t version = 0;
+    std::string value;
+  };
+  struct Call {
+    int key = 0;
+    int vm = 0;
+    uint64_t incarnation = 0;
+    bool caller_gone = false;
+    TimePoint deadline;
+    std::unique_ptr<Machine> machine;
+    std::optional<OpAnswer> answer;
+    TimePoint answered_at;
+    int executions = 0;                         // caused by this call
+    std::map<uint64_t, int> key_executions_at;  // of the key, by store call
+    int key_executions_known = 0;               // at the last store answer that arrived
+  };
+
+  Duration Ms(int64_t low, int64_t high) {
+    return Duration::Microseconds(1000 * low +
+                                  static_cast<int64_t>(random_.Below(1000 * (high - low) + 1)));
+  }
+  void At(Duration delay, std::function<void()> run) {
+    queue_.push(Event{now_ + delay, order_++, std::move(run)});
+  }
+  void Violation(const std::string& text) { violations_.push_back(text); }
+
+  // A crash loses all machines of a VM; a pause delays everything that reaches it.
+  void DisturbVm() {
+    Vm& vm = vms_[random_.Below(kVms)];
+    if (random_.Chance(0.5)) {
+      ++vm.incarnation;
+    } else {
+      vm.paused_until = std::max(vm.paused_until, now_ + Ms(50, 5000));
+      At(vm.paused_until - now_, [this, &vm] { Resume(vm); });
+    }
+  }
+
+  void Resume(Vm& vm) {
+    if (now_ < vm.paused_until) return;
+    const auto inbox = std::exchange(vm.inbox, {});
+    for (const auto& [call, event] : inbox) Deliver(call, event);
+  }
+
+  void StartCall(int key) {
+    if (started_[key] >= kCallsPerKey) return;
+    ++started_[key];
+    calls_.push_back(std::make_unique<Call>());
+    Call* call = calls_.back().get();
+    call->key = key;
+    call->vm = static_cast<int>(random_.Below(kVms));
+    call->incarnation = vms_[call->vm].incarnation;
+    call->deadline = now_ + Ms(300, 4000);
+    OperationCall request;
+    request.object_name = "key" + std::to_string(key);
+    request.team = TeamId("team");
+    request.service = "register";
+    request.key = request.object_name;
+    request.fingerprint = Fingerprint(random_.Chance(0.95) ? 7 : 8);
+    request.deadline = call->deadline;
+    request.may_wait = random_.Chance(0.5);
+    request.start_unix_ms = now_.microseconds() / 1000;
+    const AttemptId self{VmId("vm" + std::to_string(call->vm)), Incarnation(call->incarnation),
+                         random_.Next()};
+    OperationOptions options;
+    options.background_window = Duration::Seconds(5);
+    call->machine = std::make_unique<Machine>(request, self, options, random_.Next());
+    Deliver(call, OpStart{});
+    if (random_.Chance(0.05)) {
+      At(Ms(0, 1000), [this, call] {
+        call->caller_gone = true;
+        Deliver(call, OpCallerGone{});
+      });
+    }
+    // The caller repeats when it has heard nothing by its deadline, or sooner.
+    const Duration patience =
+        random_.Chance(0.2) ? Ms(20, 300) : call->deadline - now_ + Ms(1, 200);
+    At(patience, [this, call] {
+      if (!call->answer) StartCall(call->key);
+    });
+  }
+
+  void Deliver(Call* call, OperationEvent event) {
+    Vm& vm = vms_[call->vm];
+    if (vm.incarnation != call->incarnation) return;
+    if (vm.paused_until > now_) {
+      vm.inbox.emplace_back(call, std::move(event));
+      return;
+    }
+    NoteKnowledge(call, event);
+    for (const OperationAction& action : call->machine->Handle(event, now_)) {
+      std::visit([this, call](const auto& a) { CarryOut(call, a); }, action);
+    }
+  }
+
+  // Remembers how often the key had run when the store gave the answer that the
+  // machine now learns.
+  void NoteKnowledge(Call* call, const OperationEvent& event) {
+    if (now_ >= call->deadline) return;  // the machine answers before it takes such a reply
+    uint64_t op = 0;
+    if (const auto* read = std::get_if<OpReadReply>(&event)) {
+      if (read->status != ReadStatus::kUnknown) op = read->op;
+    }
+    if (const auto* write = std::get_if<OpWriteReply>(&event)) {
+      if (write->status != WriteStatus::kUnknown) op = write->op;
+    }
+    const auto known = call->key_executions_at.find(op);
+    if (known != call->key_executions_at.end()) call->key_executions_known = known->second;
+  }
+
+  // Carries a request to a server and its reply back. A lost message leads to
+  // `unknown` at the client's time-out; a late request takes effect after it.
+  template <typename Effect>
+  void Exchange(Call* call, const OperationEvent& unknown, Effect effect) {
+    constexpr auto kTimeout = Duration::Milliseconds(500);
+    const Duration there = Ms(1, 10);
+    if (!random_.Chance(options_.lost)) {
+      At(there, [this, call, effect] {
+        OperationEvent reply = effect();
+        At(Ms(1, 10), [this, call, reply = std::move(reply)] { Deliver(call, reply); });
+      });
+      return;
+    }
+    const uint64_t fate = random_.Below(3);
+    if (fate == 0) At(there, effect);                                 // the answer is lost
+    if (fate == 1) At(kTimeout + Ms(0, 3000), effect);                // the request is late
+    At(kTimeout, [this, call, unknown] { Deliver(call, unknown); });  // fate 2: it is lost
+  }
+
+  void CarryOut(Call* call, const OpRead& read) {
+    const OpReadReply unknown{read.op, ReadStatus::kUnknown, {}, {}};
+    Exchange(call, unknown, [this, call, read]() -> OperationEvent {
+      if (outage_) return OpReadReply{read.op, ReadStatus::kError, {}, {}};
+      call->key_executions_at[read.op] = key_executions_[call->key];
+      const Object& object = store_[read.name];
+      if (object.version == 0) return OpReadReply{read.op, ReadStatus::kAbsent, {}, {}};
+      auto record = RecordCodec::Decode(object.value);
+      if (!record) return OpReadReply{read.op, ReadStatus::kUnreadable, {}, {}};
+      return OpReadReply{read.op, ReadStatus::kFound, ObjectVersion(object.version), *record};
+    });
+  }
+
+  void CarryOut(Call* call, const OpWrite& write) {
+    const OpWriteReply unknown{write.op, WriteStatus::kUnknown, {}};
+    Exchange(call, unknown, [this, call, write]() -> OperationEvent {
+      if (outage_) return OpWriteReply{write.op, WriteStatus::kNotWritten, {}};
+      Object& object = store_[write.name];
+      if (object.version != write.expected.value()) {
+        return OpWriteReply{write.op, WriteStatus::kConflict, {}};
+      }
+      CheckTransition(object, write.record);
+      call->key_executions_at[write.op] = key_executions_[call->key];
+      object = Object{++last_version_, RecordCodec::Encode(write.record)};
+      return OpWriteReply{write.op, WriteStatus::kOk, ObjectVersion(object.version)};
+    });
+  }
+
+  // An operator who watches the record sees that a dispatched one keeps its attempt.
+  void CheckTransition(const Object& object, const OperationRecord& next) {
+    if (object.version == 0) return;
+    const auto before = RecordCodec::Decode(object.value);
+    if (!before) return Violation("stored record cannot be decoded");
+    if (before->state == RecordState::kDone) Violation("done record overwritten");
+    if (before->state == RecordState::kDispatched && before->attempt != next.attempt) {
+      Violation("dispatched record taken over");
+    }
+  }
+
+  void CarryOut(Call* call, const OpCallService&) {
+    const bool refuses = random_.Chance(0.15);
+    Exchange(call, OpServiceReply{}, [this, call, refuses]() -> OperationEvent {
+      if (refuses) return OpServiceReply{ServiceStatus::kNotRun, {}};
+      ++executions_;
+      ++call->executions;
+      if (++key_executions_[call->key] > 1) Violation("operation executed twice");
+      ServiceOutcome outcome{200, "text/plain", "digest", OutcomeBody(*call), true};
+      return OpServiceReply{ServiceStatus::kOutcome, outcome};
+    });
+  }
+
+  static std::string OutcomeBody(const Call& call) {
+    std::ostringstream os;
+    os << "run by " << call.machine->self() << " for " << call.key;
+    return os.str();
+  }
+
+  void CarryOut(Call* call, const OpCheckOwner& check) {
+    bool alive = random_.Chance(0.5);  // the list of VMs lags
+    for (int i = 0; i < kVms; ++i) {
+      if (check.attempt.vm.value() != "vm" + std::to_string(i)) continue;
+      const bool current = check.attempt.incarnation.value() == vms_[i].incarnation;
+      if (!current || (vms_[i].paused_until <= now_ && random_.Chance(0.8))) alive = current;
+    }
+    At(Ms(0, 2), [this, call, check, alive] {
+      Deliver(call, OpOwnerLiveness{check.attempt, alive});
+    });
+  }
+
+  void CarryOut(Call* call, const OpSetTimer& timer) {
+    At(timer.at - now_, [this, call] { Deliver(call, OpTick{}); });
+  }
+
+  void CarryOut(Call* call, const OpAnswer& answer) {
+    if (call->answer) Violation("call answered twice");
+    call->answer = answer;
+    call->answered_at = now_;
+    if (answer.run == RunState::kNotRun) {
+      ++answered_not_run_;
+      const bool conflict = answer.error && answer.error->code == ErrorCode::kConflict;
+      if (answer.record && !conflict && call->key_executions_known > 0) {
+        Violation("\"not run\" although the record's key had run");
+      }
+    }
+    if (answer.outcome) {
+      ++answered_ran_;
+      CheckOutcome(*call);
+    }
+    const TimePoint paused = vms_[call->vm].paused_until;
+    if (now_ > call->deadline && now_ > paused) Violation("answer after the deadline");
+    if (!answer.outcome || random_.Chance(0.5)) {
+      At(Ms(1, 300), [this, call] { StartCall(call->key); });
+    }
+  }
+
+  void CheckOutcome(const Call& call) {
+    int matches = 0;
+    for (const auto& other : calls_) {
+      const bool ran = other->executions > 0 && other->key == call.key;
+      if (ran && OutcomeBody(*other) == call.answer->outcome->body) ++matches;
+    }
+    if (matches != 1) Violation("the outcome belongs to another operation");
+    if (call.answer->record == RecordState::kDone) ++stored_answers_;
+  }
+
+  void CheckCalls() {
+    for (const auto& call : calls_) {
+      if (call->answer && call->answer->run == RunState::kNotRun && call->executions > 0) {
+        Violation("\"not run\" although the call ran");
+      }
+      const bool crashed = vms_[call->vm].incarnation != call->incarnation;
+      if (crashed || call->caller_gone) continue;
+      if (!call->answer) Violation("caller without an answer");
+      if (!call->machine->ended()) Violation("machine without an end");
+    }
+  }
+
+  Random random_;
+  const WorldOptions options_;
+  TimePoint now_ = TimePoint::FromMicroseconds(0);
+  uint64_t order_ = 0;
+  std::priority_queue<Event> queue_;
+  Vm vms_[kVms];
+  std::map<std::string, Object> store_;
+  uint64_t last_version_ = 0;
+  bool outage_ = false;
+  std::vector<std::unique_ptr<Call>> calls_;
+  std::map<int, int> started_;
+  std::map<int, int> key_executions_;
+  std::vector<std::string> violations_;
+  int executions_ = 0;
+  int answered_not_run_ = 0;
+  int answered_ran_ = 0;
+  int stored_answers_ = 0;
+};
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_records/tests/records_test.cc
@@ -0,0 +1,129 @@
+#include <catch2/catch.hpp>
+
+#include "zr_records/zr_records.h"
+
+namespace zr {
+namespace {
+
+OperationRecord SampleRecord(RecordState state) {
+  OperationRecord record;
+  record.state = state;
+  record.attempt = AttemptId{VmId("vm1"), Incarnation(5), ~0ULL};
+  record.fingerprint = Fingerprint(9);
+  record.team = TeamId("team");
+  record.service = "register";
+  record.key = "key";
+  record.updated_unix_ms = 1'000'000;
+  return record;
+}
+
+// Guards against records of two operations under one name.
+TEST_CASE("Operation names keep operations apart") {
+  const auto name = [](const char* team, const char* service, const char* key) {
+    return OperationName(TeamId(team), service, key);
+  };
+  REQUIRE(name("a", "b.c", "d") != name("a", "b", "c.d"));
+  REQUIRE(name("a", "b", "_2e") != name("a", "b", "."));
+  REQUIRE_FALSE(name("a", "b", ""));
+  REQUIRE_FALSE(name("a", "b", "line\nbreak"));
+  REQUIRE_FALSE(OperationName(TeamId("a"), "b", std::string(257, 'x')));
+}
+
+// Guards against a stored outcome that differs from the service's answer.
+TEST_CASE("The record codec") {
+  OperationRecord record = SampleRecord(RecordState::kDone);
+  Random random(1);
+  for (size_t size = 0; size < 70; ++size) {
+    std::string body;
+    for (size_t i = 0; i < size; ++i) body += static_cast<char>(random.Next());
+    record.outcome = ServiceOutcome{200, "application/octet-stream", "ab", body, true};
+    REQUIRE(RecordCodec::Decode(RecordCodec::Encode(record)) == record);
+  }
+  SECTION("holds the largest inline body") {
+    record.outcome->body = std::string(kMaxInlineBody, '\xff');
+    const std::string text = RecordCodec::Encode(record);
+    REQUIRE(text.size() <= RecordCodec::kMaxBytes);
+    REQUIRE(RecordCodec::Decode(text) == record);
+  }
+  SECTION("refuses what it did not write") {
+    const std::string text = RecordCodec::Encode(record);
+    for (size_t i = 0; i < text.size(); ++i) REQUIRE_FALSE(RecordCodec::Decode(text.substr(0, i)));
+    REQUIRE_FALSE(RecordCodec::Decode(std::string(100'000, '[')));
+    REQUIRE_FALSE(RecordCodec::Decode(std::string(RecordCodec::kMaxBytes + 1, ' ')));
+    std::string other = text;
+    other.replace(other.find("\"format\":1"), 10, "\"format\":2");
+    REQUIRE_FALSE(RecordCodec::Decode(other));
+  }
+}
+
+// Guards against a repeat that runs again because its record was deleted early.
+TEST_CASE("The retention sweeper") {
+  RetentionOptions options;
+  options.page_size = 2;
+  options.calls_per_second = 1;
+  const int64_t day = 24 * 3600 * 1000;
+  TimePoint now = TimePoint::FromMicroseconds(0);
+  RetentionSweeper sweeper(options, now);
+
+  SECTION("deletes only records that nobody may repeat") {
+    for (const RecordState state :
+         {RecordState::kClaimed, RecordState::kDone, RecordState::kReleased}) {
+      const OperationRecord record = SampleRecord(state);
+      REQUIRE(JudgeRecord(record, 1'000'000 + day, options) == RetentionVerdict::kKeep);
+      REQUIRE(JudgeRecord(record, 1'000'000 + day + day / 8, options) == RetentionVerdict::kDelete);
+    }
+    const OperationRecord record = SampleRecord(RecordState::kDispatched);
+    REQUIRE(JudgeRecord(record, 1'000'000 + 6 * day, options) == RetentionVerdict::kReport);
+    REQUIRE(JudgeRecord(record, 1'000'000 + 8 * day, options) == RetentionVerdict::kDelete);
+  }
+  SECTION("walks the pages within its rate and goes on after an error") {
+    const int64_t unix_ms = 1'000'000 + 2 * day;
+    const SweepItem old{"b", ObjectVersion(4), SampleRecord(RecordState::kDone)};
+    const SweepItem odd{"c", ObjectVersion(5), std::nullopt};
+    std::vector<std::string> trace;
+    int calls = 0;
+    for (int step = 0; step < 200 && sweeper.NextWakeup() < now + options.sweep_interval; ++step) {
+      now = std::max(now, sweeper.NextWakeup());
+      auto actions = sweeper.Handle(SweepTick{}, now, unix_ms);
+      while (!actions.empty()) {
+        const SweepAction action = actions.back();
+        actions.clear();
+        if (const auto* list = std::get_if<SweepList>(&action)) {
+          trace.push_back("list " + list->after);
+          SweepPage page{++calls != 2, {}};
+          if (page.ok && list->after.empty()) page.items = {old, odd};
+          actions = sweeper.Handle(page, now, unix_ms);
+        } else if (const auto* erase = std::get_if<SweepDelete>(&action)) {
+          REQUIRE(erase->version == ObjectVersion(4));
+          trace.push_back("delete " + erase->name);
+          actions = sweeper.Handle(SweepDeleted{}, now, unix_ms);
+        } else {
+          trace.push_back("report " + std::get<SweepReport>(action).name);
+        }
+      }
+    }
+    REQUIRE(trace == std::vector<std::string>{"list ", "report c", "delete b", "list c", "list c"});
+    REQUIRE(now >= TimePoint::FromMicroseconds(0) + options.retry_pause);
+  }
+}
+
+// Guards against a burst of records that delays configuration or the lease.
+TEST_CASE("The store budget keeps purposes apart") {
+  StoreBudgetOptions options;
+  StoreBudget budget(options);
+  budget.SetVmCount(16);
+  const TimePoint now = TimePoint::FromMicroseconds(0);
+  int writes = 0;
+  while (budget.TryWrite(StorePurpose::kRecords, now)) ++writes;
+  REQUIRE(writes == 18);  // 240 / 16 * 0.6 a second for 2 s
+  REQUIRE(budget.refused(StorePurpose::kRecords) == 1);
+  REQUIRE(budget.TryWrite(StorePurpose::kLease, now));
+  int watches = 0;
+  while (budget.TryWatch(StorePurpose::kConfig, now)) ++watches;
+  REQUIRE(watches == 30);
+  REQUIRE_FALSE(budget.TryRead(StorePurpose::kConfig, now));
+  REQUIRE(budget.UntilRead(StorePurpose::kConfig, now) < Duration::Milliseconds(100));
+}
+
+}  // namespace
+}  // namespace zr
