Share the stream id and the log types between modules

Cause: zr_admission and zr_request each had a stream id of their own, and the two log enumerations clashed when linked into one program. Change: one MakeStreamId in zr_wire, request id and attempt; attempts start at the arrival time, so that two VMs do not name different runs alike.

--- a/modules/zr_admission/engine_reports.h
+++ b/modules/zr_admission/engine_reports.h
@@ -2,12 +2,11 @@
 
 #include <compare>
 #include <cstdint>
-#include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "zr_base/zr_base.h"
+#include "zr_wire/stream_id.h"
 
 namespace zr {
 
@@ -66,17 +65,4 @@
   friend auto operator<=>(const CacheEvents&, const CacheEvents&) = default;
 };
 
-/** An attempt of a request; names the engine's stream. */
-struct StreamKey {
-  RequestId request;
-  AttemptNumber attempt;
-  friend auto operator<=>(const StreamKey&, const StreamKey&) = default;
-};
-
-/** The engine's stream id of an attempt: `<request id>#<attempt>`. */
-std::string MakeStreamId(const RequestId& request, AttemptNumber attempt);
-
-/** The attempt that a stream id names; nullopt if the id was not made by MakeStreamId. */
-std::optional<StreamKey> ParseStreamId(std::string_view id);
-
 }  // namespace zr
--- a/modules/zr_config/settings.h
+++ b/modules/zr_config/settings.h
@@ -16,9 +16,6 @@
   kBaseline,  // every VM decides by itself: two random choices on reported load
 };
 
-enum class LogLevel : uint8_t { kDebug, kInfo, kWarning, kError };
-enum class LogFormat : uint8_t { kText, kJson };
-
 /** The settings of one daemon, parsed from INI text and immutable afterwards. */
 struct Settings {
   VmId vm;               // unique in the environment
--- a/modules/zr_request/request_machine_stream.cc
+++ b/modules/zr_request/request_machine_stream.cc
@@ -25,7 +25,7 @@
   Stream stream;
   stream.endpoint = grants.front().endpoint;
   stream.domain = domain;
-  stream.id = MakeStreamId(grants.front());
+  stream.id = MakeStreamId(grants.front().request, grants.front().attempt);
   stream.boot = grants.front().boot;
   stream.started = attempt;
   stream.started_at = now;
--- a/modules/zr_request/request_options.h
+++ b/modules/zr_request/request_options.h
@@ -7,6 +7,7 @@
 #include "zr_base/zr_base.h"
 #include "zr_config/policies.h"
 #include "zr_wire/messages.h"
+#include "zr_wire/stream_id.h"
 
 namespace zr {
 
@@ -35,7 +36,10 @@
   /** Offset in tokens from which the caller wants the answer; above 0 only for a reattach. */
   int64_t resume_offset = 0;
   SuspectVerdict suspect = SuspectVerdict::kClear;
-  /** Number of the first attempt; raised by the daemon if this VM ran the same id before. */
+  /**
+   * Number of the first attempt. Stream ids hold request and attempt only, so the daemon takes
+   * the arrival time in microseconds, which differs between VMs and calls of the same request.
+   */
   AttemptNumber first_attempt{1};
 };
 
@@ -73,13 +77,4 @@
   kNoStream,  // resume only: the endpoint does not know the stream
 };
 
-/** Engine stream id of a granted attempt; unique, as grant numbers are, and known to the owner. */
-std::string MakeStreamId(const RequestId& request, const VmId& owner, Incarnation owner_incarnation,
-                         GrantNumber number);
-std::string MakeStreamId(const Grant& grant);
-/** Stream id of a listed grant. */
-std::string MakeStreamId(const HeldGrant& grant);
-/** The request id in a stream id; empty if the id is not one of ours. */
-RequestId RequestOfStreamId(const std::string& stream_id);
-
 }  // namespace zr
--- a/modules/zr_telemetry/log.h
+++ b/modules/zr_telemetry/log.h
@@ -7,9 +7,6 @@
 
 namespace zr {
 
-enum class LogLevel { kDebug, kInfo, kWarning, kError };
-enum class LogFormat { kText, kJson };
-
 /** Parses "debug", "info", "warning" or "error". */
 Result<LogLevel> ParseLogLevel(std::string_view text);
 
--- a/modules/zr_admission/engine_reports.cc
+++ b/modules/zr_wire/stream_id.cc
@@ -1,4 +1,4 @@
-#include "zr_admission/engine_reports.h"
+#include "zr_wire/stream_id.h"
 
 #include <charconv>
 
--- a/modules/zr_wire/zr_wire.h
+++ b/modules/zr_wire/zr_wire.h
@@ -9,3 +9,4 @@
 
 #include "zr_wire/cbor_codec.h"
 #include "zr_wire/messages.h"
+#include "zr_wire/stream_id.h"
