--- a/modules/zr_admission/admission_planner.cc
+++ b/modules/zr_admission/admission_planner.cc
@@ -25,6 +25,10 @@
     }
     own = std::min(own, ramp_.StartAllowance() - granted);
   }
+  if (policy_.kind == PoolKind::kModel && !engine_.BootConfirmed()) {
+    // The engine may have restarted unnoticed while nothing ran on it.
+    own = std::min(own, ramp_.StartAllowance() - grants_.OwnCount());
+  }
   return std::min(own, total);
 }
 
@@ -87,8 +91,8 @@
   const QueuedRequest& candidate = *ahead.back();
   TimePoint begin = now;
   int64_t slots = FreeSlots();
-  if (engine_.taking_over() && slots < 1) {
-    // The allowance of a take-over is short-lived; afterwards the ramp's holds.
+  if ((engine_.taking_over() || !engine_.BootConfirmed()) && slots < 1) {
+    // These bounds are short-lived; afterwards the ramp's holds.
     begin = engine_.TakeOverEnd(now);
     slots = std::min(ramp_.OwnLimit() - grants_.OwnCount(),
                      ramp_.TotalLimit() - grants_.size() - engine_.foreign_requests());
--- a/modules/zr_admission/endpoint_owner.cc
+++ b/modules/zr_admission/endpoint_owner.cc
@@ -49,6 +49,7 @@
   ZR_ASSERT(now >= advanced_to_, "time went back");
   if (now > advanced_to_) WorkForecast::Advance(grants_, model_, now - advanced_to_);
   advanced_to_ = std::max(advanced_to_, now);
+  if (grants_.size() == 0) engine_.NoteIdle(now);
   engine_.TakingOver(now);
   if (wanted_gather_ && now >= wanted_gather_->until) wanted_gather_.reset();
 }
@@ -58,6 +59,7 @@
   Pump(now, actions);
   grants_.ForgetOld(now);
   engine_.NoteReserved(now, grants_.reserved(), grants_.size());
+  if (!engine_.BootConfirmed() && grants_.size() > 0) engine_.WantList();
   const bool cancelling = grants_.CountState(GrantState::kCancelling) > 0;
   if (reachable_ && engine_.TakeListRequest(now, cancelling)) {
     actions.emplace_back(RequestStreamList{});
--- /dev/null
+++ b/modules/zr_admission/endpoint_selector.cc
@@ -0,0 +1,122 @@
+#include "zr_admission/endpoint_selector.h"
+
+#include <algorithm>
+
+namespace zr {
+namespace {
+
+// A short prompt overflows to an endpoint for long ones when it would wait
+// this much longer elsewhere; well below the target for the first token.
+constexpr Duration kShortOverflow = Duration::Milliseconds(250);
+// A long prompt takes some seconds of prefill in any case, and on an endpoint
+// for short prompts it delays many others.
+constexpr Duration kLongOverflow = Duration::Seconds(5);
+// Scores this close count as equal: the summaries are older than that.
+constexpr Duration kNearEqual = Duration::Milliseconds(10);
+constexpr int64_t kNearEqualDivisor = 10;
+
+struct Scored {
+  const Candidate* candidate;
+  Duration score;
+};
+
+/** Takes a random one of the candidates whose score is nearly the best. */
+const Candidate* TakeNearBest(std::vector<Scored>& scored, Random& random) {
+  const auto best =
+      std::min_element(scored.begin(), scored.end(),
+                       [](const Scored& a, const Scored& b) { return a.score < b.score; });
+  const Duration limit = best->score + std::max(kNearEqual, best->score / kNearEqualDivisor);
+  std::vector<size_t> near;
+  for (size_t i = 0; i < scored.size(); ++i) {
+    if (scored[i].score <= limit) near.push_back(i);
+  }
+  const size_t pick = near[random.Below(near.size())];
+  const Candidate* candidate = scored[pick].candidate;
+  scored.erase(scored.begin() + static_cast<std::ptrdiff_t>(pick));
+  return candidate;
+}
+
+int64_t LoadOf(const Candidate& candidate) {
+  return candidate.load ? candidate.load->running + candidate.load->waiting : 0;
+}
+
+}  // namespace
+
+std::vector<EndpointId> ScoredRule::LongOrder(std::span<const Candidate> all, const PoolId& pool) {
+  std::vector<std::pair<double, EndpointId>> order;
+  const std::string key = "long:" + pool.value();
+  for (const Candidate& candidate : all) {
+    const Summary& summary = candidate.summary;
+    if (summary.pool != pool || !summary.accepts_new) continue;
+    order.emplace_back(-RendezvousScore(key, summary.endpoint.value()), summary.endpoint);
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<EndpointId> endpoints;
+  endpoints.reserve(order.size());
+  for (auto& [score, endpoint] : order) endpoints.push_back(std::move(endpoint));
+  return endpoints;
+}
+
+Duration ScoredRule::Score(const Candidate& candidate, const SelectionQuery& query) {
+  const Summary& summary = candidate.summary;
+  Duration score = candidate.round_trip;
+  score = score + (query.long_prompt ? summary.wait_long : summary.wait_short);
+  if (query.plain_service) return score;
+  // The summary holds a sample of the prefixes, so the longest match counts
+  // even if shorter ones are missing from it.
+  size_t matched = 0;
+  for (size_t i = query.prefixes.size(); i > 0 && matched == 0; --i) {
+    const bool held = std::find(summary.prefixes.begin(), summary.prefixes.end(),
+                                query.prefixes[i - 1]) != summary.prefixes.end();
+    if (held) matched = i;
+  }
+  int64_t uncached = query.prompt.value();
+  if (matched > 0) {
+    uncached -=
+        uncached * static_cast<int64_t>(matched) / static_cast<int64_t>(query.prefixes.size());
+  }
+  const int64_t speed = summary.prefill_tokens_per_second > 0 ? summary.prefill_tokens_per_second
+                                                              : query.prefill_tokens_per_second;
+  return score + Duration::Microseconds(uncached * 1'000'000 / std::max<int64_t>(1, speed));
+}
+
+Selection ScoredRule::Choose(std::span<const Candidate* const> eligible,
+                             std::span<const Candidate> all, const SelectionQuery& query,
+                             Random& random) const {
+  std::set<EndpointId> for_long;
+  if (!query.plain_service) {
+    const std::vector<EndpointId> order = LongOrder(all, query.pool);
+    int64_t count = query.long_endpoints;
+    if (query.long_prompt) count = std::max<int64_t>(1, count);
+    count = std::min<int64_t>(count, static_cast<int64_t>(order.size()));
+    for_long.insert(order.begin(), order.begin() + count);
+  }
+  std::vector<Scored> scored;
+  for (const Candidate* candidate : eligible) {
+    Duration score = Score(*candidate, query);
+    const bool takes_long = for_long.contains(candidate->summary.endpoint);
+    if (query.long_prompt && !takes_long) score = score + kLongOverflow;
+    if (!query.long_prompt && takes_long) score = score + kShortOverflow;
+    scored.push_back(Scored{candidate, score});
+  }
+  Selection selection;
+  while (!scored.empty() && selection.size() < 2) {
+    selection.push_back(TakeNearBest(scored, random)->summary.endpoint);
+  }
+  return selection;
+}
+
+Selection TwoChoicesRule::Choose(std::span<const Candidate* const> eligible,
+                                 std::span<const Candidate> /*all*/,
+                                 const SelectionQuery& /*query*/, Random& random) const {
+  const size_t first = random.Below(eligible.size());
+  if (eligible.size() == 1) return {eligible[first]->summary.endpoint};
+  size_t second = random.Below(eligible.size() - 1);
+  if (second >= first) ++second;
+  const Candidate* a = eligible[first];
+  const Candidate* b = eligible[second];
+  if (LoadOf(*b) < LoadOf(*a)) std::swap(a, b);
+  return {a->summary.endpoint, b->summary.endpoint};
+}
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_admission/endpoint_selector.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "zr_admission/engine_reports.h"
+#include "zr_base/zr_base.h"
+#include "zr_wire/messages.h"
+
+namespace zr {
+
+/** An endpoint that the ingress may choose. */
+struct Candidate {
+  Summary summary;
+  Duration round_trip;             // measured, to VMs of the endpoint's domain
+  std::optional<EngineLoad> load;  // lagged, for the baseline
+};
+
+/** What a request needs of its endpoint. */
+struct SelectionQuery {
+  PoolId pool;
+  TokenCount prompt;
+  TokenCount max_answer;
+  bool long_prompt = false;
+  bool plain_service = false;
+  std::vector<PrefixHash> prefixes;           // shortest first
+  std::set<EndpointId> excluded;              // tried already, or known to be down
+  std::set<DomainId> avoided_domains;         // used only if no other domain has an endpoint
+  int64_t long_endpoints = 0;                 // see LongShare::LongEndpoints
+  int64_t prefill_tokens_per_second = 8'000;  // used where a summary tells none
+};
+
+/** Endpoints in the order in which to try them, at most two. */
+using Selection = std::vector<EndpointId>;
+
+/** A rule that picks among eligible candidates. */
+template <typename T>
+concept SelectionRule = requires(const T& rule, std::span<const Candidate* const> eligible,
+                                 std::span<const Candidate> all, const SelectionQuery& query,
+                                 Random& random) {
+  { rule.Choose(eligible, all, query, random) } -> std::same_as<Selection>;
+  { T::kUsesSummaries } -> std::convertible_to<bool>;
+};
+
+/**
+ * Picks by expected wait, uncached prefill time and round trip. Long prompts
+ * go to the first endpoints of a rendezvous order, short ones to the others;
+ * both overflow when the wait differs by more than a bound. Among near-equal
+ * candidates the pick is random, so that ingresses with equal views differ.
+ */
+class ScoredRule {
+ public:
+  static constexpr bool kUsesSummaries = true;
+
+  Selection Choose(std::span<const Candidate* const> eligible, std::span<const Candidate> all,
+                   const SelectionQuery& query, Random& random) const;
+
+  /** Endpoints of the pool that take long prompts, in rendezvous order. */
+  static std::vector<EndpointId> LongOrder(std::span<const Candidate> all, const PoolId& pool);
+  /** Expected time until the first token, without overflow penalties. */
+  static Duration Score(const Candidate& candidate, const SelectionQuery& query);
+};
+
+/** Two random candidates, the less loaded first; knows no classes and no grants. */
+class TwoChoicesRule {
+ public:
+  static constexpr bool kUsesSummaries = false;
+
+  Selection Choose(std::span<const Candidate* const> eligible, std::span<const Candidate> all,
+                   const SelectionQuery& query, Random& random) const;
+};
+
+/** The ingress's choice of endpoints by a rule. */
+template <SelectionRule Rule>
+class BasicSelector {
+ public:
+  /** @param seed  differs between VMs */
+  explicit BasicSelector(uint64_t seed) : random_(seed) {}
+
+  /** Choices for a request; empty if no endpoint is eligible. */
+  Selection Choose(std::span<const Candidate> candidates, const SelectionQuery& query) {
+    std::vector<const Candidate*> preferred;
+    std::vector<const Candidate*> avoided;
+    for (const Candidate& candidate : candidates) {
+      if (!Eligible(candidate, query)) continue;
+      const bool avoid = query.avoided_domains.contains(candidate.summary.domain);
+      (avoid ? avoided : preferred).push_back(&candidate);
+    }
+    const auto& eligible = preferred.empty() ? avoided : preferred;
+    if (eligible.empty()) return {};
+    return rule_.Choose(eligible, candidates, query, random_);
+  }
+
+ private:
+  static bool Eligible(const Candidate& candidate, const SelectionQuery& query) {
+    const Summary& summary = candidate.summary;
+    if (summary.pool != query.pool || query.excluded.contains(summary.endpoint)) return false;
+    if (!summary.accepts_new) return false;
+    if constexpr (Rule::kUsesSummaries) {
+      return query.plain_service || summary.kv_capacity >= query.prompt + query.max_answer;
+    } else {
+      return !candidate.load || !candidate.load->leaving;
+    }
+  }
+
+  Rule rule_;
+  Random random_;
+};
+
+using EndpointSelector = BasicSelector<ScoredRule>;
+using BaselineSelector = BasicSelector<TwoChoicesRule>;
+
+}  // namespace zr
--- a/modules/zr_admission/engine_reconciler.cc
+++ b/modules/zr_admission/engine_reconciler.cc
@@ -83,6 +83,7 @@
   load_ = load;
   // The report shows a state of at most `report_lag` ago.
   const TimePoint as_of = now - policy_.report_lag;
+  confirmed_as_of_ = std::max(confirmed_as_of_, as_of);
   if (take_over_since_ && as_of > *take_over_since_) take_over_reported_ = true;
   if (doubt_since_ && as_of > *doubt_since_) doubt_since_.reset();
   UpdateForeign(now);
@@ -93,6 +94,7 @@
                                                             const EngineStreams& list) {
   const ReportKind kind = NoteBoot(list.boot);
   if (kind == ReportKind::kStale) return kind;
+  confirmed_as_of_ = std::max(confirmed_as_of_, list_requested_);
   // Lists are current, so one that was asked for after the doubt settles it.
   if (doubt_since_ && list_requested_ >= *doubt_since_) doubt_since_.reset();
   return kind;
--- a/modules/zr_admission/engine_reconciler.h
+++ b/modules/zr_admission/engine_reconciler.h
@@ -37,6 +37,14 @@
   /** Expected end of the take-over; `now` if there is none. */
   TimePoint TakeOverEnd(TimePoint now) const;
 
+  /**
+   * Notes that no grant is in progress. A restart of the engine during that
+   * time breaks no stream, so only a report shows it.
+   */
+  void NoteIdle(TimePoint now) { last_idle_ = now; }
+  /** True if the boot number was reported since the last idle time. */
+  bool BootConfirmed() const { return confirmed_as_of_ >= last_idle_; }
+
   /** A connection to the engine broke: it may have died. */
   void BeginDoubt(TimePoint now);
   bool in_doubt() const { return doubt_since_.has_value(); }
@@ -118,7 +126,9 @@
   std::optional<TimePoint> take_over_since_;
   bool take_over_reported_ = false;
   std::optional<TimePoint> doubt_since_;
-  std::deque<Level> levels_;  // ascending time; covers the report lag
+  TimePoint last_idle_;
+  TimePoint confirmed_as_of_;  // the boot number was in force at this time
+  std::deque<Level> levels_;   // ascending time; covers the report lag
   TokenCount load_foreign_kv_;
   int64_t load_foreign_requests_ = 0;
   std::map<std::string, Unclaimed> unclaimed_;
--- /dev/null
+++ b/modules/zr_admission/long_share.cc
@@ -0,0 +1,68 @@
+#include "zr_admission/long_share.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace zr {
+namespace {
+
+// Slower than this many tokens a second, long prompts do not count as load.
+constexpr double kNegligibleRate = 1;
+// The number of endpoints follows the share with this much hysteresis.
+constexpr double kHysteresis = 0.25;
+
+}  // namespace
+
+void LongShare::OnOffered(TimePoint now, const PoolId& pool, TokenCount tokens, bool long_prompt) {
+  Offered& offered = own_[pool];
+  RateMeter& meter = long_prompt ? offered.long_tokens : offered.short_tokens;
+  meter.Add(now, static_cast<double>(std::max<int64_t>(0, tokens.value())));
+}
+
+void LongShare::OnDemand(const VmId& vm, const std::vector<PoolDemand>& demand) {
+  if (vm != self_) others_[vm] = demand;
+}
+
+std::vector<PoolDemand> LongShare::OwnDemand(TimePoint now) const {
+  std::vector<PoolDemand> demand;
+  for (const auto& [pool, offered] : own_) {
+    demand.push_back(PoolDemand{pool, static_cast<int64_t>(offered.short_tokens.RateAt(now)),
+                                static_cast<int64_t>(offered.long_tokens.RateAt(now))});
+  }
+  return demand;
+}
+
+double LongShare::ShareOf(TimePoint now, const PoolId& pool) const {
+  double short_rate = 0;
+  double long_rate = 0;
+  if (const auto it = own_.find(pool); it != own_.end()) {
+    short_rate += it->second.short_tokens.RateAt(now);
+    long_rate += it->second.long_tokens.RateAt(now);
+  }
+  for (const auto& [vm, demands] : others_) {
+    for (const PoolDemand& demand : demands) {
+      if (demand.pool != pool) continue;
+      short_rate += static_cast<double>(std::max<int64_t>(0, demand.short_tokens_per_second));
+      long_rate += static_cast<double>(std::max<int64_t>(0, demand.long_tokens_per_second));
+    }
+  }
+  if (long_rate < kNegligibleRate) return 0;
+  return long_rate / (short_rate + long_rate);
+}
+
+int64_t LongShare::LongEndpoints(TimePoint now, const PoolId& pool, int64_t endpoints) {
+  const double share = ShareOf(now, pool);
+  int64_t& chosen = chosen_[pool];
+  if (share <= 0 || endpoints <= 0) {
+    chosen = 0;
+    return chosen;
+  }
+  const double wanted = share * static_cast<double>(endpoints);
+  const bool clear_change = wanted > static_cast<double>(chosen) + kHysteresis ||
+                            wanted < static_cast<double>(chosen) - 1 - kHysteresis;
+  if (clear_change) chosen = static_cast<int64_t>(std::ceil(wanted - kHysteresis));
+  chosen = std::clamp<int64_t>(chosen, 1, std::max<int64_t>(1, endpoints - 1));
+  return chosen;
+}
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_admission/long_share.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "zr_admission/rate_meter.h"
+#include "zr_base/zr_base.h"
+#include "zr_wire/messages.h"
+
+namespace zr {
+
+/**
+ * The share of long prompts in the offered load of each pool, from which
+ * follows how many endpoints of a pool take long prompts. Counts this VM's
+ * offers and adds those that other VMs tell in their heartbeats.
+ */
+class LongShare {
+ public:
+  explicit LongShare(VmId self) : self_(std::move(self)) {}
+
+  /** Counts an offered request of this VM. @param tokens  prompt and answer bound */
+  void OnOffered(TimePoint now, const PoolId& pool, TokenCount tokens, bool long_prompt);
+  /** Takes the demand that another VM tells. */
+  void OnDemand(const VmId& vm, const std::vector<PoolDemand>& demand);
+  /** Forgets a VM that is no longer live. */
+  void OnVmGone(const VmId& vm) { others_.erase(vm); }
+  /** This VM's demand, for its heartbeat. */
+  std::vector<PoolDemand> OwnDemand(TimePoint now) const;
+
+  /** Share of long prompts in the pool's tokens, 0 to 1. */
+  double ShareOf(TimePoint now, const PoolId& pool) const;
+  /**
+   * Endpoints that take long prompts, of `endpoints` in the pool: 0 without
+   * long prompts, else at least 1 and, if there are two or more endpoints,
+   * fewer than all. Changes only when the share moves clearly.
+   */
+  int64_t LongEndpoints(TimePoint now, const PoolId& pool, int64_t endpoints);
+
+ private:
+  struct Offered {
+    RateMeter short_tokens;
+    RateMeter long_tokens;
+  };
+
+  VmId self_;
+  std::map<PoolId, Offered> own_;
+  std::map<VmId, std::vector<PoolDemand>> others_;
+  std::map<PoolId, int64_t> chosen_;
+};
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_admission/team_limiter.cc
@@ -0,0 +1,124 @@
+#include "zr_admission/team_limiter.h"
+
+#include <algorithm>
+
+namespace zr {
+namespace {
+
+// Part of each limit that is split evenly among the live VMs.
+constexpr double kEvenPart = 0.05;
+// Unused rate that may be saved up, in seconds of the VM's part.
+constexpr double kBurstSeconds = 2;
+// A refused request for memory counts as demand for this long: a few
+// heartbeats, so that the VM's part grows before the request is tried again.
+constexpr Duration kWantedFor = Duration::Seconds(2);
+constexpr Duration kKvRetry = Duration::Milliseconds(500);
+
+}  // namespace
+
+TeamLimiter::TeamLimiter(VmId self, std::shared_ptr<const TeamPolicies> teams)
+    : self_(std::move(self)), teams_(std::move(teams)) {}
+
+const TeamPolicy* TeamLimiter::Policy(const TeamId& team) const {
+  if (!teams_) return nullptr;
+  const auto it = teams_->find(team);
+  return it == teams_->end() ? nullptr : &it->second;
+}
+
+void TeamLimiter::OnDemand(const VmId& vm, const std::vector<TeamDemand>& demand) {
+  if (vm != self_) others_[vm] = demand;
+}
+
+std::vector<TeamDemand> TeamLimiter::PublishDemand(TimePoint now) {
+  std::vector<TeamDemand> all;
+  for (auto it = own_.begin(); it != own_.end();) {
+    Team& team = it->second;
+    if (now >= team.kv_wanted_until) team.kv_wanted = TokenCount(0);
+    team.published.team = it->first;
+    team.published.tokens_per_second = static_cast<int64_t>(team.offered.RateAt(now));
+    team.published.kv_held = team.kv_held + team.kv_wanted;
+    const bool idle = team.published.tokens_per_second == 0 &&
+                      team.published.kv_held == TokenCount(0) && Policy(it->first) == nullptr;
+    if (!idle) all.push_back(team.published);
+    it = idle ? own_.erase(it) : std::next(it);
+  }
+  return all;
+}
+
+double TeamLimiter::Share(const TeamId& team, double limit,
+                          double (*demand_of)(const TeamDemand&)) const {
+  double sum = 0;
+  double mine = 0;
+  if (const auto it = own_.find(team); it != own_.end()) {
+    mine = std::max(0.0, demand_of(it->second.published));
+    sum += mine;
+  }
+  for (const auto& [vm, demands] : others_) {
+    for (const TeamDemand& demand : demands) {
+      if (demand.team == team) sum += std::max(0.0, demand_of(demand));
+    }
+  }
+  const auto vms = static_cast<double>(others_.size() + 1);
+  if (sum <= 0) return limit / vms;
+  return limit * (kEvenPart / vms + (1 - kEvenPart) * mine / sum);
+}
+
+double TeamLimiter::RateShare(const TeamId& team) const {
+  const TeamPolicy* policy = Policy(team);
+  if (policy == nullptr || policy->tokens_per_second <= 0) return 0;
+  return Share(team, static_cast<double>(policy->tokens_per_second), [](const TeamDemand& demand) {
+    return static_cast<double>(demand.tokens_per_second);
+  });
+}
+
+TokenCount TeamLimiter::KvShare(const TeamId& team) const {
+  const TeamPolicy* policy = Policy(team);
+  if (policy == nullptr || policy->kv_limit <= TokenCount(0)) return TokenCount(0);
+  return TokenCount(static_cast<int64_t>(
+      Share(team, static_cast<double>(policy->kv_limit.value()),
+            [](const TeamDemand& demand) { return static_cast<double>(demand.kv_held.value()); })));
+}
+
+LimitDecision TeamLimiter::TryAdmit(TimePoint now, const TeamId& team, TokenCount tokens,
+                                    TokenCount kv) {
+  const TeamPolicy* policy = Policy(team);
+  Team& own = own_[team];
+  const auto amount = static_cast<double>(std::max<int64_t>(0, tokens.value()));
+  own.offered.Add(now, amount);
+  if (policy != nullptr && policy->kv_limit > TokenCount(0) && own.kv_held + kv > KvShare(team)) {
+    own.kv_wanted = now < own.kv_wanted_until ? std::max(own.kv_wanted, kv) : kv;
+    own.kv_wanted_until = now + kWantedFor;
+    return LimitDecision{false, kKvRetry};
+  }
+  if (const double rate = RateShare(team); rate > 0) {
+    const double burst = rate * kBurstSeconds;
+    if (!own.bucket_ready) own.bucket = TokenBucket(rate, burst);
+    own.bucket_ready = true;
+    // Time so far counts at the rate that was in force.
+    own.bucket.TryTake(now, 0);
+    own.bucket.Configure(rate, burst);
+    // A request beyond the burst is allowed from a full bucket and leaves a
+    // debt, so that a long prompt can pass a limit below its length.
+    const double taken = std::min(amount, burst);
+    if (!own.bucket.TryTake(now, taken)) {
+      return LimitDecision{false, own.bucket.TimeUntil(now, taken)};
+    }
+    own.bucket.Add(taken - amount);
+  }
+  own.kv_held += kv;
+  return LimitDecision{};
+}
+
+void TeamLimiter::OnFinished(TimePoint /*now*/, const TeamId& team, TokenCount kv,
+                             TokenCount unused_tokens) {
+  const auto it = own_.find(team);
+  if (it == own_.end()) return;
+  Team& own = it->second;
+  ZR_ASSERT(own.kv_held >= kv, "a team returned more memory than it held");
+  own.kv_held = std::max(TokenCount(0), own.kv_held - kv);
+  if (own.bucket_ready) {
+    own.bucket.Add(static_cast<double>(std::max<int64_t>(0, unused_tokens.value())));
+  }
+}
+
+}  // namespace zr
--- a/modules/zr_admission/zr_admission.h
+++ b/modules/zr_admission/zr_admission.h
@@ -13,5 +13,9 @@
  */
 
 #include "zr_admission/endpoint_owner.h"
+#include "zr_admission/endpoint_selector.h"
 #include "zr_admission/engine_reports.h"
+#include "zr_admission/gather_coordinator.h"
+#include "zr_admission/long_share.h"
 #include "zr_admission/owner_types.h"
+#include "zr_admission/team_limiter.h"
