--- a/modules/zr_admission/tests/endpoint_owner_test.cc
+++ b/modules/zr_admission/tests/endpoint_owner_test.cc
@@ -50,16 +50,16 @@
   f.Start(AtMs(0));
   f.Ask(AtMs(10), f.Request("a", 5'000, 500));
   f.List(AtMs(500), "vm1", {f.Held("a")});
-  f.last = f.owner->OnTick(AtMs(3'400));
+  f.Tick(AtMs(3'400));
+  f.answer_lists = false;
   REQUIRE(f.Actions<CancelEngineStream>().empty());
 
-  f.last = f.owner->OnTick(AtMs(3'501));
+  f.Tick(AtMs(3'501));
   REQUIRE(f.Actions<CancelEngineStream>().size() == 1);
   REQUIRE(f.Actions<CancelEngineStream>().front().stream_id == "a#1");
   REQUIRE(f.owner->grants().reserved() == TokenCount(5'500));
 
   SECTION("and its memory is free once the engine's list shows it gone") {
-    f.last = f.owner->OnTick(AtMs(3'700));
     f.last = f.owner->OnStreamList(AtMs(3'800), EngineStreams{BootNumber(1), {}});
     REQUIRE(f.owner->grants().reserved() == TokenCount(0));
     SECTION("and a late list of its holder does not bring it back") {
@@ -72,7 +72,7 @@
     }
   }
   SECTION("and its memory is free after the engine's unclaimed window at the latest") {
-    f.last = f.owner->OnTick(AtMs(3'501 + 11'001));
+    f.Tick(AtMs(3'501 + 11'001));
     REQUIRE(f.owner->grants().reserved() == TokenCount(0));
   }
   SECTION("and a late release frees it at once") {
--- a/modules/zr_admission/tests/owner_fixture.h
+++ b/modules/zr_admission/tests/owner_fixture.h
@@ -19,6 +19,8 @@
   uint64_t load_sequence = 0;
   uint64_t list_sequence = 0;
   OwnerActions last;
+  bool answer_lists = true;           // the engine answers stream lists at once
+  std::vector<EngineStream> streams;  // what it then lists
 
   OwnerFixture() {
     pool.pool = PoolId("reader");
@@ -45,7 +47,15 @@
     options.taken_over = taken_over;
     owner = EndpointOwner::Create(std::move(options), now).value();
     if (capacity > 0) Load(now, capacity);
-    if (capacity > 0) last = owner->OnStreamList(now, EngineStreams{BootNumber(1), {}});
+    AnswerLists(now);
+  }
+
+  /** Answers a list request among the last actions; adds what follows to them. */
+  void AnswerLists(TimePoint now) {
+    if (!answer_lists || Actions<RequestStreamList>().empty()) return;
+    std::erase(last, OwnerAction(RequestStreamList{}));
+    const EngineStreams list{owner->Snapshot().boot, streams};
+    for (OwnerAction& action : owner->OnStreamList(now, list)) last.push_back(std::move(action));
   }
 
   EngineLoad MakeLoad(int64_t capacity, int64_t used = 0, int64_t running = 0, uint64_t boot = 1) {
@@ -82,6 +92,12 @@
 
   void Ask(TimePoint now, const AdmissionRequest& request, const char* from = "vm1") {
     last = owner->OnAdmissionRequest(now, VmId(from), request);
+    AnswerLists(now);
+  }
+
+  void Tick(TimePoint now) {
+    last = owner->OnTick(now);
+    AnswerLists(now);
   }
 
   void List(TimePoint now, const char* from, std::vector<HeldGrant> grants) {
@@ -90,6 +106,7 @@
     list.endpoint = EndpointId("e1");
     list.grants = std::move(grants);
     last = owner->OnHeldGrants(now, list);
+    AnswerLists(now);
   }
 
   HeldGrant Held(const std::string& id, bool started = true) const {
@@ -115,6 +132,7 @@
     if (const GrantEntry* entry = Entry(id)) release.number = entry->number;
     release.outcome = outcome;
     last = owner->OnRelease(now, VmId("vm1"), release);
+    AnswerLists(now);
   }
 
   const GrantEntry* Entry(const std::string& id) const {
