Tell late listeners that a connection is closed

Cause: a handler that called OnClosed after the client had gone was never told, and a server would keep the call's resources until its own time limit. Change: the registry knows the open connections and calls the function at once for a closed one. The test sets a second function after the close. Conclusion: OnClosed has no window in which a close is lost.

--- a/modules/zr_http/server/http_server.cc
+++ b/modules/zr_http/server/http_server.cc
@@ -20,12 +20,19 @@
 // progress, so that a closed connection is noticed at once.
 constexpr size_t kPipelinedRequests = 2;
 
-/** Tells responses when their client's connection is closed. */
+/** Tells responses when their client's connection is closed; knows all open connections. */
 class ConnectionRegistry {
  public:
-  void Register(uint64_t connection, std::weak_ptr<std::function<void()>> closed) {
-    std::lock_guard lock(mutex_);
-    callbacks_[connection].push_back(std::move(closed));
+  /** Calls the function at once if the connection is closed already. */
+  void Register(uint64_t connection, const std::shared_ptr<std::function<void()>>& closed) {
+    {
+      std::lock_guard lock(mutex_);
+      if (auto it = callbacks_.find(connection); it != callbacks_.end()) {
+        it->second.push_back(closed);
+        return;
+      }
+    }
+    if (*closed) (*closed)();
   }
 
   void Closed(uint64_t connection) {
@@ -49,13 +56,16 @@
     std::erase_if(it->second, [&closed](const auto& other) {
       return other.expired() || (!other.owner_before(closed) && !closed.owner_before(other));
     });
-    if (it->second.empty()) callbacks_.erase(it);
   }
 
   /** Called by RESTinio when a connection changes state. */
   void state_changed(const restinio::connection_state::notice_t& notice) noexcept {
     if (restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
       Closed(notice.connection_id());
+    } else if (restinio::holds_alternative<restinio::connection_state::accepted_t>(
+                   notice.cause())) {
+      std::lock_guard lock(mutex_);
+      callbacks_[notice.connection_id()];
     }
   }
 
--- a/modules/zr_http/server/http_server.h
+++ b/modules/zr_http/server/http_server.h
@@ -35,7 +35,10 @@
   /** Closes the connection of a chunked response so that the client sees it as truncated. */
   virtual void Abort() = 0;
 
-  /** Sets a function that is called once if the client closes the connection. */
+  /**
+   * Sets a function that is called once when the connection is closed; at once
+   * if it is closed already.
+   */
   virtual void OnClosed(std::function<void()> closed) = 0;
 };
 
--- a/modules/zr_http/tests/http_test.cc
+++ b/modules/zr_http/tests/http_test.cc
@@ -91,15 +91,18 @@
 // Guards against a truncated stream that looks complete to its reader.
 TEST_CASE("A chunked response") {
   std::promise<void> closed;
-  Fixture fixture([&closed](HttpRequest request, HttpResponsePtr response) {
+  std::promise<void> closed_late;
+  Fixture fixture([&closed, &closed_late](HttpRequest request, HttpResponsePtr response) {
     response->Begin(200, {});
     response->Write("part", nullptr);
     if (request.path == "/whole") response->End();
     if (request.path == "/broken") response->Abort();
     if (request.path == "/open") {
-      response->OnClosed([response, &closed]() mutable {
-        response.reset();
+      response->OnClosed([response, &closed, &closed_late]() mutable {
+        auto late = std::exchange(response, nullptr);
         closed.set_value();
+        // A handler that sets its function after the close must hear of it too.
+        late->OnClosed([&closed_late] { closed_late.set_value(); });
       });
     }
   });
@@ -130,6 +133,7 @@
     REQUIRE(reader->data.get_future().wait_for(kWait) == std::future_status::ready);
     call->Cancel();
     REQUIRE(closed.get_future().wait_for(kWait) == std::future_status::ready);
+    REQUIRE(closed_late.get_future().wait_for(kWait) == std::future_status::ready);
   }
 }
 
