Give the engine stand-in a batching model

Cause: the thin engine had no queue, no KV limit and no slow start, so the failures that the system must handle could not be produced. Change: BatchModel runs continuous batching in virtual steps with chunked prefill, priorities, a prefix cache, imports and exports. Engine adds the protocol, lagging load reports, cache events with gaps, orders and the fault port. Token texts mix the index in after hashing, as seeded hashes of short prompts repeated each other's words.

--- /dev/null
+++ b/standins/common/prefix_blocks.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace zr {
+
+/** Tokens of one prefix cache block. */
+constexpr int64_t kPrefixBlockTokens = 256;
+
+/**
+ * Chained hashes of a prompt's full blocks, as engines publish them in cache
+ * events. Block i covers the prompt's bytes [1024 i, 1024 (i + 1)), four bytes
+ * a token; its hash is Hash64(bytes, hash of block i - 1), with seed 0 for the
+ * first. A synthetic length beyond the text gives blocks without bytes.
+ */
+std::vector<uint64_t> PrefixBlockHashes(std::string_view prompt, int64_t prompt_tokens);
+
+}  // namespace zr
--- a/standins/common/token_text.cc
+++ b/standins/common/token_text.cc
@@ -6,8 +6,12 @@
 
 namespace zr {
 
-std::string TokenText(std::string_view prompt, int64_t index) {
-  uint64_t hash = Hash64(prompt, static_cast<uint64_t>(index) + 1);
+uint64_t AnswerSeed(std::string_view prompt) { return Hash64(prompt); }
+
+std::string TokenText(uint64_t seed, int64_t index) {
+  // The index is mixed in after hashing: short inputs and small seeds of the
+  // hash function can cancel each other out.
+  uint64_t hash = Random(seed ^ (static_cast<uint64_t>(index) << 32)).Next();
   std::string word;
   const uint64_t length = 2 + hash % 5;
   hash /= 5;
@@ -19,9 +23,9 @@
   return word;
 }
 
-std::string AnswerText(std::string_view prompt, int64_t count) {
+std::string AnswerText(uint64_t seed, int64_t count) {
   std::string text;
-  for (int64_t i = 0; i < count; ++i) text += TokenText(prompt, i);
+  for (int64_t i = 0; i < count; ++i) text += TokenText(seed, i);
   return text;
 }
 
--- /dev/null
+++ b/standins/engine/batch_model.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "standins/engine/engine_options.h"
+#include "standins/engine/prefix_cache.h"
+#include "zr_base/zr_base.h"
+
+namespace zr {
+
+/** A completion as the batch model sees it. */
+struct BatchRequest {
+  std::string id;
+  std::string prompt;
+  int64_t prompt_tokens = 0;
+  int64_t max_tokens = 0;
+  int64_t priority = 0;   // higher numbers run first
+  int64_t member_kv = 0;  // with other engines: KV tokens held here; 0 for a request of its own
+  bool crashes = false;   // the engine dies when it has read the prompt
+};
+
+/** A running, waiting or finished stream. */
+struct BatchStream {
+  enum class Phase { kWaiting, kPrefill, kDecode, kDone };
+  BatchRequest request;
+  Phase phase = Phase::kWaiting;
+  uint64_t answer_seed = 0;
+  std::vector<uint64_t> blocks;
+  size_t pinned = 0;           // leading blocks pinned in the cache
+  int64_t own_kv = 0;          // tokens held outside the cache
+  int64_t prefilled = 0;       // prompt tokens
+  int64_t generated = 0;       // answer tokens
+  int64_t order = 0;           // arrival number
+  int64_t kept_since_ms = -1;  // since when no reader is attached; -1 with a reader
+};
+
+/** Memory held by an import or export. */
+struct BatchHold {
+  bool is_export = false;
+  int64_t kv_tokens = 0;
+  int64_t expires_ms = -1;       // -1 for never
+  std::string stream_id;         // of an export
+  std::vector<uint64_t> blocks;  // pinned in the cache since the stream has ended
+};
+
+/**
+ * Continuous batching of one engine in virtual steps. A step gives one token
+ * to each decoding stream and reads some prompt tokens, in order of priority
+ * and arrival; its time grows with both. Time is passed in. Not thread-safe.
+ */
+class BatchModel {
+ public:
+  enum class Admission { kAccepted, kAttached, kFull, kTooLarge, kOverrun };
+
+  BatchModel(const EngineOptions& options, PrefixCache::Observer observer)
+      : options_(options),
+        cache_(std::move(observer)),
+        warm_completed_(options.start_warm ? options.warm_after : 0) {}
+
+  //============================================================================
+  // Streams
+
+  /** Takes a request, or says why not; a known id is attached to its stream. */
+  Admission Submit(BatchRequest request, int64_t now_ms);
+  BatchStream* Find(const std::string& id);
+  /** Ends a stream and frees its memory. @returns false if there is none */
+  bool Remove(const std::string& id);
+  /** Drops streams without a reader and holds beyond their time. @returns dropped stream ids */
+  std::vector<std::string> Expire(int64_t now_ms);
+
+  //============================================================================
+  // Steps
+
+  /** True if a step would advance anything. */
+  bool HasWork() const { return !running_.empty() || !waiting_.empty(); }
+  /** Admits waiting requests and plans a step. @returns its duration in microseconds */
+  int64_t BeginStep();
+  /** What a step has done. */
+  struct StepResult {
+    std::vector<std::string> advanced;  // streams with a new token
+    bool crashed = false;               // a prompt has killed the engine
+  };
+  /** Carries out the planned step. */
+  StepResult EndStep(int64_t now_ms);
+
+  //============================================================================
+  // Imports and exports
+
+  /** Reserves memory, or changes a reservation. @returns false if it does not fit */
+  bool Import(const std::string& id, int64_t kv_tokens, int64_t expires_ms);
+  /** Keeps a stream's memory beyond its end. @returns false if there is no such stream */
+  bool Export(const std::string& id, const std::string& stream_id);
+  /** Frees an import or export. */
+  bool RemoveHold(const std::string& id, bool is_export);
+
+  //============================================================================
+  // State
+
+  /** Forgets everything, as a crash does; the engine is cold afterwards. */
+  void Reset();
+  /** Makes the engine cold; requests beyond the allowance crash it only after the given time. */
+  void MakeCold(int64_t overrun_from_ms);
+  /** Empties the prefix cache as far as it is unused. */
+  void DropCache();
+  /** Concurrent requests that the engine survives now. */
+  int Allowance() const;
+  /** Speed relative to a warm engine, without the fault factor. */
+  double Warmth() const;
+  void set_slow_factor(double factor) { slow_factor_ = factor; }
+  /** Tokens in use by streams, imports and exports. */
+  int64_t kv_used() const { return own_kv_ + cache_.pinned_tokens(); }
+  int64_t kv_peak() const { return kv_peak_; }
+  size_t running() const { return running_.size(); }
+  size_t waiting() const { return waiting_.size(); }
+  int64_t completed() const { return completed_; }
+  int64_t overruns() const { return overruns_; }
+  int64_t tokens() const { return tokens_; }
+  const std::map<std::string, BatchStream>& streams() const { return streams_; }
+  const std::map<std::string, BatchHold>& holds() const { return holds_; }
+
+ private:
+  using OrderKey = std::pair<std::pair<int64_t, int64_t>, std::string>;
+  static OrderKey KeyOf(const BatchStream& stream) {
+    return {{-stream.request.priority, stream.order}, stream.request.id};
+  }
+
+  bool Admit(BatchStream& stream);
+  void FreeHold(const BatchHold& hold);
+  bool MakeRoom(int64_t tokens);
+  void FinishPrefill(BatchStream& stream);
+  void Finish(BatchStream& stream, int64_t now_ms);
+  void ReleaseMemory(BatchStream& stream);
+  void CheckMemory();
+
+  const EngineOptions& options_;
+  PrefixCache cache_;
+  std::map<std::string, BatchStream> streams_;
+  std::map<std::string, BatchHold> holds_;  // by "import/ID" or "export/ID"
+  std::set<OrderKey> waiting_;
+  std::set<OrderKey> running_;  // prefill and decode
+  std::vector<std::pair<std::string, int64_t>> planned_prefill_;
+  std::vector<std::string> planned_decode_;
+  int64_t own_kv_ = 0;
+  int64_t kv_peak_ = 0;
+  int64_t arrivals_ = 0;
+  int64_t warm_completed_ = 0;  // since the last cold start
+  int64_t completed_ = 0;
+  int64_t overruns_ = 0;
+  int64_t tokens_ = 0;
+  int64_t overrun_from_ms_ = 0;
+  double slow_factor_ = 1;
+};
+
+}  // namespace zr
--- a/standins/engine/engine.cc
+++ b/standins/engine/engine.cc
@@ -1,140 +1,309 @@
 #include "standins/engine/engine.h"
 
+#include <algorithm>
+
 #include "standins/common/token_text.h"
+#include "zr_telemetry/zr_telemetry.h"
 
 namespace zr {
+namespace {
+
+// Period of snapshots and of expiry checks.
+constexpr Duration kTick = Duration::Milliseconds(50);
+// Steps are caught up after a delay of the process, up to this much.
+constexpr std::chrono::milliseconds kCatchUp{200};
+constexpr std::string_view kCrashMark = "[[crash]]";
+constexpr size_t kCacheEventHistory = 20'000;
+
+}  // namespace
 
-Engine::Engine(asio::io_context& context, EngineOptions options)
-    : context_(context), options_(std::move(options)) {}
+Engine::Engine(asio::io_context& context, EngineOptions options, std::shared_ptr<HttpClient> client)
+    : context_(context),
+      options_(std::move(options)),
+      client_(std::move(client)),
+      random_(options_.seed),
+      model_(options_,
+             [this](bool inserted, uint64_t hash) {
+               ++cache_sequence_;
+               if (random_.Chance(options_.cache_event_gap)) return;
+               cache_events_.push_back({MonotonicMs(), cache_sequence_, inserted, hash});
+               if (cache_events_.size() > kCacheEventHistory) cache_events_.pop_front();
+             }),
+      step_timer_(context) {}
+
+Result<std::unique_ptr<Engine>> Engine::Start(asio::io_context& context, EngineOptions options,
+                                              std::shared_ptr<HttpClient> client) {
+  std::unique_ptr<Engine> self(new Engine(context, std::move(options), std::move(client)));
+  if (auto listening = self->Listen(); !listening) return tl::unexpected(listening.error());
+  self->snapshots_.push_back(self->TakeSnapshot());
+  self->Tick();
+  return self;
+}
 
-Result<std::unique_ptr<Engine>> Engine::Start(asio::io_context& context, EngineOptions options) {
-  std::unique_ptr<Engine> self(new Engine(context, std::move(options)));
-  HttpServerOptions server_options;
-  server_options.address = self->options_.listen;
+Result<void> Engine::Listen() {
+  HttpServerOptions options;
+  options.address = options_.listen;
   auto server = HttpServer::Start(
-      context, server_options,
-      [raw = self.get()](const HttpRequest& request, const HttpResponsePtr& response) {
-        raw->Handle(request, response);
+      context_, options, [this](const HttpRequest& request, const HttpResponsePtr& response) {
+        Handle(request, response);
       });
   if (!server) return tl::unexpected(server.error());
-  self->server_ = std::move(*server);
-  return self;
+  server_ = std::move(*server);
+  return {};
 }
 
+//==============================================================================
+// Requests
+
 void Engine::Handle(const HttpRequest& request, const HttpResponsePtr& response) {
+  if (down_) {
+    response->Abort();
+    return;
+  }
+  if (frozen_) {
+    held_.emplace_back(request, response);
+    return;
+  }
   const auto path = PathSegments(request.path);
-  if (request.path == "/v1/completions") {
-    Complete(request, response);
-  } else if (request.path == "/engine/load") {
+  if (request.path == "/v1/completions" && request.method == "POST") {
+    HandleCompletion(request, response);
+  } else if (path.size() >= 2 && path[0] == "engine") {
+    HandleEnginePath(request, response, path);
+  } else {
+    SendError(response, 404, "not_found", "unknown path " + request.path);
+  }
+}
+
+void Engine::HandleEnginePath(const HttpRequest& request, const HttpResponsePtr& response,
+                              const std::vector<std::string>& path) {
+  if (path[1] == "load") {
     SendJson(response, 200, Load());
-  } else if (request.path == "/engine/streams") {
+  } else if (path[1] == "cache_events") {
+    SendJson(response, 200, CacheEvents(QueryInteger(request, "after", 0)));
+  } else if (path[1] == "orders" && request.method == "POST") {
+    HandleOrder(request, response);
+  } else if (path[1] == "imports" || path[1] == "exports") {
+    HandleHold(request, response, path);
+  } else if (path[1] == "streams" && path.size() == 2) {
     SendJson(response, 200, Streams());
-  } else if (request.path == "/engine/cache_events") {
-    SendJson(response, 200, {{"boot", options_.boot}, {"events", nlohmann::json::array()}});
-  } else if (path.size() == 3 && path[1] == "streams" && request.method == "DELETE") {
-    if (auto it = streams_.find(path[2]); it != streams_.end()) Finish(it->second);
-    SendJson(response, 200, nlohmann::json::object());
+  } else if (path[1] != "streams" || model_.Find(path[2]) == nullptr) {
+    SendError(response, 404, "not_found", "no such stream", "may-have-run");
+  } else if (request.method == "DELETE") {
+    ++counters_["cancelled"];
+    const int64_t offset = model_.Find(path[2])->generated;
+    Cancel(path[2]);
+    SendJson(response, 200, {{"offset", offset}});
+  } else if (path.size() == 4 && path[3] == "resume") {
+    const int64_t offset = QueryInteger(request, "offset", 0);
+    if (offset < 0 || offset > model_.Find(path[2])->request.max_tokens) {
+      SendError(response, 400, "invalid_argument", "offset beyond the answer", "may-have-run");
+    } else {
+      ++counters_["resumed"];
+      Attach(path[2], response, true, offset);
+    }
   } else {
     SendError(response, 404, "not_found", "unknown path " + request.path);
   }
 }
 
-void Engine::Complete(const HttpRequest& request, const HttpResponsePtr& response) {
+void Engine::HandleCompletion(const HttpRequest& request, const HttpResponsePtr& response) {
   const auto body = ParseJson(request.body);
   if (!body.is_object()) {
     SendError(response, 400, "invalid_argument", "the body is no JSON object");
     return;
   }
-  auto stream = std::make_shared<Stream>();
-  stream->prompt = body.value("prompt", "");
-  stream->max_tokens = body.value("max_tokens", int64_t{16});
-  stream->id = body.value("stream_id", "anonymous-" + std::to_string(++sequence_));
-  const int64_t prompt_tokens = body.value("prompt_tokens", PromptTokensOf(stream->prompt));
-  stream->kv_tokens = prompt_tokens + stream->max_tokens;
-  stream->response = response;
-  if (static_cast<int>(streams_.size()) >= options_.max_requests ||
-      kv_used_ + stream->kv_tokens > options_.kv_capacity) {
-    SendError(response, 503, "overloaded", "no capacity");
-    return;
+  BatchRequest job;
+  job.prompt = body.value("prompt", "");
+  job.prompt_tokens = std::max<int64_t>(1, body.value("prompt_tokens", PromptTokensOf(job.prompt)));
+  job.max_tokens = std::max<int64_t>(1, body.value("max_tokens", int64_t{16}));
+  job.priority = body.value("priority", int64_t{0});
+  job.id = body.value("stream_id", "anonymous-" + std::to_string(++reader_count_));
+  job.crashes = body.value("crash", false) || job.prompt.find(kCrashMark) != std::string::npos;
+  const auto members = body.find("members");
+  if (members != body.end() && members->is_array() && !members->empty()) {
+    job.member_kv = std::max<int64_t>(1, body.value("kv_tokens", int64_t{1}));
   }
-  kv_used_ += stream->kv_tokens;
-  ++runs_[stream->id.substr(0, stream->id.find('#'))];
-  streams_[stream->id] = stream;
-  response->Begin(200, {{"content-type", "text/event-stream"}});
-  response->OnClosed([weak = std::weak_ptr(stream)] {
-    if (auto closed = weak.lock()) closed->closed = true;
-  });
-  const double seconds =
-      static_cast<double>(prompt_tokens) / options_.prefill_tps / options_.time_scale;
-  RunAfter(context_, Duration::Microseconds(static_cast<int64_t>(seconds * 1e6)),
-           [this, stream] { Step(stream); });
+  const std::string id = job.id;
+  const std::string model = body.value("model", "");
+  if (model_.Find(id) == nullptr) {
+    if (refusing_ || !loading_.empty()) {
+      ++counters_["refused"];
+      return SendError(response, 503, "overloaded", "the engine takes no requests now");
+    }
+    if (!model.empty() && !options_.model.empty() && model != options_.model) {
+      return SendError(response, 404, "not_found", "model " + model + " is not loaded here");
+    }
+  }
+  switch (model_.Submit(std::move(job), MonotonicMs())) {
+    case BatchModel::Admission::kFull:
+      ++counters_["refused"];
+      return SendError(response, 503, "overloaded", "the wait queue is full");
+    case BatchModel::Admission::kTooLarge:
+      ++counters_["refused"];
+      return SendError(response, 413, "too_large", "the request exceeds the engine's KV memory");
+    case BatchModel::Admission::kOverrun:
+      Log(LogLevel::kWarning, "engine", options_.name + " is overrun and crashes");
+      response->Abort();
+      return Crash(options_.restart_ms);
+    case BatchModel::Admission::kAttached:
+      ++counters_["duplicates_attached"];
+      break;
+    case BatchModel::Admission::kAccepted:
+      NoteNewWork(id);
+      break;
+  }
+  Attach(id, response, body.value("stream", true), 0);
+  ScheduleStep();
 }
 
-void Engine::Step(const std::shared_ptr<Stream>& stream) {
-  if (!streams_.contains(stream->id)) return;
-  if (stream->closed) return Finish(stream);
-  if (stream->offset == stream->max_tokens) {
-    stream->response->Write("data: [DONE]\n\n", nullptr);
-    stream->response->End();
-    return Finish(stream);
+void Engine::NoteNewWork(const std::string& id) {
+  ++runs_[id.substr(0, id.find('#'))];
+  ++counters_["started"];
+  last_new_work_ms_ = WallClockMs();
+  // Callers have three seconds to learn of the leaving mark, and the report's lag.
+  if (leaving_ && MonotonicMs() - leaving_since_ms_ > 3'000 + options_.report_lag_ms) {
+    ++counters_["started_after_leaving"];
   }
-  const nlohmann::json event = {
-      {"id", stream->id},
-      {"offset", stream->offset},
-      {"choices", {{{"index", 0}, {"text", TokenText(stream->prompt, stream->offset)}}}}};
-  stream->response->Write("data: " + event.dump() + "\n\n", nullptr);
-  ++stream->offset;
-  const double seconds = 1.0 / options_.decode_tps / options_.time_scale;
-  RunAfter(context_, Duration::Microseconds(static_cast<int64_t>(seconds * 1e6)),
-           [this, stream] { Step(stream); });
 }
 
-void Engine::Finish(const std::shared_ptr<Stream>& stream) {
-  if (streams_.erase(stream->id) == 0) return;
-  kv_used_ -= stream->kv_tokens;
-  stream->response.reset();
+void Engine::HandleHold(const HttpRequest& request, const HttpResponsePtr& response,
+                        const std::vector<std::string>& path) {
+  const bool is_export = path[1] == "exports";
+  if (request.method == "DELETE" && path.size() == 3) {
+    const bool found = model_.RemoveHold(path[2], is_export);
+    SendJson(response, found ? 200 : 404, nlohmann::json::object());
+    return;
+  }
+  const auto body = ParseJson(request.body);
+  if (request.method != "POST" || !body.is_object() || !body.contains("id")) {
+    SendError(response, 400, "invalid_argument", "an import or export needs an id");
+  } else if (is_export) {
+    if (model_.Export(body["id"], body.value("stream_id", ""))) {
+      SendJson(response, 200, nlohmann::json::object());
+    } else {
+      SendError(response, 404, "not_found", "no such stream");
+    }
+  } else {
+    const int64_t ttl = body.value("ttl_ms", int64_t{-1});
+    if (model_.Import(body["id"], body.value("kv_tokens", int64_t{0}),
+                      ttl < 0 ? -1 : MonotonicMs() + ttl)) {
+      SendJson(response, 200, nlohmann::json::object());
+    } else {
+      SendError(response, 503, "overloaded", "no KV memory for the import");
+    }
+  }
+}
+
+//==============================================================================
+// Readers
+
+void Engine::Attach(const std::string& id, const HttpResponsePtr& response, bool streaming,
+                    int64_t offset) {
+  BatchStream* stream = model_.Find(id);
+  if (auto old = readers_.find(id); old != readers_.end()) old->second.response->Abort();
+  const uint64_t number = ++reader_count_;
+  readers_[id] = Reader{response, streaming, offset, number};
+  stream->kept_since_ms = -1;
+  if (streaming) response->Begin(200, {{"content-type", "text/event-stream"}});
+  response->OnClosed([this, id, number] { Detach(id, number); });
+  SendTokens(id);
+}
+
+void Engine::Detach(const std::string& id, uint64_t reader) {
+  auto it = readers_.find(id);
+  if (it == readers_.end() || it->second.number != reader) return;
+  readers_.erase(it);
+  if (BatchStream* stream = model_.Find(id)) stream->kept_since_ms = MonotonicMs();
 }
 
-nlohmann::json Engine::Load() {
-  return {{"boot", options_.boot},
-          {"seq", ++sequence_},
-          {"time_ms", WallClockMs()},
-          {"kv_capacity", options_.kv_capacity},
-          {"kv_used", kv_used_},
-          {"running", streams_.size()},
-          {"waiting", 0},
-          {"model", options_.model},
-          {"version", "v1"},
-          {"adapters", nlohmann::json::array()},
-          {"role", "generate"},
-          {"leaving", leaving_},
-          {"tokens_per_s", options_.decode_tps * static_cast<double>(streams_.size())}};
+void Engine::SendTokens(const std::string& id) {
+  auto it = readers_.find(id);
+  BatchStream* stream = model_.Find(id);
+  if (it == readers_.end() || stream == nullptr) return;
+  Reader& reader = it->second;
+  const bool done = stream->phase == BatchStream::Phase::kDone;
+  if (reader.streaming) {
+    const std::string head = "data: {\"id\":" + nlohmann::json(id).dump() + ",\"offset\":";
+    std::string events;
+    for (; reader.next < stream->generated; ++reader.next) {
+      events += head + std::to_string(reader.next) + ",\"choices\":[{\"index\":0,\"text\":\"" +
+                TokenText(stream->answer_seed, reader.next) + "\"}]}\n\n";
+    }
+    if (done) events += "data: [DONE]\n\n";
+    if (!events.empty()) reader.response->Write(std::move(events), nullptr);
+    if (done) reader.response->End();
+  } else if (done) {
+    SendWhole(*stream, reader);
+  }
+  if (!done) return;
+  readers_.erase(it);
+  stream->kept_since_ms = MonotonicMs();
+}
+
+void Engine::SendWhole(const BatchStream& stream, const Reader& reader) {
+  const BatchRequest& request = stream.request;
+  SendJson(reader.response, 200,
+           {{"id", request.id},
+            {"model", options_.model},
+            {"choices",
+             {{{"index", 0},
+               {"text", AnswerText(stream.answer_seed, stream.generated)},
+               {"finish_reason", "length"}}}},
+            {"usage",
+             {{"prompt_tokens", request.prompt_tokens},
+              {"completion_tokens", stream.generated},
+              {"total_tokens", request.prompt_tokens + stream.generated}}}});
 }
 
-nlohmann::json Engine::Streams() const {
-  nlohmann::json list = nlohmann::json::array();
-  for (const auto& [id, stream] : streams_) {
-    list.push_back({{"id", id},
-                    {"kind", "stream"},
-                    {"kv_tokens", stream->kv_tokens},
-                    {"offset", stream->offset},
-                    {"done", false}});
+void Engine::Cancel(const std::string& id) {
+  if (auto it = readers_.find(id); it != readers_.end()) {
+    it->second.response->Abort();
+    readers_.erase(it);
   }
-  return {{"boot", options_.boot}, {"streams", std::move(list)}};
+  model_.Remove(id);
+}
+
+//==============================================================================
+// Time
+
+void Engine::ScheduleStep() {
+  if (stepping_ || down_ || frozen_ || !model_.HasWork()) return;
+  stepping_ = true;
+  const std::chrono::microseconds duration(std::max<int64_t>(50, model_.BeginStep()));
+  const auto now = std::chrono::steady_clock::now();
+  next_step_ = (idle_ ? now : std::max(next_step_, now - kCatchUp)) + duration;
+  idle_ = false;
+  step_timer_.expires_at(next_step_);
+  step_timer_.async_wait([this, generation = generation_](const asio::error_code& error) {
+    if (error || generation != generation_) return;
+    stepping_ = false;
+    if (!frozen_) FinishStep();
+  });
 }
 
-bool Engine::ApplyFault(const std::string& fault, const HttpRequest&) {
-  if (fault != "leave" && fault != "unleave") return false;
-  leaving_ = fault == "leave";
-  return true;
+void Engine::FinishStep() {
+  const auto result = model_.EndStep(MonotonicMs());
+  if (result.crashed) {
+    ++counters_["prompt_crashes"];
+    Crash(options_.restart_ms);
+    return;
+  }
+  for (const auto& id : result.advanced) SendTokens(id);
+  idle_ = !model_.HasWork();
+  ScheduleStep();
 }
 
-nlohmann::json Engine::State() const {
-  return {{"name", options_.name},
-          {"boot", options_.boot},
-          {"kv_used", kv_used_},
-          {"running", streams_.size()},
-          {"runs", runs_}};
+void Engine::Tick() {
+  if (!frozen_ && !down_) {
+    snapshots_.push_back(TakeSnapshot());
+    const int64_t oldest = MonotonicMs() - options_.report_lag_ms - 1'500;
+    while (snapshots_.size() > 2 && snapshots_.front().at_ms < oldest) snapshots_.pop_front();
+    for (const auto& id : model_.Expire(MonotonicMs())) {
+      ++counters_["dropped_unclaimed"];
+      readers_.erase(id);
+    }
+  }
+  RunAfter(context_, kTick, [this] { Tick(); });
 }
 
 }  // namespace zr
--- a/standins/engine/main.cc
+++ b/standins/engine/main.cc
@@ -22,24 +22,63 @@
 DEFINE_int32(warm_after, 40, "completed requests after which an engine is warm");
 DEFINE_uint64(seed, 1, "seed of random behaviour");
 DEFINE_int64(report_lag_ms, 300, "age of a load report");
+DEFINE_int32(max_waiting, 32, "requests waiting at once; more are refused as not run");
+DEFINE_bool(start_warm, false, "engines are warm at their first start");
+DEFINE_double(cold_speed, 0.25, "speed of a cold engine relative to a warm one");
+DEFINE_int64(unclaimed_window_ms, 10'000, "time that a stream without a reader is kept");
+DEFINE_int64(restart_ms, 1'000, "time that the port is closed after a crash");
+DEFINE_int64(load_ms, 2'000, "time of a model load without a platform");
+DEFINE_int64(cache_event_lag_ms, 500, "age of the newest reported cache event");
+DEFINE_double(cache_event_gap, 0.02, "probability that a cache event is never reported");
+DEFINE_int64(cold_grace_ms, 2'000, "time after a silent cold start without overrun crashes");
+DEFINE_bool(checks_fencing, true, "refuse orders that carry a stale fencing token");
+
+namespace {
+
+zr::EngineOptions OptionsOf(int index) {
+  zr::EngineOptions options;
+  options.name = FLAGS_name_prefix + "-" + std::to_string(index);
+  options.listen = zr::AddressAt(FLAGS_listen, index);
+  options.platform = FLAGS_register;
+  options.model = FLAGS_model;
+  options.kv_capacity = FLAGS_kv_capacity;
+  options.prefill_tps = FLAGS_prefill_tps;
+  options.decode_tps = FLAGS_decode_tps;
+  options.time_scale = FLAGS_time_scale;
+  options.fresh_requests = FLAGS_fresh_requests;
+  options.max_requests = FLAGS_max_requests;
+  options.max_waiting = FLAGS_max_waiting;
+  options.warm_after = FLAGS_warm_after;
+  options.start_warm = FLAGS_start_warm;
+  options.cold_speed = FLAGS_cold_speed;
+  options.cold_grace_ms = FLAGS_cold_grace_ms;
+  options.unclaimed_window_ms = FLAGS_unclaimed_window_ms;
+  options.report_lag_ms = FLAGS_report_lag_ms;
+  options.cache_event_lag_ms = FLAGS_cache_event_lag_ms;
+  options.cache_event_gap = FLAGS_cache_event_gap;
+  options.restart_ms = FLAGS_restart_ms;
+  options.load_ms = FLAGS_load_ms;
+  options.checks_fencing = FLAGS_checks_fencing;
+  options.boot = static_cast<uint64_t>(zr::WallClockMs());
+  options.seed = FLAGS_seed + static_cast<uint64_t>(index);
+  return options;
+}
+
+}  // namespace
 
 int main(int argc, char** argv) {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   zr::InitLog(zr::LogLevel::kInfo, zr::LogFormat::kText, FLAGS_name_prefix);
   asio::io_context context;
+  auto created = zr::HttpClient::Create(context);
+  if (!created) {
+    zr::Log(zr::LogLevel::kError, "engine", created.error());
+    return 1;
+  }
+  const std::shared_ptr<zr::HttpClient> client = *created;
   std::vector<std::unique_ptr<zr::Engine>> engines;
   for (int i = 0; i < FLAGS_count; ++i) {
-    zr::EngineOptions options;
-    options.name = FLAGS_name_prefix + "-" + std::to_string(i);
-    options.listen = zr::AddressAt(FLAGS_listen, i);
-    options.model = FLAGS_model;
-    options.kv_capacity = FLAGS_kv_capacity;
-    options.prefill_tps = FLAGS_prefill_tps;
-    options.decode_tps = FLAGS_decode_tps;
-    options.time_scale = FLAGS_time_scale;
-    options.max_requests = FLAGS_max_requests;
-    options.boot = static_cast<uint64_t>(zr::WallClockMs());
-    auto engine = zr::Engine::Start(context, options);
+    auto engine = zr::Engine::Start(context, OptionsOf(i), client);
     if (!engine) {
       zr::Log(zr::LogLevel::kError, "engine", engine.error());
       return 1;
@@ -51,9 +90,8 @@
     zr::Log(zr::LogLevel::kError, "engine", fault_port.error());
     return 1;
   }
-  auto client = zr::HttpClient::Create(context);
   zr::RegisterEndpoints(
-      context, *client, FLAGS_register,
+      context, client, FLAGS_register,
       {FLAGS_name_prefix, FLAGS_listen, FLAGS_count, FLAGS_pool, FLAGS_domains, FLAGS_region});
   zr::Log(zr::LogLevel::kInfo, "engine", "listening on " + FLAGS_listen);
   zr::RunUntilSignal(context);
--- a/standins/platform/platform_server.cc
+++ b/standins/platform/platform_server.cc
@@ -68,7 +68,10 @@
   }
   if (faults_.slow_ms > 0) {
     RunAfter(context_, Duration::Milliseconds(faults_.slow_ms),
-             [this, request = std::move(request), response] { Dispatch(request, response); });
+             [this, request = std::move(request), response] {
+               // A call that an outage overtakes gets no answer.
+               if (!faults_.outage) Dispatch(request, response);
+             });
     return;
   }
   Dispatch(request, response);
