--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -26,12 +26,12 @@
 template <typename A>
 void Fields(A& a, Heartbeat& m) {
   a(m.origin, m.domain, m.region, m.peer_address, m.ready, m.leaving, m.config_version,
-    m.config_digest, m.hops, m.team_demand, m.pool_demand);
+    m.config_digest, m.hops, m.team_demand, m.pool_demand, m.weight);
 }
 template <typename A>
 void Fields(A& a, Summary& m) {
   a(m.endpoint, m.pool, m.domain, m.owner, m.owner_incarnation, m.sequence, m.accepts_new,
-    m.kv_free, m.kv_capacity, m.wait_short, m.wait_long, m.prefixes);
+    m.kv_free, m.kv_capacity, m.wait_short, m.wait_long, m.prefixes, m.prefill_tokens_per_second);
 }
 template <typename A>
 void Fields(A& a, AdmissionRequest& m) {
@@ -39,9 +39,13 @@
     m.time_left, m.fingerprint, m.run_alone, m.queue_if_busy, m.plain_service, m.prefixes);
 }
 template <typename A>
+void Fields(A& a, GatherMember& m) {
+  a(m.endpoint, m.number, m.owner, m.owner_incarnation, m.kv_tokens);
+}
+template <typename A>
 void Fields(A& a, Grant& m) {
   a(m.request, m.attempt, m.endpoint, m.number, m.owner, m.owner_incarnation, m.kv_tokens,
-    m.start_within, m.priority, m.boot);
+    m.start_within, m.priority, m.boot, m.members);
 }
 template <typename A>
 void Fields(A& a, Refusal& m) {
@@ -70,11 +74,12 @@
 }
 template <typename A>
 void Fields(A& a, FindStream& m) {
-  a(m.request, m.team);
+  a(m.request, m.team, m.fingerprint, m.claim);
 }
 template <typename A>
 void Fields(A& a, StreamLocation& m) {
-  a(m.request, m.found, m.team, m.endpoint, m.stream, m.attempt, m.holder);
+  a(m.request, m.found, m.team, m.endpoint, m.stream, m.attempt, m.holder, m.fingerprint,
+    m.conflict, m.done, m.grants);
 }
 template <typename A>
 void Fields(A& a, ConfigOffer& m) {
@@ -90,13 +95,31 @@
 }
 template <typename A>
 void Fields(A& a, GatherReply& m) {
-  a(m.request, m.attempt, m.endpoint, m.reserved, m.number, m.wait_hint);
+  a(m.request, m.attempt, m.endpoint, m.reserved, m.number, m.wait_hint, m.owner_incarnation);
 }
 template <typename A>
 void Fields(A& a, GatherRelease& m) {
   a(m.request, m.attempt, m.endpoint, m.number);
 }
 
+template <typename A>
+void Fields(A& a, TakeOver& m) {
+  a(m.request, m.team, m.fingerprint);
+}
+template <typename A>
+void Fields(A& a, HandOver& m) {
+  a(m.request, m.accepted, m.conflict, m.may_have_run, m.run_alone, m.next_attempt, m.stream,
+    m.grants);
+}
+template <typename A>
+void Fields(A& a, SuspectTurn& m) {
+  a(m.fingerprint, m.request, m.holding, m.returned, m.harmless);
+}
+template <typename A>
+void Fields(A& a, SuspectTurnReply& m) {
+  a(m.fingerprint, m.request, m.answer, m.wait_hint);
+}
+
 /** Largest valid value of each enumeration on the wire. */
 template <typename E>
 inline constexpr uint8_t kEnumMax = 0;
@@ -105,5 +128,7 @@
 template <>
 inline constexpr uint8_t kEnumMax<ReleaseOutcome> =
     static_cast<uint8_t>(ReleaseOutcome::kEndpointRefused);
+template <>
+inline constexpr uint8_t kEnumMax<TurnAnswer> = static_cast<uint8_t>(TurnAnswer::kClear);
 
 }  // namespace zr
