--- a/modules/zr_admission/endpoint_selector.cc
+++ b/modules/zr_admission/endpoint_selector.cc
@@ -16,12 +16,12 @@
 constexpr int64_t kNearEqualDivisor = 10;
 
 struct Scored {
-  const Candidate* candidate;
+  const SelectionCandidate* candidate;
   Duration score;
 };
 
 /** Takes a random one of the candidates whose score is nearly the best. */
-const Candidate* TakeNearBest(std::vector<Scored>& scored, Random& random) {
+const SelectionCandidate* TakeNearBest(std::vector<Scored>& scored, Random& random) {
   const auto best =
       std::min_element(scored.begin(), scored.end(),
                        [](const Scored& a, const Scored& b) { return a.score < b.score; });
@@ -31,21 +31,22 @@
     if (scored[i].score <= limit) near.push_back(i);
   }
   const size_t pick = near[random.Below(near.size())];
-  const Candidate* candidate = scored[pick].candidate;
+  const SelectionCandidate* candidate = scored[pick].candidate;
   scored.erase(scored.begin() + static_cast<std::ptrdiff_t>(pick));
   return candidate;
 }
 
-int64_t LoadOf(const Candidate& candidate) {
+int64_t LoadOf(const SelectionCandidate& candidate) {
   return candidate.load ? candidate.load->running + candidate.load->waiting : 0;
 }
 
 }  // namespace
 
-std::vector<EndpointId> ScoredRule::LongOrder(std::span<const Candidate> all, const PoolId& pool) {
+std::vector<EndpointId> ScoredRule::LongOrder(std::span<const SelectionCandidate> all,
+                                              const PoolId& pool) {
   std::vector<std::pair<double, EndpointId>> order;
   const std::string key = "long:" + pool.value();
-  for (const Candidate& candidate : all) {
+  for (const SelectionCandidate& candidate : all) {
     const Summary& summary = candidate.summary;
     if (summary.pool != pool || !summary.accepts_new) continue;
     order.emplace_back(-RendezvousScore(key, summary.endpoint.value()), summary.endpoint);
@@ -57,7 +58,7 @@
   return endpoints;
 }
 
-Duration ScoredRule::Score(const Candidate& candidate, const SelectionQuery& query) {
+Duration ScoredRule::Score(const SelectionCandidate& candidate, const SelectionQuery& query) {
   const Summary& summary = candidate.summary;
   Duration score = candidate.round_trip;
   score = score + (query.long_prompt ? summary.wait_long : summary.wait_short);
@@ -80,8 +81,8 @@
   return score + Duration::Microseconds(uncached * 1'000'000 / std::max<int64_t>(1, speed));
 }
 
-Selection ScoredRule::Choose(std::span<const Candidate* const> eligible,
-                             std::span<const Candidate> all, const SelectionQuery& query,
+Selection ScoredRule::Choose(std::span<const SelectionCandidate* const> eligible,
+                             std::span<const SelectionCandidate> all, const SelectionQuery& query,
                              Random& random) const {
   std::set<EndpointId> for_long;
   if (!query.plain_service) {
@@ -92,7 +93,7 @@
     for_long.insert(order.begin(), order.begin() + count);
   }
   std::vector<Scored> scored;
-  for (const Candidate* candidate : eligible) {
+  for (const SelectionCandidate* candidate : eligible) {
     Duration score = Score(*candidate, query);
     const bool takes_long = for_long.contains(candidate->summary.endpoint);
     if (query.long_prompt && !takes_long) score = score + kLongOverflow;
@@ -106,15 +107,15 @@
   return selection;
 }
 
-Selection TwoChoicesRule::Choose(std::span<const Candidate* const> eligible,
-                                 std::span<const Candidate> /*all*/,
+Selection TwoChoicesRule::Choose(std::span<const SelectionCandidate* const> eligible,
+                                 std::span<const SelectionCandidate> /*all*/,
                                  const SelectionQuery& /*query*/, Random& random) const {
   const size_t first = random.Below(eligible.size());
   if (eligible.size() == 1) return {eligible[first]->summary.endpoint};
   size_t second = random.Below(eligible.size() - 1);
   if (second >= first) ++second;
-  const Candidate* a = eligible[first];
-  const Candidate* b = eligible[second];
+  const SelectionCandidate* a = eligible[first];
+  const SelectionCandidate* b = eligible[second];
   if (LoadOf(*b) < LoadOf(*a)) std::swap(a, b);
   return {a->summary.endpoint, b->summary.endpoint};
 }
--- a/modules/zr_admission/endpoint_selector.h
+++ b/modules/zr_admission/endpoint_selector.h
@@ -16,7 +16,7 @@
 namespace zr {
 
 /** An endpoint that the ingress may choose. */
-struct Candidate {
+struct SelectionCandidate {
   Summary summary;
   Duration round_trip;             // measured, to VMs of the endpoint's domain
   std::optional<EngineLoad> load;  // lagged, for the baseline
@@ -41,9 +41,9 @@
 
 /** A rule that picks among eligible candidates. */
 template <typename T>
-concept SelectionRule = requires(const T& rule, std::span<const Candidate* const> eligible,
-                                 std::span<const Candidate> all, const SelectionQuery& query,
-                                 Random& random) {
+concept SelectionRule = requires(const T& rule, std::span<const SelectionCandidate* const> eligible,
+                                 std::span<const SelectionCandidate> all,
+                                 const SelectionQuery& query, Random& random) {
   { rule.Choose(eligible, all, query, random) } -> std::same_as<Selection>;
   { T::kUsesSummaries } -> std::convertible_to<bool>;
 };
@@ -58,13 +58,15 @@
  public:
   static constexpr bool kUsesSummaries = true;
 
-  Selection Choose(std::span<const Candidate* const> eligible, std::span<const Candidate> all,
-                   const SelectionQuery& query, Random& random) const;
+  Selection Choose(std::span<const SelectionCandidate* const> eligible,
+                   std::span<const SelectionCandidate> all, const SelectionQuery& query,
+                   Random& random) const;
 
   /** Endpoints of the pool that take long prompts, in rendezvous order. */
-  static std::vector<EndpointId> LongOrder(std::span<const Candidate> all, const PoolId& pool);
+  static std::vector<EndpointId> LongOrder(std::span<const SelectionCandidate> all,
+                                           const PoolId& pool);
   /** Expected time until the first token, without overflow penalties. */
-  static Duration Score(const Candidate& candidate, const SelectionQuery& query);
+  static Duration Score(const SelectionCandidate& candidate, const SelectionQuery& query);
 };
 
 /** Two random candidates, the less loaded first; knows no classes and no grants. */
@@ -72,8 +74,9 @@
  public:
   static constexpr bool kUsesSummaries = false;
 
-  Selection Choose(std::span<const Candidate* const> eligible, std::span<const Candidate> all,
-                   const SelectionQuery& query, Random& random) const;
+  Selection Choose(std::span<const SelectionCandidate* const> eligible,
+                   std::span<const SelectionCandidate> all, const SelectionQuery& query,
+                   Random& random) const;
 };
 
 /** The ingress's choice of endpoints by a rule. */
@@ -84,10 +87,10 @@
   explicit BasicSelector(uint64_t seed) : random_(seed) {}
 
   /** Choices for a request; empty if no endpoint is eligible. */
-  Selection Choose(std::span<const Candidate> candidates, const SelectionQuery& query) {
-    std::vector<const Candidate*> preferred;
-    std::vector<const Candidate*> avoided;
-    for (const Candidate& candidate : candidates) {
+  Selection Choose(std::span<const SelectionCandidate> candidates, const SelectionQuery& query) {
+    std::vector<const SelectionCandidate*> preferred;
+    std::vector<const SelectionCandidate*> avoided;
+    for (const SelectionCandidate& candidate : candidates) {
       if (!Eligible(candidate, query)) continue;
       const bool avoid = query.avoided_domains.contains(candidate.summary.domain);
       (avoid ? avoided : preferred).push_back(&candidate);
@@ -98,7 +101,7 @@
   }
 
  private:
-  static bool Eligible(const Candidate& candidate, const SelectionQuery& query) {
+  static bool Eligible(const SelectionCandidate& candidate, const SelectionQuery& query) {
     const Summary& summary = candidate.summary;
     if (summary.pool != query.pool || query.excluded.contains(summary.endpoint)) return false;
     if (!summary.accepts_new) return false;
--- a/modules/zr_config/settings.cc
+++ b/modules/zr_config/settings.cc
@@ -98,13 +98,9 @@
                "A planned stop waits this long for requests in progress."),
        [](Settings& s, const KeyValue& v) { s.drain_timeout = Duration::Milliseconds(v.integer); }},
       {Choice("log", "level", "debug|info|warning|error", "info", "Least severity that is logged."),
-       [](Settings& s, const KeyValue& v) {
-         s.log_level = static_cast<Settings::LogLevel>(v.integer);
-       }},
+       [](Settings& s, const KeyValue& v) { s.log_level = static_cast<LogLevel>(v.integer); }},
       {Choice("log", "format", "text|json", "text", "Form of a log line."),
-       [](Settings& s, const KeyValue& v) {
-         s.log_format = static_cast<Settings::LogFormat>(v.integer);
-       }},
+       [](Settings& s, const KeyValue& v) { s.log_format = static_cast<LogFormat>(v.integer); }},
   };
 }
 
--- a/modules/zr_config/settings.h
+++ b/modules/zr_config/settings.h
@@ -18,10 +18,6 @@
 
 /** The settings of one daemon, parsed from INI text and immutable afterwards. */
 struct Settings {
-  // Nested, because zr_telemetry has types of the same names; the order is the same.
-  enum class LogLevel : uint8_t { kDebug, kInfo, kWarning, kError };
-  enum class LogFormat : uint8_t { kText, kJson };
-
   VmId vm;               // unique in the environment
   DomainId domain;       // failure domain of the VM
   std::string region;    // region of the failure domain
--- a/modules/zr_config/tests/settings_test.cc
+++ b/modules/zr_config/tests/settings_test.cc
@@ -43,7 +43,7 @@
                                         "[limits]\n# few cores\nworker_threads = 4\n",
                                     "a.ini");
     REQUIRE(settings.has_value());
-    CHECK(settings->log_format == Settings::LogFormat::kJson);
+    CHECK(settings->log_format == LogFormat::kJson);
     CHECK(settings->worker_threads == 4);
     std::string text = kMinimal;
     text.replace(text.find("[operators]"), 0, "seeds = 10.0.0.8:8082,\n  10.0.0.9:8082\n");
--- /dev/null
+++ b/modules/zr_daemon/api/answer_sinks.cc
@@ -0,0 +1,215 @@
+#include "zr_daemon/api/answer_sinks.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "zr_daemon/api/error_reply.h"
+#include "zr_daemon/request/sse.h"
+
+namespace zr {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string Dump(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+/** What the sinks of model answers share. */
+class ModelSink : public AnswerSink {
+ public:
+  ModelSink(HttpResponsePtr response, AnswerForm form, RequestId request, std::string model)
+      : response_(std::move(response)),
+        form_(form),
+        request_(std::move(request)),
+        model_(std::move(model)) {}
+
+  void OnClosed(std::function<void()> closed) override { response_->OnClosed(std::move(closed)); }
+
+ protected:
+  HttpHeaders Headers(const char* content_type) const {
+    return {{"content-type", content_type}, {"x-request-id", request_.value()}};
+  }
+  Json Envelope(bool part) const {
+    const bool chat = form_ == AnswerForm::kChat;
+    const char* object = !chat  ? "text_completion"
+                         : part ? "chat.completion.chunk"
+                                : "chat.completion";
+    return {{"id", request_.value()}, {"object", object}, {"model", model_}};
+  }
+  void SendRefusal(const Refuse& refusal) {
+    HttpHeaders headers = {{"x-request-id", request_.value()}};
+    if (refusal.retry_after) {
+      headers["retry-after"] = std::to_string((refusal.retry_after->milliseconds() + 999) / 1000);
+    }
+    SendError(*response_, refusal.status, refusal.error, refusal.run, std::move(headers));
+  }
+
+  HttpResponsePtr response_;
+  const AnswerForm form_;
+  const RequestId request_;
+  const std::string model_;
+};
+
+class EventSink final : public ModelSink {
+ public:
+  using ModelSink::ModelSink;
+
+  void Head(int status, const std::string& /*content_type*/) override {
+    begun_ = true;
+    HttpHeaders headers = Headers("text/event-stream");
+    headers["cache-control"] = "no-cache";
+    response_->Begin(status, std::move(headers));
+  }
+
+  void Part(int64_t offset, std::string text, std::function<void()> sent) override {
+    Json event = Envelope(true);
+    event["offset"] = offset;
+    Json choice = {{"index", 0}};
+    if (form_ == AnswerForm::kChat) {
+      choice["delta"] = {{"content", std::move(text)}};
+    } else {
+      choice["text"] = std::move(text);
+    }
+    event["choices"] = Json::array({std::move(choice)});
+    response_->Write(FormatSseEvent(Dump(event)), [sent = std::move(sent)](bool) { sent(); });
+  }
+
+  void Finish(int64_t /*total*/) override {
+    if (!begun_) Head(200, "");
+    response_->Write(FormatSseEvent("[DONE]"), nullptr);
+    response_->End();
+  }
+
+  void Refused(const Refuse& refusal) override {
+    if (!begun_) return SendRefusal(refusal);
+    Json event = Json::parse(ErrorBody(refusal.error, refusal.run), nullptr, false);
+    event["offset"] = refusal.offset;
+    response_->Write(FormatSseEvent(Dump(event)), nullptr);
+    response_->End();
+  }
+
+  void Drop(const Error& error) override {
+    Refuse refusal;
+    refusal.status = 409;
+    refusal.error = error;
+    Refused(refusal);
+  }
+
+ private:
+  bool begun_ = false;
+};
+
+class JsonSink final : public ModelSink {
+ public:
+  using ModelSink::ModelSink;
+
+  void Head(int /*status*/, const std::string& /*content_type*/) override {}
+
+  void Part(int64_t /*offset*/, std::string text, std::function<void()> sent) override {
+    text_ += text;
+    ++tokens_;
+    sent();
+  }
+
+  void Finish(int64_t total) override {
+    Json body = Envelope(false);
+    Json choice = {{"index", 0}, {"finish_reason", "stop"}};
+    if (form_ == AnswerForm::kChat) {
+      choice["message"] = {{"role", "assistant"}, {"content", text_}};
+    } else {
+      choice["text"] = text_;
+    }
+    body["choices"] = Json::array({std::move(choice)});
+    body["usage"] = {{"completion_tokens", total}};
+    response_->Send(200, Headers("application/json"), Dump(body));
+  }
+
+  void Refused(const Refuse& refusal) override { SendRefusal(refusal); }
+
+  void Drop(const Error& error) override {
+    SendError(*response_, 409, error, RunState::kMayHaveRun, {{"x-request-id", request_.value()}});
+  }
+
+ private:
+  std::string text_;
+  int64_t tokens_ = 0;
+};
+
+class ServiceSink final : public AnswerSink {
+ public:
+  ServiceSink(HttpResponsePtr response, RequestId request, size_t max_bytes)
+      : response_(std::move(response)), request_(std::move(request)), max_bytes_(max_bytes) {}
+
+  void Head(int status, const std::string& content_type) override {
+    status_ = status;
+    content_type_ = content_type;
+  }
+
+  void Part(int64_t /*offset*/, std::string text, std::function<void()> sent) override {
+    if (body_.size() + text.size() > max_bytes_) {
+      too_large_ = true;
+    } else {
+      body_ += text;
+    }
+    sent();
+  }
+
+  void Finish(int64_t /*total*/) override {
+    HttpHeaders headers = {{"x-request-id", request_.value()}, {"x-zr-run", "ran"}};
+    if (too_large_) {
+      SendError(
+          *response_, 502,
+          Error{ErrorCode::kTooLarge, "answer", "",
+                "the service's answer is larger than " + std::to_string(max_bytes_) + " bytes"},
+          RunState::kRan, std::move(headers));
+      return;
+    }
+    if (!content_type_.empty()) headers["content-type"] = content_type_;
+    response_->Send(status_, std::move(headers), std::move(body_));
+  }
+
+  void Refused(const Refuse& refusal) override {
+    HttpHeaders headers = {{"x-request-id", request_.value()}};
+    if (refusal.retry_after) {
+      headers["retry-after"] = std::to_string((refusal.retry_after->milliseconds() + 999) / 1000);
+    }
+    SendError(*response_, refusal.status, refusal.error, refusal.run, std::move(headers));
+  }
+
+  void Drop(const Error& error) override {
+    SendError(*response_, 409, error, RunState::kMayHaveRun, {{"x-request-id", request_.value()}});
+  }
+
+  void OnClosed(std::function<void()> closed) override { response_->OnClosed(std::move(closed)); }
+
+ private:
+  HttpResponsePtr response_;
+  const RequestId request_;
+  const size_t max_bytes_;
+  int status_ = 200;
+  std::string content_type_;
+  std::string body_;
+  bool too_large_ = false;
+};
+
+}  // namespace
+
+std::shared_ptr<AnswerSink> MakeEventSink(HttpResponsePtr response, AnswerForm form,
+                                          RequestId request, std::string model) {
+  return std::make_shared<EventSink>(std::move(response), form, std::move(request),
+                                     std::move(model));
+}
+
+std::shared_ptr<AnswerSink> MakeJsonSink(HttpResponsePtr response, AnswerForm form,
+                                         RequestId request, std::string model) {
+  return std::make_shared<JsonSink>(std::move(response), form, std::move(request),
+                                    std::move(model));
+}
+
+std::shared_ptr<AnswerSink> MakeServiceSink(HttpResponsePtr response, RequestId request,
+                                            size_t max_bytes) {
+  return std::make_shared<ServiceSink>(std::move(response), std::move(request), max_bytes);
+}
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_daemon/api/caller_api.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "zr_daemon/control/cluster_state.h"
+#include "zr_daemon/node_context.h"
+#include "zr_daemon/request/request_host.h"
+
+namespace zr {
+
+/** The HTTP interface for callers. Any thread may call Handle(). */
+class CallerApi {
+ public:
+  explicit CallerApi(NodeContext& context) : context_(context) {}
+  CallerApi(const CallerApi&) = delete;
+  CallerApi& operator=(const CallerApi&) = delete;
+
+  void Handle(HttpRequest request, HttpResponsePtr response);
+
+ private:
+  /** What the headers of a call say. */
+  struct Call {
+    std::shared_ptr<const ClusterSnapshot> snapshot;
+    const TeamPolicy* team = nullptr;
+    const ClassPolicy* request_class = nullptr;
+    RequestId id;
+    bool id_given = false;
+    Duration deadline;
+    int64_t resume_offset = 0;
+  };
+  /** A model call's body. */
+  struct ModelBody {
+    std::string model;
+    std::string prompt;
+    int64_t prompt_tokens = 0;  // 0: not given
+    int64_t max_tokens = 0;     // 0: not given
+    bool stream = false;
+  };
+
+  void HandleModel(const HttpRequest& request, const HttpResponsePtr& response, bool chat);
+  void HandleService(const HttpRequest& request, const HttpResponsePtr& response);
+  void HandleHealth(const HttpRequest& request, HttpResponse& response);
+
+  Result<Call> ParseCall(const HttpRequest& request) const;
+  static Result<ModelBody> ParseModelBody(const std::string& body, bool chat);
+  Result<RequestOptions> MakeModelOptions(const Call& call, const ModelBody& body) const;
+  void StartOrReattach(RequestOptions options, UpstreamTemplate upstream,
+                       std::shared_ptr<AnswerSink> sink, const HttpResponsePtr& response);
+
+  NodeContext& context_;
+};
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_daemon/endpoint/endpoint_host.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+
+#include "zr_admission/zr_admission.h"
+#include "zr_daemon/control/cluster_state.h"
+#include "zr_daemon/node_context.h"
+
+namespace zr {
+
+/**
+ * Runs the EndpointOwner of one endpoint on a strand: polls the endpoint's
+ * reports, carries out the owner's actions and publishes its summary.
+ */
+class EndpointHost : public std::enable_shared_from_this<EndpointHost> {
+ public:
+  /** Hears of deaths of the endpoint. */
+  using SuspectsFunction = std::function<void(const std::vector<Suspect>&)>;
+
+  static Result<std::shared_ptr<EndpointHost>> Create(NodeContext& context, OwnerOptions options,
+                                                      SuspectsFunction suspects);
+  EndpointHost(const EndpointHost&) = delete;
+  EndpointHost& operator=(const EndpointHost&) = delete;
+
+  void Start();
+  void Stop();
+
+  //============================================================================
+  // Events; any thread
+
+  /** A message about this endpoint. */
+  void Deliver(const VmId& from, Message message);
+  void OnVmDead(const VmId& vm);
+  void OnSelfPaused();
+  void OnPolicy(OwnerPolicies policies, bool drained);
+
+  //============================================================================
+  // Queries; any thread
+
+  const EndpointInfo& endpoint() const { return endpoint_; }
+  OwnerSnapshot Snapshot() const;
+  std::optional<EngineLoad> LastLoad() const;
+  std::optional<KnownStream> FindStream(const RequestId& request) const;
+  GrantNumber last_grant() const;
+
+ private:
+  EndpointHost(NodeContext& context, EndpointInfo endpoint, std::unique_ptr<EndpointOwner> owner,
+               SuspectsFunction suspects);
+
+  /** Runs an event of the owner on the strand and carries out its actions. */
+  void Run(std::function<OwnerActions(TimePoint, EndpointOwner&)> event);
+  void Perform(const OwnerActions& actions);
+  void ScheduleWakeup();
+  void PollLoad();
+  void PollCacheEvents();
+  void FetchStreams();
+  void CancelStream(const CancelEngineStream& cancel);
+  void PublishSummary();
+  /** Fetches a page of the endpoint and passes its body to the strand; nullopt on failure. */
+  void Fetch(const std::string& method, const std::string& path,
+             std::function<void(std::optional<std::string>)> done);
+  void After(Duration delay, void (EndpointHost::*run)());
+
+  NodeContext& context_;
+  const EndpointInfo endpoint_;
+  SuspectsFunction suspects_;
+  Strand strand_;
+  asio::steady_timer wakeup_;
+  std::unique_ptr<EndpointOwner> owner_;
+  int failed_polls_ = 0;
+  bool stopped_ = false;
+  std::optional<Summary> published_;
+  TimePoint published_at_;
+
+  mutable std::mutex mutex_;  // guards the copies for queries
+  OwnerSnapshot snapshot_;
+  std::optional<EngineLoad> last_load_;
+  std::map<RequestId, KnownStream> streams_;
+  GrantNumber last_grant_;
+};
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_daemon/endpoint/endpoint_table.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "zr_daemon/endpoint/endpoint_host.h"
+
+namespace zr {
+
+/**
+ * The endpoints that this VM owns according to its view. Any thread may use
+ * it; hosts are called without the lock.
+ */
+class EndpointTable {
+ public:
+  EndpointTable(NodeContext& context, EndpointHost::SuspectsFunction suspects)
+      : context_(context), suspects_(std::move(suspects)) {}
+  EndpointTable(const EndpointTable&) = delete;
+  EndpointTable& operator=(const EndpointTable&) = delete;
+
+  //============================================================================
+  // Changes
+
+  /** Starts and stops hosts as the view says; called on the control strand. */
+  void OnSnapshot(const ClusterSnapshot& snapshot);
+  void OnVmDead(const VmId& vm);
+  void OnSelfPaused();
+  void StopAll();
+
+  //============================================================================
+  // Use
+
+  /** Passes a message to the owner; false if this VM does not own the endpoint. */
+  bool Deliver(const EndpointId& endpoint, const VmId& from, const Message& message);
+  std::shared_ptr<EndpointHost> Find(const EndpointId& endpoint) const;
+  std::vector<std::shared_ptr<EndpointHost>> All() const;
+
+ private:
+  bool ShouldOwn(const EndpointInfo& info, const ClusterSnapshot& snapshot) const;
+  OwnerPolicies PoliciesFor(const PoolPolicy& pool, const ClusterSnapshot& snapshot) const;
+
+  NodeContext& context_;
+  EndpointHost::SuspectsFunction suspects_;
+  mutable std::mutex mutex_;
+  std::map<EndpointId, std::shared_ptr<EndpointHost>> hosts_;
+  std::map<EndpointId, GrantNumber> last_grants_;  // of hosts that were stopped
+};
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_daemon/node.cc
@@ -0,0 +1,247 @@
+#include "zr_daemon/node.h"
+
+#include <algorithm>
+#include <csignal>
+#include <thread>
+#include <utility>
+
+namespace zr {
+namespace {
+
+constexpr Duration kHeldGrantsPeriod = Duration::Milliseconds(500);
+// After the last request, time for releases and the last heartbeats to go out.
+constexpr Duration kLinger = Duration::Milliseconds(300);
+
+Incarnation StartTime() {
+  return Incarnation(static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
+                                               std::chrono::system_clock::now().time_since_epoch())
+                                               .count()));
+}
+
+}  // namespace
+
+Node::Node(Settings settings)
+    : settings_(std::move(settings)),
+      context_{io_, settings_, StartTime(), metrics_, nullptr, nullptr},
+      bus_(std::make_shared<MessageBus>(context_)),
+      selector_(context_),
+      held_grants_(context_),
+      requests_(context_),
+      endpoints_(context_, [](const std::vector<Suspect>&) {}),
+      caller_api_(context_),
+      operator_api_(context_, [this](ConfigOffer offer) { control_->OnWritten(std::move(offer)); }),
+      signals_(io_, SIGTERM, SIGINT),
+      held_timer_(io_),
+      stop_timer_(io_) {
+  context_.cluster = &cluster_;
+  context_.bus = bus_.get();
+  context_.endpoints = &endpoints_;
+  context_.requests = &requests_;
+  context_.selector = &selector_;
+  context_.held_grants = &held_grants_;
+}
+
+Node::~Node() = default;
+
+Result<std::unique_ptr<Node>> Node::Create(Settings settings) {
+  std::unique_ptr<Node> node(new Node(std::move(settings)));
+  if (auto opened = node->Open(); !opened) return tl::unexpected(opened.error());
+  return node;
+}
+
+Result<void> Node::Open() {
+  auto client = HttpClient::Create(io_);
+  if (!client) return tl::unexpected(client.error());
+  context_.http = *client;
+  ObjectStoreOptions store;
+  store.address = settings_.platform.ToString();
+  store.request_timeout = settings_.platform_request_timeout;
+  store.budget.reads_per_second = static_cast<double>(settings_.platform_reads_per_second);
+  store.budget.writes_per_second = static_cast<double>(settings_.platform_writes_per_second);
+  context_.store = std::make_shared<ObjectStore>(*client, store, &SteadyNow);
+
+  PeerOptions peer;
+  peer.self = settings_.vm;
+  peer.incarnation = context_.incarnation;
+  peer.listen_address = settings_.peers.ToString();
+  peer.key = settings_.peer_key;
+  auto links = PeerLinks::Start(io_, peer, bus_);
+  if (!links) return tl::unexpected(links.error());
+  links_ = *links;
+  bus_->Connect(links_,
+                [this](const VmId& from, Message message) { Receive(from, std::move(message)); });
+
+  auto control = ControlPlane::Create(context_, links_, *this);
+  if (!control) return tl::unexpected(control.error());
+  control_ = *control;
+  control_->add_demand = [this](LocalState& local) { local.pool_demand = selector_.OwnDemand(); };
+  control_->on_demand = [this](const Heartbeat& heartbeat) { selector_.OnHeartbeat(heartbeat); };
+
+  HttpServerOptions server;
+  server.address = settings_.callers.ToString();
+  server.max_body_bytes = static_cast<size_t>(settings_.max_body_bytes);
+  server.max_header_bytes = static_cast<size_t>(settings_.max_header_bytes);
+  auto callers = HttpServer::Start(io_, server, [this](HttpRequest request, HttpResponsePtr r) {
+    caller_api_.Handle(std::move(request), std::move(r));
+  });
+  if (!callers) return tl::unexpected(callers.error());
+  caller_server_ = std::move(*callers);
+  server.address = settings_.operators.ToString();
+  auto operators = HttpServer::Start(io_, server, [this](HttpRequest request, HttpResponsePtr r) {
+    operator_api_.Handle(std::move(request), std::move(r));
+  });
+  if (!operators) return tl::unexpected(operators.error());
+  operator_server_ = std::move(*operators);
+  return {};
+}
+
+int Node::Run() {
+  signals_.async_wait([this](const asio::error_code& error, int) {
+    if (!error) BeginStop();
+  });
+  control_->Start();
+  ScheduleHeldGrants();
+  Log(LogLevel::kInfo, "node",
+      "Serving callers on " + settings_.callers.ToString() + ", operators on " +
+          settings_.operators.ToString() + ", peers on " + settings_.peers.ToString() + ".");
+  std::vector<std::thread> threads;
+  for (int64_t i = 1; i < settings_.worker_threads; ++i) {
+    threads.emplace_back([this] { io_.run(); });
+  }
+  io_.run();
+  for (auto& thread : threads) thread.join();
+  Log(LogLevel::kInfo, "node", "Stopped.");
+  return 0;
+}
+
+//==============================================================================
+// Control events
+
+void Node::OnSnapshot(const std::shared_ptr<const ClusterSnapshot>& snapshot) {
+  endpoints_.OnSnapshot(*snapshot);
+}
+
+void Node::OnVmDied(const VmId& vm, Incarnation incarnation) {
+  selector_.OnVmDied(vm, incarnation);
+  endpoints_.OnVmDead(vm);
+  requests_.OnVmDied(vm);
+}
+
+void Node::OnSelfPaused() { endpoints_.OnSelfPaused(); }
+
+//==============================================================================
+// Messages
+
+void Node::Receive(const VmId& from, Message message) {
+  if (auto* m = std::get_if<Heartbeat>(&message)) return control_->OnHeartbeat(from, std::move(*m));
+  if (auto* m = std::get_if<ConfigOffer>(&message)) {
+    return control_->OnConfigOffer(from, std::move(*m));
+  }
+  if (auto* m = std::get_if<ConfigFetch>(&message)) return control_->OnConfigFetch(from, *m);
+  if (auto* m = std::get_if<Summary>(&message)) return selector_.OnSummary(*m);
+  if (auto* m = std::get_if<AdmissionRequest>(&message)) {
+    if (settings_.routing_policy == RoutingPolicy::kBaseline) return AnswerBaseline(from, *m);
+    return RouteToOwner(m->endpoint, from, message);
+  }
+  if (auto* m = std::get_if<CancelAdmission>(&message)) {
+    return RouteToOwner(m->endpoint, from, message);
+  }
+  if (auto* m = std::get_if<Release>(&message)) return RouteToOwner(m->endpoint, from, message);
+  if (auto* m = std::get_if<HeldGrants>(&message)) return RouteToOwner(m->endpoint, from, message);
+  if (auto* m = std::get_if<GatherReserve>(&message)) {
+    return RouteToOwner(m->endpoint, from, message);
+  }
+  if (auto* m = std::get_if<GatherRelease>(&message)) {
+    return RouteToOwner(m->endpoint, from, message);
+  }
+  if (auto* m = std::get_if<Grant>(&message)) return RouteGrant(*m);
+  if (auto* m = std::get_if<Refusal>(&message)) {
+    if (auto host = requests_.Find(m->request)) host->OnRefusal(*m);
+    return;
+  }
+}
+
+void Node::RouteToOwner(const EndpointId& endpoint, const VmId& from, const Message& message) {
+  if (settings_.routing_policy == RoutingPolicy::kBaseline) return;
+  if (endpoints_.Deliver(endpoint, from, message)) return;
+  if (auto* m = std::get_if<AdmissionRequest>(&message)) {
+    Refusal refusal;
+    refusal.request = m->request;
+    refusal.attempt = m->attempt;
+    refusal.endpoint = m->endpoint;
+    refusal.reason = RefusalReason::kNotOwner;
+    bus_->Send(from, refusal);
+  } else if (auto* reserve = std::get_if<GatherReserve>(&message)) {
+    GatherReply reply;
+    reply.request = reserve->request;
+    reply.attempt = reserve->attempt;
+    reply.endpoint = reserve->endpoint;
+    bus_->Send(from, reply);
+  }
+}
+
+void Node::RouteGrant(const Grant& grant) {
+  if (auto host = requests_.Find(grant.request)) return host->OnGrant(grant);
+  const OutgoingMessage release = RequestMachine::ReleaseOfUnknown(grant);
+  bus_->Send(release.to, release.message);
+}
+
+void Node::AnswerBaseline(const VmId& from, const AdmissionRequest& request) {
+  Grant grant;
+  grant.request = request.request;
+  grant.attempt = request.attempt;
+  grant.endpoint = request.endpoint;
+  grant.number = GrantNumber(++baseline_grants_);
+  grant.owner = settings_.vm;
+  grant.owner_incarnation = context_.incarnation;
+  grant.kv_tokens = request.prompt + request.max_answer;
+  grant.start_within = Duration::Seconds(1);
+  if (auto host = endpoints_.Find(request.endpoint)) {
+    if (auto load = host->LastLoad()) grant.boot = load->boot;
+  }
+  bus_->Send(from, grant);
+}
+
+void Node::ScheduleHeldGrants() {
+  held_timer_.expires_after(std::chrono::microseconds(kHeldGrantsPeriod.microseconds()));
+  held_timer_.async_wait([this](const asio::error_code& error) {
+    if (error) return;
+    held_grants_.Publish();
+    ScheduleHeldGrants();
+  });
+}
+
+//==============================================================================
+// Stop
+
+void Node::BeginStop() {
+  if (stopping_.exchange(true)) return;
+  Log(LogLevel::kInfo, "node",
+      "Stopping; " + std::to_string(requests_.size()) + " requests are in progress.");
+  control_->BeginStop();
+  stop_timer_.expires_after(std::chrono::microseconds(settings_.drain_timeout.microseconds()));
+  stop_timer_.async_wait([this](const asio::error_code& error) {
+    if (error) return;
+    ZR_ASSERT_INVARIANT(kGracefulStop, requests_.size() == 0,
+                        "requests were cut because the drain timeout has passed");
+    requests_.AbortAll();
+    FinishStop();
+  });
+  requests_.WhenEmpty([this] { asio::post(io_, [this] { FinishStop(); }); });
+}
+
+void Node::FinishStop() {
+  stop_timer_.cancel();
+  auto linger = std::make_shared<asio::steady_timer>(io_);
+  linger->expires_after(std::chrono::microseconds(kLinger.microseconds()));
+  linger->async_wait([this, linger](const asio::error_code&) {
+    caller_server_->StopAccepting();
+    operator_server_->StopAccepting();
+    endpoints_.StopAll();
+    control_->Stop();
+    links_->Stop();
+    io_.stop();
+  });
+}
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_daemon/node.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <memory>
+#include <vector>
+
+#include "zr_daemon/api/caller_api.h"
+#include "zr_daemon/api/operator_api.h"
+#include "zr_daemon/control/cluster_state.h"
+#include "zr_daemon/control/control_plane.h"
+#include "zr_daemon/endpoint/endpoint_table.h"
+#include "zr_daemon/net/message_bus.h"
+#include "zr_daemon/node_context.h"
+#include "zr_daemon/request/held_grants.h"
+#include "zr_daemon/request/request_table.h"
+#include "zr_daemon/request/route_selector.h"
+
+namespace zr {
+
+/**
+ * One entry VM. Run() serves until SIGTERM or SIGINT, then stops gracefully:
+ * not ready first, ownership handed over, requests in progress finished.
+ */
+class Node : public ControlPlane::Listener {
+ public:
+  /** @returns an error if an address cannot be bound */
+  static Result<std::unique_ptr<Node>> Create(Settings settings);
+  ~Node() override;
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  /** Serves; @returns the process's exit code */
+  int Run();
+
+ private:
+  explicit Node(Settings settings);
+  Result<void> Open();
+
+  void OnSnapshot(const std::shared_ptr<const ClusterSnapshot>& snapshot) override;
+  void OnVmDied(const VmId& vm, Incarnation incarnation) override;
+  void OnSelfPaused() override;
+
+  void Receive(const VmId& from, Message message);
+  void RouteToOwner(const EndpointId& endpoint, const VmId& from, const Message& message);
+  void RouteGrant(const Grant& grant);
+  void AnswerBaseline(const VmId& from, const AdmissionRequest& request);
+  void ScheduleHeldGrants();
+  void BeginStop();
+  void FinishStop();
+
+  const Settings settings_;
+  asio::io_context io_;
+  Metrics metrics_;
+  NodeContext context_;
+  ClusterState cluster_;
+  std::shared_ptr<MessageBus> bus_;
+  std::shared_ptr<PeerLinks> links_;
+  RouteSelector selector_;
+  HeldGrantRegistry held_grants_;
+  RequestTable requests_;
+  EndpointTable endpoints_;
+  std::shared_ptr<ControlPlane> control_;
+  CallerApi caller_api_;
+  OperatorApi operator_api_;
+  std::unique_ptr<HttpServer> caller_server_;
+  std::unique_ptr<HttpServer> operator_server_;
+  asio::signal_set signals_;
+  asio::steady_timer held_timer_;
+  asio::steady_timer stop_timer_;
+  std::atomic<uint64_t> baseline_grants_{0};
+  std::atomic<bool> stopping_{false};
+};
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_daemon/node_context.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/strand.hpp>
+#include <chrono>
+#include <memory>
+
+#include "zr_config/zr_config.h"
+#include "zr_http/zr_http.h"
+#include "zr_platform/zr_platform.h"
+#include "zr_telemetry/zr_telemetry.h"
+
+namespace zr {
+
+class ClusterState;
+class EndpointTable;
+class HeldGrantRegistry;
+class MessageBus;
+class RequestTable;
+class RouteSelector;
+
+using Strand = asio::strand<asio::io_context::executor_type>;
+
+/** Monotonic time of the process. */
+inline TimePoint SteadyNow() {
+  return TimePoint::FromMicroseconds(std::chrono::duration_cast<std::chrono::microseconds>(
+                                         std::chrono::steady_clock::now().time_since_epoch())
+                                         .count());
+}
+
+/** Wall-clock time in milliseconds since 1970. */
+inline int64_t UnixMilliseconds() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+/** What the parts of a daemon share. Owned by Node, which outlives all parts. */
+struct NodeContext {
+  asio::io_context& io;
+  const Settings& settings;
+  Incarnation incarnation;
+  Metrics& metrics;
+  std::shared_ptr<HttpClient> http;
+  std::shared_ptr<ObjectStore> store;
+  ClusterState* cluster = nullptr;
+  MessageBus* bus = nullptr;
+  EndpointTable* endpoints = nullptr;
+  RequestTable* requests = nullptr;
+  RouteSelector* selector = nullptr;
+  HeldGrantRegistry* held_grants = nullptr;
+};
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_daemon/request/held_grants.cc
@@ -0,0 +1,46 @@
+#include "zr_daemon/request/held_grants.h"
+
+#include "zr_daemon/control/cluster_state.h"
+#include "zr_daemon/net/message_bus.h"
+
+namespace zr {
+
+void HeldGrantRegistry::Update(const RequestId& request, Grants grants) {
+  std::lock_guard lock(mutex_);
+  if (grants.empty()) {
+    by_request_.erase(request);
+  } else {
+    by_request_[request] = std::move(grants);
+  }
+}
+
+void HeldGrantRegistry::Publish() {
+  std::map<EndpointId, HeldGrants> lists;
+  {
+    std::lock_guard lock(mutex_);
+    for (const EndpointId& endpoint : listed_) lists[endpoint].endpoint = endpoint;
+    listed_.clear();
+    for (const auto& [request, grants] : by_request_) {
+      for (const auto& [endpoint, grant] : grants) {
+        lists[endpoint].endpoint = endpoint;
+        lists[endpoint].grants.push_back(grant);
+        listed_.insert(endpoint);
+      }
+    }
+    ++sequence_;
+    for (auto& [endpoint, list] : lists) {
+      list.holder = SenderStamp{context_.settings.vm, context_.incarnation, sequence_};
+    }
+  }
+  const auto snapshot = context_.cluster->Get();
+  for (const auto& [endpoint, list] : lists) {
+    std::set<VmId> owners;
+    for (const HeldGrant& grant : list.grants) owners.insert(grant.owner);
+    if (const EndpointInfo* info = snapshot->FindEndpoint(endpoint)) {
+      if (auto owner = OwnerOf(*info, *snapshot->view)) owners.insert(*owner);
+    }
+    for (const VmId& owner : owners) context_.bus->Send(owner, list);
+  }
+}
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_daemon/request/request_host.cc
@@ -0,0 +1,389 @@
+#include "zr_daemon/request/request_host.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "zr_daemon/control/cluster_state.h"
+#include "zr_daemon/net/message_bus.h"
+#include "zr_daemon/request/held_grants.h"
+#include "zr_daemon/request/request_table.h"
+#include "zr_daemon/request/route_selector.h"
+
+namespace zr {
+namespace {
+
+// Below the grant's start bound of 1 s, so that a dead endpoint costs little.
+constexpr Duration kConnectTimeout = Duration::Milliseconds(700);
+constexpr Duration kCancelTimeout = Duration::Seconds(2);
+
+}  // namespace
+
+RequestHost::RequestHost(NodeContext& context, RequestOptions options, UpstreamTemplate upstream,
+                         RetryBudget& budget, std::shared_ptr<AnswerSink> sink)
+    : context_(context),
+      id_(options.request),
+      team_(options.team),
+      pool_kind_(options.pool.kind),
+      strand_(asio::make_strand(context.io)),
+      wakeup_(strand_),
+      machine_(std::move(options), budget),
+      upstream_(std::move(upstream)),
+      sink_(std::move(sink)),
+      arrived_(SteadyNow()) {}
+
+RequestHost::~RequestHost() = default;
+
+MetricLabels RequestHost::ClassLabels() const {
+  return {{"team", team_.value()}, {"class", machine_.options().request_class.name.value()}};
+}
+
+void RequestHost::Start() {
+  BindSink();
+  Post([](TimePoint now, RequestMachine& machine) { return machine.Start(now); });
+}
+
+void RequestHost::BindSink() {
+  const uint64_t number = ++sink_number_;
+  sink_->OnClosed([weak = weak_from_this(), number] {
+    auto self = weak.lock();
+    if (!self) return;
+    self->Post([weak, number](TimePoint now, RequestMachine& machine) -> RequestActions {
+      auto host = weak.lock();
+      // A superseded caller's connection says nothing about the current one.
+      if (!host || host->sink_number_ != number) return {};
+      return machine.OnCallerGone(now);
+    });
+  });
+}
+
+void RequestHost::Post(std::function<RequestActions(TimePoint, RequestMachine&)> event) {
+  asio::post(strand_, [self = shared_from_this(), event = std::move(event)] {
+    self->Perform(event(SteadyNow(), self->machine_));
+  });
+}
+
+void RequestHost::OnGrant(Grant grant) {
+  const TimePoint received = SteadyNow();
+  Post([this, grant = std::move(grant), received](TimePoint now, RequestMachine& machine) {
+    if (grant.endpoint == asked_endpoint_) {
+      context_.metrics.Observe("zr_queue_seconds", ClassLabels(), now - asked_);
+    }
+    return machine.OnGrant(now, received, grant);
+  });
+}
+
+void RequestHost::OnRefusal(Refusal refusal) {
+  Post([this, refusal = std::move(refusal)](TimePoint now, RequestMachine& machine) {
+    if (refusal.endpoint == asked_endpoint_ && refusal.reason == RefusalReason::kBusy) {
+      context_.selector->ObserveRoundTrip(asked_domain_, now - asked_);
+    }
+    return machine.OnRefusal(now, refusal);
+  });
+}
+
+void RequestHost::Reattach(TeamId team, Fingerprint fingerprint, int64_t offset,
+                           std::shared_ptr<AnswerSink> sink, std::function<void(Error)> refused) {
+  asio::post(strand_, [self = shared_from_this(), team = std::move(team), fingerprint, offset,
+                       sink = std::move(sink), refused = std::move(refused)] {
+    auto actions = self->machine_.Reattach(SteadyNow(), team, fingerprint, offset);
+    if (!actions) return refused(actions.error());
+    auto superseded = std::exchange(self->sink_, sink);
+    self->unsent_bytes_ = 0;
+    self->BindSink();
+    RequestActions rest;
+    for (RequestAction& action : *actions) {
+      if (auto* drop = std::get_if<DropCaller>(&action)) {
+        superseded->Drop(drop->error);
+      } else {
+        rest.push_back(std::move(action));
+      }
+    }
+    self->Perform(rest);
+  });
+}
+
+StreamLocation RequestHost::Location() const {
+  std::lock_guard lock(location_mutex_);
+  return location_;
+}
+
+void RequestHost::Perform(const RequestActions& actions) {
+  for (const RequestAction& action : actions) {
+    std::visit([this](const auto& a) { Do(a); }, action);
+  }
+  context_.held_grants->Update(id_, machine_.held_grants());
+  {
+    std::lock_guard lock(location_mutex_);
+    location_ = machine_.location();
+  }
+  if (machine_.removable()) {
+    if (!std::exchange(removed_, true)) {
+      wakeup_.cancel();
+      CloseUpstream();
+      if (machine_.dropped_chunks() > 0) {
+        context_.metrics.Count("zr_dropped_chunks_total", {},
+                               static_cast<double>(machine_.dropped_chunks()));
+      }
+      context_.requests->Remove(id_, this);
+    }
+    return;
+  }
+  ScheduleWakeup();
+}
+
+void RequestHost::ScheduleWakeup() {
+  const TimePoint at = machine_.NextWakeup();
+  if (at == TimePoint::Max()) return;
+  const Duration delay = std::max(Duration::Microseconds(100), at - SteadyNow());
+  wakeup_.expires_after(std::chrono::microseconds(delay.microseconds()));
+  wakeup_.async_wait([weak = weak_from_this()](const asio::error_code& error) {
+    auto self = weak.lock();
+    if (self && !error) self->Perform(self->machine_.Tick(SteadyNow()));
+  });
+}
+
+//==============================================================================
+// Admission
+
+void RequestHost::Do(const SelectCandidates& action) {
+  RouteChoice choice = context_.selector->Choose(machine_.options(), action);
+  Post([choice = std::move(choice)](TimePoint now, RequestMachine& machine) {
+    return machine.OnCandidates(now, choice.candidates, choice.gather);
+  });
+}
+
+void RequestHost::Do(const SendToVm& action) {
+  if (auto* ask = std::get_if<AdmissionRequest>(&action.message)) {
+    asked_ = SteadyNow();
+    asked_endpoint_ = ask->endpoint;
+    const auto snapshot = context_.cluster->Get();
+    const EndpointInfo* info = snapshot->FindEndpoint(ask->endpoint);
+    asked_domain_ = info == nullptr ? DomainId() : info->domain;
+  }
+  if (context_.bus->Send(action.to, action.message)) return;
+  Post([vm = action.to](TimePoint now, RequestMachine& machine) {
+    return machine.OnVmUnreachable(now, vm);
+  });
+}
+
+//==============================================================================
+// Upstream
+
+ClientRequest RequestHost::MakeModelRequest(const StartUpstream& action,
+                                            const EndpointInfo& info) const {
+  const RequestOptions& options = machine_.options();
+  nlohmann::json body = {{"model", upstream_.model},
+                         {"prompt", upstream_.prompt},
+                         {"prompt_tokens", options.prompt.value()},
+                         {"max_tokens", options.max_answer.value()},
+                         {"stream", true},
+                         {"priority", action.priority},
+                         {"stream_id", action.stream_id},
+                         {"kv_tokens", action.kv_tokens.value()}};
+  if (!action.members.empty()) {
+    const auto snapshot = context_.cluster->Get();
+    for (const EndpointId& member : action.members) {
+      const EndpointInfo* other = snapshot->FindEndpoint(member);
+      if (other != nullptr) body["members"].push_back(other->address);
+    }
+  }
+  ClientRequest request;
+  request.method = "POST";
+  request.url = "http://" + info.address + "/v1/completions";
+  request.headers["content-type"] = "application/json";
+  request.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return request;
+}
+
+ClientRequest RequestHost::MakeServiceRequest(const EndpointInfo& info) const {
+  ClientRequest request;
+  request.method = upstream_.method;
+  request.url = "http://" + info.address + upstream_.path;
+  request.headers = upstream_.headers;
+  request.headers["x-request-id"] = id_.value();
+  request.body = upstream_.body;
+  return request;
+}
+
+void RequestHost::Do(const StartUpstream& action) {
+  const auto snapshot = context_.cluster->Get();
+  const EndpointInfo* info = snapshot->FindEndpoint(action.endpoint);
+  if (info == nullptr || SteadyNow() >= action.start_before) {
+    Post([attempt = action.attempt](TimePoint now, RequestMachine& machine) {
+      return machine.OnUpstreamFailed(now, attempt, UpstreamFailure::kNotRun);
+    });
+    return;
+  }
+  ClientRequest request = IsModel() ? MakeModelRequest(action, *info) : MakeServiceRequest(*info);
+  request.fresh_connection = !machine_.options().idempotent;
+  OpenUpstream(action.endpoint, action.attempt, action.stream_id, std::move(request), false);
+}
+
+void RequestHost::Do(const ResumeUpstream& action) {
+  const auto snapshot = context_.cluster->Get();
+  const EndpointInfo* info = snapshot->FindEndpoint(action.endpoint);
+  if (info == nullptr) {
+    Post([attempt = action.attempt](TimePoint now, RequestMachine& machine) {
+      return machine.OnUpstreamFailed(now, attempt, UpstreamFailure::kNoStream);
+    });
+    return;
+  }
+  ClientRequest request;
+  request.method = "POST";
+  request.url = "http://" + info->address + "/engine/streams/" +
+                EscapePathSegment(action.stream_id) +
+                "/resume?offset=" + std::to_string(action.offset);
+  OpenUpstream(action.endpoint, action.attempt, action.stream_id, std::move(request), true);
+}
+
+void RequestHost::OpenUpstream(const EndpointId& endpoint, AttemptNumber attempt,
+                               const std::string& stream_id, ClientRequest request, bool resume) {
+  CloseUpstream();
+  request.connect_timeout = kConnectTimeout;
+  call_ = std::make_shared<UpstreamCall>(
+      strand_, std::weak_ptr<UpstreamCall::Listener>(shared_from_this()), attempt, stream_id,
+      IsModel() ? UpstreamFormat::kEngineStream : UpstreamFormat::kPlain, resume);
+  context_.metrics.Count("zr_upstream_calls_total", {{"endpoint", endpoint.value()}});
+  call_->Start(*context_.http, std::move(request));
+  if (blocked_) call_->Pause(true);
+}
+
+void RequestHost::CloseUpstream() {
+  if (call_) call_->Close();
+  call_.reset();
+}
+
+void RequestHost::Do(const DetachUpstream& /*action*/) { CloseUpstream(); }
+
+void RequestHost::Do(const CancelUpstream& action) {
+  CloseUpstream();
+  auto report = [weak = weak_from_this(), stream = action.stream_id](bool confirmed) {
+    auto self = weak.lock();
+    if (!self) return;
+    self->Post([stream, confirmed](TimePoint now, RequestMachine& machine) {
+      return machine.OnUpstreamCancelled(now, stream, confirmed);
+    });
+  };
+  const auto snapshot = context_.cluster->Get();
+  const EndpointInfo* info = snapshot->FindEndpoint(action.endpoint);
+  if (!IsModel() || info == nullptr) {
+    // A plain service keeps no memory for a call whose connection is closed.
+    report(!IsModel());
+    return;
+  }
+  ClientRequest request;
+  request.method = "DELETE";
+  request.url =
+      "http://" + info->address + "/engine/streams/" + EscapePathSegment(action.stream_id);
+  request.connect_timeout = kConnectTimeout;
+  request.total_timeout = kCancelTimeout;
+  context_.http->Fetch(std::move(request), size_t{64} << 10, [report](auto result) {
+    report(result && (result->status == 200 || result->status == 204 || result->status == 404));
+  });
+}
+
+void RequestHost::Do(const PauseUpstream& action) {
+  if (call_) call_->Pause(action.paused);
+}
+
+void RequestHost::OnUpstreamHeaders(AttemptNumber attempt, int status,
+                                    const std::string& content_type) {
+  content_type_ = content_type;
+  Perform(machine_.OnUpstreamHeaders(SteadyNow(), attempt, status));
+}
+
+void RequestHost::OnUpstreamPart(AttemptNumber attempt, const std::string& stream_id,
+                                 int64_t offset, int64_t tokens, std::string text) {
+  Perform(
+      machine_.OnUpstreamChunk(SteadyNow(), attempt, stream_id, offset, tokens, std::move(text)));
+}
+
+void RequestHost::OnUpstreamDone(AttemptNumber attempt, int64_t total) {
+  Perform(machine_.OnUpstreamDone(SteadyNow(), attempt, total));
+}
+
+void RequestHost::OnUpstreamFailed(AttemptNumber attempt, UpstreamFailure failure, int status) {
+  Perform(machine_.OnUpstreamFailed(SteadyNow(), attempt, failure, status));
+}
+
+//==============================================================================
+// Caller
+
+void RequestHost::Do(const EmitHead& action) { sink_->Head(action.status, content_type_); }
+
+void RequestHost::Do(const Emit& action) {
+  const TimePoint now = SteadyNow();
+  if (!first_part_seen_) {
+    first_part_seen_ = true;
+    MetricLabels labels = ClassLabels();
+    labels.emplace_back("prompt", PromptLengthBucket(machine_.options().prompt));
+    context_.metrics.Observe("zr_first_token_seconds", labels, now - arrived_);
+  } else {
+    context_.metrics.Observe("zr_token_gap_seconds", ClassLabels(), now - last_part_);
+  }
+  last_part_ = now;
+  const size_t size = action.bytes.size();
+  unsent_bytes_ += size;
+  const uint64_t number = sink_number_;
+  sink_->Part(action.offset, action.bytes, [weak = weak_from_this(), size, number] {
+    auto self = weak.lock();
+    if (!self) return;
+    asio::post(self->strand_, [self, size, number] {
+      if (self->sink_number_ != number) return;
+      self->unsent_bytes_ -= std::min(size, self->unsent_bytes_);
+      const auto bound = static_cast<size_t>(self->context_.settings.stream_buffer_bytes);
+      if (self->blocked_ && self->unsent_bytes_ <= bound / 2) {
+        self->blocked_ = false;
+        self->Perform(self->machine_.OnCallerDrained(SteadyNow()));
+      }
+    });
+  });
+  if (!blocked_ && unsent_bytes_ > static_cast<size_t>(context_.settings.stream_buffer_bytes)) {
+    blocked_ = true;
+    Post([](TimePoint at, RequestMachine& machine) { return machine.OnCallerBlocked(at); });
+  }
+}
+
+void RequestHost::Do(const Finish& action) {
+  MetricLabels labels = ClassLabels();
+  labels.emplace_back("outcome", "completed");
+  context_.metrics.Count("zr_requests_total", labels);
+  sink_->Finish(action.total);
+}
+
+void RequestHost::Do(const Refuse& action) {
+  MetricLabels labels = ClassLabels();
+  labels.emplace_back("outcome", std::string(ToString(action.error.code)));
+  context_.metrics.Count("zr_requests_total", labels);
+  Log(LogLevel::kDebug, "request", action.error);
+  sink_->Refused(action);
+}
+
+void RequestHost::Do(const DropCaller& action) { sink_->Drop(action.error); }
+
+//==============================================================================
+// Shared state of other VMs
+
+void RequestHost::Do(const LocateStream& /*action*/) {
+  Post([](TimePoint now, RequestMachine& machine) { return machine.OnStreamNotFound(now, true); });
+}
+
+void RequestHost::Do(const ReportSuspect& /*action*/) {}
+
+void RequestHost::Do(const AskTurn& /*action*/) {
+  Post([](TimePoint now, RequestMachine& machine) {
+    return machine.OnTurn(now, TurnAnswer::kClear, Duration());
+  });
+}
+
+void RequestHost::Do(const ReturnTurn& /*action*/) {}
+
+void RequestHost::Do(const GatherRequest& action) {
+  Post([attempt = action.attempt](TimePoint now, RequestMachine& machine) {
+    return machine.OnGatherFailed(now, attempt, Duration::Seconds(1));
+  });
+}
+
+void RequestHost::Do(const CancelGather& /*action*/) {}
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_daemon/request/request_host.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "zr_daemon/node_context.h"
+#include "zr_daemon/request/answer_sink.h"
+#include "zr_daemon/request/upstream_call.h"
+#include "zr_request/zr_request.h"
+
+namespace zr {
+
+/** What is sent to an endpoint for a request. */
+struct UpstreamTemplate {
+  // Model calls.
+  std::string model;
+  std::string prompt;
+  // Calls of plain services.
+  std::string method = "POST";
+  std::string path;  // with query
+  HttpHeaders headers;
+  std::string body;
+};
+
+/**
+ * Runs the RequestMachine of one request on a strand and carries out its
+ * actions: messages, the upstream call and the answer to the caller.
+ */
+class RequestHost : public UpstreamCall::Listener,
+                    public std::enable_shared_from_this<RequestHost> {
+ public:
+  RequestHost(NodeContext& context, RequestOptions options, UpstreamTemplate upstream,
+              RetryBudget& budget, std::shared_ptr<AnswerSink> sink);
+  ~RequestHost() override;
+  RequestHost(const RequestHost&) = delete;
+  RequestHost& operator=(const RequestHost&) = delete;
+
+  //============================================================================
+  // Use; any thread
+
+  void Start();
+  /** Runs an event of the machine and carries out its actions. */
+  void Post(std::function<RequestActions(TimePoint, RequestMachine&)> event);
+  /** A grant that arrived from a VM. */
+  void OnGrant(Grant grant);
+  void OnRefusal(Refusal refusal);
+  /**
+   * Another call with the same id: its sink takes the answer over.
+   * @param refused  called on the strand if the call does not match this request
+   */
+  void Reattach(TeamId team, Fingerprint fingerprint, int64_t offset,
+                std::shared_ptr<AnswerSink> sink, std::function<void(Error)> refused);
+
+  const RequestId& id() const { return id_; }
+  const TeamId& team() const { return team_; }
+  /** Where the request runs, as of its last event. */
+  StreamLocation Location() const;
+
+ private:
+  // UpstreamCall::Listener
+  void OnUpstreamHeaders(AttemptNumber attempt, int status,
+                         const std::string& content_type) override;
+  void OnUpstreamPart(AttemptNumber attempt, const std::string& stream_id, int64_t offset,
+                      int64_t tokens, std::string text) override;
+  void OnUpstreamDone(AttemptNumber attempt, int64_t total) override;
+  void OnUpstreamFailed(AttemptNumber attempt, UpstreamFailure failure, int status) override;
+
+  void Perform(const RequestActions& actions);
+  void ScheduleWakeup();
+  void BindSink();
+
+  void Do(const SelectCandidates& action);
+  void Do(const SendToVm& action);
+  void Do(const StartUpstream& action);
+  void Do(const ResumeUpstream& action);
+  void Do(const DetachUpstream& action);
+  void Do(const CancelUpstream& action);
+  void Do(const PauseUpstream& action);
+  void Do(const LocateStream& action);
+  void Do(const EmitHead& action);
+  void Do(const Emit& action);
+  void Do(const Finish& action);
+  void Do(const Refuse& action);
+  void Do(const DropCaller& action);
+  void Do(const ReportSuspect& action);
+  void Do(const AskTurn& action);
+  void Do(const ReturnTurn& action);
+  void Do(const GatherRequest& action);
+  void Do(const CancelGather& action);
+
+  void OpenUpstream(const EndpointId& endpoint, AttemptNumber attempt, const std::string& stream_id,
+                    ClientRequest request, bool resume);
+  ClientRequest MakeModelRequest(const StartUpstream& action, const EndpointInfo& info) const;
+  ClientRequest MakeServiceRequest(const EndpointInfo& info) const;
+  bool IsModel() const { return pool_kind_ == PoolKind::kModel; }
+  void CloseUpstream();
+  MetricLabels ClassLabels() const;
+
+  NodeContext& context_;
+  const RequestId id_;
+  const TeamId team_;
+  const PoolKind pool_kind_;
+  Strand strand_;
+  asio::steady_timer wakeup_;
+  RequestMachine machine_;
+  UpstreamTemplate upstream_;
+  std::shared_ptr<AnswerSink> sink_;
+  uint64_t sink_number_ = 0;
+  std::shared_ptr<UpstreamCall> call_;
+  std::string content_type_;
+  size_t unsent_bytes_ = 0;  // handed to the sink and not yet sent
+  bool blocked_ = false;
+  bool removed_ = false;
+
+  TimePoint arrived_;
+  TimePoint asked_;
+  TimePoint last_part_;
+  bool first_part_seen_ = false;
+  EndpointId asked_endpoint_;
+  DomainId asked_domain_;
+
+  mutable std::mutex location_mutex_;
+  StreamLocation location_;
+};
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_daemon/request/route_selector.cc
@@ -0,0 +1,147 @@
+#include "zr_daemon/request/route_selector.h"
+
+#include <algorithm>
+
+#include "zr_daemon/endpoint/endpoint_table.h"
+
+namespace zr {
+namespace {
+
+// Assumed before a round trip to the domain was measured.
+constexpr Duration kDefaultRoundTrip = Duration::Milliseconds(1);
+
+OwnerLookup OwnersIn(const ClusterSnapshot& snapshot) {
+  return [&snapshot](const EndpointId& endpoint) -> std::optional<VmId> {
+    const EndpointInfo* info = snapshot.FindEndpoint(endpoint);
+    return info == nullptr ? std::nullopt : OwnerOf(*info, *snapshot.view);
+  };
+}
+
+}  // namespace
+
+RouteSelector::RouteSelector(NodeContext& context)
+    : context_(context),
+      selector_(Hash64(context.settings.vm.value(), context.incarnation.value())),
+      baseline_(Hash64(context.settings.vm.value(), context.incarnation.value() + 1)),
+      long_share_(context.settings.vm) {}
+
+void RouteSelector::OnSummary(const Summary& summary) {
+  std::lock_guard lock(mutex_);
+  summaries_.OnSummary(SteadyNow(), summary);
+}
+
+void RouteSelector::OnVmDied(const VmId& vm, Incarnation incarnation) {
+  std::lock_guard lock(mutex_);
+  summaries_.OnVmDied(vm, incarnation);
+  long_share_.OnVmGone(vm);
+}
+
+void RouteSelector::OnHeartbeat(const Heartbeat& heartbeat) {
+  std::lock_guard lock(mutex_);
+  long_share_.OnDemand(heartbeat.origin.vm, heartbeat.pool_demand);
+}
+
+void RouteSelector::ObserveRoundTrip(const DomainId& domain, Duration sample) {
+  std::lock_guard lock(mutex_);
+  auto [it, inserted] = round_trips_.try_emplace(domain, sample);
+  if (inserted) return;
+  // Follows decreases at once and increases slowly, since answers also wait.
+  it->second = sample < it->second ? sample : it->second + (sample - it->second) / 64;
+}
+
+void RouteSelector::OnOffered(const PoolId& pool, TokenCount tokens, bool long_prompt) {
+  std::lock_guard lock(mutex_);
+  long_share_.OnOffered(SteadyNow(), pool, tokens, long_prompt);
+}
+
+std::vector<PoolDemand> RouteSelector::OwnDemand() {
+  std::lock_guard lock(mutex_);
+  return long_share_.OwnDemand(SteadyNow());
+}
+
+Duration RouteSelector::RoundTripTo(const DomainId& domain) const {
+  if (domain == context_.settings.domain) return Duration();
+  auto it = round_trips_.find(domain);
+  return it == round_trips_.end() ? kDefaultRoundTrip : it->second;
+}
+
+std::vector<SelectionCandidate> RouteSelector::CollectCandidates(const PoolId& pool,
+                                                                 const ClusterSnapshot& snapshot,
+                                                                 TimePoint now) {
+  const bool baseline = context_.settings.routing_policy == RoutingPolicy::kBaseline;
+  std::vector<SelectionCandidate> candidates;
+  for (const SummaryCandidate& found : summaries_.Candidates(now, pool, OwnersIn(snapshot))) {
+    SelectionCandidate candidate;
+    candidate.summary = *found.summary;
+    candidate.round_trip = RoundTripTo(found.summary->domain);
+    if (baseline) {
+      auto host = context_.endpoints->Find(found.summary->endpoint);
+      if (host) candidate.load = host->LastLoad();
+    }
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+RouteChoice RouteSelector::Choose(const RequestOptions& request, const SelectCandidates& wanted) {
+  const TimePoint now = SteadyNow();
+  const auto snapshot = context_.cluster->Get();
+  SelectionQuery query;
+  query.pool = request.pool.pool;
+  query.prompt = request.prompt;
+  query.max_answer = request.max_answer;
+  query.long_prompt = request.prompt > request.pool.long_prompt;
+  query.plain_service = request.pool.kind == PoolKind::kService;
+  query.prefixes = request.prefixes;
+  query.excluded = wanted.excluded;
+  if (wanted.avoid_domain) query.avoided_domains.insert(*wanted.avoid_domain);
+  query.prefill_tokens_per_second = request.pool.prefill_tokens_per_second;
+
+  std::lock_guard lock(mutex_);
+  const auto candidates = CollectCandidates(query.pool, *snapshot, now);
+  query.long_endpoints =
+      long_share_.LongEndpoints(now, query.pool, static_cast<int64_t>(candidates.size()));
+  const bool baseline = context_.settings.routing_policy == RoutingPolicy::kBaseline;
+  const Selection selection =
+      baseline ? baseline_.Choose(candidates, query) : selector_.Choose(candidates, query);
+  RouteChoice choice;
+  for (const EndpointId& endpoint : selection) {
+    auto found = std::find_if(
+        candidates.begin(), candidates.end(),
+        [&endpoint](const auto& candidate) { return candidate.summary.endpoint == endpoint; });
+    const VmId owner = baseline ? context_.settings.vm : found->summary.owner;
+    choice.candidates.push_back({endpoint, found->summary.domain, owner});
+  }
+  if (choice.candidates.empty() && !query.plain_service) {
+    const TokenCount needed = request.prompt + request.max_answer;
+    const bool fits = std::any_of(candidates.begin(), candidates.end(),
+                                  [&](const auto& c) { return c.summary.kv_capacity >= needed; });
+    choice.gather = !fits && !candidates.empty();
+  }
+  return choice;
+}
+
+std::vector<GatherCandidate> RouteSelector::GatherCandidates(const PoolId& pool) {
+  const auto snapshot = context_.cluster->Get();
+  std::lock_guard lock(mutex_);
+  std::vector<GatherCandidate> out;
+  for (const auto& found : summaries_.Candidates(SteadyNow(), pool, OwnersIn(*snapshot))) {
+    const Summary& summary = *found.summary;
+    out.push_back({summary.endpoint, summary.owner, summary.kv_free, summary.kv_capacity,
+                   summary.accepts_new});
+  }
+  return out;
+}
+
+std::vector<Summary> RouteSelector::Summaries() {
+  const auto snapshot = context_.cluster->Get();
+  const auto owners = OwnersIn(*snapshot);
+  std::lock_guard lock(mutex_);
+  std::vector<Summary> out;
+  for (const auto& [endpoint, info] : *snapshot->endpoints) {
+    if (auto found = summaries_.Find(SteadyNow(), endpoint, owners)) out.push_back(*found->summary);
+  }
+  return out;
+}
+
+}  // namespace zr
--- a/modules/zr_http/server/http_types.cc
+++ b/modules/zr_http/server/http_types.cc
@@ -1,5 +1,6 @@
 #include "zr_http/server/http_types.h"
 
+#include <cctype>
 #include <charconv>
 
 namespace zr {
@@ -49,6 +50,22 @@
   return out;
 }
 
+std::string EscapePathSegment(std::string_view text) {
+  static constexpr char kHex[] = "0123456789ABCDEF";
+  std::string out;
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '.' || c == '~') {
+      out += c;
+    } else {
+      out += '%';
+      out += kHex[byte >> 4];
+      out += kHex[byte & 15];
+    }
+  }
+  return out;
+}
+
 std::vector<std::string> PathSegments(std::string_view path) {
   std::vector<std::string> segments;
   while (!path.empty()) {
--- a/modules/zr_http/server/http_types.h
+++ b/modules/zr_http/server/http_types.h
@@ -31,6 +31,9 @@
 /** Decodes percent-encoding; malformed sequences are kept as they are. */
 std::string PercentDecode(std::string_view text);
 
+/** Percent-encodes everything but letters, digits, '-', '_', '.' and '~'. */
+std::string EscapePathSegment(std::string_view text);
+
 /** Path split at '/', each part percent-decoded, empty parts left out. */
 std::vector<std::string> PathSegments(std::string_view path);
 
--- a/modules/zr_platform/object_store.cc
+++ b/modules/zr_platform/object_store.cc
@@ -77,23 +77,8 @@
   return reply;
 }
 
-std::string EscapeName(const std::string& name) {
-  static constexpr char kHex[] = "0123456789ABCDEF";
-  std::string out;
-  for (unsigned char c : name) {
-    if (std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' || c == '~') {
-      out += static_cast<char>(c);
-    } else {
-      out += '%';
-      out += kHex[c >> 4];
-      out += kHex[c & 15];
-    }
-  }
-  return out;
-}
-
 std::string ObjectPath(const std::string& kind, const std::string& name) {
-  return "/v1/objects/" + EscapeName(kind) + "/" + EscapeName(name);
+  return "/v1/objects/" + EscapePathSegment(kind) + "/" + EscapePathSegment(name);
 }
 
 }  // namespace
@@ -162,16 +147,17 @@
 void ObjectStore::List(StorePurpose purpose, const std::string& kind, const std::string& after,
                        int limit, Callback done) {
   ClientRequest request;
-  request.url = Url("/v1/objects/" + EscapeName(kind) + "?limit=" + std::to_string(limit) +
-                    "&after=" + EscapeName(after));
+  request.url = Url("/v1/objects/" + EscapePathSegment(kind) + "?limit=" + std::to_string(limit) +
+                    "&after=" + EscapePathSegment(after));
   Call(purpose, Access::kRead, std::move(request), std::move(done));
 }
 
 void ObjectStore::Watch(StorePurpose purpose, const std::string& kind, ObjectVersion after,
                         Duration wait, Callback done) {
   ClientRequest request;
-  request.url = Url("/v1/watch/" + EscapeName(kind) + "?after=" + std::to_string(after.value()) +
-                    "&timeout_ms=" + std::to_string(wait.milliseconds()));
+  request.url =
+      Url("/v1/watch/" + EscapePathSegment(kind) + "?after=" + std::to_string(after.value()) +
+          "&timeout_ms=" + std::to_string(wait.milliseconds()));
   request.total_timeout = wait + options_.request_timeout;
   Call(purpose, Access::kWatch, std::move(request), std::move(done));
 }
