Say when a document is already in place

Cause: a repeated apply or promote printed that the document was written. Change: the message names the version in place instead. Seen: zinniarillctl_test passes.

--- a/apps/zinniarillctl/commands.cc
+++ b/apps/zinniarillctl/commands.cc
@@ -200,6 +200,7 @@
     in_place.kind = WriteOutcome::Kind::kWritten;
     in_place.version = config->version;
     in_place.digest = config->digest;
+    in_place.message = "already in place as version " + std::to_string(config->version);
     return Finish(in_place);
   }
   return Finish(client_.PutConfig(options_.base_version.value_or(config->version), document));
@@ -216,8 +217,10 @@
   switch (outcome.kind) {
     case WriteOutcome::Kind::kWritten:
       if (options_.wait) return WaitUntilInForce(outcome.version, std::move(result));
-      Print(result, "written as version " + std::to_string(outcome.version) +
-                        "; use --wait to learn when it is in force\n");
+      Print(result,
+            (outcome.message.empty() ? "written as version " + std::to_string(outcome.version)
+                                     : outcome.message) +
+                "; use --wait to learn when it is in force\n");
       return ExitCode::kDone;
     case WriteOutcome::Kind::kConflict:
       if (options_.json) {
--- a/apps/zinniarillctl/operator_client.h
+++ b/apps/zinniarillctl/operator_client.h
@@ -32,7 +32,7 @@
   std::string digest;
   std::string author;
   std::string time;
-  std::string message;
+  std::string message;  // kFailed and kInvalid: why; kWritten: empty, or that nothing changed
 };
 
 /** The operator API of a daemon. */
--- a/apps/zinniarillctl/tests/commands_test.cc
+++ b/apps/zinniarillctl/tests/commands_test.cc
@@ -115,6 +115,7 @@
     SECTION("once, however often it is called") {
       CHECK(Run({"promote", "f"}) == ExitCode::kDone);
       CHECK(daemon.version == 8);
+      CHECK_THAT(out.str(), Catch::Contains("already in place as version 8"));
     }
   }
 }
