Close gaps of the confirmation rule that a randomised cluster run showed

Cause: a run of 6 to 13 VMs under virtual time with loss, pauses, restarts, partitions and store outages found ready VMs with a document older than an accepted one. Change: a peer with a newer version, or one that has restarted and not been ready since, confirms nothing; a VM that has listened for less than the memory of peers counts the platform's list, and without a list relies on peers that are ready now; the in-force report needs to know the members (by a list that names this VM, or by listening long enough), and counts leaving VMs neither among all nor among the silent ones. Conclusion: an accepted document is in force at once if all VMs were heard, and within 6 s otherwise.

--- a/modules/zr_membership/cluster_view.h
+++ b/modules/zr_membership/cluster_view.h
@@ -55,6 +55,12 @@
   TimePoint taken_at;
   /** Start of this process or end of its last pause; silence before it says nothing. */
   TimePoint listening_since;
+  bool has_list = false;  // a platform list that names this VM was received
+  /**
+   * Whether all VMs of the environment should be known: from a platform list,
+   * or by listening for as long as silent VMs are remembered.
+   */
+  bool members_known = false;
   std::map<VmId, VmView> live;    // includes the VM itself
   std::map<VmId, VmView> silent;  // remembered, not live
   /** Addresses to link to, from the platform list and from heartbeats; without self. */
--- a/modules/zr_membership/config_tracker.cc
+++ b/modules/zr_membership/config_tracker.cc
@@ -71,10 +71,17 @@
     if (vm.vm == options_.self) return;
     Peer& peer = peers_[vm.vm];
     peer.last_heard = vm.last_heard;
+    // A peer with a newer version contradicts the one in force.
+    if (vm.config_version <= version()) {
+      peer.confirmed_at = vm.last_heard;
+      if (vm.ready) peer.ready_at = vm.last_heard;
+    }
     peer.version = vm.config_version;
     peer.leaving = vm.leaving;
-    peer.ready = vm.ready;
     peer.was_ready |= vm.ready;
+    if (peer.incarnation != vm.incarnation) peer.confirms = false;
+    peer.incarnation = vm.incarnation;
+    peer.confirms |= vm.ready;
     LearnVersion(now, vm.config_version);
     if (current_ && vm.config_version == current_->version &&
         vm.config_digest != current_->digest && peer.conflict != vm.config_version) {
@@ -84,11 +91,10 @@
   };
   for (const auto& [id, vm] : view.live) take(vm);
   for (const auto& [id, vm] : view.silent) take(vm);
-  has_list_ = !view.listed.empty();
-  unheard_listed_.clear();
-  for (const auto& [id, domain] : view.listed) {
-    if (!peers_.contains(id)) unheard_listed_.push_back(id);
-  }
+  listening_since_ = view.listening_since;
+  has_list_ = view.has_list;
+  listed_.clear();
+  for (const auto& [id, domain] : view.listed) listed_.insert(id);
   NoteConfirmation(now);
 }
 
@@ -139,27 +145,45 @@
 
 /**
  * More than half of the last known peers were heard. Only peers that were once
- * ready count, so that VMs which start inside an isolated minority cannot make
- * it a majority. A VM that has been confirmed for less than the memory of
- * peers does not know all of them: it adds the platform's list, or without a
- * list hears only those that are ready (confirmed) themselves.
+ * ready are known ones, so that VMs which start inside an isolated minority
+ * cannot make it a majority; and a known peer confirms only if it was ready
+ * since its last start, because a restart loses the version. A VM that
+ * has been confirmed for less than the memory of peers does not know all of
+ * them and adds the platform's list.
  */
 bool ConfigTracker::PeersConfirm(TimePoint now) const {
   const bool young = !ever_confirmed_ || now - first_confirmed_ < options_.remember_for;
-  size_t known = young ? unheard_listed_.size() : 0;
+  if (young && !has_list_) return ReadyPeersConfirm(now);
+  size_t known = young ? listed_.size() : 0;
   size_t heard = 0;
   for (const auto& [id, peer] : peers_) {
     if (peer.leaving || !peer.was_ready) continue;
-    ++known;
-    const bool counts = !young || has_list_ || peer.ready;
-    if (counts && now - peer.last_heard <= options_.confirm_within &&
-        peer.last_heard >= not_before_) {
+    if (!young || !listed_.contains(id)) ++known;
+    if (peer.confirms && now - peer.confirmed_at <= options_.confirm_within &&
+        peer.confirmed_at >= not_before_) {
       ++heard;
     }
   }
   return heard * 2 > known;
 }
 
+/**
+ * For a VM that started while neither store nor list could be read. It may be
+ * inside a minority, whose VMs stop being ready within the confirmation time;
+ * so it listens for that long and then relies on peers that are ready now.
+ */
+bool ConfigTracker::ReadyPeersConfirm(TimePoint now) const {
+  if (now - listening_since_ < options_.confirm_within) return false;
+  size_t known = 0;
+  size_t ready = 0;
+  for (const auto& [id, peer] : peers_) {
+    if (peer.leaving) continue;
+    ++known;
+    if (now - peer.ready_at <= options_.ready_within && peer.ready_at >= not_before_) ++ready;
+  }
+  return ready * 2 > known;
+}
+
 void ConfigTracker::NoteConfirmation(TimePoint now) {
   if (!current_ || !Confirmed(now)) return;
   if (!ever_confirmed_) {
--- a/modules/zr_membership/config_tracker.h
+++ b/modules/zr_membership/config_tracker.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,8 @@
   std::function<Result<void>(const ConfigOffer&)> check;
   /** A confirmation by store or peers holds for this time. */
   Duration confirm_within = Duration::Seconds(6);
+  /** Age up to which a ready peer confirms a VM that cannot know all its peers yet. */
+  Duration ready_within = Duration::Seconds(1);
   /** A VM that knows of a newer version and lacks it for longer is not ready. */
   Duration lag_grace = Duration::Seconds(2);
   Duration fetch_retry = Duration::Milliseconds(500);
@@ -128,12 +131,17 @@
   uint64_t store_regressions() const { return store_regressions_; }
 
  private:
+  /** Before any time that a caller passes in. */
+  static constexpr TimePoint kNever = TimePoint() - Duration::Max();
   struct Peer {
     TimePoint last_heard;
+    TimePoint confirmed_at = kNever;  // last heard with a version that is not newer than this VM's
     ObjectVersion version;
     bool leaving = false;
-    bool ready = false;
-    bool was_ready = false;
+    TimePoint ready_at;      // as confirmed_at, and reported ready
+    bool was_ready = false;  // in any incarnation
+    Incarnation incarnation;
+    bool confirms = false;   // was ready in this incarnation
     ObjectVersion conflict;  // last version with another digest
   };
 
@@ -141,6 +149,7 @@
   void LearnVersion(TimePoint now, ObjectVersion version);
   bool StoreConfirms(TimePoint now) const;
   bool PeersConfirm(TimePoint now) const;
+  bool ReadyPeersConfirm(TimePoint now) const;
   bool Confirmed(TimePoint now) const { return StoreConfirms(now) || PeersConfirm(now); }
   void NoteConfirmation(TimePoint now);
   void PlanFetch(TimePoint now, std::vector<ConfigAction>& actions);
@@ -148,7 +157,8 @@
   ConfigTrackerOptions options_;
   std::shared_ptr<const ConfigOffer> current_;
   std::map<VmId, Peer> peers_;
-  std::vector<VmId> unheard_listed_;
+  TimePoint listening_since_;
+  std::set<VmId> listed_;  // members of the platform's list that do not leave
   bool has_list_ = false;
   bool store_heard_ = false;
   TimePoint store_asked_at_;
--- a/modules/zr_membership/in_force_report.cc
+++ b/modules/zr_membership/in_force_report.cc
@@ -15,13 +15,16 @@
 InForceReport MakeInForceReport(TimePoint now, ObjectVersion version, const std::string& digest,
                                 const ClusterView& view, Duration silence) {
   InForceReport report;
+  report.members_known = view.members_known;
   size_t total = 0;
   const auto add = [&](const VmId& id, TimePoint last_heard) {
     const bool silent = now - std::max(last_heard, view.listening_since) > silence;
     (silent ? report.silent : report.lagging).push_back(id);
   };
+  // Leaving VMs must have the version while they are live, but they are not
+  // counted, because silent VMs do not count them either when they confirm.
   for (const auto& [id, vm] : view.live) {
-    ++total;
+    if (!vm.leaving) ++total;
     if (!HasVersion(vm, version, digest)) add(id, vm.last_heard);
   }
   for (const auto& [id, vm] : view.silent) {
@@ -36,7 +39,7 @@
     add(id, view.listening_since);
   }
   const bool silent_are_fewer = report.silent.size() * 2 < total;
-  if (view.settled && report.lagging.empty() && silent_are_fewer) {
+  if (view.settled && view.members_known && report.lagging.empty() && silent_are_fewer) {
     report.state = InForceReport::State::kAccepted;
   }
   return report;
--- a/modules/zr_membership/in_force_report.h
+++ b/modules/zr_membership/in_force_report.h
@@ -17,7 +17,9 @@
   };
   State state = State::kWrittenNotInForceYet;
   std::vector<VmId> lagging;  // heard recently without the version, or with another digest
-  std::vector<VmId> silent;   // without the version when last heard, and silent for too long
+  /** False on a VM that started recently and has no platform list; never accepted then. */
+  bool members_known = true;
+  std::vector<VmId> silent;  // without the version when last heard, and silent for too long
   friend auto operator<=>(const InForceReport&, const InForceReport&) = default;
 };
 
@@ -26,7 +28,9 @@
  *
  * A silent VM stops taking calls once it has heard neither the store nor more
  * than half of its peers for `silence`. Silent VMs that are half or more of all
- * could confirm one another, so the version then is not accepted.
+ * could confirm one another, so the version then is not accepted. After an
+ * acceptance with silent VMs, those may still take calls for `silence`, because
+ * they may have heard peers that the operator's VM did not.
  *
  * @param silence  the time after which a VM without confirmation refuses calls
  */
--- a/modules/zr_membership/membership.cc
+++ b/modules/zr_membership/membership.cc
@@ -136,6 +136,8 @@
   for (const PlatformVm& entry : list) {
     if (!entry.vm.empty()) platform_[entry.vm] = entry;
   }
+  // A list that does not name this VM yet may lack other VMs as well.
+  has_list_ |= platform_.contains(options_.self);
   for (auto& [vm, member] : members_) ApplyMarks(member, events);
   Publish(now, true);
   return events;
@@ -185,6 +187,7 @@
     last_tick_ = now;
     settle_at_ = round_end;
     listening_since_ = now;
+    started_at_ = now;
     return;
   }
   if (now - last_tick_ <= options_.suspect_after) return;
@@ -282,6 +285,8 @@
   view->settled = settled_;
   view->taken_at = now;
   view->listening_since = listening_since_;
+  view->has_list = has_list_;
+  view->members_known = has_list_ || now - started_at_ >= options_.remember_for;
   for (const auto& [vm, entry] : platform_) {
     if (vm == options_.self) continue;
     if (!entry.address.empty()) view->candidates[vm] = entry.address;
--- a/modules/zr_membership/membership.h
+++ b/modules/zr_membership/membership.h
@@ -163,6 +163,8 @@
   TimePoint last_tick_;
   TimePoint settle_at_;
   TimePoint listening_since_;
+  TimePoint started_at_;
+  bool has_list_ = false;
   TimePoint next_heartbeat_;
   std::shared_ptr<const ClusterView> view_;
 };
--- a/modules/zr_membership/tests/config_tracker_test.cc
+++ b/modules/zr_membership/tests/config_tracker_test.cc
@@ -30,6 +30,7 @@
   ClusterView view;
   view.self = VmId("self");
   view.settled = true;
+  view.members_known = true;
   for (int i = 0; i < count; ++i) {
     VmView vm;
     vm.vm = VmId("p" + std::to_string(i));
@@ -145,7 +146,8 @@
     view = Peers(9, 5, At(20), At(10), 4);
     for (auto& [id, vm] : view.live) vm.config_version = ObjectVersion(5);
     REQUIRE(report(view).state == State::kAccepted);
-    view.silent[VmId("p9")].last_heard = At(10);
+    SECTION("one more is silent") { view.silent[VmId("p9")].last_heard = At(10); }
+    SECTION("one that was heard is leaving") { view.live[VmId("p0")].leaving = true; }
     REQUIRE(report(view).state == State::kWrittenNotInForceYet);
   }
   SECTION("a listed VM that was never heard counts") {
