--- a/modules/zr_records/operation_machine.h
+++ b/modules/zr_records/operation_machine.h
@@ -41,10 +41,11 @@
  *    dispatched by this very attempt, and from then on only this attempt
  *    changes the record.
  *  - An attempt that ends without a call writes kReleased over what it left.
- *    This fails its delayed claim or dispatch. If that cannot be done within
+ *    This fails its delayed create or dispatch. If that cannot be done within
  *    the background window, a delayed write may still leave the record claimed
  *    (which is claimed anew later) or dispatched (which is answered with "may
- *    have run"): the key is blocked, and nothing runs twice.
+ *    have run"): the key is blocked, and nothing runs twice. A delayed claim
+ *    of another attempt's claimed or released record is left alone.
  * A delayed create needs an absent object. It can follow the deletion of an
  * expired record, and leaves a claim, which permits no call by itself.
  */
@@ -135,7 +136,7 @@
   std::optional<ServiceOutcome> outcome_;
 
   bool write_sent_ = false;
-  bool write_unknown_ = false;  // a write with an unknown outcome may still take effect
+  bool write_unknown_ = false;  // some write had an unknown outcome; a create may still take effect
   bool called_ = false;
   bool service_refused_ = false;
   bool answered_ = false;
--- a/modules/zr_records/operation_machine_impl.h
+++ b/modules/zr_records/operation_machine_impl.h
@@ -81,8 +81,6 @@
   if (step_ != Step::kWriting || event.op != op_) return;
   if (event.status == WriteStatus::kOk ||
       (event.status == WriteStatus::kUnknown && !Rules::kRereadAfterUnknown)) {
-    // All our earlier writes were conditional on an older version and fail from now on.
-    write_unknown_ = false;
     version_ = event.version;
     record_ = std::move(writing_);
     known_ = true;
