--- a/modules/zr_records/operation_machine_impl.h
+++ b/modules/zr_records/operation_machine_impl.h
@@ -22,7 +22,7 @@
   actions_.clear();
   // The deadline goes first, so that a reply after it starts no call of the service.
   if (now >= call_.deadline && !std::holds_alternative<OpStart>(event)) On(OpDeadline{});
-  std::visit([this](const auto& e) { On(e); }, event);
+  std::visit([this](const auto& e) { this->On(e); }, event);
   const TimePoint wakeup = NextWakeup();
   if (wakeup != timer_ && wakeup != TimePoint::Max()) actions_.emplace_back(OpSetTimer{wakeup});
   timer_ = wakeup;
