--- /dev/null
+++ b/fuzz/run.sh
@@ -0,0 +1,37 @@
+#!/usr/bin/env bash
+# Builds the fuzz targets in build-fuzz and runs each of them.
+# Usage: fuzz/run.sh [SECONDS]
+#   Without SECONDS, each target does RUNS runs (default 200,000) from a fixed
+#   seed, so the result does not depend on the machine's speed. With SECONDS,
+#   each target searches for that long from SEED (default: a random one).
+# A failing input is kept in build-fuzz/failures.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+seconds="${1:-}"
+build=build-fuzz
+[ -f "$build/build.ninja" ] || cmake -S . -B "$build" -G Ninja -DZR_FUZZ=ON \
+  -DCMAKE_CXX_COMPILER=clang++-14 >/dev/null
+cmake --build "$build" -j "${JOBS:-$(nproc)}" --target fuzz_targets
+mkdir -p "$build/failures"
+if [ -n "$seconds" ]; then
+  limits=(-max_total_time="$seconds" -seed="${SEED:-0}")
+else
+  limits=(-runs="${RUNS:-200000}" -seed="${SEED:-1}")
+fi
+while read -r target; do
+  echo "fuzz: $target ${limits[*]}"
+  # New inputs go to a scratch folder, so that each run starts from the committed corpus.
+  found="$(mktemp -d)"
+  status=0
+  "$build/fuzz/$target" "${limits[@]}" -max_len=4096 -timeout=60 -rss_limit_mb=2048 \
+    -print_final_stats=1 -artifact_prefix="$build/failures/$target-" \
+    "$found" "fuzz/corpus/$target" >"$build/$target.log" 2>&1 || status=$?
+  rm -rf "$found"
+  if [ $status -ne 0 ]; then
+    tail -40 "$build/$target.log"
+    echo "fuzz: $target failed"
+    exit 1
+  fi
+  grep -E 'stat::number_of_executed_units|^#[0-9]+.*DONE' "$build/$target.log"
+done <"$build/fuzz/targets.txt"
+echo "fuzz: ok"
