Keep fresh endpoints within their capacity under two owners

A randomised run with two owners, restarts of the engine, pauses and lost messages found overruns: work counted by both owners, grants of an earlier boot renewed on a fresh one, streams of a third owner not counted, and an engine that restarts while it is idle. Completed work now counts once, take-overs wait for the engine's stream list, an idle engine's boot number is confirmed before it is loaded again, and grants are paced. Summary tells boot number and warmth, so that a successor of a warm endpoint need not ramp.

--- a/modules/zr_admission/admission_planner.cc
+++ b/modules/zr_admission/admission_planner.cc
@@ -7,17 +7,21 @@
 
 // Requests of the queue that are tried for a start; bounds the time of a plan.
 constexpr int kMaxExamined = 64;
+// A restart of the engine breaks its streams, which holders tell in about this
+// time. Until then no more than the start-up allowance may be granted at once.
+constexpr Duration kRestartNotice = Duration::Milliseconds(10);
 
 }  // namespace
 
 TokenCount AdmissionPlanner::FreeKv() const { return engine_.KvLimit() - grants_.reserved(); }
 
-int64_t AdmissionPlanner::FreeSlots() const {
+int64_t AdmissionPlanner::FreeSlots(TimePoint now) const {
   int64_t own = ramp_.OwnLimit() - grants_.OwnCount();
   const int64_t total = ramp_.TotalLimit() - grants_.size() - engine_.foreign_requests();
   if (engine_.taking_over()) {
     // What an earlier owner granted is not known yet, so only the start-up
-    // allowance may be added to it.
+    // allowance may be added to it, and only once the engine has told what runs.
+    if (policy_.kind == PoolKind::kModel && !engine_.ListedSinceTakeOver()) return 0;
     const TimePoint since = engine_.TakeOverSince();
     int64_t granted = 0;
     for (const auto& [key, entry] : grants_.entries()) {
@@ -25,6 +29,9 @@
     }
     own = std::min(own, ramp_.StartAllowance() - granted);
   }
+  if (policy_.kind == PoolKind::kModel) {
+    own = std::min(own, ramp_.StartAllowance() - grants_.GrantedSince(now - kRestartNotice));
+  }
   if (policy_.kind == PoolKind::kModel && !engine_.BootConfirmed()) {
     // The engine may have restarted unnoticed while nothing ran on it.
     own = std::min(own, ramp_.StartAllowance() - grants_.OwnCount());
@@ -32,8 +39,8 @@
   return std::min(own, total);
 }
 
-bool AdmissionPlanner::Fits(const QueuedRequest& item) const {
-  if (grants_.AnyRunAlone() || FreeSlots() < 1) return false;
+bool AdmissionPlanner::Fits(const QueuedRequest& item, TimePoint now) const {
+  if (grants_.AnyRunAlone() || FreeSlots(now) < 1) return false;
   if (item.request.run_alone &&
       (grants_.size() > 0 || engine_.foreign_requests() > 0 || engine_.taking_over())) {
     return false;
@@ -52,7 +59,7 @@
 }
 
 bool AdmissionPlanner::CanStart(const QueuedRequest& item, TimePoint now) const {
-  if (!Fits(item)) return false;
+  if (!Fits(item, now)) return false;
   const auto batch = static_cast<double>(WorkForecast::Batch(grants_) + 1);
   const Duration run = WorkForecast::RunTime(grants_, model_, item.demand, batch);
   if (now + run + EstimateMargin(run) > item.deadline) return false;
@@ -90,8 +97,10 @@
                                           TimePoint now) const {
   const QueuedRequest& candidate = *ahead.back();
   TimePoint begin = now;
-  int64_t slots = FreeSlots();
-  if ((engine_.taking_over() || !engine_.BootConfirmed()) && slots < 1) {
+  int64_t slots = FreeSlots(now);
+  const bool passing = engine_.taking_over() || !engine_.BootConfirmed() ||
+                       grants_.GrantedSince(now - kRestartNotice) > 0;
+  if (passing && slots < 1) {
     // These bounds are short-lived; afterwards the ramp's holds.
     begin = engine_.TakeOverEnd(now);
     slots = std::min(ramp_.OwnLimit() - grants_.OwnCount(),
@@ -135,7 +144,7 @@
   const bool alone_waits = std::any_of(order.begin(), order.end(), [](const QueuedRequest* item) {
     return item->request.run_alone;
   });
-  const CapacityTimeline timeline = MakeTimeline(now, FreeSlots());
+  const CapacityTimeline timeline = MakeTimeline(now, FreeSlots(now));
   int examined = 0;
   std::optional<Reservation> reservation;
   if (gather && now < gather->until) {
@@ -155,7 +164,7 @@
       continue;
     }
     if (reservation || can_start || now < item->ReserveAfter()) continue;
-    if (FreeKv() >= item->kv && FreeSlots() >= 1) continue;
+    if (FreeKv() >= item->kv && FreeSlots(now) >= 1) continue;
     const TimePoint start = timeline.PeekStart(item->kv);
     if (item->long_prompt && start > item->LatestStart() && !engine_.taking_over()) {
       plan.refusals.push_back(PlannedRefusal{item->key(), RefusalReason::kDeadline, start - now});
--- a/modules/zr_admission/admission_planner.h
+++ b/modules/zr_admission/admission_planner.h
@@ -53,10 +53,10 @@
   /** Memory that may still be reserved; may be negative after an import. */
   TokenCount FreeKv() const;
   /** Requests that may still be granted now; may be negative. */
-  int64_t FreeSlots() const;
+  int64_t FreeSlots(TimePoint now) const;
 
   /** True if memory, slots and prefill bounds allow the request beside the grants. */
-  bool Fits(const QueuedRequest& item) const;
+  bool Fits(const QueuedRequest& item, TimePoint now) const;
   /** True if the request can start now without itself or a grant becoming late. */
   bool CanStart(const QueuedRequest& item, TimePoint now) const;
 
--- a/modules/zr_admission/endpoint_owner.cc
+++ b/modules/zr_admission/endpoint_owner.cc
@@ -59,7 +59,10 @@
   Pump(now, actions);
   grants_.ForgetOld(now);
   engine_.NoteReserved(now, grants_.reserved(), grants_.size());
-  if (!engine_.BootConfirmed() && grants_.size() > 0) engine_.WantList();
+  // Current lists show another owner's streams sooner than load reports do,
+  // which matters while the endpoint may be fresh.
+  const bool watch = !engine_.BootConfirmed() || !ramp_.warm();
+  if (watch && (grants_.size() > 0 || !queue_.empty())) engine_.WantList();
   const bool cancelling = grants_.CountState(GrantState::kCancelling) > 0;
   if (reachable_ && engine_.TakeListRequest(now, cancelling)) {
     actions.emplace_back(RequestStreamList{});
@@ -161,7 +164,8 @@
   if (entry == nullptr) return false;
   const bool unused = entry->state == GrantState::kOffered ||
                       (entry->state == GrantState::kHeld && !entry->started);
-  if (unused && !entry->adopted && entry->holder == from && Accepting()) {
+  const bool same_boot = entry->boot == engine_.boot();
+  if (unused && same_boot && !entry->adopted && entry->holder == from && Accepting()) {
     // The first answer was lost. The holder has not started the call, so the
     // same grant may be offered again.
     entry->state = GrantState::kOffered;
@@ -252,7 +256,8 @@
   ZR_ASSERT_INVARIANT(kDrainedDomainIdle, !state_.drained, "a grant on a drained endpoint");
   ZR_ASSERT_INVARIANT(kLeavingEndpointIdle, !state_.leaving && !engine_leaving_,
                       "a grant on a leaving endpoint");
-  ZR_ASSERT_INVARIANT(kFreshNotOverrun, planner_.FreeSlots() >= 1, "a grant beyond the allowance");
+  ZR_ASSERT_INVARIANT(kFreshNotOverrun, planner_.FreeSlots(now) >= 1,
+                      "a grant beyond the allowance");
   ZR_ASSERT_INVARIANT(kNoKvLeak, entry.plain || planner_.FreeKv() >= entry.kv,
                       "a grant beyond the memory");
   SendGrant(grants_.Add(std::move(entry)), actions);
--- a/modules/zr_admission/endpoint_owner.h
+++ b/modules/zr_admission/endpoint_owner.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 #include "zr_admission/admission_planner.h"
 #include "zr_admission/admission_queue.h"
@@ -110,10 +111,12 @@
   void ObserveCompleted(const GrantEntry& entry, const Release& release);
   void ReplyGather(const VmId& to, const GatherReserve& reserve, const GrantEntry* entry,
                    Duration wait_hint, OwnerActions& actions) const;
-  /** Reports the calls in progress as suspects of an endpoint's death. */
-  void ReportInProgress(BootNumber boot, OwnerActions& actions) const;
-  /** The engine started again: what ran on it ended and is suspect. */
-  void OnEngineDeath(TimePoint now, BootNumber boot, OwnerActions& actions);
+  /** Reports a call as one that was in progress when the endpoint died. */
+  void ReportSuspect(const GrantEntry& entry, OwnerActions& actions) const;
+  /** The engine started again; what ended with it is known from the next list. */
+  void OnNewBoot();
+  /** Ends the grants of earlier boots that a list of the present boot lacks. */
+  void EndOldBoots(TimePoint now, OwnerActions& actions);
   /** Compares the reported speed with the expected one. */
   void ObserveSpeed(TimePoint now, const EngineLoad& load);
 
@@ -130,6 +133,7 @@
   AdmissionPlanner planner_;
   std::optional<WantedGather> wanted_gather_;
   std::map<VmId, SenderStamp> last_list_;  // newest list of each holder
+  std::set<VmId> gone_vms_;                // reported dead and not heard since
   GrantNumber last_grant_;
   uint64_t summary_sequence_ = 0;
   TimePoint advanced_to_;
--- a/modules/zr_admission/endpoint_owner_engine.cc
+++ b/modules/zr_admission/endpoint_owner_engine.cc
@@ -11,6 +11,8 @@
 // The typical short request for which a summary tells the wait.
 constexpr TokenCount kShortPrompt{1'024};
 constexpr TokenCount kShortAnswer{256};
+// Interval of checks while requests wait.
+constexpr Duration kQueueCheck = Duration::Milliseconds(20);
 // Told as the wait when there is no estimate.
 constexpr Duration kUnknownWait = Duration::Seconds(60);
 
@@ -21,18 +23,13 @@
 
 OwnerActions EndpointOwner::OnLoadReport(TimePoint now, const EngineLoad& load) {
   Advance(now);
-  OwnerActions actions;
-  const BootNumber before = engine_.boot();
-  const bool known = engine_.has_load() || !grants_.entries().empty();
   const EngineReconciler::ReportKind kind = engine_.OnLoad(now, load);
-  if (kind == EngineReconciler::ReportKind::kStale) return Finish(now, std::move(actions));
-  if (kind == EngineReconciler::ReportKind::kNewBoot && known) {
-    OnEngineDeath(now, before, actions);
-  }
+  if (kind == EngineReconciler::ReportKind::kStale) return Finish(now, {});
+  if (kind == EngineReconciler::ReportKind::kNewBoot) OnNewBoot();
   reachable_ = true;
   engine_leaving_ = load.leaving;
   ObserveSpeed(now, load);
-  return Finish(now, std::move(actions));
+  return Finish(now, {});
 }
 
 void EndpointOwner::ObserveSpeed(TimePoint now, const EngineLoad& load) {
@@ -55,17 +52,14 @@
 OwnerActions EndpointOwner::OnStreamList(TimePoint now, const EngineStreams& list) {
   Advance(now);
   OwnerActions actions;
-  const BootNumber before = engine_.boot();
-  const bool known = engine_.has_load() || !grants_.entries().empty();
   const EngineReconciler::ReportKind kind = engine_.OnListHeader(now, list);
   if (kind == EngineReconciler::ReportKind::kStale) return Finish(now, std::move(actions));
-  if (kind == EngineReconciler::ReportKind::kNewBoot && known) {
-    OnEngineDeath(now, before, actions);
-  }
+  if (kind == EngineReconciler::ReportKind::kNewBoot) OnNewBoot();
   std::vector<StreamKey> ended;
   for (CancelEngineStream& cancel : engine_.OnList(now, list, grants_, &ended)) {
     actions.emplace_back(std::move(cancel));
   }
+  EndOldBoots(now, actions);
   for (const StreamKey& key : ended) grants_.Remove(key, now);
   return Finish(now, std::move(actions));
 }
@@ -86,34 +80,45 @@
   return Finish(now, {});
 }
 
-void EndpointOwner::ReportInProgress(BootNumber boot, OwnerActions& actions) const {
-  ReportSuspects report;
-  for (const auto& [key, entry] : grants_.entries()) {
-    // Listed as not started by its holder: it was not running.
-    const bool unused = entry.state == GrantState::kHeld && !entry.ever_started;
-    if (entry.fingerprint == Fingerprint() || unused) continue;
-    report.suspects.push_back(
-        Suspect{entry.fingerprint, options_.endpoint.endpoint, boot, Duration()});
+void EndpointOwner::ReportSuspect(const GrantEntry& entry, OwnerActions& actions) const {
+  // Listed as not started by its holder: it was not running.
+  const bool unused = entry.state == GrantState::kHeld && !entry.ever_started;
+  if (entry.fingerprint == Fingerprint() || unused) return;
+  const Suspect suspect{entry.fingerprint, options_.endpoint.endpoint, entry.boot, Duration()};
+  for (OwnerAction& action : actions) {
+    auto* report = std::get_if<ReportSuspects>(&action);
+    if (report == nullptr) continue;
+    const auto& known = report->suspects;
+    if (std::find(known.begin(), known.end(), suspect) == known.end()) {
+      report->suspects.push_back(suspect);
+    }
+    return;
   }
-  std::sort(report.suspects.begin(), report.suspects.end());
-  report.suspects.erase(std::unique(report.suspects.begin(), report.suspects.end()),
-                        report.suspects.end());
-  if (!report.suspects.empty()) actions.emplace_back(std::move(report));
+  actions.emplace_back(ReportSuspects{{suspect}});
 }
 
-void EndpointOwner::OnEngineDeath(TimePoint now, BootNumber boot, OwnerActions& actions) {
-  ReportInProgress(boot, actions);
+void EndpointOwner::OnNewBoot() {
+  ramp_.Reset();
+  const std::optional<Summary>& previous = options_.previous;
+  if (previous && previous->warm && previous->boot == engine_.boot()) ramp_.SetWarm();
+  options_.previous.reset();
+  prefixes_.Clear();
+  engine_.WantList();
+}
+
+void EndpointOwner::EndOldBoots(TimePoint now, OwnerActions& actions) {
   std::vector<StreamKey> ended;
   for (const auto& [key, entry] : grants_.entries()) {
-    // A grant that is not known to have started may be used on the next boot,
-    // so its memory stays reserved until it is released or expires.
-    const bool unused =
-        !entry.ever_started && !entry.broken && entry.state != GrantState::kCancelling;
-    if (!unused) ended.push_back(key);
+    // Entries that the list names carry the present boot number by now.
+    if (entry.boot == BootNumber() || entry.boot == engine_.boot()) continue;
+    // A grant that is not known to have started may be used on the present
+    // boot, so its memory stays reserved until it is released or expires.
+    const bool ran = entry.ever_started || entry.broken || entry.state == GrantState::kCancelling;
+    if (!ran) continue;
+    ReportSuspect(entry, actions);
+    ended.push_back(key);
   }
   for (const StreamKey& key : ended) grants_.Remove(key, now);
-  ramp_.Reset();
-  prefixes_.Clear();
 }
 
 OwnerActions EndpointOwner::OnEndpointUnreachable(TimePoint now) {
@@ -123,7 +128,7 @@
     // The grants stay until a new boot number shows that they ended: the
     // endpoint may only be out of this VM's reach.
     reachable_ = false;
-    ReportInProgress(engine_.boot(), actions);
+    for (const auto& [key, entry] : grants_.entries()) ReportSuspect(entry, actions);
   }
   return Finish(now, std::move(actions));
 }
@@ -134,6 +139,7 @@
 OwnerActions EndpointOwner::OnVmDead(TimePoint now, const VmId& vm) {
   Advance(now);
   OwnerActions actions;
+  gone_vms_.insert(vm);
   std::vector<StreamKey> waiting;
   for (const auto& [key, item] : queue_.items()) {
     if (item.from == vm) waiting.push_back(key);
@@ -198,8 +204,8 @@
          {item.give_up, item.ReserveAfter(), item.UrgentAfter(), item.LatestStart()}) {
       if (at > advanced_to_) next = std::min(next, at);
     }
-    // Past its latest start a request is checked often, until it is refused.
-    next = std::min(next, advanced_to_ + Duration::Milliseconds(50));
+    // Bounds that pass soon, such as the pace of grants, are checked often.
+    next = std::min(next, advanced_to_ + kQueueCheck);
   }
   return next;
 }
@@ -233,6 +239,8 @@
   summary.wait_long = wait(options_.policies.pool.long_prompt + TokenCount(1));
   summary.prefixes = prefixes_.Sample(kSummaryPrefixes);
   summary.prefill_tokens_per_second = static_cast<int64_t>(model_.PrefillSpeed());
+  summary.boot = engine_.boot();
+  summary.warm = ramp_.warm() && engine_.has_load();
   return summary;
 }
 
--- a/modules/zr_admission/endpoint_owner_grants.cc
+++ b/modules/zr_admission/endpoint_owner_grants.cc
@@ -64,6 +64,12 @@
       break;
     case ReleaseOutcome::kEndpointDied:
       entry->broken = true;
+      if (entry->boot != BootNumber() && entry->boot != engine_.boot()) {
+        // The engine is known to have restarted since; the call ended with it.
+        ReportSuspect(*entry, actions);
+        grants_.Remove(key, now);
+        break;
+      }
       if (entry->plain) {
         grants_.Remove(key, now);
       } else {
@@ -77,7 +83,11 @@
 }
 
 void EndpointOwner::ObserveCompleted(const GrantEntry& entry, const Release& release) {
-  ramp_.OnCompleted();
+  // The owner that issued a grant counts it as well, if it still lives; counted
+  // twice, the work of one fresh endpoint would let two owners grow too fast.
+  if (!entry.adopted || entry.owner == options_.self || gone_vms_.contains(entry.owner)) {
+    ramp_.OnCompleted();
+  }
   if (entry.plain) {
     model_.ObservePlainCall(entry.request_class, release.run_time);
     return;
@@ -111,6 +121,7 @@
     return Finish(now, std::move(actions));
   }
   last = list.holder;
+  gone_vms_.erase(list.holder.vm);
   for (const HeldGrant& held : list.grants) ApplyHeld(now, list.holder.vm, held, actions);
   return Finish(now, std::move(actions));
 }
@@ -135,6 +146,12 @@
     entry->expires = now + options_.policies.pool.unclaimed_window + kCancelSlack;
     return;
   }
+  if (entry->number != held.number || entry->owner != held.owner) {
+    // The holder uses the grant that another owner gave for the same attempt.
+    grants_.Remove(key, now);
+    Adopt(now, holder, held);
+    return;
+  }
   if (entry->state == GrantState::kGathered) {
     entry->prefill_left = entry->uncached = static_cast<double>(entry->kv.value());
   }
@@ -149,6 +166,8 @@
 void EndpointOwner::Adopt(TimePoint now, const VmId& holder, const HeldGrant& held) {
   GrantEntry entry;
   entry.key = StreamKey{held.request, held.attempt};
+  // Another owner granted what waits here; it must not run twice.
+  queue_.Remove(entry.key);
   entry.state = GrantState::kHeld;
   entry.holder = holder;
   entry.owner = held.owner;
@@ -168,6 +187,7 @@
       static_cast<double>(std::clamp(held.prompt, TokenCount(0), entry.kv).value());
   entry.expected_answer = entry.answer_left =
       static_cast<double>(entry.kv.value()) - entry.uncached;
+  engine_.OnClaimed(MakeStreamId(held.request, held.attempt));
   grants_.Add(std::move(entry));
   ramp_.SetDemonstrated(grants_.AdoptedCount());
 }
@@ -190,8 +210,8 @@
   }
   const bool open = Accepting() && !engine_.in_doubt() && !engine_.taking_over() &&
                     engine_.has_load() && !grants_.AnyRunAlone() &&
-                    reserve.kv_tokens > TokenCount(0);
-  if (open && planner_.FreeSlots() >= 1 && planner_.FreeKv() >= reserve.kv_tokens) {
+                    reserve.kv_tokens > TokenCount(0) && queue_.Find(key) == nullptr;
+  if (open && planner_.FreeSlots(now) >= 1 && planner_.FreeKv() >= reserve.kv_tokens) {
     last_grant_ = last_grant_.Next();
     GrantEntry entry;
     entry.key = key;
--- a/modules/zr_admission/engine_reconciler.cc
+++ b/modules/zr_admission/engine_reconciler.cc
@@ -144,6 +144,7 @@
                                                          std::vector<StreamKey>* ended) {
   const TimePoint as_of = list_requested_;
   list_outstanding_ = false;
+  list_as_of_ = as_of;
   std::vector<CancelEngineStream> cancels;
   std::map<std::string, Unclaimed> unclaimed;
   std::vector<StreamKey> present;
@@ -152,6 +153,7 @@
     GrantEntry* grant = key ? grants.Find(*key) : nullptr;
     if (grant != nullptr) {
       present.push_back(*key);
+      grant->boot = list.boot;
       if (grant->state == GrantState::kCancelling && now - grant->cancelled_at >= kCancelInterval) {
         grant->cancelled_at = now;
         ++grant->cancels;
--- a/modules/zr_admission/engine_reconciler.h
+++ b/modules/zr_admission/engine_reconciler.h
@@ -32,6 +32,8 @@
   /** Ends the take-over once its conditions hold; returns whether it lasts. */
   bool TakingOver(TimePoint now);
   bool taking_over() const { return take_over_since_.has_value(); }
+  /** True if the engine listed its streams since the take-over began. */
+  bool ListedSinceTakeOver() const { return !take_over_since_ || list_as_of_ >= *take_over_since_; }
   /** Start of the take-over; TimePoint::Max() if there is none. */
   TimePoint TakeOverSince() const { return take_over_since_.value_or(TimePoint::Max()); }
   /** Expected end of the take-over; `now` if there is none. */
@@ -89,6 +91,8 @@
   // ---------------------------------------------------------------------------
   // Stream lists
 
+  /** A holder claims a stream that was listed as unclaimed. */
+  void OnClaimed(const std::string& stream_id) { unclaimed_.erase(stream_id); }
   /** Asks for a list at the next opportunity. */
   void WantList() { want_list_ = true; }
   /** True if a list must be requested now; notes it as requested. */
@@ -136,6 +140,7 @@
   bool list_outstanding_ = false;
   bool list_ever_requested_ = false;
   TimePoint list_requested_;
+  TimePoint list_as_of_;  // time of the request that the newest list answers
   uint64_t foreign_cancelled_ = 0;
 };
 
--- a/modules/zr_admission/grant_table.cc
+++ b/modules/zr_admission/grant_table.cc
@@ -55,6 +55,12 @@
                        [state](const auto& item) { return item.second.state == state; });
 }
 
+int64_t GrantTable::GrantedSince(TimePoint time) const {
+  return std::count_if(entries_.begin(), entries_.end(), [time](const auto& item) {
+    return !item.second.adopted && item.second.granted > time;
+  });
+}
+
 TimePoint GrantTable::NextExpiry() const {
   TimePoint next = TimePoint::Max();
   for (const auto& [key, entry] : entries_) next = std::min(next, entry.expires);
--- a/modules/zr_admission/grant_table.h
+++ b/modules/zr_admission/grant_table.h
@@ -83,6 +83,8 @@
   /** Entries that this owner granted itself. */
   int64_t OwnCount() const { return size() - adopted_; }
   int64_t AdoptedCount() const { return adopted_; }
+  /** Entries that this owner granted after the given time. */
+  int64_t GrantedSince(TimePoint time) const;
   bool AnyRunAlone() const { return run_alone_ > 0; }
   int64_t CountState(GrantState state) const;
   /** The earliest expiry, TimePoint::Max() if empty. */
--- a/modules/zr_admission/owner_types.h
+++ b/modules/zr_admission/owner_types.h
@@ -42,6 +42,10 @@
   // Numbers of grants start after this; a second owner object of the same
   // incarnation must not reuse numbers of the first.
   GrantNumber last_grant;
+  // The newest summary of the endpoint's previous owner, if one is known. An
+  // endpoint that it calls warm, and that has not restarted since, needs no
+  // slow start again.
+  std::optional<Summary> previous;
 };
 
 /** What the configuration and the VM list say about an endpoint. */
--- a/modules/zr_admission/slow_start.cc
+++ b/modules/zr_admission/slow_start.cc
@@ -53,7 +53,8 @@
 
 int64_t SlowStart::TotalLimit() const {
   if (warm()) return max_;
-  return std::min(max_, std::max(fresh_ + Growth(), demonstrated_));
+  // A count that a fresh endpoint bears as well says nothing.
+  return std::min(max_, std::max(OwnLimit(), demonstrated_ > fresh_ ? demonstrated_ : 0));
 }
 
 int64_t SlowStart::PrefillLimit() const {
--- a/modules/zr_admission/slow_start.h
+++ b/modules/zr_admission/slow_start.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 
 #include "zr_base/zr_base.h"
@@ -32,12 +33,17 @@
   bool OnSpeed(double ratio);
   /** Requests that a previous owner's grants show the endpoint to bear. */
   void SetDemonstrated(int64_t requests) { demonstrated_ = requests; }
+  /** The endpoint is known to be warm. */
+  void SetWarm() { completed_ = std::max(completed_, warm_after_); }
 
   /** Start-up allowance A: half of what a fresh endpoint bears, at least 1. */
   int64_t StartAllowance() const;
   /** Concurrent requests that this owner may have granted. */
   int64_t OwnLimit() const;
-  /** Concurrent requests of all owners together. */
+  /**
+   * Concurrent requests, those of others included. Another owner may add its
+   * own limit at the same moment, so the two of them must fit.
+   */
   int64_t TotalLimit() const;
   /** Prompt tokens in prefill at once; a single larger prompt may go alone. */
   int64_t PrefillLimit() const;
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -31,7 +31,8 @@
 template <typename A>
 void Fields(A& a, Summary& m) {
   a(m.endpoint, m.pool, m.domain, m.owner, m.owner_incarnation, m.sequence, m.accepts_new,
-    m.kv_free, m.kv_capacity, m.wait_short, m.wait_long, m.prefixes, m.prefill_tokens_per_second);
+    m.kv_free, m.kv_capacity, m.wait_short, m.wait_long, m.prefixes, m.prefill_tokens_per_second,
+    m.boot, m.warm);
 }
 template <typename A>
 void Fields(A& a, AdmissionRequest& m) {
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -65,6 +65,8 @@
   Duration wait_long;   // expected wait of a long prompt
   std::vector<PrefixHash> prefixes;
   int64_t prefill_tokens_per_second = 0;  // as observed, 0 if unknown
+  BootNumber boot;                        // of the endpoint
+  bool warm = false;                      // the endpoint completed enough work since this boot
   friend auto operator<=>(const Summary&, const Summary&) = default;
 };
 
