Model prefill by priority and bound the work granted ahead

Short requests waited in the engine behind each other, and long prompts were starved there: the forecast let all prompts share the prefill speed. It now follows priorities, as engines do, and short prompts are granted only while little prefill is in progress, so that the queue of the owner orders them. Still open: at twice the capacity 4 of 11,290 admitted short requests and 21 of 143 long ones finish late.

--- a/modules/zr_admission/admission_planner.cc
+++ b/modules/zr_admission/admission_planner.cc
@@ -1,12 +1,16 @@
 #include "zr_admission/admission_planner.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace zr {
 namespace {
 
 // Requests of the queue that are tried for a start; bounds the time of a plan.
 constexpr int kMaxExamined = 64;
+// Prefill work that is granted ahead to keep the engine busy. More would wait
+// in the engine, where no class, team or deadline orders it.
+constexpr double kPrefillAheadSeconds = 0.25;
 // A restart of the engine breaks its streams, which holders tell in about this
 // time. Until then no more than the start-up allowance may be granted at once.
 constexpr Duration kRestartNotice = Duration::Milliseconds(10);
@@ -47,15 +51,18 @@
   }
   if (item.request.plain_service) return true;
   if (!engine_.has_load() || FreeKv() < item.kv) return false;
-  const double prefill = WorkForecast::PrefillInProgress(grants_, false);
   const auto added = static_cast<double>(item.uncached.value());
-  if (!ramp_.warm() && prefill > 0 && prefill + added > static_cast<double>(ramp_.PrefillLimit())) {
-    return false;
+  if (!ramp_.warm()) {
+    const int32_t lowest = std::numeric_limits<int32_t>::min();
+    const double all = WorkForecast::PrefillInProgress(grants_, lowest);
+    if (all > 0 && all + added > static_cast<double>(ramp_.PrefillLimit())) return false;
+  }
+  if (item.long_prompt) {
+    const double in_progress = WorkForecast::LongPrefillInProgress(grants_);
+    return in_progress <= 0 ||
+           in_progress + added <= static_cast<double>(policy_.long_prefill_limit.value());
   }
-  if (!item.long_prompt) return true;
-  const double long_prefill = WorkForecast::PrefillInProgress(grants_, true);
-  return long_prefill <= 0 ||
-         long_prefill + added <= static_cast<double>(policy_.long_prefill_limit.value());
+  return WorkForecast::PrefillInProgress(grants_, item.priority) <= PrefillAhead();
 }
 
 bool AdmissionPlanner::CanStart(const QueuedRequest& item, TimePoint now) const {
@@ -66,6 +73,10 @@
   return !WorkForecast::WouldDelayPastDeadline(grants_, model_, item.demand, now);
 }
 
+double AdmissionPlanner::PrefillAhead() const {
+  return kPrefillAheadSeconds * model_.PrefillSpeed();
+}
+
 double AdmissionPlanner::UsualBatch() const {
   const int64_t waiting = static_cast<int64_t>(queue_.size()) + 1;
   const int64_t batch = WorkForecast::Batch(grants_);
@@ -77,7 +88,7 @@
   const auto batch = static_cast<double>(std::max<int64_t>(1, WorkForecast::Batch(grants_)));
   Duration longest;
   for (const auto& [key, entry] : grants_.entries()) {
-    longest = std::max(longest, WorkForecast::Remaining(grants_, model_, entry, batch, 0));
+    longest = std::max(longest, WorkForecast::Remaining(grants_, model_, entry, batch, nullptr));
   }
   return longest;
 }
@@ -86,7 +97,7 @@
   CapacityTimeline timeline(now, FreeKv(), free_slots);
   const auto batch = static_cast<double>(std::max<int64_t>(1, WorkForecast::Batch(grants_)));
   for (const auto& [key, entry] : grants_.entries()) {
-    const Duration left = WorkForecast::Remaining(grants_, model_, entry, batch, 0);
+    const Duration left = WorkForecast::Remaining(grants_, model_, entry, batch, nullptr);
     const TimePoint end = entry.state == GrantState::kCancelling ? entry.expires : now + left;
     timeline.AddRunning(end, entry.kv);
   }
@@ -108,13 +119,25 @@
   }
   if (grants_.AnyRunAlone()) begin = std::max(begin, now + DrainTime());
   CapacityTimeline timeline = MakeTimeline(begin, slots);
+  double prefill = candidate.long_prompt
+                       ? WorkForecast::LongPrefillInProgress(grants_)
+                       : WorkForecast::PrefillInProgress(grants_, candidate.priority);
   for (const QueuedRequest* item : ahead) {
     if (item == &candidate) break;
     // A long prompt for which nothing is reserved yet does not hold others up.
     if (item->long_prompt && !candidate.long_prompt && now < item->ReserveAfter()) continue;
     timeline.Place(item->kv, item->run_time);
+    if (item->long_prompt == candidate.long_prompt) prefill += item->demand.prefill;
   }
-  return timeline.PeekStart(candidate.kv);
+  const TimePoint start = timeline.PeekStart(candidate.kv);
+  if (start == TimePoint::Max() || candidate.request.plain_service) return start;
+  // The prefill speed bounds the start as memory and slots do.
+  const double bound = candidate.long_prompt
+                           ? static_cast<double>(policy_.long_prefill_limit.value())
+                           : PrefillAhead();
+  const double wait = (prefill - bound) / model_.PrefillSpeed();
+  if (wait <= 0) return start;
+  return std::max(start, now + Duration::Microseconds(static_cast<int64_t>(wait * 1e6)));
 }
 
 std::optional<PlannedRefusal> AdmissionPlanner::RefusalDue(const QueuedRequest& item,
--- a/modules/zr_admission/admission_planner.h
+++ b/modules/zr_admission/admission_planner.h
@@ -73,6 +73,8 @@
 
   /** Time until all present grants have ended. */
   Duration DrainTime() const;
+  /** Prompt tokens that may be in prefill before another short prompt is granted. */
+  double PrefillAhead() const;
   /** Batch size to expect when a request starts now or later. */
   double UsualBatch() const;
 
--- a/modules/zr_admission/endpoint_owner.cc
+++ b/modules/zr_admission/endpoint_owner.cc
@@ -100,6 +100,7 @@
   // Engines honour priorities, so within a class short prompts overtake long
   // ones in the engine as well.
   item.priority = item.priority * 2 + (item.long_prompt ? 0 : 1);
+  item.demand.priority = item.priority;
   if (request.plain_service) {
     item.demand.plain_seconds = model_.PlainTime(request.request_class).seconds();
     item.run_time = model_.PlainTime(request.request_class);
--- a/modules/zr_admission/endpoint_owner_engine.cc
+++ b/modules/zr_admission/endpoint_owner_engine.cc
@@ -233,7 +233,11 @@
     typical.time_left = kUnknownWait;
     const QueuedRequest item = MakeQueued(now, options_.self, typical);
     const TimePoint start = planner_.ExpectedStart(queue_.OrderedUpTo(item, now), now);
-    return start == TimePoint::Max() ? kUnknownWait : std::min(kUnknownWait, start - now);
+    if (start == TimePoint::Max()) return kUnknownWait;
+    // Prompts in prefill delay the first token as a queue would.
+    const Duration beside = WorkForecast::RunTime(grants_, model_, item.demand, 1) -
+                            WorkForecast::RunTimeAlone(model_, item.demand);
+    return std::min(kUnknownWait, start - now + beside);
   };
   summary.wait_short = wait(kShortPrompt);
   summary.wait_long = wait(options_.policies.pool.long_prompt + TokenCount(1));
--- a/modules/zr_admission/endpoint_owner_grants.cc
+++ b/modules/zr_admission/endpoint_owner_grants.cc
@@ -85,9 +85,9 @@
 void EndpointOwner::ObserveCompleted(const GrantEntry& entry, const Release& release) {
   // The owner that issued a grant counts it as well, if it still lives; counted
   // twice, the work of one fresh endpoint would let two owners grow too fast.
-  if (!entry.adopted || entry.owner == options_.self || gone_vms_.contains(entry.owner)) {
-    ramp_.OnCompleted();
-  }
+  const bool counted_once =
+      !entry.adopted || entry.owner == options_.self || gone_vms_.contains(entry.owner);
+  if (counted_once && entry.boot == engine_.boot()) ramp_.OnCompleted();
   if (entry.plain) {
     model_.ObservePlainCall(entry.request_class, release.run_time);
     return;
@@ -96,10 +96,8 @@
   if (entry.adopted) return;
   ServiceTimeModel::Observation seen;
   seen.request_class = entry.request_class;
-  seen.prefill_tokens = entry.uncached;
-  if (entry.prefill_seconds > 0) {
-    seen.prefill_sharing = entry.prefill_share_seconds / entry.prefill_seconds;
-  }
+  // If the call ended before its estimated prefill did, the rest counts as well.
+  seen.prefill_seconds = entry.prefill_seconds + entry.prefill_left / model_.PrefillSpeed();
   seen.answered = static_cast<double>(release.answered.value());
   seen.max_answer = static_cast<double>(entry.max_answer.value());
   const double run = release.run_time.seconds();
--- a/modules/zr_admission/grant_table.h
+++ b/modules/zr_admission/grant_table.h
@@ -51,9 +51,8 @@
   double prefill_left = 0;
   double answer_left = 0;
   double plain_left = 0;  // seconds
-  // For the mean batch size and prefill sharing over the run.
+  // For the mean batch size over the run, and the estimated time in prefill.
   double batch_seconds = 0;
-  double prefill_share_seconds = 0;
   double prefill_seconds = 0;
 };
 
--- a/modules/zr_admission/service_time_model.cc
+++ b/modules/zr_admission/service_time_model.cc
@@ -41,17 +41,15 @@
     answer_share_[o.request_class].Add(std::min(1.0, o.answered / o.max_answer));
   const double run = o.run_time.seconds();
   if (run <= 0) return;
-  const double prefill_time = o.prefill_tokens * std::max(1.0, o.prefill_sharing) / prefill_;
   const double decode_time = o.answered / DecodeSpeed(o.batch);
   // The part that dominates the expected time takes the correction; the other
   // part would amplify small errors of the first.
-  if (decode_time >= prefill_time) {
-    const double observed = o.answered / std::max(run - prefill_time, run * 0.1);
+  if (decode_time >= o.prefill_seconds) {
+    const double observed = o.answered / std::max(run - o.prefill_seconds, run * 0.1);
     const double ratio = observed / PriorDecodeSpeed(o.batch);
     decode_ratio_[BucketOf(o.batch)].Add(std::clamp(ratio, kLowestFactor, kHighestFactor));
   } else {
-    const double observed = o.prefill_tokens * std::max(1.0, o.prefill_sharing) /
-                            std::max(run - decode_time, run * 0.1);
+    const double observed = prefill_ * o.prefill_seconds / std::max(run - decode_time, run * 0.1);
     const double bounded =
         std::clamp(observed, first_prefill_ * kLowestFactor, first_prefill_ * kHighestFactor);
     prefill_ += kGain * (bounded - prefill_);
--- a/modules/zr_admission/service_time_model.h
+++ b/modules/zr_admission/service_time_model.h
@@ -22,8 +22,7 @@
   /** What a completed call showed. */
   struct Observation {
     ClassId request_class;
-    double prefill_tokens = 0;   // uncached prompt tokens
-    double prefill_sharing = 1;  // mean number of prompts in prefill beside it, itself included
+    double prefill_seconds = 0;  // estimated with the present speed, other prompts included
     double answered = 0;         // tokens
     double max_answer = 0;       // bound on the answer
     double batch = 1;            // mean batch size over its run
--- a/modules/zr_admission/work_forecast.cc
+++ b/modules/zr_admission/work_forecast.cc
@@ -15,14 +15,22 @@
   return entry.state == GrantState::kOffered || entry.state == GrantState::kHeld;
 }
 
-/** Seconds until the prefill of `own` tokens ends when it shares the speed with the others. */
-double PrefillSeconds(const GrantTable& grants, const GrantEntry* self, double own, double extra,
-                      double speed) {
+/**
+ * Seconds until the prefill of `own` tokens ends beside the grants' and the
+ * extra prefill: higher priorities go first, equal ones share.
+ */
+double PrefillSeconds(const GrantTable& grants, const GrantEntry* self, double own,
+                      int32_t priority, const WorkDemand* extra, double speed) {
   if (own <= 0) return 0;
-  double work = own + std::min(extra, own);
+  const auto before_own = [&](double other, int32_t other_priority) {
+    if (other_priority < priority) return 0.0;
+    return other_priority > priority ? other : std::min(other, own);
+  };
+  double work = own;
+  if (extra != nullptr) work += before_own(extra->prefill, extra->priority);
   for (const auto& [key, entry] : grants.entries()) {
     if (&entry == self || entry.prefill_left <= 0 || !Works(entry)) continue;
-    work += std::min(entry.prefill_left, own);
+    work += before_own(entry.prefill_left, entry.priority);
   }
   return work / speed;
 }
@@ -39,13 +47,21 @@
   const auto batch = static_cast<double>(std::max<int64_t>(1, Batch(grants)));
   const double decode = model.DecodeSpeed(batch);
   while (left > 1e-7) {
-    // Each step ends when the shortest prefill ends, which changes the shares.
+    // Each step ends when a prefill of the highest priority ends.
     int in_prefill = 0;
+    int32_t top = 0;
     double shortest = 0;
     for (const auto& [key, entry] : grants.entries()) {
       if (!Works(entry) || entry.prefill_left <= 0) continue;
-      shortest = in_prefill == 0 ? entry.prefill_left : std::min(shortest, entry.prefill_left);
-      ++in_prefill;
+      if (in_prefill == 0 || entry.priority > top) {
+        in_prefill = 0;
+        top = entry.priority;
+        shortest = entry.prefill_left;
+      }
+      if (entry.priority == top) {
+        shortest = std::min(shortest, entry.prefill_left);
+        ++in_prefill;
+      }
     }
     const double share = in_prefill == 0 ? 0 : model.PrefillSpeed() / in_prefill;
     const double step = in_prefill == 0 ? left : std::min(left, shortest / share + 1e-6);
@@ -54,9 +70,9 @@
       entry.batch_seconds += batch * step;
       entry.plain_left = std::max(0.0, entry.plain_left - step);
       if (entry.prefill_left > 0) {
-        entry.prefill_left = std::max(0.0, entry.prefill_left - share * step);
+        const double done = entry.priority == top ? share * step : 0;
+        entry.prefill_left = std::max(0.0, entry.prefill_left - done);
         entry.prefill_seconds += step;
-        entry.prefill_share_seconds += in_prefill * step;
       } else {
         entry.answer_left = std::max(0.0, entry.answer_left - decode * step);
       }
@@ -71,7 +87,8 @@
 
 Duration WorkForecast::RunTime(const GrantTable& grants, const ServiceTimeModel& model,
                                const WorkDemand& demand, double batch) {
-  const double prefill = PrefillSeconds(grants, nullptr, demand.prefill, 0, model.PrefillSpeed());
+  const double prefill = PrefillSeconds(grants, nullptr, demand.prefill, demand.priority, nullptr,
+                                        model.PrefillSpeed());
   return FromSeconds(prefill + demand.answer / model.DecodeSpeed(batch) + demand.plain_seconds);
 }
 
@@ -81,9 +98,9 @@
 }
 
 Duration WorkForecast::Remaining(const GrantTable& grants, const ServiceTimeModel& model,
-                                 const GrantEntry& entry, double batch, double extra_prefill) {
-  const double prefill =
-      PrefillSeconds(grants, &entry, entry.prefill_left, extra_prefill, model.PrefillSpeed());
+                                 const GrantEntry& entry, double batch, const WorkDemand* extra) {
+  const double prefill = PrefillSeconds(grants, &entry, entry.prefill_left, entry.priority, extra,
+                                        model.PrefillSpeed());
   return FromSeconds(prefill + entry.answer_left / model.DecodeSpeed(batch) + entry.plain_left);
 }
 
@@ -92,19 +109,27 @@
   const auto batch = static_cast<double>(std::max<int64_t>(1, Batch(grants)));
   for (const auto& [key, entry] : grants.entries()) {
     if (!Works(entry) || entry.deadline == TimePoint::Max()) continue;
-    const Duration with = Remaining(grants, model, entry, batch + 1, demand.prefill);
+    const Duration with = Remaining(grants, model, entry, batch + 1, &demand);
     if (now + with + EstimateMargin(with) / 2 <= entry.deadline) continue;
     // A grant that misses its deadline anyway is no reason to hold others back.
-    const Duration without = Remaining(grants, model, entry, batch, 0);
+    const Duration without = Remaining(grants, model, entry, batch, nullptr);
     if (now + without <= entry.deadline && with > without) return true;
   }
   return false;
 }
 
-double WorkForecast::PrefillInProgress(const GrantTable& grants, bool long_only) {
+double WorkForecast::PrefillInProgress(const GrantTable& grants, int32_t priority) {
+  double sum = 0;
+  for (const auto& [key, entry] : grants.entries()) {
+    if (Works(entry) && entry.priority >= priority) sum += entry.prefill_left;
+  }
+  return sum;
+}
+
+double WorkForecast::LongPrefillInProgress(const GrantTable& grants) {
   double sum = 0;
   for (const auto& [key, entry] : grants.entries()) {
-    if (Works(entry) && (entry.long_prompt || !long_only)) sum += entry.prefill_left;
+    if (Works(entry) && entry.long_prompt) sum += entry.prefill_left;
   }
   return sum;
 }
--- a/modules/zr_admission/work_forecast.h
+++ b/modules/zr_admission/work_forecast.h
@@ -13,11 +13,13 @@
   double prefill = 0;        // uncached prompt tokens
   double answer = 0;         // expected answer tokens
   double plain_seconds = 0;  // for plain calls
+  int32_t priority = 0;      // at the engine
 };
 
 /**
- * A fluid model of the endpoint: prompts in prefill share the prefill speed
- * evenly, streams decode at the speed of the present batch size.
+ * A fluid model of the endpoint: prompts in prefill share the prefill speed,
+ * higher priorities first, as engines honour priorities; streams decode at the
+ * speed of the present batch size.
  */
 class WorkForecast {
  public:
@@ -34,9 +36,9 @@
   /** Run time of a request alone on the endpoint. */
   static Duration RunTimeAlone(const ServiceTimeModel& model, const WorkDemand& demand);
 
-  /** Remaining time of a grant, with the extra work beside it. */
+  /** Remaining time of a grant, with the extra work beside it if that is given. */
   static Duration Remaining(const GrantTable& grants, const ServiceTimeModel& model,
-                            const GrantEntry& entry, double batch, double extra_prefill);
+                            const GrantEntry& entry, double batch, const WorkDemand* extra);
 
   /**
    * True if some grant that now meets its deadline would miss it once the
@@ -45,8 +47,10 @@
   static bool WouldDelayPastDeadline(const GrantTable& grants, const ServiceTimeModel& model,
                                      const WorkDemand& demand, TimePoint now);
 
-  /** Prompt tokens in prefill; of long prompts only if asked. */
-  static double PrefillInProgress(const GrantTable& grants, bool long_only);
+  /** Prompt tokens in prefill, of the given and higher priorities. */
+  static double PrefillInProgress(const GrantTable& grants, int32_t priority);
+  /** Prompt tokens in prefill, of long prompts. */
+  static double LongPrefillInProgress(const GrantTable& grants);
 };
 
 /** Time added to an estimated run time to allow for errors of the estimate. */
