--- a/modules/zr_admission/admission_planner.cc
+++ b/modules/zr_admission/admission_planner.cc
@@ -1,23 +1,31 @@
 #include "zr_admission/admission_planner.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace zr {
 namespace {
 
 // Requests of the queue that are tried for a start; bounds the time of a plan.
 constexpr int kMaxExamined = 64;
+// Prefill work that is granted ahead to keep the engine busy. More would wait
+// in the engine, where no class, team or deadline orders it.
+constexpr double kPrefillAheadSeconds = 0.25;
+// A restart of the engine breaks its streams, which holders tell in about this
+// time. Until then no more than the start-up allowance may be granted at once.
+constexpr Duration kRestartNotice = Duration::Milliseconds(10);
 
 }  // namespace
 
 TokenCount AdmissionPlanner::FreeKv() const { return engine_.KvLimit() - grants_.reserved(); }
 
-int64_t AdmissionPlanner::FreeSlots() const {
+int64_t AdmissionPlanner::FreeSlots(TimePoint now) const {
   int64_t own = ramp_.OwnLimit() - grants_.OwnCount();
   const int64_t total = ramp_.TotalLimit() - grants_.size() - engine_.foreign_requests();
   if (engine_.taking_over()) {
     // What an earlier owner granted is not known yet, so only the start-up
-    // allowance may be added to it.
+    // allowance may be added to it, and only once the engine has told what runs.
+    if (policy_.kind == PoolKind::kModel && !engine_.ListedSinceTakeOver()) return 0;
     const TimePoint since = engine_.TakeOverSince();
     int64_t granted = 0;
     for (const auto& [key, entry] : grants_.entries()) {
@@ -25,6 +33,9 @@
     }
     own = std::min(own, ramp_.StartAllowance() - granted);
   }
+  if (policy_.kind == PoolKind::kModel) {
+    own = std::min(own, ramp_.StartAllowance() - grants_.GrantedSince(now - kRestartNotice));
+  }
   if (policy_.kind == PoolKind::kModel && !engine_.BootConfirmed()) {
     // The engine may have restarted unnoticed while nothing ran on it.
     own = std::min(own, ramp_.StartAllowance() - grants_.OwnCount());
@@ -32,33 +43,40 @@
   return std::min(own, total);
 }
 
-bool AdmissionPlanner::Fits(const QueuedRequest& item) const {
-  if (grants_.AnyRunAlone() || FreeSlots() < 1) return false;
+bool AdmissionPlanner::Fits(const QueuedRequest& item, TimePoint now) const {
+  if (grants_.AnyRunAlone() || FreeSlots(now) < 1) return false;
   if (item.request.run_alone &&
       (grants_.size() > 0 || engine_.foreign_requests() > 0 || engine_.taking_over())) {
     return false;
   }
   if (item.request.plain_service) return true;
   if (!engine_.has_load() || FreeKv() < item.kv) return false;
-  const double prefill = WorkForecast::PrefillInProgress(grants_, false);
   const auto added = static_cast<double>(item.uncached.value());
-  if (!ramp_.warm() && prefill > 0 && prefill + added > static_cast<double>(ramp_.PrefillLimit())) {
-    return false;
+  if (!ramp_.warm()) {
+    const int32_t lowest = std::numeric_limits<int32_t>::min();
+    const double all = WorkForecast::PrefillInProgress(grants_, lowest);
+    if (all > 0 && all + added > static_cast<double>(ramp_.PrefillLimit())) return false;
+  }
+  if (item.long_prompt) {
+    const double in_progress = WorkForecast::LongPrefillInProgress(grants_);
+    return in_progress <= 0 ||
+           in_progress + added <= static_cast<double>(policy_.long_prefill_limit.value());
   }
-  if (!item.long_prompt) return true;
-  const double long_prefill = WorkForecast::PrefillInProgress(grants_, true);
-  return long_prefill <= 0 ||
-         long_prefill + added <= static_cast<double>(policy_.long_prefill_limit.value());
+  return WorkForecast::PrefillInProgress(grants_, item.priority) <= PrefillAhead();
 }
 
 bool AdmissionPlanner::CanStart(const QueuedRequest& item, TimePoint now) const {
-  if (!Fits(item)) return false;
+  if (!Fits(item, now)) return false;
   const auto batch = static_cast<double>(WorkForecast::Batch(grants_) + 1);
   const Duration run = WorkForecast::RunTime(grants_, model_, item.demand, batch);
   if (now + run + EstimateMargin(run) > item.deadline) return false;
   return !WorkForecast::WouldDelayPastDeadline(grants_, model_, item.demand, now);
 }
 
+double AdmissionPlanner::PrefillAhead() const {
+  return kPrefillAheadSeconds * model_.PrefillSpeed();
+}
+
 double AdmissionPlanner::UsualBatch() const {
   const int64_t waiting = static_cast<int64_t>(queue_.size()) + 1;
   const int64_t batch = WorkForecast::Batch(grants_);
@@ -70,7 +88,7 @@
   const auto batch = static_cast<double>(std::max<int64_t>(1, WorkForecast::Batch(grants_)));
   Duration longest;
   for (const auto& [key, entry] : grants_.entries()) {
-    longest = std::max(longest, WorkForecast::Remaining(grants_, model_, entry, batch, 0));
+    longest = std::max(longest, WorkForecast::Remaining(grants_, model_, entry, batch, nullptr));
   }
   return longest;
 }
@@ -79,7 +97,7 @@
   CapacityTimeline timeline(now, FreeKv(), free_slots);
   const auto batch = static_cast<double>(std::max<int64_t>(1, WorkForecast::Batch(grants_)));
   for (const auto& [key, entry] : grants_.entries()) {
-    const Duration left = WorkForecast::Remaining(grants_, model_, entry, batch, 0);
+    const Duration left = WorkForecast::Remaining(grants_, model_, entry, batch, nullptr);
     const TimePoint end = entry.state == GrantState::kCancelling ? entry.expires : now + left;
     timeline.AddRunning(end, entry.kv);
   }
@@ -90,8 +108,10 @@
                                           TimePoint now) const {
   const QueuedRequest& candidate = *ahead.back();
   TimePoint begin = now;
-  int64_t slots = FreeSlots();
-  if ((engine_.taking_over() || !engine_.BootConfirmed()) && slots < 1) {
+  int64_t slots = FreeSlots(now);
+  const bool passing = engine_.taking_over() || !engine_.BootConfirmed() ||
+                       grants_.GrantedSince(now - kRestartNotice) > 0;
+  if (passing && slots < 1) {
     // These bounds are short-lived; afterwards the ramp's holds.
     begin = engine_.TakeOverEnd(now);
     slots = std::min(ramp_.OwnLimit() - grants_.OwnCount(),
@@ -99,13 +119,25 @@
   }
   if (grants_.AnyRunAlone()) begin = std::max(begin, now + DrainTime());
   CapacityTimeline timeline = MakeTimeline(begin, slots);
+  double prefill = candidate.long_prompt
+                       ? WorkForecast::LongPrefillInProgress(grants_)
+                       : WorkForecast::PrefillInProgress(grants_, candidate.priority);
   for (const QueuedRequest* item : ahead) {
     if (item == &candidate) break;
     // A long prompt for which nothing is reserved yet does not hold others up.
     if (item->long_prompt && !candidate.long_prompt && now < item->ReserveAfter()) continue;
     timeline.Place(item->kv, item->run_time);
+    if (item->long_prompt == candidate.long_prompt) prefill += item->demand.prefill;
   }
-  return timeline.PeekStart(candidate.kv);
+  const TimePoint start = timeline.PeekStart(candidate.kv);
+  if (start == TimePoint::Max() || candidate.request.plain_service) return start;
+  // The prefill speed bounds the start as memory and slots do.
+  const double bound = candidate.long_prompt
+                           ? static_cast<double>(policy_.long_prefill_limit.value())
+                           : PrefillAhead();
+  const double wait = (prefill - bound) / model_.PrefillSpeed();
+  if (wait <= 0) return start;
+  return std::max(start, now + Duration::Microseconds(static_cast<int64_t>(wait * 1e6)));
 }
 
 std::optional<PlannedRefusal> AdmissionPlanner::RefusalDue(const QueuedRequest& item,
@@ -135,7 +167,7 @@
   const bool alone_waits = std::any_of(order.begin(), order.end(), [](const QueuedRequest* item) {
     return item->request.run_alone;
   });
-  const CapacityTimeline timeline = MakeTimeline(now, FreeSlots());
+  const CapacityTimeline timeline = MakeTimeline(now, FreeSlots(now));
   int examined = 0;
   std::optional<Reservation> reservation;
   if (gather && now < gather->until) {
@@ -155,7 +187,7 @@
       continue;
     }
     if (reservation || can_start || now < item->ReserveAfter()) continue;
-    if (FreeKv() >= item->kv && FreeSlots() >= 1) continue;
+    if (FreeKv() >= item->kv && FreeSlots(now) >= 1) continue;
     const TimePoint start = timeline.PeekStart(item->kv);
     if (item->long_prompt && start > item->LatestStart() && !engine_.taking_over()) {
       plan.refusals.push_back(PlannedRefusal{item->key(), RefusalReason::kDeadline, start - now});
