--- a/modules/zr_request/request_machine.cc
+++ b/modules/zr_request/request_machine.cc
@@ -227,6 +227,18 @@
 //==============================================================================
 // State
 
+/** The grant of the endpoint that streams the run which a held grant is part of. */
+const Grant* RequestMachine::FirstOfRun(const Grant& grant) const {
+  const auto part_of = [&](const std::vector<Grant>& grants) {
+    return std::find(grants.begin(), grants.end(), grant) != grants.end();
+  };
+  if (stream_ && part_of(stream_->grants)) return &stream_->grants.front();
+  for (const auto& [id, closing] : closing_) {
+    if (part_of(closing.grants)) return &closing.grants.front();
+  }
+  return nullptr;
+}
+
 std::vector<std::pair<EndpointId, HeldGrant>> RequestMachine::held_grants() const {
   std::vector<std::pair<EndpointId, HeldGrant>> list;
   for (const Grant& grant : ledger_.held()) {
@@ -241,6 +253,11 @@
     held.fingerprint = options_.fingerprint;
     held.long_prompt = options_.prompt > options_.pool.long_prompt;
     held.started = true;
+    const Grant* first = FirstOfRun(grant);
+    if (first != nullptr && first->endpoint != grant.endpoint) {
+      held.gather_endpoint = first->endpoint;
+      held.gather_stream = MakeStreamId(*first);
+    }
     list.emplace_back(grant.endpoint, std::move(held));
   }
   return list;
--- a/modules/zr_request/request_machine.h
+++ b/modules/zr_request/request_machine.h
@@ -202,6 +202,7 @@
   void Complete(TimePoint now, int64_t total);
   void CleanUp(TimePoint now);
   void CheckOutcome();
+  const Grant* FirstOfRun(const Grant& grant) const;
   /** The caller has a part of the answer, from this VM or an earlier one. */
   bool Delivered() const { return head_sent_ || cursor_.offset() > 0; }
   /** The only stream whose answer continues what the caller has; empty for any. */
--- /dev/null
+++ b/modules/zr_request/stream_directory.cc
@@ -0,0 +1,177 @@
+#include "zr_request/stream_directory.h"
+
+#include <algorithm>
+
+namespace zr {
+namespace {
+
+/** Whether the query may see a run; another team's or prompt's run is a conflict. */
+bool CheckSame(const FindStream& query, Fingerprint fingerprint, StreamLocation& answer) {
+  answer.team = query.team;
+  answer.fingerprint = fingerprint;
+  answer.conflict = query.fingerprint != fingerprint;
+  return !answer.conflict;
+}
+
+}  // namespace
+
+VmId StreamDirectory::Locator(const RequestId& request, const std::vector<VmId>& live) {
+  ZR_ASSERT(!live.empty(), "a locator needs a live VM");
+  VmId best;
+  double best_score = -1;
+  for (const VmId& vm : live) {
+    const double score = RendezvousScore(request.value(), vm.value());
+    if (score > best_score) {
+      best = vm;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+//==============================================================================
+// Sources
+
+void StreamDirectory::SetLocal(const StreamLocation& location) {
+  Local local{location};
+  local.location.found = true;
+  local.location.holder = self_;
+  local_[location.request] = std::move(local);
+}
+
+void StreamDirectory::EndLocal(TimePoint now, const RequestId& request, bool done) {
+  const auto it = local_.find(request);
+  if (it == local_.end()) return;
+  if (!done || it->second.location.stream.empty()) {
+    local_.erase(it);
+    return;
+  }
+  it->second.location.done = true;
+  it->second.location.holder = VmId();
+  it->second.location.grants.clear();
+  it->second.forget = now + options_.keep_ended;
+}
+
+void StreamDirectory::OnHeldGrants(TimePoint now, const HeldGrants& list) {
+  for (const HeldGrant& held : list.grants) {
+    const bool member = !held.gather_stream.empty();
+    const std::string stream = member ? held.gather_stream : MakeStreamId(held);
+    const auto [it, inserted] = listed_.try_emplace(stream);
+    Listed& listed = it->second;
+    if (inserted) {
+      listed.request = held.request;
+      listed_streams_.emplace(held.request, stream);
+    }
+    listed.endpoint = member ? held.gather_endpoint : list.endpoint;
+    listed.holder = list.holder.vm;
+    listed.fingerprint = held.fingerprint;
+    listed.attempt = held.attempt;
+    listed.seen = now;
+    Grant grant;
+    grant.request = held.request;
+    grant.attempt = held.attempt;
+    grant.endpoint = list.endpoint;
+    grant.number = held.number;
+    grant.owner = held.owner;
+    grant.owner_incarnation = held.owner_incarnation;
+    grant.kv_tokens = held.kv_tokens;
+    std::erase_if(listed.grants, [&](const Grant& g) { return g.endpoint == grant.endpoint; });
+    listed.grants.push_back(std::move(grant));
+  }
+}
+
+void StreamDirectory::OnVmDead(const VmId& vm) {
+  for (auto& [stream, listed] : listed_) {
+    if (listed.holder == vm) listed.holder = VmId();
+  }
+  std::erase_if(claims_, [&](const auto& item) { return item.second.vm == vm; });
+}
+
+//==============================================================================
+// Searches
+
+bool StreamDirectory::FindLocal(const FindStream& query, StreamLocation& answer) const {
+  const auto it = local_.find(query.request);
+  if (it == local_.end()) return false;
+  const StreamLocation& location = it->second.location;
+  if (!query.stream.empty() && query.stream != location.stream) return false;
+  if (!CheckSame(query, location.fingerprint, answer) || query.team != location.team) {
+    answer.conflict = true;
+    return true;
+  }
+  answer = location;
+  return true;
+}
+
+bool StreamDirectory::FindListed(const FindStream& query, StreamLocation& answer) const {
+  const auto [begin, end] = listed_streams_.equal_range(query.request);
+  for (auto it = begin; it != end; ++it) {
+    const Listed& listed = listed_.at(it->second);
+    if (!query.stream.empty() && query.stream != it->second) continue;
+    if (!CheckSame(query, listed.fingerprint, answer)) return true;
+    answer.endpoint = listed.endpoint;
+    answer.stream = it->second;
+    answer.attempt = listed.attempt;
+    answer.holder = listed.holder;
+    answer.grants = listed.grants;
+    return true;
+  }
+  return false;
+}
+
+bool StreamDirectory::FindClaim(const VmId& from, const FindStream& query,
+                                StreamLocation& answer) const {
+  const auto it = claims_.find(query.request);
+  if (it == claims_.end() || it->second.vm == from) return false;
+  if (!CheckSame(query, it->second.fingerprint, answer) || query.team != it->second.team) {
+    answer.conflict = true;
+    return true;
+  }
+  answer.holder = it->second.vm;
+  return true;
+}
+
+StreamLocation StreamDirectory::Find(TimePoint now, const VmId& from, const FindStream& query) {
+  Expire(now);
+  StreamLocation answer;
+  answer.request = query.request;
+  answer.found =
+      FindLocal(query, answer) || FindListed(query, answer) || FindClaim(from, query, answer);
+  answer.request = query.request;
+  if (answer.found) {
+    // The latest caller takes the stream over; the next search is sent on to it.
+    if (query.claim && !answer.conflict) {
+      claims_[query.request] = {from, query.team, query.fingerprint, now};
+    }
+    return answer;
+  }
+  answer.certain = query.claim && now >= certain_from_;
+  if (query.claim) {
+    if (claims_.size() >= options_.max_claims) {
+      claims_.erase(
+          std::min_element(claims_.begin(), claims_.end(),
+                           [](const auto& a, const auto& b) { return a.second.at < b.second.at; }));
+    }
+    claims_[query.request] = {from, query.team, query.fingerprint, now};
+  }
+  return answer;
+}
+
+void StreamDirectory::Expire(TimePoint now) {
+  std::erase_if(local_, [&](const auto& item) { return item.second.forget <= now; });
+  for (auto it = listed_.begin(); it != listed_.end();) {
+    if (it->second.seen + options_.keep_listed > now) {
+      ++it;
+      continue;
+    }
+    const auto [begin, end] = listed_streams_.equal_range(it->second.request);
+    const auto name =
+        std::find_if(begin, end, [&](const auto& n) { return n.second == it->first; });
+    if (name != end) listed_streams_.erase(name);
+    it = listed_.erase(it);
+  }
+  std::erase_if(claims_,
+                [&](const auto& item) { return item.second.at + options_.keep_claim <= now; });
+}
+
+}  // namespace zr
--- a/modules/zr_request/tests/request_world.cc
+++ b/modules/zr_request/tests/request_world.cc
@@ -242,14 +242,12 @@
 
 void RequestWorld::Do(size_t vm, const ResumeUpstream& action) {
   ++resumes_;
-  const GrantRecord& record = grants_.at(action.stream_id);
-  if (!record.delivered.contains(vm)) {
-    for (auto& [id, member] : grants_) {
-      const bool same_run = gather_ && member.grant.attempt == record.grant.attempt;
-      if (id != action.stream_id && !same_run) continue;
-      for (size_t holder : member.delivered) member.two_holders |= vms_[holder].alive;
-      member.delivered.insert(vm);
-    }
+  // Notes grants that the machine took over from a silent or dead holder.
+  for (const auto& [endpoint, held] : vms_[vm].machine->held_grants()) {
+    GrantRecord& record = grants_.at(MakeStreamId(held));
+    if (record.delivered.contains(vm)) continue;
+    for (size_t holder : record.delivered) record.two_holders |= vms_[holder].alive;
+    record.delivered.insert(vm);
   }
   At(Transit(), [this, vm, action] {
     const auto it = runs_.find(action.stream_id);
--- a/modules/zr_request/tests/request_world_engines.cc
+++ b/modules/zr_request/tests/request_world_engines.cc
@@ -68,7 +68,7 @@
     AtVm(vm, delay + Transit() * i, [this, vm, grant](RequestMachine& m) {
       GrantRecord& record = grants_.at(MakeStreamId(grant));
       // A repeated copy may reach a new machine of the same VM; the owner ignores its release.
-      if (!record.released.empty()) return RequestActions{};
+      if (!record.released.empty()) return m.Tick(now_);
       record.delivered.insert(vm);
       return m.OnGrant(now_, vms_[vm].last_idle, grant);
     });
--- a/modules/zr_request/zr_request.h
+++ b/modules/zr_request/zr_request.h
@@ -9,7 +9,12 @@
  * Threads: not thread-safe; the daemon calls each object from one strand.
  */
 
+#include "zr_request/prompt_cost.h"
 #include "zr_request/request_actions.h"
 #include "zr_request/request_machine.h"
 #include "zr_request/request_options.h"
 #include "zr_request/retry_budget.h"
+#include "zr_request/stream_directory.h"
+#include "zr_request/stream_search.h"
+#include "zr_request/suspect_table.h"
+#include "zr_request/suspect_turns.h"
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -54,7 +54,7 @@
 template <typename A>
 void Fields(A& a, HeldGrant& m) {
   a(m.request, m.attempt, m.number, m.owner, m.owner_incarnation, m.kv_tokens, m.prompt,
-    m.fingerprint, m.long_prompt, m.started);
+    m.fingerprint, m.long_prompt, m.started, m.gather_endpoint, m.gather_stream);
 }
 template <typename A>
 void Fields(A& a, HeldGrants& m) {
@@ -75,7 +75,7 @@
 template <typename A>
 void Fields(A& a, StreamLocation& m) {
   a(m.request, m.found, m.team, m.endpoint, m.stream, m.attempt, m.holder, m.fingerprint,
-    m.conflict, m.done, m.grants);
+    m.conflict, m.done, m.certain, m.grants);
 }
 template <typename A>
 void Fields(A& a, ConfigOffer& m) {
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -154,6 +154,9 @@
   Fingerprint fingerprint;
   bool long_prompt = false;
   bool started = false;
+  // Only for the further members of a gathered run: where it streams, and its stream id.
+  EndpointId gather_endpoint;
+  std::string gather_stream;
   friend auto operator<=>(const HeldGrant&, const HeldGrant&) = default;
 };
 
@@ -204,6 +207,7 @@
   Fingerprint fingerprint;
   bool conflict = false;      // the id is in use by another team or for another prompt
   bool done = false;          // the engine generated the whole answer
+  bool certain = false;       // with found = false: the sender would know of any run
   std::vector<Grant> grants;  // of the run, if known; several for a gathered run
   friend auto operator<=>(const StreamLocation&, const StreamLocation&) = default;
 };
