--- a/modules/zr_request/request_machine.cc
+++ b/modules/zr_request/request_machine.cc
@@ -31,10 +31,7 @@
   ZR_ASSERT(state_ == State::kNew, "a request starts once");
   if (Expire(now)) return Take(now);
   if (options_.suspect == SuspectVerdict::kRefuse) {
-    EndWithError(now, 422,
-                 {ErrorCode::kSuspectRequest, "admission", "",
-                  "this request is suspected of having crashed two endpoints"},
-                 Duration::Seconds(600));
+    RefuseSuspect(now, "");
   } else if (options_.may_be_repeat || options_.resume_offset > 0) {
     state_ = State::kLocating;
     timer_ = now + timings_.find_stream;
@@ -46,7 +43,8 @@
 }
 
 RequestActions RequestMachine::Tick(TimePoint now) {
-  if (!Expire(now)) RunTimers(now);
+  if (!Expire(now) && StateWakeup() <= now) RunStateTimer(now);
+  if (turn_held_ && renew_turn_ <= now) SendAskTurn(now, true);
   std::vector<std::string> overdue;
   for (const auto& [id, closing] : closing_) {
     if (closing.give_up <= now) overdue.push_back(id);
@@ -81,11 +79,6 @@
   return std::exchange(actions_, {});
 }
 
-void RequestMachine::RunTimers(TimePoint now) {
-  if (turn_held_ && renew_turn_ <= now) SendAskTurn(now, true);
-  if (StateWakeup() <= now) RunStateTimer(now);
-}
-
 void RequestMachine::RunStateTimer(TimePoint now) {
   switch (state_) {
     case State::kLocating:
@@ -159,11 +152,16 @@
   gather_.reset();
   CloseStream(now);
   cursor_.Close();
-  if (turn_held_ || state_ == State::kAwaitTurn) {
-    Do(ReturnTurn{options_.fingerprint, turn_held_ && run_.state() == RunState::kRan});
-  }
-  turn_held_ = false;
+  turn_held_ = turn_held_ || state_ == State::kAwaitTurn;
   state_ = State::kEnded;
+  ReturnTurnIfIdle();
+}
+
+/** Returns the right to run a suspect when the request runs nowhere any more. */
+void RequestMachine::ReturnTurnIfIdle() {
+  if (!turn_held_ || !ended() || !closing_.empty()) return;
+  Do(ReturnTurn{options_.fingerprint, run_.state() == RunState::kRan});
+  turn_held_ = false;
 }
 
 void RequestMachine::EndWithError(TimePoint now, int status, Error error,
--- a/modules/zr_request/request_machine.h
+++ b/modules/zr_request/request_machine.h
@@ -85,6 +85,8 @@
   RequestActions OnGatherReady(TimePoint now, TimePoint not_before, AttemptNumber attempt,
                                const std::vector<Grant>& grants);
   RequestActions OnGatherFailed(TimePoint now, AttemptNumber attempt, Duration wait_hint);
+  /** The SuspectTable's verdict on the fingerprint has changed; ignored once the call runs. */
+  RequestActions OnVerdict(TimePoint now, SuspectVerdict verdict);
   /** Answer to AskTurn. */
   RequestActions OnTurn(TimePoint now, TurnAnswer answer, Duration wait_hint);
 
@@ -192,7 +194,6 @@
   // Lifecycle.
   bool Expire(TimePoint now);
   RequestActions Take(TimePoint now);
-  void RunTimers(TimePoint now);
   void RunStateTimer(TimePoint now);
   TimePoint StateWakeup() const;
   void Do(RequestAction action) { actions_.push_back(std::move(action)); }
@@ -201,6 +202,7 @@
                     std::optional<Duration> retry_after = std::nullopt);
   void Complete(TimePoint now, int64_t total);
   void CleanUp(TimePoint now);
+  void ReturnTurnIfIdle();
   void CheckOutcome();
   const Grant* FirstOfRun(const Grant& grant) const;
   /** The caller has a part of the answer, from this VM or an earlier one. */
@@ -213,6 +215,7 @@
 
   // Admission.
   void BeginRun(TimePoint now);
+  void RefuseSuspect(TimePoint now, const std::string& peer);
   void SendAskTurn(TimePoint now, bool holding);
   void Select(TimePoint now);
   void PauseThenSelect(TimePoint now, Duration at_least);
--- a/modules/zr_request/request_machine_admission.cc
+++ b/modules/zr_request/request_machine_admission.cc
@@ -31,6 +31,34 @@
   }
 }
 
+void RequestMachine::RefuseSuspect(TimePoint now, const std::string& peer) {
+  EndWithError(now, 422,
+               {ErrorCode::kSuspectRequest, "admission", peer,
+                "this request is suspected of having crashed two endpoints"},
+               Duration::Seconds(600));
+}
+
+RequestActions RequestMachine::OnVerdict(TimePoint now, SuspectVerdict verdict) {
+  if (Expire(now) || stream_ || !IsModel() || verdict == SuspectVerdict::kClear) return Take(now);
+  if (verdict == SuspectVerdict::kRefuse) {
+    RefuseSuspect(now, "");
+    return Take(now);
+  }
+  if (run_alone_) return Take(now);
+  run_alone_ = true;
+  earlier_deaths_ = 1;
+  const bool searching =
+      state_ == State::kNew || state_ == State::kLocating || state_ == State::kTakingOver;
+  if (!searching) {
+    if (ask_) GiveUpAsk(now);
+    if (gather_) Do(CancelGather{*gather_});
+    gather_.reset();
+    excluded_.clear();
+    BeginRun(now);
+  }
+  return Take(now);
+}
+
 void RequestMachine::SendAskTurn(TimePoint now, bool holding) {
   Do(AskTurn{options_.fingerprint, holding});
   if (holding) {
@@ -44,7 +72,9 @@
 RequestActions RequestMachine::OnTurn(TimePoint now, TurnAnswer answer, Duration wait_hint) {
   if (Expire(now)) {
     // The machine does not run any more; an answer that crossed the end is returned.
-    if (answer == TurnAnswer::kGranted) Do(ReturnTurn{options_.fingerprint, false});
+    if (answer == TurnAnswer::kGranted && !turn_held_) {
+      Do(ReturnTurn{options_.fingerprint, false});
+    }
     return Take(now);
   }
   if (state_ != State::kAwaitTurn) {
@@ -60,6 +90,8 @@
   }
   switch (answer) {
     case TurnAnswer::kGranted:
+      // An earlier attempt may still run until its cancellation is confirmed.
+      if (!closing_.empty()) break;
       turn_held_ = true;
       renew_turn_ = now + kTurnRenewal;
       Select(now);
@@ -68,10 +100,7 @@
       timer_ = now + std::clamp(wait_hint, timings_.turn_again, timings_.max_back_off);
       break;
     case TurnAnswer::kRefused:
-      EndWithError(now, 422,
-                   {ErrorCode::kSuspectRequest, "admission", "",
-                    "this request is suspected of having crashed two endpoints"},
-                   Duration::Seconds(600));
+      RefuseSuspect(now, "");
       break;
     case TurnAnswer::kClear:
       run_alone_ = false;
@@ -240,10 +269,7 @@
                    std::max(refusal.wait_hint, Duration::Seconds(1)));
       return Take(now);
     case RefusalReason::kSuspect:
-      EndWithError(now, 422,
-                   {ErrorCode::kSuspectRequest, "admission", ask.candidate.owner.value(),
-                    "this request is suspected of having crashed two endpoints"},
-                   Duration::Seconds(600));
+      RefuseSuspect(now, ask.candidate.owner.value());
       return Take(now);
     case RefusalReason::kBusy:
       refused_otherwise_ = true;
--- a/modules/zr_request/request_machine_stream.cc
+++ b/modules/zr_request/request_machine_stream.cc
@@ -168,9 +168,9 @@
   if (failure == UpstreamFailure::kNoStream && stream_->acknowledged) {
     DropStream(now, ReleaseOutcome::kCancelled);
   } else {
-    // A crash of the endpoint shows first as a broken connection. The request counts as a
-    // suspect until the endpoint is seen alive, or a retry could crash the next one.
-    if (failure == UpstreamFailure::kBroken) NoteDeath(stream_->endpoint, stream_->boot, false);
+    // A crash of the endpoint shows first as a broken connection or as silence. The request counts
+    // as a suspect until the endpoint is seen alive, or a retry could crash the next one.
+    NoteDeath(stream_->endpoint, stream_->boot, false);
     CloseStream(now);
   }
   RetryElsewhere(now, "the connection to the endpoint broke before the first token");
@@ -187,6 +187,7 @@
       RetryElsewhere(now, reason);
       return;
     }
+    NoteDeath(stream_->endpoint, stream_->boot, false);
     EndWithError(now, 502,
                  {ErrorCode::kUnknownOutcome, "stream", stream_->endpoint.value(),
                   std::string(reason) + " at offset " + std::to_string(cursor_.offset())});
@@ -233,9 +234,19 @@
                                               BootNumber boot) {
   const bool expired = Expire(now);
   const auto hit = [&](const Grant& grant) { return IsOn(grant, endpoint, boot); };
-  const bool running = !expired && stream_ &&
-                       ((stream_->endpoint == endpoint && stream_->boot == boot) ||
-                        std::any_of(stream_->grants.begin(), stream_->grants.end(), hit));
+  const auto any = [&](const std::vector<Grant>& grants) {
+    return std::any_of(grants.begin(), grants.end(), hit);
+  };
+  const bool running =
+      !expired && stream_ &&
+      ((stream_->endpoint == endpoint && stream_->boot == boot) || any(stream_->grants));
+  const bool cancelled = std::any_of(closing_.begin(), closing_.end(),
+                                     [&](const auto& item) { return any(item.second.grants); });
+  if (cancelled && !running && IsModel()) {
+    // It may have died of the call before the cancellation reached it.
+    deaths_.emplace(endpoint, boot);
+    Do(ReportSuspect{options_.fingerprint, endpoint, boot, true});
+  }
   if (running) {
     NoteDeath(endpoint, boot, true);
     excluded_.insert(endpoint);
@@ -292,11 +303,17 @@
 void RequestMachine::ReleaseClosing(const std::string& stream_id, ReleaseOutcome outcome) {
   const auto it = closing_.find(stream_id);
   if (it == closing_.end()) return;
+  if (outcome == ReleaseOutcome::kEndpointDied && IsModel()) {
+    // The endpoint may have died of the call before the cancellation reached it.
+    const Grant& first = it->second.grants.front();
+    Do(ReportSuspect{options_.fingerprint, first.endpoint, first.boot, false});
+  }
   for (const Grant& grant : it->second.grants) {
     OutgoingMessage out = ledger_.MakeRelease(grant, outcome, it->second.report);
     Do(SendToVm{out.to, std::move(out.message)});
   }
   closing_.erase(it);
+  ReturnTurnIfIdle();
 }
 
 /** Gives the grants on a dead endpoint back without waiting for a confirmation. */
@@ -311,6 +328,7 @@
     });
     it = it->second.grants.empty() ? closing_.erase(it) : std::next(it);
   }
+  ReturnTurnIfIdle();
 }
 
 RequestActions RequestMachine::OnUpstreamCancelled(TimePoint now, const std::string& stream_id,
--- a/modules/zr_request/stream_directory.cc
+++ b/modules/zr_request/stream_directory.cc
@@ -80,6 +80,15 @@
   }
 }
 
+void StreamDirectory::OnRelease(const Release& release) {
+  const auto [begin, end] = listed_streams_.equal_range(release.request);
+  for (auto it = begin; it != end; ++it) {
+    std::erase_if(listed_.at(it->second).grants, [&](const Grant& g) {
+      return g.endpoint == release.endpoint && g.number == release.number;
+    });
+  }
+}
+
 void StreamDirectory::OnVmDead(const VmId& vm) {
   for (auto& [stream, listed] : listed_) {
     if (listed.holder == vm) listed.holder = VmId();
@@ -103,7 +112,8 @@
   return true;
 }
 
-bool StreamDirectory::FindListed(const FindStream& query, StreamLocation& answer) const {
+bool StreamDirectory::FindListed(const VmId& from, const FindStream& query,
+                                 StreamLocation& answer) const {
   const auto [begin, end] = listed_streams_.equal_range(query.request);
   for (auto it = begin; it != end; ++it) {
     const Listed& listed = listed_.at(it->second);
@@ -112,6 +122,8 @@
     answer.endpoint = listed.endpoint;
     answer.stream = it->second;
     answer.attempt = listed.attempt;
+    // A VM that searches for what it held has ended that run, and gives its grants back itself.
+    if (listed.holder == from) return true;
     answer.holder = listed.holder;
     answer.grants = listed.grants;
     return true;
@@ -136,7 +148,7 @@
   StreamLocation answer;
   answer.request = query.request;
   answer.found =
-      FindLocal(query, answer) || FindListed(query, answer) || FindClaim(from, query, answer);
+      FindLocal(query, answer) || FindListed(from, query, answer) || FindClaim(from, query, answer);
   answer.request = query.request;
   if (answer.found) {
     // The latest caller takes the stream over; the next search is sent on to it.
--- a/modules/zr_request/stream_directory.h
+++ b/modules/zr_request/stream_directory.h
@@ -42,6 +42,8 @@
 
   /** A holder's list of its grants on one of this owner's endpoints. */
   void OnHeldGrants(TimePoint now, const HeldGrants& list);
+  /** A holder gave a grant on one of this owner's endpoints back; it cannot be taken over. */
+  void OnRelease(const Release& release);
   /** A VM is dead; its streams have no holder any more. */
   void OnVmDead(const VmId& vm);
   /** This VM starts, or the set of live VMs has changed: it may not know all claims. */
@@ -76,7 +78,7 @@
   };
 
   bool FindLocal(const FindStream& query, StreamLocation& answer) const;
-  bool FindListed(const FindStream& query, StreamLocation& answer) const;
+  bool FindListed(const VmId& from, const FindStream& query, StreamLocation& answer) const;
   bool FindClaim(const VmId& from, const FindStream& query, StreamLocation& answer) const;
 
   VmId self_;
