--- a/modules/zr_admission/endpoint_owner_grants.cc
+++ b/modules/zr_admission/endpoint_owner_grants.cc
@@ -34,7 +34,10 @@
   entry.cancelled_at = now;
   ++entry.cancels;
   entry.expires = now + options_.policies.pool.unclaimed_window + kCancelSlack;
-  const std::string id = MakeStreamId(entry.key.request, entry.key.attempt);
+  const std::string id = !entry.gather_stream.empty()
+                             ? entry.gather_stream
+                             : MakeStreamId(entry.key.request, entry.key.attempt, entry.owner,
+                                            entry.owner_incarnation, entry.number);
   actions.emplace_back(CancelEngineStream{id, EngineStreamKind::kStream});
   if (entry.gather_part) {
     actions.emplace_back(CancelEngineStream{id, EngineStreamKind::kImport});
@@ -134,8 +137,7 @@
     } else if (held.started) {
       // The holder believes in a grant that was taken back. Its stream was
       // cancelled; if it got through to the engine again, it must not stay.
-      actions.emplace_back(
-          CancelEngineStream{MakeStreamId(key.request, key.attempt), EngineStreamKind::kStream});
+      actions.emplace_back(CancelEngineStream{MakeStreamId(held), EngineStreamKind::kStream});
       engine_.WantList();
     }
     return;
@@ -156,6 +158,7 @@
   entry->state = GrantState::kHeld;
   entry->holder = holder;
   entry->started = held.started;
+  entry->gather_stream = held.gather_stream;
   entry->ever_started = entry->ever_started || held.started;
   if (entry->fingerprint == Fingerprint()) entry->fingerprint = held.fingerprint;
   entry->expires = now + kReclaimAfter;
@@ -175,6 +178,8 @@
   entry.adopted = true;
   entry.started = entry.ever_started = held.started;
   entry.long_prompt = held.long_prompt;
+  entry.gather_stream = held.gather_stream;
+  entry.gather_part = !held.gather_stream.empty();
   entry.plain = options_.policies.pool.kind == PoolKind::kService;
   entry.fingerprint = held.fingerprint;
   entry.boot = engine_.boot();
@@ -185,7 +190,7 @@
       static_cast<double>(std::clamp(held.prompt, TokenCount(0), entry.kv).value());
   entry.expected_answer = entry.answer_left =
       static_cast<double>(entry.kv.value()) - entry.uncached;
-  engine_.OnClaimed(MakeStreamId(held.request, held.attempt));
+  engine_.OnClaimed(key);
   grants_.Add(std::move(entry));
   ramp_.SetDemonstrated(grants_.AdoptedCount());
 }
--- a/modules/zr_request/request_machine.cc
+++ b/modules/zr_request/request_machine.cc
@@ -31,14 +31,11 @@
   ZR_ASSERT(state_ == State::kNew, "a request starts once");
   if (Expire(now)) return Take(now);
   if (options_.suspect == SuspectVerdict::kRefuse) {
-    EndWithError(now, 422,
-                 {ErrorCode::kSuspectRequest, "admission", "",
-                  "this request is suspected of having crashed two endpoints"},
-                 Duration::Seconds(600));
+    RefuseSuspect(now, "");
   } else if (options_.may_be_repeat || options_.resume_offset > 0) {
     state_ = State::kLocating;
     timer_ = now + timings_.find_stream;
-    Do(LocateStream{options_.request, options_.team, options_.fingerprint});
+    Do(LocateStream{options_.request, options_.team, options_.fingerprint, WantedStream()});
   } else {
     BeginRun(now);
   }
@@ -46,7 +43,8 @@
 }
 
 RequestActions RequestMachine::Tick(TimePoint now) {
-  if (!Expire(now)) RunTimers(now);
+  if (!Expire(now) && StateWakeup() <= now) RunStateTimer(now);
+  if (turn_held_ && renew_turn_ <= now) SendAskTurn(now, true);
   std::vector<std::string> overdue;
   for (const auto& [id, closing] : closing_) {
     if (closing.give_up <= now) overdue.push_back(id);
@@ -81,11 +79,6 @@
   return std::exchange(actions_, {});
 }
 
-void RequestMachine::RunTimers(TimePoint now) {
-  if (turn_held_ && renew_turn_ <= now) SendAskTurn(now, true);
-  if (StateWakeup() <= now) RunStateTimer(now);
-}
-
 void RequestMachine::RunStateTimer(TimePoint now) {
   switch (state_) {
     case State::kLocating:
@@ -159,11 +152,16 @@
   gather_.reset();
   CloseStream(now);
   cursor_.Close();
-  if (turn_held_ || state_ == State::kAwaitTurn) {
-    Do(ReturnTurn{options_.fingerprint, turn_held_ && run_.state() == RunState::kRan});
-  }
-  turn_held_ = false;
+  turn_held_ = turn_held_ || state_ == State::kAwaitTurn;
   state_ = State::kEnded;
+  ReturnTurnIfIdle();
+}
+
+/** Returns the right to run a suspect when the request runs nowhere any more. */
+void RequestMachine::ReturnTurnIfIdle() {
+  if (!turn_held_ || !ended() || !closing_.empty()) return;
+  Do(ReturnTurn{options_.fingerprint, run_.state() == RunState::kRan});
+  turn_held_ = false;
 }
 
 void RequestMachine::EndWithError(TimePoint now, int status, Error error,
@@ -180,7 +178,7 @@
                       "the answer's end differs from what the caller got");
   run_.Completed();
   budget_.OnSuccess();
-  if (!head_sent_) Do(EmitHead{});
+  if (!head_sent_) Do(EmitHead{200, stream_->id});
   head_sent_ = true;
   DropStream(now, ReleaseOutcome::kCompleted);
   CleanUp(now);
@@ -227,6 +225,18 @@
 //==============================================================================
 // State
 
+/** The grant of the endpoint that streams the run which a held grant is part of. */
+const Grant* RequestMachine::FirstOfRun(const Grant& grant) const {
+  const auto part_of = [&](const std::vector<Grant>& grants) {
+    return std::find(grants.begin(), grants.end(), grant) != grants.end();
+  };
+  if (stream_ && part_of(stream_->grants)) return &stream_->grants.front();
+  for (const auto& [id, closing] : closing_) {
+    if (part_of(closing.grants)) return &closing.grants.front();
+  }
+  return nullptr;
+}
+
 std::vector<std::pair<EndpointId, HeldGrant>> RequestMachine::held_grants() const {
   std::vector<std::pair<EndpointId, HeldGrant>> list;
   for (const Grant& grant : ledger_.held()) {
@@ -241,6 +251,11 @@
     held.fingerprint = options_.fingerprint;
     held.long_prompt = options_.prompt > options_.pool.long_prompt;
     held.started = true;
+    const Grant* first = FirstOfRun(grant);
+    if (first != nullptr && first->endpoint != grant.endpoint) {
+      held.gather_endpoint = first->endpoint;
+      held.gather_stream = MakeStreamId(*first);
+    }
     list.emplace_back(grant.endpoint, std::move(held));
   }
   return list;
--- a/modules/zr_request/request_machine_stream.cc
+++ b/modules/zr_request/request_machine_stream.cc
@@ -25,7 +25,7 @@
   Stream stream;
   stream.endpoint = grants.front().endpoint;
   stream.domain = domain;
-  stream.id = MakeStreamId(grants.front().request, grants.front().attempt);
+  stream.id = MakeStreamId(grants.front());
   stream.boot = grants.front().boot;
   stream.started = attempt;
   stream.started_at = now;
@@ -62,11 +62,12 @@
 
 RequestActions RequestMachine::OnUpstreamHeaders(TimePoint now, AttemptNumber attempt, int status) {
   if (Expire(now) || state_ != State::kStreaming || !cursor_.IsCurrent(attempt)) return Take(now);
+  stream_->acknowledged = true;
   // A model's head waits for the first token, so that a failure before it can be retried or
   // refused with a status.
   if (!IsModel() && !head_sent_) {
     head_sent_ = true;
-    Do(EmitHead{status});
+    Do(EmitHead{status, stream_->id});
   }
   return Take(now);
 }
@@ -85,7 +86,8 @@
       ZR_ASSERT_INVARIANT(kAnswerIntegrity, emitted_to_ == offset && stream_ && !caller_gone_,
                           "a part does not continue what the caller got");
       fruitless_resumes_ = 0;
-      if (!head_sent_) Do(EmitHead{});
+      stream_->acknowledged = true;
+      if (!head_sent_) Do(EmitHead{200, stream_->id});
       head_sent_ = true;
       emitted_to_ = offset + tokens;
       Do(Emit{offset, std::move(bytes)});
@@ -148,7 +150,10 @@
 
 /** A connection broke at which the call may have run. */
 void RequestMachine::OnConnectionLost(TimePoint now, UpstreamFailure failure) {
-  if (Delivered() && !restart_after_first_token_) {
+  // A stream that was resumed or taken over exists, whether a part of it went out or not.
+  const bool resumed =
+      cursor_.attempt() != stream_->started && failure != UpstreamFailure::kNoStream;
+  if ((Delivered() || resumed) && !restart_after_first_token_) {
     if (failure == UpstreamFailure::kNoStream) {
       EndWithError(now, 502,
                    {ErrorCode::kUnknownOutcome, "stream", stream_->endpoint.value(),
@@ -160,12 +165,12 @@
   }
   excluded_.insert(stream_->endpoint);
   avoid_domain_ = stream_->domain;
-  if (failure == UpstreamFailure::kNoStream) {
+  if (failure == UpstreamFailure::kNoStream && stream_->acknowledged) {
     DropStream(now, ReleaseOutcome::kCancelled);
   } else {
-    // A crash of the endpoint shows first as a broken connection. The request counts as a
-    // suspect until the endpoint is seen alive, or a retry could crash the next one.
-    if (failure == UpstreamFailure::kBroken) NoteDeath(stream_->endpoint, stream_->boot, false);
+    // A crash of the endpoint shows first as a broken connection or as silence. The request counts
+    // as a suspect until the endpoint is seen alive, or a retry could crash the next one.
+    NoteDeath(stream_->endpoint, stream_->boot, false);
     CloseStream(now);
   }
   RetryElsewhere(now, "the connection to the endpoint broke before the first token");
@@ -182,6 +187,7 @@
       RetryElsewhere(now, reason);
       return;
     }
+    NoteDeath(stream_->endpoint, stream_->boot, false);
     EndWithError(now, 502,
                  {ErrorCode::kUnknownOutcome, "stream", stream_->endpoint.value(),
                   std::string(reason) + " at offset " + std::to_string(cursor_.offset())});
@@ -194,13 +200,11 @@
 /** Runs the request again, if that is allowed. */
 void RequestMachine::RetryElsewhere(TimePoint now, std::string_view reason) {
   std::string_view hindrance;
-  ErrorCode code = ErrorCode::kUnavailable;
   if (Delivered() && !restart_after_first_token_) {
     hindrance = "a part of the answer went out";
   } else if (!options_.idempotent) {
     hindrance = "the request must not be repeated";
   } else if (earlier_deaths_ + deaths_.size() >= 2) {
-    code = ErrorCode::kSuspectRequest;
     hindrance = "two endpoints failed while they ran it";
   } else if (starts_ >= timings_.max_starts) {
     hindrance = "it was tried too often";
@@ -211,9 +215,9 @@
     BeginRun(now);
     return;
   }
-  const int status = code == ErrorCode::kSuspectRequest ? 422 : 502;
-  EndWithError(now, status,
-               {code, "upstream", "", std::string(reason) + "; " + std::string(hindrance)});
+  EndWithError(now, 502,
+               {ErrorCode::kUnavailable, "upstream", "",
+                std::string(reason) + "; " + std::string(hindrance)});
 }
 
 void RequestMachine::NoteDeath(const EndpointId& endpoint, BootNumber boot, bool confirmed) {
@@ -230,9 +234,19 @@
                                               BootNumber boot) {
   const bool expired = Expire(now);
   const auto hit = [&](const Grant& grant) { return IsOn(grant, endpoint, boot); };
-  const bool running = !expired && stream_ &&
-                       ((stream_->endpoint == endpoint && stream_->boot == boot) ||
-                        std::any_of(stream_->grants.begin(), stream_->grants.end(), hit));
+  const auto any = [&](const std::vector<Grant>& grants) {
+    return std::any_of(grants.begin(), grants.end(), hit);
+  };
+  const bool running =
+      !expired && stream_ &&
+      ((stream_->endpoint == endpoint && stream_->boot == boot) || any(stream_->grants));
+  const bool cancelled = std::any_of(closing_.begin(), closing_.end(),
+                                     [&](const auto& item) { return any(item.second.grants); });
+  if (cancelled && !running && IsModel()) {
+    // It may have died of the call before the cancellation reached it.
+    deaths_.emplace(endpoint, boot);
+    Do(ReportSuspect{options_.fingerprint, endpoint, boot, true});
+  }
   if (running) {
     NoteDeath(endpoint, boot, true);
     excluded_.insert(endpoint);
@@ -289,11 +303,17 @@
 void RequestMachine::ReleaseClosing(const std::string& stream_id, ReleaseOutcome outcome) {
   const auto it = closing_.find(stream_id);
   if (it == closing_.end()) return;
+  if (outcome == ReleaseOutcome::kEndpointDied && IsModel()) {
+    // The endpoint may have died of the call before the cancellation reached it.
+    const Grant& first = it->second.grants.front();
+    Do(ReportSuspect{options_.fingerprint, first.endpoint, first.boot, false});
+  }
   for (const Grant& grant : it->second.grants) {
     OutgoingMessage out = ledger_.MakeRelease(grant, outcome, it->second.report);
     Do(SendToVm{out.to, std::move(out.message)});
   }
   closing_.erase(it);
+  ReturnTurnIfIdle();
 }
 
 /** Gives the grants on a dead endpoint back without waiting for a confirmation. */
@@ -308,6 +328,7 @@
     });
     it = it->second.grants.empty() ? closing_.erase(it) : std::next(it);
   }
+  ReturnTurnIfIdle();
 }
 
 RequestActions RequestMachine::OnUpstreamCancelled(TimePoint now, const std::string& stream_id,
--- a/modules/zr_wire/stream_id.h
+++ b/modules/zr_wire/stream_id.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "zr_base/zr_base.h"
+#include "zr_wire/messages.h"
 
 namespace zr {
 
@@ -16,11 +17,18 @@
   friend auto operator<=>(const StreamKey&, const StreamKey&) = default;
 };
 
+/** Short form of a stream id, `<request id>#<attempt>`, for tests and tools. */
+std::string MakeStreamId(const RequestId& request, AttemptNumber attempt);
+
 /**
- * The engine's stream id of an attempt: `<request id>#<attempt>`. Imports of a
- * gathered attempt carry the same id on every member.
+ * The engine's stream id of a granted attempt: the short form, '.', and the
+ * identity of the grant, because two owners may grant the same attempt.
+ * Imports of a gathered attempt carry the id of the first member's grant.
  */
-std::string MakeStreamId(const RequestId& request, AttemptNumber attempt);
+std::string MakeStreamId(const RequestId& request, AttemptNumber attempt, const VmId& owner,
+                         Incarnation owner_incarnation, GrantNumber number);
+std::string MakeStreamId(const Grant& grant);
+std::string MakeStreamId(const HeldGrant& grant);
 
 /** The attempt that a stream id names; nullopt if the id was not made by MakeStreamId. */
 std::optional<StreamKey> ParseStreamId(std::string_view id);
