--- a/standins/engine/engine.cc
+++ b/standins/engine/engine.cc
@@ -1,6 +1,7 @@
 #include "standins/engine/engine.h"
 
 #include <algorithm>
+#include <string_view>
 
 #include "standins/common/token_text.h"
 #include "zr_telemetry/zr_telemetry.h"
--- a/standins/engine/engine_state.cc
+++ b/standins/engine/engine_state.cc
@@ -66,8 +66,9 @@
   for (const auto& event : cache_events_) {
     if (event.sequence <= after) continue;
     if (event.at_ms > visible || list.size() >= kMaxEvents) break;
-    list.push_back(
-        {{"seq", event.sequence}, {"op", event.inserted ? "add" : "remove"}, {"hash", event.hash}});
+    list.push_back({{"seq", event.sequence},
+                    {"op", event.inserted ? "stored" : "evicted"},
+                    {"hash", event.hash}});
   }
   return {{"boot", options_.boot}, {"events", std::move(list)}};
 }
@@ -190,6 +191,7 @@
   held_.clear();
   model_.Reset();
   cache_events_.clear();
+  cache_sequence_ = 0;
   if (restart_ms < 0) return;
   RunAfter(context_, Duration::Milliseconds(restart_ms), [this, generation = generation_] {
     if (generation == generation_) Restart();
--- a/standins/platform/object_store.cc
+++ b/standins/platform/object_table.cc
@@ -1,17 +1,17 @@
-#include "standins/platform/object_store.h"
+#include "standins/platform/object_table.h"
 
 #include <utility>
 
 namespace zr {
 
-const StoredObject* ObjectStore::Find(const std::string& kind, const std::string& name) const {
+const StoredObject* ObjectTable::Find(const std::string& kind, const std::string& name) const {
   auto table = kinds_.find(kind);
   if (table == kinds_.end()) return nullptr;
   auto it = table->second.find(name);
   return it == table->second.end() ? nullptr : &it->second;
 }
 
-std::optional<StoredObject> ObjectStore::FindBefore(const std::string& kind,
+std::optional<StoredObject> ObjectTable::FindBefore(const std::string& kind,
                                                     const std::string& name,
                                                     uint64_t version) const {
   for (auto it = events_.rbegin(); it != events_.rend(); ++it) {
@@ -25,7 +25,7 @@
   return *current;
 }
 
-bool ObjectStore::Holds(const StoredObject* current, const WriteCondition& condition) const {
+bool ObjectTable::Holds(const StoredObject* current, const WriteCondition& condition) const {
   if (condition.must_be_absent && current != nullptr) return false;
   if (condition.version && (current == nullptr || current->version != *condition.version)) {
     return false;
@@ -33,7 +33,7 @@
   return true;
 }
 
-std::optional<uint64_t> ObjectStore::Put(const std::string& kind, const std::string& name,
+std::optional<uint64_t> ObjectTable::Put(const std::string& kind, const std::string& name,
                                          std::string value, const WriteCondition& condition) {
   if (!Holds(Find(kind, name), condition)) return std::nullopt;
   ++version_;
@@ -42,7 +42,7 @@
   return version_;
 }
 
-std::optional<uint64_t> ObjectStore::Remove(const std::string& kind, const std::string& name,
+std::optional<uint64_t> ObjectTable::Remove(const std::string& kind, const std::string& name,
                                             const WriteCondition& condition) {
   const StoredObject* current = Find(kind, name);
   if (current == nullptr || !Holds(current, condition)) return std::nullopt;
@@ -52,7 +52,7 @@
   return version_;
 }
 
-std::vector<StoredObject> ObjectStore::List(const std::string& kind, const std::string& after,
+std::vector<StoredObject> ObjectTable::List(const std::string& kind, const std::string& after,
                                             size_t limit) const {
   std::vector<StoredObject> items;
   auto table = kinds_.find(kind);
@@ -64,7 +64,7 @@
   return items;
 }
 
-std::vector<ObjectEvent> ObjectStore::EventsAfter(const std::string& kind, uint64_t after) const {
+std::vector<ObjectEvent> ObjectTable::EventsAfter(const std::string& kind, uint64_t after) const {
   std::vector<ObjectEvent> found;
   for (auto it = events_.rbegin(); it != events_.rend() && it->version > after; ++it) {
     if (it->kind == kind) found.push_back(*it);
@@ -72,12 +72,12 @@
   return {found.rbegin(), found.rend()};
 }
 
-void ObjectStore::ForgetHistory() {
+void ObjectTable::ForgetHistory() {
   events_.clear();
   forgotten_ = version_;
 }
 
-void ObjectStore::Record(ObjectEvent event) {
+void ObjectTable::Record(ObjectEvent event) {
   events_.push_back(std::move(event));
   while (events_.size() > history_) {
     forgotten_ = events_.front().version;
--- a/standins/platform/object_store.h
+++ b/standins/platform/object_table.h
@@ -33,10 +33,10 @@
 };
 
 /** The object table of the platform stand-in, with a bounded event history. Not thread-safe. */
-class ObjectStore {
+class ObjectTable {
  public:
   /** @param history  events kept for watches; older ones are answered with 410 */
-  explicit ObjectStore(size_t history = 20'000) : history_(history) {}
+  explicit ObjectTable(size_t history = 20'000) : history_(history) {}
 
   /** Current object, or null. */
   const StoredObject* Find(const std::string& kind, const std::string& name) const;
--- a/standins/platform/platform_server.h
+++ b/standins/platform/platform_server.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "standins/common/host.h"
-#include "standins/platform/object_store.h"
+#include "standins/platform/object_table.h"
 #include "zr_base/zr_base.h"
 
 namespace zr {
@@ -92,7 +92,7 @@
   asio::io_context& context_;
   PlatformOptions options_;
   Random random_;
-  ObjectStore store_;
+  ObjectTable store_;
   Faults faults_;
   TokenBucket read_bucket_;
   TokenBucket write_bucket_;
