Let callers reattach to an engine stand-in directly

Cause: the load tool's reattachment could only be tested through a daemon. Conclusion: every call of that test ends with its complete answer.

--- a/apps/zinniarill_load/load_plan.cc
+++ b/apps/zinniarill_load/load_plan.cc
@@ -25,7 +25,7 @@
       ranges[PickIndex(random, ranges, [](const LengthRange& r) { return r.share; })];
   const double low = std::log(static_cast<double>(range.low));
   const double high = std::log(static_cast<double>(range.high));
-  const auto value = static_cast<int64_t>(std::exp(low + random.Unit() * (high - low)) + 0.5);
+  const int64_t value = std::llround(std::exp(low + random.Unit() * (high - low)));
   return std::clamp(value, range.low, range.high);
 }
 
--- a/apps/zinniarill_load/load_results.cc
+++ b/apps/zinniarill_load/load_results.cc
@@ -103,8 +103,9 @@
   for (const auto& [name, from] : other.classes_) {
     ClassResults& to = classes_[name];
     for (const auto& [outcome, count] : from.outcomes) to.outcomes[outcome] += count;
-    for (const auto& [bucket, histogram] : from.first_token)
+    for (const auto& [bucket, histogram] : from.first_token) {
       to.first_token[bucket].Merge(histogram);
+    }
     to.between_tokens.Merge(from.between_tokens);
     to.total.Merge(from.total);
     to.answer_tokens += from.answer_tokens;
--- a/apps/zinniarill_load/tests/load_test.cc
+++ b/apps/zinniarill_load/tests/load_test.cc
@@ -1,6 +1,8 @@
 #include <asio/executor_work_guard.hpp>
 #include <asio/ip/tcp.hpp>
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <thread>
 
 #include "standins/engine/engine.h"
@@ -132,8 +134,25 @@
   CHECK(outcomes["ok"].get<size_t>() == MakePlan(*scenario, 1, "r").size());
   CHECK(outcomes.size() == 1);
 
+  // Connections that break again and again are taken up at the caller's offset.
+  options.run = "broken";
+  options.max_attempts = 1'000;
+  std::atomic<bool> breaking{true};
+  std::function<void()> break_streams = [&] {
+    (*engine)->ApplyFault("break_streams", {});
+    if (breaking) RunAfter(context, Duration::Milliseconds(20), break_streams);
+  };
+  RunAfter(context, Duration(), break_streams);
+  scenario->classes[0].answer_tokens = {{1, 1'000, 2'000}};
+  const auto broken = RunLoad(*scenario, options).ToJson({});
+  breaking = false;
+  CHECK(broken["classes"]["lookup"]["outcomes"] == outcomes);
+  CHECK(broken["classes"]["lookup"]["reattached"] > 0);
+
   scenario = LoadScenario::Parse(kScenario, "test");
   scenario->classes.erase(scenario->classes.begin());
+  options.run = "operations";
+  options.max_attempts = 1;
   options.targets = {LoadTarget{service_options.listen, "", Duration(), true}};
   const auto first = RunLoad(*scenario, options);
   auto report = AskStandins(options, first);
--- a/standins/engine/engine.cc
+++ b/standins/engine/engine.cc
@@ -1,6 +1,7 @@
 #include "standins/engine/engine.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <string_view>
 
 #include "standins/common/token_text.h"
@@ -118,7 +119,12 @@
   job.prompt_tokens = std::max<int64_t>(1, body.value("prompt_tokens", PromptTokensOf(job.prompt)));
   job.max_tokens = std::max<int64_t>(1, body.value("max_tokens", int64_t{16}));
   job.priority = body.value("priority", int64_t{0});
-  job.id = body.value("stream_id", "anonymous-" + std::to_string(++reader_count_));
+  // Calls without a daemon in between carry the caller's headers in place of a stream id.
+  const bool direct = !body.contains("stream_id");
+  const std::string request_id(request.Header("x-request-id"));
+  job.id = !direct               ? body.value("stream_id", "")
+           : !request_id.empty() ? request_id
+                                 : "anonymous-" + std::to_string(++reader_count_);
   job.crashes = body.value("crash", false) || job.prompt.find(kCrashMark) != std::string::npos;
   const auto members = body.find("members");
   if (members != body.end() && members->is_array() && !members->empty()) {
@@ -153,7 +159,8 @@
       NoteNewWork(id);
       break;
   }
-  Attach(id, response, body.value("stream", true), 0);
+  const std::string offset(direct ? request.Header("x-zr-resume-offset") : "");
+  Attach(id, response, body.value("stream", true), std::strtoll(offset.c_str(), nullptr, 10));
   ScheduleStep();
 }
 
