--- a/standins/engine/engine.cc
+++ b/standins/engine/engine.cc
@@ -165,7 +165,7 @@
 }
 
 void Engine::NoteNewWork(const std::string& id) {
-  ++runs_[id.substr(0, id.find('#'))];
+  ++runs_[id.substr(0, id.rfind('#'))];
   ++counters_["started"];
   last_new_work_ms_ = WallClockMs();
   // Callers have three seconds to learn of the leaving mark, and the report's lag.
