Wire reattachment, suspects, gathers and team limits into the daemon

Cause: these rules existed as core modules only. Change: stream locator, suspect registry, gather table and team gate around the core modules; prompt cost and fingerprints from zr_request.

--- a/modules/zr_admission/endpoint_owner_grants.cc
+++ b/modules/zr_admission/endpoint_owner_grants.cc
@@ -190,7 +190,7 @@
       static_cast<double>(std::clamp(held.prompt, TokenCount(0), entry.kv).value());
   entry.expected_answer = entry.answer_left =
       static_cast<double>(entry.kv.value()) - entry.uncached;
-  engine_.OnClaimed(key);
+  engine_.OnClaimed(entry.key);
   grants_.Add(std::move(entry));
   ramp_.SetDemonstrated(grants_.AdoptedCount());
 }
--- a/modules/zr_admission/tests/load_test.cc
+++ b/modules/zr_admission/tests/load_test.cc
@@ -281,7 +281,7 @@
   std::vector<std::unique_ptr<FakeEngine>> engines_;
   std::vector<std::unique_ptr<EndpointOwner>> owners_;
   std::vector<TimePoint> wakeups_;
-  std::vector<Candidate> candidates_;
+  std::vector<SelectionCandidate> candidates_;
   std::map<std::string, Record> live_;
   std::map<std::string, std::pair<size_t, Grant>> held_;
   uint64_t next_id_ = 0;
--- a/modules/zr_daemon/api/answer_sinks.cc
+++ b/modules/zr_daemon/api/answer_sinks.cc
@@ -55,9 +55,10 @@
  public:
   using ModelSink::ModelSink;
 
-  void Head(int status, const std::string& /*content_type*/) override {
+  void Head(int status, const std::string& /*content_type*/, const std::string& stream) override {
     begun_ = true;
     HttpHeaders headers = Headers("text/event-stream");
+    if (!stream.empty()) headers["x-zr-stream"] = stream;
     headers["cache-control"] = "no-cache";
     response_->Begin(status, std::move(headers));
   }
@@ -76,7 +77,7 @@
   }
 
   void Finish(int64_t /*total*/) override {
-    if (!begun_) Head(200, "");
+    if (!begun_) Head(200, "", "");
     response_->Write(FormatSseEvent("[DONE]"), nullptr);
     response_->End();
   }
@@ -104,7 +105,8 @@
  public:
   using ModelSink::ModelSink;
 
-  void Head(int /*status*/, const std::string& /*content_type*/) override {}
+  void Head(int /*status*/, const std::string& /*content_type*/,
+            const std::string& /*stream*/) override {}
 
   void Part(int64_t /*offset*/, std::string text, std::function<void()> sent) override {
     text_ += text;
@@ -141,7 +143,7 @@
   ServiceSink(HttpResponsePtr response, RequestId request, size_t max_bytes)
       : response_(std::move(response)), request_(std::move(request)), max_bytes_(max_bytes) {}
 
-  void Head(int status, const std::string& content_type) override {
+  void Head(int status, const std::string& content_type, const std::string& /*stream*/) override {
     status_ = status;
     content_type_ = content_type;
   }
--- a/modules/zr_daemon/api/caller_api.cc
+++ b/modules/zr_daemon/api/caller_api.cc
@@ -10,6 +10,8 @@
 #include "zr_daemon/api/error_reply.h"
 #include "zr_daemon/request/request_table.h"
 #include "zr_daemon/request/route_selector.h"
+#include "zr_daemon/request/suspect_registry.h"
+#include "zr_daemon/request/team_gate.h"
 
 namespace zr {
 namespace {
@@ -17,8 +19,6 @@
 using Json = nlohmann::json;
 
 constexpr size_t kMaxIdBytes = 128;
-// Rough size of a token in bytes, for prompts without a count.
-constexpr int64_t kBytesPerToken = 4;
 constexpr int64_t kMaxPromptTokens = 100'000'000;
 constexpr const char* kStep = "request";
 
@@ -162,6 +162,7 @@
     if (!call.id_given) return Invalid("x-zr-resume-offset needs x-request-id");
     call.resume_offset = *value;
   }
+  call.resume_stream = std::string(request.Header("x-zr-resume-stream"));
   return call;
 }
 
@@ -208,9 +209,11 @@
   options.team = call.team->team;
   options.request_class = policy;
   options.pool = *pool;
-  const auto bytes = static_cast<int64_t>(body.prompt.size());
-  options.prompt = TokenCount(
-      body.prompt_tokens > 0 ? body.prompt_tokens : std::max<int64_t>(1, bytes / kBytesPerToken));
+  const auto counted =
+      body.prompt_tokens > 0 ? std::optional(TokenCount(body.prompt_tokens)) : std::nullopt;
+  PromptCost cost = PromptCost::Of(body.model, body.prompt, counted);
+  options.prompt = std::max(cost.tokens, TokenCount(1));
+  options.prefixes = std::move(cost.prefixes);
   options.max_answer = body.max_tokens > 0 ? TokenCount(body.max_tokens) : policy.max_answer;
   if (options.prompt > policy.max_prompt || options.prompt < policy.min_prompt) {
     return Fail(
@@ -225,13 +228,13 @@
     return Invalid("max_tokens is at most " + std::to_string(policy.max_answer.value()) +
                    " in class " + policy.name.value());
   }
-  options.fingerprint =
-      Fingerprint(HashFields({options.team.value(), body.model, body.prompt, std::to_string(bytes),
-                              std::to_string(options.prompt.value())}));
+  options.fingerprint = MakeFingerprint(options.team, body.model, body.prompt);
+  options.suspect = context_.suspects->Verdict(options.fingerprint);
   const TimePoint now = SteadyNow();
   options.deadline = now + call.deadline;
   options.may_be_repeat = call.id_given;
   options.resume_offset = call.resume_offset;
+  options.resume_stream = call.resume_stream;
   options.first_attempt = AttemptNumber(static_cast<uint64_t>(UnixMilliseconds()) * 1000 +
                                         static_cast<uint64_t>(now.microseconds() % 1000));
   return options;
@@ -265,14 +268,23 @@
                                 std::shared_ptr<AnswerSink> sink, const HttpResponsePtr& response) {
   RetryBudget& budget = context_.requests->BudgetOf(options.pool.pool);
   const RequestOptions kept = options;
+  const LimitDecision limit = context_.teams->TryAdmit(kept.team, kept.prompt + kept.max_answer);
+  if (!limit.allowed) {
+    const Error error{ErrorCode::kLimitExceeded, kStep, kept.team.value(),
+                      "the team's limit is used up"};
+    return SendError(*response, 429, error, RunState::kNotRun,
+                     {{"retry-after", std::to_string(limit.retry_after.milliseconds() / 1000 + 1)},
+                      {"x-request-id", kept.request.value()}});
+  }
   auto host = std::make_shared<RequestHost>(context_, std::move(options), std::move(upstream),
                                             budget, sink);
   if (context_.requests->Add(host)) return host->Start();
+  context_.teams->OnFinished(kept.team, kept.prompt + kept.max_answer);
   auto existing = context_.requests->Find(kept.request);
   const Error busy{ErrorCode::kConflict, kStep, context_.settings.vm.value(),
                    "another call with this request id just ended; try again"};
   if (!existing) return SendError(*response, 409, busy, RunState::kNotRun);
-  existing->Reattach(kept.team, kept.fingerprint, kept.resume_offset, sink,
+  existing->Reattach(kept.team, kept.fingerprint, kept.resume_offset, kept.resume_stream, sink,
                      [response](const Error& error) {
                        SendError(*response, HttpStatusOf(error.code), error, RunState::kNotRun);
                      });
--- a/modules/zr_daemon/api/caller_api.h
+++ b/modules/zr_daemon/api/caller_api.h
@@ -28,6 +28,7 @@
     bool id_given = false;
     Duration deadline;
     int64_t resume_offset = 0;
+    std::string resume_stream;
   };
   /** A model call's body. */
   struct ModelBody {
--- a/modules/zr_daemon/node.cc
+++ b/modules/zr_daemon/node.cc
@@ -27,7 +27,14 @@
       selector_(context_),
       held_grants_(context_),
       requests_(context_),
-      endpoints_(context_, [](const std::vector<Suspect>&) {}),
+      locator_(context_),
+      suspects_(context_),
+      gathers_(context_),
+      teams_(context_),
+      endpoints_(context_,
+                 [this](const std::vector<Suspect>& list) {
+                   for (const Suspect& suspect : list) suspects_.Report(suspect);
+                 }),
       caller_api_(context_),
       operator_api_(context_, [this](ConfigOffer offer) { control_->OnWritten(std::move(offer)); }),
       signals_(io_, SIGTERM, SIGINT),
@@ -39,6 +46,10 @@
   context_.requests = &requests_;
   context_.selector = &selector_;
   context_.held_grants = &held_grants_;
+  context_.locator = &locator_;
+  context_.suspects = &suspects_;
+  context_.gathers = &gathers_;
+  context_.teams = &teams_;
 }
 
 Node::~Node() = default;
@@ -74,8 +85,14 @@
   auto control = ControlPlane::Create(context_, links_, *this);
   if (!control) return tl::unexpected(control.error());
   control_ = *control;
-  control_->add_demand = [this](LocalState& local) { local.pool_demand = selector_.OwnDemand(); };
-  control_->on_demand = [this](const Heartbeat& heartbeat) { selector_.OnHeartbeat(heartbeat); };
+  control_->add_demand = [this](LocalState& local) {
+    local.pool_demand = selector_.OwnDemand();
+    local.team_demand = teams_.PublishDemand();
+  };
+  control_->on_demand = [this](const Heartbeat& heartbeat) {
+    selector_.OnHeartbeat(heartbeat);
+    teams_.OnDemand(heartbeat.origin.vm, heartbeat.team_demand);
+  };
 
   HttpServerOptions server;
   server.address = settings_.callers.ToString();
@@ -100,6 +117,8 @@
     if (!error) BeginStop();
   });
   control_->Start();
+  locator_.Start();
+  gathers_.Start();
   ScheduleHeldGrants();
   Log(LogLevel::kInfo, "node",
       "Serving callers on " + settings_.callers.ToString() + ", operators on " +
@@ -118,12 +137,18 @@
 // Control events
 
 void Node::OnSnapshot(const std::shared_ptr<const ClusterSnapshot>& snapshot) {
+  teams_.OnPolicies(snapshot->teams);
+  locator_.OnSnapshot(*snapshot);
+  suspects_.OnSnapshot(*snapshot);
   endpoints_.OnSnapshot(*snapshot);
 }
 
 void Node::OnVmDied(const VmId& vm, Incarnation incarnation) {
   selector_.OnVmDied(vm, incarnation);
   endpoints_.OnVmDead(vm);
+  locator_.OnVmDied(vm);
+  gathers_.OnVmDied(vm);
+  teams_.OnVmDied(vm);
   requests_.OnVmDied(vm);
 }
 
@@ -138,16 +163,27 @@
     return control_->OnConfigOffer(from, std::move(*m));
   }
   if (auto* m = std::get_if<ConfigFetch>(&message)) return control_->OnConfigFetch(from, *m);
-  if (auto* m = std::get_if<Summary>(&message)) return selector_.OnSummary(*m);
+  if (auto* m = std::get_if<Summary>(&message)) {
+    if (m->accepts_new) suspects_.OnEndpointAlive(m->endpoint, m->boot);
+    return selector_.OnSummary(*m);
+  }
   if (auto* m = std::get_if<AdmissionRequest>(&message)) {
     if (settings_.routing_policy == RoutingPolicy::kBaseline) return AnswerBaseline(from, *m);
+    if (m->endpoint.empty()) return gathers_.OnRequest(from, *m);
     return RouteToOwner(m->endpoint, from, message);
   }
   if (auto* m = std::get_if<CancelAdmission>(&message)) {
+    if (m->endpoint.empty()) return gathers_.OnCancel(from, *m);
+    return RouteToOwner(m->endpoint, from, message);
+  }
+  if (auto* m = std::get_if<Release>(&message)) {
+    locator_.OnRelease(*m);
+    return RouteToOwner(m->endpoint, from, message);
+  }
+  if (auto* m = std::get_if<HeldGrants>(&message)) {
+    locator_.OnHeldGrants(*m);
     return RouteToOwner(m->endpoint, from, message);
   }
-  if (auto* m = std::get_if<Release>(&message)) return RouteToOwner(m->endpoint, from, message);
-  if (auto* m = std::get_if<HeldGrants>(&message)) return RouteToOwner(m->endpoint, from, message);
   if (auto* m = std::get_if<GatherReserve>(&message)) {
     return RouteToOwner(m->endpoint, from, message);
   }
@@ -159,6 +195,40 @@
     if (auto host = requests_.Find(m->request)) host->OnRefusal(*m);
     return;
   }
+  ReceiveShared(from, message);
+}
+
+void Node::ReceiveShared(const VmId& from, const Message& message) {
+  if (auto* m = std::get_if<GatherReply>(&message)) return gathers_.OnReply(from, *m);
+  if (auto* m = std::get_if<Suspect>(&message)) return suspects_.OnSuspect(*m);
+  if (auto* m = std::get_if<SuspectTurn>(&message)) return suspects_.OnTurn(from, *m);
+  if (auto* m = std::get_if<FindStream>(&message)) return locator_.OnFindStream(from, *m);
+  if (auto* m = std::get_if<StreamLocation>(&message)) return locator_.OnLocation(from, *m);
+  if (auto* m = std::get_if<SuspectTurnReply>(&message)) {
+    if (auto host = requests_.Find(m->request)) {
+      host->Post([reply = *m](TimePoint now, RequestMachine& machine) {
+        return machine.OnTurn(now, reply.answer, reply.wait_hint);
+      });
+    }
+    return;
+  }
+  if (auto* m = std::get_if<TakeOver>(&message)) {
+    auto host = requests_.Find(m->request);
+    if (!host) {
+      bus_->Send(from, RequestMachine::UnknownRequest(m->request));
+      return;
+    }
+    return host->Post([from, take_over = *m](TimePoint now, RequestMachine& machine) {
+      return machine.OnTakeOver(now, from, take_over);
+    });
+  }
+  if (auto* m = std::get_if<HandOver>(&message)) {
+    auto host = requests_.Find(m->request);
+    if (!host) return;
+    host->Post([hand_over = *m](TimePoint now, RequestMachine& machine) {
+      return machine.OnHandOver(now, hand_over);
+    });
+  }
 }
 
 void Node::RouteToOwner(const EndpointId& endpoint, const VmId& from, const Message& message) {
@@ -238,6 +308,8 @@
     caller_server_->StopAccepting();
     operator_server_->StopAccepting();
     endpoints_.StopAll();
+    locator_.Stop();
+    gathers_.Stop();
     control_->Stop();
     links_->Stop();
     io_.stop();
--- a/modules/zr_daemon/node.h
+++ b/modules/zr_daemon/node.h
@@ -13,9 +13,13 @@
 #include "zr_daemon/endpoint/endpoint_table.h"
 #include "zr_daemon/net/message_bus.h"
 #include "zr_daemon/node_context.h"
+#include "zr_daemon/request/gather_table.h"
 #include "zr_daemon/request/held_grants.h"
 #include "zr_daemon/request/request_table.h"
 #include "zr_daemon/request/route_selector.h"
+#include "zr_daemon/request/stream_locator.h"
+#include "zr_daemon/request/suspect_registry.h"
+#include "zr_daemon/request/team_gate.h"
 
 namespace zr {
 
@@ -43,6 +47,7 @@
   void OnSelfPaused() override;
 
   void Receive(const VmId& from, Message message);
+  void ReceiveShared(const VmId& from, const Message& message);
   void RouteToOwner(const EndpointId& endpoint, const VmId& from, const Message& message);
   void RouteGrant(const Grant& grant);
   void AnswerBaseline(const VmId& from, const AdmissionRequest& request);
@@ -60,6 +65,10 @@
   RouteSelector selector_;
   HeldGrantRegistry held_grants_;
   RequestTable requests_;
+  StreamLocator locator_;
+  SuspectRegistry suspects_;
+  GatherTable gathers_;
+  TeamGate teams_;
   EndpointTable endpoints_;
   std::shared_ptr<ControlPlane> control_;
   CallerApi caller_api_;
--- a/modules/zr_daemon/node_context.h
+++ b/modules/zr_daemon/node_context.h
@@ -15,10 +15,14 @@
 
 class ClusterState;
 class EndpointTable;
+class GatherTable;
 class HeldGrantRegistry;
 class MessageBus;
 class RequestTable;
 class RouteSelector;
+class StreamLocator;
+class SuspectRegistry;
+class TeamGate;
 
 using Strand = asio::strand<asio::io_context::executor_type>;
 
@@ -50,6 +54,10 @@
   RequestTable* requests = nullptr;
   RouteSelector* selector = nullptr;
   HeldGrantRegistry* held_grants = nullptr;
+  StreamLocator* locator = nullptr;
+  SuspectRegistry* suspects = nullptr;
+  GatherTable* gathers = nullptr;
+  TeamGate* teams = nullptr;
 };
 
 }  // namespace zr
--- a/modules/zr_daemon/request/answer_sink.h
+++ b/modules/zr_daemon/request/answer_sink.h
@@ -12,7 +12,8 @@
 class AnswerSink {
  public:
   virtual ~AnswerSink() = default;
-  virtual void Head(int status, const std::string& content_type) = 0;
+  /** @param stream  names the run, for a caller that reconnects; empty for plain services */
+  virtual void Head(int status, const std::string& content_type, const std::string& stream) = 0;
   /**
    * A part of the answer.
    * @param offset  tokens (models) or bytes (plain services) before it
--- /dev/null
+++ b/modules/zr_daemon/request/gather_table.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+
+#include "zr_admission/zr_admission.h"
+#include "zr_daemon/node_context.h"
+
+namespace zr {
+
+/**
+ * The gather coordinators of the pools, for prompts that span several
+ * endpoints. Any thread may use it.
+ */
+class GatherTable {
+ public:
+  explicit GatherTable(NodeContext& context);
+  GatherTable(const GatherTable&) = delete;
+  GatherTable& operator=(const GatherTable&) = delete;
+
+  void Start() { Schedule(); }
+  void Stop() { timer_.cancel(); }
+
+  //============================================================================
+  // Messages to the coordinator
+
+  /** An AdmissionRequest with an empty endpoint. */
+  void OnRequest(const VmId& from, const AdmissionRequest& request);
+  void OnReply(const VmId& from, const GatherReply& reply);
+  void OnCancel(const VmId& from, const CancelAdmission& cancel);
+  void OnVmDied(const VmId& vm);
+
+ private:
+  template <typename Step>
+  void ForEach(Step step);
+  void Schedule();
+  void Send(const GatherCoordinator::Messages& messages);
+
+  NodeContext& context_;
+  asio::steady_timer timer_;
+  std::mutex mutex_;
+  std::map<PoolId, std::unique_ptr<GatherCoordinator>> coordinators_;
+};
+
+}  // namespace zr
--- a/modules/zr_daemon/request/request_host.cc
+++ b/modules/zr_daemon/request/request_host.cc
@@ -8,6 +8,9 @@
 #include "zr_daemon/request/held_grants.h"
 #include "zr_daemon/request/request_table.h"
 #include "zr_daemon/request/route_selector.h"
+#include "zr_daemon/request/stream_locator.h"
+#include "zr_daemon/request/suspect_registry.h"
+#include "zr_daemon/request/team_gate.h"
 
 namespace zr {
 namespace {
@@ -64,6 +67,7 @@
 
 void RequestHost::OnGrant(Grant grant) {
   const TimePoint received = SteadyNow();
+  if (!grant.members.empty()) return OnGatherGrant(grant, received);
   Post([this, grant = std::move(grant), received](TimePoint now, RequestMachine& machine) {
     if (grant.endpoint == asked_endpoint_) {
       context_.metrics.Observe("zr_queue_seconds", ClassLabels(), now - asked_);
@@ -72,7 +76,30 @@
   });
 }
 
+void RequestHost::OnGatherGrant(const Grant& grant, TimePoint received) {
+  std::vector<Grant> grants = {grant};
+  grants.front().members.clear();
+  for (const GatherMember& member : grant.members) {
+    Grant part = grants.front();
+    part.endpoint = member.endpoint;
+    part.number = member.number;
+    part.owner = member.owner;
+    part.owner_incarnation = member.owner_incarnation;
+    part.kv_tokens = member.kv_tokens;
+    grants.push_back(std::move(part));
+  }
+  Post([attempt = grant.attempt, grants = std::move(grants), received](TimePoint now,
+                                                                       RequestMachine& machine) {
+    return machine.OnGatherReady(now, received, attempt, grants);
+  });
+}
+
 void RequestHost::OnRefusal(Refusal refusal) {
+  if (refusal.endpoint.empty()) {
+    return Post([refusal](TimePoint now, RequestMachine& machine) {
+      return machine.OnGatherFailed(now, refusal.attempt, refusal.wait_hint);
+    });
+  }
   Post([this, refusal = std::move(refusal)](TimePoint now, RequestMachine& machine) {
     if (refusal.endpoint == asked_endpoint_ && refusal.reason == RefusalReason::kBusy) {
       context_.selector->ObserveRoundTrip(asked_domain_, now - asked_);
@@ -81,25 +108,26 @@
   });
 }
 
-void RequestHost::Reattach(TeamId team, Fingerprint fingerprint, int64_t offset,
+void RequestHost::Reattach(TeamId team, Fingerprint fingerprint, int64_t offset, std::string stream,
                            std::shared_ptr<AnswerSink> sink, std::function<void(Error)> refused) {
-  asio::post(strand_, [self = shared_from_this(), team = std::move(team), fingerprint, offset,
-                       sink = std::move(sink), refused = std::move(refused)] {
-    auto actions = self->machine_.Reattach(SteadyNow(), team, fingerprint, offset);
-    if (!actions) return refused(actions.error());
-    auto superseded = std::exchange(self->sink_, sink);
-    self->unsent_bytes_ = 0;
-    self->BindSink();
-    RequestActions rest;
-    for (RequestAction& action : *actions) {
-      if (auto* drop = std::get_if<DropCaller>(&action)) {
-        superseded->Drop(drop->error);
-      } else {
-        rest.push_back(std::move(action));
-      }
-    }
-    self->Perform(rest);
-  });
+  asio::post(
+      strand_, [self = shared_from_this(), team = std::move(team), fingerprint, offset,
+                stream = std::move(stream), sink = std::move(sink), refused = std::move(refused)] {
+        auto actions = self->machine_.Reattach(SteadyNow(), team, fingerprint, offset, stream);
+        if (!actions) return refused(actions.error());
+        auto superseded = std::exchange(self->sink_, sink);
+        self->unsent_bytes_ = 0;
+        self->BindSink();
+        RequestActions rest;
+        for (RequestAction& action : *actions) {
+          if (auto* drop = std::get_if<DropCaller>(&action)) {
+            superseded->Drop(drop->error);
+          } else {
+            rest.push_back(std::move(action));
+          }
+        }
+        self->Perform(rest);
+      });
 }
 
 StreamLocation RequestHost::Location() const {
@@ -115,11 +143,15 @@
   {
     std::lock_guard lock(location_mutex_);
     location_ = machine_.location();
+    if (location_.found && IsModel()) context_.locator->SetLocal(location_);
   }
   if (machine_.removable()) {
     if (!std::exchange(removed_, true)) {
       wakeup_.cancel();
       CloseUpstream();
+      DeleteImports();
+      if (IsModel()) context_.locator->EndLocal(id_, finished_);
+      context_.teams->OnFinished(team_, machine_.options().prompt + machine_.options().max_answer);
       if (machine_.dropped_chunks() > 0) {
         context_.metrics.Count("zr_dropped_chunks_total", {},
                                static_cast<double>(machine_.dropped_chunks()));
@@ -216,9 +248,40 @@
   }
   ClientRequest request = IsModel() ? MakeModelRequest(action, *info) : MakeServiceRequest(*info);
   request.fresh_connection = !machine_.options().idempotent;
+  if (!action.members.empty()) PlaceImports(action);
   OpenUpstream(action.endpoint, action.attempt, action.stream_id, std::move(request), false);
 }
 
+void RequestHost::PlaceImports(const StartUpstream& action) {
+  const auto snapshot = context_.cluster->Get();
+  const Duration ttl = machine_.options().deadline - SteadyNow();
+  for (const auto& [endpoint, grant] : machine_.held_grants()) {
+    const EndpointInfo* info = snapshot->FindEndpoint(endpoint);
+    if (endpoint == action.endpoint || info == nullptr) continue;
+    const nlohmann::json body = {{"id", action.stream_id},
+                                 {"kv_tokens", grant.kv_tokens.value()},
+                                 {"ttl_ms", ttl.milliseconds()}};
+    ClientRequest request;
+    request.method = "POST";
+    request.url = "http://" + info->address + "/engine/imports";
+    request.headers["content-type"] = "application/json";
+    request.body = body.dump();
+    request.total_timeout = kCancelTimeout;
+    imports_.push_back(request.url + "/" + EscapePathSegment(action.stream_id));
+    context_.http->Fetch(std::move(request), size_t{64} << 10, [](auto) {});
+  }
+}
+
+void RequestHost::DeleteImports() {
+  for (const std::string& url : std::exchange(imports_, {})) {
+    ClientRequest request;
+    request.method = "DELETE";
+    request.url = url;
+    request.total_timeout = kCancelTimeout;
+    context_.http->Fetch(std::move(request), size_t{64} << 10, [](auto) {});
+  }
+}
+
 void RequestHost::Do(const ResumeUpstream& action) {
   const auto snapshot = context_.cluster->Get();
   const EndpointInfo* info = snapshot->FindEndpoint(action.endpoint);
@@ -309,7 +372,9 @@
 //==============================================================================
 // Caller
 
-void RequestHost::Do(const EmitHead& action) { sink_->Head(action.status, content_type_); }
+void RequestHost::Do(const EmitHead& action) {
+  sink_->Head(action.status, content_type_, action.stream_id);
+}
 
 void RequestHost::Do(const Emit& action) {
   const TimePoint now = SteadyNow();
@@ -348,6 +413,7 @@
   MetricLabels labels = ClassLabels();
   labels.emplace_back("outcome", "completed");
   context_.metrics.Count("zr_requests_total", labels);
+  finished_ = true;
   sink_->Finish(action.total);
 }
 
@@ -364,26 +430,64 @@
 //==============================================================================
 // Shared state of other VMs
 
-void RequestHost::Do(const LocateStream& /*action*/) {
-  Post([](TimePoint now, RequestMachine& machine) { return machine.OnStreamNotFound(now, true); });
+void RequestHost::Do(const LocateStream& action) {
+  context_.locator->Locate(shared_from_this(), action);
+}
+
+void RequestHost::Do(const ReportSuspect& action) {
+  Suspect suspect;
+  suspect.fingerprint = action.fingerprint;
+  suspect.endpoint = action.endpoint;
+  suspect.boot = action.boot;
+  context_.suspects->Report(suspect);
 }
 
-void RequestHost::Do(const ReportSuspect& /*action*/) {}
+void RequestHost::Do(const AskTurn& action) {
+  SuspectTurn turn;
+  turn.fingerprint = action.fingerprint;
+  turn.request = id_;
+  turn.holding = action.holding;
+  context_.suspects->SendTurn(turn);
+}
 
-void RequestHost::Do(const AskTurn& /*action*/) {
-  Post([](TimePoint now, RequestMachine& machine) {
-    return machine.OnTurn(now, TurnAnswer::kClear, Duration());
-  });
+void RequestHost::Do(const ReturnTurn& action) {
+  SuspectTurn turn;
+  turn.fingerprint = action.fingerprint;
+  turn.request = id_;
+  turn.returned = true;
+  turn.harmless = action.harmless;
+  context_.suspects->SendTurn(turn);
 }
 
-void RequestHost::Do(const ReturnTurn& /*action*/) {}
+std::optional<VmId> RequestHost::GatherCoordinatorVm() const {
+  return CoordinatorOf(machine_.options().pool.pool, *context_.cluster->Get()->view);
+}
 
 void RequestHost::Do(const GatherRequest& action) {
+  const RequestOptions& options = machine_.options();
+  AdmissionRequest ask;
+  ask.request = id_;
+  ask.attempt = action.attempt;
+  ask.pool = options.pool.pool;
+  ask.team = team_;
+  ask.request_class = options.request_class.name;
+  ask.prompt = options.prompt;
+  ask.max_answer = options.max_answer;
+  ask.time_left = options.deadline - SteadyNow();
+  ask.fingerprint = options.fingerprint;
+  ask.queue_if_busy = true;
+  const auto coordinator = GatherCoordinatorVm();
+  if (coordinator && context_.bus->Send(*coordinator, ask)) return;
   Post([attempt = action.attempt](TimePoint now, RequestMachine& machine) {
-    return machine.OnGatherFailed(now, attempt, Duration::Seconds(1));
+    return machine.OnGatherFailed(now, attempt, Duration::Milliseconds(500));
   });
 }
 
-void RequestHost::Do(const CancelGather& /*action*/) {}
+void RequestHost::Do(const CancelGather& action) {
+  CancelAdmission cancel;
+  cancel.request = id_;
+  cancel.attempt = action.attempt;
+  if (const auto coordinator = GatherCoordinatorVm()) context_.bus->Send(*coordinator, cancel);
+}
 
 }  // namespace zr
--- a/modules/zr_daemon/request/request_host.h
+++ b/modules/zr_daemon/request/request_host.h
@@ -51,7 +51,7 @@
    * Another call with the same id: its sink takes the answer over.
    * @param refused  called on the strand if the call does not match this request
    */
-  void Reattach(TeamId team, Fingerprint fingerprint, int64_t offset,
+  void Reattach(TeamId team, Fingerprint fingerprint, int64_t offset, std::string stream,
                 std::shared_ptr<AnswerSink> sink, std::function<void(Error)> refused);
 
   const RequestId& id() const { return id_; }
@@ -97,6 +97,10 @@
   ClientRequest MakeServiceRequest(const EndpointInfo& info) const;
   bool IsModel() const { return pool_kind_ == PoolKind::kModel; }
   void CloseUpstream();
+  void OnGatherGrant(const Grant& grant, TimePoint received);
+  std::optional<VmId> GatherCoordinatorVm() const;
+  void PlaceImports(const StartUpstream& action);
+  void DeleteImports();
   MetricLabels ClassLabels() const;
 
   NodeContext& context_;
@@ -114,6 +118,8 @@
   size_t unsent_bytes_ = 0;  // handed to the sink and not yet sent
   bool blocked_ = false;
   bool removed_ = false;
+  bool finished_ = false;
+  std::vector<std::string> imports_;  // URLs of the parts at other members of a gather
 
   TimePoint arrived_;
   TimePoint asked_;
--- /dev/null
+++ b/modules/zr_daemon/request/stream_locator.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "zr_daemon/control/cluster_state.h"
+#include "zr_daemon/node_context.h"
+#include "zr_request/zr_request.h"
+
+namespace zr {
+
+class RequestHost;
+
+/**
+ * Finds the streams of requests that callers repeat: answers other VMs'
+ * searches and runs those of this VM. Any thread may use it.
+ */
+class StreamLocator {
+ public:
+  explicit StreamLocator(NodeContext& context);
+  StreamLocator(const StreamLocator&) = delete;
+  StreamLocator& operator=(const StreamLocator&) = delete;
+
+  void Start() { Schedule(); }
+  void Stop() { timer_.cancel(); }
+
+  //============================================================================
+  // Knowledge of this VM
+
+  void SetLocal(const StreamLocation& location);
+  void EndLocal(const RequestId& request, bool done);
+  void OnHeldGrants(const HeldGrants& list);
+  void OnRelease(const Release& release);
+  void OnSnapshot(const ClusterSnapshot& snapshot);
+  void OnVmDied(const VmId& vm);
+
+  //============================================================================
+  // Searches
+
+  /** Looks for a run; the host's machine hears the result. */
+  void Locate(const std::shared_ptr<RequestHost>& host, const LocateStream& wanted);
+  void OnFindStream(const VmId& from, const FindStream& query);
+  void OnLocation(const VmId& from, const StreamLocation& location);
+
+ private:
+  struct Search {
+    StreamSearch search;
+    std::weak_ptr<RequestHost> host;
+  };
+  using Messages = std::vector<OutgoingMessage>;
+
+  void Schedule();
+  void Tick();
+  /** Runs a step of a search under the lock, then sends and reports without it. */
+  template <typename Step>
+  void Advance(const RequestId& request, Step step);
+  void Send(const Messages& messages);
+
+  NodeContext& context_;
+  asio::steady_timer timer_;
+  std::mutex mutex_;
+  StreamDirectory directory_;
+  std::map<RequestId, Search> searches_;
+  std::vector<VmId> live_;
+  TimePoint next_expiry_;
+};
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_daemon/request/team_gate.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "zr_admission/zr_admission.h"
+#include "zr_daemon/node_context.h"
+
+namespace zr {
+
+/** Thread-safe use of the TeamLimiter. */
+class TeamGate {
+ public:
+  explicit TeamGate(const NodeContext& context)
+      : limiter_(context.settings.vm, std::make_shared<const TeamPolicies>()) {}
+  TeamGate(const TeamGate&) = delete;
+  TeamGate& operator=(const TeamGate&) = delete;
+
+  void OnPolicies(std::shared_ptr<const TeamPolicies> teams) {
+    std::lock_guard lock(mutex_);
+    if (teams) limiter_.OnPolicies(std::move(teams));
+  }
+  void OnDemand(const VmId& vm, const std::vector<TeamDemand>& demand) {
+    std::lock_guard lock(mutex_);
+    limiter_.OnDemand(vm, demand);
+  }
+  void OnVmDied(const VmId& vm) {
+    std::lock_guard lock(mutex_);
+    limiter_.OnVmGone(vm);
+  }
+  std::vector<TeamDemand> PublishDemand() {
+    std::lock_guard lock(mutex_);
+    return limiter_.PublishDemand(SteadyNow());
+  }
+  /** @param tokens  prompt and answer bound, also the memory that is taken */
+  LimitDecision TryAdmit(const TeamId& team, TokenCount tokens) {
+    std::lock_guard lock(mutex_);
+    return limiter_.TryAdmit(SteadyNow(), team, tokens, tokens);
+  }
+  void OnFinished(const TeamId& team, TokenCount tokens) {
+    std::lock_guard lock(mutex_);
+    limiter_.OnFinished(SteadyNow(), team, tokens, TokenCount(0));
+  }
+
+ private:
+  std::mutex mutex_;
+  TeamLimiter limiter_;
+};
+
+}  // namespace zr
