--- /dev/null
+++ b/modules/zr_placement/placement_lease.cc
@@ -0,0 +1,156 @@
+#include "zr_placement/placement_lease.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace zr {
+
+Result<PlacementLease> PlacementLease::Create(PlacementLeaseOptions options) {
+  const bool named = !options.self.empty() && options.incarnation.value() > 0;
+  const bool margin_fits = options.margin > Duration() && options.margin * 2 < options.duration;
+  const bool renewals_fit =
+      options.renew_period > Duration() && options.read_period > Duration() &&
+      options.call_timeout > Duration() &&
+      options.renew_period + options.call_timeout < options.duration - options.margin;
+  if (!named || !margin_fits || !renewals_fit) {
+    return Fail(ErrorCode::kInvalidArgument, "placement", "",
+                "lease options are empty or their durations do not fit");
+  }
+  return PlacementLease(std::move(options));
+}
+
+std::optional<FencingNumber> PlacementLease::MayOrder(TimePoint now) const {
+  if (!candidate_ || !fencing_ || now >= valid_until_) return std::nullopt;
+  return fencing_;
+}
+
+// -----------------------------------------------------------------------------
+// Calls
+
+void PlacementLease::SetCandidate(bool candidate) {
+  if (candidate_ != candidate) next_call_ = TimePoint();  // release or compete at once
+  candidate_ = candidate;
+}
+
+std::optional<LeaseCall> PlacementLease::OnTick(TimePoint now) {
+  if (outstanding_ && now >= call_expires_) {
+    if (pending_.kind == LeaseCall::Kind::kPut) {
+      OnPut(now, pending_.call, {LeasePutAnswer::Kind::kUnknown, ObjectVersion()});
+    } else {
+      OnRead(now, pending_.call, std::nullopt);
+    }
+  }
+  if (outstanding_ || now < next_call_) return std::nullopt;
+  if (!observed_ || read_needed_) return StartCall(now, {});
+
+  LeaseValue value{options_.self, options_.incarnation, 0, FencingNumber(), options_.duration};
+  if (IsOwn(object_.value)) {
+    if (!candidate_) {
+      // An empty holder lets a successor start without waiting. Orders have
+      // ended already, since MayOrder() denies them to a VM that does not compete.
+      value.holder = VmId();
+      Lose();
+      // If the answer is lost, the release may take effect much later. Without
+      // its sending time the version that it replaces is never held again.
+      sent_.clear();
+      return Put(now, value);
+    }
+    // A lapsed lease is acquired again with a new number; orders of before the
+    // lapse then carry a lower one.
+    if (fencing_ && now < valid_until_) value.fencing = *fencing_;
+    return Put(now, value);
+  }
+  const Duration wait = object_.value.duration + options_.margin;
+  if (candidate_ && (Vacant() || now - observed_at_ > wait)) return Put(now, value);
+  return StartCall(now, {});
+}
+
+LeaseCall PlacementLease::StartCall(TimePoint now, LeaseCall call) {
+  call.call = ++calls_;
+  outstanding_ = true;
+  call_expires_ = now + options_.call_timeout;
+  pending_ = call;
+  return call;
+}
+
+LeaseCall PlacementLease::Put(TimePoint now, LeaseValue value) {
+  value.write = ++writes_;
+  sent_[value.write] = now;
+  return StartCall(now, {LeaseCall::Kind::kPut, 0, object_.version, std::move(value)});
+}
+
+void PlacementLease::OnRead(TimePoint now, uint64_t call,
+                            const std::optional<LeaseObject>& object) {
+  if (!outstanding_ || pending_.call != call) return;
+  outstanding_ = false;
+  next_call_ = now + (object ? Duration() : options_.call_timeout);
+  if (object) Observe(now, *object);
+}
+
+void PlacementLease::OnPut(TimePoint now, uint64_t call, const LeasePutAnswer& answer) {
+  if (!outstanding_ || pending_.call != call) return;
+  outstanding_ = false;
+  if (answer.kind == LeasePutAnswer::Kind::kWritten) {
+    Observe(now, {answer.version, pending_.value});
+    return;
+  }
+  // After a conflict another VM or an earlier own write changed the object;
+  // after a lost answer this write may have. Only a read tells.
+  read_needed_ = true;
+  next_call_ = now;
+}
+
+// -----------------------------------------------------------------------------
+// State
+
+bool PlacementLease::IsOwn(const LeaseValue& value) const {
+  return value.holder == options_.self && value.incarnation == options_.incarnation;
+}
+
+bool PlacementLease::Vacant() const {
+  return object_.version.value() == 0 ? !was_present_ : object_.value.holder.empty();
+}
+
+void PlacementLease::Observe(TimePoint now, const LeaseObject& object) {
+  read_needed_ = false;
+  if (!observed_ || object.version != object_.version) {
+    const Duration last_duration = object_.value.duration;
+    observed_ = true;
+    object_ = object;
+    was_present_ |= object.version.value() > 0;
+    // The holder of a deleted object may not know yet; its lease is waited for.
+    if (object.version.value() == 0) object_.value.duration = last_duration;
+    observed_at_ = now;
+  }
+  if (IsOwn(object_.value)) {
+    Hold(object_.version, object_.value);
+    next_call_ = now + (now < valid_until_ ? options_.renew_period : Duration());
+  } else {
+    Lose();
+    next_call_ = now + options_.read_period;
+    if (!candidate_) return;
+    // The wait for a successor ends a microsecond after duration and margin.
+    const TimePoint lapse =
+        observed_at_ + object_.value.duration + options_.margin + Duration::Microseconds(1);
+    next_call_ = Vacant() ? now : std::max(now, std::min(next_call_, lapse));
+  }
+}
+
+void PlacementLease::Hold(ObjectVersion version, const LeaseValue& value) {
+  const auto sent = sent_.find(value.write);
+  if (sent == sent_.end()) return;
+  const bool acquired = value.fencing.value() == 0;
+  fencing_ = acquired ? FencingNumber(version.value()) : value.fencing;
+  // The lease counts from the sending, which no observer can have seen earlier.
+  valid_until_ = sent->second + options_.duration - options_.margin;
+  // Writes before the observed one can no longer take effect: they expected an
+  // older version.
+  sent_.erase(sent_.begin(), sent);
+}
+
+void PlacementLease::Lose() {
+  fencing_.reset();
+  valid_until_ = TimePoint();
+}
+
+}  // namespace zr
