--- a/modules/zr_membership/zr_membership.h
+++ b/modules/zr_membership/zr_membership.h
@@ -15,4 +15,5 @@
 #include "zr_membership/in_force_report.h"
 #include "zr_membership/membership.h"
 #include "zr_membership/ownership.h"
+#include "zr_membership/peer_planner.h"
 #include "zr_membership/summary_table.h"
