--- a/modules/zr_membership/peer_planner.cc
+++ b/modules/zr_membership/peer_planner.cc
@@ -26,6 +26,7 @@
   }
   std::sort(placed.begin(), placed.end());
   std::vector<VmId> ring;
+  ring.reserve(placed.size());
   for (auto& entry : placed) ring.push_back(std::move(std::get<VmId>(entry)));
   return ring;
 }
