--- a/modules/zr_membership/tests/config_tracker_test.cc
+++ b/modules/zr_membership/tests/config_tracker_test.cc
@@ -104,6 +104,28 @@
     }
     REQUIRE(tracker.Readiness(At(720)) == ConfigReadiness::kUnconfirmed);
   }
+  SECTION("a peer that restarted confirms only when it was ready again") {
+    ClusterView view = Peers(9, 9, At(720), At(720));
+    for (const char* name : {"p0", "p1", "p2", "p3", "p4"}) {
+      view.live[VmId(name)].incarnation = Incarnation(2);
+      view.live[VmId(name)].ready = false;
+    }
+    tracker.OnView(At(720), view);
+    REQUIRE(tracker.Readiness(At(720)) == ConfigReadiness::kUnconfirmed);
+  }
+  SECTION("a VM that starts without store and list relies on ready peers, after listening") {
+    ConfigTracker young = MakeTracker();
+    young.OnOffer(At(1), VmId("p0"), Document(5));
+    const auto hear_ready = [&](double s, bool ready) {
+      ClusterView view = Peers(9, 9, At(s), At(s));
+      for (auto& [id, vm] : view.live) vm.ready = ready;
+      young.OnView(At(s), view);
+      return young.Readiness(At(s));
+    };
+    REQUIRE(hear_ready(3, true) == ConfigReadiness::kUnconfirmed);
+    REQUIRE(hear_ready(7, true) == ConfigReadiness::kReady);
+    REQUIRE(hear_ready(8.5, false) == ConfigReadiness::kUnconfirmed);
+  }
   SECTION("heartbeats buffered during a pause do not confirm") {
     tracker.OnSelfPaused(At(730));
     REQUIRE(hear(730.1, 9, 700) == ConfigReadiness::kUnconfirmed);
