--- a/fuzz/run.sh
+++ b/fuzz/run.sh
@@ -18,14 +18,14 @@
 else
   limits=(-runs="${RUNS:-200000}" -seed="${SEED:-1}")
 fi
-while read -r target; do
+while read -r target corpus; do
   echo "fuzz: $target ${limits[*]}"
   # New inputs go to a scratch folder, so that each run starts from the committed corpus.
   found="$(mktemp -d)"
   status=0
   "$build/fuzz/$target" "${limits[@]}" -max_len=4096 -timeout=60 -rss_limit_mb=2048 \
     -print_final_stats=1 -artifact_prefix="$build/failures/$target-" \
-    "$found" "fuzz/corpus/$target" >"$build/$target.log" 2>&1 || status=$?
+    "$found" "$corpus" >"$build/$target.log" 2>&1 || status=$?
   rm -rf "$found"
   if [ $status -ne 0 ]; then
     tail -40 "$build/$target.log"
