--- a/modules/zr_admission/endpoint_owner_grants.cc
+++ b/modules/zr_admission/endpoint_owner_grants.cc
@@ -34,7 +34,10 @@
   entry.cancelled_at = now;
   ++entry.cancels;
   entry.expires = now + options_.policies.pool.unclaimed_window + kCancelSlack;
-  const std::string id = MakeStreamId(entry.key.request, entry.key.attempt);
+  const std::string id = !entry.gather_stream.empty()
+                             ? entry.gather_stream
+                             : MakeStreamId(entry.key.request, entry.key.attempt, entry.owner,
+                                            entry.owner_incarnation, entry.number);
   actions.emplace_back(CancelEngineStream{id, EngineStreamKind::kStream});
   if (entry.gather_part) {
     actions.emplace_back(CancelEngineStream{id, EngineStreamKind::kImport});
@@ -64,6 +67,12 @@
       break;
     case ReleaseOutcome::kEndpointDied:
       entry->broken = true;
+      if (entry->boot != BootNumber() && entry->boot != engine_.boot()) {
+        // The engine is known to have restarted since; the call ended with it.
+        ReportSuspect(*entry, actions);
+        grants_.Remove(key, now);
+        break;
+      }
       if (entry->plain) {
         grants_.Remove(key, now);
       } else {
@@ -77,7 +86,11 @@
 }
 
 void EndpointOwner::ObserveCompleted(const GrantEntry& entry, const Release& release) {
-  ramp_.OnCompleted();
+  // The owner that issued a grant counts it as well, if it still lives; counted
+  // twice, the work of one fresh endpoint would let two owners grow too fast.
+  const bool counted_once =
+      !entry.adopted || entry.owner == options_.self || gone_vms_.contains(entry.owner);
+  if (counted_once && entry.boot == engine_.boot()) ramp_.OnCompleted();
   if (entry.plain) {
     model_.ObservePlainCall(entry.request_class, release.run_time);
     return;
@@ -86,10 +99,8 @@
   if (entry.adopted) return;
   ServiceTimeModel::Observation seen;
   seen.request_class = entry.request_class;
-  seen.prefill_tokens = entry.uncached;
-  if (entry.prefill_seconds > 0) {
-    seen.prefill_sharing = entry.prefill_share_seconds / entry.prefill_seconds;
-  }
+  // If the call ended before its estimated prefill did, the rest counts as well.
+  seen.prefill_seconds = entry.prefill_seconds + entry.prefill_left / model_.PrefillSpeed();
   seen.answered = static_cast<double>(release.answered.value());
   seen.max_answer = static_cast<double>(entry.max_answer.value());
   const double run = release.run_time.seconds();
@@ -111,6 +122,7 @@
     return Finish(now, std::move(actions));
   }
   last = list.holder;
+  gone_vms_.erase(list.holder.vm);
   for (const HeldGrant& held : list.grants) ApplyHeld(now, list.holder.vm, held, actions);
   return Finish(now, std::move(actions));
 }
@@ -125,8 +137,7 @@
     } else if (held.started) {
       // The holder believes in a grant that was taken back. Its stream was
       // cancelled; if it got through to the engine again, it must not stay.
-      actions.emplace_back(
-          CancelEngineStream{MakeStreamId(key.request, key.attempt), EngineStreamKind::kStream});
+      actions.emplace_back(CancelEngineStream{MakeStreamId(held), EngineStreamKind::kStream});
       engine_.WantList();
     }
     return;
@@ -135,12 +146,19 @@
     entry->expires = now + options_.policies.pool.unclaimed_window + kCancelSlack;
     return;
   }
+  if (entry->number != held.number || entry->owner != held.owner) {
+    // The holder uses the grant that another owner gave for the same attempt.
+    grants_.Remove(key, now);
+    Adopt(now, holder, held);
+    return;
+  }
   if (entry->state == GrantState::kGathered) {
     entry->prefill_left = entry->uncached = static_cast<double>(entry->kv.value());
   }
   entry->state = GrantState::kHeld;
   entry->holder = holder;
   entry->started = held.started;
+  entry->gather_stream = held.gather_stream;
   entry->ever_started = entry->ever_started || held.started;
   if (entry->fingerprint == Fingerprint()) entry->fingerprint = held.fingerprint;
   entry->expires = now + kReclaimAfter;
@@ -149,6 +167,8 @@
 void EndpointOwner::Adopt(TimePoint now, const VmId& holder, const HeldGrant& held) {
   GrantEntry entry;
   entry.key = StreamKey{held.request, held.attempt};
+  // Another owner granted what waits here; it must not run twice.
+  queue_.Remove(entry.key);
   entry.state = GrantState::kHeld;
   entry.holder = holder;
   entry.owner = held.owner;
@@ -158,6 +178,8 @@
   entry.adopted = true;
   entry.started = entry.ever_started = held.started;
   entry.long_prompt = held.long_prompt;
+  entry.gather_stream = held.gather_stream;
+  entry.gather_part = !held.gather_stream.empty();
   entry.plain = options_.policies.pool.kind == PoolKind::kService;
   entry.fingerprint = held.fingerprint;
   entry.boot = engine_.boot();
@@ -168,6 +190,7 @@
       static_cast<double>(std::clamp(held.prompt, TokenCount(0), entry.kv).value());
   entry.expected_answer = entry.answer_left =
       static_cast<double>(entry.kv.value()) - entry.uncached;
+  engine_.OnClaimed(key);
   grants_.Add(std::move(entry));
   ramp_.SetDemonstrated(grants_.AdoptedCount());
 }
@@ -190,8 +213,8 @@
   }
   const bool open = Accepting() && !engine_.in_doubt() && !engine_.taking_over() &&
                     engine_.has_load() && !grants_.AnyRunAlone() &&
-                    reserve.kv_tokens > TokenCount(0);
-  if (open && planner_.FreeSlots() >= 1 && planner_.FreeKv() >= reserve.kv_tokens) {
+                    reserve.kv_tokens > TokenCount(0) && queue_.Find(key) == nullptr;
+  if (open && planner_.FreeSlots(now) >= 1 && planner_.FreeKv() >= reserve.kv_tokens) {
     last_grant_ = last_grant_.Next();
     GrantEntry entry;
     entry.key = key;
--- a/modules/zr_admission/grant_table.h
+++ b/modules/zr_admission/grant_table.h
@@ -32,8 +32,9 @@
   bool run_alone = false;
   bool long_prompt = false;
   bool plain = false;
-  bool gather_part = false;  // memory for a prompt that spans several endpoints
-  bool broken = false;       // its holder lost the connection to the endpoint
+  bool gather_part = false;   // memory for a prompt that spans several endpoints
+  std::string gather_stream;  // id of the gathered stream, once its holder has told it
+  bool broken = false;        // its holder lost the connection to the endpoint
   int32_t priority = 0;
   TeamId team;
   ClassId request_class;
@@ -51,9 +52,8 @@
   double prefill_left = 0;
   double answer_left = 0;
   double plain_left = 0;  // seconds
-  // For the mean batch size and prefill sharing over the run.
+  // For the mean batch size over the run, and the estimated time in prefill.
   double batch_seconds = 0;
-  double prefill_share_seconds = 0;
   double prefill_seconds = 0;
 };
 
@@ -83,6 +83,8 @@
   /** Entries that this owner granted itself. */
   int64_t OwnCount() const { return size() - adopted_; }
   int64_t AdoptedCount() const { return adopted_; }
+  /** Entries that this owner granted after the given time. */
+  int64_t GrantedSince(TimePoint time) const;
   bool AnyRunAlone() const { return run_alone_ > 0; }
   int64_t CountState(GrantState state) const;
   /** The earliest expiry, TimePoint::Max() if empty. */
--- a/modules/zr_request/request_options.h
+++ b/modules/zr_request/request_options.h
@@ -35,10 +35,17 @@
   bool may_be_repeat = false;
   /** Offset in tokens from which the caller wants the answer; above 0 only for a reattach. */
   int64_t resume_offset = 0;
+  /**
+   * Engine stream that the caller's part of the answer is of, as told with its start; empty if
+   * the caller did not say. Another run's answer may differ, so with an offset above 0 no other
+   * stream is resumed. Without it a resumption trusts that only one run exists.
+   */
+  std::string resume_stream;
   SuspectVerdict suspect = SuspectVerdict::kClear;
   /**
-   * Number of the first attempt. Stream ids hold request and attempt only, so the daemon takes
-   * the arrival time in microseconds, which differs between VMs and calls of the same request.
+   * Number of the first attempt. Stream ids hold request and attempt only, and a late grant for
+   * an earlier call with this id must not count for this one, so no two calls of a request may
+   * use the same numbers. The daemon takes the arrival time in microseconds.
    */
   AttemptNumber first_attempt{1};
 };
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -31,7 +31,8 @@
 template <typename A>
 void Fields(A& a, Summary& m) {
   a(m.endpoint, m.pool, m.domain, m.owner, m.owner_incarnation, m.sequence, m.accepts_new,
-    m.kv_free, m.kv_capacity, m.wait_short, m.wait_long, m.prefixes, m.prefill_tokens_per_second);
+    m.kv_free, m.kv_capacity, m.wait_short, m.wait_long, m.prefixes, m.prefill_tokens_per_second,
+    m.boot, m.warm);
 }
 template <typename A>
 void Fields(A& a, AdmissionRequest& m) {
@@ -58,7 +59,7 @@
 template <typename A>
 void Fields(A& a, HeldGrant& m) {
   a(m.request, m.attempt, m.number, m.owner, m.owner_incarnation, m.kv_tokens, m.prompt,
-    m.fingerprint, m.long_prompt, m.started);
+    m.fingerprint, m.long_prompt, m.started, m.gather_endpoint, m.gather_stream);
 }
 template <typename A>
 void Fields(A& a, HeldGrants& m) {
@@ -74,12 +75,12 @@
 }
 template <typename A>
 void Fields(A& a, FindStream& m) {
-  a(m.request, m.team, m.fingerprint, m.claim);
+  a(m.request, m.team, m.fingerprint, m.claim, m.stream);
 }
 template <typename A>
 void Fields(A& a, StreamLocation& m) {
   a(m.request, m.found, m.team, m.endpoint, m.stream, m.attempt, m.holder, m.fingerprint,
-    m.conflict, m.done, m.grants);
+    m.conflict, m.done, m.certain, m.grants);
 }
 template <typename A>
 void Fields(A& a, ConfigOffer& m) {
@@ -104,7 +105,7 @@
 
 template <typename A>
 void Fields(A& a, TakeOver& m) {
-  a(m.request, m.team, m.fingerprint);
+  a(m.request, m.team, m.fingerprint, m.stream);
 }
 template <typename A>
 void Fields(A& a, HandOver& m) {
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -66,6 +66,8 @@
   Duration wait_long;   // expected wait of a long prompt
   std::vector<PrefixHash> prefixes;
   int64_t prefill_tokens_per_second = 0;  // as observed, 0 if unknown
+  BootNumber boot;                        // of the endpoint
+  bool warm = false;                      // the endpoint completed enough work since this boot
   friend auto operator<=>(const Summary&, const Summary&) = default;
 };
 
@@ -167,6 +169,9 @@
   Fingerprint fingerprint;
   bool long_prompt = false;
   bool started = false;
+  // Only for the further members of a gathered run: where it streams, and its stream id.
+  EndpointId gather_endpoint;
+  std::string gather_stream;
   friend auto operator<=>(const HeldGrant&, const HeldGrant&) = default;
 };
 
@@ -201,6 +206,7 @@
   TeamId team;
   Fingerprint fingerprint;
   bool claim = false;  // to the locator: if nothing is found, the sender will run the request
+  std::string stream;  // the engine stream that the caller has a part of, empty for any
   friend auto operator<=>(const FindStream&, const FindStream&) = default;
 };
 
@@ -216,6 +222,7 @@
   Fingerprint fingerprint;
   bool conflict = false;      // the id is in use by another team or for another prompt
   bool done = false;          // the engine generated the whole answer
+  bool certain = false;       // with found = false: the sender would know of any run
   std::vector<Grant> grants;  // of the run, if known; several for a gathered run
   friend auto operator<=>(const StreamLocation&, const StreamLocation&) = default;
 };
@@ -270,6 +277,7 @@
   RequestId request;
   TeamId team;
   Fingerprint fingerprint;
+  std::string stream;  // hand over this engine stream only; empty for any
   friend auto operator<=>(const TakeOver&, const TakeOver&) = default;
 };
 
