--- a/modules/zr_request/request_machine_stream.cc
+++ b/modules/zr_request/request_machine_stream.cc
@@ -215,7 +215,7 @@
     BeginRun(now);
     return;
   }
-  EndWithError(now, 502,
+  EndWithError(now, run_.state() == RunState::kNotRun ? 503 : 502,
                {ErrorCode::kUnavailable, "upstream", "",
                 std::string(reason) + "; " + std::string(hindrance)});
 }
--- a/modules/zr_request/tests/request_world.h
+++ b/modules/zr_request/tests/request_world.h
@@ -27,6 +27,9 @@
   double pause = 0.01;         // the ingress VM is paused
 };
 
+/** Each token's text has this many bytes. */
+inline constexpr int64_t kTokenBytes = 4;
+
 /** Faults of the machine itself, which the checks must detect. */
 enum class Mutant { kNone, kIgnoreAttempts, kRestartAfterFirstToken };
 
@@ -104,7 +107,7 @@
   void CallerStep();
   void KillVm(size_t vm);
 
-  void Execute(size_t vm, RequestActions actions);
+  void Execute(size_t vm, const RequestActions& actions);
   void Do(size_t vm, const SelectCandidates& action);
   void Do(size_t vm, const SendToVm& action);
   void Do(size_t vm, const StartUpstream& action);
--- a/modules/zr_request/tests/request_world_engines.cc
+++ b/modules/zr_request/tests/request_world_engines.cc
@@ -94,8 +94,9 @@
 
 void RequestWorld::OnRelease(size_t vm, const Release& release) {
   for (auto& [id, record] : grants_) {
-    if (record.grant.number != release.number || record.grant.endpoint != release.endpoint)
+    if (record.grant.number != release.number || record.grant.endpoint != release.endpoint) {
       continue;
+    }
     const bool again = !record.released.empty();
     record.released.insert(vm);
     if (again && !record.two_holders) {
