--- a/modules/zr_request/request_machine.cc
+++ b/modules/zr_request/request_machine.cc
@@ -251,6 +251,7 @@
     held.fingerprint = options_.fingerprint;
     held.long_prompt = options_.prompt > options_.pool.long_prompt;
     held.started = true;
+    held.boot = grant.boot;
     const Grant* first = FirstOfRun(grant);
     if (first != nullptr && first->endpoint != grant.endpoint) {
       held.gather_endpoint = first->endpoint;
--- a/modules/zr_request/request_machine_stream.cc
+++ b/modules/zr_request/request_machine_stream.cc
@@ -155,6 +155,7 @@
       cursor_.attempt() != stream_->started && failure != UpstreamFailure::kNoStream;
   if ((Delivered() || resumed) && !restart_after_first_token_) {
     if (failure == UpstreamFailure::kNoStream) {
+      NoteDeath(stream_->endpoint, stream_->boot, false);
       EndWithError(now, 502,
                    {ErrorCode::kUnknownOutcome, "stream", stream_->endpoint.value(),
                     "the endpoint lost the stream"});
@@ -165,12 +166,13 @@
   }
   excluded_.insert(stream_->endpoint);
   avoid_domain_ = stream_->domain;
+  // A crash of the endpoint shows first as a broken connection, as silence or, if it has started
+  // again, as a lost stream. The request counts as a suspect until the endpoint is seen alive
+  // under the same boot number, or a retry could crash the next one.
+  NoteDeath(stream_->endpoint, stream_->boot, false);
   if (failure == UpstreamFailure::kNoStream && stream_->acknowledged) {
     DropStream(now, ReleaseOutcome::kCancelled);
   } else {
-    // A crash of the endpoint shows first as a broken connection or as silence. The request counts
-    // as a suspect until the endpoint is seen alive, or a retry could crash the next one.
-    NoteDeath(stream_->endpoint, stream_->boot, false);
     CloseStream(now);
   }
   RetryElsewhere(now, "the connection to the endpoint broke before the first token");
--- a/modules/zr_request/stream_directory.cc
+++ b/modules/zr_request/stream_directory.cc
@@ -75,6 +75,7 @@
     grant.owner = held.owner;
     grant.owner_incarnation = held.owner_incarnation;
     grant.kv_tokens = held.kv_tokens;
+    grant.boot = held.boot;
     std::erase_if(listed.grants, [&](const Grant& g) { return g.endpoint == grant.endpoint; });
     listed.grants.push_back(std::move(grant));
   }
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -54,7 +54,7 @@
 template <typename A>
 void Fields(A& a, HeldGrant& m) {
   a(m.request, m.attempt, m.number, m.owner, m.owner_incarnation, m.kv_tokens, m.prompt,
-    m.fingerprint, m.long_prompt, m.started, m.gather_endpoint, m.gather_stream);
+    m.fingerprint, m.long_prompt, m.started, m.gather_endpoint, m.gather_stream, m.boot);
 }
 template <typename A>
 void Fields(A& a, HeldGrants& m) {
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -157,6 +157,7 @@
   // Only for the further members of a gathered run: where it streams, and its stream id.
   EndpointId gather_endpoint;
   std::string gather_stream;
+  BootNumber boot;  // of the endpoint, from the grant
   friend auto operator<=>(const HeldGrant&, const HeldGrant&) = default;
 };
 
