--- a/modules/zr_request/request_machine.h
+++ b/modules/zr_request/request_machine.h
@@ -109,8 +109,9 @@
   RequestActions OnUpstreamFailed(TimePoint now, AttemptNumber attempt, UpstreamFailure failure,
                                   int status = 0);
   /**
-   * @param confirmed  the endpoint dropped the stream. An endpoint that does not know it confirms
-   *                   that only if it had answered the call: the cancellation may have overtaken it
+   * @param confirmed  the endpoint dropped the stream. One that does not know the stream confirms
+   *                   nothing: the cancellation may have overtaken the call, or the endpoint has
+   *                   crashed and started again
    */
   RequestActions OnUpstreamCancelled(TimePoint now, const std::string& stream_id, bool confirmed);
   /** A boot of an endpoint ended, planned or not. */
--- a/modules/zr_request/tests/request_world.cc
+++ b/modules/zr_request/tests/request_world.cc
@@ -287,7 +287,8 @@
     if (random_.Chance(faults_.silent)) return;
     const auto it = runs_.find(action.stream_id);
     // A cancellation may overtake its call, which then still runs.
-    const bool known = engines_[EngineIndex(action.endpoint)].alive && it != runs_.end();
+    const Engine& engine = engines_[EngineIndex(action.endpoint)];
+    const bool known = engine.alive && it != runs_.end() && it->second.boot == engine.boot;
     if (known) it->second.deleted = true;
     AtVm(vm, Transit(), [this, action, known](RequestMachine& m) {
       return m.OnUpstreamCancelled(now_, action.stream_id, known);
