--- a/modules/zr_request/request_options.h
+++ b/modules/zr_request/request_options.h
@@ -7,6 +7,7 @@
 #include "zr_base/zr_base.h"
 #include "zr_config/policies.h"
 #include "zr_wire/messages.h"
+#include "zr_wire/stream_id.h"
 
 namespace zr {
 
@@ -42,9 +43,9 @@
   std::string resume_stream;
   SuspectVerdict suspect = SuspectVerdict::kClear;
   /**
-   * Number of the first attempt. No two calls at a VM may use the same numbers, or a late grant
-   * for an earlier call with this id would count for this one; a counter of the process that
-   * rises by 1,000 with each call does it.
+   * Number of the first attempt. Stream ids hold request and attempt only, and a late grant for
+   * an earlier call with this id must not count for this one, so no two calls of a request may
+   * use the same numbers. The daemon takes the arrival time in microseconds.
    */
   AttemptNumber first_attempt{1};
 };
@@ -83,13 +84,4 @@
   kNoStream,  // resume only: the endpoint does not know the stream
 };
 
-/** Engine stream id of a granted attempt; unique, as grant numbers are, and known to the owner. */
-std::string MakeStreamId(const RequestId& request, const VmId& owner, Incarnation owner_incarnation,
-                         GrantNumber number);
-std::string MakeStreamId(const Grant& grant);
-/** Stream id of a listed grant. */
-std::string MakeStreamId(const HeldGrant& grant);
-/** The request id in a stream id; empty if the id is not one of ours. */
-RequestId RequestOfStreamId(const std::string& stream_id);
-
 }  // namespace zr
