--- a/modules/zr_request/request_machine.cc
+++ b/modules/zr_request/request_machine.cc
@@ -28,7 +28,8 @@
 // Time
 
 RequestActions RequestMachine::Start(TimePoint now) {
-  ZR_ASSERT(state_ == State::kNew, "a request starts once");
+  // The caller may have gone before the request was started.
+  ZR_ASSERT(state_ == State::kNew || ended(), "a request starts once");
   if (Expire(now)) return Take(now);
   if (options_.suspect == SuspectVerdict::kRefuse) {
     RefuseSuspect(now, "");
@@ -251,6 +252,7 @@
     held.fingerprint = options_.fingerprint;
     held.long_prompt = options_.prompt > options_.pool.long_prompt;
     held.started = true;
+    held.boot = grant.boot;
     const Grant* first = FirstOfRun(grant);
     if (first != nullptr && first->endpoint != grant.endpoint) {
       held.gather_endpoint = first->endpoint;
