Tell owners when a stream has produced its first token

Cause: owners expected held grants to say whether their prompt has been read, and releases to say when the first token came; nothing filled these fields, so an owner counted prompts as unread until their streams ended. Change: the request machine notes the first token of its stream.

--- a/modules/zr_request/request_machine.cc
+++ b/modules/zr_request/request_machine.cc
@@ -252,6 +252,7 @@
     held.fingerprint = options_.fingerprint;
     held.long_prompt = options_.prompt > options_.pool.long_prompt;
     held.started = true;
+    held.generating = stream_ && stream_->first_token_at.has_value();
     held.boot = grant.boot;
     const Grant* first = FirstOfRun(grant);
     if (first != nullptr && first->endpoint != grant.endpoint) {
--- a/modules/zr_request/request_machine.h
+++ b/modules/zr_request/request_machine.h
@@ -183,6 +183,7 @@
     AttemptNumber started;      // attempt that sent the call; 0 if another VM did
     bool acknowledged = false;  // the endpoint answered, so that it has had the call
     TimePoint started_at;
+    std::optional<TimePoint> first_token_at;  // seen by this VM
   };
   /** A stream whose cancellation is not confirmed yet. */
   struct Closing {
--- a/modules/zr_request/request_machine_stream.cc
+++ b/modules/zr_request/request_machine_stream.cc
@@ -87,6 +87,7 @@
                           "a part does not continue what the caller got");
       fruitless_resumes_ = 0;
       stream_->acknowledged = true;
+      if (!stream_->first_token_at) stream_->first_token_at = now;
       if (!head_sent_) Do(EmitHead{200, stream_->id});
       head_sent_ = true;
       emitted_to_ = offset + tokens;
@@ -275,6 +276,10 @@
   report.prompt = options_.prompt;
   report.answered = TokenCount(IsModel() ? cursor_.offset() : 0);
   report.run_time = stream_ ? now - stream_->started_at : Duration();
+  // Known only if this VM saw the run from its start.
+  if (stream_ && stream_->first_token_at && stream_->started.value() != 0) {
+    report.first_token = *stream_->first_token_at - stream_->started_at;
+  }
   return report;
 }
 
