Test admission rules, selection, gathers and team limits

The tests found that a take-over ended one event late, that the drain for a suspect was not part of its expected start, and that memory gathered for a long prompt could be taken by requests of a higher rank.

--- a/modules/zr_admission/admission_planner.cc
+++ b/modules/zr_admission/admission_planner.cc
@@ -98,7 +98,9 @@
   const auto batch = static_cast<double>(std::max<int64_t>(1, WorkForecast::Batch(grants_)));
   for (const auto& [key, entry] : grants_.entries()) {
     const Duration left = WorkForecast::Remaining(grants_, model_, entry, batch, nullptr);
-    const TimePoint end = entry.state == GrantState::kCancelling ? entry.expires : now + left;
+    const bool idle =
+        entry.state == GrantState::kCancelling || entry.state == GrantState::kGathered;
+    const TimePoint end = idle ? entry.expires : now + left;
     timeline.AddRunning(end, entry.kv);
   }
   return timeline;
@@ -117,7 +119,8 @@
     slots = std::min(ramp_.OwnLimit() - grants_.OwnCount(),
                      ramp_.TotalLimit() - grants_.size() - engine_.foreign_requests());
   }
-  if (grants_.AnyRunAlone()) begin = std::max(begin, now + DrainTime());
+  if (grants_.AnyRunAlone() || candidate.request.run_alone)
+    begin = std::max(begin, now + DrainTime());
   CapacityTimeline timeline = MakeTimeline(begin, slots);
   double prefill = candidate.long_prompt
                        ? WorkForecast::LongPrefillInProgress(grants_)
@@ -156,11 +159,26 @@
 
 bool AdmissionPlanner::BackfillAllowed(const QueuedRequest& item, const Reservation& reservation,
                                        const CapacityTimeline& timeline, TimePoint now) const {
-  if (now + item.run_time <= reservation.start) return true;
+  if (&item == reservation.holder || now + item.run_time <= reservation.start) return true;
   return timeline.FreeKvAt(reservation.start) - item.kv >= reservation.kv &&
          timeline.FreeSlotsAt(reservation.start) >= 2;
 }
 
+std::optional<AdmissionPlanner::Reservation> AdmissionPlanner::ReserveForLong(
+    const std::vector<const QueuedRequest*>& order, const CapacityTimeline& timeline,
+    TimePoint now) const {
+  const double price = queue_.Price(now);
+  for (const QueuedRequest* item : order) {
+    if (!item->long_prompt || now < item->ReserveAfter() || item->density < price) continue;
+    // One that fits but is blocked otherwise must not keep memory idle.
+    const bool fits = FreeKv() >= item->kv && FreeSlots(now) >= 1;
+    if (fits && !CanStart(*item, now)) continue;
+    const TimePoint start = timeline.PeekStart(item->kv);
+    if (start <= item->LatestStart()) return Reservation{item, start, item->kv};
+  }
+  return std::nullopt;
+}
+
 Plan AdmissionPlanner::MakePlan(TimePoint now, const std::optional<WantedGather>& gather) const {
   Plan plan;
   const std::vector<const QueuedRequest*> order = queue_.Ordered(now);
@@ -171,8 +189,9 @@
   int examined = 0;
   std::optional<Reservation> reservation;
   if (gather && now < gather->until) {
-    reservation = Reservation{timeline.PeekStart(gather->kv), gather->kv};
+    reservation = Reservation{nullptr, timeline.PeekStart(gather->kv), gather->kv};
   }
+  if (!reservation) reservation = ReserveForLong(order, timeline, now);
   for (const QueuedRequest* item : order) {
     if (auto refusal = RefusalDue(*item, now)) {
       plan.refusals.push_back(*refusal);
@@ -193,7 +212,7 @@
       plan.refusals.push_back(PlannedRefusal{item->key(), RefusalReason::kDeadline, start - now});
       continue;
     }
-    reservation = Reservation{start, item->kv};
+    reservation = Reservation{item, start, item->kv};
   }
   return plan;
 }
--- a/modules/zr_admission/admission_planner.h
+++ b/modules/zr_admission/admission_planner.h
@@ -79,12 +79,17 @@
   double UsualBatch() const;
 
  private:
+  /** Capacity that is gathered for a request which does not fit yet. */
   struct Reservation {
+    const QueuedRequest* holder = nullptr;  // nullptr for a part of a gather
     TimePoint start;
     TokenCount kv;
   };
 
   CapacityTimeline MakeTimeline(TimePoint now, int64_t free_slots) const;
+  /** The reservation of the first long prompt that has waited long enough for one. */
+  std::optional<Reservation> ReserveForLong(const std::vector<const QueuedRequest*>& order,
+                                            const CapacityTimeline& timeline, TimePoint now) const;
   bool BackfillAllowed(const QueuedRequest& item, const Reservation& reservation,
                        const CapacityTimeline& timeline, TimePoint now) const;
   std::optional<PlannedRefusal> RefusalDue(const QueuedRequest& item, TimePoint now) const;
--- a/modules/zr_admission/endpoint_owner.cc
+++ b/modules/zr_admission/endpoint_owner.cc
@@ -55,6 +55,7 @@
 }
 
 OwnerActions EndpointOwner::Finish(TimePoint now, OwnerActions actions) {
+  engine_.TakingOver(now);  // the event may have been the report that ends it
   Expire(now, actions);
   Pump(now, actions);
   grants_.ForgetOld(now);
--- a/modules/zr_admission/tests/owner_fixture.h
+++ b/modules/zr_admission/tests/owner_fixture.h
@@ -120,6 +120,7 @@
       held.kv_tokens = entry->kv;
     }
     held.started = started;
+    held.generating = started;
     return held;
   }
 
@@ -129,7 +130,10 @@
     release.request = RequestId(id);
     release.attempt = AttemptNumber(1);
     release.endpoint = EndpointId("e1");
-    if (const GrantEntry* entry = Entry(id)) release.number = entry->number;
+    if (const GrantEntry* entry = Entry(id)) {
+      release.number = entry->number;
+      release.answered = entry->max_answer;
+    }
     release.outcome = outcome;
     last = owner->OnRelease(now, VmId("vm1"), release);
     AnswerLists(now);
