--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -151,9 +151,10 @@
   EndpointId endpoint;
   GrantNumber number;
   ReleaseOutcome outcome = ReleaseOutcome::kCompleted;
-  TokenCount prompt;    // prefilled
-  TokenCount answered;  // generated
-  Duration run_time;    // from start to end of the call
+  TokenCount prompt;     // prefilled
+  TokenCount answered;   // generated
+  Duration run_time;     // from start to end of the call
+  Duration first_token;  // from start to the first token, 0 if not known
   friend auto operator<=>(const Release&, const Release&) = default;
 };
 
@@ -172,7 +173,8 @@
   // Only for the further members of a gathered run: where it streams, and its stream id.
   EndpointId gather_endpoint;
   std::string gather_stream;
-  BootNumber boot;  // of the endpoint, from the grant
+  bool generating = false;  // the first token has arrived
+  BootNumber boot;          // of the endpoint, from the grant
   friend auto operator<=>(const HeldGrant&, const HeldGrant&) = default;
 };
 
