--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -174,7 +174,7 @@
   EndpointId gather_endpoint;
   std::string gather_stream;
   bool generating = false;  // the first token has arrived
-  BootNumber boot;  // of the endpoint, from the grant
+  BootNumber boot;          // of the endpoint, from the grant
   friend auto operator<=>(const HeldGrant&, const HeldGrant&) = default;
 };
 
