--- a/modules/zr_daemon/control/control_plane.cc
+++ b/modules/zr_daemon/control/control_plane.cc
@@ -13,6 +13,10 @@
 constexpr Duration kRetryPeriod = Duration::Milliseconds(500);
 constexpr Duration kWatchWait = Duration::Seconds(3);  // shorter than the 6 s confirmation
 constexpr Duration kVmListPeriod = Duration::Seconds(2);
+// Demand of the teams and pools, while links are bounded.
+constexpr Duration kDemandPeriod = Duration::Seconds(1);
+// A link that a request needed is kept for this long after the last failed send.
+constexpr Duration kRequestLinkKept = Duration::Seconds(300);
 constexpr int kListPage = 500;
 constexpr const char* kConfigKind = "config";
 constexpr const char* kConfigName = "environment";
@@ -112,7 +116,7 @@
 void ControlPlane::BeginStop() {
   asio::post(strand_, [self = shared_from_this()] {
     self->stopping_ = true;
-    self->SendHeartbeat(SteadyNow());
+    self->SendHeartbeat(SteadyNow(), true);
     self->Publish();
   });
 }
@@ -144,15 +148,33 @@
   ScheduleTick();
 }
 
-void ControlPlane::SendHeartbeat(TimePoint now) {
+void ControlPlane::SendHeartbeat(TimePoint now, bool announce) {
   LocalState local;
   local.ready = !stopping_ && tracker_.Readiness(now) == ConfigReadiness::kReady;
   local.leaving = stopping_;
   local.config_version = tracker_.version();
   if (tracker_.current()) local.config_digest = tracker_.current()->digest;
+  const std::vector<VmId> connected = links_->Connected();
+  if (membership_.bounded()) {
+    // Links that serve requests only carry no digests.
+    std::vector<VmId> planned;
+    for (const VmId& vm : connected) {
+      if (membership_.links()->contains(vm)) planned.push_back(vm);
+    }
+    for (const OutgoingMessage& out : membership_.MakeDigests(now, local, planned, announce)) {
+      context_.bus->Send(out.to, out.message);
+    }
+    if (planned.empty() || now < next_demand_) return;
+    // Demand goes to one linked VM in turn and is not passed on.
+    next_demand_ = now + kDemandPeriod;
+    if (add_demand) add_demand(local);
+    context_.bus->Send(planned[next_demand_link_++ % planned.size()],
+                       membership_.MakeHeartbeat(now, local));
+    return;
+  }
   if (add_demand) add_demand(local);
   const Message message = membership_.MakeHeartbeat(now, local);
-  for (const VmId& vm : links_->Connected()) context_.bus->Send(vm, message);
+  for (const VmId& vm : connected) context_.bus->Send(vm, message);
 }
 
 void ControlPlane::HandleEvents(const std::vector<MembershipEvent>& events) {
@@ -178,12 +200,7 @@
         break;
     }
   }
-  std::set<std::string> targets;
-  for (const Address& seed : context_.settings.peer_seeds) targets.insert(seed.ToString());
-  for (const auto& [vm, address] : membership_.View()->candidates) {
-    if (!address.empty()) targets.insert(address);
-  }
-  links_->SetTargets(std::move(targets));
+  UpdateLinks();
 }
 
 void ControlPlane::OnHeartbeat(const VmId& from, Heartbeat heartbeat) {
@@ -196,13 +213,59 @@
     }
     if (outcome.kind != HeartbeatOutcome::Kind::kAccepted) return;
     if (self->on_demand) self->on_demand(heartbeat);
-    Heartbeat relayed = heartbeat;
-    ++relayed.hops;
-    for (const VmId& vm : outcome.relay_to) self->context_.bus->Send(vm, relayed);
     if (!outcome.events.empty()) self->HandleEvents(outcome.events);
   });
 }
 
+void ControlPlane::OnDigest(const VmId& from, MembershipDigest digest) {
+  asio::post(strand_, [self = shared_from_this(), from, digest = std::move(digest)] {
+    DigestOutcome outcome = self->membership_.OnDigest(SteadyNow(), digest, from);
+    if (outcome.answer) self->context_.bus->Send(from, *outcome.answer);
+    if (!outcome.events.empty()) self->HandleEvents(outcome.events);
+  });
+}
+
+void ControlPlane::WantLink(const VmId& vm) {
+  asio::post(strand_, [self = shared_from_this(), vm] {
+    if (!self->membership_.bounded()) return;
+    const bool added = !self->wanted_links_.contains(vm);
+    self->wanted_links_[vm] = SteadyNow() + kRequestLinkKept;
+    if (added) self->UpdateLinks();
+  });
+}
+
+void ControlPlane::UpdateLinks() {
+  const auto view = membership_.View();
+  std::set<std::string> targets;
+  for (const Address& seed : context_.settings.peer_seeds) targets.insert(seed.ToString());
+  // Silent VMs stay in the plan, so that parted regions find each other again.
+  std::vector<PeerSite> live = PeerPlanner::SitesOf(*view);
+  std::vector<PeerSite> known = live;
+  for (const auto& [id, vm] : view->silent) known.push_back({id, vm.domain, vm.region});
+  const PeerPlanner planner;
+  if (!planner.Bounded(known)) {
+    membership_.SetLinks(std::nullopt);
+    for (const auto& [vm, address] : view->candidates) targets.insert(address);
+    targets.erase("");
+    return links_->SetTargets(std::move(targets));
+  }
+  std::set<VmId> planned = planner.LinksOf(view->self, known);
+  planned.merge(planner.LinksOf(view->self, live));
+  // Seeds are needed only until other VMs are known.
+  targets.clear();
+  std::set<VmId> dialled = planned;
+  std::erase_if(wanted_links_, [&](const auto& link) { return link.second < SteadyNow(); });
+  for (const auto& [vm, until] : wanted_links_) dialled.insert(vm);
+  for (const VmId& vm : dialled) {
+    const auto address = view->candidates.find(vm);
+    if (address != view->candidates.end() && !address->second.empty()) {
+      targets.insert(address->second);
+    }
+  }
+  membership_.SetLinks(std::move(planned));
+  links_->SetTargets(std::move(targets));
+}
+
 void ControlPlane::OnConfigOffer(const VmId& from, ConfigOffer offer) {
   asio::post(strand_, [self = shared_from_this(), from, offer = std::move(offer)] {
     self->AdoptIfNew(self->tracker_.OnOffer(SteadyNow(), from, offer));
@@ -307,7 +370,7 @@
       "Version " + std::to_string(current->version.value()) + " is in force, digest " +
           current->digest.substr(0, 12) + ".");
   // Peers hear of the version at once and fetch it if they lack it.
-  SendHeartbeat(SteadyNow());
+  SendHeartbeat(SteadyNow(), true);
   Publish();
 }
 
--- a/modules/zr_daemon/control/control_plane.h
+++ b/modules/zr_daemon/control/control_plane.h
@@ -44,6 +44,9 @@
 
   /** Messages from authenticated peers; any thread. */
   void OnHeartbeat(const VmId& from, Heartbeat heartbeat);
+  void OnDigest(const VmId& from, MembershipDigest digest);
+  /** A message could not be sent for want of a link; keeps one to the VM for a while. */
+  void WantLink(const VmId& vm);
   void OnConfigOffer(const VmId& from, ConfigOffer offer);
   void OnConfigFetch(const VmId& from, ConfigFetch fetch);
   /** A document that this VM wrote itself. */
@@ -60,7 +63,9 @@
 
   void ScheduleTick();
   void Tick();
-  void SendHeartbeat(TimePoint now);
+  void SendHeartbeat(TimePoint now, bool announce = false);
+  /** Plans links and dials them; all known VMs up to the full mesh, the planned ones above. */
+  void UpdateLinks();
   void HandleEvents(const std::vector<MembershipEvent>& events);
   void RunConfigActions(TimePoint now);
   void ReadConfig();
@@ -91,6 +96,10 @@
   std::shared_ptr<const TeamPolicies> teams_;
   std::shared_ptr<const std::map<EndpointId, EndpointInfo>> endpoints_;
   ObjectVersion endpoints_version_;
+  std::map<VmId, TimePoint> wanted_links_;  // for requests, with the time they are kept until
+  uint64_t planned_revision_ = 0;
+  TimePoint next_demand_;
+  size_t next_demand_link_ = 0;
   bool watching_config_ = false;
   bool stopping_ = false;
   bool stopped_ = false;
--- a/modules/zr_daemon/net/message_bus.cc
+++ b/modules/zr_daemon/net/message_bus.cc
@@ -16,8 +16,12 @@
     return true;
   }
   const std::vector<uint8_t> frame = EncodeMessage(message);
-  return links_->Send(to,
-                      std::string_view(reinterpret_cast<const char*>(frame.data()), frame.size()));
+  if (links_->Send(to,
+                   std::string_view(reinterpret_cast<const char*>(frame.data()), frame.size()))) {
+    return true;
+  }
+  if (on_unlinked) on_unlinked(to);
+  return false;
 }
 
 void MessageBus::Broadcast(const Message& message) {
--- a/modules/zr_daemon/net/message_bus.h
+++ b/modules/zr_daemon/net/message_bus.h
@@ -23,6 +23,8 @@
 
   /** @returns false if the message cannot be sent now */
   bool Send(const VmId& to, const Message& message);
+  /** Hears of VMs that a message could not be sent to; set before traffic starts. */
+  std::function<void(const VmId&)> on_unlinked;
   /** Sends to every connected VM and to this one. */
   void Broadcast(const Message& message);
 
--- a/modules/zr_daemon/node.cc
+++ b/modules/zr_daemon/node.cc
@@ -85,6 +85,7 @@
   auto control = ControlPlane::Create(context_, links_, *this);
   if (!control) return tl::unexpected(control.error());
   control_ = *control;
+  bus_->on_unlinked = [this](const VmId& vm) { control_->WantLink(vm); };
   control_->add_demand = [this](LocalState& local) {
     local.pool_demand = selector_.OwnDemand();
     local.team_demand = teams_.PublishDemand();
@@ -159,6 +160,9 @@
 
 void Node::Receive(const VmId& from, Message message) {
   if (auto* m = std::get_if<Heartbeat>(&message)) return control_->OnHeartbeat(from, std::move(*m));
+  if (auto* m = std::get_if<MembershipDigest>(&message)) {
+    return control_->OnDigest(from, std::move(*m));
+  }
   if (auto* m = std::get_if<ConfigOffer>(&message)) {
     return control_->OnConfigOffer(from, std::move(*m));
   }
--- a/modules/zr_membership/membership.h
+++ b/modules/zr_membership/membership.h
@@ -146,6 +146,7 @@
                                            const std::vector<VmId>& links, bool announce = false);
 
   /** Whether links are bounded, so that digests replace heartbeats. */
+  const std::optional<std::set<VmId>>& links() const { return links_; }
   bool bounded() const { return links_.has_value(); }
 
   /** Whether the next heartbeat is due. */
--- a/modules/zr_membership/tests/digest_test.cc
+++ b/modules/zr_membership/tests/digest_test.cc
@@ -241,6 +241,8 @@
         for (const auto& [vm, view] : node.membership->View()->live) {
           REQUIRE(sim.nodes().at(vm).side == node.side);
         }
+      }
+      for (auto& [id, node] : sim.nodes()) {
         node.side = 0;
         excused[id] = sim.now() + Duration::Seconds(8);
       }
