Run non-repeatable calls through at-most-once records

Cause: the daemon passed calls that may not be repeated to the service without a record, so a repeated call could run twice. Change: OperationHost runs an OperationMachine per call; the service is called by an inner request that outlives the caller. A planned stop waits for operations. Retention and the placement lease with its orders run at the lease candidates.

--- a/modules/zr_config/digest.h
+++ b/modules/zr_config/digest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -8,6 +9,23 @@
 /** SHA-256 of the bytes as 64 lower-case hex digits. */
 std::string Sha256Hex(std::string_view bytes);
 
+/** SHA-256 of bytes that arrive in parts. */
+class Sha256 {
+ public:
+  Sha256();
+  ~Sha256();
+  Sha256(const Sha256&) = delete;
+  Sha256& operator=(const Sha256&) = delete;
+
+  void Add(std::string_view bytes);
+  /** 64 lower-case hex digits; called once, after the last part. */
+  std::string Hex();
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
 /** Digest by which a document is named in trial, promotion and heartbeats. */
 inline std::string DocumentDigest(std::string_view text) { return Sha256Hex(text); }
 
--- a/modules/zr_daemon/api/caller_api.cc
+++ b/modules/zr_daemon/api/caller_api.cc
@@ -8,6 +8,8 @@
 
 #include "zr_daemon/api/answer_sinks.h"
 #include "zr_daemon/api/error_reply.h"
+#include "zr_daemon/request/operation_host.h"
+#include "zr_daemon/request/operation_table.h"
 #include "zr_daemon/request/request_table.h"
 #include "zr_daemon/request/route_selector.h"
 #include "zr_daemon/request/suspect_registry.h"
@@ -102,6 +104,8 @@
   if (request.path == "/metrics") {
     context_.metrics.Set("zr_requests_in_progress", {},
                          static_cast<double>(context_.requests->size()));
+    context_.metrics.Set("zr_operations_in_progress", {},
+                         static_cast<double>(context_.operations->size()));
     return response.Send(200, {{"content-type", "text/plain; version=0.0.4"}},
                          context_.metrics.PrometheusText());
   }
@@ -264,18 +268,43 @@
   StartOrReattach(std::move(*options), std::move(upstream), std::move(sink), response);
 }
 
+bool CallerApi::AdmitTeam(const RequestOptions& options, HttpResponse& response) {
+  const LimitDecision limit =
+      context_.teams->TryAdmit(options.team, options.prompt + options.max_answer);
+  if (limit.allowed) return true;
+  const Error error{ErrorCode::kLimitExceeded, kStep, options.team.value(),
+                    "the team's limit is used up"};
+  SendError(response, 429, error, RunState::kNotRun,
+            {{"retry-after", std::to_string(limit.retry_after.milliseconds() / 1000 + 1)},
+             {"x-request-id", options.request.value()}});
+  return false;
+}
+
+void CallerApi::StartOperation(RequestOptions options, UpstreamTemplate upstream,
+                               std::string_view key, const HttpResponsePtr& response) {
+  const HttpHeaders headers = {{"x-request-id", options.request.value()}};
+  if (key.empty()) {
+    const Error error{ErrorCode::kInvalidArgument, kStep, "",
+                      "this call may not be repeated and needs an idempotency-key header of 1 to "
+                      "256 printable ASCII characters"};
+    return SendError(*response, 400, error, RunState::kNotRun, headers);
+  }
+  OperationCall call;
+  call.service = options.pool.pool.value();
+  call.key = std::string(key);
+  auto name = OperationName(options.team, call.service, call.key);
+  if (!name) return SendError(*response, 400, name.error(), RunState::kNotRun, headers);
+  call.object_name = std::move(*name);
+  if (!AdmitTeam(options, *response)) return;
+  OperationHost::Start(context_, std::move(call), std::move(options), std::move(upstream),
+                       response);
+}
+
 void CallerApi::StartOrReattach(RequestOptions options, UpstreamTemplate upstream,
                                 std::shared_ptr<AnswerSink> sink, const HttpResponsePtr& response) {
   RetryBudget& budget = context_.requests->BudgetOf(options.pool.pool);
   const RequestOptions kept = options;
-  const LimitDecision limit = context_.teams->TryAdmit(kept.team, kept.prompt + kept.max_answer);
-  if (!limit.allowed) {
-    const Error error{ErrorCode::kLimitExceeded, kStep, kept.team.value(),
-                      "the team's limit is used up"};
-    return SendError(*response, 429, error, RunState::kNotRun,
-                     {{"retry-after", std::to_string(limit.retry_after.milliseconds() / 1000 + 1)},
-                      {"x-request-id", kept.request.value()}});
-  }
+  if (!AdmitTeam(kept, *response)) return;
   auto host = std::make_shared<RequestHost>(context_, std::move(options), std::move(upstream),
                                             budget, sink);
   if (context_.requests->Add(host)) return host->Start();
@@ -307,8 +336,8 @@
   options.team = call->team->team;
   options.request_class = *call->request_class;
   options.pool = *pool;
-  options.fingerprint =
-      Fingerprint(HashFields({options.team.value(), request.method, request.path, request.body}));
+  options.fingerprint = Fingerprint(HashFields(
+      {options.team.value(), request.method, request.path, request.query, request.body}));
   options.deadline = SteadyNow() + call->deadline;
   const bool safe = request.method == "GET" || request.method == "HEAD";
   options.idempotent = safe || (pool->repeatable && call->request_class->repeatable);
@@ -326,6 +355,10 @@
     }
   }
   upstream.body = request.body;
+  if (!options.idempotent) {
+    return StartOperation(std::move(options), std::move(upstream),
+                          request.Header("idempotency-key"), response);
+  }
   auto sink =
       MakeServiceSink(response, call->id, static_cast<size_t>(context_.settings.max_body_bytes));
   StartOrReattach(std::move(options), std::move(upstream), std::move(sink), response);
--- a/modules/zr_daemon/api/caller_api.h
+++ b/modules/zr_daemon/api/caller_api.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "zr_daemon/control/cluster_state.h"
 #include "zr_daemon/node_context.h"
@@ -41,6 +42,9 @@
 
   void HandleModel(const HttpRequest& request, const HttpResponsePtr& response, bool chat);
   void HandleService(const HttpRequest& request, const HttpResponsePtr& response);
+  void StartOperation(RequestOptions options, UpstreamTemplate upstream, std::string_view key,
+                      const HttpResponsePtr& response);
+  bool AdmitTeam(const RequestOptions& options, HttpResponse& response);
   void HandleHealth(const HttpRequest& request, HttpResponse& response);
 
   Result<Call> ParseCall(const HttpRequest& request) const;
--- a/modules/zr_daemon/api/error_reply.h
+++ b/modules/zr_daemon/api/error_reply.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 
 #include "zr_base/zr_base.h"
 #include "zr_http/zr_http.h"
@@ -10,11 +11,14 @@
 /** HTTP status that fits an error. */
 int HttpStatusOf(ErrorCode code);
 
-/** `{"error":{"code","message","run","step","peer"}}`. */
-std::string ErrorBody(const Error& error, RunState run);
+/**
+ * `{"error":{"code","message","run","step","peer"}}`.
+ * @param record  state of an operation's record, added as "record" unless it is empty
+ */
+std::string ErrorBody(const Error& error, RunState run, std::string_view record = {});
 
 /** Sends an error response with its x-zr-run header. */
 void SendError(HttpResponse& response, int status, const Error& error, RunState run,
-               HttpHeaders headers = {});
+               HttpHeaders headers = {}, std::string_view record = {});
 
 }  // namespace zr
--- /dev/null
+++ b/modules/zr_daemon/control/placement_runner.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <asio/steady_timer.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+
+#include "zr_daemon/control/cluster_state.h"
+#include "zr_daemon/node_context.h"
+#include "zr_placement/zr_placement.h"
+
+namespace zr {
+
+/**
+ * Competes for the placement lease while this VM is a lease candidate. The
+ * holder polls the engines' loads, spread over time and within a rate, and
+ * sends the orders of the OrderPlanner. All state is used on one strand.
+ */
+class PlacementRunner : public std::enable_shared_from_this<PlacementRunner> {
+ public:
+  explicit PlacementRunner(NodeContext& context);
+  PlacementRunner(const PlacementRunner&) = delete;
+  PlacementRunner& operator=(const PlacementRunner&) = delete;
+
+  void Start();
+  /** Gives the lease back, so that a successor need not wait; any thread. */
+  void Release();
+  /** Ends the timer; any thread. */
+  void Stop();
+
+ private:
+  void Schedule();
+  void Tick();
+  void TickLease(TimePoint now);
+  void Call(const LeaseCall& call);
+  void OnRead(uint64_t call, const StoreReply& reply);
+  void OnPut(uint64_t call, const StoreReply& reply);
+  void NoteLease(std::optional<FencingNumber> fencing);
+  void UpdateWanted(const ClusterSnapshot& snapshot);
+  void PollLoads(TimePoint now);
+  void Poll(const EndpointInfo& info);
+  void SendOrders(TimePoint now);
+  void Send(const EngineOrder& order, const EndpointInfo& info, FencingNumber fencing);
+
+  NodeContext& context_;
+  Strand strand_;
+  asio::steady_timer timer_;
+  PlacementLease lease_;
+  OrderPlanner planner_;
+  TimePoint lease_until_;  // the lease is looked after until then
+  std::optional<FencingNumber> fencing_;
+  std::shared_ptr<const Environment> environment_;
+  std::shared_ptr<const std::map<EndpointId, EndpointInfo>> endpoints_;
+  std::deque<EndpointId> poll_order_;
+  TokenBucket polls_;
+  std::map<EndpointId, TimePoint> polled_at_;
+  bool released_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace zr
--- a/modules/zr_daemon/node.cc
+++ b/modules/zr_daemon/node.cc
@@ -44,6 +44,7 @@
   context_.bus = bus_.get();
   context_.endpoints = &endpoints_;
   context_.requests = &requests_;
+  context_.operations = &operations_;
   context_.selector = &selector_;
   context_.held_grants = &held_grants_;
   context_.locator = &locator_;
@@ -85,6 +86,8 @@
   auto control = ControlPlane::Create(context_, links_, *this);
   if (!control) return tl::unexpected(control.error());
   control_ = *control;
+  placement_ = std::make_shared<PlacementRunner>(context_);
+  retention_ = std::make_shared<RetentionRunner>(context_);
   control_->add_demand = [this](LocalState& local) {
     local.pool_demand = selector_.OwnDemand();
     local.team_demand = teams_.PublishDemand();
@@ -117,6 +120,8 @@
     if (!error) BeginStop();
   });
   control_->Start();
+  placement_->Start();
+  retention_->Start();
   locator_.Start();
   gathers_.Start();
   ScheduleHeldGrants();
@@ -287,17 +292,21 @@
 void Node::BeginStop() {
   if (stopping_.exchange(true)) return;
   Log(LogLevel::kInfo, "node",
-      "Stopping; " + std::to_string(requests_.size()) + " requests are in progress.");
+      "Stopping; " + std::to_string(requests_.size()) + " requests and " +
+          std::to_string(operations_.size()) + " operations are in progress.");
   control_->BeginStop();
+  placement_->Release();
   stop_timer_.expires_after(std::chrono::microseconds(settings_.drain_timeout.microseconds()));
   stop_timer_.async_wait([this](const asio::error_code& error) {
     if (error) return;
-    ZR_ASSERT_INVARIANT(kGracefulStop, requests_.size() == 0,
+    ZR_ASSERT_INVARIANT(kGracefulStop, requests_.size() == 0 && operations_.size() == 0,
                         "requests were cut because the drain timeout has passed");
     requests_.AbortAll();
     FinishStop();
   });
-  requests_.WhenEmpty([this] { asio::post(io_, [this] { FinishStop(); }); });
+  // An operation outlives the request that it makes, so it is waited for first.
+  operations_.WhenEmpty(
+      [this] { requests_.WhenEmpty([this] { asio::post(io_, [this] { FinishStop(); }); }); });
 }
 
 void Node::FinishStop() {
@@ -310,6 +319,8 @@
     endpoints_.StopAll();
     locator_.Stop();
     gathers_.Stop();
+    placement_->Stop();
+    retention_->Stop();
     control_->Stop();
     links_->Stop();
     io_.stop();
--- a/modules/zr_daemon/node.h
+++ b/modules/zr_daemon/node.h
@@ -10,11 +10,14 @@
 #include "zr_daemon/api/operator_api.h"
 #include "zr_daemon/control/cluster_state.h"
 #include "zr_daemon/control/control_plane.h"
+#include "zr_daemon/control/placement_runner.h"
+#include "zr_daemon/control/retention_runner.h"
 #include "zr_daemon/endpoint/endpoint_table.h"
 #include "zr_daemon/net/message_bus.h"
 #include "zr_daemon/node_context.h"
 #include "zr_daemon/request/gather_table.h"
 #include "zr_daemon/request/held_grants.h"
+#include "zr_daemon/request/operation_table.h"
 #include "zr_daemon/request/request_table.h"
 #include "zr_daemon/request/route_selector.h"
 #include "zr_daemon/request/stream_locator.h"
@@ -65,12 +68,15 @@
   RouteSelector selector_;
   HeldGrantRegistry held_grants_;
   RequestTable requests_;
+  OperationTable operations_;
   StreamLocator locator_;
   SuspectRegistry suspects_;
   GatherTable gathers_;
   TeamGate teams_;
   EndpointTable endpoints_;
   std::shared_ptr<ControlPlane> control_;
+  std::shared_ptr<PlacementRunner> placement_;
+  std::shared_ptr<RetentionRunner> retention_;
   CallerApi caller_api_;
   OperatorApi operator_api_;
   std::unique_ptr<HttpServer> caller_server_;
--- a/modules/zr_daemon/node_context.h
+++ b/modules/zr_daemon/node_context.h
@@ -18,6 +18,7 @@
 class GatherTable;
 class HeldGrantRegistry;
 class MessageBus;
+class OperationTable;
 class RequestTable;
 class RouteSelector;
 class StreamLocator;
@@ -52,6 +53,7 @@
   MessageBus* bus = nullptr;
   EndpointTable* endpoints = nullptr;
   RequestTable* requests = nullptr;
+  OperationTable* operations = nullptr;
   RouteSelector* selector = nullptr;
   HeldGrantRegistry* held_grants = nullptr;
   StreamLocator* locator = nullptr;
--- /dev/null
+++ b/modules/zr_daemon/request/operation_table.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+
+#include "zr_daemon/node_context.h"
+
+namespace zr {
+
+class OperationHost;
+
+/** The operations in progress at this VM, by the nonce of their attempt. Any thread may use it. */
+class OperationTable {
+ public:
+  OperationTable() = default;
+  OperationTable(const OperationTable&) = delete;
+  OperationTable& operator=(const OperationTable&) = delete;
+
+  /** False if the nonce is in use. */
+  bool Add(uint64_t nonce, std::shared_ptr<OperationHost> host);
+  void Remove(uint64_t nonce);
+  /** Called once when the table is empty, now or later. */
+  void WhenEmpty(std::function<void()> run);
+
+  bool Contains(uint64_t nonce) const;
+  size_t size() const;
+
+ private:
+  mutable std::mutex mutex_;
+  std::map<uint64_t, std::shared_ptr<OperationHost>> hosts_;
+  std::function<void()> when_empty_;
+};
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_daemon/request/outcome_sink.cc
@@ -0,0 +1,60 @@
+#include "zr_daemon/request/outcome_sink.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace zr {
+namespace {
+
+/** Whether a 503 says that the service did not run the call. */
+bool SaysNotRun(const ServiceOutcome& outcome) {
+  if (outcome.status != 503) return false;
+  const auto json = nlohmann::json::parse(outcome.body, nullptr, false);
+  if (!json.is_object() || !json.contains("error") || !json["error"].is_object()) return false;
+  const auto run = json["error"].find("run");
+  return run != json["error"].end() && *run == "not-run";
+}
+
+}  // namespace
+
+OutcomeSink::OutcomeSink(size_t max_bytes, Report report)
+    : max_bytes_(max_bytes), report_(std::move(report)) {
+  outcome_.status = 200;
+}
+
+OutcomeSink::~OutcomeSink() { Send({ServiceStatus::kUnknown, {}}); }
+
+void OutcomeSink::Head(int status, const std::string& content_type, const std::string& /*stream*/) {
+  outcome_.status = status;
+  outcome_.content_type = content_type;
+}
+
+void OutcomeSink::Part(int64_t /*offset*/, std::string text, std::function<void()> sent) {
+  digest_.Add(text);
+  if (outcome_.body_kept && outcome_.body.size() + text.size() <= max_bytes_) {
+    outcome_.body += text;
+  } else {
+    outcome_.body_kept = false;
+    outcome_.body.clear();
+  }
+  sent();
+}
+
+void OutcomeSink::Finish(int64_t /*total*/) {
+  // Stored as an outcome, a busy answer would be replayed for as long as the record is kept.
+  if (SaysNotRun(outcome_)) return Send({ServiceStatus::kNotRun, {}});
+  outcome_.digest = digest_.Hex();
+  Send({ServiceStatus::kOutcome, std::move(outcome_)});
+}
+
+void OutcomeSink::Refused(const Refuse& refusal) {
+  Send({refusal.run == RunState::kNotRun ? ServiceStatus::kNotRun : ServiceStatus::kUnknown, {}});
+}
+
+void OutcomeSink::Drop(const Error& /*error*/) { Send({ServiceStatus::kUnknown, {}}); }
+
+void OutcomeSink::Send(OpServiceReply reply) {
+  if (auto report = std::exchange(report_, nullptr)) report(std::move(reply));
+}
+
+}  // namespace zr
