--- a/modules/zr_request/stream_directory.cc
+++ b/modules/zr_request/stream_directory.cc
@@ -100,10 +100,13 @@
 //==============================================================================
 // Searches
 
-bool StreamDirectory::FindLocal(const FindStream& query, StreamLocation& answer) const {
+bool StreamDirectory::FindLocal(const VmId& from, const FindStream& query,
+                                StreamLocation& answer) const {
   const auto it = local_.find(query.request);
   if (it == local_.end()) return false;
   const StreamLocation& location = it->second.location;
+  // The machine that searches is listed here itself; it would take the request over from itself.
+  if (from == self_ && location.holder == self_) return false;
   if (!query.stream.empty() && query.stream != location.stream) return false;
   if (!CheckSame(query, location.fingerprint, answer) || query.team != location.team) {
     answer.conflict = true;
@@ -148,8 +151,8 @@
   Expire(now);
   StreamLocation answer;
   answer.request = query.request;
-  answer.found =
-      FindLocal(query, answer) || FindListed(from, query, answer) || FindClaim(from, query, answer);
+  answer.found = FindLocal(from, query, answer) || FindListed(from, query, answer) ||
+                 FindClaim(from, query, answer);
   answer.request = query.request;
   if (answer.found) {
     // The latest caller takes the stream over; the next search is sent on to it.
--- a/modules/zr_request/stream_directory.h
+++ b/modules/zr_request/stream_directory.h
@@ -77,7 +77,7 @@
     TimePoint at;
   };
 
-  bool FindLocal(const FindStream& query, StreamLocation& answer) const;
+  bool FindLocal(const VmId& from, const FindStream& query, StreamLocation& answer) const;
   bool FindListed(const VmId& from, const FindStream& query, StreamLocation& answer) const;
   bool FindClaim(const VmId& from, const FindStream& query, StreamLocation& answer) const;
 
--- a/modules/zr_request/tests/shared_state_test.cc
+++ b/modules/zr_request/tests/shared_state_test.cc
@@ -168,6 +168,21 @@
     REQUIRE(second.found());
     REQUIRE(second.found()->holder == a);
   }
+  SECTION("and a first call does not find itself") {
+    // The directories may lack claims after a change of the view, so all VMs are asked.
+    for (auto& [vm, directory] : fleet.directories) directory.OnViewChanged(kStart);
+    StreamLocation own;
+    own.request = query.request;
+    own.team = query.team;
+    own.fingerprint = kPrint;
+    fleet.directories.at(a).SetLocal(own);
+    const StreamSearch first = fleet.Search(a, query);
+    REQUIRE(first.ended());
+    REQUIRE_FALSE(first.found());
+    const StreamSearch second = fleet.Search(b, query);
+    REQUIRE(second.found());
+    REQUIRE(second.found()->holder == a);
+  }
   SECTION("for another prompt it is a conflict") {
     fleet.Search(a, query);
     query.fingerprint = Fingerprint(8);
