--- a/bench/common.sh
+++ b/bench/common.sh
@@ -86,7 +86,8 @@
 count() {
   local policy=$1 run=$2
   shift 2
-  jq --args '[.classes[].outcomes | to_entries[] | select(.key as $k | $ARGS.positional | index($k)) | .value] | add // 0' "$OUT/$policy/$run.json" "$@"
+  jq '[.classes[].outcomes | to_entries[] | select(.key as $k | $ARGS.positional | index($k)) | .value] | add // 0' \
+    --args "$@" <"$OUT/$policy/$run.json"
 }
 # p95_between POLICY RUN FROM TO: median of the seconds' p95 of the first token.
 p95_between() {
@@ -95,4 +96,4 @@
 failed_between() {
   jq "[.seconds[] | select(.second >= $3 and .second < $4) | .failed + .late + .refused] | add // 0" "$OUT/$1/$2.json"
 }
-ratio() { awk -v a="$1" -v b="$2" 'BEGIN { printf b > 0 ? "%.3f" : "n/a", b > 0 ? a / b : 0 }'; }
+ratio() { awk -v a="$1" -v b="$2" 'BEGIN { if (b > 0) printf("%.3f", a / b); else printf("n/a") }'; }
