Count the time in which an answer stalls beside prompts being read

Cause: an engine's step that reads prompts lasts as long as the prompts take and gives each stream one token. Change: the forecast lets an answer proceed at a tenth of its speed while prompts are read, and the service time model leaves that time out when it learns the decode speed.

--- a/modules/zr_admission/endpoint_owner_grants.cc
+++ b/modules/zr_admission/endpoint_owner_grants.cc
@@ -104,6 +104,7 @@
   seen.prefill_tokens = entry.uncached;
   // If the call ended before its estimated prefill did, the rest counts as well.
   seen.prefill_seconds = entry.prefill_seconds + entry.prefill_left / model_.PrefillSpeed();
+  seen.beside_prefill_seconds = entry.beside_prefill_seconds;
   seen.answered = static_cast<double>(release.answered.value());
   seen.max_answer = static_cast<double>(entry.max_answer.value());
   const double run = release.run_time.seconds();
--- a/modules/zr_admission/grant_table.h
+++ b/modules/zr_admission/grant_table.h
@@ -55,6 +55,7 @@
   // For the mean batch size over the run, and the estimated time in prefill.
   double batch_seconds = 0;
   double prefill_seconds = 0;
+  double beside_prefill_seconds = 0;  // of the answer, while prompts of others were read
 };
 
 /** The grants of one endpoint and the memory that they reserve. */
--- a/modules/zr_admission/service_time_model.cc
+++ b/modules/zr_admission/service_time_model.cc
@@ -50,15 +50,17 @@
   const double run = o.run_time.seconds();
   if (run <= 0) return;
   const double prefill = o.prefill_seconds;
-  const double decode = o.answered / DecodeSpeed(o.batch);
+  // Beside prefill the answer proceeds at a share of the speed; the rest of that time is a stall.
+  const double stalled = o.beside_prefill_seconds * (1 - kShareBesidePrefill);
+  const double decode = o.answered / DecodeSpeed(o.batch) + stalled;
   const double seen_prefill = o.first_token.seconds();
   if (seen_prefill > 0 && seen_prefill < run) {
     CorrectPrefill(o, seen_prefill);
-    CorrectDecode(o, run - seen_prefill);
+    CorrectDecode(o, std::max(run - seen_prefill - stalled, (run - seen_prefill) * 0.1));
   } else if (decode >= prefill) {
     // Without the first token's time, the part that dominates takes the
     // correction; the other part would amplify small errors of the first.
-    CorrectDecode(o, std::max(run - prefill, run * 0.1));
+    CorrectDecode(o, std::max(run - prefill - stalled, run * 0.1));
   } else {
     CorrectPrefill(o, std::max(run - decode, run * 0.1));
   }
@@ -124,6 +126,14 @@
   return PriorDecodeSpeed(batch) * (RatioOf(low) * (1 - part) + RatioOf(low + 1) * part);
 }
 
+double ServiceTimeModel::AnswerSeconds(double answer, double batch,
+                                       double beside_prefill_seconds) const {
+  const double speed = DecodeSpeed(batch);
+  const double beside = speed * kShareBesidePrefill * beside_prefill_seconds;
+  if (answer <= beside) return answer / (speed * kShareBesidePrefill);
+  return beside_prefill_seconds + (answer - beside) / speed;
+}
+
 double ServiceTimeModel::ExpectedAnswer(const ClassId& request_class, TokenCount max_answer) const {
   const auto bound = static_cast<double>(std::max<int64_t>(0, max_answer.value()));
   const auto it = answer_share_.find(request_class);
--- a/modules/zr_admission/service_time_model.h
+++ b/modules/zr_admission/service_time_model.h
@@ -22,11 +22,12 @@
   /** What a completed call showed. */
   struct Observation {
     ClassId request_class;
-    double prefill_tokens = 0;   // uncached prompt tokens
-    double prefill_seconds = 0;  // estimated with the present speed, other prompts included
-    double answered = 0;         // tokens
-    double max_answer = 0;       // bound on the answer
-    double batch = 1;            // mean batch size over its run
+    double prefill_tokens = 0;          // uncached prompt tokens
+    double prefill_seconds = 0;         // estimated with the present speed, other prompts included
+    double answered = 0;                // tokens
+    double beside_prefill_seconds = 0;  // part of the answer's time, while prompts were read
+    double max_answer = 0;              // bound on the answer
+    double batch = 1;                   // mean batch size over its run
     Duration run_time;
     Duration first_token;  // 0 if not known
   };
@@ -38,6 +39,10 @@
   double PrefillSpeed() const { return prefill_; }
   /** Tokens a second of one stream in a batch of the given size (at least 1). */
   double DecodeSpeed(double batch) const;
+  /** Seconds for an answer while the engine reads prompts of others for the first seconds. */
+  double AnswerSeconds(double answer, double batch, double beside_prefill_seconds) const;
+  /** Share of the decode speed that a stream keeps while the engine reads prompts. */
+  static constexpr double kShareBesidePrefill = 0.1;
   /** Expected answer length in tokens: the bound times the class's usual share of it. */
   double ExpectedAnswer(const ClassId& request_class, TokenCount max_answer) const;
   /** Expected time of a plain call. */
--- a/modules/zr_admission/work_forecast.cc
+++ b/modules/zr_admission/work_forecast.cc
@@ -35,6 +35,17 @@
   return work / speed;
 }
 
+/** Seconds in which the engine reads prompts after one's own prefill has ended. */
+double PrefillSecondsAfter(const GrantTable& grants, const GrantEntry* self, double own,
+                           const WorkDemand* extra, double speed, double own_seconds) {
+  double work = own;
+  if (extra != nullptr) work += extra->prefill;
+  for (const auto& [key, entry] : grants.entries()) {
+    if (&entry != self && Works(entry)) work += entry.prefill_left;
+  }
+  return std::max(0.0, work / speed - own_seconds);
+}
+
 }  // namespace
 
 Duration EstimateMargin(Duration run_time) {
@@ -65,18 +76,22 @@
         ++in_prefill;
       }
     }
-    const double share = in_prefill == 0 ? 0 : model.PrefillSpeed() / in_prefill;
-    const double step = in_prefill == 0 ? left : std::min(left, shortest / share + 1e-6);
+    const double prefill_share = in_prefill == 0 ? 0 : model.PrefillSpeed() / in_prefill;
+    const double step = in_prefill == 0 ? left : std::min(left, shortest / prefill_share + 1e-6);
     for (auto& [key, entry] : grants.entries()) {
       if (!Works(entry)) continue;
       entry.batch_seconds += batch * step;
       entry.plain_left = std::max(0.0, entry.plain_left - step);
       if (entry.prefill_left > 0) {
-        const double done = entry.priority == top ? share * step : 0;
+        const double done = entry.priority == top ? prefill_share * step : 0;
         entry.prefill_left = std::max(0.0, entry.prefill_left - done);
         entry.prefill_seconds += step;
       } else {
-        entry.answer_left = std::max(0.0, entry.answer_left - decode * step);
+        // A step of the engine that reads prompts takes many times longer than one that does not,
+        // and gives each stream one token all the same.
+        const double share = in_prefill == 0 ? 1 : ServiceTimeModel::kShareBesidePrefill;
+        entry.answer_left = std::max(0.0, entry.answer_left - decode * share * step);
+        if (in_prefill > 0) entry.beside_prefill_seconds += step;
       }
     }
     left -= step;
@@ -91,7 +106,10 @@
                                const WorkDemand& demand, double batch) {
   const double prefill = PrefillSeconds(grants, nullptr, demand.prefill, demand.priority, nullptr,
                                         model.PrefillSpeed());
-  return FromSeconds(prefill + demand.answer / model.DecodeSpeed(batch) + demand.plain_seconds);
+  const double beside =
+      PrefillSecondsAfter(grants, nullptr, demand.prefill, nullptr, model.PrefillSpeed(), prefill);
+  return FromSeconds(prefill + model.AnswerSeconds(demand.answer, batch, beside) +
+                     demand.plain_seconds);
 }
 
 Duration WorkForecast::RunTimeAlone(const ServiceTimeModel& model, const WorkDemand& demand) {
@@ -103,7 +121,10 @@
                                  const GrantEntry& entry, double batch, const WorkDemand* extra) {
   const double prefill = PrefillSeconds(grants, &entry, entry.prefill_left, entry.priority, extra,
                                         model.PrefillSpeed());
-  return FromSeconds(prefill + entry.answer_left / model.DecodeSpeed(batch) + entry.plain_left);
+  const double beside =
+      PrefillSecondsAfter(grants, &entry, entry.prefill_left, extra, model.PrefillSpeed(), prefill);
+  return FromSeconds(prefill + model.AnswerSeconds(entry.answer_left, batch, beside) +
+                     entry.plain_left);
 }
 
 bool WorkForecast::WouldDelayPastDeadline(const GrantTable& grants, const ServiceTimeModel& model,
