Refuse prompts larger than their pool at once; check the role of chat messages

Cause: a prompt larger than all engines of its pool together waited for a gather until its deadline, half an hour in a class that may wait. A chat message with a role that is not a text ended the connection without an answer, because reading it raised an exception. Change: the ingress refuses with 413 once the size of every endpoint is known and a gather over all of them, drained ones included, is too small. A role must be a text, else 400.

--- a/modules/zr_admission/gather_coordinator.cc
+++ b/modules/zr_admission/gather_coordinator.cc
@@ -40,6 +40,13 @@
   candidates_ = std::move(candidates);
 }
 
+TokenCount GatherCoordinator::RoomOf(const std::vector<GatherCandidate>& endpoints,
+                                     const PoolPolicy& policy) {
+  int64_t room = 0;
+  for (const GatherCandidate& endpoint : endpoints) room += Usable(endpoint, policy);
+  return TokenCount(endpoints.size() < kMinParts ? 0 : room);
+}
+
 GatherCoordinator::Messages GatherCoordinator::OnRequest(TimePoint now, const VmId& from,
                                                          const AdmissionRequest& request) {
   Messages out;
--- a/modules/zr_admission/gather_coordinator.h
+++ b/modules/zr_admission/gather_coordinator.h
@@ -44,6 +44,8 @@
   /** The pool's endpoints as the summaries tell them; used by the next try. */
   void OnCandidates(std::vector<GatherCandidate> candidates);
   void OnPolicy(const PoolPolicy& policy) { policy_ = policy; }
+  /** Most tokens that a gather over these endpoints can ever hold; 0 if they are too few. */
+  static TokenCount RoomOf(const std::vector<GatherCandidate>& endpoints, const PoolPolicy& policy);
 
   /** An ingress asks for a gather: an AdmissionRequest with an empty endpoint. */
   Messages OnRequest(TimePoint now, const VmId& from, const AdmissionRequest& request);
--- a/modules/zr_daemon/api/caller_api.cc
+++ b/modules/zr_daemon/api/caller_api.cc
@@ -71,6 +71,9 @@
     if (!message.is_object() || !message.contains("content") || !message["content"].is_string()) {
       return Invalid("each message must have a content text");
     }
+    if (message.contains("role") && !message["role"].is_string()) {
+      return Invalid("the role of a message must be a text");
+    }
     prompt += message.value("role", "user") + ": " + message["content"].get<std::string>() + "\n";
   }
   return prompt;
--- a/modules/zr_daemon/request/request_host.cc
+++ b/modules/zr_daemon/request/request_host.cc
@@ -180,6 +180,7 @@
 void RequestHost::Do(const SelectCandidates& action) {
   RouteChoice choice = context_.selector->Choose(machine_.options(), action);
   Post([choice = std::move(choice)](TimePoint now, RequestMachine& machine) {
+    if (choice.too_small) return machine.OnTooLarge(now, *choice.too_small);
     return machine.OnCandidates(now, choice.candidates, choice.gather);
   });
 }
--- a/modules/zr_daemon/request/route_selector.cc
+++ b/modules/zr_daemon/request/route_selector.cc
@@ -83,6 +83,22 @@
   return candidates;
 }
 
+std::optional<TokenCount> RouteSelector::RoomOfPool(const PoolPolicy& pool,
+                                                    const ClusterSnapshot& snapshot,
+                                                    TimePoint now) {
+  const auto owners = OwnersIn(snapshot);
+  std::vector<GatherCandidate> all;
+  for (const auto& [endpoint, info] : *snapshot.endpoints) {
+    if (info.pool != pool.pool) continue;
+    const auto found = summaries_.Find(now, endpoint, owners);
+    if (!found || found->summary->kv_capacity <= TokenCount(0)) return std::nullopt;
+    // Drained endpoints count too, because they may return before the deadline.
+    all.push_back({endpoint, found->summary->owner, found->summary->kv_free,
+                   found->summary->kv_capacity, true});
+  }
+  return GatherCoordinator::RoomOf(all, pool);
+}
+
 RouteChoice RouteSelector::Choose(const RequestOptions& request, const SelectCandidates& wanted) {
   const TimePoint now = SteadyNow();
   const auto snapshot = context_.cluster->Get();
@@ -117,6 +133,8 @@
     const bool fits = std::any_of(candidates.begin(), candidates.end(),
                                   [&](const auto& c) { return c.summary.kv_capacity >= needed; });
     choice.gather = !fits && !candidates.empty();
+    if (choice.gather) choice.too_small = RoomOfPool(request.pool, *snapshot, now);
+    if (choice.too_small && *choice.too_small >= needed) choice.too_small.reset();
   }
   return choice;
 }
--- a/modules/zr_daemon/request/route_selector.h
+++ b/modules/zr_daemon/request/route_selector.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -17,6 +18,8 @@
 struct RouteChoice {
   std::vector<Candidate> candidates;  // best first
   bool gather = false;                // no single endpoint is large enough
+  /** What the whole pool holds, in tokens, if that is too little for the request. */
+  std::optional<TokenCount> too_small;
 };
 
 /**
@@ -51,6 +54,9 @@
   std::vector<Summary> Summaries();
 
  private:
+  /** What a gather can ever hold; nothing while the size of an endpoint is not known. */
+  std::optional<TokenCount> RoomOfPool(const PoolPolicy& pool, const ClusterSnapshot& snapshot,
+                                       TimePoint now);
   std::vector<SelectionCandidate> CollectCandidates(const PoolId& pool,
                                                     const ClusterSnapshot& snapshot, TimePoint now);
   Duration RoundTripTo(const DomainId& domain) const;
--- a/modules/zr_request/request_machine.h
+++ b/modules/zr_request/request_machine.h
@@ -68,6 +68,8 @@
    */
   RequestActions OnCandidates(TimePoint now, std::vector<Candidate> candidates,
                               bool gather = false);
+  /** No choice of endpoints can ever hold the request; the pool holds `room` tokens together. */
+  RequestActions OnTooLarge(TimePoint now, TokenCount room);
   /**
    * An owner's grant.
    *
--- a/modules/zr_request/request_machine_admission.cc
+++ b/modules/zr_request/request_machine_admission.cc
@@ -148,6 +148,17 @@
   return Take(now);
 }
 
+RequestActions RequestMachine::OnTooLarge(TimePoint now, TokenCount room) {
+  if (Expire(now) || state_ != State::kSelecting) return Take(now);
+  const TokenCount needed = options_.prompt + options_.max_answer;
+  EndWithError(
+      now, 413,
+      {ErrorCode::kTooLarge, "admission", options_.pool.pool.value(),
+       "the prompt and its answer need " + std::to_string(needed.value()) +
+           " tokens of memory; all endpoints together hold " + std::to_string(room.value())});
+  return Take(now);
+}
+
 void RequestMachine::NoCandidates(TimePoint now) {
   if (too_large_ && IsModel()) {
     BeginGather(now);
--- a/tests/system/harness.py
+++ b/tests/system/harness.py
@@ -148,6 +148,11 @@
                    f"--register={platform}", *self.service_flags, log="services")
         for vm in range(self.vm_count):
             self.start_vm(vm)
+            # The platform lists its VMs; without a list that names it, a VM does not know the
+            # members and does not report a change as accepted.
+            http_call(self.base, "POST", "/v1/vms", json.dumps({
+                "name": f"vm-{vm}", "address": f"127.0.0.1:{self.peer(vm)}",
+                "domain": DOMAINS[vm % 3]}))
         for vm in range(self.vm_count):
             wait_until(f"vm-{vm}", lambda: http_call(self.caller(vm), "GET", "/healthz")[0] == 200)
         done = self.ctl("apply", self.document, "--wait", "--timeout_ms=90000")
@@ -178,9 +183,6 @@
 """)
         self.vms[vm] = self.spawn("apps/zinniarilld/zinniarilld", f"--settings={path}",
                                   log=f"vm-{vm}")
-        # The platform lists its VMs; without a list that names it, a VM does not know the members.
-        http_call(self.base, "POST", "/v1/vms", json.dumps(
-            {"name": f"vm-{vm}", "address": f"127.0.0.1:{self.peer(vm)}", "domain": DOMAINS[vm % 3]}))
 
     def wait_ready(self):
         for vm in range(self.vm_count):
