Tell waiting requests when their prompt becomes suspect

Cause: a request that was queued before its prompt had crashed two endpoints could still run, because the verdict was taken on arrival only; a 404 to a cancellation was taken as its confirmation although the start may follow. Change: the registry passes new verdicts to the requests; 404 does not confirm. Conclusion: covered by the randomised tests of zr_request; the crash system test runs it in the daemon.

--- a/modules/zr_daemon/request/request_host.cc
+++ b/modules/zr_daemon/request/request_host.cc
@@ -26,6 +26,7 @@
     : context_(context),
       id_(options.request),
       team_(options.team),
+      fingerprint_(options.fingerprint),
       pool_kind_(options.pool.kind),
       strand_(asio::make_strand(context.io)),
       wakeup_(strand_),
@@ -342,7 +343,8 @@
   request.connect_timeout = kConnectTimeout;
   request.total_timeout = kCancelTimeout;
   context_.http->Fetch(std::move(request), size_t{64} << 10, [report](auto result) {
-    report(result && (result->status == 200 || result->status == 204 || result->status == 404));
+    // 404 confirms nothing: the start of the stream may still be on its way.
+    report(result && (result->status == 200 || result->status == 204));
   });
 }
 
--- a/modules/zr_daemon/request/request_host.h
+++ b/modules/zr_daemon/request/request_host.h
@@ -56,6 +56,7 @@
 
   const RequestId& id() const { return id_; }
   const TeamId& team() const { return team_; }
+  Fingerprint fingerprint() const { return fingerprint_; }
   /** Where the request runs, as of its last event. */
   StreamLocation Location() const;
 
@@ -106,6 +107,7 @@
   NodeContext& context_;
   const RequestId id_;
   const TeamId team_;
+  const Fingerprint fingerprint_;
   const PoolKind pool_kind_;
   Strand strand_;
   asio::steady_timer wakeup_;
--- a/modules/zr_daemon/request/request_table.cc
+++ b/modules/zr_daemon/request/request_table.cc
@@ -42,6 +42,15 @@
   }
 }
 
+void RequestTable::OnVerdict(Fingerprint fingerprint, SuspectVerdict verdict) {
+  for (const auto& host : All()) {
+    if (host->fingerprint() != fingerprint) continue;
+    host->Post([verdict](TimePoint now, RequestMachine& machine) {
+      return machine.OnVerdict(now, verdict);
+    });
+  }
+}
+
 void RequestTable::AbortAll() {
   for (const auto& host : All()) {
     host->Post([](TimePoint now, RequestMachine& machine) { return machine.Abort(now); });
--- a/modules/zr_daemon/request/request_table.h
+++ b/modules/zr_daemon/request/request_table.h
@@ -29,6 +29,8 @@
   void WhenEmpty(std::function<void()> run);
   /** Tells every request that a VM is dead. */
   void OnVmDied(const VmId& vm);
+  /** Tells the requests with a fingerprint how suspect it is now. */
+  void OnVerdict(Fingerprint fingerprint, SuspectVerdict verdict);
   void AbortAll();
 
   //============================================================================
--- a/modules/zr_daemon/request/suspect_registry.cc
+++ b/modules/zr_daemon/request/suspect_registry.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "zr_daemon/net/message_bus.h"
+#include "zr_daemon/request/request_table.h"
 
 namespace zr {
 namespace {
@@ -34,14 +35,24 @@
     is_new = table_.OnDeath(SteadyNow(), suspect, domain);
   }
   if (!is_new) return;
+  TellRequests(suspect.fingerprint);
   context_.metrics.Count("zr_suspect_deaths_total", {{"endpoint", suspect.endpoint.value()}});
   context_.bus->Broadcast(suspect);
 }
 
 void SuspectRegistry::OnSuspect(const Suspect& suspect) {
   const DomainId domain = DomainOf(suspect.endpoint);
-  std::lock_guard lock(mutex_);
-  table_.OnDeath(SteadyNow(), suspect, domain);
+  bool is_new = false;
+  {
+    std::lock_guard lock(mutex_);
+    is_new = table_.OnDeath(SteadyNow(), suspect, domain);
+  }
+  if (is_new) TellRequests(suspect.fingerprint);
+}
+
+void SuspectRegistry::TellRequests(Fingerprint fingerprint) {
+  // A request that waits in a queue must not run as if nothing had happened.
+  context_.requests->OnVerdict(fingerprint, Verdict(fingerprint));
 }
 
 void SuspectRegistry::OnEndpointAlive(const EndpointId& endpoint, BootNumber boot) {
--- a/modules/zr_daemon/request/suspect_registry.h
+++ b/modules/zr_daemon/request/suspect_registry.h
@@ -38,6 +38,7 @@
   void OnTurn(const VmId& from, const SuspectTurn& turn);
 
  private:
+  void TellRequests(Fingerprint fingerprint);
   DomainId DomainOf(const EndpointId& endpoint) const;
 
   NodeContext& context_;
