--- a/modules/zr_admission/admission_planner.cc
+++ b/modules/zr_admission/admission_planner.cc
@@ -119,8 +119,9 @@
     slots = std::min(ramp_.OwnLimit() - grants_.OwnCount(),
                      ramp_.TotalLimit() - grants_.size() - engine_.foreign_requests());
   }
-  if (grants_.AnyRunAlone() || candidate.request.run_alone)
+  if (grants_.AnyRunAlone() || candidate.request.run_alone) {
     begin = std::max(begin, now + DrainTime());
+  }
   CapacityTimeline timeline = MakeTimeline(begin, slots);
   double prefill = candidate.long_prompt
                        ? WorkForecast::LongPrefillInProgress(grants_)
--- a/modules/zr_admission/tests/ingress_test.cc
+++ b/modules/zr_admission/tests/ingress_test.cc
@@ -33,6 +33,7 @@
 // that all pick the same one, and against endpoints that cannot take the call.
 TEST_CASE("Endpoint selection") {
   std::vector<Candidate> candidates;
+  candidates.reserve(6);
   for (int i = 0; i < 6; ++i) candidates.push_back(MakeCandidate(i));
   const std::vector<EndpointId> order = ScoredRule::LongOrder(candidates, PoolId("reader"));
 
@@ -278,6 +279,7 @@
   (*teams)[team].tokens_per_second = 10'000;
   (*teams)[team].kv_limit = TokenCount(1'000'000);
   std::vector<TeamLimiter> limiters;
+  limiters.reserve(5);
   for (int i = 0; i < 5; ++i) limiters.emplace_back(VmId("vm" + std::to_string(i)), teams);
   TimePoint now = AtMs(1'000);
   auto heartbeat = [&] {
