--- a/modules/zr_admission/engine_reconciler.h
+++ b/modules/zr_admission/engine_reconciler.h
@@ -92,7 +92,10 @@
   // Stream lists
 
   /** A holder claims a stream that was listed as unclaimed. */
-  void OnClaimed(const std::string& stream_id) { unclaimed_.erase(stream_id); }
+  void OnClaimed(const StreamKey& key) {
+    std::erase_if(unclaimed_,
+                  [&key](const auto& item) { return ParseStreamId(item.first) == key; });
+  }
   /** Asks for a list at the next opportunity. */
   void WantList() { want_list_ = true; }
   /** True if a list must be requested now; notes it as requested. */
--- a/modules/zr_admission/grant_table.h
+++ b/modules/zr_admission/grant_table.h
@@ -32,8 +32,9 @@
   bool run_alone = false;
   bool long_prompt = false;
   bool plain = false;
-  bool gather_part = false;  // memory for a prompt that spans several endpoints
-  bool broken = false;       // its holder lost the connection to the endpoint
+  bool gather_part = false;   // memory for a prompt that spans several endpoints
+  std::string gather_stream;  // id of the gathered stream, once its holder has told it
+  bool broken = false;        // its holder lost the connection to the endpoint
   int32_t priority = 0;
   TeamId team;
   ClassId request_class;
@@ -54,6 +55,7 @@
   // For the mean batch size over the run, and the estimated time in prefill.
   double batch_seconds = 0;
   double prefill_seconds = 0;
+  double beside_prefill_seconds = 0;  // of the answer, while prompts of others were read
 };
 
 /** The grants of one endpoint and the memory that they reserve. */
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -47,6 +47,7 @@
   uint32_t hops = 0;          // relays so far
   std::vector<TeamDemand> team_demand;
   std::vector<PoolDemand> pool_demand;
+  uint32_t weight = 1;  // relative share of endpoints to own, from 1
   friend auto operator<=>(const Heartbeat&, const Heartbeat&) = default;
 };
 
@@ -169,7 +170,11 @@
   Fingerprint fingerprint;
   bool long_prompt = false;
   bool started = false;
+  // Only for the further members of a gathered run: where it streams, and its stream id.
+  EndpointId gather_endpoint;
+  std::string gather_stream;
   bool generating = false;  // the first token has arrived
+  BootNumber boot;          // of the endpoint, from the grant
   friend auto operator<=>(const HeldGrant&, const HeldGrant&) = default;
 };
 
@@ -202,6 +207,9 @@
 struct FindStream {
   RequestId request;
   TeamId team;
+  Fingerprint fingerprint;
+  bool claim = false;  // to the locator: if nothing is found, the sender will run the request
+  std::string stream;  // the engine stream that the caller has a part of, empty for any
   friend auto operator<=>(const FindStream&, const FindStream&) = default;
 };
 
@@ -214,6 +222,11 @@
   std::string stream;  // the engine's stream id
   AttemptNumber attempt;
   VmId holder;  // the VM that reads the stream, empty if it died
+  Fingerprint fingerprint;
+  bool conflict = false;      // the id is in use by another team or for another prompt
+  bool done = false;          // the engine generated the whole answer
+  bool certain = false;       // with found = false: the sender would know of any run
+  std::vector<Grant> grants;  // of the run, if known; several for a gathered run
   friend auto operator<=>(const StreamLocation&, const StreamLocation&) = default;
 };
 
@@ -262,10 +275,106 @@
   friend auto operator<=>(const GatherRelease&, const GatherRelease&) = default;
 };
 
+/** Asks the VM that holds a request to hand its stream over to the sender. */
+struct TakeOver {
+  RequestId request;
+  TeamId team;
+  Fingerprint fingerprint;
+  std::string stream;  // hand over this engine stream only; empty for any
+  friend auto operator<=>(const TakeOver&, const TakeOver&) = default;
+};
+
+/** Answer to TakeOver; with it the grants and the stream belong to the receiver. */
+struct HandOver {
+  RequestId request;
+  bool accepted = false;       // false: the sender does not hold the request
+  bool conflict = false;       // the id is in use by another team or for another prompt
+  bool may_have_run = false;   // an attempt was sent to an endpoint
+  bool run_alone = false;      // the run is one of a suspect
+  AttemptNumber next_attempt;  // the receiver counts on from here
+  std::string stream;          // the engine's stream id, empty if no run is in progress
+  std::vector<Grant> grants;   // the first is of the endpoint that streams
+  friend auto operator<=>(const HandOver&, const HandOver&) = default;
+};
+
+/** Asks the locator of a fingerprint for the right to run a suspect, renews or returns it. */
+struct SuspectTurn {
+  Fingerprint fingerprint;
+  RequestId request;
+  bool holding = false;   // the run is in progress: renewal
+  bool returned = false;  // the run has ended
+  bool harmless = false;  // with returned: the run completed, so the suspicion is unfounded
+  friend auto operator<=>(const SuspectTurn&, const SuspectTurn&) = default;
+};
+
+/** Answer of the locator VM to a suspect that wants to run. */
+enum class TurnAnswer : uint8_t {
+  kGranted,  // may run, alone
+  kWait,     // another run of the fingerprint is or may be in progress
+  kRefused,  // two deaths are known
+  kClear,    // not a suspect any more; runs as usual
+};
+
+/** Answer to SuspectTurn. */
+struct SuspectTurnReply {
+  Fingerprint fingerprint;
+  RequestId request;
+  TurnAnswer answer = TurnAnswer::kWait;
+  Duration wait_hint;  // for kWait
+  friend auto operator<=>(const SuspectTurnReply&, const SuspectTurnReply&) = default;
+};
+
+/** Octets; encoded as a CBOR byte string. */
+struct ByteString {
+  std::string bytes;
+  friend auto operator<=>(const ByteString&, const ByteString&) = default;
+};
+
+/** What the sender of a digest knows about one VM. */
+struct VmRecord {
+  VmId vm;
+  Incarnation incarnation;
+  DomainId domain;
+  std::string region;
+  std::string peer_address;
+  uint32_t weight = 1;
+  bool ready = false;
+  bool leaving = false;
+  ObjectVersion config_version;
+  uint64_t beat = 0;  // newest known, in units of 125 ms of the VM's own clock
+  Duration age;       // since that beat, as the sender estimates it
+  friend auto operator<=>(const VmRecord&, const VmRecord&) = default;
+};
+
+/**
+ * Sent on bounded links. Without a roster it is a beat that tells of its sender only.
+ *
+ * `states` holds two octets for each VM of the roster, which is sorted by name: the lower 14 bits
+ * of its newest known beat, ready, leaving. A beat is a reading of the VM's own clock, so news of a
+ * dead VM does not become fresher while it is passed around. `version_indexes` holds two bits for
+ * each VM, which select an entry of `versions`; 3 stands for an older version.
+ */
+struct MembershipDigest {
+  SenderStamp sender;
+  bool ready = false;
+  bool leaving = false;
+  ObjectVersion config_version;  // of the sender
+  uint64_t beat = 0;             // of the sender
+  bool wants_records = false;    // the receiver should answer with all its records
+  uint64_t roster = 0;           // hash of all names and incarnations, 0 for a beat
+  std::string config_digest;     // of the sender's version, hex SHA-256; empty in a beat
+  ByteString states;
+  std::vector<ObjectVersion> versions;  // newest first, at most 3
+  ByteString version_indexes;
+  std::vector<VmRecord> records;  // learnt recently, or all
+  friend auto operator<=>(const MembershipDigest&, const MembershipDigest&) = default;
+};
+
 /** Any message between entry VMs. The order is part of the wire format. */
 using Message = std::variant<Heartbeat, Summary, AdmissionRequest, Grant, Refusal, Release,
                              HeldGrants, CancelAdmission, Suspect, FindStream, StreamLocation,
-                             ConfigOffer, ConfigFetch, GatherReserve, GatherReply, GatherRelease>;
+                             ConfigOffer, ConfigFetch, GatherReserve, GatherReply, GatherRelease,
+                             TakeOver, HandOver, SuspectTurn, SuspectTurnReply, MembershipDigest>;
 
 /** A message with the VM it goes to. */
 struct OutgoingMessage {
