Let the operations test wait for a listed deployment

Cause: without the platform's list of VMs no configuration is accepted, so the test's deployment never started. Change: takes the cluster script that registers each VM; the test prints the status when the start fails.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -71,6 +71,9 @@
   "$BUILD/apps/zinniarilld/zinniarilld" --settings="$RUN_DIR/vm-$index.ini" 2>>"$RUN_DIR/vm-$index.log" &
   VM_PID[$index]=$!
   CLUSTER_PIDS+=($!)
+  # Without the platform's list a young VM doesn't know all its peers, so no configuration is accepted.
+  curl -sf -X POST "http://$(cluster_platform)/v1/vms" -d "{\"name\": \"vm-$index\",
+    \"address\": \"$(cluster_peer "$index")\", \"domain\": \"$domain\", \"state\": \"live\"}" >/dev/null
 }
 
 cluster_start() {  # document vm_count domains...
--- a/tests/system/operations_test.sh
+++ b/tests/system/operations_test.sh
@@ -44,7 +44,7 @@
 INI
 
 echo "seed $ZR_SEED"
-cluster_start "$RUN_DIR/environment.ini" 4 east west
+cluster_start "$RUN_DIR/environment.ini" 4 east west || { ctl status >&2; ctl --output=json status >&2; exit 1; }
 cluster_wait_endpoints
 callers="" pids=""
 for i in 0 1 2 3; do callers+=" $(cluster_caller "$i")" pids+=" ${VM_PID[$i]}"; done
