Test late writes, lost callers, orders and planned stops

Change: stories for writes that take effect late, a caller that hangs up, a frozen service, an order to an engine and the exit code of a planned stop; the SIGKILL after a claim now comes before the dispatch.

--- a/tests/system/operations_driver.py
+++ b/tests/system/operations_driver.py
@@ -61,6 +61,11 @@
     return json.loads(json.loads(body)["value"])["state"] if status == 200 else "absent"
 
 
+def operation_writes():
+    state = json.loads(http_call(os.environ["PLATFORM_FAULT"], "GET", "/fault/state")[2])
+    return state["calls"].get("write.operations", 0)
+
+
 class Call(threading.Thread):
     """One call of a caller, in a thread of its own."""
 
@@ -124,14 +129,15 @@
         check(count == 0, "every answer was \"not-run\": " + text)
 
 
-def story_twice(probability):
+def story_twice(label, faults):
     """The same registration at the same time through two VMs, then once more."""
-    fault("PLATFORM_FAULT", "lost_answers?p=%s" % probability)
+    for name in faults:
+        fault("PLATFORM_FAULT", name)
     groups = []
     for number in range(0, 40, 8):
         batch = []
         for i in range(number, number + 8):
-            key = "twice-%d-%d" % (probability * 100, i)
+            key = "%s-%d" % (label, i)
             batch.append([Call(i % 4, key), Call((i + 1 + i // 4) % 4, key)])
         for calls in batch:
             for call in calls:
@@ -149,9 +155,8 @@
             check(again.answer == first.answer, "another answer was replayed: " + str(again))
     fault("PLATFORM_FAULT", "clear")
     states = [call.run_state for calls in groups for call in calls]
-    print("lost answers %s: %s" % (probability, {s: states.count(s) for s in set(states)}),
-          flush=True)
-    if probability == 0:
+    print("%s: %s" % (label, {s: states.count(s) for s in sorted(set(states))}), flush=True)
+    if not faults:
         check(states.count("ran") >= len(groups), "a registration has not run")
 
 
@@ -209,9 +214,12 @@
     check(calls[1].run_state == "may-have-run", "after SIGKILL: " + str(calls[1]))
     judge(calls)
 
+    before = operation_writes()
     fault("PLATFORM_FAULT", "slow?ms=700")
+    fault("PLATFORM_FAULT", "lost_answers?p=1")
     calls = [Call(2, "kill-claimed")]
-    wait_for(lambda: record_state("kill-claimed") != "absent", "the record is claimed")
+    # The claim's answer is lost, so that a read of 700 ms precedes the dispatch.
+    wait_for(lambda: operation_writes() > before, "the record is claimed")
     os.kill(PIDS[2], signal.SIGKILL)
     fault("PLATFORM_FAULT", "clear")
     calls[0].done()
@@ -225,6 +233,47 @@
     judge(calls)
 
 
+def story_busy():
+    """A refusal by the service is no outcome: the same key runs later."""
+    fault("SERVICE_FAULT", "all/freeze")
+    frozen = Call(0, "busy", 2000).done()
+    fault("SERVICE_FAULT", "all/unfreeze")
+    settle()
+    judge([frozen])
+    again = Call(1, "busy").done()
+    check(frozen.run_state != "not-run" or again.run_state == "ran", str(again))
+    settle()
+    judge([frozen, again])
+
+
+def story_caller_gone():
+    """The caller hangs up in the middle; the outcome is stored for its repeat."""
+    fault("SERVICE_FAULT", "all/slow?ms=1500")
+    connection = http.client.HTTPConnection(CALLERS[0], timeout=BOUND)
+    connection.request("POST", "/services/register/entries", "entry", {
+        "authorization": "Bearer customs-key", "idempotency-key": "gone"})
+    wait_for(lambda: executions("gone") == 1, "the service runs the call")
+    connection.close()
+    fault("SERVICE_FAULT", "all/slow?ms=0")
+    wait_for(lambda: record_state("gone") == "done", "the outcome is stored")
+    again = Call(1, "gone").done()
+    check(again.run_state == "ran" and again.replayed, "caller gone: " + str(again))
+    judge([again])
+
+
+def story_orders():
+    """A wanted version reaches the engine through the holder of the placement lease."""
+    operator, engine = os.environ["OPERATOR"], os.environ["ENGINE"]
+    token = {"authorization": "Bearer " + os.environ["TOKEN"]}
+    config = json.loads(http_call(operator, "GET", "/v1/config", None, token)[2])
+    document = config["document"].replace("model = reader\n", "model = reader\nversion = v9\n")
+    status, _, body = http_call(operator, "PUT", "/v1/config", document,
+                                {**token, "if-match": str(config["version"])})
+    check(status in (200, 202), "config: %d %s" % (status, body))
+    wait_for(lambda: json.loads(http_call(engine, "GET", "/engine/load")[2])["version"] == "v9",
+             "the engine runs the wanted version")
+
+
 def story_stop():
     """A planned stop waits for the operation and for its record."""
     fault("SERVICE_FAULT", "all/slow?ms=2000")
@@ -239,9 +288,13 @@
 
 STORIES = {
     "headers": story_headers,
-    "twice-0": lambda: story_twice(0),
-    "twice-5": lambda: story_twice(0.05),
-    "twice-30": lambda: story_twice(0.3),
+    "twice": lambda: story_twice("twice", []),
+    "lost-5": lambda: story_twice("lost-5", ["lost_answers?p=0.05"]),
+    "lost-30": lambda: story_twice("lost-30", ["lost_answers?p=0.3"]),
+    "late": lambda: story_twice("late", ["lost_requests?p=0.1", "delayed_effect?ms=600&p=0.3"]),
+    "busy": story_busy,
+    "caller-gone": story_caller_gone,
+    "orders": story_orders,
     "answer-lost": story_answer_lost,
     "store-down": story_store_down,
     "kill": story_kill,
--- a/tests/system/operations_test.sh
+++ b/tests/system/operations_test.sh
@@ -49,5 +49,10 @@
 callers="" pids=""
 for i in 0 1 2 3; do callers+=" $(cluster_caller "$i")" pids+=" ${VM_PID[$i]}"; done
 PLATFORM=$(cluster_platform) PLATFORM_FAULT=$(cluster_platform_fault) \
-  SERVICE_FAULT=$(cluster_service_fault) CALLERS="$callers" PIDS="$pids" \
+  SERVICE_FAULT=$(cluster_service_fault) OPERATOR=$(cluster_operator 0) \
+  TOKEN="$OPERATOR_TOKEN" ENGINE="127.0.0.1:$((BASE_PORT + 400))" CALLERS="$callers" PIDS="$pids" \
   SERVICE_FIRST_PORT=$((BASE_PORT + 700)) python3 tests/system/operations_driver.py "$@"
+# The last story stops vm-1; a planned stop ends with 0.
+if [ $# -eq 0 ]; then
+  wait "${VM_PID[1]}" || { echo "vm-1 ended with $?" >&2; exit 1; }
+fi
