Keep the list of held grants at a second VM when its holder owns the endpoint

Cause: lists of held grants went to the endpoint's owner only. When the killed VM was itself the owner, no other VM knew the stream, and a caller who called again got 'the stream is gone'. Change: such a list goes to one other VM too, which answers searches for the stream. Known limit: a stream whose VM dies before its first list (up to 500 ms) is not found.

--- a/modules/zr_daemon/request/held_grants.cc
+++ b/modules/zr_daemon/request/held_grants.cc
@@ -1,7 +1,10 @@
 #include "zr_daemon/request/held_grants.h"
 
+#include <optional>
+
 #include "zr_daemon/control/cluster_state.h"
 #include "zr_daemon/net/message_bus.h"
+#include "zr_request/zr_request.h"
 
 namespace zr {
 
@@ -39,8 +42,23 @@
     if (const EndpointInfo* info = snapshot->FindEndpoint(endpoint)) {
       if (auto owner = OwnerOf(*info, *snapshot->view)) owners.insert(*owner);
     }
+    // A list that only this VM knows would be lost with it, and the stream could not be found.
+    if (owners == std::set<VmId>{context_.settings.vm}) {
+      if (auto backup = BackupOf(endpoint, *snapshot)) owners.insert(*backup);
+    }
     for (const VmId& owner : owners) context_.bus->Send(owner, list);
   }
 }
 
+/** Another live VM that keeps the list of an endpoint of this VM. */
+std::optional<VmId> HeldGrantRegistry::BackupOf(const EndpointId& endpoint,
+                                                const ClusterSnapshot& snapshot) const {
+  std::vector<VmId> others;
+  for (const auto& [vm, view] : snapshot.view->live) {
+    if (vm != context_.settings.vm && !view.leaving) others.push_back(vm);
+  }
+  if (others.empty()) return std::nullopt;
+  return StreamDirectory::Locator(RequestId(endpoint.value()), others);
+}
+
 }  // namespace zr
--- a/modules/zr_daemon/request/held_grants.h
+++ b/modules/zr_daemon/request/held_grants.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -11,6 +12,8 @@
 
 namespace zr {
 
+struct ClusterSnapshot;
+
 /** The grants that requests of this VM hold. Any thread may use it. */
 class HeldGrantRegistry {
  public:
@@ -23,12 +26,15 @@
   /** Replaces the grants of a request; empty removes it. */
   void Update(const RequestId& request, Grants grants);
   /**
-   * Sends the full list of each endpoint's grants to its owner. Endpoints
-   * without grants any more get one empty list.
+   * Sends the full list of each endpoint's grants to its owner, and to one
+   * other VM if this VM is the owner. Endpoints without grants any more get
+   * one empty list.
    */
   void Publish();
 
  private:
+  std::optional<VmId> BackupOf(const EndpointId& endpoint, const ClusterSnapshot& snapshot) const;
+
   NodeContext& context_;
   std::mutex mutex_;
   std::map<RequestId, Grants> by_request_;
