--- a/tests/system/bad_input.py
+++ b/tests/system/bad_input.py
@@ -58,6 +58,8 @@
     yield post("unknown service", 404, "{}", path="/services/no-such-service/x")
     yield post("model pool as a service", 404, "{}", path="/services/assay/x")
     yield post("unknown path", 404, body(), path="/v2/completions")
+    yield post("operation without an idempotency key", 400, "{}", path="/services/register/x",
+               x_zr_class="registration")
     yield "wrong method", 405, "GET", MODEL, None, headers
     yield "unknown method", 405, "PATCH", MODEL, body(), headers
 
