Keep the full margin for answers beside prefill

Cause: the forecast of an answer that stalls beside prefill is worse than that of a prefill, but only half of the margin was kept when other work was admitted beside it. Change: the full margin for grants whose prefill has ended.

--- a/modules/zr_admission/work_forecast.cc
+++ b/modules/zr_admission/work_forecast.cc
@@ -135,7 +135,9 @@
     const Duration with = Remaining(grants, model, entry, batch + 1, &demand);
     // The error of the estimate grows over the whole run, which may be long for
     // a grant that yields to others.
-    const Duration margin = EstimateMargin(now - entry.granted + with) / 2;
+    const Duration whole = EstimateMargin(now - entry.granted + with);
+    // An answer that stalls beside prefill is estimated worse than a prefill.
+    const Duration margin = entry.prefill_left > 0 ? whole / 2 : whole;
     if (now + with + margin <= entry.deadline) continue;
     // A grant that misses its deadline by far is no reason to hold others back.
     // One that seems to miss it by little may only be estimated badly.
