End all processes of a local deployment even if some have ended

Cause: with 'set -e', cluster_stop ended at the first process that a fault had ended before and left the others running, so bench/domain_loss.sh printed no summary.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -2,7 +2,8 @@
 # other scripts. All processes listen on 127.0.0.1.
 #
 #   cluster_start DOCUMENT VM_COUNT DOMAIN...   starts everything and applies the document
-#   cluster_stop                                ends the processes that were started
+#   cluster_stop                                ends the processes that were started;
+#                                               some may have ended before
 #
 # Settings, as environment variables:
 #   BUILD         build directory (default build)
@@ -125,7 +126,7 @@
 
 cluster_stop() {
   local pid
-  for pid in "${CLUSTER_PIDS[@]}"; do kill "$pid" 2>/dev/null; done
-  for pid in "${CLUSTER_PIDS[@]}"; do wait "$pid" 2>/dev/null; done
+  for pid in "${CLUSTER_PIDS[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${CLUSTER_PIDS[@]}"; do wait "$pid" 2>/dev/null || true; done
   CLUSTER_PIDS=()
 }
