Bound the endpoints for long prompts by what these keep busy

Cause: long prompts were given endpoints by their share of tokens, 10 or 11 of 12 at 60% load, and 14 short requests a second shared the rest, which they filled; most ran beside long prompts. Change: no more endpoints than long prompts keep busy for 85% of the time, by the measured speed of the endpoints.

--- a/modules/zr_admission/long_share.cc
+++ b/modules/zr_admission/long_share.cc
@@ -10,6 +10,10 @@
 constexpr double kNegligibleRate = 1;
 // The number of endpoints follows the share with this much hysteresis.
 constexpr double kHysteresis = 0.25;
+// Endpoints for long prompts are planned to be busy for this share of the time. Spare capacity
+// beyond that goes to short prompts: a split by share alone gave 14 short requests a second one
+// endpoint of 12, and most of them ran beside long prompts.
+constexpr double kLongUtilisation = 0.85;
 
 }  // namespace
 
@@ -32,7 +36,7 @@
   return demand;
 }
 
-double LongShare::ShareOf(TimePoint now, const PoolId& pool) const {
+LongShare::Rates LongShare::RatesOf(TimePoint now, const PoolId& pool) const {
   double short_rate = 0;
   double long_rate = 0;
   if (const auto it = own_.find(pool); it != own_.end()) {
@@ -46,18 +50,28 @@
       long_rate += static_cast<double>(std::max<int64_t>(0, demand.long_tokens_per_second));
     }
   }
-  if (long_rate < kNegligibleRate) return 0;
-  return long_rate / (short_rate + long_rate);
+  return {short_rate, long_rate};
 }
 
-int64_t LongShare::LongEndpoints(TimePoint now, const PoolId& pool, int64_t endpoints) {
+double LongShare::ShareOf(TimePoint now, const PoolId& pool) const {
+  const Rates rates = RatesOf(now, pool);
+  if (rates.long_tokens < kNegligibleRate) return 0;
+  return rates.long_tokens / (rates.short_tokens + rates.long_tokens);
+}
+
+int64_t LongShare::LongEndpoints(TimePoint now, const PoolId& pool, int64_t endpoints,
+                                 int64_t tokens_per_second) {
   const double share = ShareOf(now, pool);
   int64_t& chosen = chosen_[pool];
   if (share <= 0 || endpoints <= 0) {
     chosen = 0;
     return chosen;
   }
-  const double wanted = share * static_cast<double>(endpoints);
+  double wanted = share * static_cast<double>(endpoints);
+  if (tokens_per_second > 0) {
+    const double capacity = kLongUtilisation * static_cast<double>(tokens_per_second);
+    wanted = std::min(wanted, RatesOf(now, pool).long_tokens / capacity);
+  }
   const bool clear_change = wanted > static_cast<double>(chosen) + kHysteresis ||
                             wanted < static_cast<double>(chosen) - 1 - kHysteresis;
   if (clear_change) chosen = static_cast<int64_t>(std::ceil(wanted - kHysteresis));
--- a/modules/zr_admission/long_share.h
+++ b/modules/zr_admission/long_share.h
@@ -34,10 +34,20 @@
    * Endpoints that take long prompts, of `endpoints` in the pool: 0 without
    * long prompts, else at least 1 and, if there are two or more endpoints,
    * fewer than all. Changes only when the share moves clearly.
+   * @param tokens_per_second  prompt tokens that one endpoint reads; bounds the number to what
+   *                           the long prompts keep busy. 0 goes by the share alone.
    */
-  int64_t LongEndpoints(TimePoint now, const PoolId& pool, int64_t endpoints);
+  int64_t LongEndpoints(TimePoint now, const PoolId& pool, int64_t endpoints,
+                        int64_t tokens_per_second = 0);
 
  private:
+  /** Offered tokens a second, summed over live VMs. */
+  struct Rates {
+    double short_tokens = 0;
+    double long_tokens = 0;
+  };
+  Rates RatesOf(TimePoint now, const PoolId& pool) const;
+
   struct Offered {
     RateMeter short_tokens;
     RateMeter long_tokens;
--- a/modules/zr_daemon/request/route_selector.cc
+++ b/modules/zr_daemon/request/route_selector.cc
@@ -17,6 +17,18 @@
   };
 }
 
+/** Tokens a second that one endpoint reads; `fallback` before any is measured. */
+int64_t MeanPrefillSpeed(const std::vector<SelectionCandidate>& candidates, int64_t fallback) {
+  int64_t sum = 0;
+  int64_t count = 0;
+  for (const SelectionCandidate& candidate : candidates) {
+    if (candidate.summary.prefill_tokens_per_second <= 0) continue;
+    sum += candidate.summary.prefill_tokens_per_second;
+    ++count;
+  }
+  return count == 0 ? fallback : sum / count;
+}
+
 }  // namespace
 
 RouteSelector::RouteSelector(NodeContext& context)
@@ -100,7 +112,8 @@
   std::lock_guard lock(mutex_);
   const auto candidates = CollectCandidates(query.pool, *snapshot, now);
   query.long_endpoints =
-      long_share_.LongEndpoints(now, query.pool, static_cast<int64_t>(candidates.size()));
+      long_share_.LongEndpoints(now, query.pool, static_cast<int64_t>(candidates.size()),
+                                MeanPrefillSpeed(candidates, query.prefill_tokens_per_second));
   const bool baseline = context_.settings.routing_policy == RoutingPolicy::kBaseline;
   const Selection selection =
       baseline ? baseline_.Choose(candidates, query) : selector_.Choose(candidates, query);
