Learn how much prefill stalls answers instead of assuming a tenth

Cause: with a fixed share, an owner of an engine that reads prompts beside answers subtracted stalls that had not happened and learned too high a decode speed. Change: the share starts at 1 and is learned from answers that spent a quarter of their time or more beside prefill.

--- a/modules/zr_admission/service_time_model.cc
+++ b/modules/zr_admission/service_time_model.cc
@@ -19,6 +19,10 @@
 constexpr double kUncontended = 1.2;
 // Shorter answers tell nothing of the decode speed.
 constexpr double kMinAnswer = 8;
+// An answer tells how prefill stalls it if it spent this share of its time beside prefill.
+constexpr double kMostlyBeside = 0.25;
+constexpr double kClearStall = 0.5;
+constexpr double kLowestShare = 0.05;
 // Answer shares and plain times are used after this many observations.
 constexpr int64_t kMinSamples = 8;
 constexpr double kFirstPlainSeconds = 0.05;
@@ -51,16 +55,16 @@
   if (run <= 0) return;
   const double prefill = o.prefill_seconds;
   // Beside prefill the answer proceeds at a share of the speed; the rest of that time is a stall.
-  const double stalled = o.beside_prefill_seconds * (1 - kShareBesidePrefill);
+  const double stalled = o.beside_prefill_seconds * (1 - share_beside_prefill_);
   const double decode = o.answered / DecodeSpeed(o.batch) + stalled;
   const double seen_prefill = o.first_token.seconds();
   if (seen_prefill > 0 && seen_prefill < run) {
     CorrectPrefill(o, seen_prefill);
-    CorrectDecode(o, std::max(run - seen_prefill - stalled, (run - seen_prefill) * 0.1));
+    CorrectAnswer(o, run - seen_prefill);
   } else if (decode >= prefill) {
     // Without the first token's time, the part that dominates takes the
     // correction; the other part would amplify small errors of the first.
-    CorrectDecode(o, std::max(run - prefill - stalled, run * 0.1));
+    CorrectAnswer(o, std::max(run - prefill, run * 0.1));
   } else {
     CorrectPrefill(o, std::max(run - decode, run * 0.1));
   }
@@ -85,6 +89,19 @@
                         first_prefill_ * kLowestFactor, first_prefill_ * kHighestFactor);
 }
 
+void ServiceTimeModel::CorrectAnswer(const Observation& o, double seen) {
+  const double beside = std::min(o.beside_prefill_seconds, seen);
+  if (o.answered >= kMinAnswer && beside >= seen * kMostlyBeside) {
+    // Tokens that did not come in the time without prefill came beside it.
+    const double speed = DecodeSpeed(o.batch);
+    const double share = (o.answered - speed * (seen - beside)) / (speed * beside);
+    share_beside_prefill_ += kGain * (std::clamp(share, kLowestShare, 1.0) - share_beside_prefill_);
+    // A clear stall says nothing of the speed without prefill.
+    if (share < kClearStall) return;
+  }
+  CorrectDecode(o, std::max(seen - beside * (1 - share_beside_prefill_), seen * 0.1));
+}
+
 void ServiceTimeModel::CorrectDecode(const Observation& o, double seen) {
   if (o.answered < kMinAnswer || seen <= 0) return;
   const double prior = PriorDecodeSpeed(o.batch);
@@ -129,8 +146,8 @@
 double ServiceTimeModel::AnswerSeconds(double answer, double batch,
                                        double beside_prefill_seconds) const {
   const double speed = DecodeSpeed(batch);
-  const double beside = speed * kShareBesidePrefill * beside_prefill_seconds;
-  if (answer <= beside) return answer / (speed * kShareBesidePrefill);
+  const double beside = speed * share_beside_prefill_ * beside_prefill_seconds;
+  if (answer <= beside) return answer / (speed * share_beside_prefill_);
   return beside_prefill_seconds + (answer - beside) / speed;
 }
 
--- a/modules/zr_admission/tests/long_share_test.cc
+++ b/modules/zr_admission/tests/long_share_test.cc
@@ -1,7 +1,7 @@
-#include <catch2/catch.hpp>
-
 #include "zr_admission/long_share.h"
 
+#include <catch2/catch.hpp>
+
 namespace zr {
 namespace {
 
--- a/modules/zr_admission/tests/service_time_model_test.cc
+++ b/modules/zr_admission/tests/service_time_model_test.cc
@@ -1,7 +1,7 @@
-#include <catch2/catch.hpp>
-
 #include "zr_admission/service_time_model.h"
 
+#include <catch2/catch.hpp>
+
 namespace zr {
 namespace {
 
@@ -16,20 +16,22 @@
 // while they are answered.
 TEST_CASE("An answer takes longer while other prompts are read") {
   ServiceTimeModel model(Policy());
-  SECTION("by the time in which it keeps a share of the speed") {
-    REQUIRE(model.AnswerSeconds(40, 1, 0) == Approx(0.8));
-    // In 4 s beside prefill 20 tokens come, the other 20 in 0.4 s.
-    REQUIRE(model.AnswerSeconds(40, 1, 4) == Approx(4.4));
-    REQUIRE(model.AnswerSeconds(10, 1, 4) == Approx(2.0));
-  }
-  SECTION("and the stall is not taken for a slow engine") {
-    ServiceTimeModel::Observation seen;
-    seen.answered = 40;
-    seen.max_answer = 40;
-    seen.beside_prefill_seconds = 4;
+  ServiceTimeModel::Observation seen;
+  seen.answered = 40;
+  seen.max_answer = 40;
+  seen.beside_prefill_seconds = 4;
+  SECTION("on an engine that stalls it, which is not taken for a slow one") {
     seen.run_time = Duration::Milliseconds(4'400);
     for (int i = 0; i < 50; ++i) model.ObserveModelCall(seen);
     REQUIRE(model.DecodeSpeed(1) == Approx(50).epsilon(0.02));
+    REQUIRE(model.ShareBesidePrefill() == Approx(0.1).epsilon(0.05));
+    REQUIRE(model.AnswerSeconds(40, 1, 4) == Approx(4.4).epsilon(0.05));
+    REQUIRE(model.AnswerSeconds(40, 1, 0) == Approx(0.8).epsilon(0.05));
+  }
+  SECTION("but not on an engine that reads prompts beside answers") {
+    seen.run_time = Duration::Milliseconds(800);
+    for (int i = 0; i < 50; ++i) model.ObserveModelCall(seen);
+    REQUIRE(model.AnswerSeconds(40, 1, 4) == Approx(0.8).epsilon(0.05));
   }
 }
 
--- a/modules/zr_admission/work_forecast.cc
+++ b/modules/zr_admission/work_forecast.cc
@@ -89,7 +89,7 @@
       } else {
         // A step of the engine that reads prompts takes many times longer than one that does not,
         // and gives each stream one token all the same.
-        const double share = in_prefill == 0 ? 1 : ServiceTimeModel::kShareBesidePrefill;
+        const double share = in_prefill == 0 ? 1 : model.ShareBesidePrefill();
         entry.answer_left = std::max(0.0, entry.answer_left - decode * share * step);
         if (in_prefill > 0) entry.beside_prefill_seconds += step;
       }
