--- a/modules/zr_request/request_machine.h
+++ b/modules/zr_request/request_machine.h
@@ -68,6 +68,8 @@
    */
   RequestActions OnCandidates(TimePoint now, std::vector<Candidate> candidates,
                               bool gather = false);
+  /** No choice of endpoints can ever hold the request; the pool holds `room` tokens together. */
+  RequestActions OnTooLarge(TimePoint now, TokenCount room);
   /**
    * An owner's grant.
    *
@@ -183,6 +185,7 @@
     AttemptNumber started;      // attempt that sent the call; 0 if another VM did
     bool acknowledged = false;  // the endpoint answered, so that it has had the call
     TimePoint started_at;
+    std::optional<TimePoint> first_token_at;  // seen by this VM
   };
   /** A stream whose cancellation is not confirmed yet. */
   struct Closing {
