--- a/modules/zr_admission/work_forecast.cc
+++ b/modules/zr_admission/work_forecast.cc
@@ -89,7 +89,7 @@
       } else {
         // A step of the engine that reads prompts takes many times longer than one that does not,
         // and gives each stream one token all the same.
-        const double share = in_prefill == 0 ? 1 : ServiceTimeModel::kShareBesidePrefill;
+        const double share = in_prefill == 0 ? 1 : model.ShareBesidePrefill();
         entry.answer_left = std::max(0.0, entry.answer_left - decode * share * step);
         if (in_prefill > 0) entry.beside_prefill_seconds += step;
       }
@@ -135,7 +135,9 @@
     const Duration with = Remaining(grants, model, entry, batch + 1, &demand);
     // The error of the estimate grows over the whole run, which may be long for
     // a grant that yields to others.
-    const Duration margin = EstimateMargin(now - entry.granted + with) / 2;
+    const Duration whole = EstimateMargin(now - entry.granted + with);
+    // An answer that stalls beside prefill is estimated worse than a prefill.
+    const Duration margin = entry.prefill_left > 0 ? whole / 2 : whole;
     if (now + with + margin <= entry.deadline) continue;
     // A grant that misses its deadline by far is no reason to hold others back.
     // One that seems to miss it by little may only be estimated badly.
