--- a/modules/zr_membership/membership.cc
+++ b/modules/zr_membership/membership.cc
@@ -130,7 +130,8 @@
   // During the round after a pause every peer seems silent, because this VM
   // was not reading; deaths are declared only once peers could be heard again.
   if (settled_) changed |= BuryAndForget(now, events);
-  Publish(now, changed);
+  // A view of hundreds of VMs costs too much to copy at each tick only to renew hearing times.
+  if (changed || !links_ || now - view_->taken_at >= options_.digest_period) Publish(now, changed);
   return events;
 }
 
