Report the time to the first token and whether a run generates

Cause: the admission model corrects its estimates by both values. Change: the request machine fills Release::first_token and HeldGrant::generating.

--- a/modules/zr_request/grant_ledger.cc
+++ b/modules/zr_request/grant_ledger.cc
@@ -39,6 +39,7 @@
   release.prompt = report.prompt;
   release.answered = report.answered;
   release.run_time = report.run_time;
+  release.first_token = report.first_token;
   return {grant.owner, release};
 }
 
--- a/modules/zr_request/grant_ledger.h
+++ b/modules/zr_request/grant_ledger.h
@@ -16,6 +16,7 @@
   TokenCount prompt;
   TokenCount answered;
   Duration run_time;
+  Duration first_token;  // 0 if not known
 };
 
 /**
--- a/modules/zr_request/request_machine.cc
+++ b/modules/zr_request/request_machine.cc
@@ -253,6 +253,7 @@
     held.long_prompt = options_.prompt > options_.pool.long_prompt;
     held.started = true;
     held.boot = grant.boot;
+    held.generating = Delivered();
     const Grant* first = FirstOfRun(grant);
     if (first != nullptr && first->endpoint != grant.endpoint) {
       held.gather_endpoint = first->endpoint;
--- a/modules/zr_request/request_machine.h
+++ b/modules/zr_request/request_machine.h
@@ -182,6 +182,7 @@
     std::vector<Grant> grants;  // empty if the run is done or was found without them
     AttemptNumber started;      // attempt that sent the call; 0 if another VM did
     bool acknowledged = false;  // the endpoint answered, so that it has had the call
+    Duration first_token;       // from the start; 0 if not known
     TimePoint started_at;
   };
   /** A stream whose cancellation is not confirmed yet. */
--- a/modules/zr_request/request_machine_stream.cc
+++ b/modules/zr_request/request_machine_stream.cc
@@ -87,6 +87,9 @@
                           "a part does not continue what the caller got");
       fruitless_resumes_ = 0;
       stream_->acknowledged = true;
+      if (stream_->started != AttemptNumber() && stream_->first_token == Duration()) {
+        stream_->first_token = now - stream_->started_at;
+      }
       if (!head_sent_) Do(EmitHead{200, stream_->id});
       head_sent_ = true;
       emitted_to_ = offset + tokens;
@@ -275,6 +278,7 @@
   report.prompt = options_.prompt;
   report.answered = TokenCount(IsModel() ? cursor_.offset() : 0);
   report.run_time = stream_ ? now - stream_->started_at : Duration();
+  report.first_token = stream_ ? stream_->first_token : Duration();
   return report;
 }
 
