--- a/modules/zr_request/request_machine.cc
+++ b/modules/zr_request/request_machine.cc
@@ -252,8 +252,8 @@
     held.fingerprint = options_.fingerprint;
     held.long_prompt = options_.prompt > options_.pool.long_prompt;
     held.started = true;
+    held.generating = stream_ && stream_->first_token_at.has_value();
     held.boot = grant.boot;
-    held.generating = Delivered();
     const Grant* first = FirstOfRun(grant);
     if (first != nullptr && first->endpoint != grant.endpoint) {
       held.gather_endpoint = first->endpoint;
--- a/modules/zr_request/request_machine.h
+++ b/modules/zr_request/request_machine.h
@@ -68,6 +68,8 @@
    */
   RequestActions OnCandidates(TimePoint now, std::vector<Candidate> candidates,
                               bool gather = false);
+  /** No choice of endpoints can ever hold the request; the pool holds `room` tokens together. */
+  RequestActions OnTooLarge(TimePoint now, TokenCount room);
   /**
    * An owner's grant.
    *
@@ -182,8 +184,8 @@
     std::vector<Grant> grants;  // empty if the run is done or was found without them
     AttemptNumber started;      // attempt that sent the call; 0 if another VM did
     bool acknowledged = false;  // the endpoint answered, so that it has had the call
-    Duration first_token;       // from the start; 0 if not known
     TimePoint started_at;
+    std::optional<TimePoint> first_token_at;  // seen by this VM
   };
   /** A stream whose cancellation is not confirmed yet. */
   struct Closing {
