--- a/modules/zr_admission/tests/ingress_test.cc
+++ b/modules/zr_admission/tests/ingress_test.cc
@@ -8,8 +8,8 @@
 namespace zr {
 namespace {
 
-Candidate MakeCandidate(int index, const char* domain = "sala") {
-  Candidate candidate;
+SelectionCandidate MakeCandidate(int index, const char* domain = "sala") {
+  SelectionCandidate candidate;
   Summary& summary = candidate.summary;
   summary.endpoint = EndpointId("e" + std::to_string(index));
   summary.pool = PoolId("reader");
@@ -32,7 +32,7 @@
 // Guards against long prompts spread over all endpoints, against ingresses
 // that all pick the same one, and against endpoints that cannot take the call.
 TEST_CASE("Endpoint selection") {
-  std::vector<Candidate> candidates;
+  std::vector<SelectionCandidate> candidates;
   for (int i = 0; i < 6; ++i) candidates.push_back(MakeCandidate(i));
   const std::vector<EndpointId> order = ScoredRule::LongOrder(candidates, PoolId("reader"));
 
@@ -52,7 +52,7 @@
       }
     }
     SECTION("but lets short ones overflow when the others are busy") {
-      for (Candidate& candidate : candidates) {
+      for (SelectionCandidate& candidate : candidates) {
         if (!for_long.contains(candidate.summary.endpoint)) {
           candidate.summary.wait_short = Duration::Seconds(2);
         }
