--- /dev/null
+++ b/modules/zr_admission/tests/service_time_model_test.cc
@@ -0,0 +1,39 @@
+#include "zr_admission/service_time_model.h"
+
+#include <catch2/catch.hpp>
+
+namespace zr {
+namespace {
+
+PoolPolicy Policy() {
+  PoolPolicy policy;
+  policy.prefill_tokens_per_second = 12'000;
+  policy.decode_tokens_per_second = 50;
+  return policy;
+}
+
+// Guards against interactive requests that miss their deadline because prompts of others are read
+// while they are answered.
+TEST_CASE("An answer takes longer while other prompts are read") {
+  ServiceTimeModel model(Policy());
+  ServiceTimeModel::Observation seen;
+  seen.answered = 40;
+  seen.max_answer = 40;
+  seen.beside_prefill_seconds = 4;
+  SECTION("on an engine that stalls it, which is not taken for a slow one") {
+    seen.run_time = Duration::Milliseconds(4'400);
+    for (int i = 0; i < 50; ++i) model.ObserveModelCall(seen);
+    REQUIRE(model.DecodeSpeed(1) == Approx(50).epsilon(0.02));
+    REQUIRE(model.ShareBesidePrefill() == Approx(0.1).epsilon(0.05));
+    REQUIRE(model.AnswerSeconds(40, 1, 4) == Approx(4.4).epsilon(0.05));
+    REQUIRE(model.AnswerSeconds(40, 1, 0) == Approx(0.8).epsilon(0.05));
+  }
+  SECTION("but not on an engine that reads prompts beside answers") {
+    seen.run_time = Duration::Milliseconds(800);
+    for (int i = 0; i < 50; ++i) model.ObserveModelCall(seen);
+    REQUIRE(model.AnswerSeconds(40, 1, 4) == Approx(0.8).epsilon(0.05));
+  }
+}
+
+}  // namespace
+}  // namespace zr
--- a/modules/zr_daemon/request/request_host.cc
+++ b/modules/zr_daemon/request/request_host.cc
@@ -26,6 +26,7 @@
     : context_(context),
       id_(options.request),
       team_(options.team),
+      fingerprint_(options.fingerprint),
       pool_kind_(options.pool.kind),
       strand_(asio::make_strand(context.io)),
       wakeup_(strand_),
@@ -180,6 +181,7 @@
 void RequestHost::Do(const SelectCandidates& action) {
   RouteChoice choice = context_.selector->Choose(machine_.options(), action);
   Post([choice = std::move(choice)](TimePoint now, RequestMachine& machine) {
+    if (choice.too_small) return machine.OnTooLarge(now, *choice.too_small);
     return machine.OnCandidates(now, choice.candidates, choice.gather);
   });
 }
@@ -213,6 +215,10 @@
                          {"stream_id", action.stream_id},
                          {"kv_tokens", action.kv_tokens.value()}};
   if (!action.members.empty()) {
+    // The engine that runs a gathered prompt reserves its own part; the others get imports.
+    for (const auto& [endpoint, grant] : machine_.held_grants()) {
+      if (endpoint == action.endpoint) body["kv_tokens"] = grant.kv_tokens.value();
+    }
     const auto snapshot = context_.cluster->Get();
     for (const EndpointId& member : action.members) {
       const EndpointInfo* other = snapshot->FindEndpoint(member);
@@ -341,7 +347,8 @@
   request.connect_timeout = kConnectTimeout;
   request.total_timeout = kCancelTimeout;
   context_.http->Fetch(std::move(request), size_t{64} << 10, [report](auto result) {
-    report(result && (result->status == 200 || result->status == 204 || result->status == 404));
+    // 404 confirms nothing: the start of the stream may still be on its way.
+    report(result && (result->status == 200 || result->status == 204));
   });
 }
 
--- a/modules/zr_daemon/request/route_selector.cc
+++ b/modules/zr_daemon/request/route_selector.cc
@@ -17,6 +17,18 @@
   };
 }
 
+/** Tokens a second that one endpoint reads; `fallback` before any is measured. */
+int64_t MeanPrefillSpeed(const std::vector<SelectionCandidate>& candidates, int64_t fallback) {
+  int64_t sum = 0;
+  int64_t count = 0;
+  for (const SelectionCandidate& candidate : candidates) {
+    if (candidate.summary.prefill_tokens_per_second <= 0) continue;
+    sum += candidate.summary.prefill_tokens_per_second;
+    ++count;
+  }
+  return count == 0 ? fallback : sum / count;
+}
+
 }  // namespace
 
 RouteSelector::RouteSelector(NodeContext& context)
@@ -83,6 +95,22 @@
   return candidates;
 }
 
+std::optional<TokenCount> RouteSelector::RoomOfPool(const PoolPolicy& pool,
+                                                    const ClusterSnapshot& snapshot,
+                                                    TimePoint now) {
+  const auto owners = OwnersIn(snapshot);
+  std::vector<GatherCandidate> all;
+  for (const auto& [endpoint, info] : *snapshot.endpoints) {
+    if (info.pool != pool.pool) continue;
+    const auto found = summaries_.Find(now, endpoint, owners);
+    if (!found || found->summary->kv_capacity <= TokenCount(0)) return std::nullopt;
+    // Drained endpoints count too, because they may return before the deadline.
+    all.push_back({endpoint, found->summary->owner, found->summary->kv_free,
+                   found->summary->kv_capacity, true});
+  }
+  return GatherCoordinator::RoomOf(all, pool);
+}
+
 RouteChoice RouteSelector::Choose(const RequestOptions& request, const SelectCandidates& wanted) {
   const TimePoint now = SteadyNow();
   const auto snapshot = context_.cluster->Get();
@@ -100,7 +128,8 @@
   std::lock_guard lock(mutex_);
   const auto candidates = CollectCandidates(query.pool, *snapshot, now);
   query.long_endpoints =
-      long_share_.LongEndpoints(now, query.pool, static_cast<int64_t>(candidates.size()));
+      long_share_.LongEndpoints(now, query.pool, static_cast<int64_t>(candidates.size()),
+                                MeanPrefillSpeed(candidates, query.prefill_tokens_per_second));
   const bool baseline = context_.settings.routing_policy == RoutingPolicy::kBaseline;
   const Selection selection =
       baseline ? baseline_.Choose(candidates, query) : selector_.Choose(candidates, query);
@@ -117,6 +146,8 @@
     const bool fits = std::any_of(candidates.begin(), candidates.end(),
                                   [&](const auto& c) { return c.summary.kv_capacity >= needed; });
     choice.gather = !fits && !candidates.empty();
+    if (choice.gather) choice.too_small = RoomOfPool(request.pool, *snapshot, now);
+    if (choice.too_small && *choice.too_small >= needed) choice.too_small.reset();
   }
   return choice;
 }
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -2,7 +2,8 @@
 # other scripts. All processes listen on 127.0.0.1.
 #
 #   cluster_start DOCUMENT VM_COUNT DOMAIN...   starts everything and applies the document
-#   cluster_stop                                ends the processes that were started
+#   cluster_stop                                ends the processes that were started;
+#                                               some may have ended before
 #
 # Settings, as environment variables:
 #   BUILD         build directory (default build)
@@ -71,6 +72,9 @@
   "$BUILD/apps/zinniarilld/zinniarilld" --settings="$RUN_DIR/vm-$index.ini" 2>>"$RUN_DIR/vm-$index.log" &
   VM_PID[$index]=$!
   CLUSTER_PIDS+=($!)
+  # Without the platform's list a young VM doesn't know all its peers, so no configuration is accepted.
+  curl -sf -X POST "http://$(cluster_platform)/v1/vms" -d "{\"name\": \"vm-$index\",
+    \"address\": \"$(cluster_peer "$index")\", \"domain\": \"$domain\", \"state\": \"live\"}" >/dev/null
 }
 
 cluster_start() {  # document vm_count domains...
@@ -85,6 +89,8 @@
     --fault_listen="$(cluster_platform_fault)" ${PLATFORM_FLAGS:-} 2>"$RUN_DIR/platform.log" &
   CLUSTER_PIDS+=($!)
   wait_for_url "http://$(cluster_platform)/v1/vms"
+  # A script may define cluster_platform_ready to store objects before any VM starts.
+  if declare -F cluster_platform_ready >/dev/null; then cluster_platform_ready; fi
   "$BUILD/standins/standin_engine" --listen="127.0.0.1:$((BASE_PORT + 400))" --count="$ENGINES" \
     --fault_listen="$(cluster_engine_fault)" --model="$MODEL" --pool="$POOL" \
     --domains="$domain_list" --register="$(cluster_platform)" ${ENGINE_FLAGS:-} 2>"$RUN_DIR/engines.log" &
@@ -122,7 +128,7 @@
 
 cluster_stop() {
   local pid
-  for pid in "${CLUSTER_PIDS[@]}"; do kill "$pid" 2>/dev/null; done
-  for pid in "${CLUSTER_PIDS[@]}"; do wait "$pid" 2>/dev/null; done
+  for pid in "${CLUSTER_PIDS[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${CLUSTER_PIDS[@]}"; do wait "$pid" 2>/dev/null || true; done
   CLUSTER_PIDS=()
 }
