--- a/modules/zr_admission/tests/long_share_test.cc
+++ b/modules/zr_admission/tests/long_share_test.cc
@@ -12,7 +12,8 @@
   LongShare share(VmId("vm-a"));
   TimePoint now = TimePoint::FromMicroseconds(1'000'000'000);
   // 80,000 long and 12,000 short tokens a second.
-  for (int i = 0; i < 600; ++i) {
+  // The rates fade over 60 s; after five times that they have settled.
+  for (int i = 0; i < 3'000; ++i) {
     now = now + Duration::Milliseconds(100);
     share.OnOffered(now, pool, TokenCount(8'000), true);
     share.OnOffered(now, pool, TokenCount(1'200), false);
