--- a/bench/slopes/slopes.cc
+++ b/bench/slopes/slopes.cc
@@ -36,6 +36,7 @@
   static const char* const kRegions[] = {"r1", "r1", "r1", "r2", "r2", "r3", "r3", "r4", "r4"};
   const double heap = HeapBytes();
   std::vector<PeerSite> sites;
+  sites.reserve(vms);
   for (int i = 0; i < vms; ++i) {
     sites.push_back({VmId("entry-" + std::to_string(i)), DomainId("d" + std::to_string(i % 9)),
                      kRegions[i % 9]});
--- a/modules/zr_admission/service_time_model.cc
+++ b/modules/zr_admission/service_time_model.cc
@@ -49,8 +49,9 @@
 }
 
 void ServiceTimeModel::ObserveModelCall(const Observation& o) {
-  if (o.max_answer > 0)
+  if (o.max_answer > 0) {
     answer_share_[o.request_class].Add(std::min(1.0, o.answered / o.max_answer));
+  }
   const double run = o.run_time.seconds();
   if (run <= 0) return;
   const double prefill = o.prefill_seconds;
--- a/modules/zr_daemon/control/control_plane.cc
+++ b/modules/zr_daemon/control/control_plane.cc
@@ -337,8 +337,9 @@
                                 OnConfigItem(asked_at, item.version, item.value);
                               }
                             }
-                            if (reply.items.empty())
+                            if (reply.items.empty()) {
                               tracker_.OnStoreUnchanged(now, asked_at, reply.version);
+                            }
                           } else if (reply.status == StoreStatus::kGone) {
                             ReadConfig();
                           }
--- a/modules/zr_membership/membership_digest.cc
+++ b/modules/zr_membership/membership_digest.cc
@@ -214,8 +214,9 @@
     // A VM that is about to be forgotten is not learnt again.
     if (is_new && record.age > options_.remember_for - Duration::Seconds(30)) return false;
     Member& member = members_[record.vm];
-    if (!is_new && member.live)
+    if (!is_new && member.live) {
       events.push_back({Kind::kVmDied, record.vm, member.view.incarnation});
+    }
     const TimePoint first_heard = is_new ? now : member.view.first_heard;
     member = Member();
     member.view.vm = record.vm;
--- a/modules/zr_membership/tests/digest_test.cc
+++ b/modules/zr_membership/tests/digest_test.cc
@@ -205,8 +205,8 @@
     REQUIRE(AllSee(sim, left));
     const Duration noticed = sim.now() - lost;
     std::cout << "membership: digests at " << vms << " VMs: " << bytes / kSeconds / vms
-              << " bytes/s per VM, most " << most / kSeconds << ", oldest news " << worst.milliseconds()
-              << " ms, version everywhere after " << in_force.milliseconds()
+              << " bytes/s per VM, most " << most / kSeconds << ", oldest news "
+              << worst.milliseconds() << " ms, version everywhere after " << in_force.milliseconds()
               << " ms, lost domain noticed by all after " << noticed.milliseconds() << " ms (seed "
               << seed << ")\n";
     REQUIRE(bytes / kSeconds / vms < 8000);
--- a/modules/zr_membership/tests/ownership_test.cc
+++ b/modules/zr_membership/tests/ownership_test.cc
@@ -36,6 +36,7 @@
   constexpr int kEndpoints = 2000;
   const auto owners = [&] {
     std::vector<VmId> all;
+    all.reserve(kEndpoints);
     for (int i = 0; i < kEndpoints; ++i) all.push_back(*OwnerOf(Endpoint(i, "d1"), view));
     return all;
   };
--- a/modules/zr_telemetry/metrics.cc
+++ b/modules/zr_telemetry/metrics.cc
@@ -128,8 +128,9 @@
   auto print = [&os](const auto& families, const char* type) {
     for (const auto& [name, series] : families) {
       os << "# TYPE " << name << ' ' << type << '\n';
-      for (const auto& [labels, value] : series)
+      for (const auto& [labels, value] : series) {
         os << name << Braces(labels) << ' ' << value << '\n';
+      }
     }
   };
   print(counters_, "counter");
