--- a/modules/zr_admission/tests/load_test.cc
+++ b/modules/zr_admission/tests/load_test.cc
@@ -338,17 +338,16 @@
   Invariants::Reset();
   // Of the prefill capacity of four endpoints (32,000 tokens/s), the short
   // requests take about a third and the long ones as much again.
-  LoadWorld alone(Seed(), 4, {Check(6)});
+  LoadWorld alone(Seed(), 4, {Check(10)});
   alone.Run(Duration::Seconds(30), Duration::Seconds(300));
-  LoadWorld mixed(Seed(), 4, {Check(6), Audit(0.1)});
+  LoadWorld mixed(Seed(), 4, {Check(10), Audit(0.18)});
   mixed.Run(Duration::Seconds(30), Duration::Seconds(300));
   Print("short alone", alone);
   Print("short and long", mixed);
   const double wait_alone = Percentile(alone.results[0].waits, 0.99);
   const double wait_mixed = Percentile(mixed.results[0].waits, 0.99);
-  // Where the first choice is busy, a request waits for up to the tolerance
-  // and the 5 ms of its messages.
-  CHECK(wait_mixed <= wait_alone * 1.25 + kBusyTolerance.seconds() + 0.005);
+  // Where the first choice is busy, a request waits for up to the tolerance.
+  CHECK(wait_mixed <= wait_alone * 1.25 + kBusyTolerance.seconds());
   CHECK(Percentile(mixed.results[0].first_tokens, 0.99) <=
         Percentile(alone.results[0].first_tokens, 0.99) * 1.25);
   for (const ClassResult& result : mixed.results) {
@@ -362,8 +361,8 @@
 TEST_CASE("Weighted work at twice the capacity") {
   INFO("ZR_SEED=" << Seed());
   Invariants::Reset();
-  const double checks = 6;
-  const double audits = 0.15;
+  const double checks = 10;
+  const double audits = 0.28;
   LoadWorld once(Seed(), 4, {Check(checks), Audit(audits)});
   once.Run(Duration::Seconds(30), Duration::Seconds(600));
   LoadWorld twice(Seed(), 4, {Check(checks * 2), Audit(audits * 2)});
