--- a/apps/zinniarill_load/load_call.cc
+++ b/apps/zinniarill_load/load_call.cc
@@ -17,13 +17,16 @@
 }  // namespace
 
 TimePoint MonotonicNow() {
-  return TimePoint::FromMicroseconds(std::chrono::duration_cast<std::chrono::microseconds>(
-                                         std::chrono::steady_clock::now().time_since_epoch())
-                                         .count());
+  return TimePoint::FromMicroseconds(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::steady_clock::now().time_since_epoch())
+          .count());
 }
 
 LoadCall::LoadCall(LoadCallContext& context, const PlannedCall& plan)
-    : context_(context), plan_(plan), class_(context.scenario.classes[plan.class_index]) {}
+    : context_(context),
+      plan_(plan),
+      class_(context.scenario.classes[plan.class_index]) {}
 
 Duration LoadCall::SinceIntended() const {
   return MonotonicNow() - (context_.start + plan_.at) + delay_;
@@ -37,7 +40,8 @@
 }
 
 void LoadCall::SendAttempt() {
-  const uint64_t random = plan_.balancer + static_cast<uint64_t>(attempts_) * 0x9e3779b97f4a7c15U;
+  const uint64_t random =
+      plan_.balancer + static_cast<uint64_t>(attempts_) * 0x9e3779b97f4a7c15U;
   const LoadTarget& target = context_.balancer->Pick(Random(random).Next());
   ++attempts_;
   delay_ = target.delay;
@@ -61,12 +65,14 @@
   ClientRequest request;
   request.method = "POST";
   const LoadTeam& team = context_.scenario.teams[plan_.team_index];
-  if (!team.key.empty()) request.headers["authorization"] = "Bearer " + team.key;
-  if (!class_.request_class.empty()) request.headers["x-zr-class"] = class_.request_class;
+  if (!team.key.empty())
+    request.headers["authorization"] = "Bearer " + team.key;
+  if (!class_.request_class.empty())
+    request.headers["x-zr-class"] = class_.request_class;
   request.headers["content-type"] = "application/json";
   request.headers["x-request-id"] = plan_.request_id;
-  const Duration left =
-      std::max(Duration::Milliseconds(1), class_.deadline - SinceIntended() - delay_);
+  const Duration left = std::max(Duration::Milliseconds(1),
+                                 class_.deadline - SinceIntended() - delay_);
   request.headers["x-zr-deadline-ms"] = std::to_string(left.milliseconds());
   request.total_timeout = left + kPatience;
   if (class_.is_service) {
@@ -77,7 +83,8 @@
     return request;
   }
   request.url = "/v1/completions";
-  if (attempts_ > 1) request.headers["x-zr-resume-offset"] = std::to_string(tokens_);
+  if (attempts_ > 1)
+    request.headers["x-zr-resume-offset"] = std::to_string(tokens_);
   request.body = nlohmann::json{
       {"model", context_.scenario.model},
       {"prompt", plan_.prompt},
@@ -93,7 +100,8 @@
 
 void LoadCall::OnHeaders(int status, const HttpHeaders& headers) {
   status_ = status;
-  if (auto it = headers.find("x-zr-run"); it != headers.end()) run_header_ = it->second;
+  if (auto it = headers.find("x-zr-run"); it != headers.end())
+    run_header_ = it->second;
 }
 
 bool LoadCall::OnData(std::string_view data) {
@@ -121,9 +129,11 @@
     return;
   }
   const auto json = ParseJson(event);
-  if (auto error = json.find("error"); json.is_object() && error != json.end()) {
+  if (auto error = json.find("error");
+      json.is_object() && error != json.end()) {
     FinishRefused(error->value("run", ""), error->value("message", ""));
-  } else if (json.is_object() && json.contains("choices") && !json["choices"].empty()) {
+  } else if (json.is_object() && json.contains("choices") &&
+             !json["choices"].empty()) {
     TakeText(json["choices"][0].value("text", ""));
   }
 }
@@ -136,7 +146,8 @@
   }
   const TimePoint now = MonotonicNow();
   if (!first_token_) first_token_ = SinceIntended();
-  if (last_token_at_) context_.results.AddTokenGap(plan_.class_index, now - *last_token_at_);
+  if (last_token_at_)
+    context_.results.AddTokenGap(plan_.class_index, now - *last_token_at_);
   last_token_at_ = now;
   received_ += text.size();
   // Each token's text ends in a blank and has no other.
@@ -152,36 +163,47 @@
     Finish(CallOutcome::kExpired, "no end before the caller gave up");
   } else if (!failure && status_ != 200) {
     const auto json = ParseJson(buffer_);
-    const auto error =
-        json.is_object() ? json.value("error", nlohmann::json::object()) : nlohmann::json::object();
-    const std::string run = run_header_.empty() ? error.value("run", "") : run_header_;
-    FinishRefused(run, std::to_string(status_) + " " + error.value("message", ""));
+    const auto error = json.is_object()
+                           ? json.value("error", nlohmann::json::object())
+                           : nlohmann::json::object();
+    const std::string run =
+        run_header_.empty() ? error.value("run", "") : run_header_;
+    FinishRefused(run,
+                  std::to_string(status_) + " " + error.value("message", ""));
   } else if (!failure && class_.is_service) {
     JudgeWholeBody();
   } else if (!failure && done_event_) {
     if (received_ == expected_.size()) {
-      Finish(SinceIntended() <= class_.deadline ? CallOutcome::kOk : CallOutcome::kLate, "");
+      Finish(SinceIntended() <= class_.deadline ? CallOutcome::kOk
+                                                : CallOutcome::kLate,
+             "");
     } else {
       Finish(CallOutcome::kWrongAnswer, "the answer is incomplete");
     }
   } else if (!TryAgain()) {
-    Finish(CallOutcome::kBroken, failure ? failure->error.message : "the stream has no end");
+    Finish(CallOutcome::kBroken,
+           failure ? failure->error.message : "the stream has no end");
   }
 }
 
 void LoadCall::JudgeWholeBody() {
   const auto json = ParseJson(buffer_);
   first_token_ = SinceIntended();
-  if (class_.once && (!json.is_object() || json.value("key", "") != plan_.request_id)) {
+  if (class_.once &&
+      (!json.is_object() || json.value("key", "") != plan_.request_id)) {
     Finish(CallOutcome::kWrongAnswer, "answer of another operation");
   } else {
-    Finish(SinceIntended() <= class_.deadline ? CallOutcome::kOk : CallOutcome::kLate, "");
+    Finish(SinceIntended() <= class_.deadline ? CallOutcome::kOk
+                                              : CallOutcome::kLate,
+           "");
   }
 }
 
 bool LoadCall::TryAgain() {
-  if (attempts_ >= context_.max_attempts || SinceIntended() >= class_.deadline) return false;
-  RunAfter(context_.io, kRetryPause, [self = shared_from_this()] { self->SendAttempt(); });
+  if (attempts_ >= context_.max_attempts || SinceIntended() >= class_.deadline)
+    return false;
+  RunAfter(context_.io, kRetryPause,
+           [self = shared_from_this()] { self->SendAttempt(); });
   return true;
 }
 
--- a/apps/zinniarill_load/load_call.h
+++ b/apps/zinniarill_load/load_call.h
@@ -22,15 +22,18 @@
   const LoadScenario& scenario;
   LoadResults& results;
   TimePoint start;       // of the run
-  int max_attempts = 1;  // more than one: call again with the same id after a broken connection
+  int max_attempts = 1;  // more than one: call again with the same id after a
+                         // broken connection
   std::function<void()> ended;
 };
 
 /** Microseconds on the monotonic clock. */
 TimePoint MonotonicNow();
 
-/** One caller: sends a call, checks its answer, and reattaches after a broken connection. */
-class LoadCall : public HttpClient::Listener, public std::enable_shared_from_this<LoadCall> {
+/** One caller: sends a call, checks its answer, and reattaches after a broken
+ * connection. */
+class LoadCall : public HttpClient::Listener,
+                 public std::enable_shared_from_this<LoadCall> {
  public:
   LoadCall(LoadCallContext& context, const PlannedCall& plan);
 
--- a/apps/zinniarill_load/load_compare.cc
+++ b/apps/zinniarill_load/load_compare.cc
@@ -7,7 +7,8 @@
 namespace zr {
 namespace {
 
-double NumberAt(const nlohmann::json& json, const nlohmann::json::json_pointer& pointer) {
+double NumberAt(const nlohmann::json& json,
+                const nlohmann::json::json_pointer& pointer) {
   if (!json.contains(pointer) || !json.at(pointer).is_number()) return 0;
   return json.at(pointer).get<double>();
 }
@@ -16,12 +17,13 @@
 void CollectPaths(const nlohmann::json& json, const std::string& path,
                   std::set<std::string>& paths) {
   for (const auto& [key, value] : json.items()) {
-    if (key == "buckets" || key == "seconds" || key == "messages" || key == "sum_us" ||
-        key == "max_us" || key == "weight" || key == "run") {
+    if (key == "buckets" || key == "seconds" || key == "messages" ||
+        key == "sum_us" || key == "max_us" || key == "weight" || key == "run") {
       continue;
     }
     std::string escaped = key;
-    for (size_t at = 0; (at = escaped.find('/', at)) != std::string::npos; at += 2) {
+    for (size_t at = 0; (at = escaped.find('/', at)) != std::string::npos;
+         at += 2) {
       escaped.replace(at, 1, "~1");
     }
     const std::string below = path + "/" + escaped;
@@ -32,7 +34,8 @@
 
 }  // namespace
 
-std::string CompareResults(const nlohmann::json& first, const nlohmann::json& second) {
+std::string CompareResults(const nlohmann::json& first,
+                           const nlohmann::json& second) {
   std::set<std::string> paths;
   CollectPaths(first, "", paths);
   CollectPaths(second, "", paths);
@@ -43,10 +46,11 @@
     const double a = NumberAt(first, pointer);
     const double b = NumberAt(second, pointer);
     if (a == 0) {
-      std::snprintf(line.data(), line.size(), "%-60s %12.2f %12.2f        -\n", path.c_str(), a, b);
+      std::snprintf(line.data(), line.size(), "%-60s %12.2f %12.2f        -\n",
+                    path.c_str(), a, b);
     } else {
-      std::snprintf(line.data(), line.size(), "%-60s %12.2f %12.2f %8.3f\n", path.c_str(), a, b,
-                    b / a);
+      std::snprintf(line.data(), line.size(), "%-60s %12.2f %12.2f %8.3f\n",
+                    path.c_str(), a, b, b / a);
     }
     text += line.data();
   }
--- a/apps/zinniarill_load/load_compare.h
+++ b/apps/zinniarill_load/load_compare.h
@@ -6,6 +6,7 @@
 namespace zr {
 
 /** Table of two result files' figures and their ratios (second to first). */
-std::string CompareResults(const nlohmann::json& first, const nlohmann::json& second);
+std::string CompareResults(const nlohmann::json& first,
+                           const nlohmann::json& second);
 
 }  // namespace zr
--- a/apps/zinniarill_load/load_histogram.cc
+++ b/apps/zinniarill_load/load_histogram.cc
@@ -11,11 +11,14 @@
 constexpr double kBucketsPerOctave = 22;
 
 int BucketOf(int64_t us) {
-  return static_cast<int>(std::floor(std::log2(static_cast<double>(us)) * kBucketsPerOctave));
+  return static_cast<int>(
+      std::floor(std::log2(static_cast<double>(us)) * kBucketsPerOctave));
 }
 
 /** Upper edge of a bucket. */
-double EdgeMs(int bucket) { return std::exp2((bucket + 1) / kBucketsPerOctave) / 1e3; }
+double EdgeMs(int bucket) {
+  return std::exp2((bucket + 1) / kBucketsPerOctave) / 1e3;
+}
 
 }  // namespace
 
@@ -36,22 +39,27 @@
 
 double LoadHistogram::QuantileMs(double q) const {
   if (count_ == 0) return 0;
-  const auto rank = std::max<int64_t>(1, static_cast<int64_t>(std::ceil(q * count_)));
+  const auto rank =
+      std::max<int64_t>(1, static_cast<int64_t>(std::ceil(q * count_)));
   int64_t seen = 0;
   for (const auto& [bucket, count] : buckets_) {
     seen += count;
-    if (seen >= rank) return std::min(EdgeMs(bucket), static_cast<double>(max_us_) / 1e3);
+    if (seen >= rank)
+      return std::min(EdgeMs(bucket), static_cast<double>(max_us_) / 1e3);
   }
   return static_cast<double>(max_us_) / 1e3;
 }
 
 double LoadHistogram::MeanMs() const {
-  return count_ == 0 ? 0 : static_cast<double>(sum_us_) / 1e3 / static_cast<double>(count_);
+  return count_ == 0
+             ? 0
+             : static_cast<double>(sum_us_) / 1e3 / static_cast<double>(count_);
 }
 
 nlohmann::json LoadHistogram::ToJson() const {
   nlohmann::json buckets = nlohmann::json::object();
-  for (const auto& [bucket, count] : buckets_) buckets[std::to_string(bucket)] = count;
+  for (const auto& [bucket, count] : buckets_)
+    buckets[std::to_string(bucket)] = count;
   return {{"count", count_},
           {"sum_us", sum_us_},
           {"max_us", max_us_},
--- a/apps/zinniarill_load/load_histogram.h
+++ b/apps/zinniarill_load/load_histogram.h
@@ -22,7 +22,8 @@
   double QuantileMs(double q) const;
   double MeanMs() const;
 
-  /** {"count","sum_us","max_us","buckets":{"index":count}} with the quantiles for readers. */
+  /** {"count","sum_us","max_us","buckets":{"index":count}} with the quantiles
+   * for readers. */
   nlohmann::json ToJson() const;
   static LoadHistogram FromJson(const nlohmann::json& json);
 
--- a/apps/zinniarill_load/load_plan.cc
+++ b/apps/zinniarill_load/load_plan.cc
@@ -21,11 +21,12 @@
 }
 
 int64_t PickLength(Random& random, const std::vector<LengthRange>& ranges) {
-  const LengthRange& range =
-      ranges[PickIndex(random, ranges, [](const LengthRange& r) { return r.share; })];
+  const LengthRange& range = ranges[PickIndex(
+      random, ranges, [](const LengthRange& r) { return r.share; })];
   const double low = std::log(static_cast<double>(range.low));
   const double high = std::log(static_cast<double>(range.high));
-  const int64_t value = std::llround(std::exp(low + random.Unit() * (high - low)));
+  const int64_t value =
+      std::llround(std::exp(low + random.Unit() * (high - low)));
   return std::clamp(value, range.low, range.high);
 }
 
@@ -45,31 +46,36 @@
                                   const std::string& run) {
   Random random(seed);
   double peak = 0;
-  for (const LoadRate& rate : scenario.rates) peak = std::max(peak, rate.per_second);
+  for (const LoadRate& rate : scenario.rates)
+    peak = std::max(peak, rate.per_second);
   std::vector<PlannedCall> plan;
   if (peak <= 0) return plan;
   double time = 0;
   while (true) {
-    // Thinning: arrivals at the peak rate, kept in proportion to the present one.
+    // Thinning: arrivals at the peak rate, kept in proportion to the present
+    // one.
     time += -std::log(1.0 - random.Unit()) / peak;
-    const Duration at = Duration::Microseconds(static_cast<int64_t>(time * 1e6));
+    const Duration at =
+        Duration::Microseconds(static_cast<int64_t>(time * 1e6));
     if (at >= scenario.length) return plan;
     if (!random.Chance(scenario.RateAt(at) / peak)) continue;
     PlannedCall call;
     call.at = at;
-    call.class_index =
-        PickIndex(random, scenario.classes, [](const LoadClass& c) { return c.share; });
+    call.class_index = PickIndex(random, scenario.classes,
+                                 [](const LoadClass& c) { return c.share; });
     const LoadClass& c = scenario.classes[call.class_index];
-    call.team_index = PickIndex(random, scenario.teams, [&c](const LoadTeam& t) {
-      return c.team.empty() || c.team == t.name ? t.share : 0.0;
-    });
+    call.team_index =
+        PickIndex(random, scenario.teams, [&c](const LoadTeam& t) {
+          return c.team.empty() || c.team == t.name ? t.share : 0.0;
+        });
     call.balancer = random.Next();
     call.request_id = run + "-" + std::to_string(plan.size());
     if (!c.is_service) {
       call.prompt_tokens = PickLength(random, c.prompt_tokens);
       call.answer_tokens = PickLength(random, c.answer_tokens);
       if (c.shared_prefixes > 0) {
-        call.prompt = SharedPrefix(c, random.Below(static_cast<uint64_t>(c.shared_prefixes)));
+        call.prompt = SharedPrefix(
+            c, random.Below(static_cast<uint64_t>(c.shared_prefixes)));
         call.prompt_tokens = std::max(call.prompt_tokens, c.prefix_tokens + 1);
       }
       call.prompt += "prompt of " + call.request_id;
--- a/apps/zinniarill_load/load_plan.h
+++ b/apps/zinniarill_load/load_plan.h
@@ -13,11 +13,13 @@
   Duration at;  // intended send time since the start of the run
   size_t class_index = 0;
   size_t team_index = 0;
-  uint64_t balancer = 0;  // random number from which the balancer picks a target
+  uint64_t balancer =
+      0;  // random number from which the balancer picks a target
   int64_t prompt_tokens = 0;
   int64_t answer_tokens = 0;
-  std::string prompt;      // text of model calls
-  std::string request_id;  // also the idempotency key of calls that must run once
+  std::string prompt;  // text of model calls
+  std::string
+      request_id;  // also the idempotency key of calls that must run once
 };
 
 /**
--- a/apps/zinniarill_load/load_results.cc
+++ b/apps/zinniarill_load/load_results.cc
@@ -54,7 +54,8 @@
 }
 
 LoadResults::LoadResults(const LoadScenario& scenario) : scenario_(&scenario) {
-  for (const LoadClass& c : scenario.classes) classes_[c.name].weight = c.weight;
+  for (const LoadClass& c : scenario.classes)
+    classes_[c.name].weight = c.weight;
 }
 
 void LoadResults::Record(const CallRecord& call) {
@@ -90,9 +91,12 @@
     default:
       ++second.failed;
   }
-  if (call.outcome == CallOutcome::kOk || call.outcome == CallOutcome::kLate) return;
-  const std::string message = std::string(ToString(call.outcome)) + ": " + call.detail;
-  if (messages_.size() < kMaxMessages || messages_.contains(message)) ++messages_[message];
+  if (call.outcome == CallOutcome::kOk || call.outcome == CallOutcome::kLate)
+    return;
+  const std::string message =
+      std::string(ToString(call.outcome)) + ": " + call.detail;
+  if (messages_.size() < kMaxMessages || messages_.contains(message))
+    ++messages_[message];
 }
 
 void LoadResults::AddTokenGap(size_t class_index, Duration gap) {
@@ -102,7 +106,8 @@
 void LoadResults::Merge(const LoadResults& other) {
   for (const auto& [name, from] : other.classes_) {
     ClassResults& to = classes_[name];
-    for (const auto& [outcome, count] : from.outcomes) to.outcomes[outcome] += count;
+    for (const auto& [outcome, count] : from.outcomes)
+      to.outcomes[outcome] += count;
     for (const auto& [bucket, histogram] : from.first_token) {
       to.first_token[bucket].Merge(histogram);
     }
@@ -120,14 +125,17 @@
     to.failed += from.failed;
     to.first_token.Merge(from.first_token);
   }
-  for (const auto& [message, count] : other.messages_) messages_[message] += count;
-  not_run_ids_.insert(not_run_ids_.end(), other.not_run_ids_.begin(), other.not_run_ids_.end());
+  for (const auto& [message, count] : other.messages_)
+    messages_[message] += count;
+  not_run_ids_.insert(not_run_ids_.end(), other.not_run_ids_.begin(),
+                      other.not_run_ids_.end());
 }
 
 double LoadResults::CompletedWork() const {
   double work = 0;
   for (const auto& [name, results] : classes_) {
-    work += results.weight * static_cast<double>(OutcomeOf(results, CallOutcome::kOk));
+    work += results.weight *
+            static_cast<double>(OutcomeOf(results, CallOutcome::kOk));
   }
   return work;
 }
@@ -138,7 +146,8 @@
     for (const LoadClass& c : scenario_->classes) {
       if (c.once) duplicate_weight = std::max(duplicate_weight, c.weight);
     }
-    return CompletedWork() - duplicate_weight * static_cast<double>(report.doubled_operations);
+    return CompletedWork() -
+           duplicate_weight * static_cast<double>(report.doubled_operations);
   }
   int64_t ok = 0;
   int64_t total = 0;
@@ -166,13 +175,14 @@
   }
   nlohmann::json seconds = nlohmann::json::array();
   for (const auto& [number, second] : seconds_) {
-    seconds.push_back({{"second", number},
-                       {"sent", second.sent},
-                       {"ok", second.ok},
-                       {"late", second.late},
-                       {"refused", second.refused},
-                       {"failed", second.failed},
-                       {"first_token_p95_ms", second.first_token.QuantileMs(0.95)}});
+    seconds.push_back(
+        {{"second", number},
+         {"sent", second.sent},
+         {"ok", second.ok},
+         {"late", second.late},
+         {"refused", second.refused},
+         {"failed", second.failed},
+         {"first_token_p95_ms", second.first_token.QuantileMs(0.95)}});
   }
   nlohmann::json json = {{"score", Score(report)},
                          {"completed_work", CompletedWork()},
@@ -180,10 +190,12 @@
                          {"seconds", std::move(seconds)},
                          {"messages", messages_}};
   if (report.asked) {
-    json["standins"] = {
-        {"operations", report.operations},       {"doubled_operations", report.doubled_operations},
-        {"false_not_run", report.false_not_run}, {"repeated_runs", report.repeated_runs},
-        {"overruns", report.overruns},           {"crashes", report.crashes}};
+    json["standins"] = {{"operations", report.operations},
+                        {"doubled_operations", report.doubled_operations},
+                        {"false_not_run", report.false_not_run},
+                        {"repeated_runs", report.repeated_runs},
+                        {"overruns", report.overruns},
+                        {"crashes", report.crashes}};
   }
   return json;
 }
@@ -191,19 +203,23 @@
 std::string LoadResults::ToTable(const StandinReport& report) const {
   std::string text;
   for (const auto& [name, results] : classes_) {
-    text += Format("class %s: %lld calls, weight %.1f, reattached %lld\n ", name.c_str(),
-                   static_cast<long long>(TotalOf(results)), results.weight,  // NOLINT
-                   static_cast<long long>(results.reattached));               // NOLINT
+    text += Format("class %s: %lld calls, weight %.1f, reattached %lld\n ",
+                   name.c_str(), static_cast<long long>(TotalOf(results)),
+                   results.weight,                               // NOLINT
+                   static_cast<long long>(results.reattached));  // NOLINT
     for (const auto& [outcome, count] : results.outcomes) {
       text += " " + outcome + " " + std::to_string(count);
     }
     text += "\n";
-    const auto row = [&text](const std::string& label, const LoadHistogram& histogram) {
+    const auto row = [&text](const std::string& label,
+                             const LoadHistogram& histogram) {
       if (histogram.count() == 0) return;
       text +=
-          Format("  %-22s %8lld samples  p50 %9.1f  p95 %9.1f  p99 %9.1f ms\n", label.c_str(),
+          Format("  %-22s %8lld samples  p50 %9.1f  p95 %9.1f  p99 %9.1f ms\n",
+                 label.c_str(),
                  static_cast<long long>(histogram.count()),  // NOLINT
-                 histogram.QuantileMs(0.5), histogram.QuantileMs(0.95), histogram.QuantileMs(0.99));
+                 histogram.QuantileMs(0.5), histogram.QuantileMs(0.95),
+                 histogram.QuantileMs(0.99));
     };
     for (const auto& [bucket, histogram] : results.first_token) {
       row("first token " + bucket, histogram);
@@ -214,13 +230,15 @@
   for (const auto& [message, count] : messages_) {
     text += "  " + std::to_string(count) + " x " + message + "\n";
   }
-  text += Format("completed work %.1f, score %.4f\n", CompletedWork(), Score(report));
+  text += Format("completed work %.1f, score %.4f\n", CompletedWork(),
+                 Score(report));
   if (report.asked) {
     text += "operations " + std::to_string(report.operations) + ", doubled " +
             std::to_string(report.doubled_operations) + ", false not-run " +
             std::to_string(report.false_not_run) + ", repeated runs " +
-            std::to_string(report.repeated_runs) + ", overruns " + std::to_string(report.overruns) +
-            ", engine crashes " + std::to_string(report.crashes) + "\n";
+            std::to_string(report.repeated_runs) + ", overruns " +
+            std::to_string(report.overruns) + ", engine crashes " +
+            std::to_string(report.crashes) + "\n";
   }
   return text;
 }
--- a/apps/zinniarill_load/load_results.h
+++ b/apps/zinniarill_load/load_results.h
@@ -46,7 +46,8 @@
 struct ClassResults {
   double weight = 1;
   std::map<std::string, int64_t> outcomes;
-  std::map<std::string, LoadHistogram> first_token;  // by prompt-length bucket, and "all"
+  std::map<std::string, LoadHistogram>
+      first_token;  // by prompt-length bucket, and "all"
   LoadHistogram between_tokens;
   LoadHistogram total;  // of complete answers
   int64_t answer_tokens = 0;
@@ -82,10 +83,12 @@
   void Record(const CallRecord& call);
   void AddTokenGap(size_t class_index, Duration gap);
   void Merge(const LoadResults& other);
-  /** Calls refused as "not run" after a single attempt, and completed ones, by id. */
+  /** Calls refused as "not run" after a single attempt, and completed ones, by
+   * id. */
   const std::vector<std::string>& not_run_ids() const { return not_run_ids_; }
 
-  /** Share of calls answered in time, or weighted work of them less doubled operations. */
+  /** Share of calls answered in time, or weighted work of them less doubled
+   * operations. */
   double Score(const StandinReport& report) const;
   /** Sum of class weights of calls answered in time. */
   double CompletedWork() const;
--- a/apps/zinniarill_load/load_runner.cc
+++ b/apps/zinniarill_load/load_runner.cc
@@ -17,14 +17,15 @@
 class LoadThread {
  public:
   LoadThread(const LoadScenario& scenario, const LoadOptions& options,
-             const std::vector<PlannedCall>& plan, size_t index, TimePoint start)
+             const std::vector<PlannedCall>& plan, size_t index,
+             TimePoint start)
       : options_(options), plan_(plan), next_(index), results_(scenario) {
     auto client = HttpClient::Create(io_);
     client_ = *client;
     balancer_ = std::make_shared<LoadBalancer>(io_, client_, options.targets);
     context_ = std::make_unique<LoadCallContext>(
-        LoadCallContext{io_, client_, balancer_, scenario, results_, start, options.max_attempts,
-                        [this] { OnCallEnded(); }});
+        LoadCallContext{io_, client_, balancer_, scenario, results_, start,
+                        options.max_attempts, [this] { OnCallEnded(); }});
   }
   LoadThread(const LoadThread&) = delete;
   LoadThread& operator=(const LoadThread&) = delete;
@@ -42,8 +43,8 @@
   void ScheduleNext() {
     if (next_ >= plan_.size()) return StopIfDone();
     const TimePoint due = context_->start + plan_[next_].at;
-    timer_.expires_at(
-        std::chrono::steady_clock::time_point(std::chrono::microseconds(due.microseconds())));
+    timer_.expires_at(std::chrono::steady_clock::time_point(
+        std::chrono::microseconds(due.microseconds())));
     timer_.async_wait([this](const asio::error_code& error) {
       if (error) return;
       ++open_;
@@ -86,14 +87,17 @@
   request.total_timeout = Duration::Seconds(20);
   client->Fetch(std::move(request), 256 << 20, [&](auto result) {
     if (result && result->status == 200) json = ParseJson(result->body);
-    if (json.is_null()) Log(LogLevel::kWarning, "load", "no answer from " + url);
+    if (json.is_null())
+      Log(LogLevel::kWarning, "load", "no answer from " + url);
     io.stop();
   });
   io.run();
   return json;
 }
 
-std::string StateUrl(const std::string& address) { return "http://" + address + "/fault/state"; }
+std::string StateUrl(const std::string& address) {
+  return "http://" + address + "/fault/state";
+}
 
 }  // namespace
 
@@ -103,8 +107,8 @@
   std::vector<std::unique_ptr<LoadThread>> parts;
   std::vector<std::thread> threads;
   for (int i = 0; i < options.threads; ++i) {
-    parts.push_back(
-        std::make_unique<LoadThread>(scenario, options, plan, static_cast<size_t>(i), start));
+    parts.push_back(std::make_unique<LoadThread>(
+        scenario, options, plan, static_cast<size_t>(i), start));
     threads.emplace_back([part = parts.back().get()] { part->Run(); });
   }
   for (auto& thread : threads) thread.join();
@@ -113,11 +117,13 @@
   return results;
 }
 
-StandinReport AskStandins(const LoadOptions& options, const LoadResults& results) {
+StandinReport AskStandins(const LoadOptions& options,
+                          const LoadResults& results) {
   StandinReport report;
   report.asked = !options.services.empty() || !options.fault_ports.empty();
   const std::string prefix = options.run + "-";
-  std::map<std::string, int64_t> executed;  // operations and model requests of this run
+  std::map<std::string, int64_t>
+      executed;  // operations and model requests of this run
   for (const auto& service : options.services) {
     const auto json = FetchJson("http://" + service + "/executions");
     if (!json.is_object()) continue;
@@ -135,8 +141,8 @@
     if (!engines.is_object()) continue;
     for (const auto& [name, engine] : engines.items()) {
       report.overruns += engine.value("overruns", int64_t{0});
-      report.crashes +=
-          engine.value("counters", nlohmann::json::object()).value("crashes", int64_t{0});
+      report.crashes += engine.value("counters", nlohmann::json::object())
+                            .value("crashes", int64_t{0});
       const auto engine_runs = engine.value("runs", nlohmann::json::object());
       for (const auto& [id, count] : engine_runs.items()) {
         if (id.starts_with(prefix)) runs[id] += count.get<int64_t>();
--- a/apps/zinniarill_load/load_scenario.cc
+++ b/apps/zinniarill_load/load_scenario.cc
@@ -18,12 +18,14 @@
 /** Reads the sections of one file. */
 class ScenarioReader {
  public:
-  ScenarioReader(std::string file, LoadScenario& out) : file_(std::move(file)), out_(out) {}
+  ScenarioReader(std::string file, LoadScenario& out)
+      : file_(std::move(file)), out_(out) {}
 
   Result<void> Read(const IniSection& section) {
     const size_t space = section.name.find(' ');
     const std::string kind = section.name.substr(0, space);
-    const std::string name = space == std::string::npos ? "" : Trim(section.name.substr(space));
+    const std::string name =
+        space == std::string::npos ? "" : Trim(section.name.substr(space));
     if (kind == "team") out_.teams.push_back({name, "", 1});
     if (kind == "class") {
       out_.classes.emplace_back();
@@ -36,9 +38,10 @@
       if (kind == "team") known = ReadTeam(entry, out_.teams.back());
       if (kind == "class") known = ReadClass(entry, out_.classes.back());
       if (!known || !valid_) {
-        return Fail(ErrorCode::kInvalidArgument, "scenario",
-                    file_ + ":" + std::to_string(entry.line),
-                    (valid_ ? "unknown key " : "malformed value of ") + entry.key);
+        return Fail(
+            ErrorCode::kInvalidArgument, "scenario",
+            file_ + ":" + std::to_string(entry.line),
+            (valid_ ? "unknown key " : "malformed value of ") + entry.key);
       }
     }
     return {};
@@ -47,18 +50,21 @@
  private:
   bool ReadLoad(const IniEntry& entry) {
     if (entry.key == "seconds") {
-      out_.length = Duration::Milliseconds(static_cast<int64_t>(Real(entry.value) * 1e3));
+      out_.length =
+          Duration::Milliseconds(static_cast<int64_t>(Real(entry.value) * 1e3));
     } else if (entry.key == "model") {
       out_.model = entry.value;
     } else if (entry.key == "score") {
       valid_ = entry.value == "in_time" || entry.value == "weighted";
-      out_.score = entry.value == "weighted" ? LoadScore::kWeighted : LoadScore::kInTime;
+      out_.score =
+          entry.value == "weighted" ? LoadScore::kWeighted : LoadScore::kInTime;
     } else if (entry.key == "rates") {
       for (const auto& part : SplitList(entry.value)) {
         const auto pair = SplitList(Trim(part), ':');
         if (pair.size() != 2) return !(valid_ = false);
         out_.rates.push_back(
-            {Duration::Milliseconds(static_cast<int64_t>(Real(pair[0]) * 1e3)), Real(pair[1])});
+            {Duration::Milliseconds(static_cast<int64_t>(Real(pair[0]) * 1e3)),
+             Real(pair[1])});
       }
     } else {
       return false;
@@ -90,7 +96,8 @@
     } else if (entry.key == "request_class") {
       c.request_class = entry.value;
     } else if (entry.key == "deadline_ms") {
-      c.deadline = Duration::Milliseconds(static_cast<int64_t>(Real(entry.value)));
+      c.deadline =
+          Duration::Milliseconds(static_cast<int64_t>(Real(entry.value)));
     } else if (entry.key == "prompt_tokens") {
       c.prompt_tokens = Ranges(entry.value);
     } else if (entry.key == "answer_tokens") {
@@ -143,7 +150,8 @@
 
 }  // namespace
 
-Result<LoadScenario> LoadScenario::Parse(std::string_view text, const std::string& file) {
+Result<LoadScenario> LoadScenario::Parse(std::string_view text,
+                                         const std::string& file) {
   LoadScenario scenario;
   const IniText ini = IniText::Parse(text, file);
   if (!ini.problems.empty()) {
@@ -153,7 +161,8 @@
   }
   ScenarioReader reader(file, scenario);
   for (const IniSection& section : ini.sections) {
-    if (auto read = reader.Read(section); !read) return tl::unexpected(read.error());
+    if (auto read = reader.Read(section); !read)
+      return tl::unexpected(read.error());
   }
   if (scenario.classes.empty() || scenario.rates.empty()) {
     return Fail(ErrorCode::kInvalidArgument, "scenario", file,
@@ -162,9 +171,11 @@
   for (LoadClass& c : scenario.classes) {
     if (c.prompt_tokens.empty()) c.prompt_tokens.push_back({1, 100, 1'000});
     if (c.answer_tokens.empty()) c.answer_tokens.push_back({1, 20, 50});
-    if (!c.team.empty() && std::none_of(scenario.teams.begin(), scenario.teams.end(),
-                                        [&](const LoadTeam& t) { return t.name == c.team; })) {
-      return Fail(ErrorCode::kInvalidArgument, "scenario", file, "unknown team " + c.team);
+    if (!c.team.empty() &&
+        std::none_of(scenario.teams.begin(), scenario.teams.end(),
+                     [&](const LoadTeam& t) { return t.name == c.team; })) {
+      return Fail(ErrorCode::kInvalidArgument, "scenario", file,
+                  "unknown team " + c.team);
     }
   }
   if (scenario.teams.empty()) scenario.teams.push_back({"default", "", 1});
--- a/apps/zinniarill_load/load_targets.cc
+++ b/apps/zinniarill_load/load_targets.cc
@@ -22,7 +22,8 @@
               "must be none, kontrollkontor or ordvakt");
 }
 
-Result<std::vector<LoadTarget>> ParseTargets(const std::string& text, CallerPlace place) {
+Result<std::vector<LoadTarget>> ParseTargets(const std::string& text,
+                                             CallerPlace place) {
   std::vector<LoadTarget> targets;
   std::vector<std::string> domains;
   for (const auto& part : SplitList(text)) {
@@ -35,12 +36,14 @@
     auto known = std::find(domains.begin(), domains.end(), target.domain);
     const auto index = known - domains.begin();
     if (known == domains.end()) domains.push_back(target.domain);
-    if (place == CallerPlace::kKontrollkontor) target.delay = kFarCaller + kFarCallerStep * index;
+    if (place == CallerPlace::kKontrollkontor)
+      target.delay = kFarCaller + kFarCallerStep * index;
     if (place == CallerPlace::kOrdvakt) target.delay = kNearCaller;
     targets.push_back(std::move(target));
   }
   if (targets.empty()) {
-    return Fail(ErrorCode::kInvalidArgument, "targets", text, "no target is given");
+    return Fail(ErrorCode::kInvalidArgument, "targets", text,
+                "no target is given");
   }
   return targets;
 }
@@ -53,11 +56,14 @@
     ClientRequest request;
     request.url = "http://" + targets_[i].address + "/readyz";
     request.total_timeout = Duration::Seconds(1);
-    client_->Fetch(std::move(request), 1 << 20, [self = shared_from_this(), i](auto result) {
-      self->targets_[i].healthy = result && result->status != 503;
-    });
+    client_->Fetch(std::move(request), 1 << 20,
+                   [self = shared_from_this(), i](auto result) {
+                     self->targets_[i].healthy =
+                         result && result->status != 503;
+                   });
   }
-  RunAfter(context_, kCheckPeriod, [self = shared_from_this()] { self->Check(); });
+  RunAfter(context_, kCheckPeriod,
+           [self = shared_from_this()] { self->Check(); });
 }
 
 const LoadTarget& LoadBalancer::Pick(uint64_t random) const {
--- a/apps/zinniarill_load/load_targets.h
+++ b/apps/zinniarill_load/load_targets.h
@@ -30,7 +30,8 @@
 /**
  * Parses "ip:port@domain,..." (the domain is optional) and sets the delays.
  */
-Result<std::vector<LoadTarget>> ParseTargets(const std::string& text, CallerPlace place);
+Result<std::vector<LoadTarget>> ParseTargets(const std::string& text,
+                                             CallerPlace place);
 
 /**
  * The platform's balancer: spreads calls over healthy targets. It asks each
@@ -41,7 +42,9 @@
  public:
   LoadBalancer(asio::io_context& context, std::shared_ptr<HttpClient> client,
                std::vector<LoadTarget> targets)
-      : context_(context), client_(std::move(client)), targets_(std::move(targets)) {}
+      : context_(context),
+        client_(std::move(client)),
+        targets_(std::move(targets)) {}
 
   /** Starts the health checks. */
   void Start();
--- a/apps/zinniarill_load/main.cc
+++ b/apps/zinniarill_load/main.cc
@@ -12,16 +12,22 @@
 DEFINE_string(targets, "", "VMs as ip:port@domain, comma-separated");
 DEFINE_string(scenario, "", "INI file of the scenario");
 DEFINE_uint64(seed, 1, "seed of arrivals and lengths");
-DEFINE_string(run, "", "name of the run, part of request ids; empty for one from the clock");
-DEFINE_string(policy, "none", "where callers are: none, kontrollkontor or ordvakt");
-DEFINE_bool(reattach, false, "call again with the same id when the connection breaks");
+DEFINE_string(
+    run, "",
+    "name of the run, part of request ids; empty for one from the clock");
+DEFINE_string(policy, "none",
+              "where callers are: none, kontrollkontor or ordvakt");
+DEFINE_bool(reattach, false,
+            "call again with the same id when the connection breaks");
 DEFINE_int32(max_attempts, 5, "attempts of one call with --reattach");
 DEFINE_int32(threads, 2, "threads that send calls");
 DEFINE_double(rate_factor, 1, "multiplies the scenario's rates");
 DEFINE_double(seconds, 0, "length of the run; 0 for the scenario's");
 DEFINE_string(json, "", "file for the results");
-DEFINE_string(services, "", "service stand-ins to ask for executions, comma-separated");
-DEFINE_string(fault_ports, "", "engine fault ports to ask for their state, comma-separated");
+DEFINE_string(services, "",
+              "service stand-ins to ask for executions, comma-separated");
+DEFINE_string(fault_ports, "",
+              "engine fault ports to ask for their state, comma-separated");
 
 namespace {
 
@@ -32,7 +38,8 @@
   return text.str();
 }
 
-/** Raises the bound on open files, as each call in progress holds a connection. */
+/** Raises the bound on open files, as each call in progress holds a connection.
+ */
 void RaiseFileLimit() {
   rlimit limit{};
   getrlimit(RLIMIT_NOFILE, &limit);
@@ -57,11 +64,13 @@
 }
 
 int Run() {
-  auto scenario = zr::LoadScenario::Parse(ReadFile(FLAGS_scenario), FLAGS_scenario);
+  auto scenario =
+      zr::LoadScenario::Parse(ReadFile(FLAGS_scenario), FLAGS_scenario);
   if (!scenario) return Stop(scenario.error());
   for (auto& rate : scenario->rates) rate.per_second *= FLAGS_rate_factor;
   if (FLAGS_seconds > 0) {
-    scenario->length = zr::Duration::Milliseconds(static_cast<int64_t>(FLAGS_seconds * 1e3));
+    scenario->length =
+        zr::Duration::Milliseconds(static_cast<int64_t>(FLAGS_seconds * 1e3));
   }
   auto place = zr::ParseCallerPlace(FLAGS_policy);
   if (!place) return Stop(place.error());
@@ -70,7 +79,8 @@
   zr::LoadOptions options;
   options.targets = *targets;
   options.seed = FLAGS_seed;
-  options.run = FLAGS_run.empty() ? "run" + std::to_string(zr::WallClockMs()) : FLAGS_run;
+  options.run =
+      FLAGS_run.empty() ? "run" + std::to_string(zr::WallClockMs()) : FLAGS_run;
   options.threads = std::max(1, FLAGS_threads);
   options.max_attempts = FLAGS_reattach ? FLAGS_max_attempts : 1;
   options.services = zr::SplitList(FLAGS_services);
@@ -81,7 +91,9 @@
   std::cout << results.ToTable(report);
   if (!FLAGS_json.empty()) {
     auto json = results.ToJson(report);
-    json["run"] = {{"name", options.run}, {"seed", options.seed}, {"scenario", FLAGS_scenario}};
+    json["run"] = {{"name", options.run},
+                   {"seed", options.seed},
+                   {"scenario", FLAGS_scenario}};
     std::ofstream(FLAGS_json) << json.dump(1) << "\n";
   }
   return 0;
@@ -90,10 +102,12 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  gflags::SetUsageMessage("zinniarill-load --targets LIST --scenario FILE | compare FILE FILE");
+  gflags::SetUsageMessage(
+      "zinniarill-load --targets LIST --scenario FILE | compare FILE FILE");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   zr::InitLog(zr::LogLevel::kInfo, zr::LogFormat::kText, "load");
-  if (argc == 4 && std::string_view(argv[1]) == "compare") return Compare(argv[2], argv[3]);
+  if (argc == 4 && std::string_view(argv[1]) == "compare")
+    return Compare(argv[2], argv[3]);
   RaiseFileLimit();
   return Run();
 }
--- a/apps/zinniarill_load/tests/load_test.cc
+++ b/apps/zinniarill_load/tests/load_test.cc
@@ -41,7 +41,8 @@
 
 std::string FreeAddress() {
   asio::io_context context;
-  asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  asio::ip::tcp::acceptor acceptor(context,
+                                   {asio::ip::address_v4::loopback(), 0});
   return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
 }
 
@@ -59,7 +60,8 @@
   for (double q : {0.5, 0.95, 0.99}) {
     CHECK(whole.QuantileMs(q) == Approx(10'000 * q).epsilon(0.033));
     CHECK(whole.QuantileMs(q) == even.QuantileMs(q));
-    CHECK(LoadHistogram::FromJson(whole.ToJson()).QuantileMs(q) == whole.QuantileMs(q));
+    CHECK(LoadHistogram::FromJson(whole.ToJson()).QuantileMs(q) ==
+          whole.QuantileMs(q));
   }
   CHECK(whole.QuantileMs(1) == 10'000);
 }
@@ -87,13 +89,15 @@
   // Bounds are six standard deviations of the expected counts.
   CHECK(early == Approx(2'000).margin(6 * 45));
   CHECK(static_cast<double>(plan.size()) == Approx(8'000).margin(6 * 90));
-  CHECK(approvals / static_cast<double>(plan.size()) == Approx(0.25).margin(0.03));
+  CHECK(approvals / static_cast<double>(plan.size()) ==
+        Approx(0.25).margin(0.03));
 }
 
 // Guards against a misread scenario that runs something else than was meant.
 TEST_CASE("A faulty scenario is refused with its line") {
-  for (const char* text : {"[load]\nrates = x\n[class a]\n", "[load]\nrats = 0:1\n",
-                           "[load]\nrates = 0:1\n[class a]\nprompt_tokens = 9-3\n"}) {
+  for (const char* text :
+       {"[load]\nrates = x\n[class a]\n", "[load]\nrats = 0:1\n",
+        "[load]\nrates = 0:1\n[class a]\nprompt_tokens = 9-3\n"}) {
     INFO(text);
     auto scenario = LoadScenario::Parse(text, "f");
     REQUIRE_FALSE(scenario);
@@ -165,7 +169,8 @@
   report = AskStandins(options, second);
   CHECK(report.doubled_operations == calls);
   CHECK(second.Score(report) == Approx(0.0));
-  CHECK(CompareResults(first.ToJson({}), second.ToJson({})).find("1.000") != std::string::npos);
+  CHECK(CompareResults(first.ToJson({}), second.ToJson({})).find("1.000") !=
+        std::string::npos);
 
   context.stop();
   thread.join();
--- a/apps/zinniarillctl/commands.cc
+++ b/apps/zinniarillctl/commands.cc
@@ -31,8 +31,9 @@
   std::string text;
   for (const json& item : changes) {
     const std::string kind = item.at("kind");
-    Change change{ChangeKind::kChanged, item.at("section"), item.value("key", ""),
-                  item.value("before", ""), item.value("after", "")};
+    Change change{ChangeKind::kChanged, item.at("section"),
+                  item.value("key", ""), item.value("before", ""),
+                  item.value("after", "")};
     if (kind == "added") change.kind = ChangeKind::kAdded;
     if (kind == "removed") change.kind = ChangeKind::kRemoved;
     text += change.ToString() + "\n";
@@ -51,32 +52,41 @@
   static constexpr std::string_view kServerCommands[] = {
       "diff",  "trial",   "promote", "apply",     "get",
       "drain", "undrain", "status",  "endpoints", "operations"};
-  return !words.empty() && std::find(std::begin(kServerCommands), std::end(kServerCommands),
-                                     words[0]) != std::end(kServerCommands);
+  return !words.empty() &&
+         std::find(std::begin(kServerCommands), std::end(kServerCommands),
+                   words[0]) != std::end(kServerCommands);
 }
 
 std::string Commands::Usage() {
-  return "check FILE                           validate an environment document\n"
-         "diff FILE                            compare a document with the one in place\n"
-         "trial FILE                           have the daemon say what a document would change\n"
-         "promote FILE --digest D              write the document whose trial printed digest D\n"
+  return "check FILE                           validate an environment "
+         "document\n"
+         "diff FILE                            compare a document with the one "
+         "in place\n"
+         "trial FILE                           have the daemon say what a "
+         "document would change\n"
+         "promote FILE --digest D              write the document whose trial "
+         "printed digest D\n"
          "apply FILE [--wait]                  write a document\n"
          "get                                  print the document in place\n"
          "drain domain|vm|endpoint NAME        take out of service [--wait]\n"
          "undrain domain|vm|endpoint NAME      return to service [--wait]\n"
-         "status                               VMs, configuration and invariants\n"
+         "status                               VMs, configuration and "
+         "invariants\n"
          "endpoints                            endpoints with owner and load\n"
-         "operations show TEAM/SERVICE/KEY     record of a non-repeatable operation\n"
-         "settings-reference                   the daemon's settings in Markdown\n"
-         "document-reference                   the environment document's keys in Markdown\n";
+         "operations show TEAM/SERVICE/KEY     record of a non-repeatable "
+         "operation\n"
+         "settings-reference                   the daemon's settings in "
+         "Markdown\n"
+         "document-reference                   the environment document's keys "
+         "in Markdown\n";
 }
 
 ExitCode Commands::Run(const std::vector<std::string>& words) {
   try {
     return Dispatch(words);
   } catch (const json::exception& error) {
-    environment_.err << "zinniarillctl: the daemon's answer is not understood: " << error.what()
-                     << "\n";
+    environment_.err << "zinniarillctl: the daemon's answer is not understood: "
+                     << error.what() << "\n";
     return ExitCode::kFailed;
   }
 }
@@ -89,20 +99,24 @@
     if (command == "status") return Status();
     if (command == "endpoints") return Endpoints();
     if (command == "help") return PrintText(Usage());
-    if (command == "settings-reference") return PrintText(Settings::Reference());
-    if (command == "document-reference") return PrintText(Environment::Reference());
+    if (command == "settings-reference")
+      return PrintText(Settings::Reference());
+    if (command == "document-reference")
+      return PrintText(Environment::Reference());
   }
   if (words.size() == 2) return RunOnFile(command, words[1]);
   if (words.size() == 3 && command == "operations" && words[1] == "show") {
     return ShowOperation(words[2]);
   }
-  if (words.size() == 3 && IsDrainKind(words[1]) && (command == "drain" || command == "undrain")) {
+  if (words.size() == 3 && IsDrainKind(words[1]) &&
+      (command == "drain" || command == "undrain")) {
     return Drain(words[1], words[2], command == "drain");
   }
   return UsageError("unknown command or wrong arguments");
 }
 
-ExitCode Commands::RunOnFile(const std::string& command, const std::string& path) {
+ExitCode Commands::RunOnFile(const std::string& command,
+                             const std::string& path) {
   if (command == "check") return Check(path);
   if (command == "diff") return Diff(path);
   if (command == "trial") return Trial(path);
@@ -112,7 +126,8 @@
 }
 
 //==============================================================================
-std::optional<std::string> Commands::ReadDocument(const std::string& path, ExitCode& code) {
+std::optional<std::string> Commands::ReadDocument(const std::string& path,
+                                                  ExitCode& code) {
   auto text = environment_.read_file(path);
   if (!text) {
     code = Fail(text.error());
@@ -128,7 +143,8 @@
                     {"key", problem.key},
                     {"message", problem.message}});
   }
-  if (options_.json) environment_.out << json{{"problems", list}}.dump() << "\n";
+  if (options_.json)
+    environment_.out << json{{"problems", list}}.dump() << "\n";
   environment_.err << JoinProblems(problems) << "\n";
   code = ExitCode::kInvalid;
   return {};
@@ -139,7 +155,8 @@
   const auto text = ReadDocument(path, code);
   if (!text) return code;
   const std::string digest = DocumentDigest(*text);
-  Print({{"digest", digest}, {"problems", json::array()}}, "valid, digest " + digest + "\n");
+  Print({{"digest", digest}, {"problems", json::array()}},
+        "valid, digest " + digest + "\n");
   return ExitCode::kDone;
 }
 
@@ -152,7 +169,8 @@
   auto from = Environment::Parse(config->document);
   if (!from) return Fail(from.error());
   const json changes = ToJson(zr::Diff(*from, *Environment::Parse(*text)));
-  Print({{"version", config->version}, {"changes", changes}}, ChangesText(changes));
+  Print({{"version", config->version}, {"changes", changes}},
+        ChangesText(changes));
   return ExitCode::kDone;
 }
 
@@ -165,15 +183,18 @@
   const std::string digest = DocumentDigest(*text);
   if (result->at("digest") != digest) {
     return Fail(Error{ErrorCode::kInternal, "trial", "",
-                      "the daemon saw other bytes: digest " + result->at("digest").dump() +
-                          " instead of " + digest});
+                      "the daemon saw other bytes: digest " +
+                          result->at("digest").dump() + " instead of " +
+                          digest});
   }
-  Print(*result, ChangesText(result->at("changes")) + "digest " + digest + "\n");
+  Print(*result,
+        ChangesText(result->at("changes")) + "digest " + digest + "\n");
   return ExitCode::kDone;
 }
 
 ExitCode Commands::Promote(const std::string& path) {
-  if (options_.digest.empty()) return UsageError("promote needs --digest, as printed by trial");
+  if (options_.digest.empty())
+    return UsageError("promote needs --digest, as printed by trial");
   ExitCode code = ExitCode::kDone;
   const auto text = ReadDocument(path, code);
   if (!text) return code;
@@ -200,13 +221,16 @@
     in_place.kind = WriteOutcome::Kind::kWritten;
     in_place.version = config->version;
     in_place.digest = config->digest;
-    in_place.message = "already in place as version " + std::to_string(config->version);
+    in_place.message =
+        "already in place as version " + std::to_string(config->version);
     return Finish(in_place);
   }
-  return Finish(client_.PutConfig(options_.base_version.value_or(config->version), document));
+  return Finish(client_.PutConfig(
+      options_.base_version.value_or(config->version), document));
 }
 
-ExitCode Commands::Drain(const std::string& kind, const std::string& name, bool drained) {
+ExitCode Commands::Drain(const std::string& kind, const std::string& name,
+                         bool drained) {
   if (!IsName(name)) return UsageError("'" + name + "' is not a name");
   return Finish(client_.PutDrain(options_.base_version, kind, name, drained));
 }
@@ -216,21 +240,24 @@
   json result = {{"version", outcome.version}, {"digest", outcome.digest}};
   switch (outcome.kind) {
     case WriteOutcome::Kind::kWritten:
-      if (options_.wait) return WaitUntilInForce(outcome.version, std::move(result));
+      if (options_.wait)
+        return WaitUntilInForce(outcome.version, std::move(result));
       Print(result,
-            (outcome.message.empty() ? "written as version " + std::to_string(outcome.version)
-                                     : outcome.message) +
+            (outcome.message.empty()
+                 ? "written as version " + std::to_string(outcome.version)
+                 : outcome.message) +
                 "; use --wait to learn when it is in force\n");
       return ExitCode::kDone;
     case WriteOutcome::Kind::kConflict:
       if (options_.json) {
-        result = {
-            {"conflict",
-             {{"version", outcome.version}, {"author", outcome.author}, {"time", outcome.time}}}};
+        result = {{"conflict",
+                   {{"version", outcome.version},
+                    {"author", outcome.author},
+                    {"time", outcome.time}}}};
         environment_.out << result.dump() << "\n";
       }
-      environment_.err << "zinniarillctl: conflict: version " << outcome.version << " by "
-                       << outcome.author << " at " << outcome.time
+      environment_.err << "zinniarillctl: conflict: version " << outcome.version
+                       << " by " << outcome.author << " at " << outcome.time
                        << " came first; nothing was written\n";
       return ExitCode::kConflict;
     case WriteOutcome::Kind::kInvalid:
@@ -255,25 +282,30 @@
       const auto reached = config.at("version").get<int64_t>();
       if (config.at("in_force").get<bool>() && reached >= version) {
         result["in_force"] = true;
-        std::string text = "version " + std::to_string(version) + " is in force\n";
+        std::string text =
+            "version " + std::to_string(version) + " is in force\n";
         if (reached > version) {
-          text = "version " + std::to_string(version) + " was replaced by version " +
-                 std::to_string(reached) + ", which is in force\n";
+          text = "version " + std::to_string(version) +
+                 " was replaced by version " + std::to_string(reached) +
+                 ", which is in force\n";
           result["in_force_version"] = reached;
         }
         Print(result, text);
         return ExitCode::kDone;
       }
     }
-    if (environment_.now() >= end) return ReportLagging(version, std::move(result), last);
+    if (environment_.now() >= end)
+      return ReportLagging(version, std::move(result), last);
     environment_.sleep(kPollInterval);
   }
 }
 
-ExitCode Commands::ReportLagging(int64_t version, json result, const json& status) {
+ExitCode Commands::ReportLagging(int64_t version, json result,
+                                 const json& status) {
   const json config = status.value("config", json::object());
   result["in_force"] = false;
-  std::string text = "version " + std::to_string(version) + " is written, not yet in force";
+  std::string text =
+      "version " + std::to_string(version) + " is written, not yet in force";
   for (const char* group : {"lagging", "silent"}) {
     result[group] = config.value(group, json::array());
     if (result[group].empty()) continue;
@@ -287,11 +319,13 @@
 
 ExitCode Commands::Fail(const Error& error) {
   environment_.err << "zinniarillctl: " << error.message << "\n";
-  return error.code == ErrorCode::kInvalidArgument ? ExitCode::kInvalid : ExitCode::kFailed;
+  return error.code == ErrorCode::kInvalidArgument ? ExitCode::kInvalid
+                                                   : ExitCode::kFailed;
 }
 
 ExitCode Commands::UsageError(const std::string& message) {
-  environment_.err << "zinniarillctl: " << message << "; commands:\n" << Usage();
+  environment_.err << "zinniarillctl: " << message << "; commands:\n"
+                   << Usage();
   return ExitCode::kInvalid;
 }
 
--- a/apps/zinniarillctl/commands.h
+++ b/apps/zinniarillctl/commands.h
@@ -23,10 +23,10 @@
 };
 
 struct CommandOptions {
-  bool json = false;                    // machine-readable output
-  bool wait = false;                    // wait until a change is in force
-  Duration timeout;                     // longest wait
-  std::string digest;                   // promote: the digest that trial printed
+  bool json = false;   // machine-readable output
+  bool wait = false;   // wait until a change is in force
+  Duration timeout;    // longest wait
+  std::string digest;  // promote: the digest that trial printed
   std::optional<int64_t> base_version;  // the version that a change replaces
   std::string author;
 };
@@ -53,7 +53,8 @@
   /** One line per command. */
   static std::string Usage();
 
-  /** Runs a command given by its words, for example {"drain", "vm", "sala-1"}. */
+  /** Runs a command given by its words, for example {"drain", "vm", "sala-1"}.
+   */
   ExitCode Run(const std::vector<std::string>& words);
 
  private:
@@ -65,17 +66,21 @@
   ExitCode Promote(const std::string& path);
   ExitCode Apply(const std::string& path);
   ExitCode Get();
-  ExitCode Drain(const std::string& kind, const std::string& name, bool drained);
+  ExitCode Drain(const std::string& kind, const std::string& name,
+                 bool drained);
   ExitCode Status();
   ExitCode Endpoints();
   ExitCode ShowOperation(const std::string& name);
 
-  /** Reads and validates a document; reports problems and sets `code` on failure. */
-  std::optional<std::string> ReadDocument(const std::string& path, ExitCode& code);
+  /** Reads and validates a document; reports problems and sets `code` on
+   * failure. */
+  std::optional<std::string> ReadDocument(const std::string& path,
+                                          ExitCode& code);
   ExitCode Write(const std::string& document);
   ExitCode Finish(const WriteOutcome& outcome);
   ExitCode WaitUntilInForce(int64_t version, nlohmann::json result);
-  ExitCode ReportLagging(int64_t version, nlohmann::json result, const nlohmann::json& status);
+  ExitCode ReportLagging(int64_t version, nlohmann::json result,
+                         const nlohmann::json& status);
   ExitCode Fail(const Error& error);
   ExitCode PrintText(const std::string& text);
   ExitCode UsageError(const std::string& message);
--- a/apps/zinniarillctl/curl_transport.cc
+++ b/apps/zinniarillctl/curl_transport.cc
@@ -8,7 +8,8 @@
 namespace zr {
 namespace {
 
-// An endpoint list of the target scale takes a few MB; more is not an answer of this API.
+// An endpoint list of the target scale takes a few MB; more is not an answer of
+// this API.
 constexpr size_t kMaxReplyBytes = 64u << 20;
 
 size_t AppendBody(char* data, size_t size, size_t count, void* target) {
@@ -37,7 +38,8 @@
 
 }  // namespace
 
-CurlTransport::CurlTransport(std::string server, std::string token, Duration timeout)
+CurlTransport::CurlTransport(std::string server, std::string token,
+                             Duration timeout)
     : server_(std::move(server)), token_(std::move(token)), timeout_(timeout) {
   curl_global_init(CURL_GLOBAL_DEFAULT);
 }
@@ -45,8 +47,11 @@
 CurlTransport::~CurlTransport() { curl_global_cleanup(); }
 
 Result<HttpReply> CurlTransport::Send(const HttpCall& call) {
-  std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> curl(curl_easy_init(), &curl_easy_cleanup);
-  if (!curl) return Fail(ErrorCode::kInternal, "call", server_, "libcurl cannot be initialised");
+  std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> curl(curl_easy_init(),
+                                                           &curl_easy_cleanup);
+  if (!curl)
+    return Fail(ErrorCode::kInternal, "call", server_,
+                "libcurl cannot be initialised");
   HttpReply reply;
   HeaderList headers;
   headers.Add("Authorization", "Bearer " + token_);
@@ -71,8 +76,9 @@
   }
   const CURLcode code = curl_easy_perform(handle);
   if (code != CURLE_OK) {
-    return Fail(NothingSent(code) ? ErrorCode::kUnavailable : ErrorCode::kUnknownOutcome, "call",
-                server_, curl_easy_strerror(code));
+    return Fail(NothingSent(code) ? ErrorCode::kUnavailable
+                                  : ErrorCode::kUnknownOutcome,
+                "call", server_, curl_easy_strerror(code));
   }
   long status = 0;  // NOLINT: libcurl's type
   curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
--- a/apps/zinniarillctl/flag_parser.cc
+++ b/apps/zinniarillctl/flag_parser.cc
@@ -7,7 +7,8 @@
 namespace zr {
 namespace {
 
-/** Sets the flag at argv[index] and moves the index past its value; returns a fault or "". */
+/** Sets the flag at argv[index] and moves the index past its value; returns a
+ * fault or "". */
 std::string SetFlag(int argc, const char* const* argv, int& index) {
   const std::string word = argv[index];
   const size_t equals = word.find('=');
@@ -18,7 +19,8 @@
   gflags::CommandLineFlagInfo info;
   if (!gflags::GetCommandLineFlagInfo(name.c_str(), &info)) {
     negated = name.starts_with("no") &&
-              gflags::GetCommandLineFlagInfo(name.substr(2).c_str(), &info) && info.type == "bool";
+              gflags::GetCommandLineFlagInfo(name.substr(2).c_str(), &info) &&
+              info.type == "bool";
     if (!negated) return "unknown flag " + word;
   }
   std::string value;
@@ -61,7 +63,8 @@
   std::string text;
   for (const auto& flag : flags) {
     if (flag.filename.find("zinniarillctl") == std::string::npos) continue;
-    text += "--" + flag.name + " (" + flag.default_value + "): " + flag.description + "\n";
+    text += "--" + flag.name + " (" + flag.default_value +
+            "): " + flag.description + "\n";
   }
   return text;
 }
--- a/apps/zinniarillctl/main.cc
+++ b/apps/zinniarillctl/main.cc
@@ -12,14 +12,19 @@
 #include "zinniarillctl/flag_parser.h"
 
 DEFINE_string(server, "127.0.0.1:8081", "ip:port of a daemon's operator port");
-DEFINE_string(token, "", "operator token; the environment variable ZR_TOKEN if empty");
+DEFINE_string(token, "",
+              "operator token; the environment variable ZR_TOKEN if empty");
 DEFINE_string(output, "table", "table or json");
 DEFINE_string(digest, "", "promote: the digest that trial printed");
-DEFINE_string(author, "", "recorded with a change; the environment variable USER if empty");
+DEFINE_string(author, "",
+              "recorded with a change; the environment variable USER if empty");
 DEFINE_bool(wait, false, "wait until the change is in force on every VM");
-DEFINE_int64(timeout_ms, 30'000, "longest wait for a change to be in force, in ms");
-DEFINE_int64(call_timeout_ms, 10'000, "longest time of one call to the daemon, in ms");
-DEFINE_int64(base_version, -1, "the version that a change replaces; the current one if negative");
+DEFINE_int64(timeout_ms, 30'000,
+             "longest wait for a change to be in force, in ms");
+DEFINE_int64(call_timeout_ms, 10'000,
+             "longest time of one call to the daemon, in ms");
+DEFINE_int64(base_version, -1,
+             "the version that a change replaces; the current one if negative");
 
 namespace zr {
 namespace {
@@ -34,11 +39,13 @@
   std::ifstream file(path, std::ios::binary);
   std::ostringstream content;
   const bool opened = file.good();
-  // A directory can be opened; reading the first byte then sets the bad bit. An empty file
-  // only reaches its end.
-  if (opened && file.peek() != std::ifstream::traits_type::eof()) content << file.rdbuf();
+  // A directory can be opened; reading the first byte then sets the bad bit. An
+  // empty file only reaches its end.
+  if (opened && file.peek() != std::ifstream::traits_type::eof())
+    content << file.rdbuf();
   if (!opened || file.bad()) {
-    return Fail(ErrorCode::kInvalidArgument, "read", path, path + " cannot be read");
+    return Fail(ErrorCode::kInvalidArgument, "read", path,
+                path + " cannot be read");
   }
   return content.str();
 }
@@ -58,9 +65,12 @@
 }
 
 /** The first fault of the flags; empty if there is none. */
-std::string FlagFault(const std::string& token, const std::string& author, bool needs_server) {
-  if (FLAGS_output != "table" && FLAGS_output != "json") return "--output is table or json";
-  if (FLAGS_timeout_ms < 0 || FLAGS_timeout_ms > 3'600'000) return "--timeout_ms is 0 to 3600000";
+std::string FlagFault(const std::string& token, const std::string& author,
+                      bool needs_server) {
+  if (FLAGS_output != "table" && FLAGS_output != "json")
+    return "--output is table or json";
+  if (FLAGS_timeout_ms < 0 || FLAGS_timeout_ms > 3'600'000)
+    return "--timeout_ms is 0 to 3600000";
   if (FLAGS_call_timeout_ms < 1 || FLAGS_call_timeout_ms > 600'000) {
     return "--call_timeout_ms is 1 to 600000";
   }
@@ -68,9 +78,11 @@
     return "the token and the author contain no control characters";
   }
   if (!needs_server) return "";
-  if (token.empty()) return "the command needs --token or the environment variable ZR_TOKEN";
+  if (token.empty())
+    return "the command needs --token or the environment variable ZR_TOKEN";
   const auto server = Address::Parse(FLAGS_server);
-  if (!server || server->port == 0) return "--server is an IPv4 address and a port";
+  if (!server || server->port == 0)
+    return "--server is an IPv4 address and a port";
   return "";
 }
 
@@ -78,12 +90,14 @@
   const std::string token = FlagOrVariable(FLAGS_token, "ZR_TOKEN");
   std::string author = FlagOrVariable(FLAGS_author, "USER");
   if (author.empty()) author = "unknown";
-  const std::string fault = FlagFault(token, author, Commands::NeedsServer(words));
+  const std::string fault =
+      FlagFault(token, author, Commands::NeedsServer(words));
   if (!fault.empty()) {
     std::cerr << "zinniarillctl: " << fault << "\n";
     return static_cast<int>(ExitCode::kInvalid);
   }
-  CurlTransport transport(FLAGS_server, token, Duration::Milliseconds(FLAGS_call_timeout_ms));
+  CurlTransport transport(FLAGS_server, token,
+                          Duration::Milliseconds(FLAGS_call_timeout_ms));
   CommandOptions options;
   options.json = FLAGS_output == "json";
   options.wait = FLAGS_wait;
@@ -92,10 +106,12 @@
   options.author = author;
   if (FLAGS_base_version >= 0) options.base_version = FLAGS_base_version;
   auto sleep = [](Duration duration) {
-    std::this_thread::sleep_for(std::chrono::microseconds(duration.microseconds()));
+    std::this_thread::sleep_for(
+        std::chrono::microseconds(duration.microseconds()));
   };
-  Commands commands(
-      CommandEnvironment{transport, &ReadFile, &SteadyNow, sleep, std::cout, std::cerr}, options);
+  Commands commands(CommandEnvironment{transport, &ReadFile, &SteadyNow, sleep,
+                                       std::cout, std::cerr},
+                    options);
   return static_cast<int>(commands.Run(words));
 }
 
--- a/apps/zinniarillctl/operator_client.cc
+++ b/apps/zinniarillctl/operator_client.cc
@@ -36,10 +36,12 @@
 
 Result<json> ToJson(const Result<HttpReply>& reply) {
   if (!reply) return tl::unexpected(reply.error());
-  if (reply->status != 200) return Fail(CodeOf(reply->status), "call", "", ErrorMessage(*reply));
+  if (reply->status != 200)
+    return Fail(CodeOf(reply->status), "call", "", ErrorMessage(*reply));
   json body = json::parse(reply->body, nullptr, false);
   if (!body.is_object()) {
-    return Fail(ErrorCode::kInternal, "call", "", "the daemon's answer is not a JSON object");
+    return Fail(ErrorCode::kInternal, "call", "",
+                "the daemon's answer is not a JSON object");
   }
   return body;
 }
@@ -66,23 +68,28 @@
 }
 
 Result<json> OperatorClient::Trial(const std::string& document) {
-  return ToJson(transport_.Send(HttpCall{"POST", "/v1/config/trial", {}, document}));
+  return ToJson(
+      transport_.Send(HttpCall{"POST", "/v1/config/trial", {}, document}));
 }
 
-WriteOutcome OperatorClient::PutConfig(int64_t base, const std::string& document) {
+WriteOutcome OperatorClient::PutConfig(int64_t base,
+                                       const std::string& document) {
   const std::string digest = DocumentDigest(document);
-  WriteOutcome outcome =
-      Write(HttpCall{"PUT", "/v1/config", {}, document}, base,
-            [&](const CurrentConfig& config) { return config.digest == digest; });
-  if (outcome.kind == WriteOutcome::Kind::kWritten && outcome.digest != digest) {
+  WriteOutcome outcome = Write(
+      HttpCall{"PUT", "/v1/config", {}, document}, base,
+      [&](const CurrentConfig& config) { return config.digest == digest; });
+  if (outcome.kind == WriteOutcome::Kind::kWritten &&
+      outcome.digest != digest) {
     outcome.kind = WriteOutcome::Kind::kFailed;
-    outcome.message = "version " + std::to_string(outcome.version) + " has digest " +
-                      outcome.digest + ", but the file has " + digest;
+    outcome.message = "version " + std::to_string(outcome.version) +
+                      " has digest " + outcome.digest + ", but the file has " +
+                      digest;
   }
   return outcome;
 }
 
-WriteOutcome OperatorClient::PutDrain(std::optional<int64_t> base, const std::string& kind,
+WriteOutcome OperatorClient::PutDrain(std::optional<int64_t> base,
+                                      const std::string& kind,
                                       const std::string& name, bool drained) {
   const std::string path = "/v1/drains/" + kind + "/" + PercentEncode(name);
   const Drain drain{kind == "domain" ? DrainKind::kDomain
@@ -104,13 +111,15 @@
       }
       version = config->version;
     }
-    outcome = Write(HttpCall{drained ? "PUT" : "DELETE", path, {}, ""}, version, took_effect);
+    outcome = Write(HttpCall{drained ? "PUT" : "DELETE", path, {}, ""}, version,
+                    took_effect);
     if (base || outcome.kind != WriteOutcome::Kind::kConflict) break;
   }
   return outcome;
 }
 
-WriteOutcome OperatorClient::Write(HttpCall call, int64_t base, const TookEffect& took_effect) {
+WriteOutcome OperatorClient::Write(HttpCall call, int64_t base,
+                                   const TookEffect& took_effect) {
   call.headers.emplace_back("If-Match", std::to_string(base));
   call.headers.emplace_back("X-Zr-Author", author_);
   auto reply = transport_.Send(call);
@@ -134,8 +143,8 @@
     outcome.author = conflict.value("author", "");
     outcome.time = conflict.value("time", "");
   } else {
-    outcome.kind =
-        reply->status == 422 ? WriteOutcome::Kind::kInvalid : WriteOutcome::Kind::kFailed;
+    outcome.kind = reply->status == 422 ? WriteOutcome::Kind::kInvalid
+                                        : WriteOutcome::Kind::kFailed;
     outcome.message = ErrorMessage(*reply);
   }
   return outcome;
@@ -146,8 +155,9 @@
   WriteOutcome outcome;
   auto config = Config();
   if (!config) {
-    outcome.message = "the outcome is unknown: " + error.message +
-                      "; the configuration could not be read: " + config.error().message;
+    outcome.message =
+        "the outcome is unknown: " + error.message +
+        "; the configuration could not be read: " + config.error().message;
   } else if (took_effect(*config)) {
     outcome.kind = WriteOutcome::Kind::kWritten;
     outcome.version = config->version;
@@ -155,9 +165,10 @@
   } else {
     // At the base version the write may still be under way; at a higher one
     // another change may have replaced it.
-    outcome.message = "the outcome is unknown: " + error.message + "; in place is version " +
-                      std::to_string(config->version) + " by " + config->author +
-                      (config->version == base ? ", which is unchanged so far" : "");
+    outcome.message =
+        "the outcome is unknown: " + error.message + "; in place is version " +
+        std::to_string(config->version) + " by " + config->author +
+        (config->version == base ? ", which is unchanged so far" : "");
   }
   return outcome;
 }
@@ -167,8 +178,9 @@
   std::string encoded;
   for (const char c : text) {
     const auto byte = static_cast<unsigned char>(c);
-    const bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
-                       c == '-' || c == '.' || c == '_' || c == '~';
+    const bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                       (c >= '0' && c <= '9') || c == '-' || c == '.' ||
+                       c == '_' || c == '~';
     if (plain) {
       encoded += c;
     } else {
--- a/apps/zinniarillctl/operator_client.h
+++ b/apps/zinniarillctl/operator_client.h
@@ -23,7 +23,8 @@
 struct WriteOutcome {
   enum class Kind {
     kWritten,   // `version` and `digest` are set
-    kConflict,  // another change came first; `version`, `author` and `time` name it
+    kConflict,  // another change came first; `version`, `author` and `time`
+                // name it
     kInvalid,   // the daemon refused the document
     kFailed,    // not written, or not known; `message` says which
   };
@@ -32,7 +33,8 @@
   std::string digest;
   std::string author;
   std::string time;
-  std::string message;  // kFailed and kInvalid: why; kWritten: empty, or that nothing changed
+  std::string message;  // kFailed and kInvalid: why; kWritten: empty, or that
+                        // nothing changed
 };
 
 /** The operator API of a daemon. */
@@ -43,10 +45,12 @@
   OperatorClient(const OperatorClient&) = delete;
   OperatorClient& operator=(const OperatorClient&) = delete;
 
-  /** Reads a resource; an answer other than 200 or without a JSON object is an error. */
+  /** Reads a resource; an answer other than 200 or without a JSON object is an
+   * error. */
   Result<nlohmann::json> Get(const std::string& path);
   Result<CurrentConfig> Config();
-  /** Asks what a document would change. kInvalidArgument if the daemon refuses it. */
+  /** Asks what a document would change. kInvalidArgument if the daemon refuses
+   * it. */
   Result<nlohmann::json> Trial(const std::string& document);
 
   /** Writes a document if the version in place is `base`. */
@@ -61,9 +65,12 @@
  private:
   using TookEffect = std::function<bool(const CurrentConfig&)>;
 
-  WriteOutcome Write(HttpCall call, int64_t base, const TookEffect& took_effect);
-  /** Reads the configuration after a lost answer, because the write may have taken effect. */
-  WriteOutcome ResolveLostAnswer(const Error& error, int64_t base, const TookEffect& took_effect);
+  WriteOutcome Write(HttpCall call, int64_t base,
+                     const TookEffect& took_effect);
+  /** Reads the configuration after a lost answer, because the write may have
+   * taken effect. */
+  WriteOutcome ResolveLostAnswer(const Error& error, int64_t base,
+                                 const TookEffect& took_effect);
 
   Transport& transport_;
   std::string author_;
--- a/apps/zinniarillctl/show_commands.cc
+++ b/apps/zinniarillctl/show_commands.cc
@@ -1,4 +1,5 @@
-// The commands that only show state: get, status, endpoints and operations show.
+// The commands that only show state: get, status, endpoints and operations
+// show.
 
 #include "zinniarillctl/commands.h"
 #include "zinniarillctl/table.h"
@@ -45,14 +46,18 @@
   auto status = client_.Get("/v1/status");
   if (!status) return Fail(status.error());
   const json& config = status->at("config");
-  std::string text = "vm " + Cell(*status, "vm") + ", ready " + Cell(*status, "ready") +
-                     "\nconfiguration version " + Cell(config, "version") + ", in force " +
-                     Cell(config, "in_force") + ", lagging " + Cell(config, "lagging") +
-                     ", silent " + Cell(config, "silent") + "\n\n";
-  text += TableOf(status->at("vms"), {"name", "domain", "state", "config_version"}) + "\n";
+  std::string text =
+      "vm " + Cell(*status, "vm") + ", ready " + Cell(*status, "ready") +
+      "\nconfiguration version " + Cell(config, "version") + ", in force " +
+      Cell(config, "in_force") + ", lagging " + Cell(config, "lagging") +
+      ", silent " + Cell(config, "silent") + "\n\n";
+  text += TableOf(status->at("vms"),
+                  {"name", "domain", "state", "config_version"}) +
+          "\n";
   std::vector<std::vector<std::string>> rows = {{"invariant", "violations"}};
   const json invariants = status->value("invariants", json::object());
-  for (const auto& [name, count] : invariants.items()) rows.push_back({name, count.dump()});
+  for (const auto& [name, count] : invariants.items())
+    rows.push_back({name, count.dump()});
   Print(*status, text + FormatTable(rows));
   return ExitCode::kDone;
 }
@@ -60,25 +65,29 @@
 ExitCode Commands::Endpoints() {
   auto endpoints = client_.Get("/v1/endpoints");
   if (!endpoints) return Fail(endpoints.error());
-  Print(*endpoints, TableOf(endpoints->at("endpoints"), {"name", "pool", "domain", "owner", "state",
-                                                         "kv_free", "kv_capacity", "running"}));
+  Print(*endpoints, TableOf(endpoints->at("endpoints"),
+                            {"name", "pool", "domain", "owner", "state",
+                             "kv_free", "kv_capacity", "running"}));
   return ExitCode::kDone;
 }
 
 ExitCode Commands::ShowOperation(const std::string& name) {
   const size_t first = name.find('/');
-  const size_t second = first == std::string::npos ? first : name.find('/', first + 1);
+  const size_t second =
+      first == std::string::npos ? first : name.find('/', first + 1);
   if (second == std::string::npos || second + 1 == name.size()) {
     return UsageError("an operation is named TEAM/SERVICE/KEY");
   }
   // The key is free text of the caller and may contain slashes itself.
-  auto operation = client_.Get("/v1/operations/" + PercentEncode(name.substr(0, first)) + "/" +
-                               PercentEncode(name.substr(first + 1, second - first - 1)) + "/" +
-                               PercentEncode(name.substr(second + 1)));
+  auto operation = client_.Get(
+      "/v1/operations/" + PercentEncode(name.substr(0, first)) + "/" +
+      PercentEncode(name.substr(first + 1, second - first - 1)) + "/" +
+      PercentEncode(name.substr(second + 1)));
   if (!operation) return Fail(operation.error());
   std::vector<std::vector<std::string>> rows;
   for (const auto& [key, value] : operation->items()) {
-    rows.push_back({key, value.is_string() ? value.get<std::string>() : value.dump()});
+    rows.push_back(
+        {key, value.is_string() ? value.get<std::string>() : value.dump()});
   }
   Print(*operation, FormatTable(rows));
   return ExitCode::kDone;
--- a/apps/zinniarillctl/tests/commands_test.cc
+++ b/apps/zinniarillctl/tests/commands_test.cc
@@ -9,8 +9,10 @@
 
 using nlohmann::json;
 
-const char kOld[] = "[environment]\nname = a\n[class lookup]\ndeadline_ms = 2000\n";
-const char kNew[] = "[environment]\nname = a\n[class lookup]\ndeadline_ms = 3000\n";
+const char kOld[] =
+    "[environment]\nname = a\n[class lookup]\ndeadline_ms = 2000\n";
+const char kNew[] =
+    "[environment]\nname = a\n[class lookup]\ndeadline_ms = 3000\n";
 
 /** A daemon's operator port without a socket. */
 class FakeDaemon : public Transport {
@@ -27,8 +29,9 @@
     }
     if (call.path == "/v1/status") return Status();
     if (call.path == "/v1/config/trial") {
-      return HttpReply{
-          200, json{{"digest", DocumentDigest(call.body)}, {"changes", json::array()}}.dump()};
+      return HttpReply{200, json{{"digest", DocumentDigest(call.body)},
+                                 {"changes", json::array()}}
+                                .dump()};
     }
     if (before_write) before_write();
     return Write(call);
@@ -63,17 +66,23 @@
       if (name != "If-Match" || value == std::to_string(version)) continue;
       return HttpReply{
           412,
-          json{{"conflict", {{"version", version}, {"author", author}, {"time", "12:00"}}}}.dump()};
+          json{{"conflict",
+                {{"version", version}, {"author", author}, {"time", "12:00"}}}}
+              .dump()};
     }
     if (call.path == "/v1/config") {
       document = call.body;
     } else {
-      const Drain drain{DrainKind::kDomain, call.path.substr(call.path.rfind('/') + 1)};
-      document = *(call.method == "PUT" ? AddDrain(document, drain) : RemoveDrain(document, drain));
+      const Drain drain{DrainKind::kDomain,
+                        call.path.substr(call.path.rfind('/') + 1)};
+      document = *(call.method == "PUT" ? AddDrain(document, drain)
+                                        : RemoveDrain(document, drain));
     }
     ++version;
     if (lost_answers-- > 0) return lost;
-    return HttpReply{200, json{{"version", version}, {"digest", DocumentDigest(document)}}.dump()};
+    return HttpReply{
+        200, json{{"version", version}, {"digest", DocumentDigest(document)}}
+                 .dump()};
   }
 };
 
@@ -85,7 +94,8 @@
     err.str("");
     auto read = [&](const std::string&) -> Result<std::string> { return file; };
     return Commands(CommandEnvironment{daemon, read, [&] { return time; },
-                                       [&](Duration d) { time = time + d; }, out, err},
+                                       [&](Duration d) { time = time + d; },
+                                       out, err},
                     options)
         .Run(words);
   }
@@ -146,7 +156,8 @@
 }
 
 // Guards against a lost answer that is reported as a failure or as a success.
-TEST_CASE_METHOD(Fixture, "A write whose answer is lost is resolved by reading") {
+TEST_CASE_METHOD(Fixture,
+                 "A write whose answer is lost is resolved by reading") {
   SECTION("as written if the document is in place") {
     daemon.lost_answers = 1;
     CHECK(Run({"apply", "f"}) == ExitCode::kDone);
@@ -181,14 +192,17 @@
   }
 }
 
-// Guards against an invalid document that reaches a daemon, and against wrong exit codes.
+// Guards against an invalid document that reaches a daemon, and against wrong
+// exit codes.
 TEST_CASE_METHOD(Fixture, "Documents are checked before anything is sent") {
   file = "[environment]\nname = a\n[team t]\nclasses = c\n";
   for (const char* command : {"check", "diff", "trial", "promote", "apply"}) {
     INFO(command);
     options.digest = DocumentDigest(file);
     CHECK(Run({command, "f"}) == ExitCode::kInvalid);
-    CHECK_THAT(err.str(), Catch::Contains("f:4: [team t] classes: there is no section [class c]"));
+    CHECK_THAT(err.str(),
+               Catch::Contains(
+                   "f:4: [team t] classes: there is no section [class c]"));
   }
   CHECK(daemon.calls.empty());
   SECTION("a valid one is compared with the one in place") {
--- a/apps/zinniarilld/main.cc
+++ b/apps/zinniarilld/main.cc
@@ -30,7 +30,8 @@
       "entry daemon of zinniarill\n"
       "  zinniarilld --settings=FILE          serve\n"
       "  zinniarilld --settings=FILE --check  check the settings and exit\n"
-      "Exit codes: 0 stopped as planned, 1 cannot start, 2 bad command line or settings.");
+      "Exit codes: 0 stopped as planned, 1 cannot start, 2 bad command line or "
+      "settings.");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   if (FLAGS_settings.empty() || argc > 1) {
     std::cerr << "usage: zinniarilld --settings=FILE [--check]; see --help\n";
--- a/bench/slopes/slopes.cc
+++ b/bench/slopes/slopes.cc
@@ -1,5 +1,6 @@
-// Measures processor time, bytes and memory of the core modules by size, in virtual time.
-// Usage: slopes ENVIRONMENT_DOCUMENT; prints CSV: series,x,cpu_us,bytes,memory_bytes.
+// Measures processor time, bytes and memory of the core modules by size, in
+// virtual time. Usage: slopes ENVIRONMENT_DOCUMENT; prints CSV:
+// series,x,cpu_us,bytes,memory_bytes.
 
 #include <malloc.h>
 #include <time.h>
@@ -18,7 +19,8 @@
 double CpuMicroseconds() {
   timespec time{};
   clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-  return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
+  return static_cast<double>(time.tv_sec) * 1e6 +
+         static_cast<double>(time.tv_nsec) / 1e3;
 }
 
 double HeapBytes() {
@@ -26,20 +28,23 @@
   return static_cast<double>(info.uordblks + info.hblkhd);
 }
 
-void Print(const char* series, double x, double cpu_us, double bytes, double memory) {
+void Print(const char* series, double x, double cpu_us, double bytes,
+           double memory) {
   std::printf("%s,%g,%.3f,%.1f,%.0f\n", series, x, cpu_us, bytes, memory);
   std::fflush(stdout);
 }
 
-/** Bytes, processor time (encoding and decoding included) and memory of one VM per second. */
+/** Bytes, processor time (encoding and decoding included) and memory of one VM
+ * per second. */
 void MeasureVms(int vms) {
-  static const char* const kRegions[] = {"r1", "r1", "r1", "r2", "r2", "r3", "r3", "r4", "r4"};
+  static const char* const kRegions[] = {"r1", "r1", "r1", "r2", "r2",
+                                         "r3", "r3", "r4", "r4"};
   const double heap = HeapBytes();
   std::vector<PeerSite> sites;
   sites.reserve(vms);
   for (int i = 0; i < vms; ++i) {
-    sites.push_back({VmId("entry-" + std::to_string(i)), DomainId("d" + std::to_string(i % 9)),
-                     kRegions[i % 9]});
+    sites.push_back({VmId("entry-" + std::to_string(i)),
+                     DomainId("d" + std::to_string(i % 9)), kRegions[i % 9]});
   }
   std::map<VmId, std::unique_ptr<Membership>> nodes;
   std::map<VmId, std::vector<VmId>> links;
@@ -81,9 +86,12 @@
       const auto message = DecodeMessage(frame.bytes);
       if (const auto* digest = std::get_if<MembershipDigest>(&*message)) {
         auto outcome = nodes.at(frame.to)->OnDigest(now, *digest, frame.from);
-        if (outcome.answer) wire.push_back({frame.to, frame.from, EncodeMessage(*outcome.answer)});
+        if (outcome.answer)
+          wire.push_back(
+              {frame.to, frame.from, EncodeMessage(*outcome.answer)});
       } else {
-        nodes.at(frame.to)->OnHeartbeat(now, std::get<Heartbeat>(*message), frame.from);
+        nodes.at(frame.to)->OnHeartbeat(now, std::get<Heartbeat>(*message),
+                                        frame.from);
       }
     }
     for (auto& [id, node] : nodes) {
@@ -95,19 +103,21 @@
         }
       } else {
         const auto heartbeat = node->MakeHeartbeat(now, local);
-        for (const VmId& to : links[id]) wire.push_back({id, to, EncodeMessage(heartbeat)});
+        for (const VmId& to : links[id])
+          wire.push_back({id, to, EncodeMessage(heartbeat)});
       }
     }
     for (const Frame& frame : wire) bytes += frame.bytes.size() + 8;
   }
   const double per = vms * (kMeasuredMs / 1000.0);
-  Print("vms", vms, (CpuMicroseconds() - start_cpu) / per, static_cast<double>(bytes) / per,
-        (HeapBytes() - heap) / vms);
+  Print("vms", vms, (CpuMicroseconds() - start_cpu) / per,
+        static_cast<double>(bytes) / per, (HeapBytes() - heap) / vms);
 }
 
 /**
- * One VM that knows all others, with a second one that answers as each of its links in turn; cheap
- * enough for large fleets. Sent bytes and processor time a second.
+ * One VM that knows all others, with a second one that answers as each of its
+ * links in turn; cheap enough for large fleets. Sent bytes and processor time a
+ * second.
  */
 void MeasureOneOf(int vms, size_t links) {
   const double heap = HeapBytes();
@@ -123,9 +133,10 @@
     MembershipDigest all;
     all.sender = {VmId("entry-2"), options.incarnation, 1};
     for (int i = 0; i < vms; ++i) {
-      all.records.push_back({VmId("entry-" + std::to_string(i)), options.incarnation,
-                             DomainId("d" + std::to_string(i % 9)), "r2", "10.20.30.40:7000", 1,
-                             true, false, ObjectVersion(1'000'000), 1, Duration()});
+      all.records.push_back(
+          {VmId("entry-" + std::to_string(i)), options.incarnation,
+           DomainId("d" + std::to_string(i % 9)), "r2", "10.20.30.40:7000", 1,
+           true, false, ObjectVersion(1'000'000), 1, Duration()});
     }
     node->OnDigest(TimePoint::FromMicroseconds(1), all, VmId("entry-2"));
     return node;
@@ -154,7 +165,8 @@
     const double start = CpuMicroseconds();
     size_t sent = 0;
     for (const auto& frame : frames) {
-      self->OnDigest(now, std::get<MembershipDigest>(*DecodeMessage(frame)), VmId("entry-1"));
+      self->OnDigest(now, std::get<MembershipDigest>(*DecodeMessage(frame)),
+                     VmId("entry-1"));
     }
     self->OnTick(now);
     if (self->HeartbeatDue(now)) {
@@ -169,7 +181,8 @@
   Print("one-vm", vms, cpu / 2, static_cast<double>(bytes) / 2, memory);
 }
 
-/** One summary: encoding plus decoding plus the table; memory for each endpoint. */
+/** One summary: encoding plus decoding plus the table; memory for each
+ * endpoint. */
 void MeasureEndpoints(int endpoints) {
   const double heap = HeapBytes();
   SummaryTable table;
@@ -184,25 +197,29 @@
     summary.owner_incarnation = Incarnation(1'700'000'000'000'000);
     summary.sequence = 1000;
     summary.kv_free = summary.kv_capacity = TokenCount(400'000);
-    for (int p = 0; p < 16; ++p) summary.prefixes.push_back(PrefixHash(Hash64("p", i * 16 + p)));
+    for (int p = 0; p < 16; ++p)
+      summary.prefixes.push_back(PrefixHash(Hash64("p", i * 16 + p)));
     const auto frame = EncodeMessage(summary);
     bytes += frame.size() + 8;
-    table.OnSummary(TimePoint::FromMicroseconds(i), std::get<Summary>(*DecodeMessage(frame)));
+    table.OnSummary(TimePoint::FromMicroseconds(i),
+                    std::get<Summary>(*DecodeMessage(frame)));
   }
   Print("endpoints", endpoints, (CpuMicroseconds() - cpu) / endpoints,
-        static_cast<double>(bytes) / endpoints, (HeapBytes() - heap) / endpoints);
+        static_cast<double>(bytes) / endpoints,
+        (HeapBytes() - heap) / endpoints);
 }
 
 std::string WithTeams(std::string document, int teams) {
   for (int i = 0; i < teams; ++i) {
     const std::string name = "bench-" + std::to_string(i);
-    document +=
-        "\n[team " + name + "]\nkey_digests = " + DocumentDigest(name) + "\nclasses = lookup\n";
+    document += "\n[team " + name + "]\nkey_digests = " + DocumentDigest(name) +
+                "\nclasses = lookup\n";
   }
   return document;
 }
 
-/** One document: digest, check, parse, and one transfer; x is the number of teams. */
+/** One document: digest, check, parse, and one transfer; x is the number of
+ * teams. */
 void MeasureTeams(const std::string& base, int teams) {
   const std::string document = WithTeams(base, teams);
   const double heap = HeapBytes();
@@ -211,7 +228,8 @@
   size_t bytes = 0;
   const double cpu = CpuMicroseconds();
   for (int i = 0; i < kRuns; ++i) {
-    const ConfigOffer offer{ObjectVersion(1'000'000), DocumentDigest(document), document};
+    const ConfigOffer offer{ObjectVersion(1'000'000), DocumentDigest(document),
+                            document};
     const auto frame = EncodeMessage(offer);
     bytes = frame.size() + 8;
     const auto received = std::get<ConfigOffer>(*DecodeMessage(frame));
@@ -224,10 +242,12 @@
     kept.push_back(std::move(*parsed));
   }
   const double used = CpuMicroseconds() - cpu;
-  Print("teams", teams, used / kRuns, static_cast<double>(bytes), (HeapBytes() - heap) / kRuns);
+  Print("teams", teams, used / kRuns, static_cast<double>(bytes),
+        (HeapBytes() - heap) / kRuns);
 }
 
-/** One renewal of all grants held on endpoints with 16 streams each; per stream. */
+/** One renewal of all grants held on endpoints with 16 streams each; per
+ * stream. */
 void MeasureStreams(int streams) {
   const double heap = HeapBytes();
   size_t bytes = 0;
@@ -255,7 +275,8 @@
         static_cast<double>(bytes) / streams, (HeapBytes() - heap) / streams);
 }
 
-/** Changes a minute: one VM adopts each through the tracker; processor time and bytes a second. */
+/** Changes a minute: one VM adopts each through the tracker; processor time and
+ * bytes a second. */
 void MeasureChanges(const std::string& base, int changes_per_minute) {
   const double heap = HeapBytes();
   ConfigTrackerOptions options;
@@ -270,20 +291,26 @@
   size_t bytes = 0;
   const double cpu = CpuMicroseconds();
   for (int i = 1; i <= changes_per_minute; ++i) {
-    const std::string document = base + "\n; change " + std::to_string(i) + "\n";
-    const ConfigOffer offer{ObjectVersion(i), DocumentDigest(document), document};
+    const std::string document =
+        base + "\n; change " + std::to_string(i) + "\n";
+    const ConfigOffer offer{ObjectVersion(i), DocumentDigest(document),
+                            document};
     const auto frame = EncodeMessage(offer);
     bytes += frame.size() + 8;
-    const TimePoint now = TimePoint::FromMicroseconds(60'000'000LL * i / changes_per_minute);
-    tracker.OnOffer(now, VmId("entry-2"), std::get<ConfigOffer>(*DecodeMessage(frame)));
-    if (!Environment::Parse(document)) std::abort();  // the daemon parses again to adopt
+    const TimePoint now =
+        TimePoint::FromMicroseconds(60'000'000LL * i / changes_per_minute);
+    tracker.OnOffer(now, VmId("entry-2"),
+                    std::get<ConfigOffer>(*DecodeMessage(frame)));
+    if (!Environment::Parse(document))
+      std::abort();  // the daemon parses again to adopt
   }
   if (tracker.version() != ObjectVersion(changes_per_minute)) std::abort();
   Print("changes", changes_per_minute, (CpuMicroseconds() - cpu) / 60,
         static_cast<double>(bytes) / 60, HeapBytes() - heap);
 }
 
-/** The owner of one endpoint; each change of the view repeats this for every endpoint. */
+/** The owner of one endpoint; each change of the view repeats this for every
+ * endpoint. */
 void MeasureOwnership(int vms) {
   ClusterView view;
   view.self = VmId("entry-0");
@@ -317,11 +344,14 @@
   std::stringstream text;
   text << file.rdbuf();
   std::printf("series,x,cpu_us,bytes,memory_bytes\n");
-  for (const int teams : {10, 60, 120, 240}) zr::MeasureTeams(text.str(), teams);
-  for (const int endpoints : {500, 2000, 6000, 12000}) zr::MeasureEndpoints(endpoints);
+  for (const int teams : {10, 60, 120, 240})
+    zr::MeasureTeams(text.str(), teams);
+  for (const int endpoints : {500, 2000, 6000, 12000})
+    zr::MeasureEndpoints(endpoints);
   for (const int streams : {160, 480, 1600, 4800}) zr::MeasureStreams(streams);
   const std::string document = zr::WithTeams(text.str(), 240);
-  for (const int changes : {6, 18, 35, 70}) zr::MeasureChanges(document, changes);
+  for (const int changes : {6, 18, 35, 70})
+    zr::MeasureChanges(document, changes);
   for (const int vms : {18, 60, 120, 420}) zr::MeasureOwnership(vms);
   for (const int vms : {60, 120, 240, 420}) zr::MeasureOneOf(vms, 16);
   for (const int vms : {18, 33, 60, 120}) zr::MeasureVms(vms);
--- a/fuzz/ini_fuzz.cc
+++ b/fuzz/ini_fuzz.cc
@@ -1,4 +1,5 @@
-// Feeds arbitrary bytes to the readers of settings and of environment documents.
+// Feeds arbitrary bytes to the readers of settings and of environment
+// documents.
 
 #include <cstddef>
 #include <cstdint>
@@ -31,6 +32,7 @@
   const auto restored = zr::RemoveDrain(*drained, drain);
   Require(restored.has_value());
   const auto restored_environment = zr::Environment::Parse(*restored);
-  Require(restored_environment && !restored_environment->drains().contains(drain));
+  Require(restored_environment &&
+          !restored_environment->drains().contains(drain));
   return 0;
 }
--- a/modules/zr_admission/admission_planner.cc
+++ b/modules/zr_admission/admission_planner.cc
@@ -17,15 +17,20 @@
 
 }  // namespace
 
-TokenCount AdmissionPlanner::FreeKv() const { return engine_.KvLimit() - grants_.reserved(); }
+TokenCount AdmissionPlanner::FreeKv() const {
+  return engine_.KvLimit() - grants_.reserved();
+}
 
 int64_t AdmissionPlanner::FreeSlots(TimePoint now) const {
   int64_t own = ramp_.OwnLimit() - grants_.OwnCount();
-  const int64_t total = ramp_.TotalLimit() - grants_.size() - engine_.foreign_requests();
+  const int64_t total =
+      ramp_.TotalLimit() - grants_.size() - engine_.foreign_requests();
   if (engine_.taking_over()) {
     // What an earlier owner granted is not known yet, so only the start-up
-    // allowance may be added to it, and only once the engine has told what runs.
-    if (policy_.kind == PoolKind::kModel && !engine_.ListedSinceTakeOver()) return 0;
+    // allowance may be added to it, and only once the engine has told what
+    // runs.
+    if (policy_.kind == PoolKind::kModel && !engine_.ListedSinceTakeOver())
+      return 0;
     const TimePoint since = engine_.TakeOverSince();
     int64_t granted = 0;
     for (const auto& [key, entry] : grants_.entries()) {
@@ -34,7 +39,8 @@
     own = std::min(own, ramp_.StartAllowance() - granted);
   }
   if (policy_.kind == PoolKind::kModel) {
-    own = std::min(own, ramp_.StartAllowance() - grants_.GrantedSince(now - kRestartNotice));
+    own = std::min(own, ramp_.StartAllowance() -
+                            grants_.GrantedSince(now - kRestartNotice));
   }
   if (policy_.kind == PoolKind::kModel && !engine_.BootConfirmed()) {
     // The engine may have restarted unnoticed while nothing ran on it.
@@ -46,7 +52,8 @@
 bool AdmissionPlanner::Fits(const QueuedRequest& item, TimePoint now) const {
   if (grants_.AnyRunAlone() || FreeSlots(now) < 1) return false;
   if (item.request.run_alone &&
-      (grants_.size() > 0 || engine_.foreign_requests() > 0 || engine_.taking_over())) {
+      (grants_.size() > 0 || engine_.foreign_requests() > 0 ||
+       engine_.taking_over())) {
     return false;
   }
   if (item.request.plain_service) return true;
@@ -55,22 +62,28 @@
   if (!ramp_.warm()) {
     const int32_t lowest = std::numeric_limits<int32_t>::min();
     const double all = WorkForecast::PrefillInProgress(grants_, lowest);
-    if (all > 0 && all + added > static_cast<double>(ramp_.PrefillLimit())) return false;
+    if (all > 0 && all + added > static_cast<double>(ramp_.PrefillLimit()))
+      return false;
   }
   if (item.long_prompt) {
     const double in_progress = WorkForecast::LongPrefillInProgress(grants_);
     return in_progress <= 0 ||
-           in_progress + added <= static_cast<double>(policy_.long_prefill_limit.value());
+           in_progress + added <=
+               static_cast<double>(policy_.long_prefill_limit.value());
   }
-  return WorkForecast::PrefillInProgress(grants_, item.priority) <= PrefillAhead();
+  return WorkForecast::PrefillInProgress(grants_, item.priority) <=
+         PrefillAhead();
 }
 
-bool AdmissionPlanner::CanStart(const QueuedRequest& item, TimePoint now) const {
+bool AdmissionPlanner::CanStart(const QueuedRequest& item,
+                                TimePoint now) const {
   if (!Fits(item, now)) return false;
   const auto batch = static_cast<double>(WorkForecast::Batch(grants_) + 1);
-  const Duration run = WorkForecast::RunTime(grants_, model_, item.demand, batch);
+  const Duration run =
+      WorkForecast::RunTime(grants_, model_, item.demand, batch);
   if (now + run + EstimateMargin(run) > item.deadline) return false;
-  return !WorkForecast::WouldDelayPastDeadline(grants_, model_, item.demand, now);
+  return !WorkForecast::WouldDelayPastDeadline(grants_, model_, item.demand,
+                                               now);
 }
 
 double AdmissionPlanner::PrefillAhead() const {
@@ -80,34 +93,39 @@
 double AdmissionPlanner::UsualBatch() const {
   const int64_t waiting = static_cast<int64_t>(queue_.size()) + 1;
   const int64_t batch = WorkForecast::Batch(grants_);
-  return static_cast<double>(
-      std::clamp<int64_t>(batch + waiting, 1, std::max<int64_t>(1, ramp_.OwnLimit())));
+  return static_cast<double>(std::clamp<int64_t>(
+      batch + waiting, 1, std::max<int64_t>(1, ramp_.OwnLimit())));
 }
 
 Duration AdmissionPlanner::DrainTime() const {
-  const auto batch = static_cast<double>(std::max<int64_t>(1, WorkForecast::Batch(grants_)));
+  const auto batch =
+      static_cast<double>(std::max<int64_t>(1, WorkForecast::Batch(grants_)));
   Duration longest;
   for (const auto& [key, entry] : grants_.entries()) {
-    longest = std::max(longest, WorkForecast::Remaining(grants_, model_, entry, batch, nullptr));
+    longest = std::max(longest, WorkForecast::Remaining(grants_, model_, entry,
+                                                        batch, nullptr));
   }
   return longest;
 }
 
-CapacityTimeline AdmissionPlanner::MakeTimeline(TimePoint now, int64_t free_slots) const {
+CapacityTimeline AdmissionPlanner::MakeTimeline(TimePoint now,
+                                                int64_t free_slots) const {
   CapacityTimeline timeline(now, FreeKv(), free_slots);
-  const auto batch = static_cast<double>(std::max<int64_t>(1, WorkForecast::Batch(grants_)));
+  const auto batch =
+      static_cast<double>(std::max<int64_t>(1, WorkForecast::Batch(grants_)));
   for (const auto& [key, entry] : grants_.entries()) {
-    const Duration left = WorkForecast::Remaining(grants_, model_, entry, batch, nullptr);
-    const bool idle =
-        entry.state == GrantState::kCancelling || entry.state == GrantState::kGathered;
+    const Duration left =
+        WorkForecast::Remaining(grants_, model_, entry, batch, nullptr);
+    const bool idle = entry.state == GrantState::kCancelling ||
+                      entry.state == GrantState::kGathered;
     const TimePoint end = idle ? entry.expires : now + left;
     timeline.AddRunning(end, entry.kv);
   }
   return timeline;
 }
 
-TimePoint AdmissionPlanner::ExpectedStart(const std::vector<const QueuedRequest*>& ahead,
-                                          TimePoint now) const {
+TimePoint AdmissionPlanner::ExpectedStart(
+    const std::vector<const QueuedRequest*>& ahead, TimePoint now) const {
   const QueuedRequest& candidate = *ahead.back();
   TimePoint begin = now;
   int64_t slots = FreeSlots(now);
@@ -116,36 +134,44 @@
   if (passing && slots < 1) {
     // These bounds are short-lived; afterwards the ramp's holds.
     begin = engine_.TakeOverEnd(now);
-    slots = std::min(ramp_.OwnLimit() - grants_.OwnCount(),
-                     ramp_.TotalLimit() - grants_.size() - engine_.foreign_requests());
+    slots = std::min(
+        ramp_.OwnLimit() - grants_.OwnCount(),
+        ramp_.TotalLimit() - grants_.size() - engine_.foreign_requests());
   }
   if (grants_.AnyRunAlone() || candidate.request.run_alone) {
     begin = std::max(begin, now + DrainTime());
   }
   CapacityTimeline timeline = MakeTimeline(begin, slots);
-  double prefill = candidate.long_prompt
-                       ? WorkForecast::LongPrefillInProgress(grants_)
-                       : WorkForecast::PrefillInProgress(grants_, candidate.priority);
+  double prefill =
+      candidate.long_prompt
+          ? WorkForecast::LongPrefillInProgress(grants_)
+          : WorkForecast::PrefillInProgress(grants_, candidate.priority);
   for (const QueuedRequest* item : ahead) {
     if (item == &candidate) break;
     // A long prompt for which nothing is reserved yet does not hold others up.
-    if (item->long_prompt && !candidate.long_prompt && now < item->ReserveAfter()) continue;
+    if (item->long_prompt && !candidate.long_prompt &&
+        now < item->ReserveAfter())
+      continue;
     timeline.Place(item->kv, item->run_time);
-    if (item->long_prompt == candidate.long_prompt) prefill += item->demand.prefill;
+    if (item->long_prompt == candidate.long_prompt)
+      prefill += item->demand.prefill;
   }
   const TimePoint start = timeline.PeekStart(candidate.kv);
-  if (start == TimePoint::Max() || candidate.request.plain_service) return start;
+  if (start == TimePoint::Max() || candidate.request.plain_service)
+    return start;
   // The prefill speed bounds the start as memory and slots do.
-  const double bound = candidate.long_prompt
-                           ? static_cast<double>(policy_.long_prefill_limit.value())
-                           : PrefillAhead();
+  const double bound =
+      candidate.long_prompt
+          ? static_cast<double>(policy_.long_prefill_limit.value())
+          : PrefillAhead();
   const double wait = (prefill - bound) / model_.PrefillSpeed();
   if (wait <= 0) return start;
-  return std::max(start, now + Duration::Microseconds(static_cast<int64_t>(wait * 1e6)));
+  return std::max(
+      start, now + Duration::Microseconds(static_cast<int64_t>(wait * 1e6)));
 }
 
-std::optional<PlannedRefusal> AdmissionPlanner::RefusalDue(const QueuedRequest& item,
-                                                           TimePoint now) const {
+std::optional<PlannedRefusal> AdmissionPlanner::RefusalDue(
+    const QueuedRequest& item, TimePoint now) const {
   if (now < std::min(item.LatestStart(), item.give_up)) return std::nullopt;
   // Prefill in progress ends no sooner by waiting, but the batch may shrink.
   const Duration best = WorkForecast::RunTime(grants_, model_, item.demand, 1);
@@ -158,19 +184,24 @@
   return std::nullopt;
 }
 
-bool AdmissionPlanner::BackfillAllowed(const QueuedRequest& item, const Reservation& reservation,
-                                       const CapacityTimeline& timeline, TimePoint now) const {
-  if (&item == reservation.holder || now + item.run_time <= reservation.start) return true;
+bool AdmissionPlanner::BackfillAllowed(const QueuedRequest& item,
+                                       const Reservation& reservation,
+                                       const CapacityTimeline& timeline,
+                                       TimePoint now) const {
+  if (&item == reservation.holder || now + item.run_time <= reservation.start)
+    return true;
   return timeline.FreeKvAt(reservation.start) - item.kv >= reservation.kv &&
          timeline.FreeSlotsAt(reservation.start) >= 2;
 }
 
 std::optional<AdmissionPlanner::Reservation> AdmissionPlanner::ReserveForLong(
-    const std::vector<const QueuedRequest*>& order, const CapacityTimeline& timeline,
-    TimePoint now) const {
+    const std::vector<const QueuedRequest*>& order,
+    const CapacityTimeline& timeline, TimePoint now) const {
   const double price = queue_.Price(now);
   for (const QueuedRequest* item : order) {
-    if (!item->long_prompt || now < item->ReserveAfter() || item->density < price) continue;
+    if (!item->long_prompt || now < item->ReserveAfter() ||
+        item->density < price)
+      continue;
     // One that fits but is blocked otherwise must not keep memory idle.
     const bool fits = FreeKv() >= item->kv && FreeSlots(now) >= 1;
     if (fits && !CanStart(*item, now)) continue;
@@ -180,17 +211,19 @@
   return std::nullopt;
 }
 
-Plan AdmissionPlanner::MakePlan(TimePoint now, const std::optional<WantedGather>& gather) const {
+Plan AdmissionPlanner::MakePlan(
+    TimePoint now, const std::optional<WantedGather>& gather) const {
   Plan plan;
   const std::vector<const QueuedRequest*> order = queue_.Ordered(now);
-  const bool alone_waits = std::any_of(order.begin(), order.end(), [](const QueuedRequest* item) {
-    return item->request.run_alone;
-  });
+  const bool alone_waits = std::any_of(
+      order.begin(), order.end(),
+      [](const QueuedRequest* item) { return item->request.run_alone; });
   const CapacityTimeline timeline = MakeTimeline(now, FreeSlots(now));
   int examined = 0;
   std::optional<Reservation> reservation;
   if (gather && now < gather->until) {
-    reservation = Reservation{nullptr, timeline.PeekStart(gather->kv), gather->kv};
+    reservation =
+        Reservation{nullptr, timeline.PeekStart(gather->kv), gather->kv};
   }
   if (!reservation) reservation = ReserveForLong(order, timeline, now);
   for (const QueuedRequest* item : order) {
@@ -202,15 +235,18 @@
     // While a suspect waits, the endpoint is drained for it.
     if (alone_waits && !item->request.run_alone) continue;
     const bool can_start = CanStart(*item, now);
-    if (can_start && (!reservation || BackfillAllowed(*item, *reservation, timeline, now))) {
+    if (can_start &&
+        (!reservation || BackfillAllowed(*item, *reservation, timeline, now))) {
       plan.start = item->key();
       continue;
     }
     if (reservation || can_start || now < item->ReserveAfter()) continue;
     if (FreeKv() >= item->kv && FreeSlots(now) >= 1) continue;
     const TimePoint start = timeline.PeekStart(item->kv);
-    if (item->long_prompt && start > item->LatestStart() && !engine_.taking_over()) {
-      plan.refusals.push_back(PlannedRefusal{item->key(), RefusalReason::kDeadline, start - now});
+    if (item->long_prompt && start > item->LatestStart() &&
+        !engine_.taking_over()) {
+      plan.refusals.push_back(
+          PlannedRefusal{item->key(), RefusalReason::kDeadline, start - now});
       continue;
     }
     reservation = Reservation{item, start, item->kv};
--- a/modules/zr_admission/admission_planner.h
+++ b/modules/zr_admission/admission_planner.h
@@ -38,9 +38,9 @@
  */
 class AdmissionPlanner {
  public:
-  AdmissionPlanner(const PoolPolicy& policy, const GrantTable& grants, const AdmissionQueue& queue,
-                   const ServiceTimeModel& model, const SlowStart& ramp,
-                   const EngineReconciler& engine)
+  AdmissionPlanner(const PoolPolicy& policy, const GrantTable& grants,
+                   const AdmissionQueue& queue, const ServiceTimeModel& model,
+                   const SlowStart& ramp, const EngineReconciler& engine)
       : policy_(policy),
         grants_(grants),
         queue_(queue),
@@ -55,9 +55,11 @@
   /** Requests that may still be granted now; may be negative. */
   int64_t FreeSlots(TimePoint now) const;
 
-  /** True if memory, slots and prefill bounds allow the request beside the grants. */
+  /** True if memory, slots and prefill bounds allow the request beside the
+   * grants. */
   bool Fits(const QueuedRequest& item, TimePoint now) const;
-  /** True if the request can start now without itself or a grant becoming late. */
+  /** True if the request can start now without itself or a grant becoming late.
+   */
   bool CanStart(const QueuedRequest& item, TimePoint now) const;
 
   /** The next step for the queue. Call again after carrying out a start. */
@@ -69,11 +71,13 @@
    *
    * @param ahead  order of service, of which the last is the request itself
    */
-  TimePoint ExpectedStart(const std::vector<const QueuedRequest*>& ahead, TimePoint now) const;
+  TimePoint ExpectedStart(const std::vector<const QueuedRequest*>& ahead,
+                          TimePoint now) const;
 
   /** Time until all present grants have ended. */
   Duration DrainTime() const;
-  /** Prompt tokens that may be in prefill before another short prompt is granted. */
+  /** Prompt tokens that may be in prefill before another short prompt is
+   * granted. */
   double PrefillAhead() const;
   /** Batch size to expect when a request starts now or later. */
   double UsualBatch() const;
@@ -87,12 +91,16 @@
   };
 
   CapacityTimeline MakeTimeline(TimePoint now, int64_t free_slots) const;
-  /** The reservation of the first long prompt that has waited long enough for one. */
-  std::optional<Reservation> ReserveForLong(const std::vector<const QueuedRequest*>& order,
-                                            const CapacityTimeline& timeline, TimePoint now) const;
-  bool BackfillAllowed(const QueuedRequest& item, const Reservation& reservation,
+  /** The reservation of the first long prompt that has waited long enough for
+   * one. */
+  std::optional<Reservation> ReserveForLong(
+      const std::vector<const QueuedRequest*>& order,
+      const CapacityTimeline& timeline, TimePoint now) const;
+  bool BackfillAllowed(const QueuedRequest& item,
+                       const Reservation& reservation,
                        const CapacityTimeline& timeline, TimePoint now) const;
-  std::optional<PlannedRefusal> RefusalDue(const QueuedRequest& item, TimePoint now) const;
+  std::optional<PlannedRefusal> RefusalDue(const QueuedRequest& item,
+                                           TimePoint now) const;
 
   const PoolPolicy& policy_;
   const GrantTable& grants_;
--- a/modules/zr_admission/admission_queue.cc
+++ b/modules/zr_admission/admission_queue.cc
@@ -69,14 +69,16 @@
   }
   // All waiting teams earn the rounds that this team needed to afford its
   // request, so a request taken out of turn leaves its team in debt.
-  const double rounds =
-      std::max(0.0, std::ceil((cost - deficits_[team]) / std::max(1.0, quanta[team])));
+  const double rounds = std::max(
+      0.0, std::ceil((cost - deficits_[team]) / std::max(1.0, quanta[team])));
   double least = rounds;
   for (const auto& [other_key, other] : items_) {
     const double need = other.cost - deficits_[other.request.team];
-    least = std::min(least, std::max(0.0, std::ceil(need / quanta[other.request.team])));
+    least = std::min(
+        least, std::max(0.0, std::ceil(need / quanta[other.request.team])));
   }
-  for (const auto& [other, quantum] : quanta) deficits_[other] += least * quantum;
+  for (const auto& [other, quantum] : quanta)
+    deficits_[other] += least * quantum;
   deficits_[team] -= cost;
   return Remove(key);
 }
@@ -97,7 +99,8 @@
 double AdmissionQueue::Quantum(const TeamId& team) const {
   int64_t share = 1;
   if (teams_) {
-    if (const auto it = teams_->find(team); it != teams_->end()) share = it->second.share;
+    if (const auto it = teams_->find(team); it != teams_->end())
+      share = it->second.share;
   }
   return kQuantum * static_cast<double>(std::max<int64_t>(1, share));
 }
@@ -125,15 +128,19 @@
       lines[item.request.team].waiting.push_back(&item);
     }
   }
-  std::sort(order.begin(), order.end(), [](const QueuedRequest* a, const QueuedRequest* b) {
-    return std::pair(a->LatestStart(), a->order) < std::pair(b->LatestStart(), b->order);
-  });
+  std::sort(order.begin(), order.end(),
+            [](const QueuedRequest* a, const QueuedRequest* b) {
+              return std::pair(a->LatestStart(), a->order) <
+                     std::pair(b->LatestStart(), b->order);
+            });
   for (auto& [team, line] : lines) {
     line.quantum = Quantum(team);
-    if (const auto it = deficits_.find(team); it != deficits_.end()) line.deficit = it->second;
+    if (const auto it = deficits_.find(team); it != deficits_.end())
+      line.deficit = it->second;
     std::sort(line.waiting.begin(), line.waiting.end(),
               [now](const QueuedRequest* a, const QueuedRequest* b) {
-                return std::pair(Rank(*a, now), b->order) < std::pair(Rank(*b, now), a->order);
+                return std::pair(Rank(*a, now), b->order) <
+                       std::pair(Rank(*b, now), a->order);
               });
   }
   while (!lines.empty()) {
@@ -142,8 +149,9 @@
     for (auto it = lines.begin(); it != lines.end(); ++it) {
       const double rounds = RoundsUntilAffordable(it->second);
       const bool better = best == lines.end() || rounds < best_rounds ||
-                          (rounds == best_rounds && Rank(*it->second.waiting.back(), now) >
-                                                        Rank(*best->second.waiting.back(), now));
+                          (rounds == best_rounds &&
+                           Rank(*it->second.waiting.back(), now) >
+                               Rank(*best->second.waiting.back(), now));
       if (better) {
         best = it;
         best_rounds = rounds;
@@ -159,8 +167,8 @@
   return order;
 }
 
-std::vector<const QueuedRequest*> AdmissionQueue::OrderedUpTo(const QueuedRequest& candidate,
-                                                              TimePoint now) {
+std::vector<const QueuedRequest*> AdmissionQueue::OrderedUpTo(
+    const QueuedRequest& candidate, TimePoint now) {
   const StreamKey key = candidate.key();
   const bool present = items_.contains(key);
   if (!present) {
@@ -169,8 +177,9 @@
     items_.emplace(key, std::move(copy));
   }
   std::vector<const QueuedRequest*> order = Ordered(now);
-  const auto position = std::find_if(order.begin(), order.end(),
-                                     [&](const QueuedRequest* item) { return item->key() == key; });
+  const auto position = std::find_if(
+      order.begin(), order.end(),
+      [&](const QueuedRequest* item) { return item->key() == key; });
   order.erase(position, order.end());
   order.push_back(&candidate);
   if (!present) items_.erase(key);
@@ -184,7 +193,8 @@
 
 double AdmissionQueue::Price(TimePoint now) const {
   if (price_ <= 0) return 0;
-  return price_ * std::exp(-std::max(0.0, (now - price_at_).seconds()) / kPriceFadeSeconds);
+  return price_ * std::exp(-std::max(0.0, (now - price_at_).seconds()) /
+                           kPriceFadeSeconds);
 }
 
 }  // namespace zr
--- a/modules/zr_admission/admission_queue.h
+++ b/modules/zr_admission/admission_queue.h
@@ -30,7 +30,9 @@
 
   StreamKey key() const { return StreamKey{request.request, request.attempt}; }
   /** The last moment at which a start can meet the deadline. */
-  TimePoint LatestStart() const { return deadline - run_time - EstimateMargin(run_time); }
+  TimePoint LatestStart() const {
+    return deadline - run_time - EstimateMargin(run_time);
+  }
   /** From here on capacity is gathered for the request, if it does not fit. */
   TimePoint ReserveAfter() const;
   /** From here on the request goes ahead of its team's turn (ageing). */
@@ -49,7 +51,9 @@
   AdmissionQueue(const AdmissionQueue&) = delete;
   AdmissionQueue& operator=(const AdmissionQueue&) = delete;
 
-  void SetTeams(std::shared_ptr<const TeamPolicies> teams) { teams_ = std::move(teams); }
+  void SetTeams(std::shared_ptr<const TeamPolicies> teams) {
+    teams_ = std::move(teams);
+  }
 
   /** Adds a request; an attempt may wait only once. */
   void Push(QueuedRequest item);
@@ -65,8 +69,10 @@
 
   /** All requests in the order of service as of now. */
   std::vector<const QueuedRequest*> Ordered(TimePoint now) const;
-  /** Order of service if the candidate waited as well; the candidate ends the list. */
-  std::vector<const QueuedRequest*> OrderedUpTo(const QueuedRequest& candidate, TimePoint now);
+  /** Order of service if the candidate waited as well; the candidate ends the
+   * list. */
+  std::vector<const QueuedRequest*> OrderedUpTo(const QueuedRequest& candidate,
+                                                TimePoint now);
 
   /** Notes that work of this density was refused for lack of capacity. */
   void OnCapacityRefusal(TimePoint now, double density);
--- a/modules/zr_admission/endpoint_owner.cc
+++ b/modules/zr_admission/endpoint_owner.cc
@@ -15,23 +15,29 @@
 
 }  // namespace
 
-Result<std::unique_ptr<EndpointOwner>> EndpointOwner::Create(OwnerOptions options, TimePoint now) {
+Result<std::unique_ptr<EndpointOwner>> EndpointOwner::Create(
+    OwnerOptions options, TimePoint now) {
   auto invalid = [&](const char* message) {
-    return Fail(ErrorCode::kInvalidArgument, "admission", options.endpoint.endpoint.value(),
-                message);
+    return Fail(ErrorCode::kInvalidArgument, "admission",
+                options.endpoint.endpoint.value(), message);
   };
   const PoolPolicy& pool = options.policies.pool;
-  if (options.self.empty() || options.endpoint.endpoint.empty()) return invalid("empty id");
-  if (options.endpoint.pool != pool.pool) return invalid("the endpoint is of another pool");
-  if (!options.policies.classes || !options.policies.teams) return invalid("policies are missing");
-  if (pool.max_requests < 1 || pool.fresh_requests < 1) return invalid("request limit below 1");
+  if (options.self.empty() || options.endpoint.endpoint.empty())
+    return invalid("empty id");
+  if (options.endpoint.pool != pool.pool)
+    return invalid("the endpoint is of another pool");
+  if (!options.policies.classes || !options.policies.teams)
+    return invalid("policies are missing");
+  if (pool.max_requests < 1 || pool.fresh_requests < 1)
+    return invalid("request limit below 1");
   if (pool.kind == PoolKind::kModel && pool.prefill_tokens_per_second < 1) {
     return invalid("prefill speed below 1");
   }
   if (pool.kind == PoolKind::kModel && pool.decode_tokens_per_second < 1) {
     return invalid("decode speed below 1");
   }
-  return std::unique_ptr<EndpointOwner>(new EndpointOwner(std::move(options), now));
+  return std::unique_ptr<EndpointOwner>(
+      new EndpointOwner(std::move(options), now));
 }
 
 EndpointOwner::EndpointOwner(OwnerOptions options, TimePoint now)
@@ -47,7 +53,8 @@
 
 void EndpointOwner::Advance(TimePoint now) {
   ZR_ASSERT(now >= advanced_to_, "time went back");
-  if (now > advanced_to_) WorkForecast::Advance(grants_, model_, now - advanced_to_);
+  if (now > advanced_to_)
+    WorkForecast::Advance(grants_, model_, now - advanced_to_);
   advanced_to_ = std::max(advanced_to_, now);
   if (grants_.size() == 0) engine_.NoteIdle(now);
   engine_.TakingOver(now);
@@ -74,7 +81,8 @@
 
 void EndpointOwner::CheckInvariants(TimePoint now) const {
   const Duration window = options_.policies.pool.unclaimed_window;
-  grants_.CheckInvariants(now, std::max(window + Duration::Seconds(2), Duration::Seconds(5)));
+  grants_.CheckInvariants(
+      now, std::max(window + Duration::Seconds(2), Duration::Seconds(5)));
 }
 
 bool EndpointOwner::Accepting() const {
@@ -97,13 +105,15 @@
     weight = it->second.weight;
     item.priority = it->second.priority;
   }
-  item.long_prompt = !request.plain_service && request.prompt > options_.policies.pool.long_prompt;
+  item.long_prompt = !request.plain_service &&
+                     request.prompt > options_.policies.pool.long_prompt;
   // Engines honour priorities, so within a class short prompts overtake long
   // ones in the engine as well.
   item.priority = item.priority * 2 + (item.long_prompt ? 0 : 1);
   item.demand.priority = item.priority;
   if (request.plain_service) {
-    item.demand.plain_seconds = model_.PlainTime(request.request_class).seconds();
+    item.demand.plain_seconds =
+        model_.PlainTime(request.request_class).seconds();
     item.run_time = model_.PlainTime(request.request_class);
   } else {
     const TokenCount prompt = std::max(TokenCount(0), request.prompt);
@@ -113,31 +123,36 @@
     item.cost = static_cast<double>(std::max<int64_t>(1, item.kv.value()));
     item.demand.prefill = static_cast<double>(item.uncached.value());
     item.demand.answer = model_.ExpectedAnswer(request.request_class, answer);
-    item.run_time = WorkForecast::RunTime(grants_, model_, item.demand, planner_.UsualBatch());
+    item.run_time = WorkForecast::RunTime(grants_, model_, item.demand,
+                                          planner_.UsualBatch());
   }
   // The endpoint's time that the request takes: its prefill, and its part of
   // a full batch while it decodes.
   const double batch = static_cast<double>(options_.policies.pool.max_requests);
-  const double seconds =
-      item.demand.prefill / model_.PrefillSpeed() +
-      (item.demand.answer / model_.DecodeSpeed(batch) + item.demand.plain_seconds) / batch;
-  item.density = static_cast<double>(std::max<int64_t>(1, weight)) / std::max(seconds, 1e-4);
+  const double seconds = item.demand.prefill / model_.PrefillSpeed() +
+                         (item.demand.answer / model_.DecodeSpeed(batch) +
+                          item.demand.plain_seconds) /
+                             batch;
+  item.density = static_cast<double>(std::max<int64_t>(1, weight)) /
+                 std::max(seconds, 1e-4);
   if (request.run_alone) item.give_up = now + kAloneWait;
   return item;
 }
 
-OwnerActions EndpointOwner::OnAdmissionRequest(TimePoint now, const VmId& from,
-                                               const AdmissionRequest& request) {
+OwnerActions EndpointOwner::OnAdmissionRequest(
+    TimePoint now, const VmId& from, const AdmissionRequest& request) {
   Advance(now);
   OwnerActions actions;
-  if (AnswerRepeat(now, from, request, actions)) return Finish(now, std::move(actions));
+  if (AnswerRepeat(now, from, request, actions))
+    return Finish(now, std::move(actions));
   QueuedRequest item = MakeQueued(now, from, request);
   if (!Accepting()) {
     Refuse(item, RefusalReason::kNotAccepting, Duration(), actions);
     return Finish(now, std::move(actions));
   }
   const TokenCount whole = request.prompt + request.max_answer;
-  if (!request.plain_service && engine_.has_load() && whole > engine_.KvWhenEmpty()) {
+  if (!request.plain_service && engine_.has_load() &&
+      whole > engine_.KvWhenEmpty()) {
     Refuse(item, RefusalReason::kTooLarge, Duration(), actions);
     return Finish(now, std::move(actions));
   }
@@ -154,12 +169,14 @@
   return Finish(now, std::move(actions));
 }
 
-bool EndpointOwner::AnswerRepeat(TimePoint now, const VmId& from, const AdmissionRequest& request,
+bool EndpointOwner::AnswerRepeat(TimePoint now, const VmId& from,
+                                 const AdmissionRequest& request,
                                  OwnerActions& actions) {
   const StreamKey key{request.request, request.attempt};
   if (QueuedRequest* waiting = queue_.Find(key)) {
     waiting->from = from;
-    if (request.queue_if_busy && !request.run_alone) waiting->give_up = TimePoint::Max();
+    if (request.queue_if_busy && !request.run_alone)
+      waiting->give_up = TimePoint::Max();
     return true;
   }
   GrantEntry* entry = grants_.Find(key);
@@ -167,7 +184,8 @@
   const bool unused = entry->state == GrantState::kOffered ||
                       (entry->state == GrantState::kHeld && !entry->started);
   const bool same_boot = entry->boot == engine_.boot();
-  if (unused && same_boot && !entry->adopted && entry->holder == from && Accepting()) {
+  if (unused && same_boot && !entry->adopted && entry->holder == from &&
+      Accepting()) {
     // The first answer was lost. The holder has not started the call, so the
     // same grant may be offered again.
     entry->state = GrantState::kOffered;
@@ -176,21 +194,27 @@
     return true;
   }
   QueuedRequest item = MakeQueued(now, from, request);
-  Refuse(item, Accepting() ? RefusalReason::kBusy : RefusalReason::kNotAccepting, kReclaimAfter,
-         actions);
+  Refuse(item,
+         Accepting() ? RefusalReason::kBusy : RefusalReason::kNotAccepting,
+         kReclaimAfter, actions);
   return true;
 }
 
-void EndpointOwner::JudgeQueued(TimePoint now, const StreamKey& key, OwnerActions& actions) {
+void EndpointOwner::JudgeQueued(TimePoint now, const StreamKey& key,
+                                OwnerActions& actions) {
   QueuedRequest* item = queue_.Find(key);
   if (item == nullptr) return;
-  const std::vector<const QueuedRequest*> ahead = queue_.OrderedUpTo(*item, now);
+  const std::vector<const QueuedRequest*> ahead =
+      queue_.OrderedUpTo(*item, now);
   const TimePoint start = planner_.ExpectedStart(ahead, now);
   // A full endpoint whose end of work is unknown is asked again after a while.
-  const Duration hint = start == TimePoint::Max() ? Duration::Seconds(1) : start - now;
-  const bool too_long_to_drain = item->request.run_alone && start > item->give_up;
+  const Duration hint =
+      start == TimePoint::Max() ? Duration::Seconds(1) : start - now;
+  const bool too_long_to_drain =
+      item->request.run_alone && start > item->give_up;
   if (!item->request.queue_if_busy || too_long_to_drain) {
-    if (too_long_to_drain || start > now + kBusyTolerance || item->request.run_alone) {
+    if (too_long_to_drain || start > now + kBusyTolerance ||
+        item->request.run_alone) {
       Refuse(*item, RefusalReason::kBusy, hint, actions);
       queue_.Remove(key);
     } else {
@@ -227,7 +251,8 @@
   }
 }
 
-void EndpointOwner::GrantQueued(TimePoint now, const StreamKey& key, OwnerActions& actions) {
+void EndpointOwner::GrantQueued(TimePoint now, const StreamKey& key,
+                                OwnerActions& actions) {
   const std::optional<QueuedRequest> item = queue_.TakeGranted(key);
   if (!item) return;
   const AdmissionRequest& request = item->request;
@@ -254,8 +279,10 @@
   entry.uncached = entry.prefill_left = item->demand.prefill;
   entry.expected_answer = entry.answer_left = item->demand.answer;
   entry.plain_left = item->demand.plain_seconds;
-  ZR_ASSERT_INVARIANT(kAdmittedFinishes, now < entry.deadline, "a grant after its deadline");
-  ZR_ASSERT_INVARIANT(kDrainedDomainIdle, !state_.drained, "a grant on a drained endpoint");
+  ZR_ASSERT_INVARIANT(kAdmittedFinishes, now < entry.deadline,
+                      "a grant after its deadline");
+  ZR_ASSERT_INVARIANT(kDrainedDomainIdle, !state_.drained,
+                      "a grant on a drained endpoint");
   ZR_ASSERT_INVARIANT(kLeavingEndpointIdle, !state_.leaving && !engine_leaving_,
                       "a grant on a leaving endpoint");
   ZR_ASSERT_INVARIANT(kFreshNotOverrun, planner_.FreeSlots(now) >= 1,
@@ -266,7 +293,8 @@
   ++counters_.grants;
 }
 
-void EndpointOwner::SendGrant(const GrantEntry& entry, OwnerActions& actions) const {
+void EndpointOwner::SendGrant(const GrantEntry& entry,
+                              OwnerActions& actions) const {
   Grant grant;
   grant.request = entry.key.request;
   grant.attempt = entry.key.attempt;
@@ -281,8 +309,8 @@
   actions.emplace_back(SendMessage{entry.holder, std::move(grant)});
 }
 
-void EndpointOwner::Refuse(const QueuedRequest& item, RefusalReason reason, Duration wait_hint,
-                           OwnerActions& actions) {
+void EndpointOwner::Refuse(const QueuedRequest& item, RefusalReason reason,
+                           Duration wait_hint, OwnerActions& actions) {
   Refusal refusal;
   refusal.request = item.request.request;
   refusal.attempt = item.request.attempt;
@@ -300,14 +328,16 @@
 }
 
 void EndpointOwner::RefuseAll(RefusalReason reason, OwnerActions& actions) {
-  for (const QueuedRequest& item : queue_.Clear()) Refuse(item, reason, Duration(), actions);
+  for (const QueuedRequest& item : queue_.Clear())
+    Refuse(item, reason, Duration(), actions);
 }
 
 OwnerActions EndpointOwner::OnCancel(TimePoint now, const VmId& from,
                                      const CancelAdmission& cancel) {
   Advance(now);
   const StreamKey key{cancel.request, cancel.attempt};
-  if (const QueuedRequest* item = queue_.Find(key); item != nullptr && item->from == from) {
+  if (const QueuedRequest* item = queue_.Find(key);
+      item != nullptr && item->from == from) {
     queue_.Remove(key);
   }
   // A grant that crosses the cancellation is never used by its receiver.
--- a/modules/zr_admission/endpoint_owner.h
+++ b/modules/zr_admission/endpoint_owner.h
@@ -30,7 +30,8 @@
    * @returns kInvalidArgument if an id is empty, the endpoint is of another
    *          pool, or policies are missing or out of range
    */
-  static Result<std::unique_ptr<EndpointOwner>> Create(OwnerOptions options, TimePoint now);
+  static Result<std::unique_ptr<EndpointOwner>> Create(OwnerOptions options,
+                                                       TimePoint now);
 
   EndpointOwner(const EndpointOwner&) = delete;
   EndpointOwner& operator=(const EndpointOwner&) = delete;
@@ -38,12 +39,17 @@
   // ---------------------------------------------------------------------------
   // Messages of other VMs
 
-  OwnerActions OnAdmissionRequest(TimePoint now, const VmId& from, const AdmissionRequest& request);
-  OwnerActions OnCancel(TimePoint now, const VmId& from, const CancelAdmission& cancel);
-  OwnerActions OnRelease(TimePoint now, const VmId& from, const Release& release);
+  OwnerActions OnAdmissionRequest(TimePoint now, const VmId& from,
+                                  const AdmissionRequest& request);
+  OwnerActions OnCancel(TimePoint now, const VmId& from,
+                        const CancelAdmission& cancel);
+  OwnerActions OnRelease(TimePoint now, const VmId& from,
+                         const Release& release);
   OwnerActions OnHeldGrants(TimePoint now, const HeldGrants& list);
-  OwnerActions OnGatherReserve(TimePoint now, const VmId& from, const GatherReserve& reserve);
-  OwnerActions OnGatherRelease(TimePoint now, const VmId& from, const GatherRelease& release);
+  OwnerActions OnGatherReserve(TimePoint now, const VmId& from,
+                               const GatherReserve& reserve);
+  OwnerActions OnGatherRelease(TimePoint now, const VmId& from,
+                               const GatherRelease& release);
 
   // ---------------------------------------------------------------------------
   // Reports of the engine
@@ -59,7 +65,8 @@
   // Local events
 
   OwnerActions OnVmDead(TimePoint now, const VmId& vm);
-  OwnerActions OnPolicy(TimePoint now, const EndpointState& state, const OwnerPolicies& policies);
+  OwnerActions OnPolicy(TimePoint now, const EndpointState& state,
+                        const OwnerPolicies& policies);
   /** This process was paused longer than others wait before they take over. */
   OwnerActions OnSelfPaused(TimePoint now);
   OwnerActions OnTick(TimePoint now);
@@ -83,37 +90,46 @@
  private:
   EndpointOwner(OwnerOptions options, TimePoint now);
 
-  /** Moves the estimates of remaining work to `now`; first step of each event. */
+  /** Moves the estimates of remaining work to `now`; first step of each event.
+   */
   void Advance(TimePoint now);
-  /** Starts what can start, asks for lists and checks the invariants; last step. */
+  /** Starts what can start, asks for lists and checks the invariants; last
+   * step. */
   OwnerActions Finish(TimePoint now, OwnerActions actions);
   void Pump(TimePoint now, OwnerActions& actions);
   void Expire(TimePoint now, OwnerActions& actions);
   void CheckInvariants(TimePoint now) const;
 
   bool Accepting() const;
-  QueuedRequest MakeQueued(TimePoint now, const VmId& from, const AdmissionRequest& request) const;
-  /** Sends the grant again, or refuses, if the attempt is known. @returns true if so */
-  bool AnswerRepeat(TimePoint now, const VmId& from, const AdmissionRequest& request,
-                    OwnerActions& actions);
-  /** Refuses a request that just joined the queue if its expected start is too late. */
+  QueuedRequest MakeQueued(TimePoint now, const VmId& from,
+                           const AdmissionRequest& request) const;
+  /** Sends the grant again, or refuses, if the attempt is known. @returns true
+   * if so */
+  bool AnswerRepeat(TimePoint now, const VmId& from,
+                    const AdmissionRequest& request, OwnerActions& actions);
+  /** Refuses a request that just joined the queue if its expected start is too
+   * late. */
   void JudgeQueued(TimePoint now, const StreamKey& key, OwnerActions& actions);
   void GrantQueued(TimePoint now, const StreamKey& key, OwnerActions& actions);
   void SendGrant(const GrantEntry& entry, OwnerActions& actions) const;
-  void Refuse(const QueuedRequest& item, RefusalReason reason, Duration wait_hint,
-              OwnerActions& actions);
+  void Refuse(const QueuedRequest& item, RefusalReason reason,
+              Duration wait_hint, OwnerActions& actions);
   void RefuseAll(RefusalReason reason, OwnerActions& actions);
 
-  void ApplyHeld(TimePoint now, const VmId& holder, const HeldGrant& held, OwnerActions& actions);
+  void ApplyHeld(TimePoint now, const VmId& holder, const HeldGrant& held,
+                 OwnerActions& actions);
   void Adopt(TimePoint now, const VmId& holder, const HeldGrant& held);
-  /** Takes a grant back: cancels its stream, keeps its memory until that is confirmed. */
+  /** Takes a grant back: cancels its stream, keeps its memory until that is
+   * confirmed. */
   void Reclaim(TimePoint now, GrantEntry& entry, OwnerActions& actions);
   void ObserveCompleted(const GrantEntry& entry, const Release& release);
-  void ReplyGather(const VmId& to, const GatherReserve& reserve, const GrantEntry* entry,
-                   Duration wait_hint, OwnerActions& actions) const;
+  void ReplyGather(const VmId& to, const GatherReserve& reserve,
+                   const GrantEntry* entry, Duration wait_hint,
+                   OwnerActions& actions) const;
   /** Reports a call as one that was in progress when the endpoint died. */
   void ReportSuspect(const GrantEntry& entry, OwnerActions& actions) const;
-  /** The engine started again; what ended with it is known from the next list. */
+  /** The engine started again; what ended with it is known from the next list.
+   */
   void OnNewBoot();
   /** Ends the grants of earlier boots that a list of the present boot lacks. */
   void EndOldBoots(TimePoint now, OwnerActions& actions);
--- a/modules/zr_admission/endpoint_owner_engine.cc
+++ b/modules/zr_admission/endpoint_owner_engine.cc
@@ -21,7 +21,8 @@
 // -----------------------------------------------------------------------------
 // Reports of the engine
 
-OwnerActions EndpointOwner::OnLoadReport(TimePoint now, const EngineLoad& load) {
+OwnerActions EndpointOwner::OnLoadReport(TimePoint now,
+                                         const EngineLoad& load) {
   Advance(now);
   const EngineReconciler::ReportKind kind = engine_.OnLoad(now, load);
   if (kind == EngineReconciler::ReportKind::kStale) return Finish(now, {});
@@ -38,25 +39,29 @@
   const TimePoint steady = now - options_.policies.pool.report_lag;
   int64_t decoding = 0;
   for (const auto& [key, entry] : grants_.entries()) {
-    if (entry.state == GrantState::kHeld && entry.prefill_left <= 0 && entry.answer_left > 0 &&
-        entry.granted < steady) {
+    if (entry.state == GrantState::kHeld && entry.prefill_left <= 0 &&
+        entry.answer_left > 0 && entry.granted < steady) {
       ++decoding;
     }
   }
-  if (decoding == 0 || decoding < grants_.size() || load.running < decoding) return;
+  if (decoding == 0 || decoding < grants_.size() || load.running < decoding)
+    return;
   const auto batch = static_cast<double>(load.running);
   const double expected = model_.DecodeSpeed(batch) * batch;
   if (ramp_.OnSpeed(load.tokens_per_second / expected)) prefixes_.Clear();
 }
 
-OwnerActions EndpointOwner::OnStreamList(TimePoint now, const EngineStreams& list) {
+OwnerActions EndpointOwner::OnStreamList(TimePoint now,
+                                         const EngineStreams& list) {
   Advance(now);
   OwnerActions actions;
   const EngineReconciler::ReportKind kind = engine_.OnListHeader(now, list);
-  if (kind == EngineReconciler::ReportKind::kStale) return Finish(now, std::move(actions));
+  if (kind == EngineReconciler::ReportKind::kStale)
+    return Finish(now, std::move(actions));
   if (kind == EngineReconciler::ReportKind::kNewBoot) OnNewBoot();
   std::vector<StreamKey> ended;
-  for (CancelEngineStream& cancel : engine_.OnList(now, list, grants_, &ended)) {
+  for (CancelEngineStream& cancel :
+       engine_.OnList(now, list, grants_, &ended)) {
     actions.emplace_back(std::move(cancel));
   }
   EndOldBoots(now, actions);
@@ -64,7 +69,8 @@
   return Finish(now, std::move(actions));
 }
 
-OwnerActions EndpointOwner::OnCacheEvents(TimePoint now, const CacheEvents& events) {
+OwnerActions EndpointOwner::OnCacheEvents(TimePoint now,
+                                          const CacheEvents& events) {
   Advance(now);
   prefixes_.Apply(events);
   // What is cached changes what the waiting requests have to reserve.
@@ -80,11 +86,13 @@
   return Finish(now, {});
 }
 
-void EndpointOwner::ReportSuspect(const GrantEntry& entry, OwnerActions& actions) const {
+void EndpointOwner::ReportSuspect(const GrantEntry& entry,
+                                  OwnerActions& actions) const {
   // Listed as not started by its holder: it was not running.
   const bool unused = entry.state == GrantState::kHeld && !entry.ever_started;
   if (entry.fingerprint == Fingerprint() || unused) return;
-  const Suspect suspect{entry.fingerprint, options_.endpoint.endpoint, entry.boot, Duration()};
+  const Suspect suspect{entry.fingerprint, options_.endpoint.endpoint,
+                        entry.boot, Duration()};
   for (OwnerAction& action : actions) {
     auto* report = std::get_if<ReportSuspects>(&action);
     if (report == nullptr) continue;
@@ -100,7 +108,8 @@
 void EndpointOwner::OnNewBoot() {
   ramp_.Reset();
   const std::optional<Summary>& previous = options_.previous;
-  if (previous && previous->warm && previous->boot == engine_.boot()) ramp_.SetWarm();
+  if (previous && previous->warm && previous->boot == engine_.boot())
+    ramp_.SetWarm();
   options_.previous.reset();
   prefixes_.Clear();
   engine_.WantList();
@@ -113,7 +122,8 @@
     if (entry.boot == BootNumber() || entry.boot == engine_.boot()) continue;
     // A grant that is not known to have started may be used on the present
     // boot, so its memory stays reserved until it is released or expires.
-    const bool ran = entry.ever_started || entry.broken || entry.state == GrantState::kCancelling;
+    const bool ran = entry.ever_started || entry.broken ||
+                     entry.state == GrantState::kCancelling;
     if (!ran) continue;
     ReportSuspect(entry, actions);
     ended.push_back(key);
@@ -128,7 +138,8 @@
     // The grants stay until a new boot number shows that they ended: the
     // endpoint may only be out of this VM's reach.
     reachable_ = false;
-    for (const auto& [key, entry] : grants_.entries()) ReportSuspect(entry, actions);
+    for (const auto& [key, entry] : grants_.entries())
+      ReportSuspect(entry, actions);
   }
   return Finish(now, std::move(actions));
 }
@@ -157,7 +168,8 @@
 OwnerActions EndpointOwner::OnPolicy(TimePoint now, const EndpointState& state,
                                      const OwnerPolicies& policies) {
   Advance(now);
-  const bool usable = policies.classes && policies.teams && policies.pool.max_requests >= 1;
+  const bool usable =
+      policies.classes && policies.teams && policies.pool.max_requests >= 1;
   ZR_ASSERT(usable, "an owner got unusable policies");
   state_ = state;
   if (usable) {
@@ -191,7 +203,8 @@
 TimePoint EndpointOwner::NextWakeup() const {
   TimePoint next = grants_.NextExpiry();
   if (reachable_) {
-    next = std::min(next, engine_.NextListTime(grants_.CountState(GrantState::kCancelling) > 0));
+    next = std::min(next, engine_.NextListTime(
+                              grants_.CountState(GrantState::kCancelling) > 0));
   }
   if (wanted_gather_) next = std::min(next, wanted_gather_->until);
   if (engine_.taking_over()) {
@@ -200,8 +213,8 @@
   }
   for (const auto& [key, item] : queue_.items()) {
     // Deadlines, ageing and reservations take effect at these times.
-    for (const TimePoint at :
-         {item.give_up, item.ReserveAfter(), item.UrgentAfter(), item.LatestStart()}) {
+    for (const TimePoint at : {item.give_up, item.ReserveAfter(),
+                               item.UrgentAfter(), item.LatestStart()}) {
       if (at > advanced_to_) next = std::min(next, at);
     }
     // Bounds that pass soon, such as the pace of grants, are checked often.
@@ -232,17 +245,20 @@
     typical.max_answer = plain ? TokenCount(0) : kShortAnswer;
     typical.time_left = kUnknownWait;
     const QueuedRequest item = MakeQueued(now, options_.self, typical);
-    const TimePoint start = planner_.ExpectedStart(queue_.OrderedUpTo(item, now), now);
+    const TimePoint start =
+        planner_.ExpectedStart(queue_.OrderedUpTo(item, now), now);
     if (start == TimePoint::Max()) return kUnknownWait;
     // Prompts in prefill delay the first token as a queue would.
-    const Duration beside = WorkForecast::RunTime(grants_, model_, item.demand, 1) -
-                            WorkForecast::RunTimeAlone(model_, item.demand);
+    const Duration beside =
+        WorkForecast::RunTime(grants_, model_, item.demand, 1) -
+        WorkForecast::RunTimeAlone(model_, item.demand);
     return std::min(kUnknownWait, start - now + beside);
   };
   summary.wait_short = wait(kShortPrompt);
   summary.wait_long = wait(options_.policies.pool.long_prompt + TokenCount(1));
   summary.prefixes = prefixes_.Sample(kSummaryPrefixes);
-  summary.prefill_tokens_per_second = static_cast<int64_t>(model_.PrefillSpeed());
+  summary.prefill_tokens_per_second =
+      static_cast<int64_t>(model_.PrefillSpeed());
   summary.boot = engine_.boot();
   summary.warm = ramp_.warm() && engine_.has_load();
   return summary;
@@ -277,10 +293,13 @@
   return view;
 }
 
-std::optional<KnownStream> EndpointOwner::FindStream(const RequestId& request) const {
+std::optional<KnownStream> EndpointOwner::FindStream(
+    const RequestId& request) const {
   std::optional<KnownStream> newest;
-  const auto first = grants_.entries().lower_bound(StreamKey{request, AttemptNumber()});
-  for (auto it = first; it != grants_.entries().end() && it->first.request == request; ++it) {
+  const auto first =
+      grants_.entries().lower_bound(StreamKey{request, AttemptNumber()});
+  for (auto it = first;
+       it != grants_.entries().end() && it->first.request == request; ++it) {
     const GrantEntry& entry = it->second;
     if (entry.state == GrantState::kCancelling) continue;
     newest = KnownStream{entry.key, entry.team, entry.holder, entry.started};
--- a/modules/zr_admission/endpoint_owner_grants.cc
+++ b/modules/zr_admission/endpoint_owner_grants.cc
@@ -30,16 +30,18 @@
   for (const StreamKey& key : ended) grants_.Remove(key, now);
 }
 
-void EndpointOwner::Reclaim(TimePoint now, GrantEntry& entry, OwnerActions& actions) {
+void EndpointOwner::Reclaim(TimePoint now, GrantEntry& entry,
+                            OwnerActions& actions) {
   if (entry.state != GrantState::kCancelling) ++counters_.reclaimed;
   entry.state = GrantState::kCancelling;
   entry.cancelled_at = now;
   ++entry.cancels;
   entry.expires = now + options_.policies.pool.unclaimed_window + kCancelSlack;
-  const std::string id = !entry.gather_stream.empty()
-                             ? entry.gather_stream
-                             : MakeStreamId(entry.key.request, entry.key.attempt, entry.owner,
-                                            entry.owner_incarnation, entry.number);
+  const std::string id =
+      !entry.gather_stream.empty()
+          ? entry.gather_stream
+          : MakeStreamId(entry.key.request, entry.key.attempt, entry.owner,
+                         entry.owner_incarnation, entry.number);
   actions.emplace_back(CancelEngineStream{id, EngineStreamKind::kStream});
   if (entry.gather_part) {
     actions.emplace_back(CancelEngineStream{id, EngineStreamKind::kImport});
@@ -50,13 +52,15 @@
 // -----------------------------------------------------------------------------
 // Releases and holders' lists
 
-OwnerActions EndpointOwner::OnRelease(TimePoint now, const VmId& /*from*/, const Release& release) {
+OwnerActions EndpointOwner::OnRelease(TimePoint now, const VmId& /*from*/,
+                                      const Release& release) {
   Advance(now);
   OwnerActions actions;
   const StreamKey key{release.request, release.attempt};
   GrantEntry* entry = grants_.Find(key);
   // A release of an earlier grant of the attempt says nothing about this one.
-  if (entry == nullptr || entry->number != release.number) return Finish(now, std::move(actions));
+  if (entry == nullptr || entry->number != release.number)
+    return Finish(now, std::move(actions));
   switch (release.outcome) {
     case ReleaseOutcome::kCompleted:
       ObserveCompleted(*entry, release);
@@ -85,17 +89,19 @@
         Reclaim(now, *entry, actions);
       }
       // A plain service has no stream list that could settle the doubt.
-      if (options_.policies.pool.kind == PoolKind::kModel) engine_.BeginDoubt(now);
+      if (options_.policies.pool.kind == PoolKind::kModel)
+        engine_.BeginDoubt(now);
       break;
   }
   return Finish(now, std::move(actions));
 }
 
-void EndpointOwner::ObserveCompleted(const GrantEntry& entry, const Release& release) {
+void EndpointOwner::ObserveCompleted(const GrantEntry& entry,
+                                     const Release& release) {
   // The owner that issued a grant counts it as well, if it still lives; counted
   // twice, the work of one fresh endpoint would let two owners grow too fast.
-  const bool counted_once =
-      !entry.adopted || entry.owner == options_.self || gone_vms_.contains(entry.owner);
+  const bool counted_once = !entry.adopted || entry.owner == options_.self ||
+                            gone_vms_.contains(entry.owner);
   if (counted_once && entry.boot == engine_.boot()) ramp_.OnCompleted();
   if (entry.plain) {
     model_.ObservePlainCall(entry.request_class, release.run_time);
@@ -106,8 +112,10 @@
   ServiceTimeModel::Observation seen;
   seen.request_class = entry.request_class;
   seen.prefill_tokens = entry.uncached;
-  // If the call ended before its estimated prefill did, the rest counts as well.
-  seen.prefill_seconds = entry.prefill_seconds + entry.prefill_left / model_.PrefillSpeed();
+  // If the call ended before its estimated prefill did, the rest counts as
+  // well.
+  seen.prefill_seconds =
+      entry.prefill_seconds + entry.prefill_left / model_.PrefillSpeed();
   seen.beside_prefill_seconds = entry.beside_prefill_seconds;
   seen.answered = static_cast<double>(release.answered.value());
   seen.max_answer = static_cast<double>(entry.max_answer.value());
@@ -121,23 +129,26 @@
   model_.ObserveModelCall(seen);
 }
 
-OwnerActions EndpointOwner::OnHeldGrants(TimePoint now, const HeldGrants& list) {
+OwnerActions EndpointOwner::OnHeldGrants(TimePoint now,
+                                         const HeldGrants& list) {
   Advance(now);
   OwnerActions actions;
   SenderStamp& last = last_list_[list.holder.vm];
   const bool newer = std::pair(list.holder.incarnation, list.holder.sequence) >
                      std::pair(last.incarnation, last.sequence);
-  if (list.endpoint != options_.endpoint.endpoint || (!newer && !last.vm.empty())) {
+  if (list.endpoint != options_.endpoint.endpoint ||
+      (!newer && !last.vm.empty())) {
     return Finish(now, std::move(actions));
   }
   last = list.holder;
   gone_vms_.erase(list.holder.vm);
-  for (const HeldGrant& held : list.grants) ApplyHeld(now, list.holder.vm, held, actions);
+  for (const HeldGrant& held : list.grants)
+    ApplyHeld(now, list.holder.vm, held, actions);
   return Finish(now, std::move(actions));
 }
 
-void EndpointOwner::ApplyHeld(TimePoint now, const VmId& holder, const HeldGrant& held,
-                              OwnerActions& actions) {
+void EndpointOwner::ApplyHeld(TimePoint now, const VmId& holder,
+                              const HeldGrant& held, OwnerActions& actions) {
   const StreamKey key{held.request, held.attempt};
   GrantEntry* entry = grants_.Find(key);
   if (entry == nullptr) {
@@ -146,13 +157,15 @@
     } else if (held.started) {
       // The holder believes in a grant that was taken back. Its stream was
       // cancelled; if it got through to the engine again, it must not stay.
-      actions.emplace_back(CancelEngineStream{MakeStreamId(held), EngineStreamKind::kStream});
+      actions.emplace_back(
+          CancelEngineStream{MakeStreamId(held), EngineStreamKind::kStream});
       engine_.WantList();
     }
     return;
   }
   if (entry->state == GrantState::kCancelling) {
-    entry->expires = now + options_.policies.pool.unclaimed_window + kCancelSlack;
+    entry->expires =
+        now + options_.policies.pool.unclaimed_window + kCancelSlack;
     return;
   }
   if (entry->number != held.number || entry->owner != held.owner) {
@@ -162,7 +175,8 @@
     return;
   }
   if (entry->state == GrantState::kGathered) {
-    entry->prefill_left = entry->uncached = static_cast<double>(entry->kv.value());
+    entry->prefill_left = entry->uncached =
+        static_cast<double>(entry->kv.value());
   }
   entry->state = GrantState::kHeld;
   entry->holder = holder;
@@ -173,14 +187,16 @@
     entry->prefill_left = 0;
   } else if (held.started && !entry->plain) {
     // The prefill takes longer than estimated; some of it is still to come.
-    entry->prefill_left =
-        std::max(entry->prefill_left, std::min(entry->uncached, kUnseenPrefillTokens));
+    entry->prefill_left = std::max(
+        entry->prefill_left, std::min(entry->uncached, kUnseenPrefillTokens));
   }
-  if (entry->fingerprint == Fingerprint()) entry->fingerprint = held.fingerprint;
+  if (entry->fingerprint == Fingerprint())
+    entry->fingerprint = held.fingerprint;
   entry->expires = now + kReclaimAfter;
 }
 
-void EndpointOwner::Adopt(TimePoint now, const VmId& holder, const HeldGrant& held) {
+void EndpointOwner::Adopt(TimePoint now, const VmId& holder,
+                          const HeldGrant& held) {
   GrantEntry entry;
   entry.key = StreamKey{held.request, held.attempt};
   // Another owner granted what waits here; it must not run twice.
@@ -202,8 +218,8 @@
   entry.granted = now;
   entry.expires = now + kReclaimAfter;
   // How far the work got is not known; all of it is the safe assumption.
-  entry.uncached = entry.prefill_left =
-      static_cast<double>(std::clamp(held.prompt, TokenCount(0), entry.kv).value());
+  entry.uncached = entry.prefill_left = static_cast<double>(
+      std::clamp(held.prompt, TokenCount(0), entry.kv).value());
   entry.expected_answer = entry.answer_left =
       static_cast<double>(entry.kv.value()) - entry.uncached;
   engine_.OnClaimed(entry.key);
@@ -219,18 +235,21 @@
   Advance(now);
   OwnerActions actions;
   const StreamKey key{reserve.request, reserve.attempt};
-  const Duration hold = std::clamp(reserve.hold_for, Duration(), kLongestGatherHold);
+  const Duration hold =
+      std::clamp(reserve.hold_for, Duration(), kLongestGatherHold);
   if (GrantEntry* known = grants_.Find(key)) {
-    const bool same = known->state == GrantState::kGathered && known->holder == from &&
-                      known->kv == reserve.kv_tokens;
+    const bool same = known->state == GrantState::kGathered &&
+                      known->holder == from && known->kv == reserve.kv_tokens;
     if (same) known->expires = now + hold;
     ReplyGather(from, reserve, same ? known : nullptr, kReclaimAfter, actions);
     return Finish(now, std::move(actions));
   }
-  const bool open = Accepting() && !engine_.in_doubt() && !engine_.taking_over() &&
-                    engine_.has_load() && !grants_.AnyRunAlone() &&
-                    reserve.kv_tokens > TokenCount(0) && queue_.Find(key) == nullptr;
-  if (open && planner_.FreeSlots(now) >= 1 && planner_.FreeKv() >= reserve.kv_tokens) {
+  const bool open =
+      Accepting() && !engine_.in_doubt() && !engine_.taking_over() &&
+      engine_.has_load() && !grants_.AnyRunAlone() &&
+      reserve.kv_tokens > TokenCount(0) && queue_.Find(key) == nullptr;
+  if (open && planner_.FreeSlots(now) >= 1 &&
+      planner_.FreeKv() >= reserve.kv_tokens) {
     last_grant_ = last_grant_.Next();
     GrantEntry entry;
     entry.key = key;
@@ -245,13 +264,15 @@
     entry.boot = engine_.boot();
     entry.granted = now;
     entry.expires = now + hold;
-    ReplyGather(from, reserve, &grants_.Add(std::move(entry)), Duration(), actions);
+    ReplyGather(from, reserve, &grants_.Add(std::move(entry)), Duration(),
+                actions);
     if (wanted_gather_ && wanted_gather_->key == key) wanted_gather_.reset();
     ++counters_.grants;
   } else {
     const bool fits_empty = reserve.kv_tokens <= engine_.KvWhenEmpty();
     if (open && fits_empty && (!wanted_gather_ || wanted_gather_->key == key)) {
-      wanted_gather_ = WantedGather{key, reserve.kv_tokens, now + kWantedGatherHold};
+      wanted_gather_ =
+          WantedGather{key, reserve.kv_tokens, now + kWantedGatherHold};
     }
     ReplyGather(from, reserve, nullptr, planner_.DrainTime(), actions);
   }
@@ -280,8 +301,9 @@
   const GrantEntry* entry = grants_.Find(key);
   // After a holder has listed the part, only its release counts. Number 0
   // stands for a reservation whose reply was lost.
-  const bool matches = entry != nullptr && entry->state == GrantState::kGathered &&
-                       (release.number == GrantNumber() || release.number == entry->number);
+  const bool matches =
+      entry != nullptr && entry->state == GrantState::kGathered &&
+      (release.number == GrantNumber() || release.number == entry->number);
   if (matches) grants_.Remove(key, now);
   return Finish(now, {});
 }
--- a/modules/zr_admission/endpoint_selector.cc
+++ b/modules/zr_admission/endpoint_selector.cc
@@ -21,11 +21,13 @@
 };
 
 /** Takes a random one of the candidates whose score is nearly the best. */
-const SelectionCandidate* TakeNearBest(std::vector<Scored>& scored, Random& random) {
-  const auto best =
-      std::min_element(scored.begin(), scored.end(),
-                       [](const Scored& a, const Scored& b) { return a.score < b.score; });
-  const Duration limit = best->score + std::max(kNearEqual, best->score / kNearEqualDivisor);
+const SelectionCandidate* TakeNearBest(std::vector<Scored>& scored,
+                                       Random& random) {
+  const auto best = std::min_element(
+      scored.begin(), scored.end(),
+      [](const Scored& a, const Scored& b) { return a.score < b.score; });
+  const Duration limit =
+      best->score + std::max(kNearEqual, best->score / kNearEqualDivisor);
   std::vector<size_t> near;
   for (size_t i = 0; i < scored.size(); ++i) {
     if (scored[i].score <= limit) near.push_back(i);
@@ -42,23 +44,26 @@
 
 }  // namespace
 
-std::vector<EndpointId> ScoredRule::LongOrder(std::span<const SelectionCandidate> all,
-                                              const PoolId& pool) {
+std::vector<EndpointId> ScoredRule::LongOrder(
+    std::span<const SelectionCandidate> all, const PoolId& pool) {
   std::vector<std::pair<double, EndpointId>> order;
   const std::string key = "long:" + pool.value();
   for (const SelectionCandidate& candidate : all) {
     const Summary& summary = candidate.summary;
     if (summary.pool != pool || !summary.accepts_new) continue;
-    order.emplace_back(-RendezvousScore(key, summary.endpoint.value()), summary.endpoint);
+    order.emplace_back(-RendezvousScore(key, summary.endpoint.value()),
+                       summary.endpoint);
   }
   std::sort(order.begin(), order.end());
   std::vector<EndpointId> endpoints;
   endpoints.reserve(order.size());
-  for (auto& [score, endpoint] : order) endpoints.push_back(std::move(endpoint));
+  for (auto& [score, endpoint] : order)
+    endpoints.push_back(std::move(endpoint));
   return endpoints;
 }
 
-Duration ScoredRule::Score(const SelectionCandidate& candidate, const SelectionQuery& query) {
+Duration ScoredRule::Score(const SelectionCandidate& candidate,
+                           const SelectionQuery& query) {
   const Summary& summary = candidate.summary;
   Duration score = candidate.round_trip;
   score = score + (query.long_prompt ? summary.wait_long : summary.wait_short);
@@ -67,23 +72,27 @@
   // even if shorter ones are missing from it.
   size_t matched = 0;
   for (size_t i = query.prefixes.size(); i > 0 && matched == 0; --i) {
-    const bool held = std::find(summary.prefixes.begin(), summary.prefixes.end(),
-                                query.prefixes[i - 1]) != summary.prefixes.end();
+    const bool held =
+        std::find(summary.prefixes.begin(), summary.prefixes.end(),
+                  query.prefixes[i - 1]) != summary.prefixes.end();
     if (held) matched = i;
   }
   int64_t uncached = query.prompt.value();
   if (matched > 0) {
-    uncached -=
-        uncached * static_cast<int64_t>(matched) / static_cast<int64_t>(query.prefixes.size());
+    uncached -= uncached * static_cast<int64_t>(matched) /
+                static_cast<int64_t>(query.prefixes.size());
   }
-  const int64_t speed = summary.prefill_tokens_per_second > 0 ? summary.prefill_tokens_per_second
-                                                              : query.prefill_tokens_per_second;
-  return score + Duration::Microseconds(uncached * 1'000'000 / std::max<int64_t>(1, speed));
+  const int64_t speed = summary.prefill_tokens_per_second > 0
+                            ? summary.prefill_tokens_per_second
+                            : query.prefill_tokens_per_second;
+  return score + Duration::Microseconds(uncached * 1'000'000 /
+                                        std::max<int64_t>(1, speed));
 }
 
-Selection ScoredRule::Choose(std::span<const SelectionCandidate* const> eligible,
-                             std::span<const SelectionCandidate> all, const SelectionQuery& query,
-                             Random& random) const {
+Selection ScoredRule::Choose(
+    std::span<const SelectionCandidate* const> eligible,
+    std::span<const SelectionCandidate> all, const SelectionQuery& query,
+    Random& random) const {
   std::set<EndpointId> for_long;
   if (!query.plain_service) {
     const std::vector<EndpointId> order = LongOrder(all, query.pool);
@@ -107,9 +116,10 @@
   return selection;
 }
 
-Selection TwoChoicesRule::Choose(std::span<const SelectionCandidate* const> eligible,
-                                 std::span<const SelectionCandidate> /*all*/,
-                                 const SelectionQuery& /*query*/, Random& random) const {
+Selection TwoChoicesRule::Choose(
+    std::span<const SelectionCandidate* const> eligible,
+    std::span<const SelectionCandidate> /*all*/,
+    const SelectionQuery& /*query*/, Random& random) const {
   const size_t first = random.Below(eligible.size());
   if (eligible.size() == 1) return {eligible[first]->summary.endpoint};
   size_t second = random.Below(eligible.size() - 1);
--- a/modules/zr_admission/endpoint_selector.h
+++ b/modules/zr_admission/endpoint_selector.h
@@ -29,10 +29,11 @@
   TokenCount max_answer;
   bool long_prompt = false;
   bool plain_service = false;
-  std::vector<PrefixHash> prefixes;           // shortest first
-  std::set<EndpointId> excluded;              // tried already, or known to be down
-  std::set<DomainId> avoided_domains;         // used only if no other domain has an endpoint
-  int64_t long_endpoints = 0;                 // see LongShare::LongEndpoints
+  std::vector<PrefixHash> prefixes;  // shortest first
+  std::set<EndpointId> excluded;     // tried already, or known to be down
+  std::set<DomainId>
+      avoided_domains;         // used only if no other domain has an endpoint
+  int64_t long_endpoints = 0;  // see LongShare::LongEndpoints
   int64_t prefill_tokens_per_second = 8'000;  // used where a summary tells none
 };
 
@@ -41,9 +42,10 @@
 
 /** A rule that picks among eligible candidates. */
 template <typename T>
-concept SelectionRule = requires(const T& rule, std::span<const SelectionCandidate* const> eligible,
-                                 std::span<const SelectionCandidate> all,
-                                 const SelectionQuery& query, Random& random) {
+concept SelectionRule =
+    requires(const T& rule, std::span<const SelectionCandidate* const> eligible,
+             std::span<const SelectionCandidate> all,
+             const SelectionQuery& query, Random& random) {
   { rule.Choose(eligible, all, query, random) } -> std::same_as<Selection>;
   { T::kUsesSummaries } -> std::convertible_to<bool>;
 };
@@ -59,24 +61,26 @@
   static constexpr bool kUsesSummaries = true;
 
   Selection Choose(std::span<const SelectionCandidate* const> eligible,
-                   std::span<const SelectionCandidate> all, const SelectionQuery& query,
-                   Random& random) const;
+                   std::span<const SelectionCandidate> all,
+                   const SelectionQuery& query, Random& random) const;
 
   /** Endpoints of the pool that take long prompts, in rendezvous order. */
-  static std::vector<EndpointId> LongOrder(std::span<const SelectionCandidate> all,
-                                           const PoolId& pool);
+  static std::vector<EndpointId> LongOrder(
+      std::span<const SelectionCandidate> all, const PoolId& pool);
   /** Expected time until the first token, without overflow penalties. */
-  static Duration Score(const SelectionCandidate& candidate, const SelectionQuery& query);
+  static Duration Score(const SelectionCandidate& candidate,
+                        const SelectionQuery& query);
 };
 
-/** Two random candidates, the less loaded first; knows no classes and no grants. */
+/** Two random candidates, the less loaded first; knows no classes and no
+ * grants. */
 class TwoChoicesRule {
  public:
   static constexpr bool kUsesSummaries = false;
 
   Selection Choose(std::span<const SelectionCandidate* const> eligible,
-                   std::span<const SelectionCandidate> all, const SelectionQuery& query,
-                   Random& random) const;
+                   std::span<const SelectionCandidate> all,
+                   const SelectionQuery& query, Random& random) const;
 };
 
 /** The ingress's choice of endpoints by a rule. */
@@ -87,12 +91,14 @@
   explicit BasicSelector(uint64_t seed) : random_(seed) {}
 
   /** Choices for a request; empty if no endpoint is eligible. */
-  Selection Choose(std::span<const SelectionCandidate> candidates, const SelectionQuery& query) {
+  Selection Choose(std::span<const SelectionCandidate> candidates,
+                   const SelectionQuery& query) {
     std::vector<const SelectionCandidate*> preferred;
     std::vector<const SelectionCandidate*> avoided;
     for (const SelectionCandidate& candidate : candidates) {
       if (!Eligible(candidate, query)) continue;
-      const bool avoid = query.avoided_domains.contains(candidate.summary.domain);
+      const bool avoid =
+          query.avoided_domains.contains(candidate.summary.domain);
       (avoid ? avoided : preferred).push_back(&candidate);
     }
     const auto& eligible = preferred.empty() ? avoided : preferred;
@@ -101,12 +107,15 @@
   }
 
  private:
-  static bool Eligible(const SelectionCandidate& candidate, const SelectionQuery& query) {
+  static bool Eligible(const SelectionCandidate& candidate,
+                       const SelectionQuery& query) {
     const Summary& summary = candidate.summary;
-    if (summary.pool != query.pool || query.excluded.contains(summary.endpoint)) return false;
+    if (summary.pool != query.pool || query.excluded.contains(summary.endpoint))
+      return false;
     if (!summary.accepts_new) return false;
     if constexpr (Rule::kUsesSummaries) {
-      return query.plain_service || summary.kv_capacity >= query.prompt + query.max_answer;
+      return query.plain_service ||
+             summary.kv_capacity >= query.prompt + query.max_answer;
     } else {
       return !candidate.load || !candidate.load->leaving;
     }
--- a/modules/zr_admission/engine_reconciler.cc
+++ b/modules/zr_admission/engine_reconciler.cc
@@ -20,7 +20,8 @@
 
 }  // namespace
 
-EngineReconciler::EngineReconciler(const PoolPolicy& policy, bool taken_over, TimePoint now)
+EngineReconciler::EngineReconciler(const PoolPolicy& policy, bool taken_over,
+                                   TimePoint now)
     : policy_(policy) {
   if (taken_over) BeginTakeOver(now);
   want_list_ = true;
@@ -34,11 +35,13 @@
 
 TimePoint EngineReconciler::TakeOverEnd(TimePoint now) const {
   if (!take_over_since_) return now;
-  return std::max(now, *take_over_since_ + std::max(kTakeOverListWait, policy_.report_lag));
+  return std::max(
+      now, *take_over_since_ + std::max(kTakeOverListWait, policy_.report_lag));
 }
 
 bool EngineReconciler::TakingOver(TimePoint now) {
-  if (take_over_since_ && take_over_reported_ && now >= *take_over_since_ + kTakeOverListWait) {
+  if (take_over_since_ && take_over_reported_ &&
+      now >= *take_over_since_ + kTakeOverListWait) {
     take_over_since_.reset();
   }
   return take_over_since_.has_value();
@@ -50,7 +53,8 @@
 }
 
 bool EngineReconciler::IsOldBoot(BootNumber boot) const {
-  return std::find(old_boots_.begin(), old_boots_.end(), boot) != old_boots_.end();
+  return std::find(old_boots_.begin(), old_boots_.end(), boot) !=
+         old_boots_.end();
 }
 
 EngineReconciler::ReportKind EngineReconciler::NoteBoot(BootNumber boot) {
@@ -74,10 +78,12 @@
   load_foreign_requests_ = 0;
 }
 
-EngineReconciler::ReportKind EngineReconciler::OnLoad(TimePoint now, const EngineLoad& load) {
+EngineReconciler::ReportKind EngineReconciler::OnLoad(TimePoint now,
+                                                      const EngineLoad& load) {
   const ReportKind kind = NoteBoot(load.boot);
   if (kind == ReportKind::kStale) return kind;
-  if (kind == ReportKind::kCurrent && load_ && load.sequence <= load_->sequence) {
+  if (kind == ReportKind::kCurrent && load_ &&
+      load.sequence <= load_->sequence) {
     return ReportKind::kStale;
   }
   load_ = load;
@@ -90,8 +96,8 @@
   return kind;
 }
 
-EngineReconciler::ReportKind EngineReconciler::OnListHeader(TimePoint /*now*/,
-                                                            const EngineStreams& list) {
+EngineReconciler::ReportKind EngineReconciler::OnListHeader(
+    TimePoint /*now*/, const EngineStreams& list) {
   const ReportKind kind = NoteBoot(list.boot);
   if (kind == ReportKind::kStale) return kind;
   confirmed_as_of_ = std::max(confirmed_as_of_, list_requested_);
@@ -111,20 +117,24 @@
     most_requests = std::max(most_requests, levels_[i].requests);
   }
   load_foreign_kv_ = std::max(TokenCount(0), load_->kv_used - most_reserved);
-  load_foreign_requests_ = std::max<int64_t>(0, load_->running + load_->waiting - most_requests);
+  load_foreign_requests_ =
+      std::max<int64_t>(0, load_->running + load_->waiting - most_requests);
 }
 
-void EngineReconciler::NoteReserved(TimePoint now, TokenCount reserved, int64_t requests) {
+void EngineReconciler::NoteReserved(TimePoint now, TokenCount reserved,
+                                    int64_t requests) {
   if (!levels_.empty() && levels_.back().reserved == reserved &&
       levels_.back().requests == requests) {
     return;
   }
   levels_.push_back(Level{now, reserved, requests});
   // Keeps the level that was in force at the start of the lag window.
-  while (levels_.size() > 1 && levels_[1].at < now - policy_.report_lag) levels_.pop_front();
+  while (levels_.size() > 1 && levels_[1].at < now - policy_.report_lag)
+    levels_.pop_front();
 }
 
-bool EngineReconciler::DueForCancel(const Unclaimed& stream, TimePoint now) const {
+bool EngineReconciler::DueForCancel(const Unclaimed& stream,
+                                    TimePoint now) const {
   Duration window = policy_.unclaimed_window;
   if (stream.kind == EngineStreamKind::kStream && !stream.done) {
     // A stream that moves on is being read by a holder that reports to another
@@ -132,16 +142,18 @@
     // prefill shows no movement, so it gets the time of its prefill.
     if (now - stream.progressed < window) return false;
     if (stream.offset == 0) {
-      const int64_t speed = std::max<int64_t>(1, policy_.prefill_tokens_per_second);
-      window = window + Duration::Milliseconds(stream.kv.value() * 1000 / speed);
+      const int64_t speed =
+          std::max<int64_t>(1, policy_.prefill_tokens_per_second);
+      window =
+          window + Duration::Milliseconds(stream.kv.value() * 1000 / speed);
     }
   }
   return now - stream.first_seen >= window;
 }
 
-std::vector<CancelEngineStream> EngineReconciler::OnList(TimePoint now, const EngineStreams& list,
-                                                         GrantTable& grants,
-                                                         std::vector<StreamKey>* ended) {
+std::vector<CancelEngineStream> EngineReconciler::OnList(
+    TimePoint now, const EngineStreams& list, GrantTable& grants,
+    std::vector<StreamKey>* ended) {
   const TimePoint as_of = list_requested_;
   list_outstanding_ = false;
   list_as_of_ = as_of;
@@ -154,7 +166,8 @@
     if (grant != nullptr) {
       present.push_back(*key);
       grant->boot = list.boot;
-      if (grant->state == GrantState::kCancelling && now - grant->cancelled_at >= kCancelInterval) {
+      if (grant->state == GrantState::kCancelling &&
+          now - grant->cancelled_at >= kCancelInterval) {
         grant->cancelled_at = now;
         ++grant->cancels;
         cancels.push_back(CancelEngineStream{stream.id, stream.kind});
@@ -171,7 +184,8 @@
     if (const auto it = unclaimed_.find(stream.id); it != unclaimed_.end()) {
       const Unclaimed& before = it->second;
       entry.first_seen = before.first_seen;
-      entry.progressed = stream.offset > before.offset ? now : before.progressed;
+      entry.progressed =
+          stream.offset > before.offset ? now : before.progressed;
       entry.cancelled = before.cancelled;
       entry.cancel_sent = before.cancel_sent;
     }
@@ -202,15 +216,18 @@
 }
 
 int64_t EngineReconciler::foreign_requests() const {
-  const int64_t listed = std::count_if(unclaimed_.begin(), unclaimed_.end(), [](const auto& item) {
-    return item.second.kind == EngineStreamKind::kStream && !item.second.done;
-  });
+  const int64_t listed =
+      std::count_if(unclaimed_.begin(), unclaimed_.end(), [](const auto& item) {
+        return item.second.kind == EngineStreamKind::kStream &&
+               !item.second.done;
+      });
   return std::max(listed, load_foreign_requests_);
 }
 
 TokenCount EngineReconciler::KvWhenEmpty() const {
   if (!load_) return TokenCount(0);
-  const int64_t margin = std::clamp<int64_t>(policy_.kv_margin_permille, 0, 1000);
+  const int64_t margin =
+      std::clamp<int64_t>(policy_.kv_margin_permille, 0, 1000);
   return TokenCount(load_->kv_capacity.value() / 1000 * (1000 - margin) +
                     load_->kv_capacity.value() % 1000 * (1000 - margin) / 1000);
 }
@@ -224,8 +241,10 @@
   if (list_outstanding_) return list_requested_ + kListTimeout;
   if (!list_ever_requested_) return TimePoint();
   if (want_list_) return list_requested_ + kListInterval;
-  if (cancelling || !unclaimed_.empty()) return list_requested_ + kPendingListInterval;
-  if (load_foreign_kv_ > TokenCount(0)) return list_requested_ + kForeignListInterval;
+  if (cancelling || !unclaimed_.empty())
+    return list_requested_ + kPendingListInterval;
+  if (load_foreign_kv_ > TokenCount(0))
+    return list_requested_ + kForeignListInterval;
   return TimePoint::Max();
 }
 
--- a/modules/zr_admission/engine_reconciler.h
+++ b/modules/zr_admission/engine_reconciler.h
@@ -33,9 +33,13 @@
   bool TakingOver(TimePoint now);
   bool taking_over() const { return take_over_since_.has_value(); }
   /** True if the engine listed its streams since the take-over began. */
-  bool ListedSinceTakeOver() const { return !take_over_since_ || list_as_of_ >= *take_over_since_; }
+  bool ListedSinceTakeOver() const {
+    return !take_over_since_ || list_as_of_ >= *take_over_since_;
+  }
   /** Start of the take-over; TimePoint::Max() if there is none. */
-  TimePoint TakeOverSince() const { return take_over_since_.value_or(TimePoint::Max()); }
+  TimePoint TakeOverSince() const {
+    return take_over_since_.value_or(TimePoint::Max());
+  }
   /** Expected end of the take-over; `now` if there is none. */
   TimePoint TakeOverEnd(TimePoint now) const;
 
@@ -55,7 +59,8 @@
   // Reports
 
   enum class ReportKind : uint8_t { kStale, kCurrent, kNewBoot };
-  /** Sorts out reports that are repeated, out of order or of an earlier boot. */
+  /** Sorts out reports that are repeated, out of order or of an earlier boot.
+   */
   ReportKind OnLoad(TimePoint now, const EngineLoad& load);
   /** Like OnLoad, for a stream list. Does not read the list's entries. */
   ReportKind OnListHeader(TimePoint now, const EngineStreams& list);
@@ -68,10 +73,13 @@
    * @param ended  receives the reclaimed grants that the engine has freed
    * @returns cancellations that are due
    */
-  std::vector<CancelEngineStream> OnList(TimePoint now, const EngineStreams& list,
-                                         GrantTable& grants, std::vector<StreamKey>* ended);
+  std::vector<CancelEngineStream> OnList(TimePoint now,
+                                         const EngineStreams& list,
+                                         GrantTable& grants,
+                                         std::vector<StreamKey>* ended);
 
-  /** Notes the sum of reservations after each change; load reports lag behind it. */
+  /** Notes the sum of reservations after each change; load reports lag behind
+   * it. */
   void NoteReserved(TimePoint now, TokenCount reserved, int64_t requests);
 
   // ---------------------------------------------------------------------------
@@ -93,14 +101,16 @@
 
   /** A holder claims a stream that was listed as unclaimed. */
   void OnClaimed(const StreamKey& key) {
-    std::erase_if(unclaimed_,
-                  [&key](const auto& item) { return ParseStreamId(item.first) == key; });
+    std::erase_if(unclaimed_, [&key](const auto& item) {
+      return ParseStreamId(item.first) == key;
+    });
   }
   /** Asks for a list at the next opportunity. */
   void WantList() { want_list_ = true; }
   /** True if a list must be requested now; notes it as requested. */
   bool TakeListRequest(TimePoint now, bool cancelling);
-  /** When TakeListRequest could become true; TimePoint::Max() if nothing is wanted. */
+  /** When TakeListRequest could become true; TimePoint::Max() if nothing is
+   * wanted. */
   TimePoint NextListTime(bool cancelling) const;
 
  private:
--- a/modules/zr_admission/gather_coordinator.cc
+++ b/modules/zr_admission/gather_coordinator.cc
@@ -27,28 +27,32 @@
 }
 
 int64_t Usable(const GatherCandidate& candidate, const PoolPolicy& policy) {
-  const int64_t margin = std::clamp<int64_t>(policy.kv_margin_permille, 0, 1000);
-  return candidate.kv_capacity.value() / 1000 * (1000 - margin) * kFillPercent / 100;
+  const int64_t margin =
+      std::clamp<int64_t>(policy.kv_margin_permille, 0, 1000);
+  return candidate.kv_capacity.value() / 1000 * (1000 - margin) * kFillPercent /
+         100;
 }
 
 }  // namespace
 
-GatherCoordinator::GatherCoordinator(VmId self, PoolPolicy policy, uint64_t seed)
+GatherCoordinator::GatherCoordinator(VmId self, PoolPolicy policy,
+                                     uint64_t seed)
     : self_(std::move(self)), policy_(std::move(policy)), random_(seed) {}
 
 void GatherCoordinator::OnCandidates(std::vector<GatherCandidate> candidates) {
   candidates_ = std::move(candidates);
 }
 
-TokenCount GatherCoordinator::RoomOf(const std::vector<GatherCandidate>& endpoints,
-                                     const PoolPolicy& policy) {
+TokenCount GatherCoordinator::RoomOf(
+    const std::vector<GatherCandidate>& endpoints, const PoolPolicy& policy) {
   int64_t room = 0;
-  for (const GatherCandidate& endpoint : endpoints) room += Usable(endpoint, policy);
+  for (const GatherCandidate& endpoint : endpoints)
+    room += Usable(endpoint, policy);
   return TokenCount(endpoints.size() < kMinParts ? 0 : room);
 }
 
-GatherCoordinator::Messages GatherCoordinator::OnRequest(TimePoint now, const VmId& from,
-                                                         const AdmissionRequest& request) {
+GatherCoordinator::Messages GatherCoordinator::OnRequest(
+    TimePoint now, const VmId& from, const AdmissionRequest& request) {
   Messages out;
   const StreamKey key = KeyOf(request);
   for (Done& done : done_) {
@@ -83,15 +87,18 @@
   const AdmissionRequest& request = gather.request;
   const Duration run = Duration::Milliseconds(
       request.prompt.value() * 1000 / speed(policy_.prefill_tokens_per_second) +
-      request.max_answer.value() * 1000 / speed(policy_.decode_tokens_per_second));
+      request.max_answer.value() * 1000 /
+          speed(policy_.decode_tokens_per_second));
   return gather.deadline - run;
 }
 
 bool GatherCoordinator::PlanParts(Gather& gather) const {
-  const int64_t total = gather.request.prompt.value() + gather.request.max_answer.value();
+  const int64_t total =
+      gather.request.prompt.value() + gather.request.max_answer.value();
   std::vector<const GatherCandidate*> usable;
   for (const GatherCandidate& candidate : candidates_) {
-    if (candidate.accepts_new && Usable(candidate, policy_) > 0) usable.push_back(&candidate);
+    if (candidate.accepts_new && Usable(candidate, policy_) > 0)
+      usable.push_back(&candidate);
   }
   // Emptier endpoints first; they free the memory soonest.
   std::sort(usable.begin(), usable.end(), [](const auto* a, const auto* b) {
@@ -105,8 +112,9 @@
   }
   if (count < kMinParts || room < total) return false;
   usable.resize(count);
-  std::sort(usable.begin(), usable.end(),
-            [](const auto* a, const auto* b) { return a->endpoint < b->endpoint; });
+  std::sort(usable.begin(), usable.end(), [](const auto* a, const auto* b) {
+    return a->endpoint < b->endpoint;
+  });
   int64_t left = total;
   for (const GatherCandidate* candidate : usable) {
     Part part;
@@ -165,14 +173,15 @@
   }
 }
 
-GatherCoordinator::Messages GatherCoordinator::OnReply(TimePoint now, const VmId& from,
-                                                       const GatherReply& reply) {
+GatherCoordinator::Messages GatherCoordinator::OnReply(
+    TimePoint now, const VmId& from, const GatherReply& reply) {
   Messages out;
   const StreamKey key{reply.request, reply.attempt};
   Part* part = nullptr;
   if (!waiting_.empty() && KeyOf(waiting_.front().request) == key) {
     for (Part& candidate : waiting_.front().parts) {
-      if (candidate.endpoint != reply.endpoint || candidate.owner != from) continue;
+      if (candidate.endpoint != reply.endpoint || candidate.owner != from)
+        continue;
       if (candidate.state == PartState::kAsked) part = &candidate;
       if (candidate.state == PartState::kReserved && reply.reserved) {
         // The earlier reply was of a reservation that this try had returned.
@@ -186,12 +195,14 @@
     // same number, so it is dropped only when nobody counts on it.
     bool counted = false;
     if (!waiting_.empty() && KeyOf(waiting_.front().request) == key) {
-      for (const Part& other : waiting_.front().parts) counted |= other.number == reply.number;
+      for (const Part& other : waiting_.front().parts)
+        counted |= other.number == reply.number;
     }
     for (const Done& done : done_) counted |= done.key == key;
     if (reply.reserved && !counted) {
-      out.push_back(OutgoingMessage{
-          from, GatherRelease{reply.request, reply.attempt, reply.endpoint, reply.number}});
+      out.push_back(
+          OutgoingMessage{from, GatherRelease{reply.request, reply.attempt,
+                                              reply.endpoint, reply.number}});
     }
     return out;
   }
@@ -204,9 +215,9 @@
   part->state = PartState::kReserved;
   part->number = reply.number;
   part->owner_incarnation = reply.owner_incarnation;
-  const bool all = std::all_of(gather.parts.begin(), gather.parts.end(), [](const Part& other) {
-    return other.state == PartState::kReserved;
-  });
+  const bool all = std::all_of(
+      gather.parts.begin(), gather.parts.end(),
+      [](const Part& other) { return other.state == PartState::kReserved; });
   if (now - gather.parts.front().asked_at > kLongestTry) {
     FailTry(now, gather, out);
   } else if (all) {
@@ -233,8 +244,8 @@
   grant.start_within = kStartWithin;
   for (size_t i = 1; i < gather.parts.size(); ++i) {
     const Part& part = gather.parts[i];
-    grant.members.push_back(
-        GatherMember{part.endpoint, part.number, part.owner, part.owner_incarnation, part.kv});
+    grant.members.push_back(GatherMember{part.endpoint, part.number, part.owner,
+                                         part.owner_incarnation, part.kv});
   }
   done_.push_back(Done{KeyOf(gather.request), gather.from, grant, now});
   out.push_back(OutgoingMessage{gather.from, std::move(grant)});
@@ -243,10 +254,12 @@
 void GatherCoordinator::ReleaseParts(Gather& gather, Messages& out) {
   for (const Part& part : gather.parts) {
     if (part.state == PartState::kPlanned) continue;
-    // The number of a part whose reply is missing is not known; 0 stands for any.
+    // The number of a part whose reply is missing is not known; 0 stands for
+    // any.
     out.push_back(OutgoingMessage{
         part.owner,
-        GatherRelease{gather.request.request, gather.request.attempt, part.endpoint, part.number}});
+        GatherRelease{gather.request.request, gather.request.attempt,
+                      part.endpoint, part.number}});
   }
   gather.parts.clear();
 }
@@ -257,13 +270,14 @@
   pause = std::min(pause, kLongestPause);
   // Half of the pause is random, so that two coordinators do not collide again.
   const auto half = static_cast<uint64_t>(pause.microseconds() / 2);
-  pause = Duration::Microseconds(static_cast<int64_t>(half + random_.Below(half + 1)));
+  pause = Duration::Microseconds(
+      static_cast<int64_t>(half + random_.Below(half + 1)));
   ++gather.tries;
   gather.retry_at = now + pause;
 }
 
-void GatherCoordinator::Refuse(const Gather& gather, RefusalReason reason, Duration wait_hint,
-                               Messages& out) const {
+void GatherCoordinator::Refuse(const Gather& gather, RefusalReason reason,
+                               Duration wait_hint, Messages& out) const {
   Refusal refusal;
   refusal.request = gather.request.request;
   refusal.attempt = gather.request.attempt;
@@ -272,8 +286,8 @@
   out.push_back(OutgoingMessage{gather.from, std::move(refusal)});
 }
 
-GatherCoordinator::Messages GatherCoordinator::OnCancel(TimePoint now, const VmId& from,
-                                                        const CancelAdmission& cancel) {
+GatherCoordinator::Messages GatherCoordinator::OnCancel(
+    TimePoint now, const VmId& from, const CancelAdmission& cancel) {
   Messages out;
   const StreamKey key{cancel.request, cancel.attempt};
   for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
@@ -286,7 +300,8 @@
   return out;
 }
 
-GatherCoordinator::Messages GatherCoordinator::OnVmDead(TimePoint now, const VmId& vm) {
+GatherCoordinator::Messages GatherCoordinator::OnVmDead(TimePoint now,
+                                                        const VmId& vm) {
   Messages out;
   for (auto it = waiting_.begin(); it != waiting_.end();) {
     if (it->from == vm) {
@@ -295,9 +310,10 @@
       continue;
     }
     // The reservations of a dead owner are not known to its successor.
-    const bool affected = std::any_of(it->parts.begin(), it->parts.end(), [&](const Part& part) {
-      return part.owner == vm && part.state != PartState::kPlanned;
-    });
+    const bool affected =
+        std::any_of(it->parts.begin(), it->parts.end(), [&](const Part& part) {
+          return part.owner == vm && part.state != PartState::kPlanned;
+        });
     if (affected) FailTry(now, *it, out);
     ++it;
   }
@@ -310,9 +326,10 @@
   while (!done_.empty() && now - done_.front().at > kHoldFor) done_.pop_front();
   if (!waiting_.empty()) {
     Gather& gather = waiting_.front();
-    const bool timed_out =
-        std::any_of(gather.parts.begin(), gather.parts.end(), [&](const Part& part) {
-          return part.state == PartState::kAsked && now - part.asked_at >= kReplyTimeout;
+    const bool timed_out = std::any_of(
+        gather.parts.begin(), gather.parts.end(), [&](const Part& part) {
+          return part.state == PartState::kAsked &&
+                 now - part.asked_at >= kReplyTimeout;
         });
     if (timed_out) FailTry(now, gather, out);
   }
@@ -337,7 +354,8 @@
     const Gather& gather = waiting_.front();
     if (gather.parts.empty()) next = std::min(next, gather.retry_at);
     for (const Part& part : gather.parts) {
-      if (part.state == PartState::kAsked) next = std::min(next, part.asked_at + kReplyTimeout);
+      if (part.state == PartState::kAsked)
+        next = std::min(next, part.asked_at + kReplyTimeout);
     }
   }
   return next;
--- a/modules/zr_admission/gather_coordinator.h
+++ b/modules/zr_admission/gather_coordinator.h
@@ -44,13 +44,18 @@
   /** The pool's endpoints as the summaries tell them; used by the next try. */
   void OnCandidates(std::vector<GatherCandidate> candidates);
   void OnPolicy(const PoolPolicy& policy) { policy_ = policy; }
-  /** Most tokens that a gather over these endpoints can ever hold; 0 if they are too few. */
-  static TokenCount RoomOf(const std::vector<GatherCandidate>& endpoints, const PoolPolicy& policy);
+  /** Most tokens that a gather over these endpoints can ever hold; 0 if they
+   * are too few. */
+  static TokenCount RoomOf(const std::vector<GatherCandidate>& endpoints,
+                           const PoolPolicy& policy);
 
-  /** An ingress asks for a gather: an AdmissionRequest with an empty endpoint. */
-  Messages OnRequest(TimePoint now, const VmId& from, const AdmissionRequest& request);
+  /** An ingress asks for a gather: an AdmissionRequest with an empty endpoint.
+   */
+  Messages OnRequest(TimePoint now, const VmId& from,
+                     const AdmissionRequest& request);
   Messages OnReply(TimePoint now, const VmId& from, const GatherReply& reply);
-  Messages OnCancel(TimePoint now, const VmId& from, const CancelAdmission& cancel);
+  Messages OnCancel(TimePoint now, const VmId& from,
+                    const CancelAdmission& cancel);
   Messages OnVmDead(TimePoint now, const VmId& vm);
   Messages OnTick(TimePoint now);
   TimePoint NextWakeup() const;
@@ -93,7 +98,8 @@
   /** Returns all reservations and pauses before the next try. */
   void FailTry(TimePoint now, Gather& gather, Messages& out);
   void ReleaseParts(Gather& gather, Messages& out);
-  void Refuse(const Gather& gather, RefusalReason reason, Duration wait_hint, Messages& out) const;
+  void Refuse(const Gather& gather, RefusalReason reason, Duration wait_hint,
+              Messages& out) const;
   /** The last moment at which the gather may be complete. */
   TimePoint LatestStart(const Gather& gather) const;
 
--- a/modules/zr_admission/grant_table.cc
+++ b/modules/zr_admission/grant_table.cc
@@ -7,7 +7,8 @@
 namespace {
 
 // Holder lists are sent every 500 ms and may be delayed by a paused process
-// for a few seconds; after this time no list can name an ended grant by accident.
+// for a few seconds; after this time no list can name an ended grant by
+// accident.
 constexpr Duration kRememberEnded = Duration::Seconds(30);
 constexpr size_t kMaxEnded = 4096;
 
@@ -18,7 +19,8 @@
   if (entry.adopted) ++adopted_;
   if (entry.run_alone) ++run_alone_;
   StreamKey key = entry.key;
-  const auto [it, inserted] = entries_.emplace(std::move(key), std::move(entry));
+  const auto [it, inserted] =
+      entries_.emplace(std::move(key), std::move(entry));
   ZR_ASSERT_INVARIANT(kNoKvLeak, inserted, "an attempt was granted twice");
   return it->second;
 }
@@ -51,41 +53,48 @@
 }
 
 int64_t GrantTable::CountState(GrantState state) const {
-  return std::count_if(entries_.begin(), entries_.end(),
-                       [state](const auto& item) { return item.second.state == state; });
+  return std::count_if(
+      entries_.begin(), entries_.end(),
+      [state](const auto& item) { return item.second.state == state; });
 }
 
 int64_t GrantTable::GrantedSince(TimePoint time) const {
-  return std::count_if(entries_.begin(), entries_.end(), [time](const auto& item) {
-    return !item.second.adopted && item.second.granted > time;
-  });
+  return std::count_if(
+      entries_.begin(), entries_.end(), [time](const auto& item) {
+        return !item.second.adopted && item.second.granted > time;
+      });
 }
 
 TimePoint GrantTable::NextExpiry() const {
   TimePoint next = TimePoint::Max();
-  for (const auto& [key, entry] : entries_) next = std::min(next, entry.expires);
+  for (const auto& [key, entry] : entries_)
+    next = std::min(next, entry.expires);
   return next;
 }
 
-bool GrantTable::EndedRecently(const StreamKey& key, const VmId& owner, GrantNumber number) const {
+bool GrantTable::EndedRecently(const StreamKey& key, const VmId& owner,
+                               GrantNumber number) const {
   return std::any_of(ended_.begin(), ended_.end(), [&](const Ended& ended) {
     return ended.number == number && ended.key == key && ended.owner == owner;
   });
 }
 
 void GrantTable::ForgetOld(TimePoint now) {
-  while (!ended_.empty() && now - ended_.front().at > kRememberEnded) ended_.pop_front();
+  while (!ended_.empty() && now - ended_.front().at > kRememberEnded)
+    ended_.pop_front();
 }
 
 void GrantTable::CheckInvariants(TimePoint now, Duration longest_hold) const {
   TokenCount sum;
   for (const auto& [key, entry] : entries_) {
     sum += entry.kv;
-    ZR_ASSERT_INVARIANT(kNoKvLeak, entry.kv >= TokenCount(0), "a reservation is negative");
+    ZR_ASSERT_INVARIANT(kNoKvLeak, entry.kv >= TokenCount(0),
+                        "a reservation is negative");
     ZR_ASSERT_INVARIANT(kNoKvLeak, entry.expires <= now + longest_hold,
                         "a reservation has no bounded expiry");
   }
-  ZR_ASSERT_INVARIANT(kNoKvLeak, sum == reserved_, "the reservations do not sum up");
+  ZR_ASSERT_INVARIANT(kNoKvLeak, sum == reserved_,
+                      "the reservations do not sum up");
 }
 
 }  // namespace zr
--- a/modules/zr_admission/grant_table.h
+++ b/modules/zr_admission/grant_table.h
@@ -14,7 +14,8 @@
   kOffered,     // sent; not yet listed by its holder
   kHeld,        // listed by its holder
   kGathered,    // reserved for a prompt that spans several endpoints
-  kCancelling,  // reclaimed; its memory counts until the engine is known to have freed it
+  kCancelling,  // reclaimed; its memory counts until the engine is known to
+                // have freed it
 };
 
 /** One grant with its reservation and the estimate of its remaining work. */
@@ -26,15 +27,17 @@
   Incarnation owner_incarnation;
   GrantNumber number;
   TokenCount kv;
-  bool adopted = false;  // issued by another owner, or by an earlier life of this one
+  bool adopted =
+      false;  // issued by another owner, or by an earlier life of this one
   bool started = false;  // as its holder says
   bool ever_started = false;
   bool run_alone = false;
   bool long_prompt = false;
   bool plain = false;
-  bool gather_part = false;   // memory for a prompt that spans several endpoints
-  std::string gather_stream;  // id of the gathered stream, once its holder has told it
-  bool broken = false;        // its holder lost the connection to the endpoint
+  bool gather_part = false;  // memory for a prompt that spans several endpoints
+  std::string
+      gather_stream;  // id of the gathered stream, once its holder has told it
+  bool broken = false;  // its holder lost the connection to the endpoint
   int32_t priority = 0;
   TeamId team;
   ClassId request_class;
@@ -55,7 +58,8 @@
   // For the mean batch size over the run, and the estimated time in prefill.
   double batch_seconds = 0;
   double prefill_seconds = 0;
-  double beside_prefill_seconds = 0;  // of the answer, while prompts of others were read
+  double beside_prefill_seconds =
+      0;  // of the answer, while prompts of others were read
 };
 
 /** The grants of one endpoint and the memory that they reserve. */
@@ -95,11 +99,13 @@
    * True if the grant of this number ended a short time ago. Messages about it
    * that arrive late must not bring it back.
    */
-  bool EndedRecently(const StreamKey& key, const VmId& owner, GrantNumber number) const;
+  bool EndedRecently(const StreamKey& key, const VmId& owner,
+                     GrantNumber number) const;
   /** Drops memories of ended grants that are older than needed. */
   void ForgetOld(TimePoint now);
 
-  /** Asserts no_kv_leak: the sum matches and each entry has a bounded expiry. */
+  /** Asserts no_kv_leak: the sum matches and each entry has a bounded expiry.
+   */
   void CheckInvariants(TimePoint now, Duration longest_hold) const;
 
  private:
