--- a/modules/zr_admission/long_share.cc
+++ b/modules/zr_admission/long_share.cc
@@ -10,28 +10,32 @@
 constexpr double kNegligibleRate = 1;
 // The number of endpoints follows the share with this much hysteresis.
 constexpr double kHysteresis = 0.25;
-// Endpoints for long prompts are planned to be busy for this share of the time. Spare capacity
-// beyond that goes to short prompts: a split by share alone gave 14 short requests a second one
-// endpoint of 12, and most of them ran beside long prompts.
+// Endpoints for long prompts are planned to be busy for this share of the time.
+// Spare capacity beyond that goes to short prompts: a split by share alone gave
+// 14 short requests a second one endpoint of 12, and most of them ran beside
+// long prompts.
 constexpr double kLongUtilisation = 0.85;
 
 }  // namespace
 
-void LongShare::OnOffered(TimePoint now, const PoolId& pool, TokenCount tokens, bool long_prompt) {
+void LongShare::OnOffered(TimePoint now, const PoolId& pool, TokenCount tokens,
+                          bool long_prompt) {
   Offered& offered = own_[pool];
   RateMeter& meter = long_prompt ? offered.long_tokens : offered.short_tokens;
   meter.Add(now, static_cast<double>(std::max<int64_t>(0, tokens.value())));
 }
 
-void LongShare::OnDemand(const VmId& vm, const std::vector<PoolDemand>& demand) {
+void LongShare::OnDemand(const VmId& vm,
+                         const std::vector<PoolDemand>& demand) {
   if (vm != self_) others_[vm] = demand;
 }
 
 std::vector<PoolDemand> LongShare::OwnDemand(TimePoint now) const {
   std::vector<PoolDemand> demand;
   for (const auto& [pool, offered] : own_) {
-    demand.push_back(PoolDemand{pool, static_cast<int64_t>(offered.short_tokens.RateAt(now)),
-                                static_cast<int64_t>(offered.long_tokens.RateAt(now))});
+    demand.push_back(
+        PoolDemand{pool, static_cast<int64_t>(offered.short_tokens.RateAt(now)),
+                   static_cast<int64_t>(offered.long_tokens.RateAt(now))});
   }
   return demand;
 }
@@ -46,8 +50,10 @@
   for (const auto& [vm, demands] : others_) {
     for (const PoolDemand& demand : demands) {
       if (demand.pool != pool) continue;
-      short_rate += static_cast<double>(std::max<int64_t>(0, demand.short_tokens_per_second));
-      long_rate += static_cast<double>(std::max<int64_t>(0, demand.long_tokens_per_second));
+      short_rate += static_cast<double>(
+          std::max<int64_t>(0, demand.short_tokens_per_second));
+      long_rate += static_cast<double>(
+          std::max<int64_t>(0, demand.long_tokens_per_second));
     }
   }
   return {short_rate, long_rate};
@@ -59,8 +65,8 @@
   return rates.long_tokens / (rates.short_tokens + rates.long_tokens);
 }
 
-int64_t LongShare::LongEndpoints(TimePoint now, const PoolId& pool, int64_t endpoints,
-                                 int64_t tokens_per_second) {
+int64_t LongShare::LongEndpoints(TimePoint now, const PoolId& pool,
+                                 int64_t endpoints, int64_t tokens_per_second) {
   const double share = ShareOf(now, pool);
   int64_t& chosen = chosen_[pool];
   if (share <= 0 || endpoints <= 0) {
@@ -69,12 +75,15 @@
   }
   double wanted = share * static_cast<double>(endpoints);
   if (tokens_per_second > 0) {
-    const double capacity = kLongUtilisation * static_cast<double>(tokens_per_second);
+    const double capacity =
+        kLongUtilisation * static_cast<double>(tokens_per_second);
     wanted = std::min(wanted, RatesOf(now, pool).long_tokens / capacity);
   }
-  const bool clear_change = wanted > static_cast<double>(chosen) + kHysteresis ||
-                            wanted < static_cast<double>(chosen) - 1 - kHysteresis;
-  if (clear_change) chosen = static_cast<int64_t>(std::ceil(wanted - kHysteresis));
+  const bool clear_change =
+      wanted > static_cast<double>(chosen) + kHysteresis ||
+      wanted < static_cast<double>(chosen) - 1 - kHysteresis;
+  if (clear_change)
+    chosen = static_cast<int64_t>(std::ceil(wanted - kHysteresis));
   chosen = std::clamp<int64_t>(chosen, 1, std::max<int64_t>(1, endpoints - 1));
   return chosen;
 }
--- a/modules/zr_admission/long_share.h
+++ b/modules/zr_admission/long_share.h
@@ -19,8 +19,10 @@
  public:
   explicit LongShare(VmId self) : self_(std::move(self)) {}
 
-  /** Counts an offered request of this VM. @param tokens  prompt and answer bound */
-  void OnOffered(TimePoint now, const PoolId& pool, TokenCount tokens, bool long_prompt);
+  /** Counts an offered request of this VM. @param tokens  prompt and answer
+   * bound */
+  void OnOffered(TimePoint now, const PoolId& pool, TokenCount tokens,
+                 bool long_prompt);
   /** Takes the demand that another VM tells. */
   void OnDemand(const VmId& vm, const std::vector<PoolDemand>& demand);
   /** Forgets a VM that is no longer live. */
@@ -34,8 +36,8 @@
    * Endpoints that take long prompts, of `endpoints` in the pool: 0 without
    * long prompts, else at least 1 and, if there are two or more endpoints,
    * fewer than all. Changes only when the share moves clearly.
-   * @param tokens_per_second  prompt tokens that one endpoint reads; bounds the number to what
-   *                           the long prompts keep busy. 0 goes by the share alone.
+   * @param tokens_per_second  prompt tokens that one endpoint reads; bounds the
+   * number to what the long prompts keep busy. 0 goes by the share alone.
    */
   int64_t LongEndpoints(TimePoint now, const PoolId& pool, int64_t endpoints,
                         int64_t tokens_per_second = 0);
--- a/modules/zr_admission/owner_types.h
+++ b/modules/zr_admission/owner_types.h
@@ -61,22 +61,25 @@
 struct CancelEngineStream {
   std::string stream_id;
   EngineStreamKind kind = EngineStreamKind::kStream;
-  friend auto operator<=>(const CancelEngineStream&, const CancelEngineStream&) = default;
+  friend auto operator<=>(const CancelEngineStream&,
+                          const CancelEngineStream&) = default;
 };
 
 /** Asks the engine for its stream list; the answer goes to OnStreamList. */
 struct RequestStreamList {
-  friend auto operator<=>(const RequestStreamList&, const RequestStreamList&) = default;
+  friend auto operator<=>(const RequestStreamList&,
+                          const RequestStreamList&) = default;
 };
 
 /** The endpoint died while these calls were in progress. */
 struct ReportSuspects {
   std::vector<Suspect> suspects;
-  friend auto operator<=>(const ReportSuspects&, const ReportSuspects&) = default;
+  friend auto operator<=>(const ReportSuspects&,
+                          const ReportSuspects&) = default;
 };
 
-using OwnerAction =
-    std::variant<SendMessage, CancelEngineStream, RequestStreamList, ReportSuspects>;
+using OwnerAction = std::variant<SendMessage, CancelEngineStream,
+                                 RequestStreamList, ReportSuspects>;
 using OwnerActions = std::vector<OwnerAction>;
 
 /** Figures of an owner for the operator API and metrics. */
@@ -100,7 +103,8 @@
   TokenCount kv_foreign;
   uint64_t completed = 0;  // since the last reset of the slow start
   double prefill_tokens_per_second = 0;
-  double decode_tokens_per_second = 0;  // of one stream at the present batch size
+  double decode_tokens_per_second =
+      0;  // of one stream at the present batch size
   // Counters since the creation of the owner.
   uint64_t grants = 0;
   uint64_t refused_busy = 0;
--- a/modules/zr_admission/prefix_index.cc
+++ b/modules/zr_admission/prefix_index.cc
@@ -48,15 +48,19 @@
   }
 }
 
-TokenCount PrefixIndex::CachedTokens(TokenCount prompt,
-                                     const std::vector<PrefixHash>& prefixes) const {
+TokenCount PrefixIndex::CachedTokens(
+    TokenCount prompt, const std::vector<PrefixHash>& prefixes) const {
   if (prefixes.empty() || stored_.empty()) return TokenCount(0);
   size_t matched = 0;
-  while (matched < prefixes.size() && stored_.contains(prefixes[matched])) ++matched;
+  while (matched < prefixes.size() && stored_.contains(prefixes[matched]))
+    ++matched;
   const auto blocks = static_cast<int64_t>(prefixes.size());
-  const int64_t cached = prompt.value() * static_cast<int64_t>(matched) / blocks;
-  // The last token is always computed, so that the engine has a position to decode from.
-  return TokenCount(std::clamp<int64_t>(cached, 0, std::max<int64_t>(0, prompt.value() - 1)));
+  const int64_t cached =
+      prompt.value() * static_cast<int64_t>(matched) / blocks;
+  // The last token is always computed, so that the engine has a position to
+  // decode from.
+  return TokenCount(
+      std::clamp<int64_t>(cached, 0, std::max<int64_t>(0, prompt.value() - 1)));
 }
 
 std::vector<PrefixHash> PrefixIndex::Sample(size_t limit) const {
--- a/modules/zr_admission/prefix_index.h
+++ b/modules/zr_admission/prefix_index.h
@@ -21,7 +21,8 @@
   void Clear();
 
   /** Prompt tokens that the engine need not prefill. */
-  TokenCount CachedTokens(TokenCount prompt, const std::vector<PrefixHash>& prefixes) const;
+  TokenCount CachedTokens(TokenCount prompt,
+                          const std::vector<PrefixHash>& prefixes) const;
   /** Some of the stored hashes, for summaries. */
   std::vector<PrefixHash> Sample(size_t limit) const;
   uint64_t last_sequence() const { return last_sequence_; }
--- a/modules/zr_admission/rate_meter.h
+++ b/modules/zr_admission/rate_meter.h
@@ -10,7 +10,8 @@
 class RateMeter {
  public:
   /** @param fade  time in which past amounts fade to 1/e */
-  explicit RateMeter(Duration fade = Duration::Seconds(5)) : fade_seconds_(fade.seconds()) {}
+  explicit RateMeter(Duration fade = Duration::Seconds(5))
+      : fade_seconds_(fade.seconds()) {}
 
   void Add(TimePoint now, double amount) {
     rate_ = RateAt(now) + amount / fade_seconds_;
--- a/modules/zr_admission/service_time_model.cc
+++ b/modules/zr_admission/service_time_model.cc
@@ -19,12 +19,14 @@
 constexpr double kUncontended = 1.2;
 // Shorter answers tell nothing of the decode speed.
 constexpr double kMinAnswer = 8;
-// An answer tells how prefill stalls it if it spent this share of its time beside prefill.
+// An answer tells how prefill stalls it if it spent this share of its time
+// beside prefill.
 constexpr double kMostlyBeside = 0.25;
 constexpr double kClearStall = 0.5;
 constexpr double kLowestShare = 0.05;
-// The time beside prefill is itself an estimate and often too long, which makes the share look
-// too high; an answer that is late costs more than room that is not used.
+// The time beside prefill is itself an estimate and often too long, which makes
+// the share look too high; an answer that is late costs more than room that is
+// not used.
 constexpr double kSlowerUp = 0.05;
 // Answer shares and plain times are used after this many observations.
 constexpr int64_t kMinSamples = 8;
@@ -37,8 +39,10 @@
 }  // namespace
 
 ServiceTimeModel::ServiceTimeModel(const PoolPolicy& policy)
-    : first_prefill_(static_cast<double>(std::max<int64_t>(1, policy.prefill_tokens_per_second))),
-      first_decode_(static_cast<double>(std::max<int64_t>(1, policy.decode_tokens_per_second))),
+    : first_prefill_(static_cast<double>(
+          std::max<int64_t>(1, policy.prefill_tokens_per_second))),
+      first_decode_(static_cast<double>(
+          std::max<int64_t>(1, policy.decode_tokens_per_second))),
       prefill_(first_prefill_) {}
 
 void ServiceTimeModel::Running::Add(double value) {
@@ -53,12 +57,14 @@
 
 void ServiceTimeModel::ObserveModelCall(const Observation& o) {
   if (o.max_answer > 0) {
-    answer_share_[o.request_class].Add(std::min(1.0, o.answered / o.max_answer));
+    answer_share_[o.request_class].Add(
+        std::min(1.0, o.answered / o.max_answer));
   }
   const double run = o.run_time.seconds();
   if (run <= 0) return;
   const double prefill = o.prefill_seconds;
-  // Beside prefill the answer proceeds at a share of the speed; the rest of that time is a stall.
+  // Beside prefill the answer proceeds at a share of the speed; the rest of
+  // that time is a stall.
   const double stalled = o.beside_prefill_seconds * (1 - share_beside_prefill_);
   const double decode = o.answered / DecodeSpeed(o.batch) + stalled;
   const double seen_prefill = o.first_token.seconds();
@@ -81,7 +87,8 @@
   if (seen < alone) {
     // Faster than alone on the engine: the speed is at least this.
     ratio = alone / seen;
-  } else if (alone >= kLongPrefillSeconds || o.prefill_seconds <= alone * kUncontended) {
+  } else if (alone >= kLongPrefillSeconds ||
+             o.prefill_seconds <= alone * kUncontended) {
     ratio = o.prefill_seconds / seen;
   } else {
     // How short prompts in prefill delayed each other is known too badly.
@@ -89,8 +96,9 @@
   }
   // Short prefills tell little: their times contain the way to the endpoint.
   const double gain = kGain * std::min(1.0, alone / kFullPrefillSeconds);
-  prefill_ = std::clamp(prefill_ * (1 + gain * (std::clamp(ratio, 0.5, 2.0) - 1)),
-                        first_prefill_ * kLowestFactor, first_prefill_ * kHighestFactor);
+  prefill_ = std::clamp(
+      prefill_ * (1 + gain * (std::clamp(ratio, 0.5, 2.0) - 1)),
+      first_prefill_ * kLowestFactor, first_prefill_ * kHighestFactor);
 }
 
 void ServiceTimeModel::CorrectAnswer(const Observation& o, double seen) {
@@ -98,26 +106,31 @@
   if (o.answered >= kMinAnswer && beside >= seen * kMostlyBeside) {
     // Tokens that did not come in the time without prefill came beside it.
     const double speed = DecodeSpeed(o.batch);
-    const double share = (o.answered - speed * (seen - beside)) / (speed * beside);
+    const double share =
+        (o.answered - speed * (seen - beside)) / (speed * beside);
     const double seen_share = std::clamp(share, kLowestShare, 1.0);
-    const double gain = seen_share < share_beside_prefill_ ? kGain : kGain * kSlowerUp;
+    const double gain =
+        seen_share < share_beside_prefill_ ? kGain : kGain * kSlowerUp;
     share_beside_prefill_ += gain * (seen_share - share_beside_prefill_);
     // A clear stall says nothing of the speed without prefill.
     if (share < kClearStall) return;
   }
-  CorrectDecode(o, std::max(seen - beside * (1 - share_beside_prefill_), seen * 0.1));
+  CorrectDecode(
+      o, std::max(seen - beside * (1 - share_beside_prefill_), seen * 0.1));
 }
 
 void ServiceTimeModel::CorrectDecode(const Observation& o, double seen) {
   if (o.answered < kMinAnswer || seen <= 0) return;
   const double prior = PriorDecodeSpeed(o.batch);
   const double before = DecodeSpeed(o.batch) / prior;
-  const double ratio = std::clamp(o.answered / seen / prior, before * 0.5, before * 2);
-  decode_ratio_[BucketOf(o.batch)] =
-      std::clamp(before + kGain * (ratio - before), kLowestFactor, kHighestFactor);
+  const double ratio =
+      std::clamp(o.answered / seen / prior, before * 0.5, before * 2);
+  decode_ratio_[BucketOf(o.batch)] = std::clamp(
+      before + kGain * (ratio - before), kLowestFactor, kHighestFactor);
 }
 
-void ServiceTimeModel::ObservePlainCall(const ClassId& request_class, Duration run_time) {
+void ServiceTimeModel::ObservePlainCall(const ClassId& request_class,
+                                        Duration run_time) {
   plain_time_[request_class].Add(run_time.seconds());
 }
 
@@ -134,7 +147,8 @@
   // The nearest bucket with observations corrects the first estimate.
   for (int distance = 0; distance < kBuckets; ++distance) {
     for (const int near : {bucket + distance, bucket - distance}) {
-      if (near >= 0 && near < kBuckets && decode_ratio_[near] > 0) return decode_ratio_[near];
+      if (near >= 0 && near < kBuckets && decode_ratio_[near] > 0)
+        return decode_ratio_[near];
     }
   }
   return 1;
@@ -143,10 +157,12 @@
 double ServiceTimeModel::DecodeSpeed(double batch) const {
   // Interpolates between the buckets: a step up at a bucket's edge would make
   // one more stream seem to speed the others up.
-  const double level = std::clamp(std::log2(std::max(1.0, batch)), 0.0, kBuckets - 1.0);
+  const double level =
+      std::clamp(std::log2(std::max(1.0, batch)), 0.0, kBuckets - 1.0);
   const int low = std::min(static_cast<int>(level), kBuckets - 2);
   const double part = level - low;
-  return PriorDecodeSpeed(batch) * (RatioOf(low) * (1 - part) + RatioOf(low + 1) * part);
+  return PriorDecodeSpeed(batch) *
+         (RatioOf(low) * (1 - part) + RatioOf(low + 1) * part);
 }
 
 double ServiceTimeModel::AnswerSeconds(double answer, double batch,
@@ -157,10 +173,13 @@
   return beside_prefill_seconds + (answer - beside) / speed;
 }
 
-double ServiceTimeModel::ExpectedAnswer(const ClassId& request_class, TokenCount max_answer) const {
-  const auto bound = static_cast<double>(std::max<int64_t>(0, max_answer.value()));
+double ServiceTimeModel::ExpectedAnswer(const ClassId& request_class,
+                                        TokenCount max_answer) const {
+  const auto bound =
+      static_cast<double>(std::max<int64_t>(0, max_answer.value()));
   const auto it = answer_share_.find(request_class);
-  if (it == answer_share_.end() || it->second.samples < kMinSamples) return bound;
+  if (it == answer_share_.end() || it->second.samples < kMinSamples)
+    return bound;
   // Two deviations above the mean: an answer longer than expected makes its
   // request late, a shorter one only leaves capacity for a moment.
   return bound * std::min(1.0, it->second.mean + 2 * it->second.deviation);
@@ -168,8 +187,9 @@
 
 Duration ServiceTimeModel::PlainTime(const ClassId& request_class) const {
   const auto it = plain_time_.find(request_class);
-  const double seconds =
-      it == plain_time_.end() ? kFirstPlainSeconds : it->second.mean + 2 * it->second.deviation;
+  const double seconds = it == plain_time_.end()
+                             ? kFirstPlainSeconds
+                             : it->second.mean + 2 * it->second.deviation;
   return Duration::Microseconds(static_cast<int64_t>(seconds * 1e6));
 }
 
--- a/modules/zr_admission/service_time_model.h
+++ b/modules/zr_admission/service_time_model.h
@@ -22,12 +22,14 @@
   /** What a completed call showed. */
   struct Observation {
     ClassId request_class;
-    double prefill_tokens = 0;          // uncached prompt tokens
-    double prefill_seconds = 0;         // estimated with the present speed, other prompts included
-    double answered = 0;                // tokens
-    double beside_prefill_seconds = 0;  // part of the answer's time, while prompts were read
-    double max_answer = 0;              // bound on the answer
-    double batch = 1;                   // mean batch size over its run
+    double prefill_tokens = 0;  // uncached prompt tokens
+    double prefill_seconds =
+        0;  // estimated with the present speed, other prompts included
+    double answered = 0;  // tokens
+    double beside_prefill_seconds =
+        0;  // part of the answer's time, while prompts were read
+    double max_answer = 0;  // bound on the answer
+    double batch = 1;       // mean batch size over its run
     Duration run_time;
     Duration first_token;  // 0 if not known
   };
@@ -37,14 +39,20 @@
 
   /** Tokens a second, of all prompts in prefill together. */
   double PrefillSpeed() const { return prefill_; }
-  /** Tokens a second of one stream in a batch of the given size (at least 1). */
+  /** Tokens a second of one stream in a batch of the given size (at least 1).
+   */
   double DecodeSpeed(double batch) const;
-  /** Seconds for an answer while the engine reads prompts of others for the first seconds. */
-  double AnswerSeconds(double answer, double batch, double beside_prefill_seconds) const;
-  /** Share of the decode speed that a stream keeps while the engine reads prompts; low at first. */
+  /** Seconds for an answer while the engine reads prompts of others for the
+   * first seconds. */
+  double AnswerSeconds(double answer, double batch,
+                       double beside_prefill_seconds) const;
+  /** Share of the decode speed that a stream keeps while the engine reads
+   * prompts; low at first. */
   double ShareBesidePrefill() const { return share_beside_prefill_; }
-  /** Expected answer length in tokens: the bound times the class's usual share of it. */
-  double ExpectedAnswer(const ClassId& request_class, TokenCount max_answer) const;
+  /** Expected answer length in tokens: the bound times the class's usual share
+   * of it. */
+  double ExpectedAnswer(const ClassId& request_class,
+                        TokenCount max_answer) const;
   /** Expected time of a plain call. */
   Duration PlainTime(const ClassId& request_class) const;
 
@@ -56,7 +64,8 @@
     void Add(double value);
   };
 
-  static constexpr int kBuckets = 8;  // batch sizes about 1, 2, 4, ..., 128 and more
+  static constexpr int kBuckets =
+      8;  // batch sizes about 1, 2, 4, ..., 128 and more
   static int BucketOf(double batch);
   double RatioOf(int bucket) const;
   double PriorDecodeSpeed(double batch) const;
@@ -68,7 +77,8 @@
   double first_decode_;
   double share_beside_prefill_ = 0.1;
   double prefill_;
-  std::array<double, kBuckets> decode_ratio_{};  // to the first estimate, 0 if not observed
+  std::array<double, kBuckets>
+      decode_ratio_{};  // to the first estimate, 0 if not observed
   std::map<ClassId, Running> answer_share_;
   std::map<ClassId, Running> plain_time_;  // seconds
 };
--- a/modules/zr_admission/slow_start.cc
+++ b/modules/zr_admission/slow_start.cc
@@ -34,13 +34,16 @@
     return true;
   }
   low_speeds_ = 0;
-  const double gain = std::max(kSpeedGain, 1.0 / static_cast<double>(speed_samples_ + 1));
+  const double gain =
+      std::max(kSpeedGain, 1.0 / static_cast<double>(speed_samples_ + 1));
   average_speed_ += gain * (ratio - average_speed_);
   ++speed_samples_;
   return false;
 }
 
-int64_t SlowStart::StartAllowance() const { return std::max<int64_t>(1, fresh_ / 2); }
+int64_t SlowStart::StartAllowance() const {
+  return std::max<int64_t>(1, fresh_ / 2);
+}
 
 int64_t SlowStart::Growth() const {
   if (warm_after_ == 0) return 0;
@@ -54,7 +57,8 @@
 int64_t SlowStart::TotalLimit() const {
   if (warm()) return max_;
   // A count that a fresh endpoint bears as well says nothing.
-  return std::min(max_, std::max(OwnLimit(), demonstrated_ > fresh_ ? demonstrated_ : 0));
+  return std::min(
+      max_, std::max(OwnLimit(), demonstrated_ > fresh_ ? demonstrated_ : 0));
 }
 
 int64_t SlowStart::PrefillLimit() const {
--- a/modules/zr_admission/team_limiter.cc
+++ b/modules/zr_admission/team_limiter.cc
@@ -25,7 +25,8 @@
   return it == teams_->end() ? nullptr : &it->second;
 }
 
-void TeamLimiter::OnDemand(const VmId& vm, const std::vector<TeamDemand>& demand) {
+void TeamLimiter::OnDemand(const VmId& vm,
+                           const std::vector<TeamDemand>& demand) {
   if (vm != self_) others_[vm] = demand;
 }
 
@@ -35,10 +36,12 @@
     Team& team = it->second;
     if (now >= team.kv_wanted_until) team.kv_wanted = TokenCount(0);
     team.published.team = it->first;
-    team.published.tokens_per_second = static_cast<int64_t>(team.offered.RateAt(now));
+    team.published.tokens_per_second =
+        static_cast<int64_t>(team.offered.RateAt(now));
     team.published.kv_held = team.kv_held + team.kv_wanted;
     const bool idle = team.published.tokens_per_second == 0 &&
-                      team.published.kv_held == TokenCount(0) && Policy(it->first) == nullptr;
+                      team.published.kv_held == TokenCount(0) &&
+                      Policy(it->first) == nullptr;
     if (!idle) all.push_back(team.published);
     it = idle ? own_.erase(it) : std::next(it);
   }
@@ -66,27 +69,33 @@
 double TeamLimiter::RateShare(const TeamId& team) const {
   const TeamPolicy* policy = Policy(team);
   if (policy == nullptr || policy->tokens_per_second <= 0) return 0;
-  return Share(team, static_cast<double>(policy->tokens_per_second), [](const TeamDemand& demand) {
-    return static_cast<double>(demand.tokens_per_second);
-  });
+  return Share(team, static_cast<double>(policy->tokens_per_second),
+               [](const TeamDemand& demand) {
+                 return static_cast<double>(demand.tokens_per_second);
+               });
 }
 
 TokenCount TeamLimiter::KvShare(const TeamId& team) const {
   const TeamPolicy* policy = Policy(team);
-  if (policy == nullptr || policy->kv_limit <= TokenCount(0)) return TokenCount(0);
+  if (policy == nullptr || policy->kv_limit <= TokenCount(0))
+    return TokenCount(0);
   return TokenCount(static_cast<int64_t>(
       Share(team, static_cast<double>(policy->kv_limit.value()),
-            [](const TeamDemand& demand) { return static_cast<double>(demand.kv_held.value()); })));
+            [](const TeamDemand& demand) {
+              return static_cast<double>(demand.kv_held.value());
+            })));
 }
 
-LimitDecision TeamLimiter::TryAdmit(TimePoint now, const TeamId& team, TokenCount tokens,
-                                    TokenCount kv) {
+LimitDecision TeamLimiter::TryAdmit(TimePoint now, const TeamId& team,
+                                    TokenCount tokens, TokenCount kv) {
   const TeamPolicy* policy = Policy(team);
   Team& own = own_[team];
   const auto amount = static_cast<double>(std::max<int64_t>(0, tokens.value()));
   own.offered.Add(now, amount);
-  if (policy != nullptr && policy->kv_limit > TokenCount(0) && own.kv_held + kv > KvShare(team)) {
-    own.kv_wanted = now < own.kv_wanted_until ? std::max(own.kv_wanted, kv) : kv;
+  if (policy != nullptr && policy->kv_limit > TokenCount(0) &&
+      own.kv_held + kv > KvShare(team)) {
+    own.kv_wanted =
+        now < own.kv_wanted_until ? std::max(own.kv_wanted, kv) : kv;
     own.kv_wanted_until = now + kWantedFor;
     return LimitDecision{false, kKvRetry};
   }
@@ -109,15 +118,16 @@
   return LimitDecision{};
 }
 
-void TeamLimiter::OnFinished(TimePoint /*now*/, const TeamId& team, TokenCount kv,
-                             TokenCount unused_tokens) {
+void TeamLimiter::OnFinished(TimePoint /*now*/, const TeamId& team,
+                             TokenCount kv, TokenCount unused_tokens) {
   const auto it = own_.find(team);
   if (it == own_.end()) return;
   Team& own = it->second;
   ZR_ASSERT(own.kv_held >= kv, "a team returned more memory than it held");
   own.kv_held = std::max(TokenCount(0), own.kv_held - kv);
   if (own.bucket_ready) {
-    own.bucket.Add(static_cast<double>(std::max<int64_t>(0, unused_tokens.value())));
+    own.bucket.Add(
+        static_cast<double>(std::max<int64_t>(0, unused_tokens.value())));
   }
 }
 
--- a/modules/zr_admission/team_limiter.h
+++ b/modules/zr_admission/team_limiter.h
@@ -28,7 +28,9 @@
  public:
   TeamLimiter(VmId self, std::shared_ptr<const TeamPolicies> teams);
 
-  void OnPolicies(std::shared_ptr<const TeamPolicies> teams) { teams_ = std::move(teams); }
+  void OnPolicies(std::shared_ptr<const TeamPolicies> teams) {
+    teams_ = std::move(teams);
+  }
   /** Demand that another live VM tells in its heartbeat; may be empty. */
   void OnDemand(const VmId& vm, const std::vector<TeamDemand>& demand);
   /** Forgets a VM that is no longer live. */
@@ -45,11 +47,15 @@
    * @param tokens  prompt and answer bound
    * @param kv      memory, returned by OnFinished
    */
-  LimitDecision TryAdmit(TimePoint now, const TeamId& team, TokenCount tokens, TokenCount kv);
-  /** Returns the memory of an admitted request, and the tokens it did not use. */
-  void OnFinished(TimePoint now, const TeamId& team, TokenCount kv, TokenCount unused_tokens);
+  LimitDecision TryAdmit(TimePoint now, const TeamId& team, TokenCount tokens,
+                         TokenCount kv);
+  /** Returns the memory of an admitted request, and the tokens it did not use.
+   */
+  void OnFinished(TimePoint now, const TeamId& team, TokenCount kv,
+                  TokenCount unused_tokens);
 
-  /** This VM's part of the team's tokens a second; 0 if the team has no limit. */
+  /** This VM's part of the team's tokens a second; 0 if the team has no limit.
+   */
   double RateShare(const TeamId& team) const;
   /** This VM's part of the team's memory; 0 if the team has no limit. */
   TokenCount KvShare(const TeamId& team) const;
@@ -66,7 +72,8 @@
   };
 
   const TeamPolicy* Policy(const TeamId& team) const;
-  double Share(const TeamId& team, double limit, double (*demand_of)(const TeamDemand&)) const;
+  double Share(const TeamId& team, double limit,
+               double (*demand_of)(const TeamDemand&)) const;
 
   VmId self_;
   std::shared_ptr<const TeamPolicies> teams_;
--- a/modules/zr_admission/tests/endpoint_owner_test.cc
+++ b/modules/zr_admission/tests/endpoint_owner_test.cc
@@ -56,11 +56,13 @@
 
   f.Tick(AtMs(3'501));
   REQUIRE(f.Actions<CancelEngineStream>().size() == 1);
-  REQUIRE(f.Actions<CancelEngineStream>().front().stream_id == MakeStreamId(f.Held("a")));
+  REQUIRE(f.Actions<CancelEngineStream>().front().stream_id ==
+          MakeStreamId(f.Held("a")));
   REQUIRE(f.owner->grants().reserved() == TokenCount(5'500));
 
   SECTION("and its memory is free once the engine's list shows it gone") {
-    f.last = f.owner->OnStreamList(AtMs(3'800), EngineStreams{BootNumber(1), {}});
+    f.last =
+        f.owner->OnStreamList(AtMs(3'800), EngineStreams{BootNumber(1), {}});
     REQUIRE(f.owner->grants().reserved() == TokenCount(0));
     SECTION("and a late list of its holder does not bring it back") {
       HeldGrant held = f.Held("a");
@@ -71,7 +73,9 @@
       REQUIRE(f.Actions<CancelEngineStream>().size() == 1);
     }
   }
-  SECTION("and its memory is free after the engine's unclaimed window at the latest") {
+  SECTION(
+      "and its memory is free after the engine's unclaimed window at the "
+      "latest") {
     f.Tick(AtMs(3'501 + 11'001));
     REQUIRE(f.owner->grants().reserved() == TokenCount(0));
   }
@@ -96,7 +100,8 @@
   f.owner->OnStreamList(
       AtMs(2'010),
       EngineStreams{BootNumber(1),
-                    {EngineStream{"unused#1", EngineStreamKind::kStream, TokenCount(), 0, false}}});
+                    {EngineStream{"unused#1", EngineStreamKind::kStream,
+                                  TokenCount(), 0, false}}});
   f.answer_lists = true;
   REQUIRE(f.Entry("unused")->state == GrantState::kCancelling);
   REQUIRE(f.Entry("running")->state == GrantState::kHeld);
@@ -124,7 +129,8 @@
   auto ask = [&](int64_t at, int count) {
     int granted = 0;
     for (int i = 0; i < count; ++i) {
-      f.Ask(AtMs(at + i * 20), f.Request("r" + std::to_string(at + i), 100, 100));
+      f.Ask(AtMs(at + i * 20),
+            f.Request("r" + std::to_string(at + i), 100, 100));
       granted += static_cast<int>(f.Sent<Grant>().size());
     }
     return granted;
@@ -153,9 +159,12 @@
   }
   SECTION("cancels streams that no holder claims, but none that move on") {
     f.owner = nullptr;
-    f.streams = {EngineStream{"lost#1", EngineStreamKind::kStream, TokenCount(100), 5, false},
-                 EngineStream{"read#1", EngineStreamKind::kStream, TokenCount(100), 5, false},
-                 EngineStream{"x", EngineStreamKind::kExport, TokenCount(100), 0, false}};
+    f.streams = {EngineStream{"lost#1", EngineStreamKind::kStream,
+                              TokenCount(100), 5, false},
+                 EngineStream{"read#1", EngineStreamKind::kStream,
+                              TokenCount(100), 5, false},
+                 EngineStream{"x", EngineStreamKind::kExport, TokenCount(100),
+                              0, false}};
     f.Start(AtMs(0), true);
     std::vector<CancelEngineStream> cancels;
     for (int64_t at = 200; at < 14'000; at += 200) {
@@ -167,8 +176,9 @@
       }
     }
     auto named = [&](const char* id) {
-      return std::any_of(cancels.begin(), cancels.end(),
-                         [&](const auto& cancel) { return cancel.stream_id == id; });
+      return std::any_of(
+          cancels.begin(), cancels.end(),
+          [&](const auto& cancel) { return cancel.stream_id == id; });
     };
     REQUIRE(named("lost#1"));
     REQUIRE(named("x"));
@@ -216,15 +226,18 @@
   }
   REQUIRE(f.owner->Snapshot().own_limit == 16);
 
-  SECTION("begins again after a new boot number, and the calls become suspects") {
+  SECTION(
+      "begins again after a new boot number, and the calls become suspects") {
     f.Ask(AtMs(1'000), f.Request("victim", 100, 10));
     f.List(AtMs(1'100), "vm1", {f.Held("victim")});
     f.Load(AtMs(1'500), 100'000, 0, 0, 2);
     REQUIRE(f.owner->Snapshot().own_limit == 2);
-    f.last = f.owner->OnStreamList(AtMs(1'700), EngineStreams{BootNumber(2), {}});
+    f.last =
+        f.owner->OnStreamList(AtMs(1'700), EngineStreams{BootNumber(2), {}});
     const auto reports = f.Actions<ReportSuspects>();
     REQUIRE(reports.size() == 1);
-    REQUIRE(reports[0].suspects[0].fingerprint == Fingerprint(Hash64("victim")));
+    REQUIRE(reports[0].suspects[0].fingerprint ==
+            Fingerprint(Hash64("victim")));
     REQUIRE(reports[0].suspects[0].boot == BootNumber(1));
     REQUIRE(f.owner->grants().reserved() == TokenCount(0));
   }
@@ -238,13 +251,16 @@
     }
     REQUIRE(f.owner->Snapshot().own_limit == 2);
   }
-  SECTION("holds grants back while a broken connection leaves the boot number in doubt") {
+  SECTION(
+      "holds grants back while a broken connection leaves the boot number in "
+      "doubt") {
     f.Ask(AtMs(1'000), f.Request("a", 100, 10));
     f.answer_lists = false;
     f.Release(AtMs(1'200), "a", ReleaseOutcome::kEndpointDied);
     f.Ask(AtMs(1'210), f.Request("b", 100, 10));
     REQUIRE_FALSE(f.Granted("b"));
-    f.last = f.owner->OnStreamList(AtMs(1'300), EngineStreams{BootNumber(1), {}});
+    f.last =
+        f.owner->OnStreamList(AtMs(1'300), EngineStreams{BootNumber(1), {}});
     REQUIRE(f.Granted("b"));
   }
   REQUIRE(Invariants::Total() == 0);
@@ -253,8 +269,10 @@
 // Guards against names that do not survive the way through an engine's list.
 TEST_CASE("Stream ids") {
   REQUIRE(MakeStreamId(RequestId("a#b"), AttemptNumber(12)) == "a#b#12");
-  REQUIRE(ParseStreamId("a#b#12") == StreamKey{RequestId("a#b"), AttemptNumber(12)});
-  for (const char* id : {"", "#1", "a", "a#", "a#x", "a#1x", "a#99999999999999999999999"}) {
+  REQUIRE(ParseStreamId("a#b#12") ==
+          StreamKey{RequestId("a#b"), AttemptNumber(12)});
+  for (const char* id :
+       {"", "#1", "a", "a#", "a#x", "a#1x", "a#99999999999999999999999"}) {
     REQUIRE_FALSE(ParseStreamId(id));
   }
 }
--- a/modules/zr_admission/tests/fake_engine.h
+++ b/modules/zr_admission/tests/fake_engine.h
@@ -15,8 +15,8 @@
 /**
  * An engine under virtual time: prompts of the highest priority share the
  * prefill speed, streams slow each other down and nearly stall while prompts
- * are read, a fresh engine that carries too many streams falls over, unread streams stay for the
- * unclaimed window.
+ * are read, a fresh engine that carries too many streams falls over, unread
+ * streams stay for the unclaimed window.
  */
 class FakeEngine {
  public:
@@ -28,7 +28,8 @@
     double prefill = 8'000;
     double decode = 50;
     double halving_batch = 64;
-    double share_beside_prefill = 0.1;  // of the decode speed, while prompts are read
+    double share_beside_prefill =
+        0.1;  // of the decode speed, while prompts are read
     Duration unclaimed_window = Duration::Seconds(10);
     Duration report_lag = Duration::Milliseconds(800);
   };
@@ -48,7 +49,8 @@
 
   explicit FakeEngine(Options options) : options_(options) {}
 
-  /** Starts a stream; false means that the engine refused it (no memory, or down). */
+  /** Starts a stream; false means that the engine refused it (no memory, or
+   * down). */
   bool Start(TimePoint now, const std::string& id, Stream stream) {
     if (down_) return false;
     if (KvUsed() + stream.kv > options_.kv_capacity) {
@@ -57,7 +59,8 @@
     }
     streams_[id] = std::move(stream);
     peak = std::max(peak, static_cast<int64_t>(streams_.size()));
-    if (completed_<options_.warm_after&& static_cast<int64_t>(streams_.size())> Bearable()) {
+    if (completed_<options_.warm_after&& static_cast<int64_t>(streams_.size())>
+            Bearable()) {
       ++overruns;
       Restart(now);
     }
@@ -100,22 +103,26 @@
     int sharing = 0;
     for (const auto& [id, stream] : streams_) {
       if (stream.prefill <= 0) continue;
-      if (sharing == 0 || stream.priority > top) sharing = 0, top = stream.priority;
+      if (sharing == 0 || stream.priority > top)
+        sharing = 0, top = stream.priority;
       if (stream.priority == top) ++sharing;
     }
     const auto batch = static_cast<double>(streams_.size());
     const double share = sharing > 0 ? options_.share_beside_prefill : 1;
-    const double speed = share * options_.decode / (1 + (batch - 1) / options_.halving_batch);
+    const double speed =
+        share * options_.decode / (1 + (batch - 1) / options_.halving_batch);
     std::vector<std::string> ended;
     for (auto& [id, stream] : streams_) {
       if (stream.prefill > 0) {
-        if (stream.priority == top) stream.prefill -= options_.prefill / sharing * dt;
+        if (stream.priority == top)
+          stream.prefill -= options_.prefill / sharing * dt;
         if (stream.prefill <= 0 && on_first_token) on_first_token(id);
       } else {
         stream.offset += speed * dt;
         if (stream.offset >= stream.answer) ended.push_back(id);
       }
-      if (!stream.read && now - stream.unread_since > options_.unclaimed_window) {
+      if (!stream.read &&
+          now - stream.unread_since > options_.unclaimed_window) {
         ended.push_back(id);
       }
     }
@@ -147,8 +154,9 @@
     EngineStreams list;
     list.boot = BootNumber(boot_);
     for (const auto& [id, stream] : streams_) {
-      list.streams.push_back(EngineStream{id, EngineStreamKind::kStream, TokenCount(stream.kv),
-                                          static_cast<int64_t>(stream.offset), false});
+      list.streams.push_back(
+          EngineStream{id, EngineStreamKind::kStream, TokenCount(stream.kv),
+                       static_cast<int64_t>(stream.offset), false});
     }
     return list;
   }
@@ -174,7 +182,9 @@
 
  private:
   void Snapshot(TimePoint now, double speed) {
-    if (!history_.empty() && now - history_.back().first < Duration::Milliseconds(50)) return;
+    if (!history_.empty() &&
+        now - history_.back().first < Duration::Milliseconds(50))
+      return;
     EngineLoad load;
     load.kv_used = TokenCount(KvUsed());
     load.running = static_cast<int64_t>(streams_.size());
@@ -199,9 +209,12 @@
  public:
   TimePoint now() const { return now_; }
   void At(TimePoint time, std::function<void()> action) {
-    events_.emplace(std::pair(std::max(time, now_), next_++), std::move(action));
+    events_.emplace(std::pair(std::max(time, now_), next_++),
+                    std::move(action));
+  }
+  void After(Duration delay, std::function<void()> action) {
+    At(now_ + delay, std::move(action));
   }
-  void After(Duration delay, std::function<void()> action) { At(now_ + delay, std::move(action)); }
   void RunUntil(TimePoint end) {
     while (!events_.empty() && events_.begin()->first.first <= end) {
       auto node = events_.extract(events_.begin());
--- a/modules/zr_admission/tests/ingress_test.cc
+++ b/modules/zr_admission/tests/ingress_test.cc
@@ -35,7 +35,8 @@
   std::vector<SelectionCandidate> candidates;
   candidates.reserve(6);
   for (int i = 0; i < 6; ++i) candidates.push_back(MakeCandidate(i));
-  const std::vector<EndpointId> order = ScoredRule::LongOrder(candidates, PoolId("reader"));
+  const std::vector<EndpointId> order =
+      ScoredRule::LongOrder(candidates, PoolId("reader"));
 
   SECTION("separates long prompts from short ones") {
     const std::set<EndpointId> for_long(order.begin(), order.begin() + 2);
@@ -152,14 +153,15 @@
     policy.pool = PoolId("reader");
     coordinator = std::make_unique<GatherCoordinator>(VmId("c"), policy, 1);
     for (int i = 3; i > 0; --i) {
-      candidates.push_back(GatherCandidate{EndpointId("e" + std::to_string(i)),
-                                           VmId("o" + std::to_string(i)), TokenCount(100'000 + i),
-                                           TokenCount(100'000), true});
+      candidates.push_back(GatherCandidate{
+          EndpointId("e" + std::to_string(i)), VmId("o" + std::to_string(i)),
+          TokenCount(100'000 + i), TokenCount(100'000), true});
     }
     coordinator->OnCandidates(candidates);
   }
 
-  void Ask(TimePoint now, const char* id = "g", int64_t time_left_ms = 120'000) {
+  void Ask(TimePoint now, const char* id = "g",
+           int64_t time_left_ms = 120'000) {
     AdmissionRequest request;
     request.request = RequestId(id);
     request.attempt = AttemptNumber(1);
@@ -173,8 +175,9 @@
   /** Answers the reservation among the last messages; returns its endpoint. */
   EndpointId Reply(TimePoint now, bool reserved, uint64_t number) {
     const auto [to, reserve] = Only<GatherReserve>();
-    GatherReply reply{reserve.request,     reserve.attempt, reserve.endpoint, reserved,
-                      GrantNumber(number), Duration(),      Incarnation(9)};
+    GatherReply reply{reserve.request, reserve.attempt,     reserve.endpoint,
+                      reserved,        GrantNumber(number), Duration(),
+                      Incarnation(9)};
     last = coordinator->OnReply(now, to, reply);
     return reserve.endpoint;
   }
@@ -183,7 +186,8 @@
   std::vector<std::pair<VmId, T>> All() const {
     std::vector<std::pair<VmId, T>> found;
     for (const OutgoingMessage& message : last) {
-      if (const T* typed = std::get_if<T>(&message.message)) found.emplace_back(message.to, *typed);
+      if (const T* typed = std::get_if<T>(&message.message))
+        found.emplace_back(message.to, *typed);
     }
     return found;
   }
@@ -215,7 +219,8 @@
     REQUIRE(sum == TokenCount(200'100));
     SECTION("and repeats a grant that was lost, with the time that is left") {
       f.Ask(AtMs(503));
-      REQUIRE(f.Only<Grant>().second.start_within == Duration::Milliseconds(500));
+      REQUIRE(f.Only<Grant>().second.start_within ==
+              Duration::Milliseconds(500));
       f.Ask(AtMs(1'100));
       REQUIRE(f.All<Grant>().empty());
     }
@@ -231,16 +236,18 @@
   SECTION("returns a part whose reply is missing or late") {
     f.last = f.coordinator->OnTick(AtMs(800));
     REQUIRE(f.All<GatherRelease>().size() == 2);
-    f.last = f.coordinator->OnReply(AtMs(810), VmId("o2"),
-                                    GatherReply{RequestId("g"), AttemptNumber(1), EndpointId("e2"),
-                                                true, GrantNumber(12), Duration(), Incarnation(9)});
+    f.last = f.coordinator->OnReply(
+        AtMs(810), VmId("o2"),
+        GatherReply{RequestId("g"), AttemptNumber(1), EndpointId("e2"), true,
+                    GrantNumber(12), Duration(), Incarnation(9)});
     REQUIRE(f.Only<GatherRelease>().second.number == GrantNumber(12));
   }
   SECTION("runs one at a time") {
     f.Ask(AtMs(2), "h");
     REQUIRE(f.last.empty());
     f.last = f.coordinator->OnCancel(
-        AtMs(3), VmId("vm1"), CancelAdmission{RequestId("g"), AttemptNumber(1), EndpointId()});
+        AtMs(3), VmId("vm1"),
+        CancelAdmission{RequestId("g"), AttemptNumber(1), EndpointId()});
     REQUIRE(f.All<GatherRelease>().size() == 2);
     REQUIRE(f.Only<GatherReserve>().second.request == RequestId("h"));
   }
@@ -271,7 +278,8 @@
 // Guards against teams that exceed their limits, or that a new VM cannot serve.
 TEST_CASE("Team limits are split among VMs") {
   const char* seed_text = std::getenv("ZR_SEED");
-  const uint64_t seed = seed_text != nullptr ? std::strtoull(seed_text, nullptr, 10) : 1;
+  const uint64_t seed =
+      seed_text != nullptr ? std::strtoull(seed_text, nullptr, 10) : 1;
   INFO("ZR_SEED=" << seed);
   Random random(seed);
   const TeamId team("t");
@@ -280,13 +288,15 @@
   (*teams)[team].kv_limit = TokenCount(1'000'000);
   std::vector<TeamLimiter> limiters;
   limiters.reserve(5);
-  for (int i = 0; i < 5; ++i) limiters.emplace_back(VmId("vm" + std::to_string(i)), teams);
+  for (int i = 0; i < 5; ++i)
+    limiters.emplace_back(VmId("vm" + std::to_string(i)), teams);
   TimePoint now = AtMs(1'000);
   auto heartbeat = [&] {
     for (size_t i = 0; i < limiters.size(); ++i) {
       const auto demand = limiters[i].PublishDemand(now);
       for (size_t j = 0; j < limiters.size(); ++j) {
-        if (i != j) limiters[j].OnDemand(VmId("vm" + std::to_string(i)), demand);
+        if (i != j)
+          limiters[j].OnDemand(VmId("vm" + std::to_string(i)), demand);
       }
     }
   };
@@ -308,7 +318,8 @@
         holding += kv;
       }
       if (held.size() > 60 || (!held.empty() && random.Chance(0.3))) {
-        limiters[held.front().first].OnFinished(now, team, held.front().second, TokenCount(0));
+        limiters[held.front().first].OnFinished(now, team, held.front().second,
+                                                TokenCount(0));
         holding -= held.front().second;
         held.erase(held.begin());
       }
@@ -331,19 +342,31 @@
     REQUIRE(most_held <= TokenCount(1'000'000));
   }
   SECTION("so that a VM without demand can start") {
-    for (int i = 0; i < 50; ++i) limiters[0].TryAdmit(now, team, TokenCount(5'000), TokenCount(1));
+    for (int i = 0; i < 50; ++i)
+      limiters[0].TryAdmit(now, team, TokenCount(5'000), TokenCount(1));
     heartbeat();
     REQUIRE(limiters[4].RateShare(team) > 0);
-    REQUIRE(limiters[4].TryAdmit(now, team, TokenCount(50), TokenCount(100)).allowed);
+    REQUIRE(limiters[4]
+                .TryAdmit(now, team, TokenCount(50), TokenCount(100))
+                .allowed);
   }
-  SECTION("so that a request larger than the present part is allowed after its demand is known") {
-    REQUIRE_FALSE(limiters[2].TryAdmit(now, team, TokenCount(100), TokenCount(800'000)).allowed);
+  SECTION(
+      "so that a request larger than the present part is allowed after its "
+      "demand is known") {
+    REQUIRE_FALSE(limiters[2]
+                      .TryAdmit(now, team, TokenCount(100), TokenCount(800'000))
+                      .allowed);
     heartbeat();
-    REQUIRE(limiters[2].TryAdmit(now, team, TokenCount(100), TokenCount(800'000)).allowed);
+    REQUIRE(limiters[2]
+                .TryAdmit(now, team, TokenCount(100), TokenCount(800'000))
+                .allowed);
   }
   SECTION("and a prompt longer than the burst leaves a debt") {
-    REQUIRE(limiters[0].TryAdmit(now, team, TokenCount(20'000), TokenCount(1)).allowed);
-    const LimitDecision next = limiters[0].TryAdmit(now, team, TokenCount(100), TokenCount(1));
+    REQUIRE(limiters[0]
+                .TryAdmit(now, team, TokenCount(20'000), TokenCount(1))
+                .allowed);
+    const LimitDecision next =
+        limiters[0].TryAdmit(now, team, TokenCount(100), TokenCount(1));
     REQUIRE_FALSE(next.allowed);
     REQUIRE(next.retry_after > Duration::Seconds(5));
   }
--- a/modules/zr_admission/tests/load_test.cc
+++ b/modules/zr_admission/tests/load_test.cc
@@ -30,19 +30,24 @@
 double Percentile(std::vector<double> values, double p) {
   if (values.empty()) return 0;
   std::sort(values.begin(), values.end());
-  return values[std::min(values.size() - 1, static_cast<size_t>(p * values.size()))];
+  return values[std::min(values.size() - 1,
+                         static_cast<size_t>(p * values.size()))];
 }
 
 /** Several endpoints with their owners behind one ingress, without faults. */
 class LoadWorld {
  public:
   LoadWorld(uint64_t seed, int endpoints, std::vector<Offer> offers)
-      : random_(seed), selector_(seed), share_(VmId("vm0")), offers_(std::move(offers)) {
+      : random_(seed),
+        selector_(seed),
+        share_(VmId("vm0")),
+        offers_(std::move(offers)) {
     pool_.pool = PoolId("reader");
     pool_.max_requests = 32;
     pool_.warm_after_requests = 16;
     auto classes = std::make_shared<ClassPolicies>();
-    for (const Offer& offer : offers_) (*classes)[offer.policy.name] = offer.policy;
+    for (const Offer& offer : offers_)
+      (*classes)[offer.policy.name] = offer.policy;
     for (int i = 0; i < endpoints; ++i) {
       FakeEngine::Options options;
       options.kv_capacity = 200'000;
@@ -54,7 +59,8 @@
           Record& call = it->second;
           call.first_token = clock_.now();
           if (!call.measured) return;
-          results[call.offer].first_tokens.push_back((clock_.now() - call.arrived).seconds());
+          results[call.offer].first_tokens.push_back(
+              (clock_.now() - call.arrived).seconds());
         }
       };
       OwnerOptions owner;
@@ -62,7 +68,8 @@
       owner.incarnation = Incarnation(1);
       owner.endpoint.endpoint = EndpointId("e" + std::to_string(i));
       owner.endpoint.pool = pool_.pool;
-      owner.policies = OwnerPolicies{pool_, classes, std::make_shared<TeamPolicies>()};
+      owner.policies =
+          OwnerPolicies{pool_, classes, std::make_shared<TeamPolicies>()};
       owners_.push_back(EndpointOwner::Create(owner, clock_.now()).value());
     }
     results.resize(offers_.size());
@@ -104,11 +111,13 @@
 
   void Arrive(size_t offer) {
     if (clock_.now() >= end_ || offers_[offer].per_second <= 0) return;
-    const double gap = -std::log(1 - random_.Unit()) / offers_[offer].per_second;
-    clock_.After(Duration::Microseconds(static_cast<int64_t>(gap * 1e6)), [this, offer] {
-      if (clock_.now() < end_) Submit(offer);
-      Arrive(offer);
-    });
+    const double gap =
+        -std::log(1 - random_.Unit()) / offers_[offer].per_second;
+    clock_.After(Duration::Microseconds(static_cast<int64_t>(gap * 1e6)),
+                 [this, offer] {
+                   if (clock_.now() < end_) Submit(offer);
+                   Arrive(offer);
+                 });
   }
 
   void Submit(size_t index) {
@@ -131,10 +140,10 @@
     query.prompt = request.prompt;
     query.max_answer = request.max_answer;
     query.long_prompt = request.prompt > pool_.long_prompt;
-    share_.OnOffered(clock_.now(), pool_.pool, request.prompt + request.max_answer,
-                     query.long_prompt);
-    query.long_endpoints =
-        share_.LongEndpoints(clock_.now(), pool_.pool, static_cast<int64_t>(owners_.size()));
+    share_.OnOffered(clock_.now(), pool_.pool,
+                     request.prompt + request.max_answer, query.long_prompt);
+    query.long_endpoints = share_.LongEndpoints(
+        clock_.now(), pool_.pool, static_cast<int64_t>(owners_.size()));
     call.choices = selector_.Choose(candidates_, query);
     const std::string id = MakeStreamId(request.request, request.attempt);
     live_[id] = std::move(call);
@@ -150,16 +159,18 @@
     }
     const auto choices = static_cast<int>(call.choices.size());
     const bool queue = call.tried >= choices || choices == 1;
-    const EndpointId& endpoint = call.choices[static_cast<size_t>(queue ? 0 : call.tried)];
+    const EndpointId& endpoint =
+        call.choices[static_cast<size_t>(queue ? 0 : call.tried)];
     call.request.endpoint = endpoint;
     call.request.queue_if_busy = queue;
-    const auto index = static_cast<size_t>(std::stoul(endpoint.value().substr(1)));
+    const auto index =
+        static_cast<size_t>(std::stoul(endpoint.value().substr(1)));
     clock_.After(Duration::Milliseconds(1), [this, id, index] {
       const auto it = live_.find(id);
       if (it == live_.end()) return;
       it->second.request.time_left = it->second.deadline - clock_.now();
-      Carry(index,
-            owners_[index]->OnAdmissionRequest(clock_.now(), VmId("vm0"), it->second.request));
+      Carry(index, owners_[index]->OnAdmissionRequest(clock_.now(), VmId("vm0"),
+                                                      it->second.request));
     });
   }
 
@@ -173,18 +184,24 @@
     for (const OwnerAction& action : actions) {
       if (const auto* send = std::get_if<SendMessage>(&action)) {
         clock_.After(Duration::Milliseconds(1),
-                     [this, index, message = send->message] { Deliver(index, message); });
+                     [this, index, message = send->message] {
+                       Deliver(index, message);
+                     });
       } else if (std::holds_alternative<RequestStreamList>(action)) {
         clock_.After(Duration::Milliseconds(2), [this, index] {
-          Carry(index, owners_[index]->OnStreamList(clock_.now(), engines_[index]->List()));
+          Carry(index, owners_[index]->OnStreamList(clock_.now(),
+                                                    engines_[index]->List()));
         });
       }
     }
     const TimePoint wake = owners_[index]->NextWakeup();
-    if (wake < TimePoint::Max() && (wakeups_[index] <= clock_.now() || wake < wakeups_[index])) {
-      wakeups_[index] = std::max(wake, clock_.now() + Duration::Milliseconds(1));
-      clock_.At(wakeups_[index],
-                [this, index] { Carry(index, owners_[index]->OnTick(clock_.now())); });
+    if (wake < TimePoint::Max() &&
+        (wakeups_[index] <= clock_.now() || wake < wakeups_[index])) {
+      wakeups_[index] =
+          std::max(wake, clock_.now() + Duration::Milliseconds(1));
+      clock_.At(wakeups_[index], [this, index] {
+        Carry(index, owners_[index]->OnTick(clock_.now()));
+      });
     }
   }
 
@@ -193,7 +210,8 @@
       const std::string id = MakeStreamId(refusal->request, refusal->attempt);
       const auto it = live_.find(id);
       if (it == live_.end()) return;
-      if (refusal->reason == RefusalReason::kBusy && !it->second.request.queue_if_busy) {
+      if (refusal->reason == RefusalReason::kBusy &&
+          !it->second.request.queue_if_busy) {
         ++it->second.tried;
         Try(id);
       } else {
@@ -209,7 +227,9 @@
     const auto it = live_.find(id);
     if (it == live_.end()) return;
     const Record& call = it->second;
-    if (call.measured) results[call.offer].waits.push_back((clock_.now() - call.arrived).seconds());
+    if (call.measured)
+      results[call.offer].waits.push_back(
+          (clock_.now() - call.arrived).seconds());
     FakeEngine::Stream stream;
     stream.kv = grant.kv_tokens.value();
     stream.priority = grant.priority;
@@ -220,11 +240,13 @@
       Finish(index, id, grant, started);
     };
     held_[id] = {index, grant};
-    const bool started_there = engines_[index]->Start(clock_.now(), id, std::move(stream));
+    const bool started_there =
+        engines_[index]->Start(clock_.now(), id, std::move(stream));
     REQUIRE(started_there);
   }
 
-  void Finish(size_t index, const std::string& id, const Grant& grant, TimePoint started) {
+  void Finish(size_t index, const std::string& id, const Grant& grant,
+              TimePoint started) {
     const auto it = live_.find(id);
     const Record& call = it->second;
     if (call.measured) {
@@ -243,19 +265,22 @@
     live_.erase(it);
     held_.erase(id);
     clock_.After(Duration::Milliseconds(1), [this, index, release] {
-      Carry(index, owners_[index]->OnRelease(clock_.now(), VmId("vm0"), release));
+      Carry(index,
+            owners_[index]->OnRelease(clock_.now(), VmId("vm0"), release));
     });
   }
 
   void Tick() {
-    for (auto& engine : engines_) engine->Advance(clock_.now(), Duration::Milliseconds(5));
+    for (auto& engine : engines_)
+      engine->Advance(clock_.now(), Duration::Milliseconds(5));
     clock_.After(Duration::Milliseconds(5), [this] { Tick(); });
   }
 
   /** Load reports, summaries and holders' lists, every half second. */
   void Poll() {
     for (size_t i = 0; i < owners_.size(); ++i) {
-      Carry(i, owners_[i]->OnLoadReport(clock_.now(), engines_[i]->Load(clock_.now())));
+      Carry(i, owners_[i]->OnLoadReport(clock_.now(),
+                                        engines_[i]->Load(clock_.now())));
       HeldGrants list;
       list.holder = SenderStamp{VmId("vm0"), Incarnation(1), ++list_sequence_};
       list.endpoint = EndpointId("e" + std::to_string(i));
@@ -325,10 +350,12 @@
 
 void Print(const char* name, const LoadWorld& world) {
   for (const ClassResult& r : world.results) {
-    std::cout << name << ": arrived " << r.arrived << " in time " << r.in_time << " late " << r.late
-              << " refused " << r.refused << " wait p50 " << Percentile(r.waits, 0.5) << " p99 "
-              << Percentile(r.waits, 0.99) << " first token p50 " << Percentile(r.first_tokens, 0.5)
-              << " p99 " << Percentile(r.first_tokens, 0.99) << "\n";
+    std::cout << name << ": arrived " << r.arrived << " in time " << r.in_time
+              << " late " << r.late << " refused " << r.refused << " wait p50 "
+              << Percentile(r.waits, 0.5) << " p99 "
+              << Percentile(r.waits, 0.99) << " first token p50 "
+              << Percentile(r.first_tokens, 0.5) << " p99 "
+              << Percentile(r.first_tokens, 0.99) << "\n";
   }
 }
 
@@ -369,7 +396,8 @@
   twice.Run(Duration::Seconds(30), Duration::Seconds(600));
   Print("capacity", once);
   Print("twice the capacity", twice);
-  std::cout << "weighted work " << once.Weighted() << " and " << twice.Weighted() << "\n";
+  std::cout << "weighted work " << once.Weighted() << " and "
+            << twice.Weighted() << "\n";
   CHECK(twice.Weighted() >= once.Weighted() * 0.95);
   for (const ClassResult& result : twice.results) CHECK(result.late == 0);
   CHECK(Invariants::Total() == 0);
--- a/modules/zr_admission/tests/long_share_test.cc
+++ b/modules/zr_admission/tests/long_share_test.cc
@@ -5,8 +5,8 @@
 namespace zr {
 namespace {
 
-// Guards against short prompts that are left one endpoint of many, and run beside long ones,
-// although the long ones leave others idle.
+// Guards against short prompts that are left one endpoint of many, and run
+// beside long ones, although the long ones leave others idle.
 TEST_CASE("Spare capacity goes to short prompts") {
   const PoolId pool("glossary");
   LongShare share(VmId("vm-a"));
@@ -21,7 +21,8 @@
   SECTION("by the share alone they get one of twelve") {
     REQUIRE(share.LongEndpoints(now, pool, 12) == 11);
   }
-  SECTION("by the speed of the endpoints they get what the long ones do not need") {
+  SECTION(
+      "by the speed of the endpoints they get what the long ones do not need") {
     const int64_t needed = share.LongEndpoints(now, pool, 12, 12'000);
     REQUIRE(needed >= 7);
     REQUIRE(needed <= 9);
--- a/modules/zr_admission/tests/owner_fixture.h
+++ b/modules/zr_admission/tests/owner_fixture.h
@@ -8,7 +8,9 @@
 
 namespace zr {
 
-inline TimePoint AtMs(int64_t ms) { return TimePoint::FromMicroseconds(ms * 1000); }
+inline TimePoint AtMs(int64_t ms) {
+  return TimePoint::FromMicroseconds(ms * 1000);
+}
 
 /** One owner with its policies; time is in milliseconds. */
 struct OwnerFixture {
@@ -26,7 +28,8 @@
     pool.pool = PoolId("reader");
     pool.fresh_requests = 4;
     pool.max_requests = 16;
-    pool.warm_after_requests = 0;  // warm from the start unless a test says otherwise
+    pool.warm_after_requests =
+        0;  // warm from the start unless a test says otherwise
     for (const char* name : {"check", "audit"}) {
       ClassPolicy policy;
       policy.name = ClassId(name);
@@ -36,7 +39,8 @@
 
   OwnerPolicies Policies() const { return OwnerPolicies{pool, classes, teams}; }
 
-  void Start(TimePoint now, bool taken_over = false, int64_t capacity = 100'000) {
+  void Start(TimePoint now, bool taken_over = false,
+             int64_t capacity = 100'000) {
     OwnerOptions options;
     options.self = VmId("owner");
     options.incarnation = Incarnation(7);
@@ -50,15 +54,18 @@
     AnswerLists(now);
   }
 
-  /** Answers a list request among the last actions; adds what follows to them. */
+  /** Answers a list request among the last actions; adds what follows to them.
+   */
   void AnswerLists(TimePoint now) {
     if (!answer_lists || Actions<RequestStreamList>().empty()) return;
     std::erase(last, OwnerAction(RequestStreamList{}));
     const EngineStreams list{owner->Snapshot().boot, streams};
-    for (OwnerAction& action : owner->OnStreamList(now, list)) last.push_back(std::move(action));
+    for (OwnerAction& action : owner->OnStreamList(now, list))
+      last.push_back(std::move(action));
   }
 
-  EngineLoad MakeLoad(int64_t capacity, int64_t used = 0, int64_t running = 0, uint64_t boot = 1) {
+  EngineLoad MakeLoad(int64_t capacity, int64_t used = 0, int64_t running = 0,
+                      uint64_t boot = 1) {
     EngineLoad load;
     load.boot = BootNumber(boot);
     load.sequence = ++load_sequence;
@@ -68,12 +75,13 @@
     return load;
   }
 
-  void Load(TimePoint now, int64_t capacity, int64_t used = 0, int64_t running = 0,
-            uint64_t boot = 1) {
+  void Load(TimePoint now, int64_t capacity, int64_t used = 0,
+            int64_t running = 0, uint64_t boot = 1) {
     last = owner->OnLoadReport(now, MakeLoad(capacity, used, running, boot));
   }
 
-  AdmissionRequest Request(const std::string& id, int64_t prompt, int64_t answer,
+  AdmissionRequest Request(const std::string& id, int64_t prompt,
+                           int64_t answer,
                            int64_t time_left_ms = 30'000) const {
     AdmissionRequest request;
     request.request = RequestId(id);
@@ -90,7 +98,8 @@
     return request;
   }
 
-  void Ask(TimePoint now, const AdmissionRequest& request, const char* from = "vm1") {
+  void Ask(TimePoint now, const AdmissionRequest& request,
+           const char* from = "vm1") {
     last = owner->OnAdmissionRequest(now, VmId(from), request);
     AnswerLists(now);
   }
@@ -150,7 +159,8 @@
     for (const OwnerAction& action : last) {
       const auto* send = std::get_if<SendMessage>(&action);
       if (send == nullptr) continue;
-      if (const T* message = std::get_if<T>(&send->message)) found.push_back(*message);
+      if (const T* message = std::get_if<T>(&send->message))
+        found.push_back(*message);
     }
     return found;
   }
--- a/modules/zr_admission/tests/owner_queue_test.cc
+++ b/modules/zr_admission/tests/owner_queue_test.cc
@@ -43,17 +43,21 @@
   f.Ask(AtMs(10), f.Request("a", 500, 400));
   f.Ask(AtMs(40), f.Request("waiting", 500, 400));
   SECTION("when drained") {
-    f.last = f.owner->OnPolicy(AtMs(100), EndpointState{true, false}, f.Policies());
+    f.last =
+        f.owner->OnPolicy(AtMs(100), EndpointState{true, false}, f.Policies());
   }
   SECTION("when leaving") {
-    f.last = f.owner->OnPolicy(AtMs(100), EndpointState{false, true}, f.Policies());
+    f.last =
+        f.owner->OnPolicy(AtMs(100), EndpointState{false, true}, f.Policies());
   }
   SECTION("when its own report says so") {
     EngineLoad load = f.MakeLoad(1'000);
     load.leaving = true;
     f.last = f.owner->OnLoadReport(AtMs(100), load);
   }
-  SECTION("when it is unreachable") { f.last = f.owner->OnEndpointUnreachable(AtMs(100)); }
+  SECTION("when it is unreachable") {
+    f.last = f.owner->OnEndpointUnreachable(AtMs(100));
+  }
   REQUIRE(f.Refused("waiting") == RefusalReason::kNotAccepting);
   f.Ask(AtMs(200), f.Request("b", 10, 10));
   REQUIRE(f.Refused("b") == RefusalReason::kNotAccepting);
@@ -77,7 +81,9 @@
     REQUIRE(f.Refused("b") == RefusalReason::kBusy);
     REQUIRE(f.Sent<Refusal>()[0].wait_hint > Duration::Seconds(5));
   }
-  SECTION("a request whose expected end is past its deadline is refused on arrival") {
+  SECTION(
+      "a request whose expected end is past its deadline is refused on "
+      "arrival") {
     f.Ask(AtMs(40), f.Request("b", 500, 400, 9'000));
     REQUIRE(f.Refused("b") == RefusalReason::kDeadline);
     f.Ask(AtMs(50), f.Request("c", 500, 400, 1'000));
@@ -86,15 +92,17 @@
   SECTION("a waiting request is refused once it cannot finish any more") {
     f.Ask(AtMs(40), f.Request("b", 500, 400, 20'000));
     REQUIRE(f.Sent<Refusal>().empty());
-    for (int64_t at = 500; at <= 11'500; at += 500) f.List(AtMs(at), "vm1", {f.Held("a")});
+    for (int64_t at = 500; at <= 11'500; at += 500)
+      f.List(AtMs(at), "vm1", {f.Held("a")});
     REQUIRE_FALSE(f.Refused("b"));
     f.Tick(AtMs(12'200));
     REQUIRE(f.Refused("b") == RefusalReason::kDeadline);
   }
   SECTION("a cancelled request is forgotten") {
     f.Ask(AtMs(40), f.Request("b", 500, 400));
-    f.owner->OnCancel(AtMs(50), VmId("vm1"),
-                      CancelAdmission{RequestId("b"), AttemptNumber(1), EndpointId("e1")});
+    f.owner->OnCancel(
+        AtMs(50), VmId("vm1"),
+        CancelAdmission{RequestId("b"), AttemptNumber(1), EndpointId("e1")});
     f.Release(AtMs(1'000), "a");
     REQUIRE_FALSE(f.Granted("b"));
   }
@@ -110,7 +118,8 @@
   f.pool.max_requests = 1;
   f.Start(AtMs(0));
   f.Ask(AtMs(10), f.Request("a", 100, 50, 600'000));
-  auto queue = [&](const std::string& id, const char* team, const char* cls, int64_t prompt) {
+  auto queue = [&](const std::string& id, const char* team, const char* cls,
+                   int64_t prompt) {
     AdmissionRequest request = f.Request(id, prompt, 50, 600'000);
     request.team = TeamId(team);
     request.request_class = ClassId(cls);
@@ -134,11 +143,14 @@
     REQUIRE(served == std::vector<std::string>{"audit", "check"});
   }
   SECTION("a team that floods the queue does not hold up another") {
-    for (int i = 0; i < 20; ++i) queue("f" + std::to_string(i), "flood", "check", 4'000);
-    for (int i = 0; i < 4; ++i) queue("s" + std::to_string(i), "small", "check", 4'000);
+    for (int i = 0; i < 20; ++i)
+      queue("f" + std::to_string(i), "flood", "check", 4'000);
+    for (int i = 0; i < 4; ++i)
+      queue("s" + std::to_string(i), "small", "check", 4'000);
     serve(10);
     const auto small =
-        std::count_if(served.begin(), served.end(), [](const auto& id) { return id[0] == 's'; });
+        std::count_if(served.begin(), served.end(),
+                      [](const auto& id) { return id[0] == 's'; });
     REQUIRE(small == 4);
   }
   SECTION("teams share in proportion") {
@@ -148,8 +160,8 @@
       queue("s" + std::to_string(i), "small", "check", 4'046);
     }
     serve(20);
-    const auto big =
-        std::count_if(served.begin(), served.end(), [](const auto& id) { return id[0] == 'b'; });
+    const auto big = std::count_if(served.begin(), served.end(),
+                                   [](const auto& id) { return id[0] == 'b'; });
     REQUIRE(big >= 14);
     REQUIRE(big <= 16);
   }
@@ -166,7 +178,8 @@
   f.Ask(AtMs(10), f.Request("a", 40'000, 1'000, 120'000));
   f.Ask(AtMs(40), f.Request("long", 80'000, 100, 120'000));
   REQUIRE_FALSE(f.Granted("long"));
-  for (int64_t at = 500; at <= 8'000; at += 500) f.List(AtMs(at), "vm1", {f.Held("a")});
+  for (int64_t at = 500; at <= 8'000; at += 500)
+    f.List(AtMs(at), "vm1", {f.Held("a")});
   SECTION("short requests that end before its start go ahead") {
     f.Ask(AtMs(8'100), f.Request("short", 500, 100));
     REQUIRE(f.Granted("short"));
@@ -185,8 +198,9 @@
   Invariants::Reset();
   OwnerFixture f;
   f.Start(AtMs(0));
-  const GatherReserve reserve{RequestId("g"), AttemptNumber(1), EndpointId("e1"),
-                              TokenCount(60'000), Duration::Seconds(5)};
+  const GatherReserve reserve{RequestId("g"), AttemptNumber(1),
+                              EndpointId("e1"), TokenCount(60'000),
+                              Duration::Seconds(5)};
   f.last = f.owner->OnGatherReserve(AtMs(100), VmId("coordinator"), reserve);
   f.AnswerLists(AtMs(100));
   REQUIRE(f.Sent<GatherReply>()[0].reserved);
@@ -197,9 +211,9 @@
   }
   SECTION("stays while a holder lists it, whatever the coordinator does") {
     f.List(AtMs(2'000), "vm1", {f.Held("g")});
-    f.owner->OnGatherRelease(
-        AtMs(2'100), VmId("coordinator"),
-        GatherRelease{RequestId("g"), AttemptNumber(1), EndpointId("e1"), number});
+    f.owner->OnGatherRelease(AtMs(2'100), VmId("coordinator"),
+                             GatherRelease{RequestId("g"), AttemptNumber(1),
+                                           EndpointId("e1"), number});
     f.List(AtMs(4'500), "vm1", {f.Held("g")});
     f.Tick(AtMs(7'000));
     REQUIRE(f.owner->grants().reserved() == TokenCount(60'000));
@@ -207,9 +221,9 @@
     REQUIRE(f.owner->grants().reserved() == TokenCount(0));
   }
   SECTION("is returned when the gather fails") {
-    f.owner->OnGatherRelease(
-        AtMs(200), VmId("coordinator"),
-        GatherRelease{RequestId("g"), AttemptNumber(1), EndpointId("e1"), number});
+    f.owner->OnGatherRelease(AtMs(200), VmId("coordinator"),
+                             GatherRelease{RequestId("g"), AttemptNumber(1),
+                                           EndpointId("e1"), number});
     REQUIRE(f.owner->grants().reserved() == TokenCount(0));
   }
   SECTION("that does not fit holds back what would take its memory") {
--- a/modules/zr_admission/tests/random_world.h
+++ b/modules/zr_admission/tests/random_world.h
@@ -16,7 +16,8 @@
 /** Two owners of one engine, several holders, and faults of all of them. */
 class World {
  public:
-  explicit World(uint64_t seed) : random_(seed), engine_(FakeEngine::Options{}) {
+  explicit World(uint64_t seed)
+      : random_(seed), engine_(FakeEngine::Options{}) {
     pool_.pool = PoolId("reader");
     pool_.max_requests = 16;
     pool_.fresh_requests = 4;
@@ -30,7 +31,8 @@
       holders_.back().id = VmId("vm" + std::to_string(i));
     }
     CreateOwner(owners_[0], false);
-    clock_.After(Duration::Seconds(2), [this] { CreateOwner(owners_[1], true); });
+    clock_.After(Duration::Seconds(2),
+                 [this] { CreateOwner(owners_[1], true); });
     EngineTick();
     OwnerTick();
     ListTick();
@@ -42,7 +44,8 @@
     clock_.RunUntil(clock_.now() + Duration::Seconds(90));
     quiet_ = true;
     clock_.RunUntil(clock_.now() + Duration::Seconds(200));
-    INFO("completed " << completed << " of " << arrived << ", refused " << refused);
+    INFO("completed " << completed << " of " << arrived << ", refused "
+                      << refused);
     CHECK(engine_.overruns == 0);
     CHECK(engine_.KvUsed() == 0);
     for (const OwnerVm& vm : owners_) {
@@ -60,7 +63,8 @@
  private:
   Duration Millis(int64_t low, int64_t high) {
     return Duration::Milliseconds(
-        low + static_cast<int64_t>(random_.Below(static_cast<uint64_t>(high - low + 1))));
+        low + static_cast<int64_t>(
+                  random_.Below(static_cast<uint64_t>(high - low + 1))));
   }
   bool Lost() { return !quiet_ && random_.Chance(0.02); }
 
@@ -70,8 +74,8 @@
     options.incarnation = Incarnation(++vm.incarnation);
     options.endpoint.endpoint = EndpointId("e1");
     options.endpoint.pool = pool_.pool;
-    options.policies =
-        OwnerPolicies{pool_, std::make_shared<ClassPolicies>(), std::make_shared<TeamPolicies>()};
+    options.policies = OwnerPolicies{pool_, std::make_shared<ClassPolicies>(),
+                                     std::make_shared<TeamPolicies>()};
     options.taken_over = taken_over;
     vm.owner = EndpointOwner::Create(options, clock_.now()).value();
     vm.failed_polls = 0;
@@ -84,7 +88,8 @@
     if (!vm.owner) return;
     if (clock_.now() < vm.paused_until) {
       const uint64_t incarnation = vm.incarnation;
-      clock_.At(vm.paused_until, [this, index, incarnation, event = std::move(event)] {
+      clock_.At(vm.paused_until, [this, index, incarnation,
+                                  event = std::move(event)] {
         if (owners_[static_cast<size_t>(index)].incarnation == incarnation) {
           WithOwner(index, event);
         }
@@ -97,8 +102,10 @@
       vm.wakeup = std::max(wake, clock_.now() + Duration::Milliseconds(1));
       if (wake == TimePoint::Max()) return;
       clock_.At(vm.wakeup, [this, index, incarnation = vm.incarnation] {
-        if (owners_[static_cast<size_t>(index)].incarnation != incarnation) return;
-        WithOwner(index, [this](EndpointOwner& o) { return o.OnTick(clock_.now()); });
+        if (owners_[static_cast<size_t>(index)].incarnation != incarnation)
+          return;
+        WithOwner(index,
+                  [this](EndpointOwner& o) { return o.OnTick(clock_.now()); });
       });
     }
   }
@@ -108,17 +115,21 @@
       if (Lost()) continue;
       if (auto* send = std::get_if<SendMessage>(&action)) {
         const TimePoint sent = clock_.now();
-        clock_.After(Millis(1, 5),
-                     [this, index, sent, message = *send] { Deliver(index, sent, message); });
+        clock_.After(Millis(1, 5), [this, index, sent, message = *send] {
+          Deliver(index, sent, message);
+        });
       } else if (auto* cancel = std::get_if<CancelEngineStream>(&action)) {
-        clock_.After(Millis(1, 5), [this, id = cancel->stream_id] { engine_.Cancel(id); });
+        clock_.After(Millis(1, 5),
+                     [this, id = cancel->stream_id] { engine_.Cancel(id); });
       } else if (std::holds_alternative<RequestStreamList>(action)) {
-        const uint64_t incarnation = owners_[static_cast<size_t>(index)].incarnation;
+        const uint64_t incarnation =
+            owners_[static_cast<size_t>(index)].incarnation;
         clock_.After(Millis(1, 5), [this, index, incarnation] {
           if (engine_.down()) return;
           const EngineStreams list = engine_.List();
           clock_.After(Millis(1, 5), [this, index, incarnation, list] {
-            if (owners_[static_cast<size_t>(index)].incarnation != incarnation) return;
+            if (owners_[static_cast<size_t>(index)].incarnation != incarnation)
+              return;
             WithOwner(index, [this, list](EndpointOwner& owner) {
               return owner.OnStreamList(clock_.now(), list);
             });
@@ -132,15 +143,18 @@
     for (Holder& holder : holders_) {
       if (holder.id != message.to || !holder.alive) continue;
       if (clock_.now() < holder.paused_until) {
-        clock_.At(holder.paused_until, [=, this] { Deliver(owner, sent, message); });
+        clock_.At(holder.paused_until,
+                  [=, this] { Deliver(owner, sent, message); });
         return;
       }
       if (const auto* grant = std::get_if<Grant>(&message.message)) {
         OnGrant(holder, owner, sent, *grant);
       } else if (const auto* refusal = std::get_if<Refusal>(&message.message)) {
         ++refused;
-        const auto it = holder.calls.find(StreamKey{refusal->request, refusal->attempt});
-        if (it != holder.calls.end() && !it->second->grant) holder.calls.erase(it);
+        const auto it =
+            holder.calls.find(StreamKey{refusal->request, refusal->attempt});
+        if (it != holder.calls.end() && !it->second->grant)
+          holder.calls.erase(it);
       }
     }
   }
@@ -184,7 +198,8 @@
     const bool known = it != holder.calls.end();
     // A grant that was given back must not be used when it is offered again.
     if (holder.given_back.contains({grant.owner, grant.number})) return;
-    if (known && it->second->grant && it->second->grant->number == grant.number &&
+    if (known && it->second->grant &&
+        it->second->grant->number == grant.number &&
         it->second->grant->owner == grant.owner) {
       return;
     }
@@ -195,7 +210,8 @@
     }
     it->second->grant = grant;
     it->second->told = {owner};
-    const Duration delay = random_.Chance(0.05) ? Millis(0, 1'500) : Millis(0, 3);
+    const Duration delay =
+        random_.Chance(0.05) ? Millis(0, 1'500) : Millis(0, 3);
     const TimePoint received = clock_.now();
     clock_.After(delay, [this, &holder, key, received, call = it->second] {
       StartCall(holder, key, received, call);
@@ -212,7 +228,8 @@
       return;
     }
     if (clock_.now() - received > call->grant->start_within) {
-      GiveBack(holder, *call->grant, call->told, ReleaseOutcome::kNeverStarted, nullptr);
+      GiveBack(holder, *call->grant, call->told, ReleaseOutcome::kNeverStarted,
+               nullptr);
       holder.calls.erase(it);
       return;
     }
@@ -222,26 +239,31 @@
     stream.prefill = static_cast<double>(call->request.prompt.value());
     stream.answer = static_cast<double>(call->request.max_answer.value());
     stream.on_end = [this, &holder, key, call](FakeEngine::End end) {
-      clock_.After(Millis(1, 3), [=, this, &holder] { EndCall(holder, key, call, end); });
+      clock_.After(Millis(1, 3),
+                   [=, this, &holder] { EndCall(holder, key, call, end); });
     };
-    if (!engine_.Start(clock_.now(), MakeStreamId(*call->grant), std::move(stream))) {
-      GiveBack(holder, *call->grant, call->told, ReleaseOutcome::kEndpointRefused, nullptr);
+    if (!engine_.Start(clock_.now(), MakeStreamId(*call->grant),
+                       std::move(stream))) {
+      GiveBack(holder, *call->grant, call->told,
+               ReleaseOutcome::kEndpointRefused, nullptr);
       holder.calls.erase(key);
     }
   }
 
-  void EndCall(Holder& holder, const StreamKey& key, const std::shared_ptr<Call>& call,
-               FakeEngine::End end) {
+  void EndCall(Holder& holder, const StreamKey& key,
+               const std::shared_ptr<Call>& call, FakeEngine::End end) {
     const auto it = holder.calls.find(key);
     if (it == holder.calls.end() || it->second != call || !holder.alive) return;
     if (clock_.now() < holder.paused_until) {
-      clock_.At(holder.paused_until, [=, this, &holder] { EndCall(holder, key, call, end); });
+      clock_.At(holder.paused_until,
+                [=, this, &holder] { EndCall(holder, key, call, end); });
       return;
     }
     const bool done = end == FakeEngine::End::kDone;
     if (done) ++completed;
     GiveBack(holder, *call->grant, call->told,
-             done ? ReleaseOutcome::kCompleted : ReleaseOutcome::kEndpointDied, call.get());
+             done ? ReleaseOutcome::kCompleted : ReleaseOutcome::kEndpointDied,
+             call.get());
     holder.calls.erase(it);
   }
 
@@ -256,12 +278,16 @@
       if (!vm.owner || clock_.now() < vm.paused_until) continue;
       if (engine_.down()) {
         if (++vm.failed_polls == 3) {
-          WithOwner(i, [this](EndpointOwner& o) { return o.OnEndpointUnreachable(clock_.now()); });
+          WithOwner(i, [this](EndpointOwner& o) {
+            return o.OnEndpointUnreachable(clock_.now());
+          });
         }
       } else {
         vm.failed_polls = 0;
         const EngineLoad load = engine_.Load(clock_.now());
-        WithOwner(i, [this, load](EndpointOwner& o) { return o.OnLoadReport(clock_.now(), load); });
+        WithOwner(i, [this, load](EndpointOwner& o) {
+          return o.OnLoadReport(clock_.now(), load);
+        });
       }
     }
     clock_.After(Duration::Milliseconds(250), [this] { OwnerTick(); });
@@ -271,7 +297,8 @@
     for (Holder& holder : holders_) {
       if (!holder.alive || clock_.now() < holder.paused_until) continue;
       HeldGrants list;
-      list.holder = SenderStamp{holder.id, Incarnation(holder.incarnation), ++holder.sequence};
+      list.holder = SenderStamp{holder.id, Incarnation(holder.incarnation),
+                                ++holder.sequence};
       list.endpoint = EndpointId("e1");
       std::set<int> to{holder.believed};
       for (auto& [key, call] : holder.calls) {
@@ -307,7 +334,8 @@
       request.endpoint = EndpointId("e1");
       request.team = TeamId("t" + std::to_string(random_.Below(3)));
       request.prompt = TokenCount(random_.Chance(0.05) ? 40'000 : 500);
-      request.max_answer = TokenCount(static_cast<int64_t>(10 + random_.Below(150)));
+      request.max_answer =
+          TokenCount(static_cast<int64_t>(10 + random_.Below(150)));
       request.time_left = Millis(4'000, 30'000);
       request.fingerprint = Fingerprint(random_.Next());
       request.queue_if_busy = random_.Chance(0.7);
@@ -322,16 +350,20 @@
   void Ask(Holder& holder, const std::shared_ptr<Call>& call, int repeats) {
     const StreamKey key{call->request.request, call->request.attempt};
     const auto it = holder.calls.find(key);
-    if (it == holder.calls.end() || it->second != call || call->grant || !holder.alive) return;
+    if (it == holder.calls.end() || it->second != call || call->grant ||
+        !holder.alive)
+      return;
     if (clock_.now() >= call->deadline || repeats > 20) {
-      ToOwner(holder.believed, CancelAdmission{key.request, key.attempt, EndpointId("e1")},
+      ToOwner(holder.believed,
+              CancelAdmission{key.request, key.attempt, EndpointId("e1")},
               holder.id);
       holder.calls.erase(it);
       return;
     }
     call->request.time_left = call->deadline - clock_.now();
     ToOwner(holder.believed, call->request, holder.id);
-    clock_.After(Duration::Seconds(1), [=, this, &holder] { Ask(holder, call, repeats + 1); });
+    clock_.After(Duration::Seconds(1),
+                 [=, this, &holder] { Ask(holder, call, repeats + 1); });
   }
 
   void FaultTick() {
@@ -347,9 +379,13 @@
       owner.paused_until = clock_.now() + pause;
       const uint64_t incarnation = owner.incarnation;
       clock_.At(owner.paused_until, [this, owner_index, pause, incarnation] {
-        if (owners_[static_cast<size_t>(owner_index)].incarnation != incarnation) return;
+        if (owners_[static_cast<size_t>(owner_index)].incarnation !=
+            incarnation)
+          return;
         if (pause < Duration::Milliseconds(1'500)) return;
-        WithOwner(owner_index, [this](EndpointOwner& o) { return o.OnSelfPaused(clock_.now()); });
+        WithOwner(owner_index, [this](EndpointOwner& o) {
+          return o.OnSelfPaused(clock_.now());
+        });
       });
     }
     if (which == 3 && owner.owner) {
@@ -369,12 +405,15 @@
   void KillHolder(Holder& holder) {
     holder.alive = false;
     for (auto& [key, call] : holder.calls) {
-      if (call->started) engine_.DropReader(clock_.now(), MakeStreamId(*call->grant));
+      if (call->started)
+        engine_.DropReader(clock_.now(), MakeStreamId(*call->grant));
     }
     holder.calls.clear();
     for (int i = 0; i < 2; ++i) {
       clock_.After(Duration::Milliseconds(1'500), [this, i, id = holder.id] {
-        WithOwner(i, [this, id](EndpointOwner& o) { return o.OnVmDead(clock_.now(), id); });
+        WithOwner(i, [this, id](EndpointOwner& o) {
+          return o.OnVmDead(clock_.now(), id);
+        });
       });
     }
     clock_.After(Millis(2'000, 8'000), [&holder] {
--- a/modules/zr_admission/tests/random_world_test.cc
+++ b/modules/zr_admission/tests/random_world_test.cc
@@ -18,8 +18,9 @@
   for (uint64_t seed = first; seed < first + count; ++seed) {
     INFO("ZR_SEED=" << seed);
     Invariants::Reset();
-    Invariants::SetHandler(
-        [](Invariant, std::string_view message) { UNSCOPED_INFO("violated: " << message); });
+    Invariants::SetHandler([](Invariant, std::string_view message) {
+      UNSCOPED_INFO("violated: " << message);
+    });
     World world(seed);
     world.Run();
     Invariants::SetHandler(nullptr);
--- a/modules/zr_admission/tests/service_time_model_test.cc
+++ b/modules/zr_admission/tests/service_time_model_test.cc
@@ -12,8 +12,8 @@
   return policy;
 }
 
-// Guards against interactive requests that miss their deadline because prompts of others are read
-// while they are answered.
+// Guards against interactive requests that miss their deadline because prompts
+// of others are read while they are answered.
 TEST_CASE("An answer takes longer while other prompts are read") {
   ServiceTimeModel model(Policy());
   ServiceTimeModel::Observation seen;
--- a/modules/zr_admission/work_forecast.cc
+++ b/modules/zr_admission/work_forecast.cc
@@ -8,19 +8,22 @@
 
 Duration FromSeconds(double seconds) {
   // A day bounds the arithmetic; no deadline is that long.
-  return Duration::Microseconds(static_cast<int64_t>(std::clamp(seconds, 0.0, 86'400.0) * 1e6));
+  return Duration::Microseconds(
+      static_cast<int64_t>(std::clamp(seconds, 0.0, 86'400.0) * 1e6));
 }
 
 bool Works(const GrantEntry& entry) {
-  return entry.state == GrantState::kOffered || entry.state == GrantState::kHeld;
+  return entry.state == GrantState::kOffered ||
+         entry.state == GrantState::kHeld;
 }
 
 /**
  * Seconds until the prefill of `own` tokens ends beside the grants' and the
  * extra prefill: higher priorities go first, equal ones share.
  */
-double PrefillSeconds(const GrantTable& grants, const GrantEntry* self, double own,
-                      int32_t priority, const WorkDemand* extra, double speed) {
+double PrefillSeconds(const GrantTable& grants, const GrantEntry* self,
+                      double own, int32_t priority, const WorkDemand* extra,
+                      double speed) {
   if (own <= 0) return 0;
   const auto before_own = [&](double other, int32_t other_priority) {
     if (other_priority < priority) return 0.0;
@@ -35,9 +38,11 @@
   return work / speed;
 }
 
-/** Seconds in which the engine reads prompts after one's own prefill has ended. */
-double PrefillSecondsAfter(const GrantTable& grants, const GrantEntry* self, double own,
-                           const WorkDemand* extra, double speed, double own_seconds) {
+/** Seconds in which the engine reads prompts after one's own prefill has ended.
+ */
+double PrefillSecondsAfter(const GrantTable& grants, const GrantEntry* self,
+                           double own, const WorkDemand* extra, double speed,
+                           double own_seconds) {
   double work = own;
   if (extra != nullptr) work += extra->prefill;
   for (const auto& [key, entry] : grants.entries()) {
@@ -56,7 +61,8 @@
   return run_time / 8 + Duration::Milliseconds(100);
 }
 
-void WorkForecast::Advance(GrantTable& grants, const ServiceTimeModel& model, Duration elapsed) {
+void WorkForecast::Advance(GrantTable& grants, const ServiceTimeModel& model,
+                           Duration elapsed) {
   double left = elapsed.seconds();
   const auto batch = static_cast<double>(std::max<int64_t>(1, Batch(grants)));
   const double decode = model.DecodeSpeed(batch);
@@ -77,8 +83,11 @@
         ++in_prefill;
       }
     }
-    const double prefill_share = in_prefill == 0 ? 0 : model.PrefillSpeed() / in_prefill;
-    const double step = in_prefill == 0 ? left : std::min(left, shortest / prefill_share + 1e-6);
+    const double prefill_share =
+        in_prefill == 0 ? 0 : model.PrefillSpeed() / in_prefill;
+    const double step = in_prefill == 0
+                            ? left
+                            : std::min(left, shortest / prefill_share + 1e-6);
     for (auto& [key, entry] : grants.entries()) {
       if (!Works(entry)) continue;
       entry.batch_seconds += batch * step;
@@ -88,10 +97,11 @@
         entry.prefill_left = std::max(0.0, entry.prefill_left - done);
         entry.prefill_seconds += step;
       } else {
-        // A step of the engine that reads prompts takes many times longer than one that does not,
-        // and gives each stream one token all the same.
+        // A step of the engine that reads prompts takes many times longer than
+        // one that does not, and gives each stream one token all the same.
         const double share = in_prefill == 0 ? 1 : model.ShareBesidePrefill();
-        entry.answer_left = std::max(0.0, entry.answer_left - decode * share * step);
+        entry.answer_left =
+            std::max(0.0, entry.answer_left - decode * share * step);
         if (in_prefill > 0) entry.beside_prefill_seconds += step;
       }
     }
@@ -103,36 +113,48 @@
   return grants.size() - grants.CountState(GrantState::kGathered);
 }
 
-Duration WorkForecast::RunTime(const GrantTable& grants, const ServiceTimeModel& model,
+Duration WorkForecast::RunTime(const GrantTable& grants,
+                               const ServiceTimeModel& model,
                                const WorkDemand& demand, double batch) {
-  const double prefill = PrefillSeconds(grants, nullptr, demand.prefill, demand.priority, nullptr,
-                                        model.PrefillSpeed());
-  const double beside =
-      PrefillSecondsAfter(grants, nullptr, demand.prefill, nullptr, model.PrefillSpeed(), prefill);
-  return FromSeconds(prefill + model.AnswerSeconds(demand.answer, batch, beside) +
+  const double prefill =
+      PrefillSeconds(grants, nullptr, demand.prefill, demand.priority, nullptr,
+                     model.PrefillSpeed());
+  const double beside = PrefillSecondsAfter(
+      grants, nullptr, demand.prefill, nullptr, model.PrefillSpeed(), prefill);
+  return FromSeconds(prefill +
+                     model.AnswerSeconds(demand.answer, batch, beside) +
                      demand.plain_seconds);
 }
 
-Duration WorkForecast::RunTimeAlone(const ServiceTimeModel& model, const WorkDemand& demand) {
-  return FromSeconds(demand.prefill / model.PrefillSpeed() + demand.answer / model.DecodeSpeed(1) +
+Duration WorkForecast::RunTimeAlone(const ServiceTimeModel& model,
+                                    const WorkDemand& demand) {
+  return FromSeconds(demand.prefill / model.PrefillSpeed() +
+                     demand.answer / model.DecodeSpeed(1) +
                      demand.plain_seconds);
 }
 
-Duration WorkForecast::Remaining(const GrantTable& grants, const ServiceTimeModel& model,
-                                 const GrantEntry& entry, double batch, const WorkDemand* extra) {
-  const double prefill = PrefillSeconds(grants, &entry, entry.prefill_left, entry.priority, extra,
-                                        model.PrefillSpeed());
-  const double beside =
-      PrefillSecondsAfter(grants, &entry, entry.prefill_left, extra, model.PrefillSpeed(), prefill);
-  return FromSeconds(prefill + model.AnswerSeconds(entry.answer_left, batch, beside) +
+Duration WorkForecast::Remaining(const GrantTable& grants,
+                                 const ServiceTimeModel& model,
+                                 const GrantEntry& entry, double batch,
+                                 const WorkDemand* extra) {
+  const double prefill =
+      PrefillSeconds(grants, &entry, entry.prefill_left, entry.priority, extra,
+                     model.PrefillSpeed());
+  const double beside = PrefillSecondsAfter(
+      grants, &entry, entry.prefill_left, extra, model.PrefillSpeed(), prefill);
+  return FromSeconds(prefill +
+                     model.AnswerSeconds(entry.answer_left, batch, beside) +
                      entry.plain_left);
 }
 
-bool WorkForecast::WouldDelayPastDeadline(const GrantTable& grants, const ServiceTimeModel& model,
-                                          const WorkDemand& demand, TimePoint now) {
+bool WorkForecast::WouldDelayPastDeadline(const GrantTable& grants,
+                                          const ServiceTimeModel& model,
+                                          const WorkDemand& demand,
+                                          TimePoint now) {
   const auto batch = static_cast<double>(std::max<int64_t>(1, Batch(grants)));
   for (const auto& [key, entry] : grants.entries()) {
-    if (!Works(entry) || entry.plain || entry.deadline == TimePoint::Max()) continue;
+    if (!Works(entry) || entry.plain || entry.deadline == TimePoint::Max())
+      continue;
     const Duration with = Remaining(grants, model, entry, batch + 1, &demand);
     // The error of the estimate grows over the whole run, which may be long for
     // a grant that yields to others.
@@ -149,7 +171,8 @@
   return false;
 }
 
-double WorkForecast::PrefillInProgress(const GrantTable& grants, int32_t priority) {
+double WorkForecast::PrefillInProgress(const GrantTable& grants,
+                                       int32_t priority) {
   double sum = 0;
   for (const auto& [key, entry] : grants.entries()) {
     if (Works(entry) && entry.priority >= priority) sum += entry.prefill_left;
--- a/modules/zr_admission/work_forecast.h
+++ b/modules/zr_admission/work_forecast.h
@@ -24,27 +24,36 @@
 class WorkForecast {
  public:
   /** Moves the remaining work of all grants forward by the elapsed time. */
-  static void Advance(GrantTable& grants, const ServiceTimeModel& model, Duration elapsed);
+  static void Advance(GrantTable& grants, const ServiceTimeModel& model,
+                      Duration elapsed);
 
-  /** Requests that share the engine: all entries besides gathered reservations. */
+  /** Requests that share the engine: all entries besides gathered reservations.
+   */
   static int64_t Batch(const GrantTable& grants);
 
-  /** Run time of a request that starts now among the grants, at the given batch size. */
-  static Duration RunTime(const GrantTable& grants, const ServiceTimeModel& model,
+  /** Run time of a request that starts now among the grants, at the given batch
+   * size. */
+  static Duration RunTime(const GrantTable& grants,
+                          const ServiceTimeModel& model,
                           const WorkDemand& demand, double batch);
 
   /** Run time of a request alone on the endpoint. */
-  static Duration RunTimeAlone(const ServiceTimeModel& model, const WorkDemand& demand);
+  static Duration RunTimeAlone(const ServiceTimeModel& model,
+                               const WorkDemand& demand);
 
-  /** Remaining time of a grant, with the extra work beside it if that is given. */
-  static Duration Remaining(const GrantTable& grants, const ServiceTimeModel& model,
-                            const GrantEntry& entry, double batch, const WorkDemand* extra);
+  /** Remaining time of a grant, with the extra work beside it if that is given.
+   */
+  static Duration Remaining(const GrantTable& grants,
+                            const ServiceTimeModel& model,
+                            const GrantEntry& entry, double batch,
+                            const WorkDemand* extra);
 
   /**
    * True if some grant that now meets its deadline would miss it once the
    * demand runs beside it.
    */
-  static bool WouldDelayPastDeadline(const GrantTable& grants, const ServiceTimeModel& model,
+  static bool WouldDelayPastDeadline(const GrantTable& grants,
+                                     const ServiceTimeModel& model,
                                      const WorkDemand& demand, TimePoint now);
 
   /** Prompt tokens in prefill, of the given and higher priorities. */
@@ -56,7 +65,8 @@
 /** Time added to an estimated run time to allow for errors of the estimate. */
 Duration EstimateMargin(Duration run_time);
 
-/** Times at which memory and slots become free, for placing waiting requests in order. */
+/** Times at which memory and slots become free, for placing waiting requests in
+ * order. */
 class CapacityTimeline {
  public:
   CapacityTimeline(TimePoint now, TokenCount free_kv, int64_t free_slots)
@@ -64,7 +74,8 @@
 
   /** A running request that frees its memory and slot at the given time. */
   void AddRunning(TimePoint end, TokenCount kv);
-  /** Places a request after all placed before. @returns its start, Max() if it never fits. */
+  /** Places a request after all placed before. @returns its start, Max() if it
+   * never fits. */
   TimePoint Place(TokenCount kv, Duration run_time);
   /** Start of a request if it were placed next, without placing it. */
   TimePoint PeekStart(TokenCount kv) const;
--- a/modules/zr_base/assert.cc
+++ b/modules/zr_base/assert.cc
@@ -4,8 +4,9 @@
 
 namespace zr {
 
-void AssertionFailed(Invariant invariant, std::string_view condition, std::string_view message,
-                     std::string_view file, int line) {
+void AssertionFailed(Invariant invariant, std::string_view condition,
+                     std::string_view message, std::string_view file,
+                     int line) {
   const size_t slash = file.rfind('/');
   if (slash != std::string_view::npos) file.remove_prefix(slash + 1);
   std::ostringstream os;
--- a/modules/zr_base/assert.h
+++ b/modules/zr_base/assert.h
@@ -7,8 +7,8 @@
 namespace zr {
 
 /** Reports a failed assertion with its source position. */
-void AssertionFailed(Invariant invariant, std::string_view condition, std::string_view message,
-                     std::string_view file, int line);
+void AssertionFailed(Invariant invariant, std::string_view condition,
+                     std::string_view message, std::string_view file, int line);
 
 }  // namespace zr
 
@@ -16,11 +16,13 @@
  * Checks a condition in every build. A failure is counted and logged; the
  * program goes on, because stopping an entry VM would cut unrelated streams.
  */
-#define ZR_ASSERT(condition, message) ZR_ASSERT_INVARIANT(kInternal, condition, message)
+#define ZR_ASSERT(condition, message) \
+  ZR_ASSERT_INVARIANT(kInternal, condition, message)
 
 /** Like ZR_ASSERT, counted under one of the named invariants. */
-#define ZR_ASSERT_INVARIANT(invariant, condition, message)                                        \
-  do {                                                                                            \
-    if (!(condition)) [[unlikely]]                                                                \
-      ::zr::AssertionFailed(::zr::Invariant::invariant, #condition, message, __FILE__, __LINE__); \
+#define ZR_ASSERT_INVARIANT(invariant, condition, message)                   \
+  do {                                                                       \
+    if (!(condition)) [[unlikely]]                                           \
+      ::zr::AssertionFailed(::zr::Invariant::invariant, #condition, message, \
+                            __FILE__, __LINE__);                             \
   } while (false)
--- a/modules/zr_base/error.cc
+++ b/modules/zr_base/error.cc
@@ -63,7 +63,8 @@
 
 tl::unexpected<Error> Fail(ErrorCode code, std::string step, std::string peer,
                            std::string message) {
-  return tl::unexpected<Error>(Error{code, std::move(step), std::move(peer), std::move(message)});
+  return tl::unexpected<Error>(
+      Error{code, std::move(step), std::move(peer), std::move(message)});
 }
 
 }  // namespace zr
--- a/modules/zr_base/error.h
+++ b/modules/zr_base/error.h
@@ -30,7 +30,7 @@
 
 /** Whether a refused or failed call was run, as told to the caller. */
 enum class RunState {
-  kNotRun,      // no part of the call reached an endpoint, or the endpoint said so
+  kNotRun,  // no part of the call reached an endpoint, or the endpoint said so
   kMayHaveRun,  // the call was sent and its outcome is unknown
   kRan,         // the outcome is known
 };
@@ -56,6 +56,7 @@
 using Result = tl::expected<T, Error>;
 
 /** Shorthand for a failed Result. */
-tl::unexpected<Error> Fail(ErrorCode code, std::string step, std::string peer, std::string message);
+tl::unexpected<Error> Fail(ErrorCode code, std::string step, std::string peer,
+                           std::string message);
 
 }  // namespace zr
--- a/modules/zr_base/hash.h
+++ b/modules/zr_base/hash.h
@@ -18,6 +18,7 @@
  *
  * @param weight  relative share, greater than 0
  */
-double RendezvousScore(std::string_view key, std::string_view node, double weight = 1.0);
+double RendezvousScore(std::string_view key, std::string_view node,
+                       double weight = 1.0);
 
 }  // namespace zr
--- a/modules/zr_base/ids.h
+++ b/modules/zr_base/ids.h
@@ -20,7 +20,9 @@
   bool empty() const { return value_.empty(); }
 
   friend auto operator<=>(const StringId&, const StringId&) = default;
-  friend std::ostream& operator<<(std::ostream& os, const StringId& id) { return os << id.value_; }
+  friend std::ostream& operator<<(std::ostream& os, const StringId& id) {
+    return os << id.value_;
+  }
 
  private:
   std::string value_;
@@ -36,8 +38,11 @@
   constexpr uint64_t value() const { return value_; }
   constexpr NumericId Next() const { return NumericId(value_ + 1); }
 
-  friend constexpr auto operator<=>(const NumericId&, const NumericId&) = default;
-  friend std::ostream& operator<<(std::ostream& os, const NumericId& id) { return os << id.value_; }
+  friend constexpr auto operator<=>(const NumericId&,
+                                    const NumericId&) = default;
+  friend std::ostream& operator<<(std::ostream& os, const NumericId& id) {
+    return os << id.value_;
+  }
 
  private:
   uint64_t value_ = 0;
--- a/modules/zr_base/invariants.h
+++ b/modules/zr_base/invariants.h
@@ -10,20 +10,21 @@
 
 /** The promises that hold at all times; each has a counter of violations. */
 enum class Invariant {
-  kAdmittedFinishes,     // an admitted request finishes or fails within its time
-  kNoKvLeak,             // no engine loses KV memory for good
-  kFreshNotOverrun,      // a fresh endpoint carries no more than it can bear
-  kDrainedDomainIdle,    // a drained domain gets no new work
-  kAnswerIntegrity,      // a caller receives the whole answer to its own request
-  kNotRunTrue,           // "not run" is said only when nothing was run
-  kAtMostOnce,           // a non-repeatable operation runs at most once
+  kAdmittedFinishes,   // an admitted request finishes or fails within its time
+  kNoKvLeak,           // no engine loses KV memory for good
+  kFreshNotOverrun,    // a fresh endpoint carries no more than it can bear
+  kDrainedDomainIdle,  // a drained domain gets no new work
+  kAnswerIntegrity,    // a caller receives the whole answer to its own request
+  kNotRunTrue,         // "not run" is said only when nothing was run
+  kAtMostOnce,         // a non-repeatable operation runs at most once
   kLeavingEndpointIdle,  // a leaving endpoint gets no new work
   kGracefulStop,         // a planned stop cuts no request
   kConfigNoRevert,       // an accepted configuration never reverts
   kInternal,             // any other asserted precondition
 };
 
-inline constexpr size_t kInvariantCount = static_cast<size_t>(Invariant::kInternal) + 1;
+inline constexpr size_t kInvariantCount =
+    static_cast<size_t>(Invariant::kInternal) + 1;
 
 /** Metric name of an invariant, for example "no_kv_leak". */
 std::string_view ToString(Invariant invariant);
--- a/modules/zr_base/random.cc
+++ b/modules/zr_base/random.cc
@@ -17,7 +17,9 @@
   return bound == 0 ? 0 : Next() % bound;
 }
 
-double Random::Unit() { return static_cast<double>(Next() >> 11) / 9007199254740992.0; }
+double Random::Unit() {
+  return static_cast<double>(Next() >> 11) / 9007199254740992.0;
+}
 
 bool Random::Chance(double probability) { return Unit() < probability; }
 
--- a/modules/zr_base/token_bucket.cc
+++ b/modules/zr_base/token_bucket.cc
@@ -13,7 +13,9 @@
   return true;
 }
 
-void TokenBucket::Add(double tokens) { level_ = std::min(burst_, level_ + tokens); }
+void TokenBucket::Add(double tokens) {
+  level_ = std::min(burst_, level_ + tokens);
+}
 
 void TokenBucket::Configure(double rate, double burst) {
   rate_ = rate;
@@ -30,7 +32,8 @@
   const double missing = tokens - LevelAt(now);
   if (missing <= 0) return Duration();
   if (rate_ <= 0 || tokens > burst_) return Duration::Max();
-  return Duration::Microseconds(static_cast<int64_t>(missing / rate_ * 1e6) + 1);
+  return Duration::Microseconds(static_cast<int64_t>(missing / rate_ * 1e6) +
+                                1);
 }
 
 }  // namespace zr
--- a/modules/zr_base/token_bucket.h
+++ b/modules/zr_base/token_bucket.h
@@ -11,7 +11,8 @@
    * @param rate   tokens added a second
    * @param burst  most tokens held; the bucket starts full
    */
-  TokenBucket(double rate, double burst) : rate_(rate), burst_(burst), level_(burst) {}
+  TokenBucket(double rate, double burst)
+      : rate_(rate), burst_(burst), level_(burst) {}
 
   /** Takes tokens if the bucket holds them. */
   bool TryTake(TimePoint now, double tokens = 1.0);
@@ -21,7 +22,8 @@
   void Configure(double rate, double burst);
   /** Tokens held at the given time. */
   double LevelAt(TimePoint now) const;
-  /** Time until the given number of tokens is held; Duration::Max() if never. */
+  /** Time until the given number of tokens is held; Duration::Max() if never.
+   */
   Duration TimeUntil(TimePoint now, double tokens) const;
 
  private:
--- a/modules/zr_base/token_count.h
+++ b/modules/zr_base/token_count.h
@@ -6,7 +6,8 @@
 
 namespace zr {
 
-/** A number of model tokens, also used for KV-cache memory (one token, one slot). */
+/** A number of model tokens, also used for KV-cache memory (one token, one
+ * slot). */
 class TokenCount {
  public:
   constexpr TokenCount() = default;
@@ -14,7 +15,8 @@
 
   constexpr int64_t value() const { return value_; }
 
-  friend constexpr auto operator<=>(const TokenCount&, const TokenCount&) = default;
+  friend constexpr auto operator<=>(const TokenCount&,
+                                    const TokenCount&) = default;
   friend constexpr TokenCount operator+(TokenCount a, TokenCount b) {
     return TokenCount(a.value_ + b.value_);
   }
@@ -29,7 +31,9 @@
     value_ -= b.value_;
     return *this;
   }
-  friend std::ostream& operator<<(std::ostream& os, TokenCount n) { return os << n.value_; }
+  friend std::ostream& operator<<(std::ostream& os, TokenCount n) {
+    return os << n.value_;
+  }
 
  private:
   int64_t value_ = 0;
--- a/modules/zr_config/diff.cc
+++ b/modules/zr_config/diff.cc
@@ -3,24 +3,30 @@
 namespace zr {
 namespace {
 
-void AppendSection(ChangeKind kind, const std::string& section, const Environment::Values& values,
+void AppendSection(ChangeKind kind, const std::string& section,
+                   const Environment::Values& values,
                    std::vector<Change>& changes) {
   changes.push_back(Change{kind, section, "", "", ""});
   for (const auto& [key, value] : values) {
     if (!value.given) continue;
     const bool added = kind == ChangeKind::kAdded;
-    changes.push_back(Change{kind, section, key, added ? "" : value.text, added ? value.text : ""});
+    changes.push_back(Change{kind, section, key, added ? "" : value.text,
+                             added ? value.text : ""});
   }
 }
 
-void AppendChangedKeys(const std::string& section, const Environment::Values& from,
-                       const Environment::Values& to, std::vector<Change>& changes) {
-  // Both maps hold every key of the section's table, because defaults are included.
+void AppendChangedKeys(const std::string& section,
+                       const Environment::Values& from,
+                       const Environment::Values& to,
+                       std::vector<Change>& changes) {
+  // Both maps hold every key of the section's table, because defaults are
+  // included.
   for (const auto& [key, value] : to) {
     const auto before = from.find(key);
     const std::string old = before == from.end() ? "" : before->second.text;
     if (old != value.text) {
-      changes.push_back(Change{ChangeKind::kChanged, section, key, old, value.text});
+      changes.push_back(
+          Change{ChangeKind::kChanged, section, key, old, value.text});
     }
   }
 }
@@ -40,8 +46,10 @@
 }
 
 std::string Change::ToString() const {
-  const std::string where = "[" + section + "]" + (key.empty() ? "" : " " + key);
-  if (kind == ChangeKind::kChanged) return "~ " + where + ": " + before + " -> " + after;
+  const std::string where =
+      "[" + section + "]" + (key.empty() ? "" : " " + key);
+  if (kind == ChangeKind::kChanged)
+    return "~ " + where + ": " + before + " -> " + after;
   const bool added = kind == ChangeKind::kAdded;
   std::string text = (added ? "+ " : "- ") + where;
   if (!key.empty()) text += " = " + (added ? after : before);
--- a/modules/zr_config/digest.h
+++ b/modules/zr_config/digest.h
@@ -27,9 +27,13 @@
 };
 
 /** Digest by which a document is named in trial, promotion and heartbeats. */
-inline std::string DocumentDigest(std::string_view text) { return Sha256Hex(text); }
+inline std::string DocumentDigest(std::string_view text) {
+  return Sha256Hex(text);
+}
 
 /** Digest under which a team's bearer key is listed in the document. */
-inline std::string KeyDigest(std::string_view bearer_key) { return Sha256Hex(bearer_key); }
+inline std::string KeyDigest(std::string_view bearer_key) {
+  return Sha256Hex(bearer_key);
+}
 
 }  // namespace zr
--- a/modules/zr_config/drain_edit.cc
+++ b/modules/zr_config/drain_edit.cc
@@ -21,7 +21,8 @@
   if (!edited.empty() && edited.back() != '\n') edited += '\n';
   edited += "[" + DrainSection(drain) + "]\n";
   if (edited.size() > IniText::kMaxTextBytes) {
-    return Fail(ErrorCode::kInvalidArgument, "drain", "", "the document would become too long");
+    return Fail(ErrorCode::kInvalidArgument, "drain", "",
+                "the document would become too long");
   }
   return edited;
 }
@@ -35,7 +36,8 @@
   for (const IniSection& section : IniText::Parse(text, "").sections) {
     if (SectionWords(section.name) != wanted) continue;
     size_t start = 0;
-    for (int line = 1; line < section.line; ++line) start = edited.find('\n', start) + 1;
+    for (int line = 1; line < section.line; ++line)
+      start = edited.find('\n', start) + 1;
     const size_t end = edited.find('\n', start);
     edited.erase(start, end == std::string::npos ? end : end - start + 1);
     break;
--- a/modules/zr_config/environment.cc
+++ b/modules/zr_config/environment.cc
@@ -13,8 +13,10 @@
 }
 
 template <typename T>
-std::string SectionReference(std::string_view heading, const std::vector<Field<T>>& fields) {
-  std::string text = "### " + std::string(heading) + "\n\n" + ReferenceHeading();
+std::string SectionReference(std::string_view heading,
+                             const std::vector<Field<T>>& fields) {
+  std::string text =
+      "### " + std::string(heading) + "\n\n" + ReferenceHeading();
   for (const Field<T>& field : fields) text += ReferenceRow(field.spec);
   return text + "\n";
 }
@@ -25,7 +27,8 @@
   Environment environment;
   const auto problems = EnvironmentReader(environment, "").Read(text);
   if (problems.empty()) return environment;
-  return Fail(ErrorCode::kInvalidArgument, "environment document", "", JoinProblems(problems));
+  return Fail(ErrorCode::kInvalidArgument, "environment document", "",
+              JoinProblems(problems));
 }
 
 std::vector<SettingsProblem> Environment::Check(std::string_view text,
@@ -43,7 +46,9 @@
          "These sections have no keys.\n";
 }
 
-const PoolPolicy* Environment::FindPool(const PoolId& pool) const { return Find(pools_, pool); }
+const PoolPolicy* Environment::FindPool(const PoolId& pool) const {
+  return Find(pools_, pool);
+}
 
 const PoolPolicy* Environment::FindPoolByModel(const std::string& model) const {
   const PoolId* pool = Find(pool_by_model_, model);
@@ -54,9 +59,12 @@
   return Find(classes_, name);
 }
 
-const TeamPolicy* Environment::FindTeam(const TeamId& team) const { return Find(teams_, team); }
+const TeamPolicy* Environment::FindTeam(const TeamId& team) const {
+  return Find(teams_, team);
+}
 
-const TeamPolicy* Environment::TeamForKeyDigest(const std::string& digest) const {
+const TeamPolicy* Environment::TeamForKeyDigest(
+    const std::string& digest) const {
   const TeamId* team = Find(team_by_digest_, digest);
   return team == nullptr ? nullptr : FindTeam(*team);
 }
--- a/modules/zr_config/environment.h
+++ b/modules/zr_config/environment.h
@@ -12,7 +12,8 @@
 
 namespace zr {
 
-/** The environment document: pools, classes, teams and drains, validated as a whole. */
+/** The environment document: pools, classes, teams and drains, validated as a
+ * whole. */
 class Environment {
  public:
   /** A value of a section's key, for comparison. */
@@ -49,7 +50,8 @@
   const std::map<std::string, Values>& values() const { return values_; }
 
   //============================================================================
-  /** A pool by its name; null if there is none. Valid as long as this object. */
+  /** A pool by its name; null if there is none. Valid as long as this object.
+   */
   const PoolPolicy* FindPool(const PoolId& pool) const;
   /** The pool that serves a model; null if there is none. */
   const PoolPolicy* FindPoolByModel(const std::string& model) const;
@@ -57,10 +59,12 @@
   const ClassPolicy* FindClass(const ClassId& name) const;
   /** A team by its name; null if there is none. */
   const TeamPolicy* FindTeam(const TeamId& team) const;
-  /** The team that holds a bearer key, by KeyDigest() of the key; null if there is none. */
+  /** The team that holds a bearer key, by KeyDigest() of the key; null if there
+   * is none. */
   const TeamPolicy* TeamForKeyDigest(const std::string& digest) const;
   /** Whether the domain, VM or endpoint is drained; empty ids are ignored. */
-  bool IsDrained(const DomainId& domain, const VmId& vm, const EndpointId& endpoint) const;
+  bool IsDrained(const DomainId& domain, const VmId& vm,
+                 const EndpointId& endpoint) const;
 
  private:
   friend class EnvironmentReader;
--- a/modules/zr_config/environment_fields.h
+++ b/modules/zr_config/environment_fields.h
@@ -13,7 +13,8 @@
   std::string name;  // name of the deployment, the same in trial and production
 };
 
-/** The tables of the environment document's keys, used by the reader and the reference. */
+/** The tables of the environment document's keys, used by the reader and the
+ * reference. */
 const std::vector<Field<EnvironmentHeader>>& EnvironmentFields();
 const std::vector<Field<PoolPolicy>>& PoolFields();
 const std::vector<Field<ClassPolicy>>& ClassFields();
--- a/modules/zr_config/environment_reader.cc
+++ b/modules/zr_config/environment_reader.cc
@@ -8,10 +8,13 @@
 namespace zr {
 namespace {
 
-constexpr DrainKind kDrainKinds[] = {DrainKind::kDomain, DrainKind::kVm, DrainKind::kEndpoint};
+constexpr DrainKind kDrainKinds[] = {DrainKind::kDomain, DrainKind::kVm,
+                                     DrainKind::kEndpoint};
 constexpr char kAllowedSections[] =
-    "allowed: [environment], [pool NAME], [class NAME], [team NAME], [drain domain NAME], "
-    "[drain vm NAME], [drain endpoint NAME]; a NAME has 1 to 64 letters, digits, '_', '-', '.'";
+    "allowed: [environment], [pool NAME], [class NAME], [team NAME], [drain "
+    "domain NAME], "
+    "[drain vm NAME], [drain endpoint NAME]; a NAME has 1 to 64 letters, "
+    "digits, '_', '-', '.'";
 
 }  // namespace
 
@@ -43,7 +46,8 @@
   }
 }
 
-EnvironmentReader::EnvironmentReader(Environment& environment, std::string file_name)
+EnvironmentReader::EnvironmentReader(Environment& environment,
+                                     std::string file_name)
     : environment_(environment), file_(std::move(file_name)) {}
 
 std::vector<SettingsProblem> EnvironmentReader::Read(std::string_view text) {
@@ -57,14 +61,16 @@
     section.name = name;
     const auto [known, added] = lines_[name].emplace("", section.line);
     if (!added) {
-      problems_.push_back(SettingsProblem{file_, section.line, name, "",
-                                          "repeats line " + std::to_string(known->second)});
+      problems_.push_back(
+          SettingsProblem{file_, section.line, name, "",
+                          "repeats line " + std::to_string(known->second)});
       continue;
     }
     ReadOne(section);
   }
   if (!lines_.contains("environment")) {
-    Report("environment", "", "the section is missing; it names the deployment: name = NAME");
+    Report("environment", "",
+           "the section is missing; it names the deployment: name = NAME");
   }
   CheckPools();
   CheckClasses();
@@ -95,7 +101,8 @@
     team.team = TeamId(words[1]);
     ReadKeys(section, TeamFields(), team);
   } else {
-    Report(section.name, "", std::string("unknown section; ") + kAllowedSections);
+    Report(section.name, "",
+           std::string("unknown section; ") + kAllowedSections);
   }
 }
 
@@ -106,7 +113,8 @@
     environment_.drains_.insert(Drain{kind, words[2]});
     environment_.values_[section.name];
     for (const IniEntry& entry : section.entries) {
-      problems_.push_back(SettingsProblem{file_, entry.line, section.name, entry.key,
+      problems_.push_back(SettingsProblem{file_, entry.line, section.name,
+                                          entry.key,
                                           UnknownKeyMessage(entry.key, {})});
     }
     return;
@@ -115,10 +123,12 @@
 }
 
 template <typename T>
-void EnvironmentReader::ReadKeys(const IniSection& section, const std::vector<Field<T>>& fields,
+void EnvironmentReader::ReadKeys(const IniSection& section,
+                                 const std::vector<Field<T>>& fields,
                                  T& target) {
   Environment::Values& values = environment_.values_[section.name];
-  for (StoredKey& key : ReadSection<T>(section, std::span(fields), file_, target, problems_)) {
+  for (StoredKey& key :
+       ReadSection<T>(section, std::span(fields), file_, target, problems_)) {
     const std::string name(key.key);
     if (key.line > 0) lines_[section.name][name] = key.line;
     values[name] = Environment::Value{std::move(key.canonical), key.line > 0};
@@ -131,35 +141,42 @@
     CheckPoolKeys(pool, section);
     if (pool.fresh_requests > pool.max_requests) {
       Report(section, "fresh_requests",
-             std::to_string(pool.fresh_requests) + " is more than max_requests = " +
-                 std::to_string(pool.max_requests) + "; a fresh endpoint bears at most as much");
+             std::to_string(pool.fresh_requests) +
+                 " is more than max_requests = " +
+                 std::to_string(pool.max_requests) +
+                 "; a fresh endpoint bears at most as much");
     }
     if (pool.kind != PoolKind::kModel) continue;
     if (pool.long_prefill_limit <= pool.long_prompt) {
       Report(section, "long_prefill_limit_tokens",
              std::to_string(pool.long_prefill_limit.value()) +
-                 " is not above long_prompt_tokens = " + std::to_string(pool.long_prompt.value()) +
+                 " is not above long_prompt_tokens = " +
+                 std::to_string(pool.long_prompt.value()) +
                  "; no long prompt could start");
     }
-    const auto [other, added] = environment_.pool_by_model_.emplace(pool.model, id);
+    const auto [other, added] =
+        environment_.pool_by_model_.emplace(pool.model, id);
     if (!added && !pool.model.empty()) {
       Report(section, "model",
-             "'" + pool.model + "' is already served by pool " + other->second.value() +
-                 "; a model belongs to one pool");
+             "'" + pool.model + "' is already served by pool " +
+                 other->second.value() + "; a model belongs to one pool");
     }
   }
 }
 
-void EnvironmentReader::CheckPoolKeys(const PoolPolicy& pool, const std::string& section) {
+void EnvironmentReader::CheckPoolKeys(const PoolPolicy& pool,
+                                      const std::string& section) {
   const bool is_model = pool.kind == PoolKind::kModel;
   if (is_model && pool.model.empty()) {
-    Report(section, "model", "is missing; a pool of kind = model names the model it serves");
+    Report(section, "model",
+           "is missing; a pool of kind = model names the model it serves");
   }
   for (const auto& [key, value] : environment_.values_[section]) {
     if (!value.given) continue;
     if (is_model ? IsServiceKey(key) : IsModelKey(key)) {
       Report(section, key,
-             std::string("is allowed only with kind = ") + (is_model ? "service" : "model"));
+             std::string("is allowed only with kind = ") +
+                 (is_model ? "service" : "model"));
     }
   }
 }
@@ -169,7 +186,8 @@
     if (policy.min_prompt <= policy.max_prompt) continue;
     Report("class " + id.value(), "min_prompt_tokens",
            std::to_string(policy.min_prompt.value()) +
-               " is more than max_prompt_tokens = " + std::to_string(policy.max_prompt.value()));
+               " is more than max_prompt_tokens = " +
+               std::to_string(policy.max_prompt.value()));
   }
 }
 
@@ -177,7 +195,8 @@
   for (const auto& [id, team] : environment_.teams_) {
     const std::string section = "team " + id.value();
     for (const std::string& digest : team.key_digests) {
-      const auto [other, added] = environment_.team_by_digest_.emplace(digest, id);
+      const auto [other, added] =
+          environment_.team_by_digest_.emplace(digest, id);
       if (added) continue;
       Report(section, "key_digests",
              digest + " is also a key of team " + other->second.value() +
@@ -187,26 +206,30 @@
   }
 }
 
-void EnvironmentReader::CheckTeamClasses(const TeamPolicy& team, const std::string& section) {
+void EnvironmentReader::CheckTeamClasses(const TeamPolicy& team,
+                                         const std::string& section) {
   bool has_repeatable = false;
   for (const ClassId& name : team.classes) {
     const ClassPolicy* policy = environment_.FindClass(name);
     if (policy == nullptr) {
-      Report(section, "classes", "there is no section [class " + name.value() + "]");
+      Report(section, "classes",
+             "there is no section [class " + name.value() + "]");
       continue;
     }
     has_repeatable = has_repeatable || policy->repeatable;
     if (team.kv_limit > TokenCount(0) && policy->min_prompt > team.kv_limit) {
       Report(section, "kv_limit_tokens",
              std::to_string(team.kv_limit.value()) +
-                 " is less than min_prompt_tokens = " + std::to_string(policy->min_prompt.value()) +
-                 " of class " + name.value() + "; none of its requests could run");
+                 " is less than min_prompt_tokens = " +
+                 std::to_string(policy->min_prompt.value()) + " of class " +
+                 name.value() + "; none of its requests could run");
     }
   }
-  // A call that names no class has no idempotency key in general, so such a default would make
-  // the team's ordinary calls fail.
-  const ClassPolicy* first =
-      team.classes.empty() ? nullptr : environment_.FindClass(team.classes.front());
+  // A call that names no class has no idempotency key in general, so such a
+  // default would make the team's ordinary calls fail.
+  const ClassPolicy* first = team.classes.empty()
+                                 ? nullptr
+                                 : environment_.FindClass(team.classes.front());
   if (first != nullptr && !first->repeatable && has_repeatable) {
     Report(section, "classes",
            "the first class is the default, and " + first->name.value() +
@@ -214,14 +237,15 @@
   }
 }
 
-void EnvironmentReader::Report(const std::string& section, const std::string& key,
-                               std::string message) {
+void EnvironmentReader::Report(const std::string& section,
+                               const std::string& key, std::string message) {
   int line = 0;
   if (const auto keys = lines_.find(section); keys != lines_.end()) {
     const auto found = keys->second.find(key);
     line = found != keys->second.end() ? found->second : keys->second[""];
   }
-  problems_.push_back(SettingsProblem{file_, line, section, key, std::move(message)});
+  problems_.push_back(
+      SettingsProblem{file_, line, section, key, std::move(message)});
 }
 
 }  // namespace zr
--- a/modules/zr_config/environment_reader.h
+++ b/modules/zr_config/environment_reader.h
@@ -11,7 +11,8 @@
 
 namespace zr {
 
-/** Fills an environment from a document and checks it as a whole; used for one document. */
+/** Fills an environment from a document and checks it as a whole; used for one
+ * document. */
 class EnvironmentReader {
  public:
   /** @param file_name  named in problems */
@@ -24,9 +25,11 @@
 
  private:
   void ReadOne(const IniSection& section);
-  void ReadDrain(const IniSection& section, const std::vector<std::string>& words);
+  void ReadDrain(const IniSection& section,
+                 const std::vector<std::string>& words);
   template <typename T>
-  void ReadKeys(const IniSection& section, const std::vector<Field<T>>& fields, T& target);
+  void ReadKeys(const IniSection& section, const std::vector<Field<T>>& fields,
+                T& target);
 
   void CheckPools();
   void CheckPoolKeys(const PoolPolicy& pool, const std::string& section);
@@ -34,13 +37,16 @@
   void CheckTeams();
   void CheckTeamClasses(const TeamPolicy& team, const std::string& section);
 
-  /** Reports a problem at the line of a key, or of its section if the key is not given. */
-  void Report(const std::string& section, const std::string& key, std::string message);
+  /** Reports a problem at the line of a key, or of its section if the key is
+   * not given. */
+  void Report(const std::string& section, const std::string& key,
+              std::string message);
 
   Environment& environment_;
   std::string file_;
   std::vector<SettingsProblem> problems_;
-  std::map<std::string, std::map<std::string, int>> lines_;  // by section and key, "" for itself
+  std::map<std::string, std::map<std::string, int>>
+      lines_;  // by section and key, "" for itself
 };
 
 /** The section of a drain, for example "drain domain sala". */
--- a/modules/zr_config/key_spec.cc
+++ b/modules/zr_config/key_spec.cc
@@ -15,7 +15,8 @@
     "_gb", "_k",     "_m",     "_requests", "_permille", "_percent"};
 
 bool IsHexDigest(std::string_view text) {
-  return text.size() == kDigestBytes && std::all_of(text.begin(), text.end(), [](char c) {
+  return text.size() == kDigestBytes &&
+         std::all_of(text.begin(), text.end(), [](char c) {
            return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
          });
 }
@@ -25,8 +26,10 @@
   while (true) {
     const size_t end = text.find(separator);
     std::string_view part = text.substr(0, end);
-    while (!part.empty() && (part.front() == ' ' || part.front() == '\t')) part.remove_prefix(1);
-    while (!part.empty() && (part.back() == ' ' || part.back() == '\t')) part.remove_suffix(1);
+    while (!part.empty() && (part.front() == ' ' || part.front() == '\t'))
+      part.remove_prefix(1);
+    while (!part.empty() && (part.back() == ' ' || part.back() == '\t'))
+      part.remove_suffix(1);
     parts.push_back(part);
     if (end == std::string_view::npos) return parts;
     text.remove_prefix(end + 1);
@@ -43,8 +46,8 @@
 }
 
 bool ParseInteger(const KeySpec& spec, std::string_view text, KeyValue& value) {
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), value.integer, 10);
+  const auto [end, error] = std::from_chars(
+      text.data(), text.data() + text.size(), value.integer, 10);
   if (error != std::errc() || end != text.data() + text.size()) return false;
   value.canonical = std::to_string(value.integer);
   return value.integer >= spec.min && value.integer <= spec.max;
@@ -62,7 +65,8 @@
 bool ParseText(const KeySpec& spec, std::string_view text, KeyValue& value) {
   const auto length = static_cast<int64_t>(text.size());
   if (length < spec.min || length > spec.max) return false;
-  if (spec.type == KeyType::kName && !text.empty() && !IsName(text)) return false;
+  if (spec.type == KeyType::kName && !text.empty() && !IsName(text))
+    return false;
   value.text = text;
   value.canonical = text;
   return true;
@@ -70,10 +74,12 @@
 
 bool ParseAddress(const KeySpec& spec, std::string_view text, KeyValue& value) {
   auto address = Address::Parse(text);
-  // The minimum of an address is that of its port: 0 lets the system choose one.
+  // The minimum of an address is that of its port: 0 lets the system choose
+  // one.
   if (!address || address->port < spec.min) return false;
   value.addresses.push_back(*address);
-  value.canonical += (value.canonical.empty() ? "" : ", ") + address->ToString();
+  value.canonical +=
+      (value.canonical.empty() ? "" : ", ") + address->ToString();
   return true;
 }
 
@@ -86,9 +92,11 @@
       if (!ParseAddress(spec, part, value)) return false;
       continue;
     }
-    if (spec.type == KeyType::kNameList ? !IsName(part) : !IsHexDigest(part)) return false;
+    if (spec.type == KeyType::kNameList ? !IsName(part) : !IsHexDigest(part))
+      return false;
     value.list.emplace_back(part);
-    value.canonical += (value.canonical.empty() ? "" : ", ") + std::string(part);
+    value.canonical +=
+        (value.canonical.empty() ? "" : ", ") + std::string(part);
   }
   return static_cast<int64_t>(seen.size()) <= spec.max;
 }
@@ -124,7 +132,8 @@
 std::string KeySpec::Allowed() const {
   switch (type) {
     case KeyType::kInteger:
-      return "integer from " + Range(*this) + (unit.empty() ? "" : " " + std::string(unit));
+      return "integer from " + Range(*this) +
+             (unit.empty() ? "" : " " + std::string(unit));
     case KeyType::kBoolean:
       return "true or false";
     case KeyType::kChoice: {
@@ -140,15 +149,18 @@
     case KeyType::kName:
       return "name of " + Range(*this) + " letters, digits, '_', '-', '.'";
     case KeyType::kAddress:
-      return "IPv4 address and port (" + std::to_string(min) + " to 65535), as in 10.0.0.7:8080";
+      return "IPv4 address and port (" + std::to_string(min) +
+             " to 65535), as in 10.0.0.7:8080";
     case KeyType::kAddressList:
-      return "up to " + std::to_string(max) + " different ip:port, separated by commas";
+      return "up to " + std::to_string(max) +
+             " different ip:port, separated by commas";
     case KeyType::kNameList:
       return (required ? "1 to " : "up to ") + std::to_string(max) +
              " different names, separated by commas";
     case KeyType::kDigestList:
       return (required ? "1 to " : "up to ") + std::to_string(max) +
-             " different SHA-256 digests (64 lower-case hex digits), separated by commas";
+             " different SHA-256 digests (64 lower-case hex digits), separated "
+             "by commas";
   }
   return "";
 }
@@ -156,44 +168,51 @@
 Result<KeyValue> ParseKeyValue(const KeySpec& spec, std::string_view text) {
   KeyValue value;
   if (ParseByType(spec, text, value)) return value;
-  const std::string shown =
-      spec.type == KeyType::kSecret ? "the value" : "'" + std::string(text) + "'";
+  const std::string shown = spec.type == KeyType::kSecret
+                                ? "the value"
+                                : "'" + std::string(text) + "'";
   return Fail(ErrorCode::kInvalidArgument, "config", "",
               shown + " is not allowed; allowed: " + spec.Allowed());
 }
 
-std::string UnknownKeyMessage(std::string_view key, std::span<const KeySpec* const> known) {
+std::string UnknownKeyMessage(std::string_view key,
+                              std::span<const KeySpec* const> known) {
   std::string all;
   for (const KeySpec* spec : known) {
     if (Stem(spec->key) == Stem(key)) {
       return "unknown key; did you mean " + std::string(spec->key) +
-             (spec->unit.empty() ? "" : " (" + std::string(spec->unit) + ")") + "?";
+             (spec->unit.empty() ? "" : " (" + std::string(spec->unit) + ")") +
+             "?";
     }
     all += (all.empty() ? "" : ", ") + std::string(spec->key);
   }
-  return "unknown key; allowed: " + (all.empty() ? "no keys in this section" : all);
+  return "unknown key; allowed: " +
+         (all.empty() ? "no keys in this section" : all);
 }
 
 bool IsName(std::string_view text) {
   return !text.empty() && text.size() <= kMaxNameBytes &&
          std::all_of(text.begin(), text.end(), [](char c) {
-           return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
-                  c == '_' || c == '-' || c == '.';
+           return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                  (c >= '0' && c <= '9') || c == '_' || c == '-' || c == '.';
          });
 }
 
 std::string ReferenceHeading() {
-  return "| key | unit | allowed | default | meaning |\n| --- | --- | --- | --- | --- |\n";
+  return "| key | unit | allowed | default | meaning |\n| --- | --- | --- | "
+         "--- | --- |\n";
 }
 
 std::string ReferenceRow(const KeySpec& spec) {
   std::string row = "| `" + std::string(spec.key) + "` | " +
-                    (spec.unit.empty() ? "-" : std::string(spec.unit)) + " | " + spec.Allowed() +
-                    " | ";
+                    (spec.unit.empty() ? "-" : std::string(spec.unit)) + " | " +
+                    spec.Allowed() + " | ";
   if (spec.required) {
     row += "required";
   } else {
-    row += spec.default_value.empty() ? "empty" : "`" + std::string(spec.default_value) + "`";
+    row += spec.default_value.empty()
+               ? "empty"
+               : "`" + std::string(spec.default_value) + "`";
   }
   return row + " | " + std::string(spec.help) + " |\n";
 }
--- a/modules/zr_config/key_spec.h
+++ b/modules/zr_config/key_spec.h
@@ -30,21 +30,22 @@
 
 /** The parsed value of a key; the member in use depends on the type. */
 struct KeyValue {
-  int64_t integer = 0;             // kInteger, kBoolean (0 or 1), kChoice (index)
-  std::string text;                // kText, kSecret, kName
+  int64_t integer = 0;  // kInteger, kBoolean (0 or 1), kChoice (index)
+  std::string text;     // kText, kSecret, kName
   std::vector<std::string> list;   // kNameList, kDigestList
   std::vector<Address> addresses;  // kAddress (one), kAddressList
-  std::string canonical;           // normal form of the value, equal for equal values
+  std::string canonical;  // normal form of the value, equal for equal values
 };
 
-/** Describes a key: everything that the reader, its messages and the reference need. */
+/** Describes a key: everything that the reader, its messages and the reference
+ * need. */
 struct KeySpec {
   std::string_view section;  // section name or the first word of it
   std::string_view key;
   KeyType type = KeyType::kText;
-  std::string_view unit;           // of an integer, empty if none
-  int64_t min = 0;                 // least integer, length of a text, or port of an address
-  int64_t max = 0;                 // largest integer, or greatest length of a text or list
+  std::string_view unit;  // of an integer, empty if none
+  int64_t min = 0;  // least integer, length of a text, or port of an address
+  int64_t max = 0;  // largest integer, or greatest length of a text or list
   std::string_view default_value;  // as written in the text; unused if required
   bool required = false;
   std::string_view choices;  // kChoice: words separated by '|'
@@ -61,12 +62,14 @@
  * Message for a key that no spec describes. If a known key differs only in its
  * unit suffix, the message names it.
  */
-std::string UnknownKeyMessage(std::string_view key, std::span<const KeySpec* const> known);
+std::string UnknownKeyMessage(std::string_view key,
+                              std::span<const KeySpec* const> known);
 
 /** Whether the text is a name: 1 to 64 letters, digits, '_', '-' or '.'. */
 bool IsName(std::string_view text);
 
-/** A Markdown table row "| key | unit | allowed | default | meaning |" for the reference. */
+/** A Markdown table row "| key | unit | allowed | default | meaning |" for the
+ * reference. */
 std::string ReferenceRow(const KeySpec& spec);
 /** The heading of the table whose rows ReferenceRow() writes. */
 std::string ReferenceHeading();
@@ -82,7 +85,8 @@
   void (*store)(T& target, const KeyValue& value);
 };
 
-/** A value that ReadSection() stored: its canonical text and its line (0 for a default). */
+/** A value that ReadSection() stored: its canonical text and its line (0 for a
+ * default). */
 struct StoredKey {
   int line = 0;
   std::string_view key;
@@ -94,15 +98,16 @@
  * unknown, repeated, missing and malformed keys.
  */
 template <typename T>
-std::vector<StoredKey> ReadSection(const IniSection& section, std::span<const Field<T>> fields,
+std::vector<StoredKey> ReadSection(const IniSection& section,
+                                   std::span<const Field<T>> fields,
                                    const std::string& file, T& target,
                                    std::vector<SettingsProblem>& problems) {
   std::vector<StoredKey> stored;
   std::vector<const KeySpec*> known;
   std::vector<bool> used(section.entries.size(), false);
   auto report = [&](int line, std::string_view key, std::string message) {
-    problems.push_back(
-        SettingsProblem{file, line, section.name, std::string(key), std::move(message)});
+    problems.push_back(SettingsProblem{file, line, section.name,
+                                       std::string(key), std::move(message)});
   };
   for (const Field<T>& field : fields) {
     known.push_back(&field.spec);
@@ -112,18 +117,21 @@
       if (entry.key != field.spec.key) continue;
       used[i] = true;
       if (given != nullptr) {
-        report(entry.line, entry.key, "repeats line " + std::to_string(given->line));
+        report(entry.line, entry.key,
+               "repeats line " + std::to_string(given->line));
       } else {
         given = &entry;
       }
     }
     if (given == nullptr && field.spec.required) {
-      report(section.line, field.spec.key, "is missing; allowed: " + field.spec.Allowed());
+      report(section.line, field.spec.key,
+             "is missing; allowed: " + field.spec.Allowed());
       continue;
     }
     const int line = given == nullptr ? 0 : given->line;
     auto value = ParseKeyValue(
-        field.spec, given == nullptr ? field.spec.default_value : std::string_view(given->value));
+        field.spec, given == nullptr ? field.spec.default_value
+                                     : std::string_view(given->value));
     if (!value) {
       report(line, field.spec.key, value.error().message);
       continue;
--- a/modules/zr_config/settings.h
+++ b/modules/zr_config/settings.h
@@ -16,7 +16,8 @@
   kBaseline,  // every VM decides by itself: two random choices on reported load
 };
 
-/** The settings of one daemon, parsed from INI text and immutable afterwards. */
+/** The settings of one daemon, parsed from INI text and immutable afterwards.
+ */
 struct Settings {
   VmId vm;               // unique in the environment
   DomainId domain;       // failure domain of the VM
@@ -36,7 +37,8 @@
   int64_t max_header_bytes = 0;     // of a caller's request
   int64_t stream_buffer_bytes = 0;  // answer bytes held for a slow caller
   int64_t worker_threads = 0;
-  Duration drain_timeout;  // a planned stop waits this long for streams in progress
+  Duration
+      drain_timeout;  // a planned stop waits this long for streams in progress
   LogLevel log_level = LogLevel::kInfo;
   LogFormat log_format = LogFormat::kText;
 
@@ -49,9 +51,11 @@
   static Result<Settings> Parse(std::string_view text, std::string file_name);
 
   /** All problems of a settings file; empty if Parse() would succeed. */
-  static std::vector<SettingsProblem> Check(std::string_view text, const std::string& file_name);
+  static std::vector<SettingsProblem> Check(std::string_view text,
+                                            const std::string& file_name);
 
-  /** The reference of all sections and keys in Markdown, from the table that Parse() uses. */
+  /** The reference of all sections and keys in Markdown, from the table that
+   * Parse() uses. */
   static std::string Reference();
 
   friend bool operator==(const Settings&, const Settings&) = default;
--- a/modules/zr_config/tests/documents_test.cc
+++ b/modules/zr_config/tests/documents_test.cc
@@ -29,20 +29,23 @@
 TEST_CASE("The examples are valid") {
   const std::string settings = ReadSourceFile("examples/zinniarilld.ini");
   CHECK(JoinProblems(Settings::Check(settings, "zinniarilld.ini")) == "");
-  for (const char* name : {"examples/kontrollkontor.ini", "examples/ordvakt.ini"}) {
+  for (const char* name :
+       {"examples/kontrollkontor.ini", "examples/ordvakt.ini"}) {
     const std::string document = ReadSourceFile(name);
     CHECK(JoinProblems(Environment::Check(document, name)) == "");
     auto environment = Environment::Parse(document);
     REQUIRE(environment.has_value());
     INFO(name);
-    // Each deployment has operations that must not be repeated and a key for each team.
+    // Each deployment has operations that must not be repeated and a key for
+    // each team.
     bool has_non_repeatable = false;
     for (const auto& [id, policy] : environment->classes()) {
       has_non_repeatable = has_non_repeatable || !policy.repeatable;
     }
     CHECK(has_non_repeatable);
     for (const auto& [id, team] : environment->teams()) {
-      CHECK(environment->TeamForKeyDigest(KeyDigest("example-key-" + id.value())) != nullptr);
+      CHECK(environment->TeamForKeyDigest(
+                KeyDigest("example-key-" + id.value())) != nullptr);
     }
   }
 }
@@ -53,7 +56,8 @@
   CHECK(Marked(page, "settings-reference") == Settings::Reference());
   CHECK(Marked(page, "document-reference") == Environment::Reference());
   for (size_t i = 0; i < kInvariantCount; ++i) {
-    const std::string row = "| `" + std::string(ToString(static_cast<Invariant>(i))) + "` |";
+    const std::string row =
+        "| `" + std::string(ToString(static_cast<Invariant>(i))) + "` |";
     CHECK_THAT(page, Catch::Contains(row));
   }
 }
--- a/modules/zr_config/tests/environment_test.cc
+++ b/modules/zr_config/tests/environment_test.cc
@@ -30,7 +30,8 @@
   return environment.error().message;
 }
 
-std::string Replaced(std::string text, const std::string& from, const std::string& to) {
+std::string Replaced(std::string text, const std::string& from,
+                     const std::string& to) {
   REQUIRE(text.find(from) != std::string::npos);
   return text.replace(text.find(from), from.size(), to);
 }
@@ -41,12 +42,15 @@
   REQUIRE(environment.has_value());
   SECTION("resolves models, classes and keys") {
     REQUIRE(environment->FindPoolByModel("assay-reader") != nullptr);
-    CHECK(environment->FindPoolByModel("assay-reader")->pool == PoolId("assay"));
+    CHECK(environment->FindPoolByModel("assay-reader")->pool ==
+          PoolId("assay"));
     CHECK(environment->FindPoolByModel("") == nullptr);
     REQUIRE(environment->TeamForKeyDigest(KeyDigest("customs-key")) != nullptr);
-    CHECK(environment->TeamForKeyDigest(KeyDigest("customs-key"))->team == TeamId("customs"));
+    CHECK(environment->TeamForKeyDigest(KeyDigest("customs-key"))->team ==
+          TeamId("customs"));
     CHECK(environment->TeamForKeyDigest(KeyDigest("other")) == nullptr);
-    CHECK(environment->FindClass(ClassId("lookup"))->deadline == Duration::Seconds(2));
+    CHECK(environment->FindClass(ClassId("lookup"))->deadline ==
+          Duration::Seconds(2));
   }
   SECTION("gives keys that are not set the defaults of the policy types") {
     PoolPolicy pool;
@@ -57,7 +61,8 @@
     policy.name = ClassId("registration");
     policy.repeatable = false;
     CHECK(*environment->FindClass(ClassId("registration")) == policy);
-    CHECK(environment->FindTeam(TeamId("customs"))->share == TeamPolicy().share);
+    CHECK(environment->FindTeam(TeamId("customs"))->share ==
+          TeamPolicy().share);
   }
   SECTION("has the digest that sha256sum prints") {
     CHECK(DocumentDigest("abc") ==
@@ -65,36 +70,51 @@
   }
 }
 
-// Guards against a document that is accepted and fails only when requests arrive.
+// Guards against a document that is accepted and fails only when requests
+// arrive.
 TEST_CASE("A document that contradicts itself is refused with the line") {
   const std::string text = Document();
-  CHECK_THAT(Message(Replaced(text, "classes = lookup,", "classes = lookup, audit,")),
-             Catch::Equals("line 12: [team customs] classes: there is no section [class audit]"));
-  CHECK_THAT(Message(Replaced(text, "lookup, registration", "registration, lookup")),
-             Catch::Contains("list a repeatable class first"));
+  CHECK_THAT(
+      Message(Replaced(text, "classes = lookup,", "classes = lookup, audit,")),
+      Catch::Equals("line 12: [team customs] classes: there is no section "
+                    "[class audit]"));
+  CHECK_THAT(
+      Message(Replaced(text, "lookup, registration", "registration, lookup")),
+      Catch::Contains("list a repeatable class first"));
   CHECK_THAT(Message(text + "[team b]\nclasses = lookup\nkey_digests = " +
                      KeyDigest("customs-key") + "\n"),
              Catch::Contains("a key belongs to one team"));
   CHECK_THAT(Message(text + "[pool c]\nmodel = assay-reader\n"),
              Catch::Contains("a model belongs to one pool"));
-  CHECK_THAT(Message(text + "[pool c]\n"), Catch::Contains("line 14: [pool c] model: is missing"));
-  CHECK_THAT(Message(text + "[pool c]\nkind = service\nlong_prompt_tokens = 5\n"),
-             Catch::Contains("only with kind = model"));
-  CHECK_THAT(Message(text + "[pool c]\nmodel = m\nlong_prompt_tokens = 200000\n"),
-             Catch::Contains("no long prompt could start"));
-  CHECK_THAT(Message(text + "[pool c]\nmodel = m\nmax_requests = 2\n"),
-             Catch::Contains("fresh_requests: 4 is more than max_requests = 2"));
-  CHECK_THAT(Message(text + "[class c]\nmin_prompt_tokens = 9\nmax_prompt_tokens = 8\n"),
-             Catch::Contains("is more than max_prompt_tokens = 8"));
+  CHECK_THAT(Message(text + "[pool c]\n"),
+             Catch::Contains("line 14: [pool c] model: is missing"));
+  CHECK_THAT(
+      Message(text + "[pool c]\nkind = service\nlong_prompt_tokens = 5\n"),
+      Catch::Contains("only with kind = model"));
+  CHECK_THAT(
+      Message(text + "[pool c]\nmodel = m\nlong_prompt_tokens = 200000\n"),
+      Catch::Contains("no long prompt could start"));
+  CHECK_THAT(
+      Message(text + "[pool c]\nmodel = m\nmax_requests = 2\n"),
+      Catch::Contains("fresh_requests: 4 is more than max_requests = 2"));
+  CHECK_THAT(
+      Message(text +
+              "[class c]\nmin_prompt_tokens = 9\nmax_prompt_tokens = 8\n"),
+      Catch::Contains("is more than max_prompt_tokens = 8"));
   CHECK_THAT(Message(text + "[class c]\ndeadline_s = 9\n"),
              Catch::Contains("did you mean deadline_ms (ms)?"));
-  CHECK_THAT(Message(text + "[drain zone sala]\n"), Catch::Contains("[drain domain NAME]"));
-  CHECK_THAT(Message(text + "[drain vm a]\nsince = 1\n"), Catch::Contains("no keys"));
-  CHECK_THAT(Message(text + "[drain vm a]\n[drain  vm a]\n"), Catch::Contains("repeats line 14"));
-  CHECK_THAT(Message("[class a]\n"), Catch::Contains("[environment] the section is missing"));
+  CHECK_THAT(Message(text + "[drain zone sala]\n"),
+             Catch::Contains("[drain domain NAME]"));
+  CHECK_THAT(Message(text + "[drain vm a]\nsince = 1\n"),
+             Catch::Contains("no keys"));
+  CHECK_THAT(Message(text + "[drain vm a]\n[drain  vm a]\n"),
+             Catch::Contains("repeats line 14"));
+  CHECK_THAT(Message("[class a]\n"),
+             Catch::Contains("[environment] the section is missing"));
 }
 
-// Guards against a drain that reformats the operators' document or hits the wrong object.
+// Guards against a drain that reformats the operators' document or hits the
+// wrong object.
 TEST_CASE("A drain") {
   const std::string text = Document() + "; last line, without a line end";
   const Drain domain{DrainKind::kDomain, "sala"};
@@ -104,19 +124,22 @@
   auto environment = Environment::Parse(*drained);
   REQUIRE(environment.has_value());
   CHECK(environment->IsDrained(DomainId("sala"), VmId(), EndpointId()));
-  CHECK_FALSE(environment->IsDrained(DomainId("arboga"), VmId("sala"), EndpointId("sala")));
+  CHECK_FALSE(environment->IsDrained(DomainId("arboga"), VmId("sala"),
+                                     EndpointId("sala")));
   SECTION("can be added twice with the same result") {
     CHECK(*AddDrain(*drained, domain) == *drained);
   }
   SECTION("is removed without touching any other byte") {
     auto both = AddDrain(*drained, Drain{DrainKind::kVm, std::string(64, 'v')});
     REQUIRE(both.has_value());
-    CHECK(*RemoveDrain(*both, domain) == text + "\n[drain vm " + std::string(64, 'v') + "]\n");
+    CHECK(*RemoveDrain(*both, domain) ==
+          text + "\n[drain vm " + std::string(64, 'v') + "]\n");
     CHECK(*RemoveDrain(*drained, domain) == text + "\n");
     CHECK(*RemoveDrain(text, domain) == text);
   }
   SECTION("with a name that would change the document's structure is refused") {
-    CHECK_FALSE(AddDrain(text, Drain{DrainKind::kVm, "a]\n[team x"}).has_value());
+    CHECK_FALSE(
+        AddDrain(text, Drain{DrainKind::kVm, "a]\n[team x"}).has_value());
     CHECK_FALSE(AddDrain(text, Drain{DrainKind::kVm, ""}).has_value());
   }
 }
@@ -129,7 +152,8 @@
   REQUIRE(from.has_value());
   REQUIRE(to.has_value());
   std::string text;
-  for (const Change& change : Diff(*from, *to)) text += change.ToString() + "\n";
+  for (const Change& change : Diff(*from, *to))
+    text += change.ToString() + "\n";
   CHECK(text ==
         "~ [class lookup] deadline_ms: 2000 -> 3000\n"
         "- [drain vm a]\n"
@@ -141,7 +165,8 @@
 // Guards against a reader that crashes or loops on damaged text.
 TEST_CASE("Damaged documents never parse to something inconsistent") {
   const char* from_environment = std::getenv("ZR_SEED");
-  const uint64_t seed = from_environment == nullptr ? 20'240'611 : std::stoull(from_environment);
+  const uint64_t seed =
+      from_environment == nullptr ? 20'240'611 : std::stoull(from_environment);
   INFO("ZR_SEED=" << seed);
   Random random(seed);
   const std::string alphabet("[]=;#, \n\t\rabc_0189\0drain", 24);
@@ -154,7 +179,8 @@
     REQUIRE(environment.has_value() == Environment::Check(text).empty());
     if (!environment) continue;
     for (const auto& [id, team] : environment->teams()) {
-      for (const ClassId& name : team.classes) REQUIRE(environment->FindClass(name) != nullptr);
+      for (const ClassId& name : team.classes)
+        REQUIRE(environment->FindClass(name) != nullptr);
     }
     auto drained = AddDrain(text, Drain{DrainKind::kVm, "x"});
     REQUIRE(drained.has_value());
--- a/modules/zr_config/tests/settings_test.cc
+++ b/modules/zr_config/tests/settings_test.cc
@@ -26,7 +26,8 @@
   return settings.error().message;
 }
 
-// Guards against a daemon that starts with a setting other than the one written.
+// Guards against a daemon that starts with a setting other than the one
+// written.
 TEST_CASE("Settings") {
   SECTION("get the documented default for each key that is not given") {
     auto settings = Settings::Parse(kMinimal, "a.ini");
@@ -38,18 +39,21 @@
     CHECK(settings->peer_seeds.empty());
   }
   SECTION("join a list over indented lines and ignore comments") {
-    auto settings = Settings::Parse(std::string(kMinimal) +
-                                        "[log]\nformat = json ; for the collector\n"
-                                        "[limits]\n# few cores\nworker_threads = 4\n",
-                                    "a.ini");
+    auto settings =
+        Settings::Parse(std::string(kMinimal) +
+                            "[log]\nformat = json ; for the collector\n"
+                            "[limits]\n# few cores\nworker_threads = 4\n",
+                        "a.ini");
     REQUIRE(settings.has_value());
     CHECK(settings->log_format == LogFormat::kJson);
     CHECK(settings->worker_threads == 4);
     std::string text = kMinimal;
-    text.replace(text.find("[operators]"), 0, "seeds = 10.0.0.8:8082,\n  10.0.0.9:8082\n");
+    text.replace(text.find("[operators]"), 0,
+                 "seeds = 10.0.0.8:8082,\n  10.0.0.9:8082\n");
     settings = Settings::Parse(text, "a.ini");
     REQUIRE(settings.has_value());
-    CHECK(settings->peer_seeds == std::vector<Address>{{"10.0.0.8", 8082}, {"10.0.0.9", 8082}});
+    CHECK(settings->peer_seeds ==
+          std::vector<Address>{{"10.0.0.8", 8082}, {"10.0.0.9", 8082}});
   }
   SECTION("list all problems with file, line, key and what is allowed") {
     const std::string message = Message(std::string(kMinimal) +
@@ -57,13 +61,17 @@
                                         "reads_per_second = 0\n"
                                         "[log]\nlevel = loud\n[logs]\n");
     CHECK(message ==
-          "a.ini:12: [platform] request_timeout_s: unknown key; did you mean request_timeout_ms "
+          "a.ini:12: [platform] request_timeout_s: unknown key; did you mean "
+          "request_timeout_ms "
           "(ms)?\n"
-          "a.ini:13: [platform] reads_per_second: '0' is not allowed; allowed: integer from 1 to "
+          "a.ini:13: [platform] reads_per_second: '0' is not allowed; allowed: "
+          "integer from 1 to "
           "2000 calls/s\n"
-          "a.ini:15: [log] level: 'loud' is not allowed; allowed: debug or info or warning or "
+          "a.ini:15: [log] level: 'loud' is not allowed; allowed: debug or "
+          "info or warning or "
           "error\n"
-          "a.ini:16: [logs] unknown section; allowed: vm, listen, peers, operators, platform, "
+          "a.ini:16: [logs] unknown section; allowed: vm, listen, peers, "
+          "operators, platform, "
           "routing, limits, log");
   }
 }
@@ -72,8 +80,10 @@
 TEST_CASE("Listeners that clash are refused") {
   std::string text = kMinimal;
   text.replace(text.find("peers = "), 0, "callers = 0.0.0.0:8082\n");
-  CHECK_THAT(Message(text),
-             Catch::Contains("a.ini:6: [listen] peers: 10.0.0.7:8082 clashes with callers"));
+  CHECK_THAT(
+      Message(text),
+      Catch::Contains(
+          "a.ini:6: [listen] peers: 10.0.0.7:8082 clashes with callers"));
 }
 
 // Guards against secrets that reach a log through an error message.
@@ -92,14 +102,18 @@
              Catch::Contains("a.ini:12: [platform] the line"));
   CHECK_THAT(Message(text + "  [log]\n"), Catch::Contains("first column"));
   CHECK_THAT(Message(text + "[log\n"), Catch::Contains("form [NAME]"));
-  CHECK_THAT(Message(text + "[log] level = info\n"), Catch::Contains("form [NAME]"));
-  CHECK_THAT(Message(text + "# x\n[" + std::string(60, 'a') + "]\n"), Catch::Contains("a.ini:13:"));
+  CHECK_THAT(Message(text + "[log] level = info\n"),
+             Catch::Contains("form [NAME]"));
+  CHECK_THAT(Message(text + "# x\n[" + std::string(60, 'a') + "]\n"),
+             Catch::Contains("a.ini:13:"));
   CHECK_THAT(Message(text + "[log]\nlevel = " + std::string(200, 'a') + "\n"),
              Catch::Contains("longer than 190 bytes"));
   CHECK_THAT(Message(text + std::string("[log]\nlevel = info\0x\n", 20)),
              Catch::Contains("control character"));
-  CHECK_THAT(Message(text + "[vm]\nname = sala-2\n"), Catch::Contains("repeats line 1"));
-  CHECK_THAT(Message(text + "address = 10.0.0.2:9000\n"), Catch::Contains("repeats line 11"));
+  CHECK_THAT(Message(text + "[vm]\nname = sala-2\n"),
+             Catch::Contains("repeats line 1"));
+  CHECK_THAT(Message(text + "address = 10.0.0.2:9000\n"),
+             Catch::Contains("repeats line 11"));
   CHECK_THAT(Message("x = 1\n"), Catch::Contains("outside of any section"));
   CHECK_THAT(Message(text + "reads_per_second = 99999999999999999999\n"),
              Catch::Contains("integer from 1 to 2000"));
--- a/modules/zr_daemon/api/answer_sinks.cc
+++ b/modules/zr_daemon/api/answer_sinks.cc
@@ -18,13 +18,16 @@
 /** What the sinks of model answers share. */
 class ModelSink : public AnswerSink {
  public:
-  ModelSink(HttpResponsePtr response, AnswerForm form, RequestId request, std::string model)
+  ModelSink(HttpResponsePtr response, AnswerForm form, RequestId request,
+            std::string model)
       : response_(std::move(response)),
         form_(form),
         request_(std::move(request)),
         model_(std::move(model)) {}
 
-  void OnClosed(std::function<void()> closed) override { response_->OnClosed(std::move(closed)); }
+  void OnClosed(std::function<void()> closed) override {
+    response_->OnClosed(std::move(closed));
+  }
 
  protected:
   HttpHeaders Headers(const char* content_type) const {
@@ -40,9 +43,11 @@
   void SendRefusal(const Refuse& refusal) {
     HttpHeaders headers = {{"x-request-id", request_.value()}};
     if (refusal.retry_after) {
-      headers["retry-after"] = std::to_string((refusal.retry_after->milliseconds() + 999) / 1000);
+      headers["retry-after"] =
+          std::to_string((refusal.retry_after->milliseconds() + 999) / 1000);
     }
-    SendError(*response_, refusal.status, refusal.error, refusal.run, std::move(headers));
+    SendError(*response_, refusal.status, refusal.error, refusal.run,
+              std::move(headers));
   }
 
   HttpResponsePtr response_;
@@ -55,7 +60,8 @@
  public:
   using ModelSink::ModelSink;
 
-  void Head(int status, const std::string& /*content_type*/, const std::string& stream) override {
+  void Head(int status, const std::string& /*content_type*/,
+            const std::string& stream) override {
     begun_ = true;
     HttpHeaders headers = Headers("text/event-stream");
     if (!stream.empty()) headers["x-zr-stream"] = stream;
@@ -63,7 +69,8 @@
     response_->Begin(status, std::move(headers));
   }
 
-  void Part(int64_t offset, std::string text, std::function<void()> sent) override {
+  void Part(int64_t offset, std::string text,
+            std::function<void()> sent) override {
     Json event = Envelope(true);
     event["offset"] = offset;
     Json choice = {{"index", 0}};
@@ -73,7 +80,8 @@
       choice["text"] = std::move(text);
     }
     event["choices"] = Json::array({std::move(choice)});
-    response_->Write(FormatSseEvent(Dump(event)), [sent = std::move(sent)](bool) { sent(); });
+    response_->Write(FormatSseEvent(Dump(event)),
+                     [sent = std::move(sent)](bool) { sent(); });
   }
 
   void Finish(int64_t /*total*/) override {
@@ -84,7 +92,8 @@
 
   void Refused(const Refuse& refusal) override {
     if (!begun_) return SendRefusal(refusal);
-    Json event = Json::parse(ErrorBody(refusal.error, refusal.run), nullptr, false);
+    Json event =
+        Json::parse(ErrorBody(refusal.error, refusal.run), nullptr, false);
     event["offset"] = refusal.offset;
     response_->Write(FormatSseEvent(Dump(event)), nullptr);
     response_->End();
@@ -108,7 +117,8 @@
   void Head(int /*status*/, const std::string& /*content_type*/,
             const std::string& /*stream*/) override {}
 
-  void Part(int64_t /*offset*/, std::string text, std::function<void()> sent) override {
+  void Part(int64_t /*offset*/, std::string text,
+            std::function<void()> sent) override {
     text_ += text;
     ++tokens_;
     sent();
@@ -130,7 +140,8 @@
   void Refused(const Refuse& refusal) override { SendRefusal(refusal); }
 
   void Drop(const Error& error) override {
-    SendError(*response_, 409, error, RunState::kMayHaveRun, {{"x-request-id", request_.value()}});
+    SendError(*response_, 409, error, RunState::kMayHaveRun,
+              {{"x-request-id", request_.value()}});
   }
 
  private:
@@ -141,14 +152,18 @@
 class ServiceSink final : public AnswerSink {
  public:
   ServiceSink(HttpResponsePtr response, RequestId request, size_t max_bytes)
-      : response_(std::move(response)), request_(std::move(request)), max_bytes_(max_bytes) {}
+      : response_(std::move(response)),
+        request_(std::move(request)),
+        max_bytes_(max_bytes) {}
 
-  void Head(int status, const std::string& content_type, const std::string& /*stream*/) override {
+  void Head(int status, const std::string& content_type,
+            const std::string& /*stream*/) override {
     status_ = status;
     content_type_ = content_type;
   }
 
-  void Part(int64_t /*offset*/, std::string text, std::function<void()> sent) override {
+  void Part(int64_t /*offset*/, std::string text,
+            std::function<void()> sent) override {
     if (body_.size() + text.size() > max_bytes_) {
       too_large_ = true;
     } else {
@@ -158,13 +173,14 @@
   }
 
   void Finish(int64_t /*total*/) override {
-    HttpHeaders headers = {{"x-request-id", request_.value()}, {"x-zr-run", "ran"}};
+    HttpHeaders headers = {{"x-request-id", request_.value()},
+                           {"x-zr-run", "ran"}};
     if (too_large_) {
-      SendError(
-          *response_, 502,
-          Error{ErrorCode::kTooLarge, "answer", "",
-                "the service's answer is larger than " + std::to_string(max_bytes_) + " bytes"},
-          RunState::kRan, std::move(headers));
+      SendError(*response_, 502,
+                Error{ErrorCode::kTooLarge, "answer", "",
+                      "the service's answer is larger than " +
+                          std::to_string(max_bytes_) + " bytes"},
+                RunState::kRan, std::move(headers));
       return;
     }
     if (!content_type_.empty()) headers["content-type"] = content_type_;
@@ -174,16 +190,21 @@
   void Refused(const Refuse& refusal) override {
     HttpHeaders headers = {{"x-request-id", request_.value()}};
     if (refusal.retry_after) {
-      headers["retry-after"] = std::to_string((refusal.retry_after->milliseconds() + 999) / 1000);
+      headers["retry-after"] =
+          std::to_string((refusal.retry_after->milliseconds() + 999) / 1000);
     }
-    SendError(*response_, refusal.status, refusal.error, refusal.run, std::move(headers));
+    SendError(*response_, refusal.status, refusal.error, refusal.run,
+              std::move(headers));
   }
 
   void Drop(const Error& error) override {
-    SendError(*response_, 409, error, RunState::kMayHaveRun, {{"x-request-id", request_.value()}});
+    SendError(*response_, 409, error, RunState::kMayHaveRun,
+              {{"x-request-id", request_.value()}});
   }
 
-  void OnClosed(std::function<void()> closed) override { response_->OnClosed(std::move(closed)); }
+  void OnClosed(std::function<void()> closed) override {
+    response_->OnClosed(std::move(closed));
+  }
 
  private:
   HttpResponsePtr response_;
@@ -197,21 +218,25 @@
 
 }  // namespace
 
-std::shared_ptr<AnswerSink> MakeEventSink(HttpResponsePtr response, AnswerForm form,
-                                          RequestId request, std::string model) {
-  return std::make_shared<EventSink>(std::move(response), form, std::move(request),
-                                     std::move(model));
+std::shared_ptr<AnswerSink> MakeEventSink(HttpResponsePtr response,
+                                          AnswerForm form, RequestId request,
+                                          std::string model) {
+  return std::make_shared<EventSink>(std::move(response), form,
+                                     std::move(request), std::move(model));
 }
 
-std::shared_ptr<AnswerSink> MakeJsonSink(HttpResponsePtr response, AnswerForm form,
-                                         RequestId request, std::string model) {
-  return std::make_shared<JsonSink>(std::move(response), form, std::move(request),
-                                    std::move(model));
+std::shared_ptr<AnswerSink> MakeJsonSink(HttpResponsePtr response,
+                                         AnswerForm form, RequestId request,
+                                         std::string model) {
+  return std::make_shared<JsonSink>(std::move(response), form,
+                                    std::move(request), std::move(model));
 }
 
-std::shared_ptr<AnswerSink> MakeServiceSink(HttpResponsePtr response, RequestId request,
+std::shared_ptr<AnswerSink> MakeServiceSink(HttpResponsePtr response,
+                                            RequestId request,
                                             size_t max_bytes) {
-  return std::make_shared<ServiceSink>(std::move(response), std::move(request), max_bytes);
+  return std::make_shared<ServiceSink>(std::move(response), std::move(request),
+                                       max_bytes);
 }
 
 }  // namespace zr
--- a/modules/zr_daemon/api/caller_api.cc
+++ b/modules/zr_daemon/api/caller_api.cc
@@ -32,23 +32,30 @@
   static thread_local std::mt19937_64 generator{std::random_device{}()};
   char text[40];
   std::snprintf(text, sizeof(text), "req-%016llx%016llx",
-                static_cast<unsigned long long>(generator()),   // NOLINT(google-runtime-int)
-                static_cast<unsigned long long>(generator()));  // NOLINT(google-runtime-int)
+                static_cast<unsigned long long>(
+                    generator()),  // NOLINT(google-runtime-int)
+                static_cast<unsigned long long>(
+                    generator()));  // NOLINT(google-runtime-int)
   return RequestId(text);
 }
 
 bool IsValidId(std::string_view id) {
   return !id.empty() && id.size() <= kMaxIdBytes &&
          std::all_of(id.begin(), id.end(), [](unsigned char c) {
-           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' || c == ':';
+           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' ||
+                  c == ':';
          });
 }
 
-Result<int64_t> ParseInteger(std::string_view text, const char* name, int64_t least) {
+Result<int64_t> ParseInteger(std::string_view text, const char* name,
+                             int64_t least) {
   int64_t value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size() || value < least) {
-    return Invalid(std::string(name) + " must be a whole number from " + std::to_string(least));
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size() ||
+      value < least) {
+    return Invalid(std::string(name) + " must be a whole number from " +
+                   std::to_string(least));
   }
   return value;
 }
@@ -56,7 +63,8 @@
 Result<int64_t> IntegerField(const Json& json, const char* key) {
   auto it = json.find(key);
   if (it == json.end() || it->is_null()) return 0;
-  if (!it->is_number_integer() || it->get<int64_t>() < 1 || it->get<int64_t>() > kMaxPromptTokens) {
+  if (!it->is_number_integer() || it->get<int64_t>() < 1 ||
+      it->get<int64_t>() > kMaxPromptTokens) {
     return Invalid(std::string(key) + " must be a whole number from 1 to " +
                    std::to_string(kMaxPromptTokens));
   }
@@ -70,13 +78,15 @@
   }
   std::string prompt;
   for (const Json& message : *messages) {
-    if (!message.is_object() || !message.contains("content") || !message["content"].is_string()) {
+    if (!message.is_object() || !message.contains("content") ||
+        !message["content"].is_string()) {
       return Invalid("each message must have a content text");
     }
     if (message.contains("role") && !message["role"].is_string()) {
       return Invalid("the role of a message must be a text");
     }
-    prompt += message.value("role", "user") + ": " + message["content"].get<std::string>() + "\n";
+    prompt += message.value("role", "user") + ": " +
+              message["content"].get<std::string>() + "\n";
   }
   return prompt;
 }
@@ -84,24 +94,29 @@
 }  // namespace
 
 void CallerApi::Handle(HttpRequest request, HttpResponsePtr response) {
-  if (request.path == "/v1/completions" || request.path == "/v1/chat/completions") {
+  if (request.path == "/v1/completions" ||
+      request.path == "/v1/chat/completions") {
     if (request.method != "POST") {
       const Error error{ErrorCode::kInvalidArgument, kStep, "", "use POST"};
       return SendError(*response, 405, error, RunState::kNotRun);
     }
-    return HandleModel(request, response, request.path == "/v1/chat/completions");
+    return HandleModel(request, response,
+                       request.path == "/v1/chat/completions");
   }
-  if (request.path.starts_with("/services/")) return HandleService(request, response);
+  if (request.path.starts_with("/services/"))
+    return HandleService(request, response);
   HandleHealth(request, *response);
 }
 
-void CallerApi::HandleHealth(const HttpRequest& request, HttpResponse& response) {
+void CallerApi::HandleHealth(const HttpRequest& request,
+                             HttpResponse& response) {
   if (request.path == "/healthz") return response.Send(200, {}, "ok\n");
   if (request.path == "/readyz") {
     const auto snapshot = context_.cluster->Get();
     if (snapshot->Ready()) return response.Send(200, {}, "ready\n");
-    const std::string reason =
-        snapshot->stopping ? "stopping" : std::string(ToString(snapshot->readiness));
+    const std::string reason = snapshot->stopping
+                                   ? "stopping"
+                                   : std::string(ToString(snapshot->readiness));
     return response.Send(503, {}, "not ready: " + reason + "\n");
   }
   if (request.path == "/metrics") {
@@ -112,7 +127,8 @@
     return response.Send(200, {{"content-type", "text/plain; version=0.0.4"}},
                          context_.metrics.PrometheusText());
   }
-  const Error error{ErrorCode::kNotFound, kStep, "", "no such path: " + request.path};
+  const Error error{ErrorCode::kNotFound, kStep, "",
+                    "no such path: " + request.path};
   SendError(response, 404, error, RunState::kNotRun);
 }
 
@@ -125,15 +141,18 @@
   }
   const std::string_view authorization = request.Header("authorization");
   if (!authorization.starts_with("Bearer ")) {
-    return Fail(ErrorCode::kUnauthenticated, kStep, "", "a bearer key is needed");
+    return Fail(ErrorCode::kUnauthenticated, kStep, "",
+                "a bearer key is needed");
   }
   const Environment& environment = *call.snapshot->environment;
   call.team = environment.TeamForKeyDigest(KeyDigest(authorization.substr(7)));
   if (call.team == nullptr) {
-    return Fail(ErrorCode::kUnauthenticated, kStep, "", "the bearer key is not known");
+    return Fail(ErrorCode::kUnauthenticated, kStep, "",
+                "the bearer key is not known");
   }
   if (call.team->classes.empty()) {
-    return Fail(ErrorCode::kForbidden, kStep, "", "the team has no request class");
+    return Fail(ErrorCode::kForbidden, kStep, "",
+                "the team has no request class");
   }
   ClassId name = call.team->classes.front();
   if (const auto header = request.Header("x-zr-class"); !header.empty()) {
@@ -141,29 +160,35 @@
   }
   const auto& classes = call.team->classes;
   if (std::find(classes.begin(), classes.end(), name) == classes.end()) {
-    return Fail(ErrorCode::kForbidden, kStep, "", "the team may not use class " + name.value());
+    return Fail(ErrorCode::kForbidden, kStep, "",
+                "the team may not use class " + name.value());
   }
   call.request_class = environment.FindClass(name);
   if (call.request_class == nullptr) {
-    return Fail(ErrorCode::kNotFound, kStep, "", "no such class: " + name.value());
+    return Fail(ErrorCode::kNotFound, kStep, "",
+                "no such class: " + name.value());
   }
   call.deadline = call.request_class->deadline;
   if (const auto header = request.Header("x-zr-deadline-ms"); !header.empty()) {
     auto value = ParseInteger(header, "x-zr-deadline-ms", 1);
     if (!value) return tl::unexpected(value.error());
-    call.deadline = std::min(call.deadline,
-                             Duration::Milliseconds(std::min<int64_t>(*value, int64_t{1} << 40)));
+    call.deadline = std::min(
+        call.deadline,
+        Duration::Milliseconds(std::min<int64_t>(*value, int64_t{1} << 40)));
   }
   if (const auto header = request.Header("x-request-id"); !header.empty()) {
     if (!IsValidId(header)) {
-      return Invalid("x-request-id must have 1 to 128 letters, digits, '-', '_', '.' or ':'");
+      return Invalid(
+          "x-request-id must have 1 to 128 letters, digits, '-', '_', '.' or "
+          "':'");
     }
     call.id = RequestId(std::string(header));
     call.id_given = true;
   } else {
     call.id = MakeRequestId();
   }
-  if (const auto header = request.Header("x-zr-resume-offset"); !header.empty()) {
+  if (const auto header = request.Header("x-zr-resume-offset");
+      !header.empty()) {
     auto value = ParseInteger(header, "x-zr-resume-offset", 0);
     if (!value) return tl::unexpected(value.error());
     if (!call.id_given) return Invalid("x-zr-resume-offset needs x-request-id");
@@ -173,12 +198,14 @@
   return call;
 }
 
-Result<CallerApi::ModelBody> CallerApi::ParseModelBody(const std::string& body, bool chat) {
+Result<CallerApi::ModelBody> CallerApi::ParseModelBody(const std::string& body,
+                                                       bool chat) {
   const Json json = Json::parse(body, nullptr, false);
   if (!json.is_object()) return Invalid("the body is not a JSON object");
   ModelBody out;
   auto model = json.find("model");
-  if (model == json.end() || !model->is_string()) return Invalid("model must be a text");
+  if (model == json.end() || !model->is_string())
+    return Invalid("model must be a text");
   out.model = model->get<std::string>();
   if (chat) {
     auto prompt = ChatPrompt(json);
@@ -186,11 +213,12 @@
     out.prompt = std::move(*prompt);
   } else {
     auto prompt = json.find("prompt");
-    if (prompt == json.end() || !prompt->is_string()) return Invalid("prompt must be a text");
+    if (prompt == json.end() || !prompt->is_string())
+      return Invalid("prompt must be a text");
     out.prompt = prompt->get<std::string>();
   }
-  for (auto [key, field] :
-       {std::pair{"prompt_tokens", &out.prompt_tokens}, std::pair{"max_tokens", &out.max_tokens}}) {
+  for (auto [key, field] : {std::pair{"prompt_tokens", &out.prompt_tokens},
+                            std::pair{"max_tokens", &out.max_tokens}}) {
     auto value = IntegerField(json, key);
     if (!value) return tl::unexpected(value.error());
     *field = *value;
@@ -202,38 +230,47 @@
   return out;
 }
 
-Result<RequestOptions> CallerApi::MakeModelOptions(const Call& call, const ModelBody& body) const {
-  const PoolPolicy* pool = call.snapshot->environment->FindPoolByModel(body.model);
+Result<RequestOptions> CallerApi::MakeModelOptions(
+    const Call& call, const ModelBody& body) const {
+  const PoolPolicy* pool =
+      call.snapshot->environment->FindPoolByModel(body.model);
   if (pool == nullptr) {
-    return Fail(ErrorCode::kNotFound, kStep, "", "no such model: " + body.model);
+    return Fail(ErrorCode::kNotFound, kStep, "",
+                "no such model: " + body.model);
   }
   const ClassPolicy& policy = *call.request_class;
   if (!policy.repeatable) {
-    return Invalid("class " + policy.name.value() + " is for calls of plain services");
+    return Invalid("class " + policy.name.value() +
+                   " is for calls of plain services");
   }
   RequestOptions options;
   options.request = call.id;
   options.team = call.team->team;
   options.request_class = policy;
   options.pool = *pool;
-  const auto counted =
-      body.prompt_tokens > 0 ? std::optional(TokenCount(body.prompt_tokens)) : std::nullopt;
+  const auto counted = body.prompt_tokens > 0
+                           ? std::optional(TokenCount(body.prompt_tokens))
+                           : std::nullopt;
   PromptCost cost = PromptCost::Of(body.model, body.prompt, counted);
   options.prompt = std::max(cost.tokens, TokenCount(1));
   options.prefixes = std::move(cost.prefixes);
-  options.max_answer = body.max_tokens > 0 ? TokenCount(body.max_tokens) : policy.max_answer;
-  if (options.prompt > policy.max_prompt || options.prompt < policy.min_prompt) {
+  options.max_answer =
+      body.max_tokens > 0 ? TokenCount(body.max_tokens) : policy.max_answer;
+  if (options.prompt > policy.max_prompt ||
+      options.prompt < policy.min_prompt) {
     return Fail(
-        options.prompt > policy.max_prompt ? ErrorCode::kTooLarge : ErrorCode::kInvalidArgument,
+        options.prompt > policy.max_prompt ? ErrorCode::kTooLarge
+                                           : ErrorCode::kInvalidArgument,
         kStep, "",
         "class " + policy.name.value() + " takes prompts of " +
             std::to_string(policy.min_prompt.value()) + " to " +
-            std::to_string(policy.max_prompt.value()) + " tokens; this one has " +
-            std::to_string(options.prompt.value()));
+            std::to_string(policy.max_prompt.value()) +
+            " tokens; this one has " + std::to_string(options.prompt.value()));
   }
   if (options.max_answer > policy.max_answer) {
-    return Invalid("max_tokens is at most " + std::to_string(policy.max_answer.value()) +
-                   " in class " + policy.name.value());
+    return Invalid("max_tokens is at most " +
+                   std::to_string(policy.max_answer.value()) + " in class " +
+                   policy.name.value());
   }
   options.fingerprint = MakeFingerprint(options.team, body.model, body.prompt);
   options.suspect = context_.suspects->Verdict(options.fingerprint);
@@ -242,53 +279,63 @@
   options.may_be_repeat = call.id_given;
   options.resume_offset = call.resume_offset;
   options.resume_stream = call.resume_stream;
-  options.first_attempt = AttemptNumber(static_cast<uint64_t>(UnixMilliseconds()) * 1000 +
-                                        static_cast<uint64_t>(now.microseconds() % 1000));
+  options.first_attempt =
+      AttemptNumber(static_cast<uint64_t>(UnixMilliseconds()) * 1000 +
+                    static_cast<uint64_t>(now.microseconds() % 1000));
   return options;
 }
 
-void CallerApi::HandleModel(const HttpRequest& request, const HttpResponsePtr& response,
-                            bool chat) {
+void CallerApi::HandleModel(const HttpRequest& request,
+                            const HttpResponsePtr& response, bool chat) {
   auto call = ParseCall(request);
   if (!call) {
-    return SendError(*response, HttpStatusOf(call.error().code), call.error(), RunState::kNotRun);
+    return SendError(*response, HttpStatusOf(call.error().code), call.error(),
+                     RunState::kNotRun);
   }
   auto body = ParseModelBody(request.body, chat);
-  auto options =
-      body ? MakeModelOptions(*call, *body) : Result<RequestOptions>(tl::unexpected(body.error()));
+  auto options = body ? MakeModelOptions(*call, *body)
+                      : Result<RequestOptions>(tl::unexpected(body.error()));
   if (!options) {
-    return SendError(*response, HttpStatusOf(options.error().code), options.error(),
-                     RunState::kNotRun, {{"x-request-id", call->id.value()}});
+    return SendError(*response, HttpStatusOf(options.error().code),
+                     options.error(), RunState::kNotRun,
+                     {{"x-request-id", call->id.value()}});
   }
   const AnswerForm form = chat ? AnswerForm::kChat : AnswerForm::kCompletion;
-  auto sink = body->stream ? MakeEventSink(response, form, call->id, body->model)
-                           : MakeJsonSink(response, form, call->id, body->model);
+  auto sink = body->stream
+                  ? MakeEventSink(response, form, call->id, body->model)
+                  : MakeJsonSink(response, form, call->id, body->model);
   UpstreamTemplate upstream;
   upstream.model = body->model;
   upstream.prompt = std::move(body->prompt);
-  context_.selector->OnOffered(options->pool.pool, options->prompt + options->max_answer,
+  context_.selector->OnOffered(options->pool.pool,
+                               options->prompt + options->max_answer,
                                options->prompt > options->pool.long_prompt);
-  StartOrReattach(std::move(*options), std::move(upstream), std::move(sink), response);
+  StartOrReattach(std::move(*options), std::move(upstream), std::move(sink),
+                  response);
 }
 
-bool CallerApi::AdmitTeam(const RequestOptions& options, HttpResponse& response) {
-  const LimitDecision limit =
-      context_.teams->TryAdmit(options.team, options.prompt + options.max_answer);
+bool CallerApi::AdmitTeam(const RequestOptions& options,
+                          HttpResponse& response) {
+  const LimitDecision limit = context_.teams->TryAdmit(
+      options.team, options.prompt + options.max_answer);
   if (limit.allowed) return true;
   const Error error{ErrorCode::kLimitExceeded, kStep, options.team.value(),
                     "the team's limit is used up"};
   SendError(response, 429, error, RunState::kNotRun,
-            {{"retry-after", std::to_string(limit.retry_after.milliseconds() / 1000 + 1)},
+            {{"retry-after",
+              std::to_string(limit.retry_after.milliseconds() / 1000 + 1)},
              {"x-request-id", options.request.value()}});
   return false;
 }
 
-void CallerApi::StartOperation(RequestOptions options, UpstreamTemplate upstream,
-                               std::string_view key, const HttpResponsePtr& response) {
+void CallerApi::StartOperation(RequestOptions options,
+                               UpstreamTemplate upstream, std::string_view key,
+                               const HttpResponsePtr& response) {
   const HttpHeaders headers = {{"x-request-id", options.request.value()}};
   if (key.empty()) {
     const Error error{ErrorCode::kInvalidArgument, kStep, "",
-                      "this call may not be repeated and needs an idempotency-key header of 1 to "
+                      "this call may not be repeated and needs an "
+                      "idempotency-key header of 1 to "
                       "256 printable ASCII characters"};
     return SendError(*response, 400, error, RunState::kNotRun, headers);
   }
@@ -296,40 +343,48 @@
   call.service = options.pool.pool.value();
   call.key = std::string(key);
   auto name = OperationName(options.team, call.service, call.key);
-  if (!name) return SendError(*response, 400, name.error(), RunState::kNotRun, headers);
+  if (!name)
+    return SendError(*response, 400, name.error(), RunState::kNotRun, headers);
   call.object_name = std::move(*name);
   if (!AdmitTeam(options, *response)) return;
-  OperationHost::Start(context_, std::move(call), std::move(options), std::move(upstream),
-                       response);
+  OperationHost::Start(context_, std::move(call), std::move(options),
+                       std::move(upstream), response);
 }
 
-void CallerApi::StartOrReattach(RequestOptions options, UpstreamTemplate upstream,
-                                std::shared_ptr<AnswerSink> sink, const HttpResponsePtr& response) {
+void CallerApi::StartOrReattach(RequestOptions options,
+                                UpstreamTemplate upstream,
+                                std::shared_ptr<AnswerSink> sink,
+                                const HttpResponsePtr& response) {
   RetryBudget& budget = context_.requests->BudgetOf(options.pool.pool);
   const RequestOptions kept = options;
   if (!AdmitTeam(kept, *response)) return;
-  auto host = std::make_shared<RequestHost>(context_, std::move(options), std::move(upstream),
-                                            budget, sink);
+  auto host = std::make_shared<RequestHost>(context_, std::move(options),
+                                            std::move(upstream), budget, sink);
   if (context_.requests->Add(host)) return host->Start();
   context_.teams->OnFinished(kept.team, kept.prompt + kept.max_answer);
   auto existing = context_.requests->Find(kept.request);
   const Error busy{ErrorCode::kConflict, kStep, context_.settings.vm.value(),
                    "another call with this request id just ended; try again"};
   if (!existing) return SendError(*response, 409, busy, RunState::kNotRun);
-  existing->Reattach(kept.team, kept.fingerprint, kept.resume_offset, kept.resume_stream, sink,
-                     [response](const Error& error) {
-                       SendError(*response, HttpStatusOf(error.code), error, RunState::kNotRun);
+  existing->Reattach(kept.team, kept.fingerprint, kept.resume_offset,
+                     kept.resume_stream, sink, [response](const Error& error) {
+                       SendError(*response, HttpStatusOf(error.code), error,
+                                 RunState::kNotRun);
                      });
 }
 
-void CallerApi::HandleService(const HttpRequest& request, const HttpResponsePtr& response) {
+void CallerApi::HandleService(const HttpRequest& request,
+                              const HttpResponsePtr& response) {
   auto call = ParseCall(request);
   if (!call) {
-    return SendError(*response, HttpStatusOf(call.error().code), call.error(), RunState::kNotRun);
+    return SendError(*response, HttpStatusOf(call.error().code), call.error(),
+                     RunState::kNotRun);
   }
   const auto segments = PathSegments(request.path);
   const PoolPolicy* pool =
-      segments.size() < 2 ? nullptr : call->snapshot->environment->FindPool(PoolId(segments[1]));
+      segments.size() < 2
+          ? nullptr
+          : call->snapshot->environment->FindPool(PoolId(segments[1]));
   if (pool == nullptr || pool->kind != PoolKind::kService) {
     const Error error{ErrorCode::kNotFound, kStep, "", "no such service"};
     return SendError(*response, 404, error, RunState::kNotRun);
@@ -339,17 +394,21 @@
   options.team = call->team->team;
   options.request_class = *call->request_class;
   options.pool = *pool;
-  options.fingerprint = Fingerprint(HashFields(
-      {options.team.value(), request.method, request.path, request.query, request.body}));
+  options.fingerprint =
+      Fingerprint(HashFields({options.team.value(), request.method,
+                              request.path, request.query, request.body}));
   options.deadline = SteadyNow() + call->deadline;
   const bool safe = request.method == "GET" || request.method == "HEAD";
-  options.idempotent = safe || (pool->repeatable && call->request_class->repeatable);
-  options.first_attempt = AttemptNumber(static_cast<uint64_t>(UnixMilliseconds()) * 1000);
+  options.idempotent =
+      safe || (pool->repeatable && call->request_class->repeatable);
+  options.first_attempt =
+      AttemptNumber(static_cast<uint64_t>(UnixMilliseconds()) * 1000);
 
   UpstreamTemplate upstream;
   upstream.method = request.method;
   const std::string prefix = "/services/" + segments[1];
-  upstream.path = request.path.substr(std::min(prefix.size(), request.path.size()));
+  upstream.path =
+      request.path.substr(std::min(prefix.size(), request.path.size()));
   if (!upstream.path.starts_with('/')) upstream.path.insert(0, "/");
   if (!request.query.empty()) upstream.path += "?" + request.query;
   for (const char* name : {"content-type", "accept", "idempotency-key"}) {
@@ -363,8 +422,10 @@
                           request.Header("idempotency-key"), response);
   }
   auto sink =
-      MakeServiceSink(response, call->id, static_cast<size_t>(context_.settings.max_body_bytes));
-  StartOrReattach(std::move(options), std::move(upstream), std::move(sink), response);
+      MakeServiceSink(response, call->id,
+                      static_cast<size_t>(context_.settings.max_body_bytes));
+  StartOrReattach(std::move(options), std::move(upstream), std::move(sink),
+                  response);
 }
 
 }  // namespace zr
--- a/modules/zr_daemon/api/caller_api.h
+++ b/modules/zr_daemon/api/caller_api.h
@@ -40,18 +40,22 @@
     bool stream = false;
   };
 
-  void HandleModel(const HttpRequest& request, const HttpResponsePtr& response, bool chat);
-  void HandleService(const HttpRequest& request, const HttpResponsePtr& response);
-  void StartOperation(RequestOptions options, UpstreamTemplate upstream, std::string_view key,
-                      const HttpResponsePtr& response);
+  void HandleModel(const HttpRequest& request, const HttpResponsePtr& response,
+                   bool chat);
+  void HandleService(const HttpRequest& request,
+                     const HttpResponsePtr& response);
+  void StartOperation(RequestOptions options, UpstreamTemplate upstream,
+                      std::string_view key, const HttpResponsePtr& response);
   bool AdmitTeam(const RequestOptions& options, HttpResponse& response);
   void HandleHealth(const HttpRequest& request, HttpResponse& response);
 
   Result<Call> ParseCall(const HttpRequest& request) const;
   static Result<ModelBody> ParseModelBody(const std::string& body, bool chat);
-  Result<RequestOptions> MakeModelOptions(const Call& call, const ModelBody& body) const;
+  Result<RequestOptions> MakeModelOptions(const Call& call,
+                                          const ModelBody& body) const;
   void StartOrReattach(RequestOptions options, UpstreamTemplate upstream,
-                       std::shared_ptr<AnswerSink> sink, const HttpResponsePtr& response);
+                       std::shared_ptr<AnswerSink> sink,
+                       const HttpResponsePtr& response);
 
   NodeContext& context_;
 };
--- a/modules/zr_daemon/api/error_reply.cc
+++ b/modules/zr_daemon/api/error_reply.cc
@@ -36,7 +36,8 @@
   return 500;
 }
 
-std::string ErrorBody(const Error& error, RunState run, std::string_view record) {
+std::string ErrorBody(const Error& error, RunState run,
+                      std::string_view record) {
   nlohmann::json body = {{"error",
                           {{"code", ToString(error.code)},
                            {"message", error.message},
@@ -47,8 +48,8 @@
   return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-void SendError(HttpResponse& response, int status, const Error& error, RunState run,
-               HttpHeaders headers, std::string_view record) {
+void SendError(HttpResponse& response, int status, const Error& error,
+               RunState run, HttpHeaders headers, std::string_view record) {
   headers["content-type"] = "application/json";
   headers["x-zr-run"] = std::string(ToString(run));
   response.Send(status, std::move(headers), ErrorBody(error, run, record));
--- a/modules/zr_daemon/api/error_reply.h
+++ b/modules/zr_daemon/api/error_reply.h
@@ -13,12 +13,15 @@
 
 /**
  * `{"error":{"code","message","run","step","peer"}}`.
- * @param record  state of an operation's record, added as "record" unless it is empty
+ * @param record  state of an operation's record, added as "record" unless it is
+ * empty
  */
-std::string ErrorBody(const Error& error, RunState run, std::string_view record = {});
+std::string ErrorBody(const Error& error, RunState run,
+                      std::string_view record = {});
 
 /** Sends an error response with its x-zr-run header. */
-void SendError(HttpResponse& response, int status, const Error& error, RunState run,
-               HttpHeaders headers = {}, std::string_view record = {});
+void SendError(HttpResponse& response, int status, const Error& error,
+               RunState run, HttpHeaders headers = {},
+               std::string_view record = {});
 
 }  // namespace zr
