--- a/modules/zr_daemon/api/operator_api.cc
+++ b/modules/zr_daemon/api/operator_api.cc
@@ -16,19 +16,25 @@
 constexpr const char* kStep = "operator request";
 
 void SendJson(HttpResponse& response, int status, const Json& json) {
-  response.Send(status, {{"content-type", "application/json"}},
-                json.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n");
+  response.Send(
+      status, {{"content-type", "application/json"}},
+      json.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n");
 }
 
-void SendProblem(HttpResponse& response, int status, ErrorCode code, std::string message) {
-  SendError(response, status, Error{code, kStep, "", std::move(message)}, RunState::kNotRun);
+void SendProblem(HttpResponse& response, int status, ErrorCode code,
+                 std::string message) {
+  SendError(response, status, Error{code, kStep, "", std::move(message)},
+            RunState::kNotRun);
 }
 
 /** Compares tokens in a time that does not depend on where they differ. */
-bool SameToken(std::string_view a, std::string_view b) { return Sha256Hex(a) == Sha256Hex(b); }
+bool SameToken(std::string_view a, std::string_view b) {
+  return Sha256Hex(a) == Sha256Hex(b);
+}
 
 std::string_view ToText(InForceReport::State state) {
-  return state == InForceReport::State::kAccepted ? "accepted" : "written, not yet in force";
+  return state == InForceReport::State::kAccepted ? "accepted"
+                                                  : "written, not yet in force";
 }
 
 Json Names(const std::vector<VmId>& vms) {
@@ -43,7 +49,8 @@
   const std::string_view authorization = request.Header("authorization");
   if (!authorization.starts_with("Bearer ") ||
       !SameToken(authorization.substr(7), context_.settings.operator_token)) {
-    return SendProblem(*response, 401, ErrorCode::kUnauthenticated, "the operator token is wrong");
+    return SendProblem(*response, 401, ErrorCode::kUnauthenticated,
+                       "the operator token is wrong");
   }
   const auto path = PathSegments(request.path);
   const std::string what = path.size() >= 2 && path[0] == "v1" ? path[1] : "";
@@ -52,16 +59,19 @@
   if (what == "config" && path.size() == 2 && request.method == "PUT") {
     return PutConfig(request, std::move(response));
   }
-  if (what == "config" && path.size() == 3 && path[2] == "trial" && request.method == "POST") {
+  if (what == "config" && path.size() == 3 && path[2] == "trial" &&
+      request.method == "POST") {
     return Trial(request, *response);
   }
   if (what == "status" && get) return Status(*response);
   if (what == "endpoints" && get) return Endpoints(*response);
-  if (what == "drains" && path.size() == 4) return ChangeDrain(request, std::move(response), path);
+  if (what == "drains" && path.size() == 4)
+    return ChangeDrain(request, std::move(response), path);
   if (what == "operations" && path.size() == 5 && get) {
     return ShowOperation(std::move(response), path);
   }
-  SendProblem(*response, 404, ErrorCode::kNotFound, "no such path: " + request.path);
+  SendProblem(*response, 404, ErrorCode::kNotFound,
+              "no such path: " + request.path);
 }
 
 //==============================================================================
@@ -71,7 +81,8 @@
   const auto snapshot = context_.cluster->Get();
   const auto& document = snapshot->document;
   const ChangeNote& note = snapshot->note;
-  // Version 0 stands for "no document yet", so that the first one can be written over it.
+  // Version 0 stands for "no document yet", so that the first one can be
+  // written over it.
   SendJson(response, 200,
            {{"version", document ? document->version.value() : 0},
             {"digest", document ? document->digest : ""},
@@ -80,26 +91,29 @@
             {"document", document ? document->document : ""}});
 }
 
-void OperatorApi::PutConfig(const HttpRequest& request, HttpResponsePtr response) {
+void OperatorApi::PutConfig(const HttpRequest& request,
+                            HttpResponsePtr response) {
   auto parsed = Environment::Parse(request.body);
   if (!parsed) {
-    return SendProblem(*response, 422, parsed.error().code, parsed.error().message);
+    return SendProblem(*response, 422, parsed.error().code,
+                       parsed.error().message);
   }
   const std::string match(request.Header("if-match"));
   char* end = nullptr;
   const uint64_t expected = std::strtoull(match.c_str(), &end, 10);
   if (match.empty() || *end != 0) {
-    return SendProblem(*response, 400, ErrorCode::kInvalidArgument,
-                       "If-Match must name the version to replace, 0 for the first document");
+    return SendProblem(
+        *response, 400, ErrorCode::kInvalidArgument,
+        "If-Match must name the version to replace, 0 for the first document");
   }
-  Write(request.body, ObjectVersion(expected), std::string(request.Header("x-zr-author")),
-        std::move(response));
+  Write(request.body, ObjectVersion(expected),
+        std::string(request.Header("x-zr-author")), std::move(response));
 }
 
-void OperatorApi::Write(std::string document, ObjectVersion expected, std::string author,
-                        HttpResponsePtr response) {
-  const std::string value =
-      EncodeConfigObject({document, ChangeNote{author, IsoTime(UnixMilliseconds())}});
+void OperatorApi::Write(std::string document, ObjectVersion expected,
+                        std::string author, HttpResponsePtr response) {
+  const std::string value = EncodeConfigObject(
+      {document, ChangeNote{author, IsoTime(UnixMilliseconds())}});
   context_.store->Put(
       StorePurpose::kConfig, "config", "environment", expected, value,
       [this, document, expected, author = std::move(author),
@@ -108,11 +122,13 @@
         switch (reply.status) {
           case StoreStatus::kOk:
             Log(LogLevel::kInfo, "operator",
-                "Wrote version " + std::to_string(reply.version.value()) + " for " +
-                    (author.empty() ? "an unnamed author" : author) + ".");
+                "Wrote version " + std::to_string(reply.version.value()) +
+                    " for " + (author.empty() ? "an unnamed author" : author) +
+                    ".");
             written_(ConfigOffer{reply.version, digest, document});
-            return SendJson(*response, 200,
-                            {{"version", reply.version.value()}, {"digest", digest}});
+            return SendJson(
+                *response, 200,
+                {{"version", reply.version.value()}, {"digest", digest}});
           case StoreStatus::kConflict:
             return SendConflict(response);
           case StoreStatus::kUnknown:
@@ -123,9 +139,9 @@
           case StoreStatus::kNotSent:
             break;
         }
-        SendProblem(
-            *response, 503, ErrorCode::kUnavailable,
-            "the object API did not take the change: " + std::string(ToString(reply.status)));
+        SendProblem(*response, 503, ErrorCode::kUnavailable,
+                    "the object API did not take the change: " +
+                        std::string(ToString(reply.status)));
       });
 }
 
@@ -137,18 +153,21 @@
       [this, document = std::move(document), expected,
        response = std::move(response)](const StoreReply& reply) {
         const auto object = DecodeConfigObject(reply.value);
-        if (reply.status == StoreStatus::kOk && object && object->document == document &&
-            reply.version > expected) {
+        if (reply.status == StoreStatus::kOk && object &&
+            object->document == document && reply.version > expected) {
           const std::string digest = DocumentDigest(document);
           written_(ConfigOffer{reply.version, digest, document});
-          return SendJson(*response, 200, {{"version", reply.version.value()}, {"digest", digest}});
+          return SendJson(
+              *response, 200,
+              {{"version", reply.version.value()}, {"digest", digest}});
         }
         if (reply.status == StoreStatus::kOk && reply.version > expected) {
           return SendConflict(response);
         }
         SendError(*response, 502,
                   Error{ErrorCode::kUnknownOutcome, kStep, "object API",
-                        "the answer was lost; the change may still take effect, check with get"},
+                        "the answer was lost; the change may still take "
+                        "effect, check with get"},
                   RunState::kMayHaveRun);
       });
 }
@@ -159,22 +178,28 @@
       [response = std::move(response)](const StoreReply& reply) {
         const auto object = DecodeConfigObject(reply.value);
         const ChangeNote note = object ? object->note : ChangeNote{};
-        Json body = Json::parse(ErrorBody(Error{ErrorCode::kConflict, kStep, note.author,
-                                                "another change was made meanwhile"},
-                                          RunState::kNotRun),
-                                nullptr, false);
-        body["conflict"] = {
-            {"version", reply.version.value()}, {"author", note.author}, {"time", note.time}};
+        Json body = Json::parse(
+            ErrorBody(Error{ErrorCode::kConflict, kStep, note.author,
+                            "another change was made meanwhile"},
+                      RunState::kNotRun),
+            nullptr, false);
+        body["conflict"] = {{"version", reply.version.value()},
+                            {"author", note.author},
+                            {"time", note.time}};
         SendJson(*response, 412, body);
       });
 }
 
-void OperatorApi::Trial(const HttpRequest& request, HttpResponse& response) const {
+void OperatorApi::Trial(const HttpRequest& request,
+                        HttpResponse& response) const {
   auto parsed = Environment::Parse(request.body);
-  if (!parsed) return SendProblem(response, 422, parsed.error().code, parsed.error().message);
+  if (!parsed)
+    return SendProblem(response, 422, parsed.error().code,
+                       parsed.error().message);
   const auto snapshot = context_.cluster->Get();
   const Environment empty;
-  const Environment& current = snapshot->environment ? *snapshot->environment : empty;
+  const Environment& current =
+      snapshot->environment ? *snapshot->environment : empty;
   Json changes = Json::array();
   for (const Change& change : Diff(current, *parsed)) {
     changes.push_back({{"kind", ToString(change.kind)},
@@ -183,10 +208,12 @@
                        {"before", change.before},
                        {"after", change.after}});
   }
-  SendJson(response, 200, {{"digest", DocumentDigest(request.body)}, {"changes", changes}});
+  SendJson(response, 200,
+           {{"digest", DocumentDigest(request.body)}, {"changes", changes}});
 }
 
-void OperatorApi::ChangeDrain(const HttpRequest& request, HttpResponsePtr response,
+void OperatorApi::ChangeDrain(const HttpRequest& request,
+                              HttpResponsePtr response,
                               const std::vector<std::string>& path) {
   Drain drain;
   drain.name = path[3];
@@ -197,27 +224,32 @@
   } else if (path[2] == "endpoint") {
     drain.kind = DrainKind::kEndpoint;
   } else {
-    return SendProblem(*response, 404, ErrorCode::kNotFound, "drain a domain, vm or endpoint");
+    return SendProblem(*response, 404, ErrorCode::kNotFound,
+                       "drain a domain, vm or endpoint");
   }
   const auto document = context_.cluster->Get()->document;
   if (!document) {
-    return SendProblem(*response, 409, ErrorCode::kConflict, "there is no document yet");
+    return SendProblem(*response, 409, ErrorCode::kConflict,
+                       "there is no document yet");
   }
   const bool add = request.method == "PUT";
   if (!add && request.method != "DELETE") {
-    return SendProblem(*response, 405, ErrorCode::kInvalidArgument, "use PUT or DELETE");
+    return SendProblem(*response, 405, ErrorCode::kInvalidArgument,
+                       "use PUT or DELETE");
   }
-  auto changed = add ? AddDrain(document->document, drain) : RemoveDrain(document->document, drain);
+  auto changed = add ? AddDrain(document->document, drain)
+                     : RemoveDrain(document->document, drain);
   if (!changed) {
-    return SendProblem(*response, HttpStatusOf(changed.error().code), changed.error().code,
-                       changed.error().message);
+    return SendProblem(*response, HttpStatusOf(changed.error().code),
+                       changed.error().code, changed.error().message);
   }
   if (*changed == document->document) {
-    return SendJson(*response, 200,
-                    {{"version", document->version.value()}, {"digest", document->digest}});
+    return SendJson(
+        *response, 200,
+        {{"version", document->version.value()}, {"digest", document->digest}});
   }
-  Write(std::move(*changed), document->version, std::string(request.Header("x-zr-author")),
-        std::move(response));
+  Write(std::move(*changed), document->version,
+        std::string(request.Header("x-zr-author")), std::move(response));
 }
 
 //==============================================================================
@@ -227,8 +259,9 @@
   const auto snapshot = context_.cluster->Get();
   Json config = {{"version", 0}, {"digest", ""}, {"in_force", false}};
   if (snapshot->document) {
-    const InForceReport report = MakeInForceReport(SteadyNow(), snapshot->document->version,
-                                                   snapshot->document->digest, *snapshot->view);
+    const InForceReport report =
+        MakeInForceReport(SteadyNow(), snapshot->document->version,
+                          snapshot->document->digest, *snapshot->view);
     config = {{"version", snapshot->document->version.value()},
               {"digest", snapshot->document->digest},
               {"in_force", report.state == InForceReport::State::kAccepted},
@@ -286,20 +319,24 @@
         snapshot->environment->IsDrained(info.domain, VmId(), info.endpoint)) {
       entry["state"] = "drained";
     }
-    if (auto host = context_.endpoints->Find(id)) entry["running"] = host->Snapshot().granted;
+    if (auto host = context_.endpoints->Find(id))
+      entry["running"] = host->Snapshot().granted;
     list.push_back(std::move(entry));
   }
   SendJson(response, 200, {{"endpoints", list}});
 }
 
-void OperatorApi::ShowOperation(HttpResponsePtr response, const std::vector<std::string>& path) {
+void OperatorApi::ShowOperation(HttpResponsePtr response,
+                                const std::vector<std::string>& path) {
   auto name = OperationName(TeamId(path[2]), path[3], path[4]);
-  if (!name) return SendProblem(*response, 400, name.error().code, name.error().message);
+  if (!name)
+    return SendProblem(*response, 400, name.error().code, name.error().message);
   context_.store->Get(
       StorePurpose::kRecords, std::string(kOperationsKind), *name,
       [response = std::move(response), key = path[4]](const StoreReply& reply) {
         if (reply.status == StoreStatus::kNotFound) {
-          return SendProblem(*response, 404, ErrorCode::kNotFound, "no record for key " + key);
+          return SendProblem(*response, 404, ErrorCode::kNotFound,
+                             "no record for key " + key);
         }
         if (reply.status != StoreStatus::kOk) {
           return SendProblem(*response, 503, ErrorCode::kUnavailable,
@@ -307,7 +344,8 @@
         }
         auto record = RecordCodec::Decode(reply.value);
         if (!record) {
-          return SendProblem(*response, 500, record.error().code, record.error().message);
+          return SendProblem(*response, 500, record.error().code,
+                             record.error().message);
         }
         Json body = {{"key", record->key},
                      {"team", record->team.value()},
--- a/modules/zr_daemon/api/operator_api.h
+++ b/modules/zr_daemon/api/operator_api.h
@@ -28,12 +28,15 @@
   void Endpoints(HttpResponse& response) const;
   void ChangeDrain(const HttpRequest& request, HttpResponsePtr response,
                    const std::vector<std::string>& path);
-  void ShowOperation(HttpResponsePtr response, const std::vector<std::string>& path);
+  void ShowOperation(HttpResponsePtr response,
+                     const std::vector<std::string>& path);
 
-  /** Writes a document over the given version; the answer follows the store's. */
+  /** Writes a document over the given version; the answer follows the store's.
+   */
   void Write(std::string document, ObjectVersion expected, std::string author,
              HttpResponsePtr response);
-  void OnWriteUnknown(std::string document, ObjectVersion expected, HttpResponsePtr response);
+  void OnWriteUnknown(std::string document, ObjectVersion expected,
+                      HttpResponsePtr response);
   void SendConflict(HttpResponsePtr response);
 
   NodeContext& context_;
--- a/modules/zr_daemon/control/cluster_state.cc
+++ b/modules/zr_daemon/control/cluster_state.cc
@@ -5,14 +5,16 @@
 
 namespace zr {
 
-const EndpointInfo* ClusterSnapshot::FindEndpoint(const EndpointId& endpoint) const {
+const EndpointInfo* ClusterSnapshot::FindEndpoint(
+    const EndpointId& endpoint) const {
   auto it = endpoints->find(endpoint);
   return it == endpoints->end() ? nullptr : &it->second;
 }
 
 int64_t ClusterSnapshot::PoolSize(const PoolId& pool) const {
-  return std::count_if(endpoints->begin(), endpoints->end(),
-                       [&pool](const auto& entry) { return entry.second.pool == pool; });
+  return std::count_if(
+      endpoints->begin(), endpoints->end(),
+      [&pool](const auto& entry) { return entry.second.pool == pool; });
 }
 
 ClusterState::ClusterState() {
--- a/modules/zr_daemon/control/cluster_state.h
+++ b/modules/zr_daemon/control/cluster_state.h
@@ -15,20 +15,24 @@
 
 /** Immutable snapshot of what this VM knows about the cluster. */
 struct ClusterSnapshot {
-  std::shared_ptr<const ClusterView> view;         // never null
-  std::shared_ptr<const Environment> environment;  // null before the first document
-  std::shared_ptr<const ConfigOffer> document;     // null before the first document
+  std::shared_ptr<const ClusterView> view;  // never null
+  std::shared_ptr<const Environment>
+      environment;  // null before the first document
+  std::shared_ptr<const ConfigOffer>
+      document;     // null before the first document
   ChangeNote note;  // of the document, if this VM read it from the store
   std::shared_ptr<const ClassPolicies> classes;
   std::shared_ptr<const TeamPolicies> teams;
-  std::shared_ptr<const std::map<EndpointId, EndpointInfo>> endpoints;  // never null
+  std::shared_ptr<const std::map<EndpointId, EndpointInfo>>
+      endpoints;  // never null
   Drains drains;
   ConfigReadiness readiness = ConfigReadiness::kNoConfiguration;
   bool stopping = false;
 
   /** Whether this VM takes new calls. */
   bool Ready() const {
-    return !stopping && environment != nullptr && readiness == ConfigReadiness::kReady;
+    return !stopping && environment != nullptr &&
+           readiness == ConfigReadiness::kReady;
   }
   /** Registration of an endpoint; nullptr if there is none. */
   const EndpointInfo* FindEndpoint(const EndpointId& endpoint) const;
--- a/modules/zr_daemon/control/control_plane.cc
+++ b/modules/zr_daemon/control/control_plane.cc
@@ -11,11 +11,13 @@
 
 constexpr Duration kTickPeriod = Duration::Milliseconds(50);
 constexpr Duration kRetryPeriod = Duration::Milliseconds(500);
-constexpr Duration kWatchWait = Duration::Seconds(3);  // shorter than the 6 s confirmation
+constexpr Duration kWatchWait =
+    Duration::Seconds(3);  // shorter than the 6 s confirmation
 constexpr Duration kVmListPeriod = Duration::Seconds(2);
 // Demand of the teams and pools, while links are bounded.
 constexpr Duration kDemandPeriod = Duration::Seconds(1);
-// A link that a request needed is kept for this long after the last failed send.
+// A link that a request needed is kept for this long after the last failed
+// send.
 constexpr Duration kRequestLinkKept = Duration::Seconds(300);
 constexpr int kListPage = 500;
 constexpr const char* kConfigKind = "config";
@@ -34,7 +36,8 @@
 
 Result<void> CheckOffer(const ConfigOffer& offer) {
   if (DocumentDigest(offer.document) != offer.digest) {
-    return Fail(ErrorCode::kInvalidArgument, "configuration", "", "digest does not match");
+    return Fail(ErrorCode::kInvalidArgument, "configuration", "",
+                "digest does not match");
   }
   auto parsed = Environment::Parse(offer.document);
   if (!parsed) return tl::unexpected(parsed.error());
@@ -50,31 +53,35 @@
 
 }  // namespace
 
-Result<EndpointInfo> ParseEndpointInfo(const std::string& name, const std::string& value) {
+Result<EndpointInfo> ParseEndpointInfo(const std::string& name,
+                                       const std::string& value) {
   const auto json = nlohmann::json::parse(value, nullptr, false);
   auto text = [&json](const char* key) {
     auto it = json.find(key);
-    return it != json.end() && it->is_string() ? it->get<std::string>() : std::string();
+    return it != json.end() && it->is_string() ? it->get<std::string>()
+                                               : std::string();
   };
   if (!json.is_object() || text("address").empty() || text("pool").empty()) {
     return Fail(ErrorCode::kInvalidArgument, "endpoint registry", name,
                 "registration needs an address and a pool");
   }
-  return EndpointInfo{EndpointId(name), PoolId(text("pool")), DomainId(text("domain")),
-                      text("region"), text("address")};
+  return EndpointInfo{EndpointId(name), PoolId(text("pool")),
+                      DomainId(text("domain")), text("region"),
+                      text("address")};
 }
 
-Result<std::shared_ptr<ControlPlane>> ControlPlane::Create(NodeContext& context,
-                                                           std::shared_ptr<PeerLinks> links,
-                                                           Listener& listener) {
+Result<std::shared_ptr<ControlPlane>> ControlPlane::Create(
+    NodeContext& context, std::shared_ptr<PeerLinks> links,
+    Listener& listener) {
   auto membership = Membership::Create(MakeMembershipOptions(context));
   if (!membership) return tl::unexpected(membership.error());
-  return std::shared_ptr<ControlPlane>(
-      new ControlPlane(context, std::move(links), listener, std::move(*membership)));
+  return std::shared_ptr<ControlPlane>(new ControlPlane(
+      context, std::move(links), listener, std::move(*membership)));
 }
 
-ControlPlane::ControlPlane(NodeContext& context, std::shared_ptr<PeerLinks> links,
-                           Listener& listener, Membership membership)
+ControlPlane::ControlPlane(NodeContext& context,
+                           std::shared_ptr<PeerLinks> links, Listener& listener,
+                           Membership membership)
     : context_(context),
       links_(std::move(links)),
       listener_(listener),
@@ -96,7 +103,8 @@
 void ControlPlane::After(Duration delay, std::function<void()> run) {
   auto timer = std::make_shared<asio::steady_timer>(strand_);
   timer->expires_after(std::chrono::microseconds(delay.microseconds()));
-  timer->async_wait([self = shared_from_this(), timer, run = std::move(run)](const auto& error) {
+  timer->async_wait([self = shared_from_this(), timer,
+                     run = std::move(run)](const auto& error) {
     if (!error && !self->stopped_) run();
   });
 }
@@ -104,7 +112,8 @@
 void ControlPlane::Start() {
   asio::post(strand_, [self = shared_from_this()] {
     std::set<std::string> seeds;
-    for (const Address& seed : self->context_.settings.peer_seeds) seeds.insert(seed.ToString());
+    for (const Address& seed : self->context_.settings.peer_seeds)
+      seeds.insert(seed.ToString());
     self->links_->SetTargets(seeds);
     self->ReadConfig();
     self->ListEndpoints("", {});
@@ -129,10 +138,12 @@
 }
 
 void ControlPlane::ScheduleTick() {
-  tick_timer_.expires_after(std::chrono::microseconds(kTickPeriod.microseconds()));
-  tick_timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
-    if (!error && !self->stopped_) self->Tick();
-  });
+  tick_timer_.expires_after(
+      std::chrono::microseconds(kTickPeriod.microseconds()));
+  tick_timer_.async_wait(
+      [self = shared_from_this()](const asio::error_code& error) {
+        if (!error && !self->stopped_) self->Tick();
+      });
 }
 
 void ControlPlane::Tick() {
@@ -142,7 +153,8 @@
   tracker_.OnView(now, *membership_.View());
   RunConfigActions(now);
   if (membership_.View()->revision != published_revision_ ||
-      tracker_.version() != published_config_ || tracker_.Readiness(now) != published_readiness_) {
+      tracker_.version() != published_config_ ||
+      tracker_.Readiness(now) != published_readiness_) {
     Publish();
   }
   ScheduleTick();
@@ -150,7 +162,8 @@
 
 void ControlPlane::SendHeartbeat(TimePoint now, bool announce) {
   LocalState local;
-  local.ready = !stopping_ && tracker_.Readiness(now) == ConfigReadiness::kReady;
+  local.ready =
+      !stopping_ && tracker_.Readiness(now) == ConfigReadiness::kReady;
   local.leaving = stopping_;
   local.config_version = tracker_.version();
   if (tracker_.current()) local.config_digest = tracker_.current()->digest;
@@ -161,7 +174,8 @@
     for (const VmId& vm : connected) {
       if (membership_.links()->contains(vm)) planned.push_back(vm);
     }
-    for (const OutgoingMessage& out : membership_.MakeDigests(now, local, planned, announce)) {
+    for (const OutgoingMessage& out :
+         membership_.MakeDigests(now, local, planned, announce)) {
       context_.bus->Send(out.to, out.message);
     }
     if (planned.empty() || now < next_demand_) return;
@@ -181,7 +195,8 @@
   for (const MembershipEvent& event : events) {
     switch (event.kind) {
       case MembershipEvent::Kind::kVmDied:
-        Log(LogLevel::kWarning, "membership", "VM " + event.vm.value() + " is silent.");
+        Log(LogLevel::kWarning, "membership",
+            "VM " + event.vm.value() + " is silent.");
         listener_.OnVmDied(event.vm, event.incarnation);
         break;
       case MembershipEvent::Kind::kSelfPaused:
@@ -190,10 +205,12 @@
         listener_.OnSelfPaused();
         break;
       case MembershipEvent::Kind::kVmAppeared:
-        Log(LogLevel::kInfo, "membership", "VM " + event.vm.value() + " is live.");
+        Log(LogLevel::kInfo, "membership",
+            "VM " + event.vm.value() + " is live.");
         break;
       case MembershipEvent::Kind::kVmLeaving:
-        Log(LogLevel::kInfo, "membership", "VM " + event.vm.value() + " is leaving.");
+        Log(LogLevel::kInfo, "membership",
+            "VM " + event.vm.value() + " is leaving.");
         break;
       case MembershipEvent::Kind::kVmReturned:
       case MembershipEvent::Kind::kViewSettled:
@@ -204,12 +221,15 @@
 }
 
 void ControlPlane::OnHeartbeat(const VmId& from, Heartbeat heartbeat) {
-  asio::post(strand_, [self = shared_from_this(), from, heartbeat = std::move(heartbeat)] {
+  asio::post(strand_, [self = shared_from_this(), from,
+                       heartbeat = std::move(heartbeat)] {
     const TimePoint now = SteadyNow();
-    HeartbeatOutcome outcome = self->membership_.OnHeartbeat(now, heartbeat, from);
+    HeartbeatOutcome outcome =
+        self->membership_.OnHeartbeat(now, heartbeat, from);
     if (outcome.kind == HeartbeatOutcome::Kind::kNameConflict) {
       Log(LogLevel::kError, "membership",
-          "Another process uses the VM name " + heartbeat.origin.vm.value() + ".");
+          "Another process uses the VM name " + heartbeat.origin.vm.value() +
+              ".");
     }
     if (outcome.kind != HeartbeatOutcome::Kind::kAccepted) return;
     if (self->on_demand) self->on_demand(heartbeat);
@@ -218,11 +238,14 @@
 }
 
 void ControlPlane::OnDigest(const VmId& from, MembershipDigest digest) {
-  asio::post(strand_, [self = shared_from_this(), from, digest = std::move(digest)] {
-    DigestOutcome outcome = self->membership_.OnDigest(SteadyNow(), digest, from);
-    if (outcome.answer) self->context_.bus->Send(from, *outcome.answer);
-    if (!outcome.events.empty()) self->HandleEvents(outcome.events);
-  });
+  asio::post(strand_,
+             [self = shared_from_this(), from, digest = std::move(digest)] {
+               DigestOutcome outcome =
+                   self->membership_.OnDigest(SteadyNow(), digest, from);
+               if (outcome.answer)
+                 self->context_.bus->Send(from, *outcome.answer);
+               if (!outcome.events.empty()) self->HandleEvents(outcome.events);
+             });
 }
 
 void ControlPlane::WantLink(const VmId& vm) {
@@ -237,11 +260,13 @@
 void ControlPlane::UpdateLinks() {
   const auto view = membership_.View();
   std::set<std::string> targets;
-  for (const Address& seed : context_.settings.peer_seeds) targets.insert(seed.ToString());
+  for (const Address& seed : context_.settings.peer_seeds)
+    targets.insert(seed.ToString());
   // Silent VMs stay in the plan, so that parted regions find each other again.
   std::vector<PeerSite> live = PeerPlanner::SitesOf(*view);
   std::vector<PeerSite> known = live;
-  for (const auto& [id, vm] : view->silent) known.push_back({id, vm.domain, vm.region});
+  for (const auto& [id, vm] : view->silent)
+    known.push_back({id, vm.domain, vm.region});
   const PeerPlanner planner;
   if (!planner.Bounded(known)) {
     membership_.SetLinks(std::nullopt);
@@ -254,7 +279,8 @@
   // Seeds are needed only until other VMs are known.
   targets.clear();
   std::set<VmId> dialled = planned;
-  std::erase_if(wanted_links_, [&](const auto& link) { return link.second < SteadyNow(); });
+  std::erase_if(wanted_links_,
+                [&](const auto& link) { return link.second < SteadyNow(); });
   for (const auto& [vm, until] : wanted_links_) dialled.insert(vm);
   for (const VmId& vm : dialled) {
     const auto address = view->candidates.find(vm);
@@ -267,14 +293,16 @@
 }
 
 void ControlPlane::OnConfigOffer(const VmId& from, ConfigOffer offer) {
-  asio::post(strand_, [self = shared_from_this(), from, offer = std::move(offer)] {
-    self->AdoptIfNew(self->tracker_.OnOffer(SteadyNow(), from, offer));
-  });
+  asio::post(
+      strand_, [self = shared_from_this(), from, offer = std::move(offer)] {
+        self->AdoptIfNew(self->tracker_.OnOffer(SteadyNow(), from, offer));
+      });
 }
 
 void ControlPlane::OnConfigFetch(const VmId& from, ConfigFetch fetch) {
   asio::post(strand_, [self = shared_from_this(), from, fetch] {
-    if (self->tracker_.CanAnswer(fetch)) self->context_.bus->Send(from, *self->tracker_.current());
+    if (self->tracker_.CanAnswer(fetch))
+      self->context_.bus->Send(from, *self->tracker_.current());
   });
 }
 
@@ -297,9 +325,11 @@
 }
 
 bool ControlPlane::WatchesConfig() const {
-  const auto watchers = WatchersOf(context_.settings.domain, *membership_.View());
+  const auto watchers =
+      WatchersOf(context_.settings.domain, *membership_.View());
   return tracker_.version().value() > 0 &&
-         std::find(watchers.begin(), watchers.end(), context_.settings.vm) != watchers.end();
+         std::find(watchers.begin(), watchers.end(), context_.settings.vm) !=
+             watchers.end();
 }
 
 void ControlPlane::ReadConfig() {
@@ -321,41 +351,45 @@
   notes_[version] = object->note;
   while (notes_.size() > 2) notes_.erase(notes_.begin());
   const std::string digest = DocumentDigest(object->document);
-  AdoptIfNew(tracker_.OnStoreRead(SteadyNow(), asked_at,
-                                  ConfigOffer{version, digest, std::move(object->document)}));
+  AdoptIfNew(tracker_.OnStoreRead(
+      SteadyNow(), asked_at,
+      ConfigOffer{version, digest, std::move(object->document)}));
 }
 
 void ControlPlane::WatchConfig() {
   watching_config_ = true;
   const TimePoint asked_at = SteadyNow();
-  context_.store->Watch(StorePurpose::kConfig, kConfigKind, tracker_.version(), kWatchWait,
-                        OnStrand([this, asked_at](const StoreReply& reply) {
-                          const TimePoint now = SteadyNow();
-                          if (reply.status == StoreStatus::kOk) {
-                            for (const StoreItem& item : reply.items) {
-                              if (item.name == kConfigName && !item.deleted) {
-                                OnConfigItem(asked_at, item.version, item.value);
-                              }
-                            }
-                            if (reply.items.empty()) {
-                              tracker_.OnStoreUnchanged(now, asked_at, reply.version);
-                            }
-                          } else if (reply.status == StoreStatus::kGone) {
-                            ReadConfig();
-                          }
-                          if (reply.status == StoreStatus::kOk && WatchesConfig()) {
-                            WatchConfig();
-                          } else {
-                            After(kRetryPeriod, [this] { watching_config_ = false; });
-                          }
-                        }));
+  context_.store->Watch(
+      StorePurpose::kConfig, kConfigKind, tracker_.version(), kWatchWait,
+      OnStrand([this, asked_at](const StoreReply& reply) {
+        const TimePoint now = SteadyNow();
+        if (reply.status == StoreStatus::kOk) {
+          for (const StoreItem& item : reply.items) {
+            if (item.name == kConfigName && !item.deleted) {
+              OnConfigItem(asked_at, item.version, item.value);
+            }
+          }
+          if (reply.items.empty()) {
+            tracker_.OnStoreUnchanged(now, asked_at, reply.version);
+          }
+        } else if (reply.status == StoreStatus::kGone) {
+          ReadConfig();
+        }
+        if (reply.status == StoreStatus::kOk && WatchesConfig()) {
+          WatchConfig();
+        } else {
+          After(kRetryPeriod, [this] { watching_config_ = false; });
+        }
+      }));
 }
 
 void ControlPlane::AdoptIfNew(OfferOutcome outcome) {
   if (outcome == OfferOutcome::kConflict) {
-    Log(LogLevel::kError, "configuration", "Two documents carry the same version.");
+    Log(LogLevel::kError, "configuration",
+        "Two documents carry the same version.");
   } else if (outcome == OfferOutcome::kRejected) {
-    Log(LogLevel::kError, "configuration", "An invalid document was offered and not adopted.");
+    Log(LogLevel::kError, "configuration",
+        "An invalid document was offered and not adopted.");
   }
   if (outcome != OfferOutcome::kAdopted) return;
   const auto current = tracker_.current();
@@ -366,16 +400,18 @@
   classes_ = std::make_shared<const ClassPolicies>(environment_->classes());
   teams_ = std::make_shared<const TeamPolicies>(environment_->teams());
   const auto& drains = environment_->drains();
-  membership_.SetDrains(SteadyNow(), std::vector<Drain>(drains.begin(), drains.end()));
+  membership_.SetDrains(SteadyNow(),
+                        std::vector<Drain>(drains.begin(), drains.end()));
   Log(LogLevel::kInfo, "configuration",
-      "Version " + std::to_string(current->version.value()) + " is in force, digest " +
-          current->digest.substr(0, 12) + ".");
+      "Version " + std::to_string(current->version.value()) +
+          " is in force, digest " + current->digest.substr(0, 12) + ".");
   // Peers hear of the version at once and fetch it if they lack it.
   SendHeartbeat(SteadyNow(), true);
   Publish();
 }
 
-void ControlPlane::ListEndpoints(std::string after, std::map<EndpointId, EndpointInfo> found) {
+void ControlPlane::ListEndpoints(std::string after,
+                                 std::map<EndpointId, EndpointInfo> found) {
   context_.store->List(
       StorePurpose::kEndpoints, kEndpointsKind, after, kListPage,
       OnStrand([this, found = std::move(found)](const StoreReply& reply) {
@@ -396,7 +432,8 @@
           ListEndpoints(reply.items.back().name, std::move(all));
           return;
         }
-        endpoints_ = std::make_shared<const std::map<EndpointId, EndpointInfo>>(std::move(all));
+        endpoints_ = std::make_shared<const std::map<EndpointId, EndpointInfo>>(
+            std::move(all));
         endpoints_version_ = reply.version;
         Publish();
         WatchEndpoints();
@@ -404,17 +441,18 @@
 }
 
 void ControlPlane::WatchEndpoints() {
-  context_.store->Watch(StorePurpose::kEndpoints, kEndpointsKind, endpoints_version_,
-                        Duration::Seconds(20), OnStrand([this](const StoreReply& reply) {
-                          if (reply.status == StoreStatus::kGone) return ListEndpoints("", {});
-                          if (reply.status != StoreStatus::kOk) {
-                            return After(kRetryPeriod, [this] { WatchEndpoints(); });
-                          }
-                          for (const StoreItem& item : reply.items) ApplyEndpoint(item);
-                          endpoints_version_ = std::max(endpoints_version_, reply.version);
-                          if (!reply.items.empty()) Publish();
-                          WatchEndpoints();
-                        }));
+  context_.store->Watch(
+      StorePurpose::kEndpoints, kEndpointsKind, endpoints_version_,
+      Duration::Seconds(20), OnStrand([this](const StoreReply& reply) {
+        if (reply.status == StoreStatus::kGone) return ListEndpoints("", {});
+        if (reply.status != StoreStatus::kOk) {
+          return After(kRetryPeriod, [this] { WatchEndpoints(); });
+        }
+        for (const StoreItem& item : reply.items) ApplyEndpoint(item);
+        endpoints_version_ = std::max(endpoints_version_, reply.version);
+        if (!reply.items.empty()) Publish();
+        WatchEndpoints();
+      }));
 }
 
 void ControlPlane::ApplyEndpoint(const StoreItem& item) {
@@ -426,21 +464,24 @@
   } else {
     Log(LogLevel::kWarning, "endpoints", info.error());
   }
-  endpoints_ = std::make_shared<const std::map<EndpointId, EndpointInfo>>(std::move(changed));
+  endpoints_ = std::make_shared<const std::map<EndpointId, EndpointInfo>>(
+      std::move(changed));
   endpoints_version_ = std::max(endpoints_version_, item.version);
 }
 
 void ControlPlane::ListVms() {
-  context_.store->ListVms(OnStrand([this](const Result<std::vector<ListedVm>>& vms) {
-    if (vms) {
-      std::vector<PlatformVm> list;
-      for (const ListedVm& vm : *vms) {
-        list.push_back({VmId(vm.name), DomainId(vm.domain), vm.address, vm.leaving});
-      }
-      HandleEvents(membership_.OnPlatformList(SteadyNow(), list));
-    }
-    After(kVmListPeriod, [this] { ListVms(); });
-  }));
+  context_.store->ListVms(
+      OnStrand([this](const Result<std::vector<ListedVm>>& vms) {
+        if (vms) {
+          std::vector<PlatformVm> list;
+          for (const ListedVm& vm : *vms) {
+            list.push_back(
+                {VmId(vm.name), DomainId(vm.domain), vm.address, vm.leaving});
+          }
+          HandleEvents(membership_.OnPlatformList(SteadyNow(), list));
+        }
+        After(kVmListPeriod, [this] { ListVms(); });
+      }));
 }
 
 void ControlPlane::Publish() {
@@ -456,7 +497,8 @@
   snapshot->teams = teams_;
   snapshot->endpoints = endpoints_;
   if (environment_) {
-    snapshot->drains.assign(environment_->drains().begin(), environment_->drains().end());
+    snapshot->drains.assign(environment_->drains().begin(),
+                            environment_->drains().end());
   }
   snapshot->readiness = tracker_.Readiness(now);
   snapshot->stopping = stopping_;
--- a/modules/zr_daemon/control/control_plane.h
+++ b/modules/zr_daemon/control/control_plane.h
@@ -22,14 +22,15 @@
   class Listener {
    public:
     virtual ~Listener() = default;
-    virtual void OnSnapshot(const std::shared_ptr<const ClusterSnapshot>& snapshot) = 0;
+    virtual void OnSnapshot(
+        const std::shared_ptr<const ClusterSnapshot>& snapshot) = 0;
     virtual void OnVmDied(const VmId& vm, Incarnation incarnation) = 0;
     virtual void OnSelfPaused() = 0;
   };
 
-  static Result<std::shared_ptr<ControlPlane>> Create(NodeContext& context,
-                                                      std::shared_ptr<PeerLinks> links,
-                                                      Listener& listener);
+  static Result<std::shared_ptr<ControlPlane>> Create(
+      NodeContext& context, std::shared_ptr<PeerLinks> links,
+      Listener& listener);
   ControlPlane(const ControlPlane&) = delete;
   ControlPlane& operator=(const ControlPlane&) = delete;
 
@@ -45,7 +46,8 @@
   /** Messages from authenticated peers; any thread. */
   void OnHeartbeat(const VmId& from, Heartbeat heartbeat);
   void OnDigest(const VmId& from, MembershipDigest digest);
-  /** A message could not be sent for want of a link; keeps one to the VM for a while. */
+  /** A message could not be sent for want of a link; keeps one to the VM for a
+   * while. */
   void WantLink(const VmId& vm);
   void OnConfigOffer(const VmId& from, ConfigOffer offer);
   void OnConfigFetch(const VmId& from, ConfigFetch fetch);
@@ -58,21 +60,24 @@
   std::function<void(const Heartbeat&)> on_demand;
 
  private:
-  ControlPlane(NodeContext& context, std::shared_ptr<PeerLinks> links, Listener& listener,
-               Membership membership);
+  ControlPlane(NodeContext& context, std::shared_ptr<PeerLinks> links,
+               Listener& listener, Membership membership);
 
   void ScheduleTick();
   void Tick();
   void SendHeartbeat(TimePoint now, bool announce = false);
-  /** Plans links and dials them; all known VMs up to the full mesh, the planned ones above. */
+  /** Plans links and dials them; all known VMs up to the full mesh, the planned
+   * ones above. */
   void UpdateLinks();
   void HandleEvents(const std::vector<MembershipEvent>& events);
   void RunConfigActions(TimePoint now);
   void ReadConfig();
   void WatchConfig();
-  void OnConfigItem(TimePoint asked_at, ObjectVersion version, const std::string& value);
+  void OnConfigItem(TimePoint asked_at, ObjectVersion version,
+                    const std::string& value);
   void AdoptIfNew(OfferOutcome outcome);
-  void ListEndpoints(std::string after, std::map<EndpointId, EndpointInfo> found);
+  void ListEndpoints(std::string after,
+                     std::map<EndpointId, EndpointInfo> found);
   void WatchEndpoints();
   void ApplyEndpoint(const StoreItem& item);
   void ListVms();
@@ -96,7 +101,8 @@
   std::shared_ptr<const TeamPolicies> teams_;
   std::shared_ptr<const std::map<EndpointId, EndpointInfo>> endpoints_;
   ObjectVersion endpoints_version_;
-  std::map<VmId, TimePoint> wanted_links_;  // for requests, with the time they are kept until
+  std::map<VmId, TimePoint>
+      wanted_links_;  // for requests, with the time they are kept until
   uint64_t planned_revision_ = 0;
   TimePoint next_demand_;
   size_t next_demand_link_ = 0;
@@ -109,6 +115,7 @@
 };
 
 /** Decodes the value of an `endpoints` object. */
-Result<EndpointInfo> ParseEndpointInfo(const std::string& name, const std::string& value);
+Result<EndpointInfo> ParseEndpointInfo(const std::string& name,
+                                       const std::string& value);
 
 }  // namespace zr
--- a/modules/zr_daemon/control/lease_codec.cc
+++ b/modules/zr_daemon/control/lease_codec.cc
@@ -23,13 +23,16 @@
   const auto json = nlohmann::json::parse(text, nullptr, false);
   const auto number = [&json](const char* key) {
     const auto it = json.find(key);
-    return it != json.end() && it->is_number_unsigned() ? std::optional(it->get<uint64_t>())
-                                                        : std::nullopt;
+    return it != json.end() && it->is_number_unsigned()
+               ? std::optional(it->get<uint64_t>())
+               : std::nullopt;
   };
   const auto invalid = [] {
-    return Fail(ErrorCode::kInvalidArgument, "placement", "", "the lease object cannot be decoded");
+    return Fail(ErrorCode::kInvalidArgument, "placement", "",
+                "the lease object cannot be decoded");
   };
-  if (!json.is_object() || !json.contains("holder") || !json["holder"].is_string()) {
+  if (!json.is_object() || !json.contains("holder") ||
+      !json["holder"].is_string()) {
     return invalid();
   }
   const auto incarnation = number("incarnation");
--- a/modules/zr_daemon/control/placement_runner.cc
+++ b/modules/zr_daemon/control/placement_runner.cc
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr Duration kTick = Duration::Milliseconds(500);
-constexpr Duration kPollPeriod = Duration::Seconds(3);  // of one engine, if the rate allows it
+constexpr Duration kPollPeriod =
+    Duration::Seconds(3);  // of one engine, if the rate allows it
 constexpr double kPollsPerSecond = 40;
 // A VM that no longer competes looks after the lease for this long, which
 // covers its release and a second try after a lost answer.
@@ -85,12 +86,13 @@
   const TimePoint now = SteadyNow();
   const auto snapshot = context_.cluster->Get();
   const auto candidates = LeaseCandidates(*snapshot->view);
-  const bool candidate =
-      !released_ && snapshot->Ready() &&
-      std::find(candidates.begin(), candidates.end(), context_.settings.vm) != candidates.end();
+  const bool candidate = !released_ && snapshot->Ready() &&
+                         std::find(candidates.begin(), candidates.end(),
+                                   context_.settings.vm) != candidates.end();
   lease_.SetCandidate(candidate);
   if (candidate) lease_until_ = now + kAfterCandidacy;
-  // Other VMs make no calls for the lease, which bounds the reads of a large fleet.
+  // Other VMs make no calls for the lease, which bounds the reads of a large
+  // fleet.
   if (now < lease_until_) TickLease(now);
   NoteLease(lease_.MayOrder(now));
   if (!fencing_) return;
@@ -118,10 +120,12 @@
     });
   };
   if (call.kind == LeaseCall::Kind::kRead) {
-    context_.store->Get(StorePurpose::kLease, kLeaseKind, kLeaseName, std::move(reply));
+    context_.store->Get(StorePurpose::kLease, kLeaseKind, kLeaseName,
+                        std::move(reply));
   } else {
-    context_.store->Put(StorePurpose::kLease, kLeaseKind, kLeaseName, call.expected,
-                        EncodeLease(call.value), std::move(reply));
+    context_.store->Put(StorePurpose::kLease, kLeaseKind, kLeaseName,
+                        call.expected, EncodeLease(call.value),
+                        std::move(reply));
   }
 }
 
@@ -147,7 +151,8 @@
   if (reply.status == StoreStatus::kOk && reply.version.value() > 0) {
     answer.kind = LeasePutAnswer::Kind::kWritten;
     answer.version = reply.version;
-  } else if (reply.status == StoreStatus::kConflict || reply.status == StoreStatus::kNotFound) {
+  } else if (reply.status == StoreStatus::kConflict ||
+             reply.status == StoreStatus::kNotFound) {
     answer.kind = LeasePutAnswer::Kind::kConflict;
   }
   const TimePoint now = SteadyNow();
@@ -160,18 +165,21 @@
   fencing_ = fencing;
   context_.metrics.Set("zr_placement_lease_held", {}, fencing ? 1 : 0);
   if (!fencing) {
-    return Log(LogLevel::kInfo, "placement", "The placement lease is no longer held.");
+    return Log(LogLevel::kInfo, "placement",
+               "The placement lease is no longer held.");
   }
   planner_.OnLease(*fencing);
   Log(LogLevel::kInfo, "placement",
-      "Holding the placement lease with fencing number " + std::to_string(fencing->value()) + ".");
+      "Holding the placement lease with fencing number " +
+          std::to_string(fencing->value()) + ".");
 }
 
 //==============================================================================
 // Orders
 
 void PlacementRunner::UpdateWanted(const ClusterSnapshot& snapshot) {
-  if (environment_ == snapshot.environment && endpoints_ == snapshot.endpoints) return;
+  if (environment_ == snapshot.environment && endpoints_ == snapshot.endpoints)
+    return;
   environment_ = snapshot.environment;
   endpoints_ = snapshot.endpoints;
   std::vector<PoolPolicy> pools;
@@ -186,8 +194,9 @@
     endpoints.push_back(info);
     poll_order_.push_back(id);
   }
-  std::erase_if(polled_at_,
-                [this](const auto& entry) { return !endpoints_->contains(entry.first); });
+  std::erase_if(polled_at_, [this](const auto& entry) {
+    return !endpoints_->contains(entry.first);
+  });
   planner_.SetWanted(pools, endpoints);
 }
 
@@ -213,13 +222,16 @@
   context_.http->Fetch(
       std::move(request), kMaxLoadBytes,
       // The report's age counts from the sending of the poll.
-      [self = shared_from_this(), endpoint = info.endpoint, asked = SteadyNow()](auto result) {
+      [self = shared_from_this(), endpoint = info.endpoint,
+       asked = SteadyNow()](auto result) {
         if (!result || result->status != 200) return;
         auto load = ParseEngineLoad(result->body);
         if (!load) return;
-        EngineReport report{endpoint,       load->boot, load->model,   load->version,
-                            load->adapters, load->role, load->leaving, asked};
-        asio::post(self->strand_, [self, report] { self->planner_.OnReport(report); });
+        EngineReport report{endpoint,      load->boot,     load->model,
+                            load->version, load->adapters, load->role,
+                            load->leaving, asked};
+        asio::post(self->strand_,
+                   [self, report] { self->planner_.OnReport(report); });
       });
 }
 
@@ -237,13 +249,16 @@
 
 void PlacementRunner::Send(const EngineOrder& order, const EndpointInfo& info,
                            FencingNumber fencing) {
-  const std::string text = std::string(ToString(order.kind)) + " " + order.name + " to " +
-                           order.endpoint.value() + " with fencing number " +
+  const std::string text = std::string(ToString(order.kind)) + " " +
+                           order.name + " to " + order.endpoint.value() +
+                           " with fencing number " +
                            std::to_string(fencing.value());
   Log(LogLevel::kInfo, "placement", "Ordering " + text + ".");
-  context_.metrics.Count("zr_orders_total", {{"kind", std::string(ToString(order.kind))}});
-  const nlohmann::json body = {
-      {"fencing", fencing.value()}, {"kind", ToString(order.kind)}, {"name", order.name}};
+  context_.metrics.Count("zr_orders_total",
+                         {{"kind", std::string(ToString(order.kind))}});
+  const nlohmann::json body = {{"fencing", fencing.value()},
+                               {"kind", ToString(order.kind)},
+                               {"name", order.name}};
   ClientRequest request;
   request.method = "POST";
   request.url = "http://" + info.address + "/engine/orders";
@@ -254,12 +269,17 @@
   request.fresh_connection = true;
   context_.http->Fetch(
       std::move(request), kMaxLoadBytes,
-      [self = shared_from_this(), endpoint = order.endpoint, text](auto result) {
+      [self = shared_from_this(), endpoint = order.endpoint,
+       text](auto result) {
         if (result && result->status >= 200 && result->status < 300) return;
         const std::string reason =
-            result ? "status " + std::to_string(result->status) : result.error().error.message;
-        Log(LogLevel::kWarning, "placement", "The order " + text + " has failed: " + reason + ".");
-        asio::post(self->strand_, [self, endpoint] { self->planner_.OnOrderFailed(endpoint); });
+            result ? "status " + std::to_string(result->status)
+                   : result.error().error.message;
+        Log(LogLevel::kWarning, "placement",
+            "The order " + text + " has failed: " + reason + ".");
+        asio::post(self->strand_, [self, endpoint] {
+          self->planner_.OnOrderFailed(endpoint);
+        });
       });
 }
 
--- a/modules/zr_daemon/control/placement_runner.h
+++ b/modules/zr_daemon/control/placement_runner.h
@@ -40,7 +40,8 @@
   void PollLoads(TimePoint now);
   void Poll(const EndpointInfo& info);
   void SendOrders(TimePoint now);
-  void Send(const EngineOrder& order, const EndpointInfo& info, FencingNumber fencing);
+  void Send(const EngineOrder& order, const EndpointInfo& info,
+            FencingNumber fencing);
 
   NodeContext& context_;
   Strand strand_;
--- a/modules/zr_daemon/control/retention_runner.cc
+++ b/modules/zr_daemon/control/retention_runner.cc
@@ -16,7 +16,8 @@
   // The calls share this VM's budget for records, about 8 writes a second with
   // 18 VMs, with the operations of callers.
   options.calls_per_second = 2;
-  // A page of the largest records stays within the object store client's bound of 64 MB.
+  // A page of the largest records stays within the object store client's bound
+  // of 64 MB.
   options.page_size = 100;
   return options;
 }
@@ -30,7 +31,8 @@
       sweeper_(Options(), SteadyNow()) {}
 
 void RetentionRunner::Start() {
-  asio::post(strand_, [self = shared_from_this()] { self->Wait(kCheckPeriod); });
+  asio::post(strand_,
+             [self = shared_from_this()] { self->Wait(kCheckPeriod); });
 }
 
 void RetentionRunner::Stop() {
@@ -79,15 +81,16 @@
 
 void RetentionRunner::Do(const SweepList& action) {
   context_.store->List(
-      StorePurpose::kRecords, std::string(kOperationsKind), action.after, action.limit,
-      [self = shared_from_this()](const StoreReply& reply) {
+      StorePurpose::kRecords, std::string(kOperationsKind), action.after,
+      action.limit, [self = shared_from_this()](const StoreReply& reply) {
         SweepPage page;
         page.ok = reply.status == StoreStatus::kOk;
         for (const StoreItem& item : reply.items) {
           auto record = RecordCodec::Decode(item.value);
           page.items.push_back(
               {item.name, item.version,
-               record ? std::optional<OperationRecord>(std::move(*record)) : std::nullopt});
+               record ? std::optional<OperationRecord>(std::move(*record))
+                      : std::nullopt});
         }
         self->Post(std::move(page));
       });
@@ -95,18 +98,22 @@
 
 void RetentionRunner::Do(const SweepDelete& action) {
   context_.metrics.Count("zr_retention_deletes_total", {});
-  context_.store->Delete(
-      StorePurpose::kRecords, std::string(kOperationsKind), action.name, action.version,
-      [self = shared_from_this()](const StoreReply&) { self->Post(SweepDeleted{}); });
+  context_.store->Delete(StorePurpose::kRecords, std::string(kOperationsKind),
+                         action.name, action.version,
+                         [self = shared_from_this()](const StoreReply&) {
+                           self->Post(SweepDeleted{});
+                         });
 }
 
 void RetentionRunner::Do(const SweepReport& action) {
   context_.metrics.Count("zr_retention_reports_total", {});
   const std::string reason =
-      action.record ? "has no known outcome; team " + action.record->team.value() + ", service " +
+      action.record ? "has no known outcome; team " +
+                          action.record->team.value() + ", service " +
                           action.record->service + ", key " + action.record->key
                     : "cannot be decoded";
-  Log(LogLevel::kWarning, "retention", "Record " + action.name + " " + reason + ".");
+  Log(LogLevel::kWarning, "retention",
+      "Record " + action.name + " " + reason + ".");
 }
 
 }  // namespace zr
--- a/modules/zr_daemon/control/retention_runner.h
+++ b/modules/zr_daemon/control/retention_runner.h
@@ -8,7 +8,8 @@
 
 namespace zr {
 
-/** Runs the RetentionSweeper on a strand while this VM is the first lease candidate. */
+/** Runs the RetentionSweeper on a strand while this VM is the first lease
+ * candidate. */
 class RetentionRunner : public std::enable_shared_from_this<RetentionRunner> {
  public:
   explicit RetentionRunner(NodeContext& context);
--- a/modules/zr_daemon/endpoint/endpoint_host.cc
+++ b/modules/zr_daemon/endpoint/endpoint_host.cc
@@ -23,11 +23,13 @@
   a.sequence = b.sequence;
   // Small movements of free memory and waits do not change a choice.
   const int64_t kv_step = std::max<int64_t>(1, b.kv_capacity.value() / 50);
-  const bool kv_close = std::abs(a.kv_free.value() - b.kv_free.value()) < kv_step;
+  const bool kv_close =
+      std::abs(a.kv_free.value() - b.kv_free.value()) < kv_step;
   const auto close = [](Duration x, Duration y) {
     return std::abs(x.milliseconds() - y.milliseconds()) < 20;
   };
-  const bool waits_close = close(a.wait_short, b.wait_short) && close(a.wait_long, b.wait_long);
+  const bool waits_close =
+      close(a.wait_short, b.wait_short) && close(a.wait_long, b.wait_long);
   a.kv_free = b.kv_free;
   a.wait_short = b.wait_short;
   a.wait_long = b.wait_long;
@@ -36,18 +38,18 @@
 
 }  // namespace
 
-Result<std::shared_ptr<EndpointHost>> EndpointHost::Create(NodeContext& context,
-                                                           OwnerOptions options,
-                                                           SuspectsFunction suspects) {
+Result<std::shared_ptr<EndpointHost>> EndpointHost::Create(
+    NodeContext& context, OwnerOptions options, SuspectsFunction suspects) {
   EndpointInfo endpoint = options.endpoint;
   auto owner = EndpointOwner::Create(std::move(options), SteadyNow());
   if (!owner) return tl::unexpected(owner.error());
-  return std::shared_ptr<EndpointHost>(
-      new EndpointHost(context, std::move(endpoint), std::move(*owner), std::move(suspects)));
+  return std::shared_ptr<EndpointHost>(new EndpointHost(
+      context, std::move(endpoint), std::move(*owner), std::move(suspects)));
 }
 
 EndpointHost::EndpointHost(NodeContext& context, EndpointInfo endpoint,
-                           std::unique_ptr<EndpointOwner> owner, SuspectsFunction suspects)
+                           std::unique_ptr<EndpointOwner> owner,
+                           SuspectsFunction suspects)
     : context_(context),
       endpoint_(std::move(endpoint)),
       suspects_(std::move(suspects)),
@@ -70,7 +72,8 @@
   });
 }
 
-void EndpointHost::Run(std::function<OwnerActions(TimePoint, EndpointOwner&)> event) {
+void EndpointHost::Run(
+    std::function<OwnerActions(TimePoint, EndpointOwner&)> event) {
   asio::post(strand_, [self = shared_from_this(), event = std::move(event)] {
     if (self->stopped_) return;
     self->Perform(event(SteadyNow(), *self->owner_));
@@ -78,13 +81,17 @@
 }
 
 void EndpointHost::Deliver(const VmId& from, Message message) {
-  Run([from, message = std::move(message)](TimePoint now, EndpointOwner& owner) -> OwnerActions {
+  Run([from, message = std::move(message)](
+          TimePoint now, EndpointOwner& owner) -> OwnerActions {
     if (auto* m = std::get_if<AdmissionRequest>(&message)) {
       return owner.OnAdmissionRequest(now, from, *m);
     }
-    if (auto* m = std::get_if<CancelAdmission>(&message)) return owner.OnCancel(now, from, *m);
-    if (auto* m = std::get_if<Release>(&message)) return owner.OnRelease(now, from, *m);
-    if (auto* m = std::get_if<HeldGrants>(&message)) return owner.OnHeldGrants(now, *m);
+    if (auto* m = std::get_if<CancelAdmission>(&message))
+      return owner.OnCancel(now, from, *m);
+    if (auto* m = std::get_if<Release>(&message))
+      return owner.OnRelease(now, from, *m);
+    if (auto* m = std::get_if<HeldGrants>(&message))
+      return owner.OnHeldGrants(now, *m);
     if (auto* m = std::get_if<GatherReserve>(&message)) {
       return owner.OnGatherReserve(now, from, *m);
     }
@@ -96,15 +103,20 @@
 }
 
 void EndpointHost::OnVmDead(const VmId& vm) {
-  Run([vm](TimePoint now, EndpointOwner& owner) { return owner.OnVmDead(now, vm); });
+  Run([vm](TimePoint now, EndpointOwner& owner) {
+    return owner.OnVmDead(now, vm);
+  });
 }
 
 void EndpointHost::OnSelfPaused() {
-  Run([](TimePoint now, EndpointOwner& owner) { return owner.OnSelfPaused(now); });
+  Run([](TimePoint now, EndpointOwner& owner) {
+    return owner.OnSelfPaused(now);
+  });
 }
 
 void EndpointHost::OnPolicy(OwnerPolicies policies, bool drained) {
-  Run([policies = std::move(policies), drained](TimePoint now, EndpointOwner& owner) {
+  Run([policies = std::move(policies), drained](TimePoint now,
+                                                EndpointOwner& owner) {
     EndpointState state;
     state.drained = drained;
     return owner.OnPolicy(now, state, policies);
@@ -154,10 +166,11 @@
 void EndpointHost::After(Duration delay, void (EndpointHost::*run)()) {
   auto timer = std::make_shared<asio::steady_timer>(strand_);
   timer->expires_after(std::chrono::microseconds(delay.microseconds()));
-  timer->async_wait([weak = weak_from_this(), timer, run](const asio::error_code& error) {
-    auto self = weak.lock();
-    if (self && !error && !self->stopped_) ((*self).*run)();
-  });
+  timer->async_wait(
+      [weak = weak_from_this(), timer, run](const asio::error_code& error) {
+        auto self = weak.lock();
+        if (self && !error && !self->stopped_) ((*self).*run)();
+      });
 }
 
 void EndpointHost::Fetch(const std::string& method, const std::string& path,
@@ -167,21 +180,25 @@
   request.url = "http://" + endpoint_.address + path;
   request.connect_timeout = kReportTimeout;
   request.total_timeout = method == "GET" ? kReportTimeout : kOrderTimeout;
-  context_.http->Fetch(std::move(request), kMaxReportBytes,
-                       [self = shared_from_this(), done = std::move(done)](auto result) {
-                         std::optional<std::string> body;
-                         if (result && result->status == 200) body = std::move(result->body);
-                         asio::post(self->strand_, [self, done, body = std::move(body)]() mutable {
-                           if (!self->stopped_) done(std::move(body));
-                         });
-                       });
+  context_.http->Fetch(
+      std::move(request), kMaxReportBytes,
+      [self = shared_from_this(), done = std::move(done)](auto result) {
+        std::optional<std::string> body;
+        if (result && result->status == 200) body = std::move(result->body);
+        asio::post(self->strand_,
+                   [self, done, body = std::move(body)]() mutable {
+                     if (!self->stopped_) done(std::move(body));
+                   });
+      });
 }
 
 void EndpointHost::PollLoad() {
   Fetch("GET", "/engine/load", [this](std::optional<std::string> body) {
-    auto load = body ? ParseEngineLoad(*body)
-                     : Result<EngineLoad>(Fail(ErrorCode::kUnavailable, "load report",
-                                               endpoint_.endpoint.value(), "no answer"));
+    auto load =
+        body
+            ? ParseEngineLoad(*body)
+            : Result<EngineLoad>(Fail(ErrorCode::kUnavailable, "load report",
+                                      endpoint_.endpoint.value(), "no answer"));
     const TimePoint now = SteadyNow();
     if (load) {
       failed_polls_ = 0;
@@ -200,7 +217,8 @@
 }
 
 void EndpointHost::PollCacheEvents() {
-  const std::string path = "/engine/cache_events?after=" + std::to_string(owner_->LastCacheEvent());
+  const std::string path =
+      "/engine/cache_events?after=" + std::to_string(owner_->LastCacheEvent());
   Fetch("GET", path, [this](std::optional<std::string> body) {
     if (body) {
       if (auto events = ParseCacheEvents(*body)) {
@@ -214,7 +232,8 @@
 void EndpointHost::FetchStreams() {
   Fetch("GET", "/engine/streams", [this](std::optional<std::string> body) {
     if (!body) return;
-    if (auto list = ParseEngineStreams(*body)) Perform(owner_->OnStreamList(SteadyNow(), *list));
+    if (auto list = ParseEngineStreams(*body))
+      Perform(owner_->OnStreamList(SteadyNow(), *list));
   });
 }
 
@@ -222,7 +241,9 @@
   const char* kind = cancel.kind == EngineStreamKind::kImport   ? "imports"
                      : cancel.kind == EngineStreamKind::kExport ? "exports"
                                                                 : "streams";
-  Fetch("DELETE", std::string("/engine/") + kind + "/" + EscapePathSegment(cancel.stream_id),
+  Fetch("DELETE",
+        std::string("/engine/") + kind + "/" +
+            EscapePathSegment(cancel.stream_id),
         [](std::optional<std::string>) {});
 }
 
@@ -248,7 +269,8 @@
   return last_load_;
 }
 
-std::optional<KnownStream> EndpointHost::FindStream(const RequestId& request) const {
+std::optional<KnownStream> EndpointHost::FindStream(
+    const RequestId& request) const {
   std::lock_guard lock(mutex_);
   auto it = streams_.find(request);
   if (it == streams_.end()) return std::nullopt;
--- a/modules/zr_daemon/endpoint/endpoint_host.h
+++ b/modules/zr_daemon/endpoint/endpoint_host.h
@@ -21,8 +21,8 @@
   /** Hears of deaths of the endpoint. */
   using SuspectsFunction = std::function<void(const std::vector<Suspect>&)>;
 
-  static Result<std::shared_ptr<EndpointHost>> Create(NodeContext& context, OwnerOptions options,
-                                                      SuspectsFunction suspects);
+  static Result<std::shared_ptr<EndpointHost>> Create(
+      NodeContext& context, OwnerOptions options, SuspectsFunction suspects);
   EndpointHost(const EndpointHost&) = delete;
   EndpointHost& operator=(const EndpointHost&) = delete;
 
@@ -48,8 +48,8 @@
   GrantNumber last_grant() const;
 
  private:
-  EndpointHost(NodeContext& context, EndpointInfo endpoint, std::unique_ptr<EndpointOwner> owner,
-               SuspectsFunction suspects);
+  EndpointHost(NodeContext& context, EndpointInfo endpoint,
+               std::unique_ptr<EndpointOwner> owner, SuspectsFunction suspects);
 
   /** Runs an event of the owner on the strand and carries out its actions. */
   void Run(std::function<OwnerActions(TimePoint, EndpointOwner&)> event);
@@ -60,7 +60,8 @@
   void FetchStreams();
   void CancelStream(const CancelEngineStream& cancel);
   void PublishSummary();
-  /** Fetches a page of the endpoint and passes its body to the strand; nullopt on failure. */
+  /** Fetches a page of the endpoint and passes its body to the strand; nullopt
+   * on failure. */
   void Fetch(const std::string& method, const std::string& path,
              std::function<void(std::optional<std::string>)> done);
   void After(Duration delay, void (EndpointHost::*run)());
--- a/modules/zr_daemon/endpoint/endpoint_table.cc
+++ b/modules/zr_daemon/endpoint/endpoint_table.cc
@@ -17,7 +17,8 @@
   }
   for (const auto& [id, vm] : snapshot.view->live) {
     const uint64_t flags = (vm.leaving ? 1 : 0) | (vm.vm_drained ? 2 : 0) |
-                           (vm.domain_drained ? 4 : 0) | (vm.config_version.value() > 0 ? 8 : 0);
+                           (vm.domain_drained ? 4 : 0) |
+                           (vm.config_version.value() > 0 ? 8 : 0);
     hash = Hash64(id.value(), hash);
     hash = Hash64(vm.domain.value(), hash);
     hash = Hash64(vm.region, hash ^ flags ^ (uint64_t{vm.weight} << 8));
@@ -27,14 +28,17 @@
 
 }  // namespace
 
-bool EndpointTable::ShouldOwn(const EndpointInfo& info, const ClusterSnapshot& snapshot) const {
-  if (!snapshot.environment || snapshot.environment->FindPool(info.pool) == nullptr) return false;
+bool EndpointTable::ShouldOwn(const EndpointInfo& info,
+                              const ClusterSnapshot& snapshot) const {
+  if (!snapshot.environment ||
+      snapshot.environment->FindPool(info.pool) == nullptr)
+    return false;
   if (context_.settings.routing_policy == RoutingPolicy::kBaseline) return true;
   return OwnerOf(info, *snapshot.view) == context_.settings.vm;
 }
 
-OwnerPolicies EndpointTable::PoliciesFor(const PoolPolicy& pool,
-                                         const ClusterSnapshot& snapshot) const {
+OwnerPolicies EndpointTable::PoliciesFor(
+    const PoolPolicy& pool, const ClusterSnapshot& snapshot) const {
   return OwnerPolicies{pool, snapshot.classes, snapshot.teams};
 }
 
@@ -52,12 +56,14 @@
   for (const auto& host : All()) ApplyPolicies(*host, snapshot);
 }
 
-void EndpointTable::ApplyPolicies(EndpointHost& host, const ClusterSnapshot& snapshot) const {
+void EndpointTable::ApplyPolicies(EndpointHost& host,
+                                  const ClusterSnapshot& snapshot) const {
   const EndpointInfo& info = host.endpoint();
   const PoolPolicy* pool = snapshot.environment->FindPool(info.pool);
   if (pool == nullptr) return;
-  host.OnPolicy(PoliciesFor(*pool, snapshot),
-                snapshot.environment->IsDrained(info.domain, VmId(), info.endpoint));
+  host.OnPolicy(
+      PoliciesFor(*pool, snapshot),
+      snapshot.environment->IsDrained(info.domain, VmId(), info.endpoint));
 }
 
 void EndpointTable::AssignOwners(const ClusterSnapshot& snapshot) {
@@ -98,11 +104,13 @@
     }
   }
   for (const auto& host : stopped) {
-    Log(LogLevel::kInfo, "endpoint", "Gave up " + host->endpoint().endpoint.value() + ".");
+    Log(LogLevel::kInfo, "endpoint",
+        "Gave up " + host->endpoint().endpoint.value() + ".");
     host->Stop();
   }
   for (const auto& host : started) {
-    Log(LogLevel::kInfo, "endpoint", "Took over " + host->endpoint().endpoint.value() + ".");
+    Log(LogLevel::kInfo, "endpoint",
+        "Took over " + host->endpoint().endpoint.value() + ".");
     ApplyPolicies(*host, snapshot);
     host->Start();
   }
@@ -120,14 +128,16 @@
   for (const auto& host : All()) host->Stop();
 }
 
-bool EndpointTable::Deliver(const EndpointId& endpoint, const VmId& from, const Message& message) {
+bool EndpointTable::Deliver(const EndpointId& endpoint, const VmId& from,
+                            const Message& message) {
   auto host = Find(endpoint);
   if (!host) return false;
   host->Deliver(from, message);
   return true;
 }
 
-std::shared_ptr<EndpointHost> EndpointTable::Find(const EndpointId& endpoint) const {
+std::shared_ptr<EndpointHost> EndpointTable::Find(
+    const EndpointId& endpoint) const {
   std::lock_guard lock(mutex_);
   auto it = hosts_.find(endpoint);
   return it == hosts_.end() ? nullptr : it->second;
--- a/modules/zr_daemon/endpoint/endpoint_table.h
+++ b/modules/zr_daemon/endpoint/endpoint_table.h
@@ -32,16 +32,20 @@
   //============================================================================
   // Use
 
-  /** Passes a message to the owner; false if this VM does not own the endpoint. */
-  bool Deliver(const EndpointId& endpoint, const VmId& from, const Message& message);
+  /** Passes a message to the owner; false if this VM does not own the endpoint.
+   */
+  bool Deliver(const EndpointId& endpoint, const VmId& from,
+               const Message& message);
   std::shared_ptr<EndpointHost> Find(const EndpointId& endpoint) const;
   std::vector<std::shared_ptr<EndpointHost>> All() const;
 
  private:
   void AssignOwners(const ClusterSnapshot& snapshot);
   void ApplyPolicies(EndpointHost& host, const ClusterSnapshot& snapshot) const;
-  bool ShouldOwn(const EndpointInfo& info, const ClusterSnapshot& snapshot) const;
-  OwnerPolicies PoliciesFor(const PoolPolicy& pool, const ClusterSnapshot& snapshot) const;
+  bool ShouldOwn(const EndpointInfo& info,
+                 const ClusterSnapshot& snapshot) const;
+  OwnerPolicies PoliciesFor(const PoolPolicy& pool,
+                            const ClusterSnapshot& snapshot) const;
 
   NodeContext& context_;
   EndpointHost::SuspectsFunction suspects_;
@@ -49,7 +53,8 @@
   std::map<EndpointId, std::shared_ptr<EndpointHost>> hosts_;
   std::map<EndpointId, GrantNumber> last_grants_;  // of hosts that were stopped
 
-  // Inputs of the last assignment and policies; used on the control strand only.
+  // Inputs of the last assignment and policies; used on the control strand
+  // only.
   uint64_t last_inputs_ = 0;
   std::shared_ptr<const std::map<EndpointId, EndpointInfo>> last_endpoints_;
   std::shared_ptr<const ConfigOffer> last_document_;
--- a/modules/zr_daemon/endpoint/engine_codec.cc
+++ b/modules/zr_daemon/endpoint/engine_codec.cc
@@ -18,13 +18,16 @@
   if (it == json.end()) return 0;
   if (it->is_number_unsigned()) return it->get<uint64_t>();
   // Hashes may come as text, because JSON readers lose precision above 2^53.
-  if (it->is_string()) return std::strtoull(it->get_ref<const std::string&>().c_str(), nullptr, 10);
+  if (it->is_string())
+    return std::strtoull(it->get_ref<const std::string&>().c_str(), nullptr,
+                         10);
   return 0;
 }
 
 std::string TextOf(const Json& json, const char* key) {
   auto it = json.find(key);
-  return it != json.end() && it->is_string() ? it->get<std::string>() : std::string();
+  return it != json.end() && it->is_string() ? it->get<std::string>()
+                                             : std::string();
 }
 
 bool FlagOf(const Json& json, const char* key) {
@@ -35,7 +38,8 @@
 Result<Json> ParseWithBoot(std::string_view text, const char* step) {
   Json json = Json::parse(text, nullptr, false);
   if (!json.is_object() || !json.contains("boot")) {
-    return Fail(ErrorCode::kInvalidArgument, step, "", "report has no boot number");
+    return Fail(ErrorCode::kInvalidArgument, step, "",
+                "report has no boot number");
   }
   return json;
 }
@@ -57,12 +61,14 @@
   load.version = TextOf(*json, "version");
   if (auto it = json->find("adapters"); it != json->end() && it->is_array()) {
     for (const Json& adapter : *it) {
-      if (adapter.is_string()) load.adapters.push_back(adapter.get<std::string>());
+      if (adapter.is_string())
+        load.adapters.push_back(adapter.get<std::string>());
     }
   }
   load.role = TextOf(*json, "role");
   load.leaving = FlagOf(*json, "leaving");
-  if (auto it = json->find("tokens_per_s"); it != json->end() && it->is_number()) {
+  if (auto it = json->find("tokens_per_s");
+      it != json->end() && it->is_number()) {
     load.tokens_per_second = it->get<double>();
   }
   return load;
@@ -103,9 +109,10 @@
     CacheEvent event;
     event.sequence = UnsignedOf(entry, "seq");
     const std::string operation = TextOf(entry, "op");
-    event.operation = operation == "clear"                            ? CacheOperation::kCleared
-                      : operation == "remove" || operation == "evict" ? CacheOperation::kEvicted
-                                                                      : CacheOperation::kStored;
+    event.operation = operation == "clear" ? CacheOperation::kCleared
+                      : operation == "remove" || operation == "evict"
+                          ? CacheOperation::kEvicted
+                          : CacheOperation::kStored;
     event.hash = PrefixHash(UnsignedOf(entry, "hash"));
     events.events.push_back(event);
   }
--- a/modules/zr_daemon/endpoint/engine_codec.h
+++ b/modules/zr_daemon/endpoint/engine_codec.h
@@ -6,7 +6,8 @@
 
 namespace zr {
 
-/** Parses `GET /engine/load`; kInvalidArgument if the boot number is missing. */
+/** Parses `GET /engine/load`; kInvalidArgument if the boot number is missing.
+ */
 Result<EngineLoad> ParseEngineLoad(std::string_view json);
 /** Parses `GET /engine/streams`. */
 Result<EngineStreams> ParseEngineStreams(std::string_view json);
--- a/modules/zr_daemon/net/message_bus.cc
+++ b/modules/zr_daemon/net/message_bus.cc
@@ -17,7 +17,8 @@
   }
   const std::vector<uint8_t> frame = EncodeMessage(message);
   if (links_->Send(to,
-                   std::string_view(reinterpret_cast<const char*>(frame.data()), frame.size()))) {
+                   std::string_view(reinterpret_cast<const char*>(frame.data()),
+                                    frame.size()))) {
     return true;
   }
   if (on_unlinked) on_unlinked(to);
@@ -38,8 +39,8 @@
 }
 
 void MessageBus::OnPeerMessage(const VmId& vm, std::string_view payload) {
-  auto message =
-      DecodeMessage(std::span(reinterpret_cast<const uint8_t*>(payload.data()), payload.size()));
+  auto message = DecodeMessage(std::span(
+      reinterpret_cast<const uint8_t*>(payload.data()), payload.size()));
   if (!message) {
     context_.metrics.Count("zr_peer_bad_frames_total", {{"vm", vm.value()}});
     Log(LogLevel::kWarning, "peer", message.error());
--- a/modules/zr_daemon/net/message_bus.h
+++ b/modules/zr_daemon/net/message_bus.h
@@ -18,12 +18,14 @@
   MessageBus(const MessageBus&) = delete;
   MessageBus& operator=(const MessageBus&) = delete;
 
-  /** Sets the links and the function that messages go to; call before traffic starts. */
+  /** Sets the links and the function that messages go to; call before traffic
+   * starts. */
   void Connect(std::shared_ptr<PeerLinks> links, Receiver receiver);
 
   /** @returns false if the message cannot be sent now */
   bool Send(const VmId& to, const Message& message);
-  /** Hears of VMs that a message could not be sent to; set before traffic starts. */
+  /** Hears of VMs that a message could not be sent to; set before traffic
+   * starts. */
   std::function<void(const VmId&)> on_unlinked;
   /** Sends to every connected VM and to this one. */
   void Broadcast(const Message& message);
--- a/modules/zr_daemon/node.cc
+++ b/modules/zr_daemon/node.cc
@@ -13,9 +13,10 @@
 constexpr Duration kLinger = Duration::Milliseconds(300);
 
 Incarnation StartTime() {
-  return Incarnation(static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
-                                               std::chrono::system_clock::now().time_since_epoch())
-                                               .count()));
+  return Incarnation(static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count()));
 }
 
 }  // namespace
@@ -33,10 +34,13 @@
       teams_(context_),
       endpoints_(context_,
                  [this](const std::vector<Suspect>& list) {
-                   for (const Suspect& suspect : list) suspects_.Report(suspect);
+                   for (const Suspect& suspect : list)
+                     suspects_.Report(suspect);
                  }),
       caller_api_(context_),
-      operator_api_(context_, [this](ConfigOffer offer) { control_->OnWritten(std::move(offer)); }),
+      operator_api_(
+          context_,
+          [this](ConfigOffer offer) { control_->OnWritten(std::move(offer)); }),
       signals_(io_, SIGTERM, SIGINT),
       held_timer_(io_),
       stop_timer_(io_) {
@@ -57,7 +61,8 @@
 
 Result<std::unique_ptr<Node>> Node::Create(Settings settings) {
   std::unique_ptr<Node> node(new Node(std::move(settings)));
-  if (auto opened = node->Open(); !opened) return tl::unexpected(opened.error());
+  if (auto opened = node->Open(); !opened)
+    return tl::unexpected(opened.error());
   return node;
 }
 
@@ -68,8 +73,10 @@
   ObjectStoreOptions store;
   store.address = settings_.platform.ToString();
   store.request_timeout = settings_.platform_request_timeout;
-  store.budget.reads_per_second = static_cast<double>(settings_.platform_reads_per_second);
-  store.budget.writes_per_second = static_cast<double>(settings_.platform_writes_per_second);
+  store.budget.reads_per_second =
+      static_cast<double>(settings_.platform_reads_per_second);
+  store.budget.writes_per_second =
+      static_cast<double>(settings_.platform_writes_per_second);
   context_.store = std::make_shared<ObjectStore>(*client, store, &SteadyNow);
 
   PeerOptions peer;
@@ -80,8 +87,9 @@
   auto links = PeerLinks::Start(io_, peer, bus_);
   if (!links) return tl::unexpected(links.error());
   links_ = *links;
-  bus_->Connect(links_,
-                [this](const VmId& from, Message message) { Receive(from, std::move(message)); });
+  bus_->Connect(links_, [this](const VmId& from, Message message) {
+    Receive(from, std::move(message));
+  });
 
   auto control = ControlPlane::Create(context_, links_, *this);
   if (!control) return tl::unexpected(control.error());
@@ -102,15 +110,17 @@
   server.address = settings_.callers.ToString();
   server.max_body_bytes = static_cast<size_t>(settings_.max_body_bytes);
   server.max_header_bytes = static_cast<size_t>(settings_.max_header_bytes);
-  auto callers = HttpServer::Start(io_, server, [this](HttpRequest request, HttpResponsePtr r) {
-    caller_api_.Handle(std::move(request), std::move(r));
-  });
+  auto callers = HttpServer::Start(
+      io_, server, [this](HttpRequest request, HttpResponsePtr r) {
+        caller_api_.Handle(std::move(request), std::move(r));
+      });
   if (!callers) return tl::unexpected(callers.error());
   caller_server_ = std::move(*callers);
   server.address = settings_.operators.ToString();
-  auto operators = HttpServer::Start(io_, server, [this](HttpRequest request, HttpResponsePtr r) {
-    operator_api_.Handle(std::move(request), std::move(r));
-  });
+  auto operators = HttpServer::Start(
+      io_, server, [this](HttpRequest request, HttpResponsePtr r) {
+        operator_api_.Handle(std::move(request), std::move(r));
+      });
   if (!operators) return tl::unexpected(operators.error());
   operator_server_ = std::move(*operators);
   return {};
@@ -128,7 +138,8 @@
   ScheduleHeldGrants();
   Log(LogLevel::kInfo, "node",
       "Serving callers on " + settings_.callers.ToString() + ", operators on " +
-          settings_.operators.ToString() + ", peers on " + settings_.peers.ToString() + ".");
+          settings_.operators.ToString() + ", peers on " +
+          settings_.peers.ToString() + ".");
   std::vector<std::thread> threads;
   for (int64_t i = 1; i < settings_.worker_threads; ++i) {
     threads.emplace_back([this] { io_.run(); });
@@ -164,20 +175,23 @@
 // Messages
 
 void Node::Receive(const VmId& from, Message message) {
-  if (auto* m = std::get_if<Heartbeat>(&message)) return control_->OnHeartbeat(from, std::move(*m));
+  if (auto* m = std::get_if<Heartbeat>(&message))
+    return control_->OnHeartbeat(from, std::move(*m));
   if (auto* m = std::get_if<MembershipDigest>(&message)) {
     return control_->OnDigest(from, std::move(*m));
   }
   if (auto* m = std::get_if<ConfigOffer>(&message)) {
     return control_->OnConfigOffer(from, std::move(*m));
   }
-  if (auto* m = std::get_if<ConfigFetch>(&message)) return control_->OnConfigFetch(from, *m);
+  if (auto* m = std::get_if<ConfigFetch>(&message))
+    return control_->OnConfigFetch(from, *m);
   if (auto* m = std::get_if<Summary>(&message)) {
     if (m->accepts_new) suspects_.OnEndpointAlive(m->endpoint, m->boot);
     return selector_.OnSummary(*m);
   }
   if (auto* m = std::get_if<AdmissionRequest>(&message)) {
-    if (settings_.routing_policy == RoutingPolicy::kBaseline) return AnswerBaseline(from, *m);
+    if (settings_.routing_policy == RoutingPolicy::kBaseline)
+      return AnswerBaseline(from, *m);
     if (m->endpoint.empty()) return gathers_.OnRequest(from, *m);
     return RouteToOwner(m->endpoint, from, message);
   }
@@ -208,11 +222,15 @@
 }
 
 void Node::ReceiveShared(const VmId& from, const Message& message) {
-  if (auto* m = std::get_if<GatherReply>(&message)) return gathers_.OnReply(from, *m);
+  if (auto* m = std::get_if<GatherReply>(&message))
+    return gathers_.OnReply(from, *m);
   if (auto* m = std::get_if<Suspect>(&message)) return suspects_.OnSuspect(*m);
-  if (auto* m = std::get_if<SuspectTurn>(&message)) return suspects_.OnTurn(from, *m);
-  if (auto* m = std::get_if<FindStream>(&message)) return locator_.OnFindStream(from, *m);
-  if (auto* m = std::get_if<StreamLocation>(&message)) return locator_.OnLocation(from, *m);
+  if (auto* m = std::get_if<SuspectTurn>(&message))
+    return suspects_.OnTurn(from, *m);
+  if (auto* m = std::get_if<FindStream>(&message))
+    return locator_.OnFindStream(from, *m);
+  if (auto* m = std::get_if<StreamLocation>(&message))
+    return locator_.OnLocation(from, *m);
   if (auto* m = std::get_if<SuspectTurnReply>(&message)) {
     if (auto host = requests_.Find(m->request)) {
       host->Post([reply = *m](TimePoint now, RequestMachine& machine) {
@@ -227,9 +245,10 @@
       bus_->Send(from, RequestMachine::UnknownRequest(m->request));
       return;
     }
-    return host->Post([from, take_over = *m](TimePoint now, RequestMachine& machine) {
-      return machine.OnTakeOver(now, from, take_over);
-    });
+    return host->Post(
+        [from, take_over = *m](TimePoint now, RequestMachine& machine) {
+          return machine.OnTakeOver(now, from, take_over);
+        });
   }
   if (auto* m = std::get_if<HandOver>(&message)) {
     auto host = requests_.Find(m->request);
@@ -240,7 +259,8 @@
   }
 }
 
-void Node::RouteToOwner(const EndpointId& endpoint, const VmId& from, const Message& message) {
+void Node::RouteToOwner(const EndpointId& endpoint, const VmId& from,
+                        const Message& message) {
   if (settings_.routing_policy == RoutingPolicy::kBaseline) return;
   if (endpoints_.Deliver(endpoint, from, message)) return;
   if (auto* m = std::get_if<AdmissionRequest>(&message)) {
@@ -282,7 +302,8 @@
 }
 
 void Node::ScheduleHeldGrants() {
-  held_timer_.expires_after(std::chrono::microseconds(kHeldGrantsPeriod.microseconds()));
+  held_timer_.expires_after(
+      std::chrono::microseconds(kHeldGrantsPeriod.microseconds()));
   held_timer_.async_wait([this](const asio::error_code& error) {
     if (error) return;
     held_grants_.Publish();
@@ -300,17 +321,20 @@
           std::to_string(operations_.size()) + " operations are in progress.");
   control_->BeginStop();
   placement_->Release();
-  stop_timer_.expires_after(std::chrono::microseconds(settings_.drain_timeout.microseconds()));
+  stop_timer_.expires_after(
+      std::chrono::microseconds(settings_.drain_timeout.microseconds()));
   stop_timer_.async_wait([this](const asio::error_code& error) {
     if (error) return;
-    ZR_ASSERT_INVARIANT(kGracefulStop, requests_.size() == 0 && operations_.size() == 0,
-                        "requests were cut because the drain timeout has passed");
+    ZR_ASSERT_INVARIANT(
+        kGracefulStop, requests_.size() == 0 && operations_.size() == 0,
+        "requests were cut because the drain timeout has passed");
     requests_.AbortAll();
     FinishStop();
   });
   // An operation outlives the request that it makes, so it is waited for first.
-  operations_.WhenEmpty(
-      [this] { requests_.WhenEmpty([this] { asio::post(io_, [this] { FinishStop(); }); }); });
+  operations_.WhenEmpty([this] {
+    requests_.WhenEmpty([this] { asio::post(io_, [this] { FinishStop(); }); });
+  });
 }
 
 void Node::FinishStop() {
--- a/modules/zr_daemon/node.h
+++ b/modules/zr_daemon/node.h
@@ -45,13 +45,15 @@
   explicit Node(Settings settings);
   Result<void> Open();
 
-  void OnSnapshot(const std::shared_ptr<const ClusterSnapshot>& snapshot) override;
+  void OnSnapshot(
+      const std::shared_ptr<const ClusterSnapshot>& snapshot) override;
   void OnVmDied(const VmId& vm, Incarnation incarnation) override;
   void OnSelfPaused() override;
 
   void Receive(const VmId& from, Message message);
   void ReceiveShared(const VmId& from, const Message& message);
-  void RouteToOwner(const EndpointId& endpoint, const VmId& from, const Message& message);
+  void RouteToOwner(const EndpointId& endpoint, const VmId& from,
+                    const Message& message);
   void RouteGrant(const Grant& grant);
   void AnswerBaseline(const VmId& from, const AdmissionRequest& request);
   void ScheduleHeldGrants();
--- a/modules/zr_daemon/node_context.h
+++ b/modules/zr_daemon/node_context.h
@@ -29,9 +29,10 @@
 
 /** Monotonic time of the process. */
 inline TimePoint SteadyNow() {
-  return TimePoint::FromMicroseconds(std::chrono::duration_cast<std::chrono::microseconds>(
-                                         std::chrono::steady_clock::now().time_since_epoch())
-                                         .count());
+  return TimePoint::FromMicroseconds(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::steady_clock::now().time_since_epoch())
+          .count());
 }
 
 /** Wall-clock time in milliseconds since 1970. */
@@ -41,7 +42,8 @@
       .count();
 }
 
-/** What the parts of a daemon share. Owned by Node, which outlives all parts. */
+/** What the parts of a daemon share. Owned by Node, which outlives all parts.
+ */
 struct NodeContext {
   asio::io_context& io;
   const Settings& settings;
--- a/modules/zr_daemon/request/gather_table.cc
+++ b/modules/zr_daemon/request/gather_table.cc
@@ -11,7 +11,8 @@
 
 }  // namespace
 
-GatherTable::GatherTable(NodeContext& context) : context_(context), timer_(context.io) {}
+GatherTable::GatherTable(NodeContext& context)
+    : context_(context), timer_(context.io) {}
 
 void GatherTable::Schedule() {
   timer_.expires_after(std::chrono::microseconds(kTickPeriod.microseconds()));
@@ -33,20 +34,23 @@
   {
     std::lock_guard lock(mutex_);
     for (auto& [pool, coordinator] : coordinators_) {
-      for (auto& message : step(pool, *coordinator)) messages.push_back(std::move(message));
+      for (auto& message : step(pool, *coordinator))
+        messages.push_back(std::move(message));
     }
   }
   Send(messages);
 }
 
 void GatherTable::Send(const GatherCoordinator::Messages& messages) {
-  for (const OutgoingMessage& out : messages) context_.bus->Send(out.to, out.message);
+  for (const OutgoingMessage& out : messages)
+    context_.bus->Send(out.to, out.message);
 }
 
 void GatherTable::OnRequest(const VmId& from, const AdmissionRequest& request) {
   const auto snapshot = context_.cluster->Get();
-  const PoolPolicy* policy =
-      snapshot->environment ? snapshot->environment->FindPool(request.pool) : nullptr;
+  const PoolPolicy* policy = snapshot->environment
+                                 ? snapshot->environment->FindPool(request.pool)
+                                 : nullptr;
   if (policy == nullptr) {
     Refusal refusal;
     refusal.request = request.request;
@@ -61,8 +65,8 @@
     std::lock_guard lock(mutex_);
     auto& coordinator = coordinators_[request.pool];
     if (!coordinator) {
-      coordinator = std::make_unique<GatherCoordinator>(context_.settings.vm, *policy,
-                                                        Hash64(context_.settings.vm.value()));
+      coordinator = std::make_unique<GatherCoordinator>(
+          context_.settings.vm, *policy, Hash64(context_.settings.vm.value()));
     }
     coordinator->OnPolicy(*policy);
     coordinator->OnCandidates(std::move(candidates));
@@ -73,17 +77,22 @@
 
 void GatherTable::OnReply(const VmId& from, const GatherReply& reply) {
   const TimePoint now = SteadyNow();
-  ForEach([&](const PoolId&, GatherCoordinator& c) { return c.OnReply(now, from, reply); });
+  ForEach([&](const PoolId&, GatherCoordinator& c) {
+    return c.OnReply(now, from, reply);
+  });
 }
 
 void GatherTable::OnCancel(const VmId& from, const CancelAdmission& cancel) {
   const TimePoint now = SteadyNow();
-  ForEach([&](const PoolId&, GatherCoordinator& c) { return c.OnCancel(now, from, cancel); });
+  ForEach([&](const PoolId&, GatherCoordinator& c) {
+    return c.OnCancel(now, from, cancel);
+  });
 }
 
 void GatherTable::OnVmDied(const VmId& vm) {
   const TimePoint now = SteadyNow();
-  ForEach([&](const PoolId&, GatherCoordinator& c) { return c.OnVmDead(now, vm); });
+  ForEach(
+      [&](const PoolId&, GatherCoordinator& c) { return c.OnVmDead(now, vm); });
 }
 
 }  // namespace zr
--- a/modules/zr_daemon/request/held_grants.cc
+++ b/modules/zr_daemon/request/held_grants.cc
@@ -21,7 +21,8 @@
   std::map<EndpointId, HeldGrants> lists;
   {
     std::lock_guard lock(mutex_);
-    for (const EndpointId& endpoint : listed_) lists[endpoint].endpoint = endpoint;
+    for (const EndpointId& endpoint : listed_)
+      lists[endpoint].endpoint = endpoint;
     listed_.clear();
     for (const auto& [request, grants] : by_request_) {
       for (const auto& [endpoint, grant] : grants) {
@@ -32,7 +33,8 @@
     }
     ++sequence_;
     for (auto& [endpoint, list] : lists) {
-      list.holder = SenderStamp{context_.settings.vm, context_.incarnation, sequence_};
+      list.holder =
+          SenderStamp{context_.settings.vm, context_.incarnation, sequence_};
     }
   }
   const auto snapshot = context_.cluster->Get();
@@ -42,7 +44,8 @@
     if (const EndpointInfo* info = snapshot->FindEndpoint(endpoint)) {
       if (auto owner = OwnerOf(*info, *snapshot->view)) owners.insert(*owner);
     }
-    // A list that only this VM knows would be lost with it, and the stream could not be found.
+    // A list that only this VM knows would be lost with it, and the stream
+    // could not be found.
     if (owners == std::set<VmId>{context_.settings.vm}) {
       if (auto backup = BackupOf(endpoint, *snapshot)) owners.insert(*backup);
     }
@@ -51,8 +54,8 @@
 }
 
 /** Another live VM that keeps the list of an endpoint of this VM. */
-std::optional<VmId> HeldGrantRegistry::BackupOf(const EndpointId& endpoint,
-                                                const ClusterSnapshot& snapshot) const {
+std::optional<VmId> HeldGrantRegistry::BackupOf(
+    const EndpointId& endpoint, const ClusterSnapshot& snapshot) const {
   std::vector<VmId> others;
   for (const auto& [vm, view] : snapshot.view->live) {
     if (vm != context_.settings.vm && !view.leaving) others.push_back(vm);
--- a/modules/zr_daemon/request/held_grants.h
+++ b/modules/zr_daemon/request/held_grants.h
@@ -33,7 +33,8 @@
   void Publish();
 
  private:
-  std::optional<VmId> BackupOf(const EndpointId& endpoint, const ClusterSnapshot& snapshot) const;
+  std::optional<VmId> BackupOf(const EndpointId& endpoint,
+                               const ClusterSnapshot& snapshot) const;
 
   NodeContext& context_;
   std::mutex mutex_;
--- a/modules/zr_daemon/request/operation_host.cc
+++ b/modules/zr_daemon/request/operation_host.cc
@@ -20,11 +20,13 @@
   return (uint64_t{device()} << 32) | device();
 }
 
-/** Id of the inner request; two calls with one x-request-id may be in progress at once. */
+/** Id of the inner request; two calls with one x-request-id may be in progress
+ * at once. */
 RequestId InnerId(uint64_t nonce) {
   char text[24];
-  std::snprintf(text, sizeof(text), "op-%016llx",
-                static_cast<unsigned long long>(nonce));  // NOLINT(google-runtime-int)
+  std::snprintf(
+      text, sizeof(text), "op-%016llx",
+      static_cast<unsigned long long>(nonce));  // NOLINT(google-runtime-int)
   return RequestId(text);
 }
 
@@ -82,17 +84,19 @@
 
 }  // namespace
 
-void OperationHost::Start(NodeContext& context, OperationCall call, RequestOptions options,
-                          UpstreamTemplate upstream, HttpResponsePtr response) {
+void OperationHost::Start(NodeContext& context, OperationCall call,
+                          RequestOptions options, UpstreamTemplate upstream,
+                          HttpResponsePtr response) {
   call.team = options.team;
   call.fingerprint = options.fingerprint;
   call.deadline = options.deadline;
   call.may_wait = options.request_class.may_wait;
   call.start_unix_ms = UnixMilliseconds();
-  const AttemptId self{context.settings.vm, context.incarnation, RandomNumber()};
+  const AttemptId self{context.settings.vm, context.incarnation,
+                       RandomNumber()};
   const std::shared_ptr<OperationHost> host(
-      new OperationHost(context, std::move(call), self, std::move(options), std::move(upstream),
-                        std::move(response)));
+      new OperationHost(context, std::move(call), self, std::move(options),
+                        std::move(upstream), std::move(response)));
   const bool added = context.operations->Add(self.nonce, host);
   ZR_ASSERT(added, "nonces are distinct");
   host->response_->OnClosed([weak = host->weak_from_this()] {
@@ -101,8 +105,9 @@
   host->Post(OpStart{});
 }
 
-OperationHost::OperationHost(NodeContext& context, OperationCall call, AttemptId self,
-                             RequestOptions options, UpstreamTemplate upstream,
+OperationHost::OperationHost(NodeContext& context, OperationCall call,
+                             AttemptId self, RequestOptions options,
+                             UpstreamTemplate upstream,
                              HttpResponsePtr response)
     : context_(context),
       id_(options.request),
@@ -110,7 +115,8 @@
       class_(options.request_class.name),
       strand_(asio::make_strand(context.io)),
       timer_(strand_),
-      machine_(std::move(call), std::move(self), OperationOptions(), RandomNumber()),
+      machine_(std::move(call), std::move(self), OperationOptions(),
+               RandomNumber()),
       options_(std::move(options)),
       upstream_(std::move(upstream)),
       response_(std::move(response)) {}
@@ -118,8 +124,9 @@
 OperationHost::~OperationHost() = default;
 
 void OperationHost::Post(OperationEvent event) {
-  asio::post(strand_,
-             [self = shared_from_this(), event = std::move(event)] { self->Handle(event); });
+  asio::post(strand_, [self = shared_from_this(), event = std::move(event)] {
+    self->Handle(event);
+  });
 }
 
 void OperationHost::Handle(const OperationEvent& event) {
@@ -132,32 +139,36 @@
   if (!machine_.ended()) return;
   removed_ = true;
   timer_.cancel();
-  if (!handed_on_) context_.teams->OnFinished(team_, options_.prompt + options_.max_answer);
+  if (!handed_on_)
+    context_.teams->OnFinished(team_, options_.prompt + options_.max_answer);
   context_.operations->Remove(machine_.self().nonce);
 }
 
 void OperationHost::Count(std::string outcome) {
-  context_.metrics.Count(
-      "zr_operations_total",
-      {{"team", team_.value()}, {"class", class_.value()}, {"outcome", std::move(outcome)}});
+  context_.metrics.Count("zr_operations_total",
+                         {{"team", team_.value()},
+                          {"class", class_.value()},
+                          {"outcome", std::move(outcome)}});
 }
 
 //==============================================================================
 // Record
 
 void OperationHost::Do(const OpRead& action) {
-  context_.store->Get(StorePurpose::kRecords, std::string(kOperationsKind), action.name,
-                      [self = shared_from_this(), op = action.op](const StoreReply& reply) {
-                        self->Post(ToReadReply(op, reply));
-                      });
+  context_.store->Get(
+      StorePurpose::kRecords, std::string(kOperationsKind), action.name,
+      [self = shared_from_this(), op = action.op](const StoreReply& reply) {
+        self->Post(ToReadReply(op, reply));
+      });
 }
 
 void OperationHost::Do(const OpWrite& action) {
-  context_.store->Put(StorePurpose::kRecords, std::string(kOperationsKind), action.name,
-                      action.expected, RecordCodec::Encode(action.record),
-                      [self = shared_from_this(), op = action.op](const StoreReply& reply) {
-                        self->Post(ToWriteReply(op, reply));
-                      });
+  context_.store->Put(
+      StorePurpose::kRecords, std::string(kOperationsKind), action.name,
+      action.expected, RecordCodec::Encode(action.record),
+      [self = shared_from_this(), op = action.op](const StoreReply& reply) {
+        self->Post(ToWriteReply(op, reply));
+      });
 }
 
 void OperationHost::Do(const OpCheckOwner& action) {
@@ -177,7 +188,8 @@
 }
 
 void OperationHost::Do(const OpSetTimer& action) {
-  const Duration delay = std::max(Duration::Microseconds(100), action.at - SteadyNow());
+  const Duration delay =
+      std::max(Duration::Microseconds(100), action.at - SteadyNow());
   timer_.expires_after(std::chrono::microseconds(delay.microseconds()));
   timer_.async_wait([weak = weak_from_this()](const asio::error_code& error) {
     auto self = weak.lock();
@@ -195,13 +207,19 @@
   options.may_be_repeat = false;
   auto sink = std::make_shared<OutcomeSink>(
       static_cast<size_t>(context_.settings.max_body_bytes),
-      [self = shared_from_this()](OpServiceReply reply) { self->Post(std::move(reply)); });
+      [self = shared_from_this()](OpServiceReply reply) {
+        self->Post(std::move(reply));
+      });
   RetryBudget& budget = context_.requests->BudgetOf(options.pool.pool);
-  auto inner = std::make_shared<RequestHost>(context_, std::move(options), std::move(upstream_),
-                                             budget, sink);
+  auto inner = std::make_shared<RequestHost>(
+      context_, std::move(options), std::move(upstream_), budget, sink);
   if (!context_.requests->Add(inner)) {
     return sink->Refused(
-        {503, {ErrorCode::kConflict, "request", "", "the id is in use"}, RunState::kNotRun, {}, 0});
+        {503,
+         {ErrorCode::kConflict, "request", "", "the id is in use"},
+         RunState::kNotRun,
+         {},
+         0});
   }
   handed_on_ = true;
   inner->Start();
@@ -213,12 +231,14 @@
     Count(replayed ? "replayed" : "completed");
     return SendOutcome(*action.outcome, replayed);
   }
-  const Error error = action.error.value_or(
-      Error{ErrorCode::kInternal, "records", "", "the operation ended without an outcome"});
+  const Error error =
+      action.error.value_or(Error{ErrorCode::kInternal, "records", "",
+                                  "the operation ended without an outcome"});
   Count(std::string(ToString(error.code)));
   Log(LogLevel::kDebug, "operation", error);
   SendError(*response_, HttpStatusOf(error.code), error, action.run,
-            {{"x-request-id", id_.value()}}, action.record ? ToString(*action.record) : "");
+            {{"x-request-id", id_.value()}},
+            action.record ? ToString(*action.record) : "");
 }
 
 void OperationHost::SendOutcome(const ServiceOutcome& outcome, bool replayed) {
@@ -228,12 +248,15 @@
   if (!outcome.body_kept) {
     headers["x-zr-digest"] = outcome.digest;
     const Error error{ErrorCode::kTooLarge, "answer", "",
-                      "the service answered with status " + std::to_string(outcome.status) +
+                      "the service answered with status " +
+                          std::to_string(outcome.status) +
                           "; its body is too large to be kept"};
-    return SendError(*response_, 502, error, RunState::kRan, std::move(headers),
-                     ToString(replayed ? RecordState::kDone : RecordState::kDispatched));
+    return SendError(
+        *response_, 502, error, RunState::kRan, std::move(headers),
+        ToString(replayed ? RecordState::kDone : RecordState::kDispatched));
   }
-  if (!outcome.content_type.empty()) headers["content-type"] = outcome.content_type;
+  if (!outcome.content_type.empty())
+    headers["content-type"] = outcome.content_type;
   response_->Send(outcome.status, std::move(headers), outcome.body);
 }
 
--- a/modules/zr_daemon/request/operation_host.h
+++ b/modules/zr_daemon/request/operation_host.h
@@ -18,20 +18,24 @@
  public:
   /**
    * Starts an operation; any thread.
-   * @param call      object name, service, key, deadline and may_wait; the rest is filled in
-   * @param options   of the caller's request, already admitted by the team's limits
+   * @param call      object name, service, key, deadline and may_wait; the rest
+   * is filled in
+   * @param options   of the caller's request, already admitted by the team's
+   * limits
    * @param response  of the caller
    */
-  static void Start(NodeContext& context, OperationCall call, RequestOptions options,
-                    UpstreamTemplate upstream, HttpResponsePtr response);
+  static void Start(NodeContext& context, OperationCall call,
+                    RequestOptions options, UpstreamTemplate upstream,
+                    HttpResponsePtr response);
 
   ~OperationHost();
   OperationHost(const OperationHost&) = delete;
   OperationHost& operator=(const OperationHost&) = delete;
 
  private:
-  OperationHost(NodeContext& context, OperationCall call, AttemptId self, RequestOptions options,
-                UpstreamTemplate upstream, HttpResponsePtr response);
+  OperationHost(NodeContext& context, OperationCall call, AttemptId self,
+                RequestOptions options, UpstreamTemplate upstream,
+                HttpResponsePtr response);
 
   void Post(OperationEvent event);
   void Handle(const OperationEvent& event);
@@ -57,7 +61,8 @@
   RequestOptions options_;
   UpstreamTemplate upstream_;
   HttpResponsePtr response_;
-  bool handed_on_ = false;  // the inner request reports its end to the team's limits
+  bool handed_on_ =
+      false;  // the inner request reports its end to the team's limits
   bool removed_ = false;
 };
 
--- a/modules/zr_daemon/request/operation_table.h
+++ b/modules/zr_daemon/request/operation_table.h
@@ -12,7 +12,8 @@
 
 class OperationHost;
 
-/** The operations in progress at this VM, by the nonce of their attempt. Any thread may use it. */
+/** The operations in progress at this VM, by the nonce of their attempt. Any
+ * thread may use it. */
 class OperationTable {
  public:
   OperationTable() = default;
--- a/modules/zr_daemon/request/outcome_sink.cc
+++ b/modules/zr_daemon/request/outcome_sink.cc
@@ -10,7 +10,9 @@
 bool SaysNotRun(const ServiceOutcome& outcome) {
   if (outcome.status != 503) return false;
   const auto json = nlohmann::json::parse(outcome.body, nullptr, false);
-  if (!json.is_object() || !json.contains("error") || !json["error"].is_object()) return false;
+  if (!json.is_object() || !json.contains("error") ||
+      !json["error"].is_object())
+    return false;
   const auto run = json["error"].find("run");
   return run != json["error"].end() && *run == "not-run";
 }
@@ -24,13 +26,15 @@
 
 OutcomeSink::~OutcomeSink() { Send({ServiceStatus::kUnknown, {}}); }
 
-void OutcomeSink::Head(int status, const std::string& content_type, const std::string& /*stream*/) {
+void OutcomeSink::Head(int status, const std::string& content_type,
+                       const std::string& /*stream*/) {
   outcome_.status = status;
   // RecordCodec refuses a record with a longer one, which would block its key.
   if (content_type.size() <= kMaxKeyPart) outcome_.content_type = content_type;
 }
 
-void OutcomeSink::Part(int64_t /*offset*/, std::string text, std::function<void()> sent) {
+void OutcomeSink::Part(int64_t /*offset*/, std::string text,
+                       std::function<void()> sent) {
   digest_.Add(text);
   if (outcome_.body_kept && outcome_.body.size() + text.size() <= max_bytes_) {
     outcome_.body += text;
@@ -42,17 +46,22 @@
 }
 
 void OutcomeSink::Finish(int64_t /*total*/) {
-  // Stored as an outcome, a busy answer would be replayed for as long as the record is kept.
+  // Stored as an outcome, a busy answer would be replayed for as long as the
+  // record is kept.
   if (SaysNotRun(outcome_)) return Send({ServiceStatus::kNotRun, {}});
   outcome_.digest = digest_.Hex();
   Send({ServiceStatus::kOutcome, std::move(outcome_)});
 }
 
 void OutcomeSink::Refused(const Refuse& refusal) {
-  Send({refusal.run == RunState::kNotRun ? ServiceStatus::kNotRun : ServiceStatus::kUnknown, {}});
+  Send({refusal.run == RunState::kNotRun ? ServiceStatus::kNotRun
+                                         : ServiceStatus::kUnknown,
+        {}});
 }
 
-void OutcomeSink::Drop(const Error& /*error*/) { Send({ServiceStatus::kUnknown, {}}); }
+void OutcomeSink::Drop(const Error& /*error*/) {
+  Send({ServiceStatus::kUnknown, {}});
+}
 
 void OutcomeSink::Send(OpServiceReply reply) {
   if (auto report = std::exchange(report_, nullptr)) report(std::move(reply));
--- a/modules/zr_daemon/request/outcome_sink.h
+++ b/modules/zr_daemon/request/outcome_sink.h
@@ -9,22 +9,26 @@
 
 namespace zr {
 
-/** Collects the answer of a plain service for its record and reports it exactly once. */
+/** Collects the answer of a plain service for its record and reports it exactly
+ * once. */
 class OutcomeSink final : public AnswerSink {
  public:
   using Report = std::function<void(OpServiceReply)>;
 
   /**
    * @param max_bytes  of a longer body only the digest is kept
-   * @param report     called on the request's strand, or by the destructor with kUnknown
+   * @param report     called on the request's strand, or by the destructor with
+   * kUnknown
    */
   OutcomeSink(size_t max_bytes, Report report);
   ~OutcomeSink() override;
   OutcomeSink(const OutcomeSink&) = delete;
   OutcomeSink& operator=(const OutcomeSink&) = delete;
 
-  void Head(int status, const std::string& content_type, const std::string& stream) override;
-  void Part(int64_t offset, std::string text, std::function<void()> sent) override;
+  void Head(int status, const std::string& content_type,
+            const std::string& stream) override;
+  void Part(int64_t offset, std::string text,
+            std::function<void()> sent) override;
   void Finish(int64_t total) override;
   void Refused(const Refuse& refusal) override;
   void Drop(const Error& error) override;
--- a/modules/zr_daemon/request/request_host.cc
+++ b/modules/zr_daemon/request/request_host.cc
@@ -21,8 +21,9 @@
 
 }  // namespace
 
-RequestHost::RequestHost(NodeContext& context, RequestOptions options, UpstreamTemplate upstream,
-                         RetryBudget& budget, std::shared_ptr<AnswerSink> sink)
+RequestHost::RequestHost(NodeContext& context, RequestOptions options,
+                         UpstreamTemplate upstream, RetryBudget& budget,
+                         std::shared_ptr<AnswerSink> sink)
     : context_(context),
       id_(options.request),
       team_(options.team),
@@ -38,12 +39,15 @@
 RequestHost::~RequestHost() = default;
 
 MetricLabels RequestHost::ClassLabels() const {
-  return {{"team", team_.value()}, {"class", machine_.options().request_class.name.value()}};
+  return {{"team", team_.value()},
+          {"class", machine_.options().request_class.name.value()}};
 }
 
 void RequestHost::Start() {
   BindSink();
-  Post([](TimePoint now, RequestMachine& machine) { return machine.Start(now); });
+  Post([](TimePoint now, RequestMachine& machine) {
+    return machine.Start(now);
+  });
 }
 
 void RequestHost::BindSink() {
@@ -51,7 +55,8 @@
   sink_->OnClosed([weak = weak_from_this(), number] {
     auto self = weak.lock();
     if (!self) return;
-    self->Post([weak, number](TimePoint now, RequestMachine& machine) -> RequestActions {
+    self->Post([weak, number](TimePoint now,
+                              RequestMachine& machine) -> RequestActions {
       auto host = weak.lock();
       // A superseded caller's connection says nothing about the current one.
       if (!host || host->sink_number_ != number) return {};
@@ -60,7 +65,8 @@
   });
 }
 
-void RequestHost::Post(std::function<RequestActions(TimePoint, RequestMachine&)> event) {
+void RequestHost::Post(
+    std::function<RequestActions(TimePoint, RequestMachine&)> event) {
   asio::post(strand_, [self = shared_from_this(), event = std::move(event)] {
     self->Perform(event(SteadyNow(), self->machine_));
   });
@@ -69,7 +75,8 @@
 void RequestHost::OnGrant(Grant grant) {
   const TimePoint received = SteadyNow();
   if (!grant.members.empty()) return OnGatherGrant(grant, received);
-  Post([this, grant = std::move(grant), received](TimePoint now, RequestMachine& machine) {
+  Post([this, grant = std::move(grant), received](TimePoint now,
+                                                  RequestMachine& machine) {
     if (grant.endpoint == asked_endpoint_) {
       context_.metrics.Observe("zr_queue_seconds", ClassLabels(), now - asked_);
     }
@@ -89,8 +96,8 @@
     part.kv_tokens = member.kv_tokens;
     grants.push_back(std::move(part));
   }
-  Post([attempt = grant.attempt, grants = std::move(grants), received](TimePoint now,
-                                                                       RequestMachine& machine) {
+  Post([attempt = grant.attempt, grants = std::move(grants), received](
+           TimePoint now, RequestMachine& machine) {
     return machine.OnGatherReady(now, received, attempt, grants);
   });
 }
@@ -101,34 +108,38 @@
       return machine.OnGatherFailed(now, refusal.attempt, refusal.wait_hint);
     });
   }
-  Post([this, refusal = std::move(refusal)](TimePoint now, RequestMachine& machine) {
-    if (refusal.endpoint == asked_endpoint_ && refusal.reason == RefusalReason::kBusy) {
+  Post([this, refusal = std::move(refusal)](TimePoint now,
+                                            RequestMachine& machine) {
+    if (refusal.endpoint == asked_endpoint_ &&
+        refusal.reason == RefusalReason::kBusy) {
       context_.selector->ObserveRoundTrip(asked_domain_, now - asked_);
     }
     return machine.OnRefusal(now, refusal);
   });
 }
 
-void RequestHost::Reattach(TeamId team, Fingerprint fingerprint, int64_t offset, std::string stream,
-                           std::shared_ptr<AnswerSink> sink, std::function<void(Error)> refused) {
-  asio::post(
-      strand_, [self = shared_from_this(), team = std::move(team), fingerprint, offset,
-                stream = std::move(stream), sink = std::move(sink), refused = std::move(refused)] {
-        auto actions = self->machine_.Reattach(SteadyNow(), team, fingerprint, offset, stream);
-        if (!actions) return refused(actions.error());
-        auto superseded = std::exchange(self->sink_, sink);
-        self->unsent_bytes_ = 0;
-        self->BindSink();
-        RequestActions rest;
-        for (RequestAction& action : *actions) {
-          if (auto* drop = std::get_if<DropCaller>(&action)) {
-            superseded->Drop(drop->error);
-          } else {
-            rest.push_back(std::move(action));
-          }
-        }
-        self->Perform(rest);
-      });
+void RequestHost::Reattach(TeamId team, Fingerprint fingerprint, int64_t offset,
+                           std::string stream, std::shared_ptr<AnswerSink> sink,
+                           std::function<void(Error)> refused) {
+  asio::post(strand_, [self = shared_from_this(), team = std::move(team),
+                       fingerprint, offset, stream = std::move(stream),
+                       sink = std::move(sink), refused = std::move(refused)] {
+    auto actions =
+        self->machine_.Reattach(SteadyNow(), team, fingerprint, offset, stream);
+    if (!actions) return refused(actions.error());
+    auto superseded = std::exchange(self->sink_, sink);
+    self->unsent_bytes_ = 0;
+    self->BindSink();
+    RequestActions rest;
+    for (RequestAction& action : *actions) {
+      if (auto* drop = std::get_if<DropCaller>(&action)) {
+        superseded->Drop(drop->error);
+      } else {
+        rest.push_back(std::move(action));
+      }
+    }
+    self->Perform(rest);
+  });
 }
 
 StreamLocation RequestHost::Location() const {
@@ -152,7 +163,8 @@
       CloseUpstream();
       DeleteImports();
       if (IsModel()) context_.locator->EndLocal(id_, finished_);
-      context_.teams->OnFinished(team_, machine_.options().prompt + machine_.options().max_answer);
+      context_.teams->OnFinished(
+          team_, machine_.options().prompt + machine_.options().max_answer);
       if (machine_.dropped_chunks() > 0) {
         context_.metrics.Count("zr_dropped_chunks_total", {},
                                static_cast<double>(machine_.dropped_chunks()));
@@ -167,7 +179,8 @@
 void RequestHost::ScheduleWakeup() {
   const TimePoint at = machine_.NextWakeup();
   if (at == TimePoint::Max()) return;
-  const Duration delay = std::max(Duration::Microseconds(100), at - SteadyNow());
+  const Duration delay =
+      std::max(Duration::Microseconds(100), at - SteadyNow());
   wakeup_.expires_after(std::chrono::microseconds(delay.microseconds()));
   wakeup_.async_wait([weak = weak_from_this()](const asio::error_code& error) {
     auto self = weak.lock();
@@ -215,9 +228,11 @@
                          {"stream_id", action.stream_id},
                          {"kv_tokens", action.kv_tokens.value()}};
   if (!action.members.empty()) {
-    // The engine that runs a gathered prompt reserves its own part; the others get imports.
+    // The engine that runs a gathered prompt reserves its own part; the others
+    // get imports.
     for (const auto& [endpoint, grant] : machine_.held_grants()) {
-      if (endpoint == action.endpoint) body["kv_tokens"] = grant.kv_tokens.value();
+      if (endpoint == action.endpoint)
+        body["kv_tokens"] = grant.kv_tokens.value();
     }
     const auto snapshot = context_.cluster->Get();
     for (const EndpointId& member : action.members) {
@@ -229,7 +244,8 @@
   request.method = "POST";
   request.url = "http://" + info.address + "/v1/completions";
   request.headers["content-type"] = "application/json";
-  request.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  request.body =
+      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   return request;
 }
 
@@ -252,10 +268,12 @@
     });
     return;
   }
-  ClientRequest request = IsModel() ? MakeModelRequest(action, *info) : MakeServiceRequest(*info);
+  ClientRequest request =
+      IsModel() ? MakeModelRequest(action, *info) : MakeServiceRequest(*info);
   request.fresh_connection = !machine_.options().idempotent;
   if (!action.members.empty()) PlaceImports(action);
-  OpenUpstream(action.endpoint, action.attempt, action.stream_id, std::move(request), false);
+  OpenUpstream(action.endpoint, action.attempt, action.stream_id,
+               std::move(request), false);
 }
 
 void RequestHost::PlaceImports(const StartUpstream& action) {
@@ -302,17 +320,23 @@
   request.url = "http://" + info->address + "/engine/streams/" +
                 EscapePathSegment(action.stream_id) +
                 "/resume?offset=" + std::to_string(action.offset);
-  OpenUpstream(action.endpoint, action.attempt, action.stream_id, std::move(request), true);
+  OpenUpstream(action.endpoint, action.attempt, action.stream_id,
+               std::move(request), true);
 }
 
-void RequestHost::OpenUpstream(const EndpointId& endpoint, AttemptNumber attempt,
-                               const std::string& stream_id, ClientRequest request, bool resume) {
+void RequestHost::OpenUpstream(const EndpointId& endpoint,
+                               AttemptNumber attempt,
+                               const std::string& stream_id,
+                               ClientRequest request, bool resume) {
   CloseUpstream();
   request.connect_timeout = kConnectTimeout;
   call_ = std::make_shared<UpstreamCall>(
-      strand_, std::weak_ptr<UpstreamCall::Listener>(shared_from_this()), attempt, stream_id,
-      IsModel() ? UpstreamFormat::kEngineStream : UpstreamFormat::kPlain, resume);
-  context_.metrics.Count("zr_upstream_calls_total", {{"endpoint", endpoint.value()}});
+      strand_, std::weak_ptr<UpstreamCall::Listener>(shared_from_this()),
+      attempt, stream_id,
+      IsModel() ? UpstreamFormat::kEngineStream : UpstreamFormat::kPlain,
+      resume);
+  context_.metrics.Count("zr_upstream_calls_total",
+                         {{"endpoint", endpoint.value()}});
   call_->Start(*context_.http, std::move(request));
   if (blocked_) call_->Pause(true);
 }
@@ -326,7 +350,8 @@
 
 void RequestHost::Do(const CancelUpstream& action) {
   CloseUpstream();
-  auto report = [weak = weak_from_this(), stream = action.stream_id](bool confirmed) {
+  auto report = [weak = weak_from_this(),
+                 stream = action.stream_id](bool confirmed) {
     auto self = weak.lock();
     if (!self) return;
     self->Post([stream, confirmed](TimePoint now, RequestMachine& machine) {
@@ -342,14 +367,16 @@
   }
   ClientRequest request;
   request.method = "DELETE";
-  request.url =
-      "http://" + info->address + "/engine/streams/" + EscapePathSegment(action.stream_id);
+  request.url = "http://" + info->address + "/engine/streams/" +
+                EscapePathSegment(action.stream_id);
   request.connect_timeout = kConnectTimeout;
   request.total_timeout = kCancelTimeout;
-  context_.http->Fetch(std::move(request), size_t{64} << 10, [report](auto result) {
-    // 404 confirms nothing: the start of the stream may still be on its way.
-    report(result && (result->status == 200 || result->status == 204));
-  });
+  context_.http->Fetch(
+      std::move(request), size_t{64} << 10, [report](auto result) {
+        // 404 confirms nothing: the start of the stream may still be on its
+        // way.
+        report(result && (result->status == 200 || result->status == 204));
+      });
 }
 
 void RequestHost::Do(const PauseUpstream& action) {
@@ -362,17 +389,19 @@
   Perform(machine_.OnUpstreamHeaders(SteadyNow(), attempt, status));
 }
 
-void RequestHost::OnUpstreamPart(AttemptNumber attempt, const std::string& stream_id,
-                                 int64_t offset, int64_t tokens, std::string text) {
-  Perform(
-      machine_.OnUpstreamChunk(SteadyNow(), attempt, stream_id, offset, tokens, std::move(text)));
+void RequestHost::OnUpstreamPart(AttemptNumber attempt,
+                                 const std::string& stream_id, int64_t offset,
+                                 int64_t tokens, std::string text) {
+  Perform(machine_.OnUpstreamChunk(SteadyNow(), attempt, stream_id, offset,
+                                   tokens, std::move(text)));
 }
 
 void RequestHost::OnUpstreamDone(AttemptNumber attempt, int64_t total) {
   Perform(machine_.OnUpstreamDone(SteadyNow(), attempt, total));
 }
 
-void RequestHost::OnUpstreamFailed(AttemptNumber attempt, UpstreamFailure failure, int status) {
+void RequestHost::OnUpstreamFailed(AttemptNumber attempt,
+                                   UpstreamFailure failure, int status) {
   Perform(machine_.OnUpstreamFailed(SteadyNow(), attempt, failure, status));
 }
 
@@ -388,31 +417,38 @@
   if (!first_part_seen_) {
     first_part_seen_ = true;
     MetricLabels labels = ClassLabels();
-    labels.emplace_back("prompt", PromptLengthBucket(machine_.options().prompt));
+    labels.emplace_back("prompt",
+                        PromptLengthBucket(machine_.options().prompt));
     context_.metrics.Observe("zr_first_token_seconds", labels, now - arrived_);
   } else {
-    context_.metrics.Observe("zr_token_gap_seconds", ClassLabels(), now - last_part_);
+    context_.metrics.Observe("zr_token_gap_seconds", ClassLabels(),
+                             now - last_part_);
   }
   last_part_ = now;
   const size_t size = action.bytes.size();
   unsent_bytes_ += size;
   const uint64_t number = sink_number_;
-  sink_->Part(action.offset, action.bytes, [weak = weak_from_this(), size, number] {
-    auto self = weak.lock();
-    if (!self) return;
-    asio::post(self->strand_, [self, size, number] {
-      if (self->sink_number_ != number) return;
-      self->unsent_bytes_ -= std::min(size, self->unsent_bytes_);
-      const auto bound = static_cast<size_t>(self->context_.settings.stream_buffer_bytes);
-      if (self->blocked_ && self->unsent_bytes_ <= bound / 2) {
-        self->blocked_ = false;
-        self->Perform(self->machine_.OnCallerDrained(SteadyNow()));
-      }
-    });
-  });
-  if (!blocked_ && unsent_bytes_ > static_cast<size_t>(context_.settings.stream_buffer_bytes)) {
+  sink_->Part(
+      action.offset, action.bytes, [weak = weak_from_this(), size, number] {
+        auto self = weak.lock();
+        if (!self) return;
+        asio::post(self->strand_, [self, size, number] {
+          if (self->sink_number_ != number) return;
+          self->unsent_bytes_ -= std::min(size, self->unsent_bytes_);
+          const auto bound =
+              static_cast<size_t>(self->context_.settings.stream_buffer_bytes);
+          if (self->blocked_ && self->unsent_bytes_ <= bound / 2) {
+            self->blocked_ = false;
+            self->Perform(self->machine_.OnCallerDrained(SteadyNow()));
+          }
+        });
+      });
+  if (!blocked_ && unsent_bytes_ > static_cast<size_t>(
+                                       context_.settings.stream_buffer_bytes)) {
     blocked_ = true;
-    Post([](TimePoint at, RequestMachine& machine) { return machine.OnCallerBlocked(at); });
+    Post([](TimePoint at, RequestMachine& machine) {
+      return machine.OnCallerBlocked(at);
+    });
   }
 }
 
@@ -467,7 +503,8 @@
 }
 
 std::optional<VmId> RequestHost::GatherCoordinatorVm() const {
-  return CoordinatorOf(machine_.options().pool.pool, *context_.cluster->Get()->view);
+  return CoordinatorOf(machine_.options().pool.pool,
+                       *context_.cluster->Get()->view);
 }
 
 void RequestHost::Do(const GatherRequest& action) {
@@ -494,7 +531,8 @@
   CancelAdmission cancel;
   cancel.request = id_;
   cancel.attempt = action.attempt;
-  if (const auto coordinator = GatherCoordinatorVm()) context_.bus->Send(*coordinator, cancel);
+  if (const auto coordinator = GatherCoordinatorVm())
+    context_.bus->Send(*coordinator, cancel);
 }
 
 }  // namespace zr
--- a/modules/zr_daemon/request/request_host.h
+++ b/modules/zr_daemon/request/request_host.h
@@ -32,8 +32,9 @@
 class RequestHost : public UpstreamCall::Listener,
                     public std::enable_shared_from_this<RequestHost> {
  public:
-  RequestHost(NodeContext& context, RequestOptions options, UpstreamTemplate upstream,
-              RetryBudget& budget, std::shared_ptr<AnswerSink> sink);
+  RequestHost(NodeContext& context, RequestOptions options,
+              UpstreamTemplate upstream, RetryBudget& budget,
+              std::shared_ptr<AnswerSink> sink);
   ~RequestHost() override;
   RequestHost(const RequestHost&) = delete;
   RequestHost& operator=(const RequestHost&) = delete;
@@ -49,10 +50,12 @@
   void OnRefusal(Refusal refusal);
   /**
    * Another call with the same id: its sink takes the answer over.
-   * @param refused  called on the strand if the call does not match this request
+   * @param refused  called on the strand if the call does not match this
+   * request
    */
-  void Reattach(TeamId team, Fingerprint fingerprint, int64_t offset, std::string stream,
-                std::shared_ptr<AnswerSink> sink, std::function<void(Error)> refused);
+  void Reattach(TeamId team, Fingerprint fingerprint, int64_t offset,
+                std::string stream, std::shared_ptr<AnswerSink> sink,
+                std::function<void(Error)> refused);
 
   const RequestId& id() const { return id_; }
   const TeamId& team() const { return team_; }
@@ -64,10 +67,12 @@
   // UpstreamCall::Listener
   void OnUpstreamHeaders(AttemptNumber attempt, int status,
                          const std::string& content_type) override;
-  void OnUpstreamPart(AttemptNumber attempt, const std::string& stream_id, int64_t offset,
-                      int64_t tokens, std::string text) override;
+  void OnUpstreamPart(AttemptNumber attempt, const std::string& stream_id,
+                      int64_t offset, int64_t tokens,
+                      std::string text) override;
   void OnUpstreamDone(AttemptNumber attempt, int64_t total) override;
-  void OnUpstreamFailed(AttemptNumber attempt, UpstreamFailure failure, int status) override;
+  void OnUpstreamFailed(AttemptNumber attempt, UpstreamFailure failure,
+                        int status) override;
 
   void Perform(const RequestActions& actions);
   void ScheduleWakeup();
@@ -92,9 +97,11 @@
   void Do(const GatherRequest& action);
   void Do(const CancelGather& action);
 
-  void OpenUpstream(const EndpointId& endpoint, AttemptNumber attempt, const std::string& stream_id,
-                    ClientRequest request, bool resume);
-  ClientRequest MakeModelRequest(const StartUpstream& action, const EndpointInfo& info) const;
+  void OpenUpstream(const EndpointId& endpoint, AttemptNumber attempt,
+                    const std::string& stream_id, ClientRequest request,
+                    bool resume);
+  ClientRequest MakeModelRequest(const StartUpstream& action,
+                                 const EndpointInfo& info) const;
   ClientRequest MakeServiceRequest(const EndpointInfo& info) const;
   bool IsModel() const { return pool_kind_ == PoolKind::kModel; }
   void CloseUpstream();
@@ -121,7 +128,8 @@
   bool blocked_ = false;
   bool removed_ = false;
   bool finished_ = false;
-  std::vector<std::string> imports_;  // URLs of the parts at other members of a gather
+  std::vector<std::string>
+      imports_;  // URLs of the parts at other members of a gather
 
   TimePoint arrived_;
   TimePoint asked_;
--- a/modules/zr_daemon/request/request_table.cc
+++ b/modules/zr_daemon/request/request_table.cc
@@ -37,8 +37,9 @@
 
 void RequestTable::OnVmDied(const VmId& vm) {
   for (const auto& host : All()) {
-    host->Post(
-        [vm](TimePoint now, RequestMachine& machine) { return machine.OnVmUnreachable(now, vm); });
+    host->Post([vm](TimePoint now, RequestMachine& machine) {
+      return machine.OnVmUnreachable(now, vm);
+    });
   }
 }
 
@@ -53,7 +54,9 @@
 
 void RequestTable::AbortAll() {
   for (const auto& host : All()) {
-    host->Post([](TimePoint now, RequestMachine& machine) { return machine.Abort(now); });
+    host->Post([](TimePoint now, RequestMachine& machine) {
+      return machine.Abort(now);
+    });
   }
 }
 
--- a/modules/zr_daemon/request/route_selector.cc
+++ b/modules/zr_daemon/request/route_selector.cc
@@ -19,8 +19,10 @@
   };
 }
 
-/** Tokens a second that one endpoint reads; `fallback` before any is measured. */
-int64_t MeanPrefillSpeed(const std::vector<SelectionCandidate>& candidates, int64_t fallback) {
+/** Tokens a second that one endpoint reads; `fallback` before any is measured.
+ */
+int64_t MeanPrefillSpeed(const std::vector<SelectionCandidate>& candidates,
+                         int64_t fallback) {
   int64_t sum = 0;
   int64_t count = 0;
   for (const SelectionCandidate& candidate : candidates) {
@@ -35,14 +37,17 @@
 
 RouteSelector::RouteSelector(NodeContext& context)
     : context_(context),
-      selector_(Hash64(context.settings.vm.value(), context.incarnation.value())),
-      baseline_(Hash64(context.settings.vm.value(), context.incarnation.value() + 1)),
+      selector_(
+          Hash64(context.settings.vm.value(), context.incarnation.value())),
+      baseline_(
+          Hash64(context.settings.vm.value(), context.incarnation.value() + 1)),
       long_share_(context.settings.vm) {}
 
 void RouteSelector::OnSummary(const Summary& summary) {
   const TimePoint now = SteadyNow();
   std::lock_guard lock(mutex_);
-  if (summaries_.OnSummary(now, summary)) last_summaries_[summary.endpoint] = {summary, now};
+  if (summaries_.OnSummary(now, summary))
+    last_summaries_[summary.endpoint] = {summary, now};
 }
 
 void RouteSelector::OnVmDied(const VmId& vm, Incarnation incarnation) {
@@ -61,10 +66,12 @@
   auto [it, inserted] = round_trips_.try_emplace(domain, sample);
   if (inserted) return;
   // Follows decreases at once and increases slowly, since answers also wait.
-  it->second = sample < it->second ? sample : it->second + (sample - it->second) / 64;
+  it->second =
+      sample < it->second ? sample : it->second + (sample - it->second) / 64;
 }
 
-void RouteSelector::OnOffered(const PoolId& pool, TokenCount tokens, bool long_prompt) {
+void RouteSelector::OnOffered(const PoolId& pool, TokenCount tokens,
+                              bool long_prompt) {
   std::lock_guard lock(mutex_);
   long_share_.OnOffered(SteadyNow(), pool, tokens, long_prompt);
 }
@@ -80,12 +87,13 @@
   return it == round_trips_.end() ? kDefaultRoundTrip : it->second;
 }
 
-std::vector<SelectionCandidate> RouteSelector::CollectCandidates(const PoolId& pool,
-                                                                 const ClusterSnapshot& snapshot,
-                                                                 TimePoint now) {
-  const bool baseline = context_.settings.routing_policy == RoutingPolicy::kBaseline;
+std::vector<SelectionCandidate> RouteSelector::CollectCandidates(
+    const PoolId& pool, const ClusterSnapshot& snapshot, TimePoint now) {
+  const bool baseline =
+      context_.settings.routing_policy == RoutingPolicy::kBaseline;
   std::vector<SelectionCandidate> candidates;
-  for (const SummaryCandidate& found : summaries_.Candidates(now, pool, OwnersIn(snapshot))) {
+  for (const SummaryCandidate& found :
+       summaries_.Candidates(now, pool, OwnersIn(snapshot))) {
     SelectionCandidate candidate;
     candidate.summary = *found.summary;
     candidate.round_trip = RoundTripTo(found.summary->domain);
@@ -98,15 +106,15 @@
   return candidates;
 }
 
-std::optional<TokenCount> RouteSelector::RoomOfPool(const PoolPolicy& pool,
-                                                    const ClusterSnapshot& snapshot,
-                                                    TimePoint now) {
+std::optional<TokenCount> RouteSelector::RoomOfPool(
+    const PoolPolicy& pool, const ClusterSnapshot& snapshot, TimePoint now) {
   const auto owners = OwnersIn(snapshot);
   std::vector<GatherCandidate> all;
   for (const auto& [endpoint, info] : *snapshot.endpoints) {
     if (info.pool != pool.pool) continue;
     const auto found = summaries_.Find(now, endpoint, owners);
-    if (!found || found->summary->kv_capacity <= TokenCount(0)) return std::nullopt;
+    if (!found || found->summary->kv_capacity <= TokenCount(0))
+      return std::nullopt;
     // Drained endpoints count too, because they may return before the deadline.
     all.push_back({endpoint, found->summary->owner, found->summary->kv_free,
                    found->summary->kv_capacity, true});
@@ -114,7 +122,8 @@
   return GatherCoordinator::RoomOf(all, pool);
 }
 
-RouteChoice RouteSelector::Choose(const RequestOptions& request, const SelectCandidates& wanted) {
+RouteChoice RouteSelector::Choose(const RequestOptions& request,
+                                  const SelectCandidates& wanted) {
   const TimePoint now = SteadyNow();
   const auto snapshot = context_.cluster->Get();
   SelectionQuery query;
@@ -130,39 +139,46 @@
 
   std::lock_guard lock(mutex_);
   const auto candidates = CollectCandidates(query.pool, *snapshot, now);
-  query.long_endpoints =
-      long_share_.LongEndpoints(now, query.pool, static_cast<int64_t>(candidates.size()),
-                                MeanPrefillSpeed(candidates, query.prefill_tokens_per_second));
-  const bool baseline = context_.settings.routing_policy == RoutingPolicy::kBaseline;
-  const Selection selection =
-      baseline ? baseline_.Choose(candidates, query) : selector_.Choose(candidates, query);
+  query.long_endpoints = long_share_.LongEndpoints(
+      now, query.pool, static_cast<int64_t>(candidates.size()),
+      MeanPrefillSpeed(candidates, query.prefill_tokens_per_second));
+  const bool baseline =
+      context_.settings.routing_policy == RoutingPolicy::kBaseline;
+  const Selection selection = baseline ? baseline_.Choose(candidates, query)
+                                       : selector_.Choose(candidates, query);
   RouteChoice choice;
   for (const EndpointId& endpoint : selection) {
-    auto found = std::find_if(
-        candidates.begin(), candidates.end(),
-        [&endpoint](const auto& candidate) { return candidate.summary.endpoint == endpoint; });
+    auto found = std::find_if(candidates.begin(), candidates.end(),
+                              [&endpoint](const auto& candidate) {
+                                return candidate.summary.endpoint == endpoint;
+                              });
     const VmId owner = baseline ? context_.settings.vm : found->summary.owner;
     choice.candidates.push_back({endpoint, found->summary.domain, owner});
   }
   if (choice.candidates.empty() && !query.plain_service) {
     const TokenCount needed = request.prompt + request.max_answer;
-    const bool fits = std::any_of(candidates.begin(), candidates.end(),
-                                  [&](const auto& c) { return c.summary.kv_capacity >= needed; });
+    const bool fits = std::any_of(
+        candidates.begin(), candidates.end(),
+        [&](const auto& c) { return c.summary.kv_capacity >= needed; });
     choice.gather = !fits && !candidates.empty();
-    if (choice.gather) choice.too_small = RoomOfPool(request.pool, *snapshot, now);
-    if (choice.too_small && *choice.too_small >= needed) choice.too_small.reset();
+    if (choice.gather)
+      choice.too_small = RoomOfPool(request.pool, *snapshot, now);
+    if (choice.too_small && *choice.too_small >= needed)
+      choice.too_small.reset();
   }
   return choice;
 }
 
-std::vector<GatherCandidate> RouteSelector::GatherCandidates(const PoolId& pool) {
+std::vector<GatherCandidate> RouteSelector::GatherCandidates(
+    const PoolId& pool) {
   const auto snapshot = context_.cluster->Get();
   std::lock_guard lock(mutex_);
   std::vector<GatherCandidate> out;
-  for (const auto& found : summaries_.Candidates(SteadyNow(), pool, OwnersIn(*snapshot))) {
+  for (const auto& found :
+       summaries_.Candidates(SteadyNow(), pool, OwnersIn(*snapshot))) {
     const Summary& summary = *found.summary;
-    out.push_back({summary.endpoint, summary.owner, summary.kv_free, summary.kv_capacity,
-                   summary.accepts_new});
+    out.push_back({summary.endpoint, summary.owner, summary.kv_free,
+                   summary.kv_capacity, summary.accepts_new});
   }
   return out;
 }
@@ -170,7 +186,8 @@
 std::optional<Summary> RouteSelector::LastSummary(const EndpointId& endpoint) {
   std::lock_guard lock(mutex_);
   const auto found = last_summaries_.find(endpoint);
-  if (found == last_summaries_.end() || SteadyNow() - found->second.received_at > kLastSummaryAge) {
+  if (found == last_summaries_.end() ||
+      SteadyNow() - found->second.received_at > kLastSummaryAge) {
     return std::nullopt;
   }
   return found->second.summary;
@@ -182,7 +199,8 @@
   std::lock_guard lock(mutex_);
   std::vector<Summary> out;
   for (const auto& [endpoint, info] : *snapshot->endpoints) {
-    if (auto found = summaries_.Find(SteadyNow(), endpoint, owners)) out.push_back(*found->summary);
+    if (auto found = summaries_.Find(SteadyNow(), endpoint, owners))
+      out.push_back(*found->summary);
   }
   return out;
 }
--- a/modules/zr_daemon/request/route_selector.h
+++ b/modules/zr_daemon/request/route_selector.h
@@ -18,7 +18,8 @@
 struct RouteChoice {
   std::vector<Candidate> candidates;  // best first
   bool gather = false;                // no single endpoint is large enough
-  /** What the whole pool holds, in tokens, if that is too little for the request. */
+  /** What the whole pool holds, in tokens, if that is too little for the
+   * request. */
   std::optional<TokenCount> too_small;
 };
 
@@ -46,7 +47,8 @@
   //============================================================================
   // Queries
 
-  RouteChoice Choose(const RequestOptions& request, const SelectCandidates& wanted);
+  RouteChoice Choose(const RequestOptions& request,
+                     const SelectCandidates& wanted);
   std::vector<PoolDemand> OwnDemand();
   /** Best summaries of a pool for the coordinator of gathers. */
   std::vector<GatherCandidate> GatherCandidates(const PoolId& pool);
@@ -61,17 +63,20 @@
     TimePoint received_at;
   };
 
-  /** What a gather can ever hold; nothing while the size of an endpoint is not known. */
-  std::optional<TokenCount> RoomOfPool(const PoolPolicy& pool, const ClusterSnapshot& snapshot,
+  /** What a gather can ever hold; nothing while the size of an endpoint is not
+   * known. */
+  std::optional<TokenCount> RoomOfPool(const PoolPolicy& pool,
+                                       const ClusterSnapshot& snapshot,
                                        TimePoint now);
-  std::vector<SelectionCandidate> CollectCandidates(const PoolId& pool,
-                                                    const ClusterSnapshot& snapshot, TimePoint now);
+  std::vector<SelectionCandidate> CollectCandidates(
+      const PoolId& pool, const ClusterSnapshot& snapshot, TimePoint now);
   Duration RoundTripTo(const DomainId& domain) const;
 
   NodeContext& context_;
   std::mutex mutex_;
   SummaryTable summaries_;
-  std::map<EndpointId, LastSummaryEntry> last_summaries_;  // kept beyond the owner's death
+  std::map<EndpointId, LastSummaryEntry>
+      last_summaries_;  // kept beyond the owner's death
   EndpointSelector selector_;
   BaselineSelector baseline_;
   LongShare long_share_;
--- a/modules/zr_daemon/request/sse.cc
+++ b/modules/zr_daemon/request/sse.cc
@@ -6,7 +6,8 @@
   buffer_.erase(0, parsed_);
   parsed_ = 0;
   buffer_ += bytes;
-  return buffer_.size() <= kMaxEventBytes || buffer_.find("\n\n") != std::string::npos;
+  return buffer_.size() <= kMaxEventBytes ||
+         buffer_.find("\n\n") != std::string::npos;
 }
 
 std::optional<std::string> SseParser::Next() {
@@ -19,7 +20,8 @@
     while (!event.empty()) {
       const size_t line_end = event.find('\n');
       std::string_view line = event.substr(0, line_end);
-      event = line_end == std::string_view::npos ? std::string_view() : event.substr(line_end + 1);
+      event = line_end == std::string_view::npos ? std::string_view()
+                                                 : event.substr(line_end + 1);
       if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
       if (!line.starts_with("data:")) continue;
       line.remove_prefix(5);
--- a/modules/zr_daemon/request/stream_locator.cc
+++ b/modules/zr_daemon/request/stream_locator.cc
@@ -11,15 +11,18 @@
 constexpr Duration kTickPeriod = Duration::Milliseconds(50);
 constexpr Duration kExpiryPeriod = Duration::Seconds(2);
 
-void Report(const std::shared_ptr<RequestHost>& host, const StreamSearch& search) {
+void Report(const std::shared_ptr<RequestHost>& host,
+            const StreamSearch& search) {
   if (search.found()) {
-    host->Post([location = *search.found()](TimePoint now, RequestMachine& machine) {
-      return machine.OnStreamFound(now, location);
-    });
+    host->Post(
+        [location = *search.found()](TimePoint now, RequestMachine& machine) {
+          return machine.OnStreamFound(now, location);
+        });
   } else {
-    host->Post([certain = search.certain()](TimePoint now, RequestMachine& machine) {
-      return machine.OnStreamNotFound(now, certain);
-    });
+    host->Post(
+        [certain = search.certain()](TimePoint now, RequestMachine& machine) {
+          return machine.OnStreamNotFound(now, certain);
+        });
   }
 }
 
@@ -80,8 +83,9 @@
     if (context_.bus->Send(out.to, out.message)) continue;
     if (auto* query = std::get_if<FindStream>(&out.message)) {
       asio::post(context_.io, [this, request = query->request, vm = out.to] {
-        Advance(request,
-                [vm](StreamSearch& search) { return search.OnVmUnreachable(SteadyNow(), vm); });
+        Advance(request, [vm](StreamSearch& search) {
+          return search.OnVmUnreachable(SteadyNow(), vm);
+        });
       });
     }
   }
@@ -123,12 +127,14 @@
     for (const auto& [request, entry] : searches_) searching.push_back(request);
   }
   for (const RequestId& request : searching) {
-    Advance(request,
-            [&vm](StreamSearch& search) { return search.OnVmUnreachable(SteadyNow(), vm); });
+    Advance(request, [&vm](StreamSearch& search) {
+      return search.OnVmUnreachable(SteadyNow(), vm);
+    });
   }
 }
 
-void StreamLocator::Locate(const std::shared_ptr<RequestHost>& host, const LocateStream& wanted) {
+void StreamLocator::Locate(const std::shared_ptr<RequestHost>& host,
+                           const LocateStream& wanted) {
   FindStream query;
   query.request = wanted.request;
   query.team = wanted.team;
@@ -140,7 +146,8 @@
     std::vector<VmId> live = live_;
     if (live.empty()) live.push_back(context_.settings.vm);
     auto [it, inserted] = searches_.insert_or_assign(
-        wanted.request, Search{StreamSearch(std::move(query), std::move(live)), host});
+        wanted.request,
+        Search{StreamSearch(std::move(query), std::move(live)), host});
     messages = it->second.search.Start(SteadyNow());
   }
   Send(messages);
@@ -155,9 +162,11 @@
   context_.bus->Send(from, location);
 }
 
-void StreamLocator::OnLocation(const VmId& from, const StreamLocation& location) {
-  Advance(location.request,
-          [&](StreamSearch& search) { return search.OnLocation(SteadyNow(), from, location); });
+void StreamLocator::OnLocation(const VmId& from,
+                               const StreamLocation& location) {
+  Advance(location.request, [&](StreamSearch& search) {
+    return search.OnLocation(SteadyNow(), from, location);
+  });
 }
 
 }  // namespace zr
--- a/modules/zr_daemon/request/stream_locator.h
+++ b/modules/zr_daemon/request/stream_locator.h
@@ -41,7 +41,8 @@
   // Searches
 
   /** Looks for a run; the host's machine hears the result. */
-  void Locate(const std::shared_ptr<RequestHost>& host, const LocateStream& wanted);
+  void Locate(const std::shared_ptr<RequestHost>& host,
+              const LocateStream& wanted);
   void OnFindStream(const VmId& from, const FindStream& query);
   void OnLocation(const VmId& from, const StreamLocation& location);
 
@@ -54,7 +55,8 @@
 
   void Schedule();
   void Tick();
-  /** Runs a step of a search under the lock, then sends and reports without it. */
+  /** Runs a step of a search under the lock, then sends and reports without it.
+   */
   template <typename Step>
   void Advance(const RequestId& request, Step step);
   void Send(const Messages& messages);
--- a/modules/zr_daemon/request/suspect_registry.cc
+++ b/modules/zr_daemon/request/suspect_registry.cc
@@ -36,7 +36,8 @@
   }
   if (!is_new) return;
   TellRequests(suspect.fingerprint);
-  context_.metrics.Count("zr_suspect_deaths_total", {{"endpoint", suspect.endpoint.value()}});
+  context_.metrics.Count("zr_suspect_deaths_total",
+                         {{"endpoint", suspect.endpoint.value()}});
   context_.bus->Broadcast(suspect);
 }
 
@@ -55,7 +56,8 @@
   context_.requests->OnVerdict(fingerprint, Verdict(fingerprint));
 }
 
-void SuspectRegistry::OnEndpointAlive(const EndpointId& endpoint, BootNumber boot) {
+void SuspectRegistry::OnEndpointAlive(const EndpointId& endpoint,
+                                      BootNumber boot) {
   std::lock_guard lock(mutex_);
   table_.OnEndpointAlive(SteadyNow(), endpoint, boot);
 }
@@ -89,7 +91,8 @@
   VmId locator = context_.settings.vm;
   {
     std::lock_guard lock(mutex_);
-    if (turn.returned && turn.harmless) table_.OnHarmless(SteadyNow(), turn.fingerprint);
+    if (turn.returned && turn.harmless)
+      table_.OnHarmless(SteadyNow(), turn.fingerprint);
     const std::string key = std::to_string(turn.fingerprint.value());
     double best = -1;
     for (const VmId& vm : live_) {
--- a/modules/zr_daemon/request/suspect_registry.h
+++ b/modules/zr_daemon/request/suspect_registry.h
@@ -9,7 +9,8 @@
 
 namespace zr {
 
-/** Requests that may have crashed endpoints, shared with all VMs. Any thread may use it. */
+/** Requests that may have crashed endpoints, shared with all VMs. Any thread
+ * may use it. */
 class SuspectRegistry {
  public:
   explicit SuspectRegistry(NodeContext& context);
--- a/modules/zr_daemon/request/upstream_call.h
+++ b/modules/zr_daemon/request/upstream_call.h
@@ -25,15 +25,19 @@
     virtual ~Listener() = default;
     virtual void OnUpstreamHeaders(AttemptNumber attempt, int status,
                                    const std::string& content_type) = 0;
-    /** @param offset  tokens (engine) or bytes (plain service) before the part */
-    virtual void OnUpstreamPart(AttemptNumber attempt, const std::string& stream_id, int64_t offset,
+    /** @param offset  tokens (engine) or bytes (plain service) before the part
+     */
+    virtual void OnUpstreamPart(AttemptNumber attempt,
+                                const std::string& stream_id, int64_t offset,
                                 int64_t tokens, std::string text) = 0;
     virtual void OnUpstreamDone(AttemptNumber attempt, int64_t total) = 0;
-    virtual void OnUpstreamFailed(AttemptNumber attempt, UpstreamFailure failure, int status) = 0;
+    virtual void OnUpstreamFailed(AttemptNumber attempt,
+                                  UpstreamFailure failure, int status) = 0;
   };
 
-  UpstreamCall(Strand strand, std::weak_ptr<Listener> listener, AttemptNumber attempt,
-               std::string stream_id, UpstreamFormat format, bool resume);
+  UpstreamCall(Strand strand, std::weak_ptr<Listener> listener,
+               AttemptNumber attempt, std::string stream_id,
+               UpstreamFormat format, bool resume);
   UpstreamCall(const UpstreamCall&) = delete;
   UpstreamCall& operator=(const UpstreamCall&) = delete;
 
--- /dev/null
+++ b/modules/zr_gateway/endpoint_directory.cc
@@ -0,0 +1,55 @@
+#include "zr_gateway/endpoint_directory.h"
+
+#include <set>
+
+namespace zr {
+
+void EndpointDirectory::OnList(TimePoint now,
+                               const std::vector<DirectoryEntry>& entries) {
+  std::set<EndpointId> present;
+  for (const DirectoryEntry& entry : entries) {
+    present.insert(entry.endpoint.id);
+    OnEntry(now, entry);
+  }
+  std::vector<EndpointId> absent;
+  for (const auto& [id, state] : board_.endpoints()) {
+    if (!present.contains(id)) absent.push_back(id);
+  }
+  for (const EndpointId& id : absent) OnRemoved(now, id);
+}
+
+void EndpointDirectory::OnEntry(TimePoint now, const DirectoryEntry& entry) {
+  missing_.erase(entry.endpoint.id);
+  board_.Upsert(now, entry.endpoint, entry.cold_rate_per_s);
+}
+
+void EndpointDirectory::OnRemoved(TimePoint now, const EndpointId& id) {
+  const EndpointState* state = board_.Find(id);
+  if (state == nullptr) return;
+  // A draining endpoint leaves as planned.
+  if (Returning(now) && !state->listed.draining) {
+    missing_.try_emplace(id, returned_at_ + kReturnPeriod);
+    return;
+  }
+  board_.Remove(id);
+}
+
+void EndpointDirectory::OnReachable(TimePoint now, bool reachable) {
+  if (reachable && !reachable_) returned_at_ = now;
+  reachable_ = reachable;
+}
+
+void EndpointDirectory::Tick(TimePoint now) {
+  if (!reachable_) return;
+  for (auto it = missing_.begin(); it != missing_.end();) {
+    if (now < returned_at_ + kReturnPeriod) return;
+    board_.Remove(it->first);
+    it = missing_.erase(it);
+  }
+}
+
+bool EndpointDirectory::Returning(TimePoint now) const {
+  return !reachable_ || now - returned_at_ < kReturnPeriod;
+}
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_gateway/event_splitter.cc
@@ -0,0 +1,51 @@
+#include "zr_gateway/event_splitter.h"
+
+#include <charconv>
+
+namespace zr {
+namespace {
+
+/** Length of the first event with its blank line; npos if it is not whole. */
+size_t EventLength(std::string_view data) {
+  for (size_t i = 0; i < data.size(); ++i) {
+    if (data[i] != '\n') continue;
+    if (i + 1 < data.size() && data[i + 1] == '\n') return i + 2;
+    if (i + 2 < data.size() && data[i + 1] == '\r' && data[i + 2] == '\n') {
+      return i + 3;
+    }
+  }
+  return std::string_view::npos;
+}
+
+std::optional<int64_t> IdOf(std::string_view event) {
+  constexpr std::string_view kField = "id:";
+  size_t line = 0;
+  while (line < event.size()) {
+    size_t end = event.find('\n', line);
+    if (end == std::string_view::npos) end = event.size();
+    std::string_view text = event.substr(line, end - line);
+    line = end + 1;
+    if (!text.starts_with(kField)) continue;
+    text.remove_prefix(kField.size());
+    while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
+    int64_t id = 0;
+    auto [last, error] =
+        std::from_chars(text.data(), text.data() + text.size(), id);
+    if (error == std::errc()) return id;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::optional<StreamEvent> EventSplitter::Next() {
+  const size_t length = EventLength(buffer_);
+  if (length == std::string_view::npos) return std::nullopt;
+  StreamEvent event;
+  event.bytes = buffer_.substr(0, length);
+  event.id = IdOf(event.bytes);
+  buffer_.erase(0, length);
+  return event;
+}
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_gateway/zr_gateway.h
@@ -0,0 +1,19 @@
+#pragma once
+
+/**
+ * zr_gateway: decisions on requests that are forwarded as they are, on routes
+ * that a configuration declares: which route and service, which endpoints,
+ * what after a failure, how long a configuration may be trusted.
+ *
+ * Dependencies: zr_base.
+ * Threads: none; a core module. Not synchronised.
+ */
+
+#include "zr_gateway/attempt_rules.h"
+#include "zr_gateway/config_freshness.h"
+#include "zr_gateway/endpoint_board.h"
+#include "zr_gateway/endpoint_directory.h"
+#include "zr_gateway/event_splitter.h"
+#include "zr_gateway/gateway_config.h"
+#include "zr_gateway/gateway_types.h"
+#include "zr_gateway/placement.h"
--- /dev/null
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -0,0 +1,514 @@
+#pragma once
+
+// Implementation of forwarded_request.h.
+
+#include <algorithm>
+#include <utility>
+
+namespace zr {
+namespace gateway_internal {
+
+// Connecting takes two round trips of a few milliseconds in a region.
+inline constexpr Duration kConnectTimeout = Duration::Milliseconds(300);
+// Idle connections are not reused beyond this; endpoints close them sooner or
+// later without notice.
+inline constexpr Duration kMaxIdleConnection = Duration::Seconds(3);
+// An answer that writes nothing for this long is continued elsewhere.
+inline constexpr Duration kEventSilence = Duration::Milliseconds(1200);
+// Least time that an endpoint has for its first byte.
+inline constexpr Duration kFirstByteSilence = Duration::Milliseconds(1800);
+// Less time than this is not worth another call.
+inline constexpr Duration kLeastTimeLeft = Duration::Milliseconds(30);
+// A plain answer larger than this is cut off; it is held in memory.
+inline constexpr size_t kMaxPlainAnswer = size_t{8} << 20;
+// Bytes of a stream that wait for a slow caller before reading stops.
+inline constexpr size_t kMaxUnsentBytes = 64 << 10;
+// Shortest and longest time that a refused caller is told to wait.
+inline constexpr Duration kRetryAfter = Duration::Milliseconds(300);
+
+}  // namespace gateway_internal
+
+template <GatewayFormat Format>
+ForwardedRequest<Format>::ForwardedRequest(GatewayState& state,
+                                           CallerRequest request,
+                                           HttpResponsePtr response,
+                                           TimePoint arrived)
+    : state_(state),
+      request_(std::move(request)),
+      response_(std::move(response)),
+      arrived_(arrived),
+      last_event_(request_.resume_after) {}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::Start() {
+  response_->OnClosed([weak = this->weak_from_this()] {
+    if (auto self = weak.lock()) self->OnCallerGone();
+  });
+  if (ended_ || !Admit()) return;
+  state_.BudgetOf(service_->name).OnSuccess();
+  Place(arrived_);
+}
+
+template <GatewayFormat Format>
+bool ForwardedRequest<Format>::Admit() {
+  const auto refuse = [this](int status, ErrorCode code, const char* message) {
+    OwnAnswer answer{status, Error{code, "admission", "", message}, {}};
+    if (status == 503) answer.retry_after = gateway_internal::kRetryAfter;
+    SendOwn(std::move(answer));
+    return false;
+  };
+  config_ = state_.config;
+  if (!config_) {
+    return refuse(503, ErrorCode::kUnavailable, "no configuration known yet");
+  }
+  const bool fresh = state_.freshness.Fresh(arrived_);
+  route_ = config_->Match(request_.host, request_.path);
+  if (route_ == nullptr) {
+    // A stale configuration may miss a route that has been added.
+    return fresh ? refuse(404, ErrorCode::kNotFound, "no route matches")
+                 : refuse(503, ErrorCode::kUnavailable,
+                          "no route in a configuration of uncertain age");
+  }
+  if (config_->needs_keys() && !route_->anonymous) {
+    const TeamKeys* team = config_->FindTeam(request_.key);
+    if (!fresh) {
+      return refuse(503, ErrorCode::kUnavailable,
+                    "key cannot be checked: the configuration's age is "
+                    "uncertain");
+    }
+    if (team == nullptr) {
+      return refuse(401, ErrorCode::kUnauthenticated, "unknown key");
+    }
+    team_ = team->team;
+  }
+  if (request_.body.size() > config_->limits().max_body_bytes) {
+    return refuse(413, ErrorCode::kTooLarge, "body exceeds its bound");
+  }
+  Duration allowed = route_->timeout;
+  if (request_.timeout) allowed = std::min(allowed, *request_.timeout);
+  deadline_ = arrived_ + allowed;
+  const ServiceName& name = PickService(*route_, state_.random.Unit());
+  service_ = config_->FindService(name);
+  if (service_ == nullptr) {
+    return refuse(503, ErrorCode::kUnavailable, "route names no service");
+  }
+  return true;
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::Place(TimePoint now) {
+  const EngineFigures* engine = service_->engine ? &*service_->engine : nullptr;
+  auto plan =
+      state_.placement.Choose(now, state_.board, service_->name, engine,
+                              request_.shape, tried_, state_.random.Next());
+  if (plan) return Send(now, std::move(*plan));
+  const Duration patience =
+      std::min(route_->latency_objective / 4, Duration::Milliseconds(300));
+  const bool may_come = state_.board.CountActive(service_->name) > 0 &&
+                        now - arrived_ < patience && sends_ == 0;
+  if (may_come) {
+    waiting_ = true;
+    return;
+  }
+  waiting_ = false;
+  if (possible_runs_ > 0 || answer_begun_) {
+    if (answer_begun_) {
+      response_->Abort();
+      return Finish("cut", 0);
+    }
+    return SendOwn({502,
+                    Error{ErrorCode::kUnavailable, "placement", "",
+                          "endpoint failed and no other takes the request"},
+                    {}});
+  }
+  SendOwn({503,
+           Error{ErrorCode::kOverloaded, "placement", service_->name.value(),
+                 "no endpoint takes the request"},
+           gateway_internal::kRetryAfter});
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::Send(TimePoint now, PlacementPlan plan) {
+  using namespace gateway_internal;
+  waiting_ = false;
+  // A suspended VM may wake here long after the key was checked.
+  if (!team_.empty() && !state_.freshness.Fresh(now)) {
+    return SendOwn({503,
+                    Error{ErrorCode::kUnavailable, "dispatch", "",
+                          "configuration became stale before the call"},
+                    kRetryAfter});
+  }
+  CallTarget target;
+  target.endpoint = plan.endpoint;
+  target.address = plan.address;
+  target.helper_addresses = plan.helper_addresses;
+  target.time_left = deadline_ - now;
+  target.team = team_;
+  target.resume_after = last_event_;
+
+  ClientRequest call = Format::WriteCall(request_, target);
+  call.connect_timeout = std::min(kConnectTimeout, target.time_left);
+  call.single_send = true;
+  call.fresh_connection = route_->repeat == RepeatRule::kOnce;
+  call.max_idle = kMaxIdleConnection;
+
+  call_.emplace();
+  call_->number = ++sends_;
+  call_->started = now;
+  call_->last_byte = now;
+  const auto readers = static_cast<int64_t>(plan.helpers.size() + 1);
+  call_->part = TokenCount(request_.shape.prompt.value() / readers);
+  call_->held = request_.shape.prompt + request_.shape.max_answer;
+  call_->plan = std::move(plan);
+  ++possible_runs_;
+  tried_.insert(call_->plan.endpoint);
+  state_.board.OnStart(now, call_->plan.endpoint, call_->part, call_->held);
+  for (const EndpointId& helper : call_->plan.helpers) {
+    state_.board.OnStart(now, helper, call_->part, TokenCount(0));
+  }
+  LogFields fields = Fields(now);
+  fields["endpoint"] = call_->plan.endpoint.value();
+  fields["helpers"] = call_->plan.helpers.size();
+  fields["forecast_ms"] = call_->plan.expected_first_token.milliseconds();
+  if (const auto* state = state_.board.Find(call_->plan.endpoint)) {
+    fields["own_calls"] = state->in_flight;
+    fields["peer_calls"] = state->peers_in_flight;
+  }
+  state_.log.Write(now, "placed", fields);
+  call_->handle = state_.http->Start(
+      std::move(call),
+      std::make_shared<CallListener>(this->weak_from_this(), sends_));
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::OnHead(int status, const HttpHeaders& headers) {
+  const TimePoint now = BootNow();
+  call_->last_byte = now;
+  AnswerHead head = Format::ReadHead(status, headers);
+  if (!head.request.empty() && head.request != request_.id) {
+    return FailCall(CallFailure::kBroken, CallSign::kBroken,
+                    "answer belongs to another request");
+  }
+  if (head.encoded) {
+    return FailCall(CallFailure::kBroken, CallSign::kBroken,
+                    "answer has a content encoding");
+  }
+  if (head.load) state_.board.OnLoad(now, call_->plan.endpoint, *head.load);
+  if (head.other_endpoint) {
+    return FailCall(CallFailure::kNotRun, CallSign::kMisdirected,
+                    "another endpoint has the address");
+  }
+  if (head.not_run) {
+    return FailCall(
+        CallFailure::kNotRun, CallSign::kRejected,
+        "endpoint did not run it, status " + std::to_string(status));
+  }
+  call_->head = std::move(head);
+}
+
+template <GatewayFormat Format>
+bool ForwardedRequest<Format>::OnBody(std::string_view data) {
+  using namespace gateway_internal;
+  if (unsent_bytes_ > kMaxUnsentBytes) {
+    paused_ = true;
+    return false;
+  }
+  call_->last_byte = BootNow();
+  if (!call_->head) return true;
+  if (route_->streaming && call_->head->status == 200) {
+    call_->events.Append(data);
+    ForwardEvents();
+    return true;
+  }
+  if (call_->body.size() + data.size() > kMaxPlainAnswer) {
+    FailCall(CallFailure::kBroken, CallSign::kBroken, "answer is too large");
+    return true;
+  }
+  call_->body += data;
+  return true;
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::ForwardEvents() {
+  std::string bytes;
+  while (auto event = call_->events.Next()) {
+    // A resumed run may repeat events that the caller has.
+    if (event->id && last_event_ && *event->id <= *last_event_) continue;
+    if (event->id) last_event_ = event->id;
+    bytes += event->bytes;
+  }
+  if (bytes.empty()) return;
+  NotePromptRead();
+  if (!answer_begun_) BeginAnswer();
+  unsent_bytes_ += bytes.size();
+  const size_t size = bytes.size();
+  response_->Write(
+      std::move(bytes), [weak = this->weak_from_this(), size](bool) {
+        auto self = weak.lock();
+        if (!self) return;
+        self->unsent_bytes_ -= std::min(size, self->unsent_bytes_);
+        if (self->paused_ && self->unsent_bytes_ == 0 && self->call_) {
+          self->paused_ = false;
+          self->call_->handle->Resume();
+        }
+      });
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::NotePromptRead() {
+  if (!call_->reading) return;
+  call_->reading = false;
+  state_.board.OnPromptRead(call_->plan.endpoint, call_->part);
+  for (const EndpointId& helper : call_->plan.helpers) {
+    state_.board.OnEnd(helper, call_->part, TokenCount(0));
+  }
+  const TimePoint now = BootNow();
+  state_.metrics.Observe("zr_gateway_first_event_seconds",
+                         {{"route", route_->name}}, now - arrived_);
+  state_.metrics.Observe(
+      "zr_gateway_forecast_error_seconds",
+      {{"service", service_->name.value()}},
+      std::max(Duration(),
+               now - call_->started - call_->plan.expected_first_token));
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::OnCallEnd(std::optional<ClientFailure> failure) {
+  if (failure) {
+    if (!failure->request_sent) {
+      return FailCall(CallFailure::kNotConnected, CallSign::kBroken,
+                      failure->error.message);
+    }
+    return FailCall(CallFailure::kBroken, CallSign::kBroken,
+                    failure->error.message);
+  }
+  if (!call_->head) {
+    return FailCall(CallFailure::kBroken, CallSign::kBroken,
+                    "answer has no status");
+  }
+  if (call_->events.pending_bytes() > 0) {
+    return FailCall(CallFailure::kBroken, CallSign::kBroken,
+                    "answer ends within an event");
+  }
+  CompleteCall();
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::CompleteCall() {
+  const TimePoint now = BootNow();
+  const int status = call_->head->status;
+  if (status >= 500) {
+    // Timeouts of the endpoint say nothing about its health.
+    return FailCall(
+        CallFailure::kErrorAnswer,
+        status == 504 ? CallSign::kAnswered : CallSign::kErrorAnswer,
+        "status " + std::to_string(status));
+  }
+  state_.board.OnSign(now, call_->plan.endpoint, CallSign::kAnswered);
+  if (route_->streaming && status == 200) {
+    if (!answer_begun_) BeginAnswer();
+    response_->End();
+    ReleaseCall();
+    return Finish("completed", status);
+  }
+  response_->Send(status, AnswerHeaders(call_->head->headers),
+                  std::move(call_->body));
+  ReleaseCall();
+  Finish("completed", status);
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::FailCall(CallFailure failure, CallSign sign,
+                                        const std::string& why) {
+  using namespace gateway_internal;
+  const TimePoint now = BootNow();
+  const EndpointId endpoint = call_->plan.endpoint;
+  // With helpers, the one at fault is not known unless the answer names it.
+  if (call_->plan.helpers.empty() || sign != CallSign::kRejected) {
+    state_.board.OnSign(now, endpoint, sign);
+  }
+  if (failure == CallFailure::kNotRun ||
+      failure == CallFailure::kNotConnected) {
+    --possible_runs_;
+  }
+  last_failure_ = failure;
+  LogFields fields = Fields(now);
+  fields["endpoint"] = endpoint.value();
+  fields["failure"] = ToString(failure);
+  fields["reason"] = why;
+  fields["call_ms"] = (now - call_->started).milliseconds();
+  fields["last_event"] = last_event_.value_or(-1);
+
+  AttemptFacts facts;
+  facts.repeat = route_->repeat;
+  facts.answer_begun = answer_begun_;
+  facts.possible_runs = possible_runs_;
+  facts.max_runs = route_->attempts;
+  facts.sends = sends_;
+  facts.time_left = deadline_ - now > kLeastTimeLeft;
+  NextStep step = AfterFailure(facts, failure);
+  if (step == NextStep::kSendAgain &&
+      !state_.BudgetOf(service_->name).TryRetry(now)) {
+    fields["budget"] = "used up";
+    facts.candidate_left = false;
+    step = AfterFailure(facts, failure);
+  }
+  fields["next_step"] = static_cast<int>(step);
+  state_.log.Write(now, "call_failed", fields);
+  state_.metrics.Count(
+      "zr_gateway_call_failures_total",
+      {{"service", service_->name.value()}, {"failure", ToString(failure)}});
+
+  std::optional<AnswerHead> head = std::move(call_->head);
+  std::string body = std::move(call_->body);
+  ReleaseCall();
+  switch (step) {
+    case NextStep::kSendAgain:
+      return Place(now);
+    case NextStep::kForwardAnswer:
+      response_->Send(head->status, AnswerHeaders(head->headers),
+                      std::move(body));
+      return Finish("endpoint error", head->status);
+    case NextStep::kCutAnswer:
+      response_->Abort();
+      return Finish("cut", 0);
+    case NextStep::kRefuse:
+      return SendOwn(
+          {503, Error{ErrorCode::kOverloaded, "call", endpoint.value(), why},
+           kRetryAfter});
+    case NextStep::kFail:
+      return SendOwn(
+          {502,
+           Error{ErrorCode::kUnknownOutcome, "call", endpoint.value(), why},
+           {}});
+  }
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::ReleaseCall() {
+  if (!call_) return;
+  if (call_->handle) call_->handle->Cancel();
+  const TokenCount unread = call_->reading ? call_->part : TokenCount(0);
+  state_.board.OnEnd(call_->plan.endpoint, unread, call_->held);
+  if (call_->reading) {
+    for (const EndpointId& helper : call_->plan.helpers) {
+      state_.board.OnEnd(helper, call_->part, TokenCount(0));
+    }
+  }
+  call_.reset();
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::OnCallerGone() {
+  if (ended_) return;
+  ReleaseCall();
+  Finish("caller gone", 0);
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::Abandon() {
+  if (ended_) return;
+  ReleaseCall();
+  response_->Abort();
+  Finish("abandoned", 0);
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::Tick(TimePoint now) {
+  if (ended_) return;
+  if (now >= deadline_) return Expire(now);
+  if (waiting_) return Place(now);
+  if (call_ && !paused_ && route_->repeat != RepeatRule::kOnce &&
+      now - call_->last_byte > SilenceBound()) {
+    FailCall(CallFailure::kSilent, CallSign::kSilent,
+             "no byte within the bound");
+  }
+}
+
+template <GatewayFormat Format>
+Duration ForwardedRequest<Format>::SilenceBound() const {
+  using namespace gateway_internal;
+  if (answer_begun_ && !call_->reading) return kEventSilence;
+  return std::max(kFirstByteSilence, route_->latency_objective * 3 / 2 +
+                                         call_->plan.expected_first_token);
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::Expire(TimePoint now) {
+  state_.log.Write(now, "deadline", Fields(now));
+  const bool may_have_run = possible_runs_ > 0;
+  ReleaseCall();
+  if (answer_begun_) {
+    response_->Abort();
+    return Finish("cut at deadline", 0);
+  }
+  SendOwn({may_have_run ? 504 : 503,
+           Error{ErrorCode::kDeadlineExceeded, "deadline", "",
+                 may_have_run ? "no answer before the deadline"
+                              : "no endpoint before the deadline"},
+           {}});
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::BeginAnswer() {
+  answer_begun_ = true;
+  response_->Begin(call_->head->status, AnswerHeaders(call_->head->headers));
+}
+
+template <GatewayFormat Format>
+HttpHeaders ForwardedRequest<Format>::AnswerHeaders(HttpHeaders headers) const {
+  if (state_.stopping) headers["connection"] = "close";
+  return headers;
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::SendOwn(OwnAnswer answer) {
+  const std::string body = nlohmann::json{
+      {"error",
+       {{"code", ToString(answer.error.code)},
+        {"message", answer.error.message},
+        {"step", answer.error.step},
+        {"peer",
+         answer.error.peer}}}}.dump();
+  response_->Send(answer.status,
+                  AnswerHeaders(Format::WriteOwnHeaders(request_.id, answer)),
+                  body);
+  const TimePoint now = BootNow();
+  LogFields fields = Fields(now);
+  fields["status"] = answer.status;
+  fields["step"] = answer.error.step;
+  fields["reason"] = answer.error.message;
+  fields["config_age_ms"] = state_.freshness.Age(now).milliseconds();
+  if (answer.retry_after) {
+    fields["retry_after_ms"] = answer.retry_after->milliseconds();
+  }
+  state_.log.Write(now, "own_answer", fields);
+  Finish("own answer", answer.status);
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::Finish(const char* outcome, int status) {
+  ended_ = true;
+  const TimePoint now = BootNow();
+  LogFields fields = Fields(now);
+  fields["outcome"] = outcome;
+  fields["status"] = status;
+  state_.log.Write(now, "finished", fields);
+  const std::string route = route_ != nullptr ? route_->name : "none";
+  state_.metrics.Count("zr_gateway_requests_total",
+                       {{"route", route}, {"outcome", outcome}});
+  state_.metrics.Observe("zr_gateway_request_seconds", {{"route", route}},
+                         now - arrived_);
+}
+
+template <GatewayFormat Format>
+LogFields ForwardedRequest<Format>::Fields(TimePoint now) const {
+  LogFields fields = {{"request", request_.id.value()}};
+  if (route_ != nullptr) fields["route"] = route_->name;
+  fields["config"] = config_ ? config_->version() : 0;
+  fields["age_ms"] = (now - arrived_).milliseconds();
+  fields["calls"] = sends_;
+  return fields;
+}
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "zr_gateway_host/forwarded_request.h"
+#include "zr_gateway_host/gateway_settings.h"
+#include "zr_gateway_host/gateway_state.h"
+#include "zr_gateway_host/store_feed.h"
+
+namespace zr {
+
+/**
+ * One entry VM that forwards requests on the routes of a platform's
+ * configuration. Everything runs on one thread.
+ */
+template <GatewayFormat Format>
+class GatewayNode : public StoreFeed<typename Format::Store>::Listener {
+ public:
+  /** Reads the settings again; an error leaves the old ones in force. */
+  using SettingsReader = std::function<Result<GatewaySettings>()>;
+
+  /** @returns an error if an address cannot be bound */
+  static Result<std::unique_ptr<GatewayNode>> Create(GatewaySettings settings,
+                                                     SettingsReader reader);
+  GatewayNode(const GatewayNode&) = delete;
+  GatewayNode& operator=(const GatewayNode&) = delete;
+
+  /** Serves until SIGTERM or SIGINT; @returns the process's exit code */
+  int Run();
+
+ private:
+  using Feed = StoreFeed<typename Format::Store>;
+  using Store = BasicObjectStore<typename Format::Store>;
+  using Request = ForwardedRequest<Format>;
+
+  GatewayNode(GatewaySettings settings, SettingsReader reader);
+  Result<void> Open();
+
+  // StoreFeed::Listener
+  void OnList(const std::string& kind,
+              const std::vector<StoreItem>& items) override;
+  void OnChanges(const std::string& kind,
+                 const std::vector<StoreItem>& items) override;
+  void OnEvidence(const std::string& kind, TimePoint started) override;
+  void OnReachable(const std::string& kind, bool reachable,
+                   StoreStatus status) override;
+
+  void ApplyConfig(const StoreItem& item);
+  void ApplyEndpoint(const StoreItem& item);
+  std::optional<DirectoryEntry> DecodeEntry(const StoreItem& item);
+  void ApplyEvacuations();
+
+  void HandleCaller(HttpRequest request, HttpResponsePtr response);
+  void HandleProbe(const HttpRequest& request, HttpResponsePtr response);
+  bool Ready() const;
+
+  void WaitForSignal();
+  void ScheduleTick();
+  void Tick();
+  void Reload(const char* cause);
+  void BeginStop();
+  void FinishStop(const char* reason);
+
+  GatewaySettings settings_;
+  SettingsReader reader_;
+  asio::io_context io_{1};
+  Metrics metrics_;
+  GatewayState state_;
+  EndpointDirectory directory_;
+  std::shared_ptr<Store> store_;
+  std::vector<std::shared_ptr<Feed>> feeds_;
+  std::unique_ptr<HttpServer> callers_;
+  std::unique_ptr<HttpServer> probes_;
+  std::list<std::shared_ptr<Request>> requests_;
+  std::set<DomainId> evacuated_;
+  bool endpoints_known_ = false;
+  bool was_ready_ = false;
+  asio::signal_set signals_;
+  asio::steady_timer tick_;
+  TimePoint next_settings_check_;
+  TimePoint stop_began_;
+};
+
+}  // namespace zr
+
+#include "zr_gateway_host/gateway_node_impl.h"
--- /dev/null
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -0,0 +1,424 @@
+#pragma once
+
+// Implementation of gateway_node.h.
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <utility>
+
+namespace zr {
+namespace gateway_internal {
+
+// Resolution of deadlines and of the search for silent endpoints.
+inline constexpr Duration kTickPeriod = Duration::Milliseconds(40);
+// The settings file may change without a signal.
+inline constexpr Duration kSettingsPeriod = Duration::Seconds(2);
+// A stopping VM still gets new connections until the balancer has missed two
+// probes, one a second.
+inline constexpr Duration kStopLinger = Duration::Milliseconds(3500);
+// Time kept for an orderly exit before the process is killed.
+inline constexpr Duration kStopMargin = Duration::Milliseconds(400);
+// Watches of the configuration are its evidence; the others may be slower.
+inline constexpr Duration kConfigWatch = Duration::Milliseconds(1200);
+inline constexpr Duration kEndpointWatch = Duration::Milliseconds(1300);
+inline constexpr Duration kEvacuationWatch = Duration::Milliseconds(2500);
+// Beyond its wait, a call to the store has this long to be answered.
+inline constexpr Duration kStoreTimeout = Duration::Milliseconds(700);
+// Headers and bodies beyond these end the connection; the configuration's
+// own, lower bounds are answered with 431 and 413.
+inline constexpr size_t kMaxHeaderBytes = 64 << 10;
+inline constexpr size_t kMaxBodyBytes = 16 << 20;
+// Clients reuse connections idle for up to the configured idle time.
+inline constexpr Duration kIdleTimeout = Duration::Seconds(30);
+
+}  // namespace gateway_internal
+
+template <GatewayFormat Format>
+GatewayNode<Format>::GatewayNode(GatewaySettings settings,
+                                 SettingsReader reader)
+    : settings_(std::move(settings)),
+      reader_(std::move(reader)),
+      state_(settings_, metrics_),
+      directory_(state_.board),
+      signals_(io_, SIGTERM, SIGINT, SIGHUP),
+      tick_(io_) {}
+
+template <GatewayFormat Format>
+Result<std::unique_ptr<GatewayNode<Format>>> GatewayNode<Format>::Create(
+    GatewaySettings settings, SettingsReader reader) {
+  std::unique_ptr<GatewayNode> node(
+      new GatewayNode(std::move(settings), std::move(reader)));
+  if (auto opened = node->Open(); !opened) {
+    return tl::unexpected(opened.error());
+  }
+  return node;
+}
+
+template <GatewayFormat Format>
+Result<void> GatewayNode<Format>::Open() {
+  using namespace gateway_internal;
+  auto client = HttpClient::Create(io_);
+  if (!client) return tl::unexpected(client.error());
+  state_.http = *client;
+
+  HttpServerOptions options;
+  options.max_header_bytes = kMaxHeaderBytes;
+  options.max_body_bytes = kMaxBodyBytes;
+  options.idle_timeout = kIdleTimeout;
+  options.address = settings_.callers_address;
+  auto callers = HttpServer::Start(
+      io_, options, [this](HttpRequest request, HttpResponsePtr response) {
+        HandleCaller(std::move(request), std::move(response));
+      });
+  if (!callers) return tl::unexpected(callers.error());
+  callers_ = std::move(*callers);
+  options.address = settings_.ready_address;
+  auto probes = HttpServer::Start(
+      io_, options, [this](HttpRequest request, HttpResponsePtr response) {
+        HandleProbe(request, std::move(response));
+      });
+  if (!probes) return tl::unexpected(probes.error());
+  probes_ = std::move(*probes);
+
+  ObjectStoreOptions store;
+  store.address = settings_.store_address;
+  store.request_timeout = kStoreTimeout;
+  store.budget.reads_per_second = settings_.store_reads_per_s;
+  store.budget.writes_per_second = settings_.store_writes_per_s;
+  store_ = std::make_shared<Store>(*client, store, &BootNow);
+  const auto follow = [this](const char* kind, StorePurpose purpose,
+                             Duration wait) {
+    typename Feed::Options feed;
+    feed.kind = kind;
+    feed.purpose = purpose;
+    feed.wait = wait;
+    feeds_.push_back(std::make_shared<Feed>(io_, store_, feed, *this));
+  };
+  follow(Format::kConfigKind, StorePurpose::kConfig, kConfigWatch);
+  follow(Format::kEndpointKind, StorePurpose::kEndpoints, kEndpointWatch);
+  follow(Format::kEvacuationKind, StorePurpose::kStatus, kEvacuationWatch);
+  return {};
+}
+
+template <GatewayFormat Format>
+int GatewayNode<Format>::Run() {
+  state_.log.Write(BootNow(), "start",
+                   {{"callers", settings_.callers_address},
+                    {"domain", settings_.domain.value()},
+                    {"store", settings_.store_address}});
+  for (const auto& feed : feeds_) feed->Start();
+  WaitForSignal();
+  ScheduleTick();
+  io_.run();
+  return 0;
+}
+
+//==============================================================================
+// Store
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::OnList(const std::string& kind,
+                                 const std::vector<StoreItem>& items) {
+  const TimePoint now = BootNow();
+  if (kind == Format::kConfigKind) {
+    for (const StoreItem& item : items) ApplyConfig(item);
+  } else if (kind == Format::kEndpointKind) {
+    std::vector<DirectoryEntry> entries;
+    for (const StoreItem& item : items) {
+      if (auto entry = DecodeEntry(item)) entries.push_back(std::move(*entry));
+    }
+    directory_.OnList(now, entries);
+    endpoints_known_ = true;
+  } else {
+    evacuated_.clear();
+    for (const StoreItem& item : items) evacuated_.insert(DomainId(item.name));
+    ApplyEvacuations();
+  }
+  state_.log.Write(now, "listed", {{"kind", kind}, {"items", items.size()}});
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::OnChanges(const std::string& kind,
+                                    const std::vector<StoreItem>& items) {
+  if (kind == Format::kConfigKind) {
+    for (const StoreItem& item : items) {
+      if (!item.deleted) ApplyConfig(item);
+    }
+  } else if (kind == Format::kEndpointKind) {
+    for (const StoreItem& item : items) ApplyEndpoint(item);
+  } else {
+    for (const StoreItem& item : items) {
+      if (item.deleted) {
+        evacuated_.erase(DomainId(item.name));
+      } else {
+        evacuated_.insert(DomainId(item.name));
+      }
+    }
+    ApplyEvacuations();
+  }
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::OnEvidence(const std::string& kind,
+                                     TimePoint started) {
+  if (kind == Format::kConfigKind && state_.config) {
+    state_.freshness.OnEvidence(started);
+  }
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::OnReachable(const std::string& kind, bool reachable,
+                                      StoreStatus status) {
+  const TimePoint now = BootNow();
+  if (kind == Format::kEndpointKind) directory_.OnReachable(now, reachable);
+  state_.log.Write(
+      now, reachable ? "store_back" : "store_lost",
+      {{"kind", kind},
+       {"status", ToString(status)},
+       {"config_age_ms", state_.freshness.Age(now).milliseconds()}});
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::ApplyConfig(const StoreItem& item) {
+  if (item.name != Format::kConfigName) return;
+  const TimePoint now = BootNow();
+  auto parts = Format::DecodeConfig(item.value);
+  if (!parts) {
+    state_.log.Write(now, "config_rejected",
+                     {{"revision", item.version.value()},
+                      {"reason", ToString(parts.error())}});
+    return;
+  }
+  const int64_t version = parts->version;
+  if (state_.config && version <= state_.config->version()) return;
+  auto config = GatewayConfig::Create(std::move(*parts));
+  if (!config) {
+    state_.log.Write(now, "config_rejected",
+                     {{"revision", item.version.value()},
+                      {"reason", ToString(config.error())}});
+    return;
+  }
+  state_.config = std::move(*config);
+  state_.log.Write(now, "config_in_force",
+                   {{"version", version},
+                    {"revision", item.version.value()},
+                    {"routes", state_.config->routes().size()}});
+}
+
+template <GatewayFormat Format>
+std::optional<DirectoryEntry> GatewayNode<Format>::DecodeEntry(
+    const StoreItem& item) {
+  auto listed = Format::DecodeEndpoint(item.name, item.value);
+  if (!listed) {
+    state_.log.Write(BootNow(), "entry_rejected",
+                     {{"name", item.name},
+                      {"revision", item.version.value()},
+                      {"reason", ToString(listed.error())}});
+    return std::nullopt;
+  }
+  DirectoryEntry entry;
+  if (state_.config) {
+    if (const auto* policy = state_.config->FindService(listed->service)) {
+      entry.cold_rate_per_s = policy->cold_rate_per_s;
+    }
+  }
+  entry.endpoint = std::move(*listed);
+  return entry;
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::ApplyEndpoint(const StoreItem& item) {
+  const TimePoint now = BootNow();
+  const EndpointId id(item.name);
+  if (item.deleted) {
+    directory_.OnRemoved(now, id);
+    state_.log.Write(
+        now, "endpoint_removed",
+        {{"endpoint", item.name}, {"revision", item.version.value()}});
+    return;
+  }
+  const EndpointState* known = state_.board.Find(id);
+  const bool was_draining = known != nullptr && known->listed.draining;
+  auto entry = DecodeEntry(item);
+  // An entry that can't be read names no endpoint to use.
+  if (!entry) return directory_.OnRemoved(now, id);
+  directory_.OnEntry(now, *entry);
+  if (known == nullptr || was_draining != entry->endpoint.draining) {
+    state_.log.Write(now, "endpoint_listed",
+                     {{"endpoint", item.name},
+                      {"address", entry->endpoint.address},
+                      {"draining", entry->endpoint.draining},
+                      {"cold_ms", entry->endpoint.cold_left.milliseconds()},
+                      {"revision", item.version.value()}});
+  }
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::ApplyEvacuations() {
+  state_.board.SetEvacuated(evacuated_);
+  LogFields fields = {{"domains", LogFields::array()}};
+  for (const DomainId& domain : evacuated_) {
+    fields["domains"].push_back(domain.value());
+  }
+  state_.log.Write(BootNow(), "evacuations", fields);
+}
+
+//==============================================================================
+// Callers and probes
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::HandleCaller(HttpRequest request,
+                                       HttpResponsePtr response) {
+  const TimePoint now = BootNow();
+  size_t header_bytes = 0;
+  for (const auto& [name, value] : request.headers) {
+    header_bytes += name.size() + value.size();
+  }
+  const ClientLimits limits =
+      state_.config ? state_.config->limits() : ClientLimits{};
+  auto caller = Format::ReadRequest(std::move(request));
+  std::optional<OwnAnswer> refusal;
+  if (header_bytes > limits.max_header_bytes) {
+    refusal = OwnAnswer{431,
+                        Error{ErrorCode::kTooLarge, "request", "",
+                              "headers exceed their bound"},
+                        {}};
+  } else if (!caller) {
+    refusal = OwnAnswer{400, caller.error(), {}};
+  }
+  if (refusal) {
+    const RequestId id = caller ? caller->id : RequestId();
+    response->Send(refusal->status, Format::WriteOwnHeaders(id, *refusal),
+                   ToString(refusal->error));
+    state_.log.Write(now, "bad_request",
+                     {{"request", id.value()},
+                      {"status", refusal->status},
+                      {"reason", refusal->error.message}});
+    return;
+  }
+  auto forwarded = std::make_shared<Request>(state_, std::move(*caller),
+                                             std::move(response), now);
+  requests_.push_back(forwarded);
+  forwarded->Start();
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::HandleProbe(const HttpRequest& request,
+                                      HttpResponsePtr response) {
+  if (request.path == "/metrics") {
+    metrics_.Set("zr_gateway_requests_in_progress", {},
+                 static_cast<double>(requests_.size()));
+    metrics_.Set("zr_gateway_log_lines_dropped", {},
+                 static_cast<double>(state_.log.dropped()));
+    response->Send(200, {{"content-type", "text/plain; version=0.0.4"}},
+                   metrics_.PrometheusText());
+    return;
+  }
+  if (request.path != Format::kReadyPath) {
+    response->Send(404, {}, "");
+    return;
+  }
+  const bool ready = Ready();
+  if (ready != was_ready_) {
+    const TimePoint now = BootNow();
+    state_.log.Write(
+        now, "readiness",
+        {{"ready", ready},
+         {"config", state_.config ? state_.config->version() : 0},
+         {"config_age_ms", state_.freshness.Age(now).milliseconds()},
+         {"stopping", state_.stopping}});
+    was_ready_ = ready;
+  }
+  response->Send(ready ? 200 : 503, {}, "");
+}
+
+template <GatewayFormat Format>
+bool GatewayNode<Format>::Ready() const {
+  return !state_.stopping && state_.config && endpoints_known_ &&
+         state_.freshness.Fresh(BootNow());
+}
+
+//==============================================================================
+// Time and signals
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::WaitForSignal() {
+  signals_.async_wait([this](const asio::error_code& error, int signal) {
+    if (error) return;
+    if (signal == SIGHUP) {
+      Reload("signal");
+    } else {
+      BeginStop();
+    }
+    WaitForSignal();
+  });
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::ScheduleTick() {
+  tick_.expires_after(
+      std::chrono::microseconds(gateway_internal::kTickPeriod.microseconds()));
+  tick_.async_wait([this](const asio::error_code& error) {
+    if (error) return;
+    Tick();
+    ScheduleTick();
+  });
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::Tick() {
+  using namespace gateway_internal;
+  const TimePoint now = BootNow();
+  for (auto it = requests_.begin(); it != requests_.end();) {
+    (*it)->Tick(now);
+    it = (*it)->ended() ? requests_.erase(it) : std::next(it);
+  }
+  directory_.Tick(now);
+  if (now >= next_settings_check_) {
+    next_settings_check_ = now + kSettingsPeriod;
+    Reload("file");
+  }
+  if (!state_.stopping) return;
+  const Duration stopping = now - stop_began_;
+  if (requests_.empty() && stopping > kStopLinger) FinishStop("idle");
+  if (stopping > settings_.grace - kStopMargin) FinishStop("grace is over");
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::Reload(const char* cause) {
+  auto read = reader_();
+  const TimePoint now = BootNow();
+  if (!read) {
+    state_.log.Write(now, "reload_failed",
+                     {{"cause", cause}, {"reason", ToString(read.error())}});
+    return;
+  }
+  if (*read == settings_) return;
+  // Addresses are bound at the start; the rest applies at once.
+  settings_ = std::move(*read);
+  state_.freshness.SetBound(settings_.revocation_bound -
+                            GatewayState::kWatchGap);
+  state_.log.Write(now, "reload", {{"cause", cause}});
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::BeginStop() {
+  if (state_.stopping) return;
+  state_.stopping = true;
+  stop_began_ = BootNow();
+  state_.log.Write(stop_began_, "stopping",
+                   {{"requests", requests_.size()},
+                    {"grace_ms", settings_.grace.milliseconds()}});
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::FinishStop(const char* reason) {
+  state_.log.Write(BootNow(), "stop",
+                   {{"reason", reason}, {"requests", requests_.size()}});
+  for (const auto& request : requests_) request->Abandon();
+  for (const auto& feed : feeds_) feed->Stop();
+  io_.stop();
+}
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_gateway_host/gateway_state.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <ctime>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "zr_gateway/zr_gateway.h"
+#include "zr_gateway_host/gateway_settings.h"
+#include "zr_http/zr_http.h"
+#include "zr_request/retry_budget.h"
+#include "zr_telemetry/decision_log.h"
+#include "zr_telemetry/metrics.h"
+
+namespace zr {
+
+/** Time since boot, which counts suspensions of the VM. */
+inline TimePoint BootNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint::FromMicroseconds(int64_t{now.tv_sec} * 1'000'000 +
+                                     now.tv_nsec / 1000);
+}
+
+/** What the requests of one process share; used on one thread. */
+struct GatewayState {
+  GatewayState(const GatewaySettings& settings, Metrics& metrics_registry)
+      : metrics(metrics_registry),
+        log(settings.vm.value()),
+        freshness(settings.revocation_bound - kWatchGap),
+        random(std::hash<std::string>()(settings.callers_address)) {}
+
+  RetryBudget& BudgetOf(const ServiceName& service) {
+    // The floor and burst of all VMs stay below a service's fixed allowance.
+    return budgets.try_emplace(service, 0.15, 0.2, 3.0).first->second;
+  }
+
+  /** A watch may miss changes for about a second before it is cut off. */
+  static constexpr Duration kWatchGap = Duration::Milliseconds(1300);
+
+  Metrics& metrics;
+  DecisionLog log;
+  GatewayConfigPtr config;  // null until the first one was read
+  ConfigFreshness freshness;
+  EndpointBoard board;
+  Placement placement;
+  Random random;
+  std::unordered_map<ServiceName, RetryBudget> budgets;
+  std::shared_ptr<HttpClient> http;
+  bool stopping = false;
+};
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_gateway_host/store_feed.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "zr_gateway_host/gateway_state.h"
+#include "zr_platform/zr_platform.h"
+
+namespace zr {
+
+/**
+ * Follows all objects of one kind: a complete list, then watches, and a list
+ * again when the store has forgotten the history. Watches are short, so that
+ * each answer is recent evidence of the kind's state and a silent connection
+ * is noticed.
+ */
+template <ObjectFormat Format>
+class StoreFeed : public std::enable_shared_from_this<StoreFeed<Format>> {
+ public:
+  using Store = BasicObjectStore<Format>;
+
+  struct Options {
+    std::string kind;
+    StorePurpose purpose = StorePurpose::kEndpoints;
+    Duration wait = Duration::Milliseconds(1500);  // of one watch
+    Duration pause = Duration::Milliseconds(150);  // after a failed call
+    Duration longest_pause = Duration::Milliseconds(800);
+  };
+
+  /** Receives what the store says. */
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    /** All objects of the kind. */
+    virtual void OnList(const std::string& kind,
+                        const std::vector<StoreItem>& items) = 0;
+    virtual void OnChanges(const std::string& kind,
+                           const std::vector<StoreItem>& items) = 0;
+    /** A call that began then was answered, after its items were reported. */
+    virtual void OnEvidence(const std::string& kind, TimePoint started) = 0;
+    /** The feed lost the store, or has it again. */
+    virtual void OnReachable(const std::string& kind, bool reachable,
+                             StoreStatus status) = 0;
+  };
+
+  StoreFeed(asio::io_context& io, std::shared_ptr<Store> store, Options options,
+            Listener& listener)
+      : store_(std::move(store)),
+        options_(std::move(options)),
+        listener_(listener),
+        timer_(io) {}
+
+  void Start() { List(""); }
+  void Stop() {
+    stopped_ = true;
+    timer_.cancel();
+  }
+
+ private:
+  static constexpr int kPageSize = 500;
+
+  void List(const std::string& after) {
+    if (after.empty()) items_.clear();
+    const TimePoint started = BootNow();
+    if (after.empty()) list_started_ = started;
+    store_->List(options_.purpose, options_.kind, after, kPageSize,
+                 [self = this->shared_from_this()](StoreReply reply) {
+                   self->OnPage(std::move(reply));
+                 });
+  }
+
+  void OnPage(StoreReply reply) {
+    if (stopped_) return;
+    if (reply.status != StoreStatus::kOk) return Fail(reply.status);
+    // The watch continues from the first page, which may repeat changes.
+    if (items_.empty()) version_ = reply.version;
+    for (StoreItem& item : reply.items) items_.push_back(std::move(item));
+    if (reply.more && !items_.empty()) return List(items_.back().name);
+    listed_ = true;
+    listener_.OnList(options_.kind, items_);
+    items_.clear();
+    Succeed(list_started_);
+    Watch();
+  }
+
+  void Watch() {
+    const TimePoint started = BootNow();
+    store_->Watch(options_.purpose, options_.kind, version_, options_.wait,
+                  [self = this->shared_from_this(), started](StoreReply reply) {
+                    self->OnWatched(started, std::move(reply));
+                  });
+  }
+
+  void OnWatched(TimePoint started, StoreReply reply) {
+    if (stopped_) return;
+    if (reply.status == StoreStatus::kGone) {
+      listed_ = false;
+      return List("");
+    }
+    if (reply.status != StoreStatus::kOk) return Fail(reply.status);
+    version_ = std::max(version_, reply.version);
+    if (!reply.items.empty()) listener_.OnChanges(options_.kind, reply.items);
+    Succeed(started);
+    Watch();
+  }
+
+  void Succeed(TimePoint started) {
+    failures_ = 0;
+    if (!reachable_) {
+      reachable_ = true;
+      listener_.OnReachable(options_.kind, true, StoreStatus::kOk);
+    }
+    listener_.OnEvidence(options_.kind, started);
+  }
+
+  void Fail(StoreStatus status) {
+    if (reachable_) {
+      reachable_ = false;
+      listener_.OnReachable(options_.kind, false, status);
+    }
+    const Duration pause =
+        std::min(options_.pause * (int64_t{1} << std::min(failures_, 4)),
+                 options_.longest_pause);
+    ++failures_;
+    timer_.expires_after(std::chrono::microseconds(pause.microseconds()));
+    timer_.async_wait(
+        [self = this->shared_from_this()](const asio::error_code& error) {
+          if (error || self->stopped_) return;
+          if (self->listed_) {
+            self->Watch();
+          } else {
+            self->List("");
+          }
+        });
+  }
+
+  std::shared_ptr<Store> store_;
+  Options options_;
+  Listener& listener_;
+  asio::steady_timer timer_;
+  ObjectVersion version_;
+  std::vector<StoreItem> items_;
+  TimePoint list_started_;
+  int failures_ = 0;
+  bool listed_ = false;
+  bool reachable_ = true;
+  bool stopped_ = false;
+};
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_gateway_host/zr_gateway_host.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/**
+ * zr_gateway_host: a process that forwards requests on declared routes. Carries
+ * out the decisions of zr_gateway over HTTP; the platform's words come from a
+ * model of GatewayFormat.
+ *
+ * Dependencies: zr_base, zr_gateway, zr_request (retry budget), zr_http,
+ * zr_platform (object store client), zr_telemetry.
+ * Threads: one thread runs the io_context and everything on it.
+ */
+
+#include "zr_gateway_host/gateway_node.h"
