--- a/modules/zr_http/client/http_call.cc
+++ b/modules/zr_http/client/http_call.cc
@@ -1,14 +1,36 @@
 #include "zr_http/client/http_call.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <cctype>
 #include <string_view>
 #include <utility>
 
 namespace zr {
+namespace {
+
+// Unacknowledged data or unanswered keep-alive probes end a connection after
+// this time; a partitioned peer sends no reset.
+constexpr unsigned kSilentPeerTimeoutMs = 2000;
+constexpr long kKeepAliveSeconds = 1;  // NOLINT(google-runtime-int)
+
+int OnSocketCreated(void*, curl_socket_t fd, curlsocktype) {
+  // Not every platform offers the option; calls then end by their deadline.
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kSilentPeerTimeoutMs,
+             sizeof(kSilentPeerTimeoutMs));
+  return CURL_SOCKOPT_OK;
+}
+
+}  // namespace
 
-EasyCall::EasyCall(ClientRequest request, std::shared_ptr<HttpClient::Listener> listener)
-    : request_(std::move(request)), listener_(std::move(listener)), easy_(curl_easy_init()) {
+EasyCall::EasyCall(ClientRequest request,
+                   std::shared_ptr<HttpClient::Listener> listener)
+    : request_(std::move(request)),
+      listener_(std::move(listener)),
+      easy_(curl_easy_init()) {
   if (easy_ != nullptr) ApplyOptions();
 }
 
@@ -19,25 +41,46 @@
 
 void EasyCall::ApplyOptions() {
   for (const auto& [name, value] : request_.headers) {
-    header_list_ = curl_slist_append(header_list_, (name + ": " + value).c_str());
+    header_list_ =
+        curl_slist_append(header_list_, (name + ": " + value).c_str());
   }
-  // Without this, libcurl waits for "100 Continue" before it sends large bodies.
+  // Without this, libcurl waits for "100 Continue" before it sends large
+  // bodies.
   header_list_ = curl_slist_append(header_list_, "Expect:");
+  // Headers that libcurl would add on its own are suppressed.
+  for (const char* added : {"content-type", "accept"}) {
+    if (!request_.headers.contains(added)) {
+      header_list_ =
+          curl_slist_append(header_list_, (std::string(added) + ":").c_str());
+    }
+  }
   curl_easy_setopt(easy_, CURLOPT_HTTPHEADER, header_list_);
   curl_easy_setopt(easy_, CURLOPT_URL, request_.url.c_str());
   curl_easy_setopt(easy_, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(easy_, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt(easy_, CURLOPT_PROXY, "");
   curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy_, CURLOPT_TCP_NODELAY, 1L);
-  curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS,
-                   static_cast<long>(request_.connect_timeout.milliseconds()));  // NOLINT
-  curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS,
-                   static_cast<long>(request_.total_timeout.milliseconds()));  // NOLINT
+  curl_easy_setopt(
+      easy_, CURLOPT_CONNECTTIMEOUT_MS,
+      static_cast<long>(request_.connect_timeout.milliseconds()));  // NOLINT
+  curl_easy_setopt(
+      easy_, CURLOPT_TIMEOUT_MS,
+      static_cast<long>(request_.total_timeout.milliseconds()));  // NOLINT
+  curl_easy_setopt(easy_, CURLOPT_SOCKOPTFUNCTION, &OnSocketCreated);
+  curl_easy_setopt(easy_, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(easy_, CURLOPT_TCP_KEEPIDLE, kKeepAliveSeconds);
+  curl_easy_setopt(easy_, CURLOPT_TCP_KEEPINTVL, kKeepAliveSeconds);
+  if (request_.max_idle > Duration()) {
+    curl_easy_setopt(easy_, CURLOPT_MAXAGE_CONN,
+                     static_cast<long>(request_.max_idle.seconds()));  // NOLINT
+  }
   if (request_.fresh_connection) {
     curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, 1L);
   }
-  if (!request_.body.empty() || request_.method == "POST" || request_.method == "PUT") {
+  if (!request_.body.empty() || request_.method == "POST" ||
+      request_.method == "PUT") {
     curl_easy_setopt(easy_, CURLOPT_POSTFIELDSIZE_LARGE,
                      static_cast<curl_off_t>(request_.body.size()));
     curl_easy_setopt(easy_, CURLOPT_POSTFIELDS, request_.body.data());
@@ -55,20 +98,27 @@
 }
 
 int EasyCall::OnRequestStart(void* self, char*, char*, int, int) {
-  static_cast<EasyCall*>(self)->request_sent_ = true;
+  auto* call = static_cast<EasyCall*>(self);
+  if (call->request_sent_ && call->request_.single_send) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  call->request_sent_ = true;
   return CURL_PREREQFUNC_OK;
 }
 
 size_t EasyCall::OnHeader(char* data, size_t size, size_t count, void* self) {
   auto* call = static_cast<EasyCall*>(self);
   std::string_view line(data, size * count);
-  while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) line.remove_suffix(1);
+  while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
+    line.remove_suffix(1);
   if (line.starts_with("HTTP/")) {
     call->response_headers_.clear();
-  } else if (const size_t colon = line.find(':'); colon != std::string_view::npos) {
+  } else if (const size_t colon = line.find(':');
+             colon != std::string_view::npos) {
     std::string name(line.substr(0, colon));
-    std::transform(name.begin(), name.end(), name.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
+      return static_cast<char>(std::tolower(c));
+    });
     std::string_view value = line.substr(colon + 1);
     while (!value.empty() && value.front() == ' ') value.remove_prefix(1);
     call->response_headers_[std::move(name)] = std::string(value);
@@ -77,7 +127,8 @@
     curl_easy_getinfo(call->easy_, CURLINFO_RESPONSE_CODE, &status);
     if (status >= 200) {
       call->headers_delivered_ = true;
-      call->listener_->OnHeaders(static_cast<int>(status), call->response_headers_);
+      call->listener_->OnHeaders(static_cast<int>(status),
+                                 call->response_headers_);
     }
   }
   return size * count;
@@ -87,8 +138,9 @@
   auto* call = static_cast<EasyCall*>(self);
   if (!call->listener_) return size * count;
   auto listener = call->listener_;
-  return listener->OnData(std::string_view(data, size * count)) ? size * count
-                                                                : CURL_WRITEFUNC_PAUSE;
+  return listener->OnData(std::string_view(data, size * count))
+             ? size * count
+             : CURL_WRITEFUNC_PAUSE;
 }
 
 void EasyCall::Finish(CURLcode code) {
@@ -98,11 +150,13 @@
     listener->OnEnd(std::nullopt);
     return;
   }
-  const std::string text = error_text_[0] != 0 ? error_text_ : curl_easy_strerror(code);
+  const std::string text =
+      error_text_[0] != 0 ? error_text_ : curl_easy_strerror(code);
   const ErrorCode error_code = code == CURLE_OPERATION_TIMEDOUT && request_sent_
                                    ? ErrorCode::kUnknownOutcome
                                    : ErrorCode::kUnavailable;
-  listener->OnEnd(ClientFailure{Error{error_code, "call", request_.url, text}, request_sent_});
+  listener->OnEnd(ClientFailure{Error{error_code, "call", request_.url, text},
+                                request_sent_});
 }
 
 }  // namespace zr
--- a/modules/zr_http/client/http_call.h
+++ b/modules/zr_http/client/http_call.h
@@ -9,10 +9,12 @@
 
 namespace zr {
 
-/** One libcurl easy handle and its listener; used only on the client's strand. */
+/** One libcurl easy handle and its listener; used only on the client's strand.
+ */
 class EasyCall {
  public:
-  EasyCall(ClientRequest request, std::shared_ptr<HttpClient::Listener> listener);
+  EasyCall(ClientRequest request,
+           std::shared_ptr<HttpClient::Listener> listener);
   ~EasyCall();
   EasyCall(const EasyCall&) = delete;
   EasyCall& operator=(const EasyCall&) = delete;
--- a/modules/zr_http/client/http_client.cc
+++ b/modules/zr_http/client/http_client.cc
@@ -16,12 +16,14 @@
 namespace {
 
 // Idle connections kept for reuse.
-constexpr long kConnectionCacheSize = 4096;  // NOLINT(google-runtime-int): libcurl's type
+constexpr long kConnectionCacheSize =
+    4096;  // NOLINT(google-runtime-int): libcurl's type
 
 class CurlClient;
 
 /** Shares a call between the caller's handle and the client's strand. */
-class CallHandle final : public HttpCall, public std::enable_shared_from_this<CallHandle> {
+class CallHandle final : public HttpCall,
+                         public std::enable_shared_from_this<CallHandle> {
  public:
   CallHandle(std::weak_ptr<CurlClient> client, std::unique_ptr<EasyCall> call)
       : client_(std::move(client)), call_(std::move(call)) {}
@@ -37,10 +39,13 @@
   std::unique_ptr<EasyCall> call_;
 };
 
-class CurlClient final : public HttpClient, public std::enable_shared_from_this<CurlClient> {
+class CurlClient final : public HttpClient,
+                         public std::enable_shared_from_this<CurlClient> {
  public:
   explicit CurlClient(asio::io_context& context)
-      : strand_(asio::make_strand(context)), timer_(strand_), multi_(curl_multi_init()) {
+      : strand_(asio::make_strand(context)),
+        timer_(strand_),
+        multi_(curl_multi_init()) {
     curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &CurlClient::OnSocket);
     curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
     curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &CurlClient::OnTimer);
@@ -49,7 +54,8 @@
   }
 
   ~CurlClient() override {
-    for (auto& [easy, handle] : running_) curl_multi_remove_handle(multi_, easy);
+    for (auto& [easy, handle] : running_)
+      curl_multi_remove_handle(multi_, easy);
     running_.clear();
     curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, nullptr);
     curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, nullptr);
@@ -61,8 +67,10 @@
   std::shared_ptr<HttpCall> Start(ClientRequest request,
                                   std::shared_ptr<Listener> listener) override {
     auto handle = std::make_shared<CallHandle>(
-        weak_from_this(), std::make_unique<EasyCall>(std::move(request), std::move(listener)));
-    asio::post(strand_, [self = shared_from_this(), handle] { self->Begin(handle); });
+        weak_from_this(),
+        std::make_unique<EasyCall>(std::move(request), std::move(listener)));
+    asio::post(strand_,
+               [self = shared_from_this(), handle] { self->Begin(handle); });
     return handle;
   }
 
@@ -79,19 +87,22 @@
   }
 
   void Cancel(std::shared_ptr<CallHandle> handle) {
-    asio::post(strand_, [self = shared_from_this(), handle = std::move(handle)] {
-      if (!handle->call()) return;
-      handle->call()->Detach();
-      self->Remove(handle->call()->easy());
-      self->Retire(handle);
-    });
+    asio::post(strand_,
+               [self = shared_from_this(), handle = std::move(handle)] {
+                 if (!handle->call()) return;
+                 handle->call()->Detach();
+                 self->Remove(handle->call()->easy());
+                 self->Retire(handle);
+               });
   }
 
   void Resume(std::shared_ptr<CallHandle> handle) {
-    asio::post(strand_, [self = shared_from_this(), handle = std::move(handle)] {
-      if (handle->call()) curl_easy_pause(handle->call()->easy(), CURLPAUSE_CONT);
-      self->CheckCompletions();
-    });
+    asio::post(strand_,
+               [self = shared_from_this(), handle = std::move(handle)] {
+                 if (handle->call())
+                   curl_easy_pause(handle->call()->easy(), CURLPAUSE_CONT);
+                 self->CheckCompletions();
+               });
   }
 
  private:
@@ -150,33 +161,42 @@
   void Wait(const std::shared_ptr<Socket>& socket, curl_socket_t fd) {
     if ((socket->wanted & CURL_POLL_IN) != 0 && !socket->reading) {
       socket->reading = true;
-      WaitFor(socket, fd, asio::posix::stream_descriptor::wait_read, CURL_CSELECT_IN);
+      WaitFor(socket, fd, asio::posix::stream_descriptor::wait_read,
+              CURL_CSELECT_IN);
     }
     if ((socket->wanted & CURL_POLL_OUT) != 0 && !socket->writing) {
       socket->writing = true;
-      WaitFor(socket, fd, asio::posix::stream_descriptor::wait_write, CURL_CSELECT_OUT);
+      WaitFor(socket, fd, asio::posix::stream_descriptor::wait_write,
+              CURL_CSELECT_OUT);
     }
   }
 
   void WaitFor(const std::shared_ptr<Socket>& socket, curl_socket_t fd,
                asio::posix::stream_descriptor::wait_type type, int event) {
     socket->descriptor.async_wait(
-        type, asio::bind_executor(strand_, [weak = weak_from_this(), socket, fd,
-                                            event](const asio::error_code& error) {
-          (event == CURL_CSELECT_IN ? socket->reading : socket->writing) = false;
+        type,
+        asio::bind_executor(strand_, [weak = weak_from_this(), socket, fd,
+                                      event](const asio::error_code& error) {
+          (event == CURL_CSELECT_IN ? socket->reading : socket->writing) =
+              false;
           auto self = weak.lock();
-          if (!self || socket->closed || error == asio::error::operation_aborted) return;
-          const int wanted = event == CURL_CSELECT_IN ? CURL_POLL_IN : CURL_POLL_OUT;
+          if (!self || socket->closed ||
+              error == asio::error::operation_aborted)
+            return;
+          const int wanted =
+              event == CURL_CSELECT_IN ? CURL_POLL_IN : CURL_POLL_OUT;
           if ((socket->wanted & wanted) != 0) {
             int running = 0;
-            curl_multi_socket_action(self->multi_, fd, error ? CURL_CSELECT_ERR : event, &running);
+            curl_multi_socket_action(
+                self->multi_, fd, error ? CURL_CSELECT_ERR : event, &running);
             self->CheckCompletions();
           }
           if (!socket->closed) self->Wait(socket, fd);
         }));
   }
 
-  static int OnTimer(CURLM*, long timeout_ms, void* self) {  // NOLINT(google-runtime-int)
+  static int OnTimer(CURLM*, long timeout_ms,
+                     void* self) {  // NOLINT(google-runtime-int)
     static_cast<CurlClient*>(self)->SetTimer(timeout_ms);
     return 0;
   }
@@ -185,12 +205,13 @@
     timer_.cancel();
     if (timeout_ms < 0) return;
     timer_.expires_after(std::chrono::milliseconds(timeout_ms));
-    timer_.async_wait(
-        asio::bind_executor(strand_, [weak = weak_from_this()](const asio::error_code& error) {
+    timer_.async_wait(asio::bind_executor(
+        strand_, [weak = weak_from_this()](const asio::error_code& error) {
           auto self = weak.lock();
           if (!self || error || self->shut_down_) return;
           int running = 0;
-          curl_multi_socket_action(self->multi_, CURL_SOCKET_TIMEOUT, 0, &running);
+          curl_multi_socket_action(self->multi_, CURL_SOCKET_TIMEOUT, 0,
+                                   &running);
           self->CheckCompletions();
         }));
   }
@@ -249,10 +270,10 @@
 
   void OnEnd(std::optional<ClientFailure> failure) override {
     if (!failure && too_large_) {
-      failure = ClientFailure{
-          Error{ErrorCode::kTooLarge, "call", url_,
-                "response body is larger than " + std::to_string(max_body_) + " bytes"},
-          true};
+      failure = ClientFailure{Error{ErrorCode::kTooLarge, "call", url_,
+                                    "response body is larger than " +
+                                        std::to_string(max_body_) + " bytes"},
+                              true};
     }
     if (failure) {
       done_(tl::unexpected(*failure));
@@ -271,7 +292,8 @@
 
 }  // namespace
 
-Result<std::shared_ptr<HttpClient>> HttpClient::Create(asio::io_context& context) {
+Result<std::shared_ptr<HttpClient>> HttpClient::Create(
+    asio::io_context& context) {
   static const CURLcode kInit = curl_global_init(CURL_GLOBAL_DEFAULT);
   if (kInit != CURLE_OK) {
     return Fail(ErrorCode::kInternal, "http", "", curl_easy_strerror(kInit));
@@ -282,7 +304,8 @@
 std::shared_ptr<HttpCall> HttpClient::Fetch(
     ClientRequest request, size_t max_body_bytes,
     std::function<void(tl::expected<ClientResponse, ClientFailure>)> done) {
-  auto listener = std::make_shared<FetchListener>(request.url, max_body_bytes, std::move(done));
+  auto listener = std::make_shared<FetchListener>(request.url, max_body_bytes,
+                                                  std::move(done));
   return Start(std::move(request), std::move(listener));
 }
 
--- a/modules/zr_http/client/http_client.h
+++ b/modules/zr_http/client/http_client.h
@@ -24,6 +24,14 @@
    * connection closes before an answer, so non-repeatable calls need this.
    */
   bool fresh_connection = false;
+  /**
+   * Fails instead of repeating a request whose reused connection closed before
+   * an answer; the failure then says that the request was sent.
+   */
+  bool single_send = false;
+  /** Reuses only connections idle for less than this, in whole seconds; 0 for
+   * the library's default. */
+  Duration max_idle;
 };
 
 /** Why a call has failed. */
@@ -60,7 +68,8 @@
    public:
     virtual ~Listener() = default;
     virtual void OnHeaders(int status, const HttpHeaders& headers) = 0;
-    /** @returns false to pause; the same data is delivered again after Resume() */
+    /** @returns false to pause; the same data is delivered again after Resume()
+     */
     virtual bool OnData(std::string_view data) = 0;
     /** The call has ended; failure is empty if the response was complete. */
     virtual void OnEnd(std::optional<ClientFailure> failure) = 0;
@@ -70,8 +79,8 @@
   virtual ~HttpClient() = default;
 
   /** Starts a call. May be called from any thread. */
-  virtual std::shared_ptr<HttpCall> Start(ClientRequest request,
-                                          std::shared_ptr<Listener> listener) = 0;
+  virtual std::shared_ptr<HttpCall> Start(
+      ClientRequest request, std::shared_ptr<Listener> listener) = 0;
 
   /** Ends all calls; no listener is called afterwards. Blocks nothing. */
   virtual void Shutdown() = 0;
--- a/modules/zr_http/server/http_server.cc
+++ b/modules/zr_http/server/http_server.cc
@@ -15,16 +15,17 @@
 constexpr std::chrono::hours kHandlerTimeLimit{24};
 // A client that takes no data for this long is treated as gone.
 constexpr std::chrono::seconds kWriteTimeLimit{60};
-constexpr std::chrono::seconds kIdleTimeLimit{120};
 // A second request slot keeps RESTinio reading while a response is in
 // progress, so that a closed connection is noticed at once.
 constexpr size_t kPipelinedRequests = 2;
 
-/** Tells responses when their client's connection is closed; knows all open connections. */
+/** Tells responses when their client's connection is closed; knows all open
+ * connections. */
 class ConnectionRegistry {
  public:
   /** Calls the function at once if the connection is closed already. */
-  void Register(uint64_t connection, const std::shared_ptr<std::function<void()>>& closed) {
+  void Register(uint64_t connection,
+                const std::shared_ptr<std::function<void()>>& closed) {
     {
       std::lock_guard lock(mutex_);
       if (auto it = callbacks_.find(connection); it != callbacks_.end()) {
@@ -49,21 +50,25 @@
     }
   }
 
-  void Forget(uint64_t connection, const std::weak_ptr<std::function<void()>>& closed) {
+  void Forget(uint64_t connection,
+              const std::weak_ptr<std::function<void()>>& closed) {
     std::lock_guard lock(mutex_);
     auto it = callbacks_.find(connection);
     if (it == callbacks_.end()) return;
     std::erase_if(it->second, [&closed](const auto& other) {
-      return other.expired() || (!other.owner_before(closed) && !closed.owner_before(other));
+      return other.expired() ||
+             (!other.owner_before(closed) && !closed.owner_before(other));
     });
   }
 
   /** Called by RESTinio when a connection changes state. */
-  void state_changed(const restinio::connection_state::notice_t& notice) noexcept {
-    if (restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
+  void state_changed(
+      const restinio::connection_state::notice_t& notice) noexcept {
+    if (restinio::holds_alternative<restinio::connection_state::closed_t>(
+            notice.cause())) {
       Closed(notice.connection_id());
-    } else if (restinio::holds_alternative<restinio::connection_state::accepted_t>(
-                   notice.cause())) {
+    } else if (restinio::holds_alternative<
+                   restinio::connection_state::accepted_t>(notice.cause())) {
       std::lock_guard lock(mutex_);
       callbacks_[notice.connection_id()];
     }
@@ -71,7 +76,9 @@
 
  private:
   std::mutex mutex_;
-  std::unordered_map<uint64_t, std::vector<std::weak_ptr<std::function<void()>>>> callbacks_;
+  std::unordered_map<uint64_t,
+                     std::vector<std::weak_ptr<std::function<void()>>>>
+      callbacks_;
 };
 
 struct Traits : public restinio::default_traits_t {
@@ -90,10 +97,12 @@
       {403, "Forbidden"},
       {404, "Not Found"},
       {405, "Method Not Allowed"},
+      {408, "Request Timeout"},
       {409, "Conflict"},
       {410, "Gone"},
       {412, "Precondition Failed"},
       {413, "Content Too Large"},
+      {421, "Misdirected Request"},
       {422, "Unprocessable Content"},
       {429, "Too Many Requests"},
       {431, "Request Header Fields Too Large"},
@@ -102,13 +111,26 @@
       {503, "Service Unavailable"},
       {504, "Gateway Timeout"}};
   auto it = kReasons.find(status);
-  return restinio::http_status_line_t{restinio::http_status_code_t(static_cast<uint16_t>(status)),
-                                      it == kReasons.end() ? "Status" : it->second};
+  return restinio::http_status_line_t{
+      restinio::http_status_code_t(static_cast<uint16_t>(status)),
+      it == kReasons.end() ? "Status" : it->second};
+}
+
+template <typename Response>
+void AppendHeaders(Response& response, const HttpHeaders& headers) {
+  for (const auto& [name, value] : headers) {
+    if (name == "connection") {
+      if (value == "close") response.connection_close();
+    } else {
+      response.append_header(name, value);
+    }
+  }
 }
 
 class RestinioResponse final : public HttpResponse {
  public:
-  RestinioResponse(restinio::request_handle_t request, std::shared_ptr<ConnectionRegistry> registry)
+  RestinioResponse(restinio::request_handle_t request,
+                   std::shared_ptr<ConnectionRegistry> registry)
       : request_(std::move(request)),
         connection_(restinio::impl::access_req_connection(*request_)),
         request_id_(request_->request_id()),
@@ -125,7 +147,7 @@
     if (ended_ || chunked_) return;
     ended_ = true;
     auto response = request_->create_response(StatusLine(status));
-    for (auto& [name, value] : headers) response.append_header(name, value);
+    AppendHeaders(response, headers);
     response.set_body(std::move(body));
     response.done();
   }
@@ -133,8 +155,9 @@
   void Begin(int status, HttpHeaders headers) override {
     ZR_ASSERT(!ended_ && !chunked_, "a response is begun once");
     if (ended_ || chunked_) return;
-    chunked_.emplace(request_->create_response<restinio::chunked_output_t>(StatusLine(status)));
-    for (auto& [name, value] : headers) chunked_->append_header(name, value);
+    chunked_.emplace(request_->create_response<restinio::chunked_output_t>(
+        StatusLine(status)));
+    AppendHeaders(*chunked_, headers);
     chunked_->flush();
   }
 
@@ -146,7 +169,8 @@
     }
     chunked_->append_chunk(std::move(chunk));
     if (sent) {
-      chunked_->flush([sent = std::move(sent)](const auto& error) { sent(!error); });
+      chunked_->flush(
+          [sent = std::move(sent)](const auto& error) { sent(!error); });
     } else {
       chunked_->flush();
     }
@@ -175,8 +199,9 @@
   void CloseConnection() {
     connection_->write_response_parts(
         request_id_,
-        restinio::response_output_flags_t{restinio::response_parts_attr_t::final_parts,
-                                          restinio::response_connection_attr_t::connection_close},
+        restinio::response_output_flags_t{
+            restinio::response_parts_attr_t::final_parts,
+            restinio::response_connection_attr_t::connection_close},
         restinio::write_group_t{restinio::writable_items_container_t{}});
   }
 
@@ -186,7 +211,8 @@
   uint64_t connection_id_;
   std::shared_ptr<ConnectionRegistry> registry_;
   std::shared_ptr<std::function<void()>> closed_;
-  std::optional<restinio::response_builder_t<restinio::chunked_output_t>> chunked_;
+  std::optional<restinio::response_builder_t<restinio::chunked_output_t>>
+      chunked_;
   bool ended_ = false;
 };
 
@@ -197,8 +223,9 @@
   out.query = std::string(request.header().query());
   request.header().for_each_field([&](const auto& field) {
     std::string name(field.name());
-    std::transform(name.begin(), name.end(), name.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
+      return static_cast<char>(std::tolower(c));
+    });
     *header_bytes += name.size() + field.value().size();
     out.headers[std::move(name)] = std::string(field.value());
   });
@@ -209,8 +236,8 @@
 }
 
 std::string BoundError(const char* what, size_t bound) {
-  return std::string("{\"error\":{\"code\":\"too_large\",\"message\":\"") + what +
-         " is larger than " + std::to_string(bound) +
+  return std::string("{\"error\":{\"code\":\"too_large\",\"message\":\"") +
+         what + " is larger than " + std::to_string(bound) +
          " bytes\",\"run\":\"not-run\",\"step\":\"request\",\"peer\":\"\"}}";
 }
 
@@ -218,34 +245,39 @@
  public:
   using Server = restinio::http_server_t<Traits>;
 
-  RestinioServer(asio::io_context& context, const HttpServerOptions& options, std::string ip,
-                 uint16_t port, HttpHandler handler)
+  RestinioServer(asio::io_context& context, const HttpServerOptions& options,
+                 std::string ip, uint16_t port, HttpHandler handler)
       : registry_(std::make_shared<ConnectionRegistry>()) {
     restinio::incoming_http_msg_limits_t limits;
     limits.max_body_size(2 * static_cast<uint64_t>(options.max_body_bytes))
         .max_field_name_size(2 * options.max_header_bytes)
         .max_field_value_size(2 * options.max_header_bytes)
         .max_field_count(200);
-    server_ = std::make_unique<Server>(restinio::external_io_context(context), [&](auto& settings) {
-      settings.address(ip)
-          .port(port)
-          .incoming_http_msg_limits(limits)
-          .max_pipelined_requests(kPipelinedRequests)
-          .handle_request_timeout(kHandlerTimeLimit)
-          .write_http_response_timelimit(kWriteTimeLimit)
-          .read_next_http_message_timelimit(kIdleTimeLimit)
-          .connection_state_listener(registry_)
-          .acceptor_options_setter([](auto& o) {
-            o.set_option(restinio::asio_ns::ip::tcp::acceptor::reuse_address(true));
-          })
-          .socket_options_setter(
-              [](auto& o) { o.set_option(restinio::asio_ns::ip::tcp::no_delay(true)); })
-          .cleanup_func([] {})
-          .request_handler([registry = registry_, options,
-                            handler = std::move(handler)](restinio::request_handle_t request) {
-            return Dispatch(std::move(request), registry, options, handler);
-          });
-    });
+    server_ = std::make_unique<Server>(
+        restinio::external_io_context(context), [&](auto& settings) {
+          settings.address(ip)
+              .port(port)
+              .incoming_http_msg_limits(limits)
+              .max_pipelined_requests(kPipelinedRequests)
+              .handle_request_timeout(kHandlerTimeLimit)
+              .write_http_response_timelimit(kWriteTimeLimit)
+              .read_next_http_message_timelimit(std::chrono::microseconds(
+                  options.idle_timeout.microseconds()))
+              .connection_state_listener(registry_)
+              .acceptor_options_setter([](auto& o) {
+                o.set_option(
+                    restinio::asio_ns::ip::tcp::acceptor::reuse_address(true));
+              })
+              .socket_options_setter([](auto& o) {
+                o.set_option(restinio::asio_ns::ip::tcp::no_delay(true));
+              })
+              .cleanup_func([] {})
+              .request_handler([registry = registry_, options,
+                                handler = std::move(handler)](
+                                   restinio::request_handle_t request) {
+                return Dispatch(std::move(request), registry, options, handler);
+              });
+        });
   }
 
   Result<void> Open(asio::io_context& context, const std::string& address) {
@@ -263,7 +295,8 @@
     while (!done && context.run_one() > 0) {
     }
     if (!failure.empty()) {
-      return Fail(ErrorCode::kUnavailable, "listen", address, "cannot listen: " + failure);
+      return Fail(ErrorCode::kUnavailable, "listen", address,
+                  "cannot listen: " + failure);
     }
     return {};
   }
@@ -277,12 +310,15 @@
 
  private:
   static restinio::request_handling_status_t Dispatch(
-      restinio::request_handle_t request, const std::shared_ptr<ConnectionRegistry>& registry,
+      restinio::request_handle_t request,
+      const std::shared_ptr<ConnectionRegistry>& registry,
       const HttpServerOptions& options, const HttpHandler& handler) {
     size_t header_bytes = 0;
     HttpRequest converted = ConvertRequest(*request, &header_bytes);
-    auto response = std::make_shared<RestinioResponse>(std::move(request), registry);
-    const HttpHeaders json = {{"content-type", "application/json"}, {"x-zr-run", "not-run"}};
+    auto response =
+        std::make_shared<RestinioResponse>(std::move(request), registry);
+    const HttpHeaders json = {{"content-type", "application/json"},
+                              {"x-zr-run", "not-run"}};
     if (header_bytes > options.max_header_bytes) {
       response->Send(431, json, BoundError("header", options.max_header_bytes));
     } else if (converted.body.size() > options.max_body_bytes) {
@@ -305,8 +341,8 @@
                                                       HttpHandler handler) {
   auto address = ParseAddress(options.address);
   if (!address) return tl::unexpected(address.error());
-  auto server = std::make_unique<RestinioServer>(context, options, address->first, address->second,
-                                                 std::move(handler));
+  auto server = std::make_unique<RestinioServer>(
+      context, options, address->first, address->second, std::move(handler));
   if (auto opened = server->Open(context, options.address); !opened) {
     return tl::unexpected(opened.error());
   }
--- a/modules/zr_http/server/http_server.h
+++ b/modules/zr_http/server/http_server.h
@@ -19,7 +19,10 @@
  public:
   virtual ~HttpResponse() = default;
 
-  /** Sends a complete response. */
+  /**
+   * Sends a complete response. A header "connection: close" closes the
+   * connection afterwards; the same holds for Begin().
+   */
   virtual void Send(int status, HttpHeaders headers, std::string body) = 0;
 
   /** Starts a chunked response. */
@@ -32,7 +35,8 @@
   virtual void Write(std::string chunk, std::function<void(bool)> sent) = 0;
   /** Ends a chunked response. */
   virtual void End() = 0;
-  /** Closes the connection of a chunked response so that the client sees it as truncated. */
+  /** Closes the connection of a chunked response so that the client sees it as
+   * truncated. */
   virtual void Abort() = 0;
 
   /**
@@ -50,6 +54,7 @@
   std::string address;  // "ip:port"
   size_t max_body_bytes = 16 << 20;
   size_t max_header_bytes = 32 << 10;  // sum of names and values
+  Duration idle_timeout = Duration::Seconds(120);  // between two requests
 };
 
 /**
@@ -64,7 +69,8 @@
    * @returns kUnavailable if the address cannot be bound
    */
   static Result<std::unique_ptr<HttpServer>> Start(asio::io_context& context,
-                                                   HttpServerOptions options, HttpHandler handler);
+                                                   HttpServerOptions options,
+                                                   HttpHandler handler);
   virtual ~HttpServer() = default;
 
   /** Stops accepting connections; open ones go on until answered. */
--- a/modules/zr_http/server/http_types.cc
+++ b/modules/zr_http/server/http_types.cc
@@ -17,18 +17,23 @@
 
 std::string_view HttpRequest::Header(std::string_view name) const {
   auto it = headers.find(name);
-  return it == headers.end() ? std::string_view() : std::string_view(it->second);
+  return it == headers.end() ? std::string_view()
+                             : std::string_view(it->second);
 }
 
-std::optional<std::string> HttpRequest::QueryParameter(std::string_view name) const {
+std::optional<std::string> HttpRequest::QueryParameter(
+    std::string_view name) const {
   std::string_view rest = query;
   while (!rest.empty()) {
     const size_t end = rest.find('&');
     const std::string_view pair = rest.substr(0, end);
-    rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+    rest = end == std::string_view::npos ? std::string_view()
+                                         : rest.substr(end + 1);
     const size_t equals = pair.find('=');
     if (pair.substr(0, equals) != name) continue;
-    return equals == std::string_view::npos ? "" : PercentDecode(pair.substr(equals + 1));
+    return equals == std::string_view::npos
+               ? ""
+               : PercentDecode(pair.substr(equals + 1));
   }
   return std::nullopt;
 }
@@ -55,7 +60,8 @@
   std::string out;
   for (const char c : text) {
     const auto byte = static_cast<unsigned char>(c);
-    if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '.' || c == '~') {
+    if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '.' ||
+        c == '~') {
       out += c;
     } else {
       out += '%';
@@ -72,18 +78,22 @@
     const size_t end = path.find('/');
     const std::string_view part = path.substr(0, end);
     if (!part.empty()) segments.push_back(PercentDecode(part));
-    path = end == std::string_view::npos ? std::string_view() : path.substr(end + 1);
+    path = end == std::string_view::npos ? std::string_view()
+                                         : path.substr(end + 1);
   }
   return segments;
 }
 
-Result<std::pair<std::string, uint16_t>> ParseAddress(std::string_view address) {
+Result<std::pair<std::string, uint16_t>> ParseAddress(
+    std::string_view address) {
   const size_t colon = address.rfind(':');
   uint16_t port = 0;
   if (colon != std::string_view::npos && colon > 0) {
     const std::string_view digits = address.substr(colon + 1);
-    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    if (error == std::errc() && end == digits.data() + digits.size() && port > 0) {
+    const auto [end, error] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    if (error == std::errc() && end == digits.data() + digits.size() &&
+        port > 0) {
       return std::make_pair(std::string(address.substr(0, colon)), port);
     }
   }
--- a/modules/zr_http/tests/http_test.cc
+++ b/modules/zr_http/tests/http_test.cc
@@ -16,7 +16,8 @@
 /** Finds a free loopback port by binding to port 0. */
 uint16_t FreePort() {
   asio::io_context context;
-  asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  asio::ip::tcp::acceptor acceptor(context,
+                                   {asio::ip::address_v4::loopback(), 0});
   return acceptor.local_endpoint().port();
 }
 
@@ -27,7 +28,8 @@
     options.max_body_bytes = 1000;
     options.max_header_bytes = 2000;
     address = options.address;
-    server = std::move(*HttpServer::Start(context, options, std::move(handler)));
+    server =
+        std::move(*HttpServer::Start(context, options, std::move(handler)));
     client = *HttpClient::Create(context);
     for (int i = 0; i < 3; ++i) threads.emplace_back([this] { context.run(); });
   }
@@ -38,15 +40,17 @@
   tl::expected<ClientResponse, ClientFailure> Fetch(ClientRequest request) {
     std::promise<tl::expected<ClientResponse, ClientFailure>> promise;
     request.url = "http://" + address + request.url;
-    client->Fetch(std::move(request), 1 << 20,
-                  [&promise](auto result) { promise.set_value(std::move(result)); });
+    client->Fetch(std::move(request), 1 << 20, [&promise](auto result) {
+      promise.set_value(std::move(result));
+    });
     auto future = promise.get_future();
     REQUIRE(future.wait_for(kWait) == std::future_status::ready);
     return future.get();
   }
 
   asio::io_context context;
-  asio::executor_work_guard<asio::io_context::executor_type> work{context.get_executor()};
+  asio::executor_work_guard<asio::io_context::executor_type> work{
+      context.get_executor()};
   std::string address;
   std::unique_ptr<HttpServer> server;
   std::shared_ptr<HttpClient> client;
@@ -92,20 +96,22 @@
 TEST_CASE("A chunked response") {
   std::promise<void> closed;
   std::promise<void> closed_late;
-  Fixture fixture([&closed, &closed_late](HttpRequest request, HttpResponsePtr response) {
-    response->Begin(200, {});
-    response->Write("part", nullptr);
-    if (request.path == "/whole") response->End();
-    if (request.path == "/broken") response->Abort();
-    if (request.path == "/open") {
-      response->OnClosed([response, &closed, &closed_late]() mutable {
-        auto late = std::exchange(response, nullptr);
-        closed.set_value();
-        // A handler that sets its function after the close must hear of it too.
-        late->OnClosed([&closed_late] { closed_late.set_value(); });
+  Fixture fixture(
+      [&closed, &closed_late](HttpRequest request, HttpResponsePtr response) {
+        response->Begin(200, {});
+        response->Write("part", nullptr);
+        if (request.path == "/whole") response->End();
+        if (request.path == "/broken") response->Abort();
+        if (request.path == "/open") {
+          response->OnClosed([response, &closed, &closed_late]() mutable {
+            auto late = std::exchange(response, nullptr);
+            closed.set_value();
+            // A handler that sets its function after the close must hear of it
+            // too.
+            late->OnClosed([&closed_late] { closed_late.set_value(); });
+          });
+        }
       });
-    }
-  });
   SECTION("that ends is complete") {
     auto result = fixture.Fetch(Post("/whole", ""));
     REQUIRE(result);
@@ -130,16 +136,21 @@
     auto reader = std::make_shared<Reader>();
     ClientRequest request = Post("http://" + fixture.address + "/open", "");
     auto call = fixture.client->Start(request, reader);
-    REQUIRE(reader->data.get_future().wait_for(kWait) == std::future_status::ready);
+    REQUIRE(reader->data.get_future().wait_for(kWait) ==
+            std::future_status::ready);
     call->Cancel();
     REQUIRE(closed.get_future().wait_for(kWait) == std::future_status::ready);
-    REQUIRE(closed_late.get_future().wait_for(kWait) == std::future_status::ready);
+    REQUIRE(closed_late.get_future().wait_for(kWait) ==
+            std::future_status::ready);
   }
 }
 
-// Guards against "not run" for a call whose bytes may have reached the other side.
+// Guards against "not run" for a call whose bytes may have reached the other
+// side.
 TEST_CASE("A refused connection counts as not sent") {
-  Fixture fixture([](HttpRequest, HttpResponsePtr response) { response->Send(200, {}, ""); });
+  Fixture fixture([](HttpRequest, HttpResponsePtr response) {
+    response->Send(200, {}, "");
+  });
   ClientRequest request = Post("", "x");
   fixture.address = "127.0.0.1:" + std::to_string(FreePort());
   auto result = fixture.Fetch(request);
--- a/modules/zr_membership/cluster_view.h
+++ b/modules/zr_membership/cluster_view.h
@@ -23,7 +23,8 @@
   bool domain_drained = false;  // a drain names the VM's domain
   ObjectVersion config_version;
   std::string config_digest;
-  TimePoint last_heard;   // local time; for the VM itself the time of the snapshot
+  TimePoint
+      last_heard;  // local time; for the VM itself the time of the snapshot
   TimePoint first_heard;  // of any incarnation since the VM was last forgotten
   friend auto operator<=>(const VmView&, const VmView&) = default;
 };
@@ -45,7 +46,8 @@
 /** Immutable snapshot of the VMs as one VM sees them. */
 struct ClusterView {
   VmId self;
-  /** Rises when a VM appears, dies, or changes anything besides freshness and demand. */
+  /** Rises when a VM appears, dies, or changes anything besides freshness and
+   * demand. */
   uint64_t revision = 0;
   /**
    * False after the start and after a pause of this process until one
@@ -53,7 +55,8 @@
    */
   bool settled = false;
   TimePoint taken_at;
-  /** Start of this process or end of its last pause; silence before it says nothing. */
+  /** Start of this process or end of its last pause; silence before it says
+   * nothing. */
   TimePoint listening_since;
   bool has_list = false;  // a platform list that names this VM was received
   /**
@@ -63,9 +66,11 @@
   bool members_known = false;
   std::map<VmId, VmView> live;    // includes the VM itself
   std::map<VmId, VmView> silent;  // remembered, not live
-  /** Addresses to link to, from the platform list and from heartbeats; without self. */
+  /** Addresses to link to, from the platform list and from heartbeats; without
+   * self. */
   std::map<VmId, std::string> candidates;
-  /** Members of the platform list that it does not mark as leaving; without self. */
+  /** Members of the platform list that it does not mark as leaving; without
+   * self. */
   std::map<VmId, DomainId> listed;
   std::map<TeamId, TeamTotal> team_demand;
   std::map<PoolId, PoolTotal> pool_demand;
--- a/modules/zr_membership/config_tracker.cc
+++ b/modules/zr_membership/config_tracker.cc
@@ -19,9 +19,12 @@
   return "unknown";
 }
 
-ConfigTracker::ConfigTracker(ConfigTrackerOptions options) : options_(std::move(options)) {
-  ZR_ASSERT(options_.check != nullptr, "a configuration tracker needs a document check");
-  ZR_ASSERT(options_.confirm_within > Duration() && options_.fetch_retry > Duration() &&
+ConfigTracker::ConfigTracker(ConfigTrackerOptions options)
+    : options_(std::move(options)) {
+  ZR_ASSERT(options_.check != nullptr,
+            "a configuration tracker needs a document check");
+  ZR_ASSERT(options_.confirm_within > Duration() &&
+                options_.fetch_retry > Duration() &&
                 options_.store_read_period > Duration(),
             "configuration periods must be positive");
 }
@@ -50,7 +53,8 @@
   if (current_) ++store_regressions_;
 }
 
-void ConfigTracker::OnStoreUnchanged(TimePoint now, TimePoint asked_at, ObjectVersion version) {
+void ConfigTracker::OnStoreUnchanged(TimePoint now, TimePoint asked_at,
+                                     ObjectVersion version) {
   // The watch may be older than the version that a peer supplied.
   if (!current_ || version < current_->version) return;
   store_heard_ = true;
@@ -58,11 +62,13 @@
   NoteConfirmation(now);
 }
 
-OfferOutcome ConfigTracker::OnOffer(TimePoint now, const VmId& from, const ConfigOffer& offer) {
+OfferOutcome ConfigTracker::OnOffer(TimePoint now, const VmId& from,
+                                    const ConfigOffer& offer) {
   const OfferOutcome outcome = Adopt(offer);
   // A rejected document proves nothing about the versions that exist.
   if (outcome != OfferOutcome::kRejected) LearnVersion(now, offer.version);
-  if (outcome == OfferOutcome::kRejected && from == last_fetch_) next_fetch_ = now;
+  if (outcome == OfferOutcome::kRejected && from == last_fetch_)
+    next_fetch_ = now;
   return outcome;
 }
 
@@ -84,7 +90,8 @@
     peer.confirms |= vm.ready;
     LearnVersion(now, vm.config_version);
     if (current_ && vm.config_version == current_->version &&
-        vm.config_digest != current_->digest && peer.conflict != vm.config_version) {
+        vm.config_digest != current_->digest &&
+        peer.conflict != vm.config_version) {
       peer.conflict = vm.config_version;
       ++digest_conflicts_;
     }
@@ -109,7 +116,8 @@
 // Adoption
 
 OfferOutcome ConfigTracker::Adopt(const ConfigOffer& offer) {
-  if (current_ && offer.version < current_->version) return OfferOutcome::kOlder;
+  if (current_ && offer.version < current_->version)
+    return OfferOutcome::kOlder;
   if (current_ && offer.version == current_->version) {
     if (offer.digest == current_->digest) return OfferOutcome::kSame;
     ++digest_conflicts_;
@@ -152,7 +160,8 @@
  * them and adds the platform's list.
  */
 bool ConfigTracker::PeersConfirm(TimePoint now) const {
-  const bool young = !ever_confirmed_ || now - first_confirmed_ < options_.remember_for;
+  const bool young =
+      !ever_confirmed_ || now - first_confirmed_ < options_.remember_for;
   if (young && !has_list_) return ReadyPeersConfirm(now);
   size_t known = young ? listed_.size() : 0;
   size_t heard = 0;
@@ -179,7 +188,9 @@
   for (const auto& [id, peer] : peers_) {
     if (peer.leaving) continue;
     ++known;
-    if (now - peer.ready_at <= options_.ready_within && peer.ready_at >= not_before_) ++ready;
+    if (now - peer.ready_at <= options_.ready_within &&
+        peer.ready_at >= not_before_)
+      ++ready;
   }
   return ready * 2 > known;
 }
@@ -200,7 +211,8 @@
 ConfigReadiness ConfigTracker::Readiness(TimePoint now) const {
   if (!current_) return ConfigReadiness::kNoConfiguration;
   if (!Confirmed(now)) return ConfigReadiness::kUnconfirmed;
-  if (highest_known_ > current_->version && now - behind_since_ > options_.lag_grace) {
+  if (highest_known_ > current_->version &&
+      now - behind_since_ > options_.lag_grace) {
     return ConfigReadiness::kLagging;
   }
   return ConfigReadiness::kReady;
@@ -216,18 +228,22 @@
   // Peers that nearly all know the version spare the store its reads.
   if ((!current_ || !PeersConfirm(now)) && now >= next_store_read_) {
     actions.push_back({ConfigAction::Kind::kReadStore, VmId(), {}});
-    next_store_read_ = now + (current_ ? options_.store_read_period : options_.fetch_retry);
+    next_store_read_ =
+        now + (current_ ? options_.store_read_period : options_.fetch_retry);
   }
   next_action_ = now + options_.fetch_retry;
   return actions;
 }
 
-void ConfigTracker::PlanFetch(TimePoint now, std::vector<ConfigAction>& actions) {
+void ConfigTracker::PlanFetch(TimePoint now,
+                              std::vector<ConfigAction>& actions) {
   // Tries the peers that have a newer version in turn, the newest first.
   const VmId* next = nullptr;
   const VmId* first = nullptr;
   for (const auto& [id, peer] : peers_) {
-    if (peer.version <= version() || now - peer.last_heard > options_.confirm_within) continue;
+    if (peer.version <= version() ||
+        now - peer.last_heard > options_.confirm_within)
+      continue;
     if (peer.version < highest_known_ && fetches_ == 0) continue;
     if (first == nullptr) first = &id;
     if (next == nullptr && id > last_fetch_) next = &id;
@@ -237,7 +253,8 @@
   next_fetch_ = now + options_.fetch_retry;
   if (chosen != nullptr) {
     last_fetch_ = *chosen;
-    actions.push_back({ConfigAction::Kind::kFetchFromPeer, *chosen, {version().Next()}});
+    actions.push_back(
+        {ConfigAction::Kind::kFetchFromPeer, *chosen, {version().Next()}});
   }
   // The store is asked only when no peer helps, because at a change every VM
   // of the fleet would read it at once.
--- a/modules/zr_membership/config_tracker.h
+++ b/modules/zr_membership/config_tracker.h
@@ -23,9 +23,11 @@
   std::function<Result<void>(const ConfigOffer&)> check;
   /** A confirmation by store or peers holds for this time. */
   Duration confirm_within = Duration::Seconds(6);
-  /** Age up to which a ready peer confirms a VM that cannot know all its peers yet. */
+  /** Age up to which a ready peer confirms a VM that cannot know all its peers
+   * yet. */
   Duration ready_within = Duration::Seconds(1);
-  /** A VM that knows of a newer version and lacks it for longer is not ready. */
+  /** A VM that knows of a newer version and lacks it for longer is not ready.
+   */
   Duration lag_grace = Duration::Seconds(2);
   Duration fetch_retry = Duration::Milliseconds(500);
   /** Period of store reads while peers do not confirm the version. */
@@ -54,12 +56,14 @@
   kRejected,  // the check failed; counted, nothing changes
 };
 
-/** Whether this VM may take new calls as far as its configuration is concerned. */
+/** Whether this VM may take new calls as far as its configuration is concerned.
+ */
 enum class ConfigReadiness : uint8_t {
   kReady,
   kNoConfiguration,  // neither store nor peers have supplied a document yet
-  kUnconfirmed,      // heard neither the store nor more than half of the last known peers
-  kLagging,          // a newer version exists and could not be fetched
+  kUnconfirmed,  // heard neither the store nor more than half of the last known
+                 // peers
+  kLagging,      // a newer version exists and could not be fetched
 };
 
 /** Stable name, for example "unconfirmed". */
@@ -82,7 +86,8 @@
    * @param asked_at  when the read was sent; it confirms from then on, because
    *                  this process may have been paused before the answer
    */
-  OfferOutcome OnStoreRead(TimePoint now, TimePoint asked_at, const ConfigOffer& offer);
+  OfferOutcome OnStoreRead(TimePoint now, TimePoint asked_at,
+                           const ConfigOffer& offer);
 
   /** The store holds no document; this never removes one that is in force. */
   void OnStoreAbsent();
@@ -91,15 +96,19 @@
    * A watch that was sent at the given time ended without a change.
    * @param version  version up to which the watch has seen all changes
    */
-  void OnStoreUnchanged(TimePoint now, TimePoint asked_at, ObjectVersion version);
+  void OnStoreUnchanged(TimePoint now, TimePoint asked_at,
+                        ObjectVersion version);
 
   /** A peer sent a document. */
-  OfferOutcome OnOffer(TimePoint now, const VmId& from, const ConfigOffer& offer);
+  OfferOutcome OnOffer(TimePoint now, const VmId& from,
+                       const ConfigOffer& offer);
 
-  /** Takes the versions and hearing times of peers; call it on each change and tick. */
+  /** Takes the versions and hearing times of peers; call it on each change and
+   * tick. */
   void OnView(TimePoint now, const ClusterView& view);
 
-  /** This process was paused; what it heard before or has buffered confirms nothing. */
+  /** This process was paused; what it heard before or has buffered confirms
+   * nothing. */
   void OnSelfPaused(TimePoint now);
 
   /** Returns what to fetch now. */
@@ -111,7 +120,9 @@
   /** The document in force, or nullptr. */
   std::shared_ptr<const ConfigOffer> current() const { return current_; }
   /** Version in force; 0 before the first. */
-  ObjectVersion version() const { return current_ ? current_->version : ObjectVersion(); }
+  ObjectVersion version() const {
+    return current_ ? current_->version : ObjectVersion();
+  }
 
   ConfigReadiness Readiness(TimePoint now) const;
 
@@ -135,7 +146,8 @@
   static constexpr TimePoint kNever = TimePoint() - Duration::Max();
   struct Peer {
     TimePoint last_heard;
-    TimePoint confirmed_at = kNever;  // last heard with a version that is not newer than this VM's
+    TimePoint confirmed_at =
+        kNever;  // last heard with a version that is not newer than this VM's
     ObjectVersion version;
     bool leaving = false;
     TimePoint ready_at;      // as confirmed_at, and reported ready
@@ -150,7 +162,9 @@
   bool StoreConfirms(TimePoint now) const;
   bool PeersConfirm(TimePoint now) const;
   bool ReadyPeersConfirm(TimePoint now) const;
-  bool Confirmed(TimePoint now) const { return StoreConfirms(now) || PeersConfirm(now); }
+  bool Confirmed(TimePoint now) const {
+    return StoreConfirms(now) || PeersConfirm(now);
+  }
   void NoteConfirmation(TimePoint now);
   void PlanFetch(TimePoint now, std::vector<ConfigAction>& actions);
 
--- a/modules/zr_membership/drain_rules.cc
+++ b/modules/zr_membership/drain_rules.cc
@@ -10,7 +10,8 @@
   if (state > decision.state) decision = {state, source};
 }
 
-void RaiseIf(bool condition, DrainDecision& decision, ServiceState state, DrainSource source) {
+void RaiseIf(bool condition, DrainDecision& decision, ServiceState state,
+             DrainSource source) {
   if (condition) Raise(decision, state, source);
 }
 
@@ -63,21 +64,23 @@
   return "unknown";
 }
 
-DrainDecision DecideEndpoint(const EndpointInfo& endpoint, const EndpointSignals& signals,
+DrainDecision DecideEndpoint(const EndpointInfo& endpoint,
+                             const EndpointSignals& signals,
                              const Drains& drains, const DrainLimits& limits) {
   using enum ServiceState;
   DrainDecision decision;
-  RaiseIf(Drained(drains, DrainKind::kDomain, endpoint.domain.value()), decision, kDraining,
-          DrainSource::kDomainDrain);
-  RaiseIf(Drained(drains, DrainKind::kEndpoint, endpoint.endpoint.value()), decision, kDraining,
-          DrainSource::kEndpointDrain);
-  RaiseIf(signals.listed_leaving, decision, kDraining, DrainSource::kPlatformList);
+  RaiseIf(Drained(drains, DrainKind::kDomain, endpoint.domain.value()),
+          decision, kDraining, DrainSource::kDomainDrain);
+  RaiseIf(Drained(drains, DrainKind::kEndpoint, endpoint.endpoint.value()),
+          decision, kDraining, DrainSource::kEndpointDrain);
+  RaiseIf(signals.listed_leaving, decision, kDraining,
+          DrainSource::kPlatformList);
   RaiseIf(signals.reported_leaving, decision, kDraining, DrainSource::kOwnWord);
   RaiseIf(!signals.reported, decision, kProbing, DrainSource::kFailures);
-  Raise(
-      decision,
-      ByCount(signals.failures_in_a_row, limits.probing_after_failures, limits.down_after_failures),
-      DrainSource::kFailures);
+  Raise(decision,
+        ByCount(signals.failures_in_a_row, limits.probing_after_failures,
+                limits.down_after_failures),
+        DrainSource::kFailures);
   Raise(decision,
         ByCount(signals.missed_reports, limits.probing_after_missed_reports,
                 limits.down_after_missed_reports),
@@ -85,15 +88,18 @@
   return decision;
 }
 
-DrainDecision DecideVm(const VmId& vm, const DomainId& domain, const VmSignals& signals,
-                       const Drains& drains) {
+DrainDecision DecideVm(const VmId& vm, const DomainId& domain,
+                       const VmSignals& signals, const Drains& drains) {
   using enum ServiceState;
   DrainDecision decision;
-  RaiseIf(Drained(drains, DrainKind::kDomain, domain.value()), decision, kDraining,
-          DrainSource::kDomainDrain);
-  RaiseIf(Drained(drains, DrainKind::kVm, vm.value()), decision, kDraining, DrainSource::kVmDrain);
-  RaiseIf(signals.listed_leaving, decision, kDraining, DrainSource::kPlatformList);
-  RaiseIf(signals.announced_leaving, decision, kDraining, DrainSource::kOwnWord);
+  RaiseIf(Drained(drains, DrainKind::kDomain, domain.value()), decision,
+          kDraining, DrainSource::kDomainDrain);
+  RaiseIf(Drained(drains, DrainKind::kVm, vm.value()), decision, kDraining,
+          DrainSource::kVmDrain);
+  RaiseIf(signals.listed_leaving, decision, kDraining,
+          DrainSource::kPlatformList);
+  RaiseIf(signals.announced_leaving, decision, kDraining,
+          DrainSource::kOwnWord);
   RaiseIf(!signals.live, decision, kDown, DrainSource::kFailures);
   return decision;
 }
--- a/modules/zr_membership/drain_rules.h
+++ b/modules/zr_membership/drain_rules.h
@@ -42,11 +42,12 @@
 
 /** What is known about an endpoint besides drains. */
 struct EndpointSignals {
-  bool reported = false;          // a load report of its current boot was received
+  bool reported = false;  // a load report of its current boot was received
   bool reported_leaving = false;  // its own word in that report
   bool listed_leaving = false;    // the platform's list or registry marks it
-  int64_t failures_in_a_row = 0;  // refused or broken calls since the last success
-  int64_t missed_reports = 0;     // failed load polls since the last report
+  int64_t failures_in_a_row =
+      0;                       // refused or broken calls since the last success
+  int64_t missed_reports = 0;  // failed load polls since the last report
 };
 
 /** What is known about an entry VM besides drains. */
@@ -72,11 +73,14 @@
  * platform's mark, its own word, and its failures. An endpoint without a
  * report is probed, since its capacity is unknown.
  */
-DrainDecision DecideEndpoint(const EndpointInfo& endpoint, const EndpointSignals& signals,
-                             const Drains& drains, const DrainLimits& limits = {});
+DrainDecision DecideEndpoint(const EndpointInfo& endpoint,
+                             const EndpointSignals& signals,
+                             const Drains& drains,
+                             const DrainLimits& limits = {});
 
-/** State of an entry VM: the strictest of drains, the platform's mark, its word and silence. */
-DrainDecision DecideVm(const VmId& vm, const DomainId& domain, const VmSignals& signals,
-                       const Drains& drains);
+/** State of an entry VM: the strictest of drains, the platform's mark, its word
+ * and silence. */
+DrainDecision DecideVm(const VmId& vm, const DomainId& domain,
+                       const VmSignals& signals, const Drains& drains);
 
 }  // namespace zr
--- a/modules/zr_membership/in_force_report.cc
+++ b/modules/zr_membership/in_force_report.cc
@@ -5,20 +5,23 @@
 namespace zr {
 namespace {
 
-bool HasVersion(const VmView& vm, ObjectVersion version, const std::string& digest) {
+bool HasVersion(const VmView& vm, ObjectVersion version,
+                const std::string& digest) {
   if (vm.config_version == version) return vm.config_digest == digest;
   return vm.config_version > version;
 }
 
 }  // namespace
 
-InForceReport MakeInForceReport(TimePoint now, ObjectVersion version, const std::string& digest,
+InForceReport MakeInForceReport(TimePoint now, ObjectVersion version,
+                                const std::string& digest,
                                 const ClusterView& view, Duration silence) {
   InForceReport report;
   report.members_known = view.members_known;
   size_t total = 0;
   const auto add = [&](const VmId& id, TimePoint last_heard) {
-    const bool silent = now - std::max(last_heard, view.listening_since) > silence;
+    const bool silent =
+        now - std::max(last_heard, view.listening_since) > silence;
     (silent ? report.silent : report.lagging).push_back(id);
   };
   // Leaving VMs must have the version while they are live, but they are not
@@ -39,7 +42,8 @@
     add(id, view.listening_since);
   }
   const bool silent_are_fewer = report.silent.size() * 2 < total;
-  if (view.settled && view.members_known && report.lagging.empty() && silent_are_fewer) {
+  if (view.settled && view.members_known && report.lagging.empty() &&
+      silent_are_fewer) {
     report.state = InForceReport::State::kAccepted;
   }
   return report;
--- a/modules/zr_membership/in_force_report.h
+++ b/modules/zr_membership/in_force_report.h
@@ -12,14 +12,17 @@
 /** Whether a written configuration is in force, for the answer to `apply`. */
 struct InForceReport {
   enum class State : uint8_t {
-    kAccepted,             // every VM has it, or is silent and cannot confirm an older one
+    kAccepted,  // every VM has it, or is silent and cannot confirm an older one
     kWrittenNotInForceYet  // the named VMs stand in the way
   };
   State state = State::kWrittenNotInForceYet;
-  std::vector<VmId> lagging;  // heard recently without the version, or with another digest
-  /** False on a VM that started recently and has no platform list; never accepted then. */
+  std::vector<VmId>
+      lagging;  // heard recently without the version, or with another digest
+  /** False on a VM that started recently and has no platform list; never
+   * accepted then. */
   bool members_known = true;
-  std::vector<VmId> silent;  // without the version when last heard, and silent for too long
+  std::vector<VmId>
+      silent;  // without the version when last heard, and silent for too long
   friend auto operator<=>(const InForceReport&, const InForceReport&) = default;
 };
 
@@ -34,7 +37,9 @@
  *
  * @param silence  the time after which a VM without confirmation refuses calls
  */
-InForceReport MakeInForceReport(TimePoint now, ObjectVersion version, const std::string& digest,
-                                const ClusterView& view, Duration silence = Duration::Seconds(6));
+InForceReport MakeInForceReport(TimePoint now, ObjectVersion version,
+                                const std::string& digest,
+                                const ClusterView& view,
+                                Duration silence = Duration::Seconds(6));
 
 }  // namespace zr
--- a/modules/zr_membership/membership.cc
+++ b/modules/zr_membership/membership.cc
@@ -16,12 +16,15 @@
 
 Result<Membership> Membership::Create(MembershipOptions options) {
   const auto invalid = [](std::string message) {
-    return Fail(ErrorCode::kInvalidArgument, "membership", "", std::move(message));
+    return Fail(ErrorCode::kInvalidArgument, "membership", "",
+                std::move(message));
   };
-  if (options.self.empty() || options.domain.empty()) return invalid("VM or domain name is empty");
+  if (options.self.empty() || options.domain.empty())
+    return invalid("VM or domain name is empty");
   if (options.incarnation.value() == 0) return invalid("incarnation is 0");
   if (options.weight == 0) return invalid("weight is 0");
-  if (options.heartbeat_period <= Duration()) return invalid("heartbeat period is not positive");
+  if (options.heartbeat_period <= Duration())
+    return invalid("heartbeat period is not positive");
   if (options.suspect_after < options.heartbeat_period * 2) {
     return invalid("suspect time is below two heartbeat periods");
   }
@@ -50,12 +53,14 @@
 // -----------------------------------------------------------------------------
 // Input
 
-HeartbeatOutcome Membership::OnHeartbeat(TimePoint now, const Heartbeat& heartbeat,
+HeartbeatOutcome Membership::OnHeartbeat(TimePoint now,
+                                         const Heartbeat& heartbeat,
                                          const VmId& from) {
   HeartbeatOutcome outcome;
   DetectPause(now, outcome.events);
   const SenderStamp& stamp = heartbeat.origin;
-  if (stamp.vm.empty() || stamp.incarnation.value() == 0 || heartbeat.weight == 0) {
+  if (stamp.vm.empty() || stamp.incarnation.value() == 0 ||
+      heartbeat.weight == 0) {
     outcome.kind = HeartbeatOutcome::Kind::kInvalid;
     return outcome;
   }
@@ -64,12 +69,14 @@
                        ? HeartbeatOutcome::Kind::kOwn
                        : HeartbeatOutcome::Kind::kNameConflict;
     // A late heartbeat of this VM's process before a restart is no conflict.
-    if (stamp.incarnation < options_.incarnation) outcome.kind = HeartbeatOutcome::Kind::kStale;
+    if (stamp.incarnation < options_.incarnation)
+      outcome.kind = HeartbeatOutcome::Kind::kStale;
     return outcome;
   }
   const auto it = members_.find(stamp.vm);
-  if (it != members_.end() && std::pair(stamp.incarnation, stamp.sequence) <=
-                                  std::pair(it->second.view.incarnation, it->second.sequence)) {
+  if (it != members_.end() &&
+      std::pair(stamp.incarnation, stamp.sequence) <=
+          std::pair(it->second.view.incarnation, it->second.sequence)) {
     outcome.kind = HeartbeatOutcome::Kind::kStale;
     return outcome;
   }
@@ -78,13 +85,16 @@
   return outcome;
 }
 
-void Membership::Accept(TimePoint now, const Heartbeat& heartbeat, Events& events) {
+void Membership::Accept(TimePoint now, const Heartbeat& heartbeat,
+                        Events& events) {
   const VmId& vm = heartbeat.origin.vm;
   const auto [it, is_new] = members_.try_emplace(vm);
   Member& member = it->second;
   const VmView before = member.view;
-  const bool restarted = !is_new && heartbeat.origin.incarnation > before.incarnation;
-  if (restarted && member.live) events.push_back({Kind::kVmDied, vm, before.incarnation});
+  const bool restarted =
+      !is_new && heartbeat.origin.incarnation > before.incarnation;
+  if (restarted && member.live)
+    events.push_back({Kind::kVmDied, vm, before.incarnation});
   const bool was_live = member.live && !restarted;
   if (is_new || restarted) LearnNews(now, vm);
 
@@ -109,7 +119,8 @@
   member.live = true;
 
   if (!was_live) {
-    events.push_back({is_new ? Kind::kVmAppeared : Kind::kVmReturned, vm, view.incarnation});
+    events.push_back(
+        {is_new ? Kind::kVmAppeared : Kind::kVmReturned, vm, view.incarnation});
     view.leaving = false;  // reported again below
   }
   ApplyMarks(member, events);
@@ -130,13 +141,15 @@
   // During the round after a pause every peer seems silent, because this VM
   // was not reading; deaths are declared only once peers could be heard again.
   if (settled_) changed |= BuryAndForget(now, events);
-  // A view of hundreds of VMs costs too much to copy at each tick only to renew hearing times.
-  if (changed || !links_ || now - view_->taken_at >= options_.digest_period) Publish(now, changed);
+  // A view of hundreds of VMs costs too much to copy at each tick only to renew
+  // hearing times.
+  if (changed || !links_ || now - view_->taken_at >= options_.digest_period)
+    Publish(now, changed);
   return events;
 }
 
-std::vector<MembershipEvent> Membership::OnPlatformList(TimePoint now,
-                                                        const std::vector<PlatformVm>& list) {
+std::vector<MembershipEvent> Membership::OnPlatformList(
+    TimePoint now, const std::vector<PlatformVm>& list) {
   Events events;
   DetectPause(now, events);
   platform_.clear();
@@ -155,7 +168,8 @@
   drained_domains_.clear();
   for (const Drain& drain : drains) {
     if (drain.kind == DrainKind::kVm) drained_vms_.insert(VmId(drain.name));
-    if (drain.kind == DrainKind::kDomain) drained_domains_.insert(DomainId(drain.name));
+    if (drain.kind == DrainKind::kDomain)
+      drained_domains_.insert(DomainId(drain.name));
   }
   Events no_events;
   bool changed = false;
@@ -167,14 +181,16 @@
 bool Membership::ApplyMarks(Member& member, Events& events) {
   VmView& view = member.view;
   const auto listed = platform_.find(view.vm);
-  const bool leaving =
-      member.announced_leaving || (listed != platform_.end() && listed->second.leaving);
+  const bool leaving = member.announced_leaving ||
+                       (listed != platform_.end() && listed->second.leaving);
   const bool vm_drained = drained_vms_.contains(view.vm);
   const bool domain_drained = drained_domains_.contains(view.domain);
-  const bool changed = leaving != view.leaving || vm_drained != view.vm_drained ||
+  const bool changed = leaving != view.leaving ||
+                       vm_drained != view.vm_drained ||
                        domain_drained != view.domain_drained;
   if (member.live && leaving != view.leaving) {
-    events.push_back({leaving ? Kind::kVmLeaving : Kind::kVmReturned, view.vm, view.incarnation});
+    events.push_back({leaving ? Kind::kVmLeaving : Kind::kVmReturned, view.vm,
+                      view.incarnation});
   }
   view.leaving = leaving;
   view.vm_drained = vm_drained;
@@ -189,8 +205,8 @@
   // One round is two periods: a heartbeat may be due just after the resumption
   // and needs time to travel.
   // Digests bring news of distant VMs over several hops.
-  const TimePoint round_end =
-      now + (links_ ? options_.suspect_relayed_after : options_.heartbeat_period * 2);
+  const TimePoint round_end = now + (links_ ? options_.suspect_relayed_after
+                                            : options_.heartbeat_period * 2);
   if (!started_) {
     started_ = true;
     last_tick_ = now;
@@ -239,7 +255,8 @@
   for (const auto& [vm, member] : members_) {
     if (vm == options_.self || !member.live || !settled_) continue;
     // One microsecond later the silence exceeds the bound.
-    wakeup = std::min(wakeup, member.view.last_heard + SuspectAfter() + Duration::Microseconds(1));
+    wakeup = std::min(wakeup, member.view.last_heard + SuspectAfter() +
+                                  Duration::Microseconds(1));
   }
   return wakeup;
 }
@@ -281,7 +298,8 @@
   return heartbeat;
 }
 
-std::vector<VmId> Membership::RelayTargets(const Heartbeat& heartbeat, const VmId& from) const {
+std::vector<VmId> Membership::RelayTargets(const Heartbeat& heartbeat,
+                                           const VmId& from) const {
   std::vector<VmId> targets;
   if (!links_ || heartbeat.hops >= options_.hop_limit) return targets;
   for (const VmId& link : *links_) {
--- a/modules/zr_membership/membership.h
+++ b/modules/zr_membership/membership.h
@@ -23,11 +23,13 @@
   Incarnation incarnation;   // start time of this process, above 0
   uint32_t weight = 1;
   Duration heartbeat_period = Duration::Milliseconds(250);
-  /** Silence after which a VM counts as dead; at least two heartbeat periods. */
+  /** Silence after which a VM counts as dead; at least two heartbeat periods.
+   */
   Duration suspect_after = Duration::Milliseconds(1500);
   /** Silence after which a dead VM is forgotten; longer than suspect_after. */
   Duration remember_for = Duration::Seconds(600);
-  /** As suspect_after while links are bounded; longer, because news of a VM takes several hops. */
+  /** As suspect_after while links are bounded; longer, because news of a VM
+   * takes several hops. */
   Duration suspect_relayed_after = Duration::Seconds(6);
   /** Period of beats on bounded links. */
   Duration beat_period = Duration::Milliseconds(1000);
@@ -58,17 +60,19 @@
 /** A change that other components act on. */
 struct MembershipEvent {
   enum class Kind : uint8_t {
-    kVmAppeared,   // a VM not known before is live
-    kVmDied,       // a VM fell silent, or its incarnation ended by a restart
-    kVmLeaving,    // a live VM (or this one) is leaving; it owns nothing from now on
-    kVmReturned,   // a VM is live again after kVmDied, or withdrew its leaving
-    kSelfPaused,   // this process was paused: rebuild owned state as a take-over
+    kVmAppeared,  // a VM not known before is live
+    kVmDied,      // a VM fell silent, or its incarnation ended by a restart
+    kVmLeaving,  // a live VM (or this one) is leaving; it owns nothing from now
+                 // on
+    kVmReturned,  // a VM is live again after kVmDied, or withdrew its leaving
+    kSelfPaused,  // this process was paused: rebuild owned state as a take-over
     kViewSettled,  // a heartbeat round has passed since the start or pause
   };
   Kind kind = Kind::kVmAppeared;
   VmId vm;
   Incarnation incarnation;
-  friend auto operator<=>(const MembershipEvent&, const MembershipEvent&) = default;
+  friend auto operator<=>(const MembershipEvent&,
+                          const MembershipEvent&) = default;
 };
 
 /** Result of OnHeartbeat(). */
@@ -101,49 +105,62 @@
  */
 class Membership {
  public:
-  /** @returns kInvalidArgument for an empty identity or periods out of range. */
+  /** @returns kInvalidArgument for an empty identity or periods out of range.
+   */
   static Result<Membership> Create(MembershipOptions options);
 
   // ---------------------------------------------------------------------------
   // Input
 
-  /** Takes a heartbeat that arrived over the link from `from` (origin or relay). */
-  HeartbeatOutcome OnHeartbeat(TimePoint now, const Heartbeat& heartbeat, const VmId& from);
+  /** Takes a heartbeat that arrived over the link from `from` (origin or
+   * relay). */
+  HeartbeatOutcome OnHeartbeat(TimePoint now, const Heartbeat& heartbeat,
+                               const VmId& from);
 
   /**
    * Takes a beat or digest that arrived over the link from `from`.
    * @returns changes, and the answer for `from` if one is due
    */
-  DigestOutcome OnDigest(TimePoint now, const MembershipDigest& digest, const VmId& from);
+  DigestOutcome OnDigest(TimePoint now, const MembershipDigest& digest,
+                         const VmId& from);
 
-  /** Declares silent VMs dead, forgets old ones and detects a pause of this process. */
+  /** Declares silent VMs dead, forgets old ones and detects a pause of this
+   * process. */
   std::vector<MembershipEvent> OnTick(TimePoint now);
 
   /**
    * Takes the platform's list. It supplies addresses and leaving marks only: a
    * listed VM is not live before it is heard, and a missing one does not die.
    */
-  std::vector<MembershipEvent> OnPlatformList(TimePoint now, const std::vector<PlatformVm>& list);
+  std::vector<MembershipEvent> OnPlatformList(
+      TimePoint now, const std::vector<PlatformVm>& list);
 
   /** Sets the drains of the configuration in force. */
   void SetDrains(TimePoint now, const std::vector<Drain>& drains);
 
-  /** Sets the linked VMs for relaying; std::nullopt is a full mesh without relays. */
-  void SetLinks(std::optional<std::set<VmId>> links) { links_ = std::move(links); }
+  /** Sets the linked VMs for relaying; std::nullopt is a full mesh without
+   * relays. */
+  void SetLinks(std::optional<std::set<VmId>> links) {
+    links_ = std::move(links);
+  }
 
   // ---------------------------------------------------------------------------
   // Output
 
-  /** The heartbeat to send now; also updates this VM's own entry in the view. */
+  /** The heartbeat to send now; also updates this VM's own entry in the view.
+   */
   Heartbeat MakeHeartbeat(TimePoint now, const LocalState& local);
 
   /**
    * The beats and digests to send now on bounded links.
    * @param links     VMs to which a link is up
-   * @param announce  sends a beat to all links, for a change that peers should know of at once
+   * @param announce  sends a beat to all links, for a change that peers should
+   * know of at once
    */
-  std::vector<OutgoingMessage> MakeDigests(TimePoint now, const LocalState& local,
-                                           const std::vector<VmId>& links, bool announce = false);
+  std::vector<OutgoingMessage> MakeDigests(TimePoint now,
+                                           const LocalState& local,
+                                           const std::vector<VmId>& links,
+                                           bool announce = false);
 
   /** Whether links are bounded, so that digests replace heartbeats. */
   const std::optional<std::set<VmId>>& links() const { return links_; }
@@ -164,9 +181,10 @@
   struct Member {
     VmView view;
     uint64_t sequence = 0;
-    uint64_t beat = 0;                      // newest known reading of the VM's own clock
-    std::optional<TimePoint> clock_origin;  // local time of the VM's beat 0, by the fastest news
-    TimePoint origin_at;                    // when clock_origin was estimated
+    uint64_t beat = 0;  // newest known reading of the VM's own clock
+    std::optional<TimePoint>
+        clock_origin;     // local time of the VM's beat 0, by the fastest news
+    TimePoint origin_at;  // when clock_origin was estimated
     bool live = false;
     bool announced_leaving = false;
     std::vector<TeamDemand> team_demand;
@@ -183,7 +201,8 @@
   void Accept(TimePoint now, const Heartbeat& heartbeat, Events& events);
   bool ApplyMarks(Member& member, Events& events);
   bool BuryAndForget(TimePoint now, Events& events);
-  std::vector<VmId> RelayTargets(const Heartbeat& heartbeat, const VmId& from) const;
+  std::vector<VmId> RelayTargets(const Heartbeat& heartbeat,
+                                 const VmId& from) const;
   void Publish(TimePoint now, bool changed);
   void UpdateSelf(TimePoint now, const LocalState& local);
   Duration SuspectAfter() const {
@@ -197,13 +216,14 @@
   void AddNews(TimePoint now, MembershipDigest& beat);
   void LearnNews(TimePoint now, const VmId& vm);
   void AddStates(TimePoint now, MembershipDigest& digest);
-  void AddRecord(TimePoint now, const Member& member, MembershipDigest& digest) const;
+  void AddRecord(TimePoint now, const Member& member,
+                 MembershipDigest& digest) const;
   bool TakeRecord(TimePoint now, const VmRecord& record, Events& events);
-  bool TakeStates(TimePoint now, const MembershipDigest& digest, const Roster& roster,
-                  Events& events);
+  bool TakeStates(TimePoint now, const MembershipDigest& digest,
+                  const Roster& roster, Events& events);
   /** News of a VM with its beat; older news changes nothing. */
-  bool TakeState(TimePoint now, Member& member, uint64_t beat, bool ready, bool leaving,
-                 ObjectVersion config_version, Events& events);
+  bool TakeState(TimePoint now, Member& member, uint64_t beat, bool ready,
+                 bool leaving, ObjectVersion config_version, Events& events);
   const Roster* FindRoster(uint64_t hash) const;
 
   MembershipOptions options_;
@@ -214,7 +234,8 @@
   std::optional<std::set<VmId>> links_;
   std::deque<std::pair<uint64_t, Roster>> rosters_;  // the current one first
   bool roster_changed_ = true;
-  std::map<VmId, int> news_;  // records to send on, with the digests left that carry them
+  std::map<VmId, int>
+      news_;  // records to send on, with the digests left that carry them
   std::map<ObjectVersion, std::string> digest_of_;
   Random link_order_;
   std::vector<VmId> link_round_;  // links that get a digest next, last first
--- a/modules/zr_membership/membership_digest.cc
+++ b/modules/zr_membership/membership_digest.cc
@@ -7,13 +7,15 @@
 namespace {
 
 constexpr int64_t kBeatUnit = 125'000;  // microseconds
-constexpr unsigned kBeatBits = 14;      // 2,048 s, more than three times what is remembered
+constexpr unsigned kBeatBits =
+    14;  // 2,048 s, more than three times what is remembered
 constexpr unsigned kBeatMask = (1U << kBeatBits) - 1;
 constexpr unsigned kReadyBit = 1U << 14;
 constexpr unsigned kLeavingBit = 1U << 15;
 // Clocks may drift apart by this part of the elapsed time.
 constexpr int64_t kDriftDivisor = 1000;
-// New news never counts as older, so that a VM whose clock stood still is not lost.
+// New news never counts as older, so that a VM whose clock stood still is not
+// lost.
 constexpr Duration kOldestNews = Duration::Seconds(5);
 constexpr unsigned kOlderVersion = 3;
 constexpr size_t kRostersKept = 16;
@@ -22,7 +24,9 @@
 constexpr size_t kMaxNews = 200;
 constexpr Duration kNewsDelay = Duration::Milliseconds(100);
 
-uint64_t BeatAt(TimePoint now) { return static_cast<uint64_t>(now.microseconds() / kBeatUnit) + 1; }
+uint64_t BeatAt(TimePoint now) {
+  return static_cast<uint64_t>(now.microseconds() / kBeatUnit) + 1;
+}
 
 TimePoint OriginOf(TimePoint now, uint64_t beat) {
   return now - Duration::Microseconds(static_cast<int64_t>(beat) * kBeatUnit);
@@ -36,9 +40,11 @@
   return known > back ? known - back : 0;
 }
 
-unsigned VersionIndex(const std::vector<ObjectVersion>& versions, ObjectVersion version) {
+unsigned VersionIndex(const std::vector<ObjectVersion>& versions,
+                      ObjectVersion version) {
   const auto it = std::find(versions.begin(), versions.end(), version);
-  return it == versions.end() ? kOlderVersion : static_cast<unsigned>(it - versions.begin());
+  return it == versions.end() ? kOlderVersion
+                              : static_cast<unsigned>(it - versions.begin());
 }
 
 }  // namespace
@@ -79,16 +85,20 @@
   return digest;
 }
 
-void Membership::AddRecord(TimePoint now, const Member& member, MembershipDigest& digest) const {
+void Membership::AddRecord(TimePoint now, const Member& member,
+                           MembershipDigest& digest) const {
   const VmView& view = member.view;
-  const Duration age = view.vm == options_.self ? Duration() : now - view.last_heard;
-  digest.records.push_back({view.vm, view.incarnation, view.domain, view.region, view.peer_address,
-                            view.weight, view.ready, member.announced_leaving, view.config_version,
-                            view.vm == options_.self ? BeatAt(now) : member.beat, age});
+  const Duration age =
+      view.vm == options_.self ? Duration() : now - view.last_heard;
+  digest.records.push_back(
+      {view.vm, view.incarnation, view.domain, view.region, view.peer_address,
+       view.weight, view.ready, member.announced_leaving, view.config_version,
+       view.vm == options_.self ? BeatAt(now) : member.beat, age});
 }
 
 void Membership::AddNews(TimePoint now, MembershipDigest& beat) {
-  for (auto it = news_.begin(); it != news_.end() && beat.records.size() < kMaxNews;) {
+  for (auto it = news_.begin();
+       it != news_.end() && beat.records.size() < kMaxNews;) {
     const auto member = members_.find(it->first);
     if (member != members_.end()) AddRecord(now, member->second, beat);
     it = --it->second <= 0 ? news_.erase(it) : std::next(it);
@@ -98,7 +108,8 @@
 void Membership::LearnNews(TimePoint now, const VmId& vm) {
   roster_changed_ = true;
   news_[vm] = kNewsCopies;
-  // Rosters that differ slow down digests, so news does not wait for the next beat.
+  // Rosters that differ slow down digests, so news does not wait for the next
+  // beat.
   next_beat_ = std::min(next_beat_, now + kNewsDelay);
   next_heartbeat_ = std::min(next_heartbeat_, next_beat_);
 }
@@ -108,8 +119,10 @@
   digest.roster = rosters_.front().first;
   digest.config_digest = members_.at(options_.self).view.config_digest;
   std::set<ObjectVersion> versions;
-  for (const auto& [vm, member] : members_) versions.insert(member.view.config_version);
-  for (auto it = versions.rbegin(); it != versions.rend() && digest.versions.size() < 3; ++it) {
+  for (const auto& [vm, member] : members_)
+    versions.insert(member.view.config_version);
+  for (auto it = versions.rbegin();
+       it != versions.rend() && digest.versions.size() < 3; ++it) {
     digest.versions.push_back(*it);
   }
   std::string& indexes = digest.version_indexes.bytes;
@@ -122,16 +135,18 @@
     if (member.announced_leaving) state |= kLeavingBit;
     digest.states.bytes.push_back(static_cast<char>(state & 255U));
     digest.states.bytes.push_back(static_cast<char>(state >> 8));
-    const unsigned index = VersionIndex(digest.versions, member.view.config_version);
-    indexes[position / 4] = static_cast<char>(static_cast<uint8_t>(indexes[position / 4]) |
-                                              index << (position % 4 * 2));
+    const unsigned index =
+        VersionIndex(digest.versions, member.view.config_version);
+    indexes[position / 4] =
+        static_cast<char>(static_cast<uint8_t>(indexes[position / 4]) |
+                          index << (position % 4 * 2));
     ++position;
   }
 }
 
-std::vector<OutgoingMessage> Membership::MakeDigests(TimePoint now, const LocalState& local,
-                                                     const std::vector<VmId>& links,
-                                                     bool announce) {
+std::vector<OutgoingMessage> Membership::MakeDigests(
+    TimePoint now, const LocalState& local, const std::vector<VmId>& links,
+    bool announce) {
   std::vector<OutgoingMessage> messages;
   UpdateSelf(now, local);
   if (announce || now >= next_beat_) {
@@ -144,7 +159,8 @@
     next_digest_ = now + options_.digest_period;
     MembershipDigest digest = MakeBeat(now);
     AddStates(now, digest);
-    // Each round visits all links in another order; a fixed order spreads news much more slowly.
+    // Each round visits all links in another order; a fixed order spreads news
+    // much more slowly.
     if (link_round_.empty()) {
       link_round_ = links;
       for (size_t i = link_round_.size() - 1; i > 0; --i) {
@@ -161,34 +177,41 @@
 // -----------------------------------------------------------------------------
 // Receiving
 
-DigestOutcome Membership::OnDigest(TimePoint now, const MembershipDigest& digest,
+DigestOutcome Membership::OnDigest(TimePoint now,
+                                   const MembershipDigest& digest,
                                    const VmId& from) {
   DigestOutcome outcome;
   DetectPause(now, outcome.events);
   const SenderStamp& stamp = digest.sender;
-  if (stamp.vm != from || stamp.vm == options_.self || stamp.incarnation.value() == 0) {
+  if (stamp.vm != from || stamp.vm == options_.self ||
+      stamp.incarnation.value() == 0) {
     return outcome;
   }
   bool changed = false;
-  for (const VmRecord& record : digest.records) changed |= TakeRecord(now, record, outcome.events);
-  if (!digest.config_digest.empty()) digest_of_[digest.config_version] = digest.config_digest;
+  for (const VmRecord& record : digest.records)
+    changed |= TakeRecord(now, record, outcome.events);
+  if (!digest.config_digest.empty())
+    digest_of_[digest.config_version] = digest.config_digest;
   while (digest_of_.size() > 16) digest_of_.erase(digest_of_.begin());
 
   const auto sender = members_.find(stamp.vm);
-  const bool known =
-      sender != members_.end() && sender->second.view.incarnation >= stamp.incarnation;
+  const bool known = sender != members_.end() &&
+                     sender->second.view.incarnation >= stamp.incarnation;
   if (known && sender->second.view.incarnation == stamp.incarnation &&
       stamp.sequence > sender->second.sequence) {
     sender->second.sequence = stamp.sequence;
-    changed |= TakeState(now, sender->second, digest.beat, digest.ready, digest.leaving,
-                         digest.config_version, outcome.events);
+    changed |= TakeState(now, sender->second, digest.beat, digest.ready,
+                         digest.leaving, digest.config_version, outcome.events);
   }
   RefreshRoster();
-  const Roster* roster = digest.roster != 0 ? FindRoster(digest.roster) : nullptr;
-  if (roster != nullptr) changed |= TakeStates(now, digest, *roster, outcome.events);
+  const Roster* roster =
+      digest.roster != 0 ? FindRoster(digest.roster) : nullptr;
+  if (roster != nullptr)
+    changed |= TakeStates(now, digest, *roster, outcome.events);
   if (changed) Publish(now, true);
 
-  const bool asks = (!known || (digest.roster != 0 && roster == nullptr)) && now >= next_request_;
+  const bool asks = (!known || (digest.roster != 0 && roster == nullptr)) &&
+                    now >= next_request_;
   const bool answers = digest.wants_records && now >= next_records_;
   if (!asks && !answers) return outcome;
   outcome.answer = MakeBeat(now);
@@ -196,14 +219,17 @@
   if (asks) next_request_ = now + kRecordsPeriod;
   if (answers) {
     next_records_ = now + kRecordsPeriod;
-    for (const auto& [vm, member] : members_) AddRecord(now, member, *outcome.answer);
+    for (const auto& [vm, member] : members_)
+      AddRecord(now, member, *outcome.answer);
   }
   return outcome;
 }
 
-bool Membership::TakeRecord(TimePoint now, const VmRecord& record, Events& events) {
-  if (record.vm.empty() || record.vm == options_.self || record.incarnation.value() == 0 ||
-      record.weight == 0 || record.age < Duration()) {
+bool Membership::TakeRecord(TimePoint now, const VmRecord& record,
+                            Events& events) {
+  if (record.vm.empty() || record.vm == options_.self ||
+      record.incarnation.value() == 0 || record.weight == 0 ||
+      record.age < Duration()) {
     return false;
   }
   const auto it = members_.find(record.vm);
@@ -212,7 +238,8 @@
   const TimePoint heard = now - record.age;
   if (is_new || record.incarnation > it->second.view.incarnation) {
     // A VM that is about to be forgotten is not learnt again.
-    if (is_new && record.age > options_.remember_for - Duration::Seconds(30)) return false;
+    if (is_new && record.age > options_.remember_for - Duration::Seconds(30))
+      return false;
     Member& member = members_[record.vm];
     if (!is_new && member.live) {
       events.push_back({Kind::kVmDied, record.vm, member.view.incarnation});
@@ -231,36 +258,47 @@
     member.origin_at = now;
     LearnNews(now, record.vm);
   }
-  const bool changed = TakeState(now, members_.at(record.vm), record.beat, record.ready,
-                                 record.leaving, record.config_version, events);
+  const bool changed =
+      TakeState(now, members_.at(record.vm), record.beat, record.ready,
+                record.leaving, record.config_version, events);
   Member& member = members_.at(record.vm);
-  if (member.live || now - member.view.last_heard > SuspectAfter()) return changed;
+  if (member.live || now - member.view.last_heard > SuspectAfter())
+    return changed;
   member.live = true;
-  events.push_back({is_new ? Kind::kVmAppeared : Kind::kVmReturned, record.vm, record.incarnation});
+  events.push_back({is_new ? Kind::kVmAppeared : Kind::kVmReturned, record.vm,
+                    record.incarnation});
   Events no_events;
   ApplyMarks(member, no_events);
   return true;
 }
 
-bool Membership::TakeStates(TimePoint now, const MembershipDigest& digest, const Roster& roster,
-                            Events& events) {
+bool Membership::TakeStates(TimePoint now, const MembershipDigest& digest,
+                            const Roster& roster, Events& events) {
   const std::string& states = digest.states.bytes;
   const std::string& indexes = digest.version_indexes.bytes;
-  if (states.size() != roster.size() * 2 || indexes.size() != (roster.size() + 3) / 4) return false;
+  if (states.size() != roster.size() * 2 ||
+      indexes.size() != (roster.size() + 3) / 4)
+    return false;
   bool changed = false;
   for (size_t i = 0; i < roster.size(); ++i) {
     const auto& [vm, incarnation] = roster[i];
-    const unsigned state = static_cast<uint8_t>(states[2 * i]) |
-                           static_cast<unsigned>(static_cast<uint8_t>(states[2 * i + 1])) << 8;
+    const unsigned state =
+        static_cast<uint8_t>(states[2 * i]) |
+        static_cast<unsigned>(static_cast<uint8_t>(states[2 * i + 1])) << 8;
     if (vm == options_.self) continue;
     const auto it = members_.find(vm);
-    if (it == members_.end() || it->second.view.incarnation != incarnation) continue;
-    const unsigned index = static_cast<uint8_t>(indexes[i / 4]) >> (i % 4 * 2) & 3U;
-    const ObjectVersion version =
-        index < digest.versions.size() ? digest.versions[index] : it->second.view.config_version;
-    changed |= TakeState(now, it->second, ExpandBeat(it->second.beat, state & kBeatMask),
-                         (state & kReadyBit) != 0, (state & kLeavingBit) != 0, version, events);
-    if (!it->second.live && now - it->second.view.last_heard <= SuspectAfter()) {
+    if (it == members_.end() || it->second.view.incarnation != incarnation)
+      continue;
+    const unsigned index =
+        static_cast<uint8_t>(indexes[i / 4]) >> (i % 4 * 2) & 3U;
+    const ObjectVersion version = index < digest.versions.size()
+                                      ? digest.versions[index]
+                                      : it->second.view.config_version;
+    changed |= TakeState(
+        now, it->second, ExpandBeat(it->second.beat, state & kBeatMask),
+        (state & kReadyBit) != 0, (state & kLeavingBit) != 0, version, events);
+    if (!it->second.live &&
+        now - it->second.view.last_heard <= SuspectAfter()) {
       it->second.live = true;
       events.push_back({Kind::kVmReturned, vm, incarnation});
       changed = true;
@@ -269,7 +307,8 @@
   return changed;
 }
 
-bool Membership::TakeState(TimePoint now, Member& member, uint64_t beat, bool ready, bool leaving,
+bool Membership::TakeState(TimePoint now, Member& member, uint64_t beat,
+                           bool ready, bool leaving,
                            ObjectVersion config_version, Events& events) {
   VmView& view = member.view;
   if (beat <= member.beat) return false;
@@ -277,9 +316,10 @@
   // The fastest news tells best how the VM's clock relates to this one.
   TimePoint origin = OriginOf(now, beat);
   if (member.clock_origin) {
-    const Duration drift =
-        Duration::Microseconds((now - member.origin_at).microseconds() / kDriftDivisor);
-    origin = std::max(std::min(origin, *member.clock_origin + drift), origin - kOldestNews);
+    const Duration drift = Duration::Microseconds(
+        (now - member.origin_at).microseconds() / kDriftDivisor);
+    origin = std::max(std::min(origin, *member.clock_origin + drift),
+                      origin - kOldestNews);
   }
   member.clock_origin = origin;
   member.origin_at = now;
--- a/modules/zr_membership/ownership.cc
+++ b/modules/zr_membership/ownership.cc
@@ -16,9 +16,11 @@
   return RendezvousScore(key, vm.vm.value(), vm.weight);
 }
 
-/** The highest-scored VM among those that the filter admits; ties go to the lower name. */
+/** The highest-scored VM among those that the filter admits; ties go to the
+ * lower name. */
 template <typename Filter>
-std::optional<VmId> Best(const std::string& key, const ClusterView& view, Filter filter) {
+std::optional<VmId> Best(const std::string& key, const ClusterView& view,
+                         Filter filter) {
   const VmView* best = nullptr;
   double best_score = 0;
   for (const auto& [id, vm] : view.live) {
@@ -34,23 +36,27 @@
 }
 
 template <typename Filter>
-std::vector<VmId> Ranked(const std::string& key, const ClusterView& view, size_t count,
-                         Filter filter) {
+std::vector<VmId> Ranked(const std::string& key, const ClusterView& view,
+                         size_t count, Filter filter) {
   std::vector<std::pair<double, VmId>> scored;
   for (const auto& [id, vm] : view.live) {
     if (filter(vm)) scored.emplace_back(-Score(key, vm), id);
   }
   std::sort(scored.begin(), scored.end());
   std::vector<VmId> ranked;
-  for (size_t i = 0; i < std::min(count, scored.size()); ++i) ranked.push_back(scored[i].second);
+  for (size_t i = 0; i < std::min(count, scored.size()); ++i)
+    ranked.push_back(scored[i].second);
   return ranked;
 }
 
-bool MayCoordinate(const VmView& vm) { return MayOwn(vm) && !vm.domain_drained; }
+bool MayCoordinate(const VmView& vm) {
+  return MayOwn(vm) && !vm.domain_drained;
+}
 
 }  // namespace
 
-std::optional<VmId> OwnerOf(const EndpointInfo& endpoint, const ClusterView& view) {
+std::optional<VmId> OwnerOf(const EndpointInfo& endpoint,
+                            const ClusterView& view) {
   const std::string key = Key("endpoint", endpoint.endpoint.value());
   const auto in_domain = [&](const VmView& vm) {
     return MayOwn(vm) && vm.domain == endpoint.domain;
@@ -67,13 +73,16 @@
   return Best(Key("pool", pool.value()), view, MayCoordinate);
 }
 
-std::optional<VmId> LocatorOf(const RequestId& request, const ClusterView& view) {
+std::optional<VmId> LocatorOf(const RequestId& request,
+                              const ClusterView& view) {
   return Best(Key("request", request.value()), view, MayCoordinate);
 }
 
-std::vector<VmId> WatchersOf(const DomainId& domain, const ClusterView& view, size_t count) {
-  return Ranked(Key("watch", domain.value()), view, count,
-                [&](const VmView& vm) { return !vm.leaving && vm.domain == domain; });
+std::vector<VmId> WatchersOf(const DomainId& domain, const ClusterView& view,
+                             size_t count) {
+  return Ranked(
+      Key("watch", domain.value()), view, count,
+      [&](const VmView& vm) { return !vm.leaving && vm.domain == domain; });
 }
 
 std::vector<VmId> LeaseCandidates(const ClusterView& view, size_t count) {
--- a/modules/zr_membership/ownership.h
+++ b/modules/zr_membership/ownership.h
@@ -26,13 +26,16 @@
  *
  * @returns std::nullopt if no live VM may own
  */
-std::optional<VmId> OwnerOf(const EndpointInfo& endpoint, const ClusterView& view);
+std::optional<VmId> OwnerOf(const EndpointInfo& endpoint,
+                            const ClusterView& view);
 
 /** The VM that coordinates a pool's gathers; none in a drained domain. */
 std::optional<VmId> CoordinatorOf(const PoolId& pool, const ClusterView& view);
 
-/** The VM that is asked first where a request's stream is; none in a drained domain. */
-std::optional<VmId> LocatorOf(const RequestId& request, const ClusterView& view);
+/** The VM that is asked first where a request's stream is; none in a drained
+ * domain. */
+std::optional<VmId> LocatorOf(const RequestId& request,
+                              const ClusterView& view);
 
 /**
  * The VMs that hold the configuration watch in a domain, in rendezvous order.
@@ -40,7 +43,8 @@
  *
  * @param count  most VMs to return
  */
-std::vector<VmId> WatchersOf(const DomainId& domain, const ClusterView& view, size_t count = 3);
+std::vector<VmId> WatchersOf(const DomainId& domain, const ClusterView& view,
+                             size_t count = 3);
 
 /**
  * The VMs that may compete for the placement lease, in rendezvous order; the
--- a/modules/zr_membership/peer_planner.h
+++ b/modules/zr_membership/peer_planner.h
@@ -21,7 +21,8 @@
 struct PeerPlannerOptions {
   /** Up to this number of VMs, each VM links to every other. */
   size_t full_mesh_up_to = 32;
-  /** Links in the VM's own domain, to the rest of its region, and to other regions; even. */
+  /** Links in the VM's own domain, to the rest of its region, and to other
+   * regions; even. */
   size_t in_domain = 12;
   size_t in_region = 4;
   size_t to_other_regions = 2;
@@ -41,7 +42,8 @@
   explicit PeerPlanner(PeerPlannerOptions options = {}) : options_(options) {}
 
   /** Links of a VM among the given sites; `self` must be one of them. */
-  std::set<VmId> LinksOf(const VmId& self, const std::vector<PeerSite>& sites) const;
+  std::set<VmId> LinksOf(const VmId& self,
+                         const std::vector<PeerSite>& sites) const;
 
   /** Whether links are bounded, so that heartbeats need relays. */
   bool Bounded(const std::vector<PeerSite>& sites) const {
--- a/modules/zr_membership/summary_table.cc
+++ b/modules/zr_membership/summary_table.cc
@@ -6,7 +6,8 @@
 namespace zr {
 
 bool SummaryTable::OnSummary(TimePoint now, const Summary& summary) {
-  if (summary.endpoint.empty() || summary.pool.empty() || summary.owner.empty()) return false;
+  if (summary.endpoint.empty() || summary.pool.empty() || summary.owner.empty())
+    return false;
   Claims& claims = by_endpoint_[summary.endpoint];
   const auto it = claims.find(summary.owner);
   if (it != claims.end()) {
@@ -26,7 +27,8 @@
   for (auto it = by_endpoint_.begin(); it != by_endpoint_.end();) {
     const auto next = std::next(it);
     const auto claim = it->second.find(owner);
-    if (claim != it->second.end() && claim->second.summary.owner_incarnation <= incarnation) {
+    if (claim != it->second.end() &&
+        claim->second.summary.owner_incarnation <= incarnation) {
       it->second.erase(claim);
       if (it->second.empty()) Erase(it);
     }
@@ -50,8 +52,9 @@
   }
 }
 
-std::optional<SummaryCandidate> SummaryTable::Find(TimePoint now, const EndpointId& endpoint,
-                                                   const OwnerLookup& owner_of) const {
+std::optional<SummaryCandidate> SummaryTable::Find(
+    TimePoint now, const EndpointId& endpoint,
+    const OwnerLookup& owner_of) const {
   const auto it = by_endpoint_.find(endpoint);
   if (it == by_endpoint_.end()) return std::nullopt;
   std::optional<SummaryCandidate> best;
@@ -60,16 +63,16 @@
   for (const auto& [vm, entry] : it->second) {
     if (now - entry.received_at > expire_after_) continue;
     const bool agreed = owner == vm;
-    if (!best ||
-        std::pair(agreed, entry.received_at) > std::pair(best->owner_agreed, best->received_at)) {
+    if (!best || std::pair(agreed, entry.received_at) >
+                     std::pair(best->owner_agreed, best->received_at)) {
       best = SummaryCandidate{&entry.summary, entry.received_at, agreed};
     }
   }
   return best;
 }
 
-std::vector<SummaryCandidate> SummaryTable::Candidates(TimePoint now, const PoolId& pool,
-                                                       const OwnerLookup& owner_of) const {
+std::vector<SummaryCandidate> SummaryTable::Candidates(
+    TimePoint now, const PoolId& pool, const OwnerLookup& owner_of) const {
   std::vector<SummaryCandidate> candidates;
   const auto it = by_pool_.find(pool);
   if (it == by_pool_.end()) return candidates;
@@ -87,7 +90,8 @@
   TimePoint wakeup = TimePoint::Max();
   for (const auto& [endpoint, claims] : by_endpoint_) {
     for (const auto& [vm, entry] : claims) {
-      wakeup = std::min(wakeup, entry.received_at + expire_after_ + Duration::Microseconds(1));
+      wakeup = std::min(wakeup, entry.received_at + expire_after_ +
+                                    Duration::Microseconds(1));
     }
   }
   return wakeup;
@@ -101,11 +105,12 @@
   by_endpoint_.erase(it);
 }
 
-void SummaryTable::EraseFromPool(const PoolId& pool, const EndpointId& endpoint) {
+void SummaryTable::EraseFromPool(const PoolId& pool,
+                                 const EndpointId& endpoint) {
   // Another owner may still claim the endpoint for this pool.
-  const size_t claims =
-      std::count_if(by_endpoint_[endpoint].begin(), by_endpoint_[endpoint].end(),
-                    [&](const auto& claim) { return claim.second.summary.pool == pool; });
+  const size_t claims = std::count_if(
+      by_endpoint_[endpoint].begin(), by_endpoint_[endpoint].end(),
+      [&](const auto& claim) { return claim.second.summary.pool == pool; });
   if (claims > 1) return;
   const auto it = by_pool_.find(pool);
   if (it == by_pool_.end()) return;
--- a/modules/zr_membership/summary_table.h
+++ b/modules/zr_membership/summary_table.h
@@ -18,7 +18,8 @@
 struct SummaryCandidate {
   const Summary* summary = nullptr;  // valid until the next change of the table
   TimePoint received_at;
-  bool owner_agreed = false;  // published by the VM that the view names as owner
+  bool owner_agreed =
+      false;  // published by the VM that the view names as owner
 };
 
 /**
@@ -51,10 +52,12 @@
   void OnTick(TimePoint now);
 
   /** Best summary of an endpoint; std::nullopt if none is fresh. */
-  std::optional<SummaryCandidate> Find(TimePoint now, const EndpointId& endpoint,
+  std::optional<SummaryCandidate> Find(TimePoint now,
+                                       const EndpointId& endpoint,
                                        const OwnerLookup& owner_of) const;
 
-  /** Best fresh summary of each of a pool's endpoints that accepts new work, by endpoint id. */
+  /** Best fresh summary of each of a pool's endpoints that accepts new work, by
+   * endpoint id. */
   std::vector<SummaryCandidate> Candidates(TimePoint now, const PoolId& pool,
                                            const OwnerLookup& owner_of) const;
 
--- a/modules/zr_membership/tests/cluster_sim.h
+++ b/modules/zr_membership/tests/cluster_sim.h
@@ -45,7 +45,9 @@
   TimePoint now() const { return now_; }
   Random& random() { return random_; }
   std::vector<SimNode>& nodes() { return nodes_; }
-  bool Running(const SimNode& node) const { return node.up && now_ >= node.paused_until; }
+  bool Running(const SimNode& node) const {
+    return node.up && now_ >= node.paused_until;
+  }
   ObjectVersion store_version() const { return store_.version; }
 
   bool store_up = true;
@@ -57,7 +59,8 @@
     options.domain = node.domain;
     options.incarnation = Incarnation(now_.microseconds() + 1);
     node.incarnation = options.incarnation;
-    node.membership = std::make_unique<Membership>(*Membership::Create(options));
+    node.membership =
+        std::make_unique<Membership>(*Membership::Create(options));
     ConfigTrackerOptions config;
     config.self = node.id;
     config.check = [](const ConfigOffer&) { return Result<void>(); };
@@ -71,7 +74,8 @@
   /** Writes a new document as an operator would; returns its version. */
   ObjectVersion Write() {
     const uint64_t version = store_.version.value() + 1 + random_.Below(3);
-    store_ = {ObjectVersion(version), "digest" + std::to_string(version), "document"};
+    store_ = {ObjectVersion(version), "digest" + std::to_string(version),
+              "document"};
     return store_.version;
   }
 
@@ -103,8 +107,10 @@
 
   Duration Delay() { return Duration::Milliseconds(1 + random_.Below(60)); }
 
-  /** Runs `arrive` at the receiver after a delay, unless the message is lost. */
-  void Send(const VmId& from, const VmId& to, std::function<void(SimNode&)> arrive) {
+  /** Runs `arrive` at the receiver after a delay, unless the message is lost.
+   */
+  void Send(const VmId& from, const VmId& to,
+            std::function<void(SimNode&)> arrive) {
     if (random_.Chance(loss)) return;
     After(Delay(), [this, from, to, arrive = std::move(arrive)] {
       SimNode& receiver = Find(to);
@@ -115,17 +121,21 @@
   void Run(SimNode& node) {
     const std::vector<Heartbeat> buffered = std::exchange(node.buffered, {});
     for (const Heartbeat& heartbeat : buffered) Receive(node, heartbeat);
-    if (now_ < node.membership->NextWakeup() && now_ < node.tracker->NextWakeup()) return;
+    if (now_ < node.membership->NextWakeup() &&
+        now_ < node.tracker->NextWakeup())
+      return;
     Note(node, node.membership->OnTick(now_));
     node.tracker->OnView(now_, *node.membership->View());
-    for (const ConfigAction& action : node.tracker->OnTick(now_)) Perform(node, action);
+    for (const ConfigAction& action : node.tracker->OnTick(now_))
+      Perform(node, action);
     Watch(node);
     if (!node.membership->HeartbeatDue(now_)) return;
     LocalState local;
     local.ready = node.tracker->Readiness(now_) == ConfigReadiness::kReady;
     local.leaving = node.leaving;
     local.config_version = node.tracker->version();
-    if (node.tracker->current()) local.config_digest = node.tracker->current()->digest;
+    if (node.tracker->current())
+      local.config_digest = node.tracker->current()->digest;
     const Heartbeat heartbeat = node.membership->MakeHeartbeat(now_, local);
     for (const SimNode& peer : nodes_) {
       if (peer.id == node.id) continue;
@@ -143,19 +153,24 @@
   void Watch(SimNode& node) {
     if (now_ < node.next_watch) return;
     node.next_watch = now_ + Duration::Seconds(1);
-    for (const VmId& watcher : WatchersOf(node.domain, *node.membership->View(), 2)) {
-      if (watcher == node.id) Perform(node, {ConfigAction::Kind::kReadStore, VmId(), {}});
+    for (const VmId& watcher :
+         WatchersOf(node.domain, *node.membership->View(), 2)) {
+      if (watcher == node.id)
+        Perform(node, {ConfigAction::Kind::kReadStore, VmId(), {}});
     }
   }
 
   void Receive(SimNode& node, const Heartbeat& heartbeat) {
-    Note(node, node.membership->OnHeartbeat(now_, heartbeat, heartbeat.origin.vm).events);
+    Note(node,
+         node.membership->OnHeartbeat(now_, heartbeat, heartbeat.origin.vm)
+             .events);
     node.tracker->OnView(now_, *node.membership->View());
   }
 
   void Note(SimNode& node, const std::vector<MembershipEvent>& events) {
     for (const MembershipEvent& event : events) {
-      if (event.kind == MembershipEvent::Kind::kSelfPaused) node.tracker->OnSelfPaused(now_);
+      if (event.kind == MembershipEvent::Kind::kSelfPaused)
+        node.tracker->OnSelfPaused(now_);
     }
   }
 
@@ -178,7 +193,8 @@
       After(Delay(), [this, asker, incarnation, asked_at, offer] {
         SimNode& receiver = Find(asker);
         if (!Running(receiver) || receiver.incarnation != incarnation) return;
-        if (offer.version.value() > 0) receiver.tracker->OnStoreRead(now_, asked_at, offer);
+        if (offer.version.value() > 0)
+          receiver.tracker->OnStoreRead(now_, asked_at, offer);
       });
     });
   }
@@ -187,11 +203,13 @@
   void RefreshPlatformList() {
     next_list_ = now_ + Duration::Seconds(5);
     for (SimNode& node : nodes_) {
-      if (Running(node)) Note(node, node.membership->OnPlatformList(now_, lagging_list_));
+      if (Running(node))
+        Note(node, node.membership->OnPlatformList(now_, lagging_list_));
     }
     lagging_list_.clear();
     for (const SimNode& node : nodes_) {
-      if (node.up) lagging_list_.push_back({node.id, node.domain, "", node.leaving});
+      if (node.up)
+        lagging_list_.push_back({node.id, node.domain, "", node.leaving});
     }
   }
 
--- a/modules/zr_membership/tests/cluster_test.cc
+++ b/modules/zr_membership/tests/cluster_test.cc
@@ -6,16 +6,19 @@
 namespace zr {
 namespace {
 
-/** Injects faults, writes configurations and checks the promises after each step. */
+/** Injects faults, writes configurations and checks the promises after each
+ * step. */
 class Scenario {
  public:
-  explicit Scenario(uint64_t seed) : sim_(seed, 6 + static_cast<int>(seed % 8)) {}
+  explicit Scenario(uint64_t seed)
+      : sim_(seed, 6 + static_cast<int>(seed % 8)) {}
 
   void Run() {
     sim_.Write();
     for (int round = 0; round < 6; ++round) {
       for (int step = 0; step < 800; ++step) {  // 20 s
-        if (sim_.now() >= quiet_until_ && sim_.random().Chance(0.02)) InjectFault();
+        if (sim_.now() >= quiet_until_ && sim_.random().Chance(0.02))
+          InjectFault();
         if (sim_.random().Chance(0.01)) Operate();
         StepAndCheck();
       }
@@ -32,7 +35,8 @@
     SimNode& node = sim_.nodes()[random.Below(sim_.nodes().size())];
     switch (random.Below(10)) {
       case 0:
-        node.paused_until = sim_.now() + Duration::Milliseconds(random.Below(12'000));
+        node.paused_until =
+            sim_.now() + Duration::Milliseconds(random.Below(12'000));
         break;
       case 1:
         node.up = false;
@@ -41,10 +45,12 @@
         sim_.Start(node);
         break;
       case 3:
-        for (SimNode& other : sim_.nodes()) other.side = static_cast<int>(random.Below(2));
+        for (SimNode& other : sim_.nodes())
+          other.side = static_cast<int>(random.Below(2));
         break;
       case 4:  // one domain is cut off
-        for (SimNode& other : sim_.nodes()) other.side = other.domain == node.domain ? 1 : 0;
+        for (SimNode& other : sim_.nodes())
+          other.side = other.domain == node.domain ? 1 : 0;
         break;
       case 5:
         for (SimNode& other : sim_.nodes()) other.side = 0;
@@ -83,11 +89,14 @@
         if (node.incarnation != pending.incarnation) return true;
         if (!sim_.Running(node)) return false;
         const InForceReport report = MakeInForceReport(
-            sim_.now(), pending.version, "digest" + std::to_string(pending.version.value()),
+            sim_.now(), pending.version,
+            "digest" + std::to_string(pending.version.value()),
             *node.membership->View());
         if (report.state != InForceReport::State::kAccepted) return false;
-        // A silent VM may keep its confirmation until the bound after the last hearing.
-        const bool all_heard = report.silent.empty() && node.membership->View()->silent.empty();
+        // A silent VM may keep its confirmation until the bound after the last
+        // hearing.
+        const bool all_heard =
+            report.silent.empty() && node.membership->View()->silent.empty();
         const Duration bound = all_heard ? Duration() : Duration::Seconds(6);
         accepted_.push_back({pending.version, sim_.now() + bound});
         return true;
@@ -100,13 +109,15 @@
     }
     for (SimNode& node : sim_.nodes()) {
       if (!sim_.Running(node) || node.leaving) continue;
-      if (node.tracker->Readiness(sim_.now()) != ConfigReadiness::kReady) continue;
+      if (node.tracker->Readiness(sim_.now()) != ConfigReadiness::kReady)
+        continue;
       INFO("vm " << node.id << " at " << sim_.now());
       REQUIRE(node.tracker->version() >= in_force);
     }
   }
 
-  /** Ends all faults and waits until views must agree: a few heartbeats and a list refresh. */
+  /** Ends all faults and waits until views must agree: a few heartbeats and a
+   * list refresh. */
   void Heal() {
     sim_.store_up = true;
     sim_.loss = 0;
@@ -135,7 +146,8 @@
           endpoint.domain = DomainId("d" + std::to_string(i % 3));
           const auto owner = OwnerOf(endpoint, *view);
           REQUIRE(owner);
-          REQUIRE(owners.try_emplace(endpoint.endpoint, *owner).first->second == *owner);
+          REQUIRE(owners.try_emplace(endpoint.endpoint, *owner).first->second ==
+                  *owner);
           for (const SimNode& other : sim_.nodes()) {
             if (other.leaving) REQUIRE(*owner != other.id);
           }
@@ -152,15 +164,18 @@
   ClusterSim sim_;
   TimePoint quiet_until_;  // no fault before
   std::vector<Pending> pending_;
-  std::vector<std::pair<ObjectVersion, TimePoint>> accepted_;  // with the end of the bound
+  std::vector<std::pair<ObjectVersion, TimePoint>>
+      accepted_;  // with the end of the bound
 };
 
-// Guards against a ready VM with an older document than an accepted one, a configuration that
-// reverts, and owners that differ, move or leave while nothing happens.
+// Guards against a ready VM with an older document than an accepted one, a
+// configuration that reverts, and owners that differ, move or leave while
+// nothing happens.
 TEST_CASE("A cluster under faults keeps its promises") {
   Invariants::Reset();
   const char* chosen = std::getenv("ZR_SEED");
-  const uint64_t first = chosen != nullptr ? std::strtoull(chosen, nullptr, 10) : 1;
+  const uint64_t first =
+      chosen != nullptr ? std::strtoull(chosen, nullptr, 10) : 1;
   const uint64_t last = chosen != nullptr ? first : 40;
   size_t accepted = 0;
   for (uint64_t seed = first; seed <= last; ++seed) {
--- a/modules/zr_membership/tests/config_tracker_test.cc
+++ b/modules/zr_membership/tests/config_tracker_test.cc
@@ -20,13 +20,16 @@
   options.self = VmId("self");
   options.check = [](const ConfigOffer& offer) -> Result<void> {
     if (offer.digest == "digest-of-" + offer.document) return {};
-    return Fail(ErrorCode::kInvalidArgument, "config", "", "digest does not match");
+    return Fail(ErrorCode::kInvalidArgument, "config", "",
+                "digest does not match");
   };
   return ConfigTracker(std::move(options));
 }
 
-/** A view with peers p0.. of which the first `heard` were heard at `now`, the others at `then`. */
-ClusterView Peers(int count, int heard, TimePoint now, TimePoint then, uint64_t version = 5) {
+/** A view with peers p0.. of which the first `heard` were heard at `now`, the
+ * others at `then`. */
+ClusterView Peers(int count, int heard, TimePoint now, TimePoint then,
+                  uint64_t version = 5) {
   ClusterView view;
   view.self = VmId("self");
   view.settled = true;
@@ -43,22 +46,28 @@
   return view;
 }
 
-// Guards against a document that reverts, and against one that was altered on its way.
+// Guards against a document that reverts, and against one that was altered on
+// its way.
 TEST_CASE("Configuration versions only rise") {
   Invariants::Reset();
   ConfigTracker tracker = MakeTracker();
   REQUIRE(tracker.Readiness(At(1)) == ConfigReadiness::kNoConfiguration);
-  REQUIRE(tracker.OnOffer(At(1), VmId("p0"), Document(5)) == OfferOutcome::kAdopted);
-  REQUIRE(tracker.OnStoreRead(At(1), At(1), Document(4)) == OfferOutcome::kOlder);
+  REQUIRE(tracker.OnOffer(At(1), VmId("p0"), Document(5)) ==
+          OfferOutcome::kAdopted);
+  REQUIRE(tracker.OnStoreRead(At(1), At(1), Document(4)) ==
+          OfferOutcome::kOlder);
   REQUIRE(tracker.version() == ObjectVersion(5));
   REQUIRE(tracker.store_regressions() == 1);
   REQUIRE(tracker.Readiness(At(1)) == ConfigReadiness::kUnconfirmed);
-  REQUIRE(tracker.OnOffer(At(1), VmId("p0"), Document(5, "other")) == OfferOutcome::kConflict);
+  REQUIRE(tracker.OnOffer(At(1), VmId("p0"), Document(5, "other")) ==
+          OfferOutcome::kConflict);
   REQUIRE(tracker.digest_conflicts() == 1);
   ConfigOffer altered = Document(6);
   altered.document += "x";
-  REQUIRE(tracker.OnOffer(At(1), VmId("p0"), altered) == OfferOutcome::kRejected);
-  REQUIRE(tracker.OnStoreRead(At(2), At(2), Document(7)) == OfferOutcome::kAdopted);
+  REQUIRE(tracker.OnOffer(At(1), VmId("p0"), altered) ==
+          OfferOutcome::kRejected);
+  REQUIRE(tracker.OnStoreRead(At(2), At(2), Document(7)) ==
+          OfferOutcome::kAdopted);
   tracker.OnStoreAbsent();
   REQUIRE(tracker.version() == ObjectVersion(7));
   REQUIRE(tracker.Readiness(At(2)) == ConfigReadiness::kReady);
@@ -113,7 +122,9 @@
     tracker.OnView(At(720), view);
     REQUIRE(tracker.Readiness(At(720)) == ConfigReadiness::kUnconfirmed);
   }
-  SECTION("a VM that starts without store and list relies on ready peers, after listening") {
+  SECTION(
+      "a VM that starts without store and list relies on ready peers, after "
+      "listening") {
     ConfigTracker young = MakeTracker();
     young.OnOffer(At(1), VmId("p0"), Document(5));
     const auto hear_ready = [&](double s, bool ready) {
@@ -131,7 +142,8 @@
     REQUIRE(hear(730.1, 9, 700) == ConfigReadiness::kUnconfirmed);
     REQUIRE(hear(730.6, 9, 700) == ConfigReadiness::kReady);
   }
-  SECTION("a newer version that cannot be fetched ends readiness after the grace") {
+  SECTION(
+      "a newer version that cannot be fetched ends readiness after the grace") {
     tracker.OnView(At(701), Peers(9, 9, At(701), At(701), 6));
     REQUIRE(tracker.Readiness(At(702)) == ConfigReadiness::kReady);
     const auto actions = tracker.OnTick(At(701));
@@ -139,7 +151,8 @@
     REQUIRE(actions[0].kind == ConfigAction::Kind::kFetchFromPeer);
     tracker.OnView(At(704), Peers(9, 9, At(704), At(704), 6));
     REQUIRE(tracker.Readiness(At(704)) == ConfigReadiness::kLagging);
-    REQUIRE(tracker.OnOffer(At(704), VmId("p1"), Document(6)) == OfferOutcome::kAdopted);
+    REQUIRE(tracker.OnOffer(At(704), VmId("p1"), Document(6)) ==
+            OfferOutcome::kAdopted);
     REQUIRE(tracker.Readiness(At(704)) == ConfigReadiness::kReady);
   }
 }
@@ -168,8 +181,12 @@
     view = Peers(9, 5, At(20), At(10), 4);
     for (auto& [id, vm] : view.live) vm.config_version = ObjectVersion(5);
     REQUIRE(report(view).state == State::kAccepted);
-    SECTION("one more is silent") { view.silent[VmId("p9")].last_heard = At(10); }
-    SECTION("one that was heard is leaving") { view.live[VmId("p0")].leaving = true; }
+    SECTION("one more is silent") {
+      view.silent[VmId("p9")].last_heard = At(10);
+    }
+    SECTION("one that was heard is leaving") {
+      view.live[VmId("p0")].leaving = true;
+    }
     REQUIRE(report(view).state == State::kWrittenNotInForceYet);
   }
   SECTION("a listed VM that was never heard counts") {
--- a/modules/zr_membership/tests/digest_test.cc
+++ b/modules/zr_membership/tests/digest_test.cc
@@ -10,7 +10,8 @@
 
 constexpr size_t kFrameHeader = 8;  // websocket, masked
 
-/** VMs on planned links under virtual time, with loss, delay, partitions and lost domains. */
+/** VMs on planned links under virtual time, with loss, delay, partitions and
+ * lost domains. */
 class DigestSim {
  public:
   struct Node {
@@ -26,10 +27,12 @@
   };
 
   DigestSim(uint64_t seed, int vms) : random_(seed) {
-    static const char* const kRegions[] = {"r1", "r1", "r1", "r2", "r2", "r3", "r3", "r4", "r4"};
+    static const char* const kRegions[] = {"r1", "r1", "r1", "r2", "r2",
+                                           "r3", "r3", "r4", "r4"};
     for (int i = 0; i < vms; ++i) {
       const VmId id("entry-" + std::to_string(i));
-      nodes_[id].site = {id, DomainId("d" + std::to_string(i % 9)), kRegions[i % 9]};
+      nodes_[id].site = {id, DomainId("d" + std::to_string(i % 9)),
+                         kRegions[i % 9]};
     }
     for (auto& [id, node] : nodes_) sites_.push_back(node.site);
     for (auto& [id, node] : nodes_) Start(node);
@@ -41,8 +44,10 @@
     options.domain = node.site.domain;
     options.region = node.site.region;
     options.peer_address = "10.20.30.40:7000";
-    options.incarnation = Incarnation(1'700'000'000'000'000 + now_.microseconds());
-    node.membership = std::make_unique<Membership>(*Membership::Create(options));
+    options.incarnation =
+        Incarnation(1'700'000'000'000'000 + now_.microseconds());
+    node.membership =
+        std::make_unique<Membership>(*Membership::Create(options));
     node.up = true;
     node.links = PeerPlanner().LinksOf(node.site.vm, sites_);
     node.membership->SetLinks(node.links);
@@ -57,12 +62,15 @@
       if (!to.up || to.side != nodes_.at(frame.from).side) continue;
       const auto& digest = *frame.digest;
       if (spread && digest.config_version > to.version) {
-        to.version = digest.config_version;  // a fetch over the link takes no longer than a beat
+        to.version = digest.config_version;  // a fetch over the link takes no
+                                             // longer than a beat
         to.announce = true;
       }
       auto outcome = to.membership->OnDigest(now_, digest, frame.from);
       Note(to, outcome.events);
-      if (outcome.answer) Send(to, frame.from, std::make_shared<MembershipDigest>(*outcome.answer));
+      if (outcome.answer)
+        Send(to, frame.from,
+             std::make_shared<MembershipDigest>(*outcome.answer));
     }
     for (auto& [id, node] : nodes_) {
       if (!node.up) continue;
@@ -74,11 +82,13 @@
       local.config_version = node.version;
       local.config_digest = std::string(64, 'a');
       const std::vector<VmId> links(node.links.begin(), node.links.end());
-      const auto messages = node.membership->MakeDigests(now_, local, links, node.announce);
+      const auto messages =
+          node.membership->MakeDigests(now_, local, links, node.announce);
       node.announce = false;
       for (const OutgoingMessage& out : messages) {
         Send(node, out.to,
-             std::make_shared<MembershipDigest>(std::get<MembershipDigest>(out.message)));
+             std::make_shared<MembershipDigest>(
+                 std::get<MembershipDigest>(out.message)));
       }
     }
   }
@@ -100,7 +110,8 @@
       if (!node.up) continue;
       const auto view = node.membership->View();
       for (const auto& [vm, other] : view->live) {
-        if (vm != id && nodes_.at(vm).up) worst = std::max(worst, now_ - other.last_heard);
+        if (vm != id && nodes_.at(vm).up)
+          worst = std::max(worst, now_ - other.last_heard);
       }
     }
     return worst;
@@ -110,9 +121,8 @@
   bool spread = true;
   size_t deaths = 0;
   /** Whether a node that is up and reachable may be declared dead now. */
-  std::function<bool(const Node&, const VmId&)> may_die = [](const Node&, const VmId&) {
-    return false;
-  };
+  std::function<bool(const Node&, const VmId&)> may_die =
+      [](const Node&, const VmId&) { return false; };
 
  private:
   struct Frame {
@@ -121,7 +131,8 @@
     std::shared_ptr<MembershipDigest> digest;
   };
 
-  void Send(Node& from, const VmId& to, std::shared_ptr<MembershipDigest> digest) {
+  void Send(Node& from, const VmId& to,
+            std::shared_ptr<MembershipDigest> digest) {
     from.bytes += EncodeMessage(*digest).size() + kFrameHeader;
     if (random_.Chance(loss)) return;
     wire_.emplace(now_ + Duration::Milliseconds(1 + random_.Below(60)),
@@ -156,8 +167,9 @@
   return true;
 }
 
-// Guards against digests that declare a reachable VM dead, miss a dead one, lose a configuration
-// version, or exceed the bound on control traffic; prints bytes/s per VM.
+// Guards against digests that declare a reachable VM dead, miss a dead one,
+// lose a configuration version, or exceed the bound on control traffic; prints
+// bytes/s per VM.
 TEST_CASE("Digests on bounded links", "[figures]") {
   const uint64_t seed = Seed();
   for (const int vms : {60, 120}) {
@@ -184,15 +196,20 @@
     sim.at(0).announce = true;
     const TimePoint written = sim.now();
     const auto all_have = [&] {
-      return std::all_of(sim.nodes().begin(), sim.nodes().end(),
-                         [](const auto& n) { return n.second.version == ObjectVersion(2); });
+      return std::all_of(
+          sim.nodes().begin(), sim.nodes().end(),
+          [](const auto& n) { return n.second.version == ObjectVersion(2); });
     };
-    while (!all_have() && sim.now() - written < Duration::Seconds(6)) sim.Step();
+    while (!all_have() && sim.now() - written < Duration::Seconds(6))
+      sim.Step();
     REQUIRE(all_have());
     const Duration in_force = sim.now() - written;
-    // With loss, a domain dies: noticed by all others, and nobody else is declared dead.
+    // With loss, a domain dies: noticed by all others, and nobody else is
+    // declared dead.
     sim.loss = 0.05;
-    sim.may_die = [&](const auto&, const VmId& vm) { return !sim.nodes().at(vm).up; };
+    sim.may_die = [&](const auto&, const VmId& vm) {
+      return !sim.nodes().at(vm).up;
+    };
     size_t left = vms;
     for (auto& [id, node] : sim.nodes()) {
       if (node.site.domain == DomainId("d3")) {
@@ -201,19 +218,22 @@
       }
     }
     const TimePoint lost = sim.now();
-    while (!AllSee(sim, left) && sim.now() - lost < Duration::Seconds(8)) sim.Step();
+    while (!AllSee(sim, left) && sim.now() - lost < Duration::Seconds(8))
+      sim.Step();
     REQUIRE(AllSee(sim, left));
     const Duration noticed = sim.now() - lost;
-    std::cout << "membership: digests at " << vms << " VMs: " << bytes / kSeconds / vms
-              << " bytes/s per VM, most " << most / kSeconds << ", oldest news "
-              << worst.milliseconds() << " ms, version everywhere after " << in_force.milliseconds()
-              << " ms, lost domain noticed by all after " << noticed.milliseconds() << " ms (seed "
-              << seed << ")\n";
+    std::cout << "membership: digests at " << vms
+              << " VMs: " << bytes / kSeconds / vms << " bytes/s per VM, most "
+              << most / kSeconds << ", oldest news " << worst.milliseconds()
+              << " ms, version everywhere after " << in_force.milliseconds()
+              << " ms, lost domain noticed by all after "
+              << noticed.milliseconds() << " ms (seed " << seed << ")\n";
     REQUIRE(bytes / kSeconds / vms < 8000);
   }
 }
 
-// Guards against views that stay divided or flap after restarts and a partition of regions.
+// Guards against views that stay divided or flap after restarts and a partition
+// of regions.
 TEST_CASE("Digests under restarts and partitions of regions") {
   const uint64_t first = std::getenv("ZR_SEED") != nullptr ? Seed() : 1;
   const uint64_t last = std::getenv("ZR_SEED") != nullptr ? first : 4;
@@ -234,10 +254,13 @@
         auto& node = sim.at(static_cast<int>(sim.random().Below(vms)));
         excused[node.site.vm] = sim.now() + Duration::Seconds(12);
         sim.Start(node);
-        sim.RunFor(Duration::Milliseconds(static_cast<int64_t>(sim.random().Below(2000))));
+        sim.RunFor(Duration::Milliseconds(
+            static_cast<int64_t>(sim.random().Below(2000))));
       }
-      const std::string region = "r" + std::to_string(1 + sim.random().Below(4));
-      for (auto& [id, node] : sim.nodes()) node.side = node.site.region == region ? 1 : 0;
+      const std::string region =
+          "r" + std::to_string(1 + sim.random().Below(4));
+      for (auto& [id, node] : sim.nodes())
+        node.side = node.site.region == region ? 1 : 0;
       sim.RunFor(Duration::Seconds(20));
       for (auto& [id, node] : sim.nodes()) {
         for (const auto& [vm, view] : node.membership->View()->live) {
--- a/modules/zr_membership/tests/drain_rules_test.cc
+++ b/modules/zr_membership/tests/drain_rules_test.cc
@@ -5,12 +5,14 @@
 namespace zr {
 namespace {
 
-// Guards against a lenient source that hides a stricter one: work on a leaving endpoint.
+// Guards against a lenient source that hides a stricter one: work on a leaving
+// endpoint.
 TEST_CASE("The strictest source decides") {
   EndpointInfo endpoint;
   endpoint.endpoint = EndpointId("e1");
   endpoint.domain = DomainId("d1");
-  // Every combination of sources; the state must never fall when a source is added.
+  // Every combination of sources; the state must never fall when a source is
+  // added.
   for (int mask = 0; mask < 128; ++mask) {
     const auto decide = [&](int bits) {
       EndpointSignals signals;
@@ -30,7 +32,8 @@
     }
     REQUIRE((decision.state == ServiceState::kInService) == (mask == 0));
     REQUIRE((decision.state == ServiceState::kDown) == ((mask & 16) != 0));
-    if ((mask & (2 | 4 | 32 | 64)) != 0) REQUIRE(decision.state >= ServiceState::kDraining);
+    if ((mask & (2 | 4 | 32 | 64)) != 0)
+      REQUIRE(decision.state >= ServiceState::kDraining);
   }
 }
 
--- a/modules/zr_membership/tests/membership_test.cc
+++ b/modules/zr_membership/tests/membership_test.cc
@@ -17,7 +17,8 @@
   return *Membership::Create(options);
 }
 
-Heartbeat Beat(const std::string& name, uint64_t incarnation, uint64_t sequence) {
+Heartbeat Beat(const std::string& name, uint64_t incarnation,
+               uint64_t sequence) {
   Heartbeat heartbeat;
   heartbeat.origin = {VmId(name), Incarnation(incarnation), sequence};
   heartbeat.domain = DomainId("d1");
@@ -25,10 +26,12 @@
   return heartbeat;
 }
 
-bool Has(const std::vector<MembershipEvent>& events, Kind kind, const std::string& vm) {
-  return std::any_of(events.begin(), events.end(), [&](const MembershipEvent& event) {
-    return event.kind == kind && event.vm == VmId(vm);
-  });
+bool Has(const std::vector<MembershipEvent>& events, Kind kind,
+         const std::string& vm) {
+  return std::any_of(events.begin(), events.end(),
+                     [&](const MembershipEvent& event) {
+                       return event.kind == kind && event.vm == VmId(vm);
+                     });
 }
 
 bool Live(const Membership& membership, const std::string& vm) {
@@ -36,7 +39,8 @@
 }
 
 /** Ticks every 250 ms from `from` up to and including `to`. */
-std::vector<MembershipEvent> TickUntil(Membership& membership, int64_t from, int64_t to) {
+std::vector<MembershipEvent> TickUntil(Membership& membership, int64_t from,
+                                       int64_t to) {
   std::vector<MembershipEvent> all;
   for (int64_t ms = from; ms <= to; ms += 250) {
     for (const auto& event : membership.OnTick(At(ms))) all.push_back(event);
@@ -53,7 +57,8 @@
   REQUIRE(Live(membership, "b"));
 
   SECTION("and drops older sequences and incarnations") {
-    for (const Heartbeat& old : {Beat("b", 5, 10), Beat("b", 5, 9), Beat("b", 4, 99)}) {
+    for (const Heartbeat& old :
+         {Beat("b", 5, 10), Beat("b", 5, 9), Beat("b", 4, 99)}) {
       REQUIRE(membership.OnHeartbeat(At(1100), old, VmId("b")).kind ==
               HeartbeatOutcome::Kind::kStale);
     }
@@ -62,39 +67,47 @@
   SECTION("a restart is a death and a return") {
     outcome = membership.OnHeartbeat(At(1100), Beat("b", 6, 1), VmId("b"));
     REQUIRE(outcome.events ==
-            std::vector<MembershipEvent>{{Kind::kVmDied, VmId("b"), Incarnation(5)},
-                                         {Kind::kVmReturned, VmId("b"), Incarnation(6)}});
+            std::vector<MembershipEvent>{
+                {Kind::kVmDied, VmId("b"), Incarnation(5)},
+                {Kind::kVmReturned, VmId("b"), Incarnation(6)}});
   }
-  SECTION("silence kills it, and a late heartbeat of the old incarnation does not revive it") {
+  SECTION(
+      "silence kills it, and a late heartbeat of the old incarnation does not "
+      "revive it") {
     REQUIRE(Has(TickUntil(membership, 1250, 2750), Kind::kVmDied, "b"));
     REQUIRE_FALSE(Live(membership, "b"));
     membership.OnHeartbeat(At(2800), Beat("b", 4, 50), VmId("b"));
     REQUIRE_FALSE(Live(membership, "b"));
-    REQUIRE(Has(membership.OnHeartbeat(At(2900), Beat("b", 5, 11), VmId("b")).events,
-                Kind::kVmReturned, "b"));
+    REQUIRE(Has(
+        membership.OnHeartbeat(At(2900), Beat("b", 5, 11), VmId("b")).events,
+        Kind::kVmReturned, "b"));
   }
   SECTION("the platform's list neither revives nor kills") {
     membership.OnPlatformList(At(1100), {});
     REQUIRE(Live(membership, "b"));
     TickUntil(membership, 1250, 2750);
-    membership.OnPlatformList(At(2800), {{VmId("b"), DomainId("d1"), "127.0.0.1:1", false}});
+    membership.OnPlatformList(
+        At(2800), {{VmId("b"), DomainId("d1"), "127.0.0.1:1", false}});
     REQUIRE_FALSE(Live(membership, "b"));
     REQUIRE(membership.View()->candidates.contains(VmId("b")));
   }
   SECTION("the strictest leaving mark wins") {
-    auto events = membership.OnPlatformList(At(1100), {{VmId("b"), DomainId("d1"), "", true}});
+    auto events = membership.OnPlatformList(
+        At(1100), {{VmId("b"), DomainId("d1"), "", true}});
     REQUIRE(Has(events, Kind::kVmLeaving, "b"));
     membership.OnHeartbeat(At(1200), Beat("b", 5, 11), VmId("b"));
     REQUIRE(membership.View()->FindLive(VmId("b"))->leaving);
     Heartbeat leaving = Beat("b", 5, 12);
     leaving.leaving = true;
     membership.OnHeartbeat(At(1250), leaving, VmId("b"));
-    membership.OnPlatformList(At(1300), {{VmId("b"), DomainId("d1"), "", false}});
+    membership.OnPlatformList(At(1300),
+                              {{VmId("b"), DomainId("d1"), "", false}});
     REQUIRE(membership.View()->FindLive(VmId("b"))->leaving);
   }
 }
 
-// Guards against a resumed process that takes all peers for dead and seizes their endpoints.
+// Guards against a resumed process that takes all peers for dead and seizes
+// their endpoints.
 TEST_CASE("A paused process first listens") {
   Membership membership = Make("a");
   TickUntil(membership, 0, 1000);
@@ -105,7 +118,8 @@
     std::vector<MembershipEvent> events;
     SECTION("tick") { events = membership.OnTick(At(9000)); }
     SECTION("heartbeat") {
-      events = membership.OnHeartbeat(At(9000), Beat("b", 5, 2), VmId("b")).events;
+      events =
+          membership.OnHeartbeat(At(9000), Beat("b", 5, 2), VmId("b")).events;
     }
     REQUIRE(Has(events, Kind::kSelfPaused, "a"));
     REQUIRE_FALSE(Has(events, Kind::kVmDied, "c"));
@@ -119,14 +133,17 @@
   }
 }
 
-// Guards against heartbeats that circulate without end, or stop short, on bounded links.
+// Guards against heartbeats that circulate without end, or stop short, on
+// bounded links.
 TEST_CASE("Relays are bounded") {
   Membership membership = Make("a");
-  REQUIRE(membership.OnHeartbeat(At(0), Beat("b", 5, 1), VmId("b")).relay_to.empty());
+  REQUIRE(membership.OnHeartbeat(At(0), Beat("b", 5, 1), VmId("b"))
+              .relay_to.empty());
   membership.SetLinks(std::set<VmId>{VmId("b"), VmId("c"), VmId("d")});
   REQUIRE(membership.OnHeartbeat(At(1), Beat("b", 5, 2), VmId("c")).relay_to ==
           std::vector<VmId>{VmId("d")});
-  REQUIRE(membership.OnHeartbeat(At(2), Beat("b", 5, 2), VmId("d")).relay_to.empty());
+  REQUIRE(membership.OnHeartbeat(At(2), Beat("b", 5, 2), VmId("d"))
+              .relay_to.empty());
   Heartbeat far = Beat("b", 5, 3);
   far.hops = membership.options().hop_limit;
   REQUIRE(membership.OnHeartbeat(At(3), far, VmId("c")).relay_to.empty());
--- a/modules/zr_membership/tests/ownership_test.cc
+++ b/modules/zr_membership/tests/ownership_test.cc
@@ -30,14 +30,16 @@
   return info;
 }
 
-// Guards against owners that move without cause, and against work sent to VMs that leave.
+// Guards against owners that move without cause, and against work sent to VMs
+// that leave.
 TEST_CASE("Ownership") {
   ClusterView view = ThreeDomains(5);
   constexpr int kEndpoints = 2000;
   const auto owners = [&] {
     std::vector<VmId> all;
     all.reserve(kEndpoints);
-    for (int i = 0; i < kEndpoints; ++i) all.push_back(*OwnerOf(Endpoint(i, "d1"), view));
+    for (int i = 0; i < kEndpoints; ++i)
+      all.push_back(*OwnerOf(Endpoint(i, "d1"), view));
     return all;
   };
   const std::vector<VmId> before = owners();
@@ -47,7 +49,8 @@
     std::map<VmId, int> count;
     for (const VmId& owner : owners()) ++count[owner];
     REQUIRE(count.size() == 5);
-    // 3 of 7 shares of 2000 are 857; the bound is more than 8 standard deviations wide.
+    // 3 of 7 shares of 2000 are 857; the bound is more than 8 standard
+    // deviations wide.
     REQUIRE(std::abs(count[VmId("d1-0")] - 857) < 180);
   }
   SECTION("moves only the keys of a VM that dies or leaves") {
@@ -55,39 +58,50 @@
     SECTION("dies") { view.live.erase(gone); }
     SECTION("leaves") { view.live[gone].leaving = true; }
     SECTION("is drained") { view.live[gone].vm_drained = true; }
-    SECTION("has no configuration") { view.live[gone].config_version = ObjectVersion(); }
+    SECTION("has no configuration") {
+      view.live[gone].config_version = ObjectVersion();
+    }
     const std::vector<VmId> after = owners();
     for (int i = 0; i < kEndpoints; ++i) {
       REQUIRE(after[i] != gone);
       REQUIRE((before[i] == gone || after[i] == before[i]));
     }
   }
-  SECTION("falls back to the region, then to any VM, never to one that leaves") {
+  SECTION(
+      "falls back to the region, then to any VM, never to one that leaves") {
     for (auto& [id, vm] : view.live) vm.leaving = vm.domain == DomainId("d1");
-    for (const VmId& owner : owners()) REQUIRE(view.live[owner].domain == DomainId("d2"));
+    for (const VmId& owner : owners())
+      REQUIRE(view.live[owner].domain == DomainId("d2"));
     for (auto& [id, vm] : view.live) vm.leaving = vm.domain != DomainId("d3");
-    for (const VmId& owner : owners()) REQUIRE(view.live[owner].domain == DomainId("d3"));
+    for (const VmId& owner : owners())
+      REQUIRE(view.live[owner].domain == DomainId("d3"));
     for (auto& [id, vm] : view.live) vm.leaving = true;
     REQUIRE_FALSE(OwnerOf(Endpoint(1, "d1"), view));
     REQUIRE_FALSE(CoordinatorOf(PoolId("p"), view));
   }
   SECTION("a drained domain keeps its own endpoints and gets no others") {
-    for (auto& [id, vm] : view.live) vm.domain_drained = vm.domain == DomainId("d1");
+    for (auto& [id, vm] : view.live)
+      vm.domain_drained = vm.domain == DomainId("d1");
     REQUIRE(owners() == before);
     for (auto& [id, vm] : view.live) vm.leaving = vm.domain == DomainId("d2");
-    REQUIRE(view.live[*OwnerOf(Endpoint(1, "d2"), view)].domain == DomainId("d3"));
+    REQUIRE(view.live[*OwnerOf(Endpoint(1, "d2"), view)].domain ==
+            DomainId("d3"));
     for (int i = 0; i < 200; ++i) {
       const std::string name = std::to_string(i);
-      REQUIRE(view.live[*CoordinatorOf(PoolId(name), view)].domain != DomainId("d1"));
-      REQUIRE(view.live[*LocatorOf(RequestId(name), view)].domain != DomainId("d1"));
+      REQUIRE(view.live[*CoordinatorOf(PoolId(name), view)].domain !=
+              DomainId("d1"));
+      REQUIRE(view.live[*LocatorOf(RequestId(name), view)].domain !=
+              DomainId("d1"));
     }
   }
 }
 
-// Guards against stale summaries that hide an endpoint's real state after a change of owner.
+// Guards against stale summaries that hide an endpoint's real state after a
+// change of owner.
 TEST_CASE("Summaries of two claimed owners") {
   SummaryTable table(Duration::Seconds(3));
-  const auto summary = [](const std::string& owner, uint64_t incarnation, uint64_t sequence) {
+  const auto summary = [](const std::string& owner, uint64_t incarnation,
+                          uint64_t sequence) {
     Summary s;
     s.endpoint = EndpointId("e1");
     s.pool = PoolId("p");
@@ -97,8 +111,12 @@
     s.accepts_new = true;
     return s;
   };
-  const auto owner_a = [](const EndpointId&) { return std::optional(VmId("a")); };
-  const auto at = [](int64_t ms) { return TimePoint::FromMicroseconds(ms * 1000); };
+  const auto owner_a = [](const EndpointId&) {
+    return std::optional(VmId("a"));
+  };
+  const auto at = [](int64_t ms) {
+    return TimePoint::FromMicroseconds(ms * 1000);
+  };
   REQUIRE(table.OnSummary(at(0), summary("a", 1, 7)));
   REQUIRE_FALSE(table.OnSummary(at(1), summary("a", 1, 7)));
   REQUIRE(table.OnSummary(at(2), summary("a", 2, 1)));
@@ -106,12 +124,15 @@
   REQUIRE(table.OnSummary(at(1000), summary("b", 1, 1)));
 
   SECTION("the owner in the view is preferred, then the newest") {
-    REQUIRE(table.Find(at(1000), EndpointId("e1"), owner_a)->summary->owner == VmId("a"));
-    REQUIRE(table.Find(at(1000), EndpointId("e1"), nullptr)->summary->owner == VmId("b"));
+    REQUIRE(table.Find(at(1000), EndpointId("e1"), owner_a)->summary->owner ==
+            VmId("a"));
+    REQUIRE(table.Find(at(1000), EndpointId("e1"), nullptr)->summary->owner ==
+            VmId("b"));
     REQUIRE(table.Candidates(at(1000), PoolId("p"), owner_a).size() == 1);
   }
   SECTION("expired summaries and those of dead owners are not used") {
-    REQUIRE(table.Find(at(3500), EndpointId("e1"), owner_a)->summary->owner == VmId("b"));
+    REQUIRE(table.Find(at(3500), EndpointId("e1"), owner_a)->summary->owner ==
+            VmId("b"));
     table.OnVmDied(VmId("b"), Incarnation(1));
     REQUIRE_FALSE(table.Find(at(3500), EndpointId("e1"), owner_a));
     table.OnTick(at(3500));
--- a/modules/zr_membership/tests/peer_planner_test.cc
+++ b/modules/zr_membership/tests/peer_planner_test.cc
@@ -11,12 +11,13 @@
 
 /** 9 domains in 4 regions, as in the target fleet. */
 std::vector<PeerSite> Fleet(int vms) {
-  static const char* const kRegions[] = {"r1", "r1", "r1", "r2", "r2", "r3", "r3", "r4", "r4"};
+  static const char* const kRegions[] = {"r1", "r1", "r1", "r2", "r2",
+                                         "r3", "r3", "r4", "r4"};
   std::vector<PeerSite> sites;
   sites.reserve(vms);
   for (int i = 0; i < vms; ++i) {
-    sites.push_back({VmId("entry-" + std::to_string(i)), DomainId("d" + std::to_string(i % 9)),
-                     kRegions[i % 9]});
+    sites.push_back({VmId("entry-" + std::to_string(i)),
+                     DomainId("d" + std::to_string(i % 9)), kRegions[i % 9]});
   }
   return sites;
 }
@@ -25,7 +26,8 @@
 
 Graph Plan(const std::vector<PeerSite>& sites) {
   Graph graph;
-  for (const PeerSite& site : sites) graph[site.vm] = PeerPlanner().LinksOf(site.vm, sites);
+  for (const PeerSite& site : sites)
+    graph[site.vm] = PeerPlanner().LinksOf(site.vm, sites);
   return graph;
 }
 
@@ -40,14 +42,15 @@
   }
   for (; !queue.empty(); queue.pop_front()) {
     for (const VmId& link : graph.at(queue.front())) {
-      if (!without.contains(link) && seen.insert(link).second) queue.push_back(link);
+      if (!without.contains(link) && seen.insert(link).second)
+        queue.push_back(link);
     }
   }
   return seen.size();
 }
 
-// Guards against VMs that cannot hear one another after a domain is lost, and against links
-// that only one end wants.
+// Guards against VMs that cannot hear one another after a domain is lost, and
+// against links that only one end wants.
 TEST_CASE("Planned links") {
   for (const int vms : {1, 2, 18, 32, 33, 60, 120, 420}) {
     INFO(vms << " VMs");
@@ -62,14 +65,16 @@
     for (int domain = 0; domain < 9 && vms >= 18; ++domain) {
       std::set<VmId> lost;
       for (const PeerSite& site : sites) {
-        if (site.domain == DomainId("d" + std::to_string(domain))) lost.insert(site.vm);
+        if (site.domain == DomainId("d" + std::to_string(domain)))
+          lost.insert(site.vm);
       }
       REQUIRE(Reached(graph, lost) == sites.size() - lost.size());
     }
   }
 }
 
-/** Messages that each VM sends for one heartbeat of every VM, relayed to all with a hop limit. */
+/** Messages that each VM sends for one heartbeat of every VM, relayed to all
+ * with a hop limit. */
 std::map<VmId, size_t> CountFlood(const Graph& graph, uint32_t hop_limit) {
   std::map<VmId, size_t> sent;
   for (const auto& [origin, links] : graph) {
@@ -88,10 +93,12 @@
   return sent;
 }
 
-// Guards against a figure in the notes that no run shows; prints bytes/s of heartbeats per VM.
+// Guards against a figure in the notes that no run shows; prints bytes/s of
+// heartbeats per VM.
 TEST_CASE("Control traffic of heartbeats by fleet size", "[figures]") {
   Heartbeat heartbeat;
-  heartbeat.origin = {VmId("entry-400"), Incarnation(1'700'000'000'000'000), 345'600};
+  heartbeat.origin = {VmId("entry-400"), Incarnation(1'700'000'000'000'000),
+                      345'600};
   heartbeat.domain = DomainId("d4");
   heartbeat.region = "r2";
   heartbeat.peer_address = "10.20.30.40:7000";
@@ -109,9 +116,10 @@
     } else {
       for (const auto& [vm, count] : CountFlood(graph, 6)) flooded += count;
     }
-    std::cout << "membership: " << vms << " VMs, " << links / vms << " links, " << bytes
-              << " bytes a heartbeat, every 250 ms: links only " << links * bytes * 4 / vms
-              << " bytes/s, relayed to all " << flooded * bytes * 4 / vms << " bytes/s\n";
+    std::cout << "membership: " << vms << " VMs, " << links / vms << " links, "
+              << bytes << " bytes a heartbeat, every 250 ms: links only "
+              << links * bytes * 4 / vms << " bytes/s, relayed to all "
+              << flooded * bytes * 4 / vms << " bytes/s\n";
     REQUIRE(flooded >= static_cast<size_t>(vms) * (vms - 1));
   }
 }
--- a/modules/zr_peer/frame_authenticator.cc
+++ b/modules/zr_peer/frame_authenticator.cc
@@ -25,18 +25,21 @@
   unsigned char out[EVP_MAX_MD_SIZE];
   unsigned int size = 0;
   HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
-       reinterpret_cast<const unsigned char*>(data.data()), data.size(), out, &size);
+       reinterpret_cast<const unsigned char*>(data.data()), data.size(), out,
+       &size);
   return std::string(reinterpret_cast<char*>(out), size);
 }
 
 std::string RandomNonce() {
   std::string nonce(kNonceBytes, '\0');
-  RAND_bytes(reinterpret_cast<unsigned char*>(nonce.data()), static_cast<int>(nonce.size()));
+  RAND_bytes(reinterpret_cast<unsigned char*>(nonce.data()),
+             static_cast<int>(nonce.size()));
   return nonce;
 }
 
 bool Equal(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+  return a.size() == b.size() &&
+         CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
 }
 
 std::string ToFrame(const Json& json) {
@@ -62,40 +65,48 @@
 }
 
 tl::unexpected<Error> Unauthenticated(const VmId& peer, std::string message) {
-  return Fail(ErrorCode::kUnauthenticated, "peer link", peer.value(), std::move(message));
+  return Fail(ErrorCode::kUnauthenticated, "peer link", peer.value(),
+              std::move(message));
 }
 
 }  // namespace
 
-FrameAuthenticator::FrameAuthenticator(std::string key, VmId self, Incarnation incarnation)
+FrameAuthenticator::FrameAuthenticator(std::string key, VmId self,
+                                       Incarnation incarnation)
     : key_(std::move(key)),
       self_(std::move(self)),
       incarnation_(incarnation),
       nonce_(RandomNonce()) {}
 
 std::string FrameAuthenticator::MakeHello() const {
-  return ToFrame(Json::array({kHello, self_.value(), incarnation_.value(), ToBinary(nonce_)}));
+  return ToFrame(Json::array(
+      {kHello, self_.value(), incarnation_.value(), ToBinary(nonce_)}));
 }
 
 std::string FrameAuthenticator::MakeProof() const {
-  return ToFrame(Json::array({kProof, ToBinary(Proof(self_, nonce_, peer_nonce_))}));
+  return ToFrame(
+      Json::array({kProof, ToBinary(Proof(self_, nonce_, peer_nonce_))}));
 }
 
-Result<FrameAuthenticator::Progress> FrameAuthenticator::OnHandshakeFrame(std::string_view frame) {
-  if (frame.size() > kMaxHandshakeBytes) return Unauthenticated(peer_, "handshake is too long");
+Result<FrameAuthenticator::Progress> FrameAuthenticator::OnHandshakeFrame(
+    std::string_view frame) {
+  if (frame.size() > kMaxHandshakeBytes)
+    return Unauthenticated(peer_, "handshake is too long");
   const Json json = Json::from_cbor(frame.begin(), frame.end(), true, false);
   if (!json.is_array() || json.empty() || !json[0].is_string()) {
     return Unauthenticated(peer_, "handshake frame is malformed");
   }
   if (json[0] == kHello && peer_nonce_.empty()) {
-    if (json.size() < 4 || !json[1].is_string() || !json[2].is_number_unsigned() ||
-        !json[3].is_binary() || json[3].get_binary().size() != kNonceBytes) {
+    if (json.size() < 4 || !json[1].is_string() ||
+        !json[2].is_number_unsigned() || !json[3].is_binary() ||
+        json[3].get_binary().size() != kNonceBytes) {
       return Unauthenticated(peer_, "hello is malformed");
     }
     peer_ = VmId(json[1].get<std::string>());
     peer_incarnation_ = Incarnation(json[2].get<uint64_t>());
     peer_nonce_ = BinaryToString(json[3]);
-    if (peer_nonce_ == nonce_) return Unauthenticated(peer_, "hello repeats the own nonce");
+    if (peer_nonce_ == nonce_)
+      return Unauthenticated(peer_, "hello repeats the own nonce");
     return Progress::kSendProof;
   }
   if (json[0] == kProof && !peer_nonce_.empty()) {
@@ -103,14 +114,16 @@
         !Equal(BinaryToString(json[1]), Proof(peer_, peer_nonce_, nonce_))) {
       return Unauthenticated(peer_, "proof does not match the key");
     }
-    session_key_ = Hmac(key_, nonce_ < peer_nonce_ ? nonce_ + peer_nonce_ : peer_nonce_ + nonce_);
+    session_key_ = Hmac(key_, nonce_ < peer_nonce_ ? nonce_ + peer_nonce_
+                                                   : peer_nonce_ + nonce_);
     authenticated_ = true;
     return Progress::kAuthenticated;
   }
   return Unauthenticated(peer_, "unexpected handshake frame");
 }
 
-std::string FrameAuthenticator::Proof(const VmId& from, std::string_view from_nonce,
+std::string FrameAuthenticator::Proof(const VmId& from,
+                                      std::string_view from_nonce,
                                       std::string_view to_nonce) const {
   std::string data(kProof);
   data += from_nonce;
@@ -141,7 +154,8 @@
     return Unauthenticated(peer_, "data frame is too short or early");
   }
   const std::string_view payload = frame.substr(kMacBytes);
-  if (!Equal(frame.substr(0, kMacBytes), FrameMac(peer_, received_ + 1, payload))) {
+  if (!Equal(frame.substr(0, kMacBytes),
+             FrameMac(peer_, received_ + 1, payload))) {
     return Unauthenticated(peer_, "data frame has a wrong code");
   }
   ++received_;
--- a/modules/zr_peer/frame_authenticator.h
+++ b/modules/zr_peer/frame_authenticator.h
@@ -44,12 +44,15 @@
 
   /** Wraps a payload; needs an authenticated link. */
   std::string Seal(std::string_view payload);
-  /** @returns the payload, or kUnauthenticated if the frame is not the next one of the peer */
+  /** @returns the payload, or kUnauthenticated if the frame is not the next one
+   * of the peer */
   Result<std::string> Open(std::string_view frame);
 
  private:
-  std::string Proof(const VmId& from, std::string_view from_nonce, std::string_view to_nonce) const;
-  std::string FrameMac(const VmId& from, uint64_t counter, std::string_view payload) const;
+  std::string Proof(const VmId& from, std::string_view from_nonce,
+                    std::string_view to_nonce) const;
+  std::string FrameMac(const VmId& from, uint64_t counter,
+                       std::string_view payload) const;
 
   std::string key_;
   VmId self_;
--- a/modules/zr_peer/peer_links.cc
+++ b/modules/zr_peer/peer_links.cc
@@ -6,11 +6,14 @@
 namespace zr {
 namespace {
 
-Result<std::pair<std::string, uint16_t>> SplitAddress(const std::string& address) {
+Result<std::pair<std::string, uint16_t>> SplitAddress(
+    const std::string& address) {
   const size_t colon = address.rfind(':');
-  const int port = colon == std::string::npos ? 0 : std::atoi(address.c_str() + colon + 1);
+  const int port =
+      colon == std::string::npos ? 0 : std::atoi(address.c_str() + colon + 1);
   if (port <= 0 || port > 65535) {
-    return Fail(ErrorCode::kInvalidArgument, "peer link", address, "address must be ip:port");
+    return Fail(ErrorCode::kInvalidArgument, "peer link", address,
+                "address must be ip:port");
   }
   return std::make_pair(address.substr(0, colon), static_cast<uint16_t>(port));
 }
@@ -19,19 +22,24 @@
 
 PeerLinks::PeerLinks(asio::io_context& context, PeerOptions options,
                      std::weak_ptr<Listener> listener)
-    : options_(std::move(options)), listener_(std::move(listener)), timer_(context) {}
+    : options_(std::move(options)),
+      listener_(std::move(listener)),
+      timer_(context) {}
 
-Result<std::shared_ptr<PeerLinks>> PeerLinks::Start(asio::io_context& context, PeerOptions options,
-                                                    std::weak_ptr<Listener> listener) {
+Result<std::shared_ptr<PeerLinks>> PeerLinks::Start(
+    asio::io_context& context, PeerOptions options,
+    std::weak_ptr<Listener> listener) {
   auto address = SplitAddress(options.listen_address);
   if (!address) return tl::unexpected(address.error());
-  std::shared_ptr<PeerLinks> links(new PeerLinks(context, std::move(options), std::move(listener)));
+  std::shared_ptr<PeerLinks> links(
+      new PeerLinks(context, std::move(options), std::move(listener)));
   std::string error;
-  links->transport_ = WebsocketTransport::Create(context, address->first, address->second,
-                                                 links->options_.max_message_bytes, links, &error);
+  links->transport_ = WebsocketTransport::Create(
+      context, address->first, address->second,
+      links->options_.max_message_bytes, links, &error);
   if (!links->transport_) {
-    return Fail(ErrorCode::kUnavailable, "peer link", links->options_.listen_address,
-                "cannot listen: " + error);
+    return Fail(ErrorCode::kUnavailable, "peer link",
+                links->options_.listen_address, "cannot listen: " + error);
   }
   links->ScheduleDial();
   return links;
@@ -93,7 +101,8 @@
   {
     std::lock_guard lock(mutex_);
     auto [it, inserted] = links_.try_emplace(
-        link, FrameAuthenticator(options_.key, options_.self, options_.incarnation));
+        link,
+        FrameAuthenticator(options_.key, options_.self, options_.incarnation));
     it->second.outgoing = outgoing;
     hello = it->second.auth.MakeHello();
   }
@@ -146,7 +155,8 @@
     } else if (*progress == FrameAuthenticator::Progress::kSendProof) {
       proof = auth.MakeProof();
     } else {
-      if (!it->second.address.empty()) address_of_[auth.peer()] = it->second.address;
+      if (!it->second.address.empty())
+        address_of_[auth.peer()] = it->second.address;
       close = ChooseDuplicate(auth.peer(), link);
       if (close != link) {
         if (!by_vm_.contains(auth.peer())) {
@@ -157,7 +167,8 @@
       }
     }
   }
-  if (!proof.empty()) transport_->Send(link, proof, options_.max_buffered_bytes);
+  if (!proof.empty())
+    transport_->Send(link, proof, options_.max_buffered_bytes);
   if (close != 0) transport_->Close(close, "not needed or not authenticated");
   if (!up.empty()) {
     if (auto listener = listener_.lock()) listener->OnPeerUp(up, incarnation);
@@ -165,18 +176,22 @@
   return close != link;
 }
 
-PeerLinks::LinkId PeerLinks::ChooseDuplicate(const VmId& vm, LinkId added) const {
+PeerLinks::LinkId PeerLinks::ChooseDuplicate(const VmId& vm,
+                                             LinkId added) const {
   auto existing = by_vm_.find(vm);
   if (existing == by_vm_.end() || existing->second == added) return 0;
   auto old_link = links_.find(existing->second);
   auto new_link = links_.find(added);
   if (old_link == links_.end()) return 0;
   // A restarted peer's old link is stale, whoever dialled it.
-  if (old_link->second.auth.peer_incarnation() < new_link->second.auth.peer_incarnation()) {
+  if (old_link->second.auth.peer_incarnation() <
+      new_link->second.auth.peer_incarnation()) {
     return existing->second;
   }
-  const bool lower_dialled_new = new_link->second.outgoing == (options_.self < vm);
-  const bool lower_dialled_old = old_link->second.outgoing == (options_.self < vm);
+  const bool lower_dialled_new =
+      new_link->second.outgoing == (options_.self < vm);
+  const bool lower_dialled_old =
+      old_link->second.outgoing == (options_.self < vm);
   if (lower_dialled_old && !lower_dialled_new) return added;
   return existing->second;
 }
@@ -200,7 +215,8 @@
 }
 
 void PeerLinks::ScheduleDial() {
-  timer_.expires_after(std::chrono::microseconds(options_.redial_period.microseconds()));
+  timer_.expires_after(
+      std::chrono::microseconds(options_.redial_period.microseconds()));
   timer_.async_wait([weak = weak_from_this()](const asio::error_code& error) {
     auto self = weak.lock();
     if (!self || error) return;
@@ -235,7 +251,8 @@
     if (stopped_) return;
     const LinkId link = transport_->Connect(address->first, address->second);
     auto [it, inserted] = links_.try_emplace(
-        link, FrameAuthenticator(options_.key, options_.self, options_.incarnation));
+        link,
+        FrameAuthenticator(options_.key, options_.self, options_.incarnation));
     it->second.outgoing = true;
     it->second.address = text;
   }
--- a/modules/zr_peer/peer_links.h
+++ b/modules/zr_peer/peer_links.h
@@ -46,8 +46,9 @@
   //============================================================================
   // Creation
 
-  static Result<std::shared_ptr<PeerLinks>> Start(asio::io_context& context, PeerOptions options,
-                                                  std::weak_ptr<Listener> listener);
+  static Result<std::shared_ptr<PeerLinks>> Start(
+      asio::io_context& context, PeerOptions options,
+      std::weak_ptr<Listener> listener);
   PeerLinks(const PeerLinks&) = delete;
   PeerLinks& operator=(const PeerLinks&) = delete;
   void Stop();
@@ -55,7 +56,8 @@
   //============================================================================
   // Use
 
-  /** Sets the addresses ("ip:port") to keep links to; the own address is skipped. */
+  /** Sets the addresses ("ip:port") to keep links to; the own address is
+   * skipped. */
   void SetTargets(std::set<std::string> addresses);
   /** @returns false if there is no authenticated link to the VM */
   bool Send(const VmId& vm, std::string_view payload);
@@ -72,14 +74,16 @@
 
  private:
   struct Link {
-    explicit Link(FrameAuthenticator authenticator) : auth(std::move(authenticator)) {}
+    explicit Link(FrameAuthenticator authenticator)
+        : auth(std::move(authenticator)) {}
     FrameAuthenticator auth;
     bool outgoing = false;
     std::string address;  // dialled address, empty for incoming links
   };
   using LinkId = WebsocketTransport::LinkId;
 
-  PeerLinks(asio::io_context& context, PeerOptions options, std::weak_ptr<Listener> listener);
+  PeerLinks(asio::io_context& context, PeerOptions options,
+            std::weak_ptr<Listener> listener);
 
   void OnOpen(LinkId link, bool outgoing) override;
   void OnMessage(LinkId link, const std::string& payload) override;
@@ -89,7 +93,8 @@
   void ScheduleDial();
   void DialMissing();
   bool AddressLinked(const std::string& address) const;
-  /** Decides between two links to one VM; returns the one to close, 0 for none. */
+  /** Decides between two links to one VM; returns the one to close, 0 for none.
+   */
   LinkId ChooseDuplicate(const VmId& vm, LinkId added) const;
 
   PeerOptions options_;
--- a/modules/zr_peer/tests/peer_test.cc
+++ b/modules/zr_peer/tests/peer_test.cc
@@ -14,13 +14,16 @@
 
 std::string FreeAddress() {
   asio::io_context context;
-  asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  asio::ip::tcp::acceptor acceptor(context,
+                                   {asio::ip::address_v4::loopback(), 0});
   return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
 }
 
 class Recorder : public PeerLinks::Listener {
  public:
-  void OnPeerUp(const VmId& vm, Incarnation) override { Add("up " + vm.value()); }
+  void OnPeerUp(const VmId& vm, Incarnation) override {
+    Add("up " + vm.value());
+  }
   void OnPeerDown(const VmId& vm) override { Add("down " + vm.value()); }
   void OnPeerMessage(const VmId& vm, std::string_view payload) override {
     Add(vm.value() + ": " + std::string(payload));
@@ -28,7 +31,8 @@
   bool WaitFor(const std::string& event, size_t count = 1) {
     std::unique_lock lock(mutex_);
     return changed_.wait_for(lock, kWait, [&] {
-      return static_cast<size_t>(std::count(events_.begin(), events_.end(), event)) >= count;
+      return static_cast<size_t>(
+                 std::count(events_.begin(), events_.end(), event)) >= count;
     });
   }
   size_t Count() {
@@ -52,8 +56,10 @@
     context.stop();
     for (auto& thread : threads) thread.join();
   }
-  std::shared_ptr<PeerLinks> Start(const std::string& vm, const std::string& address,
-                                   const std::string& key, std::shared_ptr<Recorder> recorder) {
+  std::shared_ptr<PeerLinks> Start(const std::string& vm,
+                                   const std::string& address,
+                                   const std::string& key,
+                                   std::shared_ptr<Recorder> recorder) {
     PeerOptions options;
     options.self = VmId(vm);
     options.incarnation = Incarnation(++incarnation);
@@ -68,7 +74,8 @@
   }
 
   asio::io_context context;
-  asio::executor_work_guard<asio::io_context::executor_type> work{context.get_executor()};
+  asio::executor_work_guard<asio::io_context::executor_type> work{
+      context.get_executor()};
   uint64_t incarnation = 0;
   std::vector<std::shared_ptr<PeerLinks>> started;  // outlives the threads
   std::vector<std::thread> threads;
@@ -89,7 +96,8 @@
   REQUIRE(at_a->WaitFor("up vm-b"));
   REQUIRE(at_b->WaitFor("up vm-a"));
   SECTION("exchange messages in order") {
-    // Messages may be lost while duplicate links are closed, so send until seen.
+    // Messages may be lost while duplicate links are closed, so send until
+    // seen.
     bool seen = false;
     for (int i = 0; i < 1000 && !seen; ++i) {
       links_a->Send(VmId("vm-b"), "probe");
--- a/modules/zr_peer/websocket/websocket_transport.cc
+++ b/modules/zr_peer/websocket/websocket_transport.cc
@@ -15,15 +15,19 @@
 using Client = websocketpp::client<websocketpp::config::asio_client>;
 using ConnectionHandle = websocketpp::connection_hdl;
 
-constexpr long kOpenTimeoutMs = 2000;  // NOLINT(google-runtime-int): websocketpp's type
-constexpr long kCloseTimeoutMs = 500;  // NOLINT(google-runtime-int): websocketpp's type
+constexpr long kOpenTimeoutMs =
+    2000;  // NOLINT(google-runtime-int): websocketpp's type
+constexpr long kCloseTimeoutMs =
+    500;  // NOLINT(google-runtime-int): websocketpp's type
 
-class Transport final : public WebsocketTransport, public std::enable_shared_from_this<Transport> {
+class Transport final : public WebsocketTransport,
+                        public std::enable_shared_from_this<Transport> {
  public:
   Transport(size_t max_message_bytes, std::weak_ptr<Listener> listener)
       : max_message_bytes_(max_message_bytes), listener_(std::move(listener)) {}
 
-  bool Open(asio::io_context& context, const std::string& ip, uint16_t port, std::string* error) {
+  bool Open(asio::io_context& context, const std::string& ip, uint16_t port,
+            std::string* error) {
     websocketpp::lib::error_code code;
     SetUp(server_, context, code);
     if (!code) SetUp(client_, context, code);
@@ -39,8 +43,8 @@
   LinkId Connect(const std::string& ip, uint16_t port) override {
     const LinkId link = NextId();
     websocketpp::lib::error_code code;
-    auto connection =
-        client_.get_connection("ws://" + ip + ":" + std::to_string(port) + "/peer", code);
+    auto connection = client_.get_connection(
+        "ws://" + ip + ":" + std::to_string(port) + "/peer", code);
     if (code) {
       NotifyClosed(link, code.message());
       return link;
@@ -54,7 +58,8 @@
     return link;
   }
 
-  void Send(LinkId link, const std::string& payload, size_t max_buffered) override {
+  void Send(LinkId link, const std::string& payload,
+            size_t max_buffered) override {
     Link found;
     if (!Find(link, &found)) return;
     if (found.outgoing) {
@@ -94,7 +99,8 @@
   };
 
   template <typename E>
-  void SetUp(E& endpoint, asio::io_context& context, websocketpp::lib::error_code& code) {
+  void SetUp(E& endpoint, asio::io_context& context,
+             websocketpp::lib::error_code& code) {
     endpoint.clear_access_channels(websocketpp::log::alevel::all);
     endpoint.clear_error_channels(websocketpp::log::elevel::all);
     endpoint.init_asio(&context, code);
@@ -104,27 +110,33 @@
     endpoint.set_close_handshake_timeout(kCloseTimeoutMs);
     std::weak_ptr<Transport> weak = shared_from_this();
     const bool outgoing = std::is_same<E, Client>::value;
-    endpoint.set_open_handler([weak, outgoing, &endpoint](ConnectionHandle handle) {
-      asio::error_code ignored;
-      endpoint.get_con_from_hdl(handle)->get_raw_socket().set_option(asio::ip::tcp::no_delay(true),
-                                                                     ignored);
-      if (auto self = weak.lock()) self->Opened(handle, outgoing);
+    endpoint.set_open_handler(
+        [weak, outgoing, &endpoint](ConnectionHandle handle) {
+          asio::error_code ignored;
+          endpoint.get_con_from_hdl(handle)->get_raw_socket().set_option(
+              asio::ip::tcp::no_delay(true), ignored);
+          if (auto self = weak.lock()) self->Opened(handle, outgoing);
+        });
+    endpoint.set_message_handler(
+        [weak](ConnectionHandle handle, const auto& message) {
+          auto self = weak.lock();
+          if (!self) return;
+          const LinkId link = self->IdOf(handle);
+          auto listener = self->listener_.lock();
+          if (link != 0 && listener)
+            listener->OnMessage(link, message->get_payload());
+        });
+    endpoint.set_close_handler([weak, &endpoint](ConnectionHandle handle) {
+      Ended(weak, endpoint, std::move(handle));
     });
-    endpoint.set_message_handler([weak](ConnectionHandle handle, const auto& message) {
-      auto self = weak.lock();
-      if (!self) return;
-      const LinkId link = self->IdOf(handle);
-      auto listener = self->listener_.lock();
-      if (link != 0 && listener) listener->OnMessage(link, message->get_payload());
+    endpoint.set_fail_handler([weak, &endpoint](ConnectionHandle handle) {
+      Ended(weak, endpoint, std::move(handle));
     });
-    endpoint.set_close_handler(
-        [weak, &endpoint](ConnectionHandle handle) { Ended(weak, endpoint, std::move(handle)); });
-    endpoint.set_fail_handler(
-        [weak, &endpoint](ConnectionHandle handle) { Ended(weak, endpoint, std::move(handle)); });
   }
 
   template <typename E>
-  static void Ended(const std::weak_ptr<Transport>& weak, E& endpoint, ConnectionHandle handle) {
+  static void Ended(const std::weak_ptr<Transport>& weak, E& endpoint,
+                    ConnectionHandle handle) {
     auto self = weak.lock();
     if (!self) return;
     auto connection = endpoint.get_con_from_hdl(handle);
@@ -133,8 +145,8 @@
   }
 
   template <typename E>
-  void SendOn(E& endpoint, LinkId link, const ConnectionHandle& handle, const std::string& payload,
-              size_t max_buffered) {
+  void SendOn(E& endpoint, LinkId link, const ConnectionHandle& handle,
+              const std::string& payload, size_t max_buffered) {
     websocketpp::lib::error_code code;
     auto connection = endpoint.get_con_from_hdl(handle, code);
     if (code) return;
@@ -203,8 +215,10 @@
 
 std::shared_ptr<WebsocketTransport> WebsocketTransport::Create(
     asio::io_context& context, const std::string& listen_ip, uint16_t port,
-    size_t max_message_bytes, std::weak_ptr<Listener> listener, std::string* error) {
-  auto transport = std::make_shared<Transport>(max_message_bytes, std::move(listener));
+    size_t max_message_bytes, std::weak_ptr<Listener> listener,
+    std::string* error) {
+  auto transport =
+      std::make_shared<Transport>(max_message_bytes, std::move(listener));
   if (!transport->Open(context, listen_ip, port, error)) return nullptr;
   return transport;
 }
--- a/modules/zr_peer/websocket/websocket_transport.h
+++ b/modules/zr_peer/websocket/websocket_transport.h
@@ -31,17 +31,18 @@
    * @param max_message_bytes  a larger message closes its link
    * @param error              set when the result is null
    */
-  static std::shared_ptr<WebsocketTransport> Create(asio::io_context& context,
-                                                    const std::string& listen_ip, uint16_t port,
-                                                    size_t max_message_bytes,
-                                                    std::weak_ptr<Listener> listener,
-                                                    std::string* error);
+  static std::shared_ptr<WebsocketTransport> Create(
+      asio::io_context& context, const std::string& listen_ip, uint16_t port,
+      size_t max_message_bytes, std::weak_ptr<Listener> listener,
+      std::string* error);
   virtual ~WebsocketTransport() = default;
 
   /** Opens a link; OnOpen or OnClosed follows. */
   virtual LinkId Connect(const std::string& ip, uint16_t port) = 0;
-  /** Queues a message. A link with more than max_buffered bytes queued is closed. */
-  virtual void Send(LinkId link, const std::string& payload, size_t max_buffered) = 0;
+  /** Queues a message. A link with more than max_buffered bytes queued is
+   * closed. */
+  virtual void Send(LinkId link, const std::string& payload,
+                    size_t max_buffered) = 0;
   virtual void Close(LinkId link, const std::string& reason) = 0;
   /** Stops to listen and closes all links. */
   virtual void Stop() = 0;
--- a/modules/zr_placement/order_planner.cc
+++ b/modules/zr_placement/order_planner.cc
@@ -21,12 +21,14 @@
 
 OrderPlanner::OrderPlanner(OrderPlannerOptions options) : options_(options) {
   ZR_ASSERT(options_.rate_per_load > 0, "the rate of a load must be positive");
-  ZR_ASSERT(options_.reload_share_permille > 0 && options_.reload_share_permille <= 1000,
+  ZR_ASSERT(options_.reload_share_permille > 0 &&
+                options_.reload_share_permille <= 1000,
             "the reload share must be in (0, 1000] permille");
 }
 
 int64_t OrderPlanner::load_limit() const {
-  return std::max<int64_t>(1, options_.weight_store_rate / options_.rate_per_load);
+  return std::max<int64_t>(1,
+                           options_.weight_store_rate / options_.rate_per_load);
 }
 
 // -----------------------------------------------------------------------------
@@ -38,16 +40,23 @@
   wanted_.clear();
   pool_size_.clear();
   for (const EndpointInfo& endpoint : endpoints) {
-    const auto pool = std::find_if(pools.begin(), pools.end(), [&](const PoolPolicy& policy) {
-      return policy.pool == endpoint.pool && policy.kind == PoolKind::kModel;
-    });
+    const auto pool =
+        std::find_if(pools.begin(), pools.end(), [&](const PoolPolicy& policy) {
+          return policy.pool == endpoint.pool &&
+                 policy.kind == PoolKind::kModel;
+        });
     if (pool == pools.end()) continue;
     const auto role = roles.find(endpoint.endpoint);
-    wanted_[endpoint.endpoint] = {*pool, role == roles.end() ? "" : role->second};
+    wanted_[endpoint.endpoint] = {*pool,
+                                  role == roles.end() ? "" : role->second};
     ++pool_size_[endpoint.pool];
   }
-  std::erase_if(reports_, [&](const auto& entry) { return !wanted_.contains(entry.first); });
-  std::erase_if(in_progress_, [&](const auto& entry) { return !wanted_.contains(entry.first); });
+  std::erase_if(reports_, [&](const auto& entry) {
+    return !wanted_.contains(entry.first);
+  });
+  std::erase_if(in_progress_, [&](const auto& entry) {
+    return !wanted_.contains(entry.first);
+  });
 }
 
 void OrderPlanner::OnReport(const EngineReport& report) {
@@ -65,7 +74,8 @@
 // -----------------------------------------------------------------------------
 // Planning
 
-std::vector<EngineOrder> OrderPlanner::Plan(TimePoint now, FencingNumber fencing) {
+std::vector<EngineOrder> OrderPlanner::Plan(TimePoint now,
+                                            FencingNumber fencing) {
   OnLease(fencing);
   DropFinished(now);
   std::map<PoolId, int64_t> out_of_service = CountOutOfService(now);
@@ -80,8 +90,8 @@
     if (static_cast<int64_t>(in_progress_.size()) >= load_limit()) continue;
     if (TakesOutOfService(*order)) {
       const PoolId& pool = target.pool.pool;
-      const int64_t allowed =
-          std::max<int64_t>(1, pool_size_[pool] * options_.reload_share_permille / 1000);
+      const int64_t allowed = std::max<int64_t>(
+          1, pool_size_[pool] * options_.reload_share_permille / 1000);
       if (out_of_service[pool] >= allowed) continue;
       ++out_of_service[pool];
     }
@@ -95,11 +105,13 @@
 
 bool OrderPlanner::Fresh(TimePoint now, const EndpointId& endpoint) const {
   const auto report = reports_.find(endpoint);
-  return report != reports_.end() && now - report->second.received_at <= options_.report_valid_for;
+  return report != reports_.end() &&
+         now - report->second.received_at <= options_.report_valid_for;
 }
 
 /** The first order that brings the reported state nearer to the wanted one. */
-std::optional<EngineOrder> OrderPlanner::Difference(const EndpointId& endpoint) const {
+std::optional<EngineOrder> OrderPlanner::Difference(
+    const EndpointId& endpoint) const {
   using enum EngineOrder::Kind;
   const Target& target = wanted_.at(endpoint);
   const EngineReport& report = reports_.at(endpoint);
@@ -121,22 +133,26 @@
   return std::nullopt;
 }
 
-/** An order is finished when a later report shows its effect, a new boot, or nothing in time. */
+/** An order is finished when a later report shows its effect, a new boot, or
+ * nothing in time. */
 void OrderPlanner::DropFinished(TimePoint now) {
   std::erase_if(in_progress_, [&](const auto& entry) {
     const Progress& progress = entry.second;
     if (now - progress.ordered_at > options_.order_timeout) return true;
     const auto report = reports_.find(entry.first);
-    if (report == reports_.end() || report->second.received_at <= progress.ordered_at) {
+    if (report == reports_.end() ||
+        report->second.received_at <= progress.ordered_at) {
       return false;
     }
     if (report->second.boot != progress.boot) return true;
     const auto next = Difference(entry.first);
-    return !next || next->kind != progress.order.kind || next->name != progress.order.name;
+    return !next || next->kind != progress.order.kind ||
+           next->name != progress.order.name;
   });
 }
 
-/** An engine without a model serves nothing, so loading one there costs no service. */
+/** An engine without a model serves nothing, so loading one there costs no
+ * service. */
 bool OrderPlanner::TakesOutOfService(const EngineOrder& order) const {
   if (order.kind == EngineOrder::Kind::kLoadAdapter) return false;
   return !reports_.at(order.endpoint).model.empty();
@@ -146,9 +162,11 @@
   std::map<PoolId, int64_t> count;
   for (const auto& [endpoint, target] : wanted_) {
     const auto progress = in_progress_.find(endpoint);
-    const bool reloading = progress != in_progress_.end() &&
-                           progress->second.order.kind != EngineOrder::Kind::kLoadAdapter;
-    const bool serving = Fresh(now, endpoint) && !reports_.at(endpoint).leaving &&
+    const bool reloading =
+        progress != in_progress_.end() &&
+        progress->second.order.kind != EngineOrder::Kind::kLoadAdapter;
+    const bool serving = Fresh(now, endpoint) &&
+                         !reports_.at(endpoint).leaving &&
                          !reports_.at(endpoint).model.empty() && !reloading;
     if (!serving) ++count[target.pool.pool];
   }
--- a/modules/zr_placement/order_planner.h
+++ b/modules/zr_placement/order_planner.h
@@ -37,22 +37,26 @@
 std::string_view ToString(EngineOrder::Kind kind);
 
 struct OrderPlannerOptions {
-  /** Rate of the weight store and of one load, in bytes/s; their quotient bounds the loads. */
+  /** Rate of the weight store and of one load, in bytes/s; their quotient
+   * bounds the loads. */
   int64_t weight_store_rate = 0;
   int64_t rate_per_load = 1;
-  /** Most endpoints of a pool that may be out of service for reloads, in permille; at least 1. */
+  /** Most endpoints of a pool that may be out of service for reloads, in
+   * permille; at least 1. */
   int64_t reload_share_permille = 200;
   /** An order without effect in the reports is given again after this time. */
   Duration order_timeout = Duration::Seconds(120);
   /** Reports older than this are not acted on. */
   Duration report_valid_for = Duration::Seconds(5);
-  /** Time for which an order of the last holder may still arrive at an engine. */
+  /** Time for which an order of the last holder may still arrive at an engine.
+   */
   Duration recheck_after = Duration::Seconds(5);
 };
 
 /** How far the orders of the current lease holder have come. */
 enum class ReconcilePhase : uint8_t {
-  kFirstRound,  // wanted and reported state differ since this VM became the holder
+  kFirstRound,  // wanted and reported state differ since this VM became the
+                // holder
   kRecheck,     // all agreed once; orders of the last holder may still arrive
   kSteady,      // all agreed again, from reports after the recheck time
 };
@@ -67,8 +71,10 @@
   /** @pre the rates are positive and the share is in (0, 1000] */
   explicit OrderPlanner(OrderPlannerOptions options);
 
-  /** Sets the wanted state: pools of kind kModel with their endpoints, and roles by endpoint. */
-  void SetWanted(const std::vector<PoolPolicy>& pools, const std::vector<EndpointInfo>& endpoints,
+  /** Sets the wanted state: pools of kind kModel with their endpoints, and
+   * roles by endpoint. */
+  void SetWanted(const std::vector<PoolPolicy>& pools,
+                 const std::vector<EndpointInfo>& endpoints,
                  const std::map<EndpointId, std::string>& roles = {});
 
   /** Takes a load report; older ones are ignored. */
@@ -78,7 +84,9 @@
   void OnLease(FencingNumber fencing);
 
   /** The engine refused the order; it is planned again from the next report. */
-  void OnOrderFailed(const EndpointId& endpoint) { in_progress_.erase(endpoint); }
+  void OnOrderFailed(const EndpointId& endpoint) {
+    in_progress_.erase(endpoint);
+  }
 
   /**
    * Orders to send now. Call it with the result of PlacementLease::MayOrder(),
@@ -87,7 +95,8 @@
   std::vector<EngineOrder> Plan(TimePoint now, FencingNumber fencing);
 
   ReconcilePhase phase() const { return phase_; }
-  /** Most loads at the same time that the weight store's rate allows; at least 1. */
+  /** Most loads at the same time that the weight store's rate allows; at
+   * least 1. */
   int64_t load_limit() const;
   size_t loads_in_progress() const { return in_progress_.size(); }
 
@@ -116,7 +125,8 @@
   std::map<EndpointId, Progress> in_progress_;
   FencingNumber fencing_;
   ReconcilePhase phase_ = ReconcilePhase::kFirstRound;
-  TimePoint recheck_from_;  // reports received before do not count for the recheck
+  TimePoint
+      recheck_from_;  // reports received before do not count for the recheck
 };
 
 }  // namespace zr
--- a/modules/zr_placement/placement_lease.cc
+++ b/modules/zr_placement/placement_lease.cc
@@ -7,11 +7,13 @@
 
 Result<PlacementLease> PlacementLease::Create(PlacementLeaseOptions options) {
   const bool named = !options.self.empty() && options.incarnation.value() > 0;
-  const bool margin_fits = options.margin > Duration() && options.margin * 2 < options.duration;
-  const bool renewals_fit =
-      options.renew_period > Duration() && options.read_period > Duration() &&
-      options.call_timeout > Duration() &&
-      options.renew_period + options.call_timeout < options.duration - options.margin;
+  const bool margin_fits =
+      options.margin > Duration() && options.margin * 2 < options.duration;
+  const bool renewals_fit = options.renew_period > Duration() &&
+                            options.read_period > Duration() &&
+                            options.call_timeout > Duration() &&
+                            options.renew_period + options.call_timeout <
+                                options.duration - options.margin;
   if (!named || !margin_fits || !renewals_fit) {
     return Fail(ErrorCode::kInvalidArgument, "placement", "",
                 "lease options are empty or their durations do not fit");
@@ -28,14 +30,16 @@
 // Calls
 
 void PlacementLease::SetCandidate(bool candidate) {
-  if (candidate_ != candidate) next_call_ = TimePoint();  // release or compete at once
+  if (candidate_ != candidate)
+    next_call_ = TimePoint();  // release or compete at once
   candidate_ = candidate;
 }
 
 std::optional<LeaseCall> PlacementLease::OnTick(TimePoint now) {
   if (outstanding_ && now >= call_expires_) {
     if (pending_.kind == LeaseCall::Kind::kPut) {
-      OnPut(now, pending_.call, {LeasePutAnswer::Kind::kUnknown, ObjectVersion()});
+      OnPut(now, pending_.call,
+            {LeasePutAnswer::Kind::kUnknown, ObjectVersion()});
     } else {
       OnRead(now, pending_.call, std::nullopt);
     }
@@ -43,11 +47,13 @@
   if (outstanding_ || now < next_call_) return std::nullopt;
   if (!observed_ || read_needed_) return StartCall(now, {});
 
-  LeaseValue value{options_.self, options_.incarnation, 0, FencingNumber(), options_.duration};
+  LeaseValue value{options_.self, options_.incarnation, 0, FencingNumber(),
+                   options_.duration};
   if (IsOwn(object_.value)) {
     if (!candidate_) {
       // An empty holder lets a successor start without waiting. Orders have
-      // ended already, since MayOrder() denies them to a VM that does not compete.
+      // ended already, since MayOrder() denies them to a VM that does not
+      // compete.
       value.holder = VmId();
       Lose();
       // If the answer is lost, the release may take effect much later. Without
@@ -61,7 +67,8 @@
     return Put(now, value);
   }
   const Duration wait = object_.value.duration + options_.margin;
-  if (candidate_ && (Vacant() || now - observed_at_ > wait)) return Put(now, value);
+  if (candidate_ && (Vacant() || now - observed_at_ > wait))
+    return Put(now, value);
   return StartCall(now, {});
 }
 
@@ -76,7 +83,8 @@
 LeaseCall PlacementLease::Put(TimePoint now, LeaseValue value) {
   value.write = ++writes_;
   sent_[value.write] = now;
-  return StartCall(now, {LeaseCall::Kind::kPut, 0, object_.version, std::move(value)});
+  return StartCall(
+      now, {LeaseCall::Kind::kPut, 0, object_.version, std::move(value)});
 }
 
 void PlacementLease::OnRead(TimePoint now, uint64_t call,
@@ -87,7 +95,8 @@
   if (object) Observe(now, *object);
 }
 
-void PlacementLease::OnPut(TimePoint now, uint64_t call, const LeasePutAnswer& answer) {
+void PlacementLease::OnPut(TimePoint now, uint64_t call,
+                           const LeasePutAnswer& answer) {
   if (!outstanding_ || pending_.call != call) return;
   outstanding_ = false;
   if (answer.kind == LeasePutAnswer::Kind::kWritten) {
@@ -104,11 +113,13 @@
 // State
 
 bool PlacementLease::IsOwn(const LeaseValue& value) const {
-  return value.holder == options_.self && value.incarnation == options_.incarnation;
+  return value.holder == options_.self &&
+         value.incarnation == options_.incarnation;
 }
 
 bool PlacementLease::Vacant() const {
-  return object_.version.value() == 0 ? !was_present_ : object_.value.holder.empty();
+  return object_.version.value() == 0 ? !was_present_
+                                      : object_.value.holder.empty();
 }
 
 void PlacementLease::Observe(TimePoint now, const LeaseObject& object) {
@@ -124,14 +135,15 @@
   }
   if (IsOwn(object_.value)) {
     Hold(object_.version, object_.value);
-    next_call_ = now + (now < valid_until_ ? options_.renew_period : Duration());
+    next_call_ =
+        now + (now < valid_until_ ? options_.renew_period : Duration());
   } else {
     Lose();
     next_call_ = now + options_.read_period;
     if (!candidate_) return;
     // The wait for a successor ends a microsecond after duration and margin.
-    const TimePoint lapse =
-        observed_at_ + object_.value.duration + options_.margin + Duration::Microseconds(1);
+    const TimePoint lapse = observed_at_ + object_.value.duration +
+                            options_.margin + Duration::Microseconds(1);
     next_call_ = Vacant() ? now : std::max(now, std::min(next_call_, lapse));
   }
 }
--- a/modules/zr_placement/placement_lease.h
+++ b/modules/zr_placement/placement_lease.h
@@ -14,9 +14,11 @@
 struct LeaseValue {
   VmId holder;  // empty after a release
   Incarnation incarnation;
-  uint64_t write = 0;     // counts the writes of an incarnation; identifies a write
-  FencingNumber fencing;  // version of the acquiring write; 0 in that write itself
-  Duration duration;      // of the lease, from the sending of the write
+  uint64_t write =
+      0;  // counts the writes of an incarnation; identifies a write
+  FencingNumber
+      fencing;        // version of the acquiring write; 0 in that write itself
+  Duration duration;  // of the lease, from the sending of the write
   friend auto operator<=>(const LeaseValue&, const LeaseValue&) = default;
 };
 
@@ -37,7 +39,8 @@
    */
   Duration margin = Duration::Seconds(3);
   Duration renew_period = Duration::Seconds(4);
-  Duration read_period = Duration::Seconds(4);  // while another VM holds the lease
+  Duration read_period =
+      Duration::Seconds(4);  // while another VM holds the lease
   Duration call_timeout = Duration::Seconds(2);
 };
 
@@ -71,7 +74,8 @@
  */
 class PlacementLease {
  public:
-  /** @returns kInvalidArgument unless 0 < margin < duration / 2 and renewals fit the rest */
+  /** @returns kInvalidArgument unless 0 < margin < duration / 2 and renewals
+   * fit the rest */
   static Result<PlacementLease> Create(PlacementLeaseOptions options);
 
   // ---------------------------------------------------------------------------
@@ -84,7 +88,8 @@
   std::optional<LeaseCall> OnTick(TimePoint now);
 
   /** The object was read; @p object is std::nullopt if the read failed. */
-  void OnRead(TimePoint now, uint64_t call, const std::optional<LeaseObject>& object);
+  void OnRead(TimePoint now, uint64_t call,
+              const std::optional<LeaseObject>& object);
 
   /** A conditional write was answered, or its answer was lost. */
   void OnPut(TimePoint now, uint64_t call, const LeasePutAnswer& answer);
@@ -102,10 +107,13 @@
   TimePoint valid_until() const { return valid_until_; }
 
   /** Time by which OnTick() must be called. */
-  TimePoint NextWakeup() const { return outstanding_ ? call_expires_ : next_call_; }
+  TimePoint NextWakeup() const {
+    return outstanding_ ? call_expires_ : next_call_;
+  }
 
  private:
-  explicit PlacementLease(PlacementLeaseOptions options) : options_(std::move(options)) {}
+  explicit PlacementLease(PlacementLeaseOptions options)
+      : options_(std::move(options)) {}
 
   LeaseCall StartCall(TimePoint now, LeaseCall call);
   LeaseCall Put(TimePoint now, LeaseValue value);
--- a/modules/zr_placement/tests/order_planner_test.cc
+++ b/modules/zr_placement/tests/order_planner_test.cc
@@ -73,7 +73,8 @@
       loading += engine.loading ? 1 : 0;
       // An engine serves while it loads an adapter.
       const bool reloading =
-          engine.loading && engine.loading->kind != EngineOrder::Kind::kLoadAdapter;
+          engine.loading &&
+          engine.loading->kind != EngineOrder::Kind::kLoadAdapter;
       serving += !reloading && !engine.state.model.empty() ? 1 : 0;
       engine.state.received_at = now_;
       if (!random_.Chance(0.2)) planner_.OnReport(engine.state);
@@ -85,9 +86,11 @@
       if (reload && !engine.state.model.empty()) --serving;
       loading += engine.loading ? 0 : 1;
       engine.loading = order;
-      engine.done_at = now_ + Duration::Milliseconds(500 + random_.Below(10'000));
+      engine.done_at =
+          now_ + Duration::Milliseconds(500 + random_.Below(10'000));
     }
-    // Four loads fit the weight store; without faults at most two of ten are out for reloads.
+    // Four loads fit the weight store; without faults at most two of ten are
+    // out for reloads.
     REQUIRE(static_cast<int64_t>(planner_.loads_in_progress()) <= 4);
     if (!faults_ && was_full_) REQUIRE(serving >= 10 - 2 - 1);
     was_full_ = serving == 10 || (was_full_ && !faults_);
@@ -96,9 +99,12 @@
   void Advance(Engine& engine) {
     if (engine.loading && now_ >= engine.done_at) {
       using enum EngineOrder::Kind;
-      if (engine.loading->kind == kLoadModel) engine.state.model = engine.loading->name;
-      if (engine.loading->kind == kSetVersion) engine.state.version = engine.loading->name;
-      if (engine.loading->kind == kLoadAdapter) engine.state.adapters = {engine.loading->name};
+      if (engine.loading->kind == kLoadModel)
+        engine.state.model = engine.loading->name;
+      if (engine.loading->kind == kSetVersion)
+        engine.state.version = engine.loading->name;
+      if (engine.loading->kind == kLoadAdapter)
+        engine.state.adapters = {engine.loading->name};
       engine.loading.reset();
     }
     if (!faults_) return;
@@ -108,7 +114,8 @@
       fresh.boot = engine.state.boot.Next();
       engine = {fresh, std::nullopt, now_};
     }
-    if (random_.Chance(0.01)) engine.state.version = "old";  // a late order of another holder
+    if (random_.Chance(0.01))
+      engine.state.version = "old";  // a late order of another holder
   }
 
   Random random_;
@@ -122,11 +129,13 @@
   bool was_full_ = false;
 };
 
-// Guards against engines left in an old state after lost or late orders and crashes, against
-// more loads than the weight store bears, and against a pool that reloads all at once.
+// Guards against engines left in an old state after lost or late orders and
+// crashes, against more loads than the weight store bears, and against a pool
+// that reloads all at once.
 TEST_CASE("Engines converge and service goes on") {
   const char* chosen = std::getenv("ZR_SEED");
-  const uint64_t first = chosen != nullptr ? std::strtoull(chosen, nullptr, 10) : 1;
+  const uint64_t first =
+      chosen != nullptr ? std::strtoull(chosen, nullptr, 10) : 1;
   const uint64_t last = chosen != nullptr ? first : 100;
   for (uint64_t seed = first; seed <= last; ++seed) {
     INFO("ZR_SEED=" << seed);
@@ -134,7 +143,8 @@
   }
 }
 
-// Guards against an engine that ignores fencing and keeps a late order of the last holder.
+// Guards against an engine that ignores fencing and keeps a late order of the
+// last holder.
 TEST_CASE("Agreement is checked again after the first round") {
   OrderPlanner planner({});
   PoolPolicy pool;
@@ -158,7 +168,9 @@
   plan(5.9, "m");
   REQUIRE(planner.phase() == ReconcilePhase::kRecheck);
   SECTION("all agree again, in reports from after the recheck time") {
-    REQUIRE(planner.Plan(TimePoint::FromMicroseconds(6'100'000), FencingNumber(7)).empty());
+    REQUIRE(
+        planner.Plan(TimePoint::FromMicroseconds(6'100'000), FencingNumber(7))
+            .empty());
     REQUIRE(planner.phase() == ReconcilePhase::kRecheck);
     plan(6.1, "m");
     REQUIRE(planner.phase() == ReconcilePhase::kSteady);
--- a/modules/zr_placement/tests/placement_lease_test.cc
+++ b/modules/zr_placement/tests/placement_lease_test.cc
@@ -7,7 +7,8 @@
 namespace zr {
 namespace {
 
-/** VMs that compete for the lease over a store that loses and delays calls and answers. */
+/** VMs that compete for the lease over a store that loses and delays calls and
+ * answers. */
 class LeaseWorld {
  public:
   explicit LeaseWorld(uint64_t seed) : random_(seed) {
@@ -17,7 +18,8 @@
     }
   }
 
-  /** Runs for ten virtual minutes; returns the number of changes of the holder. */
+  /** Runs for ten virtual minutes; returns the number of changes of the holder.
+   */
   int Run() {
     for (int step = 0; step < 12'000; ++step) {
       now_ = now_ + Duration::Milliseconds(50);
@@ -53,15 +55,16 @@
 
   /** The VM's own clock, which runs up to 2% fast or slow. */
   TimePoint Clock(size_t i) const {
-    return TimePoint::FromMicroseconds(
-        static_cast<int64_t>(static_cast<double>(now_.microseconds()) * vms_[i].clock_rate));
+    return TimePoint::FromMicroseconds(static_cast<int64_t>(
+        static_cast<double>(now_.microseconds()) * vms_[i].clock_rate));
   }
 
   void Disturb() {
     const size_t i = random_.Below(vms_.size());
     switch (random_.Below(4)) {
       case 0:
-        vms_[i].paused_until = now_ + Duration::Milliseconds(random_.Below(40'000));
+        vms_[i].paused_until =
+            now_ + Duration::Milliseconds(random_.Below(40'000));
         break;
       case 1:
         Start(i);
@@ -77,7 +80,8 @@
 
   Duration Delay() {
     // Lost calls may reach the store long after the caller gave up.
-    if (lossy_ && random_.Chance(0.3)) return Duration::Milliseconds(random_.Below(30'000));
+    if (lossy_ && random_.Chance(0.3))
+      return Duration::Milliseconds(random_.Below(30'000));
     return Duration::Milliseconds(random_.Below(200));
   }
 
@@ -98,24 +102,27 @@
   }
 
   void Send(size_t i, const LeaseCall& call) {
-    events_.emplace(now_ + Delay(), [this, i, call, incarnation = vms_[i].incarnation] {
+    events_.emplace(now_ + Delay(), [this, i, call,
+                                     incarnation = vms_[i].incarnation] {
       LeasePutAnswer answer{LeasePutAnswer::Kind::kConflict, ObjectVersion()};
-      if (call.kind == LeaseCall::Kind::kPut && call.expected == store_.version) {
+      if (call.kind == LeaseCall::Kind::kPut &&
+          call.expected == store_.version) {
         version_ += 1 + random_.Below(3);
         store_ = {ObjectVersion(version_), call.value};
         answer = {LeasePutAnswer::Kind::kWritten, store_.version};
       }
       if (lossy_ && random_.Chance(0.3)) return;  // the answer is lost
-      events_.emplace(now_ + Delay(), [this, i, call, incarnation, answer, read = store_] {
-        Vm& vm = vms_[i];
-        if (vm.incarnation != incarnation) return;
-        if (now_ < vm.paused_until) return;
-        if (call.kind == LeaseCall::Kind::kPut) {
-          vm.lease->OnPut(Clock(i), call.call, answer);
-        } else {
-          vm.lease->OnRead(Clock(i), call.call, read);
-        }
-      });
+      events_.emplace(now_ + Delay(),
+                      [this, i, call, incarnation, answer, read = store_] {
+                        Vm& vm = vms_[i];
+                        if (vm.incarnation != incarnation) return;
+                        if (now_ < vm.paused_until) return;
+                        if (call.kind == LeaseCall::Kind::kPut) {
+                          vm.lease->OnPut(Clock(i), call.call, answer);
+                        } else {
+                          vm.lease->OnRead(Clock(i), call.call, read);
+                        }
+                      });
     });
   }
 
@@ -132,11 +139,12 @@
   int changes_ = 0;
 };
 
-// Guards against two VMs that order engines at the same time, of which one was paused, lost
-// an answer, or has a clock that is fast or slow.
+// Guards against two VMs that order engines at the same time, of which one was
+// paused, lost an answer, or has a clock that is fast or slow.
 TEST_CASE("Lease holders never overlap") {
   const char* chosen = std::getenv("ZR_SEED");
-  const uint64_t first = chosen != nullptr ? std::strtoull(chosen, nullptr, 10) : 1;
+  const uint64_t first =
+      chosen != nullptr ? std::strtoull(chosen, nullptr, 10) : 1;
   const uint64_t last = chosen != nullptr ? first : 300;
   int changes = 0;
   for (uint64_t seed = first; seed <= last; ++seed) {
@@ -147,7 +155,8 @@
   REQUIRE(changes > 0);
 }
 
-// Guards against a lease that is lost or doubled when the store's answer does not arrive.
+// Guards against a lease that is lost or doubled when the store's answer does
+// not arrive.
 TEST_CASE("A lost answer is resolved by reading") {
   PlacementLeaseOptions options;
   options.self = VmId("a");
@@ -161,7 +170,8 @@
   lease.OnRead(at(1), call->call, LeaseObject{});
   const LeaseCall put = *lease.OnTick(at(1));
   REQUIRE(put.kind == LeaseCall::Kind::kPut);
-  lease.OnPut(at(3), put.call, {LeasePutAnswer::Kind::kUnknown, ObjectVersion()});
+  lease.OnPut(at(3), put.call,
+              {LeasePutAnswer::Kind::kUnknown, ObjectVersion()});
   REQUIRE_FALSE(lease.MayOrder(at(3)));
   call = lease.OnTick(at(3));
   REQUIRE(call->kind == LeaseCall::Kind::kRead);
@@ -173,14 +183,18 @@
     REQUIRE_FALSE(lease.MayOrder(lease.valid_until()));
     SECTION("a renewal keeps the fencing number") {
       const LeaseCall renewal = *lease.OnTick(at(7));
-      lease.OnPut(at(7), renewal.call, {LeasePutAnswer::Kind::kWritten, ObjectVersion(12)});
+      lease.OnPut(at(7), renewal.call,
+                  {LeasePutAnswer::Kind::kWritten, ObjectVersion(12)});
       REQUIRE(lease.MayOrder(at(14)) == FencingNumber(9));
     }
-    SECTION("a release whose answer is lost may take effect late, so the lease is not used") {
+    SECTION(
+        "a release whose answer is lost may take effect late, so the lease is "
+        "not used") {
       lease.SetCandidate(false);
       const LeaseCall release = *lease.OnTick(at(4));
       REQUIRE(release.value.holder.empty());
-      lease.OnPut(at(6), release.call, {LeasePutAnswer::Kind::kUnknown, ObjectVersion()});
+      lease.OnPut(at(6), release.call,
+                  {LeasePutAnswer::Kind::kUnknown, ObjectVersion()});
       lease.SetCandidate(true);
       const LeaseCall read = *lease.OnTick(at(6));
       lease.OnRead(at(6), read.call, LeaseObject{ObjectVersion(9), put.value});
@@ -189,12 +203,14 @@
     }
     SECTION("a lapsed lease gets a new one") {
       const LeaseCall again = *lease.OnTick(at(60));
-      lease.OnPut(at(60), again.call, {LeasePutAnswer::Kind::kWritten, ObjectVersion(15)});
+      lease.OnPut(at(60), again.call,
+                  {LeasePutAnswer::Kind::kWritten, ObjectVersion(15)});
       REQUIRE(lease.MayOrder(at(60)) == FencingNumber(15));
     }
   }
   SECTION("another VM holds it: wait for its duration and the margin") {
-    LeaseObject other{ObjectVersion(9), {VmId("b"), Incarnation(1), 1, {}, options.duration}};
+    LeaseObject other{ObjectVersion(9),
+                      {VmId("b"), Incarnation(1), 1, {}, options.duration}};
     lease.OnRead(at(3), call->call, other);
     for (double s = 3; s < 21; s += 0.5) {
       call = lease.OnTick(at(s));
