--- a/modules/zr_platform/object_store.h
+++ b/modules/zr_platform/object_store.h
@@ -4,42 +4,16 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "zr_base/zr_base.h"
 #include "zr_http/zr_http.h"
+#include "zr_platform/object_format.h"
 #include "zr_records/store_budget.h"
 
 namespace zr {
 
-/** What is known after a call to the object API. */
-enum class StoreStatus {
-  kOk,
-  kNotFound,
-  kConflict,  // the expected version did not match; version holds the current one if known
-  kGone,      // the watch's version is too old; list again
-  kRefused,   // over the rate or an error answer; a write did not take effect
-  kNotSent,   // no byte left this VM, or the VM's own budget is used up
-  kUnknown,   // no answer; a write may take effect, now or later
-};
-
-std::string_view ToString(StoreStatus status);
-
-/** An object of a list or watch. */
-struct StoreItem {
-  std::string name;
-  ObjectVersion version;
-  std::string value;
-  bool deleted = false;  // watch only
-};
-
-struct StoreReply {
-  StoreStatus status = StoreStatus::kUnknown;
-  ObjectVersion version;         // of the object, list or watch
-  std::string value;             // get only
-  std::vector<StoreItem> items;  // list and watch only
-};
-
 /** A VM in the platform's list. */
 struct ListedVm {
   std::string name;
@@ -55,46 +29,113 @@
 };
 
 /**
- * Asynchronous client of the object API. Every call counts against the
+ * Asynchronous client of an object API. Every call counts against the
  * budget of its purpose; a call beyond it ends at once with kNotSent.
  */
-class ObjectStore {
+template <ObjectFormat Format>
+class BasicObjectStore {
  public:
   using Callback = std::function<void(StoreReply)>;
-  using VmCallback = std::function<void(Result<std::vector<ListedVm>>)>;
   /** Monotonic time for the budget. */
   using ClockFunction = std::function<TimePoint()>;
 
-  ObjectStore(std::shared_ptr<HttpClient> client, ObjectStoreOptions options, ClockFunction clock);
+  BasicObjectStore(std::shared_ptr<HttpClient> client,
+                   ObjectStoreOptions options, ClockFunction clock)
+      : client_(std::move(client)),
+        options_(std::move(options)),
+        clock_(std::move(clock)),
+        budget_(options_.budget) {}
 
   //============================================================================
   // Calls
 
-  void Get(StorePurpose purpose, const std::string& kind, const std::string& name, Callback done);
-  /** @param expected  version to replace; 0 creates and needs the object to be absent */
-  void Put(StorePurpose purpose, const std::string& kind, const std::string& name,
-           ObjectVersion expected, std::string value, Callback done);
-  void Delete(StorePurpose purpose, const std::string& kind, const std::string& name,
-              ObjectVersion expected, Callback done);
+  void Get(StorePurpose purpose, const std::string& kind,
+           const std::string& name, Callback done) {
+    Call(purpose, Access::kRead, Format::Get(kind, name), std::move(done));
+  }
+
+  /** @param expected  version to replace; 0 creates and needs the object to be
+   * absent */
+  void Put(StorePurpose purpose, const std::string& kind,
+           const std::string& name, ObjectVersion expected, std::string value,
+           Callback done) {
+    Call(purpose, Access::kWrite,
+         Format::Put(kind, name, expected, std::move(value)), std::move(done));
+  }
+
+  void Delete(StorePurpose purpose, const std::string& kind,
+              const std::string& name, ObjectVersion expected, Callback done) {
+    Call(purpose, Access::kWrite, Format::Delete(kind, name, expected),
+         std::move(done));
+  }
+
   /** @param after  names after this one; empty for the start */
-  void List(StorePurpose purpose, const std::string& kind, const std::string& after, int limit,
-            Callback done);
+  void List(StorePurpose purpose, const std::string& kind,
+            const std::string& after, int limit, Callback done) {
+    Call(purpose, Access::kRead, Format::List(kind, after, limit),
+         std::move(done));
+  }
+
   /** Waits for a change after a version, at most the given time. */
-  void Watch(StorePurpose purpose, const std::string& kind, ObjectVersion after, Duration wait,
-             Callback done);
-  void ListVms(VmCallback done);
+  void Watch(StorePurpose purpose, const std::string& kind, ObjectVersion after,
+             Duration wait, Callback done) {
+    ClientRequest request = Format::Watch(kind, after, wait);
+    request.total_timeout = wait + options_.request_timeout;
+    Call(purpose, Access::kWatch, std::move(request), std::move(done));
+  }
 
   //============================================================================
   // Budget
 
   /** Sets the number of VMs that share the platform's rate. */
-  void SetVmCount(int vms);
+  void SetVmCount(int vms) {
+    std::lock_guard lock(mutex_);
+    budget_.SetVmCount(vms);
+  }
 
- private:
+ protected:
   enum class Access { kRead, kWrite, kWatch };
-  void Call(StorePurpose purpose, Access access, ClientRequest request, Callback done);
-  bool TakeBudget(StorePurpose purpose, Access access);
-  std::string Url(const std::string& path) const;
+
+  // A page of the largest objects stays below this.
+  static constexpr size_t kMaxReplyBytes = size_t{64} << 20;
+
+  bool TakeBudget(StorePurpose purpose, Access access) {
+    const TimePoint now = clock_();
+    std::lock_guard lock(mutex_);
+    switch (access) {
+      case Access::kRead:
+        return budget_.TryRead(purpose, now);
+      case Access::kWrite:
+        return budget_.TryWrite(purpose, now);
+      case Access::kWatch:
+        return budget_.TryWatch(purpose, now);
+    }
+    return false;
+  }
+
+  void Call(StorePurpose purpose, Access access, ClientRequest request,
+            Callback done) {
+    if (!TakeBudget(purpose, access)) {
+      StoreReply reply;
+      reply.status = StoreStatus::kNotSent;
+      done(std::move(reply));
+      return;
+    }
+    request.url = "http://" + options_.address + request.url;
+    if (request.total_timeout == Duration())
+      request.total_timeout = options_.request_timeout;
+    // A repeated conditional write would report a conflict with itself.
+    request.fresh_connection = access == Access::kWrite;
+    client_->Fetch(std::move(request), kMaxReplyBytes,
+                   [done = std::move(done)](auto result) {
+                     if (result) return done(Format::Decode(*result));
+                     StoreReply reply;
+                     reply.status = result.error().request_sent
+                                        ? StoreStatus::kUnknown
+                                        : StoreStatus::kNotSent;
+                     done(std::move(reply));
+                   });
+  }
 
   std::shared_ptr<HttpClient> client_;
   ObjectStoreOptions options_;
@@ -103,4 +144,13 @@
   StoreBudget budget_;
 };
 
+/** Client of the project's own object API, which also lists VMs. */
+class ObjectStore : public BasicObjectStore<NativeObjectFormat> {
+ public:
+  using VmCallback = std::function<void(Result<std::vector<ListedVm>>)>;
+  using BasicObjectStore::BasicObjectStore;
+
+  void ListVms(VmCallback done);
+};
+
 }  // namespace zr
--- a/modules/zr_platform/zr_platform.h
+++ b/modules/zr_platform/zr_platform.h
@@ -8,4 +8,5 @@
  * HTTP client's strand.
  */
 
+#include "zr_platform/object_format.h"
 #include "zr_platform/object_store.h"
--- a/modules/zr_records/operation_events.h
+++ b/modules/zr_records/operation_events.h
@@ -57,7 +57,8 @@
 
 enum class ServiceStatus : uint8_t {
   kOutcome,  // the service answered; its outcome is known
-  kNotRun,   // the service said that it did not run the call, or no byte was sent to it
+  kNotRun,   // the service said that it did not run the call, or no byte was
+             // sent to it
   kUnknown,  // bytes were sent and no complete answer arrived
 };
 
@@ -76,15 +77,17 @@
   bool alive = false;
 };
 
-/** The deadline has passed; any event at or after the deadline has this effect. */
+/** The deadline has passed; any event at or after the deadline has this effect.
+ */
 struct OpDeadline {};
 /** The caller has gone; no answer is due any more. */
 struct OpCallerGone {};
 /** The time of the last OpSetTimer has come. */
 struct OpTick {};
 
-using OperationEvent = std::variant<OpStart, OpReadReply, OpWriteReply, OpServiceReply,
-                                    OpOwnerLiveness, OpDeadline, OpCallerGone, OpTick>;
+using OperationEvent =
+    std::variant<OpStart, OpReadReply, OpWriteReply, OpServiceReply,
+                 OpOwnerLiveness, OpDeadline, OpCallerGone, OpTick>;
 
 // ---------------------------------------------------------------------------
 // Actions, to be carried out in order.
@@ -136,7 +139,7 @@
   TimePoint at;
 };
 
-using OperationAction =
-    std::variant<OpRead, OpWrite, OpCallService, OpCheckOwner, OpAnswer, OpSetTimer>;
+using OperationAction = std::variant<OpRead, OpWrite, OpCallService,
+                                     OpCheckOwner, OpAnswer, OpSetTimer>;
 
 }  // namespace zr
--- a/modules/zr_records/operation_machine.h
+++ b/modules/zr_records/operation_machine.h
@@ -8,14 +8,19 @@
 namespace zr {
 
 struct OperationOptions {
-  Duration backoff_base = Duration::Milliseconds(50);  // first pause after a failed store call
+  Duration backoff_base =
+      Duration::Milliseconds(50);  // first pause after a failed store call
   Duration backoff_max = Duration::Seconds(2);
-  int store_tries = 3;  // failed store calls in a row until a call that may not wait is refused
-  Duration background_window = Duration::Seconds(60);  // to store an outcome or give back a claim
-  Duration claim_max_age = Duration::Seconds(600);     // older claims may be claimed anew
+  int store_tries = 3;  // failed store calls in a row until a call that may not
+                        // wait is refused
+  Duration background_window =
+      Duration::Seconds(60);  // to store an outcome or give back a claim
+  Duration claim_max_age =
+      Duration::Seconds(600);  // older claims may be claimed anew
 };
 
-/** The rules of the protocol. Tests replace single rules to show that each is necessary. */
+/** The rules of the protocol. Tests replace single rules to show that each is
+ * necessary. */
 struct OperationRules {
   /** After a write with an unknown outcome, read and compare. */
   static constexpr bool kRereadAfterUnknown = true;
@@ -58,13 +63,14 @@
    * @param self  unique to this machine
    * @param seed  for the jitter of pauses
    */
-  BasicOperationMachine(OperationCall call, AttemptId self, OperationOptions options,
-                        uint64_t seed);
+  BasicOperationMachine(OperationCall call, AttemptId self,
+                        OperationOptions options, uint64_t seed);
 
   BasicOperationMachine(const BasicOperationMachine&) = delete;
   BasicOperationMachine& operator=(const BasicOperationMachine&) = delete;
 
-  /** Handles an event; replies to earlier actions that no longer matter are ignored. */
+  /** Handles an event; replies to earlier actions that no longer matter are
+   * ignored. */
   Actions Handle(const OperationEvent& event, TimePoint now);
 
   /** When the next OpTick is due; TimePoint::Max() after the end. */
@@ -78,7 +84,15 @@
 
  private:
   enum class Goal { kAcquire, kStoreOutcome, kRelease };
-  enum class Step { kIdle, kReading, kWriting, kCheckingOwner, kPause, kCalling, kEnded };
+  enum class Step {
+    kIdle,
+    kReading,
+    kWriting,
+    kCheckingOwner,
+    kPause,
+    kCalling,
+    kEnded
+  };
 
   void On(const OpStart& event);
   void On(const OpReadReply& event);
@@ -136,7 +150,8 @@
   std::optional<ServiceOutcome> outcome_;
 
   bool write_sent_ = false;
-  bool write_unknown_ = false;  // some write had an unknown outcome; a create may still take effect
+  bool write_unknown_ = false;  // some write had an unknown outcome; a create
+                                // may still take effect
   bool called_ = false;
   bool service_refused_ = false;
   bool answered_ = false;
--- a/modules/zr_records/operation_machine_impl.h
+++ b/modules/zr_records/operation_machine_impl.h
@@ -12,19 +12,28 @@
 namespace zr {
 
 template <typename Rules>
-BasicOperationMachine<Rules>::BasicOperationMachine(OperationCall call, AttemptId self,
-                                                    OperationOptions options, uint64_t seed)
-    : call_(std::move(call)), self_(std::move(self)), options_(options), random_(seed) {}
+BasicOperationMachine<Rules>::BasicOperationMachine(OperationCall call,
+                                                    AttemptId self,
+                                                    OperationOptions options,
+                                                    uint64_t seed)
+    : call_(std::move(call)),
+      self_(std::move(self)),
+      options_(options),
+      random_(seed) {}
 
 template <typename Rules>
-auto BasicOperationMachine<Rules>::Handle(const OperationEvent& event, TimePoint now) -> Actions {
+auto BasicOperationMachine<Rules>::Handle(const OperationEvent& event,
+                                          TimePoint now) -> Actions {
   now_ = now;
   actions_.clear();
-  // The deadline goes first, so that a reply after it starts no call of the service.
-  if (now >= call_.deadline && !std::holds_alternative<OpStart>(event)) On(OpDeadline{});
+  // The deadline goes first, so that a reply after it starts no call of the
+  // service.
+  if (now >= call_.deadline && !std::holds_alternative<OpStart>(event))
+    On(OpDeadline{});
   std::visit([this](const auto& e) { this->On(e); }, event);
   const TimePoint wakeup = NextWakeup();
-  if (wakeup != timer_ && wakeup != TimePoint::Max()) actions_.emplace_back(OpSetTimer{wakeup});
+  if (wakeup != timer_ && wakeup != TimePoint::Max())
+    actions_.emplace_back(OpSetTimer{wakeup});
   timer_ = wakeup;
   return std::move(actions_);
 }
@@ -64,7 +73,8 @@
       // A later format, perhaps: the operation may have run under it.
       if (!answered_) {
         Answer({RunState::kMayHaveRun, std::nullopt, std::nullopt,
-                Error{ErrorCode::kInternal, "records", "", "the record cannot be decoded"}});
+                Error{ErrorCode::kInternal, "records", "",
+                      "the record cannot be decoded"}});
       }
       return End();
     case ReadStatus::kError:
@@ -98,9 +108,11 @@
   switch (event.status) {
     case ServiceStatus::kOutcome:
       outcome_ = event.outcome;
-      // The caller need not wait for the store: a lost outcome record only turns
-      // the answer to a repeat into "may have run".
-      if (!answered_) Answer({RunState::kRan, RecordState::kDispatched, outcome_, std::nullopt});
+      // The caller need not wait for the store: a lost outcome record only
+      // turns the answer to a repeat into "may have run".
+      if (!answered_)
+        Answer(
+            {RunState::kRan, RecordState::kDispatched, outcome_, std::nullopt});
       if (outcome_->body.size() > kMaxInlineBody) {
         outcome_->body.clear();
         outcome_->body_kept = false;
@@ -112,7 +124,8 @@
       StartBackground(Goal::kRelease);
       return Decide();
     case ServiceStatus::kUnknown:
-      if (!answered_) Refuse(ErrorCode::kUnknownOutcome, "the service's answer was lost");
+      if (!answered_)
+        Refuse(ErrorCode::kUnknownOutcome, "the service's answer was lost");
       return End();
   }
 }
@@ -130,7 +143,8 @@
 template <typename Rules>
 void BasicOperationMachine<Rules>::On(const OpDeadline&) {
   if (answered_ || step_ == Step::kIdle || step_ == Step::kEnded) return;
-  Refuse(ErrorCode::kDeadlineExceeded, "the operation did not finish before the deadline");
+  Refuse(ErrorCode::kDeadlineExceeded,
+         "the operation did not finish before the deadline");
   if (step_ != Step::kCalling) StopAcquiring();
 }
 
@@ -163,7 +177,8 @@
 
 template <typename Rules>
 void BasicOperationMachine<Rules>::DecideAcquire() {
-  if (record_.state == RecordState::kAbsent) return Write(RecordState::kClaimed);
+  if (record_.state == RecordState::kAbsent)
+    return Write(RecordState::kClaimed);
   if (AnswerFromRecord()) return;
   const bool own = record_.attempt == self_;
   switch (record_.state) {
@@ -175,7 +190,8 @@
     case RecordState::kDispatched:
       if (own) return CallService();
       if (!Rules::kDispatchedIsFinal) return DecideClaimedByOther();
-      Refuse(ErrorCode::kUnknownOutcome, "an earlier call was sent and its outcome is not known");
+      Refuse(ErrorCode::kUnknownOutcome,
+             "an earlier call was sent and its outcome is not known");
       return End();
     case RecordState::kDone:
       return;  // AnswerFromRecord has answered
@@ -203,7 +219,8 @@
 void BasicOperationMachine<Rules>::DecideClaimedByOther() {
   // The clocks of two VMs may differ; an early claim is safe, because the other
   // attempt's dispatch is conditional on the version that it claimed.
-  if (UnixMs() - record_.updated_unix_ms > options_.claim_max_age.milliseconds()) {
+  if (UnixMs() - record_.updated_unix_ms >
+      options_.claim_max_age.milliseconds()) {
     return Write(RecordState::kClaimed);
   }
   step_ = Step::kCheckingOwner;
@@ -213,12 +230,14 @@
 template <typename Rules>
 void BasicOperationMachine<Rules>::DecideStoreOutcome() {
   const bool own = record_.attempt == self_;
-  if (own && record_.state == RecordState::kDispatched) return Write(RecordState::kDone);
-  // Nobody else changes a dispatched record, except that retention deletes it after days.
-  ZR_ASSERT_INVARIANT(
-      kAtMostOnce,
-      record_.state == RecordState::kAbsent || (own && record_.state == RecordState::kDone),
-      "another attempt changed a dispatched record");
+  if (own && record_.state == RecordState::kDispatched)
+    return Write(RecordState::kDone);
+  // Nobody else changes a dispatched record, except that retention deletes it
+  // after days.
+  ZR_ASSERT_INVARIANT(kAtMostOnce,
+                      record_.state == RecordState::kAbsent ||
+                          (own && record_.state == RecordState::kDone),
+                      "another attempt changed a dispatched record");
   End();
 }
 
@@ -227,10 +246,11 @@
   const bool own = record_.attempt == self_;
   // Writing over an absent record fails a delayed create of this attempt.
   const bool absent = record_.state == RecordState::kAbsent;
-  const bool ours =
-      own && (record_.state == RecordState::kClaimed || record_.state == RecordState::kDispatched);
+  const bool ours = own && (record_.state == RecordState::kClaimed ||
+                            record_.state == RecordState::kDispatched);
   if (ours || (absent && write_unknown_)) return Write(RecordState::kReleased);
-  // After a release whose answer was lost, another attempt may have run the operation.
+  // After a release whose answer was lost, another attempt may have run the
+  // operation.
   if (!answered_ && !own && !absent && AnswerFromRecord()) return;
   End();
 }
@@ -246,28 +266,33 @@
 
 template <typename Rules>
 void BasicOperationMachine<Rules>::Write(RecordState state) {
-  ZR_ASSERT_INVARIANT(kAtMostOnce, !called_ || state == RecordState::kDone || service_refused_,
-                      "after the call only its outcome is written");
+  ZR_ASSERT_INVARIANT(
+      kAtMostOnce, !called_ || state == RecordState::kDone || service_refused_,
+      "after the call only its outcome is written");
   step_ = Step::kWriting;
   write_sent_ = true;
-  writing_ = OperationRecord{state,
-                             self_,
-                             call_.fingerprint,
-                             call_.team,
-                             call_.service,
-                             call_.key,
-                             UnixMs(),
-                             state == RecordState::kDone ? outcome_ : std::nullopt};
+  writing_ =
+      OperationRecord{state,
+                      self_,
+                      call_.fingerprint,
+                      call_.team,
+                      call_.service,
+                      call_.key,
+                      UnixMs(),
+                      state == RecordState::kDone ? outcome_ : std::nullopt};
   actions_.emplace_back(OpWrite{++op_, call_.object_name, version_, writing_});
 }
 
 template <typename Rules>
 void BasicOperationMachine<Rules>::CallService() {
-  ZR_ASSERT_INVARIANT(kAtMostOnce, !called_, "an attempt calls the service once");
-  ZR_ASSERT_INVARIANT(kAtMostOnce,
-                      record_.state == RecordState::kDispatched && record_.attempt == self_,
-                      "the service is called only after this attempt's dispatch took effect");
-  ZR_ASSERT_INVARIANT(kNotRunTrue, !answered_not_run_, "no call after the answer \"not run\"");
+  ZR_ASSERT_INVARIANT(kAtMostOnce, !called_,
+                      "an attempt calls the service once");
+  ZR_ASSERT_INVARIANT(
+      kAtMostOnce,
+      record_.state == RecordState::kDispatched && record_.attempt == self_,
+      "the service is called only after this attempt's dispatch took effect");
+  ZR_ASSERT_INVARIANT(kNotRunTrue, !answered_not_run_,
+                      "no call after the answer \"not run\"");
   called_ = true;
   step_ = Step::kCalling;
   actions_.emplace_back(OpCallService{self_});
@@ -289,11 +314,11 @@
 template <typename Rules>
 void BasicOperationMachine<Rules>::Pause() {
   const int doublings = std::min(failures_ + polls_, 10);
-  const Duration pause =
-      std::min(options_.backoff_max, options_.backoff_base * (int64_t{1} << doublings));
+  const Duration pause = std::min(
+      options_.backoff_max, options_.backoff_base * (int64_t{1} << doublings));
   // Jitter keeps VMs from returning to the store in step after an outage.
-  const auto jittered = static_cast<int64_t>(static_cast<double>(pause.microseconds()) *
-                                             (0.5 + 0.5 * random_.Unit()));
+  const auto jittered = static_cast<int64_t>(
+      static_cast<double>(pause.microseconds()) * (0.5 + 0.5 * random_.Unit()));
   step_ = Step::kPause;
   wake_ = now_ + Duration::Microseconds(jittered);
 }
@@ -318,14 +343,17 @@
 void BasicOperationMachine<Rules>::Refuse(ErrorCode code, std::string message) {
   const bool may_have_run =
       (called_ && !service_refused_) || ClaimedByOther() ||
-      (known_ && record_.state == RecordState::kDispatched && record_.attempt != self_);
-  Answer({may_have_run ? RunState::kMayHaveRun : RunState::kNotRun, KnownState(), std::nullopt,
+      (known_ && record_.state == RecordState::kDispatched &&
+       record_.attempt != self_);
+  Answer({may_have_run ? RunState::kMayHaveRun : RunState::kNotRun,
+          KnownState(), std::nullopt,
           Error{code, "records", "", std::move(message)}});
 }
 
 template <typename Rules>
 void BasicOperationMachine<Rules>::Answer(OpAnswer answer) {
-  ZR_ASSERT_INVARIANT(kAnswerIntegrity, !answered_, "a caller is answered once");
+  ZR_ASSERT_INVARIANT(kAnswerIntegrity, !answered_,
+                      "a caller is answered once");
   if (answer.run == RunState::kNotRun) {
     ZR_ASSERT_INVARIANT(kNotRunTrue, !called_ || service_refused_,
                         "\"not run\" after the call was sent");
@@ -337,7 +365,8 @@
 
 template <typename Rules>
 void BasicOperationMachine<Rules>::End() {
-  if (!answered_) Refuse(ErrorCode::kOverloaded, "the service did not run the call");
+  if (!answered_)
+    Refuse(ErrorCode::kOverloaded, "the service did not run the call");
   step_ = Step::kEnded;
 }
 
@@ -352,7 +381,8 @@
 
 template <typename Rules>
 bool BasicOperationMachine<Rules>::ClaimedByOther() const {
-  return known_ && record_.state == RecordState::kClaimed && record_.attempt != self_;
+  return known_ && record_.state == RecordState::kClaimed &&
+         record_.attempt != self_;
 }
 
 template <typename Rules>
--- a/modules/zr_records/operation_record.cc
+++ b/modules/zr_records/operation_record.cc
@@ -6,7 +6,8 @@
 namespace {
 
 bool IsPlain(char c) {
-  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-';
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') || c == '-';
 }
 
 void AppendEscaped(std::string& out, std::string_view part) {
@@ -48,12 +49,15 @@
 Result<std::string> OperationName(const TeamId& team, std::string_view service,
                                   std::string_view key) {
   std::string name;
-  for (const std::string_view part : {std::string_view(team.value()), service, key}) {
-    const bool printable =
-        std::all_of(part.begin(), part.end(), [](char c) { return c >= 0x20 && c <= 0x7e; });
+  for (const std::string_view part :
+       {std::string_view(team.value()), service, key}) {
+    const bool printable = std::all_of(part.begin(), part.end(), [](char c) {
+      return c >= 0x20 && c <= 0x7e;
+    });
     if (part.empty() || part.size() > kMaxKeyPart || !printable) {
       return Fail(ErrorCode::kInvalidArgument, "records", "",
-                  "team, service and idempotency key must be 1 to 256 printable ASCII characters");
+                  "team, service and idempotency key must be 1 to 256 "
+                  "printable ASCII characters");
     }
     if (!name.empty()) name += '.';
     AppendEscaped(name, part);
--- a/modules/zr_records/operation_record.h
+++ b/modules/zr_records/operation_record.h
@@ -19,7 +19,8 @@
 /** Longest idempotency key, team name or service name, in bytes. */
 inline constexpr size_t kMaxKeyPart = 256;
 
-/** Names one attempt at an operation, so that a VM recognises its own writes. */
+/** Names one attempt at an operation, so that a VM recognises its own writes.
+ */
 struct AttemptId {
   VmId vm;
   Incarnation incarnation;
@@ -31,8 +32,9 @@
 std::ostream& operator<<(std::ostream& os, const AttemptId& attempt);
 
 enum class RecordState : uint8_t {
-  kAbsent,      // no record
-  kClaimed,     // an attempt prepares the call; the service has not been called by it
+  kAbsent,   // no record
+  kClaimed,  // an attempt prepares the call; the service has not been called by
+             // it
   kDispatched,  // the attempt may call the service, or has called it
   kDone,        // the outcome is stored
   kReleased,    // the attempt ended and the service has not run the call
@@ -47,8 +49,10 @@
   std::string content_type;
   std::string digest;  // hex SHA-256 of the body
   std::string body;
-  bool body_kept = true;  // false: the body exceeds kMaxInlineBody and only its digest is stored
-  friend auto operator<=>(const ServiceOutcome&, const ServiceOutcome&) = default;
+  bool body_kept = true;  // false: the body exceeds kMaxInlineBody and only its
+                          // digest is stored
+  friend auto operator<=>(const ServiceOutcome&,
+                          const ServiceOutcome&) = default;
 };
 
 /** The value of one object of kind `operations`. */
@@ -61,7 +65,8 @@
   std::string key;
   int64_t updated_unix_ms = 0;            // clock of the writer
   std::optional<ServiceOutcome> outcome;  // kDone only
-  friend auto operator<=>(const OperationRecord&, const OperationRecord&) = default;
+  friend auto operator<=>(const OperationRecord&,
+                          const OperationRecord&) = default;
 };
 
 /**
--- a/modules/zr_records/record_codec.cc
+++ b/modules/zr_records/record_codec.cc
@@ -9,7 +9,8 @@
 
 using Json = nlohmann::json;
 
-constexpr int kMaxDepth = 3;  // record, outcome and one level for fields of later formats
+constexpr int kMaxDepth =
+    3;  // record, outcome and one level for fields of later formats
 constexpr std::string_view kAlphabet =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
@@ -19,7 +20,8 @@
   for (size_t i = 0; i < bytes.size(); i += 3) {
     uint32_t group = 0;
     for (size_t j = 0; j < 3; ++j) {
-      group = group << 8 | (i + j < bytes.size() ? static_cast<uint8_t>(bytes[i + j]) : 0);
+      group = group << 8 |
+              (i + j < bytes.size() ? static_cast<uint8_t>(bytes[i + j]) : 0);
     }
     const size_t digits = std::min<size_t>(bytes.size() - i, 3) + 1;
     for (size_t j = 0; j < 4; ++j) {
@@ -61,7 +63,8 @@
   return out;
 }
 
-bool ReadString(const Json& object, const char* name, std::string& out, size_t max_size) {
+bool ReadString(const Json& object, const char* name, std::string& out,
+                size_t max_size) {
   const auto it = object.find(name);
   if (it == object.end() || !it->is_string()) return false;
   out = it->get_ref<const std::string&>();
@@ -87,8 +90,9 @@
 bool ReadState(const Json& object, RecordState& out) {
   std::string name;
   if (!ReadString(object, "state", name, 32)) return false;
-  for (const RecordState state : {RecordState::kClaimed, RecordState::kDispatched,
-                                  RecordState::kDone, RecordState::kReleased}) {
+  for (const RecordState state :
+       {RecordState::kClaimed, RecordState::kDispatched, RecordState::kDone,
+        RecordState::kReleased}) {
     if (name == ToString(state)) {
       out = state;
       return true;
@@ -118,7 +122,8 @@
   std::string vm;
   uint64_t incarnation = 0;
   uint64_t fingerprint = 0;
-  if (!ReadState(object, record.state) || !ReadString(object, "team", team, kMaxKeyPart) ||
+  if (!ReadState(object, record.state) ||
+      !ReadString(object, "team", team, kMaxKeyPart) ||
       !ReadString(object, "service", record.service, kMaxKeyPart) ||
       !ReadString(object, "key", record.key, kMaxKeyPart) ||
       !ReadString(object, "vm", vm, kMaxKeyPart) ||
@@ -129,14 +134,17 @@
     return false;
   }
   // Ages are differences of such times; the bound keeps them far from overflow.
-  if (record.updated_unix_ms < 0 || record.updated_unix_ms > int64_t{1} << 56) return false;
+  if (record.updated_unix_ms < 0 || record.updated_unix_ms > int64_t{1} << 56)
+    return false;
   record.team = TeamId(std::move(team));
   record.attempt.vm = VmId(std::move(vm));
   record.attempt.incarnation = Incarnation(incarnation);
   record.fingerprint = Fingerprint(fingerprint);
   const auto outcome = object.find("outcome");
-  if ((record.state == RecordState::kDone) != (outcome != object.end())) return false;
-  return outcome == object.end() || ReadOutcome(*outcome, record.outcome.emplace());
+  if ((record.state == RecordState::kDone) != (outcome != object.end()))
+    return false;
+  return outcome == object.end() ||
+         ReadOutcome(*outcome, record.outcome.emplace());
 }
 
 }  // namespace
@@ -167,7 +175,8 @@
 
 Result<OperationRecord> RecordCodec::Decode(std::string_view text) {
   if (text.size() > kMaxBytes) {
-    return Fail(ErrorCode::kTooLarge, "records", "", "record is larger than 512 KiB");
+    return Fail(ErrorCode::kTooLarge, "records", "",
+                "record is larger than 512 KiB");
   }
   bool too_deep = false;
   const Json object = Json::parse(
@@ -178,11 +187,13 @@
       },
       false);
   if (too_deep || !object.is_object()) {
-    return Fail(ErrorCode::kInvalidArgument, "records", "", "record is not a JSON object");
+    return Fail(ErrorCode::kInvalidArgument, "records", "",
+                "record is not a JSON object");
   }
   int format = 0;
   if (!ReadInteger(object, "format", format) || format != kFormat) {
-    return Fail(ErrorCode::kInvalidArgument, "records", "", "record has an unknown format number");
+    return Fail(ErrorCode::kInvalidArgument, "records", "",
+                "record has an unknown format number");
   }
   OperationRecord record;
   if (!ReadRecord(object, record)) {
--- a/modules/zr_records/record_codec.h
+++ b/modules/zr_records/record_codec.h
@@ -11,7 +11,8 @@
 /** Converts records to and from the JSON text that the object API stores. */
 class RecordCodec {
  public:
-  /** Largest text that Decode accepts, in bytes; the largest valid record is smaller. */
+  /** Largest text that Decode accepts, in bytes; the largest valid record is
+   * smaller. */
   static constexpr size_t kMaxBytes = size_t{512} << 10;
   /** Format number that Encode writes and Decode expects. */
   static constexpr int kFormat = 1;
--- a/modules/zr_records/retention_sweeper.cc
+++ b/modules/zr_records/retention_sweeper.cc
@@ -6,10 +6,13 @@
 
 RetentionVerdict JudgeRecord(const OperationRecord& record, int64_t now_unix_ms,
                              const RetentionOptions& options) {
-  const Duration age = Duration::Milliseconds(now_unix_ms - record.updated_unix_ms);
+  const Duration age =
+      Duration::Milliseconds(now_unix_ms - record.updated_unix_ms);
   if (record.state == RecordState::kDispatched) {
-    if (age > options.unresolved_retention + options.margin) return RetentionVerdict::kDelete;
-    return age > options.report_after ? RetentionVerdict::kReport : RetentionVerdict::kKeep;
+    if (age > options.unresolved_retention + options.margin)
+      return RetentionVerdict::kDelete;
+    return age > options.report_after ? RetentionVerdict::kReport
+                                      : RetentionVerdict::kKeep;
   }
   return age > options.retention + options.margin ? RetentionVerdict::kDelete
                                                   : RetentionVerdict::kKeep;
@@ -17,12 +20,16 @@
 
 RetentionSweeper::RetentionSweeper(RetentionOptions options, TimePoint start)
     : options_(options),
-      bucket_(options.calls_per_second, std::max(1.0, options.calls_per_second)),
+      bucket_(options.calls_per_second,
+              std::max(1.0, options.calls_per_second)),
       wake_(start) {}
 
-TimePoint RetentionSweeper::NextWakeup() const { return waiting_ ? TimePoint::Max() : wake_; }
+TimePoint RetentionSweeper::NextWakeup() const {
+  return waiting_ ? TimePoint::Max() : wake_;
+}
 
-RetentionSweeper::Actions RetentionSweeper::Handle(const SweepEvent& event, TimePoint now,
+RetentionSweeper::Actions RetentionSweeper::Handle(const SweepEvent& event,
+                                                   TimePoint now,
                                                    int64_t now_unix_ms) {
   Actions actions;
   now_ = now;
@@ -37,14 +44,16 @@
   return actions;
 }
 
-void RetentionSweeper::OnPage(const SweepPage& page, int64_t now_unix_ms, Actions& actions) {
+void RetentionSweeper::OnPage(const SweepPage& page, int64_t now_unix_ms,
+                              Actions& actions) {
   if (!page.ok) {
     wake_ = now_ + options_.retry_pause;
     return;
   }
   for (const SweepItem& item : page.items) {
     const RetentionVerdict verdict =
-        item.record ? JudgeRecord(*item.record, now_unix_ms, options_) : RetentionVerdict::kReport;
+        item.record ? JudgeRecord(*item.record, now_unix_ms, options_)
+                    : RetentionVerdict::kReport;
     if (verdict == RetentionVerdict::kReport) {
       actions.emplace_back(SweepReport{item.name, item.record});
     } else if (verdict == RetentionVerdict::kDelete) {
--- a/modules/zr_records/retention_sweeper.h
+++ b/modules/zr_records/retention_sweeper.h
@@ -14,9 +14,11 @@
   Duration retention = Duration::Seconds(24 * 3600);  // promised to callers
   /** Covers clock differences between VMs and calls that are in progress. */
   Duration margin = Duration::Seconds(3600);
-  /** For dispatched records without an outcome, which operators have to look at. */
+  /** For dispatched records without an outcome, which operators have to look
+   * at. */
   Duration unresolved_retention = Duration::Seconds(7 * 24 * 3600);
-  Duration report_after = Duration::Seconds(3600);  // age at which those are reported
+  Duration report_after =
+      Duration::Seconds(3600);  // age at which those are reported
   Duration sweep_interval = Duration::Seconds(600);
   Duration retry_pause = Duration::Seconds(5);  // after a failed call
   double calls_per_second = 10;
@@ -32,7 +34,8 @@
 
 /**
  * Verdict for a record of the given age. A caller may repeat a call for the
- * retention time after the record's last change; only older records are deleted.
+ * retention time after the record's last change; only older records are
+ * deleted.
  */
 RetentionVerdict JudgeRecord(const OperationRecord& record, int64_t now_unix_ms,
                              const RetentionOptions& options);
@@ -44,10 +47,12 @@
 struct SweepItem {
   std::string name;
   ObjectVersion version;
-  std::optional<OperationRecord> record;  // unset if RecordCodec refuses the value
+  std::optional<OperationRecord>
+      record;  // unset if RecordCodec refuses the value
 };
 
-/** A page of objects in the order of their names; fewer than the limit ends the list. */
+/** A page of objects in the order of their names; fewer than the limit ends the
+ * list. */
 struct SweepPage {
   bool ok = false;
   std::vector<SweepItem> items;
@@ -75,7 +80,8 @@
   ObjectVersion version;  // the delete is conditional on it
 };
 
-/** A record without a known outcome, or (record unset) one that cannot be decoded. */
+/** A record without a known outcome, or (record unset) one that cannot be
+ * decoded. */
 struct SweepReport {
   std::string name;
   std::optional<OperationRecord> record;
@@ -98,14 +104,15 @@
   RetentionSweeper& operator=(const RetentionSweeper&) = delete;
 
   /**
-   * Handles an event. After a SweepList or SweepDelete, exactly one SweepPage or
-   * SweepDeleted follows.
+   * Handles an event. After a SweepList or SweepDelete, exactly one SweepPage
+   * or SweepDeleted follows.
    *
    * @param now_unix_ms  wall clock, compared with the records' times
    */
   Actions Handle(const SweepEvent& event, TimePoint now, int64_t now_unix_ms);
 
-  /** When the next SweepTick is due; TimePoint::Max() while a reply is awaited. */
+  /** When the next SweepTick is due; TimePoint::Max() while a reply is awaited.
+   */
   TimePoint NextWakeup() const;
 
   /** Deletes that were asked for since the start. */
--- a/modules/zr_records/store_budget.cc
+++ b/modules/zr_records/store_budget.cc
@@ -12,7 +12,8 @@
 }
 
 StoreBudget::StoreBudget(StoreBudgetOptions options) : options_(options) {
-  ZR_ASSERT(std::accumulate(options_.shares.begin(), options_.shares.end(), 0.0) <= 1.0 + 1e-9,
+  ZR_ASSERT(std::accumulate(options_.shares.begin(), options_.shares.end(),
+                            0.0) <= 1.0 + 1e-9,
             "the shares of a store budget exceed 1");
   for (size_t i = 0; i < kStorePurposeCount; ++i) {
     const auto bucket = [&](double total) {
@@ -50,7 +51,9 @@
   return Take(At(purpose), At(purpose).writes, now);
 }
 
-bool StoreBudget::TryWatch(StorePurpose purpose, TimePoint now) { return TryRead(purpose, now); }
+bool StoreBudget::TryWatch(StorePurpose purpose, TimePoint now) {
+  return TryRead(purpose, now);
+}
 
 Duration StoreBudget::UntilRead(StorePurpose purpose, TimePoint now) const {
   return At(purpose).reads.TimeUntil(now, 1);
@@ -60,6 +63,8 @@
   return At(purpose).writes.TimeUntil(now, 1);
 }
 
-uint64_t StoreBudget::refused(StorePurpose purpose) const { return At(purpose).refused; }
+uint64_t StoreBudget::refused(StorePurpose purpose) const {
+  return At(purpose).refused;
+}
 
 }  // namespace zr
--- a/modules/zr_records/store_budget.h
+++ b/modules/zr_records/store_budget.h
@@ -9,7 +9,13 @@
 namespace zr {
 
 /** What a call to the object API is for. */
-enum class StorePurpose : uint8_t { kConfig, kRecords, kLease, kStatus, kEndpoints };
+enum class StorePurpose : uint8_t {
+  kConfig,
+  kRecords,
+  kLease,
+  kStatus,
+  kEndpoints
+};
 
 inline constexpr size_t kStorePurposeCount = 5;
 
@@ -18,9 +24,12 @@
 
 struct StoreBudgetOptions {
   double reads_per_second = 1'600;  // of all VMs; below the platform's 2,000
-  double writes_per_second = 240;   // of all VMs; below the platform's several hundred
-  double burst_seconds = 2;         // a bucket holds this many seconds of its rate, at least one
-  /** Share of each purpose, in the order of StorePurpose; the sum is at most 1. */
+  double writes_per_second =
+      240;  // of all VMs; below the platform's several hundred
+  double burst_seconds =
+      2;  // a bucket holds this many seconds of its rate, at least one
+  /** Share of each purpose, in the order of StorePurpose; the sum is at most 1.
+   */
   std::array<double, kStorePurposeCount> shares = {0.15, 0.6, 0.05, 0.1, 0.1};
 };
 
@@ -44,7 +53,8 @@
   bool TryRead(StorePurpose purpose, TimePoint now);
   /** Takes one put or delete. */
   bool TryWrite(StorePurpose purpose, TimePoint now);
-  /** Takes one read for a watch, which counts as one call however long it waits. */
+  /** Takes one read for a watch, which counts as one call however long it
+   * waits. */
   bool TryWatch(StorePurpose purpose, TimePoint now);
 
   /** Time until TryRead can succeed; Duration::Max() if never. */
@@ -63,8 +73,12 @@
   };
 
   bool Take(Lane& lane, TokenBucket& bucket, TimePoint now);
-  Lane& At(StorePurpose purpose) { return lanes_[static_cast<size_t>(purpose)]; }
-  const Lane& At(StorePurpose purpose) const { return lanes_[static_cast<size_t>(purpose)]; }
+  Lane& At(StorePurpose purpose) {
+    return lanes_[static_cast<size_t>(purpose)];
+  }
+  const Lane& At(StorePurpose purpose) const {
+    return lanes_[static_cast<size_t>(purpose)];
+  }
 
   StoreBudgetOptions options_;
   std::array<Lane, kStorePurposeCount> lanes_;
--- a/modules/zr_records/tests/operation_random_test.cc
+++ b/modules/zr_records/tests/operation_random_test.cc
@@ -15,7 +15,8 @@
 
 constexpr uint64_t kSeeds = 3000;
 
-/** First seed at which the machine breaks a promise of the world; 0 if none does. */
+/** First seed at which the machine breaks a promise of the world; 0 if none
+ * does. */
 template <typename Rules>
 uint64_t FirstFailure(double lost) {
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
@@ -29,11 +30,13 @@
 // operation's outcome, and a caller without an answer at its deadline.
 TEST_CASE("Operations under crashes, pauses, outages and lost answers") {
   Invariants::Reset();
-  Invariants::SetHandler([](Invariant, std::string_view message) { UNSCOPED_INFO(message); });
+  Invariants::SetHandler(
+      [](Invariant, std::string_view message) { UNSCOPED_INFO(message); });
   const double lost = GENERATE(0.05, 0.3);
   uint64_t first = 1;
   uint64_t last = kSeeds;
-  if (const char* fixed = std::getenv("ZR_SEED")) first = last = std::stoull(fixed);
+  if (const char* fixed = std::getenv("ZR_SEED"))
+    first = last = std::stoull(fixed);
   int executions = 0;
   int not_run = 0;
   int ran = 0;
@@ -51,9 +54,9 @@
     ran += world.answered_ran();
     stored += world.stored_answers();
   }
-  WARN("lost " << lost << ", seeds " << first << ".." << last << ": executions " << executions
-               << ", answers with outcome " << ran << " (from records " << stored << "), not run "
-               << not_run);
+  WARN("lost " << lost << ", seeds " << first << ".." << last << ": executions "
+               << executions << ", answers with outcome " << ran
+               << " (from records " << stored << "), not run " << not_run);
   if (last == kSeeds) {
     // Most of the two keys of each seed run, and repeats find stored outcomes.
     CHECK(executions > static_cast<int>(kSeeds));
--- a/modules/zr_records/tests/operation_world.h
+++ b/modules/zr_records/tests/operation_world.h
@@ -16,7 +16,8 @@
 namespace zr {
 
 struct WorldOptions {
-  double lost = 0.05;  // share of store and service messages that are lost or late
+  double lost =
+      0.05;  // share of store and service messages that are lost or late
   bool outages = true;
 };
 
@@ -27,11 +28,13 @@
 template <typename Machine>
 class OperationWorld {
  public:
-  OperationWorld(uint64_t seed, WorldOptions options) : random_(seed), options_(options) {}
+  OperationWorld(uint64_t seed, WorldOptions options)
+      : random_(seed), options_(options) {}
 
   /** Runs all callers to their end; the result lists the broken promises. */
   std::vector<std::string> Run() {
-    for (int key = 0; key < kKeys; ++key) At(Ms(0, 200), [this, key] { StartCall(key); });
+    for (int key = 0; key < kKeys; ++key)
+      At(Ms(0, 200), [this, key] { StartCall(key); });
     for (int i = 0; i < 4; ++i) At(Ms(0, 6000), [this] { DisturbVm(); });
     if (options_.outages && random_.Chance(0.5)) {
       At(Ms(0, 4000), [this] {
@@ -71,7 +74,8 @@
   struct Vm {
     uint64_t incarnation = 1;
     TimePoint paused_until;
-    std::deque<std::pair<Call*, OperationEvent>> inbox;  // what arrived during the pause
+    std::deque<std::pair<Call*, OperationEvent>>
+        inbox;  // what arrived during the pause
   };
   struct Object {
     uint64_t version = 0;
@@ -88,19 +92,21 @@
     TimePoint answered_at;
     int executions = 0;                         // caused by this call
     std::map<uint64_t, int> key_executions_at;  // of the key, by store call
-    int key_executions_known = 0;               // at the last store answer that arrived
+    int key_executions_known = 0;  // at the last store answer that arrived
   };
 
   Duration Ms(int64_t low, int64_t high) {
-    return Duration::Microseconds(1000 * low +
-                                  static_cast<int64_t>(random_.Below(1000 * (high - low) + 1)));
+    return Duration::Microseconds(
+        1000 * low +
+        static_cast<int64_t>(random_.Below(1000 * (high - low) + 1)));
   }
   void At(Duration delay, std::function<void()> run) {
     queue_.push(Event{now_ + delay, order_++, std::move(run)});
   }
   void Violation(const std::string& text) { violations_.push_back(text); }
 
-  // A crash loses all machines of a VM; a pause delays everything that reaches it.
+  // A crash loses all machines of a VM; a pause delays everything that reaches
+  // it.
   void DisturbVm() {
     Vm& vm = vms_[random_.Below(kVms)];
     if (random_.Chance(0.5)) {
@@ -135,11 +141,12 @@
     request.deadline = call->deadline;
     request.may_wait = random_.Chance(0.5);
     request.start_unix_ms = now_.microseconds() / 1000;
-    const AttemptId self{VmId("vm" + std::to_string(call->vm)), Incarnation(call->incarnation),
-                         random_.Next()};
+    const AttemptId self{VmId("vm" + std::to_string(call->vm)),
+                         Incarnation(call->incarnation), random_.Next()};
     OperationOptions options;
     options.background_window = Duration::Seconds(5);
-    call->machine = std::make_unique<Machine>(request, self, options, random_.Next());
+    call->machine =
+        std::make_unique<Machine>(request, self, options, random_.Next());
     Deliver(call, OpStart{});
     if (random_.Chance(0.05)) {
       At(Ms(0, 1000), [this, call] {
@@ -171,7 +178,8 @@
   // Remembers how often the key had run when the store gave the answer that the
   // machine now learns.
   void NoteKnowledge(Call* call, const OperationEvent& event) {
-    if (now_ >= call->deadline) return;  // the machine answers before it takes such a reply
+    if (now_ >= call->deadline)
+      return;  // the machine answers before it takes such a reply
     uint64_t op = 0;
     if (const auto* read = std::get_if<OpReadReply>(&event)) {
       if (read->status != ReadStatus::kUnknown) op = read->op;
@@ -180,7 +188,8 @@
       if (write->status != WriteStatus::kUnknown) op = write->op;
     }
     const auto known = call->key_executions_at.find(op);
-    if (known != call->key_executions_at.end()) call->key_executions_known = known->second;
+    if (known != call->key_executions_at.end())
+      call->key_executions_known = known->second;
   }
 
   // Carries a request to a server and its reply back. A lost message leads to
@@ -192,14 +201,17 @@
     if (!random_.Chance(options_.lost)) {
       At(there, [this, call, effect] {
         OperationEvent reply = effect();
-        At(Ms(1, 10), [this, call, reply = std::move(reply)] { Deliver(call, reply); });
+        At(Ms(1, 10),
+           [this, call, reply = std::move(reply)] { Deliver(call, reply); });
       });
       return;
     }
     const uint64_t fate = random_.Below(3);
-    if (fate == 0) At(there, effect);                                 // the answer is lost
-    if (fate == 1) At(kTimeout + Ms(0, 3000), effect);                // the request is late
-    At(kTimeout, [this, call, unknown] { Deliver(call, unknown); });  // fate 2: it is lost
+    if (fate == 0) At(there, effect);                   // the answer is lost
+    if (fate == 1) At(kTimeout + Ms(0, 3000), effect);  // the request is late
+    At(kTimeout, [this, call, unknown] {
+      Deliver(call, unknown);
+    });  // fate 2: it is lost
   }
 
   void CarryOut(Call* call, const OpRead& read) {
@@ -208,10 +220,12 @@
       if (outage_) return OpReadReply{read.op, ReadStatus::kError, {}, {}};
       call->key_executions_at[read.op] = key_executions_[call->key];
       const Object& object = store_[read.name];
-      if (object.version == 0) return OpReadReply{read.op, ReadStatus::kAbsent, {}, {}};
+      if (object.version == 0)
+        return OpReadReply{read.op, ReadStatus::kAbsent, {}, {}};
       auto record = RecordCodec::Decode(object.value);
       if (!record) return OpReadReply{read.op, ReadStatus::kUnreadable, {}, {}};
-      return OpReadReply{read.op, ReadStatus::kFound, ObjectVersion(object.version), *record};
+      return OpReadReply{read.op, ReadStatus::kFound,
+                         ObjectVersion(object.version), *record};
     });
   }
 
@@ -226,17 +240,21 @@
       CheckTransition(object, write.record);
       call->key_executions_at[write.op] = key_executions_[call->key];
       object = Object{++last_version_, RecordCodec::Encode(write.record)};
-      return OpWriteReply{write.op, WriteStatus::kOk, ObjectVersion(object.version)};
+      return OpWriteReply{write.op, WriteStatus::kOk,
+                          ObjectVersion(object.version)};
     });
   }
 
-  // An operator who watches the record sees that a dispatched one keeps its attempt.
+  // An operator who watches the record sees that a dispatched one keeps its
+  // attempt.
   void CheckTransition(const Object& object, const OperationRecord& next) {
     if (object.version == 0) return;
     const auto before = RecordCodec::Decode(object.value);
     if (!before) return Violation("stored record cannot be decoded");
-    if (before->state == RecordState::kDone) Violation("done record overwritten");
-    if (before->state == RecordState::kDispatched && before->attempt != next.attempt) {
+    if (before->state == RecordState::kDone)
+      Violation("done record overwritten");
+    if (before->state == RecordState::kDispatched &&
+        before->attempt != next.attempt) {
       Violation("dispatched record taken over");
     }
   }
@@ -247,8 +265,10 @@
       if (refuses) return OpServiceReply{ServiceStatus::kNotRun, {}};
       ++executions_;
       ++call->executions;
-      if (++key_executions_[call->key] > 1) Violation("operation executed twice");
-      ServiceOutcome outcome{200, "text/plain", "digest", OutcomeBody(*call), true};
+      if (++key_executions_[call->key] > 1)
+        Violation("operation executed twice");
+      ServiceOutcome outcome{200, "text/plain", "digest", OutcomeBody(*call),
+                             true};
       return OpServiceReply{ServiceStatus::kOutcome, outcome};
     });
   }
@@ -263,8 +283,10 @@
     bool alive = random_.Chance(0.5);  // the list of VMs lags
     for (int i = 0; i < kVms; ++i) {
       if (check.attempt.vm.value() != "vm" + std::to_string(i)) continue;
-      const bool current = check.attempt.incarnation.value() == vms_[i].incarnation;
-      if (!current || (vms_[i].paused_until <= now_ && random_.Chance(0.8))) alive = current;
+      const bool current =
+          check.attempt.incarnation.value() == vms_[i].incarnation;
+      if (!current || (vms_[i].paused_until <= now_ && random_.Chance(0.8)))
+        alive = current;
     }
     At(Ms(0, 2), [this, call, check, alive] {
       Deliver(call, OpOwnerLiveness{check.attempt, alive});
@@ -281,7 +303,8 @@
     call->answered_at = now_;
     if (answer.run == RunState::kNotRun) {
       ++answered_not_run_;
-      const bool conflict = answer.error && answer.error->code == ErrorCode::kConflict;
+      const bool conflict =
+          answer.error && answer.error->code == ErrorCode::kConflict;
       if (answer.record && !conflict && call->key_executions_known > 0) {
         Violation("\"not run\" although the record's key had run");
       }
@@ -291,7 +314,8 @@
       CheckOutcome(*call);
     }
     const TimePoint paused = vms_[call->vm].paused_until;
-    if (now_ > call->deadline && now_ > paused) Violation("answer after the deadline");
+    if (now_ > call->deadline && now_ > paused)
+      Violation("answer after the deadline");
     if (!answer.outcome || random_.Chance(0.5)) {
       At(Ms(1, 300), [this, call] { StartCall(call->key); });
     }
@@ -309,7 +333,8 @@
 
   void CheckCalls() {
     for (const auto& call : calls_) {
-      if (call->answer && call->answer->run == RunState::kNotRun && call->executions > 0) {
+      if (call->answer && call->answer->run == RunState::kNotRun &&
+          call->executions > 0) {
         Violation("\"not run\" although the call ran");
       }
       const bool crashed = vms_[call->vm].incarnation != call->incarnation;
--- a/modules/zr_records/tests/records_test.cc
+++ b/modules/zr_records/tests/records_test.cc
@@ -36,7 +36,8 @@
   for (size_t size = 0; size < 70; ++size) {
     std::string body;
     for (size_t i = 0; i < size; ++i) body += static_cast<char>(random.Next());
-    record.outcome = ServiceOutcome{200, "application/octet-stream", "ab", body, true};
+    record.outcome =
+        ServiceOutcome{200, "application/octet-stream", "ab", body, true};
     REQUIRE(RecordCodec::Decode(RecordCodec::Encode(record)) == record);
   }
   SECTION("holds the largest inline body") {
@@ -47,9 +48,11 @@
   }
   SECTION("refuses what it did not write") {
     const std::string text = RecordCodec::Encode(record);
-    for (size_t i = 0; i < text.size(); ++i) REQUIRE_FALSE(RecordCodec::Decode(text.substr(0, i)));
+    for (size_t i = 0; i < text.size(); ++i)
+      REQUIRE_FALSE(RecordCodec::Decode(text.substr(0, i)));
     REQUIRE_FALSE(RecordCodec::Decode(std::string(100'000, '[')));
-    REQUIRE_FALSE(RecordCodec::Decode(std::string(RecordCodec::kMaxBytes + 1, ' ')));
+    REQUIRE_FALSE(
+        RecordCodec::Decode(std::string(RecordCodec::kMaxBytes + 1, ' ')));
     std::string other = text;
     other.replace(other.find("\"format\":1"), 10, "\"format\":2");
     REQUIRE_FALSE(RecordCodec::Decode(other));
@@ -69,20 +72,27 @@
     for (const RecordState state :
          {RecordState::kClaimed, RecordState::kDone, RecordState::kReleased}) {
       const OperationRecord record = SampleRecord(state);
-      REQUIRE(JudgeRecord(record, 1'000'000 + day, options) == RetentionVerdict::kKeep);
-      REQUIRE(JudgeRecord(record, 1'000'000 + day + day / 8, options) == RetentionVerdict::kDelete);
+      REQUIRE(JudgeRecord(record, 1'000'000 + day, options) ==
+              RetentionVerdict::kKeep);
+      REQUIRE(JudgeRecord(record, 1'000'000 + day + day / 8, options) ==
+              RetentionVerdict::kDelete);
     }
     const OperationRecord record = SampleRecord(RecordState::kDispatched);
-    REQUIRE(JudgeRecord(record, 1'000'000 + 6 * day, options) == RetentionVerdict::kReport);
-    REQUIRE(JudgeRecord(record, 1'000'000 + 8 * day, options) == RetentionVerdict::kDelete);
+    REQUIRE(JudgeRecord(record, 1'000'000 + 6 * day, options) ==
+            RetentionVerdict::kReport);
+    REQUIRE(JudgeRecord(record, 1'000'000 + 8 * day, options) ==
+            RetentionVerdict::kDelete);
   }
   SECTION("walks the pages within its rate and goes on after an error") {
     const int64_t unix_ms = 1'000'000 + 2 * day;
-    const SweepItem old{"b", ObjectVersion(4), SampleRecord(RecordState::kDone)};
+    const SweepItem old{"b", ObjectVersion(4),
+                        SampleRecord(RecordState::kDone)};
     const SweepItem odd{"c", ObjectVersion(5), std::nullopt};
     std::vector<std::string> trace;
     int calls = 0;
-    for (int step = 0; step < 200 && sweeper.NextWakeup() < now + options.sweep_interval; ++step) {
+    for (int step = 0;
+         step < 200 && sweeper.NextWakeup() < now + options.sweep_interval;
+         ++step) {
       now = std::max(now, sweeper.NextWakeup());
       auto actions = sweeper.Handle(SweepTick{}, now, unix_ms);
       while (!actions.empty()) {
@@ -102,7 +112,8 @@
         }
       }
     }
-    REQUIRE(trace == std::vector<std::string>{"list ", "report c", "delete b", "list c", "list c"});
+    REQUIRE(trace == std::vector<std::string>{"list ", "report c", "delete b",
+                                              "list c", "list c"});
     REQUIRE(now >= TimePoint::FromMicroseconds(0) + options.retry_pause);
   }
 }
@@ -122,7 +133,8 @@
   while (budget.TryWatch(StorePurpose::kConfig, now)) ++watches;
   REQUIRE(watches == 30);
   REQUIRE_FALSE(budget.TryRead(StorePurpose::kConfig, now));
-  REQUIRE(budget.UntilRead(StorePurpose::kConfig, now) < Duration::Milliseconds(100));
+  REQUIRE(budget.UntilRead(StorePurpose::kConfig, now) <
+          Duration::Milliseconds(100));
 }
 
 }  // namespace
--- a/modules/zr_request/answer_cursor.cc
+++ b/modules/zr_request/answer_cursor.cc
@@ -13,7 +13,8 @@
 
 void AnswerCursor::Close() { open_ = false; }
 
-AnswerCursor::Verdict AnswerCursor::Take(AttemptNumber attempt, std::string_view stream_id,
+AnswerCursor::Verdict AnswerCursor::Take(AttemptNumber attempt,
+                                         std::string_view stream_id,
                                          int64_t offset, int64_t tokens) {
   const bool own = IsCurrent(attempt) && stream_id == stream_id_;
   if ((!own && !ignore_attempts_) || tokens <= 0 || offset < offset_) {
--- a/modules/zr_request/answer_cursor.h
+++ b/modules/zr_request/answer_cursor.h
@@ -30,9 +30,12 @@
   void MoveTo(int64_t offset) { offset_ = offset; }
 
   /** Judges a part and, if it is accepted, moves past it. */
-  Verdict Take(AttemptNumber attempt, std::string_view stream_id, int64_t offset, int64_t tokens);
+  Verdict Take(AttemptNumber attempt, std::string_view stream_id,
+               int64_t offset, int64_t tokens);
 
-  bool IsCurrent(AttemptNumber attempt) const { return open_ && attempt == attempt_; }
+  bool IsCurrent(AttemptNumber attempt) const {
+    return open_ && attempt == attempt_;
+  }
   bool is_open() const { return open_; }
   AttemptNumber attempt() const { return attempt_; }
   /** Offset of the next token for the caller. */
--- a/modules/zr_request/grant_ledger.cc
+++ b/modules/zr_request/grant_ledger.cc
@@ -5,7 +5,8 @@
 namespace zr {
 
 GrantLedger::~GrantLedger() {
-  ZR_ASSERT_INVARIANT(kNoKvLeak, held_.empty(), "a request ended with a grant not released");
+  ZR_ASSERT_INVARIANT(kNoKvLeak, held_.empty(),
+                      "a request ended with a grant not released");
 }
 
 GrantLedger::Key GrantLedger::KeyOf(const Grant& grant) {
@@ -19,14 +20,16 @@
 }
 
 bool GrantLedger::Remove(const Grant& grant) {
-  const auto it = std::find_if(held_.begin(), held_.end(),
-                               [&](const Grant& g) { return KeyOf(g) == KeyOf(grant); });
+  const auto it = std::find_if(held_.begin(), held_.end(), [&](const Grant& g) {
+    return KeyOf(g) == KeyOf(grant);
+  });
   if (it == held_.end()) return false;
   held_.erase(it);
   return true;
 }
 
-OutgoingMessage GrantLedger::MakeRelease(const Grant& grant, ReleaseOutcome outcome,
+OutgoingMessage GrantLedger::MakeRelease(const Grant& grant,
+                                         ReleaseOutcome outcome,
                                          const RunReport& report) {
   const bool held = Remove(grant);
   ZR_ASSERT_INVARIANT(kNoKvLeak, held, "a grant is released that is not held");
@@ -45,7 +48,8 @@
 
 void GrantLedger::HandOver(const Grant& grant) {
   const bool held = Remove(grant);
-  ZR_ASSERT_INVARIANT(kNoKvLeak, held, "a grant is handed over that is not held");
+  ZR_ASSERT_INVARIANT(kNoKvLeak, held,
+                      "a grant is handed over that is not held");
 }
 
 }  // namespace zr
--- a/modules/zr_request/grant_ledger.h
+++ b/modules/zr_request/grant_ledger.h
@@ -33,7 +33,8 @@
   /** Takes a grant in; false if it is known already (a repeated message). */
   bool Add(const Grant& grant);
   /** Gives a grant back; asserts that it is held. */
-  OutgoingMessage MakeRelease(const Grant& grant, ReleaseOutcome outcome, const RunReport& report);
+  OutgoingMessage MakeRelease(const Grant& grant, ReleaseOutcome outcome,
+                              const RunReport& report);
   /** The grant now belongs to another VM. */
   void HandOver(const Grant& grant);
 
--- a/modules/zr_request/prompt_cost.cc
+++ b/modules/zr_request/prompt_cost.cc
@@ -9,13 +9,16 @@
   constexpr size_t kBlockBytes = kBlockTokens * kBytesPerToken;
   PromptCost cost;
   const auto bytes = static_cast<int64_t>(prompt.size());
-  cost.tokens = TokenCount(std::max<int64_t>(1, (bytes + kBytesPerToken - 1) / kBytesPerToken));
-  // A caller may count fewer tokens than the estimate, but not fewer than one for 16 bytes: a
-  // wrong count must not overrun an engine's memory by much.
+  cost.tokens = TokenCount(
+      std::max<int64_t>(1, (bytes + kBytesPerToken - 1) / kBytesPerToken));
+  // A caller may count fewer tokens than the estimate, but not fewer than one
+  // for 16 bytes: a wrong count must not overrun an engine's memory by much.
   constexpr int64_t kMostBytesPerToken = 16;
-  if (counted) cost.tokens = std::max(*counted, TokenCount(bytes / kMostBytesPerToken));
+  if (counted)
+    cost.tokens = std::max(*counted, TokenCount(bytes / kMostBytesPerToken));
   uint64_t hash = HashFields({model});
-  for (size_t at = 0; at + kBlockBytes <= prompt.size() && cost.prefixes.size() < kMaxBlocks;
+  for (size_t at = 0;
+       at + kBlockBytes <= prompt.size() && cost.prefixes.size() < kMaxBlocks;
        at += kBlockBytes) {
     hash = Hash64(prompt.substr(at, kBlockBytes), hash);
     cost.prefixes.emplace_back(hash);
@@ -23,7 +26,8 @@
   return cost;
 }
 
-Fingerprint MakeFingerprint(const TeamId& team, std::string_view model, std::string_view prompt) {
+Fingerprint MakeFingerprint(const TeamId& team, std::string_view model,
+                            std::string_view prompt) {
   const uint64_t hash = HashFields({team.value(), model, prompt});
   return Fingerprint(hash == 0 ? 1 : hash);
 }
--- a/modules/zr_request/prompt_cost.h
+++ b/modules/zr_request/prompt_cost.h
@@ -14,7 +14,8 @@
   static constexpr int64_t kBlockTokens = 256;
   /** Estimate for prompts whose caller gives no token count. */
   static constexpr int64_t kBytesPerToken = 4;
-  /** Hashes of at most this many blocks (65,536 tokens), so that messages stay small. */
+  /** Hashes of at most this many blocks (65,536 tokens), so that messages stay
+   * small. */
   static constexpr size_t kMaxBlocks = 256;
 
   TokenCount tokens;
@@ -23,14 +24,16 @@
 
   /**
    * @param model    prefixes are shared among prompts of one model only
-   * @param counted  the caller's token count, if it gave one; blocks are cut by bytes all the
-   *                 same, so that a prompt has the same hashes with and without a count
+   * @param counted  the caller's token count, if it gave one; blocks are cut by
+   * bytes all the same, so that a prompt has the same hashes with and without a
+   * count
    */
   static PromptCost Of(std::string_view model, std::string_view prompt,
                        std::optional<TokenCount> counted = std::nullopt);
 };
 
 /** Recognises a request that its caller sends again; never 0. */
-Fingerprint MakeFingerprint(const TeamId& team, std::string_view model, std::string_view prompt);
+Fingerprint MakeFingerprint(const TeamId& team, std::string_view model,
+                            std::string_view prompt);
 
 }  // namespace zr
--- a/modules/zr_request/request_actions.h
+++ b/modules/zr_request/request_actions.h
@@ -14,7 +14,7 @@
 struct SelectCandidates {
   std::set<EndpointId> excluded;
   std::optional<DomainId> avoid_domain;  // only if another domain has room
-  bool run_alone = false;                // the endpoint must be idle or become so
+  bool run_alone = false;  // the endpoint must be idle or become so
 };
 
 /** Sends a message to another VM, or to this one if `to` names it. */
@@ -23,15 +23,17 @@
   Message message;
 };
 
-/** Sends the call to an endpoint. The daemon checks start_before just before the first byte. */
+/** Sends the call to an endpoint. The daemon checks start_before just before
+ * the first byte. */
 struct StartUpstream {
   EndpointId endpoint;
   AttemptNumber attempt;  // reported back with each upstream event
   std::string stream_id;
   TokenCount kv_tokens;
   int32_t priority = 0;
-  std::vector<EndpointId> members;  // all endpoints of a gathered run, else empty
-  TimePoint start_before;           // later the call fails as UpstreamFailure::kNotRun
+  std::vector<EndpointId>
+      members;             // all endpoints of a gathered run, else empty
+  TimePoint start_before;  // later the call fails as UpstreamFailure::kNotRun
 };
 
 /** Reads a stream that the endpoint holds, from an offset. */
@@ -42,14 +44,16 @@
   AttemptNumber attempt;
 };
 
-/** Closes the connection of an attempt and leaves the stream to the endpoint. */
+/** Closes the connection of an attempt and leaves the stream to the endpoint.
+ */
 struct DetachUpstream {
   EndpointId endpoint;
   std::string stream_id;
   AttemptNumber attempt;
 };
 
-/** Closes any connection and deletes the stream; answered with OnUpstreamCancelled(). */
+/** Closes any connection and deletes the stream; answered with
+ * OnUpstreamCancelled(). */
 struct CancelUpstream {
   EndpointId endpoint;
   std::string stream_id;
@@ -61,7 +65,8 @@
   bool paused = false;
 };
 
-/** Looks for a run of the request; answered with OnStreamFound() or OnStreamNotFound(). */
+/** Looks for a run of the request; answered with OnStreamFound() or
+ * OnStreamNotFound(). */
 struct LocateStream {
   RequestId request;
   TeamId team;
@@ -86,7 +91,8 @@
   int64_t total = 0;  // offset of the answer's end
 };
 
-/** Ends the call with an error; after EmitHead as an error event in the answer. */
+/** Ends the call with an error; after EmitHead as an error event in the answer.
+ */
 struct Refuse {
   int status = 503;
   Error error;
@@ -95,12 +101,14 @@
   int64_t offset = 0;  // of the first token that the caller did not get
 };
 
-/** Tells the connection of a superseded call that another call has taken the answer over. */
+/** Tells the connection of a superseded call that another call has taken the
+ * answer over. */
 struct DropCaller {
   Error error;
 };
 
-/** A run of the fingerprint ended with its connection; the endpoint may have died of it. */
+/** A run of the fingerprint ended with its connection; the endpoint may have
+ * died of it. */
 struct ReportSuspect {
   Fingerprint fingerprint;
   EndpointId endpoint;
@@ -108,7 +116,8 @@
   bool confirmed = false;  // the endpoint is known to be dead
 };
 
-/** Asks the locator VM for the right to run a suspect, or renews it; answered with OnTurn(). */
+/** Asks the locator VM for the right to run a suspect, or renews it; answered
+ * with OnTurn(). */
 struct AskTurn {
   Fingerprint fingerprint;
   bool holding = false;  // the run is in progress
@@ -120,23 +129,26 @@
   bool harmless = false;  // the run completed alone: the suspicion is unfounded
 };
 
-/** Asks the pool's coordinator for several endpoints; answered with OnGatherReady/Failed(). */
+/** Asks the pool's coordinator for several endpoints; answered with
+ * OnGatherReady/Failed(). */
 struct GatherRequest {
   AttemptNumber attempt;
   TokenCount kv_tokens;
   std::set<EndpointId> excluded;
 };
 
-/** Takes a GatherRequest back; grants that arrive later are released by the machine. */
+/** Takes a GatherRequest back; grants that arrive later are released by the
+ * machine. */
 struct CancelGather {
   AttemptNumber attempt;
 };
 
 /** What the daemon has to do, in the order of the list. */
 using RequestAction =
-    std::variant<SelectCandidates, SendToVm, StartUpstream, ResumeUpstream, DetachUpstream,
-                 CancelUpstream, PauseUpstream, LocateStream, EmitHead, Emit, Finish, Refuse,
-                 DropCaller, ReportSuspect, AskTurn, ReturnTurn, GatherRequest, CancelGather>;
+    std::variant<SelectCandidates, SendToVm, StartUpstream, ResumeUpstream,
+                 DetachUpstream, CancelUpstream, PauseUpstream, LocateStream,
+                 EmitHead, Emit, Finish, Refuse, DropCaller, ReportSuspect,
+                 AskTurn, ReturnTurn, GatherRequest, CancelGather>;
 using RequestActions = std::vector<RequestAction>;
 
 }  // namespace zr
--- a/modules/zr_request/request_machine.cc
+++ b/modules/zr_request/request_machine.cc
@@ -4,7 +4,8 @@
 
 namespace zr {
 
-RequestMachine::RequestMachine(RequestOptions options, RetryBudget& budget, RequestTimings timings)
+RequestMachine::RequestMachine(RequestOptions options, RetryBudget& budget,
+                               RequestTimings timings)
     : options_(std::move(options)),
       budget_(budget),
       timings_(timings),
@@ -36,7 +37,8 @@
   } else if (options_.may_be_repeat || options_.resume_offset > 0) {
     state_ = State::kLocating;
     timer_ = now + timings_.find_stream;
-    Do(LocateStream{options_.request, options_.team, options_.fingerprint, WantedStream()});
+    Do(LocateStream{options_.request, options_.team, options_.fingerprint,
+                    WantedStream()});
   } else {
     BeginRun(now);
   }
@@ -50,13 +52,16 @@
   for (const auto& [id, closing] : closing_) {
     if (closing.give_up <= now) overdue.push_back(id);
   }
-  for (const std::string& id : overdue) ReleaseClosing(id, ReleaseOutcome::kEndpointDied);
+  for (const std::string& id : overdue)
+    ReleaseClosing(id, ReleaseOutcome::kEndpointDied);
   return Take(now);
 }
 
 RequestActions RequestMachine::Abort(TimePoint now) {
   if (!ended()) {
-    EndWithError(now, 503, {ErrorCode::kUnavailable, "request", "", "the entry VM is stopping"});
+    EndWithError(
+        now, 503,
+        {ErrorCode::kUnavailable, "request", "", "the entry VM is stopping"});
   }
   return Take(now);
 }
@@ -66,10 +71,11 @@
   if (ended()) return true;
   if (now < options_.deadline - timings_.finish_margin) return false;
   const bool started = Delivered() || stream_.has_value();
-  EndWithError(now, 504,
-               {ErrorCode::kDeadlineExceeded, started ? "stream" : "admission", "",
-                started ? "the answer was not complete at the deadline"
-                        : "no endpoint took the request before the deadline"});
+  EndWithError(
+      now, 504,
+      {ErrorCode::kDeadlineExceeded, started ? "stream" : "admission", "",
+       started ? "the answer was not complete at the deadline"
+               : "no endpoint took the request before the deadline"});
   return true;
 }
 
@@ -111,7 +117,9 @@
       Resume(now);
       break;
     case State::kDetached:
-      EndWithError(now, 499, {ErrorCode::kUnavailable, "caller", "", "the caller has gone"});
+      EndWithError(
+          now, 499,
+          {ErrorCode::kUnavailable, "caller", "", "the caller has gone"});
       break;
     case State::kNew:
     case State::kStreaming:
@@ -133,9 +141,11 @@
 
 TimePoint RequestMachine::NextWakeup() const {
   TimePoint next = StateWakeup();
-  if (!ended()) next = std::min(next, options_.deadline - timings_.finish_margin);
+  if (!ended())
+    next = std::min(next, options_.deadline - timings_.finish_margin);
   if (turn_held_) next = std::min(next, renew_turn_);
-  for (const auto& [id, closing] : closing_) next = std::min(next, closing.give_up);
+  for (const auto& [id, closing] : closing_)
+    next = std::min(next, closing.give_up);
   return next;
 }
 
@@ -158,7 +168,8 @@
   ReturnTurnIfIdle();
 }
 
-/** Returns the right to run a suspect when the request runs nowhere any more. */
+/** Returns the right to run a suspect when the request runs nowhere any more.
+ */
 void RequestMachine::ReturnTurnIfIdle() {
   if (!turn_held_ || !ended() || !closing_.empty()) return;
   Do(ReturnTurn{options_.fingerprint, run_.state() == RunState::kRan});
@@ -169,9 +180,11 @@
                                   std::optional<Duration> retry_after) {
   CleanUp(now);
   CheckOutcome();
-  ZR_ASSERT_INVARIANT(kNotRunTrue, run_.state() != RunState::kNotRun || !Delivered(),
-                      "a request with a part of its answer delivered is said not to have run");
-  Do(Refuse{status, std::move(error), run_.state(), retry_after, cursor_.offset()});
+  ZR_ASSERT_INVARIANT(
+      kNotRunTrue, run_.state() != RunState::kNotRun || !Delivered(),
+      "a request with a part of its answer delivered is said not to have run");
+  Do(Refuse{status, std::move(error), run_.state(), retry_after,
+            cursor_.offset()});
 }
 
 void RequestMachine::Complete(TimePoint now, int64_t total) {
@@ -194,13 +207,18 @@
   if (Expire(now) || caller_gone_) return Take(now);
   caller_gone_ = true;
   blocked_ = false;
-  // A caller that was never told its request id cannot come back for the answer.
-  const bool can_return = head_sent_ || options_.may_be_repeat || options_.resume_offset > 0;
+  // A caller that was never told its request id cannot come back for the
+  // answer.
+  const bool can_return =
+      head_sent_ || options_.may_be_repeat || options_.resume_offset > 0;
   if (!stream_ || !IsModel() || !can_return) {
-    EndWithError(now, 499, {ErrorCode::kUnavailable, "caller", "", "the caller has gone"});
+    EndWithError(
+        now, 499,
+        {ErrorCode::kUnavailable, "caller", "", "the caller has gone"});
     return Take(now);
   }
-  if (cursor_.is_open()) Do(DetachUpstream{stream_->endpoint, stream_->id, cursor_.attempt()});
+  if (cursor_.is_open())
+    Do(DetachUpstream{stream_->endpoint, stream_->id, cursor_.attempt()});
   cursor_.Close();
   state_ = State::kDetached;
   timer_ = now + options_.pool.unclaimed_window;
@@ -226,7 +244,8 @@
 //==============================================================================
 // State
 
-/** The grant of the endpoint that streams the run which a held grant is part of. */
+/** The grant of the endpoint that streams the run which a held grant is part
+ * of. */
 const Grant* RequestMachine::FirstOfRun(const Grant& grant) const {
   const auto part_of = [&](const std::vector<Grant>& grants) {
     return std::find(grants.begin(), grants.end(), grant) != grants.end();
@@ -238,7 +257,8 @@
   return nullptr;
 }
 
-std::vector<std::pair<EndpointId, HeldGrant>> RequestMachine::held_grants() const {
+std::vector<std::pair<EndpointId, HeldGrant>> RequestMachine::held_grants()
+    const {
   std::vector<std::pair<EndpointId, HeldGrant>> list;
   for (const Grant& grant : ledger_.held()) {
     HeldGrant held;
--- a/modules/zr_request/request_machine.h
+++ b/modules/zr_request/request_machine.h
@@ -23,8 +23,8 @@
  * Each event returns the actions that the daemon has to carry out, in order.
  * Events of ended attempts may come late; they are dropped and counted. Exactly
  * one Finish or Refuse is returned in the machine's life, at the latest by the
- * first event at or after the deadline; the daemon calls Tick() at NextWakeup().
- * A machine may be destroyed when removable() is true.
+ * first event at or after the deadline; the daemon calls Tick() at
+ * NextWakeup(). A machine may be destroyed when removable() is true.
  */
 class RequestMachine {
  public:
@@ -44,7 +44,8 @@
   };
 
   /** @param budget  the pool's; must outlive the machine */
-  RequestMachine(RequestOptions options, RetryBudget& budget, RequestTimings timings = {});
+  RequestMachine(RequestOptions options, RetryBudget& budget,
+                 RequestTimings timings = {});
   RequestMachine(const RequestMachine&) = delete;
   RequestMachine& operator=(const RequestMachine&) = delete;
 
@@ -68,26 +69,31 @@
    */
   RequestActions OnCandidates(TimePoint now, std::vector<Candidate> candidates,
                               bool gather = false);
-  /** No choice of endpoints can ever hold the request; the pool holds `room` tokens together. */
+  /** No choice of endpoints can ever hold the request; the pool holds `room`
+   * tokens together. */
   RequestActions OnTooLarge(TimePoint now, TokenCount room);
   /**
    * An owner's grant.
    *
-   * @param not_before  a time at which the grant had surely not been received: when the
-   *                    connection was last found empty. After a pause of the process it lies
-   *                    before the pause, so that a late grant is recognised.
+   * @param not_before  a time at which the grant had surely not been received:
+   * when the connection was last found empty. After a pause of the process it
+   * lies before the pause, so that a late grant is recognised.
    */
-  RequestActions OnGrant(TimePoint now, TimePoint not_before, const Grant& grant);
+  RequestActions OnGrant(TimePoint now, TimePoint not_before,
+                         const Grant& grant);
   /** Gives back a grant for a request that this VM does not know (any more). */
   static OutgoingMessage ReleaseOfUnknown(const Grant& grant);
   RequestActions OnRefusal(TimePoint now, const Refusal& refusal);
   /** A VM was found dead, or a message to it could not be delivered. */
   RequestActions OnVmUnreachable(TimePoint now, const VmId& vm);
   /** Grants on several endpoints; the first one streams. */
-  RequestActions OnGatherReady(TimePoint now, TimePoint not_before, AttemptNumber attempt,
+  RequestActions OnGatherReady(TimePoint now, TimePoint not_before,
+                               AttemptNumber attempt,
                                const std::vector<Grant>& grants);
-  RequestActions OnGatherFailed(TimePoint now, AttemptNumber attempt, Duration wait_hint);
-  /** The SuspectTable's verdict on the fingerprint has changed; ignored once the call runs. */
+  RequestActions OnGatherFailed(TimePoint now, AttemptNumber attempt,
+                                Duration wait_hint);
+  /** The SuspectTable's verdict on the fingerprint has changed; ignored once
+   * the call runs. */
   RequestActions OnVerdict(TimePoint now, SuspectVerdict verdict);
   /** Answer to AskTurn. */
   RequestActions OnTurn(TimePoint now, TurnAnswer answer, Duration wait_hint);
@@ -95,7 +101,8 @@
   //============================================================================
   // Upstream
 
-  RequestActions OnUpstreamHeaders(TimePoint now, AttemptNumber attempt, int status);
+  RequestActions OnUpstreamHeaders(TimePoint now, AttemptNumber attempt,
+                                   int status);
   /**
    * A part of the answer.
    *
@@ -103,27 +110,35 @@
    * @param offset     of the part's first token (plain services: bytes)
    * @param tokens     number of tokens in the part, at least 1
    */
-  RequestActions OnUpstreamChunk(TimePoint now, AttemptNumber attempt, const std::string& stream_id,
-                                 int64_t offset, int64_t tokens, std::string bytes);
-  /** The endpoint said that the answer is complete. @param total  offset of its end */
-  RequestActions OnUpstreamDone(TimePoint now, AttemptNumber attempt, int64_t total);
-  /** @param status  HTTP status of the endpoint's answer, 0 if there was none */
-  RequestActions OnUpstreamFailed(TimePoint now, AttemptNumber attempt, UpstreamFailure failure,
-                                  int status = 0);
+  RequestActions OnUpstreamChunk(TimePoint now, AttemptNumber attempt,
+                                 const std::string& stream_id, int64_t offset,
+                                 int64_t tokens, std::string bytes);
+  /** The endpoint said that the answer is complete. @param total  offset of its
+   * end */
+  RequestActions OnUpstreamDone(TimePoint now, AttemptNumber attempt,
+                                int64_t total);
+  /** @param status  HTTP status of the endpoint's answer, 0 if there was none
+   */
+  RequestActions OnUpstreamFailed(TimePoint now, AttemptNumber attempt,
+                                  UpstreamFailure failure, int status = 0);
   /**
-   * @param confirmed  the endpoint dropped the stream. One that does not know the stream confirms
-   *                   nothing: the cancellation may have overtaken the call, or the endpoint has
-   *                   crashed and started again
+   * @param confirmed  the endpoint dropped the stream. One that does not know
+   * the stream confirms nothing: the cancellation may have overtaken the call,
+   * or the endpoint has crashed and started again
    */
-  RequestActions OnUpstreamCancelled(TimePoint now, const std::string& stream_id, bool confirmed);
+  RequestActions OnUpstreamCancelled(TimePoint now,
+                                     const std::string& stream_id,
+                                     bool confirmed);
   /** A boot of an endpoint ended, planned or not. */
-  RequestActions OnEndpointDied(TimePoint now, const EndpointId& endpoint, BootNumber boot);
+  RequestActions OnEndpointDied(TimePoint now, const EndpointId& endpoint,
+                                BootNumber boot);
 
   //============================================================================
   // Caller
 
   RequestActions OnCallerGone(TimePoint now);
-  /** Back-pressure: the caller's connection takes no more for now, or takes bytes again. */
+  /** Back-pressure: the caller's connection takes no more for now, or takes
+   * bytes again. */
   RequestActions OnCallerBlocked(TimePoint now);
   RequestActions OnCallerDrained(TimePoint now);
 
@@ -134,17 +149,21 @@
   /** @param certain  every VM answered, so that no run exists */
   RequestActions OnStreamNotFound(TimePoint now, bool certain);
   /** Another VM wants this request. */
-  RequestActions OnTakeOver(TimePoint now, const VmId& from, const TakeOver& request);
+  RequestActions OnTakeOver(TimePoint now, const VmId& from,
+                            const TakeOver& request);
   RequestActions OnHandOver(TimePoint now, const HandOver& hand_over);
-  /** The answer of a VM that does not know the request it is asked to hand over. */
+  /** The answer of a VM that does not know the request it is asked to hand
+   * over. */
   static HandOver UnknownRequest(const RequestId& request);
   /**
-   * Another call with this request id reached this VM; the answer goes to it from now on, from
-   * the given offset of the given stream (empty: the caller did not say). On an error the new call
-   * is refused and the machine goes on unchanged.
+   * Another call with this request id reached this VM; the answer goes to it
+   * from now on, from the given offset of the given stream (empty: the caller
+   * did not say). On an error the new call is refused and the machine goes on
+   * unchanged.
    */
-  Result<RequestActions> Reattach(TimePoint now, const TeamId& team, Fingerprint fingerprint,
-                                  int64_t offset, const std::string& stream);
+  Result<RequestActions> Reattach(TimePoint now, const TeamId& team,
+                                  Fingerprint fingerprint, int64_t offset,
+                                  const std::string& stream);
 
   //============================================================================
   // State
@@ -152,13 +171,16 @@
   State state() const { return state_; }
   bool ended() const { return state_ == State::kEnded; }
   /** Ended, and all grants are given back. */
-  bool removable() const { return ended() && closing_.empty() && ledger_.empty(); }
+  bool removable() const {
+    return ended() && closing_.empty() && ledger_.empty();
+  }
   RunState run_state() const { return run_.state(); }
   uint64_t dropped_chunks() const { return cursor_.dropped_chunks(); }
   const RequestOptions& options() const { return options_; }
   /** Grants for the HeldGrants messages, by endpoint. */
   std::vector<std::pair<EndpointId, HeldGrant>> held_grants() const;
-  /** Where the request runs, for the StreamDirectory; found is false if it does not run. */
+  /** Where the request runs, for the StreamDirectory; found is false if it does
+   * not run. */
   StreamLocation location() const;
 
   /** Test hooks: faults that the randomised test must detect. */
@@ -181,9 +203,11 @@
     DomainId domain;
     std::string id;
     BootNumber boot;
-    std::vector<Grant> grants;  // empty if the run is done or was found without them
-    AttemptNumber started;      // attempt that sent the call; 0 if another VM did
-    bool acknowledged = false;  // the endpoint answered, so that it has had the call
+    std::vector<Grant>
+        grants;  // empty if the run is done or was found without them
+    AttemptNumber started;  // attempt that sent the call; 0 if another VM did
+    bool acknowledged =
+        false;  // the endpoint answered, so that it has had the call
     TimePoint started_at;
     std::optional<TimePoint> first_token_at;  // seen by this VM
   };
@@ -211,7 +235,8 @@
   const Grant* FirstOfRun(const Grant& grant) const;
   /** The caller has a part of the answer, from this VM or an earlier one. */
   bool Delivered() const { return head_sent_ || cursor_.offset() > 0; }
-  /** The only stream whose answer continues what the caller has; empty for any. */
+  /** The only stream whose answer continues what the caller has; empty for any.
+   */
   std::string WantedStream() const {
     return options_.resume_offset > 0 ? options_.resume_stream : std::string();
   }
@@ -232,8 +257,9 @@
   void RunAskTimer(TimePoint now);
   Message AskMessage(TimePoint now) const;
   void ReleaseUnused(const Grant& grant);
-  void BeginUpstream(TimePoint now, AttemptNumber attempt, std::vector<Grant> grants,
-                     const DomainId& domain, TimePoint start_before);
+  void BeginUpstream(TimePoint now, AttemptNumber attempt,
+                     std::vector<Grant> grants, const DomainId& domain,
+                     TimePoint start_before);
 
   // Upstream.
   void Resume(TimePoint now);
@@ -249,9 +275,11 @@
   RunReport MakeReport(TimePoint now) const;
 
   // Reattachment.
-  void AdoptStream(TimePoint now, const std::string& id, const EndpointId& endpoint,
+  void AdoptStream(TimePoint now, const std::string& id,
+                   const EndpointId& endpoint,
                    const std::vector<Grant>& grants);
-  void CancelOrphan(TimePoint now, const std::string& id, const std::vector<Grant>& grants);
+  void CancelOrphan(TimePoint now, const std::string& id,
+                    const std::vector<Grant>& grants);
   void SendTakeOver(TimePoint now);
   void TakeOverFailed(TimePoint now);
   void RunWithoutStream(TimePoint now);
--- a/modules/zr_request/request_machine_admission.cc
+++ b/modules/zr_request/request_machine_admission.cc
@@ -38,8 +38,10 @@
                Duration::Seconds(600));
 }
 
-RequestActions RequestMachine::OnVerdict(TimePoint now, SuspectVerdict verdict) {
-  if (Expire(now) || stream_ || !IsModel() || verdict == SuspectVerdict::kClear) return Take(now);
+RequestActions RequestMachine::OnVerdict(TimePoint now,
+                                         SuspectVerdict verdict) {
+  if (Expire(now) || stream_ || !IsModel() || verdict == SuspectVerdict::kClear)
+    return Take(now);
   if (verdict == SuspectVerdict::kRefuse) {
     RefuseSuspect(now, "");
     return Take(now);
@@ -47,8 +49,8 @@
   if (run_alone_) return Take(now);
   run_alone_ = true;
   earlier_deaths_ = 1;
-  const bool searching =
-      state_ == State::kNew || state_ == State::kLocating || state_ == State::kTakingOver;
+  const bool searching = state_ == State::kNew || state_ == State::kLocating ||
+                         state_ == State::kTakingOver;
   if (!searching) {
     if (ask_) GiveUpAsk(now);
     if (gather_) Do(CancelGather{*gather_});
@@ -69,17 +71,19 @@
   }
 }
 
-RequestActions RequestMachine::OnTurn(TimePoint now, TurnAnswer answer, Duration wait_hint) {
+RequestActions RequestMachine::OnTurn(TimePoint now, TurnAnswer answer,
+                                      Duration wait_hint) {
   if (Expire(now)) {
-    // The machine does not run any more; an answer that crossed the end is returned.
+    // The machine does not run any more; an answer that crossed the end is
+    // returned.
     if (answer == TurnAnswer::kGranted && !turn_held_) {
       Do(ReturnTurn{options_.fingerprint, false});
     }
     return Take(now);
   }
   if (state_ != State::kAwaitTurn) {
-    // Another VM's run holds the right after a change of the locator. A run that has delivered
-    // a token has survived its prompt and goes on.
+    // Another VM's run holds the right after a change of the locator. A run
+    // that has delivered a token has survived its prompt and goes on.
     if (answer == TurnAnswer::kWait && turn_held_ && !Delivered()) {
       turn_held_ = false;
       if (ask_) GiveUpAsk(now);
@@ -97,7 +101,8 @@
       Select(now);
       break;
     case TurnAnswer::kWait:
-      timer_ = now + std::clamp(wait_hint, timings_.turn_again, timings_.max_back_off);
+      timer_ = now + std::clamp(wait_hint, timings_.turn_again,
+                                timings_.max_back_off);
       break;
     case TurnAnswer::kRefused:
       RefuseSuspect(now, "");
@@ -124,7 +129,8 @@
 }
 
 void RequestMachine::PauseThenSelect(TimePoint now, Duration at_least) {
-  Duration pause = timings_.select_back_off * (int64_t{1} << std::min(pauses_++, 8));
+  Duration pause =
+      timings_.select_back_off * (int64_t{1} << std::min(pauses_++, 8));
   pause = std::min(std::max(pause, at_least), timings_.max_back_off);
   excluded_.clear();
   too_large_ = refused_by_deadline_ = refused_otherwise_ = false;
@@ -132,10 +138,13 @@
   timer_ = now + pause;
 }
 
-RequestActions RequestMachine::OnCandidates(TimePoint now, std::vector<Candidate> candidates,
+RequestActions RequestMachine::OnCandidates(TimePoint now,
+                                            std::vector<Candidate> candidates,
                                             bool gather) {
   if (Expire(now) || state_ != State::kSelecting) return Take(now);
-  std::erase_if(candidates, [&](const Candidate& c) { return excluded_.contains(c.endpoint); });
+  std::erase_if(candidates, [&](const Candidate& c) {
+    return excluded_.contains(c.endpoint);
+  });
   if (gather) {
     BeginGather(now);
   } else if (candidates.empty()) {
@@ -155,7 +164,8 @@
       now, 413,
       {ErrorCode::kTooLarge, "admission", options_.pool.pool.value(),
        "the prompt and its answer need " + std::to_string(needed.value()) +
-           " tokens of memory; all endpoints together hold " + std::to_string(room.value())});
+           " tokens of memory; all endpoints together hold " +
+           std::to_string(room.value())});
   return Take(now);
 }
 
@@ -194,7 +204,8 @@
   return message;
 }
 
-void RequestMachine::SendAsk(TimePoint now, Candidate candidate, bool queue, Duration hint) {
+void RequestMachine::SendAsk(TimePoint now, Candidate candidate, bool queue,
+                             Duration hint) {
   Ask ask;
   ask.candidate = std::move(candidate);
   ask.attempt = NewAttempt();
@@ -202,7 +213,8 @@
   ask.first_sent = now;
   ask.patience = timings_.ask_elsewhere;
   if (queue) {
-    ask.patience = std::max(hint * kQueuePatience, timings_.queued_ask_again * kQueuePatience);
+    ask.patience = std::max(hint * kQueuePatience,
+                            timings_.queued_ask_again * kQueuePatience);
   }
   ask_ = std::move(ask);
   RepeatAsk(now);
@@ -212,7 +224,9 @@
   ask_->last_sent = now;
   state_ = State::kAsking;
   const TimePoint give_up = ask_->first_sent + ask_->patience;
-  timer_ = std::min(now + (ask_->queue ? timings_.queued_ask_again : timings_.ask_again), give_up);
+  timer_ = std::min(
+      now + (ask_->queue ? timings_.queued_ask_again : timings_.ask_again),
+      give_up);
   Do(SendToVm{ask_->candidate.owner, AskMessage(now)});
 }
 
@@ -265,9 +279,11 @@
   return Take(now);
 }
 
-RequestActions RequestMachine::OnRefusal(TimePoint now, const Refusal& refusal) {
+RequestActions RequestMachine::OnRefusal(TimePoint now,
+                                         const Refusal& refusal) {
   if (Expire(now) || !ask_ || refusal.request != options_.request ||
-      refusal.attempt != ask_->attempt || refusal.endpoint != ask_->candidate.endpoint) {
+      refusal.attempt != ask_->attempt ||
+      refusal.endpoint != ask_->candidate.endpoint) {
     return Take(now);
   }
   const Ask ask = *ask_;
@@ -275,8 +291,8 @@
   switch (refusal.reason) {
     case RefusalReason::kTeamLimit:
       EndWithError(now, 429,
-                   {ErrorCode::kLimitExceeded, "admission", ask.candidate.owner.value(),
-                    "the team's limit is used up"},
+                   {ErrorCode::kLimitExceeded, "admission",
+                    ask.candidate.owner.value(), "the team's limit is used up"},
                    std::max(refusal.wait_hint, Duration::Seconds(1)));
       return Take(now);
     case RefusalReason::kSuspect:
@@ -313,7 +329,8 @@
 
 void RequestMachine::ReleaseUnused(const Grant& grant) {
   if (!ledger_.Add(grant)) return;
-  OutgoingMessage out = ledger_.MakeRelease(grant, ReleaseOutcome::kNeverStarted, RunReport{});
+  OutgoingMessage out =
+      ledger_.MakeRelease(grant, ReleaseOutcome::kNeverStarted, RunReport{});
   Do(SendToVm{out.to, std::move(out.message)});
 }
 
@@ -323,9 +340,11 @@
   return ledger.MakeRelease(grant, ReleaseOutcome::kNeverStarted, RunReport{});
 }
 
-RequestActions RequestMachine::OnGrant(TimePoint now, TimePoint not_before, const Grant& grant) {
+RequestActions RequestMachine::OnGrant(TimePoint now, TimePoint not_before,
+                                       const Grant& grant) {
   Expire(now);
-  const bool wanted = ask_ && grant.request == options_.request && grant.attempt == ask_->attempt &&
+  const bool wanted = ask_ && grant.request == options_.request &&
+                      grant.attempt == ask_->attempt &&
                       grant.endpoint == ask_->candidate.endpoint;
   if (!wanted) {
     ReleaseUnused(grant);
@@ -333,11 +352,13 @@
   }
   const Ask ask = *ask_;
   ask_.reset();
-  // A probe's grant may have been under way since the owner was first asked. A queued one is
-  // counted from its receipt; the margin covers its transit.
+  // A probe's grant may have been under way since the owner was first asked. A
+  // queued one is counted from its receipt; the margin covers its transit.
   const TimePoint since =
-      ask.queue ? std::max(ask.first_sent, std::min(not_before, now)) : ask.first_sent;
-  const TimePoint start_before = since + grant.start_within - timings_.grant_margin;
+      ask.queue ? std::max(ask.first_sent, std::min(not_before, now))
+                : ask.first_sent;
+  const TimePoint start_before =
+      since + grant.start_within - timings_.grant_margin;
   if (now >= start_before) {
     ReleaseUnused(grant);
     SendAsk(now, ask.candidate, ask.queue, Duration());
@@ -348,7 +369,8 @@
     SendAsk(now, ask.candidate, ask.queue, Duration());
     return Take(now);
   }
-  BeginUpstream(now, grant.attempt, {grant}, ask.candidate.domain, start_before);
+  BeginUpstream(now, grant.attempt, {grant}, ask.candidate.domain,
+                start_before);
   return Take(now);
 }
 
@@ -362,15 +384,17 @@
   Do(GatherRequest{*gather_, options_.prompt + options_.max_answer, excluded_});
 }
 
-RequestActions RequestMachine::OnGatherReady(TimePoint now, TimePoint not_before,
+RequestActions RequestMachine::OnGatherReady(TimePoint now,
+                                             TimePoint not_before,
                                              AttemptNumber attempt,
                                              const std::vector<Grant>& grants) {
   Expire(now);
   bool usable = gather_ && attempt == *gather_ && !grants.empty();
   TimePoint start_before = TimePoint::Max();
   for (const Grant& grant : grants) {
-    start_before = std::min(start_before,
-                            std::min(not_before, now) + grant.start_within - timings_.grant_margin);
+    start_before =
+        std::min(start_before, std::min(not_before, now) + grant.start_within -
+                                   timings_.grant_margin);
   }
   const bool late = usable && now >= start_before;
   if (late) {
@@ -387,12 +411,14 @@
   for (const Grant& grant : grants) {
     if (ledger_.Add(grant)) taken.push_back(grant);
   }
-  ZR_ASSERT_INVARIANT(kNoKvLeak, taken.size() == grants.size(), "a gather's grant was used before");
+  ZR_ASSERT_INVARIANT(kNoKvLeak, taken.size() == grants.size(),
+                      "a gather's grant was used before");
   BeginUpstream(now, attempt, std::move(taken), DomainId(), start_before);
   return Take(now);
 }
 
-RequestActions RequestMachine::OnGatherFailed(TimePoint now, AttemptNumber attempt,
+RequestActions RequestMachine::OnGatherFailed(TimePoint now,
+                                              AttemptNumber attempt,
                                               Duration wait_hint) {
   if (Expire(now) || !gather_ || attempt != *gather_) return Take(now);
   gather_.reset();
--- a/modules/zr_request/request_machine_reattach.cc
+++ b/modules/zr_request/request_machine_reattach.cc
@@ -9,13 +9,15 @@
 
 void RequestMachine::Conflict(TimePoint now) {
   EndWithError(now, 409,
-               {ErrorCode::kConflict, "reattach", "", "the request id is in use for another call"});
+               {ErrorCode::kConflict, "reattach", "",
+                "the request id is in use for another call"});
 }
 
-RequestActions RequestMachine::OnStreamFound(TimePoint now, const StreamLocation& location) {
+RequestActions RequestMachine::OnStreamFound(TimePoint now,
+                                             const StreamLocation& location) {
   if (Expire(now) || state_ != State::kLocating) return Take(now);
-  const bool other_prompt =
-      location.fingerprint != Fingerprint() && location.fingerprint != options_.fingerprint;
+  const bool other_prompt = location.fingerprint != Fingerprint() &&
+                            location.fingerprint != options_.fingerprint;
   if (location.conflict || location.team != options_.team || other_prompt) {
     Conflict(now);
     return Take(now);
@@ -60,13 +62,16 @@
   if (orphans.empty()) return;
   const EndpointId endpoint = orphans.front().endpoint;
   Do(CancelUpstream{endpoint, id});
-  closing_[id] = {std::move(orphans), endpoint, now + timings_.cancel_confirm, {}};
+  closing_[id] = {
+      std::move(orphans), endpoint, now + timings_.cancel_confirm, {}};
 }
 
-void RequestMachine::AdoptStream(TimePoint now, const std::string& id, const EndpointId& endpoint,
+void RequestMachine::AdoptStream(TimePoint now, const std::string& id,
+                                 const EndpointId& endpoint,
                                  const std::vector<Grant>& grants) {
   if (!WantedStream().empty() && WantedStream() != id) {
-    // The caller called again for another run's answer while this one was handed over.
+    // The caller called again for another run's answer while this one was
+    // handed over.
     CancelOrphan(now, id, grants);
     RunWithoutStream(now);
     return;
@@ -90,27 +95,30 @@
 void RequestMachine::SendTakeOver(TimePoint now) {
   state_ = State::kTakingOver;
   timer_ = now + timings_.ask_again;
-  Do(SendToVm{found_.holder,
-              TakeOver{options_.request, options_.team, options_.fingerprint, WantedStream()}});
+  Do(SendToVm{found_.holder, TakeOver{options_.request, options_.team,
+                                      options_.fingerprint, WantedStream()}});
 }
 
-/** The holder is dead, silent or has ended; the endpoint may still have the stream. */
+/** The holder is dead, silent or has ended; the endpoint may still have the
+ * stream. */
 void RequestMachine::TakeOverFailed(TimePoint now) {
   run_.SetUnknown();
   next_attempt_ = std::max(next_attempt_, found_.attempt.Next());
-  if (found_.stream.empty() || (!WantedStream().empty() && WantedStream() != found_.stream)) {
+  if (found_.stream.empty() ||
+      (!WantedStream().empty() && WantedStream() != found_.stream)) {
     RunWithoutStream(now);
   } else {
     AdoptStream(now, found_.stream, found_.endpoint, found_.grants);
   }
 }
 
-RequestActions RequestMachine::OnHandOver(TimePoint now, const HandOver& hand_over) {
+RequestActions RequestMachine::OnHandOver(TimePoint now,
+                                          const HandOver& hand_over) {
   const bool expired = Expire(now);
   if (hand_over.request != options_.request) return Take(now);
   if (expired || state_ != State::kTakingOver) {
-    // Nobody else holds a stream that arrives late; it is cancelled, unless it is the one that
-    // this machine reads already.
+    // Nobody else holds a stream that arrives late; it is cancelled, unless it
+    // is the one that this machine reads already.
     if (stream_ && stream_->id == hand_over.stream) {
       for (const Grant& grant : hand_over.grants) {
         if (ledger_.Add(grant)) stream_->grants.push_back(grant);
@@ -125,7 +133,8 @@
   if (hand_over.conflict) {
     Conflict(now);
   } else if (!hand_over.accepted) {
-    // The holder has ended and gives its grants back itself; the engine may have the answer.
+    // The holder has ended and gives its grants back itself; the engine may
+    // have the answer.
     found_.grants.clear();
     TakeOverFailed(now);
   } else if (hand_over.stream.empty() || hand_over.grants.empty()) {
@@ -136,7 +145,8 @@
       turn_held_ = true;
       renew_turn_ = now;
     }
-    AdoptStream(now, hand_over.stream, hand_over.grants.front().endpoint, hand_over.grants);
+    AdoptStream(now, hand_over.stream, hand_over.grants.front().endpoint,
+                hand_over.grants);
   }
   return Take(now);
 }
@@ -154,8 +164,10 @@
                                           const TakeOver& request) {
   HandOver reply = UnknownRequest(options_.request);
   const bool expired = Expire(now);
-  reply.conflict = request.team != options_.team || request.fingerprint != options_.fingerprint;
-  const bool other = !request.stream.empty() && (!stream_ || stream_->id != request.stream);
+  reply.conflict = request.team != options_.team ||
+                   request.fingerprint != options_.fingerprint;
+  const bool other =
+      !request.stream.empty() && (!stream_ || stream_->id != request.stream);
   if (expired || reply.conflict || other) {
     Do(SendToVm{from, std::move(reply)});
     return Take(now);
@@ -164,12 +176,14 @@
   reply.may_have_run = run_.state() != RunState::kNotRun;
   reply.next_attempt = next_attempt_;
   if (stream_) {
-    if (cursor_.is_open()) Do(DetachUpstream{stream_->endpoint, stream_->id, cursor_.attempt()});
+    if (cursor_.is_open())
+      Do(DetachUpstream{stream_->endpoint, stream_->id, cursor_.attempt()});
     cursor_.Close();
     reply.stream = stream_->id;
     reply.grants = stream_->grants;
     for (const Grant& grant : stream_->grants) ledger_.HandOver(grant);
-    // The right to run a suspect goes with the stream and is renewed by the receiver.
+    // The right to run a suspect goes with the stream and is renewed by the
+    // receiver.
     reply.run_alone = turn_held_;
     turn_held_ = false;
     stream_.reset();
@@ -181,27 +195,36 @@
   return Take(now);
 }
 
-Result<RequestActions> RequestMachine::Reattach(TimePoint now, const TeamId& team,
-                                                Fingerprint fingerprint, int64_t offset,
+Result<RequestActions> RequestMachine::Reattach(TimePoint now,
+                                                const TeamId& team,
+                                                Fingerprint fingerprint,
+                                                int64_t offset,
                                                 const std::string& stream) {
   if (team != options_.team || fingerprint != options_.fingerprint) {
-    return Fail(ErrorCode::kConflict, "reattach", "", "the request id is in use for another call");
+    return Fail(ErrorCode::kConflict, "reattach", "",
+                "the request id is in use for another call");
   }
-  const bool searching = state_ == State::kLocating || state_ == State::kTakingOver;
+  const bool searching =
+      state_ == State::kLocating || state_ == State::kTakingOver;
   if (!IsModel()) {
-    return Fail(ErrorCode::kConflict, "reattach", "", "a service call with this id is in progress");
+    return Fail(ErrorCode::kConflict, "reattach", "",
+                "a service call with this id is in progress");
   }
   // The call ends with the deadline of its first arrival.
   const bool late = now >= options_.deadline - timings_.finish_margin;
-  const bool other = offset > 0 && stream_ && !stream.empty() && stream != stream_->id;
-  if (ended() || late || offset < 0 || other || (offset > 0 && !stream_ && !searching)) {
-    return Fail(ErrorCode::kNotFound, "reattach", "", "the request's stream is gone");
+  const bool other =
+      offset > 0 && stream_ && !stream.empty() && stream != stream_->id;
+  if (ended() || late || offset < 0 || other ||
+      (offset > 0 && !stream_ && !searching)) {
+    return Fail(ErrorCode::kNotFound, "reattach", "",
+                "the request's stream is gone");
   }
   if (!caller_gone_) {
     Do(DropCaller{{ErrorCode::kConflict, "reattach", "",
                    "another call with this request id took the answer over"}});
   }
-  if (blocked_ && cursor_.is_open()) Do(PauseUpstream{cursor_.attempt(), false});
+  if (blocked_ && cursor_.is_open())
+    Do(PauseUpstream{cursor_.attempt(), false});
   caller_gone_ = false;
   blocked_ = false;
   head_sent_ = false;
@@ -212,10 +235,11 @@
   cursor_.MoveTo(offset);
   emitted_to_ = offset;
   if (offset > 0) run_.SetUnknown();
-  // An open connection that stands at the offset is kept: a resumption could overtake a call that
-  // is still on its way to the endpoint.
+  // An open connection that stands at the offset is kept: a resumption could
+  // overtake a call that is still on its way to the endpoint.
   if (stream_ && (moved || !cursor_.is_open())) {
-    if (cursor_.is_open()) Do(DetachUpstream{stream_->endpoint, stream_->id, cursor_.attempt()});
+    if (cursor_.is_open())
+      Do(DetachUpstream{stream_->endpoint, stream_->id, cursor_.attempt()});
     cursor_.Close();
     Resume(now);
   }
--- a/modules/zr_request/request_options.h
+++ b/modules/zr_request/request_options.h
@@ -29,42 +29,56 @@
   std::vector<PrefixHash> prefixes;
   Fingerprint fingerprint;
   TimePoint deadline;
-  bool idempotent = true;  // may be run again if an attempt fails before the first token
-  /** The caller named the request id itself, so that a run of it may exist: it is looked for first.
+  bool idempotent =
+      true;  // may be run again if an attempt fails before the first token
+  /** The caller named the request id itself, so that a run of it may exist: it
+   * is looked for first.
    */
   bool may_be_repeat = false;
-  /** Offset in tokens from which the caller wants the answer; above 0 only for a reattach. */
+  /** Offset in tokens from which the caller wants the answer; above 0 only for
+   * a reattach. */
   int64_t resume_offset = 0;
   /**
-   * Engine stream that the caller's part of the answer is of, as told with its start; empty if
-   * the caller did not say. Another run's answer may differ, so with an offset above 0 no other
-   * stream is resumed. Without it a resumption trusts that only one run exists.
+   * Engine stream that the caller's part of the answer is of, as told with its
+   * start; empty if the caller did not say. Another run's answer may differ, so
+   * with an offset above 0 no other stream is resumed. Without it a resumption
+   * trusts that only one run exists.
    */
   std::string resume_stream;
   SuspectVerdict suspect = SuspectVerdict::kClear;
   /**
-   * Number of the first attempt. Stream ids hold request and attempt only, and a late grant for
-   * an earlier call with this id must not count for this one, so no two calls of a request may
-   * use the same numbers. The daemon takes the arrival time in microseconds.
+   * Number of the first attempt. Stream ids hold request and attempt only, and
+   * a late grant for an earlier call with this id must not count for this one,
+   * so no two calls of a request may use the same numbers. The daemon takes the
+   * arrival time in microseconds.
    */
   AttemptNumber first_attempt{1};
 };
 
 /** Periods and bounds of a RequestMachine. */
 struct RequestTimings {
-  Duration ask_again = Duration::Milliseconds(500);        // a silent owner is asked again
-  Duration ask_elsewhere = Duration::Milliseconds(1500);   // a silent owner is given up
-  Duration queued_ask_again = Duration::Seconds(2);        // a queued admission is repeated
-  Duration grant_margin = Duration::Milliseconds(200);     // covers transit and local delays
-  Duration select_back_off = Duration::Milliseconds(200);  // first pause when nobody has room
+  Duration ask_again =
+      Duration::Milliseconds(500);  // a silent owner is asked again
+  Duration ask_elsewhere =
+      Duration::Milliseconds(1500);  // a silent owner is given up
+  Duration queued_ask_again =
+      Duration::Seconds(2);  // a queued admission is repeated
+  Duration grant_margin =
+      Duration::Milliseconds(200);  // covers transit and local delays
+  Duration select_back_off =
+      Duration::Milliseconds(200);  // first pause when nobody has room
   Duration max_back_off = Duration::Seconds(2);
-  Duration resume_back_off = Duration::Milliseconds(50);  // doubled with each fruitless try
-  int resume_tries = 5;                                   // fruitless tries in a row
-  int max_starts = 4;                                     // runs of one request, first included
-  Duration find_stream = Duration::Seconds(2);            // bound on a search
-  Duration cancel_confirm = Duration::Seconds(2);         // bound on a cancellation's answer
-  Duration turn_again = Duration::Milliseconds(500);      // a suspect's turn is asked for again
-  Duration finish_margin = Duration::Milliseconds(20);    // an end is told this long ahead
+  Duration resume_back_off =
+      Duration::Milliseconds(50);  // doubled with each fruitless try
+  int resume_tries = 5;            // fruitless tries in a row
+  int max_starts = 4;              // runs of one request, first included
+  Duration find_stream = Duration::Seconds(2);  // bound on a search
+  Duration cancel_confirm =
+      Duration::Seconds(2);  // bound on a cancellation's answer
+  Duration turn_again =
+      Duration::Milliseconds(500);  // a suspect's turn is asked for again
+  Duration finish_margin =
+      Duration::Milliseconds(20);  // an end is told this long ahead
 };
 
 /** An endpoint that may take the request, best first. */
--- a/modules/zr_request/retry_budget.h
+++ b/modules/zr_request/retry_budget.h
@@ -15,7 +15,8 @@
    * @param floor  retries a second that are always allowed
    * @param burst  most retries saved up
    */
-  explicit RetryBudget(double share = 0.1, double floor = 0.5, double burst = 20)
+  explicit RetryBudget(double share = 0.1, double floor = 0.5,
+                       double burst = 20)
       : share_(share), bucket_(floor, burst) {}
 
   /** A request of the pool completed. */
--- a/modules/zr_request/run_record.h
+++ b/modules/zr_request/run_record.h
@@ -6,12 +6,14 @@
 
 namespace zr {
 
-/** Keeps what is known of a call's runs, so that "not run" is said only when it is true. */
+/** Keeps what is known of a call's runs, so that "not run" is said only when it
+ * is true. */
 class RunRecord {
  public:
   /** The attempt is about to be sent to an endpoint. */
   void Sent(AttemptNumber attempt) { open_.insert(attempt); }
-  /** The endpoint said that it did not run the attempt, or no byte of it was sent. */
+  /** The endpoint said that it did not run the attempt, or no byte of it was
+   * sent. */
   void NotRun(AttemptNumber attempt) { open_.erase(attempt); }
   /** A run that this VM did not start may exist. */
   void SetUnknown() { unknown_ = true; }
@@ -20,7 +22,8 @@
 
   RunState state() const {
     if (completed_) return RunState::kRan;
-    return unknown_ || !open_.empty() ? RunState::kMayHaveRun : RunState::kNotRun;
+    return unknown_ || !open_.empty() ? RunState::kMayHaveRun
+                                      : RunState::kNotRun;
   }
 
  private:
--- a/modules/zr_request/stream_directory.cc
+++ b/modules/zr_request/stream_directory.cc
@@ -5,8 +5,10 @@
 namespace zr {
 namespace {
 
-/** Whether the query may see a run; another team's or prompt's run is a conflict. */
-bool CheckSame(const FindStream& query, Fingerprint fingerprint, StreamLocation& answer) {
+/** Whether the query may see a run; another team's or prompt's run is a
+ * conflict. */
+bool CheckSame(const FindStream& query, Fingerprint fingerprint,
+               StreamLocation& answer) {
   answer.team = query.team;
   answer.fingerprint = fingerprint;
   answer.conflict = query.fingerprint != fingerprint;
@@ -15,7 +17,8 @@
 
 }  // namespace
 
-VmId StreamDirectory::Locator(const RequestId& request, const std::vector<VmId>& live) {
+VmId StreamDirectory::Locator(const RequestId& request,
+                              const std::vector<VmId>& live) {
   ZR_ASSERT(!live.empty(), "a locator needs a live VM");
   VmId best;
   double best_score = -1;
@@ -39,7 +42,8 @@
   local_[location.request] = std::move(local);
 }
 
-void StreamDirectory::EndLocal(TimePoint now, const RequestId& request, bool done) {
+void StreamDirectory::EndLocal(TimePoint now, const RequestId& request,
+                               bool done) {
   const auto it = local_.find(request);
   if (it == local_.end()) return;
   if (!done || it->second.location.stream.empty()) {
@@ -76,7 +80,8 @@
     grant.owner_incarnation = held.owner_incarnation;
     grant.kv_tokens = held.kv_tokens;
     grant.boot = held.boot;
-    std::erase_if(listed.grants, [&](const Grant& g) { return g.endpoint == grant.endpoint; });
+    std::erase_if(listed.grants,
+                  [&](const Grant& g) { return g.endpoint == grant.endpoint; });
     listed.grants.push_back(std::move(grant));
   }
 }
@@ -94,7 +99,8 @@
   for (auto& [stream, listed] : listed_) {
     if (listed.holder == vm) listed.holder = VmId();
   }
-  std::erase_if(claims_, [&](const auto& item) { return item.second.vm == vm; });
+  std::erase_if(claims_,
+                [&](const auto& item) { return item.second.vm == vm; });
 }
 
 //==============================================================================
@@ -105,10 +111,12 @@
   const auto it = local_.find(query.request);
   if (it == local_.end()) return false;
   const StreamLocation& location = it->second.location;
-  // The machine that searches is listed here itself; it would take the request over from itself.
+  // The machine that searches is listed here itself; it would take the request
+  // over from itself.
   if (from == self_ && location.holder == self_) return false;
   if (!query.stream.empty() && query.stream != location.stream) return false;
-  if (!CheckSame(query, location.fingerprint, answer) || query.team != location.team) {
+  if (!CheckSame(query, location.fingerprint, answer) ||
+      query.team != location.team) {
     answer.conflict = true;
     return true;
   }
@@ -126,7 +134,8 @@
     answer.endpoint = listed.endpoint;
     answer.stream = it->second;
     answer.attempt = listed.attempt;
-    // A VM that searches for what it held has ended that run, and gives its grants back itself.
+    // A VM that searches for what it held has ended that run, and gives its
+    // grants back itself.
     if (listed.holder == from) return true;
     answer.holder = listed.holder;
     answer.grants = listed.grants;
@@ -139,7 +148,8 @@
                                 StreamLocation& answer) const {
   const auto it = claims_.find(query.request);
   if (it == claims_.end() || it->second.vm == from) return false;
-  if (!CheckSame(query, it->second.fingerprint, answer) || query.team != it->second.team) {
+  if (!CheckSame(query, it->second.fingerprint, answer) ||
+      query.team != it->second.team) {
     answer.conflict = true;
     return true;
   }
@@ -147,15 +157,18 @@
   return true;
 }
 
-StreamLocation StreamDirectory::Find(TimePoint now, const VmId& from, const FindStream& query) {
+StreamLocation StreamDirectory::Find(TimePoint now, const VmId& from,
+                                     const FindStream& query) {
   Expire(now);
   StreamLocation answer;
   answer.request = query.request;
-  answer.found = FindLocal(from, query, answer) || FindListed(from, query, answer) ||
+  answer.found = FindLocal(from, query, answer) ||
+                 FindListed(from, query, answer) ||
                  FindClaim(from, query, answer);
   answer.request = query.request;
   if (answer.found) {
-    // The latest caller takes the stream over; the next search is sent on to it.
+    // The latest caller takes the stream over; the next search is sent on to
+    // it.
     if (query.claim && !answer.conflict) {
       claims_[query.request] = {from, query.team, query.fingerprint, now};
     }
@@ -164,9 +177,10 @@
   answer.certain = query.claim && now >= certain_from_;
   if (query.claim) {
     if (claims_.size() >= options_.max_claims) {
-      claims_.erase(
-          std::min_element(claims_.begin(), claims_.end(),
-                           [](const auto& a, const auto& b) { return a.second.at < b.second.at; }));
+      claims_.erase(std::min_element(claims_.begin(), claims_.end(),
+                                     [](const auto& a, const auto& b) {
+                                       return a.second.at < b.second.at;
+                                     }));
     }
     claims_[query.request] = {from, query.team, query.fingerprint, now};
   }
@@ -174,20 +188,22 @@
 }
 
 void StreamDirectory::Expire(TimePoint now) {
-  std::erase_if(local_, [&](const auto& item) { return item.second.forget <= now; });
+  std::erase_if(local_,
+                [&](const auto& item) { return item.second.forget <= now; });
   for (auto it = listed_.begin(); it != listed_.end();) {
     if (it->second.seen + options_.keep_listed > now) {
       ++it;
       continue;
     }
     const auto [begin, end] = listed_streams_.equal_range(it->second.request);
-    const auto name =
-        std::find_if(begin, end, [&](const auto& n) { return n.second == it->first; });
+    const auto name = std::find_if(
+        begin, end, [&](const auto& n) { return n.second == it->first; });
     if (name != end) listed_streams_.erase(name);
     it = listed_.erase(it);
   }
-  std::erase_if(claims_,
-                [&](const auto& item) { return item.second.at + options_.keep_claim <= now; });
+  std::erase_if(claims_, [&](const auto& item) {
+    return item.second.at + options_.keep_claim <= now;
+  });
 }
 
 }  // namespace zr
--- a/modules/zr_request/stream_directory.h
+++ b/modules/zr_request/stream_directory.h
@@ -11,50 +11,65 @@
 namespace zr {
 
 /**
- * What one VM knows of the streams of requests: its own machines, the grants that holders list to
- * it as an owner, and, as the locator of a request id, which VM said that it would run it. It
- * answers FindStream messages.
+ * What one VM knows of the streams of requests: its own machines, the grants
+ * that holders list to it as an owner, and, as the locator of a request id,
+ * which VM said that it would run it. It answers FindStream messages.
  *
- * The locator of a request id is the live VM with the highest rendezvous score for it. It makes
- * the second of two calls with one id find the first, at whatever VMs they arrive. While VMs
- * disagree on the locator both calls may run; each caller then gets one run's whole answer, as
- * a resumption names the stream that it continues.
+ * The locator of a request id is the live VM with the highest rendezvous score
+ * for it. It makes the second of two calls with one id find the first, at
+ * whatever VMs they arrive. While VMs disagree on the locator both calls may
+ * run; each caller then gets one run's whole answer, as a resumption names the
+ * stream that it continues.
  */
 class StreamDirectory {
  public:
   struct Options {
-    Duration keep_listed = Duration::Seconds(15);  // after the last list with the grant
-    Duration keep_ended = Duration::Seconds(10);   // engines keep ended streams that long
+    Duration keep_listed =
+        Duration::Seconds(15);  // after the last list with the grant
+    Duration keep_ended =
+        Duration::Seconds(10);  // engines keep ended streams that long
     Duration keep_claim = Duration::Seconds(900);
     size_t max_claims = 20'000;  // the oldest are dropped
   };
 
-  explicit StreamDirectory(VmId self) : StreamDirectory(std::move(self), Options{}) {}
-  StreamDirectory(VmId self, Options options) : self_(std::move(self)), options_(options) {}
+  explicit StreamDirectory(VmId self)
+      : StreamDirectory(std::move(self), Options{}) {}
+  StreamDirectory(VmId self, Options options)
+      : self_(std::move(self)), options_(options) {}
 
-  /** The VM that answers for a request id. @param live  all live VMs, not empty */
+  /** The VM that answers for a request id. @param live  all live VMs, not empty
+   */
   static VmId Locator(const RequestId& request, const std::vector<VmId>& live);
 
-  /** A machine of this VM holds the request; from RequestMachine::location(). */
+  /** A machine of this VM holds the request; from RequestMachine::location().
+   */
   void SetLocal(const StreamLocation& location);
-  /** The machine has ended. @param done  its answer is complete and may be read again */
+  /** The machine has ended. @param done  its answer is complete and may be read
+   * again */
   void EndLocal(TimePoint now, const RequestId& request, bool done);
 
   /** A holder's list of its grants on one of this owner's endpoints. */
   void OnHeldGrants(TimePoint now, const HeldGrants& list);
-  /** A holder gave a grant on one of this owner's endpoints back; it cannot be taken over. */
+  /** A holder gave a grant on one of this owner's endpoints back; it cannot be
+   * taken over. */
   void OnRelease(const Release& release);
   /** A VM is dead; its streams have no holder any more. */
   void OnVmDead(const VmId& vm);
-  /** This VM starts, or the set of live VMs has changed: it may not know all claims. */
-  void OnViewChanged(TimePoint now) { certain_from_ = now + options_.keep_claim; }
+  /** This VM starts, or the set of live VMs has changed: it may not know all
+   * claims. */
+  void OnViewChanged(TimePoint now) {
+    certain_from_ = now + options_.keep_claim;
+  }
 
-  /** Answers a search; as the locator, notes the sender's claim if nothing is found. */
+  /** Answers a search; as the locator, notes the sender's claim if nothing is
+   * found. */
   StreamLocation Find(TimePoint now, const VmId& from, const FindStream& query);
 
   /** Forgets what is out of date; to be called every few seconds. */
   void Expire(TimePoint now);
-  size_t size() const { return local_.size() + listed_.size() + claims_.size(); }
+  size_t size() const {
+    return local_.size() + listed_.size() + claims_.size();
+  }
 
  private:
   struct Local {
@@ -77,9 +92,12 @@
     TimePoint at;
   };
 
-  bool FindLocal(const VmId& from, const FindStream& query, StreamLocation& answer) const;
-  bool FindListed(const VmId& from, const FindStream& query, StreamLocation& answer) const;
-  bool FindClaim(const VmId& from, const FindStream& query, StreamLocation& answer) const;
+  bool FindLocal(const VmId& from, const FindStream& query,
+                 StreamLocation& answer) const;
+  bool FindListed(const VmId& from, const FindStream& query,
+                  StreamLocation& answer) const;
+  bool FindClaim(const VmId& from, const FindStream& query,
+                 StreamLocation& answer) const;
 
   VmId self_;
   Options options_;
--- a/modules/zr_request/stream_search.cc
+++ b/modules/zr_request/stream_search.cc
@@ -7,12 +7,15 @@
 
 namespace zr {
 
-StreamSearch::StreamSearch(FindStream query, std::vector<VmId> live, Options options)
+StreamSearch::StreamSearch(FindStream query, std::vector<VmId> live,
+                           Options options)
     : query_(std::move(query)), live_(std::move(live)), options_(options) {
   ZR_ASSERT(!live_.empty(), "a search needs a live VM");
 }
 
-std::vector<OutgoingMessage> StreamSearch::Start(TimePoint now) { return AskLocator(now); }
+std::vector<OutgoingMessage> StreamSearch::Start(TimePoint now) {
+  return AskLocator(now);
+}
 
 std::vector<OutgoingMessage> StreamSearch::AskLocator(TimePoint now) {
   locator_ = StreamDirectory::Locator(query_.request, live_);
@@ -43,7 +46,8 @@
 
 /** Adds an answer; the owners of a gathered run each name their own grants. */
 void StreamSearch::Merge(const StreamLocation& location) {
-  if (!found_ || (found_->stream.empty() && !location.stream.empty()) || location.conflict) {
+  if (!found_ || (found_->stream.empty() && !location.stream.empty()) ||
+      location.conflict) {
     found_ = location;
     return;
   }
@@ -51,17 +55,19 @@
   if (location.stream != found_->stream) return;
   for (const Grant& grant : location.grants) {
     const bool known = std::any_of(
-        found_->grants.begin(), found_->grants.end(),
-        [&](const Grant& g) { return g.endpoint == grant.endpoint && g.number == grant.number; });
+        found_->grants.begin(), found_->grants.end(), [&](const Grant& g) {
+          return g.endpoint == grant.endpoint && g.number == grant.number;
+        });
     if (!known) found_->grants.push_back(grant);
   }
   // The grant of the endpoint that streams comes first.
-  std::stable_partition(found_->grants.begin(), found_->grants.end(),
-                        [&](const Grant& g) { return g.endpoint == found_->endpoint; });
+  std::stable_partition(
+      found_->grants.begin(), found_->grants.end(),
+      [&](const Grant& g) { return g.endpoint == found_->endpoint; });
 }
 
-std::vector<OutgoingMessage> StreamSearch::OnLocation(TimePoint now, const VmId& from,
-                                                      const StreamLocation& location) {
+std::vector<OutgoingMessage> StreamSearch::OnLocation(
+    TimePoint now, const VmId& from, const StreamLocation& location) {
   if (ended_ || location.request != query_.request) return {};
   if (location.found) Merge(location);
   if (!asking_all_) {
@@ -86,7 +92,8 @@
   return {};
 }
 
-std::vector<OutgoingMessage> StreamSearch::OnVmUnreachable(TimePoint now, const VmId& vm) {
+std::vector<OutgoingMessage> StreamSearch::OnVmUnreachable(TimePoint now,
+                                                           const VmId& vm) {
   if (ended_) return {};
   std::erase(live_, vm);
   if (live_.empty()) {
--- a/modules/zr_request/stream_search.h
+++ b/modules/zr_request/stream_search.h
@@ -10,17 +10,21 @@
 namespace zr {
 
 /**
- * Looks for a request's stream: first at the locator of the request id, then, unless that one is
- * certain, at all VMs, whose grant lists as owners name the request. Carries out LocateStream.
+ * Looks for a request's stream: first at the locator of the request id, then,
+ * unless that one is certain, at all VMs, whose grant lists as owners name the
+ * request. Carries out LocateStream.
  */
 class StreamSearch {
  public:
   struct Options {
-    Duration again = Duration::Milliseconds(500);  // the locator is asked again, then passed over
-    Duration all = Duration::Milliseconds(700);    // bound on the answers of all VMs
+    Duration again = Duration::Milliseconds(
+        500);  // the locator is asked again, then passed over
+    Duration all =
+        Duration::Milliseconds(700);  // bound on the answers of all VMs
   };
 
-  /** @param live  the live VMs, this one included; messages to it are looped back */
+  /** @param live  the live VMs, this one included; messages to it are looped
+   * back */
   StreamSearch(FindStream query, std::vector<VmId> live)
       : StreamSearch(std::move(query), std::move(live), Options{}) {}
   StreamSearch(FindStream query, std::vector<VmId> live, Options options);
--- a/modules/zr_request/tests/request_machine_test.cc
+++ b/modules/zr_request/tests/request_machine_test.cc
@@ -15,7 +15,8 @@
   int retried = 0;
 };
 
-Outcome RunSeeds(uint64_t first, uint64_t count, const Faults& faults, Mutant mutant) {
+Outcome RunSeeds(uint64_t first, uint64_t count, const Faults& faults,
+                 Mutant mutant) {
   Outcome outcome;
   for (uint64_t seed = first; seed < first + count; ++seed) {
     Invariants::Reset();
@@ -27,19 +28,22 @@
       outcome.handed_over += world.hand_overs() > 0;
       outcome.retried += world.runs() > 1;
       if (!world.violations().empty()) {
-        outcome.violation = "seed " + std::to_string(seed) + ": " + world.violations().front();
+        outcome.violation =
+            "seed " + std::to_string(seed) + ": " + world.violations().front();
         return outcome;
       }
     }
     if (Invariants::Total() > 0) {
-      outcome.violation = "seed " + std::to_string(seed) + ": an invariant was violated";
+      outcome.violation =
+          "seed " + std::to_string(seed) + ": an invariant was violated";
       return outcome;
     }
   }
   return outcome;
 }
 
-/** A number from the environment; ZR_SEED sets the first seed, ZR_SEEDS how many follow. */
+/** A number from the environment; ZR_SEED sets the first seed, ZR_SEEDS how
+ * many follow. */
 uint64_t FromEnvironment(const char* name, uint64_t fallback) {
   const char* text = std::getenv(name);
   return text != nullptr ? std::strtoull(text, nullptr, 10) : fallback;
@@ -48,17 +52,19 @@
 uint64_t FirstSeed() { return FromEnvironment("ZR_SEED", 1); }
 
 uint64_t Seeds() {
-  return FromEnvironment("ZR_SEEDS", std::getenv("ZR_SEED") != nullptr ? 1 : 20'000);
+  return FromEnvironment("ZR_SEEDS",
+                         std::getenv("ZR_SEED") != nullptr ? 1 : 20'000);
 }
 
-// Guards against answers that are mixed up, lost or sent twice, grants that are leaked or released
-// twice, calls without an outcome, and a false "not run".
+// Guards against answers that are mixed up, lost or sent twice, grants that are
+// leaked or released twice, calls without an outcome, and a false "not run".
 TEST_CASE("A request ends rightly whatever fails around it") {
   Invariants::SetHandler([](Invariant invariant, std::string_view message) {
     UNSCOPED_INFO(ToString(invariant) << ": " << message);
   });
   SECTION("with all faults") {
-    const Outcome outcome = RunSeeds(FirstSeed(), Seeds(), Faults{}, Mutant::kNone);
+    const Outcome outcome =
+        RunSeeds(FirstSeed(), Seeds(), Faults{}, Mutant::kNone);
     INFO(outcome.violation);
     REQUIRE(outcome.violation.empty());
     if (Seeds() >= 20'000) {
@@ -80,7 +86,8 @@
 
 // Guards against checks that would not notice a mixed-up answer.
 TEST_CASE("The checks detect broken machines") {
-  const Mutant mutant = GENERATE(Mutant::kIgnoreAttempts, Mutant::kRestartAfterFirstToken);
+  const Mutant mutant =
+      GENERATE(Mutant::kIgnoreAttempts, Mutant::kRestartAfterFirstToken);
   const Outcome outcome = RunSeeds(1, 10'000, Faults{}, mutant);
   INFO("mutant " << static_cast<int>(mutant));
   REQUIRE(outcome.violation.find("the caller") != std::string::npos);
--- a/modules/zr_request/tests/request_world.cc
+++ b/modules/zr_request/tests/request_world.cc
@@ -15,7 +15,8 @@
     : random_(seed), faults_(faults), mutant_(mutant) {
   for (size_t i = 0; i < 5; ++i) {
     const std::string n = std::to_string(i);
-    engines_.push_back({EndpointId("engine-" + n), DomainId("domain-" + std::to_string(i % 3)),
+    engines_.push_back({EndpointId("engine-" + n),
+                        DomainId("domain-" + std::to_string(i % 3)),
                         VmId("owner-" + n)});
   }
   options_.request = RequestId("r~1");
@@ -25,13 +26,15 @@
   options_.max_answer = TokenCount(100);
   options_.idempotent = !random_.Chance(0.15);
   options_.may_be_repeat = random_.Chance(0.5);
-  options_.deadline = now_ + Duration::Milliseconds(500 + random_.Below(20'000));
+  options_.deadline =
+      now_ + Duration::Milliseconds(500 + random_.Below(20'000));
   options_.pool.unclaimed_window = kWindow;
   length_ = 1 + static_cast<int64_t>(random_.Below(40));
   poison_ = random_.Chance(0.1);
-  // The bound on endpoints lost to one request holds while VMs agree on the locator and a broken
-  // connection is noticed before the caller's next call.
-  if (poison_) faults_.kill_vm = faults_.pause = faults_.crash = faults_.silent = 0;
+  // The bound on endpoints lost to one request holds while VMs agree on the
+  // locator and a broken connection is noticed before the caller's next call.
+  if (poison_)
+    faults_.kill_vm = faults_.pause = faults_.crash = faults_.silent = 0;
   gather_ = random_.Chance(0.1);
 }
 
@@ -57,8 +60,8 @@
   At(delay, [this, vm, event = std::move(event)] { DeliverToVm(vm, event); });
 }
 
-void RequestWorld::DeliverToVm(size_t index,
-                               const std::function<RequestActions(RequestMachine&)>& event) {
+void RequestWorld::DeliverToVm(
+    size_t index, const std::function<RequestActions(RequestMachine&)>& event) {
   Vm& vm = vms_[index];
   if (!vm.alive || !vm.machine) return;
   if (vm.paused_until > now_) {
@@ -69,16 +72,19 @@
   // What arrived during a pause is read in one go after it.
   if (vm.paused_until < now_) vm.last_idle = now_;
   Execute(index, actions);
-  if (!vm.machine->ended() && now_ >= vm.deadline) Violation("a call is open at its deadline");
+  if (!vm.machine->ended() && now_ >= vm.deadline)
+    Violation("a call is open at its deadline");
   ArmTimer(index);
 }
 
 void RequestWorld::ArmTimer(size_t index) {
   const TimePoint wakeup = vms_[index].machine->NextWakeup();
   if (wakeup >= TimePoint::Max()) return;
-  AtVm(index, std::max(wakeup - now_, Duration()), [this](RequestMachine& machine) {
-    return machine.NextWakeup() <= now_ ? machine.Tick(now_) : RequestActions{};
-  });
+  AtVm(index, std::max(wakeup - now_, Duration()),
+       [this](RequestMachine& machine) {
+         return machine.NextWakeup() <= now_ ? machine.Tick(now_)
+                                             : RequestActions{};
+       });
 }
 
 void RequestWorld::Run() {
@@ -102,8 +108,8 @@
   received_.resize(static_cast<size_t>(offset * kTokenBytes));
   Vm& vm = vms_[index];
   if (vm.machine && !vm.machine->ended()) {
-    auto actions =
-        vm.machine->Reattach(now_, options_.team, options_.fingerprint, offset, received_stream_);
+    auto actions = vm.machine->Reattach(
+        now_, options_.team, options_.fingerprint, offset, received_stream_);
     if (actions) {
       Execute(index, *actions);
       ArmTimer(index);
@@ -121,14 +127,18 @@
   options.resume_stream = received_stream_;
   options.first_attempt = AttemptNumber(1000 * static_cast<uint64_t>(calls_));
   options.may_be_repeat = options.may_be_repeat || calls_ > 1;
-  if (poison_) options.suspect = suspects_[index].Verdict(now_, options.fingerprint);
-  options.deadline = calls_ > 1 ? now_ + Duration::Seconds(15) : options_.deadline;
+  if (poison_)
+    options.suspect = suspects_[index].Verdict(now_, options.fingerprint);
+  options.deadline =
+      calls_ > 1 ? now_ + Duration::Seconds(15) : options_.deadline;
   vm.deadline = options.deadline;
   vm.outcome = false;
   vm.machine = std::make_unique<RequestMachine>(options, budget_);
   if (mutant_ == Mutant::kIgnoreAttempts) vm.machine->IgnoreAttemptsForTest();
-  if (mutant_ == Mutant::kRestartAfterFirstToken) vm.machine->RestartAfterFirstTokenForTest();
-  AtVm(index, Duration(), [this](RequestMachine& machine) { return machine.Start(now_); });
+  if (mutant_ == Mutant::kRestartAfterFirstToken)
+    vm.machine->RestartAfterFirstTokenForTest();
+  AtVm(index, Duration(),
+       [this](RequestMachine& machine) { return machine.Start(now_); });
 }
 
 void RequestWorld::CallAgain() {
@@ -141,7 +151,8 @@
     return;
   }
   const int64_t have = static_cast<int64_t>(received_.size()) / kTokenBytes;
-  const int64_t back = random_.Chance(0.5) ? 0 : static_cast<int64_t>(random_.Below(have + 1));
+  const int64_t back =
+      random_.Chance(0.5) ? 0 : static_cast<int64_t>(random_.Below(have + 1));
   Call(live[random_.Below(live.size())], have - back);
 }
 
@@ -150,19 +161,23 @@
   const size_t vm = caller_vm_;
   if (random_.Chance(faults_.caller)) {
     if (random_.Chance(0.5)) {
-      AtVm(vm, Transit(), [this](RequestMachine& m) { return m.OnCallerGone(now_); });
+      AtVm(vm, Transit(),
+           [this](RequestMachine& m) { return m.OnCallerGone(now_); });
       At(Duration::Milliseconds(random_.Below(3000)), [this] { CallAgain(); });
       waiting_ = false;
     } else if (random_.Chance(0.5)) {
       CallAgain();
     } else {
-      AtVm(vm, Duration(), [this](RequestMachine& m) { return m.OnCallerBlocked(now_); });
-      AtVm(vm, Transit(), [this](RequestMachine& m) { return m.OnCallerDrained(now_); });
+      AtVm(vm, Duration(),
+           [this](RequestMachine& m) { return m.OnCallerBlocked(now_); });
+      AtVm(vm, Transit(),
+           [this](RequestMachine& m) { return m.OnCallerDrained(now_); });
     }
   } else if (random_.Chance(faults_.kill_vm)) {
     KillVm(vm);
   } else if (random_.Chance(faults_.pause)) {
-    const TimePoint until = now_ + Duration::Milliseconds(100 + random_.Below(3000));
+    const TimePoint until =
+        now_ + Duration::Milliseconds(100 + random_.Below(3000));
     vms_[vm].paused_until = std::max(vms_[vm].paused_until, until);
   }
   if (random_.Chance(faults_.crash)) Crash(random_.Below(engines_.size()));
@@ -175,11 +190,13 @@
     if (connection->vm == index) connection->open = false;
   }
   for (size_t i = 0; i < vms_.size(); ++i) {
-    AtVm(i, Duration::Milliseconds(1500),
-         [this, index](RequestMachine& m) { return m.OnVmUnreachable(now_, IngressName(index)); });
+    AtVm(i, Duration::Milliseconds(1500), [this, index](RequestMachine& m) {
+      return m.OnVmUnreachable(now_, IngressName(index));
+    });
   }
   waiting_ = false;
-  At(Duration::Milliseconds(100 + random_.Below(2000)), [this] { CallAgain(); });
+  At(Duration::Milliseconds(100 + random_.Below(2000)),
+     [this] { CallAgain(); });
 }
 
 //==============================================================================
@@ -198,9 +215,11 @@
       candidates.push_back({engine.id, engine.domain, engine.owner});
     }
   }
-  if (!candidates.empty()) std::swap(candidates[0], candidates[random_.Below(candidates.size())]);
-  AtVm(vm, Duration(),
-       [this, candidates](RequestMachine& m) { return m.OnCandidates(now_, candidates, gather_); });
+  if (!candidates.empty())
+    std::swap(candidates[0], candidates[random_.Below(candidates.size())]);
+  AtVm(vm, Duration(), [this, candidates](RequestMachine& m) {
+    return m.OnCandidates(now_, candidates, gather_);
+  });
 }
 
 void RequestWorld::Do(size_t vm, const SendToVm& action) {
@@ -219,9 +238,11 @@
     ++hand_overs_;
     for (size_t i = 0; i < vms_.size(); ++i) {
       if (IngressName(i) != action.to) continue;
-      for (const Grant& g : hand->grants) grants_.at(MakeStreamId(g)).delivered = {i};
-      AtVm(i, Transit(),
-           [this, m = *hand](RequestMachine& machine) { return machine.OnHandOver(now_, m); });
+      for (const Grant& g : hand->grants)
+        grants_.at(MakeStreamId(g)).delivered = {i};
+      AtVm(i, Transit(), [this, m = *hand](RequestMachine& machine) {
+        return machine.OnHandOver(now_, m);
+      });
     }
   }
 }
@@ -231,7 +252,8 @@
   At(Duration::Microseconds(random_.Below(3000)), [this, vm, action] {
     const auto fail = [&] {
       AtVm(vm, Transit(), [this, action](RequestMachine& m) {
-        return m.OnUpstreamFailed(now_, action.attempt, UpstreamFailure::kNotRun);
+        return m.OnUpstreamFailed(now_, action.attempt,
+                                  UpstreamFailure::kNotRun);
       });
     };
     if (!vms_[vm].alive) return;
@@ -250,7 +272,8 @@
   for (const auto& [endpoint, held] : vms_[vm].machine->held_grants()) {
     GrantRecord& record = grants_.at(MakeStreamId(held));
     if (record.delivered.contains(vm)) continue;
-    for (size_t holder : record.delivered) record.two_holders |= vms_[holder].alive;
+    for (size_t holder : record.delivered)
+      record.two_holders |= vms_[holder].alive;
     record.delivered.insert(vm);
   }
   At(Transit(), [this, vm, action] {
@@ -269,7 +292,8 @@
       return fail(UpstreamFailure::kNoStream);
     }
     for (auto& c : connections_) {
-      if (c->open && c->stream == action.stream_id) Break(*c, UpstreamFailure::kBroken);
+      if (c->open && c->stream == action.stream_id)
+        Break(*c, UpstreamFailure::kBroken);
     }
     OpenConnection(vm, action.attempt, action.stream_id, action.offset);
   });
@@ -288,7 +312,8 @@
     const auto it = runs_.find(action.stream_id);
     // A cancellation may overtake its call, which then still runs.
     const Engine& engine = engines_[EngineIndex(action.endpoint)];
-    const bool known = engine.alive && it != runs_.end() && it->second.boot == engine.boot;
+    const bool known =
+        engine.alive && it != runs_.end() && it->second.boot == engine.boot;
     if (known) it->second.deleted = true;
     AtVm(vm, Transit(), [this, action, known](RequestMachine& m) {
       return m.OnUpstreamCancelled(now_, action.stream_id, known);
@@ -311,11 +336,13 @@
         break;
       }
       // The owners learned the grants from the dead VM's lists.
-      std::erase_if(location.grants,
-                    [&](const Grant& g) { return !grants_.at(MakeStreamId(g)).released.empty(); });
+      std::erase_if(location.grants, [&](const Grant& g) {
+        return !grants_.at(MakeStreamId(g)).released.empty();
+      });
     }
     AtVm(vm, Transit(), [this, location](RequestMachine& m) {
-      return location.found ? m.OnStreamFound(now_, location) : m.OnStreamNotFound(now_, true);
+      return location.found ? m.OnStreamFound(now_, location)
+                            : m.OnStreamNotFound(now_, true);
     });
   });
 }
@@ -344,37 +371,45 @@
   if (action.run == RunState::kNotRun && calls_ == 1 && !runs_.empty()) {
     Violation("a call that ran is said not to have run");
   }
-  if (action.run != RunState::kNotRun && calls_ == 1 && starts_ == 0 && !options_.may_be_repeat) {
+  if (action.run != RunState::kNotRun && calls_ == 1 && starts_ == 0 &&
+      !options_.may_be_repeat) {
     Violation("a call that was never sent is said to have run perhaps");
   }
   if (vm != caller_vm_ || !waiting_) return;
   CheckCaller(vm, false);
   waiting_ = false;
-  if (poison_) At(Duration::Milliseconds(200 + random_.Below(2000)), [this] { CallAgain(); });
+  if (poison_)
+    At(Duration::Milliseconds(200 + random_.Below(2000)),
+       [this] { CallAgain(); });
 }
 
 void RequestWorld::Do(size_t vm, const ReportSuspect& action) {
-  const Suspect suspect{action.fingerprint, action.endpoint, action.boot, Duration()};
+  const Suspect suspect{action.fingerprint, action.endpoint, action.boot,
+                        Duration()};
   const DomainId domain = engines_[EngineIndex(action.endpoint)].domain;
   for (size_t i = 0; i < vms_.size(); ++i) {
     At(i == vm ? Duration() : Transit(), [this, i, suspect, domain] {
       suspects_[i].OnDeath(now_, suspect, domain);
       if (!poison_) return;
       DeliverToVm(i, [this, i](RequestMachine& m) {
-        return m.OnVerdict(now_, suspects_[i].Verdict(now_, options_.fingerprint));
+        return m.OnVerdict(now_,
+                           suspects_[i].Verdict(now_, options_.fingerprint));
       });
     });
   }
 }
 
 void RequestWorld::Do(size_t vm, const ReturnTurn& action) {
-  const SuspectTurn turn{action.fingerprint, options_.request, false, true, action.harmless};
-  At(Transit(), [this, vm, turn] { turns_.OnTurn(now_, IngressName(vm), turn); });
+  const SuspectTurn turn{action.fingerprint, options_.request, false, true,
+                         action.harmless};
+  At(Transit(),
+     [this, vm, turn] { turns_.OnTurn(now_, IngressName(vm), turn); });
 }
 
 void RequestWorld::Do(size_t vm, const AskTurn& action) {
   if (poison_) {
-    const SuspectTurn turn{action.fingerprint, options_.request, action.holding, false, false};
+    const SuspectTurn turn{action.fingerprint, options_.request, action.holding,
+                           false, false};
     At(Transit(), [this, vm, turn] {
       const SuspectTurnReply reply = turns_.OnTurn(now_, IngressName(vm), turn);
       AtVm(vm, Transit(), [this, reply](RequestMachine& m) {
--- a/modules/zr_request/tests/request_world.h
+++ b/modules/zr_request/tests/request_world.h
@@ -20,11 +20,12 @@
   double late_grant = 0.1;     // a grant arrives after its time
   double not_run = 0.15;       // an engine refuses a call, or cannot be reached
   double break_stream = 0.06;  // a connection breaks
-  double mix_up = 0.1;         // a part is repeated, late, reordered, lost or of another request
-  double crash = 0.01;         // an engine crashes
-  double caller = 0.05;        // the caller leaves, calls again, or is slow
-  double kill_vm = 0.01;       // the ingress VM dies
-  double pause = 0.01;         // the ingress VM is paused
+  double mix_up =
+      0.1;  // a part is repeated, late, reordered, lost or of another request
+  double crash = 0.01;    // an engine crashes
+  double caller = 0.05;   // the caller leaves, calls again, or is slow
+  double kill_vm = 0.01;  // the ingress VM dies
+  double pause = 0.01;    // the ingress VM is paused
 };
 
 /** Each token's text has this many bytes. */
@@ -34,8 +35,9 @@
 enum class Mutant { kNone, kIgnoreAttempts, kRestartAfterFirstToken };
 
 /**
- * One request in a small world under virtual time: three entry VMs, five engines with their
- * owners, and a caller who may leave and call again. Collects violations as text.
+ * One request in a small world under virtual time: three entry VMs, five
+ * engines with their owners, and a caller who may leave and call again.
+ * Collects violations as text.
  */
 class RequestWorld {
  public:
@@ -56,8 +58,8 @@
     TimePoint issued;
     std::set<size_t> delivered;  // entry VMs that know it
     std::set<size_t> released;   // entry VMs that gave it back
-    // Another VM took the stream over while its holder was silent; both may give the grant back,
-    // which owners ignore the second time.
+    // Another VM took the stream over while its holder was silent; both may
+    // give the grant back, which owners ignore the second time.
     bool two_holders = false;
   };
   struct Engine {
@@ -95,10 +97,15 @@
   };
 
   void At(Duration delay, std::function<void()> event);
-  /** An event at a VM: deferred while the VM is paused, dropped if it is dead. */
-  void AtVm(size_t vm, Duration delay, std::function<RequestActions(RequestMachine&)> event);
-  void DeliverToVm(size_t vm, const std::function<RequestActions(RequestMachine&)>& event);
-  Duration Transit() { return Duration::Microseconds(200 + random_.Below(20'000)); }
+  /** An event at a VM: deferred while the VM is paused, dropped if it is dead.
+   */
+  void AtVm(size_t vm, Duration delay,
+            std::function<RequestActions(RequestMachine&)> event);
+  void DeliverToVm(size_t vm,
+                   const std::function<RequestActions(RequestMachine&)>& event);
+  Duration Transit() {
+    return Duration::Microseconds(200 + random_.Below(20'000));
+  }
   void Violation(const std::string& text);
   void ArmTimer(size_t vm);
 
@@ -132,11 +139,13 @@
   size_t EngineIndex(const EndpointId& id) const;
   void OnAdmission(size_t vm, const AdmissionRequest& request);
   Grant MakeGrant(size_t engine, AttemptNumber attempt);
-  void SendGrant(size_t vm, size_t engine, AttemptNumber attempt, Duration delay);
+  void SendGrant(size_t vm, size_t engine, AttemptNumber attempt,
+                 Duration delay);
   void OnRelease(size_t vm, const Release& release);
   void CheckOutcome(const Release& release, const GrantRecord& record);
   void StartAtEngine(size_t vm, const StartUpstream& action);
-  void OpenConnection(size_t vm, AttemptNumber attempt, const std::string& stream, int64_t offset);
+  void OpenConnection(size_t vm, AttemptNumber attempt,
+                      const std::string& stream, int64_t offset);
   void Pump(const std::shared_ptr<Connection>& connection);
   void SendPart(Connection& connection, int64_t tokens);
   void Break(Connection& connection, UpstreamFailure failure);
@@ -161,8 +170,8 @@
   std::vector<Engine> engines_;
   std::map<std::string, GrantRecord> grants_;  // by stream id
   std::map<std::string, EngineRun> runs_;      // by stream id
-  std::set<std::string> started_;              // stream ids of calls that reached an engine
-  std::set<std::string> refused_;              // stream ids of calls that an engine refused
+  std::set<std::string> started_;  // stream ids of calls that reached an engine
+  std::set<std::string> refused_;  // stream ids of calls that an engine refused
   std::vector<std::shared_ptr<Connection>> connections_;
   bool poison_ = false;  // the prompt crashes the engines that run it
   int poisoned_ = 0;     // engines that it crashed
--- a/modules/zr_request/tests/request_world_engines.cc
+++ b/modules/zr_request/tests/request_world_engines.cc
@@ -29,18 +29,22 @@
                      : pick < 19 ? RefusalReason::kDeadline
                                  : RefusalReason::kTeamLimit;
     refusal.wait_hint = Duration::Milliseconds(random_.Below(500));
-    AtVm(vm, Transit(), [this, refusal](RequestMachine& m) { return m.OnRefusal(now_, refusal); });
+    AtVm(vm, Transit(), [this, refusal](RequestMachine& m) {
+      return m.OnRefusal(now_, refusal);
+    });
     return;
   }
   Duration delay = Transit();
   if (random_.Chance(faults_.late_grant)) {
-    delay = Duration::Milliseconds(random_.Below(request.queue_if_busy ? 100 : 3000));
+    delay = Duration::Milliseconds(
+        random_.Below(request.queue_if_busy ? 100 : 3000));
   }
   if (request.queue_if_busy) {
     // Waits in the queue first; a cancellation may cross the grant.
-    At(Duration::Milliseconds(random_.Below(1500)), [this, vm, engine, attempt = request.attempt] {
-      SendGrant(vm, engine, attempt, Transit());
-    });
+    At(Duration::Milliseconds(random_.Below(1500)),
+       [this, vm, engine, attempt = request.attempt] {
+         SendGrant(vm, engine, attempt, Transit());
+       });
     return;
   }
   SendGrant(vm, engine, request.attempt, delay);
@@ -61,15 +65,18 @@
   return grant;
 }
 
-void RequestWorld::SendGrant(size_t vm, size_t engine, AttemptNumber attempt, Duration delay) {
+void RequestWorld::SendGrant(size_t vm, size_t engine, AttemptNumber attempt,
+                             Duration delay) {
   const Grant grant = MakeGrant(engine, attempt);
   const int copies = random_.Chance(faults_.mix_up) ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
     AtVm(vm, delay + Transit() * i, [this, vm, grant](RequestMachine& m) {
       GrantRecord& record = grants_.at(MakeStreamId(grant));
-      // A repeated copy may reach a new machine of the same VM; the owner ignores its
-      // release, as the grant is given back or listed by another VM already.
-      const bool handed_over = !record.delivered.empty() && !record.delivered.contains(vm);
+      // A repeated copy may reach a new machine of the same VM; the owner
+      // ignores its release, as the grant is given back or listed by another VM
+      // already.
+      const bool handed_over =
+          !record.delivered.empty() && !record.delivered.contains(vm);
       if (!record.released.empty() || handed_over) return m.Tick(now_);
       record.delivered.insert(vm);
       return m.OnGrant(now_, vms_[vm].last_idle, grant);
@@ -80,21 +87,25 @@
 void RequestWorld::Do(size_t vm, const GatherRequest& action) {
   if (random_.Chance(faults_.refuse)) {
     AtVm(vm, Transit(), [this, action](RequestMachine& m) {
-      return m.OnGatherFailed(now_, action.attempt, Duration::Milliseconds(100));
+      return m.OnGatherFailed(now_, action.attempt,
+                              Duration::Milliseconds(100));
     });
     return;
   }
   std::vector<Grant> grants;
-  for (size_t i = 0; i < engines_.size(); i += 2) grants.push_back(MakeGrant(i, action.attempt));
+  for (size_t i = 0; i < engines_.size(); i += 2)
+    grants.push_back(MakeGrant(i, action.attempt));
   AtVm(vm, Transit(), [this, vm, action, grants](RequestMachine& m) {
-    for (const Grant& g : grants) grants_.at(MakeStreamId(g)).delivered.insert(vm);
+    for (const Grant& g : grants)
+      grants_.at(MakeStreamId(g)).delivered.insert(vm);
     return m.OnGatherReady(now_, vms_[vm].last_idle, action.attempt, grants);
   });
 }
 
 void RequestWorld::OnRelease(size_t vm, const Release& release) {
   for (auto& [id, record] : grants_) {
-    if (record.grant.number != release.number || record.grant.endpoint != release.endpoint) {
+    if (record.grant.number != release.number ||
+        record.grant.endpoint != release.endpoint) {
       continue;
     }
     const bool again = !record.released.empty();
@@ -108,16 +119,19 @@
   Violation("an unknown grant is released");
 }
 
-void RequestWorld::CheckOutcome(const Release& release, const GrantRecord& record) {
+void RequestWorld::CheckOutcome(const Release& release,
+                                const GrantRecord& record) {
   const std::string id = MakeStreamId(record.grant);
   const auto run = runs_.find(id);
   const Engine& engine = engines_[EngineIndex(release.endpoint)];
   switch (release.outcome) {
     case ReleaseOutcome::kNeverStarted:
-      if (started_.contains(id)) Violation("a started grant is released as never started");
+      if (started_.contains(id))
+        Violation("a started grant is released as never started");
       break;
     case ReleaseOutcome::kEndpointRefused:
-      if (!refused_.contains(id)) Violation("a grant is released as refused without a refusal");
+      if (!refused_.contains(id))
+        Violation("a grant is released as refused without a refusal");
       break;
     case ReleaseOutcome::kCompleted:
       if (run != runs_.end() && Generated(run->second) < run->second.length) {
@@ -125,7 +139,8 @@
       }
       break;
     case ReleaseOutcome::kCancelled:
-      if (run != runs_.end() && !run->second.deleted && engine.boot == run->second.boot) {
+      if (run != runs_.end() && !run->second.deleted &&
+          engine.boot == run->second.boot) {
         Violation("a grant is released as cancelled while its run goes on");
       }
       break;
@@ -138,7 +153,8 @@
 // Engines
 
 int64_t RequestWorld::Generated(const EngineRun& run) const {
-  const int64_t steps = (now_ - run.start).microseconds() / run.step.microseconds();
+  const int64_t steps =
+      (now_ - run.start).microseconds() / run.step.microseconds();
   return std::min(run.length, steps);
 }
 
@@ -152,7 +168,8 @@
   };
   if (!engine.alive) return fail(UpstreamFailure::kNotRun, 0);
   const GrantRecord& record = grants_.at(action.stream_id);
-  if (now_ - record.issued > record.grant.start_within) Violation("a grant is used late");
+  if (now_ - record.issued > record.grant.start_within)
+    Violation("a grant is used late");
   started_.insert(action.stream_id);
   if (random_.Chance(faults_.not_run)) {
     // The members of a gathered run share its fate.
@@ -181,8 +198,8 @@
   }
 }
 
-void RequestWorld::OpenConnection(size_t vm, AttemptNumber attempt, const std::string& stream,
-                                  int64_t offset) {
+void RequestWorld::OpenConnection(size_t vm, AttemptNumber attempt,
+                                  const std::string& stream, int64_t offset) {
   auto connection = std::make_shared<Connection>();
   connection->vm = vm;
   connection->attempt = attempt;
@@ -198,20 +215,24 @@
   if (run.deleted) return Break(*connection, UpstreamFailure::kBroken);
   if (random_.Chance(faults_.break_stream)) {
     const bool silent = random_.Chance(0.2);
-    return Break(*connection, silent ? UpstreamFailure::kTimedOut : UpstreamFailure::kBroken);
+    return Break(*connection, silent ? UpstreamFailure::kTimedOut
+                                     : UpstreamFailure::kBroken);
   }
   const int64_t ready = Generated(run) - connection->sent;
-  if (ready > 0) SendPart(*connection, 1 + static_cast<int64_t>(random_.Below(ready)));
+  if (ready > 0)
+    SendPart(*connection, 1 + static_cast<int64_t>(random_.Below(ready)));
   if (connection->sent >= run.length) {
     connection->open = false;
     const Duration delay = std::max(connection->last_arrival - now_, Transit());
     AtVm(connection->vm, delay,
-         [this, attempt = connection->attempt, total = run.length](RequestMachine& m) {
+         [this, attempt = connection->attempt,
+          total = run.length](RequestMachine& m) {
            return m.OnUpstreamDone(now_, attempt, total);
          });
     return;
   }
-  At(Duration::Milliseconds(5 + random_.Below(80)), [this, connection] { Pump(connection); });
+  At(Duration::Milliseconds(5 + random_.Below(80)),
+     [this, connection] { Pump(connection); });
 }
 
 void RequestWorld::SendPart(Connection& connection, int64_t tokens) {
@@ -242,7 +263,8 @@
   connection.last_arrival = now_ + in_order;
   for (int i = 0; i < copies; ++i) {
     AtVm(connection.vm, in_order + extra + Transit() * i,
-         [this, attempt = connection.attempt, stream, offset, tokens](RequestMachine& m) {
+         [this, attempt = connection.attempt, stream, offset,
+          tokens](RequestMachine& m) {
            return m.OnUpstreamChunk(now_, attempt, stream, offset, tokens,
                                     Text(stream, offset, offset + tokens));
          });
@@ -263,7 +285,8 @@
   engine.alive = false;
   const BootNumber boot(engine.boot++);
   for (auto& c : connections_) {
-    if (c->open && runs_.at(c->stream).engine == index) Break(*c, UpstreamFailure::kBroken);
+    if (c->open && runs_.at(c->stream).engine == index)
+      Break(*c, UpstreamFailure::kBroken);
   }
   for (size_t vm = 0; vm < vms_.size(); ++vm) {
     AtVm(vm, Duration::Milliseconds(random_.Below(1500)),
--- a/modules/zr_request/tests/shared_state_test.cc
+++ b/modules/zr_request/tests/shared_state_test.cc
@@ -11,13 +11,14 @@
 const Fingerprint kPrint(7);
 
 Suspect DeathOf(int endpoint, uint64_t boot = 1) {
-  return {kPrint, EndpointId("engine-" + std::to_string(endpoint)), BootNumber(boot), Duration()};
+  return {kPrint, EndpointId("engine-" + std::to_string(endpoint)),
+          BootNumber(boot), Duration()};
 }
 
 DomainId Domain(int i) { return DomainId("domain-" + std::to_string(i)); }
 
-// Guards against a crashing request that takes down one endpoint after the other, and against
-// innocent requests that are refused.
+// Guards against a crashing request that takes down one endpoint after the
+// other, and against innocent requests that are refused.
 TEST_CASE("A suspect is told by the endpoints that died with it") {
   SuspectTable table;
   REQUIRE(table.OnDeath(kStart, DeathOf(1), Domain(1)));
@@ -28,18 +29,25 @@
   }
   SECTION("a second death refuses it for ten minutes") {
     table.OnDeath(kStart + Duration::Seconds(60), DeathOf(1, 2), Domain(1));
-    REQUIRE(table.Verdict(kStart + Duration::Seconds(599), kPrint) == SuspectVerdict::kRefuse);
-    REQUIRE(table.Verdict(kStart + Duration::Seconds(601), kPrint) == SuspectVerdict::kRunAlone);
-    REQUIRE(table.Verdict(kStart + Duration::Seconds(661), kPrint) == SuspectVerdict::kClear);
+    REQUIRE(table.Verdict(kStart + Duration::Seconds(599), kPrint) ==
+            SuspectVerdict::kRefuse);
+    REQUIRE(table.Verdict(kStart + Duration::Seconds(601), kPrint) ==
+            SuspectVerdict::kRunAlone);
+    REQUIRE(table.Verdict(kStart + Duration::Seconds(661), kPrint) ==
+            SuspectVerdict::kClear);
   }
   SECTION("a broken connection to a living endpoint is no death") {
-    table.OnEndpointAlive(kStart + Duration::Seconds(2), EndpointId("engine-1"), BootNumber(1));
-    REQUIRE(table.Verdict(kStart + Duration::Seconds(2), kPrint) == SuspectVerdict::kClear);
+    table.OnEndpointAlive(kStart + Duration::Seconds(2), EndpointId("engine-1"),
+                          BootNumber(1));
+    REQUIRE(table.Verdict(kStart + Duration::Seconds(2), kPrint) ==
+            SuspectVerdict::kClear);
     REQUIRE(table.Dismissed(kStart + Duration::Seconds(2), kPrint));
   }
   SECTION("a report from after a restart proves nothing") {
-    table.OnEndpointAlive(kStart + Duration::Seconds(2), EndpointId("engine-1"), BootNumber(2));
-    REQUIRE(table.Verdict(kStart + Duration::Seconds(2), kPrint) == SuspectVerdict::kRunAlone);
+    table.OnEndpointAlive(kStart + Duration::Seconds(2), EndpointId("engine-1"),
+                          BootNumber(2));
+    REQUIRE(table.Verdict(kStart + Duration::Seconds(2), kPrint) ==
+            SuspectVerdict::kRunAlone);
   }
   SECTION("a planned stop is no death") {
     table.OnPlannedStop(kStart, EndpointId("engine-1"), BootNumber(1));
@@ -47,9 +55,11 @@
   }
   SECTION("a completed run clears earlier deaths only") {
     table.OnHarmless(kStart + Duration::Seconds(1), kPrint);
-    REQUIRE(table.Verdict(kStart + Duration::Seconds(1), kPrint) == SuspectVerdict::kClear);
+    REQUIRE(table.Verdict(kStart + Duration::Seconds(1), kPrint) ==
+            SuspectVerdict::kClear);
     table.OnDeath(kStart + Duration::Seconds(2), DeathOf(2), Domain(1));
-    REQUIRE(table.Verdict(kStart + Duration::Seconds(2), kPrint) == SuspectVerdict::kRunAlone);
+    REQUIRE(table.Verdict(kStart + Duration::Seconds(2), kPrint) ==
+            SuspectVerdict::kRunAlone);
   }
   SECTION("the loss of a domain is not held against one run in it") {
     for (int i = 2; i <= 3; ++i) {
@@ -57,11 +67,14 @@
       other.fingerprint = Fingerprint(100 + static_cast<uint64_t>(i));
       table.OnDeath(kStart + Duration::Milliseconds(500), other, Domain(1));
     }
-    REQUIRE(table.Verdict(kStart + Duration::Seconds(1), kPrint) == SuspectVerdict::kClear);
+    REQUIRE(table.Verdict(kStart + Duration::Seconds(1), kPrint) ==
+            SuspectVerdict::kClear);
     REQUIRE(table.Verdict(kStart + Duration::Seconds(1), Fingerprint(102)) ==
             SuspectVerdict::kClear);
   }
-  SECTION("a request on all endpoints of a lost domain runs alone and is not refused") {
+  SECTION(
+      "a request on all endpoints of a lost domain runs alone and is not "
+      "refused") {
     for (int i = 2; i <= 4; ++i) table.OnDeath(kStart, DeathOf(i), Domain(1));
     REQUIRE(table.Verdict(kStart, kPrint) == SuspectVerdict::kRunAlone);
   }
@@ -69,11 +82,14 @@
     table.OnDeath(kStart, DeathOf(2), Domain(2));
     for (uint64_t i = 0; i < 5000; ++i) {
       const EndpointId endpoint("other-" + std::to_string(i));
-      table.OnDeath(kStart + Duration::Seconds(5) * static_cast<int64_t>(i % 50),
-                    {Fingerprint(1000 + i), endpoint, BootNumber(1), Duration()}, Domain(5));
+      table.OnDeath(
+          kStart + Duration::Seconds(5) * static_cast<int64_t>(i % 50),
+          {Fingerprint(1000 + i), endpoint, BootNumber(1), Duration()},
+          Domain(5));
     }
     REQUIRE(table.size() <= 4096);
-    REQUIRE(table.Verdict(kStart + Duration::Seconds(250), kPrint) == SuspectVerdict::kRefuse);
+    REQUIRE(table.Verdict(kStart + Duration::Seconds(250), kPrint) ==
+            SuspectVerdict::kRefuse);
   }
 }
 
@@ -111,12 +127,14 @@
     SuspectTable other_table;
     SuspectTurns other(other_table);
     other.OnViewChanged(kStart);
-    REQUIRE(other.OnTurn(kStart + Duration::Seconds(1), b, ask_b).answer == TurnAnswer::kWait);
+    REQUIRE(other.OnTurn(kStart + Duration::Seconds(1), b, ask_b).answer ==
+            TurnAnswer::kWait);
     SuspectTurn renewal = ask_a;
     renewal.holding = true;
     REQUIRE(other.OnTurn(kStart + Duration::Seconds(14), a, renewal).answer ==
             TurnAnswer::kGranted);
-    REQUIRE(other.OnTurn(kStart + Duration::Seconds(16), b, ask_b).answer == TurnAnswer::kWait);
+    REQUIRE(other.OnTurn(kStart + Duration::Seconds(16), b, ask_b).answer ==
+            TurnAnswer::kWait);
   }
 }
 
@@ -132,7 +150,8 @@
       directories.emplace(vms.back(), StreamDirectory(vms.back()));
     }
   }
-  StreamSearch Search(const VmId& from, const FindStream& query, const VmId& dead = VmId()) {
+  StreamSearch Search(const VmId& from, const FindStream& query,
+                      const VmId& dead = VmId()) {
     StreamSearch search(query, vms);
     std::vector<OutgoingMessage> messages = search.Start(now);
     while (!messages.empty()) {
@@ -140,17 +159,18 @@
       messages.pop_back();
       auto more = out.to == dead
                       ? search.OnVmUnreachable(now, dead)
-                      : search.OnLocation(now, out.to,
-                                          directories.at(out.to).Find(
-                                              now, from, std::get<FindStream>(out.message)));
+                      : search.OnLocation(
+                            now, out.to,
+                            directories.at(out.to).Find(
+                                now, from, std::get<FindStream>(out.message)));
       messages.insert(messages.end(), more.begin(), more.end());
     }
     return search;
   }
 };
 
-// Guards against a second run of a request whose caller calls again, and against an answer that
-// goes to another team's caller.
+// Guards against a second run of a request whose caller calls again, and
+// against an answer that goes to another team's caller.
 TEST_CASE("A repeated call finds the run of the first") {
   Fleet fleet;
   const VmId a("vm-a");
@@ -169,8 +189,10 @@
     REQUIRE(second.found()->holder == a);
   }
   SECTION("and a first call does not find itself") {
-    // The directories may lack claims after a change of the view, so all VMs are asked.
-    for (auto& [vm, directory] : fleet.directories) directory.OnViewChanged(kStart);
+    // The directories may lack claims after a change of the view, so all VMs
+    // are asked.
+    for (auto& [vm, directory] : fleet.directories)
+      directory.OnViewChanged(kStart);
     StreamLocation own;
     own.request = query.request;
     own.team = query.team;
@@ -204,8 +226,10 @@
     member.gather_stream = MakeStreamId(held);
     StreamDirectory& c = fleet.directories.at(VmId("vm-c"));
     StreamDirectory& d = fleet.directories.at(VmId("vm-d"));
-    c.OnHeldGrants(kStart, {{a, Incarnation(1), 1}, EndpointId("engine-1"), {held}});
-    d.OnHeldGrants(kStart, {{a, Incarnation(1), 1}, EndpointId("engine-2"), {member}});
+    c.OnHeldGrants(kStart,
+                   {{a, Incarnation(1), 1}, EndpointId("engine-1"), {held}});
+    d.OnHeldGrants(kStart,
+                   {{a, Incarnation(1), 1}, EndpointId("engine-2"), {member}});
     for (auto& [vm, directory] : fleet.directories) {
       directory.OnVmDead(a);
       directory.OnViewChanged(kStart);
@@ -232,7 +256,8 @@
   }
 }
 
-// Guards against a prefix that is recognised after other text, and against unbounded messages.
+// Guards against a prefix that is recognised after other text, and against
+// unbounded messages.
 TEST_CASE("Prompts that begin alike share the hashes of their common blocks") {
   const std::string common(2048, 'a');
   const PromptCost one = PromptCost::Of("m", common + std::string(1024, 'b'));
@@ -255,7 +280,8 @@
   for (int i = 0; i < 1000; ++i) allowed += budget.TryRetry(kStart);
   REQUIRE(allowed == 20);
   for (int i = 0; i < 100; ++i) budget.OnSuccess();
-  for (int i = 0; i < 1000; ++i) allowed += budget.TryRetry(kStart + Duration::Seconds(3));
+  for (int i = 0; i < 1000; ++i)
+    allowed += budget.TryRetry(kStart + Duration::Seconds(3));
   REQUIRE(allowed == 31);
 }
 
--- /dev/null
+++ b/modules/zr_telemetry/decision_log.cc
@@ -0,0 +1,53 @@
+#include "zr_telemetry/decision_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <utility>
+
+namespace zr {
+namespace {
+
+double UnixSeconds() {
+  return std::chrono::duration<double>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+DecisionLog::DecisionLog(std::string vm, Options options)
+    : vm_(std::move(vm)), options_(options) {
+  const int flags = fcntl(options_.descriptor, F_GETFL);
+  if (flags >= 0) fcntl(options_.descriptor, F_SETFL, flags | O_NONBLOCK);
+}
+
+void DecisionLog::Write(TimePoint now, std::string_view event,
+                        const LogFields& fields) {
+  auto it = lanes_.find(event);
+  if (it == lanes_.end()) {
+    it = lanes_
+             .emplace(
+                 std::string(event),
+                 Lane{TokenBucket(options_.lines_per_second, options_.burst)})
+             .first;
+  }
+  Lane& lane = it->second;
+  if (!lane.budget.TryTake(now)) {
+    ++lane.left_out;
+    ++dropped_;
+    return;
+  }
+  LogFields line = {{"time", UnixSeconds()}, {"vm", vm_}, {"event", event}};
+  line.update(fields);
+  if (lane.left_out > 0) line["left_out"] = std::exchange(lane.left_out, 0);
+  std::string text =
+      line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  text += '\n';
+  // A partial write would garble the next line; pipes take lines below
+  // PIPE_BUF whole or not at all.
+  if (write(options_.descriptor, text.data(), text.size()) < 0) ++dropped_;
+}
+
+}  // namespace zr
--- a/modules/zr_telemetry/log.cc
+++ b/modules/zr_telemetry/log.cc
@@ -45,7 +45,8 @@
   return "info";
 }
 
-std::string FormatLine(LogLevel level, std::string_view part, std::string_view message) {
+std::string FormatLine(LogLevel level, std::string_view part,
+                       std::string_view message) {
   const auto now = boost::posix_time::microsec_clock::universal_time();
   const std::string time = boost::posix_time::to_iso_extended_string(now) + "Z";
   if (State().format == LogFormat::kJson) {
@@ -69,7 +70,8 @@
 }  // namespace
 
 Result<LogLevel> ParseLogLevel(std::string_view text) {
-  for (LogLevel level : {LogLevel::kDebug, LogLevel::kInfo, LogLevel::kWarning, LogLevel::kError}) {
+  for (LogLevel level : {LogLevel::kDebug, LogLevel::kInfo, LogLevel::kWarning,
+                         LogLevel::kError}) {
     if (text == LevelName(level)) return level;
   }
   return Fail(ErrorCode::kInvalidArgument, "log", "",
@@ -82,9 +84,11 @@
   State().vm = std::move(vm);
   using Backend = logging::sinks::text_ostream_backend;
   auto backend = boost::make_shared<Backend>();
-  backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+  backend->add_stream(
+      boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
   backend->auto_flush(true);
-  auto sink = boost::make_shared<logging::sinks::synchronous_sink<Backend>>(backend);
+  auto sink =
+      boost::make_shared<logging::sinks::synchronous_sink<Backend>>(backend);
   logging::core::get()->remove_all_sinks();
   logging::core::get()->add_sink(sink);
   Invariants::SetHandler(&LogViolation);
@@ -93,7 +97,8 @@
 void Log(LogLevel level, std::string_view part, std::string_view message) {
   if (level < State().level.load(std::memory_order_relaxed)) return;
   static logging::sources::severity_logger_mt<int> logger;
-  BOOST_LOG_SEV(logger, static_cast<int>(level)) << FormatLine(level, part, message);
+  BOOST_LOG_SEV(logger, static_cast<int>(level))
+      << FormatLine(level, part, message);
 }
 
 void Log(LogLevel level, std::string_view part, const Error& error) {
--- a/modules/zr_telemetry/metrics.cc
+++ b/modules/zr_telemetry/metrics.cc
@@ -14,14 +14,14 @@
 
 namespace acc = boost::accumulators;
 
-using Accumulator =
-    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max,
-                                            acc::tag::extended_p_square_quantile>>;
+using Accumulator = acc::accumulator_set<
+    double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max,
+                       acc::tag::extended_p_square_quantile>>;
 
 // Upper bounds in seconds; fine around the first-token and inter-token goals.
-constexpr std::array<double, 18> kBuckets = {0.001, 0.0025, 0.005, 0.01, 0.025, 0.052,
-                                             0.1,   0.25,   0.5,   0.67, 1,     2.5,
-                                             5,     10,     30,    60,   300,   1800};
+constexpr std::array<double, 18> kBuckets = {
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.052, 0.1, 0.25, 0.5,
+    0.67,  1,      2.5,   5,    10,    30,    60,  300,  1800};
 constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
 
 std::string EscapeLabel(const std::string& value) {
@@ -48,7 +48,8 @@
 
 std::string Braces(const std::string& labels, const std::string& extra = "") {
   if (labels.empty() && extra.empty()) return "";
-  return "{" + labels + (labels.empty() || extra.empty() ? "" : ",") + extra + "}";
+  return "{" + labels + (labels.empty() || extra.empty() ? "" : ",") + extra +
+         "}";
 }
 
 }  // namespace
@@ -64,19 +65,24 @@
     }
   }
 
-  void Print(std::ostream& os, const std::string& name, const std::string& labels) const {
+  void Print(std::ostream& os, const std::string& name,
+             const std::string& labels) const {
     for (size_t i = 0; i < kBuckets.size(); ++i) {
       std::ostringstream bound;
       bound << "le=\"" << kBuckets[i] << "\"";
-      os << name << "_bucket" << Braces(labels, bound.str()) << ' ' << buckets[i] << '\n';
+      os << name << "_bucket" << Braces(labels, bound.str()) << ' '
+         << buckets[i] << '\n';
     }
-    os << name << "_bucket" << Braces(labels, "le=\"+Inf\"") << ' ' << acc::count(accumulator)
+    os << name << "_bucket" << Braces(labels, "le=\"+Inf\"") << ' '
+       << acc::count(accumulator) << '\n';
+    os << name << "_sum" << Braces(labels) << ' ' << acc::sum(accumulator)
+       << '\n';
+    os << name << "_count" << Braces(labels) << ' ' << acc::count(accumulator)
        << '\n';
-    os << name << "_sum" << Braces(labels) << ' ' << acc::sum(accumulator) << '\n';
-    os << name << "_count" << Braces(labels) << ' ' << acc::count(accumulator) << '\n';
   }
 
-  void PrintQuantiles(std::ostream& os, const std::string& name, const std::string& labels) const {
+  void PrintQuantiles(std::ostream& os, const std::string& name,
+                      const std::string& labels) const {
     for (double q : kQuantiles) {
       std::ostringstream quantile;
       quantile << "quantile=\"" << q << "\"";
@@ -89,20 +95,23 @@
 Metrics::Metrics() = default;
 Metrics::~Metrics() = default;
 
-void Metrics::Count(const std::string& name, const MetricLabels& labels, double by) {
+void Metrics::Count(const std::string& name, const MetricLabels& labels,
+                    double by) {
   ZR_ASSERT(by >= 0, "a counter only rises");
   const std::string key = FormatLabels(labels);
   std::lock_guard lock(mutex_);
   counters_[name][key] += by;
 }
 
-void Metrics::Set(const std::string& name, const MetricLabels& labels, double value) {
+void Metrics::Set(const std::string& name, const MetricLabels& labels,
+                  double value) {
   const std::string key = FormatLabels(labels);
   std::lock_guard lock(mutex_);
   gauges_[name][key] = value;
 }
 
-void Metrics::Observe(const std::string& name, const MetricLabels& labels, Duration sample) {
+void Metrics::Observe(const std::string& name, const MetricLabels& labels,
+                      Duration sample) {
   const std::string key = FormatLabels(labels);
   std::lock_guard lock(mutex_);
   auto& histogram = histograms_[name][key];
@@ -110,7 +119,8 @@
   histogram->Add(sample.seconds());
 }
 
-double Metrics::Value(const std::string& name, const MetricLabels& labels) const {
+double Metrics::Value(const std::string& name,
+                      const MetricLabels& labels) const {
   const std::string key = FormatLabels(labels);
   std::lock_guard lock(mutex_);
   for (const auto* family : {&counters_, &gauges_}) {
@@ -137,7 +147,8 @@
   print(gauges_, "gauge");
   for (const auto& [name, series] : histograms_) {
     os << "# TYPE " << name << " histogram\n";
-    for (const auto& [labels, histogram] : series) histogram->Print(os, name, labels);
+    for (const auto& [labels, histogram] : series)
+      histogram->Print(os, name, labels);
     os << "# TYPE " << name << "_quantile gauge\n";
     for (const auto& [labels, histogram] : series) {
       histogram->PrintQuantiles(os, name + "_quantile", labels);
@@ -146,8 +157,8 @@
   os << "# TYPE zr_invariant_violations_total counter\n";
   for (size_t i = 0; i < kInvariantCount; ++i) {
     const auto invariant = static_cast<Invariant>(i);
-    os << "zr_invariant_violations_total{invariant=\"" << ToString(invariant) << "\"} "
-       << Invariants::Count(invariant) << '\n';
+    os << "zr_invariant_violations_total{invariant=\"" << ToString(invariant)
+       << "\"} " << Invariants::Count(invariant) << '\n';
   }
   return os.str();
 }
--- a/modules/zr_telemetry/metrics.h
+++ b/modules/zr_telemetry/metrics.h
@@ -28,11 +28,13 @@
   // Recording
 
   /** Adds to a counter; by must not be negative. */
-  void Count(const std::string& name, const MetricLabels& labels, double by = 1);
+  void Count(const std::string& name, const MetricLabels& labels,
+             double by = 1);
   /** Sets a gauge. */
   void Set(const std::string& name, const MetricLabels& labels, double value);
   /** Adds a sample, in seconds, to a histogram. */
-  void Observe(const std::string& name, const MetricLabels& labels, Duration sample);
+  void Observe(const std::string& name, const MetricLabels& labels,
+               Duration sample);
 
   //============================================================================
   // Queries
@@ -48,7 +50,8 @@
   mutable std::mutex mutex_;
   std::map<std::string, std::map<std::string, double>> counters_;
   std::map<std::string, std::map<std::string, double>> gauges_;
-  std::map<std::string, std::map<std::string, std::unique_ptr<Histogram>>> histograms_;
+  std::map<std::string, std::map<std::string, std::unique_ptr<Histogram>>>
+      histograms_;
 };
 
 /** Label of a prompt-length bucket, for example "8k-32k". */
--- a/modules/zr_telemetry/tests/telemetry_test.cc
+++ b/modules/zr_telemetry/tests/telemetry_test.cc
@@ -9,13 +9,17 @@
 TEST_CASE("Metrics in Prometheus text form") {
   Metrics metrics;
   metrics.Count("zr_requests_total", {{"team", "a\"b"}});
-  metrics.Observe("zr_ttft_seconds", {{"class", "lookup"}}, Duration::Milliseconds(60));
+  metrics.Observe("zr_ttft_seconds", {{"class", "lookup"}},
+                  Duration::Milliseconds(60));
   const std::string text = metrics.PrometheusText();
   CHECK(text.find("zr_requests_total{team=\"a\\\"b\"} 1") != std::string::npos);
-  CHECK(text.find("zr_ttft_seconds_bucket{class=\"lookup\",le=\"0.052\"} 0") != std::string::npos);
-  CHECK(text.find("zr_ttft_seconds_bucket{class=\"lookup\",le=\"0.1\"} 1") != std::string::npos);
-  CHECK(text.find("zr_invariant_violations_total{invariant=\"at_most_once\"}") !=
+  CHECK(text.find("zr_ttft_seconds_bucket{class=\"lookup\",le=\"0.052\"} 0") !=
         std::string::npos);
+  CHECK(text.find("zr_ttft_seconds_bucket{class=\"lookup\",le=\"0.1\"} 1") !=
+        std::string::npos);
+  CHECK(
+      text.find("zr_invariant_violations_total{invariant=\"at_most_once\"}") !=
+      std::string::npos);
 }
 
 }  // namespace
--- a/modules/zr_telemetry/zr_telemetry.h
+++ b/modules/zr_telemetry/zr_telemetry.h
@@ -8,5 +8,6 @@
  * Threads: every function may be called from any thread.
  */
 
+#include "zr_telemetry/decision_log.h"
 #include "zr_telemetry/log.h"
 #include "zr_telemetry/metrics.h"
--- a/modules/zr_wire/cbor_codec.cc
+++ b/modules/zr_wire/cbor_codec.cc
@@ -38,7 +38,8 @@
 
   template <typename T>
   static Json Encode(T& field) {
-    if constexpr (kIsStringId<T> || kIsNumericId<T> || std::is_same_v<T, TokenCount>) {
+    if constexpr (kIsStringId<T> || kIsNumericId<T> ||
+                  std::is_same_v<T, TokenCount>) {
       return field.value();
     } else if constexpr (std::is_same_v<T, Duration>) {
       return field.microseconds();
@@ -50,7 +51,8 @@
       return items;
     } else if constexpr (std::is_same_v<T, ByteString>) {
       return Json::binary({field.bytes.begin(), field.bytes.end()});
-    } else if constexpr (std::is_arithmetic_v<T> || std::is_same_v<T, std::string>) {
+    } else if constexpr (std::is_arithmetic_v<T> ||
+                         std::is_same_v<T, std::string>) {
       return field;
     } else {
       Writer nested;
@@ -66,7 +68,8 @@
 /** Reads fields from a CBOR array; the first mismatch makes it fail. */
 class Reader {
  public:
-  explicit Reader(const Json& array, size_t first = 0) : array_(array), next_(first) {}
+  explicit Reader(const Json& array, size_t first = 0)
+      : array_(array), next_(first) {}
 
   template <typename... T>
   void operator()(T&... fields) {
@@ -188,7 +191,8 @@
   bool end_object() override { return Leave(); }
   bool start_array(size_t) override { return Enter(); }
   bool end_array() override { return Leave(); }
-  bool parse_error(size_t, const std::string&, const nlohmann::detail::exception&) override {
+  bool parse_error(size_t, const std::string&,
+                   const nlohmann::detail::exception&) override {
     return false;
   }
 
@@ -210,7 +214,8 @@
     Fields(reader, message);
     if (!reader.ok()) {
       return Fail(ErrorCode::kInvalidArgument, "wire", "",
-                  "message type " + std::to_string(type) + " has a missing or invalid field");
+                  "message type " + std::to_string(type) +
+                      " has a missing or invalid field");
     }
     return Message(std::move(message));
   } else {
@@ -238,18 +243,21 @@
     return Fail(ErrorCode::kTooLarge, "wire", "", "frame is larger than 1 MiB");
   }
   DepthChecker checker;
-  if (!Json::sax_parse(frame.begin(), frame.end(), &checker, Json::input_format_t::cbor)) {
+  if (!Json::sax_parse(frame.begin(), frame.end(), &checker,
+                       Json::input_format_t::cbor)) {
     return Fail(ErrorCode::kInvalidArgument, "wire", "",
                 "frame is truncated, malformed or nested too deeply");
   }
   const Json array = Json::from_cbor(frame.begin(), frame.end(), true, false);
   if (!array.is_array() || array.empty() || !array[0].is_number_unsigned()) {
-    return Fail(ErrorCode::kInvalidArgument, "wire", "", "frame is not a message array");
+    return Fail(ErrorCode::kInvalidArgument, "wire", "",
+                "frame is not a message array");
   }
   const auto type = array[0].get<size_t>();
   static const size_t kConfigOffer = Message(ConfigOffer{}).index();
   if (frame.size() > kMaxFrameBytes && type != kConfigOffer) {
-    return Fail(ErrorCode::kTooLarge, "wire", "", "frame is larger than 64 KiB");
+    return Fail(ErrorCode::kTooLarge, "wire", "",
+                "frame is larger than 64 KiB");
   }
   return DecodeAlternative(type, array);
 }
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -25,19 +25,21 @@
 }
 template <typename A>
 void Fields(A& a, Heartbeat& m) {
-  a(m.origin, m.domain, m.region, m.peer_address, m.ready, m.leaving, m.config_version,
-    m.config_digest, m.hops, m.team_demand, m.pool_demand, m.weight);
+  a(m.origin, m.domain, m.region, m.peer_address, m.ready, m.leaving,
+    m.config_version, m.config_digest, m.hops, m.team_demand, m.pool_demand,
+    m.weight);
 }
 template <typename A>
 void Fields(A& a, Summary& m) {
-  a(m.endpoint, m.pool, m.domain, m.owner, m.owner_incarnation, m.sequence, m.accepts_new,
-    m.kv_free, m.kv_capacity, m.wait_short, m.wait_long, m.prefixes, m.prefill_tokens_per_second,
-    m.boot, m.warm);
+  a(m.endpoint, m.pool, m.domain, m.owner, m.owner_incarnation, m.sequence,
+    m.accepts_new, m.kv_free, m.kv_capacity, m.wait_short, m.wait_long,
+    m.prefixes, m.prefill_tokens_per_second, m.boot, m.warm);
 }
 template <typename A>
 void Fields(A& a, AdmissionRequest& m) {
-  a(m.request, m.attempt, m.endpoint, m.pool, m.team, m.request_class, m.prompt, m.max_answer,
-    m.time_left, m.fingerprint, m.run_alone, m.queue_if_busy, m.plain_service, m.prefixes);
+  a(m.request, m.attempt, m.endpoint, m.pool, m.team, m.request_class, m.prompt,
+    m.max_answer, m.time_left, m.fingerprint, m.run_alone, m.queue_if_busy,
+    m.plain_service, m.prefixes);
 }
 template <typename A>
 void Fields(A& a, GatherMember& m) {
@@ -45,8 +47,8 @@
 }
 template <typename A>
 void Fields(A& a, Grant& m) {
-  a(m.request, m.attempt, m.endpoint, m.number, m.owner, m.owner_incarnation, m.kv_tokens,
-    m.start_within, m.priority, m.boot, m.members);
+  a(m.request, m.attempt, m.endpoint, m.number, m.owner, m.owner_incarnation,
+    m.kv_tokens, m.start_within, m.priority, m.boot, m.members);
 }
 template <typename A>
 void Fields(A& a, Refusal& m) {
@@ -54,14 +56,14 @@
 }
 template <typename A>
 void Fields(A& a, Release& m) {
-  a(m.request, m.attempt, m.endpoint, m.number, m.outcome, m.prompt, m.answered, m.run_time,
-    m.first_token);
+  a(m.request, m.attempt, m.endpoint, m.number, m.outcome, m.prompt, m.answered,
+    m.run_time, m.first_token);
 }
 template <typename A>
 void Fields(A& a, HeldGrant& m) {
-  a(m.request, m.attempt, m.number, m.owner, m.owner_incarnation, m.kv_tokens, m.prompt,
-    m.fingerprint, m.long_prompt, m.started, m.gather_endpoint, m.gather_stream, m.generating,
-    m.boot);
+  a(m.request, m.attempt, m.number, m.owner, m.owner_incarnation, m.kv_tokens,
+    m.prompt, m.fingerprint, m.long_prompt, m.started, m.gather_endpoint,
+    m.gather_stream, m.generating, m.boot);
 }
 template <typename A>
 void Fields(A& a, HeldGrants& m) {
@@ -81,8 +83,8 @@
 }
 template <typename A>
 void Fields(A& a, StreamLocation& m) {
-  a(m.request, m.found, m.team, m.endpoint, m.stream, m.attempt, m.holder, m.fingerprint,
-    m.conflict, m.done, m.certain, m.grants);
+  a(m.request, m.found, m.team, m.endpoint, m.stream, m.attempt, m.holder,
+    m.fingerprint, m.conflict, m.done, m.certain, m.grants);
 }
 template <typename A>
 void Fields(A& a, ConfigOffer& m) {
@@ -98,7 +100,8 @@
 }
 template <typename A>
 void Fields(A& a, GatherReply& m) {
-  a(m.request, m.attempt, m.endpoint, m.reserved, m.number, m.wait_hint, m.owner_incarnation);
+  a(m.request, m.attempt, m.endpoint, m.reserved, m.number, m.wait_hint,
+    m.owner_incarnation);
 }
 template <typename A>
 void Fields(A& a, GatherRelease& m) {
@@ -111,8 +114,8 @@
 }
 template <typename A>
 void Fields(A& a, HandOver& m) {
-  a(m.request, m.accepted, m.conflict, m.may_have_run, m.run_alone, m.next_attempt, m.stream,
-    m.grants);
+  a(m.request, m.accepted, m.conflict, m.may_have_run, m.run_alone,
+    m.next_attempt, m.stream, m.grants);
 }
 template <typename A>
 void Fields(A& a, SuspectTurn& m) {
@@ -125,24 +128,27 @@
 
 template <typename A>
 void Fields(A& a, VmRecord& m) {
-  a(m.vm, m.incarnation, m.domain, m.region, m.peer_address, m.weight, m.ready, m.leaving,
-    m.config_version, m.beat, m.age);
+  a(m.vm, m.incarnation, m.domain, m.region, m.peer_address, m.weight, m.ready,
+    m.leaving, m.config_version, m.beat, m.age);
 }
 template <typename A>
 void Fields(A& a, MembershipDigest& m) {
-  a(m.sender, m.ready, m.leaving, m.config_version, m.beat, m.wants_records, m.roster,
-    m.config_digest, m.states, m.versions, m.version_indexes, m.records);
+  a(m.sender, m.ready, m.leaving, m.config_version, m.beat, m.wants_records,
+    m.roster, m.config_digest, m.states, m.versions, m.version_indexes,
+    m.records);
 }
 
 /** Largest valid value of each enumeration on the wire. */
 template <typename E>
 inline constexpr uint8_t kEnumMax = 0;
 template <>
-inline constexpr uint8_t kEnumMax<RefusalReason> = static_cast<uint8_t>(RefusalReason::kSuspect);
+inline constexpr uint8_t kEnumMax<RefusalReason> =
+    static_cast<uint8_t>(RefusalReason::kSuspect);
 template <>
 inline constexpr uint8_t kEnumMax<ReleaseOutcome> =
     static_cast<uint8_t>(ReleaseOutcome::kEndpointRefused);
 template <>
-inline constexpr uint8_t kEnumMax<TurnAnswer> = static_cast<uint8_t>(TurnAnswer::kClear);
+inline constexpr uint8_t kEnumMax<TurnAnswer> =
+    static_cast<uint8_t>(TurnAnswer::kClear);
 
 }  // namespace zr
