--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -34,7 +34,8 @@
   friend auto operator<=>(const PoolDemand&, const PoolDemand&) = default;
 };
 
-/** Sent to each linked VM every heartbeat period; relayed when links are bounded. */
+/** Sent to each linked VM every heartbeat period; relayed when links are
+ * bounded. */
 struct Heartbeat {
   SenderStamp origin;  // the VM that the heartbeat is about
   DomainId domain;
@@ -67,7 +68,7 @@
   std::vector<PrefixHash> prefixes;
   int64_t prefill_tokens_per_second = 0;  // as observed, 0 if unknown
   BootNumber boot;                        // of the endpoint
-  bool warm = false;                      // the endpoint completed enough work since this boot
+  bool warm = false;  // the endpoint completed enough work since this boot
   friend auto operator<=>(const Summary&, const Summary&) = default;
 };
 
@@ -83,11 +84,13 @@
   TokenCount max_answer;  // bound on the answer's tokens
   Duration time_left;     // until the deadline, at sending
   Fingerprint fingerprint;
-  bool run_alone = false;            // suspect: nothing else may run on the endpoint
-  bool queue_if_busy = false;        // false: answer "busy" in place of queueing
-  bool plain_service = false;        // a call of a plain service; token counts are 0
-  std::vector<PrefixHash> prefixes;  // hashes of the prompt's prefix blocks, shortest first
-  friend auto operator<=>(const AdmissionRequest&, const AdmissionRequest&) = default;
+  bool run_alone = false;      // suspect: nothing else may run on the endpoint
+  bool queue_if_busy = false;  // false: answer "busy" in place of queueing
+  bool plain_service = false;  // a call of a plain service; token counts are 0
+  std::vector<PrefixHash>
+      prefixes;  // hashes of the prompt's prefix blocks, shortest first
+  friend auto operator<=>(const AdmissionRequest&,
+                          const AdmissionRequest&) = default;
 };
 
 /** A part of a gather: memory reserved on one more endpoint. */
@@ -108,11 +111,12 @@
   GrantNumber number;
   VmId owner;
   Incarnation owner_incarnation;
-  TokenCount kv_tokens;               // reserved
-  Duration start_within;              // void if the call has not started by then
-  int32_t priority = 0;               // passed to the engine; higher is sooner
-  BootNumber boot;                    // the endpoint's boot number as the owner knows it
-  std::vector<GatherMember> members;  // of a gather: the other endpoints, empty otherwise
+  TokenCount kv_tokens;   // reserved
+  Duration start_within;  // void if the call has not started by then
+  int32_t priority = 0;   // passed to the engine; higher is sooner
+  BootNumber boot;        // the endpoint's boot number as the owner knows it
+  std::vector<GatherMember>
+      members;  // of a gather: the other endpoints, empty otherwise
   friend auto operator<=>(const Grant&, const Grant&) = default;
 };
 
@@ -170,7 +174,8 @@
   Fingerprint fingerprint;
   bool long_prompt = false;
   bool started = false;
-  // Only for the further members of a gathered run: where it streams, and its stream id.
+  // Only for the further members of a gathered run: where it streams, and its
+  // stream id.
   EndpointId gather_endpoint;
   std::string gather_stream;
   bool generating = false;  // the first token has arrived
@@ -178,7 +183,8 @@
   friend auto operator<=>(const HeldGrant&, const HeldGrant&) = default;
 };
 
-/** The full list of a holder's grants on one endpoint, repeated while any is held. */
+/** The full list of a holder's grants on one endpoint, repeated while any is
+ * held. */
 struct HeldGrants {
   SenderStamp holder;
   EndpointId endpoint;
@@ -191,7 +197,8 @@
   RequestId request;
   AttemptNumber attempt;
   EndpointId endpoint;
-  friend auto operator<=>(const CancelAdmission&, const CancelAdmission&) = default;
+  friend auto operator<=>(const CancelAdmission&,
+                          const CancelAdmission&) = default;
 };
 
 /** A request that was in progress on an endpoint that died. */
@@ -208,8 +215,10 @@
   RequestId request;
   TeamId team;
   Fingerprint fingerprint;
-  bool claim = false;  // to the locator: if nothing is found, the sender will run the request
-  std::string stream;  // the engine stream that the caller has a part of, empty for any
+  bool claim = false;  // to the locator: if nothing is found, the sender will
+                       // run the request
+  std::string
+      stream;  // the engine stream that the caller has a part of, empty for any
   friend auto operator<=>(const FindStream&, const FindStream&) = default;
 };
 
@@ -223,11 +232,14 @@
   AttemptNumber attempt;
   VmId holder;  // the VM that reads the stream, empty if it died
   Fingerprint fingerprint;
-  bool conflict = false;      // the id is in use by another team or for another prompt
-  bool done = false;          // the engine generated the whole answer
-  bool certain = false;       // with found = false: the sender would know of any run
-  std::vector<Grant> grants;  // of the run, if known; several for a gathered run
-  friend auto operator<=>(const StreamLocation&, const StreamLocation&) = default;
+  bool conflict =
+      false;          // the id is in use by another team or for another prompt
+  bool done = false;  // the engine generated the whole answer
+  bool certain = false;  // with found = false: the sender would know of any run
+  std::vector<Grant>
+      grants;  // of the run, if known; several for a gathered run
+  friend auto operator<=>(const StreamLocation&,
+                          const StreamLocation&) = default;
 };
 
 /** A configuration document with its version. */
@@ -284,26 +296,30 @@
   friend auto operator<=>(const TakeOver&, const TakeOver&) = default;
 };
 
-/** Answer to TakeOver; with it the grants and the stream belong to the receiver. */
+/** Answer to TakeOver; with it the grants and the stream belong to the
+ * receiver. */
 struct HandOver {
   RequestId request;
-  bool accepted = false;       // false: the sender does not hold the request
-  bool conflict = false;       // the id is in use by another team or for another prompt
+  bool accepted = false;  // false: the sender does not hold the request
+  bool conflict =
+      false;  // the id is in use by another team or for another prompt
   bool may_have_run = false;   // an attempt was sent to an endpoint
   bool run_alone = false;      // the run is one of a suspect
   AttemptNumber next_attempt;  // the receiver counts on from here
-  std::string stream;          // the engine's stream id, empty if no run is in progress
-  std::vector<Grant> grants;   // the first is of the endpoint that streams
+  std::string stream;  // the engine's stream id, empty if no run is in progress
+  std::vector<Grant> grants;  // the first is of the endpoint that streams
   friend auto operator<=>(const HandOver&, const HandOver&) = default;
 };
 
-/** Asks the locator of a fingerprint for the right to run a suspect, renews or returns it. */
+/** Asks the locator of a fingerprint for the right to run a suspect, renews or
+ * returns it. */
 struct SuspectTurn {
   Fingerprint fingerprint;
   RequestId request;
   bool holding = false;   // the run is in progress: renewal
   bool returned = false;  // the run has ended
-  bool harmless = false;  // with returned: the run completed, so the suspicion is unfounded
+  bool harmless =
+      false;  // with returned: the run completed, so the suspicion is unfounded
   friend auto operator<=>(const SuspectTurn&, const SuspectTurn&) = default;
 };
 
@@ -321,7 +337,8 @@
   RequestId request;
   TurnAnswer answer = TurnAnswer::kWait;
   Duration wait_hint;  // for kWait
-  friend auto operator<=>(const SuspectTurnReply&, const SuspectTurnReply&) = default;
+  friend auto operator<=>(const SuspectTurnReply&,
+                          const SuspectTurnReply&) = default;
 };
 
 /** Octets; encoded as a CBOR byte string. */
@@ -347,12 +364,14 @@
 };
 
 /**
- * Sent on bounded links. Without a roster it is a beat that tells of its sender only.
+ * Sent on bounded links. Without a roster it is a beat that tells of its sender
+ * only.
  *
- * `states` holds two octets for each VM of the roster, which is sorted by name: the lower 14 bits
- * of its newest known beat, ready, leaving. A beat is a reading of the VM's own clock, so news of a
- * dead VM does not become fresher while it is passed around. `version_indexes` holds two bits for
- * each VM, which select an entry of `versions`; 3 stands for an older version.
+ * `states` holds two octets for each VM of the roster, which is sorted by name:
+ * the lower 14 bits of its newest known beat, ready, leaving. A beat is a
+ * reading of the VM's own clock, so news of a dead VM does not become fresher
+ * while it is passed around. `version_indexes` holds two bits for each VM,
+ * which select an entry of `versions`; 3 stands for an older version.
  */
 struct MembershipDigest {
   SenderStamp sender;
@@ -360,27 +379,33 @@
   bool leaving = false;
   ObjectVersion config_version;  // of the sender
   uint64_t beat = 0;             // of the sender
-  bool wants_records = false;    // the receiver should answer with all its records
-  uint64_t roster = 0;           // hash of all names and incarnations, 0 for a beat
-  std::string config_digest;     // of the sender's version, hex SHA-256; empty in a beat
+  bool wants_records =
+      false;            // the receiver should answer with all its records
+  uint64_t roster = 0;  // hash of all names and incarnations, 0 for a beat
+  std::string
+      config_digest;  // of the sender's version, hex SHA-256; empty in a beat
   ByteString states;
   std::vector<ObjectVersion> versions;  // newest first, at most 3
   ByteString version_indexes;
   std::vector<VmRecord> records;  // learnt recently, or all
-  friend auto operator<=>(const MembershipDigest&, const MembershipDigest&) = default;
+  friend auto operator<=>(const MembershipDigest&,
+                          const MembershipDigest&) = default;
 };
 
 /** Any message between entry VMs. The order is part of the wire format. */
-using Message = std::variant<Heartbeat, Summary, AdmissionRequest, Grant, Refusal, Release,
-                             HeldGrants, CancelAdmission, Suspect, FindStream, StreamLocation,
-                             ConfigOffer, ConfigFetch, GatherReserve, GatherReply, GatherRelease,
-                             TakeOver, HandOver, SuspectTurn, SuspectTurnReply, MembershipDigest>;
+using Message =
+    std::variant<Heartbeat, Summary, AdmissionRequest, Grant, Refusal, Release,
+                 HeldGrants, CancelAdmission, Suspect, FindStream,
+                 StreamLocation, ConfigOffer, ConfigFetch, GatherReserve,
+                 GatherReply, GatherRelease, TakeOver, HandOver, SuspectTurn,
+                 SuspectTurnReply, MembershipDigest>;
 
 /** A message with the VM it goes to. */
 struct OutgoingMessage {
   VmId to;
   Message message;
-  friend auto operator<=>(const OutgoingMessage&, const OutgoingMessage&) = default;
+  friend auto operator<=>(const OutgoingMessage&,
+                          const OutgoingMessage&) = default;
 };
 
 }  // namespace zr
--- a/modules/zr_wire/stream_id.cc
+++ b/modules/zr_wire/stream_id.cc
@@ -17,8 +17,9 @@
   return request.value() + "#" + std::to_string(attempt.value());
 }
 
-std::string MakeStreamId(const RequestId& request, AttemptNumber attempt, const VmId& owner,
-                         Incarnation owner_incarnation, GrantNumber number) {
+std::string MakeStreamId(const RequestId& request, AttemptNumber attempt,
+                         const VmId& owner, Incarnation owner_incarnation,
+                         GrantNumber number) {
   std::string id = MakeStreamId(request, attempt);
   id += '.';
   AppendHex(id, Hash64(owner.value()));
@@ -30,13 +31,13 @@
 }
 
 std::string MakeStreamId(const Grant& grant) {
-  return MakeStreamId(grant.request, grant.attempt, grant.owner, grant.owner_incarnation,
-                      grant.number);
+  return MakeStreamId(grant.request, grant.attempt, grant.owner,
+                      grant.owner_incarnation, grant.number);
 }
 
 std::string MakeStreamId(const HeldGrant& grant) {
-  return MakeStreamId(grant.request, grant.attempt, grant.owner, grant.owner_incarnation,
-                      grant.number);
+  return MakeStreamId(grant.request, grant.attempt, grant.owner,
+                      grant.owner_incarnation, grant.number);
 }
 
 std::optional<StreamKey> ParseStreamId(std::string_view id) {
@@ -46,10 +47,12 @@
   std::string_view digits = id.substr(hash + 1);
   digits = digits.substr(0, digits.find('.'));
   uint64_t attempt = 0;
-  const auto [end, error] =
-      std::from_chars(digits.data(), digits.data() + digits.size(), attempt, 10);
-  if (error != std::errc() || end != digits.data() + digits.size()) return std::nullopt;
-  return StreamKey{RequestId(std::string(id.substr(0, hash))), AttemptNumber(attempt)};
+  const auto [end, error] = std::from_chars(
+      digits.data(), digits.data() + digits.size(), attempt, 10);
+  if (error != std::errc() || end != digits.data() + digits.size())
+    return std::nullopt;
+  return StreamKey{RequestId(std::string(id.substr(0, hash))),
+                   AttemptNumber(attempt)};
 }
 
 }  // namespace zr
--- a/modules/zr_wire/stream_id.h
+++ b/modules/zr_wire/stream_id.h
@@ -25,12 +25,14 @@
  * identity of the grant, because two owners may grant the same attempt.
  * Imports of a gathered attempt carry the id of the first member's grant.
  */
-std::string MakeStreamId(const RequestId& request, AttemptNumber attempt, const VmId& owner,
-                         Incarnation owner_incarnation, GrantNumber number);
+std::string MakeStreamId(const RequestId& request, AttemptNumber attempt,
+                         const VmId& owner, Incarnation owner_incarnation,
+                         GrantNumber number);
 std::string MakeStreamId(const Grant& grant);
 std::string MakeStreamId(const HeldGrant& grant);
 
-/** The attempt that a stream id names; nullopt if the id was not made by MakeStreamId. */
+/** The attempt that a stream id names; nullopt if the id was not made by
+ * MakeStreamId. */
 std::optional<StreamKey> ParseStreamId(std::string_view id);
 
 }  // namespace zr
--- a/modules/zr_wire/tests/wire_test.cc
+++ b/modules/zr_wire/tests/wire_test.cc
@@ -29,9 +29,9 @@
   HeldGrants held;
   held.grants.resize(2);
   held.grants[1].started = true;
-  for (const Message& message :
-       std::vector<Message>{SampleAdmission(), heartbeat, refusal, held, Summary{}, Grant{},
-                            Release{}, Suspect{}, GatherReply{}, ConfigOffer{}}) {
+  for (const Message& message : std::vector<Message>{
+           SampleAdmission(), heartbeat, refusal, held, Summary{}, Grant{},
+           Release{}, Suspect{}, GatherReply{}, ConfigOffer{}}) {
     auto decoded = DecodeMessage(EncodeMessage(message));
     REQUIRE(decoded);
     REQUIRE(*decoded == message);
--- a/standins/common/fault_port.cc
+++ b/standins/common/fault_port.cc
@@ -2,8 +2,10 @@
 
 namespace zr {
 
-void RegisterEndpoints(asio::io_context& context, const std::shared_ptr<HttpClient>& client,
-                       const std::string& platform, const EndpointGroup& group) {
+void RegisterEndpoints(asio::io_context& context,
+                       const std::shared_ptr<HttpClient>& client,
+                       const std::string& platform,
+                       const EndpointGroup& group) {
   if (platform.empty()) return;
   const auto domains = SplitList(group.domains);
   for (int i = 0; i < group.count; ++i) {
--- a/standins/common/fault_port.h
+++ b/standins/common/fault_port.h
@@ -24,7 +24,8 @@
   HttpServerOptions options;
   options.address = address;
   return HttpServer::Start(
-      context, options, [&members](const HttpRequest& request, const HttpResponsePtr& response) {
+      context, options,
+      [&members](const HttpRequest& request, const HttpResponsePtr& response) {
         const auto path = PathSegments(request.path);
         if (path.size() < 2 || path[0] != "fault") {
           SendError(response, 404, "not_found", "unknown path " + request.path);
@@ -55,9 +56,11 @@
   std::string region;
 };
 
-/** Writes the group's `endpoints` objects to the platform stand-in; an empty address does nothing.
+/** Writes the group's `endpoints` objects to the platform stand-in; an empty
+ * address does nothing.
  */
-void RegisterEndpoints(asio::io_context& context, const std::shared_ptr<HttpClient>& client,
+void RegisterEndpoints(asio::io_context& context,
+                       const std::shared_ptr<HttpClient>& client,
                        const std::string& platform, const EndpointGroup& group);
 
 }  // namespace zr
--- a/standins/common/host.cc
+++ b/standins/common/host.cc
@@ -15,8 +15,8 @@
 /** Repeats a conditional write until it has taken effect. */
 class Registration : public std::enable_shared_from_this<Registration> {
  public:
-  Registration(asio::io_context& context, std::shared_ptr<HttpClient> client, std::string url,
-               std::string value)
+  Registration(asio::io_context& context, std::shared_ptr<HttpClient> client,
+               std::string url, std::string value)
       : context_(context),
         client_(std::move(client)),
         url_(std::move(url)),
@@ -26,18 +26,22 @@
     ClientRequest request;
     request.url = url_;
     request.total_timeout = Duration::Seconds(5);
-    client_->Fetch(std::move(request), 1 << 22, [self = shared_from_this()](auto result) {
-      if (result && result->status == 404) {
-        self->Write("if-none-match", "*");
-        return;
-      }
-      auto body = result && result->status == 200 ? ParseJson(result->body) : nlohmann::json();
-      if (!body.is_object() || !body.contains("version")) {
-        self->Repeat();
-      } else if (body["value"] != self->value_) {
-        self->Write("if-match", std::to_string(body["version"].template get<int64_t>()));
-      }
-    });
+    client_->Fetch(
+        std::move(request), 1 << 22, [self = shared_from_this()](auto result) {
+          if (result && result->status == 404) {
+            self->Write("if-none-match", "*");
+            return;
+          }
+          auto body = result && result->status == 200 ? ParseJson(result->body)
+                                                      : nlohmann::json();
+          if (!body.is_object() || !body.contains("version")) {
+            self->Repeat();
+          } else if (body["value"] != self->value_) {
+            self->Write(
+                "if-match",
+                std::to_string(body["version"].template get<int64_t>()));
+          }
+        });
   }
 
  private:
@@ -48,13 +52,15 @@
     request.headers[condition] = version;
     request.body = value_;
     request.total_timeout = Duration::Seconds(5);
-    client_->Fetch(std::move(request), 1 << 20, [self = shared_from_this()](auto result) {
-      if (!result || result->status != 200) self->Repeat();
-    });
+    client_->Fetch(std::move(request), 1 << 20,
+                   [self = shared_from_this()](auto result) {
+                     if (!result || result->status != 200) self->Repeat();
+                   });
   }
 
   void Repeat() {
-    RunAfter(context_, kRegisterRetry, [self = shared_from_this()] { self->Read(); });
+    RunAfter(context_, kRegisterRetry,
+             [self = shared_from_this()] { self->Read(); });
   }
 
   asio::io_context& context_;
@@ -65,13 +71,16 @@
 
 }  // namespace
 
-void SendJson(const HttpResponsePtr& response, int status, const nlohmann::json& body) {
+void SendJson(const HttpResponsePtr& response, int status,
+              const nlohmann::json& body) {
   response->Send(status, {{"content-type", "application/json"}}, body.dump());
 }
 
-void SendError(const HttpResponsePtr& response, int status, const std::string& code,
-               const std::string& message, const std::string& run) {
-  SendJson(response, status, {{"error", {{"code", code}, {"message", message}, {"run", run}}}});
+void SendError(const HttpResponsePtr& response, int status,
+               const std::string& code, const std::string& message,
+               const std::string& run) {
+  SendJson(response, status,
+           {{"error", {{"code", code}, {"message", message}, {"run", run}}}});
 }
 
 nlohmann::json ParseJson(std::string_view text) {
@@ -79,7 +88,8 @@
   return parsed.is_discarded() ? nlohmann::json() : parsed;
 }
 
-int64_t QueryInteger(const HttpRequest& request, std::string_view name, int64_t fallback) {
+int64_t QueryInteger(const HttpRequest& request, std::string_view name,
+                     int64_t fallback) {
   const auto text = request.QueryParameter(name);
   if (!text) return fallback;
   int64_t value = fallback;
@@ -87,7 +97,8 @@
   return value;
 }
 
-double QueryReal(const HttpRequest& request, std::string_view name, double fallback) {
+double QueryReal(const HttpRequest& request, std::string_view name,
+                 double fallback) {
   const auto text = request.QueryParameter(name);
   if (!text) return fallback;
   double value = fallback;
@@ -101,7 +112,8 @@
     const size_t end = text.find(separator);
     const std::string_view part = text.substr(0, end);
     if (!part.empty()) parts.emplace_back(part);
-    text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
+    text = end == std::string_view::npos ? std::string_view()
+                                         : text.substr(end + 1);
   }
   return parts;
 }
@@ -124,18 +136,22 @@
       .count();
 }
 
-void RunAfter(asio::io_context& context, Duration delay, std::function<void()> action) {
+void RunAfter(asio::io_context& context, Duration delay,
+              std::function<void()> action) {
   auto timer = std::make_shared<asio::steady_timer>(context);
   timer->expires_after(std::chrono::microseconds(delay.microseconds()));
-  timer->async_wait([timer, action = std::move(action)](const asio::error_code& error) {
-    if (!error) action();
-  });
+  timer->async_wait(
+      [timer, action = std::move(action)](const asio::error_code& error) {
+        if (!error) action();
+      });
 }
 
-void RegisterObject(asio::io_context& context, std::shared_ptr<HttpClient> client,
-                    std::string platform, std::string kind, std::string name, std::string value) {
+void RegisterObject(asio::io_context& context,
+                    std::shared_ptr<HttpClient> client, std::string platform,
+                    std::string kind, std::string name, std::string value) {
   std::string url = "http://" + platform + "/v1/objects/" + kind + "/" + name;
-  std::make_shared<Registration>(context, std::move(client), std::move(url), std::move(value))
+  std::make_shared<Registration>(context, std::move(client), std::move(url),
+                                 std::move(value))
       ->Read();
 }
 
--- a/standins/common/host.h
+++ b/standins/common/host.h
@@ -14,20 +14,25 @@
 namespace zr {
 
 /** Sends a JSON body. */
-void SendJson(const HttpResponsePtr& response, int status, const nlohmann::json& body);
+void SendJson(const HttpResponsePtr& response, int status,
+              const nlohmann::json& body);
 
-/** Sends the error body of the protocol; run is "not-run", "may-have-run" or "ran". */
-void SendError(const HttpResponsePtr& response, int status, const std::string& code,
-               const std::string& message, const std::string& run = "not-run");
+/** Sends the error body of the protocol; run is "not-run", "may-have-run" or
+ * "ran". */
+void SendError(const HttpResponsePtr& response, int status,
+               const std::string& code, const std::string& message,
+               const std::string& run = "not-run");
 
 /** Parses a body; an empty or malformed one gives a null value. */
 nlohmann::json ParseJson(std::string_view text);
 
 /** Integer value of a query parameter, or the fallback. */
-int64_t QueryInteger(const HttpRequest& request, std::string_view name, int64_t fallback);
+int64_t QueryInteger(const HttpRequest& request, std::string_view name,
+                     int64_t fallback);
 
 /** Real value of a query parameter, or the fallback. */
-double QueryReal(const HttpRequest& request, std::string_view name, double fallback);
+double QueryReal(const HttpRequest& request, std::string_view name,
+                 double fallback);
 
 /** Splits at a separator; empty parts are left out. */
 std::vector<std::string> SplitList(std::string_view text, char separator = ',');
@@ -42,14 +47,16 @@
 int64_t WallClockMs();
 
 /** Calls a function after a delay on the io_context. */
-void RunAfter(asio::io_context& context, Duration delay, std::function<void()> action);
+void RunAfter(asio::io_context& context, Duration delay,
+              std::function<void()> action);
 
 /**
  * Writes an object to the platform stand-in, replacing an older one, and
  * repeats until that has succeeded.
  */
-void RegisterObject(asio::io_context& context, std::shared_ptr<HttpClient> client,
-                    std::string platform, std::string kind, std::string name, std::string value);
+void RegisterObject(asio::io_context& context,
+                    std::shared_ptr<HttpClient> client, std::string platform,
+                    std::string kind, std::string name, std::string value);
 
 /** Runs the io_context on this thread until SIGTERM or SIGINT. */
 void RunUntilSignal(asio::io_context& context);
--- a/standins/common/prefix_blocks.cc
+++ b/standins/common/prefix_blocks.cc
@@ -4,7 +4,8 @@
 
 namespace zr {
 
-std::vector<uint64_t> PrefixBlockHashes(std::string_view prompt, int64_t prompt_tokens) {
+std::vector<uint64_t> PrefixBlockHashes(std::string_view prompt,
+                                        int64_t prompt_tokens) {
   constexpr size_t kBlockBytes = 4 * static_cast<size_t>(kPrefixBlockTokens);
   std::vector<uint64_t> hashes;
   hashes.reserve(static_cast<size_t>(prompt_tokens / kPrefixBlockTokens));
--- a/standins/common/prefix_blocks.h
+++ b/standins/common/prefix_blocks.h
@@ -15,6 +15,7 @@
  * a token; its hash is Hash64(bytes, hash of block i - 1), with seed 0 for the
  * first. A synthetic length beyond the text gives blocks without bytes.
  */
-std::vector<uint64_t> PrefixBlockHashes(std::string_view prompt, int64_t prompt_tokens);
+std::vector<uint64_t> PrefixBlockHashes(std::string_view prompt,
+                                        int64_t prompt_tokens);
 
 }  // namespace zr
--- a/standins/common/token_text.h
+++ b/standins/common/token_text.h
@@ -21,7 +21,8 @@
 /** The first count tokens of an answer. */
 std::string AnswerText(uint64_t seed, int64_t count);
 
-/** Tokens of a prompt without a stated length: one for every four bytes, at least one. */
+/** Tokens of a prompt without a stated length: one for every four bytes, at
+ * least one. */
 int64_t PromptTokensOf(std::string_view prompt);
 
 }  // namespace zr
--- a/standins/engine/batch_model.cc
+++ b/standins/engine/batch_model.cc
@@ -23,8 +23,9 @@
 
 BatchModel::Admission BatchModel::Submit(BatchRequest request, int64_t now_ms) {
   if (streams_.contains(request.id)) return Admission::kAttached;
-  const int64_t need =
-      request.member_kv > 0 ? request.member_kv : request.prompt_tokens + request.max_tokens;
+  const int64_t need = request.member_kv > 0
+                           ? request.member_kv
+                           : request.prompt_tokens + request.max_tokens;
   if (need > options_.kv_capacity) return Admission::kTooLarge;
   const auto active = static_cast<int>(running_.size() + waiting_.size());
   if (warm_completed_ < options_.warm_after && active + 1 > Allowance() &&
@@ -32,8 +33,9 @@
     ++overruns_;
     return Admission::kOverrun;
   }
-  const bool must_wait = static_cast<int>(running_.size()) >= options_.max_requests ||
-                         !waiting_.empty() || kv_used() + need > options_.kv_capacity;
+  const bool must_wait =
+      static_cast<int>(running_.size()) >= options_.max_requests ||
+      !waiting_.empty() || kv_used() + need > options_.kv_capacity;
   if (must_wait && static_cast<int>(waiting_.size()) >= options_.max_waiting) {
     return Admission::kFull;
   }
@@ -101,9 +103,10 @@
   const size_t hits = cache_.Match(stream.blocks);
   for (size_t i = 0; i < hits; ++i) cache_.PinOrInsert(stream.blocks[i]);
   const int64_t hit_tokens = static_cast<int64_t>(hits) * kPrefixBlockTokens;
-  const int64_t need = request.member_kv > 0
-                           ? request.member_kv
-                           : request.prompt_tokens - hit_tokens + request.max_tokens;
+  const int64_t need =
+      request.member_kv > 0
+          ? request.member_kv
+          : request.prompt_tokens - hit_tokens + request.max_tokens;
   if (!MakeRoom(need)) {
     for (size_t i = 0; i < hits; ++i) cache_.Unpin(stream.blocks[i]);
     return false;
@@ -111,7 +114,8 @@
   own_kv_ += need;
   stream.own_kv = need;
   stream.pinned = hits;
-  // The last prompt token is always computed, as it gives the first answer token.
+  // The last prompt token is always computed, as it gives the first answer
+  // token.
   stream.prefilled = std::min(hit_tokens, request.prompt_tokens - 1);
   stream.phase = BatchStream::Phase::kPrefill;
   CheckMemory();
@@ -119,7 +123,8 @@
 }
 
 int64_t BatchModel::BeginStep() {
-  while (!waiting_.empty() && static_cast<int>(running_.size()) < options_.max_requests) {
+  while (!waiting_.empty() &&
+         static_cast<int>(running_.size()) < options_.max_requests) {
     const OrderKey key = *waiting_.begin();
     // A request that does not fit holds up those behind it.
     if (!Admit(streams_.at(key.second))) break;
@@ -134,33 +139,41 @@
     if (stream.phase == BatchStream::Phase::kDecode) {
       planned_decode_.push_back(id);
     } else if (budget > 0) {
-      const int64_t chunk = std::min(budget, stream.request.prompt_tokens - stream.prefilled);
+      const int64_t chunk =
+          std::min(budget, stream.request.prompt_tokens - stream.prefilled);
       planned_prefill_.emplace_back(id, chunk);
       budget -= chunk;
     }
   }
-  const auto prefill = static_cast<double>(options_.step_prefill_tokens - budget);
+  const auto prefill =
+      static_cast<double>(options_.step_prefill_tokens - budget);
   double seconds = kStepSeconds + prefill / options_.prefill_tps;
   if (!planned_decode_.empty()) {
-    const double fill = static_cast<double>(planned_decode_.size()) / options_.max_requests;
-    seconds += (1.0 + kBatchSlowdown * fill) / options_.decode_tps - kStepSeconds;
+    const double fill =
+        static_cast<double>(planned_decode_.size()) / options_.max_requests;
+    seconds +=
+        (1.0 + kBatchSlowdown * fill) / options_.decode_tps - kStepSeconds;
   }
-  return static_cast<int64_t>(1e6 * seconds / (options_.time_scale * Warmth() * slow_factor_));
+  return static_cast<int64_t>(1e6 * seconds /
+                              (options_.time_scale * Warmth() * slow_factor_));
 }
 
 BatchModel::StepResult BatchModel::EndStep(int64_t now_ms) {
   StepResult result;
   for (const auto& id : planned_decode_) {
     BatchStream* stream = Find(id);
-    if (stream == nullptr || stream->phase != BatchStream::Phase::kDecode) continue;
+    if (stream == nullptr || stream->phase != BatchStream::Phase::kDecode)
+      continue;
     ++stream->generated;
     ++tokens_;
     result.advanced.push_back(id);
-    if (stream->generated >= stream->request.max_tokens) Finish(*stream, now_ms);
+    if (stream->generated >= stream->request.max_tokens)
+      Finish(*stream, now_ms);
   }
   for (const auto& [id, chunk] : planned_prefill_) {
     BatchStream* stream = Find(id);
-    if (stream == nullptr || stream->phase != BatchStream::Phase::kPrefill) continue;
+    if (stream == nullptr || stream->phase != BatchStream::Phase::kPrefill)
+      continue;
     stream->prefilled += chunk;
     if (stream->prefilled < stream->request.prompt_tokens) continue;
     if (stream->request.crashes) result.crashed = true;
@@ -169,7 +182,8 @@
     ++stream->generated;
     ++tokens_;
     result.advanced.push_back(id);
-    if (stream->generated >= stream->request.max_tokens) Finish(*stream, now_ms);
+    if (stream->generated >= stream->request.max_tokens)
+      Finish(*stream, now_ms);
   }
   planned_decode_.clear();
   planned_prefill_.clear();
@@ -207,7 +221,8 @@
     // The first export takes the memory over.
     hold.kv_tokens += stream.own_kv;
     stream.own_kv = 0;
-    const auto end = stream.blocks.begin() + static_cast<std::ptrdiff_t>(stream.pinned);
+    const auto end =
+        stream.blocks.begin() + static_cast<std::ptrdiff_t>(stream.pinned);
     hold.blocks.insert(hold.blocks.end(), stream.blocks.begin(), end);
     stream.pinned = 0;
   }
@@ -225,13 +240,15 @@
 void BatchModel::CheckMemory() {
   kv_peak_ = std::max(kv_peak_, kv_used());
   ZR_ASSERT(own_kv_ >= 0, "no memory is freed twice");
-  ZR_ASSERT(own_kv_ + cache_.total_tokens() <= options_.kv_capacity, "KV memory is bounded");
+  ZR_ASSERT(own_kv_ + cache_.total_tokens() <= options_.kv_capacity,
+            "KV memory is bounded");
 }
 
 //==============================================================================
 // Imports and exports
 
-bool BatchModel::Import(const std::string& id, int64_t kv_tokens, int64_t expires_ms) {
+bool BatchModel::Import(const std::string& id, int64_t kv_tokens,
+                        int64_t expires_ms) {
   auto it = holds_.find(HoldKey(id, false));
   const int64_t held = it == holds_.end() ? 0 : it->second.kv_tokens;
   if (!MakeRoom(kv_tokens - held)) return false;
@@ -283,14 +300,17 @@
 
 int BatchModel::Allowance() const {
   if (warm_completed_ >= options_.warm_after) return options_.max_requests;
-  const double share = static_cast<double>(warm_completed_) / options_.warm_after;
-  const double extra = share * (options_.max_requests - options_.fresh_requests);
+  const double share =
+      static_cast<double>(warm_completed_) / options_.warm_after;
+  const double extra =
+      share * (options_.max_requests - options_.fresh_requests);
   return options_.fresh_requests + static_cast<int>(extra);
 }
 
 double BatchModel::Warmth() const {
   if (warm_completed_ >= options_.warm_after) return 1;
-  const double share = static_cast<double>(warm_completed_) / options_.warm_after;
+  const double share =
+      static_cast<double>(warm_completed_) / options_.warm_after;
   return options_.cold_speed + (1 - options_.cold_speed) * share;
 }
 
--- a/standins/engine/batch_model.h
+++ b/standins/engine/batch_model.h
@@ -19,9 +19,10 @@
   std::string prompt;
   int64_t prompt_tokens = 0;
   int64_t max_tokens = 0;
-  int64_t priority = 0;   // higher numbers run first
-  int64_t member_kv = 0;  // with other engines: KV tokens held here; 0 for a request of its own
-  bool crashes = false;   // the engine dies when it has read the prompt
+  int64_t priority = 0;  // higher numbers run first
+  int64_t member_kv =
+      0;  // with other engines: KV tokens held here; 0 for a request of its own
+  bool crashes = false;  // the engine dies when it has read the prompt
 };
 
 /** A running, waiting or finished stream. */
@@ -31,21 +32,23 @@
   Phase phase = Phase::kWaiting;
   uint64_t answer_seed = 0;
   std::vector<uint64_t> blocks;
-  size_t pinned = 0;           // leading blocks pinned in the cache
-  int64_t own_kv = 0;          // tokens held outside the cache
-  int64_t prefilled = 0;       // prompt tokens
-  int64_t generated = 0;       // answer tokens
-  int64_t order = 0;           // arrival number
-  int64_t kept_since_ms = -1;  // since when no reader is attached; -1 with a reader
+  size_t pinned = 0;      // leading blocks pinned in the cache
+  int64_t own_kv = 0;     // tokens held outside the cache
+  int64_t prefilled = 0;  // prompt tokens
+  int64_t generated = 0;  // answer tokens
+  int64_t order = 0;      // arrival number
+  int64_t kept_since_ms =
+      -1;  // since when no reader is attached; -1 with a reader
 };
 
 /** Memory held by an import or export. */
 struct BatchHold {
   bool is_export = false;
   int64_t kv_tokens = 0;
-  int64_t expires_ms = -1;       // -1 for never
-  std::string stream_id;         // of an export
-  std::vector<uint64_t> blocks;  // pinned in the cache since the stream has ended
+  int64_t expires_ms = -1;  // -1 for never
+  std::string stream_id;    // of an export
+  std::vector<uint64_t>
+      blocks;  // pinned in the cache since the stream has ended
 };
 
 /**
@@ -70,7 +73,8 @@
   BatchStream* Find(const std::string& id);
   /** Ends a stream and frees its memory. @returns false if there is none */
   bool Remove(const std::string& id);
-  /** Drops streams without a reader and holds beyond their time. @returns dropped stream ids */
+  /** Drops streams without a reader and holds beyond their time. @returns
+   * dropped stream ids */
   std::vector<std::string> Expire(int64_t now_ms);
 
   //============================================================================
@@ -78,7 +82,8 @@
 
   /** True if a step would advance anything. */
   bool HasWork() const { return !running_.empty() || !waiting_.empty(); }
-  /** Admits waiting requests and plans a step. @returns its duration in microseconds */
+  /** Admits waiting requests and plans a step. @returns its duration in
+   * microseconds */
   int64_t BeginStep();
   /** What a step has done. */
   struct StepResult {
@@ -91,9 +96,11 @@
   //============================================================================
   // Imports and exports
 
-  /** Reserves memory, or changes a reservation. @returns false if it does not fit */
+  /** Reserves memory, or changes a reservation. @returns false if it does not
+   * fit */
   bool Import(const std::string& id, int64_t kv_tokens, int64_t expires_ms);
-  /** Keeps a stream's memory beyond its end. @returns false if there is no such stream */
+  /** Keeps a stream's memory beyond its end. @returns false if there is no such
+   * stream */
   bool Export(const std::string& id, const std::string& stream_id);
   /** Frees an import or export. */
   bool RemoveHold(const std::string& id, bool is_export);
@@ -103,7 +110,8 @@
 
   /** Forgets everything, as a crash does; the engine is cold afterwards. */
   void Reset();
-  /** Makes the engine cold; requests beyond the allowance crash it only after the given time. */
+  /** Makes the engine cold; requests beyond the allowance crash it only after
+   * the given time. */
   void MakeCold(int64_t overrun_from_ms);
   /** Empties the prefix cache as far as it is unused. */
   void DropCache();
--- a/standins/engine/engine.cc
+++ b/standins/engine/engine.cc
@@ -19,7 +19,8 @@
 
 }  // namespace
 
-Engine::Engine(asio::io_context& context, EngineOptions options, std::shared_ptr<HttpClient> client)
+Engine::Engine(asio::io_context& context, EngineOptions options,
+               std::shared_ptr<HttpClient> client)
     : context_(context),
       options_(std::move(options)),
       client_(std::move(client)),
@@ -28,15 +29,20 @@
              [this](bool inserted, uint64_t hash) {
                ++cache_sequence_;
                if (random_.Chance(options_.cache_event_gap)) return;
-               cache_events_.push_back({MonotonicMs(), cache_sequence_, inserted, hash});
-               if (cache_events_.size() > kCacheEventHistory) cache_events_.pop_front();
+               cache_events_.push_back(
+                   {MonotonicMs(), cache_sequence_, inserted, hash});
+               if (cache_events_.size() > kCacheEventHistory)
+                 cache_events_.pop_front();
              }),
       step_timer_(context) {}
 
-Result<std::unique_ptr<Engine>> Engine::Start(asio::io_context& context, EngineOptions options,
-                                              std::shared_ptr<HttpClient> client) {
-  std::unique_ptr<Engine> self(new Engine(context, std::move(options), std::move(client)));
-  if (auto listening = self->Listen(); !listening) return tl::unexpected(listening.error());
+Result<std::unique_ptr<Engine>> Engine::Start(
+    asio::io_context& context, EngineOptions options,
+    std::shared_ptr<HttpClient> client) {
+  std::unique_ptr<Engine> self(
+      new Engine(context, std::move(options), std::move(client)));
+  if (auto listening = self->Listen(); !listening)
+    return tl::unexpected(listening.error());
   self->snapshots_.push_back(self->TakeSnapshot());
   self->Tick();
   return self;
@@ -46,7 +52,8 @@
   HttpServerOptions options;
   options.address = options_.listen;
   auto server = HttpServer::Start(
-      context_, options, [this](const HttpRequest& request, const HttpResponsePtr& response) {
+      context_, options,
+      [this](const HttpRequest& request, const HttpResponsePtr& response) {
         Handle(request, response);
       });
   if (!server) return tl::unexpected(server.error());
@@ -57,7 +64,8 @@
 //==============================================================================
 // Requests
 
-void Engine::Handle(const HttpRequest& request, const HttpResponsePtr& response) {
+void Engine::Handle(const HttpRequest& request,
+                    const HttpResponsePtr& response) {
   if (down_) {
     response->Abort();
     return;
@@ -76,7 +84,8 @@
   }
 }
 
-void Engine::HandleEnginePath(const HttpRequest& request, const HttpResponsePtr& response,
+void Engine::HandleEnginePath(const HttpRequest& request,
+                              const HttpResponsePtr& response,
                               const std::vector<std::string>& path) {
   if (path[1] == "load") {
     SendJson(response, 200, Load());
@@ -98,7 +107,8 @@
   } else if (path.size() == 4 && path[3] == "resume") {
     const int64_t offset = QueryInteger(request, "offset", 0);
     if (offset < 0 || offset > model_.Find(path[2])->request.max_tokens) {
-      SendError(response, 400, "invalid_argument", "offset beyond the answer", "may-have-run");
+      SendError(response, 400, "invalid_argument", "offset beyond the answer",
+                "may-have-run");
     } else {
       ++counters_["resumed"];
       Attach(path[2], response, true, offset);
@@ -108,7 +118,8 @@
   }
 }
 
-void Engine::HandleCompletion(const HttpRequest& request, const HttpResponsePtr& response) {
+void Engine::HandleCompletion(const HttpRequest& request,
+                              const HttpResponsePtr& response) {
   const auto body = ParseJson(request.body);
   if (!body.is_object()) {
     SendError(response, 400, "invalid_argument", "the body is no JSON object");
@@ -116,16 +127,20 @@
   }
   BatchRequest job;
   job.prompt = body.value("prompt", "");
-  job.prompt_tokens = std::max<int64_t>(1, body.value("prompt_tokens", PromptTokensOf(job.prompt)));
+  job.prompt_tokens = std::max<int64_t>(
+      1, body.value("prompt_tokens", PromptTokensOf(job.prompt)));
   job.max_tokens = std::max<int64_t>(1, body.value("max_tokens", int64_t{16}));
   job.priority = body.value("priority", int64_t{0});
-  // Calls without a daemon in between carry the caller's headers in place of a stream id.
+  // Calls without a daemon in between carry the caller's headers in place of a
+  // stream id.
   const bool direct = !body.contains("stream_id");
   const std::string request_id(request.Header("x-request-id"));
-  job.id = !direct               ? body.value("stream_id", "")
-           : !request_id.empty() ? request_id
-                                 : "anonymous-" + std::to_string(++reader_count_);
-  job.crashes = body.value("crash", false) || job.prompt.find(kCrashMark) != std::string::npos;
+  job.id = !direct ? body.value("stream_id", "")
+           : !request_id.empty()
+               ? request_id
+               : "anonymous-" + std::to_string(++reader_count_);
+  job.crashes = body.value("crash", false) ||
+                job.prompt.find(kCrashMark) != std::string::npos;
   const auto members = body.find("members");
   if (members != body.end() && members->is_array() && !members->empty()) {
     job.member_kv = std::max<int64_t>(1, body.value("kv_tokens", int64_t{1}));
@@ -135,10 +150,12 @@
   if (model_.Find(id) == nullptr) {
     if (refusing_ || !loading_.empty()) {
       ++counters_["refused"];
-      return SendError(response, 503, "overloaded", "the engine takes no requests now");
+      return SendError(response, 503, "overloaded",
+                       "the engine takes no requests now");
     }
     if (!model.empty() && !options_.model.empty() && model != options_.model) {
-      return SendError(response, 404, "not_found", "model " + model + " is not loaded here");
+      return SendError(response, 404, "not_found",
+                       "model " + model + " is not loaded here");
     }
   }
   switch (model_.Submit(std::move(job), MonotonicMs())) {
@@ -147,9 +164,11 @@
       return SendError(response, 503, "overloaded", "the wait queue is full");
     case BatchModel::Admission::kTooLarge:
       ++counters_["refused"];
-      return SendError(response, 413, "too_large", "the request exceeds the engine's KV memory");
+      return SendError(response, 413, "too_large",
+                       "the request exceeds the engine's KV memory");
     case BatchModel::Admission::kOverrun:
-      Log(LogLevel::kWarning, "engine", options_.name + " is overrun and crashes");
+      Log(LogLevel::kWarning, "engine",
+          options_.name + " is overrun and crashes");
       response->Abort();
       return Crash(options_.restart_ms);
     case BatchModel::Admission::kAttached:
@@ -160,7 +179,8 @@
       break;
   }
   const std::string offset(direct ? request.Header("x-zr-resume-offset") : "");
-  Attach(id, response, body.value("stream", true), std::strtoll(offset.c_str(), nullptr, 10));
+  Attach(id, response, body.value("stream", true),
+         std::strtoll(offset.c_str(), nullptr, 10));
   ScheduleStep();
 }
 
@@ -168,13 +188,16 @@
   ++runs_[id.substr(0, id.rfind('#'))];
   ++counters_["started"];
   last_new_work_ms_ = WallClockMs();
-  // Callers have three seconds to learn of the leaving mark, and the report's lag.
-  if (leaving_ && MonotonicMs() - leaving_since_ms_ > 3'000 + options_.report_lag_ms) {
+  // Callers have three seconds to learn of the leaving mark, and the report's
+  // lag.
+  if (leaving_ &&
+      MonotonicMs() - leaving_since_ms_ > 3'000 + options_.report_lag_ms) {
     ++counters_["started_after_leaving"];
   }
 }
 
-void Engine::HandleHold(const HttpRequest& request, const HttpResponsePtr& response,
+void Engine::HandleHold(const HttpRequest& request,
+                        const HttpResponsePtr& response,
                         const std::vector<std::string>& path) {
   const bool is_export = path[1] == "exports";
   if (request.method == "DELETE" && path.size() == 3) {
@@ -184,7 +207,8 @@
   }
   const auto body = ParseJson(request.body);
   if (request.method != "POST" || !body.is_object() || !body.contains("id")) {
-    SendError(response, 400, "invalid_argument", "an import or export needs an id");
+    SendError(response, 400, "invalid_argument",
+              "an import or export needs an id");
   } else if (is_export) {
     if (model_.Export(body["id"], body.value("stream_id", ""))) {
       SendJson(response, 200, nlohmann::json::object());
@@ -205,8 +229,8 @@
 //==============================================================================
 // Readers
 
-void Engine::Attach(const std::string& id, const HttpResponsePtr& response, bool streaming,
-                    int64_t offset) {
+void Engine::Attach(const std::string& id, const HttpResponsePtr& response,
+                    bool streaming, int64_t offset) {
   BatchStream* stream = model_.Find(id);
   if (auto old = readers_.find(id); old != readers_.end()) {
     // Closing a response may call Detach() at once, which erases the reader.
@@ -226,7 +250,8 @@
   auto it = readers_.find(id);
   if (it == readers_.end() || it->second.number != reader) return;
   readers_.erase(it);
-  if (BatchStream* stream = model_.Find(id)) stream->kept_since_ms = MonotonicMs();
+  if (BatchStream* stream = model_.Find(id))
+    stream->kept_since_ms = MonotonicMs();
 }
 
 void Engine::SendTokens(const std::string& id) {
@@ -234,8 +259,8 @@
   BatchStream* stream = model_.Find(id);
   if (it == readers_.end() || stream == nullptr) return;
   const bool done = stream->phase == BatchStream::Phase::kDone;
-  // A write to a closed connection may call Detach() at once, which erases the reader; so the
-  // reader is changed before it and not used after it.
+  // A write to a closed connection may call Detach() at once, which erases the
+  // reader; so the reader is changed before it and not used after it.
   Reader reader = it->second;
   if (done) {
     readers_.erase(it);
@@ -244,10 +269,12 @@
     it->second.next = std::max(reader.next, stream->generated);
   }
   if (reader.streaming) {
-    const std::string head = "data: {\"id\":" + nlohmann::json(id).dump() + ",\"offset\":";
+    const std::string head =
+        "data: {\"id\":" + nlohmann::json(id).dump() + ",\"offset\":";
     std::string events;
     for (; reader.next < stream->generated; ++reader.next) {
-      events += head + std::to_string(reader.next) + ",\"choices\":[{\"index\":0,\"text\":\"" +
+      events += head + std::to_string(reader.next) +
+                ",\"choices\":[{\"index\":0,\"text\":\"" +
                 TokenText(stream->answer_seed, reader.next) + "\"}]}\n\n";
     }
     if (done) events += "data: [DONE]\n\n";
@@ -288,16 +315,18 @@
 void Engine::ScheduleStep() {
   if (stepping_ || down_ || frozen_ || !model_.HasWork()) return;
   stepping_ = true;
-  const std::chrono::microseconds duration(std::max<int64_t>(50, model_.BeginStep()));
+  const std::chrono::microseconds duration(
+      std::max<int64_t>(50, model_.BeginStep()));
   const auto now = std::chrono::steady_clock::now();
   next_step_ = (idle_ ? now : std::max(next_step_, now - kCatchUp)) + duration;
   idle_ = false;
   step_timer_.expires_at(next_step_);
-  step_timer_.async_wait([this, generation = generation_](const asio::error_code& error) {
-    if (error || generation != generation_) return;
-    stepping_ = false;
-    if (!frozen_) FinishStep();
-  });
+  step_timer_.async_wait(
+      [this, generation = generation_](const asio::error_code& error) {
+        if (error || generation != generation_) return;
+        stepping_ = false;
+        if (!frozen_) FinishStep();
+      });
 }
 
 void Engine::FinishStep() {
@@ -316,7 +345,8 @@
   if (!frozen_ && !down_) {
     snapshots_.push_back(TakeSnapshot());
     const int64_t oldest = MonotonicMs() - options_.report_lag_ms - 1'500;
-    while (snapshots_.size() > 2 && snapshots_.front().at_ms < oldest) snapshots_.pop_front();
+    while (snapshots_.size() > 2 && snapshots_.front().at_ms < oldest)
+      snapshots_.pop_front();
     for (const auto& id : model_.Expire(MonotonicMs())) {
       ++counters_["dropped_unclaimed"];
       readers_.erase(id);
--- a/standins/engine/engine.h
+++ b/standins/engine/engine.h
@@ -16,12 +16,14 @@
 
 namespace zr {
 
-/** A model engine stand-in: the batch model behind the engine protocol. One io_context thread. */
+/** A model engine stand-in: the batch model behind the engine protocol. One
+ * io_context thread. */
 class Engine {
  public:
   /** @param client  for the platform's weight store; may be null */
-  static Result<std::unique_ptr<Engine>> Start(asio::io_context& context, EngineOptions options,
-                                               std::shared_ptr<HttpClient> client);
+  static Result<std::unique_ptr<Engine>> Start(
+      asio::io_context& context, EngineOptions options,
+      std::shared_ptr<HttpClient> client);
 
   Engine(const Engine&) = delete;
   Engine& operator=(const Engine&) = delete;
@@ -67,19 +69,22 @@
     uint64_t hash = 0;
   };
 
-  Engine(asio::io_context& context, EngineOptions options, std::shared_ptr<HttpClient> client);
+  Engine(asio::io_context& context, EngineOptions options,
+         std::shared_ptr<HttpClient> client);
 
   Result<void> Listen();
   void Handle(const HttpRequest& request, const HttpResponsePtr& response);
-  void HandleEnginePath(const HttpRequest& request, const HttpResponsePtr& response,
+  void HandleEnginePath(const HttpRequest& request,
+                        const HttpResponsePtr& response,
                         const std::vector<std::string>& path);
-  void HandleCompletion(const HttpRequest& request, const HttpResponsePtr& response);
+  void HandleCompletion(const HttpRequest& request,
+                        const HttpResponsePtr& response);
   void HandleHold(const HttpRequest& request, const HttpResponsePtr& response,
                   const std::vector<std::string>& path);
   void HandleOrder(const HttpRequest& request, const HttpResponsePtr& response);
   void CarryOutOrder(const std::string& kind, const std::string& name);
-  void Attach(const std::string& id, const HttpResponsePtr& response, bool streaming,
-              int64_t offset);
+  void Attach(const std::string& id, const HttpResponsePtr& response,
+              bool streaming, int64_t offset);
   void Detach(const std::string& id, uint64_t reader);
   void SendTokens(const std::string& id);
   void SendWhole(const BatchStream& stream, const Reader& reader);
@@ -111,7 +116,8 @@
   bool stepping_ = false;
   bool idle_ = true;
   std::chrono::steady_clock::time_point next_step_;
-  uint64_t generation_ = 0;  // changes with every crash; old timers then do nothing
+  uint64_t generation_ =
+      0;  // changes with every crash; old timers then do nothing
 
   std::deque<Snapshot> snapshots_;
   int64_t snapshot_sequence_ = 0;
--- a/standins/engine/engine_state.cc
+++ b/standins/engine/engine_state.cc
@@ -21,7 +21,8 @@
   const Snapshot* earlier = shown;
   for (const auto& snapshot : snapshots_) {
     if (snapshot.at_ms <= now - options_.report_lag_ms) shown = &snapshot;
-    if (snapshot.at_ms <= now - options_.report_lag_ms - 1'000) earlier = &snapshot;
+    if (snapshot.at_ms <= now - options_.report_lag_ms - 1'000)
+      earlier = &snapshot;
   }
   const int64_t span = std::max<int64_t>(1, shown->at_ms - earlier->at_ms);
   return {{"boot", shown->boot},
@@ -42,7 +43,8 @@
 nlohmann::json Engine::Streams() const {
   nlohmann::json list = nlohmann::json::array();
   for (const auto& [id, stream] : model_.streams()) {
-    const auto cached = static_cast<int64_t>(stream.pinned) * kPrefixBlockTokens;
+    const auto cached =
+        static_cast<int64_t>(stream.pinned) * kPrefixBlockTokens;
     list.push_back({{"id", id},
                     {"kind", "stream"},
                     {"kv_tokens", stream.own_kv + cached},
@@ -106,10 +108,12 @@
 //==============================================================================
 // Orders
 
-void Engine::HandleOrder(const HttpRequest& request, const HttpResponsePtr& response) {
+void Engine::HandleOrder(const HttpRequest& request,
+                         const HttpResponsePtr& response) {
   const auto body = ParseJson(request.body);
   if (!body.is_object() || !body.contains("kind") || !body.contains("name")) {
-    SendError(response, 400, "invalid_argument", "an order needs kind and name");
+    SendError(response, 400, "invalid_argument",
+              "an order needs kind and name");
     return;
   }
   const int64_t fencing = body.value("fencing", int64_t{0});
@@ -138,8 +142,10 @@
       CarryOutOrder(kind, name);
     };
     if (client_ == nullptr || options_.platform.empty()) {
-      const double ms = static_cast<double>(options_.load_ms) / options_.time_scale;
-      RunAfter(context_, Duration::Milliseconds(static_cast<int64_t>(ms)), loaded);
+      const double ms =
+          static_cast<double>(options_.load_ms) / options_.time_scale;
+      RunAfter(context_, Duration::Milliseconds(static_cast<int64_t>(ms)),
+               loaded);
     } else {
       ClientRequest load;
       load.method = "POST";
@@ -162,7 +168,8 @@
     options_.model = name;
     model_.DropCache();
   } else if (kind == "load_adapter") {
-    if (std::find(adapters_.begin(), adapters_.end(), name) == adapters_.end()) {
+    if (std::find(adapters_.begin(), adapters_.end(), name) ==
+        adapters_.end()) {
       adapters_.push_back(name);
     }
   } else if (kind == "set_version") {
@@ -193,9 +200,10 @@
   cache_events_.clear();
   cache_sequence_ = 0;
   if (restart_ms < 0) return;
-  RunAfter(context_, Duration::Milliseconds(restart_ms), [this, generation = generation_] {
-    if (generation == generation_) Restart();
-  });
+  RunAfter(context_, Duration::Milliseconds(restart_ms),
+           [this, generation = generation_] {
+             if (generation == generation_) Restart();
+           });
 }
 
 void Engine::Restart() {
@@ -204,7 +212,8 @@
     RunAfter(context_, Duration::Milliseconds(100), [this] { Restart(); });
     return;
   }
-  options_.boot = std::max(options_.boot + 1, static_cast<uint64_t>(WallClockMs()));
+  options_.boot =
+      std::max(options_.boot + 1, static_cast<uint64_t>(WallClockMs()));
   down_ = false;
   leaving_ = false;
   snapshots_.clear();
@@ -233,7 +242,8 @@
     if (frozen_) Thaw();
   } else if (fault == "cold") {
     if (QueryInteger(request, "boot", 1) != 0) ++options_.boot;
-    model_.MakeCold(MonotonicMs() + options_.report_lag_ms + options_.cold_grace_ms);
+    model_.MakeCold(MonotonicMs() + options_.report_lag_ms +
+                    options_.cold_grace_ms);
   } else if (fault == "slow") {
     model_.set_slow_factor(std::max(0.001, QueryReal(request, "factor", 1.0)));
   } else if (fault == "leave" || fault == "unleave") {
@@ -246,7 +256,8 @@
     readers_.clear();
     for (auto& [id, reader] : readers) {
       reader.response->Abort();
-      if (BatchStream* stream = model_.Find(id)) stream->kept_since_ms = MonotonicMs();
+      if (BatchStream* stream = model_.Find(id))
+        stream->kept_since_ms = MonotonicMs();
     }
   } else {
     return false;
--- a/standins/engine/main.cc
+++ b/standins/engine/main.cc
@@ -17,21 +17,29 @@
 DEFINE_double(prefill_tps, 20'000, "prompt tokens a second");
 DEFINE_double(decode_tps, 50, "answer tokens a second of one stream");
 DEFINE_double(time_scale, 1, "speeds everything up");
-DEFINE_int32(fresh_requests, 4, "concurrent requests that a fresh engine survives");
+DEFINE_int32(fresh_requests, 4,
+             "concurrent requests that a fresh engine survives");
 DEFINE_int32(max_requests, 64, "concurrent requests of a warm engine");
-DEFINE_int32(warm_after, 40, "completed requests after which an engine is warm");
+DEFINE_int32(warm_after, 40,
+             "completed requests after which an engine is warm");
 DEFINE_uint64(seed, 1, "seed of random behaviour");
 DEFINE_int64(report_lag_ms, 300, "age of a load report");
-DEFINE_int32(max_waiting, 32, "requests waiting at once; more are refused as not run");
+DEFINE_int32(max_waiting, 32,
+             "requests waiting at once; more are refused as not run");
 DEFINE_bool(start_warm, false, "engines are warm at their first start");
-DEFINE_double(cold_speed, 0.25, "speed of a cold engine relative to a warm one");
-DEFINE_int64(unclaimed_window_ms, 10'000, "time that a stream without a reader is kept");
+DEFINE_double(cold_speed, 0.25,
+              "speed of a cold engine relative to a warm one");
+DEFINE_int64(unclaimed_window_ms, 10'000,
+             "time that a stream without a reader is kept");
 DEFINE_int64(restart_ms, 1'000, "time that the port is closed after a crash");
 DEFINE_int64(load_ms, 2'000, "time of a model load without a platform");
 DEFINE_int64(cache_event_lag_ms, 500, "age of the newest reported cache event");
-DEFINE_double(cache_event_gap, 0.02, "probability that a cache event is never reported");
-DEFINE_int64(cold_grace_ms, 2'000, "time after a silent cold start without overrun crashes");
-DEFINE_bool(checks_fencing, true, "refuse orders that carry a stale fencing token");
+DEFINE_double(cache_event_gap, 0.02,
+              "probability that a cache event is never reported");
+DEFINE_int64(cold_grace_ms, 2'000,
+             "time after a silent cold start without overrun crashes");
+DEFINE_bool(checks_fencing, true,
+            "refuse orders that carry a stale fencing token");
 
 namespace {
 
@@ -90,9 +98,9 @@
     zr::Log(zr::LogLevel::kError, "engine", fault_port.error());
     return 1;
   }
-  zr::RegisterEndpoints(
-      context, client, FLAGS_register,
-      {FLAGS_name_prefix, FLAGS_listen, FLAGS_count, FLAGS_pool, FLAGS_domains, FLAGS_region});
+  zr::RegisterEndpoints(context, client, FLAGS_register,
+                        {FLAGS_name_prefix, FLAGS_listen, FLAGS_count,
+                         FLAGS_pool, FLAGS_domains, FLAGS_region});
   zr::Log(zr::LogLevel::kInfo, "engine", "listening on " + FLAGS_listen);
   zr::RunUntilSignal(context);
   return 0;
--- a/standins/engine/prefix_cache.cc
+++ b/standins/engine/prefix_cache.cc
@@ -20,7 +20,8 @@
 
 void PrefixCache::Unpin(uint64_t hash) {
   auto it = blocks_.find(hash);
-  ZR_ASSERT(it != blocks_.end() && it->second.pins > 0, "only pinned blocks are unpinned");
+  ZR_ASSERT(it != blocks_.end() && it->second.pins > 0,
+            "only pinned blocks are unpinned");
   if (it == blocks_.end() || --it->second.pins > 0) return;
   it->second.unused = unused_.insert(unused_.end(), hash);
 }
--- a/standins/engine/prefix_cache.h
+++ b/standins/engine/prefix_cache.h
@@ -22,20 +22,25 @@
 
   /** Number of leading blocks that are cached. */
   size_t Match(const std::vector<uint64_t>& blocks) const;
-  /** Pins a block. @returns true if it was cached already, false if it was inserted */
+  /** Pins a block. @returns true if it was cached already, false if it was
+   * inserted */
   bool PinOrInsert(uint64_t hash);
   /** Gives up one pin of a block. */
   void Unpin(uint64_t hash);
-  /** Evicts the block that was unused longest. @returns false if all are pinned */
+  /** Evicts the block that was unused longest. @returns false if all are pinned
+   */
   bool EvictOne();
   /** Forgets everything without events, as a crash does. */
   void Clear();
 
   /** Tokens of all blocks. */
-  int64_t total_tokens() const { return static_cast<int64_t>(blocks_.size()) * kPrefixBlockTokens; }
+  int64_t total_tokens() const {
+    return static_cast<int64_t>(blocks_.size()) * kPrefixBlockTokens;
+  }
   /** Tokens of pinned blocks. */
   int64_t pinned_tokens() const {
-    return static_cast<int64_t>(blocks_.size() - unused_.size()) * kPrefixBlockTokens;
+    return static_cast<int64_t>(blocks_.size() - unused_.size()) *
+           kPrefixBlockTokens;
   }
 
  private:
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -11,7 +11,8 @@
 DEFINE_int64(vm_list_lag_ms, 2000, "lag of the VM list");
 DEFINE_double(writes_per_second, 500, "allowed writes a second; more get 429");
 DEFINE_double(reads_per_second, 2000, "allowed reads a second; more get 429");
-DEFINE_int64(weight_load_ms, 5000, "time of one load from the weight store at its full rate");
+DEFINE_int64(weight_load_ms, 5000,
+             "time of one load from the weight store at its full rate");
 DEFINE_uint64(history, 20'000, "events kept for watches");
 
 int main(int argc, char** argv) {
--- a/standins/platform/object_table.cc
+++ b/standins/platform/object_table.cc
@@ -4,7 +4,8 @@
 
 namespace zr {
 
-const StoredObject* ObjectTable::Find(const std::string& kind, const std::string& name) const {
+const StoredObject* ObjectTable::Find(const std::string& kind,
+                                      const std::string& name) const {
   auto table = kinds_.find(kind);
   if (table == kinds_.end()) return nullptr;
   auto it = table->second.find(name);
@@ -25,16 +26,20 @@
   return *current;
 }
 
-bool ObjectTable::Holds(const StoredObject* current, const WriteCondition& condition) const {
+bool ObjectTable::Holds(const StoredObject* current,
+                        const WriteCondition& condition) const {
   if (condition.must_be_absent && current != nullptr) return false;
-  if (condition.version && (current == nullptr || current->version != *condition.version)) {
+  if (condition.version &&
+      (current == nullptr || current->version != *condition.version)) {
     return false;
   }
   return true;
 }
 
-std::optional<uint64_t> ObjectTable::Put(const std::string& kind, const std::string& name,
-                                         std::string value, const WriteCondition& condition) {
+std::optional<uint64_t> ObjectTable::Put(const std::string& kind,
+                                         const std::string& name,
+                                         std::string value,
+                                         const WriteCondition& condition) {
   if (!Holds(Find(kind, name), condition)) return std::nullopt;
   ++version_;
   kinds_[kind][name] = StoredObject{name, version_, value};
@@ -42,7 +47,8 @@
   return version_;
 }
 
-std::optional<uint64_t> ObjectTable::Remove(const std::string& kind, const std::string& name,
+std::optional<uint64_t> ObjectTable::Remove(const std::string& kind,
+                                            const std::string& name,
                                             const WriteCondition& condition) {
   const StoredObject* current = Find(kind, name);
   if (current == nullptr || !Holds(current, condition)) return std::nullopt;
@@ -52,7 +58,8 @@
   return version_;
 }
 
-std::vector<StoredObject> ObjectTable::List(const std::string& kind, const std::string& after,
+std::vector<StoredObject> ObjectTable::List(const std::string& kind,
+                                            const std::string& after,
                                             size_t limit) const {
   std::vector<StoredObject> items;
   auto table = kinds_.find(kind);
@@ -64,9 +71,11 @@
   return items;
 }
 
-std::vector<ObjectEvent> ObjectTable::EventsAfter(const std::string& kind, uint64_t after) const {
+std::vector<ObjectEvent> ObjectTable::EventsAfter(const std::string& kind,
+                                                  uint64_t after) const {
   std::vector<ObjectEvent> found;
-  for (auto it = events_.rbegin(); it != events_.rend() && it->version > after; ++it) {
+  for (auto it = events_.rbegin(); it != events_.rend() && it->version > after;
+       ++it) {
     if (it->kind == kind) found.push_back(*it);
   }
   return {found.rbegin(), found.rend()};
--- a/standins/platform/object_table.h
+++ b/standins/platform/object_table.h
@@ -32,37 +32,45 @@
   std::optional<uint64_t> version;  // If-Match: V
 };
 
-/** The object table of the platform stand-in, with a bounded event history. Not thread-safe. */
+/** The object table of the platform stand-in, with a bounded event history. Not
+ * thread-safe. */
 class ObjectTable {
  public:
-  /** @param history  events kept for watches; older ones are answered with 410 */
+  /** @param history  events kept for watches; older ones are answered with 410
+   */
   explicit ObjectTable(size_t history = 20'000) : history_(history) {}
 
   /** Current object, or null. */
-  const StoredObject* Find(const std::string& kind, const std::string& name) const;
+  const StoredObject* Find(const std::string& kind,
+                           const std::string& name) const;
   /** State of an object at the given version, for stale reads. */
-  std::optional<StoredObject> FindBefore(const std::string& kind, const std::string& name,
+  std::optional<StoredObject> FindBefore(const std::string& kind,
+                                         const std::string& name,
                                          uint64_t version) const;
   /** Writes if the condition holds. @returns the new version, or empty */
-  std::optional<uint64_t> Put(const std::string& kind, const std::string& name, std::string value,
+  std::optional<uint64_t> Put(const std::string& kind, const std::string& name,
+                              std::string value,
                               const WriteCondition& condition);
   /** Removes if the condition holds. @returns the new version, or empty */
-  std::optional<uint64_t> Remove(const std::string& kind, const std::string& name,
+  std::optional<uint64_t> Remove(const std::string& kind,
+                                 const std::string& name,
                                  const WriteCondition& condition);
   /** Objects of a kind in name order, after a name. */
-  std::vector<StoredObject> List(const std::string& kind, const std::string& after,
-                                 size_t limit) const;
+  std::vector<StoredObject> List(const std::string& kind,
+                                 const std::string& after, size_t limit) const;
   /** True if events after the version are no longer kept. */
   bool IsTooOld(uint64_t after) const { return after < forgotten_; }
   /** Events of a kind with versions above the given one. */
-  std::vector<ObjectEvent> EventsAfter(const std::string& kind, uint64_t after) const;
+  std::vector<ObjectEvent> EventsAfter(const std::string& kind,
+                                       uint64_t after) const;
   /** The latest version of all objects. */
   uint64_t version() const { return version_; }
   /** Drops the event history, so that every older watch gets 410. */
   void ForgetHistory();
 
  private:
-  bool Holds(const StoredObject* current, const WriteCondition& condition) const;
+  bool Holds(const StoredObject* current,
+             const WriteCondition& condition) const;
   void Record(ObjectEvent event);
 
   size_t history_;
--- a/standins/platform/platform_server.cc
+++ b/standins/platform/platform_server.cc
@@ -13,18 +13,22 @@
   WriteCondition condition;
   condition.must_be_absent = request.Header("if-none-match") == "*";
   if (const auto version = request.Header("if-match"); !version.empty()) {
-    condition.version = std::strtoull(std::string(version).c_str(), nullptr, 10);
+    condition.version =
+        std::strtoull(std::string(version).c_str(), nullptr, 10);
   }
   return condition;
 }
 
 nlohmann::json ToJson(const StoredObject& object) {
-  return {{"name", object.name}, {"version", object.version}, {"value", object.value}};
+  return {{"name", object.name},
+          {"version", object.version},
+          {"value", object.value}};
 }
 
 }  // namespace
 
-PlatformServer::PlatformServer(asio::io_context& context, PlatformOptions options)
+PlatformServer::PlatformServer(asio::io_context& context,
+                               PlatformOptions options)
     : context_(context),
       options_(std::move(options)),
       random_(options_.seed),
@@ -32,29 +36,34 @@
       read_bucket_(options_.reads_per_second, options_.reads_per_second),
       write_bucket_(options_.writes_per_second, options_.writes_per_second) {}
 
-Result<std::unique_ptr<PlatformServer>> PlatformServer::Start(asio::io_context& context,
-                                                              PlatformOptions options) {
-  std::unique_ptr<PlatformServer> self(new PlatformServer(context, std::move(options)));
+Result<std::unique_ptr<PlatformServer>> PlatformServer::Start(
+    asio::io_context& context, PlatformOptions options) {
+  std::unique_ptr<PlatformServer> self(
+      new PlatformServer(context, std::move(options)));
   HttpServerOptions server_options;
   server_options.address = self->options_.listen;
   auto server = HttpServer::Start(
-      context, server_options, [raw = self.get()](HttpRequest request, HttpResponsePtr response) {
+      context, server_options,
+      [raw = self.get()](HttpRequest request, HttpResponsePtr response) {
         raw->Handle(std::move(request), std::move(response));
       });
   if (!server) return tl::unexpected(server.error());
   self->server_ = std::move(*server);
   if (self->options_.fault_listen.empty()) return self;
   server_options.address = self->options_.fault_listen;
-  auto fault = HttpServer::Start(context, server_options,
-                                 [raw = self.get()](HttpRequest request, HttpResponsePtr response) {
-                                   raw->HandleFault(request, response);
-                                 });
+  auto fault = HttpServer::Start(
+      context, server_options,
+      [raw = self.get()](HttpRequest request, HttpResponsePtr response) {
+        raw->HandleFault(request, response);
+      });
   if (!fault) return tl::unexpected(fault.error());
   self->fault_server_ = std::move(*fault);
   return self;
 }
 
-TimePoint PlatformServer::Now() const { return TimePoint::FromMicroseconds(MonotonicMs() * 1000); }
+TimePoint PlatformServer::Now() const {
+  return TimePoint::FromMicroseconds(MonotonicMs() * 1000);
+}
 
 void PlatformServer::Handle(HttpRequest request, HttpResponsePtr response) {
   ++calls_["all"];
@@ -77,7 +86,8 @@
   Dispatch(request, response);
 }
 
-void PlatformServer::Dispatch(const HttpRequest& request, const HttpResponsePtr& response) {
+void PlatformServer::Dispatch(const HttpRequest& request,
+                              const HttpResponsePtr& response) {
   const auto path = PathSegments(request.path);
   const bool write = request.method == "PUT" || request.method == "DELETE";
   const bool vms = path.size() == 2 && path[1] == "vms";
@@ -88,14 +98,18 @@
   // Registering a VM and loading weights are no part of the counted object API.
   if (vms && request.method == "POST") return HandleVms(request, response);
   if (path[1] == "weights") return HandleWeights(request, response);
-  ++calls_[vms ? "vms" : path[1] == "watch" ? "watch" : write ? "write" : "read"];
+  ++calls_[vms                  ? "vms"
+           : path[1] == "watch" ? "watch"
+           : write              ? "write"
+                                : "read"];
   if (path.size() > 2) ++calls_[(write ? "write." : "read.") + path[2]];
   if (!(write ? write_bucket_ : read_bucket_).TryTake(Now())) {
     ++calls_["limited"];
     SendError(response, 429, "limit_exceeded", "call rate exceeded");
   } else if (vms) {
     HandleVms(request, response);
-  } else if (path[1] == "watch" && path.size() == 3 && request.method == "GET") {
+  } else if (path[1] == "watch" && path.size() == 3 &&
+             request.method == "GET") {
     HandleWatch(request, response, path[2]);
   } else if (path[1] == "objects" && path.size() >= 3) {
     HandleObject(request, response, path);
@@ -104,7 +118,8 @@
   }
 }
 
-void PlatformServer::HandleObject(const HttpRequest& request, const HttpResponsePtr& response,
+void PlatformServer::HandleObject(const HttpRequest& request,
+                                  const HttpResponsePtr& response,
                                   const std::vector<std::string>& path) {
   const std::string& kind = path[2];
   if (path.size() == 3) return HandleList(request, response, kind);
@@ -117,7 +132,8 @@
   std::optional<StoredObject> object;
   if (faults_.stale_reads > 0) {
     const auto lag = static_cast<uint64_t>(faults_.stale_reads);
-    object = store_.FindBefore(kind, name, store_.version() - std::min(lag, store_.version()));
+    object = store_.FindBefore(
+        kind, name, store_.version() - std::min(lag, store_.version()));
   } else if (const StoredObject* current = store_.Find(kind, name)) {
     object = *current;
   }
@@ -128,8 +144,10 @@
   }
 }
 
-void PlatformServer::HandleWrite(const HttpRequest& request, const HttpResponsePtr& response,
-                                 const std::string& kind, const std::string& name) {
+void PlatformServer::HandleWrite(const HttpRequest& request,
+                                 const HttpResponsePtr& response,
+                                 const std::string& kind,
+                                 const std::string& name) {
   if (request.body.size() > kMaxValueBytes) {
     SendError(response, 413, "too_large", "a value holds at most 1 MB");
     return;
@@ -140,20 +158,24 @@
     return;
   }
   const bool lose_answer = random_.Chance(faults_.lost_answers);
-  if (faults_.delayed_effect_ms > 0 && random_.Chance(faults_.delayed_probability)) {
+  if (faults_.delayed_effect_ms > 0 &&
+      random_.Chance(faults_.delayed_probability)) {
     // The caller hears nothing, and the write takes effect later.
     ++calls_["delayed_effects"];
     response->Abort();
     RunAfter(context_, Duration::Milliseconds(faults_.delayed_effect_ms),
-             [this, request, kind, name] { ApplyWrite(request, nullptr, kind, name, true); });
+             [this, request, kind, name] {
+               ApplyWrite(request, nullptr, kind, name, true);
+             });
     return;
   }
   ApplyWrite(request, response, kind, name, lose_answer);
 }
 
-void PlatformServer::ApplyWrite(const HttpRequest& request, const HttpResponsePtr& response,
-                                const std::string& kind, const std::string& name,
-                                bool lose_answer) {
+void PlatformServer::ApplyWrite(const HttpRequest& request,
+                                const HttpResponsePtr& response,
+                                const std::string& kind,
+                                const std::string& name, bool lose_answer) {
   const WriteCondition condition = ConditionOf(request);
   const bool remove = request.method == "DELETE";
   const auto version = remove ? store_.Remove(kind, name, condition)
@@ -172,17 +194,22 @@
   }
 }
 
-void PlatformServer::HandleList(const HttpRequest& request, const HttpResponsePtr& response,
+void PlatformServer::HandleList(const HttpRequest& request,
+                                const HttpResponsePtr& response,
                                 const std::string& kind) {
-  const int64_t limit = std::clamp<int64_t>(QueryInteger(request, "limit", 500), 1, 1000);
+  const int64_t limit =
+      std::clamp<int64_t>(QueryInteger(request, "limit", 500), 1, 1000);
   const auto items =
-      store_.List(kind, request.QueryParameter("after").value_or(""), static_cast<size_t>(limit));
+      store_.List(kind, request.QueryParameter("after").value_or(""),
+                  static_cast<size_t>(limit));
   nlohmann::json list = nlohmann::json::array();
   for (const auto& item : items) list.push_back(ToJson(item));
-  SendJson(response, 200, {{"version", store_.version()}, {"items", std::move(list)}});
+  SendJson(response, 200,
+           {{"version", store_.version()}, {"items", std::move(list)}});
 }
 
-void PlatformServer::HandleWatch(const HttpRequest& request, const HttpResponsePtr& response,
+void PlatformServer::HandleWatch(const HttpRequest& request,
+                                 const HttpResponsePtr& response,
                                  const std::string& kind) {
   auto watch = std::make_shared<Watch>();
   watch->kind = kind;
@@ -194,8 +221,8 @@
   }
   if (AnswerWatch(*watch, false)) return;
   watches_.push_back(watch);
-  const int64_t timeout =
-      std::clamp<int64_t>(QueryInteger(request, "timeout_ms", 30'000), 0, kMaxWatchMs);
+  const int64_t timeout = std::clamp<int64_t>(
+      QueryInteger(request, "timeout_ms", 30'000), 0, kMaxWatchMs);
   RunAfter(context_, Duration::Milliseconds(timeout), [this, watch] {
     if (!watch->answered && !faults_.outage) AnswerWatch(*watch, true);
     std::erase(watches_, watch);
@@ -213,16 +240,20 @@
                     {"value", event.value}});
   }
   watch.answered = true;
-  SendJson(watch.response, 200, {{"version", store_.version()}, {"events", std::move(list)}});
+  SendJson(watch.response, 200,
+           {{"version", store_.version()}, {"events", std::move(list)}});
   return true;
 }
 
 void PlatformServer::NotifyWatches() {
   if (faults_.outage) return;
-  std::erase_if(watches_, [this](const auto& watch) { return AnswerWatch(*watch, false); });
+  std::erase_if(watches_, [this](const auto& watch) {
+    return AnswerWatch(*watch, false);
+  });
 }
 
-void PlatformServer::HandleVms(const HttpRequest& request, const HttpResponsePtr& response) {
+void PlatformServer::HandleVms(const HttpRequest& request,
+                               const HttpResponsePtr& response) {
   if (request.method == "POST") {
     const auto body = ParseJson(request.body);
     if (!body.is_object() || !body.contains("name")) {
@@ -241,32 +272,40 @@
     return;
   }
   const int64_t visible = MonotonicMs() - options_.vm_list_lag.milliseconds();
-  while (vm_history_.size() > 1 && vm_history_[1].at_ms <= visible) vm_history_.pop_front();
+  while (vm_history_.size() > 1 && vm_history_[1].at_ms <= visible)
+    vm_history_.pop_front();
   nlohmann::json list = nlohmann::json::array();
   if (!vm_history_.empty() && vm_history_.front().at_ms <= visible) {
     for (const auto& [name, vm] : vm_history_.front().vms) {
-      list.push_back(
-          {{"name", vm.name}, {"address", vm.address}, {"domain", vm.domain}, {"state", vm.state}});
+      list.push_back({{"name", vm.name},
+                      {"address", vm.address},
+                      {"domain", vm.domain},
+                      {"state", vm.state}});
     }
   }
   SendJson(response, 200, {{"vms", std::move(list)}});
 }
 
-void PlatformServer::HandleWeights(const HttpRequest& request, const HttpResponsePtr& response) {
+void PlatformServer::HandleWeights(const HttpRequest& request,
+                                   const HttpResponsePtr& response) {
   // Loads share the store's rate: each is served after those before it.
   const double scale = std::max(0.001, QueryReal(request, "time_scale", 1.0));
   const auto now = static_cast<double>(MonotonicMs());
   const double start = std::max(now, weight_busy_until_ms_);
   weight_busy_until_ms_ =
-      start + static_cast<double>(options_.weight_load_time.milliseconds()) / scale;
+      start +
+      static_cast<double>(options_.weight_load_time.milliseconds()) / scale;
   ++calls_["weights"];
-  RunAfter(context_, Duration::Milliseconds(static_cast<int64_t>(weight_busy_until_ms_ - now)),
-           [response] {
-             SendJson(response, 200, {{"ok", true}});
-           });
+  RunAfter(
+      context_,
+      Duration::Milliseconds(static_cast<int64_t>(weight_busy_until_ms_ - now)),
+      [response] {
+        SendJson(response, 200, {{"ok", true}});
+      });
 }
 
-void PlatformServer::HandleFault(const HttpRequest& request, const HttpResponsePtr& response) {
+void PlatformServer::HandleFault(const HttpRequest& request,
+                                 const HttpResponsePtr& response) {
   const auto path = PathSegments(request.path);
   if (path.size() < 2 || path[0] != "fault") {
     SendError(response, 404, "not_found", "unknown path " + request.path);
@@ -276,7 +315,8 @@
   SendJson(response, 200, State());
 }
 
-void PlatformServer::SetFault(const std::string& name, const HttpRequest& request) {
+void PlatformServer::SetFault(const std::string& name,
+                              const HttpRequest& request) {
   const bool on = QueryInteger(request, "on", 1) != 0;
   const double probability = QueryReal(request, "p", 0);
   const int64_t ms = QueryInteger(request, "ms", 0);
@@ -298,7 +338,8 @@
     faults_.delayed_probability = QueryReal(request, "p", 1);
   } else if (name == "rates") {
     const double reads = QueryReal(request, "reads", options_.reads_per_second);
-    const double writes = QueryReal(request, "writes", options_.writes_per_second);
+    const double writes =
+        QueryReal(request, "writes", options_.writes_per_second);
     read_bucket_ = TokenBucket(reads, std::max(1.0, reads));
     write_bucket_ = TokenBucket(writes, std::max(1.0, writes));
   } else if (name == "vm_lag") {
--- a/standins/platform/platform_server.h
+++ b/standins/platform/platform_server.h
@@ -21,7 +21,8 @@
   Duration vm_list_lag = Duration::Seconds(2);
   double writes_per_second = 500;
   double reads_per_second = 2000;
-  Duration weight_load_time = Duration::Seconds(5);  // of one load at the full rate
+  Duration weight_load_time =
+      Duration::Seconds(5);  // of one load at the full rate
   size_t history = 20'000;
 };
 
@@ -31,8 +32,8 @@
  */
 class PlatformServer {
  public:
-  static Result<std::unique_ptr<PlatformServer>> Start(asio::io_context& context,
-                                                       PlatformOptions options);
+  static Result<std::unique_ptr<PlatformServer>> Start(
+      asio::io_context& context, PlatformOptions options);
 
   PlatformServer(const PlatformServer&) = delete;
   PlatformServer& operator=(const PlatformServer&) = delete;
@@ -56,14 +57,15 @@
     std::map<std::string, Vm> vms;
   };
   struct Faults {
-    bool outage = false;             // no call is answered
-    bool refuse = false;             // calls are answered with 503
-    int64_t slow_ms = 0;             // added to every answer
-    double lost_answers = 0;         // probability that a write's answer is lost
-    double lost_requests = 0;        // probability that a write is lost before it takes effect
+    bool outage = false;      // no call is answered
+    bool refuse = false;      // calls are answered with 503
+    int64_t slow_ms = 0;      // added to every answer
+    double lost_answers = 0;  // probability that a write's answer is lost
+    double lost_requests =
+        0;  // probability that a write is lost before it takes effect
     int64_t delayed_effect_ms = 0;   // a write takes effect this much later
     double delayed_probability = 1;  // of delayed_effect_ms
-    int64_t stale_reads = 0;         // reads see the state this many versions ago
+    int64_t stale_reads = 0;  // reads see the state this many versions ago
   };
 
   PlatformServer(asio::io_context& context, PlatformOptions options);
@@ -75,7 +77,8 @@
   void HandleWrite(const HttpRequest& request, const HttpResponsePtr& response,
                    const std::string& kind, const std::string& name);
   void ApplyWrite(const HttpRequest& request, const HttpResponsePtr& response,
-                  const std::string& kind, const std::string& name, bool lose_answer);
+                  const std::string& kind, const std::string& name,
+                  bool lose_answer);
   void HandleList(const HttpRequest& request, const HttpResponsePtr& response,
                   const std::string& kind);
   void HandleWatch(const HttpRequest& request, const HttpResponsePtr& response,
@@ -83,7 +86,8 @@
   bool AnswerWatch(Watch& watch, bool timed_out);
   void NotifyWatches();
   void HandleVms(const HttpRequest& request, const HttpResponsePtr& response);
-  void HandleWeights(const HttpRequest& request, const HttpResponsePtr& response);
+  void HandleWeights(const HttpRequest& request,
+                     const HttpResponsePtr& response);
   void HandleFault(const HttpRequest& request, const HttpResponsePtr& response);
   void SetFault(const std::string& name, const HttpRequest& request);
   nlohmann::json State() const;
--- a/standins/service/main.cc
+++ b/standins/service/main.cc
@@ -40,9 +40,9 @@
     return 1;
   }
   auto client = zr::HttpClient::Create(context);
-  zr::RegisterEndpoints(
-      context, *client, FLAGS_register,
-      {FLAGS_name_prefix, FLAGS_listen, FLAGS_count, FLAGS_pool, FLAGS_domains, FLAGS_region});
+  zr::RegisterEndpoints(context, *client, FLAGS_register,
+                        {FLAGS_name_prefix, FLAGS_listen, FLAGS_count,
+                         FLAGS_pool, FLAGS_domains, FLAGS_region});
   zr::Log(zr::LogLevel::kInfo, "service", "listening on " + FLAGS_listen);
   zr::RunUntilSignal(context);
   return 0;
--- a/standins/service/plain_service.cc
+++ b/standins/service/plain_service.cc
@@ -5,10 +5,12 @@
 PlainService::PlainService(asio::io_context& context, ServiceOptions options)
     : context_(context), options_(std::move(options)), random_(options_.boot) {}
 
-Result<std::unique_ptr<PlainService>> PlainService::Start(asio::io_context& context,
-                                                          ServiceOptions options) {
-  std::unique_ptr<PlainService> self(new PlainService(context, std::move(options)));
-  if (auto listening = self->Listen(); !listening) return tl::unexpected(listening.error());
+Result<std::unique_ptr<PlainService>> PlainService::Start(
+    asio::io_context& context, ServiceOptions options) {
+  std::unique_ptr<PlainService> self(
+      new PlainService(context, std::move(options)));
+  if (auto listening = self->Listen(); !listening)
+    return tl::unexpected(listening.error());
   return self;
 }
 
@@ -16,7 +18,8 @@
   HttpServerOptions options;
   options.address = options_.listen;
   auto server = HttpServer::Start(
-      context_, options, [this](const HttpRequest& request, const HttpResponsePtr& response) {
+      context_, options,
+      [this](const HttpRequest& request, const HttpResponsePtr& response) {
         Handle(request, response);
       });
   if (!server) return tl::unexpected(server.error());
@@ -24,7 +27,8 @@
   return {};
 }
 
-void PlainService::Handle(const HttpRequest& request, const HttpResponsePtr& response) {
+void PlainService::Handle(const HttpRequest& request,
+                          const HttpResponsePtr& response) {
   if (down_) {
     response->Abort();
   } else if (frozen_) {
@@ -32,12 +36,16 @@
   } else if (request.path == "/engine/load") {
     SendJson(response, 200, Load());
   } else if (request.path == "/engine/streams") {
-    SendJson(response, 200, {{"boot", options_.boot}, {"streams", nlohmann::json::array()}});
+    SendJson(response, 200,
+             {{"boot", options_.boot}, {"streams", nlohmann::json::array()}});
   } else if (request.path == "/engine/cache_events") {
-    SendJson(response, 200, {{"boot", options_.boot}, {"events", nlohmann::json::array()}});
+    SendJson(response, 200,
+             {{"boot", options_.boot}, {"events", nlohmann::json::array()}});
   } else if (request.path == "/executions") {
     SendJson(response, 200,
-             {{"name", options_.name}, {"total", executed_}, {"executions", executions_}});
+             {{"name", options_.name},
+              {"total", executed_},
+              {"executions", executions_}});
   } else if (running_ >= options_.max_concurrent) {
     SendError(response, 503, "overloaded", "too many calls");
   } else {
@@ -45,19 +53,22 @@
   }
 }
 
-void PlainService::Execute(const HttpRequest& request, const HttpResponsePtr& response) {
+void PlainService::Execute(const HttpRequest& request,
+                           const HttpResponsePtr& response) {
   // The effect happens on arrival, so that a lost answer never means "not run".
   const std::string key(request.Header("idempotency-key"));
   ++executed_;
   const int64_t count = key.empty() ? 0 : ++executions_[key];
   ++running_;
   const uint64_t boot = options_.boot;
-  const Duration time = options_.service_time + Duration::Milliseconds(extra_ms_);
+  const Duration time =
+      options_.service_time + Duration::Milliseconds(extra_ms_);
   RunAfter(context_, time, [this, response, key, count, boot] {
     if (boot != options_.boot) return response->Abort();
     --running_;
     if (down_ || random_.Chance(lost_answers_)) return response->Abort();
-    SendJson(response, 200, {{"service", options_.name}, {"key", key}, {"count", count}});
+    SendJson(response, 200,
+             {{"service", options_.name}, {"key", key}, {"count", count}});
   });
 }
 
@@ -89,7 +100,8 @@
   });
 }
 
-bool PlainService::ApplyFault(const std::string& fault, const HttpRequest& request) {
+bool PlainService::ApplyFault(const std::string& fault,
+                              const HttpRequest& request) {
   if (fault == "crash") {
     if (!down_) Crash(QueryInteger(request, "restart_ms", 1000));
   } else if (fault == "freeze") {
@@ -112,9 +124,10 @@
 nlohmann::json PlainService::State() const {
   int64_t repeated = 0;
   for (const auto& [key, count] : executions_) repeated += count > 1 ? 1 : 0;
-  return {{"name", options_.name},     {"boot", options_.boot}, {"executed", executed_},
-          {"repeated_keys", repeated}, {"running", running_},   {"down", down_},
-          {"frozen", frozen_},         {"leaving", leaving_}};
+  return {{"name", options_.name}, {"boot", options_.boot},
+          {"executed", executed_}, {"repeated_keys", repeated},
+          {"running", running_},   {"down", down_},
+          {"frozen", frozen_},     {"leaving", leaving_}};
 }
 
 }  // namespace zr
--- a/standins/service/plain_service.h
+++ b/standins/service/plain_service.h
@@ -18,7 +18,8 @@
   uint64_t boot = 1;
 };
 
-/** A plain service that counts its executions by idempotency key. One io_context thread. */
+/** A plain service that counts its executions by idempotency key. One
+ * io_context thread. */
 class PlainService {
  public:
   static Result<std::unique_ptr<PlainService>> Start(asio::io_context& context,
@@ -27,8 +28,8 @@
   PlainService(const PlainService&) = delete;
   PlainService& operator=(const PlainService&) = delete;
 
-  /** Applies a fault: crash, freeze, unfreeze, slow (query ms), break_answers (query p), leave,
-   * unleave. */
+  /** Applies a fault: crash, freeze, unfreeze, slow (query ms), break_answers
+   * (query p), leave, unleave. */
   bool ApplyFault(const std::string& fault, const HttpRequest& request);
   /** State for the fault port. */
   nlohmann::json State() const;
--- a/standins/tests/batch_model_test.cc
+++ b/standins/tests/batch_model_test.cc
@@ -6,7 +6,8 @@
 namespace zr {
 namespace {
 
-BatchRequest Request(const std::string& id, int64_t prompt_tokens, int64_t max_tokens) {
+BatchRequest Request(const std::string& id, int64_t prompt_tokens,
+                     int64_t max_tokens) {
   BatchRequest request;
   request.id = id;
   request.prompt = "prompt of " + id;
@@ -22,12 +23,14 @@
   return options;
 }
 
-/** Runs steps until nothing is left to do. @returns steps until each stream's first token */
+/** Runs steps until nothing is left to do. @returns steps until each stream's
+ * first token */
 std::map<std::string, int> RunDry(BatchModel& model, int max_steps) {
   std::map<std::string, int> first;
   for (int step = 1; model.HasWork() && step <= max_steps; ++step) {
     model.BeginStep();
-    for (const auto& id : model.EndStep(0).advanced) first.try_emplace(id, step);
+    for (const auto& id : model.EndStep(0).advanced)
+      first.try_emplace(id, step);
   }
   return first;
 }
@@ -36,7 +39,8 @@
 // random mix of streams, cancels, imports, exports and lost readers.
 TEST_CASE("The batch model keeps its KV account") {
   const char* given = std::getenv("ZR_SEED");
-  const uint64_t seed = given != nullptr ? std::strtoull(given, nullptr, 10) : 20'261;
+  const uint64_t seed =
+      given != nullptr ? std::strtoull(given, nullptr, 10) : 20'261;
   INFO("ZR_SEED=" << seed);
   Random random(seed);
   EngineOptions options = WarmOptions();
@@ -50,9 +54,12 @@
     switch (random.Below(8)) {
       case 0:
       case 1: {
-        auto request = Request(id, 1 + static_cast<int64_t>(random.Below(6'000)), 50);
+        auto request =
+            Request(id, 1 + static_cast<int64_t>(random.Below(6'000)), 50);
         request.prompt = "shared " + std::to_string(random.Below(5));
-        accepted += model.Submit(request, now) == BatchModel::Admission::kAccepted ? 1 : 0;
+        accepted +=
+            model.Submit(request, now) == BatchModel::Admission::kAccepted ? 1
+                                                                           : 0;
         break;
       }
       case 2:
@@ -94,24 +101,31 @@
   options.warm_after = 4;
   options.max_requests = 6;
   BatchModel model(options, [](bool, uint64_t) {});
-  CHECK(model.Submit(Request("a", 10, 2), 0) == BatchModel::Admission::kAccepted);
-  CHECK(model.Submit(Request("b", 10, 2), 0) == BatchModel::Admission::kAccepted);
+  CHECK(model.Submit(Request("a", 10, 2), 0) ==
+        BatchModel::Admission::kAccepted);
+  CHECK(model.Submit(Request("b", 10, 2), 0) ==
+        BatchModel::Admission::kAccepted);
   SECTION("at once") {
-    CHECK(model.Submit(Request("c", 10, 2), 0) == BatchModel::Admission::kOverrun);
+    CHECK(model.Submit(Request("c", 10, 2), 0) ==
+          BatchModel::Admission::kOverrun);
     CHECK(model.overruns() == 1);
   }
   SECTION("and survives more after it has completed work") {
     RunDry(model, 100);
     CHECK(model.Allowance() == 4);
     for (int i = 0; i < 4; ++i) {
-      CHECK(model.Submit(Request(std::to_string(i), 10, 2), 0) == BatchModel::Admission::kAccepted);
+      CHECK(model.Submit(Request(std::to_string(i), 10, 2), 0) ==
+            BatchModel::Admission::kAccepted);
     }
-    CHECK(model.Submit(Request("x", 10, 2), 0) == BatchModel::Admission::kOverrun);
+    CHECK(model.Submit(Request("x", 10, 2), 0) ==
+          BatchModel::Admission::kOverrun);
   }
   SECTION("but not within the grace time after a silent cold start") {
     model.MakeCold(1'000);
-    CHECK(model.Submit(Request("c", 10, 2), 999) == BatchModel::Admission::kAccepted);
-    CHECK(model.Submit(Request("d", 10, 2), 1'000) == BatchModel::Admission::kOverrun);
+    CHECK(model.Submit(Request("c", 10, 2), 999) ==
+          BatchModel::Admission::kAccepted);
+    CHECK(model.Submit(Request("d", 10, 2), 1'000) ==
+          BatchModel::Admission::kOverrun);
   }
 }
 
--- a/standins/tests/standin_test.cc
+++ b/standins/tests/standin_test.cc
@@ -19,7 +19,8 @@
 
 std::string FreeAddress() {
   asio::io_context context;
-  asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  asio::ip::tcp::acceptor acceptor(context,
+                                   {asio::ip::address_v4::loopback(), 0});
   return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
 }
 
@@ -32,32 +33,36 @@
   void Run() {
     thread = std::thread([this] { context.run(); });
   }
-  FetchResult Fetch(const std::string& method, const std::string& url, HttpHeaders headers = {},
-                    std::string body = "") {
+  FetchResult Fetch(const std::string& method, const std::string& url,
+                    HttpHeaders headers = {}, std::string body = "") {
     ClientRequest request;
     request.method = method;
     request.url = "http://" + url;
     request.headers = std::move(headers);
     request.body = std::move(body);
     auto promise = std::make_shared<std::promise<FetchResult>>();
-    client->Fetch(std::move(request), 1 << 22, [promise](auto r) { promise->set_value(r); });
+    client->Fetch(std::move(request), 1 << 22,
+                  [promise](auto r) { promise->set_value(r); });
     auto future = promise->get_future();
     REQUIRE(future.wait_for(kWait) == std::future_status::ready);
     return future.get();
   }
-  nlohmann::json Json(const std::string& method, const std::string& url, std::string body = "") {
+  nlohmann::json Json(const std::string& method, const std::string& url,
+                      std::string body = "") {
     auto result = Fetch(method, url, {}, std::move(body));
     REQUIRE(result);
     return ParseJson(result->body);
   }
 
   asio::io_context context;
-  asio::executor_work_guard<asio::io_context::executor_type> work{context.get_executor()};
+  asio::executor_work_guard<asio::io_context::executor_type> work{
+      context.get_executor()};
   std::shared_ptr<HttpClient> client = *HttpClient::Create(context);
   std::thread thread;
 };
 
-// Guards against a platform stand-in that is more forgiving than the object API.
+// Guards against a platform stand-in that is more forgiving than the object
+// API.
 TEST_CASE("The platform stand-in") {
   Fixture fixture;
   PlatformOptions options;
@@ -68,13 +73,19 @@
   REQUIRE(platform);
   fixture.Run();
   const std::string object = options.listen + "/v1/objects/k/o";
-  REQUIRE(fixture.Fetch("PUT", object, {{"if-none-match", "*"}}, "one")->status == 200);
+  REQUIRE(
+      fixture.Fetch("PUT", object, {{"if-none-match", "*"}}, "one")->status ==
+      200);
 
   SECTION("refuses a write whose condition does not hold") {
-    CHECK(fixture.Fetch("PUT", object, {{"if-none-match", "*"}}, "two")->status == 412);
-    CHECK(fixture.Fetch("PUT", object, {{"if-match", "7"}}, "two")->status == 412);
+    CHECK(
+        fixture.Fetch("PUT", object, {{"if-none-match", "*"}}, "two")->status ==
+        412);
+    CHECK(fixture.Fetch("PUT", object, {{"if-match", "7"}}, "two")->status ==
+          412);
     CHECK(fixture.Json("GET", object)["value"] == "one");
-    CHECK(fixture.Fetch("PUT", object, {{"if-match", "1"}}, "two")->status == 200);
+    CHECK(fixture.Fetch("PUT", object, {{"if-match", "1"}}, "two")->status ==
+          200);
     CHECK(fixture.Json("GET", object)["value"] == "two");
   }
   SECTION("can lose the answer of a write that took effect") {
@@ -84,16 +95,21 @@
     CHECK(result.error().request_sent);
     CHECK(fixture.Json("GET", object)["version"] == 2);
   }
-  SECTION("answers a watch with later events, and with 410 when they are forgotten") {
+  SECTION(
+      "answers a watch with later events, and with 410 when they are "
+      "forgotten") {
     auto watched = std::async(std::launch::async, [&] {
-      return fixture.Fetch("GET", options.listen + "/v1/watch/k?after=1&timeout_ms=60000");
+      return fixture.Fetch(
+          "GET", options.listen + "/v1/watch/k?after=1&timeout_ms=60000");
     });
     fixture.Fetch("PUT", object, {{"if-match", "1"}}, "two");
     auto result = watched.get();
     REQUIRE(result);
     CHECK(ParseJson(result->body)["events"][0]["value"] == "two");
     for (int i = 0; i < 5; ++i) fixture.Fetch("PUT", object, {}, "more");
-    CHECK(fixture.Fetch("GET", options.listen + "/v1/watch/k?after=1")->status == 410);
+    CHECK(
+        fixture.Fetch("GET", options.listen + "/v1/watch/k?after=1")->status ==
+        410);
   }
 }
 
@@ -107,11 +123,13 @@
   REQUIRE(service);
   fixture.Run();
   for (int i = 1; i <= 2; ++i) {
-    auto result = fixture.Fetch("POST", options.listen + "/do", {{"idempotency-key", "k"}}, "body");
+    auto result = fixture.Fetch("POST", options.listen + "/do",
+                                {{"idempotency-key", "k"}}, "body");
     REQUIRE(result);
     CHECK(ParseJson(result->body)["count"] == i);
   }
-  CHECK(fixture.Json("GET", options.listen + "/executions")["executions"]["k"] == 2);
+  CHECK(fixture.Json("GET",
+                     options.listen + "/executions")["executions"]["k"] == 2);
 }
 
 /** Cancels its call after the first data. */
@@ -141,8 +159,10 @@
   fixture.Run();
   const std::string url = options.listen + "/v1/completions";
   const auto body = [](const std::string& id, int tokens, bool stream) {
-    return nlohmann::json{
-        {"prompt", "p"}, {"stream_id", id}, {"max_tokens", tokens}, {"stream", stream}}
+    return nlohmann::json{{"prompt", "p"},
+                          {"stream_id", id},
+                          {"max_tokens", tokens},
+                          {"stream", stream}}
         .dump();
   };
   const auto state = [&] {
@@ -158,14 +178,17 @@
     request.url = "http://" + url;
     request.body = body("r#1", 200, true);
     auto call = fixture.client->Start(request, reader);
-    REQUIRE(reader->first.get_future().wait_for(kWait) == std::future_status::ready);
+    REQUIRE(reader->first.get_future().wait_for(kWait) ==
+            std::future_status::ready);
     call->Cancel();
     auto answer = fixture.Json("POST", url, body("r#1", 200, false));
     CHECK(answer["choices"][0]["text"] == AnswerText(AnswerSeed("p"), 200));
     CHECK(state()["runs"]["r"] == 1);
     CHECK(state()["kv_used"] == 0);
   }
-  SECTION("crashes when a fresh engine is overrun, and comes back with a new boot number") {
+  SECTION(
+      "crashes when a fresh engine is overrun, and comes back with a new boot "
+      "number") {
     auto first = std::async(std::launch::async, [&] {
       return fixture.Fetch("POST", url, {}, body("a#1", 100'000, false));
     });
