--- a/modules/zr_gateway/endpoint_board.cc
+++ b/modules/zr_gateway/endpoint_board.cc
@@ -36,28 +36,88 @@
 }
 
 void EndpointBoard::OnStart(TimePoint now, const EndpointId& id,
-                            TokenCount reading, TokenCount held) {
+                            const CallLoad& load) {
   EndpointState* state = FindMutable(id);
   if (state == nullptr) return;
-  ++state->in_flight;
-  state->reading += reading;
-  state->held += held;
-  if (now < state->cold_until) state->cold_starts.TryTake(now);
+  state->calls.push_back(load);
+  if (load.reading_ms > 0) {
+    state->busy_until =
+        std::max(state->busy_until, now) +
+        Duration::Microseconds(static_cast<int64_t>(1000 * load.reading_ms));
+  }
+  if (load.writes && now < state->cold_until) state->cold_starts.TryTake(now);
 }
 
-void EndpointBoard::OnPromptRead(const EndpointId& id, TokenCount reading) {
-  if (EndpointState* state = FindMutable(id)) {
-    state->reading = std::max(TokenCount(0), state->reading - reading);
+void EndpointBoard::OnPromptRead(TimePoint now, const EndpointId& id,
+                                 const CallKey& key) {
+  EndpointState* state = FindMutable(id);
+  if (state == nullptr) return;
+  for (CallLoad& call : state->calls) {
+    if (call.key == key) call.reading_ms = 0;
   }
+  NoteReadingEnd(now, *state);
 }
 
-void EndpointBoard::OnEnd(const EndpointId& id, TokenCount reading,
-                          TokenCount held) {
+void EndpointBoard::OnEnd(TimePoint now, const EndpointId& id,
+                          const CallKey& key) {
   EndpointState* state = FindMutable(id);
   if (state == nullptr) return;
-  state->in_flight = std::max(0, state->in_flight - 1);
-  state->reading = std::max(TokenCount(0), state->reading - reading);
-  state->held = std::max(TokenCount(0), state->held - held);
+  std::erase_if(state->calls,
+                [&key](const CallLoad& call) { return call.key == key; });
+  NoteReadingEnd(now, *state);
+}
+
+void EndpointBoard::DropVm(TimePoint now, const VmId& vm) {
+  for (auto& [id, state] : endpoints_) {
+    std::erase_if(state.calls,
+                  [&vm](const CallLoad& call) { return call.key.vm == vm; });
+    NoteReadingEnd(now, state);
+  }
+}
+
+void EndpointBoard::Expire(TimePoint now) {
+  for (auto& [id, state] : endpoints_) {
+    std::erase_if(state.calls,
+                  [now](const CallLoad& call) { return now > call.expires; });
+    NoteReadingEnd(now, state);
+  }
+}
+
+void EndpointBoard::NoteReadingEnd(TimePoint now, EndpointState& state) {
+  const bool reading =
+      std::any_of(state.calls.begin(), state.calls.end(),
+                  [](const CallLoad& call) { return call.reading_ms > 0; });
+  if (!reading) state.busy_until = std::min(state.busy_until, now);
+}
+
+int EndpointState::Writers() const {
+  return static_cast<int>(
+      std::count_if(calls.begin(), calls.end(),
+                    [](const CallLoad& call) { return call.writes; }));
+}
+
+int EndpointState::WritersDisturbedBy(double pause_ms) const {
+  return static_cast<int>(
+      std::count_if(calls.begin(), calls.end(), [&](const CallLoad& call) {
+        return call.writes &&
+               static_cast<double>(call.gap.microseconds()) < 1000 * pause_ms;
+      }));
+}
+
+double EndpointState::BacklogMs(TimePoint now) const {
+  // Reading that takes longer than forecast still ends after this.
+  constexpr double kOverdueMs = 10;
+  const bool reading =
+      std::any_of(calls.begin(), calls.end(),
+                  [](const CallLoad& call) { return call.reading_ms > 0; });
+  if (!reading) return 0;
+  return std::max(kOverdueMs, (busy_until - now).seconds() * 1000);
+}
+
+TokenCount EndpointState::Held() const {
+  TokenCount held;
+  for (const CallLoad& call : calls) held += call.held;
+  return held;
 }
 
 void EndpointBoard::OnSign(TimePoint now, const EndpointId& id, CallSign sign) {
@@ -68,6 +128,8 @@
       state->strikes = 0;
       state->avoid_until = TimePoint();
       return;
+    case CallSign::kAborted:
+      return;
     case CallSign::kRejected:
       state->avoid_until =
           std::max(state->avoid_until, now + options_.full_avoidance);
--- a/modules/zr_gateway/endpoint_board.h
+++ b/modules/zr_gateway/endpoint_board.h
@@ -9,34 +9,48 @@
 
 #include "zr_base/zr_base.h"
 #include "zr_gateway/gateway_types.h"
+#include "zr_wire/messages.h"
 
 namespace zr {
 
-/** What a call to an endpoint showed about it. */
-enum class CallSign : uint8_t {
-  kAnswered,     // a sound answer
-  kRejected,     // full; it runs, but takes nothing more just now
-  kErrorAnswer,  // an error status of its own
-  kBroken,       // the connection failed or broke, or the answer was spoilt
-  kSilent,       // no sign of life within the bound
-  kMisdirected,  // another endpoint has the address
+/** Names one call to an endpoint among the calls of all VMs. */
+struct CallKey {
+  VmId vm;
+  RequestId request;
+  int number = 0;  // of the request's calls
+  friend auto operator<=>(const CallKey&, const CallKey&) = default;
+};
+
+/** What a call costs an endpoint. */
+struct CallLoad {
+  CallKey key;
+  double reading_ms = 0;  // to read the part of the prompt; 0 once it is read
+  TokenCount held;        // memory until the call ends
+  Duration gap = Duration::Max();  // longest pause that its caller tolerates
+  bool writes = true;              // takes a slot; false for helpers
+  TimePoint expires;               // forgotten then, whatever became of it
+  friend auto operator<=>(const CallLoad&, const CallLoad&) = default;
 };
 
 /** One endpoint and what this VM believes about it. */
 struct EndpointState {
   ListedEndpoint listed;
-  int in_flight = 0;         // calls of this VM
-  TokenCount reading;        // prompt tokens of this VM not yet read
-  TokenCount held;           // memory of this VM's calls, in tokens
-  int peers_in_flight = 0;   // calls of other VMs, as they told
-  TokenCount peers_reading;  // prompt tokens of other VMs' calls
-  TokenCount peers_held;     // memory of other VMs' calls
+  std::vector<CallLoad> calls;
+  TimePoint busy_until;  // forecast end of the reading in progress
   std::optional<ReportedLoad> report;
   TimePoint reported_at;
   TimePoint cold_until;
   int strikes = 0;        // failures in a row
   TimePoint avoid_until;  // no calls before, unless nothing else is left
   TokenBucket cold_starts{0, 1};
+
+  /** Calls that take a slot. */
+  int Writers() const;
+  /** Writers whose callers tolerate no pause as long as this. */
+  int WritersDisturbedBy(double pause_ms) const;
+  /** Forecast milliseconds until the prompts given to it are read. */
+  double BacklogMs(TimePoint now) const;
+  TokenCount Held() const;
 };
 
 /**
@@ -74,11 +88,14 @@
   //============================================================================
   // What calls show
 
-  void OnStart(TimePoint now, const EndpointId& id, TokenCount reading,
-               TokenCount held);
+  void OnStart(TimePoint now, const EndpointId& id, const CallLoad& load);
   /** The first token arrived: the prompt has been read. */
-  void OnPromptRead(const EndpointId& id, TokenCount reading);
-  void OnEnd(const EndpointId& id, TokenCount reading, TokenCount held);
+  void OnPromptRead(TimePoint now, const EndpointId& id, const CallKey& key);
+  void OnEnd(TimePoint now, const EndpointId& id, const CallKey& key);
+  /** Forgets the calls of a VM that is gone. */
+  void DropVm(TimePoint now, const VmId& vm);
+  /** Forgets calls that must have ended. */
+  void Expire(TimePoint now);
   void OnSign(TimePoint now, const EndpointId& id, CallSign sign);
   void OnLoad(TimePoint now, const EndpointId& id, const ReportedLoad& load);
   void OnCold(TimePoint now, const EndpointId& id, Duration left,
@@ -88,6 +105,11 @@
   // Queries
 
   const EndpointState* Find(const EndpointId& id) const;
+  /** The endpoint is listed, not leaving and its domain not evacuated. */
+  bool MayCall(const EndpointId& id) const {
+    const EndpointState* state = Find(id);
+    return state != nullptr && Takes(*state);
+  }
   /**
    * Endpoints of a service that may be given a call now. Endpoints to be
    * avoided are left out while others remain.
@@ -106,6 +128,7 @@
 
  private:
   bool Takes(const EndpointState& state) const;
+  static void NoteReadingEnd(TimePoint now, EndpointState& state);
   EndpointState* FindMutable(const EndpointId& id);
 
   Options options_;
--- a/modules/zr_gateway/gateway_config.cc
+++ b/modules/zr_gateway/gateway_config.cc
@@ -64,6 +64,14 @@
   return it == keys_.end() ? nullptr : it->second;
 }
 
+std::vector<PoolId> GatewayConfig::ModelPools() const {
+  std::vector<PoolId> pools;
+  for (const auto& [name, service] : services_) {
+    if (service->engine) pools.push_back(name);
+  }
+  return pools;
+}
+
 const ServiceName& PickService(const Route& route, double unit) {
   double total = 0;
   for (const WeightedService& entry : route.services) total += entry.weight;
--- a/modules/zr_gateway/gateway_config.h
+++ b/modules/zr_gateway/gateway_config.h
@@ -44,6 +44,8 @@
   const ServicePolicy* FindService(const ServiceName& name) const;
   /** The team that holds the key, or null. */
   const TeamKeys* FindTeam(std::string_view key) const;
+  /** The services whose endpoints are model engines, by name. */
+  std::vector<PoolId> ModelPools() const;
   /** Requests of routes that are not anonymous need a key. */
   bool needs_keys() const { return parts_.has_teams; }
 
--- a/modules/zr_gateway/gateway_types.h
+++ b/modules/zr_gateway/gateway_types.h
@@ -10,7 +10,7 @@
 namespace zr {
 
 /** Name of a service: a pool of endpoints that answer the same routes. */
-using ServiceName = StringId<struct ServiceTag>;
+using ServiceName = PoolId;
 
 /** How often a request may run. */
 enum class RepeatRule : uint8_t {
--- a/modules/zr_gateway/placement.cc
+++ b/modules/zr_gateway/placement.cc
@@ -2,19 +2,38 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace zr {
+
+/** An engine as the choice sees it. */
+struct Placement::EngineView {
+  const EndpointState* state = nullptr;
+  double calls = 0;       // that take a slot
+  double backlog_ms = 0;  // reading in progress
+  double pass_ms = 0;     // of a pass without reading
+  double free_tokens = 0;
+  uint64_t rank = 0;  // resolves ties
+
+  PlacedEndpoint Placed() const {
+    return {state->listed.id, state->listed.address};
+  }
+};
+
 namespace {
 
 // A load report says nothing about an endpoint after this time.
 constexpr Duration kReportLife = Duration::Milliseconds(1500);
-// Mean context of a writer, as a share of an engine's memory, when unknown.
-constexpr double kUnknownContextShare = 0.02;
+// Score of an engine without a free slot, in milliseconds for each call that
+// has to end first.
+constexpr double kSlotWaitMs = 300;
+// Score of an engine whose memory is too full: another request must end first.
+constexpr double kMemoryWaitMs = 1500;
 
-/** Calls at an endpoint: those that VMs told of, or more if it reports more. */
+/** Calls at an endpoint: those known, or more if it reports more. */
 double CallsAt(TimePoint now, const EndpointState& state) {
-  const int known = state.in_flight + state.peers_in_flight;
+  const int known = state.Writers();
   if (!state.report || now - state.reported_at > kReportLife) return known;
   const int reported = state.report->running + state.report->waiting;
   const double age = (now - state.reported_at).seconds();
@@ -22,30 +41,16 @@
   return known + std::max(0, reported - known) * weight;
 }
 
-double ReadingAt(const EngineFigures& engine, const EndpointState& state) {
-  return static_cast<double>((state.reading + state.peers_reading).value()) /
-         engine.read_tokens_per_ms;
-}
-
-TokenCount HeldAt(const EndpointState& state) {
-  return state.held + state.peers_held;
-}
-
 /** Ranks equally good endpoints differently for each request. */
 uint64_t TieRank(const EndpointState& state, uint64_t tie) {
-  return std::hash<std::string>()(state.listed.id.value()) *
-             0x9e3779b97f4a7c15u ^
-         tie;
+  return Hash64(state.listed.id.value(), tie);
 }
 
-struct Scored {
-  const EndpointState* state;
-  double score;
-  uint64_t rank;
-  friend bool operator<(const Scored& a, const Scored& b) {
-    return std::pair(a.score, a.rank) < std::pair(b.score, b.rank);
-  }
-};
+double Milliseconds(Duration duration) { return duration.seconds() * 1000; }
+
+Duration FromMilliseconds(double ms) {
+  return Duration::Microseconds(static_cast<int64_t>(1000 * ms));
+}
 
 }  // namespace
 
@@ -57,83 +62,152 @@
 }
 
 double PassMilliseconds(const EngineFigures& engine, int writers,
-                        double mean_context, double reading_ms) {
-  if (writers <= 0) return reading_ms;
+                        double mean_context) {
+  if (writers <= 0) return 0;
   const double step =
       engine.step_ms + writers * (engine.writer_ms + engine.context_ms_per_1k *
                                                          mean_context / 1000);
-  return engine.stride * step + reading_ms;
+  return engine.stride * step;
 }
 
 std::optional<PlacementPlan> Placement::Choose(
     TimePoint now, const EndpointBoard& board, const ServiceName& service,
-    const EngineFigures* engine, const PromptShape& shape,
-    const std::set<EndpointId>& excluded, uint64_t tie) const {
-  const auto candidates = board.Available(now, service, excluded);
+    const EngineFigures* engine, const CallNeeds& needs, uint64_t tie) const {
+  const auto candidates = board.Available(now, service, needs.excluded);
   if (candidates.empty()) return std::nullopt;
   if (engine == nullptr) return ChoosePlain(now, candidates, tie);
-  return ChooseEngine(now, candidates, *engine, shape, tie);
+
+  const auto capacity = static_cast<double>(engine->kv_capacity.value());
+  std::vector<EngineView> engines;
+  for (const EndpointState* state : candidates) {
+    EngineView view;
+    view.state = state;
+    view.calls = CallsAt(now, *state);
+    view.backlog_ms = state->BacklogMs(now);
+    const double held = static_cast<double>(state->Held().value());
+    view.pass_ms = PassMilliseconds(*engine, static_cast<int>(view.calls),
+                                    view.calls > 0 ? held / view.calls : 0);
+    view.free_tokens = capacity * (1 - options_.kv_reserve) - held;
+    view.rank = TieRank(*state, tie);
+    engines.push_back(view);
+  }
+  const double need = static_cast<double>(
+      (needs.shape.prompt + needs.shape.max_answer).value());
+  if (need > capacity) return std::nullopt;
+  const double read_ms = ReadMilliseconds(*engine, needs.shape.prompt);
+  if (read_ms <= options_.single_read_ms) {
+    return PackShort(engines, *engine, needs, read_ms);
+  }
+  return SplitLong(engines, needs, read_ms);
 }
 
 std::optional<PlacementPlan> Placement::ChoosePlain(
     TimePoint now, const std::vector<const EndpointState*>& candidates,
     uint64_t tie) const {
-  std::optional<Scored> best;
-  for (const EndpointState* state : candidates) {
-    const Scored scored{state,
-                        CallsAt(now, *state) / std::max(1, state->listed.slots),
-                        TieRank(*state, tie)};
-    if (!best || scored < *best) best = scored;
-  }
+  const auto score = [&](const EndpointState* state) {
+    return std::pair(CallsAt(now, *state) / std::max(1, state->listed.slots),
+                     TieRank(*state, tie));
+  };
+  const auto best =
+      std::min_element(candidates.begin(), candidates.end(),
+                       [&](const EndpointState* a, const EndpointState* b) {
+                         return score(a) < score(b);
+                       });
   PlacementPlan plan;
-  plan.endpoint = best->state->listed.id;
-  plan.address = best->state->listed.address;
+  plan.first = {(*best)->listed.id, (*best)->listed.address};
   return plan;
 }
 
-std::optional<PlacementPlan> Placement::ChooseEngine(
-    TimePoint now, const std::vector<const EndpointState*>& candidates,
-    const EngineFigures& engine, const PromptShape& shape, uint64_t tie) const {
-  const auto capacity = static_cast<double>(engine.kv_capacity.value());
-  const double need =
-      static_cast<double>((shape.prompt + shape.max_answer).value());
-  if (need > capacity) return std::nullopt;
-
-  std::vector<Scored> ranked;
-  for (const EndpointState* state : candidates) {
-    const double calls = CallsAt(now, *state);
-    const double reading = ReadingAt(engine, *state);
-    double score = PassMilliseconds(engine, static_cast<int>(calls),
-                                    capacity * kUnknownContextShare, reading);
-    // Beyond the slots a request waits for another one to end.
-    const double over = calls + 1 - engine.slots;
-    if (over > 0) score += 1000 * over / engine.slots;
-    const double free = capacity * (1 - options_.kv_reserve) -
-                        static_cast<double>(HeldAt(*state).value());
-    if (need > free) score += 1000 * (need - free) / capacity + 200;
-    ranked.push_back({state, score, TieRank(*state, tie)});
-  }
-  std::sort(ranked.begin(), ranked.end());
-
+std::optional<PlacementPlan> Placement::PackShort(
+    const std::vector<EngineView>& engines, const EngineFigures& figures,
+    const CallNeeds& needs, double read_ms) const {
+  const double need = static_cast<double>(
+      (needs.shape.prompt + needs.shape.max_answer).value());
+  const double pause = Milliseconds(needs.gap) * options_.gap_share;
+  const double pack_to = figures.slots * (1 - options_.slot_reserve);
+  // Undisturbed engines with room first, the fullest of them; then the engine
+  // with the earliest first token.
+  const auto score = [&](const EngineView& engine) {
+    const double first_token =
+        engine.backlog_ms + read_ms + engine.pass_ms +
+        std::max(0.0, engine.calls + 1 - figures.slots) * kSlotWaitMs +
+        (need > engine.free_tokens ? kMemoryWaitMs : 0);
+    const bool calm =
+        engine.calls + 1 <= pack_to && need <= engine.free_tokens &&
+        first_token <= std::min(pause, Milliseconds(needs.objective));
+    return std::tuple(calm ? 0 : 1, calm ? -engine.calls : first_token,
+                      engine.rank);
+  };
+  const auto best =
+      std::min_element(engines.begin(), engines.end(),
+                       [&](const EngineView& a, const EngineView& b) {
+                         return score(a) < score(b);
+                       });
   PlacementPlan plan;
-  const EndpointState& first = *ranked.front().state;
-  plan.endpoint = first.listed.id;
-  plan.address = first.listed.address;
-
-  const double read_ms = ReadMilliseconds(engine, shape.prompt);
-  size_t readers = 1;
-  if (read_ms > options_.single_read_ms) {
-    readers = static_cast<size_t>(std::ceil(read_ms / options_.part_read_ms));
-    readers = std::min({readers, ranked.size(), options_.max_helpers + 1});
-  }
-  for (size_t i = 1; i < readers; ++i) {
-    plan.helpers.push_back(ranked[i].state->listed.id);
-    plan.helper_addresses.push_back(ranked[i].state->listed.address);
-  }
-  plan.expected_first_token = Duration::Microseconds(
-      static_cast<int64_t>(1000 * (ranked[readers - 1].score +
-                                   read_ms / static_cast<double>(readers))));
+  plan.first = best->Placed();
+  plan.part_ms = read_ms;
+  plan.expected_first_token =
+      FromMilliseconds(best->backlog_ms + read_ms + best->pass_ms);
   return plan;
 }
 
+std::optional<PlacementPlan> Placement::SplitLong(
+    const std::vector<EngineView>& engines, const CallNeeds& needs,
+    double read_ms) const {
+  const double need = static_cast<double>(
+      (needs.shape.prompt + needs.shape.max_answer).value());
+  const double limit = Milliseconds(needs.objective) * options_.objective_share;
+  const size_t most = std::min(engines.size(), options_.max_helpers + 1);
+
+  std::optional<PlacementPlan> best;
+  std::tuple<bool, int, double> best_score;
+  for (size_t readers = 1; readers <= most; ++readers) {
+    const double part = read_ms / static_cast<double>(readers);
+    struct Choice {
+      const EngineView* engine;
+      int disturbed;
+      double done;
+    };
+    std::vector<Choice> choices;
+    for (const EngineView& engine : engines) {
+      const double stretched = engine.pass_ms + engine.backlog_ms + part;
+      choices.push_back(
+          {&engine,
+           engine.state->WritersDisturbedBy(stretched / options_.gap_share),
+           stretched});
+    }
+    std::sort(choices.begin(), choices.end(),
+              [](const Choice& a, const Choice& b) {
+                return std::tuple(a.disturbed, a.done, a.engine->rank) <
+                       std::tuple(b.disturbed, b.done, b.engine->rank);
+              });
+    choices.resize(readers);
+    int disturbed = 0;
+    double done = 0;
+    for (const Choice& choice : choices) {
+      disturbed += choice.disturbed;
+      done = std::max(done, choice.done);
+    }
+    // The engine with most free memory keeps the prompt.
+    const auto first = std::max_element(
+        choices.begin(), choices.end(), [](const Choice& a, const Choice& b) {
+          return a.engine->free_tokens < b.engine->free_tokens;
+        });
+    if (need > first->engine->free_tokens) done += kMemoryWaitMs;
+    const std::tuple score(done > limit, disturbed, done);
+    if (best && !(score < best_score)) continue;
+    best_score = score;
+    best.emplace();
+    best->first = first->engine->Placed();
+    for (const Choice& choice : choices) {
+      if (choice.engine != first->engine) {
+        best->helpers.push_back(choice.engine->Placed());
+      }
+    }
+    best->part_ms = part;
+    best->expected_first_token = FromMilliseconds(done);
+  }
+  return best;
+}
+
 }  // namespace zr
--- a/modules/zr_gateway/placement.h
+++ b/modules/zr_gateway/placement.h
@@ -11,69 +11,97 @@
 
 namespace zr {
 
-/** Where a request goes. */
-struct PlacementPlan {
+/** An endpoint of a plan. */
+struct PlacedEndpoint {
   EndpointId endpoint;
   std::string address;
-  /** Engines that read a part of the prompt each, for the endpoint. */
-  std::vector<EndpointId> helpers;
-  std::vector<std::string> helper_addresses;
-  Duration expected_first_token;  // from the published figures and known load
+  friend auto operator<=>(const PlacedEndpoint&,
+                          const PlacedEndpoint&) = default;
+};
+
+/** Where a request goes. */
+struct PlacementPlan {
+  PlacedEndpoint first;  // runs the request
+  /** Engines that read a part of the prompt each, for the first. */
+  std::vector<PlacedEndpoint> helpers;
+  double part_ms = 0;             // reading time of each part
+  Duration expected_first_token;  // from published figures and known load
+};
+
+/** What a request asks of the endpoints. */
+struct CallNeeds {
+  PromptShape shape;
+  Duration objective;              // left until the answer is late
+  Duration gap = Duration::Max();  // longest pause that its caller tolerates
+  Duration time_left;              // until its deadline
+  std::set<EndpointId> excluded;   // already tried
+  friend auto operator<=>(const CallNeeds&, const CallNeeds&) = default;
 };
 
 /** Milliseconds that one engine needs to read a prompt alone. */
 double ReadMilliseconds(const EngineFigures& engine, TokenCount prompt);
 
-/** Milliseconds of one pass with the given writers and tokens to read. */
+/** Milliseconds of one pass with the given writers, without reading. */
 double PassMilliseconds(const EngineFigures& engine, int writers,
-                        double mean_context, double reading_ms);
+                        double mean_context);
 
 /**
  * Places requests by the load that is known of each endpoint.
  *
- * Plain services: the endpoint with the fewest calls. Model services: the
- * engine with the earliest forecast first token; long prompts are read on many
- * engines at once, so that no pass anywhere grows longer than the pause that
- * answers in progress may make. This answers loads in which short and long
- * prompts share all engines.
+ * Plain services: the endpoint with the fewest calls.
+ *
+ * Model services: reading a prompt stretches the pass of the engine, so that
+ * the answers which it writes pause. Prompts that read quickly are packed onto
+ * engines that already write for callers of the same kind; a longer prompt is
+ * split over as many engines as disturb the fewest answers and still meet the
+ * objective. Engines for short and for long prompts so part by themselves, in
+ * the proportion of the load. This answers loads whose mix of lengths changes
+ * within seconds.
  */
 class Placement {
  public:
   struct Options {
     /** A prompt that one engine reads within this stays on one engine. */
     double single_read_ms = 60;
-    /** Reading time aimed at for each part of a spread prompt. */
-    double part_read_ms = 20;
     /** Most helpers that an engine accepts for one prompt. */
     size_t max_helpers = 16;
     /** Memory left free for answers, share of an engine's capacity. */
     double kv_reserve = 0.02;
+    /** Slots kept free when short prompts are packed, share of all. */
+    double slot_reserve = 0.2;
+    /** Part of the objective that a forecast may use up. */
+    double objective_share = 0.6;
+    /** Part of a tolerated pause that a forecast may use up. */
+    double gap_share = 0.85;
   };
 
   Placement() : Placement(Options{}) {}
   explicit Placement(Options options) : options_(options) {}
 
   /**
-   * @param engine    figures of a model service, null for plain services
-   * @param excluded  endpoints that the request has tried
-   * @param tie       a number that spreads equal choices of several VMs
-   * @returns nothing if no endpoint may be given a call now
+   * @param engine  figures of a model service, null for plain services
+   * @param tie     a number that spreads equal choices of several VMs
+   * @returns nothing if no endpoint may be given the call now
    */
   std::optional<PlacementPlan> Choose(TimePoint now, const EndpointBoard& board,
                                       const ServiceName& service,
                                       const EngineFigures* engine,
-                                      const PromptShape& shape,
-                                      const std::set<EndpointId>& excluded,
+                                      const CallNeeds& needs,
                                       uint64_t tie) const;
 
  private:
+  struct EngineView;
+
   std::optional<PlacementPlan> ChoosePlain(
       TimePoint now, const std::vector<const EndpointState*>& candidates,
       uint64_t tie) const;
-  std::optional<PlacementPlan> ChooseEngine(
-      TimePoint now, const std::vector<const EndpointState*>& candidates,
-      const EngineFigures& engine, const PromptShape& shape,
-      uint64_t tie) const;
+  std::optional<PlacementPlan> PackShort(const std::vector<EngineView>& engines,
+                                         const EngineFigures& figures,
+                                         const CallNeeds& needs,
+                                         double read_ms) const;
+  std::optional<PlacementPlan> SplitLong(const std::vector<EngineView>& engines,
+                                         const CallNeeds& needs,
+                                         double read_ms) const;
 
   Options options_;
 };
--- /dev/null
+++ b/modules/zr_gateway/pool_dispatcher.cc
@@ -0,0 +1,151 @@
+#include "zr_gateway/pool_dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace zr {
+namespace {
+
+// A call is forgotten this long after its deadline, if no VM ended it.
+constexpr Duration kForgetAfter = Duration::Milliseconds(500);
+
+CallKey KeyOf(const VmId& vm, const RequestId& request, AttemptNumber call) {
+  return {vm, request, static_cast<int>(call.value())};
+}
+
+}  // namespace
+
+CallPlaced PoolDispatcher::OnPlaceCall(TimePoint now, const VmId& vm,
+                                       const GatewayConfig& config,
+                                       const PlaceCall& call) {
+  CallPlaced answer;
+  answer.request = call.request;
+  answer.call = call.call;
+  answer.retry_after = Duration::Milliseconds(300);
+  const ServicePolicy* service = config.FindService(call.pool);
+  if (service == nullptr) return answer;
+  CallNeeds needs;
+  needs.shape = {call.prompt, call.max_answer};
+  needs.objective = call.objective;
+  needs.gap = call.gap;
+  needs.time_left = call.time_left;
+  needs.excluded = {call.excluded.begin(), call.excluded.end()};
+  const auto plan = placement_.Choose(
+      now, board_, call.pool, service->engine ? &*service->engine : nullptr,
+      needs, random_.Next());
+  if (!plan) return answer;
+
+  std::vector<EndpointId> endpoints = {plan->first.endpoint};
+  for (const PlacedEndpoint& helper : plan->helpers) {
+    endpoints.push_back(helper.endpoint);
+    answer.helpers.push_back(helper.endpoint);
+  }
+  answer.endpoint = plan->first.endpoint;
+  answer.part_us = static_cast<uint32_t>(1000 * plan->part_ms);
+  answer.forecast = plan->expected_first_token;
+
+  CallLoad load;
+  load.reading_ms = plan->part_ms;
+  load.held = call.prompt + call.max_answer;
+  load.gap = call.gap;
+  load.expires = now + call.time_left + kForgetAfter;
+  Start(now, KeyOf(vm, call.request, call.call), call.pool, endpoints, load);
+  return answer;
+}
+
+void PoolDispatcher::Start(TimePoint now, const CallKey& key,
+                           const PoolId& pool,
+                           const std::vector<EndpointId>& endpoints,
+                           const CallLoad& load) {
+  CallLoad part = load;
+  part.key = key;
+  board_.OnStart(now, endpoints.front(), part);
+  part.writes = false;
+  part.held = TokenCount(0);
+  for (size_t i = 1; i < endpoints.size(); ++i) {
+    board_.OnStart(now, endpoints[i], part);
+  }
+  calls_[key] = {pool, endpoints, load.expires};
+}
+
+void PoolDispatcher::OnProgress(TimePoint now, const VmId& vm,
+                                const CallProgress& progress) {
+  const CallKey key = KeyOf(vm, progress.request, progress.call);
+  auto it = calls_.find(key);
+  if (it == calls_.end()) return;
+  const std::vector<EndpointId>& endpoints = it->second.endpoints;
+  if (progress.stage == CallStage::kPromptRead) {
+    board_.OnPromptRead(now, endpoints.front(), key);
+    for (size_t i = 1; i < endpoints.size(); ++i) {
+      board_.OnEnd(now, endpoints[i], key);
+    }
+    return;
+  }
+  // With helpers, a rejection may be the fault of any of them.
+  if (endpoints.size() == 1 || progress.sign != CallSign::kRejected) {
+    board_.OnSign(now, endpoints.front(), progress.sign);
+  }
+  End(now, key);
+}
+
+void PoolDispatcher::End(TimePoint now, const CallKey& key) {
+  auto it = calls_.find(key);
+  if (it == calls_.end()) return;
+  for (const EndpointId& endpoint : it->second.endpoints) {
+    board_.OnEnd(now, endpoint, key);
+  }
+  calls_.erase(it);
+}
+
+void PoolDispatcher::OnHeldCalls(TimePoint now, const VmId& vm,
+                                 const HeldCalls& held) {
+  std::vector<CallKey> known;
+  for (const auto& [key, placed] : calls_) {
+    if (key.vm == vm && placed.pool == held.pool) known.push_back(key);
+  }
+  for (const CallKey& key : known) End(now, key);
+  for (const HeldCall& call : held.calls) {
+    std::vector<EndpointId> endpoints = {call.endpoint};
+    if (call.part_us > 0) {
+      endpoints.insert(endpoints.end(), call.helpers.begin(),
+                       call.helpers.end());
+    }
+    CallLoad load;
+    load.reading_ms = call.part_us / 1000.0;
+    load.held = call.held;
+    load.gap = call.gap;
+    load.expires = now + call.time_left + kForgetAfter;
+    Start(now, KeyOf(vm, call.request, call.call), held.pool, endpoints, load);
+  }
+}
+
+void PoolDispatcher::OnVmGone(TimePoint now, const VmId& vm) {
+  std::vector<CallKey> known;
+  for (const auto& [key, placed] : calls_) {
+    if (key.vm == vm) known.push_back(key);
+  }
+  for (const CallKey& key : known) End(now, key);
+}
+
+void PoolDispatcher::Tick(TimePoint now) {
+  std::vector<CallKey> over;
+  for (const auto& [key, placed] : calls_) {
+    if (now > placed.expires) over.push_back(key);
+  }
+  for (const CallKey& key : over) End(now, key);
+}
+
+VmId DispatcherOf(const PoolId& pool, const std::vector<VmId>& vms) {
+  VmId best;
+  double best_score = 0;
+  for (const VmId& vm : vms) {
+    const double score = RendezvousScore(pool.value(), vm.value());
+    if (best.empty() || score > best_score) {
+      best = vm;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+}  // namespace zr
--- a/modules/zr_gateway/zr_gateway.h
+++ b/modules/zr_gateway/zr_gateway.h
@@ -5,7 +5,7 @@
  * that a configuration declares: which route and service, which endpoints,
  * what after a failure, how long a configuration may be trusted.
  *
- * Dependencies: zr_base.
+ * Dependencies: zr_base, zr_wire (messages between VMs).
  * Threads: none; a core module. Not synchronised.
  */
 
@@ -17,3 +17,4 @@
 #include "zr_gateway/gateway_config.h"
 #include "zr_gateway/gateway_types.h"
 #include "zr_gateway/placement.h"
+#include "zr_gateway/pool_dispatcher.h"
--- /dev/null
+++ b/modules/zr_gateway_host/dispatch_client.cc
@@ -0,0 +1,226 @@
+#include "zr_gateway_host/dispatch_client.h"
+
+#include <algorithm>
+#include <span>
+#include <utility>
+
+#include "zr_wire/zr_wire.h"
+
+namespace zr {
+namespace {
+
+// Links are kept to this many VMs for each pool, so that another one takes
+// over at once when the dispatcher is lost.
+constexpr size_t kRankedVms = 3;
+// A dispatcher answers within a round trip of a few milliseconds; a VM that is
+// silent for longer is given up and its link is dialled again.
+constexpr Duration kAskPatience = Duration::Milliseconds(60);
+// Largest frame between entry VMs; held calls are the largest.
+constexpr size_t kMaxLinkBytes = 256 << 10;
+
+}  // namespace
+
+DispatchClient::DispatchClient(asio::io_context& io,
+                               const GatewaySettings& settings,
+                               GatewayState& state, HeldCallsSource held_calls)
+    : io_(io),
+      settings_(settings),
+      state_(state),
+      held_calls_(std::move(held_calls)),
+      dispatcher_(state.placement, Hash64(settings.vm.value())) {}
+
+Result<void> DispatchClient::Start(const std::string& key) {
+  PeerOptions options;
+  options.self = settings_.vm;
+  options.incarnation = Incarnation(
+      static_cast<uint64_t>(std::max<int64_t>(1, BootNow().microseconds())));
+  options.listen_address = settings_.peers_address;
+  options.key = key;
+  options.max_buffered_bytes = kMaxLinkBytes;
+  auto links = PeerLinks::Start(io_, options, weak_from_this());
+  if (!links) return tl::unexpected(links.error());
+  links_ = std::move(*links);
+  ChooseTargets();
+  return {};
+}
+
+void DispatchClient::SetVms(std::map<VmId, std::string> vms) {
+  if (vms == vms_) return;
+  vms_ = std::move(vms);
+  ChooseTargets();
+}
+
+void DispatchClient::SetPools(std::vector<PoolId> pools) {
+  if (pools == pools_) return;
+  pools_ = std::move(pools);
+  ChooseTargets();
+}
+
+void DispatchClient::Stop() {
+  if (links_) links_->Stop();
+  linked_.clear();
+  vms_.clear();
+  ranked_.clear();
+  current_.clear();
+}
+
+void DispatchClient::ChooseTargets() {
+  if (!links_) return;
+  ranked_.clear();
+  std::set<std::string> targets;
+  for (const PoolId& pool : pools_) {
+    std::vector<VmId> vms;
+    for (const auto& [vm, address] : vms_) vms.push_back(vm);
+    const size_t count = std::min(kRankedVms, vms.size());
+    std::partial_sort(vms.begin(), vms.begin() + static_cast<int64_t>(count),
+                      vms.end(), [&pool](const VmId& a, const VmId& b) {
+                        return RendezvousScore(pool.value(), a.value()) >
+                               RendezvousScore(pool.value(), b.value());
+                      });
+    vms.resize(count);
+    for (const VmId& vm : vms) targets.insert(vms_[vm]);
+    ranked_[pool] = std::move(vms);
+  }
+  links_->SetTargets(std::move(targets));
+  NoteDispatchers();
+}
+
+VmId DispatchClient::DispatcherFor(const PoolId& pool) const {
+  auto it = ranked_.find(pool);
+  if (it == ranked_.end()) return VmId();
+  for (const VmId& vm : it->second) {
+    if (vm == settings_.vm || linked_.contains(vm)) return vm;
+  }
+  return VmId();
+}
+
+void DispatchClient::NoteDispatchers() {
+  const TimePoint now = BootNow();
+  for (const PoolId& pool : pools_) {
+    const VmId vm = DispatcherFor(pool);
+    if (current_[pool] == vm) continue;
+    state_.log.Write(now, "dispatcher",
+                     {{"pool", pool.value()},
+                      {"before", current_[pool].value()},
+                      {"now", vm.value()},
+                      {"vms", vms_.size()}});
+    current_[pool] = vm;
+    if (vm.empty()) continue;
+    HeldCalls held{pool, held_calls_(pool)};
+    if (vm == settings_.vm) {
+      dispatcher_.OnHeldCalls(now, vm, held);
+    } else {
+      Send(vm, held);
+    }
+  }
+}
+
+//==============================================================================
+// Use
+
+void DispatchClient::Ask(TimePoint now, const PlaceCall& call,
+                         PlacedCallback done) {
+  const VmId vm = DispatcherFor(call.pool);
+  if (vm.empty() || !state_.config) return done(std::nullopt);
+  if (vm == settings_.vm) {
+    return done(dispatcher_.OnPlaceCall(now, vm, *state_.config, call));
+  }
+  if (!Send(vm, call)) return done(std::nullopt);
+  pending_[{call.request, call.call}] = {vm, now + kAskPatience,
+                                         std::move(done)};
+}
+
+void DispatchClient::Report(const CallProgress& progress) {
+  const VmId vm = DispatcherFor(progress.pool);
+  if (vm == settings_.vm) {
+    dispatcher_.OnProgress(BootNow(), vm, progress);
+  } else if (!vm.empty()) {
+    Send(vm, progress);
+  }
+}
+
+void DispatchClient::Tick(TimePoint now) {
+  dispatcher_.Tick(now);
+  std::vector<AskKey> overdue;
+  std::set<VmId> silent;
+  for (const auto& [key, pending] : pending_) {
+    if (now < pending.give_up) continue;
+    overdue.push_back(key);
+    silent.insert(pending.asked);
+  }
+  for (const VmId& vm : silent) {
+    state_.log.Write(now, "dispatcher_silent", {{"peer", vm.value()}});
+    if (links_) links_->Drop(vm);
+  }
+  for (const AskKey& key : overdue) Settle(key, std::nullopt);
+}
+
+void DispatchClient::Settle(const AskKey& key,
+                            std::optional<CallPlaced> placed) {
+  auto it = pending_.find(key);
+  if (it == pending_.end()) return;
+  PlacedCallback done = std::move(it->second.done);
+  pending_.erase(it);
+  done(std::move(placed));
+}
+
+bool DispatchClient::Send(const VmId& vm, const Message& message) {
+  if (!links_) return false;
+  const std::vector<uint8_t> frame = EncodeMessage(message);
+  return links_->Send(
+      vm, std::string_view(reinterpret_cast<const char*>(frame.data()),
+                           frame.size()));
+}
+
+//==============================================================================
+// Links
+
+void DispatchClient::OnPeerUp(const VmId& vm, Incarnation) {
+  linked_.insert(vm);
+  state_.log.Write(BootNow(), "peer_up", {{"peer", vm.value()}});
+  NoteDispatchers();
+}
+
+void DispatchClient::OnPeerDown(const VmId& vm) {
+  linked_.erase(vm);
+  const TimePoint now = BootNow();
+  state_.log.Write(now, "peer_down", {{"peer", vm.value()}});
+  dispatcher_.OnVmGone(now, vm);
+  NoteDispatchers();
+  std::vector<AskKey> lost;
+  for (const auto& [key, pending] : pending_) {
+    if (pending.asked == vm) lost.push_back(key);
+  }
+  for (const AskKey& key : lost) Settle(key, std::nullopt);
+}
+
+void DispatchClient::OnPeerMessage(const VmId& vm, std::string_view payload) {
+  const TimePoint now = BootNow();
+  auto message = DecodeMessage(std::span(
+      reinterpret_cast<const uint8_t*>(payload.data()), payload.size()));
+  if (!message) {
+    state_.log.Write(
+        now, "bad_frame",
+        {{"peer", vm.value()}, {"reason", ToString(message.error())}});
+    return;
+  }
+  if (const auto* call = std::get_if<PlaceCall>(&*message)) {
+    CallPlaced answer;
+    if (state_.config) {
+      answer = dispatcher_.OnPlaceCall(now, vm, *state_.config, *call);
+    } else {
+      answer.request = call->request;
+      answer.call = call->call;
+    }
+    Send(vm, answer);
+  } else if (auto* placed = std::get_if<CallPlaced>(&*message)) {
+    const AskKey key(placed->request, placed->call);
+    Settle(key, std::move(*placed));
+  } else if (const auto* progress = std::get_if<CallProgress>(&*message)) {
+    dispatcher_.OnProgress(now, vm, *progress);
+  } else if (const auto* held = std::get_if<HeldCalls>(&*message)) {
+    dispatcher_.OnHeldCalls(now, vm, *held);
+  }
+}
+
+}  // namespace zr
--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "zr_gateway_host/dispatch_client.h"
 #include "zr_gateway_host/gateway_format.h"
 #include "zr_gateway_host/gateway_state.h"
 
@@ -34,6 +35,8 @@
   void Abandon();
 
   bool ended() const { return ended_; }
+  /** The call in progress, for a dispatcher that doesn't know it. */
+  std::optional<HeldCall> Held(TimePoint now, const PoolId& pool) const;
 
  private:
   /** Forwards one call's answer; ignored once the call is no longer current. */
@@ -66,8 +69,8 @@
   struct Call {
     int number = 0;
     PlacementPlan plan;
-    TokenCount part;  // prompt tokens that each reader reads
     TokenCount held;
+    CallSign sign = CallSign::kAborted;  // told to the dispatcher at the end
     TimePoint started;
     TimePoint last_byte;
     std::optional<AnswerHead> head;
@@ -78,7 +81,14 @@
   };
 
   bool Admit();
+  bool AdmitWhileStopping(TimePoint now);
   void Place(TimePoint now);
+  void PlaceByDispatcher(TimePoint now);
+  void OnPlaced(TimePoint now, std::optional<CallPlaced> placed);
+  void PlaceLocally(TimePoint now);
+  void NoEndpoint(TimePoint now, Duration retry_after);
+  CallNeeds Needs(TimePoint now) const;
+  CallKey Key() const { return {state_.vm, request_.id, call_->number}; }
   void Send(TimePoint now, PlacementPlan plan);
   void OnHead(int status, const HttpHeaders& headers);
   bool OnBody(std::string_view data);
@@ -112,6 +122,8 @@
   std::set<EndpointId> tried_;
   int sends_ = 0;
   int possible_runs_ = 0;
+  int asks_ = 0;          // of dispatchers
+  bool asking_ = false;   // a dispatcher has not answered yet
   bool waiting_ = false;  // for an endpoint that takes a call
   std::optional<CallFailure> last_failure_;
   std::optional<int64_t> last_event_;  // forwarded
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -23,7 +23,10 @@
 inline constexpr size_t kMaxPlainAnswer = size_t{8} << 20;
 // Bytes of a stream that wait for a slow caller before reading stops.
 inline constexpr size_t kMaxUnsentBytes = 64 << 10;
-// Shortest and longest time that a refused caller is told to wait.
+// After this time in a stop, only requests that surely end before the process
+// does are taken; balancers have stopped sending new connections by then.
+inline constexpr Duration kStopAdmission = Duration::Milliseconds(2800);
+// Time after which a refused caller may come back.
 inline constexpr Duration kRetryAfter = Duration::Milliseconds(300);
 
 }  // namespace gateway_internal
@@ -45,6 +48,12 @@
     if (auto self = weak.lock()) self->OnCallerGone();
   });
   if (ended_ || !Admit()) return;
+  if (!AdmitWhileStopping(arrived_)) {
+    return SendOwn({503,
+                    Error{ErrorCode::kUnavailable, "admission", "",
+                          "this VM stops before the answer would end"},
+                    Duration()});
+  }
   state_.BudgetOf(service_->name).OnSuccess();
   Place(arrived_);
 }
@@ -95,13 +104,96 @@
   return true;
 }
 
+template <GatewayFormat Format>
+bool ForwardedRequest<Format>::AdmitWhileStopping(TimePoint now) {
+  using namespace gateway_internal;
+  if (!state_.stopping || now - state_.stop_began < kStopAdmission) return true;
+  return !route_->streaming && deadline_ < state_.stop_ends;
+}
+
+template <GatewayFormat Format>
+CallNeeds ForwardedRequest<Format>::Needs(TimePoint now) const {
+  CallNeeds needs;
+  needs.shape = request_.shape;
+  needs.objective =
+      std::max(Duration(), arrived_ + route_->latency_objective - now);
+  needs.gap = route_->gap_objective.value_or(Duration::Max());
+  needs.time_left = deadline_ - now;
+  needs.excluded = tried_;
+  return needs;
+}
+
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::Place(TimePoint now) {
+  waiting_ = false;
+  if (service_->engine && state_.dispatch) return PlaceByDispatcher(now);
+  PlaceLocally(now);
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::PlaceByDispatcher(TimePoint now) {
+  const CallNeeds needs = Needs(now);
+  PlaceCall ask;
+  ask.request = request_.id;
+  ask.call = AttemptNumber(static_cast<uint64_t>(sends_ + 1));
+  ask.pool = service_->name;
+  ask.prompt = needs.shape.prompt;
+  ask.max_answer = needs.shape.max_answer;
+  ask.objective = needs.objective;
+  ask.gap = std::min(needs.gap, needs.time_left);
+  ask.time_left = needs.time_left;
+  ask.excluded = {tried_.begin(), tried_.end()};
+  asking_ = true;
+  const int number = ++asks_;
+  state_.dispatch->Ask(
+      now, ask,
+      [weak = this->weak_from_this(),
+       number](std::optional<CallPlaced> placed) {
+        auto self = weak.lock();
+        if (!self || self->ended_ || !self->asking_ || self->asks_ != number) {
+          return;
+        }
+        self->asking_ = false;
+        self->OnPlaced(BootNow(), std::move(placed));
+      });
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::OnPlaced(TimePoint now,
+                                        std::optional<CallPlaced> placed) {
+  if (!placed) return PlaceLocally(now);
+  if (placed->endpoint.empty()) return NoEndpoint(now, placed->retry_after);
+  // What this VM knows of leaving endpoints binds it, whoever chose them.
+  std::vector<EndpointId> endpoints = placed->helpers;
+  endpoints.push_back(placed->endpoint);
+  PlacementPlan plan;
+  for (const EndpointId& endpoint : endpoints) {
+    if (!state_.board.MayCall(endpoint)) {
+      state_.dispatch->Report({request_.id, placed->call, service_->name,
+                               CallStage::kEnded, CallSign::kAborted});
+      return PlaceLocally(now);
+    }
+    plan.helpers.push_back(
+        {endpoint, state_.board.Find(endpoint)->listed.address});
+  }
+  plan.first = std::move(plan.helpers.back());
+  plan.helpers.pop_back();
+  plan.part_ms = placed->part_us / 1000.0;
+  plan.expected_first_token = placed->forecast;
+  Send(now, std::move(plan));
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::PlaceLocally(TimePoint now) {
   const EngineFigures* engine = service_->engine ? &*service_->engine : nullptr;
-  auto plan =
-      state_.placement.Choose(now, state_.board, service_->name, engine,
-                              request_.shape, tried_, state_.random.Next());
+  auto plan = state_.placement.Choose(now, state_.board, service_->name, engine,
+                                      Needs(now), state_.random.Next());
   if (plan) return Send(now, std::move(*plan));
+  NoEndpoint(now, gateway_internal::kRetryAfter);
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::NoEndpoint(TimePoint now, Duration retry_after) {
   const Duration patience =
       std::min(route_->latency_objective / 4, Duration::Milliseconds(300));
   const bool may_come = state_.board.CountActive(service_->name) > 0 &&
@@ -110,12 +202,11 @@
     waiting_ = true;
     return;
   }
-  waiting_ = false;
-  if (possible_runs_ > 0 || answer_begun_) {
-    if (answer_begun_) {
-      response_->Abort();
-      return Finish("cut", 0);
-    }
+  if (answer_begun_) {
+    response_->Abort();
+    return Finish("cut", 0);
+  }
+  if (possible_runs_ > 0) {
     return SendOwn({502,
                     Error{ErrorCode::kUnavailable, "placement", "",
                           "endpoint failed and no other takes the request"},
@@ -124,7 +215,7 @@
   SendOwn({503,
            Error{ErrorCode::kOverloaded, "placement", service_->name.value(),
                  "no endpoint takes the request"},
-           gateway_internal::kRetryAfter});
+           retry_after});
 }
 
 template <GatewayFormat Format>
@@ -139,9 +230,11 @@
                     kRetryAfter});
   }
   CallTarget target;
-  target.endpoint = plan.endpoint;
-  target.address = plan.address;
-  target.helper_addresses = plan.helper_addresses;
+  target.endpoint = plan.first.endpoint;
+  target.address = plan.first.address;
+  for (const PlacedEndpoint& helper : plan.helpers) {
+    target.helper_addresses.push_back(helper.address);
+  }
   target.time_left = deadline_ - now;
   target.team = team_;
   target.resume_after = last_event_;
@@ -156,23 +249,29 @@
   call_->number = ++sends_;
   call_->started = now;
   call_->last_byte = now;
-  const auto readers = static_cast<int64_t>(plan.helpers.size() + 1);
-  call_->part = TokenCount(request_.shape.prompt.value() / readers);
   call_->held = request_.shape.prompt + request_.shape.max_answer;
   call_->plan = std::move(plan);
   ++possible_runs_;
-  tried_.insert(call_->plan.endpoint);
-  state_.board.OnStart(now, call_->plan.endpoint, call_->part, call_->held);
-  for (const EndpointId& helper : call_->plan.helpers) {
-    state_.board.OnStart(now, helper, call_->part, TokenCount(0));
+  tried_.insert(call_->plan.first.endpoint);
+  CallLoad load;
+  load.key = Key();
+  load.reading_ms = call_->plan.part_ms;
+  load.held = call_->held;
+  load.gap = route_->gap_objective.value_or(Duration::Max());
+  load.expires = deadline_ + Duration::Seconds(1);
+  state_.board.OnStart(now, call_->plan.first.endpoint, load);
+  load.writes = false;
+  load.held = TokenCount(0);
+  for (const PlacedEndpoint& helper : call_->plan.helpers) {
+    state_.board.OnStart(now, helper.endpoint, load);
   }
   LogFields fields = Fields(now);
-  fields["endpoint"] = call_->plan.endpoint.value();
+  fields["endpoint"] = call_->plan.first.endpoint.value();
   fields["helpers"] = call_->plan.helpers.size();
   fields["forecast_ms"] = call_->plan.expected_first_token.milliseconds();
-  if (const auto* state = state_.board.Find(call_->plan.endpoint)) {
-    fields["own_calls"] = state->in_flight;
-    fields["peer_calls"] = state->peers_in_flight;
+  fields["dispatched"] = asks_ > 0;
+  if (const auto* state = state_.board.Find(call_->plan.first.endpoint)) {
+    fields["own_calls"] = state->Writers();
   }
   state_.log.Write(now, "placed", fields);
   call_->handle = state_.http->Start(
@@ -193,7 +292,8 @@
     return FailCall(CallFailure::kBroken, CallSign::kBroken,
                     "answer has a content encoding");
   }
-  if (head.load) state_.board.OnLoad(now, call_->plan.endpoint, *head.load);
+  if (head.load)
+    state_.board.OnLoad(now, call_->plan.first.endpoint, *head.load);
   if (head.other_endpoint) {
     return FailCall(CallFailure::kNotRun, CallSign::kMisdirected,
                     "another endpoint has the address");
@@ -258,11 +358,17 @@
 void ForwardedRequest<Format>::NotePromptRead() {
   if (!call_->reading) return;
   call_->reading = false;
-  state_.board.OnPromptRead(call_->plan.endpoint, call_->part);
-  for (const EndpointId& helper : call_->plan.helpers) {
-    state_.board.OnEnd(helper, call_->part, TokenCount(0));
-  }
   const TimePoint now = BootNow();
+  const CallKey key = Key();
+  state_.board.OnPromptRead(now, call_->plan.first.endpoint, key);
+  for (const PlacedEndpoint& helper : call_->plan.helpers) {
+    state_.board.OnEnd(now, helper.endpoint, key);
+  }
+  if (service_->engine && state_.dispatch) {
+    state_.dispatch->Report(
+        {request_.id, AttemptNumber(static_cast<uint64_t>(call_->number)),
+         service_->name, CallStage::kPromptRead, CallSign::kAnswered});
+  }
   state_.metrics.Observe("zr_gateway_first_event_seconds",
                          {{"route", route_->name}}, now - arrived_);
   state_.metrics.Observe(
@@ -304,7 +410,8 @@
         status == 504 ? CallSign::kAnswered : CallSign::kErrorAnswer,
         "status " + std::to_string(status));
   }
-  state_.board.OnSign(now, call_->plan.endpoint, CallSign::kAnswered);
+  state_.board.OnSign(now, call_->plan.first.endpoint, CallSign::kAnswered);
+  call_->sign = CallSign::kAnswered;
   if (route_->streaming && status == 200) {
     if (!answer_begun_) BeginAnswer();
     response_->End();
@@ -322,7 +429,8 @@
                                         const std::string& why) {
   using namespace gateway_internal;
   const TimePoint now = BootNow();
-  const EndpointId endpoint = call_->plan.endpoint;
+  call_->sign = sign;
+  const EndpointId endpoint = call_->plan.first.endpoint;
   // With helpers, the one at fault is not known unless the answer names it.
   if (call_->plan.helpers.empty() || sign != CallSign::kRejected) {
     state_.board.OnSign(now, endpoint, sign);
@@ -388,12 +496,16 @@
 void ForwardedRequest<Format>::ReleaseCall() {
   if (!call_) return;
   if (call_->handle) call_->handle->Cancel();
-  const TokenCount unread = call_->reading ? call_->part : TokenCount(0);
-  state_.board.OnEnd(call_->plan.endpoint, unread, call_->held);
-  if (call_->reading) {
-    for (const EndpointId& helper : call_->plan.helpers) {
-      state_.board.OnEnd(helper, call_->part, TokenCount(0));
-    }
+  const TimePoint now = BootNow();
+  const CallKey key = Key();
+  state_.board.OnEnd(now, call_->plan.first.endpoint, key);
+  for (const PlacedEndpoint& helper : call_->plan.helpers) {
+    state_.board.OnEnd(now, helper.endpoint, key);
+  }
+  if (service_->engine && state_.dispatch) {
+    state_.dispatch->Report(
+        {request_.id, AttemptNumber(static_cast<uint64_t>(call_->number)),
+         service_->name, CallStage::kEnded, call_->sign});
   }
   call_.reset();
 }
@@ -501,6 +613,26 @@
                          now - arrived_);
 }
 
+template <GatewayFormat Format>
+std::optional<HeldCall> ForwardedRequest<Format>::Held(
+    TimePoint now, const PoolId& pool) const {
+  if (ended_ || !call_ || service_->name != pool) return std::nullopt;
+  HeldCall held;
+  held.request = request_.id;
+  held.call = AttemptNumber(static_cast<uint64_t>(call_->number));
+  held.endpoint = call_->plan.first.endpoint;
+  if (call_->reading) {
+    held.part_us = static_cast<uint32_t>(1000 * call_->plan.part_ms);
+    for (const PlacedEndpoint& helper : call_->plan.helpers) {
+      held.helpers.push_back(helper.endpoint);
+    }
+  }
+  held.held = call_->held;
+  held.gap = route_->gap_objective.value_or(deadline_ - now);
+  held.time_left = std::max(Duration(), deadline_ - now);
+  return held;
+}
+
 template <GatewayFormat Format>
 LogFields ForwardedRequest<Format>::Fields(TimePoint now) const {
   LogFields fields = {{"request", request_.id.value()}};
--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -5,6 +5,7 @@
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -41,6 +42,8 @@
   using Store = BasicObjectStore<typename Format::Store>;
   using Request = ForwardedRequest<Format>;
 
+  static constexpr size_t kEndpointFeed = 1;  // index in feeds_
+
   GatewayNode(GatewaySettings settings, SettingsReader reader);
   Result<void> Open();
 
@@ -57,6 +60,9 @@
   void ApplyEndpoint(const StoreItem& item);
   std::optional<DirectoryEntry> DecodeEntry(const StoreItem& item);
   void ApplyEvacuations();
+  void ApplyMember(const StoreItem& item);
+  void JoinMembers();
+  std::vector<HeldCall> HeldCallsOf(const PoolId& pool) const;
 
   void HandleCaller(HttpRequest request, HttpResponsePtr response);
   void HandleProbe(const HttpRequest& request, HttpResponsePtr response);
@@ -75,18 +81,26 @@
   Metrics metrics_;
   GatewayState state_;
   EndpointDirectory directory_;
+  std::shared_ptr<DispatchClient> dispatch_;
+  std::unique_ptr<EndpointDirectory> dispatch_directory_;
   std::shared_ptr<Store> store_;
   std::vector<std::shared_ptr<Feed>> feeds_;
   std::unique_ptr<HttpServer> callers_;
   std::unique_ptr<HttpServer> probes_;
   std::list<std::shared_ptr<Request>> requests_;
   std::set<DomainId> evacuated_;
+  /** An entry VM as the store holds it. */
+  struct Member {
+    std::string address;  // of its links
+    ObjectVersion version;
+  };
+  std::map<VmId, Member> members_;
+  std::string peer_key_;
   bool endpoints_known_ = false;
   bool was_ready_ = false;
   asio::signal_set signals_;
   asio::steady_timer tick_;
   TimePoint next_settings_check_;
-  TimePoint stop_began_;
 };
 
 }  // namespace zr
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <random>
 #include <utility>
 
 namespace zr {
@@ -20,9 +21,18 @@
 // Time kept for an orderly exit before the process is killed.
 inline constexpr Duration kStopMargin = Duration::Milliseconds(400);
 // Watches of the configuration are its evidence; the others may be slower.
-inline constexpr Duration kConfigWatch = Duration::Milliseconds(1200);
-inline constexpr Duration kEndpointWatch = Duration::Milliseconds(1300);
-inline constexpr Duration kEvacuationWatch = Duration::Milliseconds(2500);
+inline constexpr Duration kConfigWatch = Duration::Milliseconds(1600);
+inline constexpr Duration kEndpointWatch = Duration::Seconds(8);
+inline constexpr Duration kEvacuationWatch = Duration::Seconds(8);
+inline constexpr Duration kMemberWatch = Duration::Seconds(25);
+// Entry VMs start together; their entries are read in a few calls.
+inline constexpr Duration kMemberSettle = Duration::Seconds(1);
+// Kind of the store's objects that hold the entry VMs and their common key.
+inline constexpr const char* kMemberKind = "zinniarill-members";
+inline constexpr const char* kKeyName = "key";
+inline constexpr std::string_view kVmPrefix = "vm.";
+// 32-bit random numbers in the key.
+inline constexpr int kKeyWords = 8;
 // Beyond its wait, a call to the store has this long to be answered.
 inline constexpr Duration kStoreTimeout = Duration::Milliseconds(700);
 // Headers and bodies beyond these end the connection; the configuration's
@@ -61,6 +71,11 @@
   auto client = HttpClient::Create(io_);
   if (!client) return tl::unexpected(client.error());
   state_.http = *client;
+  dispatch_ = std::make_shared<DispatchClient>(
+      io_, settings_, state_,
+      [this](const PoolId& pool) { return HeldCallsOf(pool); });
+  dispatch_directory_ =
+      std::make_unique<EndpointDirectory>(dispatch_->dispatcher().board());
 
   HttpServerOptions options;
   options.max_header_bytes = kMaxHeaderBytes;
@@ -88,16 +103,18 @@
   store.budget.writes_per_second = settings_.store_writes_per_s;
   store_ = std::make_shared<Store>(*client, store, &BootNow);
   const auto follow = [this](const char* kind, StorePurpose purpose,
-                             Duration wait) {
+                             Duration wait, Duration settle = {}) {
     typename Feed::Options feed;
     feed.kind = kind;
     feed.purpose = purpose;
     feed.wait = wait;
+    feed.settle = settle;
     feeds_.push_back(std::make_shared<Feed>(io_, store_, feed, *this));
   };
   follow(Format::kConfigKind, StorePurpose::kConfig, kConfigWatch);
   follow(Format::kEndpointKind, StorePurpose::kEndpoints, kEndpointWatch);
   follow(Format::kEvacuationKind, StorePurpose::kStatus, kEvacuationWatch);
+  follow(kMemberKind, StorePurpose::kStatus, kMemberWatch, kMemberSettle);
   return {};
 }
 
@@ -107,7 +124,9 @@
                    {{"callers", settings_.callers_address},
                     {"domain", settings_.domain.value()},
                     {"store", settings_.store_address}});
-  for (const auto& feed : feeds_) feed->Start();
+  for (size_t i = 0; i < feeds_.size(); ++i) {
+    if (i != kEndpointFeed) feeds_[i]->Start();
+  }
   WaitForSignal();
   ScheduleTick();
   io_.run();
@@ -129,7 +148,12 @@
       if (auto entry = DecodeEntry(item)) entries.push_back(std::move(*entry));
     }
     directory_.OnList(now, entries);
+    dispatch_directory_->OnList(now, entries);
     endpoints_known_ = true;
+  } else if (kind == gateway_internal::kMemberKind) {
+    members_.clear();
+    for (const StoreItem& item : items) ApplyMember(item);
+    JoinMembers();
   } else {
     evacuated_.clear();
     for (const StoreItem& item : items) evacuated_.insert(DomainId(item.name));
@@ -147,6 +171,9 @@
     }
   } else if (kind == Format::kEndpointKind) {
     for (const StoreItem& item : items) ApplyEndpoint(item);
+  } else if (kind == gateway_internal::kMemberKind) {
+    for (const StoreItem& item : items) ApplyMember(item);
+    JoinMembers();
   } else {
     for (const StoreItem& item : items) {
       if (item.deleted) {
@@ -171,7 +198,10 @@
 void GatewayNode<Format>::OnReachable(const std::string& kind, bool reachable,
                                       StoreStatus status) {
   const TimePoint now = BootNow();
-  if (kind == Format::kEndpointKind) directory_.OnReachable(now, reachable);
+  if (kind == Format::kEndpointKind) {
+    directory_.OnReachable(now, reachable);
+    dispatch_directory_->OnReachable(now, reachable);
+  }
   state_.log.Write(
       now, reachable ? "store_back" : "store_lost",
       {{"kind", kind},
@@ -191,6 +221,7 @@
     return;
   }
   const int64_t version = parts->version;
+  const bool first = !state_.config;
   if (state_.config && version <= state_.config->version()) return;
   auto config = GatewayConfig::Create(std::move(*parts));
   if (!config) {
@@ -200,6 +231,9 @@
     return;
   }
   state_.config = std::move(*config);
+  dispatch_->SetPools(state_.config->ModelPools());
+  // Entries are read with what the configuration says of their services.
+  if (first) feeds_[kEndpointFeed]->Start();
   state_.log.Write(now, "config_in_force",
                    {{"version", version},
                     {"revision", item.version.value()},
@@ -233,6 +267,7 @@
   const EndpointId id(item.name);
   if (item.deleted) {
     directory_.OnRemoved(now, id);
+    dispatch_directory_->OnRemoved(now, id);
     state_.log.Write(
         now, "endpoint_removed",
         {{"endpoint", item.name}, {"revision", item.version.value()}});
@@ -242,8 +277,12 @@
   const bool was_draining = known != nullptr && known->listed.draining;
   auto entry = DecodeEntry(item);
   // An entry that can't be read names no endpoint to use.
-  if (!entry) return directory_.OnRemoved(now, id);
+  if (!entry) {
+    dispatch_directory_->OnRemoved(now, id);
+    return directory_.OnRemoved(now, id);
+  }
   directory_.OnEntry(now, *entry);
+  dispatch_directory_->OnEntry(now, *entry);
   if (known == nullptr || was_draining != entry->endpoint.draining) {
     state_.log.Write(now, "endpoint_listed",
                      {{"endpoint", item.name},
@@ -257,6 +296,7 @@
 template <GatewayFormat Format>
 void GatewayNode<Format>::ApplyEvacuations() {
   state_.board.SetEvacuated(evacuated_);
+  dispatch_->dispatcher().board().SetEvacuated(evacuated_);
   LogFields fields = {{"domains", LogFields::array()}};
   for (const DomainId& domain : evacuated_) {
     fields["domains"].push_back(domain.value());
@@ -264,6 +304,72 @@
   state_.log.Write(BootNow(), "evacuations", fields);
 }
 
+template <GatewayFormat Format>
+void GatewayNode<Format>::ApplyMember(const StoreItem& item) {
+  using namespace gateway_internal;
+  const auto value = nlohmann::json::parse(item.value, nullptr, false);
+  if (item.name == kKeyName) {
+    if (!item.deleted && value.is_string()) peer_key_ = value;
+    return;
+  }
+  if (!item.name.starts_with(kVmPrefix)) return;
+  const VmId vm(item.name.substr(kVmPrefix.size()));
+  if (item.deleted || !value.is_string()) {
+    members_.erase(vm);
+  } else {
+    members_[vm] = {value.get<std::string>(), item.version};
+  }
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::JoinMembers() {
+  using namespace gateway_internal;
+  // A lost answer does not matter: the watch shows what took effect.
+  const auto put = [this](const std::string& name, ObjectVersion expected,
+                          const std::string& text) {
+    store_->Put(StorePurpose::kStatus, kMemberKind, name, expected,
+                nlohmann::json(text).dump(), [this, name](StoreReply reply) {
+                  state_.log.Write(
+                      BootNow(), "member_written",
+                      {{"name", name}, {"status", ToString(reply.status)}});
+                });
+  };
+  if (peer_key_.empty()) {
+    std::random_device device;
+    std::string key;
+    for (int i = 0; i < kKeyWords; ++i) key += std::to_string(device());
+    put(kKeyName, ObjectVersion(), key);
+  }
+  const Member own = members_[settings_.vm];
+  if (own.address != settings_.peers_address) {
+    put(std::string(kVmPrefix) + settings_.vm.value(), own.version,
+        settings_.peers_address);
+    members_[settings_.vm].address = settings_.peers_address;
+  }
+  if (!peer_key_.empty() && !dispatch_->started() && !state_.stopping) {
+    if (auto started = dispatch_->Start(peer_key_); !started) {
+      state_.log.Write(BootNow(), "peers_failed",
+                       {{"reason", ToString(started.error())}});
+    }
+    state_.dispatch = dispatch_;
+  }
+  if (state_.stopping) return;
+  std::map<VmId, std::string> addresses;
+  for (const auto& [vm, member] : members_) addresses[vm] = member.address;
+  dispatch_->SetVms(std::move(addresses));
+}
+
+template <GatewayFormat Format>
+std::vector<HeldCall> GatewayNode<Format>::HeldCallsOf(
+    const PoolId& pool) const {
+  const TimePoint now = BootNow();
+  std::vector<HeldCall> calls;
+  for (const auto& request : requests_) {
+    if (auto held = request->Held(now, pool)) calls.push_back(std::move(*held));
+  }
+  return calls;
+}
+
 //==============================================================================
 // Callers and probes
 
@@ -375,12 +481,15 @@
     it = (*it)->ended() ? requests_.erase(it) : std::next(it);
   }
   directory_.Tick(now);
+  dispatch_directory_->Tick(now);
+  state_.board.Expire(now);
+  dispatch_->Tick(now);
   if (now >= next_settings_check_) {
     next_settings_check_ = now + kSettingsPeriod;
     Reload("file");
   }
   if (!state_.stopping) return;
-  const Duration stopping = now - stop_began_;
+  const Duration stopping = now - state_.stop_began;
   if (requests_.empty() && stopping > kStopLinger) FinishStop("idle");
   if (stopping > settings_.grace - kStopMargin) FinishStop("grace is over");
 }
@@ -406,8 +515,11 @@
 void GatewayNode<Format>::BeginStop() {
   if (state_.stopping) return;
   state_.stopping = true;
-  stop_began_ = BootNow();
-  state_.log.Write(stop_began_, "stopping",
+  state_.stop_began = BootNow();
+  state_.stop_ends =
+      state_.stop_began + settings_.grace - gateway_internal::kStopMargin;
+  dispatch_->Stop();
+  state_.log.Write(state_.stop_began, "stopping",
                    {{"requests", requests_.size()},
                     {"grace_ms", settings_.grace.milliseconds()}});
 }
--- a/modules/zr_gateway_host/gateway_settings.h
+++ b/modules/zr_gateway_host/gateway_settings.h
@@ -12,6 +12,7 @@
   DomainId domain;
   std::string callers_address;  // "ip:port" of the listener for callers
   std::string ready_address;    // "ip:port" of the readiness probe and metrics
+  std::string peers_address;    // "ip:port" of the links between entry VMs
   std::string store_address;    // "ip:port" of the platform's store
   double store_reads_per_s = 2000;  // of all VMs together
   double store_writes_per_s = 400;  // of all VMs together
--- a/modules/zr_gateway_host/gateway_state.h
+++ b/modules/zr_gateway_host/gateway_state.h
@@ -14,6 +14,8 @@
 
 namespace zr {
 
+class DispatchClient;
+
 /** Time since boot, which counts suspensions of the VM. */
 inline TimePoint BootNow() {
   timespec now{};
@@ -28,7 +30,8 @@
       : metrics(metrics_registry),
         log(settings.vm.value()),
         freshness(settings.revocation_bound - kWatchGap),
-        random(std::hash<std::string>()(settings.callers_address)) {}
+        random(Hash64(settings.callers_address)),
+        vm(settings.vm) {}
 
   RetryBudget& BudgetOf(const ServiceName& service) {
     // The floor and burst of all VMs stay below a service's fixed allowance.
@@ -47,7 +50,11 @@
   Random random;
   std::unordered_map<ServiceName, RetryBudget> budgets;
   std::shared_ptr<HttpClient> http;
+  std::shared_ptr<DispatchClient> dispatch;
+  VmId vm;
   bool stopping = false;
+  TimePoint stop_began;  // if stopping
+  TimePoint stop_ends;   // the process ends then at the latest
 };
 
 }  // namespace zr
--- a/modules/zr_gateway_host/store_feed.h
+++ b/modules/zr_gateway_host/store_feed.h
@@ -31,6 +31,8 @@
     Duration wait = Duration::Milliseconds(1500);  // of one watch
     Duration pause = Duration::Milliseconds(150);  // after a failed call
     Duration longest_pause = Duration::Milliseconds(800);
+    /** Changes within this time are fetched by one call. */
+    Duration settle;
   };
 
   /** Receives what the store says. */
@@ -105,8 +107,12 @@
     }
     if (reply.status != StoreStatus::kOk) return Fail(reply.status);
     version_ = std::max(version_, reply.version);
-    if (!reply.items.empty()) listener_.OnChanges(options_.kind, reply.items);
+    const bool changed = !reply.items.empty();
+    if (changed) listener_.OnChanges(options_.kind, reply.items);
     Succeed(started);
+    if (changed && options_.settle > Duration()) {
+      return Later(options_.settle);
+    }
     Watch();
   }
 
@@ -128,6 +134,10 @@
         std::min(options_.pause * (int64_t{1} << std::min(failures_, 4)),
                  options_.longest_pause);
     ++failures_;
+    Later(pause);
+  }
+
+  void Later(Duration pause) {
     timer_.expires_after(std::chrono::microseconds(pause.microseconds()));
     timer_.async_wait(
         [self = this->shared_from_this()](const asio::error_code& error) {
--- a/modules/zr_gateway_host/zr_gateway_host.h
+++ b/modules/zr_gateway_host/zr_gateway_host.h
@@ -6,7 +6,8 @@
  * model of GatewayFormat.
  *
  * Dependencies: zr_base, zr_gateway, zr_request (retry budget), zr_http,
- * zr_platform (object store client), zr_telemetry.
+ * zr_platform (object store client), zr_peer (links between entry VMs),
+ * zr_telemetry.
  * Threads: one thread runs the io_context and everything on it.
  */
 
--- a/modules/zr_peer/peer_links.cc
+++ b/modules/zr_peer/peer_links.cc
@@ -214,6 +214,21 @@
   if (auto listener = listener_.lock()) listener->OnPeerDown(down);
 }
 
+void PeerLinks::Drop(const VmId& vm) {
+  LinkId link = 0;
+  {
+    std::lock_guard lock(mutex_);
+    auto it = by_vm_.find(vm);
+    if (it == by_vm_.end()) return;
+    link = it->second;
+    // A silent connection takes its time to close; it must not be used.
+    by_vm_.erase(it);
+    links_.erase(link);
+  }
+  transport_->Close(link, "peer is silent");
+  if (auto listener = listener_.lock()) listener->OnPeerDown(vm);
+}
+
 void PeerLinks::ScheduleDial() {
   timer_.expires_after(
       std::chrono::microseconds(options_.redial_period.microseconds()));
--- a/modules/zr_peer/peer_links.h
+++ b/modules/zr_peer/peer_links.h
@@ -61,6 +61,9 @@
   void SetTargets(std::set<std::string> addresses);
   /** @returns false if there is no authenticated link to the VM */
   bool Send(const VmId& vm, std::string_view payload);
+  /** Closes the link to a VM that has fallen silent; it is dialled again if it
+   * is a target. */
+  void Drop(const VmId& vm);
 
   //============================================================================
   // Queries
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -138,6 +138,30 @@
     m.records);
 }
 
+template <typename A>
+void Fields(A& a, PlaceCall& m) {
+  a(m.request, m.call, m.pool, m.prompt, m.max_answer, m.objective, m.gap,
+    m.time_left, m.excluded);
+}
+template <typename A>
+void Fields(A& a, CallPlaced& m) {
+  a(m.request, m.call, m.endpoint, m.helpers, m.part_us, m.forecast,
+    m.retry_after);
+}
+template <typename A>
+void Fields(A& a, CallProgress& m) {
+  a(m.request, m.call, m.pool, m.stage, m.sign);
+}
+template <typename A>
+void Fields(A& a, HeldCall& m) {
+  a(m.request, m.call, m.endpoint, m.helpers, m.part_us, m.held, m.gap,
+    m.time_left);
+}
+template <typename A>
+void Fields(A& a, HeldCalls& m) {
+  a(m.pool, m.calls);
+}
+
 /** Largest valid value of each enumeration on the wire. */
 template <typename E>
 inline constexpr uint8_t kEnumMax = 0;
@@ -145,6 +169,12 @@
 inline constexpr uint8_t kEnumMax<RefusalReason> =
     static_cast<uint8_t>(RefusalReason::kSuspect);
 template <>
+inline constexpr uint8_t kEnumMax<CallStage> =
+    static_cast<uint8_t>(CallStage::kEnded);
+template <>
+inline constexpr uint8_t kEnumMax<CallSign> =
+    static_cast<uint8_t>(CallSign::kAborted);
+template <>
 inline constexpr uint8_t kEnumMax<ReleaseOutcome> =
     static_cast<uint8_t>(ReleaseOutcome::kEndpointRefused);
 template <>
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -392,13 +392,87 @@
                           const MembershipDigest&) = default;
 };
 
+/** Asks the dispatcher of a pool where to send a call. */
+struct PlaceCall {
+  RequestId request;
+  AttemptNumber call;  // of the request
+  PoolId pool;
+  TokenCount prompt;
+  TokenCount max_answer;
+  Duration objective;                // left until the answer is late
+  Duration gap;                      // longest pause that the caller tolerates
+  Duration time_left;                // until the deadline
+  std::vector<EndpointId> excluded;  // already tried
+  friend auto operator<=>(const PlaceCall&, const PlaceCall&) = default;
+};
+
+/** The dispatcher's answer to a PlaceCall. */
+struct CallPlaced {
+  RequestId request;
+  AttemptNumber call;
+  EndpointId endpoint;  // empty: no endpoint takes the call
+  std::vector<EndpointId> helpers;
+  uint32_t part_us = 0;  // reading time of each part
+  Duration forecast;     // until the first token
+  Duration retry_after;  // if no endpoint takes the call
+  friend auto operator<=>(const CallPlaced&, const CallPlaced&) = default;
+};
+
+/** How a placed call goes on. */
+enum class CallStage : uint8_t {
+  kPromptRead,  // the first token arrived
+  kEnded,       // the endpoint is free of it
+};
+
+/** What a call showed about its endpoint. */
+enum class CallSign : uint8_t {
+  kAnswered,     // a sound answer
+  kRejected,     // full; it runs, but takes nothing more just now
+  kErrorAnswer,  // an error status of its own
+  kBroken,       // the connection failed or broke, or the answer was spoilt
+  kSilent,       // no sign of life within the bound
+  kMisdirected,  // another endpoint has the address
+  kAborted,      // ended by the caller or the deadline; shows nothing
+};
+
+/** Tells the dispatcher how a call goes on. */
+struct CallProgress {
+  RequestId request;
+  AttemptNumber call;
+  PoolId pool;
+  CallStage stage = CallStage::kEnded;
+  CallSign sign = CallSign::kAnswered;  // with kEnded
+  friend auto operator<=>(const CallProgress&, const CallProgress&) = default;
+};
+
+/** A call in progress, told to a new dispatcher. */
+struct HeldCall {
+  RequestId request;
+  AttemptNumber call;
+  EndpointId endpoint;
+  std::vector<EndpointId> helpers;
+  uint32_t part_us = 0;  // 0 once the prompt has been read
+  TokenCount held;
+  Duration gap;
+  Duration time_left;
+  friend auto operator<=>(const HeldCall&, const HeldCall&) = default;
+};
+
+/** All calls of a VM in a pool; the dispatcher replaces what it knew. */
+struct HeldCalls {
+  PoolId pool;
+  std::vector<HeldCall> calls;
+  friend auto operator<=>(const HeldCalls&, const HeldCalls&) = default;
+};
+
 /** Any message between entry VMs. The order is part of the wire format. */
 using Message =
     std::variant<Heartbeat, Summary, AdmissionRequest, Grant, Refusal, Release,
                  HeldGrants, CancelAdmission, Suspect, FindStream,
                  StreamLocation, ConfigOffer, ConfigFetch, GatherReserve,
                  GatherReply, GatherRelease, TakeOver, HandOver, SuspectTurn,
-                 SuspectTurnReply, MembershipDigest>;
+                 SuspectTurnReply, MembershipDigest, PlaceCall, CallPlaced,
+                 CallProgress, HeldCalls>;
 
 /** A message with the VM it goes to. */
 struct OutgoingMessage {
