Leave slow calls alone; never say not run after a call; bound an engine's backlog

Ruled out: a leak of calls at the dispatcher (the backlog stayed after it was bounded by the parts left to read). Change: a call counts as silent after four times its forecast; a forecast may use 0.8 of the objective. A request whose earlier call may have run is no longer refused with 503 when the configuration becomes stale, and an answer that has begun is cut instead of left open.

--- a/modules/zr_gateway/endpoint_board.cc
+++ b/modules/zr_gateway/endpoint_board.cc
@@ -84,10 +84,12 @@
 }
 
 void EndpointBoard::NoteReadingEnd(TimePoint now, EndpointState& state) {
-  const bool reading =
-      std::any_of(state.calls.begin(), state.calls.end(),
-                  [](const CallLoad& call) { return call.reading_ms > 0; });
-  if (!reading) state.busy_until = std::min(state.busy_until, now);
+  // What is still to be read can't take longer than all of its parts.
+  double left_ms = 0;
+  for (const CallLoad& call : state.calls) left_ms += call.reading_ms;
+  state.busy_until = std::min(
+      state.busy_until,
+      now + Duration::Microseconds(static_cast<int64_t>(1000 * left_ms)));
 }
 
 int EndpointState::Writers() const {
--- a/modules/zr_gateway/endpoint_board.h
+++ b/modules/zr_gateway/endpoint_board.h
@@ -71,6 +71,9 @@
   EndpointBoard() : EndpointBoard(Options{}) {}
   explicit EndpointBoard(Options options) : options_(options) {}
 
+  /** Changes the share of cold endpoints' rates; see Options. */
+  void SetColdShare(double share) { options_.cold_share = share; }
+
   //============================================================================
   // What the platform says
 
--- a/modules/zr_gateway/placement.cc
+++ b/modules/zr_gateway/placement.cc
@@ -156,11 +156,12 @@
     double read_ms) const {
   const double need = static_cast<double>(
       (needs.shape.prompt + needs.shape.max_answer).value());
-  const double limit = Milliseconds(needs.objective) * options_.objective_share;
+  const double objective = Milliseconds(needs.objective);
+  const double limit = objective * options_.objective_share;
   const size_t most = std::min(engines.size(), options_.max_helpers + 1);
 
   std::optional<PlacementPlan> best;
-  std::tuple<bool, int, double> best_score;
+  std::tuple<int, int, double> best_score;
   for (size_t readers = 1; readers <= most; ++readers) {
     const double part = read_ms / static_cast<double>(readers);
     struct Choice {
@@ -194,7 +195,10 @@
           return a.engine->free_tokens < b.engine->free_tokens;
         });
     if (need > first->engine->free_tokens) done += kMemoryWaitMs;
-    const std::tuple score(done > limit, disturbed, done);
+    // Comfortably in time, just in time, or late: only a late answer goes
+    // before undisturbed ones.
+    const int tier = done <= limit ? 0 : done <= objective ? 1 : 2;
+    const std::tuple score(tier > 0 ? 1 : 0, disturbed, done);
     if (best && !(score < best_score)) continue;
     best_score = score;
     best.emplace();
--- a/modules/zr_gateway/placement.h
+++ b/modules/zr_gateway/placement.h
@@ -70,7 +70,7 @@
     /** Slots kept free when short prompts are packed, share of all. */
     double slot_reserve = 0.2;
     /** Part of the objective that a forecast may use up. */
-    double objective_share = 0.6;
+    double objective_share = 0.8;
     /** Part of a tolerated pause that a forecast may use up. */
     double gap_share = 0.85;
   };
--- a/modules/zr_gateway_host/dispatch_client.cc
+++ b/modules/zr_gateway_host/dispatch_client.cc
@@ -15,8 +15,15 @@
 // A dispatcher answers within a round trip of a few milliseconds; a VM that is
 // silent for longer is given up and its link is dialled again.
 constexpr Duration kAskPatience = Duration::Milliseconds(60);
+// Deployments have at least this many VMs, even if fewer are known yet.
+constexpr size_t kLeastVms = 8;
 // Largest frame between entry VMs; held calls are the largest.
 constexpr size_t kMaxLinkBytes = 256 << 10;
+// Shares of a cold endpoint's rate: the dispatcher's, and that of all VMs
+// together which place without it. Two dispatchers at once and the VMs stay
+// below one and a half times the rate.
+constexpr double kDispatcherColdShare = 0.5;
+constexpr double kOwnColdShares = 0.4;
 
 }  // namespace
 
@@ -27,7 +34,9 @@
       settings_(settings),
       state_(state),
       held_calls_(std::move(held_calls)),
-      dispatcher_(state.placement, Hash64(settings.vm.value())) {}
+      dispatcher_(state.placement, Hash64(settings.vm.value())) {
+  dispatcher_.board().SetColdShare(kDispatcherColdShare);
+}
 
 Result<void> DispatchClient::Start(const std::string& key) {
   PeerOptions options;
@@ -47,6 +56,9 @@
 void DispatchClient::SetVms(std::map<VmId, std::string> vms) {
   if (vms == vms_) return;
   vms_ = std::move(vms);
+  state_.board.SetColdShare(
+      kOwnColdShares /
+      static_cast<double>(std::max<size_t>(kLeastVms, vms_.size())));
   ChooseTargets();
 }
 
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -16,7 +16,7 @@
 // An answer that writes nothing for this long is continued elsewhere.
 inline constexpr Duration kEventSilence = Duration::Milliseconds(1200);
 // Least time that an endpoint has for its first byte.
-inline constexpr Duration kFirstByteSilence = Duration::Milliseconds(1800);
+inline constexpr Duration kFirstByteSilence = Duration::Milliseconds(1000);
 // Less time than this is not worth another call.
 inline constexpr Duration kLeastTimeLeft = Duration::Milliseconds(30);
 // A plain answer larger than this is cut off; it is held in memory.
@@ -202,16 +202,6 @@
     waiting_ = true;
     return;
   }
-  if (answer_begun_) {
-    response_->Abort();
-    return Finish("cut", 0);
-  }
-  if (possible_runs_ > 0) {
-    return SendOwn({502,
-                    Error{ErrorCode::kUnavailable, "placement", "",
-                          "endpoint failed and no other takes the request"},
-                    {}});
-  }
   SendOwn({503,
            Error{ErrorCode::kOverloaded, "placement", service_->name.value(),
                  "no endpoint takes the request"},
@@ -369,6 +359,12 @@
         {request_.id, AttemptNumber(static_cast<uint64_t>(call_->number)),
          service_->name, CallStage::kPromptRead, CallSign::kAnswered});
   }
+  LogFields fields = Fields(now);
+  fields["endpoint"] = call_->plan.first.endpoint.value();
+  fields["forecast_ms"] = call_->plan.expected_first_token.milliseconds();
+  fields["call_ms"] = (now - call_->started).milliseconds();
+  fields["objective_ms"] = route_->latency_objective.milliseconds();
+  state_.log.Write(now, "first_event", fields);
   state_.metrics.Observe("zr_gateway_first_event_seconds",
                          {{"route", route_->name}}, now - arrived_);
   state_.metrics.Observe(
@@ -541,8 +537,10 @@
 Duration ForwardedRequest<Format>::SilenceBound() const {
   using namespace gateway_internal;
   if (answer_begun_ && !call_->reading) return kEventSilence;
-  return std::max(kFirstByteSilence, route_->latency_objective * 3 / 2 +
-                                         call_->plan.expected_first_token);
+  // A loaded engine is slow, not silent: its forecast says how slow. Running
+  // its requests again elsewhere would add to the load.
+  return kFirstByteSilence + route_->latency_objective / 2 +
+         call_->plan.expected_first_token * 4;
 }
 
 template <GatewayFormat Format>
@@ -550,10 +548,6 @@
   state_.log.Write(now, "deadline", Fields(now));
   const bool may_have_run = possible_runs_ > 0;
   ReleaseCall();
-  if (answer_begun_) {
-    response_->Abort();
-    return Finish("cut at deadline", 0);
-  }
   SendOwn({may_have_run ? 504 : 503,
            Error{ErrorCode::kDeadlineExceeded, "deadline", "",
                  may_have_run ? "no answer before the deadline"
@@ -575,6 +569,15 @@
 
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::SendOwn(OwnAnswer answer) {
+  if (answer_begun_) {
+    response_->Abort();
+    return Finish("cut", 0);
+  }
+  // A 503 says that the request has not run.
+  if (answer.status == 503 && possible_runs_ > 0) {
+    answer.status = 502;
+    answer.retry_after.reset();
+  }
   const std::string body = nlohmann::json{
       {"error",
        {{"code", ToString(answer.error.code)},
