Keep asking the dispatcher while stopping; spread calls placed without it

Ruled out: calls lost by the dispatcher (its count matched the placements it had made). Change: a stopping VM tells its peers that it leaves dispatching and goes on asking; calls placed without a dispatcher are spread. Config watches are shorter and their first failure is retried at once, so that a compaction doesn't age the evidence beyond its bound.

--- a/modules/zr_gateway/placement.cc
+++ b/modules/zr_gateway/placement.cc
@@ -135,8 +135,8 @@
     const bool calm =
         engine.calls + 1 <= pack_to && need <= engine.free_tokens &&
         first_token <= std::min(pause, Milliseconds(needs.objective));
-    return std::tuple(calm ? 0 : 1, calm ? -engine.calls : first_token,
-                      engine.rank);
+    const double packed = options_.pack ? -engine.calls : engine.calls;
+    return std::tuple(calm ? 0 : 1, calm ? packed : first_token, engine.rank);
   };
   const auto best =
       std::min_element(engines.begin(), engines.end(),
--- a/modules/zr_gateway/placement.h
+++ b/modules/zr_gateway/placement.h
@@ -67,6 +67,8 @@
     size_t max_helpers = 16;
     /** Memory left free for answers, share of an engine's capacity. */
     double kv_reserve = 0.02;
+    /** Packs short prompts; right only where the calls of all VMs are known. */
+    bool pack = true;
     /** Slots kept free when short prompts are packed, share of all. */
     double slot_reserve = 0.2;
     /** Part of the objective that a forecast may use up. */
--- a/modules/zr_gateway_host/dispatch_client.cc
+++ b/modules/zr_gateway_host/dispatch_client.cc
@@ -68,12 +68,17 @@
   ChooseTargets();
 }
 
+void DispatchClient::Retire() {
+  retired_ = true;
+  Heartbeat heartbeat;
+  heartbeat.origin.vm = settings_.vm;
+  heartbeat.leaving = true;
+  for (const VmId& vm : linked_) Send(vm, heartbeat);
+  NoteDispatchers();
+}
+
 void DispatchClient::Stop() {
   if (links_) links_->Stop();
-  linked_.clear();
-  vms_.clear();
-  ranked_.clear();
-  current_.clear();
 }
 
 void DispatchClient::ChooseTargets() {
@@ -101,7 +106,10 @@
   auto it = ranked_.find(pool);
   if (it == ranked_.end()) return VmId();
   for (const VmId& vm : it->second) {
-    if (vm == settings_.vm || linked_.contains(vm)) return vm;
+    const bool usable = vm == settings_.vm
+                            ? !retired_
+                            : linked_.contains(vm) && !leaving_.contains(vm);
+    if (usable) return vm;
   }
   return VmId();
 }
@@ -135,13 +143,37 @@
   const VmId vm = DispatcherFor(call.pool);
   if (vm.empty() || !state_.config) return done(std::nullopt);
   if (vm == settings_.vm) {
-    return done(dispatcher_.OnPlaceCall(now, vm, *state_.config, call));
+    return done(Dispatch(now, vm, call));
   }
   if (!Send(vm, call)) return done(std::nullopt);
   pending_[{call.request, call.call}] = {vm, now + kAskPatience,
                                          std::move(done)};
 }
 
+CallPlaced DispatchClient::Dispatch(TimePoint now, const VmId& vm,
+                                    const PlaceCall& call) {
+  CallPlaced answer;
+  answer.request = call.request;
+  answer.call = call.call;
+  if (state_.config) {
+    answer = dispatcher_.OnPlaceCall(now, vm, *state_.config, call);
+  }
+  LogFields fields = {{"request", call.request.value()},
+                      {"asked_by", vm.value()},
+                      {"call", call.call.value()},
+                      {"prompt", call.prompt.value()},
+                      {"endpoint", answer.endpoint.value()},
+                      {"helpers", answer.helpers.size()},
+                      {"forecast_ms", answer.forecast.milliseconds()},
+                      {"calls", dispatcher_.calls()}};
+  if (const auto* state = dispatcher_.board().Find(answer.endpoint)) {
+    fields["endpoint_calls"] = state->Writers();
+    fields["backlog_ms"] = state->BacklogMs(now);
+  }
+  state_.log.Write(now, "dispatched", fields);
+  return answer;
+}
+
 void DispatchClient::Report(const CallProgress& progress) {
   const VmId vm = DispatcherFor(progress.pool);
   if (vm == settings_.vm) {
@@ -189,12 +221,14 @@
 
 void DispatchClient::OnPeerUp(const VmId& vm, Incarnation) {
   linked_.insert(vm);
+  if (retired_) Retire();
   state_.log.Write(BootNow(), "peer_up", {{"peer", vm.value()}});
   NoteDispatchers();
 }
 
 void DispatchClient::OnPeerDown(const VmId& vm) {
   linked_.erase(vm);
+  leaving_.erase(vm);
   const TimePoint now = BootNow();
   state_.log.Write(now, "peer_down", {{"peer", vm.value()}});
   dispatcher_.OnVmGone(now, vm);
@@ -217,14 +251,7 @@
     return;
   }
   if (const auto* call = std::get_if<PlaceCall>(&*message)) {
-    CallPlaced answer;
-    if (state_.config) {
-      answer = dispatcher_.OnPlaceCall(now, vm, *state_.config, *call);
-    } else {
-      answer.request = call->request;
-      answer.call = call->call;
-    }
-    Send(vm, answer);
+    Send(vm, Dispatch(now, vm, *call));
   } else if (auto* placed = std::get_if<CallPlaced>(&*message)) {
     const AskKey key(placed->request, placed->call);
     Settle(key, std::move(*placed));
@@ -232,6 +259,9 @@
     dispatcher_.OnProgress(now, vm, *progress);
   } else if (const auto* held = std::get_if<HeldCalls>(&*message)) {
     dispatcher_.OnHeldCalls(now, vm, *held);
+  } else if (const auto* heartbeat = std::get_if<Heartbeat>(&*message)) {
+    if (heartbeat->leaving) leaving_.insert(vm);
+    NoteDispatchers();
   }
 }
 
--- a/modules/zr_gateway_host/dispatch_client.h
+++ b/modules/zr_gateway_host/dispatch_client.h
@@ -41,7 +41,9 @@
   void SetVms(std::map<VmId, std::string> vms);
   /** The pools whose calls are dispatched. */
   void SetPools(std::vector<PoolId> pools);
-  /** Leaves dispatching to others; links close. */
+  /** Leaves dispatching to others; this VM still asks them. */
+  void Retire();
+  /** Closes the links. */
   void Stop();
 
   //============================================================================
@@ -66,6 +68,7 @@
   void OnPeerDown(const VmId& vm) override;
   void OnPeerMessage(const VmId& vm, std::string_view payload) override;
 
+  CallPlaced Dispatch(TimePoint now, const VmId& vm, const PlaceCall& call);
   void ChooseTargets();
   VmId DispatcherFor(const PoolId& pool) const;
   void NoteDispatchers();
@@ -82,6 +85,8 @@
   std::vector<PoolId> pools_;
   std::map<PoolId, std::vector<VmId>> ranked_;  // first is preferred
   std::set<VmId> linked_;
+  std::set<VmId> leaving_;  // linked, but about to stop
+  bool retired_ = false;
   std::map<PoolId, VmId> current_;
   std::map<AskKey, Pending> pending_;
 };
--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -122,7 +122,8 @@
   std::set<EndpointId> tried_;
   int sends_ = 0;
   int possible_runs_ = 0;
-  int asks_ = 0;          // of dispatchers
+  int asks_ = 0;  // of dispatchers
+  const char* placed_by_ = "";
   bool asking_ = false;   // a dispatcher has not answered yet
   bool waiting_ = false;  // for an endpoint that takes a call
   std::optional<CallFailure> last_failure_;
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -178,6 +178,7 @@
   }
   plan.first = std::move(plan.helpers.back());
   plan.helpers.pop_back();
+  placed_by_ = "dispatcher";
   plan.part_ms = placed->part_us / 1000.0;
   plan.expected_first_token = placed->forecast;
   Send(now, std::move(plan));
@@ -185,9 +186,11 @@
 
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::PlaceLocally(TimePoint now) {
+  placed_by_ = "this VM";
   const EngineFigures* engine = service_->engine ? &*service_->engine : nullptr;
-  auto plan = state_.placement.Choose(now, state_.board, service_->name, engine,
-                                      Needs(now), state_.random.Next());
+  auto plan =
+      state_.own_placement.Choose(now, state_.board, service_->name, engine,
+                                  Needs(now), state_.random.Next());
   if (plan) return Send(now, std::move(*plan));
   NoEndpoint(now, gateway_internal::kRetryAfter);
 }
@@ -259,7 +262,7 @@
   fields["endpoint"] = call_->plan.first.endpoint.value();
   fields["helpers"] = call_->plan.helpers.size();
   fields["forecast_ms"] = call_->plan.expected_first_token.milliseconds();
-  fields["dispatched"] = asks_ > 0;
+  fields["by"] = placed_by_;
   if (const auto* state = state_.board.Find(call_->plan.first.endpoint)) {
     fields["own_calls"] = state->Writers();
   }
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -21,7 +21,7 @@
 // Time kept for an orderly exit before the process is killed.
 inline constexpr Duration kStopMargin = Duration::Milliseconds(400);
 // Watches of the configuration are its evidence; the others may be slower.
-inline constexpr Duration kConfigWatch = Duration::Milliseconds(1600);
+inline constexpr Duration kConfigWatch = Duration::Milliseconds(1400);
 inline constexpr Duration kEndpointWatch = Duration::Seconds(8);
 inline constexpr Duration kEvacuationWatch = Duration::Seconds(8);
 inline constexpr Duration kMemberWatch = Duration::Seconds(25);
@@ -34,7 +34,7 @@
 // 32-bit random numbers in the key.
 inline constexpr int kKeyWords = 8;
 // Beyond its wait, a call to the store has this long to be answered.
-inline constexpr Duration kStoreTimeout = Duration::Milliseconds(700);
+inline constexpr Duration kStoreTimeout = Duration::Milliseconds(400);
 // Headers and bodies beyond these end the connection; the configuration's
 // own, lower bounds are answered with 431 and 413.
 inline constexpr size_t kMaxHeaderBytes = 64 << 10;
@@ -518,7 +518,7 @@
   state_.stop_began = BootNow();
   state_.stop_ends =
       state_.stop_began + settings_.grace - gateway_internal::kStopMargin;
-  dispatch_->Stop();
+  dispatch_->Retire();
   state_.log.Write(state_.stop_began, "stopping",
                    {{"requests", requests_.size()},
                     {"grace_ms", settings_.grace.milliseconds()}});
@@ -530,6 +530,7 @@
                    {{"reason", reason}, {"requests", requests_.size()}});
   for (const auto& request : requests_) request->Abandon();
   for (const auto& feed : feeds_) feed->Stop();
+  dispatch_->Stop();
   io_.stop();
 }
 
--- a/modules/zr_gateway_host/gateway_state.h
+++ b/modules/zr_gateway_host/gateway_state.h
@@ -46,7 +46,9 @@
   GatewayConfigPtr config;  // null until the first one was read
   ConfigFreshness freshness;
   EndpointBoard board;
-  Placement placement;
+  Placement placement;  // knows the calls of all VMs
+  /** Knows this VM's calls only, so it spreads them. */
+  Placement own_placement{Placement::Options{.pack = false}};
   Random random;
   std::unordered_map<ServiceName, RetryBudget> budgets;
   std::shared_ptr<HttpClient> http;
--- a/modules/zr_gateway_host/store_feed.h
+++ b/modules/zr_gateway_host/store_feed.h
@@ -66,6 +66,8 @@
 
  private:
   static constexpr int kPageSize = 500;
+  static constexpr int kMaxPauseStep = 4;
+  static constexpr Duration kFirstPause = Duration::Milliseconds(20);
 
   void List(const std::string& after) {
     if (after.empty()) items_.clear();
@@ -130,9 +132,12 @@
       reachable_ = false;
       listener_.OnReachable(options_.kind, false, status);
     }
-    const Duration pause =
-        std::min(options_.pause * (int64_t{1} << std::min(failures_, 4)),
-                 options_.longest_pause);
+    // A first failure may be one lost answer; the evidence must not age.
+    const int step = std::min(failures_, kMaxPauseStep);
+    const Duration pause = failures_ == 0
+                               ? kFirstPause
+                               : std::min(options_.pause * (int64_t{1} << step),
+                                          options_.longest_pause);
     ++failures_;
     Later(pause);
   }
