Weigh disturbed answers against the risk of a late long prompt

Change: the plan with the least sum of disturbed answers and own risk to be late, each weighed by the engine time that it needs.

--- a/modules/zr_gateway/endpoint_board.cc
+++ b/modules/zr_gateway/endpoint_board.cc
@@ -98,12 +98,15 @@
                     [](const CallLoad& call) { return call.writes; }));
 }
 
-int EndpointState::WritersDisturbedBy(double pause_ms) const {
-  return static_cast<int>(
-      std::count_if(calls.begin(), calls.end(), [&](const CallLoad& call) {
-        return call.writes &&
-               static_cast<double>(call.gap.microseconds()) < 1000 * pause_ms;
-      }));
+double EndpointState::ValueDisturbedBy(double pause_ms) const {
+  double value = 0;
+  for (const CallLoad& call : calls) {
+    const bool disturbed =
+        call.writes &&
+        static_cast<double>(call.gap.microseconds()) < 1000 * pause_ms;
+    if (disturbed) value += call.value_ms;
+  }
+  return value;
 }
 
 double EndpointState::BacklogMs(TimePoint now) const {
--- a/modules/zr_gateway/endpoint_board.h
+++ b/modules/zr_gateway/endpoint_board.h
@@ -28,6 +28,7 @@
   TokenCount held;        // memory until the call ends
   Duration gap = Duration::Max();  // longest pause that its caller tolerates
   bool writes = true;              // takes a slot; false for helpers
+  double value_ms = 0;             // engine time that the whole call needs
   TimePoint expires;               // forgotten then, whatever became of it
   friend auto operator<=>(const CallLoad&, const CallLoad&) = default;
 };
@@ -46,8 +47,8 @@
 
   /** Calls that take a slot. */
   int Writers() const;
-  /** Writers whose callers tolerate no pause as long as this. */
-  int WritersDisturbedBy(double pause_ms) const;
+  /** Engine time of the answers whose callers tolerate no such pause. */
+  double ValueDisturbedBy(double pause_ms) const;
   /** Forecast milliseconds until the prompts given to it are read. */
   double BacklogMs(TimePoint now) const;
   TokenCount Held() const;
--- a/modules/zr_gateway/placement.cc
+++ b/modules/zr_gateway/placement.cc
@@ -70,6 +70,13 @@
   return engine.stride * step;
 }
 
+double EngineMilliseconds(const EngineFigures& engine,
+                          const PromptShape& shape) {
+  return ReadMilliseconds(engine, shape.prompt) +
+         static_cast<double>(shape.max_answer.value()) * engine.step_ms /
+             std::max(1, engine.slots);
+}
+
 std::optional<PlacementPlan> Placement::Choose(
     TimePoint now, const EndpointBoard& board, const ServiceName& service,
     const EngineFigures* engine, const CallNeeds& needs, uint64_t tie) const {
@@ -98,7 +105,7 @@
   if (read_ms <= options_.single_read_ms) {
     return PackShort(engines, *engine, needs, read_ms);
   }
-  return SplitLong(engines, needs, read_ms);
+  return SplitLong(engines, *engine, needs, read_ms);
 }
 
 std::optional<PlacementPlan> Placement::ChoosePlain(
@@ -152,21 +159,25 @@
 }
 
 std::optional<PlacementPlan> Placement::SplitLong(
-    const std::vector<EngineView>& engines, const CallNeeds& needs,
-    double read_ms) const {
+    const std::vector<EngineView>& engines, const EngineFigures& figures,
+    const CallNeeds& needs, double read_ms) const {
   const double need = static_cast<double>(
       (needs.shape.prompt + needs.shape.max_answer).value());
   const double objective = Milliseconds(needs.objective);
-  const double limit = objective * options_.objective_share;
+  const double value = EngineMilliseconds(figures, needs.shape);
+  const auto risk = [&](double done) {
+    const double certain = options_.certain_share * objective;
+    return std::clamp((done - certain) / (objective - certain), 0.0, 1.0);
+  };
   const size_t most = std::min(engines.size(), options_.max_helpers + 1);
 
   std::optional<PlacementPlan> best;
-  std::tuple<int, int, double> best_score;
+  std::pair<double, double> best_score;
   for (size_t readers = 1; readers <= most; ++readers) {
     const double part = read_ms / static_cast<double>(readers);
     struct Choice {
       const EngineView* engine;
-      int disturbed;
+      double disturbed;
       double done;
     };
     std::vector<Choice> choices;
@@ -174,7 +185,7 @@
       const double stretched = engine.pass_ms + engine.backlog_ms + part;
       choices.push_back(
           {&engine,
-           engine.state->WritersDisturbedBy(stretched / options_.gap_share),
+           engine.state->ValueDisturbedBy(stretched / options_.gap_share),
            stretched});
     }
     std::sort(choices.begin(), choices.end(),
@@ -183,7 +194,7 @@
                        std::tuple(b.disturbed, b.done, b.engine->rank);
               });
     choices.resize(readers);
-    int disturbed = 0;
+    double disturbed = 0;
     double done = 0;
     for (const Choice& choice : choices) {
       disturbed += choice.disturbed;
@@ -195,10 +206,7 @@
           return a.engine->free_tokens < b.engine->free_tokens;
         });
     if (need > first->engine->free_tokens) done += kMemoryWaitMs;
-    // Comfortably in time, just in time, or late: only a late answer goes
-    // before undisturbed ones.
-    const int tier = done <= limit ? 0 : done <= objective ? 1 : 2;
-    const std::tuple score(tier > 0 ? 1 : 0, disturbed, done);
+    const std::pair score(disturbed + value * risk(done), done);
     if (best && !(score < best_score)) continue;
     best_score = score;
     best.emplace();
--- a/modules/zr_gateway/placement.h
+++ b/modules/zr_gateway/placement.h
@@ -45,6 +45,14 @@
 double PassMilliseconds(const EngineFigures& engine, int writers,
                         double mean_context);
 
+/**
+ * Engine time that a request needs, in milliseconds: to read its prompt and,
+ * shared with the other writers of a full engine, to write its answer. Stands
+ * for what the request is worth against others.
+ */
+double EngineMilliseconds(const EngineFigures& engine,
+                          const PromptShape& shape);
+
 /**
  * Places requests by the load that is known of each endpoint.
  *
@@ -53,10 +61,10 @@
  * Model services: reading a prompt stretches the pass of the engine, so that
  * the answers which it writes pause. Prompts that read quickly are packed onto
  * engines that already write for callers of the same kind; a longer prompt is
- * split over as many engines as disturb the fewest answers and still meet the
- * objective. Engines for short and for long prompts so part by themselves, in
- * the proportion of the load. This answers loads whose mix of lengths changes
- * within seconds.
+ * split over the engines for which the sum of disturbed answers and of its own
+ * risk to be late is least, each weighed by its engine time. Engines for short
+ * and for long prompts so part by themselves, in the proportion of the load.
+ * This answers loads whose mix of lengths changes within seconds.
  */
 class Placement {
  public:
@@ -71,8 +79,9 @@
     bool pack = true;
     /** Slots kept free when short prompts are packed, share of all. */
     double slot_reserve = 0.2;
-    /** Part of the objective that a forecast may use up. */
-    double objective_share = 0.8;
+    /** A forecast of up to this part of the objective is taken as certain to
+     * be in time; beyond it the risk of a late answer grows evenly. */
+    double certain_share = 0.1;
     /** Part of a tolerated pause that a forecast may use up. */
     double gap_share = 0.85;
   };
@@ -102,6 +111,7 @@
                                          const CallNeeds& needs,
                                          double read_ms) const;
   std::optional<PlacementPlan> SplitLong(const std::vector<EngineView>& engines,
+                                         const EngineFigures& figures,
                                          const CallNeeds& needs,
                                          double read_ms) const;
 
--- a/modules/zr_gateway/pool_dispatcher.cc
+++ b/modules/zr_gateway/pool_dispatcher.cc
@@ -48,6 +48,9 @@
   load.reading_ms = plan->part_ms;
   load.held = call.prompt + call.max_answer;
   load.gap = call.gap;
+  if (service->engine) {
+    load.value_ms = EngineMilliseconds(*service->engine, needs.shape);
+  }
   load.expires = now + call.time_left + kForgetAfter;
   Start(now, KeyOf(vm, call.request, call.call), call.pool, endpoints, load);
   return answer;
@@ -114,6 +117,7 @@
     load.reading_ms = call.part_us / 1000.0;
     load.held = call.held;
     load.gap = call.gap;
+    load.value_ms = call.value_us / 1000.0;
     load.expires = now + call.time_left + kForgetAfter;
     Start(now, KeyOf(vm, call.request, call.call), held.pool, endpoints, load);
   }
--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -88,6 +88,7 @@
   void PlaceLocally(TimePoint now);
   void NoEndpoint(TimePoint now, Duration retry_after);
   CallNeeds Needs(TimePoint now) const;
+  double ValueMs() const;
   CallKey Key() const { return {state_.vm, request_.id, call_->number}; }
   void Send(TimePoint now, PlacementPlan plan);
   void OnHead(int status, const HttpHeaders& headers);
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -123,6 +123,13 @@
   return needs;
 }
 
+template <GatewayFormat Format>
+double ForwardedRequest<Format>::ValueMs() const {
+  return service_->engine
+             ? EngineMilliseconds(*service_->engine, request_.shape)
+             : 0;
+}
+
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::Place(TimePoint now) {
   waiting_ = false;
@@ -251,6 +258,7 @@
   load.reading_ms = call_->plan.part_ms;
   load.held = call_->held;
   load.gap = route_->gap_objective.value_or(Duration::Max());
+  load.value_ms = ValueMs();
   load.expires = deadline_ + Duration::Seconds(1);
   state_.board.OnStart(now, call_->plan.first.endpoint, load);
   load.writes = false;
@@ -636,6 +644,7 @@
   held.held = call_->held;
   held.gap = route_->gap_objective.value_or(deadline_ - now);
   held.time_left = std::max(Duration(), deadline_ - now);
+  held.value_us = static_cast<uint32_t>(1000 * ValueMs());
   return held;
 }
 
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -155,7 +155,7 @@
 template <typename A>
 void Fields(A& a, HeldCall& m) {
   a(m.request, m.call, m.endpoint, m.helpers, m.part_us, m.held, m.gap,
-    m.time_left);
+    m.time_left, m.value_us);
 }
 template <typename A>
 void Fields(A& a, HeldCalls& m) {
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -455,6 +455,7 @@
   TokenCount held;
   Duration gap;
   Duration time_left;
+  uint32_t value_us = 0;  // engine time that the whole call needs
   friend auto operator<=>(const HeldCall&, const HeldCall&) = default;
 };
 
