--- /dev/null
+++ b/modules/zr_gateway/tests/endpoint_board_test.cc
@@ -0,0 +1,182 @@
+#include <catch2/catch.hpp>
+
+#include "zr_gateway/zr_gateway.h"
+
+namespace zr {
+namespace {
+
+const ServiceName kPool("pool");
+
+TimePoint At(int64_t ms) { return TimePoint::FromMicroseconds(ms * 1000); }
+
+ListedEndpoint Listed(std::string id, std::string domain = "a") {
+  ListedEndpoint listed;
+  listed.id = EndpointId(std::move(id));
+  listed.service = kPool;
+  listed.address = "127.0.0.1:1";
+  listed.domain = DomainId(std::move(domain));
+  listed.slots = 16;
+  listed.boot_ms = 1;
+  return listed;
+}
+
+CallLoad Load(std::string request, double reading_ms = 0) {
+  CallLoad load;
+  load.key = {VmId("vm"), RequestId(std::move(request)), 1};
+  load.reading_ms = reading_ms;
+  load.expires = At(1'000'000);
+  return load;
+}
+
+std::set<std::string> Names(const std::vector<const EndpointState*>& states) {
+  std::set<std::string> names;
+  for (const auto* state : states) names.insert(state->listed.id.value());
+  return names;
+}
+
+// Guards against work for endpoints that leave, and cold ones overrun.
+TEST_CASE("Only endpoints that take work are available") {
+  EndpointBoard board;
+  board.Upsert(At(0), Listed("e1", "a"), 36);
+  board.Upsert(At(0), Listed("e2", "b"), 36);
+  const auto available = [&](int64_t ms) {
+    return Names(board.Available(At(ms), kPool, {}));
+  };
+  REQUIRE(available(0) == std::set<std::string>{"e1", "e2"});
+
+  SECTION("a draining endpoint is left out at once") {
+    ListedEndpoint leaving = Listed("e1");
+    leaving.draining = true;
+    board.Upsert(At(10), leaving, 36);
+    REQUIRE(available(10) == std::set<std::string>{"e2"});
+    REQUIRE_FALSE(board.MayCall(EndpointId("e1")));
+  }
+  SECTION("an evacuated domain is left out until it is returned") {
+    board.SetEvacuated({DomainId("b")});
+    REQUIRE(available(0) == std::set<std::string>{"e1"});
+    board.SetEvacuated({});
+    REQUIRE(available(0).size() == 2);
+  }
+  SECTION("an endpoint that failed is avoided, longer each time") {
+    board.OnSign(At(0), EndpointId("e1"), CallSign::kBroken);
+    REQUIRE(available(600) == std::set<std::string>{"e2"});
+    REQUIRE(available(800).size() == 2);
+    board.OnSign(At(800), EndpointId("e1"), CallSign::kBroken);
+    REQUIRE(available(2000) == std::set<std::string>{"e2"});
+    SECTION("and trusted again after a sound answer") {
+      board.OnSign(At(2001), EndpointId("e1"), CallSign::kAnswered);
+      REQUIRE(available(2001).size() == 2);
+    }
+    SECTION("and used if nothing else is left") {
+      board.Remove(EndpointId("e2"));
+      REQUIRE(available(900) == std::set<std::string>{"e1"});
+    }
+  }
+  SECTION("one error answer is no reason to avoid an endpoint") {
+    board.OnSign(At(0), EndpointId("e1"), CallSign::kErrorAnswer);
+    REQUIRE(available(1).size() == 2);
+    board.OnSign(At(2), EndpointId("e1"), CallSign::kErrorAnswer);
+    REQUIRE(available(3) == std::set<std::string>{"e2"});
+  }
+  SECTION("a restart under the same id clears what was held against it") {
+    board.OnSign(At(0), EndpointId("e1"), CallSign::kBroken);
+    ListedEndpoint restarted = Listed("e1");
+    restarted.boot_ms = 2;
+    board.Upsert(At(100), restarted, 36);
+    REQUIRE(available(100).size() == 2);
+  }
+}
+
+// Guards against a cold endpoint that one VM, or all together, overrun.
+TEST_CASE("A cold endpoint gets a bounded number of starts a second") {
+  EndpointBoard board;
+  board.SetColdShare(0.5);
+  ListedEndpoint cold = Listed("e1");
+  cold.cold_left = Duration::Seconds(3);
+  board.Upsert(At(0), cold, 36);
+  int starts = 0;
+  for (int64_t ms = 0; ms < 1000; ++ms) {
+    if (board.Available(At(ms), kPool, {}).empty()) continue;
+    board.OnStart(At(ms), EndpointId("e1"), Load("r" + std::to_string(ms)));
+    ++starts;
+  }
+  REQUIRE(starts >= 17);
+  REQUIRE(starts <= 19);  // half of 36 a second, and the first one
+  SECTION("and any number once it is warm") {
+    REQUIRE(board.Available(At(3001), kPool, {}).size() == 1);
+  }
+}
+
+// Guards against reading work that an engine seems to have for ever.
+TEST_CASE("The backlog of an engine follows its calls") {
+  EndpointBoard board;
+  board.Upsert(At(0), Listed("e1"), 0);
+  const EndpointId id("e1");
+  board.OnStart(At(0), id, Load("r1", 500));
+  board.OnStart(At(0), id, Load("r2", 300));
+  const EndpointState* state = board.Find(id);
+  REQUIRE(state->BacklogMs(At(0)) == Approx(800));
+  REQUIRE(state->BacklogMs(At(300)) == Approx(500));
+  SECTION("a prompt read earlier than forecast shortens it") {
+    board.OnPromptRead(At(100), id, Load("r1").key);
+    REQUIRE(state->BacklogMs(At(100)) == Approx(300));
+  }
+  SECTION("it is zero when all prompts are read") {
+    board.OnPromptRead(At(100), id, Load("r1").key);
+    board.OnEnd(At(110), id, Load("r2").key);
+    REQUIRE(state->BacklogMs(At(110)) == 0);
+  }
+  SECTION("the calls of a lost VM are forgotten") {
+    board.DropVm(At(50), VmId("vm"));
+    REQUIRE(state->Writers() == 0);
+    REQUIRE(state->BacklogMs(At(50)) == 0);
+  }
+  SECTION("a call that no one ends is forgotten after its deadline") {
+    board.Expire(At(1'000'001));
+    REQUIRE(state->Writers() == 0);
+  }
+}
+
+// Guards against an outage of the store that looks like the death of all
+// endpoints, and against work for those that are really gone.
+TEST_CASE("Entries that lapse around an outage have time to return") {
+  EndpointBoard board;
+  EndpointDirectory directory(board);
+  directory.OnList(At(0), {{Listed("e1"), 0}, {Listed("e2"), 0}});
+  SECTION("without an outage a removed entry is gone at once") {
+    directory.OnRemoved(At(10), EndpointId("e1"));
+    REQUIRE(board.size() == 1);
+  }
+  SECTION("after an outage") {
+    directory.OnReachable(At(100), false);
+    directory.OnReachable(At(5000), true);
+    directory.OnList(At(5010), {{Listed("e2"), 0}});
+    directory.Tick(At(6000));
+    REQUIRE(board.size() == 2);
+    SECTION("an entry written again stays") {
+      directory.OnEntry(At(6500), {Listed("e1"), 0});
+      directory.Tick(At(9000));
+      REQUIRE(board.size() == 2);
+    }
+    SECTION("one still missing is gone") {
+      directory.Tick(At(7400));
+      REQUIRE(board.size() == 1);
+    }
+    SECTION("a draining one is gone at once") {
+      ListedEndpoint leaving = Listed("e2");
+      leaving.draining = true;
+      directory.OnEntry(At(5020), {leaving, 0});
+      directory.OnRemoved(At(5030), EndpointId("e2"));
+      REQUIRE(board.Find(EndpointId("e2")) == nullptr);
+    }
+  }
+  SECTION("during an outage nothing that is missing is removed") {
+    directory.OnReachable(At(100), false);
+    directory.OnRemoved(At(200), EndpointId("e1"));
+    directory.Tick(At(20'000));
+    REQUIRE(board.size() == 2);
+  }
+}
+
+}  // namespace
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_gateway/tests/gateway_config_test.cc
@@ -0,0 +1,201 @@
+#include <catch2/catch.hpp>
+
+#include "zr_gateway/zr_gateway.h"
+
+namespace zr {
+namespace {
+
+Route MakeRoute(std::string host, std::string prefix, std::string service) {
+  Route route;
+  route.name = host + prefix;
+  route.host = std::move(host);
+  route.path_prefix = std::move(prefix);
+  route.services = {{ServiceName(std::move(service)), 1}};
+  return route;
+}
+
+// Guards against a request that another route's service runs.
+TEST_CASE("A path selects the route with the longest prefix") {
+  GatewayConfigParts parts;
+  parts.version = 7;
+  parts.routes = {MakeRoute("a.example", "/one/", "s1"),
+                  MakeRoute("a.example", "/one/two/", "s2"),
+                  MakeRoute("b.example", "/", "s3")};
+  auto config = GatewayConfig::Create(parts);
+  REQUIRE(config);
+  const auto service = [&](const char* host, const char* path) -> std::string {
+    const Route* route = (*config)->Match(host, path);
+    return route == nullptr ? "none" : route->services[0].service.value();
+  };
+  SECTION("the longer of two prefixes wins") {
+    REQUIRE(service("a.example", "/one/two/x") == "s2");
+    REQUIRE(service("a.example", "/one/three") == "s1");
+  }
+  SECTION("a prefix ends at a slash") {
+    REQUIRE(service("a.example", "/one") == "none");
+    REQUIRE(service("a.example", "/onerous/x") == "none");
+  }
+  SECTION("hosts do not share routes") {
+    REQUIRE(service("b.example", "/one/two/x") == "s3");
+    REQUIRE(service("c.example", "/one/") == "none");
+  }
+  SECTION("a path without a slash matches nothing") {
+    REQUIRE(service("b.example", "") == "none");
+  }
+}
+
+// Guards against a configuration whose error shows only when it is used.
+TEST_CASE("A configuration with an unusable route is refused") {
+  GatewayConfigParts parts;
+  parts.routes = {MakeRoute("a.example", "/x/", "s")};
+  SECTION("without a service") { parts.routes[0].services.clear(); }
+  SECTION("with a prefix that does not end at a slash") {
+    parts.routes[0].path_prefix = "/x";
+  }
+  SECTION("with an empty prefix") { parts.routes[0].path_prefix = ""; }
+  auto config = GatewayConfig::Create(parts);
+  REQUIRE_FALSE(config);
+  REQUIRE(config.error().code == ErrorCode::kInvalidArgument);
+}
+
+// Guards against a team that is served under another team's key.
+TEST_CASE("A key stands for the team that holds it") {
+  GatewayConfigParts parts;
+  parts.has_teams = true;
+  parts.teams = {{TeamId("customs"), {"k1", "k2"}, {}},
+                 {TeamId("smiths"), {"k3"}, {}}};
+  auto config = GatewayConfig::Create(parts);
+  REQUIRE(config);
+  REQUIRE((*config)->FindTeam("k2")->team == TeamId("customs"));
+  REQUIRE((*config)->FindTeam("k3")->team == TeamId("smiths"));
+  REQUIRE((*config)->FindTeam("k4") == nullptr);
+  REQUIRE((*config)->FindTeam("") == nullptr);
+}
+
+// Guards against a split that starves a service or names none.
+TEST_CASE("A split route gives each service its share") {
+  Route route = MakeRoute("a.example", "/", "s1");
+  route.services = {{ServiceName("s1"), 90}, {ServiceName("s2"), 10}};
+  REQUIRE(PickService(route, 0.0) == ServiceName("s1"));
+  REQUIRE(PickService(route, 0.899) == ServiceName("s1"));
+  REQUIRE(PickService(route, 0.901) == ServiceName("s2"));
+  REQUIRE(PickService(route, 0.9999999) == ServiceName("s2"));
+}
+
+// Guards against a revoked key that a cut-off or suspended VM still honours.
+TEST_CASE("A configuration is trusted only on recent evidence") {
+  const auto at = [](int64_t ms) {
+    return TimePoint::FromMicroseconds(ms * 1000);
+  };
+  ConfigFreshness freshness(Duration::Milliseconds(3700));
+  REQUIRE_FALSE(freshness.Fresh(at(0)));
+  freshness.OnEvidence(at(1000));
+  SECTION("evidence dates from the start of the call") {
+    REQUIRE(freshness.Fresh(at(4699)));
+    REQUIRE_FALSE(freshness.Fresh(at(4700)));
+  }
+  SECTION("an answer that arrives late does not replace a newer one") {
+    freshness.OnEvidence(at(500));
+    REQUIRE(freshness.Fresh(at(4699)));
+  }
+  SECTION("a suspension counts, since the clock goes on") {
+    REQUIRE_FALSE(freshness.Fresh(at(60'000)));
+  }
+  SECTION("a tighter bound of new settings holds at once") {
+    freshness.SetBound(Duration::Milliseconds(1000));
+    REQUIRE_FALSE(freshness.Fresh(at(2500)));
+  }
+}
+
+// Guards against a stream that is continued with a piece missing or doubled.
+TEST_CASE("A stream is split into whole events") {
+  EventSplitter splitter;
+  SECTION("an event that arrives in pieces is one event") {
+    splitter.Append("id: 4\nda");
+    REQUIRE_FALSE(splitter.Next());
+    splitter.Append("ta: x\n");
+    REQUIRE_FALSE(splitter.Next());
+    splitter.Append("\nid: 5\n");
+    auto event = splitter.Next();
+    REQUIRE(event);
+    REQUIRE(event->bytes == "id: 4\ndata: x\n\n");
+    REQUIRE(event->id == 4);
+    REQUIRE_FALSE(splitter.Next());
+    REQUIRE(splitter.pending_bytes() == 6);
+  }
+  SECTION("line ends may have a carriage return") {
+    splitter.Append("id: 7\r\ndata: y\r\n\r\nid: 8\r\n\r\n");
+    REQUIRE(splitter.Next()->id == 7);
+    REQUIRE(splitter.Next()->id == 8);
+    REQUIRE(splitter.pending_bytes() == 0);
+  }
+  SECTION("an event may have no id, or one that is no number") {
+    splitter.Append("data: z\n\nid: a\n\n");
+    REQUIRE_FALSE(splitter.Next()->id);
+    REQUIRE_FALSE(splitter.Next()->id);
+  }
+}
+
+// Guards against a second run of what may run once, and a false "not run".
+TEST_CASE("A failed call decides what may follow") {
+  AttemptFacts facts;
+  facts.max_runs = 2;
+  SECTION("a request that may run once") {
+    facts.repeat = RepeatRule::kOnce;
+    SECTION("is sent again if it certainly has not run") {
+      facts.possible_runs = 0;
+      REQUIRE(AfterFailure(facts, CallFailure::kNotRun) ==
+              NextStep::kSendAgain);
+      REQUIRE(AfterFailure(facts, CallFailure::kNotConnected) ==
+              NextStep::kSendAgain);
+    }
+    SECTION("is never sent again after it may have run") {
+      facts.possible_runs = 1;
+      REQUIRE(AfterFailure(facts, CallFailure::kBroken) == NextStep::kFail);
+      REQUIRE(AfterFailure(facts, CallFailure::kSilent) == NextStep::kFail);
+      REQUIRE(AfterFailure(facts, CallFailure::kErrorAnswer) ==
+              NextStep::kForwardAnswer);
+    }
+    SECTION("is refused as not run only if no call may have run") {
+      facts.candidate_left = false;
+      facts.possible_runs = 0;
+      REQUIRE(AfterFailure(facts, CallFailure::kNotRun) == NextStep::kRefuse);
+      facts.possible_runs = 1;
+      REQUIRE(AfterFailure(facts, CallFailure::kNotRun) == NextStep::kFail);
+    }
+  }
+  SECTION("a repeatable request") {
+    facts.repeat = RepeatRule::kRepeatable;
+    facts.possible_runs = 1;
+    REQUIRE(AfterFailure(facts, CallFailure::kBroken) == NextStep::kSendAgain);
+    SECTION("runs on no more endpoints than its route allows") {
+      facts.possible_runs = 2;
+      REQUIRE(AfterFailure(facts, CallFailure::kBroken) == NextStep::kFail);
+    }
+    SECTION("is not sent again without time or an endpoint") {
+      facts.time_left = false;
+      REQUIRE(AfterFailure(facts, CallFailure::kBroken) == NextStep::kFail);
+    }
+    SECTION("whose answer has begun is cut, not begun anew") {
+      facts.answer_begun = true;
+      REQUIRE(AfterFailure(facts, CallFailure::kBroken) ==
+              NextStep::kCutAnswer);
+    }
+  }
+  SECTION("a stream that may be resumed goes on elsewhere") {
+    facts.repeat = RepeatRule::kResumable;
+    facts.possible_runs = 1;
+    facts.answer_begun = true;
+    REQUIRE(AfterFailure(facts, CallFailure::kBroken) == NextStep::kSendAgain);
+    facts.possible_runs = 2;
+    REQUIRE(AfterFailure(facts, CallFailure::kBroken) == NextStep::kCutAnswer);
+  }
+  SECTION("sends are bounded whatever became of them") {
+    facts.repeat = RepeatRule::kRepeatable;
+    facts.sends = 3;
+    REQUIRE(AfterFailure(facts, CallFailure::kNotRun) == NextStep::kRefuse);
+  }
+}
+
+}  // namespace
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_gateway/tests/placed_load.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <cmath>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "zr_gateway/tests/pass_engine.h"
+
+namespace zr {
+
+/** Figures of an engine such as the users run. */
+inline EngineFigures ExampleEngine() {
+  EngineFigures engine;
+  engine.slots = 16;
+  engine.kv_capacity = TokenCount(450'000);
+  engine.stride = 46;
+  engine.chunk = TokenCount(2048);
+  engine.step_ms = 0.925;
+  engine.writer_ms = 0.00483;
+  engine.context_ms_per_1k = 0.00254;
+  engine.read_tokens_per_ms = 256;
+  engine.pairs_ms_per_million = 0.0917;
+  engine.hop_ms = 0.1;
+  return engine;
+}
+
+inline ListedEndpoint ExampleEndpoint(int index) {
+  ListedEndpoint endpoint;
+  endpoint.id = EndpointId("e" + std::to_string(index));
+  endpoint.service = ServiceName("pool");
+  endpoint.address = "127.0.0.1:" + std::to_string(index + 1);
+  endpoint.domain = DomainId("a");
+  endpoint.slots = 16;
+  return endpoint;
+}
+
+/** Who places the calls of a load. */
+enum class Deciders { kEachVm, kDispatcher };
+
+/** What the callers of a load got. */
+struct LoadResult {
+  int short_asked = 0;
+  int short_in_time = 0;
+  int long_asked = 0;
+  int long_in_time = 0;
+  double worth = 0;  // engine time of the answers that were in time
+};
+
+/**
+ * Plays 20 s of arrivals in virtual time against 16 engines and 13 VMs: first
+ * mostly long prompts, then mostly short ones, then long ones again.
+ */
+inline LoadResult PlayLoad(uint64_t seed, Deciders deciders) {
+  constexpr size_t kEngines = 16;
+  constexpr size_t kVms = 13;
+  constexpr Duration kLength = Duration::Seconds(20);
+  const EngineFigures figures = ExampleEngine();
+  PassEngines engines(figures, kEngines);
+  Placement together;
+  Placement apart{Placement::Options{.pack = false}};
+  Random random(seed);
+  std::vector<EndpointBoard> boards(deciders == Deciders::kEachVm ? kVms : 1);
+  for (EndpointBoard& board : boards) {
+    for (size_t i = 0; i < kEngines; ++i) {
+      board.Upsert(TimePoint(), ExampleEndpoint(static_cast<int>(i)), 0);
+    }
+  }
+  LoadResult result;
+  int number = 0;
+
+  const auto arrive = [&](TimePoint now, bool is_long) {
+    const double spread = std::exp(0.5 * (random.Unit() + random.Unit() - 1));
+    CallNeeds needs;
+    needs.shape = {
+        TokenCount(static_cast<int64_t>((is_long ? 210'000 : 4'960) * spread)),
+        TokenCount(1'600)};
+    needs.objective = Duration::Milliseconds(is_long ? 3000 : 300);
+    needs.gap = Duration::Milliseconds(is_long ? 800 : 200);
+    needs.time_left = Duration::Seconds(15);
+    EndpointBoard& board = boards[random.Below(boards.size())];
+    const Placement& placement =
+        deciders == Deciders::kEachVm ? apart : together;
+    auto plan = placement.Choose(now, board, ServiceName("pool"), &figures,
+                                 needs, random.Next());
+    ++(is_long ? result.long_asked : result.short_asked);
+    if (!plan) return;
+
+    CallLoad load;
+    load.key = {VmId("vm"), RequestId(std::to_string(++number)), 1};
+    load.reading_ms = plan->part_ms;
+    load.held = needs.shape.prompt + needs.shape.max_answer;
+    load.gap = needs.gap;
+    load.value_ms = EngineMilliseconds(figures, needs.shape);
+    load.expires = now + needs.time_left;
+    const auto index = [](const PlacedEndpoint& placed) {
+      return static_cast<size_t>(std::stoi(placed.endpoint.value().substr(1)));
+    };
+    board.OnStart(now, plan->first.endpoint, load);
+    load.writes = false;
+    load.held = TokenCount(0);
+    std::vector<size_t> helpers;
+    for (const PlacedEndpoint& helper : plan->helpers) {
+      board.OnStart(now, helper.endpoint, load);
+      helpers.push_back(index(helper));
+    }
+
+    auto job = std::make_shared<PassEngines::Job>();
+    job->events_left = is_long ? 17 : 35;
+    job->context_tokens = static_cast<double>(needs.shape.prompt.value());
+    auto last = std::make_shared<TimePoint>(now);
+    auto in_time = std::make_shared<bool>(true);
+    auto first = std::make_shared<bool>(true);
+    const CallKey key = load.key;
+    job->on_event = [&board, plan = *plan, key, needs, now, last, in_time,
+                     first](TimePoint at) {
+      const Duration bound = *first ? needs.objective : needs.gap;
+      if (at - (*first ? now : *last) > bound) *in_time = false;
+      if (*first) {
+        board.OnPromptRead(at, plan.first.endpoint, key);
+        for (const auto& helper : plan.helpers) {
+          board.OnEnd(at, helper.endpoint, key);
+        }
+      }
+      *first = false;
+      *last = at;
+    };
+    const double value = load.value_ms;
+    job->on_end = [&board, &result, plan = *plan, key, in_time, is_long,
+                   value](TimePoint at) {
+      board.OnEnd(at, plan.first.endpoint, key);
+      if (!*in_time) return;
+      ++(is_long ? result.long_in_time : result.short_in_time);
+      result.worth += value;
+    };
+    engines.Start(now, index(plan->first), job, helpers, plan->part_ms);
+  };
+
+  const auto rate = [](TimePoint now, bool is_long) {
+    const bool long_phase =
+        (now.microseconds() / Duration::Seconds(7).microseconds()) % 2 == 0;
+    if (is_long) return long_phase ? 2.6 : 0.1;
+    return long_phase ? 14.0 : 80.0;
+  };
+  const TimePoint end = TimePoint() + kLength;
+  const auto gap = [&](TimePoint now, bool is_long) {
+    return Duration::Microseconds(static_cast<int64_t>(
+        -1e6 * std::log(1 - random.Unit()) / rate(now, is_long)));
+  };
+  TimePoint next_short = TimePoint() + gap(TimePoint(), false);
+  TimePoint next_long = TimePoint() + gap(TimePoint(), true);
+  for (;;) {
+    const TimePoint next =
+        std::min({next_short, next_long, engines.NextEvent()});
+    if (next == TimePoint::Max()) break;
+    engines.Advance(next);
+    if (next == next_short) {
+      arrive(next, false);
+      next_short = next + gap(next, false);
+      if (next_short > end) next_short = TimePoint::Max();
+    }
+    if (next == next_long) {
+      arrive(next, true);
+      next_long = next + gap(next, true);
+      if (next_long > end) next_long = TimePoint::Max();
+    }
+  }
+  return result;
+}
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_gateway/tests/placement_test.cc
@@ -0,0 +1,214 @@
+#include <catch2/catch.hpp>
+#include <numeric>
+
+#include "zr_gateway/tests/placed_load.h"
+#include "zr_gateway/zr_gateway.h"
+
+namespace zr {
+namespace {
+
+TimePoint At(int64_t ms) { return TimePoint::FromMicroseconds(ms * 1000); }
+
+CallNeeds Needs(int64_t prompt, int64_t objective_ms, int64_t gap_ms) {
+  CallNeeds needs;
+  needs.shape = {TokenCount(prompt), TokenCount(1600)};
+  needs.objective = Duration::Milliseconds(objective_ms);
+  needs.gap = Duration::Milliseconds(gap_ms);
+  needs.time_left = Duration::Seconds(10);
+  return needs;
+}
+
+// Guards against figures that are misread: all forecasts rest on them.
+TEST_CASE("Reading time has a linear and a quadratic part") {
+  const EngineFigures figures = ExampleEngine();
+  REQUIRE(ReadMilliseconds(figures, TokenCount(4960)) ==
+          Approx(20.5).epsilon(0.01));
+  REQUIRE(ReadMilliseconds(figures, TokenCount(210'000)) ==
+          Approx(2842).epsilon(0.01));
+  REQUIRE(PassMilliseconds(figures, 0, 0) == 0);
+  REQUIRE(PassMilliseconds(figures, 1, 0) ==
+          Approx(46 * (0.925 + 0.00483)).epsilon(0.001));
+}
+
+// Guards against short answers that pause because a long prompt is read
+// beside them although there is room elsewhere.
+TEST_CASE("Short and long prompts part on engines with room for both") {
+  const EngineFigures figures = ExampleEngine();
+  const Placement placement;
+  EndpointBoard board;
+  for (int i = 0; i < 8; ++i) board.Upsert(At(0), ExampleEndpoint(i), 0);
+  const auto place = [&](const CallNeeds& needs) {
+    return placement.Choose(At(0), board, ServiceName("pool"), &figures, needs,
+                            1);
+  };
+  const auto start = [&](const PlacementPlan& plan, const std::string& name,
+                         const CallNeeds& needs) {
+    CallLoad load;
+    load.key = {VmId("vm"), RequestId(name), 1};
+    load.reading_ms = plan.part_ms;
+    load.gap = needs.gap;
+    load.value_ms = EngineMilliseconds(figures, needs.shape);
+    load.expires = At(100'000);
+    board.OnStart(At(0), plan.first.endpoint, load);
+  };
+  const CallNeeds small = Needs(4960, 300, 200);
+  const CallNeeds large = Needs(210'000, 3000, 800);
+
+  auto first = place(small);
+  REQUIRE(first);
+  REQUIRE(first->helpers.empty());
+  start(*first, "r1", small);
+  SECTION("a second short prompt joins the first") {
+    REQUIRE(place(small)->first.endpoint == first->first.endpoint);
+  }
+  SECTION("a long prompt avoids the engine that writes a short answer") {
+    auto plan = place(large);
+    REQUIRE(plan);
+    REQUIRE(plan->first.endpoint != first->first.endpoint);
+    for (const auto& helper : plan->helpers) {
+      REQUIRE(helper.endpoint != first->first.endpoint);
+    }
+    SECTION("and a short prompt avoids the engines that read it") {
+      start(*plan, "r2", large);
+      REQUIRE(place(small)->first.endpoint == first->first.endpoint);
+    }
+  }
+  SECTION("no engine is chosen twice") {
+    auto plan = place(large);
+    std::set<EndpointId> chosen = {plan->first.endpoint};
+    for (const auto& helper : plan->helpers) chosen.insert(helper.endpoint);
+    REQUIRE(chosen.size() == plan->helpers.size() + 1);
+  }
+  SECTION("an endpoint that was tried is not chosen again") {
+    CallNeeds again = small;
+    again.excluded = {first->first.endpoint};
+    REQUIRE(place(again)->first.endpoint != first->first.endpoint);
+  }
+  SECTION("a prompt larger than every engine is not placed") {
+    REQUIRE_FALSE(place(Needs(500'000, 3000, 800)));
+  }
+  SECTION("short prompts leave some slots free before engines are shared") {
+    for (int i = 0; i < 40; ++i) {
+      auto plan = place(small);
+      start(*plan, "s" + std::to_string(i), small);
+    }
+    for (const auto& [id, state] : board.endpoints()) {
+      REQUIRE(state.Writers() <= 13);
+    }
+  }
+}
+
+// Guards against plain services whose calls all go to one endpoint.
+TEST_CASE("A plain call goes to the endpoint with the fewest calls") {
+  const Placement placement;
+  EndpointBoard board;
+  for (int i = 0; i < 3; ++i) board.Upsert(At(0), ExampleEndpoint(i), 0);
+  std::map<EndpointId, int> calls;
+  for (int i = 0; i < 30; ++i) {
+    auto plan = placement.Choose(At(0), board, ServiceName("pool"), nullptr,
+                                 CallNeeds{}, static_cast<uint64_t>(i));
+    CallLoad load;
+    load.key = {VmId("vm"), RequestId(std::to_string(i)), 1};
+    load.expires = At(1000);
+    board.OnStart(At(0), plan->first.endpoint, load);
+    ++calls[plan->first.endpoint];
+  }
+  for (const auto& [id, count] : calls) REQUIRE(count == 10);
+}
+
+// Guards against a dispatcher that loses or doubles calls when it changes.
+TEST_CASE("A new dispatcher learns of the calls in progress") {
+  GatewayConfigParts parts;
+  ServicePolicy policy;
+  policy.name = ServiceName("pool");
+  policy.engine = ExampleEngine();
+  parts.services = {policy};
+  const auto config = *GatewayConfig::Create(parts);
+  const Placement placement;
+  PoolDispatcher dispatcher(placement, 1);
+  for (int i = 0; i < 4; ++i) {
+    dispatcher.board().Upsert(At(0), ExampleEndpoint(i), 0);
+  }
+  const VmId vm("vm-1");
+  PlaceCall ask;
+  ask.request = RequestId("r1");
+  ask.call = AttemptNumber(1);
+  ask.pool = policy.name;
+  ask.prompt = TokenCount(4960);
+  ask.max_answer = TokenCount(1600);
+  ask.objective = Duration::Milliseconds(300);
+  ask.gap = Duration::Milliseconds(200);
+  ask.time_left = Duration::Seconds(10);
+  const CallPlaced placed = dispatcher.OnPlaceCall(At(0), vm, *config, ask);
+  REQUIRE_FALSE(placed.endpoint.empty());
+  REQUIRE(dispatcher.calls() == 1);
+
+  HeldCall held;
+  held.request = ask.request;
+  held.call = ask.call;
+  held.endpoint = placed.endpoint;
+  held.time_left = Duration::Seconds(9);
+  SECTION("the list of a VM replaces what was known of it") {
+    dispatcher.OnHeldCalls(At(10), vm, {policy.name, {held}});
+    REQUIRE(dispatcher.calls() == 1);
+    REQUIRE(dispatcher.board().Find(placed.endpoint)->Writers() == 1);
+    dispatcher.OnHeldCalls(At(20), vm, {policy.name, {}});
+    REQUIRE(dispatcher.calls() == 0);
+    REQUIRE(dispatcher.board().Find(placed.endpoint)->Writers() == 0);
+  }
+  SECTION("the list of another VM leaves them alone") {
+    dispatcher.OnHeldCalls(At(10), VmId("vm-2"), {policy.name, {}});
+    REQUIRE(dispatcher.calls() == 1);
+  }
+  SECTION("an end is counted once") {
+    const CallProgress end{ask.request, ask.call, policy.name,
+                           CallStage::kEnded, CallSign::kAnswered};
+    dispatcher.OnProgress(At(10), vm, end);
+    dispatcher.OnProgress(At(11), vm, end);
+    REQUIRE(dispatcher.calls() == 0);
+    REQUIRE(dispatcher.board().Find(placed.endpoint)->Writers() == 0);
+  }
+  SECTION("the calls of a VM that is gone end") {
+    dispatcher.OnVmGone(At(10), vm);
+    REQUIRE(dispatcher.calls() == 0);
+  }
+  SECTION("a call that no VM ends is forgotten after its deadline") {
+    dispatcher.Tick(At(10'501));
+    REQUIRE(dispatcher.calls() == 0);
+  }
+}
+
+// Guards against two VMs that choose different dispatchers, or all pools on
+// one VM.
+TEST_CASE("VMs choose the same dispatcher in any order") {
+  std::vector<VmId> vms;
+  for (int i = 0; i < 13; ++i) vms.push_back(VmId("vm-" + std::to_string(i)));
+  const VmId chosen = DispatcherOf(PoolId("p"), vms);
+  std::reverse(vms.begin(), vms.end());
+  REQUIRE(DispatcherOf(PoolId("p"), vms) == chosen);
+  REQUIRE(DispatcherOf(PoolId("p"), {}).empty());
+  std::set<VmId> all;
+  for (int i = 0; i < 30; ++i) {
+    all.insert(DispatcherOf(PoolId("p" + std::to_string(i)), vms));
+  }
+  REQUIRE(all.size() > 5);
+}
+
+// Guards against a placing that serves callers worse than VMs which decide by
+// what each of them knows. Load: a mix that turns from long prompts to short
+// ones and back within seconds, at about 60% of the engines' time.
+TEST_CASE("A mix that turns within seconds is served better by a dispatcher") {
+  for (uint64_t seed = 1; seed <= 3; ++seed) {
+    CAPTURE(seed);
+    const LoadResult apart = PlayLoad(seed, Deciders::kEachVm);
+    const LoadResult together = PlayLoad(seed, Deciders::kDispatcher);
+    CAPTURE(apart.short_in_time, together.short_in_time, apart.short_asked);
+    CAPTURE(apart.long_in_time, together.long_in_time, apart.long_asked);
+    REQUIRE(together.short_asked == apart.short_asked);
+    REQUIRE(together.short_in_time > apart.short_in_time);
+    REQUIRE(together.worth > apart.worth);
+  }
+}
+
+}  // namespace
+}  // namespace zr
