--- /dev/null
+++ b/tests/platform/standins.py
@@ -0,0 +1,245 @@
+"""Stand-ins for the platform's store and its endpoints, as threads of a test.
+
+Both count what they see, so that a test can check promises from the outside:
+which requests ran, how often, and what a caller was told.
+"""
+
+import itertools
+import json
+import socket
+import struct
+import threading
+import time
+import urllib.parse
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 256
+
+    def handle_error(self, request, client_address):
+        """Connections that a fault or a caller cuts are expected."""
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *args):
+        pass
+
+    def setup(self):
+        super().setup()
+        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+    def answer(self, status, body, headers=None):
+        self.send_response(status)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def answer_json(self, status, value):
+        self.answer(status, json.dumps(value).encode(), {"Content-Type": "application/json"})
+
+    def reset(self):
+        """Ends the connection with a reset."""
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.close_connection = True
+        self.connection.close()
+
+
+class Store:
+    """The platform's store: kinds, revisions, watches, conditional writes."""
+
+    def __init__(self, port):
+        self.lock = threading.Condition()
+        self.revision = 1
+        self.objects = {}  # (kind, name) -> (rev, spec)
+        self.history = []  # (rev, kind, name, spec or None)
+        self.forgotten = 0  # watches from before get 410
+        self.fault = None  # None, "refuse", "reset", "silent"
+        self.lose_answers = False  # of writes that took effect
+        store = self
+
+        class StoreHandler(Handler):
+            def do_GET(self):
+                store.get(self)
+
+            def do_POST(self):
+                store.write(self)
+
+            do_PUT = do_POST
+
+        self.server = Server(("127.0.0.1", port), StoreHandler)
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def put(self, kind, name, spec):
+        """Writes as the operator does; returns when it is acknowledged."""
+        with self.lock:
+            return self._put(kind, name, spec)
+
+    def _put(self, kind, name, spec):
+        self.revision += 1
+        if spec is None:
+            self.objects.pop((kind, name), None)
+        else:
+            self.objects[(kind, name)] = (self.revision, spec)
+        self.history.append((self.revision, kind, name, spec))
+        self.lock.notify_all()
+        return self.revision
+
+    def forget_history(self):
+        with self.lock:
+            self.forgotten = self.revision
+            self.lock.notify_all()
+
+    @staticmethod
+    def _object(name, rev, spec):
+        return {"metadata": {"name": name, "rev": rev}, "spec": spec, "status": None}
+
+    def _faulty(self, handler):
+        fault = self.fault
+        if fault == "refuse":
+            handler.answer_json(503, {})
+        elif fault == "reset":
+            handler.reset()
+        elif fault == "silent":
+            time.sleep(3)
+            handler.reset()
+        return fault is not None
+
+    def get(self, handler):
+        if self._faulty(handler):
+            return
+        url = urllib.parse.urlsplit(handler.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        kind = url.path.split("/")[4 - 1]
+        if "watch" in query:
+            return self.watch(handler, kind, int(query["watch"]), int(query["waitMs"]) / 1000)
+        with self.lock:
+            items = [self._object(n, rev, spec)
+                     for (k, n), (rev, spec) in sorted(self.objects.items())
+                     if k == kind and n > query.get("after", "")]
+            reply = {"items": items[:50], "more": len(items) > 50, "currentRev": self.revision}
+        handler.answer_json(200, reply)
+
+    def watch(self, handler, kind, since, wait):
+        end = time.monotonic() + wait
+        with self.lock:
+            while True:
+                if since < self.forgotten:
+                    status, reply = 410, {}
+                    break
+                events = [{"deleted": spec is None,
+                           "object": self._object(n, rev, spec)}
+                          for rev, k, n, spec in self.history if rev > since and k == kind]
+                left = end - time.monotonic()
+                if events or left <= 0 or self.fault:
+                    status, reply = 200, {"events": events, "currentRev": self.revision}
+                    break
+                self.lock.wait(left)
+        if not self._faulty(handler):
+            handler.answer_json(status, reply)
+
+    def write(self, handler):
+        body = json.loads(handler.body())
+        if self._faulty(handler):
+            return
+        kind = handler.path.split("/")[3]
+        name = body["metadata"]["name"]
+        expected = body["metadata"].get("rev", 0)
+        with self.lock:
+            current = self.objects.get((kind, name))
+            if (current[0] if current else 0) != expected:
+                status, reply = 409, self._object(name, *(current or (0, None)))
+            else:
+                status, reply = 200, self._object(name, self._put(kind, name, body["spec"]),
+                                                  body["spec"])
+        if self.lose_answers:
+            return handler.reset()
+        handler.answer_json(status, reply)
+
+
+class Endpoint:
+    """A worker: a model engine that streams events, or a plain service."""
+
+    numbers = itertools.count(1)
+
+    def __init__(self, port, service, domain, events=0):
+        self.port, self.service, self.domain, self.events = port, service, domain, events
+        self.id = f"i-{next(self.numbers):04x}"
+        self.born = int(time.time() * 1000)
+        self.runs = {}  # request id -> how often it ran
+        self.seen = []  # headers of requests that ran
+        self.fault = None  # None, "reject", "cut", "mute", "error", "extra"
+        self.event_s = 0.01
+        self.lock = threading.Lock()
+        endpoint = self
+
+        class EndpointHandler(Handler):
+            def do_GET(self):
+                endpoint.run(self)
+
+            do_POST = do_GET
+
+        self.server = Server(("127.0.0.1", port), EndpointHandler)
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def entry(self, state="ready"):
+        return {"service": self.service, "addr": f"127.0.0.1:{self.port}", "zone": self.domain,
+                "version": "v1", "slots": 16, "state": state, "coldLeftMs": 0,
+                "born": self.born, "seq": 1}
+
+    def run(self, handler):
+        body = handler.body()
+        request = handler.headers.get("X-Request-Id", "")
+        common = {"X-Request-Id": request, "X-Load-Report": "1,0,16"}
+        if handler.headers.get("X-Expect-Instance") != self.id:
+            return handler.answer(421, b"", {"X-Instance": self.id})
+        if self.fault == "reject":
+            return handler.answer(503, b"", {**common, "X-Not-Run": "1"})
+        with self.lock:
+            self.runs[request] = self.runs.get(request, 0) + 1
+            self.seen.append((handler.command, handler.path, dict(handler.headers), body))
+        common["X-Seal"] = f"seal-{self.id}"
+        if self.fault == "mute":
+            time.sleep(30)
+            return handler.reset()
+        if self.fault == "error":
+            return handler.answer(500, b"error", common)
+        if self.events:
+            return self.stream(handler, common)
+        if self.fault == "cut":
+            return handler.reset()
+        time.sleep(self.event_s)
+        handler.answer(200, f"answer to {request}".encode(), common)
+        if self.fault == "extra":
+            handler.answer(200, b"an answer that no one asked for", common)
+
+    def stream(self, handler, headers):
+        first = int(handler.headers.get("Last-Event-Id", -1)) + 1
+        handler.send_response(200)
+        for name, value in headers.items():
+            handler.send_header(name, value)
+        handler.send_header("Content-Type", "text/event-stream")
+        handler.send_header("Transfer-Encoding", "chunked")
+        handler.end_headers()
+        for number in range(first, self.events):
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if self.fault == "cut" and number >= first + self.events // 2:
+                handler.wfile.write(b"%x\r\n%s" % (len(event), event[:5]))
+                handler.wfile.flush()
+                return handler.reset()
+            handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            handler.wfile.flush()
+            time.sleep(self.event_s)
+        handler.wfile.write(b"0\r\n\r\n")
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
