End a silent stream only if it can go on elsewhere

Change: silence ends a call only if another endpoint, the route's attempts, the time and the retry budget allow it to go on, and after several times the route's objectives. The test silent_stream failed before the change: an answer of one event.

--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -107,6 +107,8 @@
   void SendOwn(OwnAnswer answer);
   HttpHeaders AnswerHeaders(HttpHeaders headers) const;
   LogFields Fields(TimePoint now) const;
+  AttemptFacts Facts(TimePoint now) const;
+  bool CanGoOnElsewhere(TimePoint now) const;
   Duration SilenceBound() const;
 
   GatewayState& state_;
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -13,8 +13,9 @@
 // Idle connections are not reused beyond this; endpoints close them sooner or
 // later without notice.
 inline constexpr Duration kMaxIdleConnection = Duration::Seconds(3);
-// An answer that writes nothing for this long is continued elsewhere.
-inline constexpr Duration kEventSilence = Duration::Milliseconds(1200);
+// An answer that writes nothing for this long, or several times its objectives,
+// is continued elsewhere; callers give up soon after.
+inline constexpr Duration kEventSilence = Duration::Milliseconds(1500);
 // Least time that an endpoint has for its first byte.
 inline constexpr Duration kFirstByteSilence = Duration::Milliseconds(1000);
 // Less time than this is not worth another call.
@@ -454,13 +455,7 @@
   fields["call_ms"] = (now - call_->started).milliseconds();
   fields["last_event"] = last_event_.value_or(-1);
 
-  AttemptFacts facts;
-  facts.repeat = route_->repeat;
-  facts.answer_begun = answer_begun_;
-  facts.possible_runs = possible_runs_;
-  facts.max_runs = route_->attempts;
-  facts.sends = sends_;
-  facts.time_left = deadline_ - now > kLeastTimeLeft;
+  AttemptFacts facts = Facts(now);
   NextStep step = AfterFailure(facts, failure);
   if (step == NextStep::kSendAgain &&
       !state_.BudgetOf(service_->name).TryRetry(now)) {
@@ -537,17 +532,41 @@
   if (ended_) return;
   if (now >= deadline_) return Expire(now);
   if (waiting_) return Place(now);
-  if (call_ && !paused_ && route_->repeat != RepeatRule::kOnce &&
-      now - call_->last_byte > SilenceBound()) {
+  if (call_ && !paused_ && now - call_->last_byte > SilenceBound() &&
+      CanGoOnElsewhere(now)) {
     FailCall(CallFailure::kSilent, CallSign::kSilent,
              "no byte within the bound");
   }
 }
 
+template <GatewayFormat Format>
+AttemptFacts ForwardedRequest<Format>::Facts(TimePoint now) const {
+  AttemptFacts facts;
+  facts.repeat = route_->repeat;
+  facts.answer_begun = answer_begun_;
+  facts.possible_runs = possible_runs_;
+  facts.max_runs = route_->attempts;
+  facts.sends = sends_;
+  facts.time_left = deadline_ - now > gateway_internal::kLeastTimeLeft;
+  return facts;
+}
+
+template <GatewayFormat Format>
+bool ForwardedRequest<Format>::CanGoOnElsewhere(TimePoint now) const {
+  AttemptFacts facts = Facts(now);
+  facts.candidate_left =
+      !state_.board.Available(now, service_->name, tried_).empty();
+  return AfterFailure(facts, CallFailure::kSilent) == NextStep::kSendAgain &&
+         state_.BudgetOf(service_->name).CanRetry(now);
+}
+
 template <GatewayFormat Format>
 Duration ForwardedRequest<Format>::SilenceBound() const {
   using namespace gateway_internal;
-  if (answer_begun_ && !call_->reading) return kEventSilence;
+  if (answer_begun_ && !call_->reading) {
+    return std::max({kEventSilence, route_->latency_objective * 3,
+                     route_->gap_objective.value_or(Duration()) * 6});
+  }
   // A loaded engine is slow, not silent: its forecast says how slow. Running
   // its requests again elsewhere would add to the load.
   return kFirstByteSilence + route_->latency_objective / 2 +
--- a/modules/zr_request/retry_budget.h
+++ b/modules/zr_request/retry_budget.h
@@ -23,6 +23,8 @@
   void OnSuccess() { bucket_.Add(share_); }
   /** Takes the right to one retry; false if the budget is used up. */
   bool TryRetry(TimePoint now);
+  /** TryRetry() would succeed. */
+  bool CanRetry(TimePoint now) const { return bucket_.LevelAt(now) >= 1; }
 
   /** Retries allowed and refused so far. */
   uint64_t allowed() const { return allowed_; }
--- a/tests/platform/serve.py
+++ b/tests/platform/serve.py
@@ -79,6 +79,21 @@
     plain[0].fault = None
 
 
+def silent_stream(d):
+    """A stream that pauses is ended only if it can go on elsewhere."""
+    engines = d.of("llm")
+    for engine in engines[1:]:
+        d.store.put("servers", engine.id, engine.entry("draining"))
+    wait_until("two engines drain", lambda: d.log(0).count('"draining":true') >= 4)
+    engines[0].fault = "pause"
+    answer = d.call(0, "POST", "/stream/x", "pause-alone")
+    check(answer.complete and answer.body == whole_stream(), f"cut: {answer.body}")
+    check(d.runs("pause-alone") == 1, "no other engine was there to run it")
+    engines[0].fault = None
+    for engine in engines:
+        d.store.put("servers", engine.id, engine.entry())
+
+
 def configuration_changes(d):
     d.store.put("servers", "junk-1", {"service": 5})
     d.store.put("servers", "junk-2", "text")
@@ -167,7 +182,7 @@
 
 
 def test(d):
-    for step in (each_kind_is_served, bad_requests_are_refused, broken_calls,
+    for step in (each_kind_is_served, bad_requests_are_refused, broken_calls, silent_stream,
                  configuration_changes, store_outage, caller_leaves, planned_stop, logs_explain):
         print(f"- {step.__name__}", flush=True)
         step(d)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -176,7 +176,7 @@
         self.born = int(time.time() * 1000)
         self.runs = {}  # request id -> how often it ran
         self.seen = []  # headers of requests that ran
-        self.fault = None  # None, "reject", "cut", "mute", "error", "extra"
+        self.fault = None  # None, "reject", "cut", "pause", "mute", "error", "extra"
         self.event_s = 0.01
         self.lock = threading.Lock()
         endpoint = self
@@ -235,6 +235,8 @@
                 handler.wfile.write(b"%x\r\n%s" % (len(event), event[:5]))
                 handler.wfile.flush()
                 return handler.reset()
+            if self.fault == "pause" and number == first + 1:
+                time.sleep(5)
             handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
             handler.wfile.flush()
             time.sleep(self.event_s)
