Add a fault soak of real processes; refuse prompts that no engine holds at once

tests/platform/soak.py kills, pauses and stops entry processes, cuts and slows their path to the store, lets the store fail, forget and lose answers, and endpoints reject, cut, pause, fail and answer twice, while clients call; checks one run of what may run once, truthful refusals, whole answers of the right request and streams without gaps.

A prompt larger than an engine's memory waited 317 ms before its refusal; it is refused at once now and gets no time to come back. The test too_large_is_refused_at_once failed before the change.

The words of the platform's wire are checked to stay in platform/.

--- a/modules/zr_gateway/placement.cc
+++ b/modules/zr_gateway/placement.cc
@@ -70,6 +70,10 @@
   return engine.stride * step;
 }
 
+bool FitsEngine(const EngineFigures& engine, const PromptShape& shape) {
+  return shape.prompt + shape.max_answer <= engine.kv_capacity;
+}
+
 double EngineMilliseconds(const EngineFigures& engine,
                           const PromptShape& shape) {
   return ReadMilliseconds(engine, shape.prompt) +
@@ -98,9 +102,7 @@
     view.rank = TieRank(*state, tie);
     engines.push_back(view);
   }
-  const double need = static_cast<double>(
-      (needs.shape.prompt + needs.shape.max_answer).value());
-  if (need > capacity) return std::nullopt;
+  if (!FitsEngine(*engine, needs.shape)) return std::nullopt;
   const double read_ms = ReadMilliseconds(*engine, needs.shape.prompt);
   if (read_ms <= options_.single_read_ms) {
     return PackShort(engines, *engine, needs, read_ms);
--- a/modules/zr_gateway/placement.h
+++ b/modules/zr_gateway/placement.h
@@ -45,6 +45,9 @@
 double PassMilliseconds(const EngineFigures& engine, int writers,
                         double mean_context);
 
+/** One engine's memory holds the prompt and the longest answer. */
+bool FitsEngine(const EngineFigures& engine, const PromptShape& shape);
+
 /**
  * Engine time that a request needs, in milliseconds: to read its prompt and,
  * shared with the other writers of a full engine, to write its answer. Stands
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -205,14 +205,23 @@
 
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::NoEndpoint(TimePoint now, Duration retry_after) {
+  const bool fits =
+      !service_->engine || FitsEngine(*service_->engine, request_.shape);
   const Duration patience =
       std::min(route_->latency_objective / 4, Duration::Milliseconds(300));
-  const bool may_come = state_.board.CountActive(service_->name) > 0 &&
-                        now - arrived_ < patience && sends_ == 0;
+  const bool may_come = fits && sends_ == 0 && now - arrived_ < patience &&
+                        state_.board.CountActive(service_->name) > 0;
   if (may_come) {
     waiting_ = true;
     return;
   }
+  if (!fits) {
+    return SendOwn(
+        {503,
+         Error{ErrorCode::kTooLarge, "placement", service_->name.value(),
+               "prompt and answer exceed the memory of an engine"},
+         {}});
+  }
   SendOwn({503,
            Error{ErrorCode::kOverloaded, "placement", service_->name.value(),
                  "no endpoint takes the request"},
--- a/scripts/check-includes.sh
+++ b/scripts/check-includes.sh
@@ -3,7 +3,7 @@
 # global random source may be included or named in them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-core="zr_base zr_wire zr_config zr_membership zr_admission zr_request zr_records zr_placement"
+core="zr_base zr_wire zr_config zr_membership zr_admission zr_request zr_records zr_placement zr_gateway"
 forbidden='#include <(asio|restinio|curl|websocketpp|thread|mutex|shared_mutex|condition_variable|future|fstream|filesystem|iostream|cstdio|random|ctime|sys/|unistd|netinet|arpa|boost/log|boost/asio|boost/thread)|system_clock|steady_clock|std::rand\b|random_device'
 status=0
 for module in $core; do
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -11,6 +11,7 @@
 mapfile -t files < <(git ls-files -co --exclude-standard '*.h' '*.cc')
 clang-format --dry-run --Werror "${files[@]}"
 scripts/check-includes.sh
+scripts/check-platform-words.sh
 if [ $changed -eq 1 ]; then
   base=$(git merge-base main HEAD)
   mapfile -t sources < <({ git diff --name-only --diff-filter=d "$base" -- '*.cc'; git ls-files -o --exclude-standard '*.cc'; } | sort -u)
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -76,7 +76,7 @@
     """Entry processes, a store and endpoints, on ports from `base`."""
 
     def __init__(self, base, vms=3, engines=3, plain=2):
-        self.base, self.vm_count = base, vms
+        self.base, self.vm_count, self.store_port = base, vms, base
         self.folder = tempfile.mkdtemp(prefix="zinniarill-platform-")
         self.store = Store(base)
         self.version = 2
@@ -122,7 +122,7 @@
                        f"listen.front=127.0.0.1:{self.port(vm, 0)}\n"
                        f"listen.ready=127.0.0.1:{self.port(vm, 1)}\n"
                        f"portRange={self.port(vm, 2)},{self.port(vm, 3)}\n"
-                       f"platform.addr=127.0.0.1:{self.base}\n"
+                       f"platform.addr=127.0.0.1:{self.store_port}\n"
                        "bounds.revokeMs=5000\nbounds.graceS=8\n")
         log = open(os.path.join(self.folder, f"vm-{vm}.log"), "a")
         self.processes[vm] = subprocess.Popen(
--- a/tests/platform/serve.py
+++ b/tests/platform/serve.py
@@ -40,6 +40,15 @@
             check(d.runs(call["request"]) == 0, "a refused request ran")
 
 
+def too_large_is_refused_at_once(d):
+    answer = d.call(0, "POST", "/stream/x", "giant", headers={"X-Token-Count": "500000,80"})
+    check(answer.status == 503 and "retry-after" not in answer.headers, f"{answer.status}")
+    check(d.runs("giant") == 0, "a prompt larger than an engine ran")
+    line = [json.loads(l) for l in d.log(0).splitlines()
+            if '"request":"giant"' in l and "own_answer" in l][0]
+    check(line["age_ms"] < 250, f"held for {line['age_ms']} ms although it can't be served")
+
+
 def broken_calls(d):
     plain, engines = d.of("plain"), d.of("llm")
     for engine in engines[1:]:
@@ -182,7 +191,8 @@
 
 
 def test(d):
-    for step in (each_kind_is_served, bad_requests_are_refused, broken_calls, silent_stream,
+    for step in (each_kind_is_served, bad_requests_are_refused, too_large_is_refused_at_once, broken_calls,
+                 silent_stream,
                  configuration_changes, store_outage, caller_leaves, planned_stop, logs_explain):
         print(f"- {step.__name__}", flush=True)
         step(d)
--- /dev/null
+++ b/tests/platform/soak.py
@@ -0,0 +1,249 @@
+#!/usr/bin/env python3
+"""Fault soak: real entry processes before stand-ins, with faults from outside them.
+
+  soak.py SEED [SECONDS] [FIRST_PORT]
+
+Kills, pauses and stops processes, cuts links between VMs, lets the store fail
+and endpoints reject, cut, pause and answer twice, in overlapping series drawn
+from the seed, while clients call. Checks during the run, from what callers and
+endpoints see:
+
+  - a request that may run once runs at most once;
+  - one that was refused (408, 421, 429, 503) has not run and never does;
+  - an answer is whole, sealed and belongs to its request;
+  - a stream misses no piece and has none twice;
+  - afterwards every VM is ready and serves again.
+"""
+
+import http.client
+import os
+import random
+import signal
+import socket
+import sys
+import threading
+import time
+
+from deployment import Deployment, check, wait_until, whole_stream
+
+# Longest pause of a process, store or link, in seconds.
+FAULT_S = 2.5
+# Time between the starts of two faults, in seconds.
+GAP_S = 0.4
+REFUSALS = (408, 421, 429, 503)
+
+
+class Proxy:
+    """Forwards connections between two ports; delays, silences or resets them."""
+
+    def __init__(self, port, target):
+        self.target, self.mode, self.pairs = target, "open", []
+        self.listener = socket.create_server(("127.0.0.1", port))
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            near, _ = self.listener.accept()
+            try:
+                far = socket.create_connection(("127.0.0.1", self.target), timeout=5)
+                far.settimeout(None)
+            except OSError:
+                near.close()
+                continue
+            self.pairs.append((near, far))
+            for source, sink, way in ((near, far, "out"), (far, near, "back")):
+                threading.Thread(target=self.pump, args=(source, sink, way), daemon=True).start()
+
+    def pump(self, source, sink, way):
+        try:
+            while data := source.recv(65536):
+                while self.mode in ("silent", f"one way {way}"):
+                    time.sleep(0.02)
+                if self.mode == "slow":
+                    time.sleep(0.1)
+                sink.sendall(data)
+        except OSError:
+            pass
+        finally:
+            for end in (source, sink):
+                try:
+                    end.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+
+    def reset(self):
+        pairs, self.pairs = self.pairs, []
+        for pair in pairs:
+            for end in pair:
+                try:
+                    end.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+
+
+class Soak:
+    def __init__(self, deployment, proxy, seed, seconds):
+        self.d, self.proxy, self.seconds = deployment, proxy, seconds
+        self.random = random.Random(seed)
+        self.seed = seed
+        self.end = time.monotonic() + seconds
+        self.lock = threading.Lock()
+        self.counts, self.faults, self.problems, self.refused = {}, {}, [], []
+        self.down = set()
+
+    def problem(self, text):
+        with self.lock:
+            self.problems.append(text)
+
+    def client(self, number):
+        choice = random.Random(self.seed * 1000 + number)
+        n = 0
+        while time.monotonic() < self.end and not self.problems:
+            n += 1
+            kind = choice.choice(["stream", "once", "once", "many"])
+            request = f"soak-{number}-{n}-{kind}"
+            vm = choice.randrange(self.d.vm_count)
+            try:
+                answer = self.d.call(vm, "POST", f"/{kind}/x", request, timeout=20)
+            except (OSError, http.client.HTTPException):
+                outcome = "no answer"
+            else:
+                outcome = answer.status if answer.complete else "cut"
+                self.check_answer(kind, request, answer)
+            if outcome == "no answer":
+                time.sleep(0.05)
+            if kind == "once" and self.d.runs(request) > 1:
+                self.problem(f"{request} ran {self.d.runs(request)} times")
+            with self.lock:
+                key = f"{kind} {outcome}"
+                self.counts[key] = self.counts.get(key, 0) + 1
+
+    def check_answer(self, kind, request, answer):
+        if answer.status in REFUSALS and answer.complete:
+            with self.lock:
+                self.refused.append(request)
+        if answer.status != 200:
+            return
+        if answer.headers.get("x-request-id") != request:
+            self.problem(f"{request} got another request's answer: {answer.headers}")
+        if not answer.headers.get("x-seal", "").startswith("seal-"):
+            self.problem(f"{request} has no seal")
+        want = whole_stream() if kind == "stream" else f"answer to {request}".encode()
+        if answer.complete and answer.body != want:
+            self.problem(f"{request}: wrong body {answer.body[:200]}")
+        if not answer.complete and not want.startswith(answer.body):
+            self.problem(f"{request}: wrong part {answer.body[:200]}")
+
+    def check_refused(self):
+        """A refusal that says "not run" must be true, also later."""
+        for request in self.refused:
+            if self.d.runs(request):
+                self.problem(f"{request} was refused as not run and ran")
+
+    # Faults. Each returns what ends it.
+
+    def kill(self):
+        vm = self.random.randrange(self.d.vm_count)
+        if vm in self.down:
+            return lambda: None
+        self.down.add(vm)
+        number = self.random.choice([signal.SIGKILL, signal.SIGTERM])
+        self.d.signal(vm, number)
+
+        def restart():
+            self.d.processes[vm].wait(60)
+            self.d.start(vm)
+            self.down.discard(vm)
+
+        return restart
+
+    def pause(self):
+        vm = self.random.randrange(self.d.vm_count)
+        if vm in self.down:
+            return lambda: None
+        self.down.add(vm)
+        self.d.signal(vm, signal.SIGSTOP)
+
+        def wake():
+            self.d.signal(vm, signal.SIGCONT)
+            self.down.discard(vm)
+
+        return wake
+
+    def store_fails(self):
+        self.d.store.fault = self.random.choice(["refuse", "reset", "silent"])
+        return lambda: setattr(self.d.store, "fault", None)
+
+    def store_loses(self):
+        self.d.store.lose_answers = True
+        return lambda: setattr(self.d.store, "lose_answers", False)
+
+    def store_forgets(self):
+        self.d.store.forget_history()
+        return lambda: None
+
+    def path_to_store(self):
+        self.proxy.mode = self.random.choice(["silent", "slow", "one way out", "one way back"])
+        if self.random.random() < 0.3:
+            self.proxy.reset()
+        return lambda: setattr(self.proxy, "mode", "open")
+
+    def endpoint_fails(self):
+        endpoint = self.random.choice(self.d.endpoints)
+        endpoint.fault = self.random.choice(["reject", "cut", "pause", "error", "extra"])
+        return lambda: setattr(endpoint, "fault", None)
+
+    def endpoint_drains(self):
+        endpoint = self.random.choice(self.d.endpoints)
+        self.d.store.put("servers", endpoint.id, endpoint.entry("draining"))
+        return lambda: self.d.store.put("servers", endpoint.id, endpoint.entry())
+
+    def run(self):
+        clients = [threading.Thread(target=self.client, args=(n,)) for n in range(8)]
+        for client in clients:
+            client.start()
+        ends = []
+        kinds = [self.kill, self.pause, self.store_fails, self.store_loses, self.store_forgets,
+                 self.path_to_store, self.endpoint_fails, self.endpoint_fails,
+                 self.endpoint_drains]
+        while time.monotonic() < self.end and not self.problems:
+            fault = self.random.choice(kinds)
+            self.faults[fault.__name__] = self.faults.get(fault.__name__, 0) + 1
+            timer = threading.Timer(self.random.uniform(0.2, FAULT_S), fault())
+            timer.start()
+            ends.append(timer)
+            time.sleep(self.random.expovariate(1 / GAP_S))
+        for timer in ends:
+            timer.join()
+        for client in clients:
+            client.join()
+        self.check_refused()
+        print(f"seed {self.seed}: {self.seconds} s, faults {self.faults}")
+        print(f"answers {dict(sorted(self.counts.items()))}")
+        check(not self.problems, "; ".join(self.problems[:5]))
+        for vm in range(self.d.vm_count):
+            wait_until(f"VM {vm} is ready again", lambda vm=vm: self.d.ready(vm))
+            wait_until(f"VM {vm} serves again", lambda vm=vm: self.d.call(
+                vm, "POST", "/stream/x", f"after-{vm}-{time.monotonic()}").status == 200)
+
+
+def main():
+    seed = int(sys.argv[1])
+    seconds = float(sys.argv[2]) if len(sys.argv) > 2 else 20
+    base = int(sys.argv[3]) if len(sys.argv) > 3 else 26000
+    deployment = Deployment(base, vms=int(os.environ.get("VMS", "4")))
+    proxy = Proxy(base + 35, base)
+    deployment.store_port = base + 35
+    status = 0
+    try:
+        with deployment:
+            Soak(deployment, proxy, seed, seconds).run()
+        print("ok")
+    except AssertionError as error:
+        print(f"seed {seed} failed: {error}\nlogs: {deployment.folder}")
+        status = 1
+    sys.stdout.flush()
+    os._exit(status)
+
+
+main()
