--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -25,6 +25,10 @@
 inline constexpr Duration kEndpointWatch = Duration::Seconds(8);
 inline constexpr Duration kEvacuationWatch = Duration::Seconds(8);
 inline constexpr Duration kMemberWatch = Duration::Seconds(25);
+// Changes of endpoints come in series; a leaving one has seconds left when its
+// entry says so. Configurations come in quick succession, too.
+inline constexpr Duration kEndpointSettle = Duration::Milliseconds(800);
+inline constexpr Duration kConfigSettle = Duration::Milliseconds(200);
 // Entry VMs start together; their entries are read in a few calls.
 inline constexpr Duration kMemberSettle = Duration::Seconds(1);
 // Kind of the store's objects that hold the entry VMs and their common key.
@@ -111,8 +115,10 @@
     feed.settle = settle;
     feeds_.push_back(std::make_shared<Feed>(io_, store_, feed, *this));
   };
-  follow(Format::kConfigKind, StorePurpose::kConfig, kConfigWatch);
-  follow(Format::kEndpointKind, StorePurpose::kEndpoints, kEndpointWatch);
+  follow(Format::kConfigKind, StorePurpose::kConfig, kConfigWatch,
+         kConfigSettle);
+  follow(Format::kEndpointKind, StorePurpose::kEndpoints, kEndpointWatch,
+         kEndpointSettle);
   follow(Format::kEvacuationKind, StorePurpose::kStatus, kEvacuationWatch);
   follow(kMemberKind, StorePurpose::kStatus, kMemberWatch, kMemberSettle);
   return {};
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -13,7 +13,7 @@
 export BUILD="${BUILD:-build}" VMS="${VMS:-4}"
 run() {
   # Each run has its own block of 100 ports.
-  python3 tests/platform/soak.py "$1" "$2" $((30000 + ($1 % 100) * 100)) 2>&1 || echo "FAILED: seed $1"
+  python3 tests/platform/soak.py "$1" "$2" $((10000 + ($1 % 100) * 100)) 2>&1 || echo "FAILED: seed $1"
 }
 export -f run
 seq "$first" $((first + count - 1)) | xargs -P "${JOBS:-3}" -I{} bash -c "run {} $seconds" | tee soak.log
