--- a/apps/zinniarill_load/load_call.cc
+++ b/apps/zinniarill_load/load_call.cc
@@ -65,10 +65,12 @@
   ClientRequest request;
   request.method = "POST";
   const LoadTeam& team = context_.scenario.teams[plan_.team_index];
-  if (!team.key.empty())
+  if (!team.key.empty()) {
     request.headers["authorization"] = "Bearer " + team.key;
-  if (!class_.request_class.empty())
+  }
+  if (!class_.request_class.empty()) {
     request.headers["x-zr-class"] = class_.request_class;
+  }
   request.headers["content-type"] = "application/json";
   request.headers["x-request-id"] = plan_.request_id;
   const Duration left = std::max(Duration::Milliseconds(1),
@@ -83,8 +85,9 @@
     return request;
   }
   request.url = "/v1/completions";
-  if (attempts_ > 1)
+  if (attempts_ > 1) {
     request.headers["x-zr-resume-offset"] = std::to_string(tokens_);
+  }
   request.body = nlohmann::json{
       {"model", context_.scenario.model},
       {"prompt", plan_.prompt},
@@ -100,8 +103,9 @@
 
 void LoadCall::OnHeaders(int status, const HttpHeaders& headers) {
   status_ = status;
-  if (auto it = headers.find("x-zr-run"); it != headers.end())
+  if (auto it = headers.find("x-zr-run"); it != headers.end()) {
     run_header_ = it->second;
+  }
 }
 
 bool LoadCall::OnData(std::string_view data) {
@@ -146,8 +150,9 @@
   }
   const TimePoint now = MonotonicNow();
   if (!first_token_) first_token_ = SinceIntended();
-  if (last_token_at_)
+  if (last_token_at_) {
     context_.results.AddTokenGap(plan_.class_index, now - *last_token_at_);
+  }
   last_token_at_ = now;
   received_ += text.size();
   // Each token's text ends in a blank and has no other.
@@ -200,8 +205,10 @@
 }
 
 bool LoadCall::TryAgain() {
-  if (attempts_ >= context_.max_attempts || SinceIntended() >= class_.deadline)
+  if (attempts_ >= context_.max_attempts ||
+      SinceIntended() >= class_.deadline) {
     return false;
+  }
   RunAfter(context_.io, kRetryPause,
            [self = shared_from_this()] { self->SendAttempt(); });
   return true;
--- a/apps/zinniarill_load/load_histogram.cc
+++ b/apps/zinniarill_load/load_histogram.cc
@@ -44,8 +44,9 @@
   int64_t seen = 0;
   for (const auto& [bucket, count] : buckets_) {
     seen += count;
-    if (seen >= rank)
+    if (seen >= rank) {
       return std::min(EdgeMs(bucket), static_cast<double>(max_us_) / 1e3);
+    }
   }
   return static_cast<double>(max_us_) / 1e3;
 }
@@ -58,8 +59,9 @@
 
 nlohmann::json LoadHistogram::ToJson() const {
   nlohmann::json buckets = nlohmann::json::object();
-  for (const auto& [bucket, count] : buckets_)
+  for (const auto& [bucket, count] : buckets_) {
     buckets[std::to_string(bucket)] = count;
+  }
   return {{"count", count_},
           {"sum_us", sum_us_},
           {"max_us", max_us_},
--- a/apps/zinniarill_load/load_plan.cc
+++ b/apps/zinniarill_load/load_plan.cc
@@ -46,8 +46,9 @@
                                   const std::string& run) {
   Random random(seed);
   double peak = 0;
-  for (const LoadRate& rate : scenario.rates)
+  for (const LoadRate& rate : scenario.rates) {
     peak = std::max(peak, rate.per_second);
+  }
   std::vector<PlannedCall> plan;
   if (peak <= 0) return plan;
   double time = 0;
--- a/apps/zinniarill_load/load_results.cc
+++ b/apps/zinniarill_load/load_results.cc
@@ -54,8 +54,9 @@
 }
 
 LoadResults::LoadResults(const LoadScenario& scenario) : scenario_(&scenario) {
-  for (const LoadClass& c : scenario.classes)
+  for (const LoadClass& c : scenario.classes) {
     classes_[c.name].weight = c.weight;
+  }
 }
 
 void LoadResults::Record(const CallRecord& call) {
@@ -91,12 +92,14 @@
     default:
       ++second.failed;
   }
-  if (call.outcome == CallOutcome::kOk || call.outcome == CallOutcome::kLate)
+  if (call.outcome == CallOutcome::kOk || call.outcome == CallOutcome::kLate) {
     return;
+  }
   const std::string message =
       std::string(ToString(call.outcome)) + ": " + call.detail;
-  if (messages_.size() < kMaxMessages || messages_.contains(message))
+  if (messages_.size() < kMaxMessages || messages_.contains(message)) {
     ++messages_[message];
+  }
 }
 
 void LoadResults::AddTokenGap(size_t class_index, Duration gap) {
@@ -106,8 +109,9 @@
 void LoadResults::Merge(const LoadResults& other) {
   for (const auto& [name, from] : other.classes_) {
     ClassResults& to = classes_[name];
-    for (const auto& [outcome, count] : from.outcomes)
+    for (const auto& [outcome, count] : from.outcomes) {
       to.outcomes[outcome] += count;
+    }
     for (const auto& [bucket, histogram] : from.first_token) {
       to.first_token[bucket].Merge(histogram);
     }
@@ -125,8 +129,9 @@
     to.failed += from.failed;
     to.first_token.Merge(from.first_token);
   }
-  for (const auto& [message, count] : other.messages_)
+  for (const auto& [message, count] : other.messages_) {
     messages_[message] += count;
+  }
   not_run_ids_.insert(not_run_ids_.end(), other.not_run_ids_.begin(),
                       other.not_run_ids_.end());
 }
@@ -203,10 +208,11 @@
 std::string LoadResults::ToTable(const StandinReport& report) const {
   std::string text;
   for (const auto& [name, results] : classes_) {
+    // NOLINTBEGIN(google-runtime-int): printf's type
     text += Format("class %s: %lld calls, weight %.1f, reattached %lld\n ",
                    name.c_str(), static_cast<long long>(TotalOf(results)),
-                   results.weight,                               // NOLINT
-                   static_cast<long long>(results.reattached));  // NOLINT
+                   results.weight, static_cast<long long>(results.reattached));
+    // NOLINTEND(google-runtime-int)
     for (const auto& [outcome, count] : results.outcomes) {
       text += " " + outcome + " " + std::to_string(count);
     }
--- a/apps/zinniarill_load/load_runner.cc
+++ b/apps/zinniarill_load/load_runner.cc
@@ -87,8 +87,9 @@
   request.total_timeout = Duration::Seconds(20);
   client->Fetch(std::move(request), 256 << 20, [&](auto result) {
     if (result && result->status == 200) json = ParseJson(result->body);
-    if (json.is_null())
+    if (json.is_null()) {
       Log(LogLevel::kWarning, "load", "no answer from " + url);
+    }
     io.stop();
   });
   io.run();
--- a/apps/zinniarill_load/load_scenario.cc
+++ b/apps/zinniarill_load/load_scenario.cc
@@ -161,8 +161,9 @@
   }
   ScenarioReader reader(file, scenario);
   for (const IniSection& section : ini.sections) {
-    if (auto read = reader.Read(section); !read)
+    if (auto read = reader.Read(section); !read) {
       return tl::unexpected(read.error());
+    }
   }
   if (scenario.classes.empty() || scenario.rates.empty()) {
     return Fail(ErrorCode::kInvalidArgument, "scenario", file,
--- a/apps/zinniarill_load/load_targets.cc
+++ b/apps/zinniarill_load/load_targets.cc
@@ -36,8 +36,9 @@
     auto known = std::find(domains.begin(), domains.end(), target.domain);
     const auto index = known - domains.begin();
     if (known == domains.end()) domains.push_back(target.domain);
-    if (place == CallerPlace::kKontrollkontor)
+    if (place == CallerPlace::kKontrollkontor) {
       target.delay = kFarCaller + kFarCallerStep * index;
+    }
     if (place == CallerPlace::kOrdvakt) target.delay = kNearCaller;
     targets.push_back(std::move(target));
   }
--- a/apps/zinniarill_load/main.cc
+++ b/apps/zinniarill_load/main.cc
@@ -106,8 +106,9 @@
       "zinniarill-load --targets LIST --scenario FILE | compare FILE FILE");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   zr::InitLog(zr::LogLevel::kInfo, zr::LogFormat::kText, "load");
-  if (argc == 4 && std::string_view(argv[1]) == "compare")
+  if (argc == 4 && std::string_view(argv[1]) == "compare") {
     return Compare(argv[2], argv[3]);
+  }
   RaiseFileLimit();
   return Run();
 }
--- a/apps/zinniarillctl/commands.cc
+++ b/apps/zinniarillctl/commands.cc
@@ -99,10 +99,12 @@
     if (command == "status") return Status();
     if (command == "endpoints") return Endpoints();
     if (command == "help") return PrintText(Usage());
-    if (command == "settings-reference")
+    if (command == "settings-reference") {
       return PrintText(Settings::Reference());
-    if (command == "document-reference")
+    }
+    if (command == "document-reference") {
       return PrintText(Environment::Reference());
+    }
   }
   if (words.size() == 2) return RunOnFile(command, words[1]);
   if (words.size() == 3 && command == "operations" && words[1] == "show") {
@@ -143,8 +145,9 @@
                     {"key", problem.key},
                     {"message", problem.message}});
   }
-  if (options_.json)
+  if (options_.json) {
     environment_.out << json{{"problems", list}}.dump() << "\n";
+  }
   environment_.err << JoinProblems(problems) << "\n";
   code = ExitCode::kInvalid;
   return {};
@@ -193,8 +196,9 @@
 }
 
 ExitCode Commands::Promote(const std::string& path) {
-  if (options_.digest.empty())
+  if (options_.digest.empty()) {
     return UsageError("promote needs --digest, as printed by trial");
+  }
   ExitCode code = ExitCode::kDone;
   const auto text = ReadDocument(path, code);
   if (!text) return code;
@@ -240,8 +244,9 @@
   json result = {{"version", outcome.version}, {"digest", outcome.digest}};
   switch (outcome.kind) {
     case WriteOutcome::Kind::kWritten:
-      if (options_.wait)
+      if (options_.wait) {
         return WaitUntilInForce(outcome.version, std::move(result));
+      }
       Print(result,
             (outcome.message.empty()
                  ? "written as version " + std::to_string(outcome.version)
@@ -294,8 +299,9 @@
         return ExitCode::kDone;
       }
     }
-    if (environment_.now() >= end)
+    if (environment_.now() >= end) {
       return ReportLagging(version, std::move(result), last);
+    }
     environment_.sleep(kPollInterval);
   }
 }
--- a/apps/zinniarillctl/curl_transport.cc
+++ b/apps/zinniarillctl/curl_transport.cc
@@ -49,9 +49,10 @@
 Result<HttpReply> CurlTransport::Send(const HttpCall& call) {
   std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> curl(curl_easy_init(),
                                                            &curl_easy_cleanup);
-  if (!curl)
+  if (!curl) {
     return Fail(ErrorCode::kInternal, "call", server_,
                 "libcurl cannot be initialised");
+  }
   HttpReply reply;
   HeaderList headers;
   headers.Add("Authorization", "Bearer " + token_);
--- a/apps/zinniarillctl/main.cc
+++ b/apps/zinniarillctl/main.cc
@@ -41,8 +41,9 @@
   const bool opened = file.good();
   // A directory can be opened; reading the first byte then sets the bad bit. An
   // empty file only reaches its end.
-  if (opened && file.peek() != std::ifstream::traits_type::eof())
+  if (opened && file.peek() != std::ifstream::traits_type::eof()) {
     content << file.rdbuf();
+  }
   if (!opened || file.bad()) {
     return Fail(ErrorCode::kInvalidArgument, "read", path,
                 path + " cannot be read");
@@ -67,10 +68,12 @@
 /** The first fault of the flags; empty if there is none. */
 std::string FlagFault(const std::string& token, const std::string& author,
                       bool needs_server) {
-  if (FLAGS_output != "table" && FLAGS_output != "json")
+  if (FLAGS_output != "table" && FLAGS_output != "json") {
     return "--output is table or json";
-  if (FLAGS_timeout_ms < 0 || FLAGS_timeout_ms > 3'600'000)
+  }
+  if (FLAGS_timeout_ms < 0 || FLAGS_timeout_ms > 3'600'000) {
     return "--timeout_ms is 0 to 3600000";
+  }
   if (FLAGS_call_timeout_ms < 1 || FLAGS_call_timeout_ms > 600'000) {
     return "--call_timeout_ms is 1 to 600000";
   }
@@ -78,11 +81,13 @@
     return "the token and the author contain no control characters";
   }
   if (!needs_server) return "";
-  if (token.empty())
+  if (token.empty()) {
     return "the command needs --token or the environment variable ZR_TOKEN";
+  }
   const auto server = Address::Parse(FLAGS_server);
-  if (!server || server->port == 0)
+  if (!server || server->port == 0) {
     return "--server is an IPv4 address and a port";
+  }
   return "";
 }
 
--- a/apps/zinniarillctl/operator_client.cc
+++ b/apps/zinniarillctl/operator_client.cc
@@ -36,8 +36,9 @@
 
 Result<json> ToJson(const Result<HttpReply>& reply) {
   if (!reply) return tl::unexpected(reply.error());
-  if (reply->status != 200)
+  if (reply->status != 200) {
     return Fail(CodeOf(reply->status), "call", "", ErrorMessage(*reply));
+  }
   json body = json::parse(reply->body, nullptr, false);
   if (!body.is_object()) {
     return Fail(ErrorCode::kInternal, "call", "",
--- a/apps/zinniarillctl/show_commands.cc
+++ b/apps/zinniarillctl/show_commands.cc
@@ -56,8 +56,9 @@
           "\n";
   std::vector<std::vector<std::string>> rows = {{"invariant", "violations"}};
   const json invariants = status->value("invariants", json::object());
-  for (const auto& [name, count] : invariants.items())
+  for (const auto& [name, count] : invariants.items()) {
     rows.push_back({name, count.dump()});
+  }
   Print(*status, text + FormatTable(rows));
   return ExitCode::kDone;
 }
--- a/bench/slopes/slopes.cc
+++ b/bench/slopes/slopes.cc
@@ -86,9 +86,10 @@
       const auto message = DecodeMessage(frame.bytes);
       if (const auto* digest = std::get_if<MembershipDigest>(&*message)) {
         auto outcome = nodes.at(frame.to)->OnDigest(now, *digest, frame.from);
-        if (outcome.answer)
+        if (outcome.answer) {
           wire.push_back(
               {frame.to, frame.from, EncodeMessage(*outcome.answer)});
+        }
       } else {
         nodes.at(frame.to)->OnHeartbeat(now, std::get<Heartbeat>(*message),
                                         frame.from);
@@ -103,8 +104,9 @@
         }
       } else {
         const auto heartbeat = node->MakeHeartbeat(now, local);
-        for (const VmId& to : links[id])
+        for (const VmId& to : links[id]) {
           wire.push_back({id, to, EncodeMessage(heartbeat)});
+        }
       }
     }
     for (const Frame& frame : wire) bytes += frame.bytes.size() + 8;
@@ -197,8 +199,9 @@
     summary.owner_incarnation = Incarnation(1'700'000'000'000'000);
     summary.sequence = 1000;
     summary.kv_free = summary.kv_capacity = TokenCount(400'000);
-    for (int p = 0; p < 16; ++p)
+    for (int p = 0; p < 16; ++p) {
       summary.prefixes.push_back(PrefixHash(Hash64("p", i * 16 + p)));
+    }
     const auto frame = EncodeMessage(summary);
     bytes += frame.size() + 8;
     table.OnSummary(TimePoint::FromMicroseconds(i),
@@ -301,8 +304,9 @@
         TimePoint::FromMicroseconds(60'000'000LL * i / changes_per_minute);
     tracker.OnOffer(now, VmId("entry-2"),
                     std::get<ConfigOffer>(*DecodeMessage(frame)));
-    if (!Environment::Parse(document))
-      std::abort();  // the daemon parses again to adopt
+    if (!Environment::Parse(document)) {
+      std::abort();
+    }  // the daemon parses again to adopt
   }
   if (tracker.version() != ObjectVersion(changes_per_minute)) std::abort();
   Print("changes", changes_per_minute, (CpuMicroseconds() - cpu) / 60,
@@ -344,14 +348,17 @@
   std::stringstream text;
   text << file.rdbuf();
   std::printf("series,x,cpu_us,bytes,memory_bytes\n");
-  for (const int teams : {10, 60, 120, 240})
+  for (const int teams : {10, 60, 120, 240}) {
     zr::MeasureTeams(text.str(), teams);
-  for (const int endpoints : {500, 2000, 6000, 12000})
+  }
+  for (const int endpoints : {500, 2000, 6000, 12000}) {
     zr::MeasureEndpoints(endpoints);
+  }
   for (const int streams : {160, 480, 1600, 4800}) zr::MeasureStreams(streams);
   const std::string document = zr::WithTeams(text.str(), 240);
-  for (const int changes : {6, 18, 35, 70})
+  for (const int changes : {6, 18, 35, 70}) {
     zr::MeasureChanges(document, changes);
+  }
   for (const int vms : {18, 60, 120, 420}) zr::MeasureOwnership(vms);
   for (const int vms : {60, 120, 240, 420}) zr::MeasureOneOf(vms, 16);
   for (const int vms : {18, 33, 60, 120}) zr::MeasureVms(vms);
--- a/modules/zr_admission/admission_planner.cc
+++ b/modules/zr_admission/admission_planner.cc
@@ -29,8 +29,9 @@
     // What an earlier owner granted is not known yet, so only the start-up
     // allowance may be added to it, and only once the engine has told what
     // runs.
-    if (policy_.kind == PoolKind::kModel && !engine_.ListedSinceTakeOver())
+    if (policy_.kind == PoolKind::kModel && !engine_.ListedSinceTakeOver()) {
       return 0;
+    }
     const TimePoint since = engine_.TakeOverSince();
     int64_t granted = 0;
     for (const auto& [key, entry] : grants_.entries()) {
@@ -62,8 +63,9 @@
   if (!ramp_.warm()) {
     const int32_t lowest = std::numeric_limits<int32_t>::min();
     const double all = WorkForecast::PrefillInProgress(grants_, lowest);
-    if (all > 0 && all + added > static_cast<double>(ramp_.PrefillLimit()))
+    if (all > 0 && all + added > static_cast<double>(ramp_.PrefillLimit())) {
       return false;
+    }
   }
   if (item.long_prompt) {
     const double in_progress = WorkForecast::LongPrefillInProgress(grants_);
@@ -150,15 +152,18 @@
     if (item == &candidate) break;
     // A long prompt for which nothing is reserved yet does not hold others up.
     if (item->long_prompt && !candidate.long_prompt &&
-        now < item->ReserveAfter())
+        now < item->ReserveAfter()) {
       continue;
+    }
     timeline.Place(item->kv, item->run_time);
-    if (item->long_prompt == candidate.long_prompt)
+    if (item->long_prompt == candidate.long_prompt) {
       prefill += item->demand.prefill;
+    }
   }
   const TimePoint start = timeline.PeekStart(candidate.kv);
-  if (start == TimePoint::Max() || candidate.request.plain_service)
+  if (start == TimePoint::Max() || candidate.request.plain_service) {
     return start;
+  }
   // The prefill speed bounds the start as memory and slots do.
   const double bound =
       candidate.long_prompt
@@ -188,8 +193,9 @@
                                        const Reservation& reservation,
                                        const CapacityTimeline& timeline,
                                        TimePoint now) const {
-  if (&item == reservation.holder || now + item.run_time <= reservation.start)
+  if (&item == reservation.holder || now + item.run_time <= reservation.start) {
     return true;
+  }
   return timeline.FreeKvAt(reservation.start) - item.kv >= reservation.kv &&
          timeline.FreeSlotsAt(reservation.start) >= 2;
 }
@@ -200,8 +206,9 @@
   const double price = queue_.Price(now);
   for (const QueuedRequest* item : order) {
     if (!item->long_prompt || now < item->ReserveAfter() ||
-        item->density < price)
+        item->density < price) {
       continue;
+    }
     // One that fits but is blocked otherwise must not keep memory idle.
     const bool fits = FreeKv() >= item->kv && FreeSlots(now) >= 1;
     if (fits && !CanStart(*item, now)) continue;
--- a/modules/zr_admission/admission_queue.cc
+++ b/modules/zr_admission/admission_queue.cc
@@ -77,8 +77,9 @@
     least = std::min(
         least, std::max(0.0, std::ceil(need / quanta[other.request.team])));
   }
-  for (const auto& [other, quantum] : quanta)
+  for (const auto& [other, quantum] : quanta) {
     deficits_[other] += least * quantum;
+  }
   deficits_[team] -= cost;
   return Remove(key);
 }
@@ -99,8 +100,9 @@
 double AdmissionQueue::Quantum(const TeamId& team) const {
   int64_t share = 1;
   if (teams_) {
-    if (const auto it = teams_->find(team); it != teams_->end())
+    if (const auto it = teams_->find(team); it != teams_->end()) {
       share = it->second.share;
+    }
   }
   return kQuantum * static_cast<double>(std::max<int64_t>(1, share));
 }
@@ -135,8 +137,9 @@
             });
   for (auto& [team, line] : lines) {
     line.quantum = Quantum(team);
-    if (const auto it = deficits_.find(team); it != deficits_.end())
+    if (const auto it = deficits_.find(team); it != deficits_.end()) {
       line.deficit = it->second;
+    }
     std::sort(line.waiting.begin(), line.waiting.end(),
               [now](const QueuedRequest* a, const QueuedRequest* b) {
                 return std::pair(Rank(*a, now), b->order) <
--- a/modules/zr_admission/endpoint_owner.cc
+++ b/modules/zr_admission/endpoint_owner.cc
@@ -22,14 +22,18 @@
                 options.endpoint.endpoint.value(), message);
   };
   const PoolPolicy& pool = options.policies.pool;
-  if (options.self.empty() || options.endpoint.endpoint.empty())
+  if (options.self.empty() || options.endpoint.endpoint.empty()) {
     return invalid("empty id");
-  if (options.endpoint.pool != pool.pool)
+  }
+  if (options.endpoint.pool != pool.pool) {
     return invalid("the endpoint is of another pool");
-  if (!options.policies.classes || !options.policies.teams)
+  }
+  if (!options.policies.classes || !options.policies.teams) {
     return invalid("policies are missing");
-  if (pool.max_requests < 1 || pool.fresh_requests < 1)
+  }
+  if (pool.max_requests < 1 || pool.fresh_requests < 1) {
     return invalid("request limit below 1");
+  }
   if (pool.kind == PoolKind::kModel && pool.prefill_tokens_per_second < 1) {
     return invalid("prefill speed below 1");
   }
@@ -53,8 +57,9 @@
 
 void EndpointOwner::Advance(TimePoint now) {
   ZR_ASSERT(now >= advanced_to_, "time went back");
-  if (now > advanced_to_)
+  if (now > advanced_to_) {
     WorkForecast::Advance(grants_, model_, now - advanced_to_);
+  }
   advanced_to_ = std::max(advanced_to_, now);
   if (grants_.size() == 0) engine_.NoteIdle(now);
   engine_.TakingOver(now);
@@ -143,8 +148,9 @@
     TimePoint now, const VmId& from, const AdmissionRequest& request) {
   Advance(now);
   OwnerActions actions;
-  if (AnswerRepeat(now, from, request, actions))
+  if (AnswerRepeat(now, from, request, actions)) {
     return Finish(now, std::move(actions));
+  }
   QueuedRequest item = MakeQueued(now, from, request);
   if (!Accepting()) {
     Refuse(item, RefusalReason::kNotAccepting, Duration(), actions);
@@ -175,8 +181,9 @@
   const StreamKey key{request.request, request.attempt};
   if (QueuedRequest* waiting = queue_.Find(key)) {
     waiting->from = from;
-    if (request.queue_if_busy && !request.run_alone)
+    if (request.queue_if_busy && !request.run_alone) {
       waiting->give_up = TimePoint::Max();
+    }
     return true;
   }
   GrantEntry* entry = grants_.Find(key);
@@ -328,8 +335,9 @@
 }
 
 void EndpointOwner::RefuseAll(RefusalReason reason, OwnerActions& actions) {
-  for (const QueuedRequest& item : queue_.Clear())
+  for (const QueuedRequest& item : queue_.Clear()) {
     Refuse(item, reason, Duration(), actions);
+  }
 }
 
 OwnerActions EndpointOwner::OnCancel(TimePoint now, const VmId& from,
--- a/modules/zr_admission/endpoint_owner_engine.cc
+++ b/modules/zr_admission/endpoint_owner_engine.cc
@@ -44,8 +44,9 @@
       ++decoding;
     }
   }
-  if (decoding == 0 || decoding < grants_.size() || load.running < decoding)
+  if (decoding == 0 || decoding < grants_.size() || load.running < decoding) {
     return;
+  }
   const auto batch = static_cast<double>(load.running);
   const double expected = model_.DecodeSpeed(batch) * batch;
   if (ramp_.OnSpeed(load.tokens_per_second / expected)) prefixes_.Clear();
@@ -56,8 +57,9 @@
   Advance(now);
   OwnerActions actions;
   const EngineReconciler::ReportKind kind = engine_.OnListHeader(now, list);
-  if (kind == EngineReconciler::ReportKind::kStale)
+  if (kind == EngineReconciler::ReportKind::kStale) {
     return Finish(now, std::move(actions));
+  }
   if (kind == EngineReconciler::ReportKind::kNewBoot) OnNewBoot();
   std::vector<StreamKey> ended;
   for (CancelEngineStream& cancel :
@@ -108,8 +110,9 @@
 void EndpointOwner::OnNewBoot() {
   ramp_.Reset();
   const std::optional<Summary>& previous = options_.previous;
-  if (previous && previous->warm && previous->boot == engine_.boot())
+  if (previous && previous->warm && previous->boot == engine_.boot()) {
     ramp_.SetWarm();
+  }
   options_.previous.reset();
   prefixes_.Clear();
   engine_.WantList();
@@ -138,8 +141,9 @@
     // The grants stay until a new boot number shows that they ended: the
     // endpoint may only be out of this VM's reach.
     reachable_ = false;
-    for (const auto& [key, entry] : grants_.entries())
+    for (const auto& [key, entry] : grants_.entries()) {
       ReportSuspect(entry, actions);
+    }
   }
   return Finish(now, std::move(actions));
 }
--- a/modules/zr_admission/endpoint_owner_grants.cc
+++ b/modules/zr_admission/endpoint_owner_grants.cc
@@ -59,8 +59,9 @@
   const StreamKey key{release.request, release.attempt};
   GrantEntry* entry = grants_.Find(key);
   // A release of an earlier grant of the attempt says nothing about this one.
-  if (entry == nullptr || entry->number != release.number)
+  if (entry == nullptr || entry->number != release.number) {
     return Finish(now, std::move(actions));
+  }
   switch (release.outcome) {
     case ReleaseOutcome::kCompleted:
       ObserveCompleted(*entry, release);
@@ -89,8 +90,9 @@
         Reclaim(now, *entry, actions);
       }
       // A plain service has no stream list that could settle the doubt.
-      if (options_.policies.pool.kind == PoolKind::kModel)
+      if (options_.policies.pool.kind == PoolKind::kModel) {
         engine_.BeginDoubt(now);
+      }
       break;
   }
   return Finish(now, std::move(actions));
@@ -142,8 +144,9 @@
   }
   last = list.holder;
   gone_vms_.erase(list.holder.vm);
-  for (const HeldGrant& held : list.grants)
+  for (const HeldGrant& held : list.grants) {
     ApplyHeld(now, list.holder.vm, held, actions);
+  }
   return Finish(now, std::move(actions));
 }
 
@@ -190,8 +193,9 @@
     entry->prefill_left = std::max(
         entry->prefill_left, std::min(entry->uncached, kUnseenPrefillTokens));
   }
-  if (entry->fingerprint == Fingerprint())
+  if (entry->fingerprint == Fingerprint()) {
     entry->fingerprint = held.fingerprint;
+  }
   entry->expires = now + kReclaimAfter;
 }
 
--- a/modules/zr_admission/endpoint_selector.cc
+++ b/modules/zr_admission/endpoint_selector.cc
@@ -57,8 +57,9 @@
   std::sort(order.begin(), order.end());
   std::vector<EndpointId> endpoints;
   endpoints.reserve(order.size());
-  for (auto& [score, endpoint] : order)
+  for (auto& [score, endpoint] : order) {
     endpoints.push_back(std::move(endpoint));
+  }
   return endpoints;
 }
 
--- a/modules/zr_admission/endpoint_selector.h
+++ b/modules/zr_admission/endpoint_selector.h
@@ -110,8 +110,10 @@
   static bool Eligible(const SelectionCandidate& candidate,
                        const SelectionQuery& query) {
     const Summary& summary = candidate.summary;
-    if (summary.pool != query.pool || query.excluded.contains(summary.endpoint))
+    if (summary.pool != query.pool ||
+        query.excluded.contains(summary.endpoint)) {
       return false;
+    }
     if (!summary.accepts_new) return false;
     if constexpr (Rule::kUsesSummaries) {
       return query.plain_service ||
--- a/modules/zr_admission/engine_reconciler.cc
+++ b/modules/zr_admission/engine_reconciler.cc
@@ -129,8 +129,9 @@
   }
   levels_.push_back(Level{now, reserved, requests});
   // Keeps the level that was in force at the start of the lag window.
-  while (levels_.size() > 1 && levels_[1].at < now - policy_.report_lag)
+  while (levels_.size() > 1 && levels_[1].at < now - policy_.report_lag) {
     levels_.pop_front();
+  }
 }
 
 bool EngineReconciler::DueForCancel(const Unclaimed& stream,
@@ -241,10 +242,12 @@
   if (list_outstanding_) return list_requested_ + kListTimeout;
   if (!list_ever_requested_) return TimePoint();
   if (want_list_) return list_requested_ + kListInterval;
-  if (cancelling || !unclaimed_.empty())
+  if (cancelling || !unclaimed_.empty()) {
     return list_requested_ + kPendingListInterval;
-  if (load_foreign_kv_ > TokenCount(0))
+  }
+  if (load_foreign_kv_ > TokenCount(0)) {
     return list_requested_ + kForeignListInterval;
+  }
   return TimePoint::Max();
 }
 
--- a/modules/zr_admission/gather_coordinator.cc
+++ b/modules/zr_admission/gather_coordinator.cc
@@ -46,8 +46,9 @@
 TokenCount GatherCoordinator::RoomOf(
     const std::vector<GatherCandidate>& endpoints, const PoolPolicy& policy) {
   int64_t room = 0;
-  for (const GatherCandidate& endpoint : endpoints)
+  for (const GatherCandidate& endpoint : endpoints) {
     room += Usable(endpoint, policy);
+  }
   return TokenCount(endpoints.size() < kMinParts ? 0 : room);
 }
 
@@ -97,8 +98,9 @@
       gather.request.prompt.value() + gather.request.max_answer.value();
   std::vector<const GatherCandidate*> usable;
   for (const GatherCandidate& candidate : candidates_) {
-    if (candidate.accepts_new && Usable(candidate, policy_) > 0)
+    if (candidate.accepts_new && Usable(candidate, policy_) > 0) {
       usable.push_back(&candidate);
+    }
   }
   // Emptier endpoints first; they free the memory soonest.
   std::sort(usable.begin(), usable.end(), [](const auto* a, const auto* b) {
@@ -180,8 +182,9 @@
   Part* part = nullptr;
   if (!waiting_.empty() && KeyOf(waiting_.front().request) == key) {
     for (Part& candidate : waiting_.front().parts) {
-      if (candidate.endpoint != reply.endpoint || candidate.owner != from)
+      if (candidate.endpoint != reply.endpoint || candidate.owner != from) {
         continue;
+      }
       if (candidate.state == PartState::kAsked) part = &candidate;
       if (candidate.state == PartState::kReserved && reply.reserved) {
         // The earlier reply was of a reservation that this try had returned.
@@ -195,8 +198,9 @@
     // same number, so it is dropped only when nobody counts on it.
     bool counted = false;
     if (!waiting_.empty() && KeyOf(waiting_.front().request) == key) {
-      for (const Part& other : waiting_.front().parts)
+      for (const Part& other : waiting_.front().parts) {
         counted |= other.number == reply.number;
+      }
     }
     for (const Done& done : done_) counted |= done.key == key;
     if (reply.reserved && !counted) {
@@ -354,8 +358,9 @@
     const Gather& gather = waiting_.front();
     if (gather.parts.empty()) next = std::min(next, gather.retry_at);
     for (const Part& part : gather.parts) {
-      if (part.state == PartState::kAsked)
+      if (part.state == PartState::kAsked) {
         next = std::min(next, part.asked_at + kReplyTimeout);
+      }
     }
   }
   return next;
--- a/modules/zr_admission/grant_table.cc
+++ b/modules/zr_admission/grant_table.cc
@@ -67,8 +67,9 @@
 
 TimePoint GrantTable::NextExpiry() const {
   TimePoint next = TimePoint::Max();
-  for (const auto& [key, entry] : entries_)
+  for (const auto& [key, entry] : entries_) {
     next = std::min(next, entry.expires);
+  }
   return next;
 }
 
@@ -80,8 +81,9 @@
 }
 
 void GrantTable::ForgetOld(TimePoint now) {
-  while (!ended_.empty() && now - ended_.front().at > kRememberEnded)
+  while (!ended_.empty() && now - ended_.front().at > kRememberEnded) {
     ended_.pop_front();
+  }
 }
 
 void GrantTable::CheckInvariants(TimePoint now, Duration longest_hold) const {
--- a/modules/zr_admission/long_share.cc
+++ b/modules/zr_admission/long_share.cc
@@ -82,8 +82,9 @@
   const bool clear_change =
       wanted > static_cast<double>(chosen) + kHysteresis ||
       wanted < static_cast<double>(chosen) - 1 - kHysteresis;
-  if (clear_change)
+  if (clear_change) {
     chosen = static_cast<int64_t>(std::ceil(wanted - kHysteresis));
+  }
   chosen = std::clamp<int64_t>(chosen, 1, std::max<int64_t>(1, endpoints - 1));
   return chosen;
 }
--- a/modules/zr_admission/prefix_index.cc
+++ b/modules/zr_admission/prefix_index.cc
@@ -52,8 +52,9 @@
     TokenCount prompt, const std::vector<PrefixHash>& prefixes) const {
   if (prefixes.empty() || stored_.empty()) return TokenCount(0);
   size_t matched = 0;
-  while (matched < prefixes.size() && stored_.contains(prefixes[matched]))
+  while (matched < prefixes.size() && stored_.contains(prefixes[matched])) {
     ++matched;
+  }
   const auto blocks = static_cast<int64_t>(prefixes.size());
   const int64_t cached =
       prompt.value() * static_cast<int64_t>(matched) / blocks;
--- a/modules/zr_admission/service_time_model.cc
+++ b/modules/zr_admission/service_time_model.cc
@@ -147,8 +147,9 @@
   // The nearest bucket with observations corrects the first estimate.
   for (int distance = 0; distance < kBuckets; ++distance) {
     for (const int near : {bucket + distance, bucket - distance}) {
-      if (near >= 0 && near < kBuckets && decode_ratio_[near] > 0)
+      if (near >= 0 && near < kBuckets && decode_ratio_[near] > 0) {
         return decode_ratio_[near];
+      }
     }
   }
   return 1;
@@ -178,8 +179,9 @@
   const auto bound =
       static_cast<double>(std::max<int64_t>(0, max_answer.value()));
   const auto it = answer_share_.find(request_class);
-  if (it == answer_share_.end() || it->second.samples < kMinSamples)
+  if (it == answer_share_.end() || it->second.samples < kMinSamples) {
     return bound;
+  }
   // Two deviations above the mean: an answer longer than expected makes its
   // request late, a shorter one only leaves capacity for a moment.
   return bound * std::min(1.0, it->second.mean + 2 * it->second.deviation);
--- a/modules/zr_admission/team_limiter.cc
+++ b/modules/zr_admission/team_limiter.cc
@@ -77,8 +77,9 @@
 
 TokenCount TeamLimiter::KvShare(const TeamId& team) const {
   const TeamPolicy* policy = Policy(team);
-  if (policy == nullptr || policy->kv_limit <= TokenCount(0))
+  if (policy == nullptr || policy->kv_limit <= TokenCount(0)) {
     return TokenCount(0);
+  }
   return TokenCount(static_cast<int64_t>(
       Share(team, static_cast<double>(policy->kv_limit.value()),
             [](const TeamDemand& demand) {
--- a/modules/zr_admission/tests/fake_engine.h
+++ b/modules/zr_admission/tests/fake_engine.h
@@ -103,8 +103,9 @@
     int sharing = 0;
     for (const auto& [id, stream] : streams_) {
       if (stream.prefill <= 0) continue;
-      if (sharing == 0 || stream.priority > top)
+      if (sharing == 0 || stream.priority > top) {
         sharing = 0, top = stream.priority;
+      }
       if (stream.priority == top) ++sharing;
     }
     const auto batch = static_cast<double>(streams_.size());
@@ -114,8 +115,9 @@
     std::vector<std::string> ended;
     for (auto& [id, stream] : streams_) {
       if (stream.prefill > 0) {
-        if (stream.priority == top)
+        if (stream.priority == top) {
           stream.prefill -= options_.prefill / sharing * dt;
+        }
         if (stream.prefill <= 0 && on_first_token) on_first_token(id);
       } else {
         stream.offset += speed * dt;
@@ -183,8 +185,9 @@
  private:
   void Snapshot(TimePoint now, double speed) {
     if (!history_.empty() &&
-        now - history_.back().first < Duration::Milliseconds(50))
+        now - history_.back().first < Duration::Milliseconds(50)) {
       return;
+    }
     EngineLoad load;
     load.kv_used = TokenCount(KvUsed());
     load.running = static_cast<int64_t>(streams_.size());
--- a/modules/zr_admission/tests/ingress_test.cc
+++ b/modules/zr_admission/tests/ingress_test.cc
@@ -186,8 +186,9 @@
   std::vector<std::pair<VmId, T>> All() const {
     std::vector<std::pair<VmId, T>> found;
     for (const OutgoingMessage& message : last) {
-      if (const T* typed = std::get_if<T>(&message.message))
+      if (const T* typed = std::get_if<T>(&message.message)) {
         found.emplace_back(message.to, *typed);
+      }
     }
     return found;
   }
@@ -288,15 +289,17 @@
   (*teams)[team].kv_limit = TokenCount(1'000'000);
   std::vector<TeamLimiter> limiters;
   limiters.reserve(5);
-  for (int i = 0; i < 5; ++i)
+  for (int i = 0; i < 5; ++i) {
     limiters.emplace_back(VmId("vm" + std::to_string(i)), teams);
+  }
   TimePoint now = AtMs(1'000);
   auto heartbeat = [&] {
     for (size_t i = 0; i < limiters.size(); ++i) {
       const auto demand = limiters[i].PublishDemand(now);
       for (size_t j = 0; j < limiters.size(); ++j) {
-        if (i != j)
+        if (i != j) {
           limiters[j].OnDemand(VmId("vm" + std::to_string(i)), demand);
+        }
       }
     }
   };
@@ -342,8 +345,9 @@
     REQUIRE(most_held <= TokenCount(1'000'000));
   }
   SECTION("so that a VM without demand can start") {
-    for (int i = 0; i < 50; ++i)
+    for (int i = 0; i < 50; ++i) {
       limiters[0].TryAdmit(now, team, TokenCount(5'000), TokenCount(1));
+    }
     heartbeat();
     REQUIRE(limiters[4].RateShare(team) > 0);
     REQUIRE(limiters[4]
--- a/modules/zr_admission/tests/load_test.cc
+++ b/modules/zr_admission/tests/load_test.cc
@@ -46,8 +46,9 @@
     pool_.max_requests = 32;
     pool_.warm_after_requests = 16;
     auto classes = std::make_shared<ClassPolicies>();
-    for (const Offer& offer : offers_)
+    for (const Offer& offer : offers_) {
       (*classes)[offer.policy.name] = offer.policy;
+    }
     for (int i = 0; i < endpoints; ++i) {
       FakeEngine::Options options;
       options.kv_capacity = 200'000;
@@ -227,9 +228,10 @@
     const auto it = live_.find(id);
     if (it == live_.end()) return;
     const Record& call = it->second;
-    if (call.measured)
+    if (call.measured) {
       results[call.offer].waits.push_back(
           (clock_.now() - call.arrived).seconds());
+    }
     FakeEngine::Stream stream;
     stream.kv = grant.kv_tokens.value();
     stream.priority = grant.priority;
@@ -271,8 +273,9 @@
   }
 
   void Tick() {
-    for (auto& engine : engines_)
+    for (auto& engine : engines_) {
       engine->Advance(clock_.now(), Duration::Milliseconds(5));
+    }
     clock_.After(Duration::Milliseconds(5), [this] { Tick(); });
   }
 
--- a/modules/zr_admission/tests/owner_fixture.h
+++ b/modules/zr_admission/tests/owner_fixture.h
@@ -60,8 +60,9 @@
     if (!answer_lists || Actions<RequestStreamList>().empty()) return;
     std::erase(last, OwnerAction(RequestStreamList{}));
     const EngineStreams list{owner->Snapshot().boot, streams};
-    for (OwnerAction& action : owner->OnStreamList(now, list))
+    for (OwnerAction& action : owner->OnStreamList(now, list)) {
       last.push_back(std::move(action));
+    }
   }
 
   EngineLoad MakeLoad(int64_t capacity, int64_t used = 0, int64_t running = 0,
@@ -159,8 +160,9 @@
     for (const OwnerAction& action : last) {
       const auto* send = std::get_if<SendMessage>(&action);
       if (send == nullptr) continue;
-      if (const T* message = std::get_if<T>(&send->message))
+      if (const T* message = std::get_if<T>(&send->message)) {
         found.push_back(*message);
+      }
     }
     return found;
   }
--- a/modules/zr_admission/tests/owner_queue_test.cc
+++ b/modules/zr_admission/tests/owner_queue_test.cc
@@ -92,8 +92,9 @@
   SECTION("a waiting request is refused once it cannot finish any more") {
     f.Ask(AtMs(40), f.Request("b", 500, 400, 20'000));
     REQUIRE(f.Sent<Refusal>().empty());
-    for (int64_t at = 500; at <= 11'500; at += 500)
+    for (int64_t at = 500; at <= 11'500; at += 500) {
       f.List(AtMs(at), "vm1", {f.Held("a")});
+    }
     REQUIRE_FALSE(f.Refused("b"));
     f.Tick(AtMs(12'200));
     REQUIRE(f.Refused("b") == RefusalReason::kDeadline);
@@ -143,10 +144,12 @@
     REQUIRE(served == std::vector<std::string>{"audit", "check"});
   }
   SECTION("a team that floods the queue does not hold up another") {
-    for (int i = 0; i < 20; ++i)
+    for (int i = 0; i < 20; ++i) {
       queue("f" + std::to_string(i), "flood", "check", 4'000);
-    for (int i = 0; i < 4; ++i)
+    }
+    for (int i = 0; i < 4; ++i) {
       queue("s" + std::to_string(i), "small", "check", 4'000);
+    }
     serve(10);
     const auto small =
         std::count_if(served.begin(), served.end(),
@@ -178,8 +181,9 @@
   f.Ask(AtMs(10), f.Request("a", 40'000, 1'000, 120'000));
   f.Ask(AtMs(40), f.Request("long", 80'000, 100, 120'000));
   REQUIRE_FALSE(f.Granted("long"));
-  for (int64_t at = 500; at <= 8'000; at += 500)
+  for (int64_t at = 500; at <= 8'000; at += 500) {
     f.List(AtMs(at), "vm1", {f.Held("a")});
+  }
   SECTION("short requests that end before its start go ahead") {
     f.Ask(AtMs(8'100), f.Request("short", 500, 100));
     REQUIRE(f.Granted("short"));
--- a/modules/zr_admission/tests/random_world.h
+++ b/modules/zr_admission/tests/random_world.h
@@ -102,8 +102,9 @@
       vm.wakeup = std::max(wake, clock_.now() + Duration::Milliseconds(1));
       if (wake == TimePoint::Max()) return;
       clock_.At(vm.wakeup, [this, index, incarnation = vm.incarnation] {
-        if (owners_[static_cast<size_t>(index)].incarnation != incarnation)
+        if (owners_[static_cast<size_t>(index)].incarnation != incarnation) {
           return;
+        }
         WithOwner(index,
                   [this](EndpointOwner& o) { return o.OnTick(clock_.now()); });
       });
@@ -128,8 +129,10 @@
           if (engine_.down()) return;
           const EngineStreams list = engine_.List();
           clock_.After(Millis(1, 5), [this, index, incarnation, list] {
-            if (owners_[static_cast<size_t>(index)].incarnation != incarnation)
+            if (owners_[static_cast<size_t>(index)].incarnation !=
+                incarnation) {
               return;
+            }
             WithOwner(index, [this, list](EndpointOwner& owner) {
               return owner.OnStreamList(clock_.now(), list);
             });
@@ -153,8 +156,9 @@
         ++refused;
         const auto it =
             holder.calls.find(StreamKey{refusal->request, refusal->attempt});
-        if (it != holder.calls.end() && !it->second->grant)
+        if (it != holder.calls.end() && !it->second->grant) {
           holder.calls.erase(it);
+        }
       }
     }
   }
@@ -351,8 +355,9 @@
     const StreamKey key{call->request.request, call->request.attempt};
     const auto it = holder.calls.find(key);
     if (it == holder.calls.end() || it->second != call || call->grant ||
-        !holder.alive)
+        !holder.alive) {
       return;
+    }
     if (clock_.now() >= call->deadline || repeats > 20) {
       ToOwner(holder.believed,
               CancelAdmission{key.request, key.attempt, EndpointId("e1")},
@@ -380,8 +385,9 @@
       const uint64_t incarnation = owner.incarnation;
       clock_.At(owner.paused_until, [this, owner_index, pause, incarnation] {
         if (owners_[static_cast<size_t>(owner_index)].incarnation !=
-            incarnation)
+            incarnation) {
           return;
+        }
         if (pause < Duration::Milliseconds(1'500)) return;
         WithOwner(owner_index, [this](EndpointOwner& o) {
           return o.OnSelfPaused(clock_.now());
@@ -405,8 +411,9 @@
   void KillHolder(Holder& holder) {
     holder.alive = false;
     for (auto& [key, call] : holder.calls) {
-      if (call->started)
+      if (call->started) {
         engine_.DropReader(clock_.now(), MakeStreamId(*call->grant));
+      }
     }
     holder.calls.clear();
     for (int i = 0; i < 2; ++i) {
--- a/modules/zr_admission/work_forecast.cc
+++ b/modules/zr_admission/work_forecast.cc
@@ -153,8 +153,9 @@
                                           TimePoint now) {
   const auto batch = static_cast<double>(std::max<int64_t>(1, Batch(grants)));
   for (const auto& [key, entry] : grants.entries()) {
-    if (!Works(entry) || entry.plain || entry.deadline == TimePoint::Max())
+    if (!Works(entry) || entry.plain || entry.deadline == TimePoint::Max()) {
       continue;
+    }
     const Duration with = Remaining(grants, model, entry, batch + 1, &demand);
     // The error of the estimate grows over the whole run, which may be long for
     // a grant that yields to others.
--- a/modules/zr_base/invariants.cc
+++ b/modules/zr_base/invariants.cc
@@ -38,8 +38,9 @@
 
 uint64_t Invariants::Total() {
   uint64_t total = 0;
-  for (const auto& count : g_counts)
+  for (const auto& count : g_counts) {
     total += count.load(std::memory_order_relaxed);
+  }
   return total;
 }
 
--- a/modules/zr_config/address.cc
+++ b/modules/zr_config/address.cc
@@ -8,13 +8,15 @@
 /** Parses an unsigned decimal without sign or leading zeros. */
 std::optional<uint32_t> ParseDecimal(std::string_view text, uint32_t max) {
   if (text.empty() || text.size() > 5 ||
-      (text.size() > 1 && text.front() == '0'))
+      (text.size() > 1 && text.front() == '0')) {
     return {};
+  }
   uint32_t value = 0;
   const auto [end, error] =
       std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size() || value > max)
+  if (error != std::errc() || end != text.data() + text.size() || value > max) {
     return {};
+  }
   return value;
 }
 
--- a/modules/zr_config/diff.cc
+++ b/modules/zr_config/diff.cc
@@ -48,8 +48,9 @@
 std::string Change::ToString() const {
   const std::string where =
       "[" + section + "]" + (key.empty() ? "" : " " + key);
-  if (kind == ChangeKind::kChanged)
+  if (kind == ChangeKind::kChanged) {
     return "~ " + where + ": " + before + " -> " + after;
+  }
   const bool added = kind == ChangeKind::kAdded;
   std::string text = (added ? "+ " : "- ") + where;
   if (!key.empty()) text += " = " + (added ? after : before);
--- a/modules/zr_config/drain_edit.cc
+++ b/modules/zr_config/drain_edit.cc
@@ -36,8 +36,9 @@
   for (const IniSection& section : IniText::Parse(text, "").sections) {
     if (SectionWords(section.name) != wanted) continue;
     size_t start = 0;
-    for (int line = 1; line < section.line; ++line)
+    for (int line = 1; line < section.line; ++line) {
       start = edited.find('\n', start) + 1;
+    }
     const size_t end = edited.find('\n', start);
     edited.erase(start, end == std::string::npos ? end : end - start + 1);
     break;
--- a/modules/zr_config/ini_text.cc
+++ b/modules/zr_config/ini_text.cc
@@ -63,8 +63,9 @@
   /** The line as inih gets it; faulty lines are reported and replaced. */
   std::string Prepare(std::string_view line) {
     const std::string_view content = Trim(line);
-    if (content.empty() || content.front() == ';' || content.front() == '#')
+    if (content.empty() || content.front() == ';' || content.front() == '#') {
       return "\n";
+    }
     if (line.size() > IniText::kMaxLineBytes) {
       Report("the line is longer than " +
              std::to_string(IniText::kMaxLineBytes) +
@@ -125,8 +126,10 @@
     IniSection& section = out_.sections.back();
     if (continuation && !section.entries.empty()) {
       std::string& joined = section.entries.back().value;
-      while (!joined.empty() && (joined.back() == ',' || joined.back() == ' '))
+      while (!joined.empty() &&
+             (joined.back() == ',' || joined.back() == ' ')) {
         joined.pop_back();
+      }
       if (!joined.empty() && !value.empty()) joined += ", ";
       joined += value;
       return;
--- a/modules/zr_config/key_spec.cc
+++ b/modules/zr_config/key_spec.cc
@@ -26,10 +26,12 @@
   while (true) {
     const size_t end = text.find(separator);
     std::string_view part = text.substr(0, end);
-    while (!part.empty() && (part.front() == ' ' || part.front() == '\t'))
+    while (!part.empty() && (part.front() == ' ' || part.front() == '\t')) {
       part.remove_prefix(1);
-    while (!part.empty() && (part.back() == ' ' || part.back() == '\t'))
+    }
+    while (!part.empty() && (part.back() == ' ' || part.back() == '\t')) {
       part.remove_suffix(1);
+    }
     parts.push_back(part);
     if (end == std::string_view::npos) return parts;
     text.remove_prefix(end + 1);
@@ -65,8 +67,9 @@
 bool ParseText(const KeySpec& spec, std::string_view text, KeyValue& value) {
   const auto length = static_cast<int64_t>(text.size());
   if (length < spec.min || length > spec.max) return false;
-  if (spec.type == KeyType::kName && !text.empty() && !IsName(text))
+  if (spec.type == KeyType::kName && !text.empty() && !IsName(text)) {
     return false;
+  }
   value.text = text;
   value.canonical = text;
   return true;
@@ -92,8 +95,9 @@
       if (!ParseAddress(spec, part, value)) return false;
       continue;
     }
-    if (spec.type == KeyType::kNameList ? !IsName(part) : !IsHexDigest(part))
+    if (spec.type == KeyType::kNameList ? !IsName(part) : !IsHexDigest(part)) {
       return false;
+    }
     value.list.emplace_back(part);
     value.canonical +=
         (value.canonical.empty() ? "" : ", ") + std::string(part);
--- a/modules/zr_config/problem.cc
+++ b/modules/zr_config/problem.cc
@@ -7,8 +7,9 @@
 std::string SettingsProblem::ToString() const {
   std::string text;
   if (!file.empty()) text += file + ":";
-  if (line > 0)
+  if (line > 0) {
     text += (file.empty() ? "line " : "") + std::to_string(line) + ":";
+  }
   if (!text.empty()) text += " ";
   if (!section.empty()) text += "[" + section + "] ";
   if (!key.empty()) text += key + ": ";
--- a/modules/zr_config/settings.cc
+++ b/modules/zr_config/settings.cc
@@ -212,8 +212,9 @@
   for (const IniSection& section : ini.sections) {
     if (std::find(names.begin(), names.end(), section.name) == names.end()) {
       std::string all;
-      for (std::string_view name : names)
+      for (std::string_view name : names) {
         all += (all.empty() ? "" : ", ") + std::string(name);
+      }
       problems.push_back(SettingsProblem{file, section.line, section.name, "",
                                          "unknown section; allowed: " + all});
     } else if (!sections.emplace(section.name, &section).second) {
@@ -260,8 +261,9 @@
   for (std::string_view name : SectionNames()) {
     if (!text.empty()) text += "\n";
     text += "### [" + std::string(name) + "]\n\n" + ReferenceHeading();
-    for (const SettingsField& field : FieldsOf(name))
+    for (const SettingsField& field : FieldsOf(name)) {
       text += ReferenceRow(field.spec);
+    }
   }
   return text;
 }
--- a/modules/zr_config/tests/environment_test.cc
+++ b/modules/zr_config/tests/environment_test.cc
@@ -152,8 +152,9 @@
   REQUIRE(from.has_value());
   REQUIRE(to.has_value());
   std::string text;
-  for (const Change& change : Diff(*from, *to))
+  for (const Change& change : Diff(*from, *to)) {
     text += change.ToString() + "\n";
+  }
   CHECK(text ==
         "~ [class lookup] deadline_ms: 2000 -> 3000\n"
         "- [drain vm a]\n"
@@ -179,8 +180,9 @@
     REQUIRE(environment.has_value() == Environment::Check(text).empty());
     if (!environment) continue;
     for (const auto& [id, team] : environment->teams()) {
-      for (const ClassId& name : team.classes)
+      for (const ClassId& name : team.classes) {
         REQUIRE(environment->FindClass(name) != nullptr);
+      }
     }
     auto drained = AddDrain(text, Drain{DrainKind::kVm, "x"});
     REQUIRE(drained.has_value());
--- a/modules/zr_daemon/api/caller_api.cc
+++ b/modules/zr_daemon/api/caller_api.cc
@@ -103,8 +103,9 @@
     return HandleModel(request, response,
                        request.path == "/v1/chat/completions");
   }
-  if (request.path.starts_with("/services/"))
+  if (request.path.starts_with("/services/")) {
     return HandleService(request, response);
+  }
   HandleHealth(request, *response);
 }
 
@@ -204,8 +205,9 @@
   if (!json.is_object()) return Invalid("the body is not a JSON object");
   ModelBody out;
   auto model = json.find("model");
-  if (model == json.end() || !model->is_string())
+  if (model == json.end() || !model->is_string()) {
     return Invalid("model must be a text");
+  }
   out.model = model->get<std::string>();
   if (chat) {
     auto prompt = ChatPrompt(json);
@@ -213,8 +215,9 @@
     out.prompt = std::move(*prompt);
   } else {
     auto prompt = json.find("prompt");
-    if (prompt == json.end() || !prompt->is_string())
+    if (prompt == json.end() || !prompt->is_string()) {
       return Invalid("prompt must be a text");
+    }
     out.prompt = prompt->get<std::string>();
   }
   for (auto [key, field] : {std::pair{"prompt_tokens", &out.prompt_tokens},
@@ -343,8 +346,9 @@
   call.service = options.pool.pool.value();
   call.key = std::string(key);
   auto name = OperationName(options.team, call.service, call.key);
-  if (!name)
+  if (!name) {
     return SendError(*response, 400, name.error(), RunState::kNotRun, headers);
+  }
   call.object_name = std::move(*name);
   if (!AdmitTeam(options, *response)) return;
   OperationHost::Start(context_, std::move(call), std::move(options),
--- a/modules/zr_daemon/api/operator_api.cc
+++ b/modules/zr_daemon/api/operator_api.cc
@@ -65,8 +65,9 @@
   }
   if (what == "status" && get) return Status(*response);
   if (what == "endpoints" && get) return Endpoints(*response);
-  if (what == "drains" && path.size() == 4)
+  if (what == "drains" && path.size() == 4) {
     return ChangeDrain(request, std::move(response), path);
+  }
   if (what == "operations" && path.size() == 5 && get) {
     return ShowOperation(std::move(response), path);
   }
@@ -193,9 +194,10 @@
 void OperatorApi::Trial(const HttpRequest& request,
                         HttpResponse& response) const {
   auto parsed = Environment::Parse(request.body);
-  if (!parsed)
+  if (!parsed) {
     return SendProblem(response, 422, parsed.error().code,
                        parsed.error().message);
+  }
   const auto snapshot = context_.cluster->Get();
   const Environment empty;
   const Environment& current =
@@ -319,8 +321,9 @@
         snapshot->environment->IsDrained(info.domain, VmId(), info.endpoint)) {
       entry["state"] = "drained";
     }
-    if (auto host = context_.endpoints->Find(id))
+    if (auto host = context_.endpoints->Find(id)) {
       entry["running"] = host->Snapshot().granted;
+    }
     list.push_back(std::move(entry));
   }
   SendJson(response, 200, {{"endpoints", list}});
@@ -329,8 +332,9 @@
 void OperatorApi::ShowOperation(HttpResponsePtr response,
                                 const std::vector<std::string>& path) {
   auto name = OperationName(TeamId(path[2]), path[3], path[4]);
-  if (!name)
+  if (!name) {
     return SendProblem(*response, 400, name.error().code, name.error().message);
+  }
   context_.store->Get(
       StorePurpose::kRecords, std::string(kOperationsKind), *name,
       [response = std::move(response), key = path[4]](const StoreReply& reply) {
--- a/modules/zr_daemon/control/config_object.cc
+++ b/modules/zr_daemon/control/config_object.cc
@@ -23,10 +23,12 @@
   }
   ConfigObject object;
   object.document = json["document"].get<std::string>();
-  if (auto it = json.find("author"); it != json.end() && it->is_string())
+  if (auto it = json.find("author"); it != json.end() && it->is_string()) {
     object.note.author = *it;
-  if (auto it = json.find("time"); it != json.end() && it->is_string())
+  }
+  if (auto it = json.find("time"); it != json.end() && it->is_string()) {
     object.note.time = *it;
+  }
   return object;
 }
 
--- a/modules/zr_daemon/control/control_plane.cc
+++ b/modules/zr_daemon/control/control_plane.cc
@@ -112,8 +112,9 @@
 void ControlPlane::Start() {
   asio::post(strand_, [self = shared_from_this()] {
     std::set<std::string> seeds;
-    for (const Address& seed : self->context_.settings.peer_seeds)
+    for (const Address& seed : self->context_.settings.peer_seeds) {
       seeds.insert(seed.ToString());
+    }
     self->links_->SetTargets(seeds);
     self->ReadConfig();
     self->ListEndpoints("", {});
@@ -242,8 +243,9 @@
              [self = shared_from_this(), from, digest = std::move(digest)] {
                DigestOutcome outcome =
                    self->membership_.OnDigest(SteadyNow(), digest, from);
-               if (outcome.answer)
+               if (outcome.answer) {
                  self->context_.bus->Send(from, *outcome.answer);
+               }
                if (!outcome.events.empty()) self->HandleEvents(outcome.events);
              });
 }
@@ -260,13 +262,15 @@
 void ControlPlane::UpdateLinks() {
   const auto view = membership_.View();
   std::set<std::string> targets;
-  for (const Address& seed : context_.settings.peer_seeds)
+  for (const Address& seed : context_.settings.peer_seeds) {
     targets.insert(seed.ToString());
+  }
   // Silent VMs stay in the plan, so that parted regions find each other again.
   std::vector<PeerSite> live = PeerPlanner::SitesOf(*view);
   std::vector<PeerSite> known = live;
-  for (const auto& [id, vm] : view->silent)
+  for (const auto& [id, vm] : view->silent) {
     known.push_back({id, vm.domain, vm.region});
+  }
   const PeerPlanner planner;
   if (!planner.Bounded(known)) {
     membership_.SetLinks(std::nullopt);
@@ -301,8 +305,9 @@
 
 void ControlPlane::OnConfigFetch(const VmId& from, ConfigFetch fetch) {
   asio::post(strand_, [self = shared_from_this(), from, fetch] {
-    if (self->tracker_.CanAnswer(fetch))
+    if (self->tracker_.CanAnswer(fetch)) {
       self->context_.bus->Send(from, *self->tracker_.current());
+    }
   });
 }
 
--- a/modules/zr_daemon/control/placement_runner.cc
+++ b/modules/zr_daemon/control/placement_runner.cc
@@ -178,8 +178,10 @@
 // Orders
 
 void PlacementRunner::UpdateWanted(const ClusterSnapshot& snapshot) {
-  if (environment_ == snapshot.environment && endpoints_ == snapshot.endpoints)
+  if (environment_ == snapshot.environment &&
+      endpoints_ == snapshot.endpoints) {
     return;
+  }
   environment_ = snapshot.environment;
   endpoints_ = snapshot.endpoints;
   std::vector<PoolPolicy> pools;
--- a/modules/zr_daemon/endpoint/endpoint_host.cc
+++ b/modules/zr_daemon/endpoint/endpoint_host.cc
@@ -86,12 +86,15 @@
     if (auto* m = std::get_if<AdmissionRequest>(&message)) {
       return owner.OnAdmissionRequest(now, from, *m);
     }
-    if (auto* m = std::get_if<CancelAdmission>(&message))
+    if (auto* m = std::get_if<CancelAdmission>(&message)) {
       return owner.OnCancel(now, from, *m);
-    if (auto* m = std::get_if<Release>(&message))
+    }
+    if (auto* m = std::get_if<Release>(&message)) {
       return owner.OnRelease(now, from, *m);
-    if (auto* m = std::get_if<HeldGrants>(&message))
+    }
+    if (auto* m = std::get_if<HeldGrants>(&message)) {
       return owner.OnHeldGrants(now, *m);
+    }
     if (auto* m = std::get_if<GatherReserve>(&message)) {
       return owner.OnGatherReserve(now, from, *m);
     }
@@ -232,8 +235,9 @@
 void EndpointHost::FetchStreams() {
   Fetch("GET", "/engine/streams", [this](std::optional<std::string> body) {
     if (!body) return;
-    if (auto list = ParseEngineStreams(*body))
+    if (auto list = ParseEngineStreams(*body)) {
       Perform(owner_->OnStreamList(SteadyNow(), *list));
+    }
   });
 }
 
--- a/modules/zr_daemon/endpoint/endpoint_table.cc
+++ b/modules/zr_daemon/endpoint/endpoint_table.cc
@@ -31,8 +31,9 @@
 bool EndpointTable::ShouldOwn(const EndpointInfo& info,
                               const ClusterSnapshot& snapshot) const {
   if (!snapshot.environment ||
-      snapshot.environment->FindPool(info.pool) == nullptr)
+      snapshot.environment->FindPool(info.pool) == nullptr) {
     return false;
+  }
   if (context_.settings.routing_policy == RoutingPolicy::kBaseline) return true;
   return OwnerOf(info, *snapshot.view) == context_.settings.vm;
 }
--- a/modules/zr_daemon/endpoint/engine_codec.cc
+++ b/modules/zr_daemon/endpoint/engine_codec.cc
@@ -18,9 +18,10 @@
   if (it == json.end()) return 0;
   if (it->is_number_unsigned()) return it->get<uint64_t>();
   // Hashes may come as text, because JSON readers lose precision above 2^53.
-  if (it->is_string())
+  if (it->is_string()) {
     return std::strtoull(it->get_ref<const std::string&>().c_str(), nullptr,
                          10);
+  }
   return 0;
 }
 
@@ -61,8 +62,9 @@
   load.version = TextOf(*json, "version");
   if (auto it = json->find("adapters"); it != json->end() && it->is_array()) {
     for (const Json& adapter : *it) {
-      if (adapter.is_string())
+      if (adapter.is_string()) {
         load.adapters.push_back(adapter.get<std::string>());
+      }
     }
   }
   load.role = TextOf(*json, "role");
--- a/modules/zr_daemon/node.cc
+++ b/modules/zr_daemon/node.cc
@@ -34,8 +34,9 @@
       teams_(context_),
       endpoints_(context_,
                  [this](const std::vector<Suspect>& list) {
-                   for (const Suspect& suspect : list)
+                   for (const Suspect& suspect : list) {
                      suspects_.Report(suspect);
+                   }
                  }),
       caller_api_(context_),
       operator_api_(
@@ -61,8 +62,9 @@
 
 Result<std::unique_ptr<Node>> Node::Create(Settings settings) {
   std::unique_ptr<Node> node(new Node(std::move(settings)));
-  if (auto opened = node->Open(); !opened)
+  if (auto opened = node->Open(); !opened) {
     return tl::unexpected(opened.error());
+  }
   return node;
 }
 
@@ -175,23 +177,26 @@
 // Messages
 
 void Node::Receive(const VmId& from, Message message) {
-  if (auto* m = std::get_if<Heartbeat>(&message))
+  if (auto* m = std::get_if<Heartbeat>(&message)) {
     return control_->OnHeartbeat(from, std::move(*m));
+  }
   if (auto* m = std::get_if<MembershipDigest>(&message)) {
     return control_->OnDigest(from, std::move(*m));
   }
   if (auto* m = std::get_if<ConfigOffer>(&message)) {
     return control_->OnConfigOffer(from, std::move(*m));
   }
-  if (auto* m = std::get_if<ConfigFetch>(&message))
+  if (auto* m = std::get_if<ConfigFetch>(&message)) {
     return control_->OnConfigFetch(from, *m);
+  }
   if (auto* m = std::get_if<Summary>(&message)) {
     if (m->accepts_new) suspects_.OnEndpointAlive(m->endpoint, m->boot);
     return selector_.OnSummary(*m);
   }
   if (auto* m = std::get_if<AdmissionRequest>(&message)) {
-    if (settings_.routing_policy == RoutingPolicy::kBaseline)
+    if (settings_.routing_policy == RoutingPolicy::kBaseline) {
       return AnswerBaseline(from, *m);
+    }
     if (m->endpoint.empty()) return gathers_.OnRequest(from, *m);
     return RouteToOwner(m->endpoint, from, message);
   }
@@ -222,15 +227,19 @@
 }
 
 void Node::ReceiveShared(const VmId& from, const Message& message) {
-  if (auto* m = std::get_if<GatherReply>(&message))
+  if (auto* m = std::get_if<GatherReply>(&message)) {
     return gathers_.OnReply(from, *m);
+  }
   if (auto* m = std::get_if<Suspect>(&message)) return suspects_.OnSuspect(*m);
-  if (auto* m = std::get_if<SuspectTurn>(&message))
+  if (auto* m = std::get_if<SuspectTurn>(&message)) {
     return suspects_.OnTurn(from, *m);
-  if (auto* m = std::get_if<FindStream>(&message))
+  }
+  if (auto* m = std::get_if<FindStream>(&message)) {
     return locator_.OnFindStream(from, *m);
-  if (auto* m = std::get_if<StreamLocation>(&message))
+  }
+  if (auto* m = std::get_if<StreamLocation>(&message)) {
     return locator_.OnLocation(from, *m);
+  }
   if (auto* m = std::get_if<SuspectTurnReply>(&message)) {
     if (auto host = requests_.Find(m->request)) {
       host->Post([reply = *m](TimePoint now, RequestMachine& machine) {
--- a/modules/zr_daemon/request/gather_table.cc
+++ b/modules/zr_daemon/request/gather_table.cc
@@ -34,16 +34,18 @@
   {
     std::lock_guard lock(mutex_);
     for (auto& [pool, coordinator] : coordinators_) {
-      for (auto& message : step(pool, *coordinator))
+      for (auto& message : step(pool, *coordinator)) {
         messages.push_back(std::move(message));
+      }
     }
   }
   Send(messages);
 }
 
 void GatherTable::Send(const GatherCoordinator::Messages& messages) {
-  for (const OutgoingMessage& out : messages)
+  for (const OutgoingMessage& out : messages) {
     context_.bus->Send(out.to, out.message);
+  }
 }
 
 void GatherTable::OnRequest(const VmId& from, const AdmissionRequest& request) {
--- a/modules/zr_daemon/request/held_grants.cc
+++ b/modules/zr_daemon/request/held_grants.cc
@@ -21,8 +21,9 @@
   std::map<EndpointId, HeldGrants> lists;
   {
     std::lock_guard lock(mutex_);
-    for (const EndpointId& endpoint : listed_)
+    for (const EndpointId& endpoint : listed_) {
       lists[endpoint].endpoint = endpoint;
+    }
     listed_.clear();
     for (const auto& [request, grants] : by_request_) {
       for (const auto& [endpoint, grant] : grants) {
--- a/modules/zr_daemon/request/operation_host.cc
+++ b/modules/zr_daemon/request/operation_host.cc
@@ -139,8 +139,9 @@
   if (!machine_.ended()) return;
   removed_ = true;
   timer_.cancel();
-  if (!handed_on_)
+  if (!handed_on_) {
     context_.teams->OnFinished(team_, options_.prompt + options_.max_answer);
+  }
   context_.operations->Remove(machine_.self().nonce);
 }
 
@@ -255,8 +256,9 @@
         *response_, 502, error, RunState::kRan, std::move(headers),
         ToString(replayed ? RecordState::kDone : RecordState::kDispatched));
   }
-  if (!outcome.content_type.empty())
+  if (!outcome.content_type.empty()) {
     headers["content-type"] = outcome.content_type;
+  }
   response_->Send(outcome.status, std::move(headers), outcome.body);
 }
 
--- a/modules/zr_daemon/request/outcome_sink.cc
+++ b/modules/zr_daemon/request/outcome_sink.cc
@@ -11,8 +11,9 @@
   if (outcome.status != 503) return false;
   const auto json = nlohmann::json::parse(outcome.body, nullptr, false);
   if (!json.is_object() || !json.contains("error") ||
-      !json["error"].is_object())
+      !json["error"].is_object()) {
     return false;
+  }
   const auto run = json["error"].find("run");
   return run != json["error"].end() && *run == "not-run";
 }
--- a/modules/zr_daemon/request/request_host.cc
+++ b/modules/zr_daemon/request/request_host.cc
@@ -231,8 +231,9 @@
     // The engine that runs a gathered prompt reserves its own part; the others
     // get imports.
     for (const auto& [endpoint, grant] : machine_.held_grants()) {
-      if (endpoint == action.endpoint)
+      if (endpoint == action.endpoint) {
         body["kv_tokens"] = grant.kv_tokens.value();
+      }
     }
     const auto snapshot = context_.cluster->Get();
     for (const EndpointId& member : action.members) {
@@ -531,8 +532,9 @@
   CancelAdmission cancel;
   cancel.request = id_;
   cancel.attempt = action.attempt;
-  if (const auto coordinator = GatherCoordinatorVm())
+  if (const auto coordinator = GatherCoordinatorVm()) {
     context_.bus->Send(*coordinator, cancel);
+  }
 }
 
 }  // namespace zr
--- a/modules/zr_daemon/request/route_selector.cc
+++ b/modules/zr_daemon/request/route_selector.cc
@@ -46,8 +46,9 @@
 void RouteSelector::OnSummary(const Summary& summary) {
   const TimePoint now = SteadyNow();
   std::lock_guard lock(mutex_);
-  if (summaries_.OnSummary(now, summary))
+  if (summaries_.OnSummary(now, summary)) {
     last_summaries_[summary.endpoint] = {summary, now};
+  }
 }
 
 void RouteSelector::OnVmDied(const VmId& vm, Incarnation incarnation) {
@@ -113,8 +114,9 @@
   for (const auto& [endpoint, info] : *snapshot.endpoints) {
     if (info.pool != pool.pool) continue;
     const auto found = summaries_.Find(now, endpoint, owners);
-    if (!found || found->summary->kv_capacity <= TokenCount(0))
+    if (!found || found->summary->kv_capacity <= TokenCount(0)) {
       return std::nullopt;
+    }
     // Drained endpoints count too, because they may return before the deadline.
     all.push_back({endpoint, found->summary->owner, found->summary->kv_free,
                    found->summary->kv_capacity, true});
@@ -161,10 +163,12 @@
         candidates.begin(), candidates.end(),
         [&](const auto& c) { return c.summary.kv_capacity >= needed; });
     choice.gather = !fits && !candidates.empty();
-    if (choice.gather)
+    if (choice.gather) {
       choice.too_small = RoomOfPool(request.pool, *snapshot, now);
-    if (choice.too_small && *choice.too_small >= needed)
+    }
+    if (choice.too_small && *choice.too_small >= needed) {
       choice.too_small.reset();
+    }
   }
   return choice;
 }
@@ -199,8 +203,9 @@
   std::lock_guard lock(mutex_);
   std::vector<Summary> out;
   for (const auto& [endpoint, info] : *snapshot->endpoints) {
-    if (auto found = summaries_.Find(SteadyNow(), endpoint, owners))
+    if (auto found = summaries_.Find(SteadyNow(), endpoint, owners)) {
       out.push_back(*found->summary);
+    }
   }
   return out;
 }
--- a/modules/zr_daemon/request/suspect_registry.cc
+++ b/modules/zr_daemon/request/suspect_registry.cc
@@ -91,8 +91,9 @@
   VmId locator = context_.settings.vm;
   {
     std::lock_guard lock(mutex_);
-    if (turn.returned && turn.harmless)
+    if (turn.returned && turn.harmless) {
       table_.OnHarmless(SteadyNow(), turn.fingerprint);
+    }
     const std::string key = std::to_string(turn.fingerprint.value());
     double best = -1;
     for (const VmId& vm : live_) {
--- a/modules/zr_daemon/request/upstream_call.cc
+++ b/modules/zr_daemon/request/upstream_call.cc
@@ -11,8 +11,9 @@
 bool SaysNotRun(const std::string& body) {
   const auto json = nlohmann::json::parse(body, nullptr, false);
   if (!json.is_object() || !json.contains("error") ||
-      !json["error"].is_object())
+      !json["error"].is_object()) {
     return false;
+  }
   return json["error"].value("run", "") == "not-run";
 }
 
@@ -140,8 +141,9 @@
     Fail(failure->request_sent ? UpstreamFailure::kBroken
                                : UpstreamFailure::kNotRun);
   } else if (format_ == UpstreamFormat::kPlain) {
-    if (status_ == 503 && not_run_header_)
+    if (status_ == 503 && not_run_header_) {
       return Fail(UpstreamFailure::kNotRun);
+    }
     finished_ = true;
     Notify([this, total = offset_](Listener& listener) {
       listener.OnUpstreamDone(attempt_, total);
--- a/modules/zr_gateway/tests/placement_test.cc
+++ b/modules/zr_gateway/tests/placement_test.cc
@@ -182,6 +182,7 @@
 // one VM.
 TEST_CASE("VMs choose the same dispatcher in any order") {
   std::vector<VmId> vms;
+  vms.reserve(13);
   for (int i = 0; i < 13; ++i) vms.push_back(VmId("vm-" + std::to_string(i)));
   const VmId chosen = DispatcherOf(PoolId("p"), vms);
   std::reverse(vms.begin(), vms.end());
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -303,8 +303,9 @@
     return FailCall(CallFailure::kBroken, CallSign::kBroken,
                     "answer has a content encoding");
   }
-  if (head.load)
+  if (head.load) {
     state_.board.OnLoad(now, call_->plan.first.endpoint, *head.load);
+  }
   if (head.other_endpoint) {
     return FailCall(CallFailure::kNotRun, CallSign::kMisdirected,
                     "another endpoint has the address");
--- a/modules/zr_http/client/http_call.cc
+++ b/modules/zr_http/client/http_call.cc
@@ -109,8 +109,9 @@
 size_t EasyCall::OnHeader(char* data, size_t size, size_t count, void* self) {
   auto* call = static_cast<EasyCall*>(self);
   std::string_view line(data, size * count);
-  while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
+  while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
     line.remove_suffix(1);
+  }
   if (line.starts_with("HTTP/")) {
     call->response_headers_.clear();
   } else if (const size_t colon = line.find(':');
--- a/modules/zr_http/client/http_client.cc
+++ b/modules/zr_http/client/http_client.cc
@@ -16,8 +16,8 @@
 namespace {
 
 // Idle connections kept for reuse.
-constexpr long kConnectionCacheSize =
-    4096;  // NOLINT(google-runtime-int): libcurl's type
+// NOLINTNEXTLINE(google-runtime-int): libcurl's type
+constexpr long kConnectionCacheSize = 4096;
 
 class CurlClient;
 
@@ -54,8 +54,9 @@
   }
 
   ~CurlClient() override {
-    for (auto& [easy, handle] : running_)
+    for (auto& [easy, handle] : running_) {
       curl_multi_remove_handle(multi_, easy);
+    }
     running_.clear();
     curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, nullptr);
     curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, nullptr);
@@ -99,8 +100,9 @@
   void Resume(std::shared_ptr<CallHandle> handle) {
     asio::post(strand_,
                [self = shared_from_this(), handle = std::move(handle)] {
-                 if (handle->call())
+                 if (handle->call()) {
                    curl_easy_pause(handle->call()->easy(), CURLPAUSE_CONT);
+                 }
                  self->CheckCompletions();
                });
   }
@@ -181,8 +183,9 @@
               false;
           auto self = weak.lock();
           if (!self || socket->closed ||
-              error == asio::error::operation_aborted)
+              error == asio::error::operation_aborted) {
             return;
+          }
           const int wanted =
               event == CURL_CSELECT_IN ? CURL_POLL_IN : CURL_POLL_OUT;
           if ((socket->wanted & wanted) != 0) {
@@ -195,8 +198,8 @@
         }));
   }
 
-  static int OnTimer(CURLM*, long timeout_ms,
-                     void* self) {  // NOLINT(google-runtime-int)
+  // NOLINTNEXTLINE(google-runtime-int): libcurl's type
+  static int OnTimer(CURLM*, long timeout_ms, void* self) {
     static_cast<CurlClient*>(self)->SetTimer(timeout_ms);
     return 0;
   }
--- a/modules/zr_http/server/http_server.h
+++ b/modules/zr_http/server/http_server.h
@@ -53,7 +53,7 @@
 struct HttpServerOptions {
   std::string address;  // "ip:port"
   size_t max_body_bytes = 16 << 20;
-  size_t max_header_bytes = 32 << 10;  // sum of names and values
+  size_t max_header_bytes = 32 << 10;              // sum of names and values
   Duration idle_timeout = Duration::Seconds(120);  // between two requests
 };
 
--- a/modules/zr_membership/config_tracker.cc
+++ b/modules/zr_membership/config_tracker.cc
@@ -67,8 +67,9 @@
   const OfferOutcome outcome = Adopt(offer);
   // A rejected document proves nothing about the versions that exist.
   if (outcome != OfferOutcome::kRejected) LearnVersion(now, offer.version);
-  if (outcome == OfferOutcome::kRejected && from == last_fetch_)
+  if (outcome == OfferOutcome::kRejected && from == last_fetch_) {
     next_fetch_ = now;
+  }
   return outcome;
 }
 
@@ -116,8 +117,9 @@
 // Adoption
 
 OfferOutcome ConfigTracker::Adopt(const ConfigOffer& offer) {
-  if (current_ && offer.version < current_->version)
+  if (current_ && offer.version < current_->version) {
     return OfferOutcome::kOlder;
+  }
   if (current_ && offer.version == current_->version) {
     if (offer.digest == current_->digest) return OfferOutcome::kSame;
     ++digest_conflicts_;
@@ -189,8 +191,9 @@
     if (peer.leaving) continue;
     ++known;
     if (now - peer.ready_at <= options_.ready_within &&
-        peer.ready_at >= not_before_)
+        peer.ready_at >= not_before_) {
       ++ready;
+    }
   }
   return ready * 2 > known;
 }
@@ -242,8 +245,9 @@
   const VmId* first = nullptr;
   for (const auto& [id, peer] : peers_) {
     if (peer.version <= version() ||
-        now - peer.last_heard > options_.confirm_within)
+        now - peer.last_heard > options_.confirm_within) {
       continue;
+    }
     if (peer.version < highest_known_ && fetches_ == 0) continue;
     if (first == nullptr) first = &id;
     if (next == nullptr && id > last_fetch_) next = &id;
--- a/modules/zr_membership/membership.cc
+++ b/modules/zr_membership/membership.cc
@@ -19,12 +19,14 @@
     return Fail(ErrorCode::kInvalidArgument, "membership", "",
                 std::move(message));
   };
-  if (options.self.empty() || options.domain.empty())
+  if (options.self.empty() || options.domain.empty()) {
     return invalid("VM or domain name is empty");
+  }
   if (options.incarnation.value() == 0) return invalid("incarnation is 0");
   if (options.weight == 0) return invalid("weight is 0");
-  if (options.heartbeat_period <= Duration())
+  if (options.heartbeat_period <= Duration()) {
     return invalid("heartbeat period is not positive");
+  }
   if (options.suspect_after < options.heartbeat_period * 2) {
     return invalid("suspect time is below two heartbeat periods");
   }
@@ -69,8 +71,9 @@
                        ? HeartbeatOutcome::Kind::kOwn
                        : HeartbeatOutcome::Kind::kNameConflict;
     // A late heartbeat of this VM's process before a restart is no conflict.
-    if (stamp.incarnation < options_.incarnation)
+    if (stamp.incarnation < options_.incarnation) {
       outcome.kind = HeartbeatOutcome::Kind::kStale;
+    }
     return outcome;
   }
   const auto it = members_.find(stamp.vm);
@@ -93,8 +96,9 @@
   const VmView before = member.view;
   const bool restarted =
       !is_new && heartbeat.origin.incarnation > before.incarnation;
-  if (restarted && member.live)
+  if (restarted && member.live) {
     events.push_back({Kind::kVmDied, vm, before.incarnation});
+  }
   const bool was_live = member.live && !restarted;
   if (is_new || restarted) LearnNews(now, vm);
 
@@ -143,8 +147,9 @@
   if (settled_) changed |= BuryAndForget(now, events);
   // A view of hundreds of VMs costs too much to copy at each tick only to renew
   // hearing times.
-  if (changed || !links_ || now - view_->taken_at >= options_.digest_period)
+  if (changed || !links_ || now - view_->taken_at >= options_.digest_period) {
     Publish(now, changed);
+  }
   return events;
 }
 
@@ -168,8 +173,9 @@
   drained_domains_.clear();
   for (const Drain& drain : drains) {
     if (drain.kind == DrainKind::kVm) drained_vms_.insert(VmId(drain.name));
-    if (drain.kind == DrainKind::kDomain)
+    if (drain.kind == DrainKind::kDomain) {
       drained_domains_.insert(DomainId(drain.name));
+    }
   }
   Events no_events;
   bool changed = false;
--- a/modules/zr_membership/membership_digest.cc
+++ b/modules/zr_membership/membership_digest.cc
@@ -119,8 +119,9 @@
   digest.roster = rosters_.front().first;
   digest.config_digest = members_.at(options_.self).view.config_digest;
   std::set<ObjectVersion> versions;
-  for (const auto& [vm, member] : members_)
+  for (const auto& [vm, member] : members_) {
     versions.insert(member.view.config_version);
+  }
   for (auto it = versions.rbegin();
        it != versions.rend() && digest.versions.size() < 3; ++it) {
     digest.versions.push_back(*it);
@@ -188,10 +189,12 @@
     return outcome;
   }
   bool changed = false;
-  for (const VmRecord& record : digest.records)
+  for (const VmRecord& record : digest.records) {
     changed |= TakeRecord(now, record, outcome.events);
-  if (!digest.config_digest.empty())
+  }
+  if (!digest.config_digest.empty()) {
     digest_of_[digest.config_version] = digest.config_digest;
+  }
   while (digest_of_.size() > 16) digest_of_.erase(digest_of_.begin());
 
   const auto sender = members_.find(stamp.vm);
@@ -206,8 +209,9 @@
   RefreshRoster();
   const Roster* roster =
       digest.roster != 0 ? FindRoster(digest.roster) : nullptr;
-  if (roster != nullptr)
+  if (roster != nullptr) {
     changed |= TakeStates(now, digest, *roster, outcome.events);
+  }
   if (changed) Publish(now, true);
 
   const bool asks = (!known || (digest.roster != 0 && roster == nullptr)) &&
@@ -219,8 +223,9 @@
   if (asks) next_request_ = now + kRecordsPeriod;
   if (answers) {
     next_records_ = now + kRecordsPeriod;
-    for (const auto& [vm, member] : members_)
+    for (const auto& [vm, member] : members_) {
       AddRecord(now, member, *outcome.answer);
+    }
   }
   return outcome;
 }
@@ -238,8 +243,9 @@
   const TimePoint heard = now - record.age;
   if (is_new || record.incarnation > it->second.view.incarnation) {
     // A VM that is about to be forgotten is not learnt again.
-    if (is_new && record.age > options_.remember_for - Duration::Seconds(30))
+    if (is_new && record.age > options_.remember_for - Duration::Seconds(30)) {
       return false;
+    }
     Member& member = members_[record.vm];
     if (!is_new && member.live) {
       events.push_back({Kind::kVmDied, record.vm, member.view.incarnation});
@@ -262,8 +268,9 @@
       TakeState(now, members_.at(record.vm), record.beat, record.ready,
                 record.leaving, record.config_version, events);
   Member& member = members_.at(record.vm);
-  if (member.live || now - member.view.last_heard > SuspectAfter())
+  if (member.live || now - member.view.last_heard > SuspectAfter()) {
     return changed;
+  }
   member.live = true;
   events.push_back({is_new ? Kind::kVmAppeared : Kind::kVmReturned, record.vm,
                     record.incarnation});
@@ -277,8 +284,9 @@
   const std::string& states = digest.states.bytes;
   const std::string& indexes = digest.version_indexes.bytes;
   if (states.size() != roster.size() * 2 ||
-      indexes.size() != (roster.size() + 3) / 4)
+      indexes.size() != (roster.size() + 3) / 4) {
     return false;
+  }
   bool changed = false;
   for (size_t i = 0; i < roster.size(); ++i) {
     const auto& [vm, incarnation] = roster[i];
@@ -287,8 +295,9 @@
         static_cast<unsigned>(static_cast<uint8_t>(states[2 * i + 1])) << 8;
     if (vm == options_.self) continue;
     const auto it = members_.find(vm);
-    if (it == members_.end() || it->second.view.incarnation != incarnation)
+    if (it == members_.end() || it->second.view.incarnation != incarnation) {
       continue;
+    }
     const unsigned index =
         static_cast<uint8_t>(indexes[i / 4]) >> (i % 4 * 2) & 3U;
     const ObjectVersion version = index < digest.versions.size()
--- a/modules/zr_membership/ownership.cc
+++ b/modules/zr_membership/ownership.cc
@@ -44,8 +44,9 @@
   }
   std::sort(scored.begin(), scored.end());
   std::vector<VmId> ranked;
-  for (size_t i = 0; i < std::min(count, scored.size()); ++i)
+  for (size_t i = 0; i < std::min(count, scored.size()); ++i) {
     ranked.push_back(scored[i].second);
+  }
   return ranked;
 }
 
--- a/modules/zr_membership/peer_planner.cc
+++ b/modules/zr_membership/peer_planner.cc
@@ -17,8 +17,9 @@
   std::vector<std::tuple<double, uint64_t, VmId>> placed;
   for (const auto& [group, members] : groups) {
     std::vector<std::pair<uint64_t, VmId>> ranked;
-    for (const VmId& vm : members)
+    for (const VmId& vm : members) {
       ranked.emplace_back(HashFields({seed, vm.value()}), vm);
+    }
     std::sort(ranked.begin(), ranked.end());
     for (size_t i = 0; i < ranked.size(); ++i) {
       const double position =
@@ -69,24 +70,28 @@
   std::map<std::string, std::vector<VmId>> fleet;
   for (const PeerSite& site : sites) {
     if (site.domain == own->domain) domain[""].push_back(site.vm);
-    if (site.region == own->region)
+    if (site.region == own->region) {
       region[site.domain.value()].push_back(site.vm);
+    }
     fleet[site.region].push_back(site.vm);
   }
   LinkInRings(self, domain, "domain", options_.in_domain, links);
   // A region of one domain needs no links besides those of the domain.
-  if (region.size() > 1)
+  if (region.size() > 1) {
     LinkInRings(self, region, "region", options_.in_region, links);
-  if (fleet.size() > 1)
+  }
+  if (fleet.size() > 1) {
     LinkInRings(self, fleet, "fleet", options_.to_other_regions, links);
+  }
   links.erase(self);
   return links;
 }
 
 std::vector<PeerSite> PeerPlanner::SitesOf(const ClusterView& view) {
   std::vector<PeerSite> sites;
-  for (const auto& [id, vm] : view.live)
+  for (const auto& [id, vm] : view.live) {
     sites.push_back({id, vm.domain, vm.region});
+  }
   return sites;
 }
 
--- a/modules/zr_membership/summary_table.cc
+++ b/modules/zr_membership/summary_table.cc
@@ -6,8 +6,10 @@
 namespace zr {
 
 bool SummaryTable::OnSummary(TimePoint now, const Summary& summary) {
-  if (summary.endpoint.empty() || summary.pool.empty() || summary.owner.empty())
+  if (summary.endpoint.empty() || summary.pool.empty() ||
+      summary.owner.empty()) {
     return false;
+  }
   Claims& claims = by_endpoint_[summary.endpoint];
   const auto it = claims.find(summary.owner);
   if (it != claims.end()) {
--- a/modules/zr_membership/tests/cluster_sim.h
+++ b/modules/zr_membership/tests/cluster_sim.h
@@ -122,20 +122,23 @@
     const std::vector<Heartbeat> buffered = std::exchange(node.buffered, {});
     for (const Heartbeat& heartbeat : buffered) Receive(node, heartbeat);
     if (now_ < node.membership->NextWakeup() &&
-        now_ < node.tracker->NextWakeup())
+        now_ < node.tracker->NextWakeup()) {
       return;
+    }
     Note(node, node.membership->OnTick(now_));
     node.tracker->OnView(now_, *node.membership->View());
-    for (const ConfigAction& action : node.tracker->OnTick(now_))
+    for (const ConfigAction& action : node.tracker->OnTick(now_)) {
       Perform(node, action);
+    }
     Watch(node);
     if (!node.membership->HeartbeatDue(now_)) return;
     LocalState local;
     local.ready = node.tracker->Readiness(now_) == ConfigReadiness::kReady;
     local.leaving = node.leaving;
     local.config_version = node.tracker->version();
-    if (node.tracker->current())
+    if (node.tracker->current()) {
       local.config_digest = node.tracker->current()->digest;
+    }
     const Heartbeat heartbeat = node.membership->MakeHeartbeat(now_, local);
     for (const SimNode& peer : nodes_) {
       if (peer.id == node.id) continue;
@@ -155,8 +158,9 @@
     node.next_watch = now_ + Duration::Seconds(1);
     for (const VmId& watcher :
          WatchersOf(node.domain, *node.membership->View(), 2)) {
-      if (watcher == node.id)
+      if (watcher == node.id) {
         Perform(node, {ConfigAction::Kind::kReadStore, VmId(), {}});
+      }
     }
   }
 
@@ -169,8 +173,9 @@
 
   void Note(SimNode& node, const std::vector<MembershipEvent>& events) {
     for (const MembershipEvent& event : events) {
-      if (event.kind == MembershipEvent::Kind::kSelfPaused)
+      if (event.kind == MembershipEvent::Kind::kSelfPaused) {
         node.tracker->OnSelfPaused(now_);
+      }
     }
   }
 
@@ -193,8 +198,9 @@
       After(Delay(), [this, asker, incarnation, asked_at, offer] {
         SimNode& receiver = Find(asker);
         if (!Running(receiver) || receiver.incarnation != incarnation) return;
-        if (offer.version.value() > 0)
+        if (offer.version.value() > 0) {
           receiver.tracker->OnStoreRead(now_, asked_at, offer);
+        }
       });
     });
   }
@@ -203,13 +209,15 @@
   void RefreshPlatformList() {
     next_list_ = now_ + Duration::Seconds(5);
     for (SimNode& node : nodes_) {
-      if (Running(node))
+      if (Running(node)) {
         Note(node, node.membership->OnPlatformList(now_, lagging_list_));
+      }
     }
     lagging_list_.clear();
     for (const SimNode& node : nodes_) {
-      if (node.up)
+      if (node.up) {
         lagging_list_.push_back({node.id, node.domain, "", node.leaving});
+      }
     }
   }
 
--- a/modules/zr_membership/tests/cluster_test.cc
+++ b/modules/zr_membership/tests/cluster_test.cc
@@ -17,8 +17,9 @@
     sim_.Write();
     for (int round = 0; round < 6; ++round) {
       for (int step = 0; step < 800; ++step) {  // 20 s
-        if (sim_.now() >= quiet_until_ && sim_.random().Chance(0.02))
+        if (sim_.now() >= quiet_until_ && sim_.random().Chance(0.02)) {
           InjectFault();
+        }
         if (sim_.random().Chance(0.01)) Operate();
         StepAndCheck();
       }
@@ -45,12 +46,14 @@
         sim_.Start(node);
         break;
       case 3:
-        for (SimNode& other : sim_.nodes())
+        for (SimNode& other : sim_.nodes()) {
           other.side = static_cast<int>(random.Below(2));
+        }
         break;
       case 4:  // one domain is cut off
-        for (SimNode& other : sim_.nodes())
+        for (SimNode& other : sim_.nodes()) {
           other.side = other.domain == node.domain ? 1 : 0;
+        }
         break;
       case 5:
         for (SimNode& other : sim_.nodes()) other.side = 0;
@@ -109,8 +112,9 @@
     }
     for (SimNode& node : sim_.nodes()) {
       if (!sim_.Running(node) || node.leaving) continue;
-      if (node.tracker->Readiness(sim_.now()) != ConfigReadiness::kReady)
+      if (node.tracker->Readiness(sim_.now()) != ConfigReadiness::kReady) {
         continue;
+      }
       INFO("vm " << node.id << " at " << sim_.now());
       REQUIRE(node.tracker->version() >= in_force);
     }
--- a/modules/zr_membership/tests/digest_test.cc
+++ b/modules/zr_membership/tests/digest_test.cc
@@ -68,9 +68,10 @@
       }
       auto outcome = to.membership->OnDigest(now_, digest, frame.from);
       Note(to, outcome.events);
-      if (outcome.answer)
+      if (outcome.answer) {
         Send(to, frame.from,
              std::make_shared<MembershipDigest>(*outcome.answer));
+      }
     }
     for (auto& [id, node] : nodes_) {
       if (!node.up) continue;
@@ -110,8 +111,9 @@
       if (!node.up) continue;
       const auto view = node.membership->View();
       for (const auto& [vm, other] : view->live) {
-        if (vm != id && nodes_.at(vm).up)
+        if (vm != id && nodes_.at(vm).up) {
           worst = std::max(worst, now_ - other.last_heard);
+        }
       }
     }
     return worst;
@@ -200,8 +202,9 @@
           sim.nodes().begin(), sim.nodes().end(),
           [](const auto& n) { return n.second.version == ObjectVersion(2); });
     };
-    while (!all_have() && sim.now() - written < Duration::Seconds(6))
+    while (!all_have() && sim.now() - written < Duration::Seconds(6)) {
       sim.Step();
+    }
     REQUIRE(all_have());
     const Duration in_force = sim.now() - written;
     // With loss, a domain dies: noticed by all others, and nobody else is
@@ -218,8 +221,9 @@
       }
     }
     const TimePoint lost = sim.now();
-    while (!AllSee(sim, left) && sim.now() - lost < Duration::Seconds(8))
+    while (!AllSee(sim, left) && sim.now() - lost < Duration::Seconds(8)) {
       sim.Step();
+    }
     REQUIRE(AllSee(sim, left));
     const Duration noticed = sim.now() - lost;
     std::cout << "membership: digests at " << vms
@@ -259,8 +263,9 @@
       }
       const std::string region =
           "r" + std::to_string(1 + sim.random().Below(4));
-      for (auto& [id, node] : sim.nodes())
+      for (auto& [id, node] : sim.nodes()) {
         node.side = node.site.region == region ? 1 : 0;
+      }
       sim.RunFor(Duration::Seconds(20));
       for (auto& [id, node] : sim.nodes()) {
         for (const auto& [vm, view] : node.membership->View()->live) {
--- a/modules/zr_membership/tests/drain_rules_test.cc
+++ b/modules/zr_membership/tests/drain_rules_test.cc
@@ -32,8 +32,9 @@
     }
     REQUIRE((decision.state == ServiceState::kInService) == (mask == 0));
     REQUIRE((decision.state == ServiceState::kDown) == ((mask & 16) != 0));
-    if ((mask & (2 | 4 | 32 | 64)) != 0)
+    if ((mask & (2 | 4 | 32 | 64)) != 0) {
       REQUIRE(decision.state >= ServiceState::kDraining);
+    }
   }
 }
 
--- a/modules/zr_membership/tests/ownership_test.cc
+++ b/modules/zr_membership/tests/ownership_test.cc
@@ -38,8 +38,9 @@
   const auto owners = [&] {
     std::vector<VmId> all;
     all.reserve(kEndpoints);
-    for (int i = 0; i < kEndpoints; ++i)
+    for (int i = 0; i < kEndpoints; ++i) {
       all.push_back(*OwnerOf(Endpoint(i, "d1"), view));
+    }
     return all;
   };
   const std::vector<VmId> before = owners();
@@ -70,18 +71,21 @@
   SECTION(
       "falls back to the region, then to any VM, never to one that leaves") {
     for (auto& [id, vm] : view.live) vm.leaving = vm.domain == DomainId("d1");
-    for (const VmId& owner : owners())
+    for (const VmId& owner : owners()) {
       REQUIRE(view.live[owner].domain == DomainId("d2"));
+    }
     for (auto& [id, vm] : view.live) vm.leaving = vm.domain != DomainId("d3");
-    for (const VmId& owner : owners())
+    for (const VmId& owner : owners()) {
       REQUIRE(view.live[owner].domain == DomainId("d3"));
+    }
     for (auto& [id, vm] : view.live) vm.leaving = true;
     REQUIRE_FALSE(OwnerOf(Endpoint(1, "d1"), view));
     REQUIRE_FALSE(CoordinatorOf(PoolId("p"), view));
   }
   SECTION("a drained domain keeps its own endpoints and gets no others") {
-    for (auto& [id, vm] : view.live)
+    for (auto& [id, vm] : view.live) {
       vm.domain_drained = vm.domain == DomainId("d1");
+    }
     REQUIRE(owners() == before);
     for (auto& [id, vm] : view.live) vm.leaving = vm.domain == DomainId("d2");
     REQUIRE(view.live[*OwnerOf(Endpoint(1, "d2"), view)].domain ==
--- a/modules/zr_membership/tests/peer_planner_test.cc
+++ b/modules/zr_membership/tests/peer_planner_test.cc
@@ -26,8 +26,9 @@
 
 Graph Plan(const std::vector<PeerSite>& sites) {
   Graph graph;
-  for (const PeerSite& site : sites)
+  for (const PeerSite& site : sites) {
     graph[site.vm] = PeerPlanner().LinksOf(site.vm, sites);
+  }
   return graph;
 }
 
@@ -42,8 +43,9 @@
   }
   for (; !queue.empty(); queue.pop_front()) {
     for (const VmId& link : graph.at(queue.front())) {
-      if (!without.contains(link) && seen.insert(link).second)
+      if (!without.contains(link) && seen.insert(link).second) {
         queue.push_back(link);
+      }
     }
   }
   return seen.size();
@@ -65,8 +67,9 @@
     for (int domain = 0; domain < 9 && vms >= 18; ++domain) {
       std::set<VmId> lost;
       for (const PeerSite& site : sites) {
-        if (site.domain == DomainId("d" + std::to_string(domain)))
+        if (site.domain == DomainId("d" + std::to_string(domain))) {
           lost.insert(site.vm);
+        }
       }
       REQUIRE(Reached(graph, lost) == sites.size() - lost.size());
     }
--- a/modules/zr_peer/frame_authenticator.cc
+++ b/modules/zr_peer/frame_authenticator.cc
@@ -90,8 +90,9 @@
 
 Result<FrameAuthenticator::Progress> FrameAuthenticator::OnHandshakeFrame(
     std::string_view frame) {
-  if (frame.size() > kMaxHandshakeBytes)
+  if (frame.size() > kMaxHandshakeBytes) {
     return Unauthenticated(peer_, "handshake is too long");
+  }
   const Json json = Json::from_cbor(frame.begin(), frame.end(), true, false);
   if (!json.is_array() || json.empty() || !json[0].is_string()) {
     return Unauthenticated(peer_, "handshake frame is malformed");
@@ -105,8 +106,9 @@
     peer_ = VmId(json[1].get<std::string>());
     peer_incarnation_ = Incarnation(json[2].get<uint64_t>());
     peer_nonce_ = BinaryToString(json[3]);
-    if (peer_nonce_ == nonce_)
+    if (peer_nonce_ == nonce_) {
       return Unauthenticated(peer_, "hello repeats the own nonce");
+    }
     return Progress::kSendProof;
   }
   if (json[0] == kProof && !peer_nonce_.empty()) {
--- a/modules/zr_peer/peer_links.cc
+++ b/modules/zr_peer/peer_links.cc
@@ -155,8 +155,9 @@
     } else if (*progress == FrameAuthenticator::Progress::kSendProof) {
       proof = auth.MakeProof();
     } else {
-      if (!it->second.address.empty())
+      if (!it->second.address.empty()) {
         address_of_[auth.peer()] = it->second.address;
+      }
       close = ChooseDuplicate(auth.peer(), link);
       if (close != link) {
         if (!by_vm_.contains(auth.peer())) {
@@ -167,8 +168,9 @@
       }
     }
   }
-  if (!proof.empty())
+  if (!proof.empty()) {
     transport_->Send(link, proof, options_.max_buffered_bytes);
+  }
   if (close != 0) transport_->Close(close, "not needed or not authenticated");
   if (!up.empty()) {
     if (auto listener = listener_.lock()) listener->OnPeerUp(up, incarnation);
--- a/modules/zr_peer/websocket/websocket_transport.cc
+++ b/modules/zr_peer/websocket/websocket_transport.cc
@@ -15,10 +15,10 @@
 using Client = websocketpp::client<websocketpp::config::asio_client>;
 using ConnectionHandle = websocketpp::connection_hdl;
 
-constexpr long kOpenTimeoutMs =
-    2000;  // NOLINT(google-runtime-int): websocketpp's type
-constexpr long kCloseTimeoutMs =
-    500;  // NOLINT(google-runtime-int): websocketpp's type
+// NOLINTBEGIN(google-runtime-int): websocketpp's type
+constexpr long kOpenTimeoutMs = 2000;
+constexpr long kCloseTimeoutMs = 500;
+// NOLINTEND(google-runtime-int)
 
 class Transport final : public WebsocketTransport,
                         public std::enable_shared_from_this<Transport> {
@@ -123,8 +123,9 @@
           if (!self) return;
           const LinkId link = self->IdOf(handle);
           auto listener = self->listener_.lock();
-          if (link != 0 && listener)
+          if (link != 0 && listener) {
             listener->OnMessage(link, message->get_payload());
+          }
         });
     endpoint.set_close_handler([weak, &endpoint](ConnectionHandle handle) {
       Ended(weak, endpoint, std::move(handle));
--- a/modules/zr_placement/placement_lease.cc
+++ b/modules/zr_placement/placement_lease.cc
@@ -30,8 +30,9 @@
 // Calls
 
 void PlacementLease::SetCandidate(bool candidate) {
-  if (candidate_ != candidate)
-    next_call_ = TimePoint();  // release or compete at once
+  if (candidate_ != candidate) {
+    next_call_ = TimePoint();
+  }  // release or compete at once
   candidate_ = candidate;
 }
 
@@ -67,8 +68,9 @@
     return Put(now, value);
   }
   const Duration wait = object_.value.duration + options_.margin;
-  if (candidate_ && (Vacant() || now - observed_at_ > wait))
+  if (candidate_ && (Vacant() || now - observed_at_ > wait)) {
     return Put(now, value);
+  }
   return StartCall(now, {});
 }
 
--- a/modules/zr_placement/tests/order_planner_test.cc
+++ b/modules/zr_placement/tests/order_planner_test.cc
@@ -99,12 +99,15 @@
   void Advance(Engine& engine) {
     if (engine.loading && now_ >= engine.done_at) {
       using enum EngineOrder::Kind;
-      if (engine.loading->kind == kLoadModel)
+      if (engine.loading->kind == kLoadModel) {
         engine.state.model = engine.loading->name;
-      if (engine.loading->kind == kSetVersion)
+      }
+      if (engine.loading->kind == kSetVersion) {
         engine.state.version = engine.loading->name;
-      if (engine.loading->kind == kLoadAdapter)
+      }
+      if (engine.loading->kind == kLoadAdapter) {
         engine.state.adapters = {engine.loading->name};
+      }
       engine.loading.reset();
     }
     if (!faults_) return;
@@ -114,8 +117,9 @@
       fresh.boot = engine.state.boot.Next();
       engine = {fresh, std::nullopt, now_};
     }
-    if (random_.Chance(0.01))
-      engine.state.version = "old";  // a late order of another holder
+    if (random_.Chance(0.01)) {
+      engine.state.version = "old";
+    }  // a late order of another holder
   }
 
   Random random_;
--- a/modules/zr_placement/tests/placement_lease_test.cc
+++ b/modules/zr_placement/tests/placement_lease_test.cc
@@ -80,8 +80,9 @@
 
   Duration Delay() {
     // Lost calls may reach the store long after the caller gave up.
-    if (lossy_ && random_.Chance(0.3))
+    if (lossy_ && random_.Chance(0.3)) {
       return Duration::Milliseconds(random_.Below(30'000));
+    }
     return Duration::Milliseconds(random_.Below(200));
   }
 
--- a/modules/zr_platform/object_format.cc
+++ b/modules/zr_platform/object_format.cc
@@ -144,10 +144,12 @@
   }
   reply.version = ObjectVersion(VersionOf(json));
   reply.value = TextOf(json, "value");
-  if (auto it = json.find("items"); it != json.end())
+  if (auto it = json.find("items"); it != json.end()) {
     ReadItems(*it, reply.items);
-  if (auto it = json.find("events"); it != json.end())
+  }
+  if (auto it = json.find("events"); it != json.end()) {
     ReadItems(*it, reply.items);
+  }
   return reply;
 }
 
--- a/modules/zr_platform/object_store.h
+++ b/modules/zr_platform/object_store.h
@@ -122,8 +122,9 @@
       return;
     }
     request.url = "http://" + options_.address + request.url;
-    if (request.total_timeout == Duration())
+    if (request.total_timeout == Duration()) {
       request.total_timeout = options_.request_timeout;
+    }
     // A repeated conditional write would report a conflict with itself.
     request.fresh_connection = access == Access::kWrite;
     client_->Fetch(std::move(request), kMaxReplyBytes,
--- a/modules/zr_records/operation_machine_impl.h
+++ b/modules/zr_records/operation_machine_impl.h
@@ -28,12 +28,14 @@
   actions_.clear();
   // The deadline goes first, so that a reply after it starts no call of the
   // service.
-  if (now >= call_.deadline && !std::holds_alternative<OpStart>(event))
+  if (now >= call_.deadline && !std::holds_alternative<OpStart>(event)) {
     On(OpDeadline{});
+  }
   std::visit([this](const auto& e) { this->On(e); }, event);
   const TimePoint wakeup = NextWakeup();
-  if (wakeup != timer_ && wakeup != TimePoint::Max())
+  if (wakeup != timer_ && wakeup != TimePoint::Max()) {
     actions_.emplace_back(OpSetTimer{wakeup});
+  }
   timer_ = wakeup;
   return std::move(actions_);
 }
@@ -110,9 +112,10 @@
       outcome_ = event.outcome;
       // The caller need not wait for the store: a lost outcome record only
       // turns the answer to a repeat into "may have run".
-      if (!answered_)
+      if (!answered_) {
         Answer(
             {RunState::kRan, RecordState::kDispatched, outcome_, std::nullopt});
+      }
       if (outcome_->body.size() > kMaxInlineBody) {
         outcome_->body.clear();
         outcome_->body_kept = false;
@@ -124,8 +127,9 @@
       StartBackground(Goal::kRelease);
       return Decide();
     case ServiceStatus::kUnknown:
-      if (!answered_)
+      if (!answered_) {
         Refuse(ErrorCode::kUnknownOutcome, "the service's answer was lost");
+      }
       return End();
   }
 }
@@ -177,8 +181,9 @@
 
 template <typename Rules>
 void BasicOperationMachine<Rules>::DecideAcquire() {
-  if (record_.state == RecordState::kAbsent)
+  if (record_.state == RecordState::kAbsent) {
     return Write(RecordState::kClaimed);
+  }
   if (AnswerFromRecord()) return;
   const bool own = record_.attempt == self_;
   switch (record_.state) {
@@ -230,8 +235,9 @@
 template <typename Rules>
 void BasicOperationMachine<Rules>::DecideStoreOutcome() {
   const bool own = record_.attempt == self_;
-  if (own && record_.state == RecordState::kDispatched)
+  if (own && record_.state == RecordState::kDispatched) {
     return Write(RecordState::kDone);
+  }
   // Nobody else changes a dispatched record, except that retention deletes it
   // after days.
   ZR_ASSERT_INVARIANT(kAtMostOnce,
@@ -365,8 +371,9 @@
 
 template <typename Rules>
 void BasicOperationMachine<Rules>::End() {
-  if (!answered_)
+  if (!answered_) {
     Refuse(ErrorCode::kOverloaded, "the service did not run the call");
+  }
   step_ = Step::kEnded;
 }
 
--- a/modules/zr_records/record_codec.cc
+++ b/modules/zr_records/record_codec.cc
@@ -134,15 +134,17 @@
     return false;
   }
   // Ages are differences of such times; the bound keeps them far from overflow.
-  if (record.updated_unix_ms < 0 || record.updated_unix_ms > int64_t{1} << 56)
+  if (record.updated_unix_ms < 0 || record.updated_unix_ms > int64_t{1} << 56) {
     return false;
+  }
   record.team = TeamId(std::move(team));
   record.attempt.vm = VmId(std::move(vm));
   record.attempt.incarnation = Incarnation(incarnation);
   record.fingerprint = Fingerprint(fingerprint);
   const auto outcome = object.find("outcome");
-  if ((record.state == RecordState::kDone) != (outcome != object.end()))
+  if ((record.state == RecordState::kDone) != (outcome != object.end())) {
     return false;
+  }
   return outcome == object.end() ||
          ReadOutcome(*outcome, record.outcome.emplace());
 }
--- a/modules/zr_records/retention_sweeper.cc
+++ b/modules/zr_records/retention_sweeper.cc
@@ -9,8 +9,9 @@
   const Duration age =
       Duration::Milliseconds(now_unix_ms - record.updated_unix_ms);
   if (record.state == RecordState::kDispatched) {
-    if (age > options.unresolved_retention + options.margin)
+    if (age > options.unresolved_retention + options.margin) {
       return RetentionVerdict::kDelete;
+    }
     return age > options.report_after ? RetentionVerdict::kReport
                                       : RetentionVerdict::kKeep;
   }
--- a/modules/zr_records/tests/operation_random_test.cc
+++ b/modules/zr_records/tests/operation_random_test.cc
@@ -35,8 +35,9 @@
   const double lost = GENERATE(0.05, 0.3);
   uint64_t first = 1;
   uint64_t last = kSeeds;
-  if (const char* fixed = std::getenv("ZR_SEED"))
+  if (const char* fixed = std::getenv("ZR_SEED")) {
     first = last = std::stoull(fixed);
+  }
   int executions = 0;
   int not_run = 0;
   int ran = 0;
--- a/modules/zr_records/tests/operation_world.h
+++ b/modules/zr_records/tests/operation_world.h
@@ -33,8 +33,9 @@
 
   /** Runs all callers to their end; the result lists the broken promises. */
   std::vector<std::string> Run() {
-    for (int key = 0; key < kKeys; ++key)
+    for (int key = 0; key < kKeys; ++key) {
       At(Ms(0, 200), [this, key] { StartCall(key); });
+    }
     for (int i = 0; i < 4; ++i) At(Ms(0, 6000), [this] { DisturbVm(); });
     if (options_.outages && random_.Chance(0.5)) {
       At(Ms(0, 4000), [this] {
@@ -178,8 +179,9 @@
   // Remembers how often the key had run when the store gave the answer that the
   // machine now learns.
   void NoteKnowledge(Call* call, const OperationEvent& event) {
-    if (now_ >= call->deadline)
-      return;  // the machine answers before it takes such a reply
+    if (now_ >= call->deadline) {
+      return;
+    }  // the machine answers before it takes such a reply
     uint64_t op = 0;
     if (const auto* read = std::get_if<OpReadReply>(&event)) {
       if (read->status != ReadStatus::kUnknown) op = read->op;
@@ -188,8 +190,9 @@
       if (write->status != WriteStatus::kUnknown) op = write->op;
     }
     const auto known = call->key_executions_at.find(op);
-    if (known != call->key_executions_at.end())
+    if (known != call->key_executions_at.end()) {
       call->key_executions_known = known->second;
+    }
   }
 
   // Carries a request to a server and its reply back. A lost message leads to
@@ -220,8 +223,9 @@
       if (outage_) return OpReadReply{read.op, ReadStatus::kError, {}, {}};
       call->key_executions_at[read.op] = key_executions_[call->key];
       const Object& object = store_[read.name];
-      if (object.version == 0)
+      if (object.version == 0) {
         return OpReadReply{read.op, ReadStatus::kAbsent, {}, {}};
+      }
       auto record = RecordCodec::Decode(object.value);
       if (!record) return OpReadReply{read.op, ReadStatus::kUnreadable, {}, {}};
       return OpReadReply{read.op, ReadStatus::kFound,
@@ -251,8 +255,9 @@
     if (object.version == 0) return;
     const auto before = RecordCodec::Decode(object.value);
     if (!before) return Violation("stored record cannot be decoded");
-    if (before->state == RecordState::kDone)
+    if (before->state == RecordState::kDone) {
       Violation("done record overwritten");
+    }
     if (before->state == RecordState::kDispatched &&
         before->attempt != next.attempt) {
       Violation("dispatched record taken over");
@@ -265,8 +270,9 @@
       if (refuses) return OpServiceReply{ServiceStatus::kNotRun, {}};
       ++executions_;
       ++call->executions;
-      if (++key_executions_[call->key] > 1)
+      if (++key_executions_[call->key] > 1) {
         Violation("operation executed twice");
+      }
       ServiceOutcome outcome{200, "text/plain", "digest", OutcomeBody(*call),
                              true};
       return OpServiceReply{ServiceStatus::kOutcome, outcome};
@@ -285,8 +291,9 @@
       if (check.attempt.vm.value() != "vm" + std::to_string(i)) continue;
       const bool current =
           check.attempt.incarnation.value() == vms_[i].incarnation;
-      if (!current || (vms_[i].paused_until <= now_ && random_.Chance(0.8)))
+      if (!current || (vms_[i].paused_until <= now_ && random_.Chance(0.8))) {
         alive = current;
+      }
     }
     At(Ms(0, 2), [this, call, check, alive] {
       Deliver(call, OpOwnerLiveness{check.attempt, alive});
@@ -314,8 +321,9 @@
       CheckOutcome(*call);
     }
     const TimePoint paused = vms_[call->vm].paused_until;
-    if (now_ > call->deadline && now_ > paused)
+    if (now_ > call->deadline && now_ > paused) {
       Violation("answer after the deadline");
+    }
     if (!answer.outcome || random_.Chance(0.5)) {
       At(Ms(1, 300), [this, call] { StartCall(call->key); });
     }
--- a/modules/zr_records/tests/records_test.cc
+++ b/modules/zr_records/tests/records_test.cc
@@ -48,8 +48,9 @@
   }
   SECTION("refuses what it did not write") {
     const std::string text = RecordCodec::Encode(record);
-    for (size_t i = 0; i < text.size(); ++i)
+    for (size_t i = 0; i < text.size(); ++i) {
       REQUIRE_FALSE(RecordCodec::Decode(text.substr(0, i)));
+    }
     REQUIRE_FALSE(RecordCodec::Decode(std::string(100'000, '[')));
     REQUIRE_FALSE(
         RecordCodec::Decode(std::string(RecordCodec::kMaxBytes + 1, ' ')));
--- a/modules/zr_request/prompt_cost.cc
+++ b/modules/zr_request/prompt_cost.cc
@@ -14,8 +14,9 @@
   // A caller may count fewer tokens than the estimate, but not fewer than one
   // for 16 bytes: a wrong count must not overrun an engine's memory by much.
   constexpr int64_t kMostBytesPerToken = 16;
-  if (counted)
+  if (counted) {
     cost.tokens = std::max(*counted, TokenCount(bytes / kMostBytesPerToken));
+  }
   uint64_t hash = HashFields({model});
   for (size_t at = 0;
        at + kBlockBytes <= prompt.size() && cost.prefixes.size() < kMaxBlocks;
--- a/modules/zr_request/request_machine.cc
+++ b/modules/zr_request/request_machine.cc
@@ -52,8 +52,9 @@
   for (const auto& [id, closing] : closing_) {
     if (closing.give_up <= now) overdue.push_back(id);
   }
-  for (const std::string& id : overdue)
+  for (const std::string& id : overdue) {
     ReleaseClosing(id, ReleaseOutcome::kEndpointDied);
+  }
   return Take(now);
 }
 
@@ -141,11 +142,13 @@
 
 TimePoint RequestMachine::NextWakeup() const {
   TimePoint next = StateWakeup();
-  if (!ended())
+  if (!ended()) {
     next = std::min(next, options_.deadline - timings_.finish_margin);
+  }
   if (turn_held_) next = std::min(next, renew_turn_);
-  for (const auto& [id, closing] : closing_)
+  for (const auto& [id, closing] : closing_) {
     next = std::min(next, closing.give_up);
+  }
   return next;
 }
 
@@ -217,8 +220,9 @@
         {ErrorCode::kUnavailable, "caller", "", "the caller has gone"});
     return Take(now);
   }
-  if (cursor_.is_open())
+  if (cursor_.is_open()) {
     Do(DetachUpstream{stream_->endpoint, stream_->id, cursor_.attempt()});
+  }
   cursor_.Close();
   state_ = State::kDetached;
   timer_ = now + options_.pool.unclaimed_window;
--- a/modules/zr_request/request_machine_admission.cc
+++ b/modules/zr_request/request_machine_admission.cc
@@ -40,8 +40,10 @@
 
 RequestActions RequestMachine::OnVerdict(TimePoint now,
                                          SuspectVerdict verdict) {
-  if (Expire(now) || stream_ || !IsModel() || verdict == SuspectVerdict::kClear)
+  if (Expire(now) || stream_ || !IsModel() ||
+      verdict == SuspectVerdict::kClear) {
     return Take(now);
+  }
   if (verdict == SuspectVerdict::kRefuse) {
     RefuseSuspect(now, "");
     return Take(now);
--- a/modules/zr_request/request_machine_reattach.cc
+++ b/modules/zr_request/request_machine_reattach.cc
@@ -176,8 +176,9 @@
   reply.may_have_run = run_.state() != RunState::kNotRun;
   reply.next_attempt = next_attempt_;
   if (stream_) {
-    if (cursor_.is_open())
+    if (cursor_.is_open()) {
       Do(DetachUpstream{stream_->endpoint, stream_->id, cursor_.attempt()});
+    }
     cursor_.Close();
     reply.stream = stream_->id;
     reply.grants = stream_->grants;
@@ -223,8 +224,9 @@
     Do(DropCaller{{ErrorCode::kConflict, "reattach", "",
                    "another call with this request id took the answer over"}});
   }
-  if (blocked_ && cursor_.is_open())
+  if (blocked_ && cursor_.is_open()) {
     Do(PauseUpstream{cursor_.attempt(), false});
+  }
   caller_gone_ = false;
   blocked_ = false;
   head_sent_ = false;
@@ -238,8 +240,9 @@
   // An open connection that stands at the offset is kept: a resumption could
   // overtake a call that is still on its way to the endpoint.
   if (stream_ && (moved || !cursor_.is_open())) {
-    if (cursor_.is_open())
+    if (cursor_.is_open()) {
       Do(DetachUpstream{stream_->endpoint, stream_->id, cursor_.attempt()});
+    }
     cursor_.Close();
     Resume(now);
   }
--- a/modules/zr_request/request_machine_stream.cc
+++ b/modules/zr_request/request_machine_stream.cc
@@ -68,8 +68,10 @@
 RequestActions RequestMachine::OnUpstreamHeaders(TimePoint now,
                                                  AttemptNumber attempt,
                                                  int status) {
-  if (Expire(now) || state_ != State::kStreaming || !cursor_.IsCurrent(attempt))
+  if (Expire(now) || state_ != State::kStreaming ||
+      !cursor_.IsCurrent(attempt)) {
     return Take(now);
+  }
   stream_->acknowledged = true;
   // A model's head waits for the first token, so that a failure before it can
   // be retried or refused with a status.
@@ -111,8 +113,10 @@
 RequestActions RequestMachine::OnUpstreamDone(TimePoint now,
                                               AttemptNumber attempt,
                                               int64_t total) {
-  if (Expire(now) || state_ != State::kStreaming || !cursor_.IsCurrent(attempt))
+  if (Expire(now) || state_ != State::kStreaming ||
+      !cursor_.IsCurrent(attempt)) {
     return Take(now);
+  }
   if (total == cursor_.offset()) {
     Complete(now, total);
   } else if (total > cursor_.offset()) {
@@ -206,8 +210,9 @@
 }
 
 void RequestMachine::ResumeLater(TimePoint now, std::string_view reason) {
-  if (cursor_.is_open())
+  if (cursor_.is_open()) {
     Do(DetachUpstream{stream_->endpoint, stream_->id, cursor_.attempt()});
+  }
   cursor_.Close();
   if (!IsModel() || ++fruitless_resumes_ > timings_.resume_tries) {
     if (IsModel() && !Delivered()) {
--- a/modules/zr_request/suspect_table.cc
+++ b/modules/zr_request/suspect_table.cc
@@ -28,8 +28,9 @@
   const auto known =
       std::find_if(entry.deaths.begin(), entry.deaths.end(),
                    [&](const Death& d) { return d.name == death.name; });
-  if (known != entry.deaths.end() || entry.deaths.size() >= kMaxDeaths)
+  if (known != entry.deaths.end() || entry.deaths.size() >= kMaxDeaths) {
     return false;
+  }
   entry.deaths.push_back(death);
   entry.last = std::max(entry.last, death.at);
   return true;
@@ -46,8 +47,9 @@
   std::set<EndpointId> endpoints;
   for (const Death& d : recent) {
     if (d.at > death.at + options_.collective ||
-        death.at > d.at + options_.collective)
+        death.at > d.at + options_.collective) {
       continue;
+    }
     around.push_back(&d);
     endpoints.insert(d.name.first);
   }
@@ -72,8 +74,9 @@
   for (auto& [domain, recent] : by_domain_) {
     std::erase_if(recent, [&](const Death& d) {
       if (d.name != DeathName{endpoint, boot} ||
-          d.at + options_.alive_after > now)
+          d.at + options_.alive_after > now) {
         return false;
+      }
       Excuse(d.name, now);
       collective_.erase(d.name);
       return true;
@@ -97,8 +100,9 @@
   size_t single = 0;
   size_t collective = 0;
   for (const Death& death : entry.deaths) {
-    if (death.at + options_.keep <= now || excused_.contains(death.name))
+    if (death.at + options_.keep <= now || excused_.contains(death.name)) {
       continue;
+    }
     if (entry.was_harmless && death.at <= entry.harmless) continue;
     ++(collective_.contains(death.name) ? collective : single);
   }
--- a/modules/zr_request/suspect_turns.cc
+++ b/modules/zr_request/suspect_turns.cc
@@ -40,13 +40,15 @@
     }
     return TurnAnswer::kWait;
   }
-  if (table_.Verdict(now, turn.fingerprint) == SuspectVerdict::kRefuse)
+  if (table_.Verdict(now, turn.fingerprint) == SuspectVerdict::kRefuse) {
     return TurnAnswer::kRefused;
+  }
   if (table_.Dismissed(now, turn.fingerprint)) return TurnAnswer::kClear;
   const bool own = it != turns_.end() && it->second.vm == from &&
                    it->second.request == turn.request;
-  if ((it != turns_.end() && !own) || now < quiet_until_)
+  if ((it != turns_.end() && !own) || now < quiet_until_) {
     return TurnAnswer::kWait;
+  }
   turns_[turn.fingerprint] = {from, turn.request, until};
   return TurnAnswer::kGranted;
 }
--- a/modules/zr_request/tests/request_world.cc
+++ b/modules/zr_request/tests/request_world.cc
@@ -33,8 +33,9 @@
   poison_ = random_.Chance(0.1);
   // The bound on endpoints lost to one request holds while VMs agree on the
   // locator and a broken connection is noticed before the caller's next call.
-  if (poison_)
+  if (poison_) {
     faults_.kill_vm = faults_.pause = faults_.crash = faults_.silent = 0;
+  }
   gather_ = random_.Chance(0.1);
 }
 
@@ -72,8 +73,9 @@
   // What arrived during a pause is read in one go after it.
   if (vm.paused_until < now_) vm.last_idle = now_;
   Execute(index, actions);
-  if (!vm.machine->ended() && now_ >= vm.deadline)
+  if (!vm.machine->ended() && now_ >= vm.deadline) {
     Violation("a call is open at its deadline");
+  }
   ArmTimer(index);
 }
 
@@ -127,16 +129,18 @@
   options.resume_stream = received_stream_;
   options.first_attempt = AttemptNumber(1000 * static_cast<uint64_t>(calls_));
   options.may_be_repeat = options.may_be_repeat || calls_ > 1;
-  if (poison_)
+  if (poison_) {
     options.suspect = suspects_[index].Verdict(now_, options.fingerprint);
+  }
   options.deadline =
       calls_ > 1 ? now_ + Duration::Seconds(15) : options_.deadline;
   vm.deadline = options.deadline;
   vm.outcome = false;
   vm.machine = std::make_unique<RequestMachine>(options, budget_);
   if (mutant_ == Mutant::kIgnoreAttempts) vm.machine->IgnoreAttemptsForTest();
-  if (mutant_ == Mutant::kRestartAfterFirstToken)
+  if (mutant_ == Mutant::kRestartAfterFirstToken) {
     vm.machine->RestartAfterFirstTokenForTest();
+  }
   AtVm(index, Duration(),
        [this](RequestMachine& machine) { return machine.Start(now_); });
 }
@@ -215,8 +219,9 @@
       candidates.push_back({engine.id, engine.domain, engine.owner});
     }
   }
-  if (!candidates.empty())
+  if (!candidates.empty()) {
     std::swap(candidates[0], candidates[random_.Below(candidates.size())]);
+  }
   AtVm(vm, Duration(), [this, candidates](RequestMachine& m) {
     return m.OnCandidates(now_, candidates, gather_);
   });
@@ -238,8 +243,9 @@
     ++hand_overs_;
     for (size_t i = 0; i < vms_.size(); ++i) {
       if (IngressName(i) != action.to) continue;
-      for (const Grant& g : hand->grants)
+      for (const Grant& g : hand->grants) {
         grants_.at(MakeStreamId(g)).delivered = {i};
+      }
       AtVm(i, Transit(), [this, m = *hand](RequestMachine& machine) {
         return machine.OnHandOver(now_, m);
       });
@@ -272,8 +278,9 @@
   for (const auto& [endpoint, held] : vms_[vm].machine->held_grants()) {
     GrantRecord& record = grants_.at(MakeStreamId(held));
     if (record.delivered.contains(vm)) continue;
-    for (size_t holder : record.delivered)
+    for (size_t holder : record.delivered) {
       record.two_holders |= vms_[holder].alive;
+    }
     record.delivered.insert(vm);
   }
   At(Transit(), [this, vm, action] {
@@ -292,8 +299,9 @@
       return fail(UpstreamFailure::kNoStream);
     }
     for (auto& c : connections_) {
-      if (c->open && c->stream == action.stream_id)
+      if (c->open && c->stream == action.stream_id) {
         Break(*c, UpstreamFailure::kBroken);
+      }
     }
     OpenConnection(vm, action.attempt, action.stream_id, action.offset);
   });
@@ -378,9 +386,10 @@
   if (vm != caller_vm_ || !waiting_) return;
   CheckCaller(vm, false);
   waiting_ = false;
-  if (poison_)
+  if (poison_) {
     At(Duration::Milliseconds(200 + random_.Below(2000)),
        [this] { CallAgain(); });
+  }
 }
 
 void RequestWorld::Do(size_t vm, const ReportSuspect& action) {
--- a/modules/zr_request/tests/request_world_checks.cc
+++ b/modules/zr_request/tests/request_world_checks.cc
@@ -10,8 +10,9 @@
   std::string text;
   for (int64_t i = from; i < to; ++i) {
     const uint64_t hash = Hash64(stream, static_cast<uint64_t>(i));
-    for (int b = 0; b < kTokenBytes; ++b)
+    for (int b = 0; b < kTokenBytes; ++b) {
       text += static_cast<char>('a' + (hash >> (8 * b)) % 26);
+    }
   }
   return text;
 }
@@ -25,8 +26,9 @@
       return;
     }
   }
-  if (have > 0 || complete)
+  if (have > 0 || complete) {
     Violation("the caller's bytes are not the answer of one run");
+  }
 }
 
 void RequestWorld::CheckEnd() {
@@ -35,14 +37,16 @@
   for (const Vm& vm : vms_) {
     if (!vm.alive || !vm.machine) continue;
     if (!vm.outcome) Violation("a machine has no outcome");
-    if (!vm.machine->removable())
+    if (!vm.machine->removable()) {
       Violation("a machine is not removable at the end");
+    }
   }
   for (const auto& [id, record] : grants_) {
     bool live = false;
     for (size_t vm : record.delivered) live = live || vms_[vm].alive;
-    if (live && record.released.empty())
+    if (live && record.released.empty()) {
       Violation("grant " + id + " was not released");
+    }
   }
   if (poisoned_ > 2) Violation("more than two engines are lost to one request");
   if (!options_.idempotent && runs_.size() > 1) Violation("a call ran twice");
--- a/modules/zr_request/tests/request_world_engines.cc
+++ b/modules/zr_request/tests/request_world_engines.cc
@@ -93,11 +93,13 @@
     return;
   }
   std::vector<Grant> grants;
-  for (size_t i = 0; i < engines_.size(); i += 2)
+  for (size_t i = 0; i < engines_.size(); i += 2) {
     grants.push_back(MakeGrant(i, action.attempt));
+  }
   AtVm(vm, Transit(), [this, vm, action, grants](RequestMachine& m) {
-    for (const Grant& g : grants)
+    for (const Grant& g : grants) {
       grants_.at(MakeStreamId(g)).delivered.insert(vm);
+    }
     return m.OnGatherReady(now_, vms_[vm].last_idle, action.attempt, grants);
   });
 }
@@ -126,12 +128,14 @@
   const Engine& engine = engines_[EngineIndex(release.endpoint)];
   switch (release.outcome) {
     case ReleaseOutcome::kNeverStarted:
-      if (started_.contains(id))
+      if (started_.contains(id)) {
         Violation("a started grant is released as never started");
+      }
       break;
     case ReleaseOutcome::kEndpointRefused:
-      if (!refused_.contains(id))
+      if (!refused_.contains(id)) {
         Violation("a grant is released as refused without a refusal");
+      }
       break;
     case ReleaseOutcome::kCompleted:
       if (run != runs_.end() && Generated(run->second) < run->second.length) {
@@ -168,8 +172,9 @@
   };
   if (!engine.alive) return fail(UpstreamFailure::kNotRun, 0);
   const GrantRecord& record = grants_.at(action.stream_id);
-  if (now_ - record.issued > record.grant.start_within)
+  if (now_ - record.issued > record.grant.start_within) {
     Violation("a grant is used late");
+  }
   started_.insert(action.stream_id);
   if (random_.Chance(faults_.not_run)) {
     // The members of a gathered run share its fate.
@@ -219,8 +224,9 @@
                                      : UpstreamFailure::kBroken);
   }
   const int64_t ready = Generated(run) - connection->sent;
-  if (ready > 0)
+  if (ready > 0) {
     SendPart(*connection, 1 + static_cast<int64_t>(random_.Below(ready)));
+  }
   if (connection->sent >= run.length) {
     connection->open = false;
     const Duration delay = std::max(connection->last_arrival - now_, Transit());
@@ -285,8 +291,9 @@
   engine.alive = false;
   const BootNumber boot(engine.boot++);
   for (auto& c : connections_) {
-    if (c->open && runs_.at(c->stream).engine == index)
+    if (c->open && runs_.at(c->stream).engine == index) {
       Break(*c, UpstreamFailure::kBroken);
+    }
   }
   for (size_t vm = 0; vm < vms_.size(); ++vm) {
     AtVm(vm, Duration::Milliseconds(random_.Below(1500)),
--- a/modules/zr_request/tests/shared_state_test.cc
+++ b/modules/zr_request/tests/shared_state_test.cc
@@ -191,8 +191,9 @@
   SECTION("and a first call does not find itself") {
     // The directories may lack claims after a change of the view, so all VMs
     // are asked.
-    for (auto& [vm, directory] : fleet.directories)
+    for (auto& [vm, directory] : fleet.directories) {
       directory.OnViewChanged(kStart);
+    }
     StreamLocation own;
     own.request = query.request;
     own.team = query.team;
@@ -280,8 +281,9 @@
   for (int i = 0; i < 1000; ++i) allowed += budget.TryRetry(kStart);
   REQUIRE(allowed == 20);
   for (int i = 0; i < 100; ++i) budget.OnSuccess();
-  for (int i = 0; i < 1000; ++i)
+  for (int i = 0; i < 1000; ++i) {
     allowed += budget.TryRetry(kStart + Duration::Seconds(3));
+  }
   REQUIRE(allowed == 31);
 }
 
--- a/modules/zr_telemetry/metrics.cc
+++ b/modules/zr_telemetry/metrics.cc
@@ -147,8 +147,9 @@
   print(gauges_, "gauge");
   for (const auto& [name, series] : histograms_) {
     os << "# TYPE " << name << " histogram\n";
-    for (const auto& [labels, histogram] : series)
+    for (const auto& [labels, histogram] : series) {
       histogram->Print(os, name, labels);
+    }
     os << "# TYPE " << name << "_quantile gauge\n";
     for (const auto& [labels, histogram] : series) {
       histogram->PrintQuantiles(os, name + "_quantile", labels);
--- a/modules/zr_wire/stream_id.cc
+++ b/modules/zr_wire/stream_id.cc
@@ -49,8 +49,9 @@
   uint64_t attempt = 0;
   const auto [end, error] = std::from_chars(
       digits.data(), digits.data() + digits.size(), attempt, 10);
-  if (error != std::errc() || end != digits.data() + digits.size())
+  if (error != std::errc() || end != digits.data() + digits.size()) {
     return std::nullopt;
+  }
   return StreamKey{RequestId(std::string(id.substr(0, hash))),
                    AttemptNumber(attempt)};
 }
--- a/standins/engine/batch_model.cc
+++ b/standins/engine/batch_model.cc
@@ -162,18 +162,21 @@
   StepResult result;
   for (const auto& id : planned_decode_) {
     BatchStream* stream = Find(id);
-    if (stream == nullptr || stream->phase != BatchStream::Phase::kDecode)
+    if (stream == nullptr || stream->phase != BatchStream::Phase::kDecode) {
       continue;
+    }
     ++stream->generated;
     ++tokens_;
     result.advanced.push_back(id);
-    if (stream->generated >= stream->request.max_tokens)
+    if (stream->generated >= stream->request.max_tokens) {
       Finish(*stream, now_ms);
+    }
   }
   for (const auto& [id, chunk] : planned_prefill_) {
     BatchStream* stream = Find(id);
-    if (stream == nullptr || stream->phase != BatchStream::Phase::kPrefill)
+    if (stream == nullptr || stream->phase != BatchStream::Phase::kPrefill) {
       continue;
+    }
     stream->prefilled += chunk;
     if (stream->prefilled < stream->request.prompt_tokens) continue;
     if (stream->request.crashes) result.crashed = true;
@@ -182,8 +185,9 @@
     ++stream->generated;
     ++tokens_;
     result.advanced.push_back(id);
-    if (stream->generated >= stream->request.max_tokens)
+    if (stream->generated >= stream->request.max_tokens) {
       Finish(*stream, now_ms);
+    }
   }
   planned_decode_.clear();
   planned_prefill_.clear();
--- a/standins/engine/engine.cc
+++ b/standins/engine/engine.cc
@@ -31,8 +31,9 @@
                if (random_.Chance(options_.cache_event_gap)) return;
                cache_events_.push_back(
                    {MonotonicMs(), cache_sequence_, inserted, hash});
-               if (cache_events_.size() > kCacheEventHistory)
+               if (cache_events_.size() > kCacheEventHistory) {
                  cache_events_.pop_front();
+               }
              }),
       step_timer_(context) {}
 
@@ -41,8 +42,9 @@
     std::shared_ptr<HttpClient> client) {
   std::unique_ptr<Engine> self(
       new Engine(context, std::move(options), std::move(client)));
-  if (auto listening = self->Listen(); !listening)
+  if (auto listening = self->Listen(); !listening) {
     return tl::unexpected(listening.error());
+  }
   self->snapshots_.push_back(self->TakeSnapshot());
   self->Tick();
   return self;
@@ -250,8 +252,9 @@
   auto it = readers_.find(id);
   if (it == readers_.end() || it->second.number != reader) return;
   readers_.erase(it);
-  if (BatchStream* stream = model_.Find(id))
+  if (BatchStream* stream = model_.Find(id)) {
     stream->kept_since_ms = MonotonicMs();
+  }
 }
 
 void Engine::SendTokens(const std::string& id) {
@@ -345,8 +348,9 @@
   if (!frozen_ && !down_) {
     snapshots_.push_back(TakeSnapshot());
     const int64_t oldest = MonotonicMs() - options_.report_lag_ms - 1'500;
-    while (snapshots_.size() > 2 && snapshots_.front().at_ms < oldest)
+    while (snapshots_.size() > 2 && snapshots_.front().at_ms < oldest) {
       snapshots_.pop_front();
+    }
     for (const auto& id : model_.Expire(MonotonicMs())) {
       ++counters_["dropped_unclaimed"];
       readers_.erase(id);
--- a/standins/engine/engine_state.cc
+++ b/standins/engine/engine_state.cc
@@ -21,8 +21,9 @@
   const Snapshot* earlier = shown;
   for (const auto& snapshot : snapshots_) {
     if (snapshot.at_ms <= now - options_.report_lag_ms) shown = &snapshot;
-    if (snapshot.at_ms <= now - options_.report_lag_ms - 1'000)
+    if (snapshot.at_ms <= now - options_.report_lag_ms - 1'000) {
       earlier = &snapshot;
+    }
   }
   const int64_t span = std::max<int64_t>(1, shown->at_ms - earlier->at_ms);
   return {{"boot", shown->boot},
@@ -256,8 +257,9 @@
     readers_.clear();
     for (auto& [id, reader] : readers) {
       reader.response->Abort();
-      if (BatchStream* stream = model_.Find(id))
+      if (BatchStream* stream = model_.Find(id)) {
         stream->kept_since_ms = MonotonicMs();
+      }
     }
   } else {
     return false;
--- a/standins/platform/platform_server.cc
+++ b/standins/platform/platform_server.cc
@@ -272,8 +272,9 @@
     return;
   }
   const int64_t visible = MonotonicMs() - options_.vm_list_lag.milliseconds();
-  while (vm_history_.size() > 1 && vm_history_[1].at_ms <= visible)
+  while (vm_history_.size() > 1 && vm_history_[1].at_ms <= visible) {
     vm_history_.pop_front();
+  }
   nlohmann::json list = nlohmann::json::array();
   if (!vm_history_.empty() && vm_history_.front().at_ms <= visible) {
     for (const auto& [name, vm] : vm_history_.front().vms) {
--- a/standins/service/plain_service.cc
+++ b/standins/service/plain_service.cc
@@ -9,8 +9,9 @@
     asio::io_context& context, ServiceOptions options) {
   std::unique_ptr<PlainService> self(
       new PlainService(context, std::move(options)));
-  if (auto listening = self->Listen(); !listening)
+  if (auto listening = self->Listen(); !listening) {
     return tl::unexpected(listening.error());
+  }
   return self;
 }
 
--- a/standins/tests/batch_model_test.cc
+++ b/standins/tests/batch_model_test.cc
@@ -29,8 +29,9 @@
   std::map<std::string, int> first;
   for (int step = 1; model.HasWork() && step <= max_steps; ++step) {
     model.BeginStep();
-    for (const auto& id : model.EndStep(0).advanced)
+    for (const auto& id : model.EndStep(0).advanced) {
       first.try_emplace(id, step);
+    }
   }
   return first;
 }
