Split the long files of the gateway process; take the retry ratio from the settings

The setting for the allowed ratio of repeats was read and not used; its three quarters are the share of before, 0.15, with the users' 0.2. The dispatcher's rank of VMs had two copies; RankDispatchers is the one. No behaviour changes.

--- a/modules/zr_gateway/pool_dispatcher.cc
+++ b/modules/zr_gateway/pool_dispatcher.cc
@@ -139,17 +139,16 @@
   for (const CallKey& key : over) End(now, key);
 }
 
-VmId DispatcherOf(const PoolId& pool, const std::vector<VmId>& vms) {
-  VmId best;
-  double best_score = 0;
-  for (const VmId& vm : vms) {
-    const double score = RendezvousScore(pool.value(), vm.value());
-    if (best.empty() || score > best_score) {
-      best = vm;
-      best_score = score;
-    }
-  }
-  return best;
+std::vector<VmId> RankDispatchers(const PoolId& pool, std::vector<VmId> vms,
+                                  size_t count) {
+  count = std::min(count, vms.size());
+  std::partial_sort(vms.begin(), vms.begin() + static_cast<int64_t>(count),
+                    vms.end(), [&pool](const VmId& a, const VmId& b) {
+                      return RendezvousScore(pool.value(), a.value()) >
+                             RendezvousScore(pool.value(), b.value());
+                    });
+  vms.resize(count);
+  return vms;
 }
 
 }  // namespace zr
--- a/modules/zr_gateway/pool_dispatcher.h
+++ b/modules/zr_gateway/pool_dispatcher.h
@@ -58,7 +58,13 @@
   std::map<CallKey, Placed> calls_;
 };
 
-/** The VM that dispatches a pool, by rendezvous hashing; empty for no VMs. */
-VmId DispatcherOf(const PoolId& pool, const std::vector<VmId>& vms);
+/**
+ * The VMs that come first for a pool by rendezvous hashing; the first of them
+ * that lives dispatches it.
+ *
+ * @param count  how many to return at most
+ */
+std::vector<VmId> RankDispatchers(const PoolId& pool, std::vector<VmId> vms,
+                                  size_t count);
 
 }  // namespace zr
--- a/modules/zr_gateway/tests/placement_test.cc
+++ b/modules/zr_gateway/tests/placement_test.cc
@@ -184,15 +184,25 @@
   std::vector<VmId> vms;
   vms.reserve(13);
   for (int i = 0; i < 13; ++i) vms.push_back(VmId("vm-" + std::to_string(i)));
-  const VmId chosen = DispatcherOf(PoolId("p"), vms);
+  const auto chosen = RankDispatchers(PoolId("p"), vms, 3);
+  REQUIRE(chosen.size() == 3);
   std::reverse(vms.begin(), vms.end());
-  REQUIRE(DispatcherOf(PoolId("p"), vms) == chosen);
-  REQUIRE(DispatcherOf(PoolId("p"), {}).empty());
-  std::set<VmId> all;
-  for (int i = 0; i < 30; ++i) {
-    all.insert(DispatcherOf(PoolId("p" + std::to_string(i)), vms));
+  REQUIRE(RankDispatchers(PoolId("p"), vms, 3) == chosen);
+  SECTION("the loss of the first moves the pool to the second") {
+    std::erase(vms, chosen[0]);
+    REQUIRE(RankDispatchers(PoolId("p"), vms, 1)[0] == chosen[1]);
+  }
+  SECTION("fewer VMs than wanted are all ranked") {
+    REQUIRE(RankDispatchers(PoolId("p"), {}, 3).empty());
+    REQUIRE(RankDispatchers(PoolId("p"), {vms[0]}, 3).size() == 1);
+  }
+  SECTION("pools are spread over the VMs") {
+    std::set<VmId> all;
+    for (int i = 0; i < 30; ++i) {
+      all.insert(RankDispatchers(PoolId("p" + std::to_string(i)), vms, 1)[0]);
+    }
+    REQUIRE(all.size() > 5);
   }
-  REQUIRE(all.size() > 5);
 }
 
 // Guards against a placing that serves callers worse than VMs which decide by
--- a/modules/zr_gateway_host/dispatch_client.cc
+++ b/modules/zr_gateway_host/dispatch_client.cc
@@ -87,14 +87,9 @@
   std::set<std::string> targets;
   for (const PoolId& pool : pools_) {
     std::vector<VmId> vms;
+    vms.reserve(vms_.size());
     for (const auto& [vm, address] : vms_) vms.push_back(vm);
-    const size_t count = std::min(kRankedVms, vms.size());
-    std::partial_sort(vms.begin(), vms.begin() + static_cast<int64_t>(count),
-                      vms.end(), [&pool](const VmId& a, const VmId& b) {
-                        return RendezvousScore(pool.value(), a.value()) >
-                               RendezvousScore(pool.value(), b.value());
-                      });
-    vms.resize(count);
+    vms = RankDispatchers(pool, std::move(vms), kRankedVms);
     for (const VmId& vm : vms) targets.insert(vms_[vm]);
     ranked_[pool] = std::move(vms);
   }
--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -140,3 +140,5 @@
 }  // namespace zr
 
 #include "zr_gateway_host/forwarded_request_impl.h"
+// After the constants of the file above.
+#include "zr_gateway_host/forwarded_request_call_impl.h"
--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -106,3 +106,5 @@
 }  // namespace zr
 
 #include "zr_gateway_host/gateway_node_impl.h"
+// After the constants of the file above.
+#include "zr_gateway_host/gateway_store_impl.h"
--- a/modules/zr_gateway_host/gateway_state.h
+++ b/modules/zr_gateway_host/gateway_state.h
@@ -31,13 +31,23 @@
         log(settings.vm.value()),
         freshness(settings.revocation_bound - kWatchGap),
         random(Hash64(settings.callers_address)),
+        retry_ratio(settings.retry_ratio),
         vm(settings.vm) {}
 
   RetryBudget& BudgetOf(const ServiceName& service) {
-    // The floor and burst of all VMs stay below a service's fixed allowance.
-    return budgets.try_emplace(service, 0.15, 0.2, 3.0).first->second;
+    return budgets
+        .try_emplace(service, kRetryShare * retry_ratio, kRetryFloor,
+                     kRetryBurst)
+        .first->second;
   }
 
+  // Part of the allowed ratio of repeats that is used; the rest is a margin for
+  // windows in which requests become fewer.
+  static constexpr double kRetryShare = 0.75;
+  // Repeats a second, and at once, of a VM that has few requests. The sum over
+  // all VMs stays below a service's fixed allowance.
+  static constexpr double kRetryFloor = 0.2;
+  static constexpr double kRetryBurst = 3.0;
   /** A watch may miss changes for about a second before it is cut off. */
   static constexpr Duration kWatchGap = Duration::Milliseconds(1300);
 
@@ -50,6 +60,7 @@
   /** Knows this VM's calls only, so it spreads them. */
   Placement own_placement{Placement::Options{.pack = false}};
   Random random;
+  double retry_ratio;
   std::unordered_map<ServiceName, RetryBudget> budgets;
   std::shared_ptr<HttpClient> http;
   std::shared_ptr<DispatchClient> dispatch;
--- /dev/null
+++ b/modules/zr_gateway_host/gateway_store_impl.h
@@ -0,0 +1,245 @@
+#pragma once
+
+// Implementation of gateway_node.h: what the store says, and the members that
+// this VM joins there.
+
+#include <random>
+#include <utility>
+
+namespace zr {
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::OnList(const std::string& kind,
+                                 const std::vector<StoreItem>& items) {
+  const TimePoint now = BootNow();
+  if (kind == Format::kConfigKind) {
+    for (const StoreItem& item : items) ApplyConfig(item);
+  } else if (kind == Format::kEndpointKind) {
+    std::vector<DirectoryEntry> entries;
+    for (const StoreItem& item : items) {
+      if (auto entry = DecodeEntry(item)) entries.push_back(std::move(*entry));
+    }
+    directory_.OnList(now, entries);
+    dispatch_directory_->OnList(now, entries);
+    endpoints_known_ = true;
+  } else if (kind == gateway_internal::kMemberKind) {
+    members_.clear();
+    for (const StoreItem& item : items) ApplyMember(item);
+    JoinMembers();
+  } else {
+    evacuated_.clear();
+    for (const StoreItem& item : items) evacuated_.insert(DomainId(item.name));
+    ApplyEvacuations();
+  }
+  state_.log.Write(now, "listed", {{"kind", kind}, {"items", items.size()}});
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::OnChanges(const std::string& kind,
+                                    const std::vector<StoreItem>& items) {
+  if (kind == Format::kConfigKind) {
+    for (const StoreItem& item : items) {
+      if (!item.deleted) ApplyConfig(item);
+    }
+  } else if (kind == Format::kEndpointKind) {
+    for (const StoreItem& item : items) ApplyEndpoint(item);
+  } else if (kind == gateway_internal::kMemberKind) {
+    for (const StoreItem& item : items) ApplyMember(item);
+    JoinMembers();
+  } else {
+    for (const StoreItem& item : items) {
+      if (item.deleted) {
+        evacuated_.erase(DomainId(item.name));
+      } else {
+        evacuated_.insert(DomainId(item.name));
+      }
+    }
+    ApplyEvacuations();
+  }
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::OnEvidence(const std::string& kind,
+                                     TimePoint started) {
+  if (kind == Format::kConfigKind && state_.config) {
+    state_.freshness.OnEvidence(started);
+  }
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::OnReachable(const std::string& kind, bool reachable,
+                                      StoreStatus status) {
+  const TimePoint now = BootNow();
+  if (kind == Format::kEndpointKind) {
+    directory_.OnReachable(now, reachable);
+    dispatch_directory_->OnReachable(now, reachable);
+  }
+  state_.log.Write(
+      now, reachable ? "store_back" : "store_lost",
+      {{"kind", kind},
+       {"status", ToString(status)},
+       {"config_age_ms", state_.freshness.Age(now).milliseconds()}});
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::ApplyConfig(const StoreItem& item) {
+  if (item.name != Format::kConfigName) return;
+  const TimePoint now = BootNow();
+  auto parts = Format::DecodeConfig(item.value);
+  if (!parts) {
+    state_.log.Write(now, "config_rejected",
+                     {{"revision", item.version.value()},
+                      {"reason", ToString(parts.error())}});
+    return;
+  }
+  const int64_t version = parts->version;
+  const bool first = !state_.config;
+  if (state_.config && version <= state_.config->version()) return;
+  auto config = GatewayConfig::Create(std::move(*parts));
+  if (!config) {
+    state_.log.Write(now, "config_rejected",
+                     {{"revision", item.version.value()},
+                      {"reason", ToString(config.error())}});
+    return;
+  }
+  state_.config = std::move(*config);
+  dispatch_->SetPools(state_.config->ModelPools());
+  // Entries are read with what the configuration says of their services.
+  if (first) feeds_[kEndpointFeed]->Start();
+  state_.log.Write(now, "config_in_force",
+                   {{"version", version},
+                    {"revision", item.version.value()},
+                    {"routes", state_.config->routes().size()}});
+}
+
+template <GatewayFormat Format>
+std::optional<DirectoryEntry> GatewayNode<Format>::DecodeEntry(
+    const StoreItem& item) {
+  auto listed = Format::DecodeEndpoint(item.name, item.value);
+  if (!listed) {
+    state_.log.Write(BootNow(), "entry_rejected",
+                     {{"name", item.name},
+                      {"revision", item.version.value()},
+                      {"reason", ToString(listed.error())}});
+    return std::nullopt;
+  }
+  DirectoryEntry entry;
+  if (state_.config) {
+    if (const auto* policy = state_.config->FindService(listed->service)) {
+      entry.cold_rate_per_s = policy->cold_rate_per_s;
+    }
+  }
+  entry.endpoint = std::move(*listed);
+  return entry;
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::ApplyEndpoint(const StoreItem& item) {
+  const TimePoint now = BootNow();
+  const EndpointId id(item.name);
+  if (item.deleted) {
+    directory_.OnRemoved(now, id);
+    dispatch_directory_->OnRemoved(now, id);
+    state_.log.Write(
+        now, "endpoint_removed",
+        {{"endpoint", item.name}, {"revision", item.version.value()}});
+    return;
+  }
+  const EndpointState* known = state_.board.Find(id);
+  const bool was_draining = known != nullptr && known->listed.draining;
+  auto entry = DecodeEntry(item);
+  // An entry that can't be read names no endpoint to use.
+  if (!entry) {
+    dispatch_directory_->OnRemoved(now, id);
+    return directory_.OnRemoved(now, id);
+  }
+  directory_.OnEntry(now, *entry);
+  dispatch_directory_->OnEntry(now, *entry);
+  if (known == nullptr || was_draining != entry->endpoint.draining) {
+    state_.log.Write(now, "endpoint_listed",
+                     {{"endpoint", item.name},
+                      {"address", entry->endpoint.address},
+                      {"draining", entry->endpoint.draining},
+                      {"cold_ms", entry->endpoint.cold_left.milliseconds()},
+                      {"revision", item.version.value()}});
+  }
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::ApplyEvacuations() {
+  state_.board.SetEvacuated(evacuated_);
+  dispatch_->dispatcher().board().SetEvacuated(evacuated_);
+  LogFields fields = {{"domains", LogFields::array()}};
+  for (const DomainId& domain : evacuated_) {
+    fields["domains"].push_back(domain.value());
+  }
+  state_.log.Write(BootNow(), "evacuations", fields);
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::ApplyMember(const StoreItem& item) {
+  using namespace gateway_internal;
+  const auto value = nlohmann::json::parse(item.value, nullptr, false);
+  if (item.name == kKeyName) {
+    if (!item.deleted && value.is_string()) peer_key_ = value;
+    return;
+  }
+  if (!item.name.starts_with(kVmPrefix)) return;
+  const VmId vm(item.name.substr(kVmPrefix.size()));
+  if (item.deleted || !value.is_string()) {
+    members_.erase(vm);
+  } else {
+    members_[vm] = {value.get<std::string>(), item.version};
+  }
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::JoinMembers() {
+  using namespace gateway_internal;
+  // A lost answer does not matter: the watch shows what took effect.
+  const auto put = [this](const std::string& name, ObjectVersion expected,
+                          const std::string& text) {
+    store_->Put(StorePurpose::kStatus, kMemberKind, name, expected,
+                nlohmann::json(text).dump(), [this, name](StoreReply reply) {
+                  state_.log.Write(
+                      BootNow(), "member_written",
+                      {{"name", name}, {"status", ToString(reply.status)}});
+                });
+  };
+  if (peer_key_.empty()) {
+    std::random_device device;
+    std::string key;
+    for (int i = 0; i < kKeyWords; ++i) key += std::to_string(device());
+    put(kKeyName, ObjectVersion(), key);
+  }
+  const Member own = members_[settings_.vm];
+  if (own.address != settings_.peers_address) {
+    put(std::string(kVmPrefix) + settings_.vm.value(), own.version,
+        settings_.peers_address);
+    members_[settings_.vm].address = settings_.peers_address;
+  }
+  if (!peer_key_.empty() && !dispatch_->started() && !state_.stopping) {
+    if (auto started = dispatch_->Start(peer_key_); !started) {
+      state_.log.Write(BootNow(), "peers_failed",
+                       {{"reason", ToString(started.error())}});
+    }
+    state_.dispatch = dispatch_;
+  }
+  if (state_.stopping) return;
+  std::map<VmId, std::string> addresses;
+  for (const auto& [vm, member] : members_) addresses[vm] = member.address;
+  dispatch_->SetVms(std::move(addresses));
+}
+
+template <GatewayFormat Format>
+std::vector<HeldCall> GatewayNode<Format>::HeldCallsOf(
+    const PoolId& pool) const {
+  const TimePoint now = BootNow();
+  std::vector<HeldCall> calls;
+  for (const auto& request : requests_) {
+    if (auto held = request->Held(now, pool)) calls.push_back(std::move(*held));
+  }
+  return calls;
+}
+
+}  // namespace zr
