Notice the store's return at once, and before the changes that come with it

Ruled out: the 0.8 s in which changes are gathered; the removal was read 3 ms after it was written. Change: the first watch after a failure waits 50 ms, and the return is reported before the changes of the same answer.

--- a/modules/zr_gateway_host/store_feed.h
+++ b/modules/zr_gateway_host/store_feed.h
@@ -68,6 +68,8 @@
   static constexpr int kPageSize = 500;
   static constexpr int kMaxPauseStep = 4;
   static constexpr Duration kFirstPause = Duration::Milliseconds(20);
+  // Wait of a watch that finds out whether the store is back.
+  static constexpr Duration kProbeWait = Duration::Milliseconds(50);
 
   void List(const std::string& after) {
     if (after.empty()) items_.clear();
@@ -87,6 +89,7 @@
     for (StoreItem& item : reply.items) items_.push_back(std::move(item));
     if (reply.more && !items_.empty()) return List(items_.back().name);
     listed_ = true;
+    NoteReachable();
     listener_.OnList(options_.kind, items_);
     items_.clear();
     Succeed(list_started_);
@@ -95,7 +98,9 @@
 
   void Watch() {
     const TimePoint started = BootNow();
-    store_->Watch(options_.purpose, options_.kind, version_, options_.wait,
+    // A long watch would report the store's return only with the next change.
+    const Duration wait = reachable_ ? options_.wait : kProbeWait;
+    store_->Watch(options_.purpose, options_.kind, version_, wait,
                   [self = this->shared_from_this(), started](StoreReply reply) {
                     self->OnWatched(started, std::move(reply));
                   });
@@ -109,6 +114,7 @@
     }
     if (reply.status != StoreStatus::kOk) return Fail(reply.status);
     version_ = std::max(version_, reply.version);
+    NoteReachable();
     const bool changed = !reply.items.empty();
     if (changed) listener_.OnChanges(options_.kind, reply.items);
     Succeed(started);
@@ -120,13 +126,17 @@
 
   void Succeed(TimePoint started) {
     failures_ = 0;
-    if (!reachable_) {
-      reachable_ = true;
-      listener_.OnReachable(options_.kind, true, StoreStatus::kOk);
-    }
     listener_.OnEvidence(options_.kind, started);
   }
 
+  // Precedes the changes of the same answer, which are judged by the time
+  // since the store's return.
+  void NoteReachable() {
+    if (reachable_) return;
+    reachable_ = true;
+    listener_.OnReachable(options_.kind, true, StoreStatus::kOk);
+  }
+
   void Fail(StoreStatus status) {
     if (reachable_) {
       reachable_ = false;
--- a/tests/platform/serve.py
+++ b/tests/platform/serve.py
@@ -144,6 +144,23 @@
         for vm in range(3)))
 
 
+def removal_after_an_outage(d):
+    """An endpoint that leaves well after an outage gets nothing two seconds later."""
+    d.store.fault = "refuse"
+    wait_until("VMs notice", lambda: not any(d.ready(vm) for vm in range(3)))
+    d.store.fault = None
+    wait_until("VMs are back", lambda: all(d.ready(vm) for vm in range(3)))
+    time.sleep(3.5)  # longer than lapsed entries have to return
+    gone, kept = d.of("plain")
+    d.store.put("servers", gone.id, None)
+    time.sleep(2)  # the bound on work for an endpoint that leaves
+    before = sum(gone.runs.values())
+    for n in range(12):
+        d.call(n % 3, "GET", "/many/x", f"removed-{n}")
+    check(sum(gone.runs.values()) == before, "an endpoint that left got work")
+    d.store.put("servers", gone.id, gone.entry())
+
+
 def caller_leaves(d):
     import http.client
     for engine in d.of("llm"):
@@ -194,7 +211,8 @@
 def test(d):
     for step in (each_kind_is_served, bad_requests_are_refused, too_large_is_refused_at_once, broken_calls,
                  silent_stream,
-                 configuration_changes, store_outage, caller_leaves, planned_stop, logs_explain):
+                 configuration_changes, store_outage, removal_after_an_outage,
+                 caller_leaves, planned_stop, logs_explain):
         print(f"- {step.__name__}", flush=True)
         step(d)
 
