Hold prompts larger than an engine in the memory of several engines

Ruled out: keeping them for an emptier engine, since their size exceeds the capacity itself. Change: a plan shares the memory evenly among the fewest engines with room (SplitMemory); the ingress VM reserves it at all of them or at none, renews it while the call runs and releases it at its end (ReservationSet, ReservationKeeper). Reservations live 3 s, so those of a lost VM end within the 4 s that the platform allows; a release is repeated while an order without an answer may still be carried out. The dispatcher counts the memory at each holder.

--- a/modules/zr_gateway/placement.cc
+++ b/modules/zr_gateway/placement.cc
@@ -70,8 +70,34 @@
   return engine.stride * step;
 }
 
-bool FitsEngine(const EngineFigures& engine, const PromptShape& shape) {
-  return shape.prompt + shape.max_answer <= engine.kv_capacity;
+CallEndpoints PlacementPlan::Endpoints() const {
+  CallEndpoints endpoints;
+  endpoints.first = first.endpoint;
+  for (const PlacedEndpoint& helper : helpers) {
+    endpoints.helpers.push_back(helper.endpoint);
+  }
+  endpoints.holders = holders;
+  endpoints.reserved = reserved;
+  return endpoints;
+}
+
+bool FitsEngines(const EngineFigures& engine, const PromptShape& shape,
+                 size_t engines, size_t most_helpers) {
+  const auto count = static_cast<int64_t>(std::min(engines, most_helpers + 1));
+  return (shape.prompt + shape.max_answer).value() <=
+         engine.kv_capacity.value() * count;
+}
+
+std::optional<MemorySplit> SplitMemory(
+    double need, double free_first, const std::vector<double>& free_helpers) {
+  if (need <= free_first) return MemorySplit{};
+  for (size_t holders = 1; holders <= free_helpers.size(); ++holders) {
+    const double share = std::ceil(need / static_cast<double>(holders + 1));
+    // Engines are sorted, so the last holder has the least room.
+    if (share > free_first || share > free_helpers[holders - 1]) continue;
+    return MemorySplit{holders, TokenCount(static_cast<int64_t>(share))};
+  }
+  return std::nullopt;
 }
 
 double EngineMilliseconds(const EngineFigures& engine,
@@ -102,7 +128,6 @@
     view.rank = TieRank(*state, tie);
     engines.push_back(view);
   }
-  if (!FitsEngine(*engine, needs.shape)) return std::nullopt;
   const double read_ms = ReadMilliseconds(*engine, needs.shape.prompt);
   if (read_ms <= options_.single_read_ms) {
     return PackShort(engines, *engine, needs, read_ms);
@@ -202,21 +227,32 @@
       disturbed += choice.disturbed;
       done = std::max(done, choice.done);
     }
-    // The engine with most free memory keeps the prompt.
-    const auto first = std::max_element(
-        choices.begin(), choices.end(), [](const Choice& a, const Choice& b) {
-          return a.engine->free_tokens < b.engine->free_tokens;
-        });
-    if (need > first->engine->free_tokens) done += kMemoryWaitMs;
+    // The engine with most free memory runs the request.
+    std::stable_sort(choices.begin(), choices.end(),
+                     [](const Choice& a, const Choice& b) {
+                       return a.engine->free_tokens > b.engine->free_tokens;
+                     });
+    const EngineView* first = choices.front().engine;
+    std::vector<double> free_helpers;
+    for (size_t i = 1; i < choices.size(); ++i) {
+      free_helpers.push_back(choices[i].engine->free_tokens);
+    }
+    const auto split = SplitMemory(need, first->free_tokens, free_helpers);
+    if (!split) {
+      if (need > static_cast<double>(figures.kv_capacity.value())) continue;
+      done += kMemoryWaitMs;
+    }
     const std::pair score(disturbed + value * risk(done), done);
     if (best && !(score < best_score)) continue;
     best_score = score;
     best.emplace();
-    best->first = first->engine->Placed();
-    for (const Choice& choice : choices) {
-      if (choice.engine != first->engine) {
-        best->helpers.push_back(choice.engine->Placed());
-      }
+    best->first = first->Placed();
+    for (size_t i = 1; i < choices.size(); ++i) {
+      best->helpers.push_back(choices[i].engine->Placed());
+    }
+    if (split) {
+      best->holders = split->holders;
+      best->reserved = split->reserved;
     }
     best->part_ms = part;
     best->expected_first_token = FromMilliseconds(done);
--- a/modules/zr_gateway/placement.h
+++ b/modules/zr_gateway/placement.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "zr_base/zr_base.h"
+#include "zr_gateway/call_endpoints.h"
 #include "zr_gateway/endpoint_board.h"
 #include "zr_gateway/gateway_types.h"
 
@@ -24,8 +25,12 @@
   PlacedEndpoint first;  // runs the request
   /** Engines that read a part of the prompt each, for the first. */
   std::vector<PlacedEndpoint> helpers;
-  double part_ms = 0;             // reading time of each part
+  size_t holders = 0;   // of the helpers, those that keep their part in memory
+  TokenCount reserved;  // memory to be reserved at each holder
+  double part_ms = 0;   // reading time of each part
   Duration expected_first_token;  // from published figures and known load
+
+  CallEndpoints Endpoints() const;
 };
 
 /** What a request asks of the endpoints. */
@@ -38,6 +43,9 @@
   friend auto operator<=>(const CallNeeds&, const CallNeeds&) = default;
 };
 
+/** Most helpers that an engine accepts for one prompt. */
+inline constexpr size_t kMaxHelpers = 16;
+
 /** Milliseconds that one engine needs to read a prompt alone. */
 double ReadMilliseconds(const EngineFigures& engine, TokenCount prompt);
 
@@ -45,8 +53,33 @@
 double PassMilliseconds(const EngineFigures& engine, int writers,
                         double mean_context);
 
-/** One engine's memory holds the prompt and the longest answer. */
-bool FitsEngine(const EngineFigures& engine, const PromptShape& shape);
+/**
+ * The memory of so many engines holds the prompt and the longest answer.
+ *
+ * @param most_helpers  that one request may have
+ */
+bool FitsEngines(const EngineFigures& engine, const PromptShape& shape,
+                 size_t engines, size_t most_helpers);
+
+/** How many engines hold a prompt besides the one that runs it. */
+struct MemorySplit {
+  size_t holders = 0;
+  TokenCount reserved;  // at each holder
+  friend auto operator<=>(const MemorySplit&, const MemorySplit&) = default;
+};
+
+/**
+ * Shares the memory of a request evenly among as few engines as have room.
+ * This answers loads whose longest prompts exceed one engine, or the memory
+ * that others have left on it.
+ *
+ * @param need          tokens of the prompt and its longest answer
+ * @param free_first    tokens free on the engine that runs the request
+ * @param free_helpers  tokens free on the others, most first
+ * @returns nothing if they have no room together
+ */
+std::optional<MemorySplit> SplitMemory(double need, double free_first,
+                                       const std::vector<double>& free_helpers);
 
 /**
  * Engine time that a request needs, in milliseconds: to read its prompt and,
@@ -74,8 +107,7 @@
   struct Options {
     /** A prompt that one engine reads within this stays on one engine. */
     double single_read_ms = 60;
-    /** Most helpers that an engine accepts for one prompt. */
-    size_t max_helpers = 16;
+    size_t max_helpers = kMaxHelpers;
     /** Memory left free for answers, share of an engine's capacity. */
     double kv_reserve = 0.02;
     /** Packs short prompts; right only where the calls of all VMs are known. */
--- a/modules/zr_gateway/pool_dispatcher.cc
+++ b/modules/zr_gateway/pool_dispatcher.cc
@@ -35,12 +35,11 @@
       needs, random_.Next());
   if (!plan) return answer;
 
-  std::vector<EndpointId> endpoints = {plan->first.endpoint};
-  for (const PlacedEndpoint& helper : plan->helpers) {
-    endpoints.push_back(helper.endpoint);
-    answer.helpers.push_back(helper.endpoint);
-  }
-  answer.endpoint = plan->first.endpoint;
+  CallEndpoints endpoints = plan->Endpoints();
+  answer.endpoint = endpoints.first;
+  answer.helpers = endpoints.helpers;
+  answer.holders = static_cast<uint32_t>(endpoints.holders);
+  answer.reserved = endpoints.reserved;
   answer.part_us = static_cast<uint32_t>(1000 * plan->part_ms);
   answer.forecast = plan->expected_first_token;
 
@@ -52,23 +51,20 @@
     load.value_ms = EngineMilliseconds(*service->engine, needs.shape);
   }
   load.expires = now + call.time_left + kForgetAfter;
-  Start(now, KeyOf(vm, call.request, call.call), call.pool, endpoints, load);
+  Start(now, KeyOf(vm, call.request, call.call), call.pool,
+        std::move(endpoints), load);
   return answer;
 }
 
 void PoolDispatcher::Start(TimePoint now, const CallKey& key,
-                           const PoolId& pool,
-                           const std::vector<EndpointId>& endpoints,
+                           const PoolId& pool, CallEndpoints endpoints,
                            const CallLoad& load) {
-  CallLoad part = load;
-  part.key = key;
-  board_.OnStart(now, endpoints.front(), part);
-  part.writes = false;
-  part.held = TokenCount(0);
-  for (size_t i = 1; i < endpoints.size(); ++i) {
-    board_.OnStart(now, endpoints[i], part);
-  }
-  calls_[key] = {pool, endpoints, load.expires};
+  // A call that is placed again replaces what was placed before.
+  End(now, key);
+  CallLoad whole = load;
+  whole.key = key;
+  StartCall(now, board_, endpoints, whole);
+  calls_[key] = {pool, std::move(endpoints), load.expires};
 }
 
 void PoolDispatcher::OnProgress(TimePoint now, const VmId& vm,
@@ -76,17 +72,13 @@
   const CallKey key = KeyOf(vm, progress.request, progress.call);
   auto it = calls_.find(key);
   if (it == calls_.end()) return;
-  const std::vector<EndpointId>& endpoints = it->second.endpoints;
+  const CallEndpoints& endpoints = it->second.endpoints;
   if (progress.stage == CallStage::kPromptRead) {
-    board_.OnPromptRead(now, endpoints.front(), key);
-    for (size_t i = 1; i < endpoints.size(); ++i) {
-      board_.OnEnd(now, endpoints[i], key);
-    }
-    return;
+    return NotePromptRead(now, board_, endpoints, key);
   }
   // With helpers, a rejection may be the fault of any of them.
-  if (endpoints.size() == 1 || progress.sign != CallSign::kRejected) {
-    board_.OnSign(now, endpoints.front(), progress.sign);
+  if (endpoints.helpers.empty() || progress.sign != CallSign::kRejected) {
+    board_.OnSign(now, endpoints.first, progress.sign);
   }
   End(now, key);
 }
@@ -94,9 +86,7 @@
 void PoolDispatcher::End(TimePoint now, const CallKey& key) {
   auto it = calls_.find(key);
   if (it == calls_.end()) return;
-  for (const EndpointId& endpoint : it->second.endpoints) {
-    board_.OnEnd(now, endpoint, key);
-  }
+  EndCall(now, board_, it->second.endpoints, key);
   calls_.erase(it);
 }
 
@@ -108,18 +98,19 @@
   }
   for (const CallKey& key : known) End(now, key);
   for (const HeldCall& call : held.calls) {
-    std::vector<EndpointId> endpoints = {call.endpoint};
-    if (call.part_us > 0) {
-      endpoints.insert(endpoints.end(), call.helpers.begin(),
-                       call.helpers.end());
-    }
+    CallEndpoints endpoints;
+    endpoints.first = call.endpoint;
+    endpoints.helpers = call.helpers;
+    endpoints.holders = std::min<size_t>(call.holders, call.helpers.size());
+    endpoints.reserved = call.reserved;
     CallLoad load;
     load.reading_ms = call.part_us / 1000.0;
     load.held = call.held;
     load.gap = call.gap;
     load.value_ms = call.value_us / 1000.0;
     load.expires = now + call.time_left + kForgetAfter;
-    Start(now, KeyOf(vm, call.request, call.call), held.pool, endpoints, load);
+    Start(now, KeyOf(vm, call.request, call.call), held.pool,
+          std::move(endpoints), load);
   }
 }
 
--- a/modules/zr_gateway/pool_dispatcher.h
+++ b/modules/zr_gateway/pool_dispatcher.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "zr_gateway/call_endpoints.h"
 #include "zr_gateway/endpoint_board.h"
 #include "zr_gateway/gateway_config.h"
 #include "zr_gateway/placement.h"
@@ -44,12 +45,12 @@
  private:
   struct Placed {
     PoolId pool;
-    std::vector<EndpointId> endpoints;  // the first runs the call
+    CallEndpoints endpoints;
     TimePoint expires;
   };
 
   void Start(TimePoint now, const CallKey& key, const PoolId& pool,
-             const std::vector<EndpointId>& endpoints, const CallLoad& load);
+             CallEndpoints endpoints, const CallLoad& load);
   void End(TimePoint now, const CallKey& key);
 
   const Placement& placement_;
--- /dev/null
+++ b/modules/zr_gateway/tests/reservation_test.cc
@@ -0,0 +1,182 @@
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "zr_gateway/tests/placed_load.h"
+#include "zr_gateway/zr_gateway.h"
+
+namespace zr {
+namespace {
+
+using Kind = MemoryOrder::Kind;
+using State = ReservationSet::State;
+
+TimePoint At(int64_t ms) { return TimePoint::FromMicroseconds(ms * 1000); }
+
+size_t Count(const ReservationSet::Orders& orders, Kind kind) {
+  return static_cast<size_t>(
+      std::count_if(orders.begin(), orders.end(),
+                    [kind](const auto& order) { return order.kind == kind; }));
+}
+
+// Guards against prompts that are refused although several engines together
+// have the memory for them.
+TEST_CASE("The memory of one prompt is shared by several engines") {
+  SECTION("an engine with room keeps it alone") {
+    REQUIRE(SplitMemory(100, 100, {})->holders == 0);
+  }
+  SECTION("the fewest engines with room share it evenly") {
+    const auto split = SplitMemory(1000, 450, {450, 450, 450});
+    REQUIRE(split);
+    REQUIRE(split->holders == 2);
+    REQUIRE(split->reserved == TokenCount(334));
+  }
+  SECTION("a full engine among the helpers holds nothing") {
+    const auto split = SplitMemory(600, 450, {310, 10});
+    REQUIRE(split->holders == 1);
+  }
+  SECTION("too little memory in all is said so") {
+    REQUIRE_FALSE(SplitMemory(1000, 450, {450}));
+  }
+  SECTION("an upper bound tells what can never be served") {
+    const EngineFigures figures = ExampleEngine();
+    const PromptShape shape{TokenCount(800'000), TokenCount(1'000)};
+    REQUIRE_FALSE(FitsEngines(figures, shape, 1, kMaxHelpers));
+    REQUIRE(FitsEngines(figures, shape, 2, kMaxHelpers));
+    REQUIRE_FALSE(FitsEngines(figures, shape, 20, 0));
+  }
+}
+
+// Guards against a prompt of 600,000 tokens that gets no engine, and against
+// memory that is counted twice or not at all.
+TEST_CASE("A prompt larger than one engine is placed on several") {
+  const EngineFigures figures = ExampleEngine();
+  const Placement placement;
+  EndpointBoard board;
+  for (int i = 0; i < 4; ++i) board.Upsert(At(0), ExampleEndpoint(i), 0);
+  CallNeeds needs;
+  needs.shape = {TokenCount(600'000), TokenCount(1'600)};
+  needs.objective = Duration::Milliseconds(4000);
+  needs.gap = Duration::Milliseconds(800);
+  needs.time_left = Duration::Seconds(15);
+  const auto place = [&] {
+    return placement.Choose(At(0), board, ServiceName("pool"), &figures, needs,
+                            1);
+  };
+  const auto plan = place();
+  REQUIRE(plan);
+  REQUIRE(plan->holders >= 1);
+  CallLoad load;
+  load.key = {VmId("vm"), RequestId("r1"), 1};
+  load.reading_ms = plan->part_ms;
+  load.held = TokenCount(601'600);
+  load.expires = At(15'000);
+  const CallEndpoints endpoints = plan->Endpoints();
+  StartCall(At(0), board, endpoints, load);
+  const auto held = [&] {
+    int64_t sum = 0;
+    for (const auto& [id, state] : board.endpoints()) {
+      REQUIRE(state.Held() <= figures.kv_capacity);
+      sum += state.Held().value();
+    }
+    return sum;
+  };
+  REQUIRE(held() == 601'600);
+  SECTION("the memory stays occupied after the prompt was read") {
+    NotePromptRead(At(100), board, endpoints, load.key);
+    REQUIRE(held() == 601'600);
+    for (const auto& [id, state] : board.endpoints()) {
+      REQUIRE(state.BacklogMs(At(100)) == 0);
+    }
+  }
+  SECTION("and is free after the call") {
+    EndCall(At(100), board, endpoints, load.key);
+    REQUIRE(held() == 0);
+  }
+  SECTION("a third such prompt finds too little memory") {
+    for (const char* name : {"r2", "r3"}) {
+      const auto next = place();
+      if (!next) break;
+      load.key.request = RequestId(name);
+      StartCall(At(0), board, next->Endpoints(), load);
+      held();
+    }
+    REQUIRE_FALSE(place());
+  }
+}
+
+// Guards against memory that stays reserved for good, and against a call that
+// begins without it.
+TEST_CASE("Memory is reserved at all engines or at none") {
+  const std::vector<PlacedEndpoint> engines = {
+      {EndpointId("e0"), "127.0.0.1:1"}, {EndpointId("e1"), "127.0.0.1:2"}};
+  ReservationSet set("vm.r1.1", engines, TokenCount(1000),
+                     Duration::Seconds(3));
+  const auto asked = set.Begin(At(0));
+  REQUIRE(Count(asked, Kind::kReserve) == 2);
+  REQUIRE(asked[0].id != asked[1].id);
+
+  SECTION("it is held once both have confirmed") {
+    REQUIRE(set.OnOutcome(At(1), asked[0], OrderOutcome::kDone).empty());
+    REQUIRE(set.state() == State::kAsking);
+    set.OnOutcome(At(2), asked[1], OrderOutcome::kDone);
+    REQUIRE(set.state() == State::kHeld);
+
+    SECTION("and renewed well before it ends") {
+      REQUIRE(set.Tick(At(500)).empty());
+      const auto renewals = set.Tick(At(1001));
+      REQUIRE(Count(renewals, Kind::kReserve) == 2);
+      REQUIRE(renewals[0].id == asked[0].id);
+      SECTION("a renewal in flight is released by its answer") {
+        REQUIRE(set.End(At(1002)).empty());
+        const auto releases =
+            set.OnOutcome(At(1003), renewals[0], OrderOutcome::kDone);
+        REQUIRE(Count(releases, Kind::kRelease) == 1);
+      }
+      SECTION("a renewal without an answer is repeated") {
+        set.OnOutcome(At(1400), renewals[0], OrderOutcome::kUnanswered);
+        REQUIRE(Count(set.Tick(At(2001)), Kind::kReserve) == 1);
+      }
+    }
+    SECTION("the end of the call releases both") {
+      const auto releases = set.End(At(100));
+      REQUIRE(Count(releases, Kind::kRelease) == 2);
+      REQUIRE(set.state() == State::kReleasing);
+      for (const auto& order : releases) {
+        set.OnOutcome(At(101), order, OrderOutcome::kDone);
+      }
+      REQUIRE(set.state() == State::kOver);
+      REQUIRE(set.Tick(At(5000)).empty());
+    }
+  }
+  SECTION("a refusal releases what the other one confirmed") {
+    set.OnOutcome(At(1), asked[0], OrderOutcome::kDone);
+    const auto releases =
+        set.OnOutcome(At(2), asked[1], OrderOutcome::kRefused);
+    REQUIRE(set.state() == State::kFailed);
+    REQUIRE(Count(releases, Kind::kRelease) == 1);
+    REQUIRE(releases[0].endpoint == engines[0]);
+    set.OnOutcome(At(3), releases[0], OrderOutcome::kDone);
+    REQUIRE(set.state() == State::kOver);
+  }
+  SECTION("an order without an answer is released until it can't come late") {
+    set.OnOutcome(At(1), asked[0], OrderOutcome::kRefused);
+    auto orders = set.OnOutcome(At(400), asked[1], OrderOutcome::kUnanswered);
+    REQUIRE(Count(orders, Kind::kRelease) == 1);
+    int releases = 1;
+    TimePoint last = At(400);
+    for (int64_t ms = 410; ms < 20'000; ms += 10) {
+      for (const auto& order : orders) {
+        set.OnOutcome(At(ms), order, OrderOutcome::kDone);
+      }
+      orders = set.Tick(At(ms));
+      releases += static_cast<int>(orders.size());
+      if (!orders.empty()) last = At(ms);
+    }
+    REQUIRE(releases > 4);
+    REQUIRE(last > At(5'000));
+    REQUIRE(set.state() == State::kOver);
+  }
+}
+
+}  // namespace
+}  // namespace zr
--- a/modules/zr_gateway/zr_gateway.h
+++ b/modules/zr_gateway/zr_gateway.h
@@ -10,6 +10,7 @@
  */
 
 #include "zr_gateway/attempt_rules.h"
+#include "zr_gateway/call_endpoints.h"
 #include "zr_gateway/config_freshness.h"
 #include "zr_gateway/endpoint_board.h"
 #include "zr_gateway/endpoint_directory.h"
@@ -18,3 +19,4 @@
 #include "zr_gateway/gateway_types.h"
 #include "zr_gateway/placement.h"
 #include "zr_gateway/pool_dispatcher.h"
+#include "zr_gateway/reservation_set.h"
--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -10,6 +10,7 @@
 #include "zr_gateway_host/dispatch_client.h"
 #include "zr_gateway_host/gateway_format.h"
 #include "zr_gateway_host/gateway_state.h"
+#include "zr_gateway_host/reservation_keeper.h"
 
 namespace zr {
 
@@ -76,7 +77,8 @@
     std::optional<AnswerHead> head;
     EventSplitter events;
     std::string body;
-    bool reading = true;  // the prompt has not been read in full
+    bool reading = true;     // the prompt has not been read in full
+    bool reserving = false;  // engines have not confirmed their memory yet
     std::shared_ptr<HttpCall> handle;
   };
 
@@ -91,6 +93,8 @@
   double ValueMs() const;
   CallKey Key() const { return {state_.vm, request_.id, call_->number}; }
   void Send(TimePoint now, PlacementPlan plan);
+  void Transmit(TimePoint now);
+  void OnReserved(TimePoint now, bool held);
   void OnHead(int status, const HttpHeaders& headers);
   bool OnBody(std::string_view data);
   void ForwardEvents();
@@ -129,6 +133,7 @@
   const char* placed_by_ = "";
   bool asking_ = false;   // a dispatcher has not answered yet
   bool waiting_ = false;  // for an endpoint that takes a call
+  int reserve_failures_ = 0;
   std::optional<CallFailure> last_failure_;
   std::optional<int64_t> last_event_;  // forwarded
   bool answer_begun_ = false;
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -12,18 +12,76 @@
 void ForwardedRequest<Format>::Send(TimePoint now, PlacementPlan plan) {
   using namespace gateway_internal;
   waiting_ = false;
+  call_.emplace();
+  call_->number = ++sends_;
+  call_->started = now;
+  call_->last_byte = now;
+  call_->held = request_.shape.prompt + request_.shape.max_answer;
+  call_->plan = std::move(plan);
+  CallLoad load;
+  load.key = Key();
+  load.reading_ms = call_->plan.part_ms;
+  load.held = call_->held;
+  load.gap = route_->gap_objective.value_or(Duration::Max());
+  load.value_ms = ValueMs();
+  load.expires = deadline_ + Duration::Seconds(1);
+  StartCall(now, state_.board, call_->plan.Endpoints(), load);
+  LogFields fields = Fields(now);
+  fields["endpoint"] = call_->plan.first.endpoint.value();
+  fields["helpers"] = call_->plan.helpers.size();
+  fields["holders"] = call_->plan.holders;
+  fields["forecast_ms"] = call_->plan.expected_first_token.milliseconds();
+  fields["by"] = placed_by_;
+  if (const auto* state = state_.board.Find(call_->plan.first.endpoint)) {
+    fields["own_calls"] = state->Writers();
+  }
+  state_.log.Write(now, "placed", fields);
+  if (call_->plan.holders == 0) return Transmit(now);
+  call_->reserving = true;
+  state_.reservations->Reserve(
+      now, Key(), call_->plan,
+      [weak = this->weak_from_this(), number = sends_](bool held) {
+        auto self = weak.lock();
+        if (!self || !self->call_ || self->call_->number != number) return;
+        self->OnReserved(BootNow(), held);
+      });
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::OnReserved(TimePoint now, bool held) {
+  using namespace gateway_internal;
+  call_->reserving = false;
+  if (held) return Transmit(now);
+  ReleaseCall();
+  if (++reserve_failures_ < kMaxReserveFailures) {
+    waiting_ = true;
+    return;
+  }
+  SendOwn({503,
+           Error{ErrorCode::kOverloaded, "reservation", service_->name.value(),
+                 "engines have no memory for the prompt"},
+           kRetryAfter});
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::Transmit(TimePoint now) {
+  using namespace gateway_internal;
   // A suspended VM may wake here long after the key was checked.
   if (!team_.empty() && !state_.freshness.Fresh(now)) {
+    ReleaseCall();
     return SendOwn({503,
                     Error{ErrorCode::kUnavailable, "dispatch", "",
                           "configuration became stale before the call"},
                     kRetryAfter});
   }
+  const PlacementPlan& plan = call_->plan;
   CallTarget target;
   target.endpoint = plan.first.endpoint;
   target.address = plan.first.address;
-  for (const PlacedEndpoint& helper : plan.helpers) {
-    target.helper_addresses.push_back(helper.address);
+  for (size_t i = 0; i < plan.helpers.size(); ++i) {
+    target.helpers.push_back(
+        {plan.helpers[i].address,
+         i < plan.holders ? ReservationKeeper::IdAt(Key(), i) : ""});
   }
   target.time_left = deadline_ - now;
   target.team = team_;
@@ -35,36 +93,10 @@
   call.fresh_connection = route_->repeat == RepeatRule::kOnce;
   call.max_idle = kMaxIdleConnection;
 
-  call_.emplace();
-  call_->number = ++sends_;
+  ++possible_runs_;
+  tried_.insert(plan.first.endpoint);
   call_->started = now;
   call_->last_byte = now;
-  call_->held = request_.shape.prompt + request_.shape.max_answer;
-  call_->plan = std::move(plan);
-  ++possible_runs_;
-  tried_.insert(call_->plan.first.endpoint);
-  CallLoad load;
-  load.key = Key();
-  load.reading_ms = call_->plan.part_ms;
-  load.held = call_->held;
-  load.gap = route_->gap_objective.value_or(Duration::Max());
-  load.value_ms = ValueMs();
-  load.expires = deadline_ + Duration::Seconds(1);
-  state_.board.OnStart(now, call_->plan.first.endpoint, load);
-  load.writes = false;
-  load.held = TokenCount(0);
-  for (const PlacedEndpoint& helper : call_->plan.helpers) {
-    state_.board.OnStart(now, helper.endpoint, load);
-  }
-  LogFields fields = Fields(now);
-  fields["endpoint"] = call_->plan.first.endpoint.value();
-  fields["helpers"] = call_->plan.helpers.size();
-  fields["forecast_ms"] = call_->plan.expected_first_token.milliseconds();
-  fields["by"] = placed_by_;
-  if (const auto* state = state_.board.Find(call_->plan.first.endpoint)) {
-    fields["own_calls"] = state->Writers();
-  }
-  state_.log.Write(now, "placed", fields);
   call_->handle = state_.http->Start(
       std::move(call),
       std::make_shared<CallListener>(this->weak_from_this(), sends_));
@@ -151,11 +183,7 @@
   if (!call_->reading) return;
   call_->reading = false;
   const TimePoint now = BootNow();
-  const CallKey key = Key();
-  state_.board.OnPromptRead(now, call_->plan.first.endpoint, key);
-  for (const PlacedEndpoint& helper : call_->plan.helpers) {
-    state_.board.OnEnd(now, helper.endpoint, key);
-  }
+  zr::NotePromptRead(now, state_.board, call_->plan.Endpoints(), Key());
   if (service_->engine && state_.dispatch) {
     state_.dispatch->Report(
         {request_.id, AttemptNumber(static_cast<uint64_t>(call_->number)),
@@ -289,11 +317,8 @@
   if (!call_) return;
   if (call_->handle) call_->handle->Cancel();
   const TimePoint now = BootNow();
-  const CallKey key = Key();
-  state_.board.OnEnd(now, call_->plan.first.endpoint, key);
-  for (const PlacedEndpoint& helper : call_->plan.helpers) {
-    state_.board.OnEnd(now, helper.endpoint, key);
-  }
+  EndCall(now, state_.board, call_->plan.Endpoints(), Key());
+  if (call_->plan.holders > 0) state_.reservations->Release(now, Key());
   if (service_->engine && state_.dispatch) {
     state_.dispatch->Report(
         {request_.id, AttemptNumber(static_cast<uint64_t>(call_->number)),
@@ -322,8 +347,8 @@
   if (ended_) return;
   if (now >= deadline_) return Expire(now);
   if (waiting_) return Place(now);
-  if (call_ && !paused_ && now - call_->last_byte > SilenceBound() &&
-      CanGoOnElsewhere(now)) {
+  if (call_ && !call_->reserving && !paused_ &&
+      now - call_->last_byte > SilenceBound() && CanGoOnElsewhere(now)) {
     FailCall(CallFailure::kSilent, CallSign::kSilent,
              "no byte within the bound");
   }
@@ -336,7 +361,7 @@
   facts.answer_begun = answer_begun_;
   facts.possible_runs = possible_runs_;
   facts.max_runs = route_->attempts;
-  facts.sends = sends_;
+  facts.sends = sends_ - reserve_failures_;
   facts.time_left = deadline_ - now > gateway_internal::kLeastTimeLeft;
   return facts;
 }
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -27,6 +27,8 @@
 // After this time in a stop, only requests that surely end before the process
 // does are taken; balancers have stopped sending new connections by then.
 inline constexpr Duration kStopAdmission = Duration::Milliseconds(2800);
+// Plans whose reservations may fail before the caller is refused.
+inline constexpr int kMaxReserveFailures = 3;
 // Time after which a refused caller may come back.
 inline constexpr Duration kRetryAfter = Duration::Milliseconds(300);
 
@@ -186,6 +188,8 @@
   }
   plan.first = std::move(plan.helpers.back());
   plan.helpers.pop_back();
+  plan.holders = std::min<size_t>(placed->holders, plan.helpers.size());
+  plan.reserved = placed->reserved;
   placed_by_ = "dispatcher";
   plan.part_ms = placed->part_us / 1000.0;
   plan.expected_first_token = placed->forecast;
@@ -206,7 +210,9 @@
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::NoEndpoint(TimePoint now, Duration retry_after) {
   const bool fits =
-      !service_->engine || FitsEngine(*service_->engine, request_.shape);
+      !service_->engine ||
+      FitsEngines(*service_->engine, request_.shape,
+                  state_.board.CountActive(service_->name), kMaxHelpers);
   const Duration patience =
       std::min(route_->latency_objective / 4, Duration::Milliseconds(300));
   const bool may_come = fits && sends_ == 0 && now - arrived_ < patience &&
@@ -219,7 +225,7 @@
     return SendOwn(
         {503,
          Error{ErrorCode::kTooLarge, "placement", service_->name.value(),
-               "prompt and answer exceed the memory of an engine"},
+               "prompt and answer exceed the memory of the engines"},
          {}});
   }
   SendOwn({503,
@@ -297,11 +303,14 @@
   held.request = request_.id;
   held.call = AttemptNumber(static_cast<uint64_t>(call_->number));
   held.endpoint = call_->plan.first.endpoint;
+  const CallEndpoints endpoints = call_->plan.Endpoints();
+  held.helpers = endpoints.helpers;
+  held.holders = static_cast<uint32_t>(endpoints.holders);
+  held.reserved = endpoints.reserved;
   if (call_->reading) {
     held.part_us = static_cast<uint32_t>(1000 * call_->plan.part_ms);
-    for (const PlacedEndpoint& helper : call_->plan.helpers) {
-      held.helpers.push_back(helper.endpoint);
-    }
+  } else {
+    held.helpers.resize(endpoints.holders);
   }
   held.held = call_->held;
   held.gap = route_->gap_objective.value_or(deadline_ - now);
--- a/modules/zr_gateway_host/gateway_format.h
+++ b/modules/zr_gateway_host/gateway_format.h
@@ -26,11 +26,18 @@
   std::string body;
 };
 
+/** An engine that reads a part of a prompt for the one that is called. */
+struct CallHelper {
+  std::string address;
+  std::string reservation;  // id of the memory that it keeps; empty for none
+  friend auto operator<=>(const CallHelper&, const CallHelper&) = default;
+};
+
 /** What a call to an endpoint carries besides the caller's request. */
 struct CallTarget {
   EndpointId endpoint;  // any other endpoint at the address refuses the call
   std::string address;
-  std::vector<std::string> helper_addresses;
+  std::vector<CallHelper> helpers;
   Duration time_left;
   TeamId team;  // empty on anonymous routes
   std::optional<int64_t> resume_after;
@@ -63,9 +70,11 @@
 concept GatewayFormat = ObjectFormat<typename F::Store> &&
     requires(HttpRequest request, const CallerRequest& caller,
              const CallTarget& target, int status, const HttpHeaders& headers,
-             const OwnAnswer& answer, const std::string& text) {
+             const OwnAnswer& answer, const MemoryOrder& order,
+             const std::string& text) {
   { F::ReadRequest(std::move(request)) } -> std::same_as<Result<CallerRequest>>;
   { F::WriteCall(caller, target) } -> std::same_as<ClientRequest>;
+  { F::WriteMemoryOrder(order) } -> std::same_as<ClientRequest>;
   { F::ReadHead(status, headers) } -> std::same_as<AnswerHead>;
   { F::WriteOwnHeaders(caller.id, answer) } -> std::same_as<HttpHeaders>;
   { F::DecodeConfig(text) } -> std::same_as<Result<GatewayConfigParts>>;
--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -14,6 +14,7 @@
 #include "zr_gateway_host/forwarded_request.h"
 #include "zr_gateway_host/gateway_settings.h"
 #include "zr_gateway_host/gateway_state.h"
+#include "zr_gateway_host/reservation_keeper.h"
 #include "zr_gateway_host/store_feed.h"
 
 namespace zr {
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -81,6 +81,9 @@
   dispatch_directory_ =
       std::make_unique<EndpointDirectory>(dispatch_->dispatcher().board());
 
+  state_.reservations = std::make_shared<ReservationKeeper>(
+      state_, settings_.reservation_hold, &Format::WriteMemoryOrder);
+
   HttpServerOptions options;
   options.max_header_bytes = kMaxHeaderBytes;
   options.max_body_bytes = kMaxBodyBytes;
@@ -251,6 +254,7 @@
   }
   directory_.Tick(now);
   dispatch_directory_->Tick(now);
+  state_.reservations->Tick(now);
   state_.board.Expire(now);
   dispatch_->Tick(now);
   if (now >= next_settings_check_) {
--- a/modules/zr_gateway_host/gateway_state.h
+++ b/modules/zr_gateway_host/gateway_state.h
@@ -15,6 +15,7 @@
 namespace zr {
 
 class DispatchClient;
+class ReservationKeeper;
 
 /** Time since boot, which counts suspensions of the VM. */
 inline TimePoint BootNow() {
@@ -64,6 +65,7 @@
   std::unordered_map<ServiceName, RetryBudget> budgets;
   std::shared_ptr<HttpClient> http;
   std::shared_ptr<DispatchClient> dispatch;
+  std::shared_ptr<ReservationKeeper> reservations;
   VmId vm;
   bool stopping = false;
   TimePoint stop_began;  // if stopping
--- /dev/null
+++ b/modules/zr_gateway_host/reservation_keeper.cc
@@ -0,0 +1,123 @@
+#include "zr_gateway_host/reservation_keeper.h"
+
+#include <utility>
+
+namespace zr {
+namespace {
+
+// An engine answers an order at once; connecting takes two round trips.
+constexpr Duration kOrderTimeout = Duration::Milliseconds(400);
+// Answers to orders are a few fields.
+constexpr size_t kMaxOrderAnswer = 4096;
+
+OrderOutcome OutcomeOf(int status) {
+  if (status == 200) return OrderOutcome::kDone;
+  return status == 0 ? OrderOutcome::kUnanswered : OrderOutcome::kRefused;
+}
+
+}  // namespace
+
+std::string ReservationKeeper::Name(const CallKey& call) {
+  return call.vm.value() + "." + call.request.value() + "." +
+         std::to_string(call.number);
+}
+
+std::string ReservationKeeper::IdAt(const CallKey& call, size_t holder) {
+  return Name(call) + "." + std::to_string(holder);
+}
+
+void ReservationKeeper::Reserve(TimePoint now, const CallKey& call,
+                                const PlacementPlan& plan, Settled settled) {
+  const std::string name = Name(call);
+  std::vector<PlacedEndpoint> engines(
+      plan.helpers.begin(),
+      plan.helpers.begin() + static_cast<int64_t>(plan.holders));
+  auto [it, added] = sets_.try_emplace(
+      name,
+      Entry{ReservationSet(name, std::move(engines), plan.reserved, hold_),
+            call.request, std::move(settled)});
+  if (!added) return;
+  state_.log.Write(now, "reserve",
+                   {{"request", call.request.value()},
+                    {"name", name},
+                    {"holders", plan.holders},
+                    {"tokens", plan.reserved.value()}});
+  Send(name, it->second.set.Begin(now));
+}
+
+void ReservationKeeper::Release(TimePoint now, const CallKey& call) {
+  auto it = sets_.find(Name(call));
+  if (it == sets_.end()) return;
+  it->second.settled = nullptr;
+  Send(it->first, it->second.set.End(now));
+  Settle(now, Name(call));
+}
+
+void ReservationKeeper::Tick(TimePoint now) {
+  std::vector<std::string> names;
+  for (const auto& [name, entry] : sets_) names.push_back(name);
+  for (const std::string& name : names) {
+    if (auto it = sets_.find(name); it != sets_.end()) {
+      Send(name, it->second.set.Tick(now));
+    }
+    Settle(now, name);
+  }
+}
+
+void ReservationKeeper::Send(const std::string& name,
+                             const ReservationSet::Orders& orders) {
+  for (const MemoryOrder& order : orders) {
+    ClientRequest request = write_(order);
+    request.connect_timeout = kOrderTimeout;
+    request.total_timeout = kOrderTimeout;
+    request.single_send = true;
+    state_.http->Fetch(
+        std::move(request), kMaxOrderAnswer,
+        [this, name, order](tl::expected<ClientResponse, ClientFailure> reply) {
+          // An order that never left this process was not carried out.
+          const bool unsent = !reply && !reply.error().request_sent;
+          constexpr int kUnsentStatus = -1;
+          OnOutcome(name, order,
+                    reply    ? reply->status
+                    : unsent ? kUnsentStatus
+                             : 0);
+        });
+  }
+}
+
+void ReservationKeeper::OnOutcome(const std::string& name,
+                                  const MemoryOrder& order, int status) {
+  auto it = sets_.find(name);
+  if (it == sets_.end()) return;
+  const TimePoint now = BootNow();
+  const OrderOutcome outcome = OutcomeOf(status);
+  if (outcome != OrderOutcome::kDone) {
+    state_.log.Write(
+        now, "order_failed",
+        {{"request", it->second.request.value()},
+         {"endpoint", order.endpoint.endpoint.value()},
+         {"order",
+          order.kind == MemoryOrder::Kind::kReserve ? "reserve" : "release"},
+         {"status", status},
+         {"renewal", it->second.set.state() == ReservationSet::State::kHeld}});
+  }
+  Send(name, it->second.set.OnOutcome(now, order, outcome));
+  Settle(now, name);
+}
+
+void ReservationKeeper::Settle(TimePoint now, const std::string& name) {
+  auto it = sets_.find(name);
+  if (it == sets_.end()) return;
+  const ReservationSet::State state = it->second.set.state();
+  if (state == ReservationSet::State::kAsking) return;
+  Settled settled = std::exchange(it->second.settled, nullptr);
+  if (settled) {
+    state_.log.Write(now, "reserved",
+                     {{"request", it->second.request.value()},
+                      {"held", state == ReservationSet::State::kHeld}});
+  }
+  if (state == ReservationSet::State::kOver) sets_.erase(it);
+  if (settled) settled(state == ReservationSet::State::kHeld);
+}
+
+}  // namespace zr
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -145,8 +145,8 @@
 }
 template <typename A>
 void Fields(A& a, CallPlaced& m) {
-  a(m.request, m.call, m.endpoint, m.helpers, m.part_us, m.forecast,
-    m.retry_after);
+  a(m.request, m.call, m.endpoint, m.helpers, m.holders, m.reserved, m.part_us,
+    m.forecast, m.retry_after);
 }
 template <typename A>
 void Fields(A& a, CallProgress& m) {
@@ -154,8 +154,8 @@
 }
 template <typename A>
 void Fields(A& a, HeldCall& m) {
-  a(m.request, m.call, m.endpoint, m.helpers, m.part_us, m.held, m.gap,
-    m.time_left, m.value_us);
+  a(m.request, m.call, m.endpoint, m.helpers, m.holders, m.reserved, m.part_us,
+    m.held, m.gap, m.time_left, m.value_us);
 }
 template <typename A>
 void Fields(A& a, HeldCalls& m) {
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -412,6 +412,8 @@
   AttemptNumber call;
   EndpointId endpoint;  // empty: no endpoint takes the call
   std::vector<EndpointId> helpers;
+  uint32_t holders = 0;  // of the helpers, those that keep their part in memory
+  TokenCount reserved;   // memory of each holder
   uint32_t part_us = 0;  // reading time of each part
   Duration forecast;     // until the first token
   Duration retry_after;  // if no endpoint takes the call
@@ -450,7 +452,9 @@
   RequestId request;
   AttemptNumber call;
   EndpointId endpoint;
-  std::vector<EndpointId> helpers;
+  std::vector<EndpointId> helpers;  // the holders only once it has been read
+  uint32_t holders = 0;
+  TokenCount reserved;   // memory of each holder
   uint32_t part_us = 0;  // 0 once the prompt has been read
   TokenCount held;
   Duration gap;
