Let few VMs watch the store for all, and let long prompts wait in overload

Change: two VMs, and one more for each hundred, watch the store (StoreRelay); the others ask them every 0.4 s, count the age of the proof from the moment they asked (StoreMirror, JudgeNews), and turn to the store only without news. A VM that has lost the store gets the configuration itself.

Change: reading time has a price that rises with the backlog, up to what recent prompts brought for theirs; a prompt worth less, and one that is late already, waits (StartRule). The value of a request is its size in tokens instead of its reading time, which is quadratic.

--- a/modules/zr_gateway/endpoint_board.cc
+++ b/modules/zr_gateway/endpoint_board.cc
@@ -104,7 +104,7 @@
     const bool disturbed =
         call.writes &&
         static_cast<double>(call.gap.microseconds()) < 1000 * pause_ms;
-    if (disturbed) value += call.value_ms;
+    if (disturbed) value += call.value;
   }
   return value;
 }
@@ -204,6 +204,18 @@
   return chosen;
 }
 
+double EndpointBoard::MeanBacklogMs(TimePoint now,
+                                    const ServiceName& service) const {
+  double sum = 0;
+  int count = 0;
+  for (const auto& [id, state] : endpoints_) {
+    if (state.listed.service != service || !Takes(state)) continue;
+    sum += state.BacklogMs(now);
+    ++count;
+  }
+  return count > 0 ? sum / count : 0;
+}
+
 size_t EndpointBoard::CountActive(const ServiceName& service) const {
   return static_cast<size_t>(std::count_if(
       endpoints_.begin(), endpoints_.end(), [&](const auto& entry) {
--- a/modules/zr_gateway/endpoint_board.h
+++ b/modules/zr_gateway/endpoint_board.h
@@ -28,7 +28,7 @@
   TokenCount held;        // memory until the call ends
   Duration gap = Duration::Max();  // longest pause that its caller tolerates
   bool writes = true;              // takes a slot; false for helpers
-  double value_ms = 0;             // engine time that the whole call needs
+  double value = 0;                // see RequestValue()
   TimePoint expires;               // forgotten then, whatever became of it
   friend auto operator<=>(const CallLoad&, const CallLoad&) = default;
 };
@@ -47,7 +47,7 @@
 
   /** Calls that take a slot. */
   int Writers() const;
-  /** Engine time of the answers whose callers tolerate no such pause. */
+  /** Value of the answers whose callers tolerate no such pause. */
   double ValueDisturbedBy(double pause_ms) const;
   /** Forecast milliseconds until the prompts given to it are read. */
   double BacklogMs(TimePoint now) const;
@@ -125,6 +125,8 @@
       const std::set<EndpointId>& excluded) const;
   /** Endpoints of the service that are neither leaving nor evacuated. */
   size_t CountActive(const ServiceName& service) const;
+  /** Reading not yet done at the service's active endpoints, mean of all. */
+  double MeanBacklogMs(TimePoint now, const ServiceName& service) const;
   size_t size() const { return endpoints_.size(); }
   const std::unordered_map<EndpointId, EndpointState>& endpoints() const {
     return endpoints_;
--- a/modules/zr_gateway/placement.cc
+++ b/modules/zr_gateway/placement.cc
@@ -100,11 +100,10 @@
   return std::nullopt;
 }
 
-double EngineMilliseconds(const EngineFigures& engine,
-                          const PromptShape& shape) {
-  return ReadMilliseconds(engine, shape.prompt) +
-         static_cast<double>(shape.max_answer.value()) * engine.step_ms /
-             std::max(1, engine.slots);
+double RequestValue(const PromptShape& shape) {
+  constexpr double kAnswerTokenWeight = 10;
+  return static_cast<double>(shape.prompt.value()) +
+         kAnswerTokenWeight * static_cast<double>(shape.max_answer.value());
 }
 
 std::optional<PlacementPlan> Placement::Choose(
@@ -129,7 +128,7 @@
     engines.push_back(view);
   }
   const double read_ms = ReadMilliseconds(*engine, needs.shape.prompt);
-  if (read_ms <= options_.single_read_ms) {
+  if (ReadsAlone(read_ms)) {
     return PackShort(engines, *engine, needs, read_ms);
   }
   return SplitLong(engines, *engine, needs, read_ms);
@@ -191,7 +190,7 @@
   const double need = static_cast<double>(
       (needs.shape.prompt + needs.shape.max_answer).value());
   const double objective = Milliseconds(needs.objective);
-  const double value = EngineMilliseconds(figures, needs.shape);
+  const double value = RequestValue(needs.shape);
   const auto risk = [&](double done) {
     const double certain = options_.certain_share * objective;
     return std::clamp((done - certain) / (objective - certain), 0.0, 1.0);
--- a/modules/zr_gateway/placement.h
+++ b/modules/zr_gateway/placement.h
@@ -82,12 +82,11 @@
                                        const std::vector<double>& free_helpers);
 
 /**
- * Engine time that a request needs, in milliseconds: to read its prompt and,
- * shared with the other writers of a full engine, to write its answer. Stands
- * for what the request is worth against others.
+ * What a request is worth against others of its pool: its size in tokens, each
+ * token of the answer counted as ten of the prompt, which engines read many at
+ * a time.
  */
-double EngineMilliseconds(const EngineFigures& engine,
-                          const PromptShape& shape);
+double RequestValue(const PromptShape& shape);
 
 /**
  * Places requests by the load that is known of each endpoint.
@@ -98,7 +97,7 @@
  * the answers which it writes pause. Prompts that read quickly are packed onto
  * engines that already write for callers of the same kind; a longer prompt is
  * split over the engines for which the sum of disturbed answers and of its own
- * risk to be late is least, each weighed by its engine time. Engines for short
+ * risk to be late is least, each weighed by its value. Engines for short
  * and for long prompts so part by themselves, in the proportion of the load.
  * This answers loads whose mix of lengths changes within seconds.
  */
@@ -124,6 +123,11 @@
   Placement() : Placement(Options{}) {}
   explicit Placement(Options options) : options_(options) {}
 
+  /** A prompt that takes so long to read stays on one engine. */
+  bool ReadsAlone(double read_ms) const {
+    return read_ms <= options_.single_read_ms;
+  }
+
   /**
    * @param engine  figures of a model service, null for plain services
    * @param tie     a number that spreads equal choices of several VMs
--- a/modules/zr_gateway/pool_dispatcher.cc
+++ b/modules/zr_gateway/pool_dispatcher.cc
@@ -9,6 +9,9 @@
 // A call is forgotten this long after its deadline, if no VM ended it.
 constexpr Duration kForgetAfter = Duration::Milliseconds(500);
 
+// Pause after which a VM asks again for a prompt that has to wait.
+constexpr Duration kAskAgain = Duration::Milliseconds(200);
+
 CallKey KeyOf(const VmId& vm, const RequestId& request, AttemptNumber call) {
   return {vm, request, static_cast<int>(call.value())};
 }
@@ -33,6 +36,12 @@
   const auto plan = placement_.Choose(
       now, board_, call.pool, service->engine ? &*service->engine : nullptr,
       needs, random_.Next());
+  if (service->engine) {
+    const StartDecision decision =
+        DecideStart(now, *service->engine, call, needs, plan);
+    if (decision == StartDecision::kWait) answer.ask_again = kAskAgain;
+    if (decision != StartDecision::kStart) return answer;
+  }
   if (!plan) return answer;
 
   CallEndpoints endpoints = plan->Endpoints();
@@ -47,15 +56,37 @@
   load.reading_ms = plan->part_ms;
   load.held = call.prompt + call.max_answer;
   load.gap = call.gap;
-  if (service->engine) {
-    load.value_ms = EngineMilliseconds(*service->engine, needs.shape);
-  }
+  load.value = RequestValue(needs.shape);
   load.expires = now + call.time_left + kForgetAfter;
   Start(now, KeyOf(vm, call.request, call.call), call.pool,
         std::move(endpoints), load);
   return answer;
 }
 
+StartDecision PoolDispatcher::DecideStart(
+    TimePoint now, const EngineFigures& engine, const PlaceCall& call,
+    const CallNeeds& needs, const std::optional<PlacementPlan>& plan) {
+  StartFacts facts;
+  facts.read_ms = ReadMilliseconds(engine, call.prompt);
+  if (placement_.ReadsAlone(facts.read_ms) ||
+      !FitsEngines(engine, needs.shape, board_.CountActive(call.pool),
+                   kMaxHelpers)) {
+    return StartDecision::kStart;
+  }
+  facts.value = RequestValue(needs.shape);
+  if (plan) facts.first_token = plan->expected_first_token;
+  const size_t readers =
+      std::min(board_.CountActive(call.pool), kMaxHelpers + 1);
+  facts.soonest = Duration::Microseconds(static_cast<int64_t>(
+      1000 * facts.read_ms / static_cast<double>(readers)));
+  facts.objective_left = needs.objective;
+  facts.time_left = needs.time_left;
+  StartRule& rule = start_rules_[call.pool];
+  if (!call.waited) rule.OnArrival(now, facts.read_ms, facts.value);
+  if (!plan) return rule.DecideWithoutRoom(facts);
+  return rule.Decide(board_.MeanBacklogMs(now, call.pool), facts);
+}
+
 void PoolDispatcher::Start(TimePoint now, const CallKey& key,
                            const PoolId& pool, CallEndpoints endpoints,
                            const CallLoad& load) {
@@ -107,7 +138,7 @@
     load.reading_ms = call.part_us / 1000.0;
     load.held = call.held;
     load.gap = call.gap;
-    load.value_ms = call.value_us / 1000.0;
+    load.value = static_cast<double>(call.value);
     load.expires = now + call.time_left + kForgetAfter;
     Start(now, KeyOf(vm, call.request, call.call), held.pool,
           std::move(endpoints), load);
--- a/modules/zr_gateway/pool_dispatcher.h
+++ b/modules/zr_gateway/pool_dispatcher.h
@@ -10,6 +10,7 @@
 #include "zr_gateway/endpoint_board.h"
 #include "zr_gateway/gateway_config.h"
 #include "zr_gateway/placement.h"
+#include "zr_gateway/start_rule.h"
 #include "zr_wire/messages.h"
 
 namespace zr {
@@ -49,6 +50,10 @@
     TimePoint expires;
   };
 
+  /** Whether a long prompt starts now; see StartRule. */
+  StartDecision DecideStart(TimePoint now, const EngineFigures& engine,
+                            const PlaceCall& call, const CallNeeds& needs,
+                            const std::optional<PlacementPlan>& plan);
   void Start(TimePoint now, const CallKey& key, const PoolId& pool,
              CallEndpoints endpoints, const CallLoad& load);
   void End(TimePoint now, const CallKey& key);
@@ -57,6 +62,7 @@
   Random random_;
   EndpointBoard board_;
   std::map<CallKey, Placed> calls_;
+  std::map<PoolId, StartRule> start_rules_;
 };
 
 /**
--- /dev/null
+++ b/modules/zr_gateway/store_mirror.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "zr_base/zr_base.h"
+#include "zr_wire/messages.h"
+
+namespace zr {
+
+/**
+ * What a VM has read of the store's objects of one kind, kept for the VMs that
+ * ask it instead of the store. A deployment of many VMs so needs the calls of
+ * a few.
+ *
+ * Each change is stamped with the store's version up to which the answer was
+ * complete, so a stamp is never lower than the change's own version.
+ */
+class StoreMirror {
+ public:
+  /** @param large  objects are passed on only to VMs without the store */
+  StoreMirror(std::string kind, bool large)
+      : kind_(std::move(kind)), large_(large) {}
+
+  /** All objects as of a version of the store. */
+  void OnList(ObjectVersion at, std::vector<RelayedObject> objects);
+  /** All changes up to a version of the store. */
+  void OnChanges(ObjectVersion at, std::vector<RelayedObject> objects);
+  /** A call that began then has shown that nothing else had changed. */
+  void OnEvidence(TimePoint started, ObjectVersion at);
+  void OnReachable(bool reachable) { reachable_ = reachable; }
+
+  /** What has changed for a VM that knows all up to a version. */
+  KindNews NewsSince(TimePoint now, const KindVersion& known) const;
+
+ private:
+  struct Kept {
+    RelayedObject object;
+    ObjectVersion stamp;
+  };
+
+  std::string kind_;
+  bool large_;
+  std::map<std::string, Kept> objects_;
+  ObjectVersion listed_;   // removals before it are not known
+  ObjectVersion version_;  // all changes up to it are known
+  ObjectVersion changed_;
+  TimePoint evidence_;
+  bool reachable_ = false;
+};
+
+/** What a VM makes of another one's news. */
+enum class NewsVerdict : uint8_t {
+  kUseless,    // too old, or the other VM has lost the store
+  kUnchanged,  // nothing new, and that is proved
+  kApply,      // the objects of the news are all that has changed
+  kFetch,      // the changes have to be read at the store
+};
+
+/** @param known  version of the store up to which all changes are known */
+NewsVerdict JudgeNews(const KindNews& news, ObjectVersion known);
+
+}  // namespace zr
--- a/modules/zr_gateway/tests/placed_load.h
+++ b/modules/zr_gateway/tests/placed_load.h
@@ -45,7 +45,7 @@
   int short_in_time = 0;
   int long_asked = 0;
   int long_in_time = 0;
-  double worth = 0;  // engine time of the answers that were in time
+  double worth = 0;  // value of the answers that were in time
 };
 
 /**
@@ -92,7 +92,7 @@
     load.reading_ms = plan->part_ms;
     load.held = needs.shape.prompt + needs.shape.max_answer;
     load.gap = needs.gap;
-    load.value_ms = EngineMilliseconds(figures, needs.shape);
+    load.value = RequestValue(needs.shape);
     load.expires = now + needs.time_left;
     const auto index = [](const PlacedEndpoint& placed) {
       return static_cast<size_t>(std::stoi(placed.endpoint.value().substr(1)));
@@ -126,7 +126,7 @@
       *first = false;
       *last = at;
     };
-    const double value = load.value_ms;
+    const double value = load.value;
     job->on_end = [&board, &result, plan = *plan, key, in_time, is_long,
                    value](TimePoint at) {
       board.OnEnd(at, plan.first.endpoint, key);
--- a/modules/zr_gateway/tests/placement_test.cc
+++ b/modules/zr_gateway/tests/placement_test.cc
@@ -47,7 +47,7 @@
     load.key = {VmId("vm"), RequestId(name), 1};
     load.reading_ms = plan.part_ms;
     load.gap = needs.gap;
-    load.value_ms = EngineMilliseconds(figures, needs.shape);
+    load.value = RequestValue(needs.shape);
     load.expires = At(100'000);
     board.OnStart(At(0), plan.first.endpoint, load);
   };
--- /dev/null
+++ b/modules/zr_gateway/tests/store_mirror_test.cc
@@ -0,0 +1,100 @@
+#include <catch2/catch.hpp>
+
+#include "zr_gateway/zr_gateway.h"
+
+namespace zr {
+namespace {
+
+TimePoint At(int64_t ms) { return TimePoint::FromMicroseconds(ms * 1000); }
+ObjectVersion V(uint64_t version) { return ObjectVersion(version); }
+
+RelayedObject Object(const std::string& name, uint64_t version,
+                     const std::string& value = "x") {
+  return {name, V(version), value, false};
+}
+
+RelayedObject Removed(const std::string& name, uint64_t version) {
+  return {name, V(version), "", true};
+}
+
+// Guards against a VM that misses a change, and above all a removal, because
+// it asked another VM instead of the store.
+TEST_CASE("A VM learns from another one what has changed in the store") {
+  StoreMirror mirror("endpoints", false);
+  const auto since = [&mirror](int64_t ms, uint64_t known) {
+    return mirror.NewsSince(At(ms), {"endpoints", V(known), false});
+  };
+  mirror.OnReachable(true);
+  mirror.OnList(V(100), {Object("a", 10), Object("b", 90)});
+  mirror.OnEvidence(At(1000), V(100));
+
+  SECTION("nothing has changed") {
+    const KindNews news = since(1500, 100);
+    REQUIRE(JudgeNews(news, V(100)) == NewsVerdict::kUnchanged);
+    REQUIRE(news.age == Duration::Milliseconds(500));
+    REQUIRE(news.objects.empty());
+  }
+  SECTION("a VM from before the list gets all, as removals may be missing") {
+    const KindNews news = since(1500, 95);
+    REQUIRE(JudgeNews(news, V(95)) == NewsVerdict::kApply);
+    REQUIRE(news.complete);
+    REQUIRE(news.objects.size() == 2);
+  }
+  SECTION("a change and a removal are told to those who lack them") {
+    mirror.OnChanges(V(110), {Object("c", 105)});
+    mirror.OnChanges(V(120), {Removed("a", 10)});
+    mirror.OnEvidence(At(2000), V(125));
+    const KindNews all = since(2000, 100);
+    REQUIRE_FALSE(all.complete);
+    REQUIRE(all.objects.size() == 2);
+    const KindNews late = since(2000, 110);
+    REQUIRE(late.objects == std::vector{Removed("a", 10)});
+    REQUIRE(late.version == V(125));
+    REQUIRE(JudgeNews(since(2000, 120), V(120)) == NewsVerdict::kUnchanged);
+    SECTION("a change between two versions of the store is told again") {
+      // The asker knows 107; the stamp says only that it was before 110.
+      REQUIRE(since(2000, 107).objects.size() == 2);
+    }
+  }
+  SECTION("an asker that knows more hears nothing") {
+    REQUIRE(JudgeNews(since(1500, 300), V(300)) == NewsVerdict::kUnchanged);
+  }
+  SECTION("large changes are read at the store") {
+    mirror.OnChanges(V(110), {Object("c", 105, std::string(60'000, 'x'))});
+    const KindNews news = since(1500, 100);
+    REQUIRE(JudgeNews(news, V(100)) == NewsVerdict::kFetch);
+    REQUIRE(news.objects.empty());
+  }
+  SECTION("so are those of a kind with large objects") {
+    StoreMirror config("config", true);
+    config.OnReachable(true);
+    config.OnList(V(5), {Object("main", 5)});
+    config.OnEvidence(At(1000), V(5));
+    REQUIRE(JudgeNews(config.NewsSince(At(1000), {"config", V(4), false}),
+                      V(4)) == NewsVerdict::kFetch);
+    SECTION("unless the asker has lost the store") {
+      const KindNews news = config.NewsSince(At(1000), {"config", V(4), true});
+      REQUIRE(JudgeNews(news, V(4)) == NewsVerdict::kApply);
+      REQUIRE(news.objects.size() == 1);
+    }
+  }
+  SECTION("old proof is no proof") {
+    REQUIRE(JudgeNews(since(6000, 100), V(100)) == NewsVerdict::kUseless);
+  }
+  SECTION("a VM that has lost the store proves nothing") {
+    mirror.OnReachable(false);
+    REQUIRE(JudgeNews(since(1500, 100), V(100)) == NewsVerdict::kUseless);
+  }
+  SECTION("removed objects do not pile up") {
+    uint64_t version = 200;
+    for (int i = 0; i < 10'000; ++i) {
+      mirror.OnChanges(V(++version), {Removed("r" + std::to_string(i), 1)});
+    }
+    const KindNews news = since(1500, 150);
+    REQUIRE(news.complete);
+    REQUIRE(news.objects.size() == 2);
+  }
+}
+
+}  // namespace
+}  // namespace zr
--- a/modules/zr_gateway/zr_gateway.h
+++ b/modules/zr_gateway/zr_gateway.h
@@ -20,3 +20,5 @@
 #include "zr_gateway/placement.h"
 #include "zr_gateway/pool_dispatcher.h"
 #include "zr_gateway/reservation_set.h"
+#include "zr_gateway/start_rule.h"
+#include "zr_gateway/store_mirror.h"
--- a/modules/zr_gateway_host/dispatch_client.cc
+++ b/modules/zr_gateway_host/dispatch_client.cc
@@ -17,8 +17,8 @@
 constexpr Duration kAskPatience = Duration::Milliseconds(60);
 // Deployments have at least this many VMs, even if fewer are known yet.
 constexpr size_t kLeastVms = 8;
-// Largest frame between entry VMs; held calls are the largest.
-constexpr size_t kMaxLinkBytes = 256 << 10;
+// Bytes that wait on a link between entry VMs; configurations are the largest.
+constexpr size_t kMaxLinkBytes = 1 << 20;
 // Shares of a cold endpoint's rate: the dispatcher's, and that of all VMs
 // together which place without it. Two dispatchers at once and the VMs stay
 // below one and a half times the rate.
@@ -34,7 +34,8 @@
       settings_(settings),
       state_(state),
       held_calls_(std::move(held_calls)),
-      dispatcher_(state.placement, Hash64(settings.vm.value())) {
+      dispatcher_(state.placement, Hash64(settings.vm.value())),
+      relay_(state) {
   dispatcher_.board().SetColdShare(kDispatcherColdShare);
 }
 
@@ -85,11 +86,13 @@
   if (!links_) return;
   ranked_.clear();
   std::set<std::string> targets;
+  std::vector<VmId> all;
+  all.reserve(vms_.size());
+  for (const auto& [vm, address] : vms_) all.push_back(vm);
+  relay_.SetVms(all);
+  for (const VmId& vm : relay_.targets()) targets.insert(vms_[vm]);
   for (const PoolId& pool : pools_) {
-    std::vector<VmId> vms;
-    vms.reserve(vms_.size());
-    for (const auto& [vm, address] : vms_) vms.push_back(vm);
-    vms = RankDispatchers(pool, std::move(vms), kRankedVms);
+    std::vector<VmId> vms = RankDispatchers(pool, all, kRankedVms);
     for (const VmId& vm : vms) targets.insert(vms_[vm]);
     ranked_[pool] = std::move(vms);
   }
@@ -101,10 +104,7 @@
   auto it = ranked_.find(pool);
   if (it == ranked_.end()) return VmId();
   for (const VmId& vm : it->second) {
-    const bool usable = vm == settings_.vm
-                            ? !retired_
-                            : linked_.contains(vm) && !leaving_.contains(vm);
-    if (usable) return vm;
+    if (vm == settings_.vm ? !retired_ : Usable(vm)) return vm;
   }
   return VmId();
 }
@@ -160,6 +160,7 @@
                       {"endpoint", answer.endpoint.value()},
                       {"helpers", answer.helpers.size()},
                       {"forecast_ms", answer.forecast.milliseconds()},
+                      {"ask_again_ms", answer.ask_again.milliseconds()},
                       {"calls", dispatcher_.calls()}};
   if (const auto* state = dispatcher_.board().Find(answer.endpoint)) {
     fields["endpoint_calls"] = state->Writers();
@@ -180,6 +181,9 @@
 
 void DispatchClient::Tick(TimePoint now) {
   dispatcher_.Tick(now);
+  relay_.Tick(
+      now, [this](const VmId& vm) { return Usable(vm); },
+      [this](const VmId& vm, const Message& m) { return Send(vm, m); });
   std::vector<AskKey> overdue;
   std::set<VmId> silent;
   for (const auto& [key, pending] : pending_) {
@@ -257,6 +261,10 @@
   } else if (const auto* heartbeat = std::get_if<Heartbeat>(&*message)) {
     if (heartbeat->leaving) leaving_.insert(vm);
     NoteDispatchers();
+  } else if (const auto* query = std::get_if<StoreQuery>(&*message)) {
+    Send(vm, relay_.OnQuery(now, *query));
+  } else if (const auto* news = std::get_if<StoreNews>(&*message)) {
+    relay_.OnNews(now, vm, *news);
   }
 }
 
--- a/modules/zr_gateway_host/dispatch_client.h
+++ b/modules/zr_gateway_host/dispatch_client.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "zr_gateway_host/gateway_state.h"
+#include "zr_gateway_host/store_relay.h"
 #include "zr_peer/zr_peer.h"
 
 namespace zr {
@@ -51,6 +52,8 @@
 
   /** Endpoints with the calls of all VMs, as far as this VM dispatches. */
   PoolDispatcher& dispatcher() { return dispatcher_; }
+  /** What VMs tell one another of the store, over the same links. */
+  StoreRelay& relay() { return relay_; }
   void Ask(TimePoint now, const PlaceCall& call, PlacedCallback done);
   void Report(const CallProgress& progress);
   void Tick(TimePoint now);
@@ -70,6 +73,10 @@
 
   CallPlaced Dispatch(TimePoint now, const VmId& vm, const PlaceCall& call);
   void ChooseTargets();
+  /** There is a link to the VM, and it is not about to stop. */
+  bool Usable(const VmId& vm) const {
+    return linked_.contains(vm) && !leaving_.contains(vm);
+  }
   VmId DispatcherFor(const PoolId& pool) const;
   void NoteDispatchers();
   bool Send(const VmId& vm, const Message& message);
@@ -80,6 +87,7 @@
   GatewayState& state_;
   HeldCallsSource held_calls_;
   PoolDispatcher dispatcher_;
+  StoreRelay relay_;
   std::shared_ptr<PeerLinks> links_;
   std::map<VmId, std::string> vms_;
   std::vector<PoolId> pools_;
--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -90,7 +90,6 @@
   void PlaceLocally(TimePoint now);
   void NoEndpoint(TimePoint now, Duration retry_after);
   CallNeeds Needs(TimePoint now) const;
-  double ValueMs() const;
   CallKey Key() const { return {state_.vm, request_.id, call_->number}; }
   void Send(TimePoint now, PlacementPlan plan);
   void Transmit(TimePoint now);
@@ -133,6 +132,7 @@
   const char* placed_by_ = "";
   bool asking_ = false;   // a dispatcher has not answered yet
   bool waiting_ = false;  // for an endpoint that takes a call
+  TimePoint wait_until_;  // a dispatcher let others go first; ask again then
   int reserve_failures_ = 0;
   std::optional<CallFailure> last_failure_;
   std::optional<int64_t> last_event_;  // forwarded
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -23,7 +23,7 @@
   load.reading_ms = call_->plan.part_ms;
   load.held = call_->held;
   load.gap = route_->gap_objective.value_or(Duration::Max());
-  load.value_ms = ValueMs();
+  load.value = RequestValue(request_.shape);
   load.expires = deadline_ + Duration::Seconds(1);
   StartCall(now, state_.board, call_->plan.Endpoints(), load);
   LogFields fields = Fields(now);
@@ -346,7 +346,7 @@
 void ForwardedRequest<Format>::Tick(TimePoint now) {
   if (ended_) return;
   if (now >= deadline_) return Expire(now);
-  if (waiting_) return Place(now);
+  if (waiting_ && now >= wait_until_) return Place(now);
   if (call_ && !call_->reserving && !paused_ &&
       now - call_->last_byte > SilenceBound() && CanGoOnElsewhere(now)) {
     FailCall(CallFailure::kSilent, CallSign::kSilent,
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -126,13 +126,6 @@
   return needs;
 }
 
-template <GatewayFormat Format>
-double ForwardedRequest<Format>::ValueMs() const {
-  return service_->engine
-             ? EngineMilliseconds(*service_->engine, request_.shape)
-             : 0;
-}
-
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::Place(TimePoint now) {
   waiting_ = false;
@@ -153,6 +146,7 @@
   ask.gap = std::min(needs.gap, needs.time_left);
   ask.time_left = needs.time_left;
   ask.excluded = {tried_.begin(), tried_.end()};
+  ask.waited = wait_until_ > TimePoint();
   asking_ = true;
   const int number = ++asks_;
   state_.dispatch->Ask(
@@ -172,6 +166,11 @@
 void ForwardedRequest<Format>::OnPlaced(TimePoint now,
                                         std::optional<CallPlaced> placed) {
   if (!placed) return PlaceLocally(now);
+  if (placed->ask_again > Duration()) {
+    waiting_ = true;
+    wait_until_ = now + placed->ask_again;
+    return;
+  }
   if (placed->endpoint.empty()) return NoEndpoint(now, placed->retry_after);
   // What this VM knows of leaving endpoints binds it, whoever chose them.
   std::vector<EndpointId> endpoints = placed->helpers;
@@ -315,7 +314,7 @@
   held.held = call_->held;
   held.gap = route_->gap_objective.value_or(deadline_ - now);
   held.time_left = std::max(Duration(), deadline_ - now);
-  held.value_us = static_cast<uint32_t>(1000 * ValueMs());
+  held.value = static_cast<uint64_t>(RequestValue(request_.shape));
   return held;
 }
 
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -22,6 +22,9 @@
 inline constexpr Duration kStopMargin = Duration::Milliseconds(400);
 // Watches of the configuration are its evidence; the others may be slower.
 inline constexpr Duration kConfigWatch = Duration::Milliseconds(1400);
+// By the VMs that watch for others; a shorter one lets keys be checked for
+// longer while the store is away.
+inline constexpr Duration kSharedConfigWatch = Duration::Milliseconds(500);
 inline constexpr Duration kEndpointWatch = Duration::Seconds(8);
 inline constexpr Duration kEvacuationWatch = Duration::Seconds(8);
 inline constexpr Duration kMemberWatch = Duration::Seconds(25);
@@ -112,11 +115,15 @@
   const auto follow = [this](const char* kind, StorePurpose purpose,
                              Duration wait, Duration settle = {}) {
     typename Feed::Options feed;
+    // A configuration may be far larger than the links between VMs carry.
+    feed.large = purpose == StorePurpose::kConfig;
+    if (purpose == StorePurpose::kConfig) feed.shared_wait = kSharedConfigWatch;
     feed.kind = kind;
     feed.purpose = purpose;
     feed.wait = wait;
     feed.settle = settle;
     feeds_.push_back(std::make_shared<Feed>(io_, store_, feed, *this));
+    dispatch_->relay().Add(feeds_.back().get());
   };
   follow(Format::kConfigKind, StorePurpose::kConfig, kConfigWatch,
          kConfigSettle);
--- a/modules/zr_gateway_host/store_feed.h
+++ b/modules/zr_gateway_host/store_feed.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "zr_gateway_host/gateway_state.h"
+#include "zr_gateway_host/store_relay.h"
 #include "zr_platform/zr_platform.h"
 
 namespace zr {
@@ -18,10 +19,11 @@
  * Follows all objects of one kind: a complete list, then watches, and a list
  * again when the store has forgotten the history. Watches are short, so that
  * each answer is recent evidence of the kind's state and a silent connection
- * is noticed.
+ * is noticed. While another VM has news, the store is left alone.
  */
 template <ObjectFormat Format>
-class StoreFeed : public std::enable_shared_from_this<StoreFeed<Format>> {
+class StoreFeed : public RelayedKind,
+                  public std::enable_shared_from_this<StoreFeed<Format>> {
  public:
   using Store = BasicObjectStore<Format>;
 
@@ -29,10 +31,14 @@
     std::string kind;
     StorePurpose purpose = StorePurpose::kEndpoints;
     Duration wait = Duration::Milliseconds(1500);  // of one watch
+    /** Of one watch on behalf of other VMs, which need recent evidence. */
+    Duration shared_wait = Duration::Milliseconds(2000);
     Duration pause = Duration::Milliseconds(150);  // after a failed call
     Duration longest_pause = Duration::Milliseconds(800);
     /** Changes within this time are fetched by one call. */
     Duration settle;
+    /** The objects are passed on only to VMs that have lost the store. */
+    bool large = false;
   };
 
   /** Receives what the store says. */
@@ -56,7 +62,8 @@
       : store_(std::move(store)),
         options_(std::move(options)),
         listener_(listener),
-        timer_(io) {}
+        timer_(io),
+        mirror_(options_.kind, options_.large) {}
 
   void Start() { List(""); }
   void Stop() {
@@ -64,12 +71,40 @@
     timer_.cancel();
   }
 
+  // RelayedKind
+  const std::string& kind() const override { return options_.kind; }
+  KindVersion known() const override {
+    return {options_.kind, version_, !reachable_};
+  }
+  KindNews NewsSince(TimePoint now, const KindVersion& asker) const override {
+    return mirror_.NewsSince(now, asker);
+  }
+  void SetWatching(bool watching) override { watching_ = watching; }
+  void OnNews(TimePoint asked, const KindNews& news) override {
+    if (stopped_ || !listed_ || watching_) return;
+    const NewsVerdict verdict = JudgeNews(news, version_);
+    if (verdict == NewsVerdict::kUseless) return;
+    relayed_until_ = BootNow() + kNewsLife;
+    if (verdict == NewsVerdict::kFetch) {
+      if (idle_) WatchStore();
+      return;
+    }
+    NoteReachable();
+    if (verdict == NewsVerdict::kApply) ApplyNews(news);
+    version_ = std::max(version_, news.version);
+    Succeed(asked - news.age);
+  }
+
  private:
   static constexpr int kPageSize = 500;
   static constexpr int kMaxPauseStep = 4;
   static constexpr Duration kFirstPause = Duration::Milliseconds(20);
   // Wait of a watch that finds out whether the store is back.
   static constexpr Duration kProbeWait = Duration::Milliseconds(50);
+  // A watch on behalf of other VMs gathers changes for less time.
+  static constexpr Duration kSharedSettle = Duration::Milliseconds(200);
+  // The store is left alone for this long after another VM's news.
+  static constexpr Duration kNewsLife = Duration::Milliseconds(1200);
 
   void List(const std::string& after) {
     if (after.empty()) items_.clear();
@@ -91,15 +126,29 @@
     listed_ = true;
     NoteReachable();
     listener_.OnList(options_.kind, items_);
+    mirror_.OnList(version_, Relayed(items_));
     items_.clear();
     Succeed(list_started_);
     Watch();
   }
 
   void Watch() {
+    const TimePoint now = BootNow();
+    if (watching_ || now >= relayed_until_) return WatchStore();
+    idle_ = true;
+    news_ended_ = true;
+    Later(relayed_until_ - now);
+  }
+
+  void WatchStore() {
+    idle_ = false;
+    timer_.cancel();
     const TimePoint started = BootNow();
     // A long watch would report the store's return only with the next change.
-    const Duration wait = reachable_ ? options_.wait : kProbeWait;
+    // After another VM's news have ended, evidence is needed soon.
+    const bool soon = !reachable_ || std::exchange(news_ended_, false);
+    const Duration usual = watching_ ? options_.shared_wait : options_.wait;
+    const Duration wait = soon ? kProbeWait : usual;
     store_->Watch(options_.purpose, options_.kind, version_, wait,
                   [self = this->shared_from_this(), started](StoreReply reply) {
                     self->OnWatched(started, std::move(reply));
@@ -116,28 +165,59 @@
     version_ = std::max(version_, reply.version);
     NoteReachable();
     const bool changed = !reply.items.empty();
-    if (changed) listener_.OnChanges(options_.kind, reply.items);
+    if (changed) {
+      listener_.OnChanges(options_.kind, reply.items);
+      mirror_.OnChanges(version_, Relayed(reply.items));
+    }
     Succeed(started);
     if (changed && options_.settle > Duration()) {
-      return Later(options_.settle);
+      return Later(watching_ ? std::min(options_.settle, kSharedSettle)
+                             : options_.settle);
     }
     Watch();
   }
 
+  void ApplyNews(const KindNews& news) {
+    std::vector<StoreItem> items;
+    for (const RelayedObject& object : news.objects) {
+      items.push_back(
+          {object.name, object.version, object.value, object.deleted});
+    }
+    if (news.complete) {
+      listener_.OnList(options_.kind, items);
+      mirror_.OnList(news.version, news.objects);
+    } else {
+      listener_.OnChanges(options_.kind, items);
+      mirror_.OnChanges(news.version, news.objects);
+    }
+  }
+
+  static std::vector<RelayedObject> Relayed(
+      const std::vector<StoreItem>& items) {
+    std::vector<RelayedObject> objects;
+    for (const StoreItem& item : items) {
+      objects.push_back({item.name, item.version, item.value, item.deleted});
+    }
+    return objects;
+  }
+
   void Succeed(TimePoint started) {
     failures_ = 0;
+    mirror_.OnEvidence(started, version_);
     listener_.OnEvidence(options_.kind, started);
   }
 
   // Precedes the changes of the same answer, which are judged by the time
   // since the store's return.
   void NoteReachable() {
+    mirror_.OnReachable(true);
     if (reachable_) return;
     reachable_ = true;
     listener_.OnReachable(options_.kind, true, StoreStatus::kOk);
   }
 
   void Fail(StoreStatus status) {
+    mirror_.OnReachable(false);
     if (reachable_) {
       reachable_ = false;
       listener_.OnReachable(options_.kind, false, status);
@@ -157,6 +237,7 @@
     timer_.async_wait(
         [self = this->shared_from_this()](const asio::error_code& error) {
           if (error || self->stopped_) return;
+          self->idle_ = false;
           if (self->listed_) {
             self->Watch();
           } else {
@@ -169,7 +250,12 @@
   Options options_;
   Listener& listener_;
   asio::steady_timer timer_;
+  StoreMirror mirror_;
   ObjectVersion version_;
+  TimePoint relayed_until_;  // another VM's news are recent until then
+  bool watching_ = false;    // on behalf of other VMs
+  bool idle_ = false;        // waits for news instead of the store
+  bool news_ended_ = false;  // the next watch follows on another VM's news
   std::vector<StoreItem> items_;
   TimePoint list_started_;
   int failures_ = 0;
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -141,12 +141,12 @@
 template <typename A>
 void Fields(A& a, PlaceCall& m) {
   a(m.request, m.call, m.pool, m.prompt, m.max_answer, m.objective, m.gap,
-    m.time_left, m.excluded);
+    m.time_left, m.excluded, m.waited);
 }
 template <typename A>
 void Fields(A& a, CallPlaced& m) {
-  a(m.request, m.call, m.endpoint, m.helpers, m.holders, m.reserved, m.part_us,
-    m.forecast, m.retry_after);
+  a(m.request, m.call, m.endpoint, m.helpers, m.part_us, m.forecast,
+    m.retry_after, m.holders, m.reserved, m.ask_again);
 }
 template <typename A>
 void Fields(A& a, CallProgress& m) {
@@ -154,14 +154,36 @@
 }
 template <typename A>
 void Fields(A& a, HeldCall& m) {
-  a(m.request, m.call, m.endpoint, m.helpers, m.holders, m.reserved, m.part_us,
-    m.held, m.gap, m.time_left, m.value_us);
+  a(m.request, m.call, m.endpoint, m.helpers, m.part_us, m.held, m.gap,
+    m.time_left, m.value, m.holders, m.reserved);
 }
 template <typename A>
 void Fields(A& a, HeldCalls& m) {
   a(m.pool, m.calls);
 }
 
+template <typename A>
+void Fields(A& a, KindVersion& m) {
+  a(m.kind, m.version, m.lost_store);
+}
+template <typename A>
+void Fields(A& a, StoreQuery& m) {
+  a(m.number, m.known);
+}
+template <typename A>
+void Fields(A& a, RelayedObject& m) {
+  a(m.name, m.version, m.value, m.deleted);
+}
+template <typename A>
+void Fields(A& a, KindNews& m) {
+  a(m.kind, m.version, m.changed, m.reachable, m.age, m.has_objects, m.complete,
+    m.objects);
+}
+template <typename A>
+void Fields(A& a, StoreNews& m) {
+  a(m.number, m.kinds);
+}
+
 /** Largest valid value of each enumeration on the wire. */
 template <typename E>
 inline constexpr uint8_t kEnumMax = 0;
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -403,6 +403,7 @@
   Duration gap;                      // longest pause that the caller tolerates
   Duration time_left;                // until the deadline
   std::vector<EndpointId> excluded;  // already tried
+  bool waited = false;               // asked before and told to wait
   friend auto operator<=>(const PlaceCall&, const PlaceCall&) = default;
 };
 
@@ -417,6 +418,7 @@
   uint32_t part_us = 0;  // reading time of each part
   Duration forecast;     // until the first token
   Duration retry_after;  // if no endpoint takes the call
+  Duration ask_again;    // above 0: others go first; ask again after this
   friend auto operator<=>(const CallPlaced&, const CallPlaced&) = default;
 };
 
@@ -459,7 +461,7 @@
   TokenCount held;
   Duration gap;
   Duration time_left;
-  uint32_t value_us = 0;  // engine time that the whole call needs
+  uint64_t value = 0;  // what the whole call is worth against others
   friend auto operator<=>(const HeldCall&, const HeldCall&) = default;
 };
 
@@ -470,6 +472,50 @@
   friend auto operator<=>(const HeldCalls&, const HeldCalls&) = default;
 };
 
+/** What a VM knows of the store's objects of one kind. */
+struct KindVersion {
+  std::string kind;
+  ObjectVersion version;    // of the store, up to which it knows all changes
+  bool lost_store = false;  // it can't read changes there itself
+  friend auto operator<=>(const KindVersion&, const KindVersion&) = default;
+};
+
+/** Asks a VM that watches the store what has changed there. */
+struct StoreQuery {
+  uint64_t number = 0;  // repeated in the answer
+  std::vector<KindVersion> known;
+  friend auto operator<=>(const StoreQuery&, const StoreQuery&) = default;
+};
+
+/** An object of the store as another VM has read it. */
+struct RelayedObject {
+  std::string name;
+  ObjectVersion version;
+  std::string value;
+  bool deleted = false;
+  friend auto operator<=>(const RelayedObject&, const RelayedObject&) = default;
+};
+
+/** What a VM has read of the objects of one kind. */
+struct KindNews {
+  std::string kind;
+  ObjectVersion version;  // of the store, up to which all changes are known
+  ObjectVersion changed;  // at which the kind last changed, or a later one
+  bool reachable = false;
+  Duration age;              // since the call began that proves all this
+  bool has_objects = false;  // false: changes have to be read at the store
+  bool complete = false;     // the objects are all there are
+  std::vector<RelayedObject> objects;
+  friend auto operator<=>(const KindNews&, const KindNews&) = default;
+};
+
+/** The answer to a StoreQuery. */
+struct StoreNews {
+  uint64_t number = 0;
+  std::vector<KindNews> kinds;
+  friend auto operator<=>(const StoreNews&, const StoreNews&) = default;
+};
+
 /** Any message between entry VMs. The order is part of the wire format. */
 using Message =
     std::variant<Heartbeat, Summary, AdmissionRequest, Grant, Refusal, Release,
@@ -477,7 +523,7 @@
                  StreamLocation, ConfigOffer, ConfigFetch, GatherReserve,
                  GatherReply, GatherRelease, TakeOver, HandOver, SuspectTurn,
                  SuspectTurnReply, MembershipDigest, PlaceCall, CallPlaced,
-                 CallProgress, HeldCalls>;
+                 CallProgress, HeldCalls, StoreQuery, StoreNews>;
 
 /** A message with the VM it goes to. */
 struct OutgoingMessage {
