Wait for an endpoint when a broken stream has to go on elsewhere

Cause: tests/platform/serve.py, broken_calls, failed once after the store relay: the VM that placed the resumed call had not read yet that an engine was back, and the stream was cut at once. Change: a stream that has begun waits up to a second for an endpoint, other calls as long as before, counted from each search. A prompt that can't end before its deadline is refused at once instead of after the search (CallPlaced::hopeless); before, it waited 0.1 s.

--- a/modules/zr_gateway/pool_dispatcher.cc
+++ b/modules/zr_gateway/pool_dispatcher.cc
@@ -40,6 +40,7 @@
     const StartDecision decision =
         DecideStart(now, *service->engine, call, needs, plan);
     if (decision == StartDecision::kWait) answer.ask_again = kAskAgain;
+    answer.hopeless = decision == StartDecision::kRefuse;
     if (decision != StartDecision::kStart) return answer;
   }
   if (!plan) return answer;
--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -130,9 +130,10 @@
   int possible_runs_ = 0;
   int asks_ = 0;  // of dispatchers
   const char* placed_by_ = "";
-  bool asking_ = false;   // a dispatcher has not answered yet
-  bool waiting_ = false;  // for an endpoint that takes a call
-  TimePoint wait_until_;  // a dispatcher let others go first; ask again then
+  bool asking_ = false;    // a dispatcher has not answered yet
+  bool waiting_ = false;   // for an endpoint that takes a call
+  TimePoint place_began_;  // the search for the next call's endpoint
+  TimePoint wait_until_;   // a dispatcher let others go first; ask again then
   int reserve_failures_ = 0;
   std::optional<CallFailure> last_failure_;
   std::optional<int64_t> last_event_;  // forwarded
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -27,6 +27,10 @@
 // After this time in a stop, only requests that surely end before the process
 // does are taken; balancers have stopped sending new connections by then.
 inline constexpr Duration kStopAdmission = Duration::Milliseconds(2800);
+// A request waits so long for an endpoint that takes it, or less if it would be
+// late; a broken stream may wait longer, as its caller has a part already.
+inline constexpr Duration kPlacePatience = Duration::Milliseconds(300);
+inline constexpr Duration kResumePatience = Duration::Milliseconds(1000);
 // Plans whose reservations may fail before the caller is refused.
 inline constexpr int kMaxReserveFailures = 3;
 // Time after which a refused caller may come back.
@@ -128,6 +132,7 @@
 
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::Place(TimePoint now) {
+  if (!waiting_) place_began_ = now;
   waiting_ = false;
   if (service_->engine && state_.dispatch) return PlaceByDispatcher(now);
   PlaceLocally(now);
@@ -171,6 +176,13 @@
     wait_until_ = now + placed->ask_again;
     return;
   }
+  if (placed->hopeless) {
+    return SendOwn(
+        {503,
+         Error{ErrorCode::kOverloaded, "placement", service_->name.value(),
+               "prompt can't be read and answered before its deadline"},
+         placed->retry_after});
+  }
   if (placed->endpoint.empty()) return NoEndpoint(now, placed->retry_after);
   // What this VM knows of leaving endpoints binds it, whoever chose them.
   std::vector<EndpointId> endpoints = placed->helpers;
@@ -208,13 +220,15 @@
 
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::NoEndpoint(TimePoint now, Duration retry_after) {
+  using namespace gateway_internal;
   const bool fits =
       !service_->engine ||
       FitsEngines(*service_->engine, request_.shape,
                   state_.board.CountActive(service_->name), kMaxHelpers);
   const Duration patience =
-      std::min(route_->latency_objective / 4, Duration::Milliseconds(300));
-  const bool may_come = fits && sends_ == 0 && now - arrived_ < patience &&
+      answer_begun_ ? kResumePatience
+                    : std::min(route_->latency_objective / 4, kPlacePatience);
+  const bool may_come = fits && now - place_began_ < patience &&
                         state_.board.CountActive(service_->name) > 0;
   if (may_come) {
     waiting_ = true;
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -146,7 +146,7 @@
 template <typename A>
 void Fields(A& a, CallPlaced& m) {
   a(m.request, m.call, m.endpoint, m.helpers, m.part_us, m.forecast,
-    m.retry_after, m.holders, m.reserved, m.ask_again);
+    m.retry_after, m.holders, m.reserved, m.ask_again, m.hopeless);
 }
 template <typename A>
 void Fields(A& a, CallProgress& m) {
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -419,6 +419,7 @@
   Duration forecast;     // until the first token
   Duration retry_after;  // if no endpoint takes the call
   Duration ask_again;    // above 0: others go first; ask again after this
+  bool hopeless = false;  // it can't be answered before its deadline
   friend auto operator<=>(const CallPlaced&, const CallPlaced&) = default;
 };
 
