--- a/modules/zr_gateway/endpoint_board.cc
+++ b/modules/zr_gateway/endpoint_board.cc
@@ -22,17 +22,30 @@
     state.report.reset();
   }
   state.listed = listed;
+  EndpointId& holder = at_address_[listed.address];
+  const EndpointState* other = Find(holder);
+  if (other == nullptr || other->listed.address != listed.address ||
+      other->listed.boot_ms <= listed.boot_ms) {
+    holder = listed.id;
+  }
   if (listed.cold_left > Duration()) {
     OnCold(now, listed.id, listed.cold_left, cold_rate);
   }
 }
 
-void EndpointBoard::Remove(const EndpointId& id) { endpoints_.erase(id); }
+void EndpointBoard::Remove(const EndpointId& id) {
+  auto it = endpoints_.find(id);
+  if (it == endpoints_.end()) return;
+  auto holder = at_address_.find(it->second.listed.address);
+  if (holder != at_address_.end() && holder->second == id) {
+    at_address_.erase(holder);
+  }
+  endpoints_.erase(it);
+}
 
-void EndpointBoard::RetainOnly(const std::set<EndpointId>& present) {
-  std::erase_if(endpoints_, [&present](const auto& entry) {
-    return !present.contains(entry.first);
-  });
+bool EndpointBoard::Superseded(const ListedEndpoint& listed) const {
+  auto holder = at_address_.find(listed.address);
+  return holder != at_address_.end() && holder->second != listed.id;
 }
 
 void EndpointBoard::OnStart(TimePoint now, const EndpointId& id,
@@ -182,7 +195,8 @@
 }
 
 bool EndpointBoard::Takes(const EndpointState& state) const {
-  return !state.listed.draining && !evacuated_.contains(state.listed.domain);
+  return !state.listed.draining && !evacuated_.contains(state.listed.domain) &&
+         !Superseded(state.listed);
 }
 
 std::vector<const EndpointState*> EndpointBoard::Available(
--- a/modules/zr_gateway/endpoint_board.h
+++ b/modules/zr_gateway/endpoint_board.h
@@ -82,8 +82,6 @@
   void Upsert(TimePoint now, const ListedEndpoint& listed, double cold_rate);
   /** The entry is gone: no new calls; its calls in progress go on. */
   void Remove(const EndpointId& id);
-  /** Removes all that are not in the set (after a complete list). */
-  void RetainOnly(const std::set<EndpointId>& present);
   /** The domain gets no new calls until it is returned. */
   void SetEvacuated(std::set<DomainId> domains) {
     evacuated_ = std::move(domains);
@@ -134,11 +132,15 @@
 
  private:
   bool Takes(const EndpointState& state) const;
+  /** Another endpoint that started later has the address. */
+  bool Superseded(const ListedEndpoint& listed) const;
   static void NoteReadingEnd(TimePoint now, EndpointState& state);
   EndpointState* FindMutable(const EndpointId& id);
 
   Options options_;
   std::unordered_map<EndpointId, EndpointState> endpoints_;
+  /** The endpoint that started last at each address. */
+  std::unordered_map<std::string, EndpointId> at_address_;
   std::set<DomainId> evacuated_;
 };
 
