Drop store answers that news have overtaken; send waiting prompts away from a stopping VM

Found by reading the change. Cause 1: while a watch is on its way, another VM's news may already tell of later changes; the older answer was applied after them and could bring back an endpoint that had left. StoreMirror::OnChanges refuses it now (store_mirror_test.cc, a new result that did not exist before). Cause 2: a long prompt that waits for others could wait beyond the grace time of its VM and be cut. It is refused as not run when the VM stops, with Retry-After 0 (tests/platform/serve.py, prompt_that_waits_is_told_of_a_stop; not run against the tree before).

--- a/modules/zr_gateway/store_mirror.cc
+++ b/modules/zr_gateway/store_mirror.cc
@@ -23,11 +23,17 @@
   objects_.clear();
   listed_ = std::max(listed_, at);
   changed_ = std::max(changed_, at);
-  OnChanges(at, std::move(objects));
+  Keep(at, std::move(objects));
 }
 
-void StoreMirror::OnChanges(ObjectVersion at,
+bool StoreMirror::OnChanges(ObjectVersion at,
                             std::vector<RelayedObject> objects) {
+  if (at < version_) return false;
+  Keep(at, std::move(objects));
+  return true;
+}
+
+void StoreMirror::Keep(ObjectVersion at, std::vector<RelayedObject> objects) {
   version_ = std::max(version_, at);
   if (objects.empty()) return;
   changed_ = std::max(changed_, at);
--- a/modules/zr_gateway/store_mirror.h
+++ b/modules/zr_gateway/store_mirror.h
@@ -25,8 +25,14 @@
 
   /** All objects as of a version of the store. */
   void OnList(ObjectVersion at, std::vector<RelayedObject> objects);
-  /** All changes up to a version of the store. */
-  void OnChanges(ObjectVersion at, std::vector<RelayedObject> objects);
+  /**
+   * All changes up to a version of the store.
+   *
+   * @returns false if later ones are known already, from another VM whose news
+   *          have overtaken the answer; these must not be applied
+   */
+  [[nodiscard]] bool OnChanges(ObjectVersion at,
+                               std::vector<RelayedObject> objects);
   /** A call that began then has shown that nothing else had changed. */
   void OnEvidence(TimePoint started, ObjectVersion at);
   void OnReachable(bool reachable) { reachable_ = reachable; }
@@ -40,6 +46,8 @@
     ObjectVersion stamp;
   };
 
+  void Keep(ObjectVersion at, std::vector<RelayedObject> objects);
+
   std::string kind_;
   bool large_;
   std::map<std::string, Kept> objects_;
--- a/modules/zr_gateway/tests/store_mirror_test.cc
+++ b/modules/zr_gateway/tests/store_mirror_test.cc
@@ -41,8 +41,8 @@
     REQUIRE(news.objects.size() == 2);
   }
   SECTION("a change and a removal are told to those who lack them") {
-    mirror.OnChanges(V(110), {Object("c", 105)});
-    mirror.OnChanges(V(120), {Removed("a", 10)});
+    REQUIRE(mirror.OnChanges(V(110), {Object("c", 105)}));
+    REQUIRE(mirror.OnChanges(V(120), {Removed("a", 10)}));
     mirror.OnEvidence(At(2000), V(125));
     const KindNews all = since(2000, 100);
     REQUIRE_FALSE(all.complete);
@@ -60,7 +60,8 @@
     REQUIRE(JudgeNews(since(1500, 300), V(300)) == NewsVerdict::kUnchanged);
   }
   SECTION("large changes are read at the store") {
-    mirror.OnChanges(V(110), {Object("c", 105, std::string(60'000, 'x'))});
+    REQUIRE(
+        mirror.OnChanges(V(110), {Object("c", 105, std::string(60'000, 'x'))}));
     const KindNews news = since(1500, 100);
     REQUIRE(JudgeNews(news, V(100)) == NewsVerdict::kFetch);
     REQUIRE(news.objects.empty());
@@ -85,10 +86,16 @@
     mirror.OnReachable(false);
     REQUIRE(JudgeNews(since(1500, 100), V(100)) == NewsVerdict::kUseless);
   }
+  SECTION("an answer that was overtaken by news is dropped") {
+    REQUIRE(mirror.OnChanges(V(120), {Removed("a", 10)}));
+    REQUIRE_FALSE(mirror.OnChanges(V(110), {Object("a", 108)}));
+    REQUIRE(since(1500, 100).objects == std::vector{Removed("a", 10)});
+  }
   SECTION("removed objects do not pile up") {
     uint64_t version = 200;
     for (int i = 0; i < 10'000; ++i) {
-      mirror.OnChanges(V(++version), {Removed("r" + std::to_string(i), 1)});
+      REQUIRE(mirror.OnChanges(V(++version),
+                               {Removed("r" + std::to_string(i), 1)}));
     }
     const KindNews news = since(1500, 150);
     REQUIRE(news.complete);
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -171,6 +171,12 @@
 void ForwardedRequest<Format>::OnPlaced(TimePoint now,
                                         std::optional<CallPlaced> placed) {
   if (!placed) return PlaceLocally(now);
+  if (placed->ask_again > Duration() && state_.stopping) {
+    return SendOwn({503,
+                    Error{ErrorCode::kUnavailable, "placement", "",
+                          "this VM stops while the prompt waits for others"},
+                    Duration()});
+  }
   if (placed->ask_again > Duration()) {
     waiting_ = true;
     wait_until_ = now + placed->ask_again;
--- a/modules/zr_gateway_host/store_feed.h
+++ b/modules/zr_gateway_host/store_feed.h
@@ -162,13 +162,12 @@
       return List("");
     }
     if (reply.status != StoreStatus::kOk) return Fail(reply.status);
-    version_ = std::max(version_, reply.version);
     NoteReachable();
     const bool changed = !reply.items.empty();
-    if (changed) {
+    if (changed && mirror_.OnChanges(reply.version, Relayed(reply.items))) {
       listener_.OnChanges(options_.kind, reply.items);
-      mirror_.OnChanges(version_, Relayed(reply.items));
     }
+    version_ = std::max(version_, reply.version);
     Succeed(started);
     if (changed && options_.settle > Duration()) {
       return Later(watching_ ? std::min(options_.settle, kSharedSettle)
@@ -186,9 +185,8 @@
     if (news.complete) {
       listener_.OnList(options_.kind, items);
       mirror_.OnList(news.version, news.objects);
-    } else {
+    } else if (mirror_.OnChanges(news.version, news.objects)) {
       listener_.OnChanges(options_.kind, items);
-      mirror_.OnChanges(news.version, news.objects);
     }
   }
 
--- a/tests/platform/serve.py
+++ b/tests/platform/serve.py
@@ -215,6 +215,35 @@
         engine.event_s = 0.01
 
 
+def prompt_that_waits_is_told_of_a_stop(d):
+    """A prompt that waits for memory is refused as not run when its VM stops."""
+    for engine in d.of("llm"):
+        engine.event_s = 0.5
+    giant = {"X-Token-Count": "1200000,80", "X-Timeout-Ms": "10000"}
+    first = threading.Thread(
+        target=d.call, args=(0, "POST", "/stream/x", "giant-first"), kwargs={"headers": giant})
+    first.start()
+    wait_until("the memory is taken", lambda: any(e.used - e.released for e in d.of("llm")))
+    answers = []
+    waiting = threading.Thread(target=lambda: answers.append(
+        d.call(1, "POST", "/stream/x", "giant-waits", headers=giant)))
+    waiting.start()
+    wait_until("it waits", lambda: any(
+        "giant-waits" in line and '"ask_again_ms":200' in line
+        for vm in range(3) for line in d.log(vm).splitlines()))
+    d.signal(1, signal.SIGTERM)
+    waiting.join()
+    first.join()
+    check(answers[0].status == 503, f"{answers[0].status}")
+    check(answers[0].headers.get("retry-after") is not None, "not told when to come back")
+    check(d.runs("giant-waits") == 0, "ran although it was refused")
+    check(d.processes[1].wait(60) == 0, f"exit code {d.processes[1].returncode}")
+    for engine in d.of("llm"):
+        engine.event_s = 0.01
+    d.start(1)
+    wait_until("the VM is back", lambda: d.ready(1))
+
+
 def planned_stop(d):
     for engine in d.of("llm"):
         engine.event_s = 0.2
@@ -252,7 +281,7 @@
                  larger_than_one_engine, broken_calls,
                  silent_stream,
                  configuration_changes, store_outage, removal_after_an_outage,
-                 caller_leaves, planned_stop, logs_explain):
+                 caller_leaves, prompt_that_waits_is_told_of_a_stop, planned_stop, logs_explain):
         print(f"- {step.__name__}", flush=True)
         step(d)
 
