--- a/modules/zr_gateway_host/store_feed.h
+++ b/modules/zr_gateway_host/store_feed.h
@@ -178,6 +178,7 @@
 
   void ApplyNews(const KindNews& news) {
     std::vector<StoreItem> items;
+    items.reserve(news.objects.size());
     for (const RelayedObject& object : news.objects) {
       items.push_back(
           {object.name, object.version, object.value, object.deleted});
@@ -193,6 +194,7 @@
   static std::vector<RelayedObject> Relayed(
       const std::vector<StoreItem>& items) {
     std::vector<RelayedObject> objects;
+    objects.reserve(items.size());
     for (const StoreItem& item : items) {
       objects.push_back({item.name, item.version, item.value, item.deleted});
     }
