--- a/tests/platform/serve.py
+++ b/tests/platform/serve.py
@@ -44,8 +44,9 @@
     answer = d.call(0, "POST", "/stream/x", "giant", headers={"X-Token-Count": "1500000,80"})
     check(answer.status == 503 and "retry-after" not in answer.headers, f"{answer.status}")
     check(d.runs("giant") == 0, "a prompt larger than all engines ran")
-    line = [json.loads(l) for l in d.log(0).splitlines()
-            if '"request":"giant"' in l and "own_answer" in l][0]
+    line = wait_until("its log line", lambda: [
+        json.loads(l) for l in d.log(0).splitlines()
+        if '"request":"giant"' in l and "own_answer" in l])[0]
     check(line["age_ms"] < 250, f"held for {line['age_ms']} ms although it can't be served")
 
 
@@ -223,7 +224,8 @@
     first = threading.Thread(
         target=d.call, args=(0, "POST", "/stream/x", "giant-first"), kwargs={"headers": giant})
     first.start()
-    wait_until("the memory is taken", lambda: any(e.used - e.released for e in d.of("llm")))
+    wait_until("the memory is taken", lambda: any(
+        ".giant-first." in reservation for e in d.of("llm") for reservation in e.used))
     answers = []
     waiting = threading.Thread(target=lambda: answers.append(
         d.call(1, "POST", "/stream/x", "giant-waits", headers=giant)))
