Log the age of the evidence behind a configuration, and when a VM calls the store itself

The lines of a late VM told which VM it asked, but not how old its evidence was nor why it called the store or waited. config_in_force says the age of the evidence that it replaces, store_lost the time of the call that failed, the new updates_ended when a VM turns from other VMs to the store; /metrics has the age of the evidence for each kind.

--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -55,7 +55,8 @@
                  const std::vector<StoreItem>& items) override;
   void OnVerified(const std::string& kind, TimePoint started) override;
   void OnStoreReachable(const std::string& kind, bool reachable,
-                        StoreStatus status) override;
+                        StoreStatus status, Duration call_time) override;
+  void OnUpdatesEnded(const std::string& kind, Duration evidence_age) override;
 
   void ApplyConfig(const StoreItem& item);
   void ApplyEndpoint(const StoreItem& item);
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -199,6 +199,13 @@
                  static_cast<double>(requests_.size()));
     metrics_.Set("zr_gateway_log_lines_dropped", {},
                  static_cast<double>(state_.log.dropped()));
+    for (const auto& feed : feeds_) {
+      const Duration age = feed->EvidenceAge(BootNow());
+      if (age == Duration::Max()) continue;
+      metrics_.Set("zr_gateway_store_evidence_age_seconds",
+                   {{"kind", feed->kind()}},
+                   static_cast<double>(age.microseconds()) / 1e6);
+    }
     response->Send(200, {{"content-type", "text/plain; version=0.0.4"}},
                    metrics_.PrometheusText());
     return;
--- a/modules/zr_gateway_host/gateway_store_impl.h
+++ b/modules/zr_gateway_host/gateway_store_impl.h
@@ -68,7 +68,8 @@
 
 template <GatewayFormat Format>
 void GatewayNode<Format>::OnStoreReachable(const std::string& kind,
-                                           bool reachable, StoreStatus status) {
+                                           bool reachable, StoreStatus status,
+                                           Duration call_time) {
   const TimePoint now = BootNow();
   if (kind == Format::kEndpointKind) {
     directory_.OnStoreReachable(now, reachable);
@@ -78,9 +79,17 @@
       now, reachable ? "store_back" : "store_lost",
       {{"kind", kind},
        {"status", ToString(status)},
+       {"call_ms", call_time.milliseconds()},
        {"config_age_ms", state_.freshness.Age(now).milliseconds()}});
 }
 
+template <GatewayFormat Format>
+void GatewayNode<Format>::OnUpdatesEnded(const std::string& kind,
+                                         Duration evidence_age) {
+  state_.log.Write(BootNow(), "updates_ended",
+                   {{"kind", kind}, {"age_ms", evidence_age.milliseconds()}});
+}
+
 template <GatewayFormat Format>
 void GatewayNode<Format>::ApplyConfig(const StoreItem& item) {
   if (item.name != Format::kConfigName) return;
@@ -109,6 +118,7 @@
   state_.log.Write(now, "config_in_force",
                    {{"version", version},
                     {"revision", item.version.value()},
+                    {"config_age_ms", state_.freshness.Age(now).milliseconds()},
                     {"routes", state_.config->routes().size()}});
 }
 
--- a/modules/zr_gateway_host/store_feed.h
+++ b/modules/zr_gateway_host/store_feed.h
@@ -54,9 +54,14 @@
     /** A call that started at `started` was answered; its items have been
      * reported before. */
     virtual void OnVerified(const std::string& kind, TimePoint started) = 0;
-    /** The store became unreachable or reachable. */
+    /** The store became unreachable or reachable.
+     * @param call_time  duration of the call that showed it */
     virtual void OnStoreReachable(const std::string& kind, bool reachable,
-                                  StoreStatus status) = 0;
+                                  StoreStatus status, Duration call_time) = 0;
+    /** No recent update of another VM is left, so that this VM calls the store
+     * itself. */
+    virtual void OnUpdatesEnded(const std::string& kind,
+                                Duration evidence_age) = 0;
   };
 
   StoreFeed(asio::io_context& io, std::shared_ptr<Store> store, Options options,
@@ -73,6 +78,12 @@
     timer_.cancel();
   }
 
+  /** Age of the newest evidence of the kind's state; Duration::Max() if there
+   * is none. */
+  Duration EvidenceAge(TimePoint now) const {
+    return listed_ ? now - verified_ : Duration::Max();
+  }
+
   // RelayedKind
   const std::string& kind() const override { return options_.kind; }
   KindVersion known_version() const override {
@@ -92,7 +103,7 @@
       if (idle_) WatchStore();
       return;
     }
-    MarkReachable();
+    MarkReachable(BootNow());
     if (verdict == UpdateAction::kApply) ApplyUpdate(update);
     version_ = std::max(version_, update.version);
     OnSuccess(queried_at - update.age);
@@ -111,8 +122,8 @@
 
   void List(const std::string& after) {
     if (after.empty()) items_.clear();
-    const TimePoint started = BootNow();
-    if (after.empty()) list_started_ = started;
+    call_started_ = BootNow();
+    if (after.empty()) list_started_ = call_started_;
     store_->List(options_.purpose, options_.kind, after, kPageSize,
                  [self = this->shared_from_this()](StoreReply reply) {
                    self->OnPage(std::move(reply));
@@ -127,7 +138,7 @@
     for (StoreItem& item : reply.items) items_.push_back(std::move(item));
     if (reply.more && !items_.empty()) return List(items_.back().name);
     listed_ = true;
-    MarkReachable();
+    MarkReachable(call_started_);
     listener_.OnList(options_.kind, items_);
     mirror_.OnList(version_, Relayed(items_));
     items_.clear();
@@ -147,9 +158,13 @@
     idle_ = false;
     timer_.cancel();
     const TimePoint started = BootNow();
+    call_started_ = started;
     // A long watch would report that the store is back only with the next
     // change. After the updates of another VM end, evidence is needed soon.
-    const bool soon = !reachable_ || std::exchange(updates_ended_, false);
+    const bool soon = !reachable_ || updates_ended_;
+    if (std::exchange(updates_ended_, false)) {
+      listener_.OnUpdatesEnded(options_.kind, EvidenceAge(started));
+    }
     const Duration usual = watching_ ? options_.shared_wait : options_.wait;
     const Duration wait = soon ? kProbeWait : usual;
     store_->Watch(options_.purpose, options_.kind, version_, wait,
@@ -165,7 +180,7 @@
       return List("");
     }
     if (reply.status != StoreStatus::kOk) return OnFailure(reply.status);
-    MarkReachable();
+    MarkReachable(started);
     const bool changed = !reply.items.empty();
     if (changed && mirror_.OnChanges(reply.version, Relayed(reply.items))) {
       listener_.OnChanges(options_.kind, reply.items);
@@ -207,24 +222,27 @@
 
   void OnSuccess(TimePoint started) {
     failures_ = 0;
+    verified_ = std::max(verified_, started);
     mirror_.OnVerified(started, version_);
     listener_.OnVerified(options_.kind, started);
   }
 
   // Called before the changes of the same answer are applied, because their
   // handling depends on the time since the store became reachable.
-  void MarkReachable() {
+  void MarkReachable(TimePoint call_started) {
     mirror_.OnStoreReachable(true);
     if (reachable_) return;
     reachable_ = true;
-    listener_.OnStoreReachable(options_.kind, true, StoreStatus::kOk);
+    listener_.OnStoreReachable(options_.kind, true, StoreStatus::kOk,
+                               BootNow() - call_started);
   }
 
   void OnFailure(StoreStatus status) {
     mirror_.OnStoreReachable(false);
     if (reachable_) {
       reachable_ = false;
-      listener_.OnStoreReachable(options_.kind, false, status);
+      listener_.OnStoreReachable(options_.kind, false, status,
+                                 BootNow() - call_started_);
     }
     // A first failure may be a single lost answer; retry soon, so that the
     // evidence doesn't age.
@@ -263,6 +281,9 @@
   bool updates_ended_ = false;  // next watch is the first after relayed updates
   std::vector<StoreItem> items_;
   TimePoint list_started_;
+  TimePoint call_started_;  // of the last call to the store
+  TimePoint verified_;      // start of the last call that was answered, here or
+                            // at the VM that sent its update
   int failures_ = 0;
   bool listed_ = false;
   bool reachable_ = true;
