Reproduce changes that are late behind VMs cut from the store (CONFIG, DRAIN)

relay.py cuts all VMs but one from the store, silently, and changes the configuration, the endpoints or the evacuated domains. The proxy moves from the soak to the stand-ins, as two tests use it.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -77,6 +77,7 @@
 
     def __init__(self, base, vms=3, engines=3, plain=2):
         self.base, self.vm_count, self.store_port = base, vms, base
+        self.store_ports = {}  # by VM, where it differs from store_port
         self.folder = tempfile.mkdtemp(prefix="zinniarill-platform-")
         self.store = Store(base)
         self.version = 2
@@ -122,8 +123,9 @@
                        f"listen.front=127.0.0.1:{self.port(vm, 0)}\n"
                        f"listen.ready=127.0.0.1:{self.port(vm, 1)}\n"
                        f"portRange={self.port(vm, 2)},{self.port(vm, 3)}\n"
-                       f"platform.addr=127.0.0.1:{self.store_port}\n"
-                       "bounds.revokeMs=5000\nbounds.graceS=8\n")
+                       f"platform.addr=127.0.0.1:{self.store_ports.get(vm, self.store_port)}\n"
+                       "bounds.revokeMs=5000\nbounds.graceS=8\n"
+                       "bounds.configMs=2000\nbounds.drainMs=2000\nbounds.evacMs=5000\n")
         log = open(os.path.join(self.folder, f"vm-{vm}.log"), "a")
         self.processes[vm] = subprocess.Popen(
             [os.path.join(BUILD, "platform", "zinniarill-entry")], stdout=log, stderr=log,
@@ -172,13 +174,17 @@
     return "".join(f"id: {n}\ndata: piece {n}\n\n" for n in range(EVENTS)).encode()
 
 
-def main(test):
-    """Runs a test on 100 ports from the one given; prints where the logs are if it fails."""
+def main(test, prepare=lambda deployment: deployment, **options):
+    """Runs a test on 100 ports from the one given; prints where the logs are if it fails.
+
+    `prepare` makes the test's argument from the deployment, before its processes start.
+    """
     base = int(sys.argv[1]) if len(sys.argv) > 1 else 25000
-    deployment = Deployment(base)
+    deployment = Deployment(base, **options)
     try:
+        argument = prepare(deployment)
         with deployment:
-            test(deployment)
+            test(argument)
     except BaseException:
         traceback.print_exc()
         print(f"logs: {deployment.folder}")
--- /dev/null
+++ b/tests/platform/relay.py
@@ -0,0 +1,97 @@
+#!/usr/bin/env python3
+"""Changes reach a VM in time although all VMs that relay changes to it are cut off the store."""
+
+import time
+
+from deployment import check, configuration, main, route, wait_until
+from standins import Proxy
+
+# Longest times, in seconds, until a VM that reaches the store obeys a change.
+CONFIG_S, DRAIN_S, EVACUATION_S = 2, 2, 5
+VMS = 6
+
+
+class CutOffVms:
+    """A deployment in which each VM has a path of its own to the store."""
+
+    def __init__(self, deployment):
+        self.d = deployment
+        self.paths = [Proxy(deployment.base + 80 + vm, deployment.base) for vm in range(VMS)]
+        deployment.store_ports = {vm: deployment.base + 80 + vm for vm in range(VMS)}
+
+    def cut_all_but(self, connected):
+        for vm, path in enumerate(self.paths):
+            path.mode = "open" if vm == connected else "silent"
+
+    def heal(self):
+        for path in self.paths:
+            path.mode = "open"
+        wait_until("all VMs are ready", lambda: all(self.d.ready(vm) for vm in range(VMS)))
+
+    def serves(self, vm, path):
+        return self.d.call(vm, "GET", path, f"{vm}-{time.monotonic()}").status == 200
+
+
+def configuration_is_in_force_in_time(fleet):
+    for vm in range(VMS):
+        # VMs watch and ask in periods of half a second; the cut comes at another moment each time.
+        time.sleep(0.07 * vm)
+        fleet.cut_all_but(vm)
+        path = f"/new{vm}/"
+        version = 100 + vm
+        fleet.d.store.put("config", "main", configuration(
+            version, extra_routes=[route(f"new{vm}", path, "idempotent", "plain")]))
+        time.sleep(CONFIG_S)
+        check(fleet.serves(vm, path + "x"),
+              f"VM {vm} doesn't serve a route {CONFIG_S} s after its confirmation")
+        fleet.heal()
+        wait_until("all VMs have the configuration", lambda v=version: all(
+            f'"version":{v},' in fleet.d.log(n) for n in range(VMS)))
+
+
+def removed_endpoint_gets_no_call(fleet):
+    plain = fleet.d.endpoints_of("plain")
+    for vm in range(VMS):
+        time.sleep(0.07 * vm)
+        removed = plain[vm % len(plain)]
+        fleet.cut_all_but(vm)
+        fleet.d.store.put("servers", removed.id, None)
+        time.sleep(DRAIN_S)
+        before = sum(removed.runs.values())
+        for _ in range(8):
+            fleet.serves(vm, "/many/x")
+        check(sum(removed.runs.values()) == before,
+              f"VM {vm} called an endpoint {DRAIN_S} s after its removal")
+        fleet.heal()
+        fleet.d.store.put("servers", removed.id, removed.entry())
+        wait_until("the endpoint is called again", lambda r=removed, b=before: (
+            fleet.serves(0, "/many/x") and sum(r.runs.values()) > b))
+        time.sleep(1.2)  # until all VMs know of its return
+
+
+def evacuated_domain_gets_no_call(fleet):
+    for vm in range(VMS):
+        time.sleep(0.07 * vm)
+        evacuated = fleet.d.endpoints_of("plain")[0]
+        fleet.cut_all_but(vm)
+        fleet.d.store.put("evacuations", evacuated.domain, {})
+        time.sleep(EVACUATION_S)
+        before = sum(evacuated.runs.values())
+        for _ in range(8):
+            fleet.serves(vm, "/many/x")
+        check(sum(evacuated.runs.values()) == before,
+              f"VM {vm} called an evacuated domain after {EVACUATION_S} s")
+        fleet.d.store.put("evacuations", evacuated.domain, None)
+        fleet.heal()
+        time.sleep(1.2)  # until all VMs know of the end
+
+
+def test(fleet):
+    time.sleep(3)  # until VMs know whom to ask
+    for step in (configuration_is_in_force_in_time, removed_endpoint_gets_no_call,
+                 evacuated_domain_gets_no_call):
+        print(f"- {step.__name__}", flush=True)
+        step(fleet)
+
+
+main(test, CutOffVms, vms=VMS)
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -19,12 +19,12 @@
 import os
 import random
 import signal
-import socket
 import sys
 import threading
 import time
 
 from deployment import Deployment, check, wait_until, full_stream
+from standins import Proxy
 
 # Longest duration of a fault, in seconds.
 FAULT_S = 2.5
@@ -33,55 +33,6 @@
 REJECTIONS = (408, 421, 429, 503)
 
 
-class Proxy:
-    """Forwards connections from a port to another; can delay, stall or reset them."""
-
-    def __init__(self, port, target):
-        self.target, self.mode, self.pairs = target, "open", []
-        self.listener = socket.create_server(("127.0.0.1", port))
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            client, _ = self.listener.accept()
-            try:
-                upstream = socket.create_connection(("127.0.0.1", self.target), timeout=5)
-                upstream.settimeout(None)
-            except OSError:
-                client.close()
-                continue
-            self.pairs.append((client, upstream))
-            for source, sink, direction in ((client, upstream, "out"), (upstream, client, "back")):
-                threading.Thread(target=self.forward, args=(source, sink, direction),
-                                 daemon=True).start()
-
-    def forward(self, source, sink, direction):
-        try:
-            while data := source.recv(65536):
-                while self.mode in ("silent", f"one way {direction}"):
-                    time.sleep(0.02)
-                if self.mode == "slow":
-                    time.sleep(0.1)
-                sink.sendall(data)
-        except OSError:
-            pass
-        finally:
-            for end in (source, sink):
-                try:
-                    end.shutdown(socket.SHUT_RDWR)
-                except OSError:
-                    pass
-
-    def reset(self):
-        pairs, self.pairs = self.pairs, []
-        for pair in pairs:
-            for end in pair:
-                try:
-                    end.shutdown(socket.SHUT_RDWR)
-                except OSError:
-                    pass
-
-
 class Soak:
     def __init__(self, deployment, proxy, seed, seconds):
         self.d, self.proxy, self.seconds = deployment, proxy, seconds
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -1,6 +1,6 @@
-"""Stand-ins for the platform's store and its endpoints, run as threads of a test.
+"""Stand-ins for the platform's store, its endpoints and its network, run as threads of a test.
 
-Both record what they receive, so that a test can check guarantees from the
+Store and endpoints record what they receive, so that a test can check guarantees from the
 outside: which requests ran, how often, and how the caller was answered.
 """
 
@@ -165,6 +165,55 @@
         handler.answer_json(status, reply)
 
 
+class Proxy:
+    """Forwards connections from a port to another; can delay, stall or reset them."""
+
+    def __init__(self, port, target):
+        self.target, self.mode, self.pairs = target, "open", []
+        self.listener = socket.create_server(("127.0.0.1", port))
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            client, _ = self.listener.accept()
+            try:
+                upstream = socket.create_connection(("127.0.0.1", self.target), timeout=5)
+                upstream.settimeout(None)
+            except OSError:
+                client.close()
+                continue
+            self.pairs.append((client, upstream))
+            for source, sink, direction in ((client, upstream, "out"), (upstream, client, "back")):
+                threading.Thread(target=self.forward, args=(source, sink, direction),
+                                 daemon=True).start()
+
+    def forward(self, source, sink, direction):
+        try:
+            while data := source.recv(65536):
+                while self.mode in ("silent", f"one way {direction}"):
+                    time.sleep(0.02)
+                if self.mode == "slow":
+                    time.sleep(0.1)
+                sink.sendall(data)
+        except OSError:
+            pass
+        finally:
+            for end in (source, sink):
+                try:
+                    end.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+
+    def reset(self):
+        pairs, self.pairs = self.pairs, []
+        for pair in pairs:
+            for end in pair:
+                try:
+                    end.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+
+
 class Endpoint:
     """A worker: a model engine that streams events, or a plain service."""
 
