Let no VM rely on others for changes with evidence older than the changes' bound

Cause: a VM that asks others for changes left the store alone for 1.2 s after each answer, also if the evidence in the answer was up to 4.6 s old. A VM that is cut from the store answers until its own watch fails, and up to three VMs could do so in turn; endpoints and evacuations were watched for 2 s and proved even less. Fix: what counts is the age of the evidence, not of the answer. EvidenceLimits derives from each kind's bound (configMs, drainMs, evacMs of the settings) when a VM calls the store itself, and how short the watches on behalf of others are, so that this is rare. 404 and 401 are said only while the configuration is sure to be the newest, else 503. The fetch that follows a change no longer waits as long as a watch.

--- a/modules/zr_gateway/config_freshness.h
+++ b/modules/zr_gateway/config_freshness.h
@@ -14,8 +14,12 @@
  */
 class ConfigFreshness {
  public:
-  /** @param bound  age from which keys are no longer accepted */
-  explicit ConfigFreshness(Duration bound) : bound_(bound) {}
+  /**
+   * @param key_bound  age from which keys are no longer accepted
+   * @param config_bound  age from which a newer configuration may be in force
+   */
+  ConfigFreshness(Duration key_bound, Duration config_bound)
+      : key_bound_(key_bound), config_bound_(config_bound) {}
 
   /** A linearizable read or watch that started at that time was answered
    * completely. */
@@ -24,19 +28,24 @@
   }
 
   /** Keys of the known configuration may be accepted. */
-  bool Fresh(TimePoint now) const {
-    return verified_ && now - *verified_ < bound_;
-  }
+  bool Fresh(TimePoint now) const { return Age(now) < key_bound_; }
+
+  /** What the known configuration lacks does not exist. */
+  bool Current(TimePoint now) const { return Age(now) < config_bound_; }
 
   /** Time since the verification; Duration::Max() before the first one. */
   Duration Age(TimePoint now) const {
     return verified_ ? now - *verified_ : Duration::Max();
   }
 
-  void SetBound(Duration bound) { bound_ = bound; }
+  void SetBounds(Duration key_bound, Duration config_bound) {
+    key_bound_ = key_bound;
+    config_bound_ = config_bound;
+  }
 
  private:
-  Duration bound_;
+  Duration key_bound_;
+  Duration config_bound_;
   std::optional<TimePoint> verified_;
 };
 
--- a/modules/zr_gateway/tests/gateway_config_test.cc
+++ b/modules/zr_gateway/tests/gateway_config_test.cc
@@ -87,13 +87,18 @@
   const auto at = [](int64_t ms) {
     return TimePoint::FromMicroseconds(ms * 1000);
   };
-  ConfigFreshness freshness(Duration::Milliseconds(3700));
+  ConfigFreshness freshness(Duration::Milliseconds(3700),
+                            Duration::Milliseconds(2000));
   REQUIRE_FALSE(freshness.Fresh(at(0)));
   freshness.OnVerified(at(1000));
   SECTION("the age counts from the start of the call") {
     REQUIRE(freshness.Fresh(at(4699)));
     REQUIRE_FALSE(freshness.Fresh(at(4700)));
   }
+  SECTION("a newer configuration may be in force long before keys expire") {
+    REQUIRE(freshness.Current(at(2999)));
+    REQUIRE_FALSE(freshness.Current(at(3000)));
+  }
   SECTION("an answer that arrives late does not replace a newer one") {
     freshness.OnVerified(at(500));
     REQUIRE(freshness.Fresh(at(4699)));
@@ -102,7 +107,8 @@
     REQUIRE_FALSE(freshness.Fresh(at(60'000)));
   }
   SECTION("a lower bound of new settings applies at once") {
-    freshness.SetBound(Duration::Milliseconds(1000));
+    freshness.SetBounds(Duration::Milliseconds(1000),
+                        Duration::Milliseconds(800));
     REQUIRE_FALSE(freshness.Fresh(at(2500)));
   }
 }
--- a/modules/zr_gateway/zr_gateway.h
+++ b/modules/zr_gateway/zr_gateway.h
@@ -16,6 +16,7 @@
 #include "zr_gateway/endpoint_directory.h"
 #include "zr_gateway/endpoint_tracker.h"
 #include "zr_gateway/event_splitter.h"
+#include "zr_gateway/evidence_limits.h"
 #include "zr_gateway/gateway_config.h"
 #include "zr_gateway/gateway_types.h"
 #include "zr_gateway/placement_policy.h"
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -82,10 +82,10 @@
     return refuse(503, ErrorCode::kUnavailable, "no configuration known yet");
   }
   const bool fresh = state_.freshness.Fresh(arrived_);
+  const bool current = state_.freshness.Current(arrived_);
   route_ = config_->Match(request_.host, request_.path);
   if (route_ == nullptr) {
-    // A stale configuration may lack a route that has been added.
-    return fresh
+    return current
                ? refuse(404, ErrorCode::kNotFound, "no route matches")
                : refuse(503, ErrorCode::kUnavailable,
                         "no route matches, but the configuration may be stale");
@@ -98,7 +98,10 @@
                     "stale");
     }
     if (team == nullptr) {
-      return refuse(401, ErrorCode::kUnauthenticated, "unknown key");
+      return current
+                 ? refuse(401, ErrorCode::kUnauthenticated, "unknown key")
+                 : refuse(503, ErrorCode::kUnavailable,
+                          "unknown key, but the configuration may be stale");
     }
     team_ = team->team;
   }
--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -47,6 +47,8 @@
 
   GatewayNode(GatewaySettings settings, SettingsReader reader);
   Result<void> Open();
+  /** Applies the time bounds of the settings. */
+  void ApplyBounds();
 
   // StoreFeed::Listener
   void OnList(const std::string& kind,
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -28,9 +28,12 @@
 // evidence younger, so that keys can be checked for longer during a store
 // outage.
 inline constexpr Duration kSharedConfigWatch = Duration::Milliseconds(500);
-inline constexpr Duration kEndpointWatch = Duration::Seconds(8);
-inline constexpr Duration kEvacuationWatch = Duration::Seconds(8);
+// A silent connection is noticed only when the watch ends.
+inline constexpr Duration kEndpointWatch = Duration::Seconds(4);
+inline constexpr Duration kEvacuationWatch = Duration::Seconds(4);
 inline constexpr Duration kMemberWatch = Duration::Seconds(25);
+// No rule bounds the time until a new entry VM is known.
+inline constexpr Duration kMemberBound = Duration::Seconds(8);
 // Changes of endpoints come in bursts; a leaving endpoint still has seconds
 // left when its entry is marked. Configurations come in quick succession, too.
 inline constexpr Duration kEndpointBatchDelay = Duration::Milliseconds(800);
@@ -120,7 +123,9 @@
     typename Feed::Options feed;
     // A configuration may be far larger than a message between VMs can be.
     feed.large = purpose == StorePurpose::kConfig;
-    if (purpose == StorePurpose::kConfig) feed.shared_wait = kSharedConfigWatch;
+    if (purpose == StorePurpose::kConfig) {
+      feed.max_shared_wait = kSharedConfigWatch;
+    }
     feed.kind = kind;
     feed.purpose = purpose;
     feed.wait = wait;
@@ -134,9 +139,25 @@
            kEndpointBatchDelay);
   add_feed(Format::kEvacuationKind, StorePurpose::kStatus, kEvacuationWatch);
   add_feed(kMemberKind, StorePurpose::kStatus, kMemberWatch, kMemberBatchDelay);
+  ApplyBounds();
   return {};
 }
 
+template <GatewayFormat Format>
+void GatewayNode<Format>::ApplyBounds() {
+  const std::map<std::string, Duration> bounds = {
+      {Format::kConfigKind, settings_.config_bound},
+      {Format::kEndpointKind, settings_.drain_bound},
+      {Format::kEvacuationKind, settings_.evacuation_bound},
+      {gateway_internal::kMemberKind, gateway_internal::kMemberBound}};
+  for (const auto& feed : feeds_) {
+    feed->SetLimits(EvidenceLimits::ForBound(bounds.at(feed->kind())));
+  }
+  state_.freshness.SetBounds(
+      settings_.revocation_bound - GatewayState::kWatchGap,
+      settings_.config_bound);
+}
+
 template <GatewayFormat Format>
 int GatewayNode<Format>::Run() {
   state_.log.Write(BootNow(), "start",
@@ -296,8 +317,7 @@
   if (*read == settings_) return;
   // Addresses are bound at the start only; all other settings apply at once.
   settings_ = std::move(*read);
-  state_.freshness.SetBound(settings_.revocation_bound -
-                            GatewayState::kWatchGap);
+  ApplyBounds();
   state_.log.Write(now, "reload", {{"cause", cause}});
 }
 
--- a/modules/zr_gateway_host/gateway_settings.h
+++ b/modules/zr_gateway_host/gateway_settings.h
@@ -18,6 +18,12 @@
   double store_writes_per_s = 400;  // budget of all VMs together
   /** Time after a key's revocation within which all VMs reject it. */
   Duration revocation_bound = Duration::Seconds(5);
+  /** Time after its confirmation within which all VMs obey a change. */
+  Duration config_bound = Duration::Seconds(2);
+  /** The same for the removal or draining of an endpoint. */
+  Duration drain_bound = Duration::Seconds(2);
+  /** The same for the evacuation of a failure domain. */
+  Duration evacuation_bound = Duration::Seconds(5);
   /** Time from SIGTERM until the process is killed. */
   Duration grace = Duration::Seconds(8);
   /** Time after which an engine frees reserved memory unless it is renewed. */
--- a/modules/zr_gateway_host/gateway_state.h
+++ b/modules/zr_gateway_host/gateway_state.h
@@ -30,7 +30,7 @@
   GatewayState(const GatewaySettings& settings, Metrics& metrics_registry)
       : metrics(metrics_registry),
         log(settings.vm.value()),
-        freshness(settings.revocation_bound - kWatchGap),
+        freshness(settings.revocation_bound - kWatchGap, settings.config_bound),
         random(Hash64(settings.callers_address)),
         retry_ratio(settings.retry_ratio),
         vm(settings.vm) {}
--- a/modules/zr_gateway_host/store_feed.h
+++ b/modules/zr_gateway_host/store_feed.h
@@ -19,7 +19,8 @@
  * Follows all objects of one kind: a complete list, then watches, and another
  * list when the store no longer has the history. Watches are short, so that
  * each answer is recent evidence of the kind's state and a silent connection
- * is noticed. While another VM relays updates, the store is not called.
+ * is noticed. While another VM relays updates with recent evidence, the store
+ * is not called.
  */
 template <ObjectFormat Format>
 class StoreFeed : public RelayedKind,
@@ -31,9 +32,10 @@
     std::string kind;
     StorePurpose purpose = StorePurpose::kEndpoints;
     Duration wait = Duration::Milliseconds(1500);  // longest wait of a watch
-    /** The same for a watch on behalf of other VMs, which need recent
-     * evidence. */
-    Duration shared_wait = Duration::Milliseconds(2000);
+    /** Longest wait of a watch on behalf of other VMs, if shorter than the
+     * limits allow. */
+    Duration max_shared_wait = Duration::Max();
+    EvidenceLimits limits = EvidenceLimits::ForBound(Duration::Seconds(2));
     Duration backoff = Duration::Milliseconds(150);  // after a failed call
     Duration max_backoff = Duration::Milliseconds(800);
     /** Pause after a change, so that one call fetches those that follow. */
@@ -84,6 +86,8 @@
     return listed_ ? now - verified_ : Duration::Max();
   }
 
+  void SetLimits(EvidenceLimits limits) { options_.limits = limits; }
+
   // RelayedKind
   const std::string& kind() const override { return options_.kind; }
   KindVersion known_version() const override {
@@ -98,9 +102,11 @@
     if (stopped_ || !listed_ || watching_) return;
     const UpdateAction verdict = ClassifyUpdate(update, version_);
     if (verdict == UpdateAction::kIgnore) return;
-    relayed_until_ = BootNow() + kUpdateTtl;
+    // The other VM may have lost the store without knowing it yet.
+    relayed_until_ = std::max(
+        relayed_until_, queried_at - update.age + options_.limits.max_age());
     if (verdict == UpdateAction::kFetch) {
-      if (idle_) WatchStore();
+      if (idle_) WatchStore(kProbeWait);
       return;
     }
     MarkReachable(BootNow());
@@ -117,8 +123,6 @@
   static constexpr Duration kProbeWait = Duration::Milliseconds(50);
   // Longest batch delay of a VM that watches on behalf of others.
   static constexpr Duration kSharedBatchDelay = Duration::Milliseconds(200);
-  // The store is not called for this long after an update of another VM.
-  static constexpr Duration kUpdateTtl = Duration::Milliseconds(1200);
 
   void List(const std::string& after) {
     if (after.empty()) items_.clear();
@@ -154,19 +158,27 @@
     ScheduleNext(relayed_until_ - now);
   }
 
+  Duration UsualWait() const {
+    return watching_ ? std::min(options_.limits.shared_wait(),
+                                options_.max_shared_wait)
+                     : options_.wait;
+  }
+
   void WatchStore() {
-    idle_ = false;
-    timer_.cancel();
-    const TimePoint started = BootNow();
-    call_started_ = started;
     // A long watch would report that the store is back only with the next
     // change. After the updates of another VM end, evidence is needed soon.
     const bool soon = !reachable_ || updates_ended_;
     if (std::exchange(updates_ended_, false)) {
-      listener_.OnUpdatesEnded(options_.kind, EvidenceAge(started));
+      listener_.OnUpdatesEnded(options_.kind, EvidenceAge(BootNow()));
     }
-    const Duration usual = watching_ ? options_.shared_wait : options_.wait;
-    const Duration wait = soon ? kProbeWait : usual;
+    WatchStore(soon ? kProbeWait : UsualWait());
+  }
+
+  void WatchStore(Duration wait) {
+    idle_ = false;
+    timer_.cancel();
+    const TimePoint started = BootNow();
+    call_started_ = started;
     store_->Watch(options_.purpose, options_.kind, version_, wait,
                   [self = this->shared_from_this(), started](StoreReply reply) {
                     self->OnWatched(started, std::move(reply));
--- a/modules/zr_gateway_host/store_relay.cc
+++ b/modules/zr_gateway_host/store_relay.cc
@@ -11,7 +11,6 @@
 // watch where one would have to answer too many queries.
 constexpr size_t kMinWatchers = 2;
 constexpr size_t kVmsPerWatcher = 100;
-constexpr Duration kQueryPeriod = Duration::Milliseconds(400);
 // An answer takes a round trip of a few milliseconds.
 constexpr Duration kQueryTimeout = Duration::Milliseconds(500);
 // A VM that doesn't answer or has lost the store is not queried for this long.
@@ -61,7 +60,7 @@
     query_.reset();
   }
   if (query_ || now < next_query_) return;
-  next_query_ = now + kQueryPeriod;
+  next_query_ = now + EvidenceLimits::kQueryPeriod;
   const VmId vm = ChoosePeer(now, is_usable);
   if (vm != current_peer_) {
     state_.log.Write(now, "relay",
--- a/tests/platform/relay.py
+++ b/tests/platform/relay.py
@@ -8,6 +8,8 @@
 
 # Longest times, in seconds, until a VM that reaches the store obeys a change.
 CONFIG_S, DRAIN_S, EVACUATION_S = 2, 2, 5
+# These bounds hold for a VM that has reached the store for this long, in seconds.
+STABLE_S = 3
 VMS = 6
 
 
@@ -20,6 +22,8 @@
         deployment.store_ports = {vm: deployment.base + 80 + vm for vm in range(VMS)}
 
     def cut_all_but(self, connected):
+        # The cut comes at another moment of the periods of watches and queries each time.
+        time.sleep(STABLE_S + 0.07 * connected)
         for vm, path in enumerate(self.paths):
             path.mode = "open" if vm == connected else "silent"
 
@@ -34,8 +38,6 @@
 
 def configuration_is_in_force_in_time(fleet):
     for vm in range(VMS):
-        # VMs watch and ask in periods of half a second; the cut comes at another moment each time.
-        time.sleep(0.07 * vm)
         fleet.cut_all_but(vm)
         path = f"/new{vm}/"
         version = 100 + vm
@@ -52,7 +54,6 @@
 def removed_endpoint_gets_no_call(fleet):
     plain = fleet.d.endpoints_of("plain")
     for vm in range(VMS):
-        time.sleep(0.07 * vm)
         removed = plain[vm % len(plain)]
         fleet.cut_all_but(vm)
         fleet.d.store.put("servers", removed.id, None)
@@ -66,12 +67,10 @@
         fleet.d.store.put("servers", removed.id, removed.entry())
         wait_until("the endpoint is called again", lambda r=removed, b=before: (
             fleet.serves(0, "/many/x") and sum(r.runs.values()) > b))
-        time.sleep(1.2)  # until all VMs know of its return
 
 
 def evacuated_domain_gets_no_call(fleet):
-    for vm in range(VMS):
-        time.sleep(0.07 * vm)
+    for vm in range(0, VMS, 2):
         evacuated = fleet.d.endpoints_of("plain")[0]
         fleet.cut_all_but(vm)
         fleet.d.store.put("evacuations", evacuated.domain, {})
@@ -83,11 +82,9 @@
               f"VM {vm} called an evacuated domain after {EVACUATION_S} s")
         fleet.d.store.put("evacuations", evacuated.domain, None)
         fleet.heal()
-        time.sleep(1.2)  # until all VMs know of the end
 
 
 def test(fleet):
-    time.sleep(3)  # until VMs know whom to ask
     for step in (configuration_is_in_force_in_time, removed_endpoint_gets_no_call,
                  evacuated_domain_gets_no_call):
         print(f"- {step.__name__}", flush=True)
