Notice silent connections to the store early enough for a removal

Fix: a watch of 2 s, and the store counts as lost only without recent updates of others; a call that fails beside them is logged as store_call_failed.

--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -58,6 +58,8 @@
   void OnVerified(const std::string& kind, TimePoint started) override;
   void OnStoreReachable(const std::string& kind, bool reachable,
                         StoreStatus status, Duration call_time) override;
+  void OnCallFailed(const std::string& kind, StoreStatus status,
+                    Duration call_time) override;
   void OnUpdatesEnded(const std::string& kind, Duration evidence_age) override;
 
   void ApplyConfig(const StoreItem& item);
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -28,8 +28,9 @@
 // evidence younger, so that keys can be checked for longer during a store
 // outage.
 inline constexpr Duration kSharedConfigWatch = Duration::Milliseconds(500);
-// A silent connection is noticed only when the watch ends.
-inline constexpr Duration kEndpointWatch = Duration::Seconds(4);
+// A silent connection is noticed only when the watch ends, and removals are
+// then in doubt for another 2.3 s (EndpointDirectory).
+inline constexpr Duration kEndpointWatch = Duration::Seconds(2);
 inline constexpr Duration kEvacuationWatch = Duration::Seconds(4);
 inline constexpr Duration kMemberWatch = Duration::Seconds(25);
 // No rule bounds the time until a new entry VM is known.
--- a/modules/zr_gateway_host/gateway_store_impl.h
+++ b/modules/zr_gateway_host/gateway_store_impl.h
@@ -83,6 +83,15 @@
        {"config_age_ms", state_.freshness.Age(now).milliseconds()}});
 }
 
+template <GatewayFormat Format>
+void GatewayNode<Format>::OnCallFailed(const std::string& kind,
+                                       StoreStatus status, Duration call_time) {
+  state_.log.Write(BootNow(), "store_call_failed",
+                   {{"kind", kind},
+                    {"status", ToString(status)},
+                    {"call_ms", call_time.milliseconds()}});
+}
+
 template <GatewayFormat Format>
 void GatewayNode<Format>::OnUpdatesEnded(const std::string& kind,
                                          Duration evidence_age) {
--- a/modules/zr_gateway_host/store_feed.h
+++ b/modules/zr_gateway_host/store_feed.h
@@ -56,10 +56,15 @@
     /** A call that started at `started` was answered; its items have been
      * reported before. */
     virtual void OnVerified(const std::string& kind, TimePoint started) = 0;
-    /** The store became unreachable or reachable.
+    /** The store became unreachable or reachable, by this VM's calls and the
+     * updates of others.
      * @param call_time  duration of the call that showed it */
     virtual void OnStoreReachable(const std::string& kind, bool reachable,
                                   StoreStatus status, Duration call_time) = 0;
+    /** A call failed while another VM's recent update shows that the store is
+     * reachable. */
+    virtual void OnCallFailed(const std::string& kind, StoreStatus status,
+                              Duration call_time) = 0;
     /** No recent update of another VM is left, so that this VM calls the store
      * itself. */
     virtual void OnUpdatesEnded(const std::string& kind,
@@ -243,19 +248,16 @@
   // handling depends on the time since the store became reachable.
   void MarkReachable(TimePoint call_started) {
     mirror_.OnStoreReachable(true);
-    if (reachable_) return;
     reachable_ = true;
+    if (!std::exchange(reported_lost_, false)) return;
     listener_.OnStoreReachable(options_.kind, true, StoreStatus::kOk,
                                BootNow() - call_started);
   }
 
   void OnFailure(StoreStatus status) {
     mirror_.OnStoreReachable(false);
-    if (reachable_) {
-      reachable_ = false;
-      listener_.OnStoreReachable(options_.kind, false, status,
-                                 BootNow() - call_started_);
-    }
+    reachable_ = false;
+    ReportFailure(status);
     // A first failure may be a single lost answer; retry soon, so that the
     // evidence doesn't age.
     const int step = std::min(failures_, kMaxBackoffStep);
@@ -267,6 +269,19 @@
     ScheduleNext(delay);
   }
 
+  // A failed call alone doesn't show that the store is away: entries can't have
+  // lapsed while another VM reached it.
+  void ReportFailure(StoreStatus status) {
+    if (reported_lost_) return;
+    const TimePoint now = BootNow();
+    const Duration call_time = now - call_started_;
+    if (now < relayed_until_) {
+      return listener_.OnCallFailed(options_.kind, status, call_time);
+    }
+    reported_lost_ = true;
+    listener_.OnStoreReachable(options_.kind, false, status, call_time);
+  }
+
   void ScheduleNext(Duration delay) {
     timer_.expires_after(std::chrono::microseconds(delay.microseconds()));
     timer_.async_wait(
@@ -298,7 +313,8 @@
                             // at the VM that sent its update
   int failures_ = 0;
   bool listed_ = false;
-  bool reachable_ = true;
+  bool reachable_ = true;       // by the last call or update
+  bool reported_lost_ = false;  // to the listener
   bool stopped_ = false;
 };
 
--- a/tests/platform/relay.py
+++ b/tests/platform/relay.py
@@ -84,9 +84,25 @@
         fleet.heal()
 
 
+def changes_are_obeyed_after_connections_went_silent(fleet):
+    removed = fleet.d.endpoints_of("plain")[0]
+    for path in fleet.paths:
+        path.mute_connections()
+    time.sleep(STABLE_S)
+    fleet.d.store.put("config", "main", configuration(
+        200, extra_routes=[route("silent", "/silent/", "idempotent", "plain")]))
+    fleet.d.store.put("servers", removed.id, None)
+    time.sleep(max(CONFIG_S, DRAIN_S))
+    before = sum(removed.runs.values())
+    for vm in range(VMS):
+        check(fleet.serves(vm, "/silent/x"), f"VM {vm} doesn't serve a route that was added")
+    check(sum(removed.runs.values()) == before, "a VM called an endpoint after its removal")
+
+
 def test(fleet):
     for step in (configuration_is_in_force_in_time, removed_endpoint_gets_no_call,
-                 evacuated_domain_gets_no_call):
+                 evacuated_domain_gets_no_call,
+                 changes_are_obeyed_after_connections_went_silent):
         print(f"- {step.__name__}", flush=True)
         step(fleet)
 
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -170,6 +170,7 @@
 
     def __init__(self, port, target):
         self.target, self.mode, self.pairs = target, "open", []
+        self.muted = set()  # ends of connections that stay silent for good
         self.listener = socket.create_server(("127.0.0.1", port))
         threading.Thread(target=self.accept, daemon=True).start()
 
@@ -190,7 +191,8 @@
     def forward(self, source, sink, direction):
         try:
             while data := source.recv(65536):
-                while self.mode in ("silent", f"one way {direction}"):
+                while (self.mode in ("silent", f"one way {direction}") or
+                       source in self.muted or sink in self.muted):
                     time.sleep(0.02)
                 if self.mode == "slow":
                     time.sleep(0.1)
@@ -204,6 +206,10 @@
                 except OSError:
                     pass
 
+    def mute_connections(self):
+        """The open connections go silent for good; new ones work."""
+        self.muted |= {end for pair in self.pairs for end in pair}
+
     def reset(self):
         pairs, self.pairs = self.pairs, []
         for pair in pairs:
