--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -233,8 +233,10 @@
         self.born = int(time.time() * 1000)
         self.runs = {}  # request id -> number of runs
         self.executed = []  # method, path, headers and body of the requests that ran
-        self.fault = None  # None, "reject", "cut", "pause", "mute", "error", "extra"
+        self.fault = None  # None, "reject", "cut", "pause", "stump", "mute", "error", "extra"
         self.event_s = 0.01
+        self.pause_s = 5  # of the fault "pause"
+        self.event_bytes = 0  # added to each event
         self.reserved = {}  # reservation id -> (tokens, time of expiry)
         self.used, self.released = set(), set()  # reservation ids
         self.lock = threading.Lock()
@@ -338,13 +340,16 @@
         handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
         for number in range(first, self.events):
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            padding = "" if not self.event_bytes else f"data: {'x' * self.event_bytes}\n"
+            event = f"id: {number}\ndata: piece {number}\n{padding}\n".encode()
             if self.fault == "cut" and number >= first + self.events // 2:
                 handler.wfile.write(b"%x\r\n%s" % (len(event), event[:5]))
                 handler.wfile.flush()
                 return handler.reset()
+            if self.fault == "stump" and number >= first + 2:
+                return handler.reset()
             if self.fault == "pause" and number == first + 1:
-                time.sleep(5)
+                time.sleep(self.pause_s)
             handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
             handler.wfile.flush()
             time.sleep(self.event_s)
--- /dev/null
+++ b/tests/platform/stops.py
@@ -0,0 +1,113 @@
+#!/usr/bin/env python3
+"""Answers end whole although their VM stops, their endpoint pauses or their caller reads slowly."""
+
+import signal
+import socket
+import threading
+import time
+
+from deployment import check, main, wait_until, full_stream
+
+# Pause of an endpoint, longer than the time after which a VM looks for another one.
+PAUSE_S = 2.2
+# A prompt that can't be read again before its deadline once the endpoint has paused.
+LONG = {"X-Token-Count": "400000,80", "X-Timeout-Ms": "5000"}
+
+
+def restart(d, vm):
+    check(d.processes[vm].wait(60) == 0, f"exit code {d.processes[vm].returncode}")
+    d.start(vm)
+    wait_until("the VM is ready again", lambda: d.ready(vm))
+
+
+def outcomes(d, vm, request):
+    return [line for line in d.log(vm).splitlines()
+            if f'"request":"{request}"' in line and '"event":"finished"' in line]
+
+
+class Stream(threading.Thread):
+    """A stream in progress; `answer` is set at its end."""
+
+    def __init__(self, d, vm, request, headers=None):
+        super().__init__()
+        self.call = lambda: d.call(vm, "POST", "/stream/x", request, headers=headers)
+        self.answer = None
+        self.start()
+        wait_until(f"{request} runs", lambda: d.run_count(request))
+
+    def run(self):
+        self.answer = self.call()
+
+    def whole(self):
+        self.join()
+        return self.answer.status == 200 and self.answer.body == full_stream()
+
+
+def silent_stream_goes_on_when_no_endpoint_is_granted(d):
+    """The dispatcher grants none, as another run would end after the deadline."""
+    for stops in (False, True):
+        for engine in d.endpoints_of("llm"):
+            engine.fault, engine.pause_s = "pause", PAUSE_S
+        streams = [Stream(d, vm, f"silent-{vm}-{stops}", LONG) for vm in range(3)]
+        if stops:
+            d.signal(0, signal.SIGTERM)
+        whole = [stream.whole() for stream in streams]
+        check(all(whole), f"cut beside a stop ({stops}): {whole}")
+        for vm in range(3):
+            check(d.run_count(f"silent-{vm}-{stops}") == 1, "a stream ran twice")
+        lines = outcomes(d, 0, f"silent-0-{stops}")
+        check(len(lines) == 1 and "completed" in lines[0], f"outcomes: {lines}")
+        if stops:
+            restart(d, 0)
+    for engine in d.endpoints_of("llm"):
+        engine.fault = None
+
+
+def cut_answer_has_one_outcome(d):
+    """The only engine that is left breaks the stream off; the caller hasn't left."""
+    engines = d.endpoints_of("llm")
+    for engine in engines:
+        engine.fault = "stump"
+    answer = d.call(0, "POST", "/stream/x", "cut-by-all", headers={"X-Timeout-Ms": "3000"})
+    check(not answer.complete, "no engine completes the stream")
+    lines = wait_until("the outcome", lambda: outcomes(d, 0, "cut-by-all"))
+    check(len(lines) == 1 and '"outcome":"cut"' in lines[0], f"outcomes: {lines}")
+    for engine in engines:
+        engine.fault = None
+
+
+def slow_reader_gets_all_when_its_vm_stops(d):
+    """The engine ends the stream long before the caller has read it."""
+    for engine in d.endpoints_of("llm"):
+        engine.event_bytes = 400_000
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    caller.connect(("127.0.0.1", d.port(0, 0)))
+    caller.sendall(b"POST /stream/x HTTP/1.1\r\nHost: front.example\r\nX-Request-Id: slow\r\n"
+                   b"Api-Key: key-1\r\nX-Token-Count: 4000,80\r\nX-Model: m\r\n"
+                   b"X-Timeout-Ms: 9000\r\nContent-Length: 0\r\n\r\n")
+    wait_until("the stream runs", lambda: d.run_count("slow"))
+    d.signal(0, signal.SIGTERM)
+    caller.settimeout(10)
+    got = b""
+    while not outcomes(d, 0, "slow"):
+        got += caller.recv(65536)
+        time.sleep(0.01)
+    time.sleep(4)  # a stopping VM without a request exits after 3.5 s
+    while data := caller.recv(65536):
+        got += data
+    check(got.endswith(b"\r\n0\r\n\r\n"), f"cut after {len(got)} bytes")
+    caller.close()
+    restart(d, 0)
+    for engine in d.endpoints_of("llm"):
+        engine.event_bytes = 0
+
+
+def test(d):
+    for step in (silent_stream_goes_on_when_no_endpoint_is_granted, cut_answer_has_one_outcome,
+                 slow_reader_gets_all_when_its_vm_stops):
+        print(f"- {step.__name__}", flush=True)
+        step(d)
+
+
+main(test)
