Exit only when the last byte of each answer has left the process

Cause: a stopping VM exits once no request is registered; a request leaves the table when its answer is handed to the HTTP server, not when it is written. What a slow reader had not taken was dropped with the event loop. Fix: the server counts responses until RESTinio has written or dropped their last buffers, and the stop waits for them within the grace time.

--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -302,7 +302,10 @@
   }
   if (!state_.stopping) return;
   const Duration stopping = now - state_.stop_began;
-  if (requests_.empty() && stopping > kStopLinger) FinishStop("idle");
+  if (requests_.empty() && caller_server_->unsent_responses() == 0 &&
+      stopping > kStopLinger) {
+    FinishStop("idle");
+  }
   if (stopping > settings_.grace - kStopMargin) FinishStop("grace expired");
 }
 
--- a/modules/zr_http/server/http_server.cc
+++ b/modules/zr_http/server/http_server.cc
@@ -116,6 +116,22 @@
       it == kReasons.end() ? "Status" : it->second};
 }
 
+/** Counts a response from its request until its last byte was passed to the
+ * kernel or its connection has failed. */
+class UnsentResponse {
+ public:
+  explicit UnsentResponse(std::shared_ptr<std::atomic<size_t>> count)
+      : count_(std::move(count)) {
+    ++*count_;
+  }
+  ~UnsentResponse() { --*count_; }
+  UnsentResponse(const UnsentResponse&) = delete;
+  UnsentResponse& operator=(const UnsentResponse&) = delete;
+
+ private:
+  std::shared_ptr<std::atomic<size_t>> count_;
+};
+
 template <typename Response>
 void AppendHeaders(Response& response, const HttpHeaders& headers) {
   for (const auto& [name, value] : headers) {
@@ -130,8 +146,10 @@
 class RestinioResponse final : public HttpResponse {
  public:
   RestinioResponse(restinio::request_handle_t request,
-                   std::shared_ptr<ConnectionRegistry> registry)
-      : request_(std::move(request)),
+                   std::shared_ptr<ConnectionRegistry> registry,
+                   std::shared_ptr<UnsentResponse> unsent)
+      : unsent_(std::move(unsent)),
+        request_(std::move(request)),
         connection_(restinio::impl::access_req_connection(*request_)),
         request_id_(request_->request_id()),
         connection_id_(request_->connection_id()),
@@ -149,7 +167,7 @@
     auto response = request_->create_response(StatusLine(status));
     AppendHeaders(response, headers);
     response.set_body(std::move(body));
-    response.done();
+    response.done(ReleaseWhenWritten());
   }
 
   void Begin(int status, HttpHeaders headers) override {
@@ -180,7 +198,7 @@
   void End() override {
     if (ended_ || !chunked_) return;
     ended_ = true;
-    chunked_->done();
+    chunked_->done(ReleaseWhenWritten());
   }
 
   void Abort() override {
@@ -206,6 +224,13 @@
         restinio::write_group_t{restinio::writable_items_container_t{}});
   }
 
+  // RESTinio destroys the callback after the last write or when the connection
+  // has failed.
+  restinio::write_status_cb_t ReleaseWhenWritten() {
+    return [unsent = std::exchange(unsent_, nullptr)](const auto&) {};
+  }
+
+  std::shared_ptr<UnsentResponse> unsent_;
   restinio::request_handle_t request_;
   restinio::impl::connection_handle_t connection_;
   restinio::request_id_t request_id_;
@@ -248,7 +273,8 @@
 
   RestinioServer(asio::io_context& context, const HttpServerOptions& options,
                  std::string ip, uint16_t port, HttpHandler handler)
-      : registry_(std::make_shared<ConnectionRegistry>()) {
+      : registry_(std::make_shared<ConnectionRegistry>()),
+        unsent_(std::make_shared<std::atomic<size_t>>(0)) {
     restinio::incoming_http_msg_limits_t limits;
     limits.max_body_size(2 * static_cast<uint64_t>(options.max_body_bytes))
         .max_field_name_size(2 * options.max_header_bytes)
@@ -273,10 +299,12 @@
                 o.set_option(restinio::asio_ns::ip::tcp::no_delay(true));
               })
               .cleanup_func([] {})
-              .request_handler([registry = registry_, options,
+              .request_handler([registry = registry_, unsent = unsent_, options,
                                 handler = std::move(handler)](
                                    restinio::request_handle_t request) {
-                return Dispatch(std::move(request), registry, options, handler);
+                return Dispatch(std::move(request), registry,
+                                std::make_shared<UnsentResponse>(unsent),
+                                options, handler);
               });
         });
   }
@@ -309,15 +337,18 @@
 
   void Close() override { StopAccepting(); }
 
+  size_t unsent_responses() const override { return *unsent_; }
+
  private:
   static restinio::request_handling_status_t Dispatch(
       restinio::request_handle_t request,
       const std::shared_ptr<ConnectionRegistry>& registry,
-      const HttpServerOptions& options, const HttpHandler& handler) {
+      std::shared_ptr<UnsentResponse> unsent, const HttpServerOptions& options,
+      const HttpHandler& handler) {
     size_t header_bytes = 0;
     HttpRequest converted = ConvertRequest(*request, &header_bytes);
-    auto response =
-        std::make_shared<RestinioResponse>(std::move(request), registry);
+    auto response = std::make_shared<RestinioResponse>(
+        std::move(request), registry, std::move(unsent));
     const HttpHeaders json = {{"content-type", "application/json"},
                               {"x-zr-run", "not-run"}};
     if (header_bytes > options.max_header_bytes) {
@@ -332,6 +363,7 @@
   }
 
   std::shared_ptr<ConnectionRegistry> registry_;
+  std::shared_ptr<std::atomic<size_t>> unsent_;  // responses
   std::unique_ptr<Server> server_;
   std::atomic<bool> stopped_{false};
 };
--- a/modules/zr_http/server/http_server.h
+++ b/modules/zr_http/server/http_server.h
@@ -76,6 +76,9 @@
   /** Stops accepting connections; requests on open connections are still
    * answered. */
   virtual void StopAccepting() = 0;
+  /** Number of responses whose last byte has not been passed to the kernel;
+   * those whose connection has failed don't count. */
+  virtual size_t unsent_responses() const = 0;
   /** Closes the server; call when the io_context no longer runs handlers. */
   virtual void Close() = 0;
 };
