Keep a silent call until another endpoint is granted

Cause: a call without an event for 1.5 s was ended first and the next endpoint was looked for afterwards; if the dispatcher granted none, because the rest can't be read again before the deadline or because others go first, the answer was cut at once. Fix: a silent call goes on while another endpoint is sought, every 200 ms; it ends when one is granted and the call is still silent, else the grant goes back. A continuation that needs reserved memory isn't begun, as its reservation may fail. The same for plain requests.

--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -87,7 +87,12 @@
   void Place(TimePoint now);
   void PlaceByDispatcher(TimePoint now);
   void OnDispatchReply(TimePoint now, std::optional<DispatchReply> reply);
+  void SeekContinuation(TimePoint now);
+  void KeepSilentCall(TimePoint now, const char* reason);
+  bool EndSilentCall(TimePoint now, const PlacementPlan& plan);
   void PlaceLocally(TimePoint now);
+  /** Tells the dispatcher that its last grant isn't used. */
+  void ReturnGrant();
   void OnNoEndpoint(TimePoint now, Duration retry_after);
   CallRequirements Requirements(TimePoint now) const;
   CallKey Key() const { return {state_.vm, request_.id, call_->number}; }
@@ -114,6 +119,10 @@
   RetryContext MakeRetryContext(TimePoint now) const;
   bool CanRetryElsewhere(TimePoint now) const;
   Duration SilenceTimeout() const;
+  bool IsSilent(TimePoint now) const;
+  LogFields FailureFields(TimePoint now, CallFailure failure,
+                          const std::string& why) const;
+  void CountFailure(CallFailure failure) const;
 
   GatewayState& state_;
   CallerRequest request_;
@@ -134,9 +143,9 @@
   bool awaiting_dispatch_ = false;  // a dispatcher has not answered yet
   bool waiting_ = false;            // for an endpoint that accepts the call
   TimePoint placement_began_;       // of the next call
+  TimePoint next_seek_;             // of a continuation of a silent call
   TimePoint deferred_until_;        // set by a dispatcher's reply
   int reservation_failures_ = 0;
-  std::optional<CallFailure> last_failure_;
   std::optional<int64_t> last_event_;  // id of the last event forwarded
   bool answer_started_ = false;
   bool ended_ = false;
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -11,6 +11,7 @@
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::BeginCall(TimePoint now, PlacementPlan plan) {
   using namespace gateway_internal;
+  if (call_ && !EndSilentCall(now, plan)) return;
   waiting_ = false;
   call_.emplace();
   call_->number = ++calls_started_;
@@ -274,14 +275,7 @@
       failure == CallFailure::kNotConnected) {
     --possible_runs_;
   }
-  last_failure_ = failure;
-  LogFields fields = CommonFields(now);
-  fields["endpoint"] = endpoint.value();
-  fields["failure"] = ToString(failure);
-  fields["reason"] = why;
-  fields["call_ms"] = (now - call_->started).milliseconds();
-  fields["last_event"] = last_event_.value_or(-1);
-
+  LogFields fields = FailureFields(now, failure, why);
   RetryContext context = MakeRetryContext(now);
   FailureAction step = DecideAfterFailure(context, failure);
   if (step == FailureAction::kRetry &&
@@ -292,9 +286,7 @@
   }
   fields["next_step"] = static_cast<int>(step);
   state_.log.Write(now, "call_failed", fields);
-  state_.metrics.Count(
-      "zr_gateway_call_failures_total",
-      {{"service", service_->name.value()}, {"failure", ToString(failure)}});
+  CountFailure(failure);
 
   std::optional<AnswerHead> head = std::move(call_->head);
   std::string body = std::move(call_->body);
@@ -355,11 +347,92 @@
   if (ended_) return;
   if (now >= deadline_) return Expire(now);
   if (waiting_ && now >= deferred_until_) return Place(now);
-  if (call_ && !call_->reserving && !paused_ &&
-      now - call_->last_byte > SilenceTimeout() && CanRetryElsewhere(now)) {
-    FailCall(CallFailure::kTimedOut, CallResult::kTimedOut,
-             "no byte within the bound");
+  if (IsSilent(now) && !awaiting_dispatch_ && now >= next_seek_ &&
+      CanRetryElsewhere(now)) {
+    SeekContinuation(now);
+  }
+}
+
+//==============================================================================
+// Silent calls. A silent call may still be answered, so it goes on until
+// another endpoint is granted.
+
+template <GatewayFormat Format>
+bool ForwardedRequest<Format>::IsSilent(TimePoint now) const {
+  return call_ && !call_->reserving && !paused_ &&
+         now - call_->last_byte > SilenceTimeout();
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::SeekContinuation(TimePoint now) {
+  next_seek_ = now + gateway_internal::kSeekPeriod;
+  Place(now);
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::KeepSilentCall(TimePoint now,
+                                              const char* reason) {
+  LogFields fields = CommonFields(now);
+  fields["endpoint"] = call_->plan.primary.endpoint.value();
+  fields["silent_ms"] = (now - call_->last_byte).milliseconds();
+  fields["reason"] = reason;
+  state_.log.Write(now, "silent_call_kept", fields);
+}
+
+template <GatewayFormat Format>
+bool ForwardedRequest<Format>::EndSilentCall(TimePoint now,
+                                             const PlacementPlan& plan) {
+  const char* reason = nullptr;
+  if (!IsSilent(now) || !CanRetryElsewhere(now)) {
+    reason = "the endpoint answers again";
+  } else if (plan.kv_holders > 0) {
+    // Its reservation may still fail.
+    reason = "the continuation needs reserved memory";
+  } else if (!state_.BudgetOf(service_->name).TryRetry(now)) {
+    reason = "the retry budget is used up";
   }
+  if (reason != nullptr) {
+    ReturnGrant();
+    KeepSilentCall(now, reason);
+    return false;
+  }
+  call_->result = CallResult::kTimedOut;
+  state_.tracker.OnCallResult(now, call_->plan.primary.endpoint,
+                              CallResult::kTimedOut);
+  LogFields fields =
+      FailureFields(now, CallFailure::kTimedOut, "no byte within the bound");
+  fields["next_step"] = static_cast<int>(FailureAction::kRetry);
+  state_.log.Write(now, "call_failed", fields);
+  CountFailure(CallFailure::kTimedOut);
+  ReleaseCall();
+  return true;
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::ReturnGrant() {
+  if (!service_->engine || !state_.dispatch) return;
+  state_.dispatch->Report(
+      {request_.id, AttemptNumber(static_cast<uint64_t>(calls_started_ + 1)),
+       service_->name, CallStage::kEnded, CallResult::kAborted});
+}
+
+template <GatewayFormat Format>
+LogFields ForwardedRequest<Format>::FailureFields(
+    TimePoint now, CallFailure failure, const std::string& why) const {
+  LogFields fields = CommonFields(now);
+  fields["endpoint"] = call_->plan.primary.endpoint.value();
+  fields["failure"] = ToString(failure);
+  fields["reason"] = why;
+  fields["call_ms"] = (now - call_->started).milliseconds();
+  fields["last_event"] = last_event_.value_or(-1);
+  return fields;
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::CountFailure(CallFailure failure) const {
+  state_.metrics.Count(
+      "zr_gateway_call_failures_total",
+      {{"service", service_->name.value()}, {"failure", ToString(failure)}});
 }
 
 template <GatewayFormat Format>
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -34,6 +34,9 @@
 // part of the answer.
 inline constexpr Duration kMaxPlacementWait = Duration::Milliseconds(300);
 inline constexpr Duration kMaxResumeWait = Duration::Milliseconds(1000);
+// Time between two attempts to find another endpoint for a silent call, which
+// goes on meanwhile.
+inline constexpr Duration kSeekPeriod = Duration::Milliseconds(200);
 // Plans whose reservations fail before the request is rejected.
 inline constexpr int kMaxReservationFailures = 3;
 // Retry-After of rejected requests.
@@ -141,7 +144,9 @@
 
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::Place(TimePoint now) {
+  // A continuation was requested before the call failed.
   if (!waiting_) placement_began_ = now;
+  if (awaiting_dispatch_) return;
   waiting_ = false;
   if (service_->engine && state_.dispatch) return PlaceByDispatcher(now);
   PlaceLocally(now);
@@ -162,16 +167,21 @@
       std::min(requirements.max_gap, requirements.time_left);
   dispatch_request.time_left = requirements.time_left;
   dispatch_request.excluded = {tried_.begin(), tried_.end()};
-  dispatch_request.deferred = deferred_until_ > TimePoint();
+  dispatch_request.deferred = deferred_until_ > TimePoint() || call_;
   awaiting_dispatch_ = true;
   const int number = ++dispatch_requests_;
   state_.dispatch->RequestDispatch(
       now, dispatch_request,
-      [weak = this->weak_from_this(),
-       number](std::optional<DispatchReply> reply) {
+      [weak = this->weak_from_this(), number, &state = state_,
+       pool = service_->name](std::optional<DispatchReply> reply) {
         auto self = weak.lock();
-        if (!self || self->ended_ || !self->awaiting_dispatch_ ||
-            self->dispatch_requests_ != number) {
+        if (!self || self->ended_) {
+          if (!reply || reply->endpoint.empty()) return;
+          return state.dispatch->Report({reply->request, reply->call_number,
+                                         pool, CallStage::kEnded,
+                                         CallResult::kAborted});
+        }
+        if (!self->awaiting_dispatch_ || self->dispatch_requests_ != number) {
           return;
         }
         self->awaiting_dispatch_ = false;
@@ -183,7 +193,10 @@
 void ForwardedRequest<Format>::OnDispatchReply(
     TimePoint now, std::optional<DispatchReply> reply) {
   if (!reply) return PlaceLocally(now);
-  if (reply->defer_for > Duration() && state_.stopping) {
+  if (call_ && reply->endpoint.empty()) {
+    return KeepSilentCall(now, "no endpoint granted");
+  }
+  if (reply->defer_for > Duration() && state_.stopping && !answer_started_) {
     return SendOwnAnswer(
         {503,
          Error{ErrorCode::kUnavailable, "placement", "",
@@ -210,8 +223,7 @@
   PlacementPlan plan;
   for (const EndpointId& endpoint : endpoints) {
     if (!state_.tracker.MayCall(endpoint)) {
-      state_.dispatch->Report({request_.id, reply->call_number, service_->name,
-                               CallStage::kEnded, CallResult::kAborted});
+      ReturnGrant();
       return PlaceLocally(now);
     }
     plan.helpers.push_back(
@@ -235,6 +247,7 @@
       state_.local_placement.Choose(now, state_.tracker, service_->name, engine,
                                     Requirements(now), state_.random.Next());
   if (plan) return BeginCall(now, std::move(*plan));
+  if (call_) return KeepSilentCall(now, "no endpoint available");
   OnNoEndpoint(now, gateway_internal::kRetryAfter);
 }
 
