Let a stopping daemon wait for the last bytes of its answers

It now waits for the caller server's unsent responses, within the drain timeout. Suspected by reading, no test of its own; the system tests for graceful stops cover the way.

--- a/modules/zr_daemon/node.cc
+++ b/modules/zr_daemon/node.cc
@@ -335,6 +335,7 @@
   placement_->Release();
   stop_timer_.expires_after(
       std::chrono::microseconds(settings_.drain_timeout.microseconds()));
+  stop_ends_ = stop_timer_.expiry();
   stop_timer_.async_wait([this](const asio::error_code& error) {
     if (error) return;
     ZR_ASSERT_INVARIANT(
@@ -355,6 +356,10 @@
   auto linger = std::make_shared<asio::steady_timer>(io_);
   linger->expires_after(std::chrono::microseconds(kLinger.microseconds()));
   linger->async_wait([this, linger](const asio::error_code&) {
+    const bool sent = caller_server_->unsent_responses() == 0;
+    if (!sent && std::chrono::steady_clock::now() < stop_ends_) {
+      return FinishStop();
+    }
     caller_server_->StopAccepting();
     operator_server_->StopAccepting();
     endpoints_.StopAll();
--- a/modules/zr_daemon/node.h
+++ b/modules/zr_daemon/node.h
@@ -3,6 +3,7 @@
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
+#include <chrono>
 #include <memory>
 #include <vector>
 
@@ -87,6 +88,7 @@
   asio::signal_set signals_;
   asio::steady_timer held_grants_timer_;
   asio::steady_timer stop_timer_;
+  std::chrono::steady_clock::time_point stop_ends_;  // latest exit
   std::atomic<uint64_t> baseline_grants_{0};
   std::atomic<bool> stopping_{false};
 };
