Bound what an endpoint may send without end

Cause: header lines, interim answers and trailers were collected without limit; an event without a blank line grew without limit and was scanned from its start with each piece; answers that are buffered whole had 8 MB each, however many there were; a body of junk counted as progress of a stream. Fix: 64 KB of headers a call, 256 KB an event, a body limit in the client itself, and one budget of 24 MB for all buffered answers that leaves room for small ones; only complete events count as progress.

--- a/modules/zr_gateway/event_splitter.cc
+++ b/modules/zr_gateway/event_splitter.cc
@@ -1,13 +1,15 @@
 #include "zr_gateway/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace zr {
 namespace {
 
-/** Length of the first event with its blank line; npos if incomplete. */
-size_t EventLength(std::string_view data) {
-  for (size_t i = 0; i < data.size(); ++i) {
+/** Length of the first event with its blank line; npos if incomplete.
+ * @param start  position before which no event ends */
+size_t EventLength(std::string_view data, size_t start) {
+  for (size_t i = start; i < data.size(); ++i) {
     if (data[i] != '\n') continue;
     if (i + 1 < data.size() && data[i + 1] == '\n') return i + 2;
     if (i + 2 < data.size() && data[i + 1] == '\r' && data[i + 2] == '\n') {
@@ -39,8 +41,13 @@
 }  // namespace
 
 std::optional<StreamEvent> EventSplitter::Next() {
-  const size_t length = EventLength(buffer_);
+  // A line end that was scanned may be the first of the blank line.
+  constexpr size_t kOverlap = 3;
+  const size_t length =
+      EventLength(buffer_, scanned_ - std::min(scanned_, kOverlap));
+  scanned_ = buffer_.size();
   if (length == std::string_view::npos) return std::nullopt;
+  scanned_ = 0;
   StreamEvent event;
   event.bytes = buffer_.substr(0, length);
   event.id = ParseEventId(event.bytes);
--- a/modules/zr_gateway/event_splitter.h
+++ b/modules/zr_gateway/event_splitter.h
@@ -19,15 +19,18 @@
  */
 class EventSplitter {
  public:
+  /** More pending bytes are no event of an engine; the stream is broken. */
+  static constexpr size_t kMaxEventBytes = size_t{256} << 10;
+
   void Append(std::string_view data) { buffer_ += data; }
   /** Takes the next complete event, if there is one. */
   std::optional<StreamEvent> Next();
   /** Size of the incomplete event at the end of the buffer. */
   size_t pending_bytes() const { return buffer_.size(); }
-  void Clear() { buffer_.clear(); }
 
  private:
   std::string buffer_;
+  size_t scanned_ = 0;  // no event ends before this position
 };
 
 }  // namespace zr
--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -68,17 +68,20 @@
 
   /** The call in progress. */
   struct Call {
+    explicit Call(BufferBudget& budget) : buffer(budget) {}
+
     int number = 0;
     PlacementPlan plan;
     TokenCount kv_tokens;                      // prompt and longest answer
     CallResult result = CallResult::kAborted;  // reported to the dispatcher
     TimePoint started;
-    TimePoint last_byte;
+    TimePoint last_progress;  // headers, bytes of a body or a complete event
     std::optional<AnswerHead> head;
     EventSplitter events;
     std::string body;
-    bool prefilling = true;  // the prompt has not been read in full
-    bool reserving = false;  // engines have not confirmed their memory
+    BufferBudget::Share buffer;  // of the body
+    bool prefilling = true;      // the prompt has not been read in full
+    bool reserving = false;      // engines have not confirmed their memory
     std::shared_ptr<HttpCall> handle;
   };
 
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -13,10 +13,10 @@
   using namespace gateway_internal;
   if (call_ && !EndSilentCall(now, plan)) return;
   waiting_ = false;
-  call_.emplace();
+  call_.emplace(state_.answer_buffers);
   call_->number = ++calls_started_;
   call_->started = now;
-  call_->last_byte = now;
+  call_->last_progress = now;
   call_->kv_tokens = request_.shape.prompt + request_.shape.max_answer;
   call_->plan = std::move(plan);
   CallLoad load;
@@ -99,7 +99,7 @@
   ++possible_runs_;
   tried_.insert(plan.primary.endpoint);
   call_->started = now;
-  call_->last_byte = now;
+  call_->last_progress = now;
   call_->handle = state_.http->Start(
       std::move(call),
       std::make_shared<CallListener>(this->weak_from_this(), calls_started_));
@@ -108,7 +108,7 @@
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::OnHead(int status, const HttpHeaders& headers) {
   const TimePoint now = BootNow();
-  call_->last_byte = now;
+  call_->last_progress = now;
   AnswerHead head = Format::ReadHead(status, headers);
   if (!head.request.empty() && head.request != request_.id) {
     return FailCall(CallFailure::kConnectionBroken,
@@ -142,14 +142,18 @@
     paused_ = true;
     return false;
   }
-  call_->last_byte = BootNow();
   if (!call_->head) return true;
   if (route_->streaming && call_->head->status == 200) {
     call_->events.Append(data);
     ForwardEvents();
+    if (call_->events.pending_bytes() > EventSplitter::kMaxEventBytes) {
+      FailCall(CallFailure::kConnectionBroken, CallResult::kConnectionBroken,
+               "event is too large");
+    }
     return true;
   }
-  if (call_->body.size() + data.size() > kMaxPlainAnswer) {
+  call_->last_progress = BootNow();
+  if (!call_->buffer.TryGrow(data.size())) {
     FailCall(CallFailure::kConnectionBroken, CallResult::kConnectionBroken,
              "answer is too large");
     return true;
@@ -168,6 +172,7 @@
     bytes += event->bytes;
   }
   if (bytes.empty()) return;
+  call_->last_progress = BootNow();
   RecordFirstEvent();
   if (!answer_started_) BeginAnswer();
   unsent_bytes_ += bytes.size();
@@ -360,7 +365,7 @@
 template <GatewayFormat Format>
 bool ForwardedRequest<Format>::IsSilent(TimePoint now) const {
   return call_ && !call_->reserving && !paused_ &&
-         now - call_->last_byte > SilenceTimeout();
+         now - call_->last_progress > SilenceTimeout();
 }
 
 template <GatewayFormat Format>
@@ -374,7 +379,7 @@
                                               const char* reason) {
   LogFields fields = CommonFields(now);
   fields["endpoint"] = call_->plan.primary.endpoint.value();
-  fields["silent_ms"] = (now - call_->last_byte).milliseconds();
+  fields["silent_ms"] = (now - call_->last_progress).milliseconds();
   fields["reason"] = reason;
   state_.log.Write(now, "silent_call_kept", fields);
 }
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -20,9 +20,6 @@
 inline constexpr Duration kFirstByteTimeout = Duration::Milliseconds(1000);
 // No further call is made if less time is left.
 inline constexpr Duration kMinTimeLeft = Duration::Milliseconds(30);
-// Limit on an answer that isn't streamed, which is buffered whole. A call whose
-// answer is larger fails.
-inline constexpr size_t kMaxPlainAnswer = size_t{8} << 20;
 // Unsent bytes of a stream above which reading from the endpoint pauses until a
 // slow caller has taken them.
 inline constexpr size_t kMaxUnsentBytes = 64 << 10;
--- a/modules/zr_gateway_host/gateway_state.h
+++ b/modules/zr_gateway_host/gateway_state.h
@@ -52,8 +52,12 @@
   /** A watch may miss changes for about a second before it is cut off. */
   static constexpr Duration kWatchGap = Duration::Milliseconds(1300);
 
+  // Memory of the answers that are not streamed; the smallest VMs have 112 MB.
+  static constexpr size_t kAnswerBuffers = size_t{24} << 20;
+
   Metrics& metrics;
   DecisionLog log;
+  BufferBudget answer_buffers{kAnswerBuffers};
   GatewayConfigPtr config;  // null until the first configuration was read
   ConfigFreshness freshness;
   EndpointTracker tracker;
--- a/modules/zr_http/client/http_call.cc
+++ b/modules/zr_http/client/http_call.cc
@@ -16,6 +16,9 @@
 // of keep-alive probes; a partitioned peer sends no reset.
 constexpr unsigned kTcpUserTimeoutMs = 2000;
 constexpr long kKeepAliveSeconds = 1;  // NOLINT(google-runtime-int)
+// Limit on all header lines of a call. Real responses stay far below it; a
+// faulty server may send lines without end.
+constexpr size_t kMaxHeaderBytes = size_t{64} << 10;
 
 int OnSocketCreated(void*, curl_socket_t fd, curlsocktype) {
   // Best effort: where the option is not supported, the call's deadline
@@ -110,6 +113,11 @@
 size_t EasyCall::OnHeader(char* data, size_t size, size_t count, void* self) {
   auto* call = static_cast<EasyCall*>(self);
   std::string_view line(data, size * count);
+  call->header_bytes_ += line.size();
+  if (call->header_bytes_ > kMaxHeaderBytes) {
+    call->exceeded_ = "response headers";
+    return 0;  // fails the call
+  }
   while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
     line.remove_suffix(1);
   }
@@ -139,10 +147,17 @@
 size_t EasyCall::OnWrite(char* data, size_t size, size_t count, void* self) {
   auto* call = static_cast<EasyCall*>(self);
   if (!call->listener_) return size * count;
+  const size_t limit = call->request_.max_body_bytes;
+  if (limit > 0 && call->body_bytes_ + size * count > limit) {
+    call->exceeded_ = "response body";
+    return 0;  // fails the call
+  }
   auto listener = call->listener_;
-  return listener->OnData(std::string_view(data, size * count))
-             ? size * count
-             : CURL_WRITEFUNC_PAUSE;
+  if (!listener->OnData(std::string_view(data, size * count))) {
+    return CURL_WRITEFUNC_PAUSE;
+  }
+  call->body_bytes_ += size * count;
+  return size * count;
 }
 
 void EasyCall::Finish(CURLcode code) {
@@ -152,6 +167,13 @@
     listener->OnEnd(std::nullopt);
     return;
   }
+  if (exceeded_ != nullptr) {
+    listener->OnEnd(
+        ClientFailure{Error{ErrorCode::kTooLarge, "call", request_.url,
+                            std::string(exceeded_) + " exceed the limit"},
+                      request_sent_});
+    return;
+  }
   const std::string text =
       error_text_[0] != 0 ? error_text_ : curl_easy_strerror(code);
   const ErrorCode error_code = code == CURLE_OPERATION_TIMEDOUT && request_sent_
--- a/modules/zr_http/client/http_call.h
+++ b/modules/zr_http/client/http_call.h
@@ -38,6 +38,9 @@
   HttpHeaders response_headers_;
   bool headers_delivered_ = false;
   bool request_sent_ = false;
+  size_t header_bytes_ = 0;         // received, including interim responses
+  size_t body_bytes_ = 0;           // received
+  const char* exceeded_ = nullptr;  // the part that exceeds its limit
   char error_text_[CURL_ERROR_SIZE] = {};
 };
 
--- a/modules/zr_http/client/http_client.cc
+++ b/modules/zr_http/client/http_client.cc
@@ -256,8 +256,7 @@
 class FetchListener final : public HttpClient::Listener {
  public:
   using Done = std::function<void(tl::expected<ClientResponse, ClientFailure>)>;
-  FetchListener(std::string url, size_t max_body, Done done)
-      : url_(std::move(url)), max_body_(max_body), done_(std::move(done)) {}
+  explicit FetchListener(Done done) : done_(std::move(done)) {}
 
   void OnHeaders(int status, const HttpHeaders& headers) override {
     response_.status = status;
@@ -265,21 +264,11 @@
   }
 
   bool OnData(std::string_view data) override {
-    if (response_.body.size() + data.size() > max_body_) {
-      too_large_ = true;
-    } else if (!too_large_) {
-      response_.body += data;
-    }
+    response_.body += data;
     return true;
   }
 
   void OnEnd(std::optional<ClientFailure> failure) override {
-    if (!failure && too_large_) {
-      failure = ClientFailure{Error{ErrorCode::kTooLarge, "call", url_,
-                                    "response body is larger than " +
-                                        std::to_string(max_body_) + " bytes"},
-                              true};
-    }
     if (failure) {
       done_(tl::unexpected(*failure));
     } else {
@@ -288,11 +277,8 @@
   }
 
  private:
-  std::string url_;
-  size_t max_body_;
   Done done_;
   ClientResponse response_;
-  bool too_large_ = false;
 };
 
 }  // namespace
@@ -309,8 +295,8 @@
 std::shared_ptr<HttpCall> HttpClient::Fetch(
     ClientRequest request, size_t max_body_bytes,
     std::function<void(tl::expected<ClientResponse, ClientFailure>)> done) {
-  auto listener = std::make_shared<FetchListener>(request.url, max_body_bytes,
-                                                  std::move(done));
+  request.max_body_bytes = max_body_bytes;
+  auto listener = std::make_shared<FetchListener>(std::move(done));
   return Start(std::move(request), std::move(listener));
 }
 
--- a/modules/zr_http/client/http_client.h
+++ b/modules/zr_http/client/http_client.h
@@ -19,6 +19,8 @@
   std::string body;
   Duration connect_timeout = Duration::Seconds(2);
   Duration total_timeout;  // 0 for no timeout
+  /** A longer body ends the call with kTooLarge; 0 for no limit. */
+  size_t max_body_bytes = 0;
   /**
    * Uses a new connection. libcurl silently resends a request whose reused
    * connection closes before a response, so non-repeatable calls need this.
@@ -59,7 +61,10 @@
 };
 
 /**
- * An HTTP client on libcurl's multi interface. All listener calls of one
+ * An HTTP client on libcurl's multi interface. A response whose headers exceed
+ * 64 KB in total, interim responses and trailers included, ends its call with
+ * kTooLarge.
+ * All listener calls of one
  * client run on one strand of the io_context.
  */
 class HttpClient {
--- a/tests/platform/serve.py
+++ b/tests/platform/serve.py
@@ -188,6 +188,30 @@
         for vm in range(3)))
 
 
+def confirmed_change_survives_the_loss_of_all_vms(d):
+    """All VMs lose power just after a change is confirmed; none may start with an older one."""
+    for n, delay_s in enumerate((0, 0.005, 0.1, 0.4)):
+        path = f"/kept{n}/"
+        d.store.put("config", "main", configuration(
+            20 + n, (f"key-{n}",), [route("kept", path, "idempotent", "plain")]))
+        time.sleep(delay_s)
+        for vm in range(3):
+            d.signal(vm, signal.SIGKILL)
+        for vm in range(3):
+            d.processes[vm].wait()
+            d.start(vm)
+        for vm in range(3):
+            wait_until("the VM is ready again", lambda vm=vm: d.ready(vm))
+            answer = d.call(vm, "GET", path + "x", f"kept-{vm}-{n}", key=f"key-{n}")
+            check(answer.status == 200, f"the change is lost: {answer.status}")
+            answer = d.call(vm, "GET", path + "x", f"lapsed-{vm}-{n}")
+            check(answer.status == 401, f"a key that was taken away: {answer.status}")
+    d.store.put("config", "main", configuration(30))
+    wait_until("the old keys are accepted", lambda: all(
+        d.call(vm, "GET", "/many/x", f"kept-{vm}-{time.monotonic()}").status == 200
+        for vm in range(3)))
+
+
 def removal_after_outage(d):
     """An endpoint removed well after an outage gets no calls two seconds later."""
     d.store.fault = "refuse"
@@ -288,7 +312,8 @@
     for step in (each_route_type_is_served, invalid_requests_are_rejected,
                  oversized_prompt_is_rejected_immediately, prompt_larger_than_one_engine,
                  failed_calls, silent_stream,
-                 configuration_changes, store_outage, removal_after_outage,
+                 configuration_changes, store_outage,
+                 confirmed_change_survives_the_loss_of_all_vms, removal_after_outage,
                  caller_disconnects, waiting_prompt_is_rejected_on_stop, graceful_stop,
                  logs_trace_a_request):
         print(f"- {step.__name__}", flush=True)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -220,6 +220,22 @@
                     pass
 
 
+# Bytes without end: what an endpoint sends once, then again and again.
+ENDLESS = {
+    "junk": (b"", b"x" * 65536),
+    "header lines": (b"HTTP/1.1 200 OK\r\n", b"X-%d: y\r\n" * 1000),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1000),
+    "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65536),
+    "chunks": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+               b"10000\r\n" + b"x" * 65536 + b"\r\n"),
+    "trailers": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                 b"X-Trailer: y\r\n" * 1000),
+    "events without id": (b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
+                          b"data: x\n\n" * 1000),
+    "error body": (b"HTTP/1.1 500 Error\r\n\r\n", b"x" * 65536),
+}
+
+
 class Endpoint:
     """A worker: a model engine that streams events, or a plain service."""
 
@@ -233,8 +249,10 @@
         self.born = int(time.time() * 1000)
         self.runs = {}  # request id -> number of runs
         self.executed = []  # method, path, headers and body of the requests that ran
-        self.fault = None  # None, "reject", "cut", "pause", "stump", "mute", "error", "extra"
+        self.fault = None  # None, "reject", "cut", "pause", "stump", "mute", "error", "extra", one of ENDLESS
         self.event_s = 0.01
+        self.drip_s = 0  # pause between pieces that are sent without end
+        self.abandoned = 0  # answers without end that the caller has closed
         self.pause_s = 5  # of the fault "pause"
         self.event_bytes = 0  # added to each event
         self.reserved = {}  # reservation id -> (tokens, time of expiry)
@@ -320,6 +338,8 @@
         if self.fault == "mute":
             time.sleep(30)
             return handler.reset()
+        if self.fault in ENDLESS:
+            return self.send_without_end(handler)
         if self.fault == "error":
             return handler.answer(500, b"error", common)
         if self.events:
@@ -331,6 +351,18 @@
         if self.fault == "extra":
             handler.answer(200, b"an answer that no one asked for", common)
 
+    def send_without_end(self, handler):
+        start, more = ENDLESS[self.fault]
+        handler.close_connection = True
+        try:
+            handler.connection.sendall(start)
+            while True:
+                handler.connection.sendall(more.replace(b"%d", b"%d" % next(self.numbers)))
+                time.sleep(self.drip_s)
+        except OSError:
+            with self.lock:
+                self.abandoned += 1  # the caller has closed the connection
+
     def stream(self, handler, headers):
         first = int(handler.headers.get("Last-Event-Id", -1)) + 1
         handler.send_response(200)
