--- a/tests/platform/serve.py
+++ b/tests/platform/serve.py
@@ -193,7 +193,7 @@
     for n, delay_s in enumerate((0, 0.005, 0.1, 0.4)):
         path = f"/kept{n}/"
         d.store.put("config", "main", configuration(
-            20 + n, (f"key-{n}",), [route("kept", path, "idempotent", "plain")]))
+            20 + n, (f"kept-key-{n}",), [route("kept", path, "idempotent", "plain")]))
         time.sleep(delay_s)
         for vm in range(3):
             d.signal(vm, signal.SIGKILL)
@@ -202,7 +202,7 @@
             d.start(vm)
         for vm in range(3):
             wait_until("the VM is ready again", lambda vm=vm: d.ready(vm))
-            answer = d.call(vm, "GET", path + "x", f"kept-{vm}-{n}", key=f"key-{n}")
+            answer = d.call(vm, "GET", path + "x", f"kept-{vm}-{n}", key=f"kept-key-{n}")
             check(answer.status == 200, f"the change is lost: {answer.status}")
             answer = d.call(vm, "GET", path + "x", f"lapsed-{vm}-{n}")
             check(answer.status == 401, f"a key that was taken away: {answer.status}")
