--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -12,8 +12,10 @@
 seconds="${3:-15}"
 export BUILD="${BUILD:-build}" VMS="${VMS:-4}"
 run() {
-  # Each run has its own block of 100 ports.
-  python3 tests/platform/soak.py "$1" "$2" $((10000 + ($1 % 100) * 100)) 2>&1 || echo "FAILED: seed $1"
+  # Each run has its own block of ports between 10000 and 24000.
+  local ports=$((VMS > 14 ? 50 + 4 * VMS : 100))
+  local first_port=$((10000 + $1 % (14000 / ports) * ports))
+  python3 tests/platform/soak.py "$1" "$2" "$first_port" 2>&1 || echo "FAILED: seed $1"
 }
 export -f run
 seq "$first" $((first + count - 1)) | xargs -P "${JOBS:-3}" -I{} bash -c "run {} $seconds" | tee soak.log
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -193,5 +193,5 @@
     os._exit(0)
 
 
-__all__ = ["Answer", "Deployment", "EVENTS", "Endpoint", "check", "configuration", "main", "route",
+__all__ = ["Answer", "Deployment", "EVENTS", "HOST", "Endpoint", "check", "configuration", "main", "route",
            "signal", "wait_until", "full_stream"]
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -5,13 +5,19 @@
 
 Kills, pauses and stops processes, disturbs the path to the store, makes the
 store fail and endpoints reject, cut, pause and answer twice, while clients
-call. Faults overlap; their order and times are drawn from the seed. Checks, by
-what callers and endpoints receive:
+call and the configuration changes. Clients keep their connections until they
+close. Faults come in series and overlap; their order and times are drawn from
+the seed. Each third seed has planned work only (stops in series, reloads,
+changes, draining endpoints) beside endpoints that pause. Checks, by what
+callers and endpoints receive:
 
   - a request that may run once runs at most once;
   - a rejected request (408, 421, 429, 503) has not run and never runs;
   - an answer is complete, carries a seal and belongs to its request;
   - a stream neither loses nor repeats an event;
+  - with planned work only, no request is lost: it is answered or rejected, or
+    its connection closed before it was read;
+  - with planned work only, a route is served 2 s after its confirmation;
   - after the run every VM is ready and serves again.
 """
 
@@ -23,7 +29,8 @@
 import threading
 import time
 
-from deployment import Deployment, check, wait_until, full_stream
+from deployment import (HOST, Answer, Deployment, check, configuration, full_stream, route,
+                        wait_until)
 from standins import Proxy
 
 # Longest duration of a fault, in seconds.
@@ -31,6 +38,37 @@
 # Mean time between the starts of two faults, in seconds.
 GAP_S = 0.4
 REJECTIONS = (408, 421, 429, 503)
+# Time after its confirmation within which a change is in force, and time after its start within
+# which this doesn't hold for a VM, in seconds.
+CONFIG_S, STABLE_S = 2, 3
+
+
+class Connection:
+    """A client's connection to a VM, kept until it closes."""
+
+    def __init__(self, deployment, vm):
+        self.http = http.client.HTTPConnection("127.0.0.1", deployment.port(vm, 0), timeout=20)
+        self.used = False
+
+    def call(self, path, request):
+        """Returns the answer; None if the connection closed before the answer began."""
+        headers = {"Host": HOST, "X-Timeout-Ms": "9000", "X-Request-Id": request,
+                   "Api-Key": "key-1", "X-Token-Count": "4000,80", "X-Model": "m"}
+        try:
+            self.http.request("POST", path, b"", headers)
+            answer = self.http.getresponse()
+        except (OSError, http.client.HTTPException):
+            self.http.close()
+            return None
+        got = {k.lower(): v for k, v in answer.getheaders()}
+        try:
+            return Answer(answer.status, got, answer.read())
+        except (OSError, http.client.HTTPException) as error:
+            self.http.close()
+            return Answer(answer.status, got, getattr(error, "partial", b""), False)
+
+    def closed(self):
+        return self.http.sock is None
 
 
 class Soak:
@@ -42,6 +80,9 @@
         self.lock = threading.Lock()
         self.counts, self.faults, self.problems, self.rejected = {}, {}, [], []
         self.down = set()
+        self.planned_only = seed % 3 == 0
+        self.version = 10
+        self.started = dict.fromkeys(range(deployment.vm_count), time.monotonic())
 
     def report_problem(self, text):
         with self.lock:
@@ -50,27 +91,32 @@
     def client(self, number):
         rng = random.Random(self.seed * 1000 + number)
         n = 0
+        connection = None
         while time.monotonic() < self.end and not self.problems:
             n += 1
-            route = rng.choice(["stream", "once", "once", "many"])
-            request = f"soak-{number}-{n}-{route}"
-            vm = rng.randrange(self.d.vm_count)
-            try:
-                answer = self.d.call(vm, "POST", f"/{route}/x", request, timeout=20)
-            except (OSError, http.client.HTTPException):
+            kind = rng.choice(["stream", "once", "once", "many"])
+            request = f"soak-{number}-{n}-{kind}"
+            if connection is None or (connection.used and connection.closed()):
+                vm = rng.randrange(self.d.vm_count)
+                connection = Connection(self.d, vm)
+            connection.used = True
+            answer = connection.call(f"/{kind}/x", request)
+            if answer is None:
                 outcome = "no answer"
+                time.sleep(0.05)
             else:
                 outcome = answer.status if answer.complete else "cut"
-                self.check_answer(route, request, answer)
-            if outcome == "no answer":
-                time.sleep(0.05)
-            if route == "once" and self.d.run_count(request) > 1:
+                self.check_answer(kind, request, answer)
+            if self.planned_only and (outcome == "cut" or (
+                    answer is None and self.d.run_count(request))):
+                self.report_problem(f"{request} at VM {vm} was lost: {outcome}")
+            if kind == "once" and self.d.run_count(request) > 1:
                 self.report_problem(f"{request} ran {self.d.run_count(request)} times")
             with self.lock:
-                key = f"{route} {outcome}"
+                key = f"{kind} {outcome}"
                 self.counts[key] = self.counts.get(key, 0) + 1
 
-    def check_answer(self, route, request, answer):
+    def check_answer(self, kind, request, answer):
         if answer.status in REJECTIONS and answer.complete:
             with self.lock:
                 self.rejected.append(request)
@@ -80,7 +126,7 @@
             self.report_problem(f"{request} got another request's answer: {answer.headers}")
         if not answer.headers.get("x-seal", "").startswith("seal-"):
             self.report_problem(f"{request} has no seal")
-        want = full_stream() if route == "stream" else f"answer to {request}".encode()
+        want = full_stream() if kind == "stream" else f"answer to {request}".encode()
         if answer.complete and answer.body != want:
             self.report_problem(f"{request}: wrong body {answer.body[:200]}")
         if not answer.complete and not want.startswith(answer.body):
@@ -105,10 +151,65 @@
         def restart():
             self.d.processes[vm].wait(60)
             self.d.start(vm)
+            self.started[vm] = time.monotonic()
             self.down.discard(vm)
 
         return restart
 
+    def stop_in_series(self):
+        """Stops up to three VMs, each while the one before may still be stopping."""
+        vms = [vm for vm in range(self.d.vm_count) if vm not in self.down]
+        vms = self.random.sample(vms, min(3, max(0, len(vms) - 1)))
+        self.down.update(vms)
+        gap_s = self.random.uniform(0.1, 1)
+
+        def stop(vm, delay_s):
+            time.sleep(delay_s)
+            self.d.signal(vm, signal.SIGTERM)
+            self.d.processes[vm].wait(60)
+            self.d.start(vm)
+            self.started[vm] = time.monotonic()
+            self.down.discard(vm)
+
+        stops = [threading.Thread(target=stop, args=(vm, n * gap_s)) for n, vm in enumerate(vms)]
+        for thread in stops:
+            thread.start()
+        return lambda: [thread.join() for thread in stops]
+
+    def reload(self):
+        vm = self.random.randrange(self.d.vm_count)
+        # A VM that has just started may not yet handle the signal.
+        if vm not in self.down and time.monotonic() - self.started[vm] > 1:
+            self.d.signal(vm, signal.SIGHUP)
+        return lambda: None
+
+    def configuration_changes(self):
+        with self.lock:
+            self.version += 1
+            version = self.version
+            path = f"/added{version}/"
+            self.d.store.put("config", "main", configuration(
+                version, extra_routes=[route("added", path, "idempotent", "plain")]))
+        confirmed = time.monotonic()
+
+        def check_in_force():
+            time.sleep(max(0, confirmed + CONFIG_S - time.monotonic()))
+            for vm in range(self.d.vm_count):
+                if vm in self.down or confirmed - self.started[vm] < STABLE_S:
+                    continue
+                if self.version != version:  # a later change has removed the route
+                    return
+                answer = Connection(self.d, vm).call(path + "x", f"added-{version}-{vm}")
+                if answer and answer.status == 404 and self.version == version:
+                    self.report_problem(f"VM {vm} doesn't have version {version} in time")
+
+        return check_in_force if self.planned_only else lambda: None
+
+    def endpoint_pauses(self):
+        endpoint = self.random.choice(self.d.endpoints)
+        endpoint.fault, endpoint.pause_s = "pause", 2.5
+        return lambda: setattr(endpoint, "fault", None)
+
     def pause(self):
         vm = self.random.randrange(self.d.vm_count)
         if vm in self.down:
@@ -151,13 +252,17 @@
         return lambda: self.d.store.put("servers", endpoint.id, endpoint.entry())
 
     def run(self):
-        clients = [threading.Thread(target=self.client, args=(n,)) for n in range(8)]
+        clients = [threading.Thread(target=self.client, args=(n,))
+                   for n in range(max(8, self.d.vm_count))]
         for client in clients:
             client.start()
         timers = []
-        faults = [self.kill, self.pause, self.store_fails, self.store_loses_answers,
-                  self.store_forgets_history, self.store_path_fails, self.endpoint_fails,
-                  self.endpoint_fails, self.endpoint_drains]
+        faults = [self.stop_in_series, self.reload, self.configuration_changes,
+                  self.endpoint_pauses, self.endpoint_drains]
+        if not self.planned_only:
+            faults += [self.kill, self.pause, self.store_fails, self.store_loses_answers,
+                       self.store_forgets_history, self.store_path_fails, self.endpoint_fails,
+                       self.endpoint_fails]
         while time.monotonic() < self.end and not self.problems:
             fault = self.random.choice(faults)
             self.faults[fault.__name__] = self.faults.get(fault.__name__, 0) + 1
