--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -388,8 +388,10 @@
 bool ForwardedRequest<Format>::EndSilentCall(TimePoint now,
                                              const PlacementPlan& plan) {
   const char* reason = nullptr;
-  if (!IsSilent(now) || !CanRetryElsewhere(now)) {
+  if (!IsSilent(now)) {
     reason = "the endpoint answers again";
+  } else if (!CanRetryElsewhere(now)) {
+    reason = "no further run is allowed";
   } else if (plan.kv_holders > 0) {
     // Its reservation may still fail.
     reason = "the continuation needs reserved memory";
