Fail idle connections to peers that have vanished within three seconds

Cause: an idle connection was probed each second, but given up after libcurl's default of nine probes; TCP_USER_TIMEOUT ends it earlier on Linux, not where it covers sent data only. Evidence: call_failed with 'Connection timed out' 10.18 s after the last byte. Fix: two probes, so three seconds. The new test of the client's sockets gives 10 s without it.

--- a/modules/zr_http/client/http_call.cc
+++ b/modules/zr_http/client/http_call.cc
@@ -16,6 +16,9 @@
 // of keep-alive probes; a partitioned peer sends no reset.
 constexpr unsigned kTcpUserTimeoutMs = 2000;
 constexpr long kKeepAliveSeconds = 1;  // NOLINT(google-runtime-int)
+// Unanswered probes after which an idle connection fails. Needed where
+// TCP_USER_TIMEOUT covers sent data only.
+constexpr int kKeepAliveProbes = 2;
 // Limit on all header lines of a call. Real responses stay far below it; a
 // faulty server may send lines without end.
 constexpr size_t kMaxHeaderBytes = size_t{64} << 10;
@@ -25,6 +28,8 @@
   // applies.
   setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kTcpUserTimeoutMs,
              sizeof(kTcpUserTimeoutMs));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes,
+             sizeof(kKeepAliveProbes));
   return CURL_SOCKOPT_OK;
 }
 
--- a/modules/zr_http/tests/http_test.cc
+++ b/modules/zr_http/tests/http_test.cc
@@ -1,5 +1,10 @@
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <asio/executor_work_guard.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
@@ -65,6 +70,85 @@
   return request;
 }
 
+/** Seconds after which keep-alive probes end the process's connections to a
+ * port; one entry a connection. */
+std::vector<int> ProbeTimeouts(uint16_t port) {
+  constexpr int kMaxDescriptors = 256;
+  std::vector<int> timeouts;
+  for (int fd = 3; fd < kMaxDescriptors; ++fd) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof(peer);
+    if (getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) != 0 ||
+        ntohs(peer.sin_port) != port) {
+      continue;
+    }
+    const auto option = [fd](int name) {
+      int value = 0;
+      socklen_t length = sizeof(value);
+      getsockopt(fd, IPPROTO_TCP, name, &value, &length);
+      return value;
+    };
+    timeouts.push_back(option(TCP_KEEPIDLE) +
+                       option(TCP_KEEPINTVL) * option(TCP_KEEPCNT));
+  }
+  return timeouts;
+}
+
+// Guards against memory that stays reserved for a call to an engine that has
+// vanished: it must be free four seconds after the engine's end.
+TEST_CASE("A connection to a peer that has vanished fails within seconds") {
+  Fixture fixture([](HttpRequest, HttpResponsePtr response) {
+    response->Send(200, {}, "kept open");
+  });
+  REQUIRE(fixture.Fetch(Post("/x", "")));
+  const auto port =
+      std::stoi(fixture.address.substr(fixture.address.find(':') + 1));
+  const std::vector<int> timeouts = ProbeTimeouts(static_cast<uint16_t>(port));
+  REQUIRE_FALSE(timeouts.empty());
+  for (const int seconds : timeouts) CHECK(seconds < 4);
+}
+
+// Guards against an exit that drops what a slow reader has not taken yet.
+TEST_CASE("A response is unsent until its last byte was written") {
+  constexpr size_t kLarge = size_t{64} << 20;
+  Fixture fixture([](HttpRequest request, HttpResponsePtr response) {
+    response->Send(200, {}, std::string(std::stoul(request.body), 'x'));
+  });
+  asio::io_context context;
+  asio::ip::tcp::socket caller(context);
+  const auto colon = fixture.address.find(':');
+  caller.connect(
+      {asio::ip::make_address(fixture.address.substr(0, colon)),
+       static_cast<uint16_t>(std::stoi(fixture.address.substr(colon + 1)))});
+  const std::string size = std::to_string(kLarge);
+  asio::write(caller,
+              asio::buffer("POST / HTTP/1.1\r\nHost: x\r\n"
+                           "Content-Length: " +
+                           std::to_string(size.size()) + "\r\n\r\n" + size));
+  const auto reaches = [&fixture](size_t count) {
+    const auto end = std::chrono::steady_clock::now() + kTestTimeout;
+    while (fixture.server->unsent_responses() != count) {
+      if (std::chrono::steady_clock::now() > end) return false;
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return true;
+  };
+  std::string start(1024, '\0');
+  asio::read(caller, asio::buffer(start));
+  REQUIRE(reaches(1));
+  SECTION("by the caller's reading") {
+    std::string rest(kLarge, '\0');
+    asio::error_code error;
+    asio::read(caller, asio::buffer(rest),
+               asio::transfer_exactly(kLarge - start.size()), error);
+    REQUIRE(reaches(0));
+  }
+  SECTION("or its connection has failed") {
+    caller.close();
+    REQUIRE(reaches(0));
+  }
+}
+
 // Guards against a body or header above its limit that reaches the handlers.
 TEST_CASE("A request is answered") {
   Fixture fixture([](HttpRequest request, HttpResponsePtr response) {
