--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -161,3 +161,4 @@
 #include "zr_gateway_host/forwarded_request_impl.h"
 // Uses the constants of forwarded_request_impl.h.
 #include "zr_gateway_host/forwarded_request_call_impl.h"
+#include "zr_gateway_host/forwarded_request_failure_impl.h"
--- /dev/null
+++ b/modules/zr_gateway_host/forwarded_request_failure_impl.h
@@ -0,0 +1,235 @@
+#pragma once
+
+// Implementation of forwarded_request.h: failed, silent and abandoned calls.
+
+#include <algorithm>
+#include <utility>
+
+namespace zr {
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::FailCall(CallFailure failure, CallResult result,
+                                        const std::string& why) {
+  using namespace gateway_internal;
+  const TimePoint now = BootNow();
+  call_->result = result;
+  const EndpointId endpoint = call_->plan.primary.endpoint;
+  // A rejection with helpers doesn't show which engine rejected, unless the
+  // answer names it.
+  if (call_->plan.helpers.empty() || result != CallResult::kRejected) {
+    state_.tracker.OnCallResult(now, endpoint, result);
+  }
+  if (failure == CallFailure::kNotRun ||
+      failure == CallFailure::kNotConnected) {
+    --possible_runs_;
+  }
+  LogFields fields = FailureFields(now, failure, why);
+  RetryContext context = MakeRetryContext(now);
+  FailureAction step = DecideAfterFailure(context, failure);
+  if (step == FailureAction::kRetry &&
+      !state_.BudgetOf(service_->name).TryRetry(now)) {
+    fields["budget"] = "used up";
+    context.candidate_left = false;
+    step = DecideAfterFailure(context, failure);
+  }
+  fields["next_step"] = static_cast<int>(step);
+  state_.log.Write(now, "call_failed", fields);
+  CountFailure(failure);
+
+  std::optional<AnswerHead> head = std::move(call_->head);
+  std::string body = std::move(call_->body);
+  ReleaseCall();
+  switch (step) {
+    case FailureAction::kRetry:
+      return Place(now);
+    case FailureAction::kForwardAnswer:
+      response_->Send(head->status, AnswerHeaders(head->headers),
+                      std::move(body));
+      return Finish("endpoint error", head->status);
+    case FailureAction::kCutAnswer:
+      return CutAnswer();
+    case FailureAction::kRefuse:
+      return SendOwnAnswer(
+          {503, Error{ErrorCode::kOverloaded, "call", endpoint.value(), why},
+           kRetryAfter});
+    case FailureAction::kFail:
+      return SendOwnAnswer(
+          {502,
+           Error{ErrorCode::kUnknownOutcome, "call", endpoint.value(), why},
+           {}});
+  }
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::ReleaseCall() {
+  if (!call_) return;
+  if (call_->handle) call_->handle->Cancel();
+  const TimePoint now = BootNow();
+  EndCall(now, state_.tracker, call_->plan.Endpoints(), Key());
+  if (call_->plan.kv_holders > 0) state_.reservations->Release(now, Key());
+  if (service_->engine && state_.dispatch) {
+    state_.dispatch->Report(
+        {request_.id, AttemptNumber(static_cast<uint64_t>(call_->number)),
+         service_->name, CallStage::kEnded, call_->result});
+  }
+  call_.reset();
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::OnCallerDisconnected() {
+  if (ended_) return;
+  ReleaseCall();
+  Finish("caller gone", 0);
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::Abandon() {
+  if (ended_) return;
+  ReleaseCall();
+  Finish("abandoned", 0);
+  response_->Abort();
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::Tick(TimePoint now) {
+  if (ended_) return;
+  if (now >= deadline_) return Expire(now);
+  if (waiting_ && now >= deferred_until_) return Place(now);
+  if (IsSilent(now) && !awaiting_dispatch_ && now >= next_seek_ &&
+      CanRetryElsewhere(now)) {
+    SeekContinuation(now);
+  }
+}
+
+//==============================================================================
+// Silent calls. A silent call may still be answered, so it goes on until
+// another endpoint is granted.
+
+template <GatewayFormat Format>
+bool ForwardedRequest<Format>::IsSilent(TimePoint now) const {
+  return call_ && !call_->reserving && !paused_ &&
+         now - call_->last_progress > SilenceTimeout();
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::SeekContinuation(TimePoint now) {
+  next_seek_ = now + gateway_internal::kSeekPeriod;
+  Place(now);
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::KeepSilentCall(TimePoint now,
+                                              const char* reason) {
+  LogFields fields = CommonFields(now);
+  fields["endpoint"] = call_->plan.primary.endpoint.value();
+  fields["silent_ms"] = (now - call_->last_progress).milliseconds();
+  fields["reason"] = reason;
+  state_.log.Write(now, "silent_call_kept", fields);
+}
+
+template <GatewayFormat Format>
+bool ForwardedRequest<Format>::EndSilentCall(TimePoint now,
+                                             const PlacementPlan& plan) {
+  const char* reason = nullptr;
+  if (!IsSilent(now)) {
+    reason = "the endpoint answers again";
+  } else if (!CanRetryElsewhere(now)) {
+    reason = "no further run is allowed";
+  } else if (plan.kv_holders > 0) {
+    // Its reservation may still fail.
+    reason = "the continuation needs reserved memory";
+  } else if (!state_.BudgetOf(service_->name).TryRetry(now)) {
+    reason = "the retry budget is used up";
+  }
+  if (reason != nullptr) {
+    ReturnGrant();
+    KeepSilentCall(now, reason);
+    return false;
+  }
+  call_->result = CallResult::kTimedOut;
+  state_.tracker.OnCallResult(now, call_->plan.primary.endpoint,
+                              CallResult::kTimedOut);
+  LogFields fields =
+      FailureFields(now, CallFailure::kTimedOut, "no byte within the bound");
+  fields["next_step"] = static_cast<int>(FailureAction::kRetry);
+  state_.log.Write(now, "call_failed", fields);
+  CountFailure(CallFailure::kTimedOut);
+  ReleaseCall();
+  return true;
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::ReturnGrant() {
+  if (!service_->engine || !state_.dispatch) return;
+  state_.dispatch->Report(
+      {request_.id, AttemptNumber(static_cast<uint64_t>(calls_started_ + 1)),
+       service_->name, CallStage::kEnded, CallResult::kAborted});
+}
+
+template <GatewayFormat Format>
+LogFields ForwardedRequest<Format>::FailureFields(
+    TimePoint now, CallFailure failure, const std::string& why) const {
+  LogFields fields = CommonFields(now);
+  fields["endpoint"] = call_->plan.primary.endpoint.value();
+  fields["failure"] = ToString(failure);
+  fields["reason"] = why;
+  fields["call_ms"] = (now - call_->started).milliseconds();
+  fields["last_event"] = last_event_.value_or(-1);
+  return fields;
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::CountFailure(CallFailure failure) const {
+  state_.metrics.Count(
+      "zr_gateway_call_failures_total",
+      {{"service", service_->name.value()}, {"failure", ToString(failure)}});
+}
+
+template <GatewayFormat Format>
+RetryContext ForwardedRequest<Format>::MakeRetryContext(TimePoint now) const {
+  RetryContext context;
+  context.retry_policy = route_->retry_policy;
+  context.answer_started = answer_started_;
+  context.possible_runs = possible_runs_;
+  context.max_runs = route_->max_attempts;
+  context.sends = calls_started_ - reservation_failures_;
+  context.time_left = deadline_ - now > gateway_internal::kMinTimeLeft;
+  return context;
+}
+
+template <GatewayFormat Format>
+bool ForwardedRequest<Format>::CanRetryElsewhere(TimePoint now) const {
+  RetryContext context = MakeRetryContext(now);
+  context.candidate_left =
+      !state_.tracker.Available(now, service_->name, tried_).empty();
+  return DecideAfterFailure(context, CallFailure::kTimedOut) ==
+             FailureAction::kRetry &&
+         state_.BudgetOf(service_->name).CanRetry(now);
+}
+
+template <GatewayFormat Format>
+Duration ForwardedRequest<Format>::SilenceTimeout() const {
+  using namespace gateway_internal;
+  if (answer_started_ && !call_->prefilling) {
+    return std::max({kEventTimeout, route_->latency_objective * 3,
+                     route_->gap_objective.value_or(Duration()) * 6});
+  }
+  // The forecast is part of the timeout, so that a loaded engine isn't taken
+  // for a silent one: running its requests again elsewhere adds to the load.
+  return kFirstByteTimeout + route_->latency_objective / 2 +
+         call_->plan.expected_first_token * 4;
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::Expire(TimePoint now) {
+  state_.log.Write(now, "deadline", CommonFields(now));
+  const bool may_have_run = possible_runs_ > 0;
+  ReleaseCall();
+  SendOwnAnswer({may_have_run ? 504 : 503,
+                 Error{ErrorCode::kDeadlineExceeded, "deadline", "",
+                       may_have_run ? "no answer before the deadline"
+                                    : "no endpoint before the deadline"},
+                 {}});
+}
+
+}  // namespace zr
