--- a/modules/zr_gateway_host/store_feed.h
+++ b/modules/zr_gateway_host/store_feed.h
@@ -111,7 +111,8 @@
     relayed_until_ = std::max(
         relayed_until_, queried_at - update.age + options_.limits.max_age());
     if (verdict == UpdateAction::kFetch) {
-      if (idle_) WatchStore(kProbeWait);
+      // A large configuration takes longer than a probe may.
+      if (idle_) WatchStore(UsualWait());
       return;
     }
     MarkReachable(BootNow());
