--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -170,6 +170,7 @@
 
     def __init__(self, port, target):
         self.target, self.mode, self.pairs = target, "open", []
+        self.bytes_per_s = None  # of each direction of a connection; None for no limit
         self.muted = set()  # ends of connections that stay silent for good
         self.listener = socket.create_server(("127.0.0.1", port))
         threading.Thread(target=self.accept, daemon=True).start()
@@ -196,6 +197,8 @@
                     time.sleep(0.02)
                 if self.mode == "slow":
                     time.sleep(0.1)
+                if self.bytes_per_s:
+                    time.sleep(len(data) / self.bytes_per_s)
                 sink.sendall(data)
         except OSError:
             pass
