--- a/modules/zr_gateway_host/forwarded_request_failure_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_failure_impl.h
@@ -175,6 +175,8 @@
   fields["reason"] = why;
   fields["call_ms"] = (now - call_->started).milliseconds();
   fields["last_event"] = last_event_.value_or(-1);
+  fields["began"] = !call_->prefilling;
+  fields["parts"] = request_.shared_parts;
   return fields;
 }
 
--- a/modules/zr_gateway_host/gateway_format.h
+++ b/modules/zr_gateway_host/gateway_format.h
@@ -22,6 +22,8 @@
   std::optional<Duration> timeout;      // longest wait of the caller
   std::optional<int64_t> resume_after;  // id of the caller's last event
   PromptShape shape;
+  /** Ids of the parts of the prompt that other requests may share. */
+  std::vector<std::string> shared_parts;
   HttpHeaders headers;  // forwarded unchanged
   std::string body;
 };
