--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -92,6 +92,12 @@
 
     def add_endpoint(self, endpoint):
         self.endpoints.append(endpoint)
+
+        def register(old):
+            self.store.put("servers", old, None)
+            self.store.put("servers", endpoint.id, endpoint.entry())
+
+        endpoint.on_restart = register
         self.store.put("servers", endpoint.id, endpoint.entry())
         return endpoint
 
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -245,6 +245,9 @@
     numbers = itertools.count(1)
     by_port = {}  # endpoint by port
     memory = 450000  # of an engine, in tokens
+    deadly = None  # crashes each engine that begins to answer a request with it
+    prefill_s = 0  # of an engine, before the first event
+    down_s = 1.5  # after a crash
 
     def __init__(self, port, service, domain, events=0):
         self.port, self.service, self.domain, self.events = port, service, domain, events
@@ -260,6 +263,9 @@
         self.answer_bytes = 0  # added to each plain answer
         self.reserved = {}  # reservation id -> (tokens, time of expiry)
         self.used, self.released = set(), set()  # reservation ids
+        self.arrivals = []  # prompt parts and body of each request that arrived, as one text
+        self.crashes, self.down = 0, False
+        self.on_restart = lambda old_id: None
         self.lock = threading.Lock()
         self.by_port[port] = self
         endpoint = self
@@ -304,6 +310,22 @@
                                           time.monotonic() + order["holdMs"] / 1000)
         handler.answer_json(200, {"free": self.memory})
 
+    def crash(self):
+        """Ends all answers; another incarnation comes back at the same address."""
+        with self.lock:
+            if self.down:
+                return
+            self.down = True
+            self.crashes += 1
+
+        def restart():
+            old = self.id
+            self.id, self.born = f"i-{next(self.numbers):04x}", int(time.time() * 1000)
+            self.down = False
+            self.on_restart(old)
+
+        threading.Timer(self.down_s, restart).start()
+
     def use_reservation(self, reservation):
         with self.lock:
             tokens, end = self.reserved.get(reservation, (0, 0))
@@ -323,7 +345,10 @@
         return total
 
     def run(self, handler):
+        if self.down:
+            return handler.reset()
         body = handler.body()
+        handler.prompt = handler.headers.get("X-Prompt-Prefix", "") + body.decode(errors="replace")
         request = handler.headers.get("X-Request-Id", "")
         common = {"X-Request-Id": request, "X-Load-Report": "1,0,16"}
         if handler.headers.get("X-Expect-Instance") != self.id:
@@ -335,6 +360,7 @@
         if self.fault == "reject" or on_helpers is None or needed - on_helpers > self.memory:
             return handler.answer(503, b"", {**common, "X-Not-Run": "1"})
         with self.lock:
+            self.arrivals.append(handler.prompt)
             self.runs[request] = self.runs.get(request, 0) + 1
             self.executed.append((handler.command, handler.path, dict(handler.headers), body))
         common["X-Seal"] = f"seal-{self.id}"
@@ -367,6 +393,11 @@
                 self.abandoned += 1  # the caller has closed the connection
 
     def stream(self, handler, headers):
+        time.sleep(self.prefill_s)
+        if self.deadly and self.deadly in handler.prompt:
+            self.crash()
+        if self.down:
+            return handler.reset()
         first = int(handler.headers.get("Last-Event-Id", -1)) + 1
         handler.send_response(200)
         for name, value in headers.items():
@@ -375,6 +406,8 @@
         handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
         for number in range(first, self.events):
+            if self.down:
+                return handler.reset()
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             if self.fault == "cut" and number >= first + self.events // 2:
                 handler.wfile.write(b"%x\r\n%s" % (len(event), event[:5]))
