--- a/modules/zr_gateway_host/dispatch_client.cc
+++ b/modules/zr_gateway_host/dispatch_client.cc
@@ -4,6 +4,7 @@
 #include <span>
 #include <utility>
 
+#include "zr_gateway_host/suspect_exchange.h"
 #include "zr_wire/zr_wire.h"
 
 namespace zr {
@@ -111,6 +112,21 @@
   return VmId();
 }
 
+bool DispatchClient::IsDispatcher() const {
+  return std::any_of(pools_.begin(), pools_.end(), [this](const PoolId& pool) {
+    return DispatcherFor(pool) == settings_.vm;
+  });
+}
+
+bool DispatchClient::IsHub() const {
+  const auto has_self = [this](const std::vector<VmId>& vms) {
+    return std::find(vms.begin(), vms.end(), settings_.vm) != vms.end();
+  };
+  return has_self(relay_.targets()) ||
+         std::any_of(ranked_.begin(), ranked_.end(),
+                     [&](const auto& item) { return has_self(item.second); });
+}
+
 void DispatchClient::UpdateDispatchers() {
   const TimePoint now = BootNow();
   for (const PoolId& pool : pools_) {
@@ -188,6 +204,9 @@
       [this](const VmId& vm, const Message& message) {
         return Send(vm, message);
       });
+  state_.suspects->Exchange(now, IsHub(), [this](const Message& message) {
+    for (const VmId& vm : linked_) Send(vm, message);
+  });
   std::vector<DispatchKey> overdue;
   std::set<VmId> silent;
   for (const auto& [key, pending] : pending_) {
@@ -225,7 +244,10 @@
 void DispatchClient::OnPeerUp(const VmId& vm, Incarnation) {
   linked_.insert(vm);
   if (retired_) Retire();
-  state_.log.Write(BootNow(), "peer_up", {{"peer", vm.value()}});
+  const TimePoint now = BootNow();
+  state_.log.Write(now, "peer_up", {{"peer", vm.value()}});
+  const CrashEvidence evidence = state_.suspects->Snapshot(now);
+  if (!IsEmpty(evidence)) Send(vm, evidence);
   UpdateDispatchers();
 }
 
@@ -269,6 +291,8 @@
     Send(vm, relay_.OnQuery(now, *query));
   } else if (const auto* update = std::get_if<StoreUpdate>(&*message)) {
     relay_.OnUpdate(now, vm, *update);
+  } else if (const auto* evidence = std::get_if<CrashEvidence>(&*message)) {
+    state_.suspects->OnEvidence(now, vm, *evidence);
   }
 }
 
--- a/modules/zr_gateway_host/dispatch_client.h
+++ b/modules/zr_gateway_host/dispatch_client.h
@@ -56,6 +56,8 @@
   PoolDispatcher& dispatcher() { return dispatcher_; }
   /** Exchange of store changes between VMs, over the same links. */
   StoreRelay& relay() { return relay_; }
+  /** This VM is the dispatcher of a pool. */
+  bool IsDispatcher() const;
   void RequestDispatch(TimePoint now, const DispatchRequest& call,
                        DispatchCallback done);
   void Report(const CallProgress& progress);
@@ -82,6 +84,8 @@
     return linked_.contains(vm) && !leaving_.contains(vm);
   }
   VmId DispatcherFor(const PoolId& pool) const;
+  /** Most VMs keep a link to this one. */
+  bool IsHub() const;
   void UpdateDispatchers();
   bool Send(const VmId& vm, const Message& message);
   void CompleteDispatch(const DispatchKey& key,
--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -11,6 +11,7 @@
 #include "zr_gateway_host/gateway_format.h"
 #include "zr_gateway_host/gateway_state.h"
 #include "zr_gateway_host/reservation_keeper.h"
+#include "zr_gateway_host/suspect_exchange.h"
 
 namespace zr {
 
@@ -87,6 +88,9 @@
 
   bool Admit();
   bool AdmitWhileStopping(TimePoint now);
+  /** Rejects the request if it is blamed for crashes of endpoints.
+   * @returns whether it was rejected */
+  bool RejectBlamed(TimePoint now);
   void Place(TimePoint now);
   void PlaceByDispatcher(TimePoint now);
   void OnDispatchReply(TimePoint now, std::optional<DispatchReply> reply);
@@ -136,6 +140,7 @@
   const Route* route_ = nullptr;
   const ServicePolicy* service_ = nullptr;
   TeamId team_;
+  std::vector<CrashSuspect> suspects_;  // parts in order, then the request
 
   std::optional<Call> call_;
   std::set<EndpointId> tried_;
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -67,6 +67,7 @@
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::SendCall(TimePoint now) {
   using namespace gateway_internal;
+  if (RejectBlamed(now)) return;
   // The VM may have been suspended since the key was checked.
   if (!team_.empty() && !state_.freshness.Fresh(now)) {
     ReleaseCall();
@@ -172,6 +173,7 @@
   }
   if (bytes.empty()) return;
   call_->last_progress = BootNow();
+  state_.suspects->OnAlive(call_->last_progress, call_->plan.primary.endpoint);
   RecordFirstEvent();
   if (!answer_started_) BeginAnswer();
   unsent_bytes_ += bytes.size();
@@ -193,6 +195,7 @@
   if (!call_->prefilling) return;
   call_->prefilling = false;
   const TimePoint now = BootNow();
+  state_.suspects->OnAnswered(now, suspects_);
   zr::FinishPrefill(now, state_.tracker, call_->plan.Endpoints(), Key());
   if (service_->engine && state_.dispatch) {
     state_.dispatch->Report(
@@ -221,6 +224,10 @@
       return FailCall(CallFailure::kNotConnected, CallResult::kConnectionBroken,
                       failure->error.message);
     }
+    if (call_->prefilling) {
+      state_.suspects->OnCallBroken(BootNow(), request_.id,
+                                    call_->plan.primary.endpoint, suspects_);
+    }
     return FailCall(CallFailure::kConnectionBroken,
                     CallResult::kConnectionBroken, failure->error.message);
   }
@@ -241,6 +248,7 @@
 void ForwardedRequest<Format>::CompleteCall() {
   const TimePoint now = BootNow();
   const int status = call_->head->status;
+  state_.suspects->OnAlive(now, call_->plan.primary.endpoint);
   if (status >= 500) {
     // A timeout at the endpoint (504) doesn't count against its health.
     return FailCall(
@@ -248,6 +256,7 @@
         status == 504 ? CallResult::kAnswered : CallResult::kErrorAnswer,
         "status " + std::to_string(status));
   }
+  if (call_->prefilling) state_.suspects->OnAnswered(now, suspects_);
   state_.tracker.OnCallResult(now, call_->plan.primary.endpoint,
                               CallResult::kAnswered);
   call_->result = CallResult::kAnswered;
--- a/modules/zr_gateway_host/forwarded_request_failure_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_failure_impl.h
@@ -94,6 +94,7 @@
 void ForwardedRequest<Format>::Tick(TimePoint now) {
   if (ended_) return;
   if (now >= deadline_) return Expire(now);
+  if (call_ && call_->prefilling && RejectBlamed(now)) return;
   if (waiting_ && now >= deferred_until_) return Place(now);
   if (IsSilent(now) && !awaiting_dispatch_ && now >= next_seek_ &&
       CanRetryElsewhere(now)) {
--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -68,6 +68,8 @@
   void ApplyEvacuations();
   void ApplyMember(const StoreItem& item);
   void UpdateMembership();
+  void ApplySuspect(const StoreItem& item);
+  void UpdateSuspectRecords(TimePoint now);
   std::vector<InFlightCall> InFlightCallsOf(const PoolId& pool) const;
 
   void HandleCaller(HttpRequest request, HttpResponsePtr response);
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -45,6 +45,12 @@
 inline constexpr const char* kMemberKind = "zinniarill-members";
 inline constexpr const char* kKeyName = "key";
 inline constexpr std::string_view kVmPrefix = "vm.";
+// Kind of the store objects that name the requests and the parts of prompts
+// that crash endpoints.
+inline constexpr const char* kSuspectKind = "zinniarill-suspects";
+inline constexpr Duration kSuspectWatch = Duration::Seconds(25);
+// VMs learn of suspects from each other; the store is for those that can't.
+inline constexpr Duration kSuspectBound = Duration::Seconds(2);
 // Number of 32-bit random numbers in the key.
 inline constexpr int kKeyWords = 8;
 // Timeout of a call to the store, added to the wait of a watch.
@@ -85,6 +91,7 @@
   auto client = HttpClient::Create(io_);
   if (!client) return tl::unexpected(client.error());
   state_.http = *client;
+  state_.suspects = std::make_shared<SuspectExchange>(state_);
   dispatch_ = std::make_shared<DispatchClient>(
       io_, settings_, state_,
       [this](const PoolId& pool) { return InFlightCallsOf(pool); });
@@ -140,6 +147,7 @@
            kEndpointBatchDelay);
   add_feed(Format::kEvacuationKind, StorePurpose::kStatus, kEvacuationWatch);
   add_feed(kMemberKind, StorePurpose::kStatus, kMemberWatch, kMemberBatchDelay);
+  add_feed(kSuspectKind, StorePurpose::kStatus, kSuspectWatch);
   ApplyBounds();
   return {};
 }
@@ -150,7 +158,8 @@
       {Format::kConfigKind, settings_.config_bound},
       {Format::kEndpointKind, settings_.drain_bound},
       {Format::kEvacuationKind, settings_.evacuation_bound},
-      {gateway_internal::kMemberKind, gateway_internal::kMemberBound}};
+      {gateway_internal::kMemberKind, gateway_internal::kMemberBound},
+      {gateway_internal::kSuspectKind, gateway_internal::kSuspectBound}};
   for (const auto& feed : feeds_) {
     feed->SetLimits(EvidenceLimits::ForBound(bounds.at(feed->kind())));
   }
@@ -296,6 +305,7 @@
   state_.reservations->Tick(now);
   state_.tracker.Expire(now);
   dispatch_->Tick(now);
+  UpdateSuspectRecords(now);
   if (now >= next_settings_check_) {
     next_settings_check_ = now + kSettingsPeriod;
     Reload("file");
--- a/modules/zr_gateway_host/gateway_state.h
+++ b/modules/zr_gateway_host/gateway_state.h
@@ -16,6 +16,7 @@
 
 class DispatchClient;
 class ReservationKeeper;
+class SuspectExchange;
 
 /** Time since boot, including suspensions of the VM. */
 inline TimePoint BootNow() {
@@ -72,6 +73,7 @@
   std::shared_ptr<HttpClient> http;
   std::shared_ptr<DispatchClient> dispatch;
   std::shared_ptr<ReservationKeeper> reservations;
+  std::shared_ptr<SuspectExchange> suspects;
   VmId vm;
   bool stopping = false;
   TimePoint stop_began;  // if stopping
--- a/modules/zr_gateway_host/gateway_store_impl.h
+++ b/modules/zr_gateway_host/gateway_store_impl.h
@@ -26,6 +26,10 @@
     members_.clear();
     for (const StoreItem& item : items) ApplyMember(item);
     UpdateMembership();
+  } else if (kind == gateway_internal::kSuspectKind) {
+    std::map<std::string, ObjectVersion> records;
+    for (const StoreItem& item : items) records[item.name] = item.version;
+    state_.suspects->SetRecords(now, records);
   } else {
     evacuated_.clear();
     for (const StoreItem& item : items) evacuated_.insert(DomainId(item.name));
@@ -46,6 +50,8 @@
   } else if (kind == gateway_internal::kMemberKind) {
     for (const StoreItem& item : items) ApplyMember(item);
     UpdateMembership();
+  } else if (kind == gateway_internal::kSuspectKind) {
+    for (const StoreItem& item : items) ApplySuspect(item);
   } else {
     for (const StoreItem& item : items) {
       if (item.deleted) {
@@ -250,6 +256,40 @@
   dispatch_->SetVms(std::move(addresses));
 }
 
+template <GatewayFormat Format>
+void GatewayNode<Format>::ApplySuspect(const StoreItem& item) {
+  const TimePoint now = BootNow();
+  if (item.deleted) {
+    state_.suspects->RemoveRecord(item.name);
+  } else {
+    state_.suspects->SetRecord(now, item.name, item.version);
+  }
+  state_.log.Write(now, "suspect_record",
+                   {{"suspect", item.name}, {"removed", item.deleted}});
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::UpdateSuspectRecords(TimePoint now) {
+  using namespace gateway_internal;
+  state_.suspects->UpdateRecords(
+      now, dispatch_->IsDispatcher(),
+      [this](const std::string& name, ObjectVersion expected, bool remove) {
+        const auto written = [this, name, remove](StoreReply reply) {
+          state_.log.Write(BootNow(), "suspect_written",
+                           {{"suspect", name},
+                            {"remove", remove},
+                            {"status", ToString(reply.status)}});
+        };
+        if (remove) {
+          store_->Delete(StorePurpose::kStatus, kSuspectKind, name, expected,
+                         written);
+        } else {
+          store_->Put(StorePurpose::kStatus, kSuspectKind, name, expected,
+                      nlohmann::json(state_.vm.value()).dump(), written);
+        }
+      });
+}
+
 template <GatewayFormat Format>
 std::vector<InFlightCall> GatewayNode<Format>::InFlightCallsOf(
     const PoolId& pool) const {
--- /dev/null
+++ b/modules/zr_gateway_host/suspect_exchange.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "zr_gateway_host/gateway_state.h"
+#include "zr_request/crash_attribution.h"
+
+namespace zr {
+
+/** Fingerprint as in the logs and as the name of its record in the store. */
+std::string ToHex(Fingerprint fingerprint);
+
+/**
+ * Keeps requests and parts of prompts that crash endpoints away from them.
+ * Collects what the calls of this VM show, exchanges it with the VMs that are
+ * linked, and keeps a record of each blame in the store, from which VMs learn
+ * that were started or cut off meanwhile. CrashAttribution has the verdicts.
+ *
+ * VMs to which most others keep links pass on what they are told.
+ */
+class SuspectExchange {
+ public:
+  using Sender = std::function<void(const Message&)>;
+  /** Writes or removes a record; `expected` is its known version. */
+  using RecordWriter = std::function<void(const std::string& name,
+                                          ObjectVersion expected, bool remove)>;
+
+  explicit SuspectExchange(GatewayState& state) : state_(state) {}
+
+  //============================================================================
+  // Calls of this VM
+
+  /** A call broke before the endpoint began to answer it. */
+  void OnCallBroken(TimePoint now, const RequestId& request,
+                    const EndpointId& endpoint,
+                    const std::vector<CrashSuspect>& suspects);
+  /** An endpoint began to answer. */
+  void OnAnswered(TimePoint now, const std::vector<CrashSuspect>& suspects);
+  /** The endpoint sent a part of an answer. */
+  void OnAlive(TimePoint now, const EndpointId& endpoint);
+  /** The suspect that must not reach an endpoint, or null. */
+  const CrashSuspect* FindBlamed(TimePoint now,
+                                 const std::vector<CrashSuspect>& suspects);
+
+  //============================================================================
+  // Other VMs
+
+  void OnEvidence(TimePoint now, const VmId& vm, const CrashEvidence& evidence);
+  /** For a VM that has just been linked. */
+  CrashEvidence Snapshot(TimePoint now) const {
+    return attribution_.Snapshot(now);
+  }
+  /** @param forwards  this VM passes on what it is told
+   *  @param send_to_all  sends to each linked VM */
+  void Exchange(TimePoint now, bool forwards, const Sender& send_to_all);
+
+  //============================================================================
+  // Records in the store
+
+  /** Replaces the known records. */
+  void SetRecords(TimePoint now,
+                  const std::map<std::string, ObjectVersion>& records);
+  void SetRecord(TimePoint now, const std::string& name, ObjectVersion version);
+  void RemoveRecord(const std::string& name);
+  /** Brings the records in line with the verdicts.
+   *  @param first  this VM writes before the others */
+  void UpdateRecords(TimePoint now, bool first, const RecordWriter& write);
+
+ private:
+  BootNumber BootOf(const EndpointId& endpoint) const;
+  void Publish(TimePoint now, CrashEvidence evidence);
+  void LogVerdicts(TimePoint now);
+
+  GatewayState& state_;
+  CrashAttribution attribution_;
+  CrashEvidence outbox_;  // ages as of outbox_time_
+  TimePoint outbox_time_;
+  bool forwards_ = false;
+  std::set<Fingerprint> logged_;  // blamed in the log's last lines
+  std::map<Fingerprint, ObjectVersion> records_;
+  std::map<Fingerprint, TimePoint> next_write_;  // of records to be changed
+};
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_request/tests/crash_attribution_test.cc
@@ -0,0 +1,391 @@
+#include "zr_request/crash_attribution.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace zr {
+namespace {
+
+constexpr TimePoint kStart = TimePoint::FromMicroseconds(1'000'000'000);
+const Fingerprint kFirst(1);   // part that sound prompts share
+const Fingerprint kDeadly(2);  // part that crashes endpoints
+
+TimePoint At(int64_t ms) { return kStart + Duration::Milliseconds(ms); }
+
+CrashEvidence Crash(int endpoint, std::vector<CrashSuspect> suspects,
+                    uint64_t boot = 1) {
+  return {{{EndpointId("e" + std::to_string(endpoint)), BootNumber(boot),
+            Duration(), std::move(suspects)}},
+          {},
+          {}};
+}
+
+std::vector<CrashSuspect> Prompt(uint64_t request) {
+  return {{kFirst, 0},
+          {kDeadly, 1},
+          {Fingerprint(request), CrashSuspect::kWholeRequest}};
+}
+
+// Guards against prompts of one part that crash one endpoint after the other,
+// and against the rejection of prompts that only share endpoints with them.
+TEST_CASE("The suspect that all crashes have in common is blamed") {
+  CrashAttribution table;
+  table.Merge(At(0), Crash(1, Prompt(100)));
+  table.Merge(At(100), Crash(2, Prompt(101)));
+  REQUIRE(table.Blamed(At(100)).empty());
+  SECTION("after the third crash, the more specific one of two") {
+    table.Merge(At(200), Crash(3, Prompt(102)));
+    REQUIRE(table.Blamed(At(200)) == std::set{kDeadly});
+    SECTION("until the evidence is too old") {
+      REQUIRE(table.Blamed(At(599'000)) == std::set{kDeadly});
+      REQUIRE(table.Blamed(At(601'000)).empty());
+    }
+    SECTION("unless an endpoint begins to answer it") {
+      const auto news = table.OnAnswered(At(300), {{kFirst, 0}, {kDeadly, 1}});
+      REQUIRE(news.answered.size() == 2);
+      REQUIRE(table.Blamed(At(300)).empty());
+    }
+    SECTION("unless another part explains more, until that is answered") {
+      table.Merge(At(300), Crash(4, {{kFirst, 0}, {Fingerprint(9), 1}}));
+      REQUIRE(table.Blamed(At(300)) == std::set{kFirst});
+      table.OnAnswered(At(400), {{kFirst, 0}});
+      REQUIRE(table.Blamed(At(400)) == std::set{kDeadly});
+    }
+  }
+  SECTION("what was answered before yields to what never was") {
+    table.Merge(At(200), Crash(3, Prompt(102)));
+    table.Merge(At(300), Crash(4, {{kFirst, 0}, {Fingerprint(9), 1}}));
+    table.Merge(At(400), {{}, {{kFirst, Duration::Milliseconds(1000)}}, {}});
+    REQUIRE(table.Blamed(At(400)) == std::set{kDeadly});
+  }
+  SECTION("crashes at the same moment count as one") {
+    table.Merge(At(110), Crash(3, Prompt(102)));
+    REQUIRE(table.Blamed(At(110)).empty());
+  }
+  SECTION("an endpoint that still answers has not crashed") {
+    table.Merge(At(200), Crash(3, Prompt(102)));
+    table.OnAlive(At(300), EndpointId("e3"), BootNumber(1));
+    REQUIRE(table.Blamed(At(300)) == std::set{kDeadly});
+    const auto news = table.OnAlive(At(360), EndpointId("e3"), BootNumber(1));
+    REQUIRE(news.live.size() == 1);
+    REQUIRE(table.Blamed(At(360)).empty());
+  }
+  SECTION("one request that comes again is blamed, not the parts it shares") {
+    CrashAttribution repeated;
+    for (int i = 0; i < 4; ++i) {
+      repeated.Merge(At(100 * i), Crash(i, Prompt(100)));
+    }
+    REQUIRE(repeated.Blamed(At(400)) == std::set{Fingerprint(100)});
+  }
+}
+
+// Guards against VMs that start or return and don't know what crashes
+// endpoints.
+TEST_CASE("A VM learns from others and from the store") {
+  CrashAttribution table;
+  uint64_t request = 100;
+  for (int i = 0; i < 3; ++i) {
+    table.Merge(At(100 * i), Crash(i, Prompt(++request)));
+  }
+  SECTION("from the evidence of a VM to which it is linked") {
+    CrashAttribution other;
+    other.Merge(At(5000), table.Snapshot(At(5000)));
+    REQUIRE(other.IsBlamed(At(5000), kDeadly));
+  }
+  SECTION("what another VM has cleared is cleared here") {
+    table.OnAnswered(At(300), {{kDeadly, 1}});
+    CrashAttribution other;
+    other.OnRecorded(At(5000), kDeadly);
+    REQUIRE(other.IsBlamed(At(5000), kDeadly));
+    other.Merge(At(5000), table.Snapshot(At(5000)));
+    REQUIRE_FALSE(other.IsBlamed(At(5000), kDeadly));
+  }
+  SECTION("an answer that was seen before the crash was reported counts") {
+    CrashAttribution other;
+    other.OnAnswered(At(250), {{kDeadly, 1}});
+    const auto news = other.Merge(At(260), table.Snapshot(At(260)));
+    REQUIRE(news.contradicting.answered.size() == 1);
+    REQUIRE_FALSE(other.IsBlamed(At(260), kDeadly));
+    table.Merge(At(270), news.contradicting);
+    REQUIRE_FALSE(table.IsBlamed(At(270), kDeadly));
+  }
+  SECTION("from a record, which ends with its removal") {
+    CrashAttribution other;
+    other.OnRecorded(At(5000), kDeadly);
+    REQUIRE(other.IsBlamed(At(5000), kDeadly));
+    other.OnRecordRemoved(kDeadly);
+    REQUIRE_FALSE(other.IsBlamed(At(5000), kDeadly));
+  }
+  SECTION("repeated evidence is not news") {
+    REQUIRE(IsEmpty(table.Merge(At(900), table.Snapshot(At(900))).reported));
+  }
+  SECTION("tables stay bounded") {
+    for (int i = 0; i < 1000; ++i) {
+      const uint64_t id = ++request;
+      table.Merge(At(1000 + i), Crash(1000 + i, {{Fingerprint(id), 0}}));
+      table.OnAnswered(At(1000 + i), {{Fingerprint(id), 0}});
+    }
+    REQUIRE(table.crashes() <= CrashAttribution::Options().max_crashes);
+  }
+}
+
+//==============================================================================
+// VMs that exchange evidence through two hubs, endpoints that crash with and
+// without a deadly prompt, connections that break, and VMs that are cut off and
+// restarted.
+
+constexpr int kVms = 8;
+constexpr int kHubs = 2;
+constexpr int kEndpoints = 10;
+constexpr int kSharedParts = 12;
+constexpr int64_t kEndMs = 20'000;
+constexpr int64_t kStableMs = 3000;
+constexpr size_t kMaxLater = 3;
+
+class Simulation {
+ public:
+  explicit Simulation(uint64_t seed) : random_(seed) {
+    vms_.resize(kVms);
+    endpoints_.resize(kEndpoints);
+    deadly_from_ms_ = Pick(1000, 4000);
+  }
+
+  void Run() {
+    Schedule(0, [this] { Arrive(); });
+    Schedule(Pick(500, 5000), [this] { CrashAtRandom(); });
+    Schedule(Pick(500, 5000), [this] { CutVm(); });
+    while (!events_.empty() && events_.begin()->first.first < kEndMs) {
+      now_ms_ = events_.begin()->first.first;
+      auto run = std::move(events_.begin()->second);
+      events_.erase(events_.begin());
+      run();
+    }
+  }
+
+  size_t deadly_crashes() const { return deadly_crash_ms_.size(); }
+  size_t later() const { return later_; }
+  size_t sound() const { return sound_; }
+  size_t sound_rejected() const { return sound_rejected_; }
+  std::set<Fingerprint> BlamedAt(int vm) {
+    return vms_[Index(vm)].table.Blamed(At(kEndMs));
+  }
+
+ private:
+  struct Vm {
+    CrashAttribution table;
+    bool linked = true;
+    int64_t linked_since_ms = -kStableMs;
+  };
+  struct Call {
+    int vm = 0;
+    std::vector<CrashSuspect> suspects;
+    bool deadly = false;
+    bool repeat = false;
+  };
+  struct Endpoint {
+    uint64_t boot = 1;
+    bool down = false;
+    std::map<int, Call> reading;  // not begun to be answered, by number
+  };
+
+  static size_t Index(int i) { return static_cast<size_t>(i); }
+  int64_t Pick(int64_t low, int64_t high) {
+    return low + static_cast<int64_t>(random_.Unit() *
+                                      static_cast<double>(high - low));
+  }
+  void Schedule(int64_t in_ms, std::function<void()> run) {
+    events_[{now_ms_ + in_ms, ++event_count_}] = std::move(run);
+  }
+
+  void Arrive() {
+    Schedule(Pick(1, 25), [this] { Arrive(); });
+    Call call;
+    call.vm = static_cast<int>(Pick(0, kVms));
+    // Some parts are far more frequent than others.
+    const auto part =
+        static_cast<uint64_t>(random_.Unit() * random_.Unit() * kSharedParts);
+    call.suspects = {{Fingerprint(10 + part), 0}};
+    call.deadly = now_ms_ > deadly_from_ms_ && random_.Unit() < 0.08;
+    if (call.deadly) call.suspects.push_back({kDeadly, 1});
+    call.suspects.push_back(
+        {Fingerprint(1000 + ++requests_), CrashSuspect::kWholeRequest});
+    Send(std::move(call));
+  }
+
+  bool IsRejected(const Call& call) {
+    CrashAttribution& table = vms_[Index(call.vm)].table;
+    for (const CrashSuspect& suspect : call.suspects) {
+      if (table.IsBlamed(Now(), suspect.fingerprint)) return true;
+    }
+    return false;
+  }
+
+  void Send(Call call) {
+    if (!call.deadly && !call.repeat) ++sound_;
+    if (IsRejected(call)) {
+      if (!call.deadly && !call.repeat) ++sound_rejected_;
+      return;
+    }
+    const auto index = Index(static_cast<int>(Pick(0, kEndpoints)));
+    if (endpoints_[index].down) return;
+    if (call.deadly) CountDeadly(call.vm);
+    const int number = ++call_count_;
+    const uint64_t boot = endpoints_[index].boot;
+    endpoints_[index].reading.emplace(number, std::move(call));
+    Schedule(Pick(10, 300),
+             [this, index, number, boot] { Begin(index, number, boot); });
+  }
+
+  void CountDeadly(int vm) {
+    const Vm& sender = vms_[Index(vm)];
+    const bool in_touch =
+        sender.linked && now_ms_ - sender.linked_since_ms >= kStableMs;
+    if (in_touch && deadly_crash_ms_.size() >= 5 &&
+        now_ms_ - deadly_crash_ms_[4] > kStableMs) {
+      ++later_;
+    }
+  }
+
+  void Begin(size_t index, int number, uint64_t boot) {
+    Endpoint& endpoint = endpoints_[index];
+    auto it = endpoint.reading.find(number);
+    if (endpoint.boot != boot || it == endpoint.reading.end()) return;
+    Call call = it->second;
+    if (IsRejected(call)) {  // the VM cancels what it learns to be deadly
+      endpoint.reading.erase(it);
+      return;
+    }
+    if (call.deadly) {
+      deadly_crash_ms_.push_back(now_ms_);
+      return Crash(index);
+    }
+    endpoint.reading.erase(it);
+    if (random_.Unit() < 0.01) {  // the connection breaks
+      Report(index, boot, call);
+      return Schedule(200, [this, index, boot] {
+        if (endpoints_[index].boot != boot) return;
+        Vm& vm = vms_[Index(static_cast<int>(Pick(0, kVms)))];
+        Publish(vm, vm.table.OnAlive(Now(), Id(index), BootNumber(boot)));
+      });
+    }
+    Vm& vm = vms_[Index(call.vm)];
+    Publish(vm, vm.table.OnAnswered(Now(), call.suspects));
+  }
+
+  void Crash(size_t index) {
+    Endpoint& endpoint = endpoints_[index];
+    if (endpoint.down) return;
+    endpoint.down = true;
+    const uint64_t boot = endpoint.boot++;
+    const auto broken = std::exchange(endpoint.reading, {});
+    for (const auto& [number, call] : broken) {
+      Schedule(Pick(0, 4), [this, index, boot, call = call] {
+        Report(index, boot, call);
+        if (call.repeat) return;
+        Call repeat = call;
+        repeat.repeat = true;
+        Send(std::move(repeat));
+      });
+    }
+    Schedule(3000, [&endpoint] { endpoint.down = false; });
+  }
+
+  void CrashAtRandom() {
+    Crash(Index(static_cast<int>(Pick(0, kEndpoints))));
+    if (random_.Unit() < 0.2) {  // loss of power of several endpoints
+      for (size_t i = 0; i < kEndpoints; i += 3) Crash(i);
+    }
+    Schedule(Pick(500, 4000), [this] { CrashAtRandom(); });
+  }
+
+  void CutVm() {
+    const auto index = Index(static_cast<int>(Pick(kHubs, kVms)));
+    vms_[index].linked = false;
+    const bool restarts = random_.Unit() < 0.5;
+    Schedule(Pick(200, 3000), [this, index, restarts] {
+      Vm& vm = vms_[index];
+      if (restarts) vm.table = CrashAttribution();
+      vm.linked = true;
+      vm.linked_since_ms = now_ms_;
+      for (size_t hub = 0; hub < kHubs; ++hub) {
+        Deliver(index, hub, vm.table.Snapshot(Now()));
+        Deliver(hub, index, vms_[hub].table.Snapshot(Now()));
+      }
+    });
+    Schedule(Pick(1500, 5000), [this] { CutVm(); });
+  }
+
+  void Report(size_t index, uint64_t boot, const Call& call) {
+    Vm& vm = vms_[Index(call.vm)];
+    CrashAttribution::News news = vm.table.Merge(
+        Now(),
+        {{{Id(index), BootNumber(boot), Duration(), call.suspects}}, {}, {}});
+    Append(news.reported, std::move(news.contradicting));
+    Publish(vm, news.reported);
+  }
+
+  void Publish(Vm& vm, const CrashEvidence& evidence) {
+    if (IsEmpty(evidence) || !vm.linked) return;
+    const auto from = static_cast<size_t>(&vm - vms_.data());
+    const size_t receivers = from < kHubs ? kVms : kHubs;
+    for (size_t to = 0; to < receivers; ++to) Deliver(from, to, evidence);
+  }
+
+  void Deliver(size_t from, size_t to, const CrashEvidence& evidence) {
+    if (from == to || IsEmpty(evidence)) return;
+    Schedule(Pick(1, 60), [this, to, evidence] {
+      Vm& vm = vms_[to];
+      if (!vm.linked) return;
+      CrashAttribution::News news = vm.table.Merge(Now(), evidence);
+      Publish(vm, news.contradicting);
+      if (to < kHubs) Publish(vm, news.reported);
+    });
+  }
+
+  TimePoint Now() const { return At(now_ms_); }
+  static EndpointId Id(size_t index) {
+    return EndpointId("e" + std::to_string(index));
+  }
+
+  Random random_;
+  int64_t now_ms_ = 0;
+  int64_t deadly_from_ms_ = 0;
+  uint64_t event_count_ = 0;
+  std::map<std::pair<int64_t, uint64_t>, std::function<void()>> events_;
+  std::vector<Vm> vms_;
+  std::vector<Endpoint> endpoints_;
+  uint64_t requests_ = 0;
+  int call_count_ = 0;
+  std::vector<int64_t> deadly_crash_ms_;
+  size_t later_ = 0;
+  size_t sound_ = 0;
+  size_t sound_rejected_ = 0;
+};
+
+// Guards against VMs that disagree for long about what crashes endpoints, as
+// their evidence comes late, in another order or not at all.
+TEST_CASE("VMs blame the deadly part and no other, in any order of events") {
+  constexpr uint64_t kSeeds = 200;
+  size_t sound = 0;
+  size_t rejected = 0;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    Simulation simulation(seed);
+    simulation.Run();
+    REQUIRE(simulation.deadly_crashes() > 0);
+    REQUIRE(simulation.later() <= kMaxLater);
+    for (int vm = 0; vm < kHubs; ++vm) {
+      REQUIRE(simulation.BlamedAt(vm) == std::set{kDeadly});
+    }
+    sound += simulation.sound();
+    rejected += simulation.sound_rejected();
+  }
+  INFO(rejected << " of " << sound << " sound requests were rejected");
+  REQUIRE(rejected * 100 <= sound);
+}
+
+}  // namespace
+}  // namespace zr
--- a/modules/zr_request/zr_request.h
+++ b/modules/zr_request/zr_request.h
@@ -10,6 +10,7 @@
  * Threads: not thread-safe; the daemon calls each object from one strand.
  */
 
+#include "zr_request/crash_attribution.h"
 #include "zr_request/prompt_cost.h"
 #include "zr_request/request_actions.h"
 #include "zr_request/request_machine.h"
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -185,6 +185,27 @@
   a(m.query_id, m.kinds);
 }
 
+template <typename A>
+void Fields(A& a, CrashSuspect& m) {
+  a(m.fingerprint, m.specificity);
+}
+template <typename A>
+void Fields(A& a, SuspectedCrash& m) {
+  a(m.endpoint, m.boot, m.age, m.suspects);
+}
+template <typename A>
+void Fields(A& a, AnsweredSuspect& m) {
+  a(m.fingerprint, m.age);
+}
+template <typename A>
+void Fields(A& a, LiveEndpoint& m) {
+  a(m.endpoint, m.boot, m.age);
+}
+template <typename A>
+void Fields(A& a, CrashEvidence& m) {
+  a(m.crashes, m.answered, m.live);
+}
+
 /** Largest valid value of each enumeration on the wire. */
 template <typename E>
 inline constexpr uint8_t kEnumMax = 0;
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -531,6 +531,51 @@
   friend auto operator<=>(const StoreUpdate&, const StoreUpdate&) = default;
 };
 
+/** What of a request may crash endpoints: the request as a whole, or a part of
+ * its prompt that other requests may share. */
+struct CrashSuspect {
+  /** Specificity of a whole request, above that of all parts. */
+  static constexpr uint32_t kWholeRequest = UINT32_MAX;
+
+  Fingerprint fingerprint;
+  uint32_t specificity = 0;  // of a part: its position in the prompt
+  friend auto operator<=>(const CrashSuspect&, const CrashSuspect&) = default;
+};
+
+/** An endpoint seems to have crashed; see CrashAttribution. */
+struct SuspectedCrash {
+  EndpointId endpoint;
+  BootNumber boot;  // identifies the crash together with the endpoint
+  Duration age;     // since the crash was observed
+  std::vector<CrashSuspect> suspects;  // sent there and not yet answered
+  friend auto operator<=>(const SuspectedCrash&,
+                          const SuspectedCrash&) = default;
+};
+
+/** An endpoint began to answer a request with the suspect. */
+struct AnsweredSuspect {
+  Fingerprint fingerprint;
+  Duration age;
+  friend auto operator<=>(const AnsweredSuspect&,
+                          const AnsweredSuspect&) = default;
+};
+
+/** The endpoint sent a part of an answer. */
+struct LiveEndpoint {
+  EndpointId endpoint;
+  BootNumber boot;
+  Duration age;
+  friend auto operator<=>(const LiveEndpoint&, const LiveEndpoint&) = default;
+};
+
+/** Observations from which CrashAttribution finds what crashes endpoints. */
+struct CrashEvidence {
+  std::vector<SuspectedCrash> crashes;
+  std::vector<AnsweredSuspect> answered;
+  std::vector<LiveEndpoint> live;
+  friend auto operator<=>(const CrashEvidence&, const CrashEvidence&) = default;
+};
+
 /** Any message between entry VMs. The order of the alternatives is part of the
  * wire format. */
 using Message =
@@ -540,7 +585,7 @@
                  GatherReserve, GatherReply, GatherRelease, TakeoverRequest,
                  TakeoverReply, SuspectLeaseRequest, SuspectLeaseReply,
                  MembershipDigest, DispatchRequest, DispatchReply, CallProgress,
-                 InFlightCalls, StoreQuery, StoreUpdate>;
+                 InFlightCalls, StoreQuery, StoreUpdate, CrashEvidence>;
 
 /** A message and its destination. */
 struct OutgoingMessage {
--- a/modules/zr_wire/tests/wire_test.cc
+++ b/modules/zr_wire/tests/wire_test.cc
@@ -29,9 +29,18 @@
   HeldGrants held;
   held.grants.resize(2);
   held.grants[1].started = true;
+  CrashEvidence evidence;
+  evidence.crashes = {
+      {EndpointId("e-1"),
+       BootNumber(7),
+       Duration::Milliseconds(3),
+       {{Fingerprint(5), 1}, {Fingerprint(6), CrashSuspect::kWholeRequest}}}};
+  evidence.answered = {{Fingerprint(5), Duration::Milliseconds(1)}};
+  evidence.live = {{EndpointId("e-1"), BootNumber(7), Duration()}};
   for (const Message& message : std::vector<Message>{
            SampleAdmission(), heartbeat, refusal, held, EndpointSummary{},
-           Grant{}, GrantRelease{}, Suspect{}, GatherReply{}, ConfigOffer{}}) {
+           Grant{}, GrantRelease{}, Suspect{}, GatherReply{}, ConfigOffer{},
+           evidence}) {
     auto decoded = DecodeMessage(EncodeMessage(message));
     REQUIRE(decoded);
     REQUIRE(*decoded == message);
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -38,6 +38,12 @@
 grants|-DNO_REPORTS -DM_NO_ENGINE_LIST|running==0
 grants|-DNO_REPORTS -DGRANTS=3 -DOWNERS=3|running<=
 grants|-DNO_REPORTS -DL_SILENT_RESTART|running<=
+suspects||-
+suspects|-DREACH_BLAME|answered[0]
+suspects|-DM_NO_SNAPSHOT|blamed
+suspects|-DM_NO_EXPLAIN|blamedS
+suspects|-DM_KEEP_CLEARANCE|blamedS
+suspects|-DM_FORGET_ANSWERS|blamedS
 END
 
 check() {
--- a/tests/platform/deadly.py
+++ b/tests/platform/deadly.py
@@ -96,20 +96,18 @@
     check(later <= MAX_LATER, f"{later} requests with {mark} reached endpoints {when}")
 
 
-def part_is_kept_from_endpoints(d):
+def part_is_kept_from_endpoints(d, sound):
     Endpoint.deadly = "deadly-a"
     parts = "first:40,deadly-a:60"
-    sound = SoundTraffic(d)
     crash_endpoints(d, parts)
     time.sleep(STABLE_S)
     start = len(sound.answers)
     check_kept_away(d, "deadly-a", parts, when="after the fifth crash")
     served, all_later = sound.served_since(start)
     check(served >= 0.9 * all_later, f"{served} of {all_later} sound requests were served")
-    sound.stop()
 
 
-def restarted_vms_know_the_part(d):
+def restarted_vms_know_the_part(d, _):
     parts = "first:40,deadly-a:60"
     for vms in ([0], range(VMS)):
         for vm in vms:
@@ -123,7 +121,7 @@
         check_kept_away(d, "deadly-a", parts, when=f"after a restart of {len(vms)} VMs")
 
 
-def part_is_known_while_the_store_is_away(d):
+def part_is_known_while_the_store_is_away(d, _):
     Endpoint.deadly = "deadly-b"
     parts = "first:40,deadly-b:60"
     crash_endpoints(d, parts)
@@ -135,22 +133,25 @@
     check_kept_away(d, "deadly-b", parts, when="after the store's return")
 
 
-def repeated_request_is_kept_from_endpoints(d):
+def repeated_request_is_kept_from_endpoints(d, _):
     Endpoint.deadly = "the deadly body"
     parts, body = "first:40,same:60,session:900", b"the deadly body"
     crash_endpoints(d, parts, body)
     time.sleep(STABLE_S)
     check_kept_away(d, "the deadly body", parts, body, "after the fifth crash")
+    wait_until("all endpoints are back", lambda: not any(e.down for e in d.endpoints))
     answer = call(d, 1, "first:40,same:60")
     check(answer.status == 200, f"a sound prompt with the same parts got {answer.status}")
 
 
 def test(d):
     Endpoint.prefill_s = 0.05
+    sound = SoundTraffic(d)
     for step in (part_is_kept_from_endpoints, restarted_vms_know_the_part,
                  part_is_known_while_the_store_is_away, repeated_request_is_kept_from_endpoints):
         print(f"- {step.__name__}", flush=True)
-        step(d)
+        step(d, sound)
+    sound.stop()
 
 
 main(test, vms=VMS, engines=9)
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -8,7 +8,8 @@
 call and the configuration changes. Clients keep their connections until they
 close. Faults come in series and overlap; their order and times are drawn from
 the seed. Each third seed has planned work only (stops in series, reloads,
-changes, draining endpoints) beside endpoints that pause. Checks, by what
+changes, draining endpoints) beside endpoints that pause; in another third, a
+part of some prompts crashes each engine that begins to answer them. Checks, by what
 callers and endpoints receive:
 
   - a request that may run once runs at most once;
@@ -18,6 +19,8 @@
   - with planned work only, no request is lost: it is answered or rejected, or
     its connection closed before it was read;
   - with planned work only, a route is served 2 s after its confirmation;
+  - from 3 s after the fifth crash, at most 3 prompts with the part that causes
+    them reach engines;
   - after the run every VM is ready and serves again.
 """
 
@@ -31,7 +34,7 @@
 
 from deployment import (HOST, Answer, Deployment, check, configuration, full_stream, route,
                         wait_until)
-from standins import Proxy
+from standins import Endpoint, Proxy
 
 # Longest duration of a fault, in seconds.
 FAULT_S = 2.5
@@ -41,6 +44,10 @@
 # Time after its confirmation within which a change is in force, and time after its start within
 # which this doesn't hold for a VM, in seconds.
 CONFIG_S, STABLE_S = 2, 3
+# Share of the streams whose prompts have a deadly part, and how many of them may reach engines
+# later than STABLE_S after the crash with this number.
+DEADLY_SHARE, DEADLY_LATER, DEADLY_CRASHES = 0.15, 3, 5
+DEADLY_PART = "deadly"
 
 
 class Connection:
@@ -50,10 +57,11 @@
         self.http = http.client.HTTPConnection("127.0.0.1", deployment.port(vm, 0), timeout=20)
         self.used = False
 
-    def call(self, path, request):
+    def call(self, path, request, parts="first:40"):
         """Returns the answer; None if the connection closed before the answer began."""
         headers = {"Host": HOST, "X-Timeout-Ms": "9000", "X-Request-Id": request,
-                   "Api-Key": "key-1", "X-Token-Count": "4000,80", "X-Model": "m"}
+                   "Api-Key": "key-1", "X-Token-Count": "4000,80", "X-Model": "m",
+                   "X-Prompt-Prefix": f"{parts},{request}:3000"}
         try:
             self.http.request("POST", path, b"", headers)
             answer = self.http.getresponse()
@@ -81,6 +89,10 @@
         self.counts, self.faults, self.problems, self.rejected = {}, {}, [], []
         self.down = set()
         self.planned_only = seed % 3 == 0
+        if seed % 3 == 1:
+            Endpoint.deadly, Endpoint.prefill_s = DEADLY_PART, 0.03
+        self.deadly_later = 0  # deadly prompts that reached engines although VMs must know them
+        self.core_disturbed = time.monotonic()
         self.version = 10
         self.started = dict.fromkeys(range(deployment.vm_count), time.monotonic())
 
@@ -100,7 +112,13 @@
                 vm = rng.randrange(self.d.vm_count)
                 connection = Connection(self.d, vm)
             connection.used = True
-            answer = connection.call(f"/{kind}/x", request)
+            deadly = Endpoint.deadly and kind == "stream" and rng.random() < DEADLY_SHARE
+            sent = time.monotonic()
+            answer = connection.call(f"/{kind}/x", request,
+                                     f"first:40,{DEADLY_PART}:60" if deadly else "first:40")
+            if deadly:
+                self.check_deadly(vm, request, sent)
+                continue
             if answer is None:
                 outcome = "no answer"
                 time.sleep(0.05)
@@ -116,6 +134,16 @@
                 key = f"{kind} {outcome}"
                 self.counts[key] = self.counts.get(key, 0) + 1
 
+    def check_deadly(self, vm, request, sent):
+        """Counts prompts that reached an engine although the VM had to know their part."""
+        crashes = Endpoint.crash_times
+        known_since = max(crashes[DEADLY_CRASHES - 1] if len(crashes) >= DEADLY_CRASHES else sent,
+                          self.started[vm], self.core_disturbed) + STABLE_S
+        if vm in self.down or sent < known_since or not self.d.run_count(request):
+            return
+        with self.lock:
+            self.deadly_later += 1
+
     def check_answer(self, kind, request, answer):
         if answer.status in REJECTIONS and answer.complete:
             with self.lock:
@@ -219,6 +247,7 @@
 
         def resume():
             self.d.signal(vm, signal.SIGCONT)
+            self.started[vm] = time.monotonic()
             self.down.discard(vm)
 
         return resume
@@ -241,6 +270,16 @@
             self.proxy.reset()
         return lambda: setattr(self.proxy, "mode", "open")
 
+    def mark_core_disturbed(self, end):
+        """Marks the store as disturbed until STABLE_S after the end of a fault."""
+        self.core_disturbed = time.monotonic() + FAULT_S
+
+        def end_fault():
+            end()
+            self.core_disturbed = max(self.core_disturbed, time.monotonic())
+
+        return end_fault
+
     def endpoint_fails(self):
         endpoint = self.random.choice(self.d.endpoints)
         endpoint.fault = self.random.choice(["reject", "cut", "pause", "error", "extra"])
@@ -266,7 +305,10 @@
         while time.monotonic() < self.end and not self.problems:
             fault = self.random.choice(faults)
             self.faults[fault.__name__] = self.faults.get(fault.__name__, 0) + 1
-            timer = threading.Timer(self.random.uniform(0.2, FAULT_S), fault())
+            end = fault()
+            if fault.__name__.startswith("store"):
+                end = self.mark_core_disturbed(end)
+            timer = threading.Timer(self.random.uniform(0.2, FAULT_S), end)
             timer.start()
             timers.append(timer)
             time.sleep(self.random.expovariate(1 / GAP_S))
@@ -275,7 +317,11 @@
         for client in clients:
             client.join()
         self.check_rejected()
+        if self.deadly_later > DEADLY_LATER:
+            self.report_problem(f"{self.deadly_later} deadly prompts reached engines")
+        Endpoint.deadly = None
         print(f"seed {self.seed}: {self.seconds} s, faults {self.faults}")
+        print(f"{len(Endpoint.crash_times)} crashes, {self.deadly_later} deadly prompts later")
         print(f"answers {dict(sorted(self.counts.items()))}")
         check(not self.problems, "; ".join(self.problems[:5]))
         for vm in range(self.d.vm_count):
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -75,6 +75,9 @@
 
             do_PUT = do_POST
 
+            def do_DELETE(self):
+                store.delete(self)
+
         self.server = Server(("127.0.0.1", port), StoreHandler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
@@ -146,6 +149,24 @@
         if not self._inject_fault(handler):
             handler.answer_json(status, reply)
 
+    def delete(self, handler):
+        url = urllib.parse.urlsplit(handler.path)
+        kind, name = url.path.split("/")[3:5]
+        expected = int(dict(urllib.parse.parse_qsl(url.query)).get("rev", 0))
+        if self._inject_fault(handler):
+            return
+        with self.lock:
+            current = self.objects.get((kind, name))
+            if current is None:
+                status, reply = 404, {}
+            elif expected and current[0] != expected:
+                status, reply = 409, self._object(name, *current)
+            else:
+                status, reply = 200, self._object(name, self._put(kind, name, None), None)
+        if self.lose_answers:
+            return handler.reset()
+        handler.answer_json(status, reply)
+
     def write(self, handler):
         body = json.loads(handler.body())
         if self._inject_fault(handler):
@@ -248,6 +269,7 @@
     deadly = None  # crashes each engine that begins to answer a request with it
     prefill_s = 0  # of an engine, before the first event
     down_s = 1.5  # after a crash
+    crash_times = []  # of all endpoints
 
     def __init__(self, port, service, domain, events=0):
         self.port, self.service, self.domain, self.events = port, service, domain, events
@@ -317,6 +339,7 @@
                 return
             self.down = True
             self.crashes += 1
+            self.crash_times.append(time.monotonic())
 
         def restart():
             old = self.id
