Give endpoints no more requests than the limits that they name (LIMIT)

What callers saw: nothing yet; endpoints in need got up to 24 requests in 4 s where they take 1 a second from all VMs together (11 tolerated).

Cause: the header with the limit was not decoded, so placement took such an endpoint for a sound one.

Change: EndpointLimits (core) keeps the newest observation of any VM, which VMs exchange over their links; the dispatcher counts all requests against the limit, also those of plain services while one of their endpoints names one. VMs without a dispatcher share a quarter of it. Short prompts leave room for a long one; endpoints with a limit neither help nor hold memory, as orders may count. Retry-After is at least the time until a limit has room.

Why it works: one VM counts for all, and every VM knows whose turn it is to count; the newest observation wins in any order of messages (randomised test, spec/limits.pml with three mutants).

--- a/modules/zr_gateway/endpoint_tracker.cc
+++ b/modules/zr_gateway/endpoint_tracker.cc
@@ -8,6 +8,12 @@
 
 // Further consecutive failures do not extend the backoff.
 constexpr int kMaxCountedFailures = 6;
+// Requests that may be placed at once within a limit, besides a share of it.
+// Short of the 5 that endpoints tolerate, as two dispatchers may place at once.
+constexpr double kLimitBurst = 2;
+constexpr double kLimitBurstSeconds = 0.25;
+// An endpoint that takes no request would never say that it takes some again.
+constexpr double kMinLimit = 0.2;  // requests per second
 
 }  // namespace
 
@@ -20,6 +26,7 @@
     state.failures = 0;
     state.backoff_until = TimePoint();
     state.report.reset();
+    state.limit.reset();
   }
   state.listed = listed;
   EndpointId& newest = newest_at_address_[listed.address];
@@ -186,6 +193,53 @@
   state->cold_until = std::max(state->cold_until, now + left);
 }
 
+bool EndpointState::WithinLimit(TimePoint now, double spare) const {
+  return !limit || limiter.LevelAt(now) >= 1 + spare;
+}
+
+void EndpointTracker::SetLimit(TimePoint now, const EndpointId& id,
+                               BootNumber boot, std::optional<double> rate) {
+  EndpointState* state = FindMutable(id);
+  if (state == nullptr ||
+      BootNumber(static_cast<uint64_t>(state->listed.boot_ms)) != boot ||
+      state->limit == rate) {
+    return;
+  }
+  const bool was_limited = state->limit.has_value();
+  state->limit = rate;
+  if (!rate) return;
+  const bool shared = options_.limit_share < 1;
+  const double limit = std::max(kMinLimit, *rate);
+  const double burst = shared ? 1 : kLimitBurst + kLimitBurstSeconds * limit;
+  if (!was_limited) state->limiter = TokenBucket(0, shared ? 0 : 1);
+  state->limiter.TryTake(now, 0);  // adds what was gained at the former rate
+  state->limiter.Configure(limit * options_.limit_share, burst);
+}
+
+void EndpointTracker::CountRequest(TimePoint now, const EndpointId& id) {
+  EndpointState* state = FindMutable(id);
+  if (state == nullptr || !state->limit) return;
+  if (!state->limiter.TryTake(now)) state->limiter.Add(-1);
+}
+
+bool EndpointTracker::HasLimits(const ServiceName& service) const {
+  return std::any_of(endpoints_.begin(), endpoints_.end(),
+                     [&service](const auto& item) {
+                       return item.second.limit.has_value() &&
+                              item.second.listed.service == service;
+                     });
+}
+
+Duration EndpointTracker::TimeUntilWithinLimit(
+    TimePoint now, const ServiceName& service) const {
+  Duration soonest = Duration::Max();
+  for (const auto& [id, state] : endpoints_) {
+    if (!state.limit || state.listed.service != service) continue;
+    soonest = std::min(soonest, state.limiter.TimeUntil(now, 1));
+  }
+  return soonest == Duration::Max() ? Duration() : soonest;
+}
+
 const EndpointState* EndpointTracker::Find(const EndpointId& id) const {
   auto it = endpoints_.find(id);
   return it == endpoints_.end() ? nullptr : &it->second;
@@ -203,13 +257,14 @@
 
 std::vector<const EndpointState*> EndpointTracker::Available(
     TimePoint now, const ServiceName& service,
-    const std::set<EndpointId>& excluded) const {
+    const std::set<EndpointId>& excluded, double spare) const {
   std::vector<const EndpointState*> healthy;
   std::vector<const EndpointState*> backing_off;
   for (const auto& [id, state] : endpoints_) {
     if (state.listed.service != service || !AcceptsCalls(state)) continue;
     if (excluded.contains(id)) continue;
     if (now < state.cold_until && state.throttle.LevelAt(now) < 1) continue;
+    if (!state.WithinLimit(now, spare)) continue;
     (now < state.backoff_until ? backing_off : healthy).push_back(&state);
   }
   // Sorted by id so that ties between equal loads are resolved the same way in
--- a/modules/zr_gateway/endpoint_tracker.h
+++ b/modules/zr_gateway/endpoint_tracker.h
@@ -44,7 +44,9 @@
   TimePoint cold_until;
   int failures = 0;         // consecutive
   TimePoint backoff_until;  // gets calls before only if no other is available
-  TokenBucket throttle{0, 1};  // limits calls while cold
+  TokenBucket throttle{0, 1};   // limits calls while cold
+  std::optional<double> limit;  // requests per second of all VMs together
+  TokenBucket limiter{0, 1};    // of the requests that this VM places
 
   /** Number of calls that occupy a slot. */
   int OccupiedSlots() const;
@@ -53,6 +55,9 @@
   /** Forecast time until its prompts are prefilled. */
   double BacklogMs(TimePoint now) const;
   TokenCount KvInUse() const;
+  /** The endpoint's own limit leaves room for one more request.
+   * @param spare  further requests for which it has to leave room */
+  bool WithinLimit(TimePoint now, double spare) const;
 };
 
 /**
@@ -68,11 +73,15 @@
     /** Share of a cold endpoint's rate that one VM may use. The sum over all
      * VMs must stay below the limit of the endpoint. */
     double cold_share = 0.05;
+    /** The same of the limit that an endpoint names. */
+    double limit_share = 0.02;
   };
 
   EndpointTracker() : EndpointTracker(Options{}) {}
   explicit EndpointTracker(Options options) : options_(options) {}
 
+  /** Sets Options::limit_share. */
+  void SetLimitShare(double share) { options_.limit_share = share; }
   /** Sets Options::cold_share. */
   void SetColdShare(double share) { options_.cold_share = share; }
 
@@ -104,6 +113,12 @@
   void OnCold(TimePoint now, const EndpointId& id, Duration left,
               double cold_rate);
 
+  /** Sets the limit of an endpoint's requests per second, or ends it. */
+  void SetLimit(TimePoint now, const EndpointId& id, BootNumber boot,
+                std::optional<double> rate);
+  /** This VM places a request at the endpoint. */
+  void CountRequest(TimePoint now, const EndpointId& id);
+
   //============================================================================
   // Queries
 
@@ -119,10 +134,18 @@
    * returned only if there are no others.
    *
    * @param excluded  endpoints that the request has tried already
+   * @param spare  further requests for which endpoints with a limit of their
+   * own have to leave room
    */
   std::vector<const EndpointState*> Available(
       TimePoint now, const ServiceName& service,
-      const std::set<EndpointId>& excluded) const;
+      const std::set<EndpointId>& excluded, double spare = 0) const;
+  /** One of the service's endpoints has named a limit. */
+  bool HasLimits(const ServiceName& service) const;
+  /** Time until one of these limits leaves room for a request; 0 if one does or
+   * there is none. */
+  Duration TimeUntilWithinLimit(TimePoint now,
+                                const ServiceName& service) const;
   /** Number of the service's endpoints for which MayCall() is true. */
   size_t CountActive(const ServiceName& service) const;
   /** Mean prefill backlog of these endpoints. */
--- a/modules/zr_gateway/placement_policy.cc
+++ b/modules/zr_gateway/placement_policy.cc
@@ -114,8 +114,12 @@
     TimePoint now, const EndpointTracker& tracker, const ServiceName& service,
     const EngineProfile* engine, const CallRequirements& requirements,
     uint64_t tie_seed) const {
+  const bool leaves_spare =
+      options_.pack && engine != nullptr &&
+      IsShortPrefill(PrefillMilliseconds(*engine, requirements.shape.prompt));
   const auto candidates =
-      tracker.Available(now, service, requirements.excluded);
+      tracker.Available(now, service, requirements.excluded,
+                        leaves_spare ? options_.limit_spare : 0);
   if (candidates.empty()) return std::nullopt;
   if (engine == nullptr) return ChoosePlain(now, candidates, tie_seed);
 
@@ -234,6 +238,13 @@
           return std::tuple(a.stalled_value, a.first_token_ms, a.engine->rank) <
                  std::tuple(b.stalled_value, b.first_token_ms, b.engine->rank);
         });
+    // An engine with a limit of its own helps no other, so at most one of them
+    // takes part, as the engine that runs the request.
+    bool limited = false;
+    std::erase_if(candidates, [&limited](const Candidate& candidate) {
+      return candidate.engine->state->limit && std::exchange(limited, true);
+    });
+    if (candidates.size() < engine_count) break;
     candidates.resize(engine_count);
     double stalled_value = 0;
     double first_token_ms = 0;
@@ -241,10 +252,14 @@
       stalled_value += candidate.stalled_value;
       first_token_ms = std::max(first_token_ms, candidate.first_token_ms);
     }
-    // The engine with the most free memory runs the request.
+    // The engine with the most free memory runs the request, unless one may
+    // not help.
     std::stable_sort(candidates.begin(), candidates.end(),
                      [](const Candidate& a, const Candidate& b) {
-                       return a.engine->free_tokens > b.engine->free_tokens;
+                       return std::pair(a.engine->state->limit.has_value(),
+                                        a.engine->free_tokens) >
+                              std::pair(b.engine->state->limit.has_value(),
+                                        b.engine->free_tokens);
                      });
     const EngineView* primary = candidates.front().engine;
     std::vector<double> free_helpers;
--- a/modules/zr_gateway/placement_policy.h
+++ b/modules/zr_gateway/placement_policy.h
@@ -122,6 +122,9 @@
     double safe_objective_share = 0.1;
     /** Share of a tolerated pause that a forecast may use. */
     double max_gap_share = 0.85;
+    /** Requests that short prompts leave to long ones within the limit that an
+     * engine names. */
+    double limit_spare = 1;
   };
 
   PlacementPolicy() : PlacementPolicy(Options{}) {}
--- a/modules/zr_gateway/pool_dispatcher.cc
+++ b/modules/zr_gateway/pool_dispatcher.cc
@@ -45,7 +45,12 @@
     reply.deadline_unreachable = decision == PrefillDecision::kRefuse;
     if (decision != PrefillDecision::kStart) return reply;
   }
-  if (!plan) return reply;
+  if (!plan) {
+    reply.retry_after = std::max(
+        reply.retry_after, tracker_.TimeUntilWithinLimit(now, request.pool));
+    return reply;
+  }
+  tracker_.CountRequest(now, plan->primary.endpoint);
 
   CallEndpoints endpoints = plan->Endpoints();
   reply.endpoint = endpoints.primary;
--- a/modules/zr_gateway/zr_gateway.h
+++ b/modules/zr_gateway/zr_gateway.h
@@ -15,6 +15,7 @@
 #include "zr_gateway/call_endpoints.h"
 #include "zr_gateway/config_freshness.h"
 #include "zr_gateway/endpoint_directory.h"
+#include "zr_gateway/endpoint_limits.h"
 #include "zr_gateway/endpoint_tracker.h"
 #include "zr_gateway/event_splitter.h"
 #include "zr_gateway/evidence_limits.h"
--- a/modules/zr_gateway_host/dispatch_client.cc
+++ b/modules/zr_gateway_host/dispatch_client.cc
@@ -4,6 +4,7 @@
 #include <span>
 #include <utility>
 
+#include "zr_gateway_host/limit_exchange.h"
 #include "zr_gateway_host/suspect_exchange.h"
 #include "zr_wire/zr_wire.h"
 
@@ -26,6 +27,12 @@
 // all VMs stay below 1.5 times the rate.
 constexpr double kDispatcherColdShare = 0.5;
 constexpr double kLocalColdShare = 0.4;
+// The same of the limit that an endpoint names, which the dispatcher may use
+// in full.
+constexpr double kDispatcherLimitShare = 1;
+constexpr double kLocalLimitShare = 0.25;
+// Ranked instead of a pool if there is no pool of engines.
+constexpr const char* kNoPoolRank = "no pool of engines";
 
 }  // namespace
 
@@ -40,6 +47,7 @@
       dispatcher_(state.placement, Hash64(settings.vm.value())),
       relay_(state) {
   dispatcher_.tracker().SetColdShare(kDispatcherColdShare);
+  dispatcher_.tracker().SetLimitShare(kDispatcherLimitShare);
 }
 
 Result<void> DispatchClient::Start(const std::string& key) {
@@ -60,13 +68,15 @@
 void DispatchClient::SetVms(std::map<VmId, std::string> vms) {
   if (vms == vms_) return;
   vms_ = std::move(vms);
-  state_.tracker.SetColdShare(
-      kLocalColdShare /
-      static_cast<double>(std::max<size_t>(kMinVms, vms_.size())));
+  const auto vm_count =
+      static_cast<double>(std::max<size_t>(kMinVms, vms_.size()));
+  state_.tracker.SetColdShare(kLocalColdShare / vm_count);
+  state_.tracker.SetLimitShare(kLocalLimitShare / vm_count);
   ChooseTargets();
 }
 
 void DispatchClient::SetPools(std::vector<PoolId> pools) {
+  if (pools.empty()) pools.emplace_back(kNoPoolRank);
   if (pools == pools_) return;
   pools_ = std::move(pools);
   ChooseTargets();
@@ -104,8 +114,10 @@
 }
 
 VmId DispatchClient::DispatcherFor(const PoolId& pool) const {
+  if (ranked_.empty()) return VmId();
   auto it = ranked_.find(pool);
-  if (it == ranked_.end()) return VmId();
+  // A plain service has the dispatcher of the first pool of engines.
+  if (it == ranked_.end()) it = ranked_.begin();
   for (const VmId& vm : it->second) {
     if (vm == settings_.vm ? !retired_ : IsUsable(vm)) return vm;
   }
@@ -207,6 +219,9 @@
   state_.suspects->Exchange(now, IsHub(), [this](const Message& message) {
     for (const VmId& vm : linked_) Send(vm, message);
   });
+  state_.limits->Exchange(now, IsHub(), [this](const Message& message) {
+    for (const VmId& vm : linked_) Send(vm, message);
+  });
   std::vector<DispatchKey> overdue;
   std::set<VmId> silent;
   for (const auto& [key, pending] : pending_) {
@@ -248,6 +263,8 @@
   state_.log.Write(now, "peer_up", {{"peer", vm.value()}});
   const CrashEvidence evidence = state_.suspects->Snapshot(now);
   if (!IsEmpty(evidence)) Send(vm, evidence);
+  const LimitReport limits = state_.limits->Snapshot(now);
+  if (!limits.observations.empty()) Send(vm, limits);
   UpdateDispatchers();
 }
 
@@ -293,6 +310,8 @@
     relay_.OnUpdate(now, vm, *update);
   } else if (const auto* evidence = std::get_if<CrashEvidence>(&*message)) {
     state_.suspects->OnEvidence(now, vm, *evidence);
+  } else if (const auto* limits = std::get_if<LimitReport>(&*message)) {
+    state_.limits->OnReport(now, vm, *limits);
   }
 }
 
--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -10,6 +10,7 @@
 #include "zr_gateway_host/dispatch_client.h"
 #include "zr_gateway_host/gateway_format.h"
 #include "zr_gateway_host/gateway_state.h"
+#include "zr_gateway_host/limit_exchange.h"
 #include "zr_gateway_host/reservation_keeper.h"
 #include "zr_gateway_host/suspect_exchange.h"
 
@@ -82,6 +83,7 @@
     std::string body;
     BufferBudget::Share buffer;  // of the body
     bool prefilling = true;      // the prompt has not been read in full
+    bool dispatched = false;     // a dispatcher has chosen its endpoints
     bool reserving = false;      // engines have not confirmed their memory
     std::shared_ptr<HttpCall> handle;
   };
@@ -91,6 +93,8 @@
   /** Rejects the request if it is blamed for crashes of endpoints.
    * @returns whether it was rejected */
   bool RejectBlamed(TimePoint now);
+  /** A dispatcher places the requests of the service. */
+  bool IsDispatched() const;
   void Place(TimePoint now);
   void PlaceByDispatcher(TimePoint now);
   void OnDispatchReply(TimePoint now, std::optional<DispatchReply> reply);
@@ -103,7 +107,7 @@
   void OnNoEndpoint(TimePoint now, Duration retry_after);
   CallRequirements Requirements(TimePoint now) const;
   CallKey Key() const { return {state_.vm, request_.id, call_->number}; }
-  void BeginCall(TimePoint now, PlacementPlan plan);
+  void BeginCall(TimePoint now, PlacementPlan plan, bool dispatched);
   void SendCall(TimePoint now);
   void OnReserved(TimePoint now, bool held);
   void OnHead(int status, const HttpHeaders& headers);
@@ -147,7 +151,6 @@
   int calls_started_ = 0;  // includes those whose reservation failed
   int possible_runs_ = 0;
   int dispatch_requests_ = 0;
-  const char* placed_by_ = "";
   bool awaiting_dispatch_ = false;  // a dispatcher has not answered yet
   bool waiting_ = false;            // for an endpoint that accepts the call
   TimePoint placement_began_;       // of the next call
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -8,7 +8,8 @@
 namespace zr {
 
 template <GatewayFormat Format>
-void ForwardedRequest<Format>::BeginCall(TimePoint now, PlacementPlan plan) {
+void ForwardedRequest<Format>::BeginCall(TimePoint now, PlacementPlan plan,
+                                         bool dispatched) {
   using namespace gateway_internal;
   if (call_ && !EndSilentCall(now, plan)) return;
   waiting_ = false;
@@ -18,6 +19,10 @@
   call_->last_progress = now;
   call_->kv_tokens = request_.shape.prompt + request_.shape.max_answer;
   call_->plan = std::move(plan);
+  call_->dispatched = dispatched;
+  if (!dispatched) {
+    state_.tracker.CountRequest(now, call_->plan.primary.endpoint);
+  }
   CallLoad load;
   load.key = Key();
   load.prefill_ms = call_->plan.prefill_ms;
@@ -31,7 +36,7 @@
   fields["helpers"] = call_->plan.helpers.size();
   fields["holders"] = call_->plan.kv_holders;
   fields["forecast_ms"] = call_->plan.expected_first_token.milliseconds();
-  fields["by"] = placed_by_;
+  fields["by"] = dispatched ? "dispatcher" : "this VM";
   if (const auto* state = state_.tracker.Find(call_->plan.primary.endpoint)) {
     fields["own_calls"] = state->OccupiedSlots();
   }
@@ -123,6 +128,9 @@
   if (head.load) {
     state_.tracker.OnLoad(now, call_->plan.primary.endpoint, *head.load);
   }
+  if (!head.misdirected) {
+    state_.limits->OnAnswer(now, call_->plan.primary.endpoint, head.limit);
+  }
   if (head.misdirected) {
     return FailCall(CallFailure::kNotRun, CallResult::kMisdirected,
                     "another endpoint has the address");
@@ -197,7 +205,7 @@
   const TimePoint now = BootNow();
   state_.suspects->OnAnswered(now, suspects_);
   zr::FinishPrefill(now, state_.tracker, call_->plan.Endpoints(), Key());
-  if (service_->engine && state_.dispatch) {
+  if (state_.dispatch && (service_->engine || call_->dispatched)) {
     state_.dispatch->Report(
         {request_.id, AttemptNumber(static_cast<uint64_t>(call_->number)),
          service_->name, CallStage::kPrefillDone, CallResult::kAnswered});
--- a/modules/zr_gateway_host/forwarded_request_failure_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_failure_impl.h
@@ -67,7 +67,7 @@
   const TimePoint now = BootNow();
   EndCall(now, state_.tracker, call_->plan.Endpoints(), Key());
   if (call_->plan.kv_holders > 0) state_.reservations->Release(now, Key());
-  if (service_->engine && state_.dispatch) {
+  if (state_.dispatch && (service_->engine || call_->dispatched)) {
     state_.dispatch->Report(
         {request_.id, AttemptNumber(static_cast<uint64_t>(call_->number)),
          service_->name, CallStage::kEnded, call_->result});
@@ -161,7 +161,7 @@
 
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::ReturnGrant() {
-  if (!service_->engine || !state_.dispatch) return;
+  if (!IsDispatched()) return;
   state_.dispatch->Report(
       {request_.id, AttemptNumber(static_cast<uint64_t>(calls_started_ + 1)),
        service_->name, CallStage::kEnded, CallResult::kAborted});
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -190,10 +190,17 @@
   if (!waiting_) placement_began_ = now;
   if (awaiting_dispatch_) return;
   waiting_ = false;
-  if (service_->engine && state_.dispatch) return PlaceByDispatcher(now);
+  if (IsDispatched()) return PlaceByDispatcher(now);
   PlaceLocally(now);
 }
 
+template <GatewayFormat Format>
+bool ForwardedRequest<Format>::IsDispatched() const {
+  // The limits of a plain service's endpoints hold for all VMs together, too.
+  return state_.dispatch &&
+         (service_->engine || state_.tracker.HasLimits(service_->name));
+}
+
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::PlaceByDispatcher(TimePoint now) {
   const CallRequirements requirements = Requirements(now);
@@ -275,20 +282,18 @@
   plan.helpers.pop_back();
   plan.kv_holders = std::min<size_t>(reply->kv_holders, plan.helpers.size());
   plan.kv_per_holder = reply->kv_per_holder;
-  placed_by_ = "dispatcher";
   plan.prefill_ms = reply->prefill_us / 1000.0;
   plan.expected_first_token = reply->forecast;
-  BeginCall(now, std::move(plan));
+  BeginCall(now, std::move(plan), true);
 }
 
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::PlaceLocally(TimePoint now) {
-  placed_by_ = "this VM";
   const EngineProfile* engine = service_->engine ? &*service_->engine : nullptr;
   auto plan =
       state_.local_placement.Choose(now, state_.tracker, service_->name, engine,
                                     Requirements(now), state_.random.Next());
-  if (plan) return BeginCall(now, std::move(*plan));
+  if (plan) return BeginCall(now, std::move(*plan), false);
   if (call_) return KeepSilentCall(now, "no endpoint available");
   OnNoEndpoint(now, gateway_internal::kRetryAfter);
 }
@@ -318,9 +323,13 @@
                "prompt and answer exceed the memory of the engines"},
          {}});
   }
+  const char* reason =
+      state_.tracker.HasLimits(service_->name)
+          ? "no endpoint takes the request within the limits that they name"
+          : "no endpoint takes the request";
   SendOwnAnswer({503,
                  Error{ErrorCode::kOverloaded, "placement",
-                       service_->name.value(), "no endpoint takes the request"},
+                       service_->name.value(), reason},
                  retry_after});
 }
 
--- a/modules/zr_gateway_host/gateway_format.h
+++ b/modules/zr_gateway_host/gateway_format.h
@@ -53,6 +53,8 @@
   bool misdirected = false;  // another endpoint has the address
   bool encoded = false;      // the body has a content encoding
   std::optional<ReportedLoad> load;
+  /** Requests per second that the endpoint takes from all VMs together. */
+  std::optional<double> limit;
   std::string faulty_address;  // of the endpoint at fault; empty if not named
   HttpHeaders headers;         // forwarded to the caller
 };
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -95,6 +95,8 @@
   dispatch_ = std::make_shared<DispatchClient>(
       io_, settings_, state_,
       [this](const PoolId& pool) { return InFlightCallsOf(pool); });
+  state_.limits = std::make_shared<LimitExchange>(
+      state_, dispatch_->dispatcher().tracker());
   dispatch_directory_ =
       std::make_unique<EndpointDirectory>(dispatch_->dispatcher().tracker());
 
--- a/modules/zr_gateway_host/gateway_state.h
+++ b/modules/zr_gateway_host/gateway_state.h
@@ -15,6 +15,7 @@
 namespace zr {
 
 class DispatchClient;
+class LimitExchange;
 class ReservationKeeper;
 class SuspectExchange;
 
@@ -74,6 +75,7 @@
   std::shared_ptr<DispatchClient> dispatch;
   std::shared_ptr<ReservationKeeper> reservations;
   std::shared_ptr<SuspectExchange> suspects;
+  std::shared_ptr<LimitExchange> limits;
   VmId vm;
   bool stopping = false;
   TimePoint stop_began;  // if stopping
--- /dev/null
+++ b/modules/zr_gateway_host/limit_exchange.cc
@@ -0,0 +1,83 @@
+#include "zr_gateway_host/limit_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace zr {
+namespace {
+
+constexpr double kSecondsOfRate = 1000;  // unit of the rate on the wire
+constexpr double kMaxRate = 1e9;         // requests per second
+
+}  // namespace
+
+void LimitExchange::OnAnswer(TimePoint now, const EndpointId& endpoint,
+                             std::optional<double> limit) {
+  const EndpointState* state = state_.tracker.Find(endpoint);
+  if (state == nullptr) return;
+  LimitObservation observation;
+  observation.endpoint = endpoint;
+  observation.boot = BootNumber(static_cast<uint64_t>(state->listed.boot_ms));
+  observation.limited = limit.has_value();
+  observation.requests_per_1000_s = static_cast<uint64_t>(
+      std::clamp(limit.value_or(0), 0.0, kMaxRate) * kSecondsOfRate);
+  EndpointLimits::News news = limits_.Merge(now, {observation});
+  LogChanges(now, state_.vm, news.reported);
+  Publish(now, std::move(news.reported));
+}
+
+void LimitExchange::OnReport(TimePoint now, const VmId& vm,
+                             const LimitReport& report) {
+  EndpointLimits::News news = limits_.Merge(now, report.observations);
+  LogChanges(now, vm, news.reported);
+  Publish(now, std::move(news.contradicting));
+  if (forwards_) Publish(now, std::move(news.reported));
+}
+
+void LimitExchange::ApplyAll(TimePoint now) {
+  limits_.ApplyTo(now, state_.tracker);
+  limits_.ApplyTo(now, dispatch_tracker_);
+}
+
+void LimitExchange::LogChanges(TimePoint now, const VmId& from,
+                               const std::vector<LimitObservation>& changes) {
+  if (changes.empty()) return;
+  ApplyAll(now);
+  for (const LimitObservation& change : changes) {
+    const auto limit = limits_.LimitOf(change.endpoint, change.boot);
+    state_.log.Write(now, "endpoint_limit",
+                     {{"endpoint", change.endpoint.value()},
+                      {"limited", change.limited},
+                      {"per_s", limit.value_or(0)},
+                      {"seen_by", from.value()},
+                      {"age_ms", change.age.milliseconds()}});
+  }
+  limits_.Forget([this](const EndpointId& endpoint) {
+    return state_.tracker.Find(endpoint) != nullptr;
+  });
+  state_.metrics.Set("zr_gateway_limited_endpoints", {},
+                     static_cast<double>(limits_.CountLimited()));
+}
+
+void LimitExchange::Publish(TimePoint now,
+                            std::vector<LimitObservation> observations) {
+  if (outbox_.observations.empty()) outbox_time_ = now;
+  for (LimitObservation& observation : observations) {
+    observation.age = observation.age + (outbox_time_ - now);
+    outbox_.observations.push_back(std::move(observation));
+  }
+}
+
+void LimitExchange::Exchange(TimePoint now, bool forwards,
+                             const Sender& send_to_all) {
+  forwards_ = forwards;
+  ApplyAll(now);
+  if (outbox_.observations.empty()) return;
+  LimitReport report = std::exchange(outbox_, {});
+  for (LimitObservation& observation : report.observations) {
+    observation.age = observation.age + (now - outbox_time_);
+  }
+  send_to_all(report);
+}
+
+}  // namespace zr
--- /dev/null
+++ b/modules/zr_gateway_host/limit_exchange.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+
+#include "zr_gateway/zr_gateway.h"
+#include "zr_gateway_host/gateway_state.h"
+
+namespace zr {
+
+/**
+ * Shares the limits that endpoints name in their answers with the linked VMs,
+ * and applies them to the placement of this VM and of its dispatcher. VMs to
+ * which most others keep links pass on what they are told.
+ */
+class LimitExchange {
+ public:
+  using Sender = std::function<void(const Message&)>;
+
+  /** @param dispatch_tracker  of this VM's dispatcher; must outlive this */
+  LimitExchange(GatewayState& state, EndpointTracker& dispatch_tracker)
+      : state_(state), dispatch_tracker_(dispatch_tracker) {}
+
+  /** An answer of an endpoint of this service.
+   * @param limit  requests per second, if the answer names a limit */
+  void OnAnswer(TimePoint now, const EndpointId& endpoint,
+                std::optional<double> limit);
+  void OnReport(TimePoint now, const VmId& vm, const LimitReport& report);
+  /** For a VM that has just been linked. */
+  LimitReport Snapshot(TimePoint now) const { return {limits_.Snapshot(now)}; }
+  /** @param forwards  this VM passes on what it is told
+   *  @param send_to_all  sends to each linked VM */
+  void Exchange(TimePoint now, bool forwards, const Sender& send_to_all);
+
+ private:
+  /** Repeated, because a limit may be known before its endpoint is listed. */
+  void ApplyAll(TimePoint now);
+  void LogChanges(TimePoint now, const VmId& from,
+                  const std::vector<LimitObservation>& changes);
+  void Publish(TimePoint now, std::vector<LimitObservation> observations);
+
+  GatewayState& state_;
+  EndpointTracker& dispatch_tracker_;
+  EndpointLimits limits_;
+  LimitReport outbox_;  // ages as of outbox_time_
+  TimePoint outbox_time_;
+  bool forwards_ = false;
+};
+
+}  // namespace zr
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -206,6 +206,15 @@
   a(m.crashes, m.answered, m.live);
 }
 
+template <typename A>
+void Fields(A& a, LimitObservation& m) {
+  a(m.endpoint, m.boot, m.limited, m.requests_per_1000_s, m.age);
+}
+template <typename A>
+void Fields(A& a, LimitReport& m) {
+  a(m.observations);
+}
+
 /** Largest valid value of each enumeration on the wire. */
 template <typename E>
 inline constexpr uint8_t kEnumMax = 0;
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -576,16 +576,32 @@
   friend auto operator<=>(const CrashEvidence&, const CrashEvidence&) = default;
 };
 
+/** Whether an answer of an endpoint named a limit; see EndpointLimits. */
+struct LimitObservation {
+  EndpointId endpoint;
+  BootNumber boot;
+  bool limited = false;
+  uint64_t requests_per_1000_s = 0;  // of all VMs together, if limited
+  Duration age;                      // since the answer
+  friend auto operator<=>(const LimitObservation&,
+                          const LimitObservation&) = default;
+};
+
+/** Reports changes of the limits that endpoints name. */
+struct LimitReport {
+  std::vector<LimitObservation> observations;
+  friend auto operator<=>(const LimitReport&, const LimitReport&) = default;
+};
+
 /** Any message between entry VMs. The order of the alternatives is part of the
  * wire format. */
-using Message =
-    std::variant<Heartbeat, EndpointSummary, AdmissionRequest, Grant, Refusal,
-                 GrantRelease, HeldGrants, CancelAdmission, Suspect,
-                 StreamLookup, StreamLocation, ConfigOffer, ConfigFetch,
-                 GatherReserve, GatherReply, GatherRelease, TakeoverRequest,
-                 TakeoverReply, SuspectLeaseRequest, SuspectLeaseReply,
-                 MembershipDigest, DispatchRequest, DispatchReply, CallProgress,
-                 InFlightCalls, StoreQuery, StoreUpdate, CrashEvidence>;
+using Message = std::variant<
+    Heartbeat, EndpointSummary, AdmissionRequest, Grant, Refusal, GrantRelease,
+    HeldGrants, CancelAdmission, Suspect, StreamLookup, StreamLocation,
+    ConfigOffer, ConfigFetch, GatherReserve, GatherReply, GatherRelease,
+    TakeoverRequest, TakeoverReply, SuspectLeaseRequest, SuspectLeaseReply,
+    MembershipDigest, DispatchRequest, DispatchReply, CallProgress,
+    InFlightCalls, StoreQuery, StoreUpdate, CrashEvidence, LimitReport>;
 
 /** A message and its destination. */
 struct OutgoingMessage {
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -44,6 +44,11 @@
 suspects|-DM_NO_EXPLAIN|blamedS
 suspects|-DM_KEEP_CLEARANCE|blamedS
 suspects|-DM_FORGET_ANSWERS|blamedS
+limits||-
+limits|-DREACH_CHANGE|clock<=
+limits|-DM_LAST_MESSAGE|known[
+limits|-DM_NO_SNAPSHOT|known[
+limits|-DM_SILENT|known[
 END
 
 check() {
--- a/tests/platform/deadly.py
+++ b/tests/platform/deadly.py
@@ -7,12 +7,10 @@
 import time
 
 from deployment import check, main, wait_until
-from standins import Endpoint
+from standins import STABLE_S, Endpoint
 
 VMS = 6
-# Time after the fifth crash from which VMs must know what crashes endpoints, in seconds.
-STABLE_S = 3
-# Requests that may reach endpoints later than that.
+# Requests that may reach endpoints later than STABLE_S after the fifth crash.
 MAX_LATER = 3
 CRASHES = 5
 numbers = itertools.count()
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -9,7 +9,8 @@
 close. Faults come in series and overlap; their order and times are drawn from
 the seed. Each third seed has planned work only (stops in series, reloads,
 changes, draining endpoints) beside endpoints that pause; in another third, a
-part of some prompts crashes each engine that begins to answer them. Checks, by what
+part of some prompts crashes each engine that begins to answer them. In each
+second run, some endpoints name a limit. Checks, by what
 callers and endpoints receive:
 
   - a request that may run once runs at most once;
@@ -21,6 +22,8 @@
   - with planned work only, a route is served 2 s after its confirmation;
   - from 3 s after the fifth crash, at most 3 prompts with the part that causes
     them reach engines;
+  - an endpoint that names a limit gets no more than 1.5 times that and 5
+    requests in 4 s, from VMs that are neither restarted nor paused;
   - after the run every VM is ready and serves again.
 """
 
@@ -34,16 +37,17 @@
 
 from deployment import (HOST, Answer, Deployment, check, configuration, full_stream, route,
                         wait_until)
-from standins import Endpoint, Proxy
+from standins import LIMIT_WINDOW_S, STABLE_S, Endpoint, Proxy
 
 # Longest duration of a fault, in seconds.
 FAULT_S = 2.5
 # Mean time between the starts of two faults, in seconds.
 GAP_S = 0.4
 REJECTIONS = (408, 421, 429, 503)
-# Time after its confirmation within which a change is in force, and time after its start within
-# which this doesn't hold for a VM, in seconds.
-CONFIG_S, STABLE_S = 2, 3
+# Time after its confirmation within which a change is in force, in seconds.
+CONFIG_S = 2
+# Limits that endpoints name, in requests a second.
+LIMITS = (1, 2, 5)
 # Share of the streams whose prompts have a deadly part, and how many of them may reach engines
 # later than STABLE_S after the crash with this number.
 DEADLY_SHARE, DEADLY_LATER, DEADLY_CRASHES = 0.15, 3, 5
@@ -88,11 +92,15 @@
         self.lock = threading.Lock()
         self.counts, self.faults, self.problems, self.rejected = {}, {}, [], []
         self.down = set()
+        self.disturbed = {}  # times of kills, stops, pauses and of their ends, by VM
         self.planned_only = seed % 3 == 0
         if seed % 3 == 1:
             Endpoint.deadly, Endpoint.prefill_s = DEADLY_PART, 0.03
         self.deadly_later = 0  # deadly prompts that reached engines although VMs must know them
         self.core_disturbed = time.monotonic()
+        self.sent_by = {}  # VM of each request
+        self.limited = ([deployment.endpoints_of("llm")[0], deployment.endpoints_of("plain")[0]]
+                        if seed % 2 == 0 else [])
         self.version = 10
         self.started = dict.fromkeys(range(deployment.vm_count), time.monotonic())
 
@@ -114,6 +122,7 @@
             connection.used = True
             deadly = Endpoint.deadly and kind == "stream" and rng.random() < DEADLY_SHARE
             sent = time.monotonic()
+            self.sent_by[request] = vm
             answer = connection.call(f"/{kind}/x", request,
                                      f"first:40,{DEADLY_PART}:60" if deadly else "first:40")
             if deadly:
@@ -160,6 +169,17 @@
         if not answer.complete and not want.startswith(answer.body):
             self.report_problem(f"{request}: wrong partial body {answer.body[:200]}")
 
+    def check_limits(self, until):
+        def excused(request, at):
+            vm = self.sent_by.get(request)
+            return any(at - LIMIT_WINDOW_S - STABLE_S <= disturbed <= at
+                       for disturbed in self.disturbed.get(vm, []))
+
+        for endpoint in self.limited:
+            if excess := endpoint.excess(until, excused):
+                self.report_problem(f"{endpoint.id} got {excess} requests too many for a limit of "
+                                    f"{endpoint.limit} a second")
+
     def check_rejected(self):
         """A request rejected as not run must not run, not even later."""
         for request in self.rejected:
@@ -168,19 +188,28 @@
 
     # Faults. Each starts the fault and returns a function that ends it.
 
+    def take_down(self, *vms):
+        self.down.update(vms)
+        for vm in vms:
+            self.disturbed.setdefault(vm, []).append(time.monotonic())
+
+    def bring_back(self, vm):
+        self.started[vm] = time.monotonic()
+        self.disturbed[vm].append(self.started[vm])
+        self.down.discard(vm)
+
     def kill(self):
         vm = self.random.randrange(self.d.vm_count)
         if vm in self.down:
             return lambda: None
-        self.down.add(vm)
+        self.take_down(vm)
         number = self.random.choice([signal.SIGKILL, signal.SIGTERM])
         self.d.signal(vm, number)
 
         def restart():
             self.d.processes[vm].wait(60)
             self.d.start(vm)
-            self.started[vm] = time.monotonic()
-            self.down.discard(vm)
+            self.bring_back(vm)
 
         return restart
 
@@ -188,7 +217,7 @@
         """Stops up to three VMs, each while the one before may still be stopping."""
         vms = [vm for vm in range(self.d.vm_count) if vm not in self.down]
         vms = self.random.sample(vms, min(3, max(0, len(vms) - 1)))
-        self.down.update(vms)
+        self.take_down(*vms)
         gap_s = self.random.uniform(0.1, 1)
 
         def stop(vm, delay_s):
@@ -196,8 +225,7 @@
             self.d.signal(vm, signal.SIGTERM)
             self.d.processes[vm].wait(60)
             self.d.start(vm)
-            self.started[vm] = time.monotonic()
-            self.down.discard(vm)
+            self.bring_back(vm)
 
         stops = [threading.Thread(target=stop, args=(vm, n * gap_s)) for n, vm in enumerate(vms)]
         for thread in stops:
@@ -242,13 +270,12 @@
         vm = self.random.randrange(self.d.vm_count)
         if vm in self.down:
             return lambda: None
-        self.down.add(vm)
+        self.take_down(vm)
         self.d.signal(vm, signal.SIGSTOP)
 
         def resume():
             self.d.signal(vm, signal.SIGCONT)
-            self.started[vm] = time.monotonic()
-            self.down.discard(vm)
+            self.bring_back(vm)
 
         return resume
 
@@ -295,6 +322,8 @@
                    for n in range(max(8, self.d.vm_count))]
         for client in clients:
             client.start()
+        for endpoint in self.limited:
+            endpoint.set_limit(self.random.choice(LIMITS))
         timers = []
         faults = [self.stop_in_series, self.reload, self.configuration_changes,
                   self.endpoint_pauses, self.endpoint_drains]
@@ -317,6 +346,9 @@
         for client in clients:
             client.join()
         self.check_rejected()
+        self.check_limits(self.end)
+        for endpoint in self.limited:
+            endpoint.set_limit(None)
         if self.deadly_later > DEADLY_LATER:
             self.report_problem(f"{self.deadly_later} deadly prompts reached engines")
         Endpoint.deadly = None
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -260,6 +260,12 @@
 }
 
 
+# Time after which VMs must know what they can learn from each other, in seconds.
+STABLE_S = 3
+# Requests that an endpoint with a limit tolerates in a span: a multiple of the limit and some more.
+LIMIT_WINDOW_S, LIMIT_TOLERANCE, LIMIT_SLACK = 4, 1.5, 5
+
+
 class Endpoint:
     """A worker: a model engine that streams events, or a plain service."""
 
@@ -283,10 +289,13 @@
         self.abandoned = 0  # answers without end that the caller has closed
         self.pause_s = 5  # of the fault "pause"
         self.answer_bytes = 0  # added to each plain answer
+        self.limited_since = None
         self.reserved = {}  # reservation id -> (tokens, time of expiry)
         self.used, self.released = set(), set()  # reservation ids
         self.arrivals = []  # prompt parts and body of each request that arrived, as one text
         self.crashes, self.down = 0, False
+        self.limit = None  # requests a second from all VMs, as named in each answer
+        self.arrival_times = []  # time and request id of each request meant for this endpoint
         self.on_restart = lambda old_id: None
         self.lock = threading.Lock()
         self.by_port[port] = self
@@ -301,6 +310,21 @@
         self.server = Server(("127.0.0.1", port), EndpointHandler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
+    def set_limit(self, limit):
+        self.limit, self.limited_since = limit, time.monotonic() if limit is not None else None
+
+    def excess(self, until, excused=lambda request, time: False):
+        """The requests in some span that are more than the limit tolerates, from STABLE_S after
+        it was named; 0 if there are none. `excused` requests don't count."""
+        if self.limit is None:
+            return 0
+        with self.lock:
+            times = [t for t, request in self.arrival_times
+                     if self.limited_since + STABLE_S <= t <= until and not excused(request, t)]
+        most = max((sum(t <= u < t + LIMIT_WINDOW_S for u in times) for t in times), default=0)
+        allowed = LIMIT_TOLERANCE * self.limit * LIMIT_WINDOW_S + LIMIT_SLACK
+        return max(0, most - allowed)
+
     def entry(self, state="ready"):
         return {"service": self.service, "addr": f"127.0.0.1:{self.port}", "zone": self.domain,
                 "version": "v1", "slots": 16, "state": state, "coldLeftMs": 0,
@@ -376,6 +400,10 @@
         common = {"X-Request-Id": request, "X-Load-Report": "1,0,16"}
         if handler.headers.get("X-Expect-Instance") != self.id:
             return handler.answer(421, b"", {"X-Instance": self.id})
+        with self.lock:
+            self.arrival_times.append((time.monotonic(), request))
+        if self.limit is not None:
+            common["Server-Limit"] = f"{self.limit:g}"
         if handler.path == "/v1/order":
             return self.order(handler, body)
         on_helpers = self.helper_tokens(handler)
