--- a/modules/zr_daemon/api/caller_api.cc
+++ b/modules/zr_daemon/api/caller_api.cc
@@ -275,7 +275,10 @@
                    policy.name.value());
   }
   options.fingerprint = MakeFingerprint(options.team, body.model, body.prompt);
-  options.suspect_status = context_.suspects->StatusOf(options.fingerprint);
+  options.suspect_status =
+      context_.suspects->IsBlamed(options.prefixes)
+          ? SuspectStatus::kRefuse
+          : context_.suspects->StatusOf(options.fingerprint);
   const TimePoint now = SteadyNow();
   options.deadline = now + call.deadline;
   options.may_be_repeat = call.id_given;
--- a/modules/zr_daemon/node.cc
+++ b/modules/zr_daemon/node.cc
@@ -233,6 +233,9 @@
     return gathers_.OnReply(from, *m);
   }
   if (auto* m = std::get_if<Suspect>(&message)) return suspects_.OnSuspect(*m);
+  if (auto* m = std::get_if<CrashEvidence>(&message)) {
+    return suspects_.OnEvidence(*m);
+  }
   if (auto* m = std::get_if<SuspectLeaseRequest>(&message)) {
     return suspects_.OnLeaseRequest(from, *m);
   }
--- a/modules/zr_daemon/request/request_host.cc
+++ b/modules/zr_daemon/request/request_host.cc
@@ -29,6 +29,7 @@
       id_(options.request),
       team_(options.team),
       fingerprint_(options.fingerprint),
+      prefixes_(options.prefixes),
       pool_kind_(options.pool.kind),
       strand_(asio::make_strand(context.io)),
       wakeup_(strand_),
@@ -422,6 +423,7 @@
   const TimePoint now = SteadyNow();
   if (!first_chunk_sent_) {
     first_chunk_sent_ = true;
+    context_.suspects->OnAnswered(prefixes_);
     MetricLabels labels = ClassLabels();
     labels.emplace_back("prompt",
                         PromptLengthBucket(machine_.options().prompt));
@@ -492,6 +494,10 @@
   suspect.endpoint = action.endpoint;
   suspect.boot = action.boot;
   context_.suspects->Report(suspect);
+  if (!first_chunk_sent_) {
+    context_.suspects->ReportUnanswered(action.endpoint, action.boot,
+                                        prefixes_);
+  }
 }
 
 void RequestHost::Execute(const RequestSuspectLease& action) {
--- a/modules/zr_daemon/request/request_host.h
+++ b/modules/zr_daemon/request/request_host.h
@@ -60,6 +60,7 @@
   const RequestId& id() const { return id_; }
   const TeamId& team() const { return team_; }
   Fingerprint fingerprint() const { return fingerprint_; }
+  const std::vector<PrefixHash>& prefixes() const { return prefixes_; }
   /** Where the request runs, as of the last event. */
   StreamLocation Location() const;
 
@@ -115,6 +116,7 @@
   const RequestId id_;
   const TeamId team_;
   const Fingerprint fingerprint_;
+  const std::vector<PrefixHash> prefixes_;
   const PoolKind pool_kind_;
   Strand strand_;
   asio::steady_timer wakeup_;
--- a/modules/zr_daemon/request/request_table.cc
+++ b/modules/zr_daemon/request/request_table.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "zr_daemon/request/suspect_registry.h"
+
 namespace zr {
 
 bool RequestTable::Add(const std::shared_ptr<RequestHost>& host) {
@@ -43,6 +45,15 @@
   }
 }
 
+void RequestTable::RefuseBlamed(SuspectRegistry& suspects) {
+  for (const auto& host : All()) {
+    if (!suspects.IsBlamed(host->prefixes())) continue;
+    host->Post([](TimePoint now, RequestMachine& machine) {
+      return machine.OnSuspectStatus(now, SuspectStatus::kRefuse);
+    });
+  }
+}
+
 void RequestTable::OnSuspectStatus(Fingerprint fingerprint,
                                    SuspectStatus status) {
   for (const auto& host : All()) {
--- a/modules/zr_daemon/request/request_table.h
+++ b/modules/zr_daemon/request/request_table.h
@@ -11,6 +11,8 @@
 
 namespace zr {
 
+class SuspectRegistry;
+
 /** Requests in progress at this VM. Thread-safe. */
 class RequestTable {
  public:
@@ -29,6 +31,8 @@
   void WhenEmpty(std::function<void()> run);
   /** Tells every request that a VM is considered failed. */
   void OnVmDown(const VmId& vm);
+  /** Refuses the requests whose prompts begin with a blamed prefix. */
+  void RefuseBlamed(SuspectRegistry& suspects);
   /** Tells the requests with a fingerprint its new suspect status. */
   void OnSuspectStatus(Fingerprint fingerprint, SuspectStatus status);
   void AbortAll();
--- a/modules/zr_daemon/request/suspect_registry.cc
+++ b/modules/zr_daemon/request/suspect_registry.cc
@@ -17,10 +17,33 @@
   return options;
 }
 
+// Blocks of a prompt that are tracked as suspects.
+constexpr size_t kMaxSuspectBlocks = 32;
+
+CrashAttribution::Options AttributionOptions() {
+  CrashAttribution::Options options;
+  options.max_suspects = kMaxSuspectBlocks * 16;
+  return options;
+}
+
+/** The more blocks a prefix has, the more specific it is. */
+std::vector<CrashSuspect> SuspectsOf(const std::vector<PrefixHash>& prefixes) {
+  std::vector<CrashSuspect> suspects;
+  for (const PrefixHash prefix : prefixes) {
+    if (suspects.size() == kMaxSuspectBlocks) break;
+    suspects.push_back(
+        {Fingerprint(prefix.value()), static_cast<uint32_t>(suspects.size())});
+  }
+  return suspects;
+}
+
 }  // namespace
 
 SuspectRegistry::SuspectRegistry(NodeContext& context)
-    : context_(context), table_(TableOptions()), leases_(table_) {}
+    : context_(context),
+      table_(TableOptions()),
+      leases_(table_),
+      attribution_(AttributionOptions()) {}
 
 DomainId SuspectRegistry::DomainOf(const EndpointId& endpoint) const {
   const auto snapshot = context_.cluster->Get();
@@ -68,6 +91,7 @@
   std::vector<VmId> joined;
   for (const auto& [vm, view] : snapshot.view->live) live.push_back(vm);
   std::vector<Suspect> recent;
+  CrashEvidence evidence;
   {
     std::lock_guard lock(mutex_);
     if (live == live_) return;
@@ -75,11 +99,15 @@
                         std::back_inserter(joined));
     live_ = live;
     leases_.OnViewChanged(SteadyNow());
-    if (!joined.empty()) recent = table_.RecentSuspects(SteadyNow());
+    if (!joined.empty()) {
+      recent = table_.RecentSuspects(SteadyNow());
+      evidence = attribution_.Snapshot(SteadyNow());
+    }
   }
   for (const VmId& vm : joined) {
     if (vm == context_.settings.vm) continue;
     for (const Suspect& suspect : recent) context_.bus->Send(vm, suspect);
+    if (!IsEmpty(evidence)) context_.bus->Send(vm, evidence);
   }
 }
 
@@ -88,6 +116,64 @@
   return table_.StatusOf(SteadyNow(), fingerprint);
 }
 
+void SuspectRegistry::ReportUnanswered(
+    const EndpointId& endpoint, BootNumber boot,
+    const std::vector<PrefixHash>& prefixes) {
+  if (prefixes.empty()) return;
+  CrashAttribution::News news;
+  {
+    std::lock_guard lock(mutex_);
+    news = attribution_.Merge(
+        SteadyNow(),
+        {{{endpoint, boot, Duration(), SuspectsOf(prefixes)}}, {}, {}});
+  }
+  Append(news.reported, std::move(news.contradicting));
+  if (!IsEmpty(news.reported)) context_.bus->Broadcast(news.reported);
+  RefuseBlamedRequests();
+}
+
+void SuspectRegistry::OnAnswered(const std::vector<PrefixHash>& prefixes) {
+  CrashEvidence news;
+  {
+    std::lock_guard lock(mutex_);
+    news = attribution_.OnAnswered(SteadyNow(), SuspectsOf(prefixes));
+  }
+  if (!IsEmpty(news)) context_.bus->Broadcast(news);
+}
+
+void SuspectRegistry::OnEvidence(const CrashEvidence& evidence) {
+  CrashAttribution::News news;
+  {
+    std::lock_guard lock(mutex_);
+    news = attribution_.Merge(SteadyNow(), evidence);
+  }
+  if (!IsEmpty(news.contradicting)) {
+    context_.bus->Broadcast(news.contradicting);
+  }
+  RefuseBlamedRequests();
+}
+
+bool SuspectRegistry::IsBlamed(const std::vector<PrefixHash>& prefixes) {
+  std::lock_guard lock(mutex_);
+  const std::set<Fingerprint>& blamed = attribution_.Blamed(SteadyNow());
+  return !blamed.empty() &&
+         std::any_of(prefixes.begin(), prefixes.end(),
+                     [&blamed](const PrefixHash prefix) {
+                       return blamed.contains(Fingerprint(prefix.value()));
+                     });
+}
+
+void SuspectRegistry::RefuseBlamedRequests() {
+  size_t blamed = 0;
+  {
+    std::lock_guard lock(mutex_);
+    blamed = attribution_.Blamed(SteadyNow()).size();
+  }
+  context_.metrics.Set("zr_suspect_prefixes_blamed", {},
+                       static_cast<double>(blamed));
+  if (blamed > 0) context_.requests->RefuseBlamed(*this);
+}
+
 void SuspectRegistry::SendLeaseRequest(SuspectLeaseRequest request) {
   VmId locator = context_.settings.vm;
   {
--- a/modules/zr_daemon/request/suspect_registry.h
+++ b/modules/zr_daemon/request/suspect_registry.h
@@ -9,8 +9,8 @@
 
 namespace zr {
 
-/** Suspects: requests that may have crashed endpoints. Shared with all VMs.
- * Thread-safe. */
+/** Suspects: requests, and beginnings of prompts that they share, that may have
+ * crashed endpoints. Shared with all VMs. Thread-safe. */
 class SuspectRegistry {
  public:
   explicit SuspectRegistry(NodeContext& context);
@@ -31,6 +31,20 @@
 
   SuspectStatus StatusOf(Fingerprint fingerprint);
 
+  //============================================================================
+  // Beginnings of prompts
+
+  /** An endpoint failed before it began to answer a prompt with these prefixes.
+   */
+  void ReportUnanswered(const EndpointId& endpoint, BootNumber boot,
+                        const std::vector<PrefixHash>& prefixes);
+  /** An endpoint began to answer such a prompt. */
+  void OnAnswered(const std::vector<PrefixHash>& prefixes);
+  /** Adds what another VM has observed. */
+  void OnEvidence(const CrashEvidence& evidence);
+  /** Prompts that begin with one of the prefixes must not reach an endpoint. */
+  bool IsBlamed(const std::vector<PrefixHash>& prefixes);
+
   //============================================================================
   // Suspect leases
 
@@ -43,12 +57,14 @@
 
  private:
   void NotifyRequests(Fingerprint fingerprint);
+  void RefuseBlamedRequests();
   DomainId DomainOf(const EndpointId& endpoint) const;
 
   NodeContext& context_;
   std::mutex mutex_;
   SuspectTable table_;
   SuspectLeases leases_;
+  CrashAttribution attribution_;
   std::vector<VmId> live_;
 };
 
