Take no stream without an event for whole

What callers saw: an endpoint that answers 200 without a length and closes the connection before its first event ended the caller's stream as complete and empty.

Cause: such an answer ends with its connection, and an end between two events counted as the end of the stream, also before the first one. It would also have cleared a prompt that crashes endpoints.

Evidence: the new step of stops.py got 200 with 0 bytes before; with the fix the call counts as broken and the stream is whole from another endpoint.

--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -249,6 +249,14 @@
                     CallResult::kConnectionBroken,
                     "answer ended within an event");
   }
+  if (route_->streaming && call_->head->status == 200 && call_->prefilling &&
+      !last_event_) {
+    state_.suspects->OnCallBroken(BootNow(), request_.id,
+                                  call_->plan.primary.endpoint, suspects_);
+    return FailCall(CallFailure::kConnectionBroken,
+                    CallResult::kConnectionBroken,
+                    "answer ended before its first event");
+  }
   CompleteCall();
 }
 
@@ -264,7 +272,7 @@
         status == 504 ? CallResult::kAnswered : CallResult::kErrorAnswer,
         "status " + std::to_string(status));
   }
-  if (call_->prefilling) state_.suspects->OnAnswered(now, suspects_);
+  if (!route_->streaming) state_.suspects->OnAnswered(now, suspects_);
   state_.tracker.OnCallResult(now, call_->plan.primary.endpoint,
                               CallResult::kAnswered);
   call_->result = CallResult::kAnswered;
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -283,7 +283,7 @@
         self.born = int(time.time() * 1000)
         self.runs = {}  # request id -> number of runs
         self.executed = []  # method, path, headers and body of the requests that ran
-        self.fault = None  # None, "reject", "cut", "pause", "stump", "mute", "error", "extra", one of ENDLESS
+        self.fault = None  # None, "reject", "cut", "pause", "stump", "hollow", "mute", "error", "extra", one of ENDLESS
         self.event_s = 0.01
         self.drip_s = 0  # pause between pieces that are sent without end
         self.abandoned = 0  # answers without end that the caller has closed
@@ -451,6 +451,9 @@
             return handler.reset()
         first = int(handler.headers.get("Last-Event-Id", -1)) + 1
         handler.send_response(200)
+        if self.fault == "hollow":  # no length, no events
+            handler.close_connection = True
+            return handler.end_headers()
         for name, value in headers.items():
             handler.send_header(name, value)
         handler.send_header("Content-Type", "text/event-stream")
--- a/tests/platform/stops.py
+++ b/tests/platform/stops.py
@@ -69,6 +69,18 @@
         engine.fault = None
 
 
+def stream_without_events_is_not_taken_for_whole(d):
+    """One engine answers without a length and closes the connection before the first event."""
+    engines = d.endpoints_of("llm")
+    engines[0].fault = "hollow"
+    for n in range(20):
+        answer = d.call(n % 3, "POST", "/stream/x", f"hollow-{n}")
+        check(answer.status == 200 and answer.body == full_stream(),
+              f"got {answer.status} with {len(answer.body)} bytes")
+    check(any(r.startswith("hollow") for r in engines[0].runs), "the engine got no request")
+    engines[0].fault = None
+
+
 def cut_answer_has_one_outcome(d):
     """The only engine that is left breaks the stream off; the caller hasn't left."""
     engines = d.endpoints_of("llm")
@@ -108,7 +120,8 @@
 
 
 def test(d):
-    for step in (silent_stream_goes_on_when_no_endpoint_is_granted, cut_answer_has_one_outcome,
+    for step in (silent_stream_goes_on_when_no_endpoint_is_granted,
+                 stream_without_events_is_not_taken_for_whole, cut_answer_has_one_outcome,
                  slow_reader_gets_all_when_its_vm_stops):
         print(f"- {step.__name__}", flush=True)
         step(d)
