--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -90,6 +90,11 @@
 
   bool Admit();
   bool AdmitWhileStopping(TimePoint now);
+  /** What of a request may crash endpoints: the shared parts of its prompt in
+   * order, then the request as a whole. */
+  static std::vector<CrashSuspect> SuspectsOf(const CallerRequest& request,
+                                              const ServiceName& service,
+                                              const TeamId& team);
   /** Rejects the request if it is blamed for crashes of endpoints.
    * @returns whether it was rejected */
   bool RejectBlamed(TimePoint now);
@@ -170,3 +175,4 @@
 // Uses the constants of forwarded_request_impl.h.
 #include "zr_gateway_host/forwarded_request_call_impl.h"
 #include "zr_gateway_host/forwarded_request_failure_impl.h"
+#include "zr_gateway_host/forwarded_request_suspects_impl.h"
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -34,35 +34,11 @@
 // Time between two attempts to find another endpoint for a silent call, which
 // goes on meanwhile.
 inline constexpr Duration kSeekPeriod = Duration::Milliseconds(200);
-// Parts of a prompt that are tracked as suspects.
-inline constexpr size_t kMaxSuspectParts = 16;
 // Plans whose reservations fail before the request is rejected.
 inline constexpr int kMaxReservationFailures = 3;
-// Retry-After of requests that are blamed for crashes of endpoints; the
-// evidence is kept for longer.
-inline constexpr Duration kBlamedRetryAfter = Duration::Seconds(60);
 // Retry-After of rejected requests.
 inline constexpr Duration kRetryAfter = Duration::Milliseconds(300);
 
-/** What of a request may crash endpoints: the shared parts of its prompt in
- * order, then the request as a whole. */
-inline std::vector<CrashSuspect> SuspectsOf(const CallerRequest& request,
-                                            const ServiceName& service,
-                                            const TeamId& team) {
-  std::vector<CrashSuspect> suspects;
-  for (const std::string& part : request.shared_parts) {
-    if (suspects.size() == kMaxSuspectParts) break;
-    suspects.push_back(
-        {Fingerprint(HashFields({"part", service.value(), part})),
-         static_cast<uint32_t>(suspects.size())});
-  }
-  suspects.push_back(
-      {Fingerprint(HashFields({"request", service.value(), team.value(),
-                               request.method, request.target, request.body})),
-       CrashSuspect::kWholeRequest});
-  return suspects;
-}
-
 }  // namespace gateway_internal
 
 template <GatewayFormat Format>
@@ -89,31 +65,12 @@
                "VM is stopping and the answer may not end in time"},
          Duration()});
   }
-  suspects_ = gateway_internal::SuspectsOf(request_, service_->name, team_);
+  suspects_ = SuspectsOf(request_, service_->name, team_);
   if (RejectBlamed(arrived_)) return;
   state_.BudgetOf(service_->name).OnSuccess();
   Place(arrived_);
 }
 
-template <GatewayFormat Format>
-bool ForwardedRequest<Format>::RejectBlamed(TimePoint now) {
-  const CrashSuspect* blamed = state_.suspects->FindBlamed(now, suspects_);
-  if (blamed == nullptr) return false;
-  ReleaseCall();
-  state_.metrics.Count("zr_gateway_blamed_requests_total",
-                       {{"service", service_->name.value()}});
-  const std::string what =
-      blamed->specificity == CrashSuspect::kWholeRequest
-          ? "this request"
-          : "part " + request_.shared_parts[blamed->specificity] +
-                " of the prompt";
-  SendOwnAnswer({503,
-                 Error{ErrorCode::kUnavailable, "suspect",
-                       ToHex(blamed->fingerprint), what + " crashes endpoints"},
-                 gateway_internal::kBlamedRetryAfter});
-  return true;
-}
-
 template <GatewayFormat Format>
 bool ForwardedRequest<Format>::Admit() {
   const auto refuse = [this](int status, ErrorCode code, const char* message) {
