--- a/modules/zr_gateway_host/suspect_exchange.cc
+++ b/modules/zr_gateway_host/suspect_exchange.cc
@@ -14,8 +14,10 @@
 // and the range over which they are then spread.
 constexpr Duration kWriterLead = Duration::Milliseconds(600);
 constexpr int64_t kWriterSpreadMs = 600;
-// Time between two attempts to write a record.
-constexpr Duration kWritePeriod = Duration::Milliseconds(700);
+// Time between two attempts to write a record, which doubles while the store
+// does not take it.
+constexpr Duration kWritePeriod = Duration::Milliseconds(500);
+constexpr Duration kMaxWritePeriod = Duration::Seconds(8);
 
 std::optional<Fingerprint> FromHex(const std::string& text) {
   uint64_t value = 0;
@@ -183,7 +185,7 @@
 void SuspectExchange::UpdateRecords(TimePoint now, bool first,
                                     const RecordWriter& write) {
   const std::set<Fingerprint>& blamed = attribution_.Blamed(now);
-  if (blamed.empty() && records_.empty()) return next_write_.clear();
+  if (blamed.empty() && records_.empty()) return writes_.clear();
   const auto update = [&](Fingerprint fingerprint, bool remove) {
     const std::string name = ToHex(fingerprint);
     const Duration lead =
@@ -191,12 +193,15 @@
               : kWriterLead + Duration::Milliseconds(static_cast<int64_t>(
                                   Hash64(name, Hash64(state_.vm.value())) %
                                   kWriterSpreadMs));
-    const auto [due, added] = next_write_.try_emplace(fingerprint, now + lead);
-    if (now < due->second) return;
-    due->second = now + kWritePeriod;
+    PendingWrite& pending =
+        writes_.try_emplace(fingerprint, PendingWrite{now + lead, kWritePeriod})
+            .first->second;
+    if (now < pending.due) return;
+    pending.due = now + pending.period;
+    pending.period = std::min(pending.period * 2, kMaxWritePeriod);
     write(name, remove ? records_[fingerprint] : ObjectVersion(), remove);
   };
-  std::erase_if(next_write_, [&](const auto& item) {
+  std::erase_if(writes_, [&](const auto& item) {
     return blamed.contains(item.first) == records_.contains(item.first);
   });
   for (const Fingerprint fingerprint : blamed) {
--- a/modules/zr_gateway_host/suspect_exchange.h
+++ b/modules/zr_gateway_host/suspect_exchange.h
@@ -71,6 +71,11 @@
   void UpdateRecords(TimePoint now, bool first, const RecordWriter& write);
 
  private:
+  struct PendingWrite {
+    TimePoint due;
+    Duration period;  // until the next attempt
+  };
+
   BootNumber BootOf(const EndpointId& endpoint) const;
   void Publish(TimePoint now, CrashEvidence evidence);
   void LogVerdicts(TimePoint now);
@@ -82,7 +87,7 @@
   bool forwards_ = false;
   std::set<Fingerprint> logged_;  // blamed in the log's last lines
   std::map<Fingerprint, ObjectVersion> records_;
-  std::map<Fingerprint, TimePoint> next_write_;  // of records to be changed
+  std::map<Fingerprint, PendingWrite> writes_;  // of records to be changed
 };
 
 }  // namespace zr
