--- a/modules/zr_request/crash_attribution.cc
+++ b/modules/zr_request/crash_attribution.cc
@@ -50,6 +50,7 @@
   const CrashKey key(crash.endpoint, crash.boot);
   auto [it, is_new] = crashes_.try_emplace(key);
   Crash& known = it->second;
+  if (!is_new && time > known.time + options_.max_break_delay) return added;
   if (is_new || time < known.time) known.time = time;
   for (const CrashSuspect& suspect : crash.suspects) {
     if (known.suspects.size() >= options_.max_suspects) break;
--- a/modules/zr_request/crash_attribution.h
+++ b/modules/zr_request/crash_attribution.h
@@ -37,6 +37,9 @@
     size_t answered_handicap = 2;
     /** Crashes within this span count as one, as after a loss of power. */
     Duration simultaneous = Duration::Milliseconds(50);
+    /** Calls that break later than this after a crash were made to an endpoint
+     * that was down already. */
+    Duration max_break_delay = Duration::Milliseconds(500);
     /** An endpoint that sends later than this after a crash has not crashed;
      * covers the transit of what it sent before. */
     Duration min_alive_delay = Duration::Milliseconds(150);
--- a/modules/zr_request/tests/crash_attribution_test.cc
+++ b/modules/zr_request/tests/crash_attribution_test.cc
@@ -65,6 +65,16 @@
     table.Merge(At(110), Crash(3, Prompt(102)));
     REQUIRE(table.Blamed(At(110)).empty());
   }
+  SECTION("a call to an endpoint that is down already is no suspect") {
+    table.Merge(At(200), Crash(3, {{Fingerprint(9), 1}}));
+    table.Merge(At(900), Crash(3, Prompt(102)));
+    REQUIRE(table.Blamed(At(900)).empty());
+    table.Merge(At(1000), {{{EndpointId("e3"), BootNumber(1),
+                             Duration::Milliseconds(790), Prompt(102)}},
+                           {},
+                           {}});
+    REQUIRE(table.Blamed(At(1000)) == std::set{kDeadly});
+  }
   SECTION("an endpoint that still answers has not crashed") {
     table.Merge(At(200), Crash(3, Prompt(102)));
     table.OnAlive(At(300), EndpointId("e3"), BootNumber(1));
