--- a/modules/zr_request/crash_attribution.cc
+++ b/modules/zr_request/crash_attribution.cc
@@ -217,15 +217,6 @@
   return blamed_;
 }
 
-bool CrashAttribution::IsExplainedByOther(TimePoint now,
-                                          const EndpointId& endpoint,
-                                          BootNumber boot,
-                                          Fingerprint fingerprint) {
-  Blamed(now);
-  const auto it = explained_by_.find({endpoint, boot});
-  return it != explained_by_.end() && it->second != fingerprint;
-}
-
 std::map<Fingerprint, CrashAttribution::Case> CrashAttribution::CollectCases()
     const {
   std::map<Fingerprint, Case> cases;
@@ -249,14 +240,14 @@
 size_t CrashAttribution::CountUnexplained(const Case& suspected) const {
   std::vector<TimePoint> times;
   for (const auto& [time, key] : suspected.crashes) {
-    if (!explained_by_.contains(key)) times.push_back(time);
+    if (!explained_.contains(key)) times.push_back(time);
   }
   return CountSeparate(std::move(times));
 }
 
 void CrashAttribution::Revise() {
   blamed_.clear();
-  explained_by_.clear();
+  explained_.clear();
   std::map<Fingerprint, Case> cases = CollectCases();
   while (!cases.empty()) {
     auto best = cases.end();
@@ -275,7 +266,7 @@
     }
     if (best == cases.end()) break;
     for (const auto& [time, key] : best->second.crashes) {
-      explained_by_.try_emplace(key, best->first);
+      explained_.insert(key);
     }
     blamed_.insert(best->first);
     cases.erase(best);
--- a/modules/zr_request/crash_attribution.h
+++ b/modules/zr_request/crash_attribution.h
@@ -87,9 +87,6 @@
   bool IsBlamed(TimePoint now, Fingerprint fingerprint) {
     return Blamed(now).contains(fingerprint);
   }
-  /** Another suspect that is blamed explains the crash. */
-  bool IsExplainedByOther(TimePoint now, const EndpointId& endpoint,
-                          BootNumber boot, Fingerprint fingerprint);
   /** Number of crashes that count against it, simultaneous ones as one. */
   size_t CountCrashes(Fingerprint fingerprint) const;
   /** Age of the oldest of them; 0 if there is none. */
@@ -142,8 +139,8 @@
   std::map<Fingerprint, TimePoint> answered_;
   std::map<Fingerprint, TimePoint> answered_before_;
   std::set<Fingerprint> blamed_;
-  std::map<CrashKey, Fingerprint> explained_by_;
-  bool outdated_ = false;  // evidence has changed since the last verdict
+  std::set<CrashKey> explained_;  // by those that are blamed
+  bool outdated_ = false;         // evidence has changed since the last verdict
   TimePoint next_expiry_ = TimePoint::Max();
 };
 
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -10,8 +10,8 @@
 the seed. Each third seed has planned work only (stops in series, reloads,
 changes, draining endpoints) beside endpoints that pause; in another third, a
 part of some prompts crashes each engine that begins to answer them. In each
-second run, some endpoints name a limit. Checks, by what
-callers and endpoints receive:
+second run, some endpoints name a limit. Checks, by what callers and endpoints
+receive:
 
   - a request that may run once runs at most once;
   - a rejected request (408, 421, 429, 503) has not run and never runs;
