Let a new dispatcher begin without unused requests of a limit

Each dispatcher that took over could place up to 2.25 requests at once within the limit of an endpoint, although the one before had used the limit; eight takeovers in 4 s would place 20 where 11 are tolerated.

--- a/modules/zr_gateway/endpoint_tracker.cc
+++ b/modules/zr_gateway/endpoint_tracker.cc
@@ -216,6 +216,13 @@
   state->limiter.Configure(limit * options_.limit_share, burst);
 }
 
+void EndpointTracker::RestartLimits(TimePoint now) {
+  for (auto& [id, state] : endpoints_) {
+    if (!state.limit) continue;
+    state.limiter.TryTake(now, std::max(0.0, state.limiter.LevelAt(now)));
+  }
+}
+
 void EndpointTracker::CountRequest(TimePoint now, const EndpointId& id) {
   EndpointState* state = FindMutable(id);
   if (state == nullptr || !state->limit) return;
--- a/modules/zr_gateway/endpoint_tracker.h
+++ b/modules/zr_gateway/endpoint_tracker.h
@@ -116,6 +116,9 @@
   /** Sets the limit of an endpoint's requests per second, or ends it. */
   void SetLimit(TimePoint now, const EndpointId& id, BootNumber boot,
                 std::optional<double> rate);
+  /** This VM begins to place requests for all VMs; what it did not use of the
+   * limits before, others have used. */
+  void RestartLimits(TimePoint now);
   /** This VM places a request at the endpoint. */
   void CountRequest(TimePoint now, const EndpointId& id);
 
--- a/modules/zr_gateway_host/dispatch_client.cc
+++ b/modules/zr_gateway_host/dispatch_client.cc
@@ -153,6 +153,7 @@
     if (vm.empty()) continue;
     InFlightCalls calls{pool, in_flight_calls_(pool)};
     if (vm == settings_.vm) {
+      dispatcher_.tracker().RestartLimits(now);
       dispatcher_.OnInFlightCalls(now, vm, calls);
     } else {
       Send(vm, calls);
