Keep limits of endpoints that a starting VM has not listed yet (LIMIT)

Cause: a VM that has just started is told the limits over its first link, before it has listed the endpoints, and dropped the limits of endpoints that it did not know. If it then became the dispatcher, it placed without limit until an answer of its own named one.

Evidence: the log of the restarted VM has endpoint_limit and, 10 ms later, six calls placed there in 0.2 s.

Why it works: limits of unknown endpoints stay for a minute and are applied to them once they are listed.

--- a/modules/zr_gateway/endpoint_limits.cc
+++ b/modules/zr_gateway/endpoint_limits.cc
@@ -15,7 +15,7 @@
     if (it == limits_.end()) {
       // An endpoint without a limit is worth no entry.
       if (!limit) continue;
-      limits_[observation.endpoint] = {observation.boot, limit, observed};
+      limits_[observation.endpoint] = {observation.boot, limit, observed, now};
       news.reported.push_back(observation);
       continue;
     }
@@ -25,7 +25,7 @@
     if (same) {
       known.observed = std::max(known.observed, observed);
     } else if (observed > known.observed) {
-      known = {observation.boot, limit, observed};
+      known = {observation.boot, limit, observed, now};
       news.reported.push_back(observation);
     } else {
       news.contradicting.push_back(
--- a/modules/zr_gateway/endpoint_limits.h
+++ b/modules/zr_gateway/endpoint_limits.h
@@ -25,11 +25,15 @@
 
   /** Adds observations of this or another VM. */
   News Merge(TimePoint now, const std::vector<LimitObservation>& observations);
-  /** Drops endpoints that are gone. */
+  /** Drops endpoints that are gone. A VM that has just started is told limits
+   * before it knows any endpoint, so those of unknown endpoints are kept for a
+   * while. */
   template <typename IsKnown>
-  void Forget(const IsKnown& is_known) {
-    std::erase_if(limits_,
-                  [&](const auto& item) { return !is_known(item.first); });
+  void Forget(TimePoint now, const IsKnown& is_known) {
+    std::erase_if(limits_, [&](const auto& item) {
+      return !is_known(item.first) &&
+             now - item.second.learned > kUnknownRetention;
+    });
   }
 
   /** Requests per second of all VMs; nothing if the endpoint names no limit. */
@@ -43,10 +47,13 @@
   size_t CountLimited() const;
 
  private:
+  static constexpr Duration kUnknownRetention = Duration::Seconds(60);
+
   struct Known {
     BootNumber boot;
     std::optional<uint64_t> per_1000_s;
     TimePoint observed;
+    TimePoint learned;  // by this VM
   };
 
   static LimitObservation ToObservation(TimePoint now,
--- a/modules/zr_gateway/tests/endpoint_limits_test.cc
+++ b/modules/zr_gateway/tests/endpoint_limits_test.cc
@@ -72,6 +72,13 @@
     EndpointLimits other;
     other.Merge(At(5000), limits.Snapshot(At(5000)));
     REQUIRE(other.LimitOf(kEndpoint, BootNumber(1)) == 2.0);
+    SECTION("and keeps it until it knows the endpoint, or for a minute") {
+      const auto none_known = [](const EndpointId&) { return false; };
+      other.Forget(At(6000), none_known);
+      REQUIRE(other.LimitOf(kEndpoint, BootNumber(1)) == 2.0);
+      other.Forget(At(70'000), none_known);
+      REQUIRE_FALSE(other.LimitOf(kEndpoint, BootNumber(1)));
+    }
   }
 }
 
@@ -102,6 +109,18 @@
       REQUIRE(count(tracker, 4000, 8000) <= 9);
     }
   }
+  SECTION("from dispatchers that take over from each other") {
+    constexpr int kDispatchers = 8;
+    constexpr int64_t kTermMs = 500;
+    int placed = 0;
+    for (int i = 0; i < kDispatchers; ++i) {
+      EndpointTracker tracker = MakeTracker(1);
+      limits.ApplyTo(At(0), tracker);
+      tracker.RestartLimits(At(i * kTermMs));
+      placed += count(tracker, i * kTermMs, (i + 1) * kTermMs);
+    }
+    REQUIRE(placed <= 9);
+  }
   SECTION("from all VMs that place by themselves") {
     constexpr int kVms = 20;
     int placed = 0;
--- a/modules/zr_gateway_host/limit_exchange.cc
+++ b/modules/zr_gateway_host/limit_exchange.cc
@@ -52,7 +52,7 @@
                       {"seen_by", from.value()},
                       {"age_ms", change.age.milliseconds()}});
   }
-  limits_.Forget([this](const EndpointId& endpoint) {
+  limits_.Forget(now, [this](const EndpointId& endpoint) {
     return state_.tracker.Find(endpoint) != nullptr;
   });
   state_.metrics.Set("zr_gateway_limited_endpoints", {},
