--- a/modules/zr_daemon/request/suspect_registry.cc
+++ b/modules/zr_daemon/request/suspect_registry.cc
@@ -19,10 +19,12 @@
 
 // Blocks of a prompt that are tracked as suspects.
 constexpr size_t kMaxSuspectBlocks = 32;
+// Prompts that an endpoint may be reading when it fails.
+constexpr size_t kMaxSuspectPrompts = 16;
 
 CrashAttribution::Options AttributionOptions() {
   CrashAttribution::Options options;
-  options.max_suspects = kMaxSuspectBlocks * 16;
+  options.max_suspects = kMaxSuspectBlocks * kMaxSuspectPrompts;
   return options;
 }
 
@@ -138,7 +140,9 @@
     std::lock_guard lock(mutex_);
     news = attribution_.OnAnswered(SteadyNow(), SuspectsOf(prefixes));
   }
-  if (!IsEmpty(news)) context_.bus->Broadcast(news);
+  if (IsEmpty(news)) return;
+  context_.bus->Broadcast(news);
+  RefuseBlamedRequests();
 }
 
 void SuspectRegistry::OnEvidence(const CrashEvidence& evidence) {
--- a/modules/zr_gateway/endpoint_limits.cc
+++ b/modules/zr_gateway/endpoint_limits.cc
@@ -13,7 +13,7 @@
     const TimePoint observed = now - std::max(observation.age, Duration());
     const auto it = limits_.find(observation.endpoint);
     if (it == limits_.end()) {
-      // An endpoint without a limit is worth no entry.
+      // Endpoints without a limit need no entry.
       if (!limit) continue;
       limits_[observation.endpoint] = {observation.boot, limit, observed, now};
       news.reported.push_back(observation);
@@ -44,13 +44,13 @@
 
 std::optional<double> EndpointLimits::LimitOf(const EndpointId& endpoint,
                                               BootNumber boot) const {
-  constexpr double kSeconds = 1000;
   const auto it = limits_.find(endpoint);
   if (it == limits_.end() || it->second.boot != boot ||
       !it->second.per_1000_s) {
     return std::nullopt;
   }
-  return static_cast<double>(*it->second.per_1000_s) / kSeconds;
+  return static_cast<double>(*it->second.per_1000_s) /
+         LimitObservation::kRatePeriodS;
 }
 
 void EndpointLimits::ApplyTo(TimePoint now, EndpointTracker& tracker) const {
--- a/modules/zr_gateway/endpoint_tracker.cc
+++ b/modules/zr_gateway/endpoint_tracker.cc
@@ -200,8 +200,7 @@
 void EndpointTracker::SetLimit(TimePoint now, const EndpointId& id,
                                BootNumber boot, std::optional<double> rate) {
   EndpointState* state = FindMutable(id);
-  if (state == nullptr ||
-      BootNumber(static_cast<uint64_t>(state->listed.boot_ms)) != boot ||
+  if (state == nullptr || state->listed.boot() != boot ||
       state->limit == rate) {
     return;
   }
@@ -264,14 +263,14 @@
 
 std::vector<const EndpointState*> EndpointTracker::Available(
     TimePoint now, const ServiceName& service,
-    const std::set<EndpointId>& excluded, double spare) const {
+    const std::set<EndpointId>& excluded, std::optional<double> spare) const {
   std::vector<const EndpointState*> healthy;
   std::vector<const EndpointState*> backing_off;
   for (const auto& [id, state] : endpoints_) {
     if (state.listed.service != service || !AcceptsCalls(state)) continue;
     if (excluded.contains(id)) continue;
     if (now < state.cold_until && state.throttle.LevelAt(now) < 1) continue;
-    if (!state.WithinLimit(now, spare)) continue;
+    if (spare && !state.WithinLimit(now, *spare)) continue;
     (now < state.backoff_until ? backing_off : healthy).push_back(&state);
   }
   // Sorted by id so that ties between equal loads are resolved the same way in
--- a/modules/zr_gateway/endpoint_tracker.h
+++ b/modules/zr_gateway/endpoint_tracker.h
@@ -138,11 +138,12 @@
    *
    * @param excluded  endpoints that the request has tried already
    * @param spare  further requests for which endpoints with a limit of their
-   * own have to leave room
+   * own have to leave room; if empty, these limits don't count
    */
   std::vector<const EndpointState*> Available(
       TimePoint now, const ServiceName& service,
-      const std::set<EndpointId>& excluded, double spare = 0) const;
+      const std::set<EndpointId>& excluded,
+      std::optional<double> spare = 0) const;
   /** One of the service's endpoints has named a limit. */
   bool HasLimits(const ServiceName& service) const;
   /** Time until one of these limits leaves room for a request; 0 if one does or
--- a/modules/zr_gateway/gateway_types.h
+++ b/modules/zr_gateway/gateway_types.h
@@ -97,6 +97,8 @@
   int slots = 1;
   Duration cold_left;   // rest of the cold period when the entry was written
   int64_t boot_ms = 0;  // start of this incarnation, Unix milliseconds
+
+  BootNumber boot() const { return BootNumber(static_cast<uint64_t>(boot_ms)); }
   friend auto operator<=>(const ListedEndpoint&,
                           const ListedEndpoint&) = default;
 };
--- a/modules/zr_gateway/tests/endpoint_limits_test.cc
+++ b/modules/zr_gateway/tests/endpoint_limits_test.cc
@@ -41,8 +41,7 @@
   return true;
 }
 
-// Guards against an endpoint in need that gets more requests than it takes, as
-// each VM knows only what it has seen itself.
+// Guards against a limit that is known only to the VM that has seen it.
 TEST_CASE("The newest observation of an endpoint's limit counts") {
   EndpointLimits limits;
   REQUIRE(limits.Merge(At(0), {Unlimited()}).reported.empty());
@@ -82,6 +81,7 @@
   }
 }
 
+// Guards against an endpoint in need that gets more requests than it takes.
 TEST_CASE("An endpoint gets no more requests than it takes") {
   EndpointLimits limits;
   limits.Merge(At(0), {Limited(2)});
@@ -149,11 +149,9 @@
 }
 
 //==============================================================================
-// VMs that see an endpoint's limit change and tell each other, with messages
-// that are late, overtake each other or are lost with a link.
+// VMs that tell each other of an endpoint's limit, under faults
 
-// Guards against VMs that go on with a limit which no longer holds, or without
-// one that does.
+// Guards against VMs that go on with a limit which no longer holds.
 TEST_CASE("VMs agree on a limit in any order of messages") {
   constexpr int kVms = 5;
   constexpr uint64_t kSeeds = 300;
@@ -186,7 +184,6 @@
         Sent sent = messages.begin()->second;
         messages.erase(messages.begin());
         if (!linked[sent.to]) continue;
-        // Ages don't grow on the way.
         const auto news = vms[sent.to].Merge(At(ms), {sent.observation});
         send_to_all(sent.to, ms, news.contradicting);
         if (sent.to == 0) send_to_all(sent.to, ms, news.reported);
--- a/modules/zr_gateway_host/forwarded_request_failure_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_failure_impl.h
@@ -203,12 +203,11 @@
 template <GatewayFormat Format>
 bool ForwardedRequest<Format>::CanRetryElsewhere(TimePoint now) const {
   RetryContext context = MakeRetryContext(now);
-  // What endpoints take is counted by the dispatcher, if there is one.
-  constexpr double kAnyLimit = -1;
-  context.candidate_left = !state_.tracker
-                                .Available(now, service_->name, tried_,
-                                           IsDispatched() ? kAnyLimit : 0)
-                                .empty();
+  // A dispatcher counts the limits of endpoints, if there is one.
+  const std::optional<double> spare =
+      IsDispatched() ? std::nullopt : std::optional<double>(0);
+  context.candidate_left =
+      !state_.tracker.Available(now, service_->name, tried_, spare).empty();
   return DecideAfterFailure(context, CallFailure::kTimedOut) ==
              FailureAction::kRetry &&
          state_.BudgetOf(service_->name).CanRetry(now);
--- a/modules/zr_gateway_host/limit_exchange.cc
+++ b/modules/zr_gateway_host/limit_exchange.cc
@@ -6,8 +6,7 @@
 namespace zr {
 namespace {
 
-constexpr double kSecondsOfRate = 1000;  // unit of the rate on the wire
-constexpr double kMaxRate = 1e9;         // requests per second
+constexpr double kMaxRate = 1e9;  // requests per second
 
 }  // namespace
 
@@ -17,10 +16,11 @@
   if (state == nullptr) return;
   LimitObservation observation;
   observation.endpoint = endpoint;
-  observation.boot = BootNumber(static_cast<uint64_t>(state->listed.boot_ms));
+  observation.boot = state->listed.boot();
   observation.limited = limit.has_value();
-  observation.requests_per_1000_s = static_cast<uint64_t>(
-      std::clamp(limit.value_or(0), 0.0, kMaxRate) * kSecondsOfRate);
+  observation.requests_per_1000_s =
+      static_cast<uint64_t>(std::clamp(limit.value_or(0), 0.0, kMaxRate) *
+                            LimitObservation::kRatePeriodS);
   EndpointLimits::News news = limits_.Merge(now, {observation});
   LogChanges(now, state_.vm, news.reported);
   Publish(now, std::move(news.reported));
--- a/modules/zr_gateway_host/limit_exchange.h
+++ b/modules/zr_gateway_host/limit_exchange.h
@@ -21,10 +21,11 @@
   LimitExchange(GatewayState& state, EndpointTracker& dispatch_tracker)
       : state_(state), dispatch_tracker_(dispatch_tracker) {}
 
-  /** An answer of an endpoint of this service.
+  /** An endpoint answered.
    * @param limit  requests per second, if the answer names a limit */
   void OnAnswer(TimePoint now, const EndpointId& endpoint,
                 std::optional<double> limit);
+  /** Changes that another VM has observed or passes on. */
   void OnReport(TimePoint now, const VmId& vm, const LimitReport& report);
   /** For a VM that has just been linked. */
   LimitReport Snapshot(TimePoint now) const { return {limits_.Snapshot(now)}; }
--- a/modules/zr_gateway_host/suspect_exchange.cc
+++ b/modules/zr_gateway_host/suspect_exchange.cc
@@ -47,8 +47,7 @@
 
 BootNumber SuspectExchange::BootOf(const EndpointId& endpoint) const {
   const EndpointState* state = state_.tracker.Find(endpoint);
-  return BootNumber(
-      state == nullptr ? 0 : static_cast<uint64_t>(state->listed.boot_ms));
+  return state == nullptr ? BootNumber() : state->listed.boot();
 }
 
 //==============================================================================
--- a/modules/zr_request/tests/crash_attribution_test.cc
+++ b/modules/zr_request/tests/crash_attribution_test.cc
@@ -29,8 +29,7 @@
           {Fingerprint(request), CrashSuspect::kWholeRequest}};
 }
 
-// Guards against prompts of one part that crash one endpoint after the other,
-// and against the rejection of prompts that only share endpoints with them.
+// Guards against prompts of one part that crash one endpoint after the other.
 TEST_CASE("The suspect that all crashes have in common is blamed") {
   CrashAttribution table;
   table.Merge(At(0), Crash(1, Prompt(100)));
@@ -92,8 +91,7 @@
   }
 }
 
-// Guards against VMs that start or return and don't know what crashes
-// endpoints.
+// Guards against VMs that start or return without the evidence of the others.
 TEST_CASE("A VM learns from others and from the store") {
   CrashAttribution table;
   uint64_t request = 100;
@@ -143,9 +141,7 @@
 }
 
 //==============================================================================
-// VMs that exchange evidence through two hubs, endpoints that crash with and
-// without a deadly prompt, connections that break, and VMs that are cut off and
-// restarted.
+// Eight VMs that exchange evidence through two hubs, under faults
 
 constexpr int kVms = 8;
 constexpr int kHubs = 2;
@@ -375,8 +371,7 @@
   size_t sound_rejected_ = 0;
 };
 
-// Guards against VMs that disagree for long about what crashes endpoints, as
-// their evidence comes late, in another order or not at all.
+// Guards against verdicts that depend on the order of the evidence.
 TEST_CASE("VMs blame the deadly part and no other, in any order of events") {
   constexpr uint64_t kSeeds = 200;
   size_t sound = 0;
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -578,6 +578,8 @@
 
 /** Whether an answer of an endpoint named a limit; see EndpointLimits. */
 struct LimitObservation {
+  static constexpr double kRatePeriodS = 1000;  // seconds
+
   EndpointId endpoint;
   BootNumber boot;
   bool limited = false;
