--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -272,7 +272,11 @@
     numbers = itertools.count(1)
     by_port = {}  # endpoint by port
     memory = 450000  # of an engine, in tokens
-    deadly = None  # crashes each engine that begins to answer a request with it
+    deadly = None  # crashes each endpoint that begins to answer a request with it
+    deadly_after = 0  # events that an engine sends before it crashes
+    deadly_to_helpers = False  # crashes the first helper instead
+    stall_s = 0.3  # until the loss of a helper is noticed
+    keeps_id = False  # comes back with its id after a crash
     prefill_s = 0  # of an engine, before the first event
     down_s = 1.5  # after a crash
     crash_times = []  # of all endpoints
@@ -292,7 +296,7 @@
         self.limited_since = None
         self.reserved = {}  # reservation id -> (tokens, time of expiry)
         self.used, self.released = set(), set()  # reservation ids
-        self.arrivals = []  # prompt parts and body of each request that arrived, as one text
+        self.arrivals = []  # path, prompt parts and body of each request that arrived, as one text
         self.crashes, self.down = 0, False
         self.limit = None  # requests a second from all VMs, as named in each answer
         self.arrival_times = []  # time and request id of each request meant for this endpoint
@@ -367,12 +371,23 @@
 
         def restart():
             old = self.id
-            self.id, self.born = f"i-{next(self.numbers):04x}", int(time.time() * 1000)
+            if not self.keeps_id:
+                self.id = f"i-{next(self.numbers):04x}"
+            self.born = int(time.time() * 1000)
             self.down = False
             self.on_restart(old)
 
         threading.Timer(self.down_s, restart).start()
 
+    def crash_helper(self, handler, headers):
+        """Crashes the first helper of a prompt, which therefore can't be read."""
+        helper = handler.headers.get("X-Helpers", "").split(",")[0].partition("/")[0]
+        if helper:
+            self.by_port[int(helper.partition(":")[2])].crash()
+            time.sleep(self.stall_s)
+        handler.answer(503, b"", {**headers, "X-Not-Run": "1",
+                                  **({"At-Server": helper} if helper else {})})
+
     def use_reservation(self, reservation):
         with self.lock:
             tokens, end = self.reserved.get(reservation, (0, 0))
@@ -395,7 +410,8 @@
         if self.down:
             return handler.reset()
         body = handler.body()
-        handler.prompt = handler.headers.get("X-Prompt-Prefix", "") + body.decode(errors="replace")
+        handler.prompt = (handler.path + handler.headers.get("X-Prompt-Prefix", "") +
+                          body.decode(errors="replace"))
         request = handler.headers.get("X-Request-Id", "")
         common = {"X-Request-Id": request, "X-Load-Report": "1,0,16"}
         if handler.headers.get("X-Expect-Instance") != self.id:
@@ -427,6 +443,10 @@
         if self.fault == "cut":
             return handler.reset()
         time.sleep(self.event_s)
+        if self.deadly and self.deadly in handler.prompt:
+            self.crash()
+        if self.down:
+            return handler.reset()
         handler.answer(200, f"answer to {request}".encode() + b"x" * self.answer_bytes, common)
         if self.fault == "extra":
             handler.answer(200, b"an answer that no one asked for", common)
@@ -445,7 +465,10 @@
 
     def stream(self, handler, headers):
         time.sleep(self.prefill_s)
-        if self.deadly and self.deadly in handler.prompt:
+        is_deadly = self.deadly and self.deadly in handler.prompt
+        if is_deadly and self.deadly_to_helpers:
+            return self.crash_helper(handler, headers)
+        if is_deadly and not self.deadly_after:
             self.crash()
         if self.down:
             return handler.reset()
@@ -460,6 +483,8 @@
         handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
         for number in range(first, self.events):
+            if is_deadly and number >= first + self.deadly_after:
+                self.crash()
             if self.down:
                 return handler.reset()
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
