Blame what was never answered before what was (BUDGET)

Callers saw: while two requests crashed engines, sound prompts that have a part in common with both were rejected, for up to ten minutes.

Cause: the part explains the crashes of both, so it led each of the two by more than the two crashes by which a suspect that endpoints had answered before had to lead. Once it is blamed, no answer can clear it.

Now a suspect that endpoints have answered is blamed only for crashes that none explains which they never have. A number of crashes can't weigh against an answer, as it grows with the number of deadly requests.

--- a/modules/zr_request/crash_attribution.cc
+++ b/modules/zr_request/crash_attribution.cc
@@ -251,15 +251,13 @@
   std::map<Fingerprint, Case> cases = CollectCases();
   while (!cases.empty()) {
     auto best = cases.end();
-    std::tuple<size_t, uint32_t> best_rank;
+    std::tuple<bool, size_t, uint32_t> best_rank;
     for (auto it = cases.begin(); it != cases.end(); ++it) {
       const Case& suspected = it->second;
       const size_t crashes = CountUnexplained(suspected);
       if (crashes < options_.min_crashes) continue;
-      const std::tuple rank(
-          crashes -
-              (suspected.answered_before ? options_.answered_handicap : 0),
-          suspected.specificity);
+      const std::tuple rank(!suspected.answered_before, crashes,
+                            suspected.specificity);
       if (best != cases.end() && rank <= best_rank) continue;
       best = it;
       best_rank = rank;
--- a/modules/zr_request/crash_attribution.h
+++ b/modules/zr_request/crash_attribution.h
@@ -19,9 +19,9 @@
  * The beginning of an answer clears the parts of all crashes before, the end of
  * a complete answer also the whole request.
  *
- * The suspect of the most crashes is blamed first, the more specific one if two
- * have the same number; one that endpoints have answered before yields to one
- * that they never have. The crashes that it explains do not count against the
+ * Suspects that endpoints have never answered are blamed first, and among these
+ * the suspect of the most crashes, the more specific one if two have the same
+ * number. The crashes that it explains do not count against the
  * other suspects, so that what merely shared endpoints with it is not blamed.
  * The verdict is a function of the evidence and is revised with it, in any
  * order of arrival.
@@ -33,8 +33,6 @@
   struct Options {
     Duration retention = Duration::Seconds(600);  // of all evidence
     size_t min_crashes = 3;  // that no other suspect explains
-    /** Crashes by which a suspect that was answered before must lead. */
-    size_t answered_handicap = 2;
     /** Crashes within this span count as one, as after a loss of power. */
     Duration simultaneous = Duration::Milliseconds(50);
     /** Calls that break later than this after a crash were made to an endpoint
--- a/modules/zr_request/tests/crash_attribution_test.cc
+++ b/modules/zr_request/tests/crash_attribution_test.cc
@@ -60,6 +60,18 @@
     table.Merge(At(400), {{}, {{kFirst, Duration::Milliseconds(1000)}}, {}});
     REQUIRE(table.Blamed(At(400)) == std::set{kDeadly});
   }
+  SECTION("what two requests share is not blamed if it was answered before") {
+    CrashAttribution two;
+    two.OnAnswered(At(-1000), {{kFirst, 0}});
+    for (int i = 0; i < 12; ++i) {
+      const Fingerprint request(100 + static_cast<uint64_t>(i) % 2);
+      two.Merge(
+          At(100 * i),
+          Crash(i, {{kFirst, 0}, {request, CrashSuspect::kWholeRequest}}));
+    }
+    REQUIRE(two.Blamed(At(1200)) ==
+            std::set{Fingerprint(100), Fingerprint(101)});
+  }
   SECTION("crashes at the same moment count as one") {
     table.Merge(At(110), Crash(3, Prompt(102)));
     REQUIRE(table.Blamed(At(110)).empty());
