Log the era of the store and configurations that are older than the one in force

The store names its era in each answer, which rises when it comes back from an older copy. Whether a VM has noticed, and from which revision it goes on, was not in the logs.

--- a/modules/zr_base/ids.h
+++ b/modules/zr_base/ids.h
@@ -71,6 +71,9 @@
 using FencingNumber = NumericId<struct FencingTag>;
 /** Version that the platform's object API gave to an object; 0 means absent. */
 using ObjectVersion = NumericId<struct ObjectVersionTag>;
+/** Era of the object API, which begins anew when it is restored from an older
+ * copy: versions then go back and are given out again. 0 if it has no eras. */
+using StoreEra = NumericId<struct StoreEraTag>;
 /**
  * Boot number that an endpoint reports; it changes with each start of the
  * endpoint.
--- a/modules/zr_gateway_host/gateway_store_impl.h
+++ b/modules/zr_gateway_host/gateway_store_impl.h
@@ -98,6 +98,19 @@
                     {"call_ms", call_time.milliseconds()}});
 }
 
+template <GatewayFormat Format>
+void GatewayNode<Format>::OnStoreRestored(const std::string& kind, StoreEra era,
+                                          ObjectVersion known,
+                                          ObjectVersion now) {
+  state_.log.Write(BootNow(), "store_restored",
+                   {{"kind", kind},
+                    {"era", era.value()},
+                    {"known_revision", known.value()},
+                    {"revision", now.value()}});
+  state_.metrics.Set("zr_gateway_store_era", {},
+                     static_cast<double>(era.value()));
+}
+
 template <GatewayFormat Format>
 void GatewayNode<Format>::OnUpdatesEnded(const std::string& kind,
                                          Duration evidence_age) {
@@ -118,7 +131,15 @@
   }
   const int64_t version = parts->version;
   const bool first = !state_.config;
-  if (state_.config && version <= state_.config->version()) return;
+  if (state_.config && version <= state_.config->version()) {
+    if (version < state_.config->version()) {
+      state_.log.Write(now, "config_older",
+                       {{"version", version},
+                        {"in_force", state_.config->version()},
+                        {"revision", item.version.value()}});
+    }
+    return;
+  }
   auto config = GatewayConfig::Create(std::move(*parts));
   if (!config) {
     state_.log.Write(now, "config_rejected",
--- a/modules/zr_gateway_host/store_feed.h
+++ b/modules/zr_gateway_host/store_feed.h
@@ -65,6 +65,9 @@
      * reachable. */
     virtual void OnCallFailed(const std::string& kind, StoreStatus status,
                               Duration call_time) = 0;
+    /** The store has answered in a later era than before. */
+    virtual void OnStoreRestored(const std::string& kind, StoreEra era,
+                                 ObjectVersion known, ObjectVersion now) = 0;
     /** No recent update of another VM is left, so that this VM calls the store
      * itself. */
     virtual void OnUpdatesEnded(const std::string& kind,
@@ -142,6 +145,7 @@
 
   void OnPage(StoreReply reply) {
     if (stopped_) return;
+    ObserveEra(reply);
     if (reply.status != StoreStatus::kOk) return OnFailure(reply.status);
     // The watch continues from the first page, which may repeat changes.
     if (items_.empty()) version_ = reply.version;
@@ -193,6 +197,7 @@
 
   void OnWatched(TimePoint started, StoreReply reply) {
     if (stopped_) return;
+    ObserveEra(reply);
     if (reply.status == StoreStatus::kExpired) {
       listed_ = false;
       return List("");
@@ -213,6 +218,14 @@
     Watch();
   }
 
+  void ObserveEra(const StoreReply& reply) {
+    if (reply.era <= era_) return;
+    const bool first = era_ == StoreEra();
+    era_ = reply.era;
+    if (first) return;
+    listener_.OnStoreRestored(options_.kind, era_, version_, reply.version);
+  }
+
   void ApplyUpdate(const KindUpdate& update) {
     std::vector<StoreItem> items;
     items.reserve(update.objects.size());
@@ -302,6 +315,7 @@
   Listener& listener_;
   asio::steady_timer timer_;
   StoreMirror mirror_;
+  StoreEra era_;
   ObjectVersion version_;
   TimePoint relayed_until_;     // another VM's update is recent until then
   bool watching_ = false;       // on behalf of other VMs
--- a/modules/zr_platform/object_format.h
+++ b/modules/zr_platform/object_format.h
@@ -37,6 +37,7 @@
 
 struct StoreReply {
   StoreStatus status = StoreStatus::kUnknown;
+  StoreEra era;
   ObjectVersion version;         // of the object, list or watch
   std::string value;             // get only
   std::vector<StoreItem> items;  // list and watch only
