--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -43,8 +43,9 @@
         self.end_headers()
         self.wfile.write(body)
 
-    def answer_json(self, status, value):
-        self.answer(status, json.dumps(value).encode(), {"Content-Type": "application/json"})
+    def answer_json(self, status, value, headers=None):
+        self.answer(status, json.dumps(value).encode(),
+                    {"Content-Type": "application/json", **(headers or {})})
 
     def reset(self):
         """Closes the connection with a TCP reset."""
@@ -53,6 +54,10 @@
         self.connection.close()
 
 
+# Kinds that the system itself writes; a store that is restored loses them for good.
+OWN_KINDS = ("zinniarill-members", "zinniarill-suspects")
+
+
 class Store:
     """The platform's store: kinds, revisions, watches and conditional writes."""
 
@@ -61,12 +66,17 @@
         self.revision = 1
         self.objects = {}  # (kind, name) -> (rev, spec)
         self.history = []  # (rev, kind, name, spec or None)
+        self.era = 1  # rises with each return from an older copy
+        self.times = {}  # time of each revision
         self.history_start = 0  # watches from an earlier revision get 410
         self.fault = None  # None, "refuse", "reset", "silent"
         self.lose_answers = False  # reset the connection after a write took effect
         store = self
 
         class StoreHandler(Handler):
+            def answer_json(self, status, value, headers=None):
+                super().answer_json(status, value, {"Store-Era": str(store.era), **(headers or {})})
+
             def do_GET(self):
                 store.get(self)
 
@@ -93,9 +103,40 @@
         else:
             self.objects[(kind, name)] = (self.revision, spec)
         self.history.append((self.revision, kind, name, spec))
+        self.times[self.revision] = time.monotonic()
         self.lock.notify_all()
         return self.revision
 
+    def restore(self, lost_s, rewrite_s=0.0, keep=lambda kind, name: False):
+        """Comes back as of `lost_s` ago. After `rewrite_s`, operators and endpoints write again what
+        they wrote since, except for objects that `keep` leaves as they are in the copy."""
+        with self.lock:
+            since = time.monotonic() - lost_s
+            lost = [entry for entry in self.history if self.times[entry[0]] > since]
+            self.history = self.history[:len(self.history) - len(lost)]
+            self.revision = self.history[-1][0] if self.history else 1
+            self.history_start = min(self.history_start, self.revision)
+            self.objects = {}
+            for rev, kind, name, spec in self.history:
+                if spec is None:
+                    self.objects.pop((kind, name), None)
+                else:
+                    self.objects[(kind, name)] = (rev, spec)
+            self.era += 1
+            self.lock.notify_all()
+        again = {(kind, name): spec for _, kind, name, spec in lost
+                 if kind not in OWN_KINDS and not keep(kind, name)}
+
+        def rewrite():
+            with self.lock:
+                for (kind, name), spec in again.items():
+                    if self.objects.get((kind, name), (0, None))[1] != spec:
+                        self._put(kind, name, spec)
+
+        timer = threading.Timer(rewrite_s, rewrite)
+        timer.start()
+        return timer
+
     def forget_history(self):
         with self.lock:
             self.history_start = self.revision
@@ -135,7 +176,7 @@
         end = time.monotonic() + wait
         with self.lock:
             while True:
-                if since < self.history_start:
+                if since < self.history_start or since > self.revision:
                     status, reply = 410, {}
                     break
                 events = [{"deleted": spec is None,
@@ -298,6 +339,7 @@
         self.used, self.released = set(), set()  # reservation ids
         self.arrivals = []  # path, prompt parts and body of each request that arrived, as one text
         self.crashes, self.down = 0, False
+        self.writes = 0  # of its entry in the store, since its start
         self.limit = None  # requests a second from all VMs, as named in each answer
         self.arrival_times = []  # time and request id of each request meant for this endpoint
         self.on_restart = lambda old_id: None
@@ -330,9 +372,10 @@
         return max(0, most - allowed)
 
     def entry(self, state="ready"):
+        self.writes += 1
         return {"service": self.service, "addr": f"127.0.0.1:{self.port}", "zone": self.domain,
                 "version": "v1", "slots": 16, "state": state, "coldLeftMs": 0,
-                "born": self.born, "seq": 1}
+                "born": self.born, "seq": self.writes}
 
     def reserved_tokens(self):
         """Tokens of the reservations that have not expired."""
@@ -373,7 +416,7 @@
             old = self.id
             if not self.keeps_id:
                 self.id = f"i-{next(self.numbers):04x}"
-            self.born = int(time.time() * 1000)
+            self.born, self.writes = int(time.time() * 1000), 0
             self.down = False
             self.on_restart(old)
 
