Compare the store's versions within its eras only (CONFIG)

Cause: a version says how far a VM knows the store's history, but the store gives versions out again when it is restored. A VM that had been further took the store for unchanged; a watch whose version the store had reached again went on without a gap; VMs that ask others likewise.

Now a position is an era and a version. StoreCursor (core) decides which answers fit what is known: a new era begins with a complete list, answers of an earlier era are discarded, and so is a watch that began in one. VMs pass the era on; old releases, which don't, are asked for nothing. The first call that sees a new era makes the other kinds list again.

--- a/modules/zr_base/ids.h
+++ b/modules/zr_base/ids.h
@@ -74,6 +74,14 @@
 /** Era of the object API, which begins anew when it is restored from an older
  * copy: versions then go back and are given out again. 0 if it has no eras. */
 using StoreEra = NumericId<struct StoreEraTag>;
+/** A point in the object API's history: a later era follows all versions of the
+ * eras before it. */
+struct StorePosition {
+  StoreEra era;
+  ObjectVersion version;
+  friend constexpr auto operator<=>(const StorePosition&,
+                                    const StorePosition&) = default;
+};
 /**
  * Boot number that an endpoint reports; it changes with each start of the
  * endpoint.
--- a/modules/zr_gateway/store_mirror.cc
+++ b/modules/zr_gateway/store_mirror.cc
@@ -21,22 +21,22 @@
 
 }  // namespace
 
-void StoreMirror::OnList(ObjectVersion at, std::vector<RelayedObject> objects) {
+void StoreMirror::OnList(StorePosition at, std::vector<RelayedObject> objects) {
   objects_.clear();
   listed_at_ = std::max(listed_at_, at);
   changed_ = std::max(changed_, at);
   Store(at, std::move(objects));
 }
 
-bool StoreMirror::OnChanges(ObjectVersion at,
+bool StoreMirror::OnChanges(StorePosition at,
                             std::vector<RelayedObject> objects) {
-  if (at < version_) return false;
+  if (at < position_ || at.era != position_.era) return false;
   Store(at, std::move(objects));
   return true;
 }
 
-void StoreMirror::Store(ObjectVersion at, std::vector<RelayedObject> objects) {
-  version_ = std::max(version_, at);
+void StoreMirror::Store(StorePosition at, std::vector<RelayedObject> objects) {
+  position_ = std::max(position_, at);
   if (objects.empty()) return;
   changed_ = std::max(changed_, at);
   for (RelayedObject& object : objects) {
@@ -49,18 +49,19 @@
   listed_at_ = at;
 }
 
-void StoreMirror::OnVerified(TimePoint call_started, ObjectVersion at) {
+void StoreMirror::OnVerified(TimePoint call_started, StorePosition at) {
   verified_ = std::max(verified_, call_started);
-  version_ = std::max(version_, at);
+  position_ = std::max(position_, at);
 }
 
 KindUpdate StoreMirror::UpdateSince(TimePoint now,
                                     const KindVersion& peer) const {
-  const ObjectVersion known = peer.version;
+  const StorePosition known = peer.position();
   KindUpdate update;
   update.kind = kind_;
-  update.version = version_;
-  update.last_changed = changed_;
+  update.era = position_.era;
+  update.version = position_.version;
+  update.last_changed = changed_.version;
   update.store_reachable = reachable_;
   update.age = now - verified_;
   if (changed_ <= known || (large_ && !peer.store_unreachable)) return update;
@@ -80,13 +81,15 @@
   return update;
 }
 
-UpdateAction ClassifyUpdate(const KindUpdate& update, ObjectVersion known) {
+UpdateAction ClassifyUpdate(const KindUpdate& update, StorePosition known) {
   if (!update.store_reachable || update.age < Duration() ||
-      update.age > kMaxUpdateAge) {
+      update.age > kMaxUpdateAge || update.era < known.era) {
     return UpdateAction::kIgnore;
   }
-  if (update.last_changed <= known) return UpdateAction::kUnchanged;
-  return update.has_objects ? UpdateAction::kApply : UpdateAction::kFetch;
+  if (update.last_change() <= known) return UpdateAction::kUnchanged;
+  const bool usable =
+      update.has_objects && (update.era == known.era || update.complete);
+  return usable ? UpdateAction::kApply : UpdateAction::kFetch;
 }
 
 }  // namespace zr
--- a/modules/zr_gateway/store_mirror.h
+++ b/modules/zr_gateway/store_mirror.h
@@ -26,18 +26,18 @@
       : kind_(std::move(kind)), large_(large_objects) {}
 
   /** Replaces all objects by those of a store version. */
-  void OnList(ObjectVersion at, std::vector<RelayedObject> objects);
+  void OnList(StorePosition at, std::vector<RelayedObject> objects);
   /**
-   * Adds all changes up to a store version.
+   * Adds all changes up to a store version of the same era.
    *
    * @returns false if another VM's update with later changes arrived before the
    *          store's reply; the caller must then not apply `objects`
    */
-  [[nodiscard]] bool OnChanges(ObjectVersion at,
+  [[nodiscard]] bool OnChanges(StorePosition at,
                                std::vector<RelayedObject> objects);
   /** A call that began at that time has verified that there are no other
    * changes up to a store version. */
-  void OnVerified(TimePoint call_started, ObjectVersion at);
+  void OnVerified(TimePoint call_started, StorePosition at);
   void OnStoreReachable(bool reachable) { reachable_ = reachable; }
 
   /** Makes an update for a VM that knows all changes up to a version. */
@@ -46,17 +46,17 @@
  private:
   struct Entry {
     RelayedObject object;
-    ObjectVersion observed_at;
+    StorePosition observed_at;
   };
 
-  void Store(ObjectVersion at, std::vector<RelayedObject> objects);
+  void Store(StorePosition at, std::vector<RelayedObject> objects);
 
   std::string kind_;
   bool large_;
   std::map<std::string, Entry> objects_;
-  ObjectVersion listed_at_;  // earlier removals are unknown
-  ObjectVersion version_;    // all changes up to it are known
-  ObjectVersion changed_;
+  StorePosition listed_at_;  // earlier removals are unknown
+  StorePosition position_;   // all changes up to it are known
+  StorePosition changed_;
   TimePoint verified_;
   bool reachable_ = false;
 };
@@ -69,7 +69,7 @@
   kFetch,      // the changes must be read from the store
 };
 
-/** @param known  store version up to which all changes are known */
-UpdateAction ClassifyUpdate(const KindUpdate& update, ObjectVersion known);
+/** @param known  position up to which all changes are known */
+UpdateAction ClassifyUpdate(const KindUpdate& update, StorePosition known);
 
 }  // namespace zr
--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -60,8 +60,8 @@
                         StoreStatus status, Duration call_time) override;
   void OnCallFailed(const std::string& kind, StoreStatus status,
                     Duration call_time) override;
-  void OnStoreRestored(const std::string& kind, StoreEra era,
-                       ObjectVersion known, ObjectVersion now) override;
+  void OnStoreRestored(const std::string& kind, StorePosition known,
+                       StorePosition now) override;
   void OnUpdatesEnded(const std::string& kind, Duration evidence_age) override;
 
   void ApplyConfig(const StoreItem& item);
--- a/modules/zr_gateway_host/gateway_store_impl.h
+++ b/modules/zr_gateway_host/gateway_store_impl.h
@@ -99,16 +99,17 @@
 }
 
 template <GatewayFormat Format>
-void GatewayNode<Format>::OnStoreRestored(const std::string& kind, StoreEra era,
-                                          ObjectVersion known,
-                                          ObjectVersion now) {
+void GatewayNode<Format>::OnStoreRestored(const std::string& kind,
+                                          StorePosition known,
+                                          StorePosition now) {
   state_.log.Write(BootNow(), "store_restored",
                    {{"kind", kind},
-                    {"era", era.value()},
-                    {"known_revision", known.value()},
-                    {"revision", now.value()}});
+                    {"era", now.era.value()},
+                    {"known_revision", known.version.value()},
+                    {"revision", now.version.value()}});
   state_.metrics.Set("zr_gateway_store_era", {},
-                     static_cast<double>(era.value()));
+                     static_cast<double>(now.era.value()));
+  for (const auto& feed : feeds_) feed->OnEra(now.era);
 }
 
 template <GatewayFormat Format>
--- a/modules/zr_gateway_host/store_feed.h
+++ b/modules/zr_gateway_host/store_feed.h
@@ -65,9 +65,10 @@
      * reachable. */
     virtual void OnCallFailed(const std::string& kind, StoreStatus status,
                               Duration call_time) = 0;
-    /** The store has answered in a later era than before. */
-    virtual void OnStoreRestored(const std::string& kind, StoreEra era,
-                                 ObjectVersion known, ObjectVersion now) = 0;
+    /** The store has come back from an older copy. The complete list that
+     * follows lacks what has not been written again yet. */
+    virtual void OnStoreRestored(const std::string& kind, StorePosition known,
+                                 StorePosition now) = 0;
     /** No recent update of another VM is left, so that this VM calls the store
      * itself. */
     virtual void OnUpdatesEnded(const std::string& kind,
@@ -96,10 +97,19 @@
 
   void SetLimits(EvidenceLimits limits) { options_.limits = limits; }
 
+  /** The store is in this era, as another kind's calls have shown. */
+  void OnEra(StoreEra era) {
+    // An idle feed gets the new list from the VM that it asks.
+    if (stopped_ || !listed_ || idle_ || cursor_.position().era >= era) return;
+    timer_.cancel();
+    List("");
+  }
+
   // RelayedKind
   const std::string& kind() const override { return options_.kind; }
   KindVersion known_version() const override {
-    return {options_.kind, version_, !reachable_};
+    const StorePosition position = cursor_.position();
+    return {options_.kind, position.version, !reachable_, position.era};
   }
   KindUpdate UpdateSince(TimePoint now,
                          const KindVersion& requester) const override {
@@ -108,19 +118,22 @@
   void SetWatching(bool watching) override { watching_ = watching; }
   void OnUpdate(TimePoint queried_at, const KindUpdate& update) override {
     if (stopped_ || !listed_ || watching_) return;
-    const UpdateAction verdict = ClassifyUpdate(update, version_);
+    const StorePosition known = cursor_.position();
+    const UpdateAction verdict = ClassifyUpdate(update, known);
     if (verdict == UpdateAction::kIgnore) return;
     // The other VM may have lost the store without knowing it yet.
     relayed_until_ = std::max(
         relayed_until_, queried_at - update.age + options_.limits.max_age());
     if (verdict == UpdateAction::kFetch) {
       // A large configuration takes longer than a probe may.
-      if (idle_) WatchStore(UsualWait());
+      if (idle_) Fetch(update);
       return;
     }
     MarkReachable(BootNow());
+    if (cursor_.OnUpdateApplied(update.position())) {
+      listener_.OnStoreRestored(options_.kind, known, cursor_.position());
+    }
     if (verdict == UpdateAction::kApply) ApplyUpdate(update);
-    version_ = std::max(version_, update.version);
     OnSuccess(queried_at - update.age);
   }
 
@@ -134,27 +147,40 @@
   static constexpr Duration kSharedBatchDelay = Duration::Milliseconds(200);
 
   void List(const std::string& after) {
-    if (after.empty()) items_.clear();
     call_started_ = BootNow();
-    if (after.empty()) list_started_ = call_started_;
+    if (after.empty()) {
+      items_.clear();
+      cursor_.BeginList();
+      list_started_ = call_started_;
+    }
     store_->List(options_.purpose, options_.kind, after, kPageSize,
-                 [self = this->shared_from_this()](StoreReply reply) {
+                 [self = this->shared_from_this(),
+                  number = ++last_call_](StoreReply reply) {
+                   if (!self->IsCurrent(number)) return;
                    self->OnPage(std::move(reply));
                  });
   }
 
   void OnPage(StoreReply reply) {
-    if (stopped_) return;
-    ObserveEra(reply);
     if (reply.status != StoreStatus::kOk) return OnFailure(reply.status);
-    // The watch continues from the first page, which may repeat changes.
-    if (items_.empty()) version_ = reply.version;
+    switch (cursor_.OnPage({reply.era, reply.version})) {
+      case StoreCursor::Action::kList:
+        return List("");
+      case StoreCursor::Action::kDiscard:
+        return listed_ ? Watch() : OnFailure(StoreStatus::kUnknown);
+      case StoreCursor::Action::kApply:
+        break;
+    }
     for (StoreItem& item : reply.items) items_.push_back(std::move(item));
     if (reply.more && !items_.empty()) return List(items_.back().name);
     listed_ = true;
     MarkReachable(call_started_);
+    const StorePosition known = cursor_.position();
+    if (cursor_.CompleteList()) {
+      listener_.OnStoreRestored(options_.kind, known, cursor_.position());
+    }
     listener_.OnList(options_.kind, items_);
-    mirror_.OnList(version_, Relayed(items_));
+    mirror_.OnList(cursor_.position(), Relayed(items_));
     items_.clear();
     OnSuccess(list_started_);
     Watch();
@@ -184,31 +210,53 @@
     WatchStore(soon ? kProbeWait : UsualWait());
   }
 
+  /** Reads the changes of which another VM's update tells. */
+  void Fetch(const KindUpdate& update) {
+    if (update.era == cursor_.position().era) return WatchStore(UsualWait());
+    idle_ = false;
+    timer_.cancel();
+    List("");
+  }
+
   void WatchStore(Duration wait) {
     idle_ = false;
     timer_.cancel();
     const TimePoint started = BootNow();
     call_started_ = started;
-    store_->Watch(options_.purpose, options_.kind, version_, wait,
-                  [self = this->shared_from_this(), started](StoreReply reply) {
-                    self->OnWatched(started, std::move(reply));
+    const StorePosition from = cursor_.position();
+    store_->Watch(options_.purpose, options_.kind, from.version, wait,
+                  [self = this->shared_from_this(), started, from,
+                   number = ++last_call_](StoreReply reply) {
+                    if (!self->IsCurrent(number)) return;
+                    self->OnWatched(started, from, std::move(reply));
                   });
   }
 
-  void OnWatched(TimePoint started, StoreReply reply) {
-    if (stopped_) return;
-    ObserveEra(reply);
+  /** No later call has replaced the one with this number. */
+  bool IsCurrent(uint64_t number) const {
+    return !stopped_ && number == last_call_;
+  }
+
+  void OnWatched(TimePoint started, StorePosition from, StoreReply reply) {
     if (reply.status == StoreStatus::kExpired) {
       listed_ = false;
       return List("");
     }
     if (reply.status != StoreStatus::kOk) return OnFailure(reply.status);
+    const StorePosition at = {reply.era, reply.version};
+    switch (cursor_.OnChanges(from, at)) {
+      case StoreCursor::Action::kList:
+        return List("");
+      case StoreCursor::Action::kDiscard:
+        return ScheduleNext(options_.backoff);
+      case StoreCursor::Action::kApply:
+        break;
+    }
     MarkReachable(started);
     const bool changed = !reply.items.empty();
-    if (changed && mirror_.OnChanges(reply.version, Relayed(reply.items))) {
+    if (changed && mirror_.OnChanges(at, Relayed(reply.items))) {
       listener_.OnChanges(options_.kind, reply.items);
     }
-    version_ = std::max(version_, reply.version);
     OnSuccess(started);
     if (changed && options_.batch_delay > Duration()) {
       return ScheduleNext(
@@ -218,14 +266,6 @@
     Watch();
   }
 
-  void ObserveEra(const StoreReply& reply) {
-    if (reply.era <= era_) return;
-    const bool first = era_ == StoreEra();
-    era_ = reply.era;
-    if (first) return;
-    listener_.OnStoreRestored(options_.kind, era_, version_, reply.version);
-  }
-
   void ApplyUpdate(const KindUpdate& update) {
     std::vector<StoreItem> items;
     items.reserve(update.objects.size());
@@ -235,8 +275,8 @@
     }
     if (update.complete) {
       listener_.OnList(options_.kind, items);
-      mirror_.OnList(update.version, update.objects);
-    } else if (mirror_.OnChanges(update.version, update.objects)) {
+      mirror_.OnList(update.position(), update.objects);
+    } else if (mirror_.OnChanges(update.position(), update.objects)) {
       listener_.OnChanges(options_.kind, items);
     }
   }
@@ -254,7 +294,7 @@
   void OnSuccess(TimePoint started) {
     failures_ = 0;
     verified_ = std::max(verified_, started);
-    mirror_.OnVerified(started, version_);
+    mirror_.OnVerified(started, cursor_.position());
     listener_.OnVerified(options_.kind, started);
   }
 
@@ -315,8 +355,8 @@
   Listener& listener_;
   asio::steady_timer timer_;
   StoreMirror mirror_;
-  StoreEra era_;
-  ObjectVersion version_;
+  StoreCursor cursor_;
+  uint64_t last_call_ = 0;
   TimePoint relayed_until_;     // another VM's update is recent until then
   bool watching_ = false;       // on behalf of other VMs
   bool idle_ = false;           // waits for relayed updates
--- a/modules/zr_wire/cbor_codec.cc
+++ b/modules/zr_wire/cbor_codec.cc
@@ -34,6 +34,11 @@
   void operator()(T&... fields) {
     (array_.push_back(Encode(fields)), ...);
   }
+  /** For a field at the end, which VMs of older releases don't send. */
+  template <typename T>
+  void Optional(T& field) {
+    (*this)(field);
+  }
   Json Take() { return std::move(array_); }
 
   template <typename T>
@@ -75,6 +80,11 @@
   void operator()(T&... fields) {
     (ReadNext(fields), ...);
   }
+  /** Leaves the field as it is if the array ends before it. */
+  template <typename T>
+  void Optional(T& field) {
+    if (next_ < array_.size()) ReadNext(field);
+  }
   bool ok() const { return ok_; }
 
  private:
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -166,6 +166,7 @@
 template <typename A>
 void Fields(A& a, KindVersion& m) {
   a(m.kind, m.version, m.store_unreachable);
+  a.Optional(m.era);
 }
 template <typename A>
 void Fields(A& a, StoreQuery& m) {
@@ -179,6 +180,7 @@
 void Fields(A& a, KindUpdate& m) {
   a(m.kind, m.version, m.last_changed, m.store_reachable, m.age, m.has_objects,
     m.complete, m.objects);
+  a.Optional(m.era);
 }
 template <typename A>
 void Fields(A& a, StoreUpdate& m) {
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -490,7 +490,11 @@
   std::string kind;
   ObjectVersion version;  // all changes up to it are known
   bool store_unreachable =
-      false;  // the VM can't read changes from the store itself
+      false;     // the VM can't read changes from the store itself
+  StoreEra era;  // of `version`
+
+  StorePosition position() const { return {era, version}; }
+
   friend auto operator<=>(const KindVersion&, const KindVersion&) = default;
 };
 
@@ -521,6 +525,11 @@
   bool has_objects = false;  // false: changes must be read from the store
   bool complete = false;     // `objects` holds all objects of the kind
   std::vector<RelayedObject> objects;
+  StoreEra era;  // of all versions
+
+  StorePosition position() const { return {era, version}; }
+  StorePosition last_change() const { return {era, last_changed}; }
+
   friend auto operator<=>(const KindUpdate&, const KindUpdate&) = default;
 };
 
--- a/modules/zr_wire/tests/wire_test.cc
+++ b/modules/zr_wire/tests/wire_test.cc
@@ -47,6 +47,23 @@
   }
 }
 
+// Guards against queries that VMs of different releases can't read.
+TEST_CASE("A query without the store's era is of era 0") {
+  const Message query =
+      StoreQuery{7, {{"config", ObjectVersion(5), true, StoreEra(9)}}};
+  std::vector<uint8_t> frame = EncodeMessage(query);
+  REQUIRE(*DecodeMessage(frame) == query);
+  // The frame ends with [["config", 5, true, 9]]; removes the era.
+  REQUIRE(frame.back() == 9);
+  frame.pop_back();
+  REQUIRE(frame[frame.size() - 10] == 0x84);
+  frame[frame.size() - 10] = 0x83;
+  const auto decoded = DecodeMessage(frame);
+  REQUIRE(decoded);
+  REQUIRE(std::get<StoreQuery>(*decoded).known.at(0) ==
+          KindVersion{"config", ObjectVersion(5), true, StoreEra()});
+}
+
 // Guards against malformed frames that crash a VM or change its state.
 TEST_CASE("A malformed frame is rejected") {
   const std::vector<uint8_t> good = EncodeMessage(SampleAdmission());
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -49,6 +49,11 @@
 limits|-DM_LAST_MESSAGE|known[
 limits|-DM_NO_SNAPSHOT|known[
 limits|-DM_SILENT|known[
+eras||-
+eras|-DREACH_ERAS|vm_version[1]<
+eras|-DM_VERSION_ONLY|vm_state[v]==
+eras|-DM_NO_LIST|vm_state[v]==
+eras|-DM_NO_FROM|vm_state[v]==
 END
 
 check() {
