Ignore entries of endpoints that are older than what is known (DRAIN)

Callers saw: after the store came back from an older copy, requests went to endpoints that were leaving or gone, and broke off with them.

Cause: the copy has such an endpoint as it was, ready, until it writes its entry again, or until the entry expires. What the store says counted whatever had been known before.

An endpoint counts its writes, from 0 with each start. EndpointDirectory goes by that count once the store has been restored: an incarnation that was leaving stays so, one that was removed returns with a later write or if its entry has not expired after 6 s. What the copy lacks has 2.3 s to be written again, also if the outage was too short to be noticed.

--- a/modules/zr_gateway/gateway_types.h
+++ b/modules/zr_gateway/gateway_types.h
@@ -95,8 +95,9 @@
   DomainId domain;
   bool draining = false;
   int slots = 1;
-  Duration cold_left;   // rest of the cold period when the entry was written
-  int64_t boot_ms = 0;  // start of this incarnation, Unix milliseconds
+  Duration cold_left;    // rest of the cold period when the entry was written
+  int64_t boot_ms = 0;   // start of this incarnation, Unix milliseconds
+  int64_t sequence = 0;  // rises with each write by this incarnation
 
   BootNumber boot() const { return BootNumber(static_cast<uint64_t>(boot_ms)); }
   friend auto operator<=>(const ListedEndpoint&,
--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -67,6 +67,9 @@
   void ApplyConfig(const StoreItem& item);
   void ApplyEndpoint(const StoreItem& item);
   std::optional<DirectoryEntry> DecodeEntry(const StoreItem& item);
+  /** Logs an entry that the directory has not applied, as it is older than
+   * what is known. */
+  bool IsApplied(TimePoint now, const DirectoryEntry& entry);
   void ApplyEvacuations();
   void ApplyMember(const StoreItem& item);
   void UpdateMembership();
--- a/modules/zr_gateway_host/gateway_store_impl.h
+++ b/modules/zr_gateway_host/gateway_store_impl.h
@@ -21,6 +21,7 @@
     }
     directory_.OnList(now, entries);
     dispatch_directory_->OnList(now, entries);
+    for (const DirectoryEntry& entry : entries) IsApplied(now, entry);
     endpoints_known_ = true;
   } else if (kind == gateway_internal::kMemberKind) {
     members_.clear();
@@ -109,6 +110,11 @@
                     {"revision", now.version.value()}});
   state_.metrics.Set("zr_gateway_store_era", {},
                      static_cast<double>(now.era.value()));
+  if (kind == Format::kEndpointKind) {
+    const TimePoint time = BootNow();
+    directory_.OnStoreRestored(time);
+    dispatch_directory_->OnStoreRestored(time);
+  }
   for (const auto& feed : feeds_) feed->OnEra(now.era);
 }
 
@@ -202,6 +208,7 @@
   }
   directory_.OnEntry(now, *entry);
   dispatch_directory_->OnEntry(now, *entry);
+  if (!IsApplied(now, *entry)) return;
   if (known == nullptr || was_draining != entry->endpoint.draining) {
     state_.log.Write(now, "endpoint_listed",
                      {{"endpoint", item.name},
@@ -212,6 +219,20 @@
   }
 }
 
+template <GatewayFormat Format>
+bool GatewayNode<Format>::IsApplied(TimePoint now,
+                                    const DirectoryEntry& entry) {
+  const EndpointState* state = state_.tracker.Find(entry.endpoint.id);
+  if (state != nullptr && state->listed == entry.endpoint) return true;
+  state_.log.Write(now, "entry_outdated",
+                   {{"endpoint", entry.endpoint.id.value()},
+                    {"boot", entry.endpoint.boot().value()},
+                    {"sequence", entry.endpoint.sequence},
+                    {"draining", entry.endpoint.draining},
+                    {"listed", state != nullptr}});
+  return false;
+}
+
 template <GatewayFormat Format>
 void GatewayNode<Format>::ApplyEvacuations() {
   state_.tracker.SetEvacuated(evacuated_);
