Register again what a restored store has lost of the system's own records

Callers saw nothing at once: VMs that the copy lacked lost their links to the others, so that each placed by itself, and a VM that started later made another key, with which no VM would link to it.

Cause: a VM registered itself, and the key was written, once at the start. A list without them was taken for the truth; a write that the store did not take was not repeated.

MemberRecords (core) keeps the VMs that are known when a restored store lacks them, and writes this VM and the same key again until the store has them; the key that the store has counts for new links. Blamed suspects keep their blame and are recorded again, a record that had been removed is removed again instead of blamed.

--- a/modules/zr_gateway_host/dispatch_client.h
+++ b/modules/zr_gateway_host/dispatch_client.h
@@ -39,6 +39,8 @@
 
   /** Opens the links; @returns an error if the address cannot be bound */
   Result<void> Start(const std::string& key);
+  /** Sets the key of links that are opened from now on. */
+  void SetKey(const std::string& key) { links_->SetKey(key); }
   bool started() const { return links_ != nullptr; }
   /** Sets the VMs of the deployment and the addresses of their links. */
   void SetVms(std::map<VmId, std::string> vms);
--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -71,7 +71,7 @@
    * what is known. */
   bool IsApplied(TimePoint now, const DirectoryEntry& entry);
   void ApplyEvacuations();
-  void ApplyMember(const StoreItem& item);
+  static MemberRecord ToMember(const StoreItem& item);
   void UpdateMembership();
   void ApplySuspect(const StoreItem& item);
   void UpdateSuspectRecords(TimePoint now);
@@ -101,14 +101,12 @@
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> probe_server_;
   std::list<std::shared_ptr<Request>> requests_;
-  std::set<DomainId> evacuated_;
-  /** An entry VM as registered in the store. */
-  struct Member {
-    std::string address;  // of its links to other VMs
-    ObjectVersion version;
-  };
-  std::map<VmId, Member> members_;
-  std::string peer_key_;
+  EvacuationRegister evacuations_;
+  MemberRecords members_;
+  std::string link_key_;         // in use
+  TimePoint next_member_write_;  // of a write that failed; 0 if there is none
+  /** Kinds of which the first list since the store's return is to come. */
+  std::set<std::string> restored_kinds_;
   bool endpoints_known_ = false;
   bool was_ready_ = false;
   asio::signal_set signals_;
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -43,8 +43,8 @@
 inline constexpr Duration kMemberBatchDelay = Duration::Seconds(1);
 // Kind of the store objects that hold the entry VMs and their shared key.
 inline constexpr const char* kMemberKind = "zinniarill-members";
-inline constexpr const char* kKeyName = "key";
-inline constexpr std::string_view kVmPrefix = "vm.";
+// Time after which a write of these objects that failed is repeated.
+inline constexpr Duration kMemberWritePeriod = Duration::Seconds(1);
 // Kind of the store objects that name the requests and the parts of prompts
 // that crash endpoints.
 inline constexpr const char* kSuspectKind = "zinniarill-suspects";
@@ -71,6 +71,7 @@
       reader_(std::move(reader)),
       state_(settings_, metrics_),
       directory_(state_.tracker),
+      members_(settings_.vm, settings_.peers_address),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       tick_(io_) {}
 
@@ -304,6 +305,11 @@
   }
   directory_.Tick(now);
   dispatch_directory_->Tick(now);
+  if (evacuations_.Tick(now)) ApplyEvacuations();
+  if (next_member_write_ != TimePoint() && now >= next_member_write_) {
+    next_member_write_ = TimePoint();
+    UpdateMembership();
+  }
   state_.reservations->Tick(now);
   state_.tracker.Expire(now);
   dispatch_->Tick(now);
--- a/modules/zr_gateway_host/gateway_store_impl.h
+++ b/modules/zr_gateway_host/gateway_store_impl.h
@@ -12,6 +12,7 @@
 void GatewayNode<Format>::OnList(const std::string& kind,
                                  const std::vector<StoreItem>& items) {
   const TimePoint now = BootNow();
+  const bool restored = restored_kinds_.erase(kind) > 0;
   if (kind == Format::kConfigKind) {
     for (const StoreItem& item : items) ApplyConfig(item);
   } else if (kind == Format::kEndpointKind) {
@@ -24,16 +25,18 @@
     for (const DirectoryEntry& entry : entries) IsApplied(now, entry);
     endpoints_known_ = true;
   } else if (kind == gateway_internal::kMemberKind) {
-    members_.clear();
-    for (const StoreItem& item : items) ApplyMember(item);
+    std::vector<MemberRecord> records;
+    for (const StoreItem& item : items) records.push_back(ToMember(item));
+    members_.OnList(records, restored);
     UpdateMembership();
   } else if (kind == gateway_internal::kSuspectKind) {
     std::map<std::string, ObjectVersion> records;
     for (const StoreItem& item : items) records[item.name] = item.version;
-    state_.suspects->SetRecords(now, records);
+    state_.suspects->SetRecords(now, records, restored);
   } else {
-    evacuated_.clear();
-    for (const StoreItem& item : items) evacuated_.insert(DomainId(item.name));
+    std::set<DomainId> evacuated;
+    for (const StoreItem& item : items) evacuated.insert(DomainId(item.name));
+    evacuations_.OnList(now, evacuated, restored);
     ApplyEvacuations();
   }
   state_.log.Write(now, "listed", {{"kind", kind}, {"items", items.size()}});
@@ -49,16 +52,16 @@
   } else if (kind == Format::kEndpointKind) {
     for (const StoreItem& item : items) ApplyEndpoint(item);
   } else if (kind == gateway_internal::kMemberKind) {
-    for (const StoreItem& item : items) ApplyMember(item);
+    for (const StoreItem& item : items) members_.OnChange(ToMember(item));
     UpdateMembership();
   } else if (kind == gateway_internal::kSuspectKind) {
     for (const StoreItem& item : items) ApplySuspect(item);
   } else {
     for (const StoreItem& item : items) {
       if (item.deleted) {
-        evacuated_.erase(DomainId(item.name));
+        evacuations_.OnRemoved(DomainId(item.name));
       } else {
-        evacuated_.insert(DomainId(item.name));
+        evacuations_.OnAdded(DomainId(item.name));
       }
     }
     ApplyEvacuations();
@@ -110,6 +113,7 @@
                     {"revision", now.version.value()}});
   state_.metrics.Set("zr_gateway_store_era", {},
                      static_cast<double>(now.era.value()));
+  restored_kinds_.insert(kind);
   if (kind == Format::kEndpointKind) {
     const TimePoint time = BootNow();
     directory_.OnStoreRestored(time);
@@ -235,68 +239,65 @@
 
 template <GatewayFormat Format>
 void GatewayNode<Format>::ApplyEvacuations() {
-  state_.tracker.SetEvacuated(evacuated_);
-  dispatch_->dispatcher().tracker().SetEvacuated(evacuated_);
+  const std::set<DomainId> evacuated = evacuations_.domains();
+  state_.tracker.SetEvacuated(evacuated);
+  dispatch_->dispatcher().tracker().SetEvacuated(evacuated);
   LogFields fields = {{"domains", LogFields::array()}};
-  for (const DomainId& domain : evacuated_) {
+  for (const DomainId& domain : evacuated) {
     fields["domains"].push_back(domain.value());
   }
   state_.log.Write(BootNow(), "evacuations", fields);
 }
 
 template <GatewayFormat Format>
-void GatewayNode<Format>::ApplyMember(const StoreItem& item) {
-  using namespace gateway_internal;
+MemberRecord GatewayNode<Format>::ToMember(const StoreItem& item) {
+  MemberRecord record{item.name, item.version, std::nullopt};
   const auto value = nlohmann::json::parse(item.value, nullptr, false);
-  if (item.name == kKeyName) {
-    if (!item.deleted && value.is_string()) peer_key_ = value;
-    return;
-  }
-  if (!item.name.starts_with(kVmPrefix)) return;
-  const VmId vm(item.name.substr(kVmPrefix.size()));
-  if (item.deleted || !value.is_string()) {
-    members_.erase(vm);
-  } else {
-    members_[vm] = {value.get<std::string>(), item.version};
+  if (!item.deleted && value.is_string()) {
+    record.value = value.get<std::string>();
   }
+  return record;
 }
 
 template <GatewayFormat Format>
 void GatewayNode<Format>::UpdateMembership() {
   using namespace gateway_internal;
-  // A lost answer does no harm: the watch shows which writes took effect.
-  const auto put = [this](const std::string& name, ObjectVersion expected,
-                          const std::string& text) {
-    store_->Put(StorePurpose::kStatus, kMemberKind, name, expected,
-                nlohmann::json(text).dump(), [this, name](StoreReply reply) {
+  std::random_device device;
+  std::string new_key;
+  for (int i = 0; i < kKeyWords; ++i) new_key += std::to_string(device());
+  for (const MemberRecord& write : members_.TakeWrites(new_key)) {
+    store_->Put(StorePurpose::kStatus, kMemberKind, write.name, write.version,
+                nlohmann::json(*write.value).dump(),
+                [this, name = write.name](StoreReply reply) {
+                  const TimePoint now = BootNow();
                   state_.log.Write(
-                      BootNow(), "member_written",
+                      now, "member_written",
                       {{"name", name}, {"status", ToString(reply.status)}});
+                  // The watch shows what a conflict is with.
+                  if (reply.status == StoreStatus::kOk ||
+                      reply.status == StoreStatus::kConflict) {
+                    return;
+                  }
+                  members_.OnWriteFailed(name);
+                  next_member_write_ =
+                      now + gateway_internal::kMemberWritePeriod;
                 });
-  };
-  if (peer_key_.empty()) {
-    std::random_device device;
-    std::string key;
-    for (int i = 0; i < kKeyWords; ++i) key += std::to_string(device());
-    put(kKeyName, ObjectVersion(), key);
   }
-  const Member own = members_[settings_.vm];
-  if (own.address != settings_.peers_address) {
-    put(std::string(kVmPrefix) + settings_.vm.value(), own.version,
-        settings_.peers_address);
-    members_[settings_.vm].address = settings_.peers_address;
+  const std::string& key = members_.key();
+  if (key != link_key_ && dispatch_->started()) {
+    state_.log.Write(BootNow(), "link_key_changed", {});
+    dispatch_->SetKey(key);
+    link_key_ = key;
   }
-  if (!peer_key_.empty() && !dispatch_->started() && !state_.stopping) {
-    if (auto started = dispatch_->Start(peer_key_); !started) {
+  if (!key.empty() && !dispatch_->started() && !state_.stopping) {
+    if (auto started = dispatch_->Start(key); !started) {
       state_.log.Write(BootNow(), "peers_failed",
                        {{"reason", ToString(started.error())}});
     }
+    link_key_ = key;
     state_.dispatch = dispatch_;
   }
-  if (state_.stopping) return;
-  std::map<VmId, std::string> addresses;
-  for (const auto& [vm, member] : members_) addresses[vm] = member.address;
-  dispatch_->SetVms(std::move(addresses));
+  if (!state_.stopping) dispatch_->SetVms(members_.addresses());
 }
 
 template <GatewayFormat Format>
--- a/modules/zr_gateway_host/suspect_exchange.cc
+++ b/modules/zr_gateway_host/suspect_exchange.cc
@@ -18,6 +18,8 @@
 // does not take it.
 constexpr Duration kWritePeriod = Duration::Milliseconds(500);
 constexpr Duration kMaxWritePeriod = Duration::Seconds(8);
+// Names of removed records that are remembered.
+constexpr size_t kMaxRemoved = 1024;
 
 std::optional<Fingerprint> FromHex(const std::string& text) {
   uint64_t value = 0;
@@ -149,14 +151,23 @@
 // Records in the store
 
 void SuspectExchange::SetRecords(
-    TimePoint now, const std::map<std::string, ObjectVersion>& records) {
+    TimePoint now, const std::map<std::string, ObjectVersion>& records,
+    bool restored) {
+  if (restored) records_.clear();
   std::vector<std::string> removed;
   for (const auto& [fingerprint, version] : records_) {
     const std::string name = ToHex(fingerprint);
     if (!records.contains(name)) removed.push_back(name);
   }
   for (const std::string& name : removed) RemoveRecord(name);
-  for (const auto& [name, version] : records) SetRecord(now, name, version);
+  for (const auto& [name, version] : records) {
+    const auto fingerprint = FromHex(name);
+    if (restored && fingerprint && removed_.contains(*fingerprint)) {
+      records_[*fingerprint] = version;  // to be removed again
+      continue;
+    }
+    SetRecord(now, name, version);
+  }
 }
 
 void SuspectExchange::SetRecord(TimePoint now, const std::string& name,
@@ -168,6 +179,7 @@
     return;
   }
   records_[*fingerprint] = version;
+  removed_.erase(*fingerprint);
   attribution_.OnRecorded(now, *fingerprint);
 }
 
@@ -175,6 +187,8 @@
   const auto fingerprint = FromHex(name);
   if (!fingerprint) return;
   records_.erase(*fingerprint);
+  if (removed_.size() >= kMaxRemoved) removed_.clear();
+  removed_.insert(*fingerprint);
   attribution_.OnRecordRemoved(*fingerprint);
 }
 
--- a/modules/zr_gateway_host/suspect_exchange.h
+++ b/modules/zr_gateway_host/suspect_exchange.h
@@ -69,9 +69,12 @@
   //============================================================================
   // Records in the store
 
-  /** Replaces the known records. */
+  /** Replaces the known records.
+   * @param restored  the store has come back from an older copy: what it lacks
+   * was lost, and what was removed before is there again */
   void SetRecords(TimePoint now,
-                  const std::map<std::string, ObjectVersion>& records);
+                  const std::map<std::string, ObjectVersion>& records,
+                  bool restored);
   void SetRecord(TimePoint now, const std::string& name, ObjectVersion version);
   void RemoveRecord(const std::string& name);
   /** Brings the records in line with the verdicts.
@@ -95,6 +98,7 @@
   bool forwards_ = false;
   std::set<Fingerprint> logged_;  // blamed in the log's last lines
   std::map<Fingerprint, ObjectVersion> records_;
+  std::set<Fingerprint> removed_;  // records that were in the store
   std::map<Fingerprint, PendingWrite> writes_;  // of records to be changed
 };
 
--- a/modules/zr_peer/peer_links.cc
+++ b/modules/zr_peer/peer_links.cc
@@ -96,6 +96,11 @@
   return bytes_received_;
 }
 
+void PeerLinks::SetKey(const std::string& key) {
+  std::lock_guard lock(mutex_);
+  options_.key = key;
+}
+
 void PeerLinks::OnOpen(LinkId link, bool outgoing) {
   std::string hello;
   {
--- a/modules/zr_peer/peer_links.h
+++ b/modules/zr_peer/peer_links.h
@@ -62,6 +62,8 @@
    * skipped.
    */
   void SetTargets(std::set<std::string> addresses);
+  /** Sets the key of links that are opened from now on. */
+  void SetKey(const std::string& key);
   /** @returns false if there is no authenticated link to the VM */
   bool Send(const VmId& vm, std::string_view payload);
   /**
--- a/tests/platform/restored.py
+++ b/tests/platform/restored.py
@@ -231,13 +231,57 @@
     f.wait_until_ready()
 
 
+def suspects_are_recorded_again(f):
+    """The copy lacks the record of a part of prompts that crashes engines."""
+    Endpoint.deadly = "deadly"
+
+    def send(vm):
+        return f.d.call(vm, "POST", "/stream/x", f"deadly-{next(numbers)}", headers={
+            "X-Prompt-Prefix": f"first:40,deadly:60,own{next(numbers)}:900"}).status
+
+    def recorded():
+        return [name for kind, name in f.store.objects if kind == "zinniarill-suspects"]
+
+    wait_until("the part is recorded", lambda: send(0) and recorded(), 30)
+    f.away(0.3)
+    f.back(1000)
+    wait_until("the part is recorded again", recorded, STABLE_S)
+    f.d.signal(4, signal.SIGKILL)
+    f.d.processes[4].wait()
+    f.d.start(4)
+    wait_until("the VM is ready", lambda: f.d.ready(4))
+    time.sleep(STABLE_S)
+    crashes = len(Endpoint.crash_times)
+    for vm in range(VMS):
+        check(send(vm) == 503, f"VM {vm} sends prompts with a part that crashes engines")
+    check(len(Endpoint.crash_times) == crashes, "an engine crashed again")
+    Endpoint.deadly = None
+
+
+def evacuation_outlasts_the_copy(f):
+    evacuated = f.d.endpoints_of("plain")[0]
+    time.sleep(1.5)
+    f.store.put("evacuations", evacuated.domain, {})
+    time.sleep(2)
+    f.away(0.3)
+    before = sum(evacuated.runs.values())
+    f.back(3.0, rewrite_s=1.5)
+    end = time.monotonic() + 4
+    while time.monotonic() < end:
+        for vm in range(VMS):
+            f.call(vm, "/many/x")
+    got = sum(evacuated.runs.values()) - before
+    check(got == 0, f"{got} calls reached an evacuated domain while the copy lacked it")
+    f.store.put("evacuations", evacuated.domain, None)
+
+
 STEPS = {
     "change": (change_after_a_return_is_in_force, eras_in_quick_succession,
                change_while_the_store_was_at_an_older_revision_is_in_force,
                vms_cut_off_during_the_return),
     "newest": (restarted_vm_serves_what_others_know, revoked_key_stays_revoked),
     "endpoints": (leaving_and_gone_endpoints_get_no_call, endpoints_lost_with_the_copy_are_kept),
-    "own": (vms_stay_linked,),
+    "own": (vms_stay_linked, evacuation_outlasts_the_copy, suspects_are_recorded_again),
 }
 
 
