Get a configuration that a restored store lacks from other VMs (CONFIG)

Callers saw: a VM that was restarted after the store had come back, and before the operator had written a lost change again, answered 404 for its route and accepted keys that it had revoked. The others had it in force.

Cause: configurations came from the store only, and any answer of the store counted as proof that there was no newer one.

VMs tell each other their versions when they are linked and when the store has come back, and get a newer one from each other. The newest version that was confirmed stays in force: the operator has not taken it back, and writes it again.

--- a/modules/zr_gateway/zr_gateway.h
+++ b/modules/zr_gateway/zr_gateway.h
@@ -14,6 +14,7 @@
 #include "zr_gateway/buffer_budget.h"
 #include "zr_gateway/call_endpoints.h"
 #include "zr_gateway/config_freshness.h"
+#include "zr_gateway/config_versions.h"
 #include "zr_gateway/endpoint_directory.h"
 #include "zr_gateway/endpoint_limits.h"
 #include "zr_gateway/endpoint_tracker.h"
--- a/modules/zr_gateway_host/dispatch_client.cc
+++ b/modules/zr_gateway_host/dispatch_client.cc
@@ -254,6 +254,10 @@
                            frame.size()));
 }
 
+void DispatchClient::SendConfigNotices() {
+  for (const VmId& vm : linked_) Send(vm, ConfigNotice{config_version_()});
+}
+
 //==============================================================================
 // Links
 
@@ -266,6 +270,7 @@
   if (!IsEmpty(evidence)) Send(vm, evidence);
   const LimitReport limits = state_.limits->Snapshot(now);
   if (!limits.observations.empty()) Send(vm, limits);
+  Send(vm, ConfigNotice{config_version_()});
   UpdateDispatchers();
 }
 
@@ -313,6 +318,8 @@
     state_.suspects->OnEvidence(now, vm, *evidence);
   } else if (const auto* limits = std::get_if<LimitReport>(&*message)) {
     state_.limits->OnReport(now, vm, *limits);
+  } else {
+    on_config_message_(vm, *message);
   }
 }
 
--- a/modules/zr_gateway_host/dispatch_client.h
+++ b/modules/zr_gateway_host/dispatch_client.h
@@ -30,6 +30,9 @@
   /** This VM's calls in flight in a pool. */
   using InFlightCallsSource =
       std::function<std::vector<InFlightCall>(const PoolId&)>;
+  /** Receives what another VM says of configurations. */
+  using ConfigHandler =
+      std::function<void(const VmId& vm, const Message& message)>;
 
   DispatchClient(asio::io_context& io, const GatewaySettings& settings,
                  GatewayState& state, InFlightCallsSource in_flight_calls);
@@ -37,6 +40,13 @@
   //============================================================================
   // Set-up
 
+  /** @param version  of the configuration in force here, told to each VM that
+   * is linked */
+  void SetConfigExchange(ConfigHandler handler,
+                         std::function<uint64_t()> version) {
+    on_config_message_ = std::move(handler);
+    config_version_ = std::move(version);
+  }
   /** Opens the links; @returns an error if the address cannot be bound */
   Result<void> Start(const std::string& key);
   /** Sets the key of links that are opened from now on. */
@@ -60,6 +70,9 @@
   StoreRelay& relay() { return relay_; }
   /** This VM is the dispatcher of a pool. */
   bool IsDispatcher() const;
+  bool Send(const VmId& vm, const Message& message);
+  /** Tells all linked VMs the version of the configuration in force here. */
+  void SendConfigNotices();
   void RequestDispatch(TimePoint now, const DispatchRequest& call,
                        DispatchCallback done);
   void Report(const CallProgress& progress);
@@ -89,7 +102,6 @@
   /** Most VMs keep a link to this one. */
   bool IsHub() const;
   void UpdateDispatchers();
-  bool Send(const VmId& vm, const Message& message);
   void CompleteDispatch(const DispatchKey& key,
                         std::optional<DispatchReply> reply);
 
@@ -97,6 +109,8 @@
   const GatewaySettings settings_;
   GatewayState& state_;
   InFlightCallsSource in_flight_calls_;
+  ConfigHandler on_config_message_;
+  std::function<uint64_t()> config_version_;
   PoolDispatcher dispatcher_;
   StoreRelay relay_;
   std::shared_ptr<PeerLinks> links_;
--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -64,7 +64,13 @@
                        StorePosition now) override;
   void OnUpdatesEnded(const std::string& kind, Duration evidence_age) override;
 
-  void ApplyConfig(const StoreItem& item);
+  /** Puts a configuration in force unless it is older than the known one.
+   * @returns its version; std::nullopt if it is invalid */
+  std::optional<int64_t> ApplyConfig(const StoreItem& item);
+  void ApplyStoredConfig(const StoreItem& item);
+  void OnConfigMessage(const VmId& vm, const Message& message);
+  /** Takes the store's last answer for evidence, if it is some. */
+  void UpdateFreshness(TimePoint now);
   void ApplyEndpoint(const StoreItem& item);
   std::optional<DirectoryEntry> DecodeEntry(const StoreItem& item);
   /** Logs an entry that the directory has not applied, as it is older than
@@ -101,6 +107,9 @@
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> probe_server_;
   std::list<std::shared_ptr<Request>> requests_;
+  ConfigVersions config_versions_;
+  std::string config_document_;               // in force, as in the store
+  std::optional<TimePoint> config_verified_;  // start of the last call
   EvacuationRegister evacuations_;
   MemberRecords members_;
   std::string link_key_;         // in use
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -96,6 +96,14 @@
   dispatch_ = std::make_shared<DispatchClient>(
       io_, settings_, state_,
       [this](const PoolId& pool) { return InFlightCallsOf(pool); });
+  dispatch_->SetConfigExchange(
+      [this](const VmId& vm, const Message& message) {
+        OnConfigMessage(vm, message);
+      },
+      [this] {
+        return static_cast<uint64_t>(state_.config ? state_.config->version()
+                                                   : 0);
+      });
   state_.limits = std::make_shared<LimitExchange>(
       state_, dispatch_->dispatcher().tracker());
   dispatch_directory_ =
@@ -305,6 +313,7 @@
   }
   directory_.Tick(now);
   dispatch_directory_->Tick(now);
+  UpdateFreshness(now);
   if (evacuations_.Tick(now)) ApplyEvacuations();
   if (next_member_write_ != TimePoint() && now >= next_member_write_) {
     next_member_write_ = TimePoint();
--- a/modules/zr_gateway_host/gateway_store_impl.h
+++ b/modules/zr_gateway_host/gateway_store_impl.h
@@ -14,7 +14,7 @@
   const TimePoint now = BootNow();
   const bool restored = restored_kinds_.erase(kind) > 0;
   if (kind == Format::kConfigKind) {
-    for (const StoreItem& item : items) ApplyConfig(item);
+    for (const StoreItem& item : items) ApplyStoredConfig(item);
   } else if (kind == Format::kEndpointKind) {
     std::vector<DirectoryEntry> entries;
     for (const StoreItem& item : items) {
@@ -47,7 +47,7 @@
                                     const std::vector<StoreItem>& items) {
   if (kind == Format::kConfigKind) {
     for (const StoreItem& item : items) {
-      if (!item.deleted) ApplyConfig(item);
+      if (!item.deleted) ApplyStoredConfig(item);
     }
   } else if (kind == Format::kEndpointKind) {
     for (const StoreItem& item : items) ApplyEndpoint(item);
@@ -71,8 +71,17 @@
 template <GatewayFormat Format>
 void GatewayNode<Format>::OnVerified(const std::string& kind,
                                      TimePoint started) {
-  if (kind == Format::kConfigKind && state_.config) {
-    state_.freshness.OnVerified(started);
+  if (kind != Format::kConfigKind) return;
+  if (!config_verified_ || started > *config_verified_) {
+    config_verified_ = started;
+  }
+  UpdateFreshness(BootNow());
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::UpdateFreshness(TimePoint now) {
+  if (config_verified_ && config_versions_.EvidenceCounts(now)) {
+    state_.freshness.OnVerified(*config_verified_);
   }
 }
 
@@ -114,6 +123,10 @@
   state_.metrics.Set("zr_gateway_store_era", {},
                      static_cast<double>(now.era.value()));
   restored_kinds_.insert(kind);
+  if (kind == Format::kConfigKind) {
+    config_versions_.OnStoreRestored(BootNow());
+    dispatch_->SendConfigNotices();
+  }
   if (kind == Format::kEndpointKind) {
     const TimePoint time = BootNow();
     directory_.OnStoreRestored(time);
@@ -130,15 +143,58 @@
 }
 
 template <GatewayFormat Format>
-void GatewayNode<Format>::ApplyConfig(const StoreItem& item) {
+void GatewayNode<Format>::ApplyStoredConfig(const StoreItem& item) {
   if (item.name != Format::kConfigName) return;
+  if (const auto version = ApplyConfig(item)) {
+    config_versions_.OnStored(*version);
+  }
+}
+
+template <GatewayFormat Format>
+void GatewayNode<Format>::OnConfigMessage(const VmId& vm,
+                                          const Message& message) {
+  using NoticeAction = ConfigVersions::NoticeAction;
+  const TimePoint now = BootNow();
+  const auto own =
+      static_cast<uint64_t>(state_.config ? state_.config->version() : 0);
+  if (const auto* notice = std::get_if<ConfigNotice>(&message)) {
+    const auto version = static_cast<int64_t>(notice->version);
+    switch (config_versions_.OnNotice(now, version)) {
+      case NoticeAction::kNone:
+        break;
+      case NoticeAction::kFetch:
+        state_.log.Write(now, "config_behind",
+                         {{"peer", vm.value()},
+                          {"version", notice->version},
+                          {"in_force", own}});
+        dispatch_->Send(vm, ConfigFetch{ObjectVersion(notice->version)});
+        break;
+      case NoticeAction::kNotify:
+        dispatch_->Send(vm, ConfigNotice{own});
+        break;
+    }
+    UpdateFreshness(now);
+  } else if (const auto* fetch = std::get_if<ConfigFetch>(&message)) {
+    if (own == 0 || own < fetch->min_version.value()) return;
+    dispatch_->Send(vm, ConfigOffer{ObjectVersion(own), "", config_document_});
+  } else if (const auto* offer = std::get_if<ConfigOffer>(&message)) {
+    ApplyConfig({Format::kConfigName, ObjectVersion(), offer->document});
+    if (state_.config && state_.config->version() > static_cast<int64_t>(own)) {
+      dispatch_->SendConfigNotices();
+    }
+    UpdateFreshness(now);
+  }
+}
+
+template <GatewayFormat Format>
+std::optional<int64_t> GatewayNode<Format>::ApplyConfig(const StoreItem& item) {
   const TimePoint now = BootNow();
   auto parts = Format::DecodeConfig(item.value);
   if (!parts) {
     state_.log.Write(now, "config_rejected",
                      {{"revision", item.version.value()},
                       {"reason", ToString(parts.error())}});
-    return;
+    return std::nullopt;
   }
   const int64_t version = parts->version;
   const bool first = !state_.config;
@@ -149,16 +205,18 @@
                         {"in_force", state_.config->version()},
                         {"revision", item.version.value()}});
     }
-    return;
+    return version;
   }
   auto config = GatewayConfig::Create(std::move(*parts));
   if (!config) {
     state_.log.Write(now, "config_rejected",
                      {{"revision", item.version.value()},
                       {"reason", ToString(config.error())}});
-    return;
+    return std::nullopt;
   }
   state_.config = std::move(*config);
+  config_document_ = item.value;
+  config_versions_.OnInForce(now, version);
   dispatch_->SetPools(state_.config->ModelPools());
   // Decoding endpoint entries needs the services of the configuration.
   if (first) feeds_[kEndpointFeed]->Start();
@@ -167,6 +225,7 @@
                     {"revision", item.version.value()},
                     {"config_age_ms", state_.freshness.Age(now).milliseconds()},
                     {"routes", state_.config->routes().size()}});
+  return version;
 }
 
 template <GatewayFormat Format>
@@ -297,7 +356,9 @@
     link_key_ = key;
     state_.dispatch = dispatch_;
   }
-  if (!state_.stopping) dispatch_->SetVms(members_.addresses());
+  const std::map<VmId, std::string> addresses = members_.addresses();
+  if (addresses.size() <= 1) config_versions_.OnAlone();
+  if (!state_.stopping) dispatch_->SetVms(addresses);
 }
 
 template <GatewayFormat Format>
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -91,6 +91,10 @@
   a(m.version, m.digest, m.document);
 }
 template <typename A>
+void Fields(A& a, ConfigNotice& m) {
+  a(m.version);
+}
+template <typename A>
 void Fields(A& a, ConfigFetch& m) {
   a(m.min_version);
 }
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -249,11 +249,17 @@
 /** A configuration document with its version. */
 struct ConfigOffer {
   ObjectVersion version;
-  std::string digest;    // hex SHA-256 of the document
-  std::string document;  // INI text
+  std::string digest;    // hex SHA-256 of the document; empty for none
+  std::string document;  // INI text, or an object of a platform's store
   friend auto operator<=>(const ConfigOffer&, const ConfigOffer&) = default;
 };
 
+/** The version of the configuration that the sender has in force. */
+struct ConfigNotice {
+  uint64_t version = 0;  // 0 if there is none
+  friend auto operator<=>(const ConfigNotice&, const ConfigNotice&) = default;
+};
+
 /** Asks a VM for a configuration of at least the given version. */
 struct ConfigFetch {
   ObjectVersion min_version;
@@ -609,13 +615,15 @@
 
 /** Any message between entry VMs. The order of the alternatives is part of the
  * wire format. */
-using Message = std::variant<
-    Heartbeat, EndpointSummary, AdmissionRequest, Grant, Refusal, GrantRelease,
-    HeldGrants, CancelAdmission, Suspect, StreamLookup, StreamLocation,
-    ConfigOffer, ConfigFetch, GatherReserve, GatherReply, GatherRelease,
-    TakeoverRequest, TakeoverReply, SuspectLeaseRequest, SuspectLeaseReply,
-    MembershipDigest, DispatchRequest, DispatchReply, CallProgress,
-    InFlightCalls, StoreQuery, StoreUpdate, CrashEvidence, LimitReport>;
+using Message =
+    std::variant<Heartbeat, EndpointSummary, AdmissionRequest, Grant, Refusal,
+                 GrantRelease, HeldGrants, CancelAdmission, Suspect,
+                 StreamLookup, StreamLocation, ConfigOffer, ConfigFetch,
+                 GatherReserve, GatherReply, GatherRelease, TakeoverRequest,
+                 TakeoverReply, SuspectLeaseRequest, SuspectLeaseReply,
+                 MembershipDigest, DispatchRequest, DispatchReply, CallProgress,
+                 InFlightCalls, StoreQuery, StoreUpdate, CrashEvidence,
+                 LimitReport, ConfigNotice>;
 
 /** A message and its destination. */
 struct OutgoingMessage {
--- a/modules/zr_wire/tests/wire_test.cc
+++ b/modules/zr_wire/tests/wire_test.cc
@@ -40,7 +40,7 @@
   for (const Message& message : std::vector<Message>{
            SampleAdmission(), heartbeat, refusal, held, EndpointSummary{},
            Grant{}, GrantRelease{}, Suspect{}, GatherReply{}, ConfigOffer{},
-           evidence}) {
+           evidence, ConfigNotice{5}}) {
     auto decoded = DecodeMessage(EncodeMessage(message));
     REQUIRE(decoded);
     REQUIRE(*decoded == message);
