--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -20,6 +20,7 @@
   - with planned work only, no request is lost: it is answered or rejected, or
     its connection closed before it was read;
   - with planned work only, a route is served 2 s after its confirmation;
+  - a change that was confirmed is in force in the end, whatever the store lost;
   - from 3 s after the fifth crash, at most 3 prompts with the part that causes
     them reach engines;
   - an endpoint that names a limit gets no more than 1.5 times that and 5
@@ -102,6 +103,7 @@
         self.limited = ([deployment.endpoints_of("llm")[0], deployment.endpoints_of("plain")[0]]
                         if seed % 2 == 0 else [])
         self.version = 10
+        self.rewrites = []  # timers of what is written again after the store's returns
         self.started = dict.fromkeys(range(deployment.vm_count), time.monotonic())
 
     def report_problem(self, text):
@@ -291,6 +293,17 @@
         self.d.store.forget_history()
         return lambda: None
 
+    def store_is_restored(self):
+        """Comes back from a copy some seconds old, after it was away for a moment."""
+        lost_s, rewrite_s = self.random.uniform(0.5, 15), self.random.uniform(0, 2)
+        self.d.store.fault = self.random.choice(["refuse", "reset"])
+
+        def restore():
+            self.rewrites.append(self.d.store.restore(lost_s, rewrite_s))
+            self.d.store.fault = None
+
+        return restore
+
     def store_path_fails(self):
         self.proxy.mode = self.random.choice(["silent", "slow", "one way out", "one way back"])
         if self.random.random() < 0.3:
@@ -329,7 +342,8 @@
                   self.endpoint_pauses, self.endpoint_drains]
         if not self.planned_only:
             faults += [self.kill, self.pause, self.store_fails, self.store_loses_answers,
-                       self.store_forgets_history, self.store_path_fails, self.endpoint_fails,
+                       self.store_forgets_history, self.store_path_fails,
+                       self.store_is_restored, self.endpoint_fails,
                        self.endpoint_fails]
         while time.monotonic() < self.end and not self.problems:
             fault = self.random.choice(faults)
@@ -356,8 +370,14 @@
         print(f"{len(Endpoint.crash_times)} crashes, {self.deadly_later} deadly prompts later")
         print(f"answers {dict(sorted(self.counts.items()))}")
         check(not self.problems, "; ".join(self.problems[:5]))
+        for rewrite in self.rewrites:
+            rewrite.join()
         for vm in range(self.d.vm_count):
             wait_until(f"VM {vm} is ready again", lambda vm=vm: self.d.ready(vm))
+            if self.version > 10:
+                wait_until(f"VM {vm} has version {self.version}", lambda vm=vm: self.d.call(
+                    vm, "POST", f"/added{self.version}/x", f"last-{vm}-{time.monotonic()}",
+                    ).status == 200)
             wait_until(f"VM {vm} serves again", lambda vm=vm: self.d.call(
                 vm, "POST", "/stream/x", f"after-{vm}-{time.monotonic()}").status == 200)
 
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -54,10 +54,6 @@
         self.connection.close()
 
 
-# Kinds that the system itself writes; a store that is restored loses them for good.
-OWN_KINDS = ("zinniarill-members", "zinniarill-suspects")
-
-
 class Store:
     """The platform's store: kinds, revisions, watches and conditional writes."""
 
@@ -68,6 +64,7 @@
         self.history = []  # (rev, kind, name, spec or None)
         self.era = 1  # rises with each return from an older copy
         self.times = {}  # time of each revision
+        self.written = {}  # (kind, name) -> spec, by operators and endpoints
         self.history_start = 0  # watches from an earlier revision get 410
         self.fault = None  # None, "refuse", "reset", "silent"
         self.lose_answers = False  # reset the connection after a write took effect
@@ -92,8 +89,9 @@
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
     def put(self, kind, name, spec):
-        """Writes an object as an operator would and returns its revision."""
+        """Writes an object as an operator or an endpoint would and returns its revision."""
         with self.lock:
+            self.written[(kind, name)] = spec
             return self._put(kind, name, spec)
 
     def _put(self, kind, name, spec):
@@ -109,7 +107,7 @@
 
     def restore(self, lost_s, rewrite_s=0.0, keep=lambda kind, name: False):
         """Comes back as of `lost_s` ago. After `rewrite_s`, operators and endpoints write again what
-        they wrote since, except for objects that `keep` leaves as they are in the copy."""
+        it lacks, except for objects that `keep` leaves as they are in the copy."""
         with self.lock:
             since = time.monotonic() - lost_s
             lost = [entry for entry in self.history if self.times[entry[0]] > since]
@@ -124,12 +122,12 @@
                     self.objects[(kind, name)] = (rev, spec)
             self.era += 1
             self.lock.notify_all()
-        again = {(kind, name): spec for _, kind, name, spec in lost
-                 if kind not in OWN_KINDS and not keep(kind, name)}
 
         def rewrite():
             with self.lock:
-                for (kind, name), spec in again.items():
+                for (kind, name), spec in self.written.items():
+                    if keep(kind, name):
+                        continue
                     if self.objects.get((kind, name), (0, None))[1] != spec:
                         self._put(kind, name, spec)
 
