Take no refusal without a request id from a kept connection

Operators of other systems saw clients told 'not run, try again' for requests that had run: a faulty endpoint wrote an earlier refusal once more on a kept connection.

Here: a refusal that names another request was taken for a broken answer already, and what may run once has a connection of its own. One without an id was believed on a kept connection: a repeatable request got 503 although it ran. It now counts as a broken answer, which promises nothing.

Evidence: faulty_answers.py refusal_is_written_again failed before (503, one run) and passes, with three statuses, with and without an id. Heads that are cut short at each position, for four framings, closed or reset: no answer was taken for whole before either; the test stays. The stand-in's 421 names its request now, as endpoints do.

--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -114,6 +114,10 @@
   CallKey Key() const { return {state_.vm, request_.id, call_->number}; }
   void BeginCall(TimePoint now, PlacementPlan plan, bool dispatched);
   void SendCall(TimePoint now);
+  /** No bytes of earlier answers can come on the connection of a call. */
+  bool NeedsFreshConnection() const {
+    return route_->retry_policy == RetryPolicy::kAtMostOnce;
+  }
   void OnReserved(TimePoint now, bool held);
   void OnHead(int status, const HttpHeaders& headers);
   bool OnBody(std::string_view data);
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -98,7 +98,7 @@
   ClientRequest call = Format::WriteCall(request_, target);
   call.connect_timeout = std::min(kConnectTimeout, target.time_left);
   call.no_resend = true;
-  call.fresh_connection = route_->retry_policy == RetryPolicy::kAtMostOnce;
+  call.fresh_connection = NeedsFreshConnection();
   call.max_idle = kMaxIdleConnection;
 
   ++possible_runs_;
@@ -120,6 +120,13 @@
                     CallResult::kConnectionBroken,
                     "answer belongs to another request");
   }
+  // It may be an earlier refusal, written once more on a kept connection.
+  if ((head.misdirected || head.not_run) && head.request.empty() &&
+      !NeedsFreshConnection()) {
+    return FailCall(CallFailure::kConnectionBroken,
+                    CallResult::kConnectionBroken,
+                    "refusal does not name its request");
+  }
   if (head.encoded) {
     return FailCall(CallFailure::kConnectionBroken,
                     CallResult::kConnectionBroken,
--- /dev/null
+++ b/tests/platform/faulty_answers.py
@@ -0,0 +1,171 @@
+#!/usr/bin/env python3
+"""Faulty endpoints: a refusal written again, an error after a broken stream, a head cut short.
+
+  faulty_answers.py [FIRST_PORT] [STEP...]
+"""
+
+import itertools
+import sys
+import time
+
+from deployment import EVENTS, check, full_stream, main, wait_until
+
+REJECTIONS = (408, 421, 429, 503)
+numbers = itertools.count()
+
+
+def head(status, headers, length=None):
+    lines = [f"HTTP/1.1 {status}"] + [f"{name}: {value}" for name, value in headers.items()]
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def event(number):
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+def events_from(handler):
+    first = int(handler.headers.get("Last-Event-Id", -1)) + 1
+    return [event(number) for number in range(first, EVENTS)]
+
+
+class RefusalAgain:
+    """Refuses one request of a connection, and writes that refusal again before the next answer."""
+
+    def __init__(self, status, with_id):
+        self.status, self.with_id = status, with_id
+        self.refusals = {}  # by connection
+
+    def __call__(self, endpoint, handler, common):
+        key = handler.connection
+        if key not in self.refusals:
+            names = {"X-Request-Id": common["X-Request-Id"]} if self.with_id else {}
+            self.refusals[key] = head(self.status, {**names, "X-Not-Run": "1"}, 0)
+            with endpoint.lock:
+                endpoint.runs[common["X-Request-Id"]] -= 1
+            return handler.wfile.write(self.refusals[key])
+        body = f"answer to {common['X-Request-Id']}".encode()
+        handler.wfile.write(self.refusals[key])
+        time.sleep(0.02)
+        handler.wfile.write(head("200 OK", common, len(body)) + body)
+
+
+def refusal_is_written_again(d):
+    plain = d.endpoints_of("plain")
+    for status, with_id in itertools.product(("503 Full", "429 Full", "421 Other"), (True, False)):
+        fault = RefusalAgain(status, with_id)
+        for endpoint in plain:
+            endpoint.fault = fault
+        for kind, n in itertools.product(("once", "many"), range(12)):
+            request = f"again-{kind}-{n}-{next(numbers)}"
+            answer = d.call(0, "POST", f"/{kind}/x", request)
+            time.sleep(0.02)
+            runs = d.run_count(request)
+            what = f"{request} ({status}, id {with_id}): {answer.status}, {runs} runs"
+            if kind == "once":
+                check(runs <= 1, what)
+            check(answer.status not in REJECTIONS or runs == 0, what)
+            check(answer.status != 200 or answer.body == f"answer to {request}".encode(), what)
+    for endpoint in plain:
+        endpoint.fault = None
+
+
+def error_follows_a_broken_stream(d):
+    engines = d.endpoints_of("llm")
+    text = b"something went wrong\n\nid: 900\ndata: it did\n\n"
+    bodies = {"length": lambda h: head(h[0], h[1], len(text)) + text,
+              "no length": lambda h: head(h[0], {**h[1], "Connection": "close"}) + text}
+    kinds = itertools.product(
+        ("500 Error", "502 Error", "504 Late", "400 Bad", "404 None", "409 Other", "302 Moved",
+         "204 Empty", "206 Part", "200 OK"), bodies, (0, 1, 3))
+    for status, framing, before in kinds:
+        started = []
+
+        def answer(endpoint, handler, common):
+            if not started:
+                started.append(endpoint)
+                stream = {**common, "Content-Type": "text/event-stream",
+                          "Transfer-Encoding": "chunked"}
+                handler.wfile.write(head("200 OK", stream))
+                for piece in events_from(handler)[:before]:
+                    handler.wfile.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+                handler.wfile.flush()
+                time.sleep(0.02)
+                return handler.reset()
+            handler.close_connection = True
+            handler.wfile.write(bodies[framing]((status, {**common, "Content-Type": "text/html"})))
+
+        for engine in engines:
+            engine.fault = answer
+        got = d.call(0, "POST", "/stream/x", f"error-{next(numbers)}", timeout=15)
+        what = f"{status}, {framing}, after {before} events: {got.status} {got.body[:120]}"
+        if got.status == 200 and before:
+            check(full_stream().startswith(got.body), what)
+            check(not got.complete or got.body == full_stream(), "ends as if complete: " + what)
+        elif got.status == 200:
+            check(status == "200 OK", what)
+        for engine in engines:
+            engine.fault = None
+
+
+def head_is_cut_short(d):
+    """At every position, for answers with a length, in chunks and until the end."""
+
+    def cut_at(position, reset, make):
+        def answer(endpoint, handler, common):
+            handler.close_connection = True
+            whole = make(handler, common)
+            handler.wfile.write(whole[:position])
+            handler.wfile.flush()
+            lengths.append(len(whole))
+            if reset:
+                time.sleep(0.005)
+                handler.reset()
+        return answer
+
+    def with_length(handler, common):
+        body = f"answer to {common['X-Request-Id']}".encode()
+        return head("200 OK", common, len(body)) + body
+
+    def in_chunks(handler, common):
+        return head("200 OK", {**common, "Transfer-Encoding": "chunked",
+                               "Content-Type": "text/event-stream"}) + b"".join(
+            b"%x\r\n%s\r\n" % (len(piece), piece) for piece in events_from(handler)[:2]) + b"0\r\n\r\n"
+
+    def until_the_end(handler, common):
+        return head("200 OK", {**common, "Content-Type": "text/event-stream"})
+
+    kinds = (("once", "plain", with_length), ("many", "plain", with_length),
+             ("stream", "llm", in_chunks), ("stream", "llm", until_the_end))
+    for (kind, service, make), reset in itertools.product(kinds, (False, True)):
+        position, lengths = 0, [1]
+        while position < max(lengths):
+            request = f"cut-{kind}-{position}-{next(numbers)}"
+            for endpoint in d.endpoints_of(service):
+                endpoint.fault = cut_at(position, reset, make)
+            got = d.call(0, "POST", f"/{kind}/x", request, timeout=15)
+            # The last chunk ends the body; what follows is the end of the trailers.
+            whole = make == in_chunks and position >= max(lengths) - len("\r\n")
+            check(got.status != 200 or not got.complete or whole,
+                  f"{kind}, {make.__name__}, cut at {position} of {max(lengths)}: "
+                  f"200, complete, {got.body[:80]}")
+            position += 1 if position < 40 or max(lengths) - position < 40 else 3
+        for endpoint in d.endpoints_of(service):
+            endpoint.fault = None
+        wait_until("sound answers come again", lambda k=kind: d.call(
+            0, "POST", f"/{k}/x", f"sound-{next(numbers)}").status == 200)
+
+
+STEPS = (refusal_is_written_again, error_follows_a_broken_stream, head_is_cut_short)
+
+
+def test(d):
+    wanted = sys.argv[2:] or [step.__name__ for step in STEPS]
+    for step in STEPS:
+        if step.__name__ in wanted:
+            print(f"- {step.__name__}", flush=True)
+            step(d)
+
+
+main(test, vms=1, engines=3, plain=2)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -326,7 +326,7 @@
         self.born = int(time.time() * 1000)
         self.runs = {}  # request id -> number of runs
         self.executed = []  # method, path, headers and body of the requests that ran
-        self.fault = None  # None, "reject", "cut", "pause", "stump", "hollow", "mute", "error", "extra", one of ENDLESS
+        self.fault = None  # None, "reject", "cut", "pause", "stump", "hollow", "mute", "error", "extra", one of ENDLESS, a function
         self.event_s = 0.01
         self.drip_s = 0  # pause between pieces that are sent without end
         self.abandoned = 0  # answers without end that the caller has closed
@@ -456,7 +456,7 @@
         request = handler.headers.get("X-Request-Id", "")
         common = {"X-Request-Id": request, "X-Load-Report": "1,0,16"}
         if handler.headers.get("X-Expect-Instance") != self.id:
-            return handler.answer(421, b"", {"X-Instance": self.id})
+            return handler.answer(421, b"", {"X-Request-Id": request, "X-Instance": self.id})
         with self.lock:
             self.arrival_times.append((time.monotonic(), request))
         if self.limit is not None:
@@ -472,6 +472,8 @@
             self.runs[request] = self.runs.get(request, 0) + 1
             self.executed.append((handler.command, handler.path, dict(handler.headers), body))
         common["X-Seal"] = f"seal-{self.id}"
+        if callable(self.fault):
+            return self.fault(self, handler, common)
         if self.fault == "mute":
             time.sleep(30)
             return handler.reset()
