Continue a stream only with an answer of the same form (ORDER)

Operators of other systems saw an endpoint's error text within a stream that had broken off, after the next endpoint had answered with an error.

Here: errors with a status of their own cut the answer already. A 200 with another content type, such as a page, was forwarded as events, and the stream ended as if it were complete.

A continuation now has to have status 200 and the content type of what was forwarded; anything else counts as an error answer, is tried elsewhere if a run is left, or the answer is cut.

Evidence: faulty_answers.py error_follows_a_broken_stream, ten statuses, with and without a length, after none, one and three events; the page with 200 failed before, all pass.

--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -120,6 +120,8 @@
   }
   void OnReserved(TimePoint now, bool held);
   void OnHead(int status, const HttpHeaders& headers);
+  /** The answer has the form of the one that has been forwarded in part. */
+  bool ContinuesAnswer(const AnswerHead& head) const;
   bool OnBody(std::string_view data);
   void ForwardEvents();
   void OnCallEnd(std::optional<ClientFailure> failure);
@@ -170,6 +172,7 @@
   int reservation_failures_ = 0;
   std::optional<int64_t> last_event_;  // id of the last event forwarded
   bool answer_started_ = false;
+  std::string content_type_;  // of the answer, if it has started
   bool ended_ = false;
   size_t unsent_bytes_ = 0;  // written, not yet sent to the caller
   bool paused_ = false;
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -147,9 +147,21 @@
         CallFailure::kNotRun, CallResult::kRejected,
         "endpoint did not run the request, status " + std::to_string(status));
   }
+  if (answer_started_ && !ContinuesAnswer(head)) {
+    return FailCall(CallFailure::kErrorAnswer, CallResult::kErrorAnswer,
+                    "answer does not continue the stream, status " +
+                        std::to_string(status));
+  }
   call_->head = std::move(head);
 }
 
+template <GatewayFormat Format>
+bool ForwardedRequest<Format>::ContinuesAnswer(const AnswerHead& head) const {
+  const auto type = head.headers.find("content-type");
+  return head.status == 200 &&
+         (type == head.headers.end() ? "" : type->second) == content_type_;
+}
+
 template <GatewayFormat Format>
 bool ForwardedRequest<Format>::OnBody(std::string_view data) {
   using namespace gateway_internal;
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -293,6 +293,8 @@
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::BeginAnswer() {
   answer_started_ = true;
+  const auto type = call_->head->headers.find("content-type");
+  if (type != call_->head->headers.end()) content_type_ = type->second;
   response_->Begin(call_->head->status, AnswerHeaders(call_->head->headers));
 }
 
