--- a/modules/zr_gateway/config_versions.h
+++ b/modules/zr_gateway/config_versions.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "zr_base/zr_base.h"
+#include "zr_gateway/gateway_types.h"
 
 namespace zr {
 
@@ -17,12 +18,12 @@
  */
 class ConfigVersions {
  public:
-  /** Time after the store's return within which operators write again. */
-  static constexpr Duration kRewriteGrace = Duration::Milliseconds(2300);
   /** Longest wait of a VM that starts for the first other VM's version. */
   static constexpr Duration kPeerWait = Duration::Milliseconds(1000);
   /** Time after which a version that no VM provides no longer counts. */
   static constexpr Duration kFetchTimeout = Duration::Milliseconds(5000);
+  /** Time that a VM has to send its configuration before another is asked. */
+  static constexpr Duration kFetchPeriod = Duration::Milliseconds(500);
 
   enum class NoticeAction : uint8_t {
     kNone,
@@ -50,7 +51,10 @@
     if (version > announced_) {
       announced_ = version;
       announced_at_ = now;
+    } else if (now - fetched_at_ < kFetchPeriod) {
+      return NoticeAction::kNone;
     }
+    fetched_at_ = now;
     return NoticeAction::kFetch;
   }
 
@@ -70,6 +74,7 @@
   int64_t stored_ = 0;
   int64_t announced_ = 0;
   TimePoint announced_at_;
+  TimePoint fetched_at_;
   std::optional<TimePoint> restored_at_;
   TimePoint peer_deadline_;
 };
--- a/modules/zr_gateway/endpoint_directory.cc
+++ b/modules/zr_gateway/endpoint_directory.cc
@@ -66,15 +66,8 @@
 
 void EndpointDirectory::Remove(const EndpointId& id) {
   if (const EndpointState* state = tracker_.Find(id)) {
-    if (departures_.size() >= kMaxDepartures) {
-      const uint64_t era = era_;
-      std::erase_if(departures_, [era](const auto& departure) {
-        return departure.second.era < era;
-      });
-    }
-    if (departures_.size() < kMaxDepartures) {
-      departures_[id] = {state->listed, era_};
-    }
+    if (departures_.size() >= kMaxDepartures) departures_.clear();
+    departures_[id] = {state->listed, era_};
   }
   tracker_.Remove(id);
 }
@@ -85,7 +78,7 @@
   if (state == nullptr) return;
   // The removal of a draining endpoint is planned, so it needs no grace period.
   if (InGracePeriod(now) && !state->listed.draining) {
-    missing_.try_emplace(id, reachable_since_ + kRemovalGrace);
+    missing_.try_emplace(id, reachable_since_ + kRewriteGrace);
     return;
   }
   Remove(id);
@@ -110,14 +103,14 @@
     }
   }
   for (auto it = missing_.begin(); it != missing_.end();) {
-    if (now < reachable_since_ + kRemovalGrace) return;
+    if (now < reachable_since_ + kRewriteGrace) return;
     Remove(it->first);
     it = missing_.erase(it);
   }
 }
 
 bool EndpointDirectory::InGracePeriod(TimePoint now) const {
-  return !reachable_ || now - reachable_since_ < kRemovalGrace;
+  return !reachable_ || now - reachable_since_ < kRewriteGrace;
 }
 
 }  // namespace zr
--- a/modules/zr_gateway/endpoint_directory.h
+++ b/modules/zr_gateway/endpoint_directory.h
@@ -29,10 +29,6 @@
  */
 class EndpointDirectory {
  public:
-  /** Time after an outage within which live endpoints write their entries
-   * again. */
-  static constexpr Duration kRemovalGrace = Duration::Milliseconds(2300);
-
   /** Time after which the entry of an endpoint that is gone has expired in a
    * restored store. */
   static constexpr Duration kReturnDelay = Duration::Milliseconds(6000);
@@ -59,7 +55,7 @@
     uint64_t era = 0;     // of the removal
   };
 
-  // Bounds the memory of departures; the oldest era is dropped first.
+  // Departures that are remembered; beyond that, all are forgotten.
   static constexpr size_t kMaxDepartures = 4096;
 
   bool InGracePeriod(TimePoint now) const;
--- a/modules/zr_gateway/evacuation_register.h
+++ b/modules/zr_gateway/evacuation_register.h
@@ -2,8 +2,10 @@
 
 #include <map>
 #include <set>
+#include <utility>
 
 #include "zr_base/zr_base.h"
+#include "zr_gateway/gateway_types.h"
 
 namespace zr {
 
@@ -13,18 +15,17 @@
  */
 class EvacuationRegister {
  public:
-  /** Time after the store's return within which operators write again. */
-  static constexpr Duration kRewriteGrace = Duration::Milliseconds(2300);
-
   /** Takes the complete list.
    * @param restored  the store has come back from an older copy */
   void OnList(TimePoint now, const std::set<DomainId>& listed, bool restored) {
     std::map<DomainId, TimePoint> next;
     for (const DomainId& domain : listed) next[domain] = TimePoint::Max();
     for (const auto& [domain, until] : domains_) {
-      if (next.contains(domain)) continue;
-      const TimePoint end = restored ? now + kRewriteGrace : until;
-      if (restored || end != TimePoint::Max()) next[domain] = end;
+      if (restored) {
+        next.try_emplace(domain, now + kRewriteGrace);
+      } else if (until != TimePoint::Max()) {
+        next.try_emplace(domain, until);
+      }
     }
     domains_ = std::move(next);
   }
--- a/modules/zr_gateway/gateway_types.h
+++ b/modules/zr_gateway/gateway_types.h
@@ -104,6 +104,10 @@
                           const ListedEndpoint&) = default;
 };
 
+/** Time after the store's return within which operators and endpoints write
+ * again what it has lost. */
+inline constexpr Duration kRewriteGrace = Duration::Milliseconds(2300);
+
 /** Load that an endpoint reports together with an answer. */
 struct ReportedLoad {
   int running = 0;
--- a/modules/zr_gateway/tests/config_versions_test.cc
+++ b/modules/zr_gateway/tests/config_versions_test.cc
@@ -40,9 +40,13 @@
       REQUIRE_FALSE(versions.EvidenceCounts(At(2000)));
       versions.OnInForce(At(2000), 15);
       REQUIRE(versions.EvidenceCounts(At(2000)));
+      REQUIRE(versions.OnNotice(At(2010), 16) == NoticeAction::kFetch);
+      REQUIRE(versions.OnNotice(At(2020), 16) == NoticeAction::kNone);
+      REQUIRE(versions.OnNotice(At(2600), 16) == NoticeAction::kFetch);
+      versions.OnInForce(At(2600), 16);
       SECTION("though other VMs are behind") {
-        REQUIRE(versions.OnNotice(At(2100), 11) == NoticeAction::kNotify);
-        REQUIRE(versions.EvidenceCounts(At(2100)));
+        REQUIRE(versions.OnNotice(At(2700), 11) == NoticeAction::kNotify);
+        REQUIRE(versions.EvidenceCounts(At(2700)));
       }
     }
     SECTION("which is newer, but never comes") {
--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -68,14 +68,16 @@
    * @returns its version; std::nullopt if it is invalid */
   std::optional<int64_t> ApplyConfig(const StoreItem& item);
   void ApplyStoredConfig(const StoreItem& item);
+  /** Notices, queries and configurations of other VMs. */
   void OnConfigMessage(const VmId& vm, const Message& message);
-  /** Takes the store's last answer for evidence, if it is some. */
+  /** The store's last answer shows that the configuration is the newest one,
+   * if ConfigVersions agrees. */
   void UpdateFreshness(TimePoint now);
   void ApplyEndpoint(const StoreItem& item);
   std::optional<DirectoryEntry> DecodeEntry(const StoreItem& item);
-  /** Logs an entry that the directory has not applied, as it is older than
-   * what is known. */
-  bool IsApplied(TimePoint now, const DirectoryEntry& entry);
+  /** @returns whether the directory has not applied the entry, as it is older
+   * than what is known */
+  bool LogIfOutdated(TimePoint now, const DirectoryEntry& entry);
   void ApplyEvacuations();
   static MemberRecord ToMember(const StoreItem& item);
   void UpdateMembership();
@@ -114,7 +116,7 @@
   MemberRecords members_;
   std::string link_key_;         // in use
   TimePoint next_member_write_;  // of a write that failed; 0 if there is none
-  /** Kinds of which the first list since the store's return is to come. */
+  /** Kinds of which the first list of the store's new era is to come. */
   std::set<std::string> restored_kinds_;
   bool endpoints_known_ = false;
   bool was_ready_ = false;
--- a/modules/zr_gateway_host/gateway_store_impl.h
+++ b/modules/zr_gateway_host/gateway_store_impl.h
@@ -22,7 +22,7 @@
     }
     directory_.OnList(now, entries);
     dispatch_directory_->OnList(now, entries);
-    for (const DirectoryEntry& entry : entries) IsApplied(now, entry);
+    for (const DirectoryEntry& entry : entries) LogIfOutdated(now, entry);
     endpoints_known_ = true;
   } else if (kind == gateway_internal::kMemberKind) {
     std::vector<MemberRecord> records;
@@ -115,7 +115,8 @@
 void GatewayNode<Format>::OnStoreRestored(const std::string& kind,
                                           StorePosition known,
                                           StorePosition now) {
-  state_.log.Write(BootNow(), "store_restored",
+  const TimePoint time = BootNow();
+  state_.log.Write(time, "store_restored",
                    {{"kind", kind},
                     {"era", now.era.value()},
                     {"known_revision", known.version.value()},
@@ -124,11 +125,9 @@
                      static_cast<double>(now.era.value()));
   restored_kinds_.insert(kind);
   if (kind == Format::kConfigKind) {
-    config_versions_.OnStoreRestored(BootNow());
+    config_versions_.OnStoreRestored(time);
     dispatch_->SendConfigNotices();
-  }
-  if (kind == Format::kEndpointKind) {
-    const TimePoint time = BootNow();
+  } else if (kind == Format::kEndpointKind) {
     directory_.OnStoreRestored(time);
     dispatch_directory_->OnStoreRestored(time);
   }
@@ -271,7 +270,7 @@
   }
   directory_.OnEntry(now, *entry);
   dispatch_directory_->OnEntry(now, *entry);
-  if (!IsApplied(now, *entry)) return;
+  if (LogIfOutdated(now, *entry)) return;
   if (known == nullptr || was_draining != entry->endpoint.draining) {
     state_.log.Write(now, "endpoint_listed",
                      {{"endpoint", item.name},
@@ -283,17 +282,17 @@
 }
 
 template <GatewayFormat Format>
-bool GatewayNode<Format>::IsApplied(TimePoint now,
-                                    const DirectoryEntry& entry) {
+bool GatewayNode<Format>::LogIfOutdated(TimePoint now,
+                                        const DirectoryEntry& entry) {
   const EndpointState* state = state_.tracker.Find(entry.endpoint.id);
-  if (state != nullptr && state->listed == entry.endpoint) return true;
+  if (state != nullptr && state->listed == entry.endpoint) return false;
   state_.log.Write(now, "entry_outdated",
                    {{"endpoint", entry.endpoint.id.value()},
                     {"boot", entry.endpoint.boot().value()},
                     {"sequence", entry.endpoint.sequence},
                     {"draining", entry.endpoint.draining},
                     {"listed", state != nullptr}});
-  return false;
+  return true;
 }
 
 template <GatewayFormat Format>
