Read updates of the store's objects that exceed an ordinary frame

Callers saw: nothing yet. A VM that has lost the store is sent a large configuration by another VM, of up to 600 KB, but it refused each frame over 64 KB that is no configuration document.

Found while reading the code for the restored store. The bound of 1 MB for large frames now holds for StoreUpdate, too. The test, an update of 600 KB, failed before.

--- a/modules/zr_wire/cbor_codec.cc
+++ b/modules/zr_wire/cbor_codec.cc
@@ -265,7 +265,9 @@
   }
   const auto type = array[0].get<size_t>();
   static const size_t kConfigOffer = Message(ConfigOffer{}).index();
-  if (frame.size() > kMaxFrameBytes && type != kConfigOffer) {
+  static const size_t kStoreUpdate = Message(StoreUpdate{}).index();
+  const bool may_be_large = type == kConfigOffer || type == kStoreUpdate;
+  if (frame.size() > kMaxFrameBytes && !may_be_large) {
     return Fail(ErrorCode::kTooLarge, "wire", "",
                 "frame is larger than 64 KiB");
   }
--- a/modules/zr_wire/cbor_codec.h
+++ b/modules/zr_wire/cbor_codec.h
@@ -9,7 +9,8 @@
 
 namespace zr {
 
-/** Largest frame that carries a configuration document, in bytes. */
+/** Largest frame that carries a configuration document or objects of the store,
+ * in bytes. */
 inline constexpr size_t kMaxConfigFrameBytes = 1 << 20;
 /** Largest frame of any other message, in bytes. */
 inline constexpr size_t kMaxFrameBytes = 64 << 10;
--- a/modules/zr_wire/tests/wire_test.cc
+++ b/modules/zr_wire/tests/wire_test.cc
@@ -89,6 +89,13 @@
     REQUIRE_FALSE(decoded);
     REQUIRE(decoded.error().code == ErrorCode::kTooLarge);
   }
+  SECTION("but not an update of the store's objects") {
+    StoreUpdate update;
+    update.kinds.resize(1);
+    update.kinds[0].objects = {
+        {"main", ObjectVersion(1), std::string(600'000, 'x'), false}};
+    REQUIRE(DecodeMessage(EncodeMessage(update)));
+  }
   SECTION("when its type is unknown") {
     REQUIRE_FALSE(DecodeMessage(std::vector<uint8_t>{0x81, 0x18, 0x63}));
   }
