--- a/modules/zr_gateway/tests/endpoint_directory_test.cc
+++ b/modules/zr_gateway/tests/endpoint_directory_test.cc
@@ -197,8 +197,9 @@
   }
 
   void List() {
-    if (std::exchange(restored_, false))
+    if (std::exchange(restored_, false)) {
       directory_.OnStoreRestored(At(now_ms_));
+    }
     std::vector<DirectoryEntry> all;
     for (const auto& [id, stored] : entries_) {
       const ListedEndpoint& listed = stored.entry.endpoint;
