Accept a line of the log without fields (a VM ended when its link key changed)

Cause: the line link_key_changed has no fields, which the JSON library takes for null and refuses to merge by an exception. The unit tests and restored.py had no VM that takes another's key.

DecisionLog now writes such a line.

--- a/modules/zr_telemetry/decision_log.cc
+++ b/modules/zr_telemetry/decision_log.cc
@@ -40,7 +40,7 @@
     return;
   }
   LogFields line = {{"time", UnixSeconds()}, {"vm", vm_}, {"event", event}};
-  line.update(fields);
+  if (fields.is_object()) line.update(fields);
   if (limit.left_out > 0) line["left_out"] = std::exchange(limit.left_out, 0);
   std::string text =
       line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/modules/zr_telemetry/tests/telemetry_test.cc
+++ b/modules/zr_telemetry/tests/telemetry_test.cc
@@ -1,4 +1,9 @@
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
+#include <string>
 
 #include "zr_telemetry/zr_telemetry.h"
 
@@ -22,5 +27,24 @@
       std::string::npos);
 }
 
+// Guards against a process that ends because of a line without fields.
+TEST_CASE("A line of the log may have no fields") {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  DecisionLog::Options options;
+  options.descriptor = ends[1];
+  DecisionLog log("vm-1", options);
+  log.Write(TimePoint(), "event", {});
+  log.Write(TimePoint(), "event", {{"a", 1}});
+  std::array<char, 1024> buffer{};
+  const auto size = read(ends[0], buffer.data(), buffer.size());
+  REQUIRE(size > 0);
+  const std::string lines(buffer.data(), static_cast<size_t>(size));
+  CHECK(std::count(lines.begin(), lines.end(), '\n') == 2);
+  CHECK(lines.find(R"("a":1)") != std::string::npos);
+  close(ends[0]);
+  close(ends[1]);
+}
+
 }  // namespace
 }  // namespace zr
--- a/tests/platform/restored.py
+++ b/tests/platform/restored.py
@@ -231,6 +231,21 @@
     f.wait_until_ready()
 
 
+def key_written_by_another_vm_is_taken(f):
+    """A VM that starts writes a key before the others have written theirs again."""
+    f.away(0.3)
+    f.store.restore(1000)
+    f.d.store.put("zinniarill-members", "key", "another key")
+    f.store.fault = None
+    for vm in range(VMS):
+        wait_until("the VM has the key",
+                   lambda vm=vm: '"link_key_changed"' in f.d.log(vm), STABLE_S)
+    f.wait_until_ready()
+    for vm in range(VMS):
+        check(f.d.processes[vm].poll() is None, f"VM {vm} has ended")
+    del f.store.written["zinniarill-members", "key"]
+
+
 def suspects_are_recorded_again(f):
     """The copy lacks the record of a part of prompts that crashes engines."""
     Endpoint.deadly = "deadly"
@@ -281,7 +296,8 @@
                vms_cut_off_during_the_return),
     "newest": (restarted_vm_serves_what_others_know, revoked_key_stays_revoked),
     "endpoints": (leaving_and_gone_endpoints_get_no_call, endpoints_lost_with_the_copy_are_kept),
-    "own": (vms_stay_linked, evacuation_outlasts_the_copy, suspects_are_recorded_again),
+    "own": (vms_stay_linked, key_written_by_another_vm_is_taken, evacuation_outlasts_the_copy,
+            suspects_are_recorded_again),
 }
 
 
