Clear no crash by an answer from before it when VMs are linked

Callers saw: after a link between VMs came up, a part of prompts that had been answered once and crashed engines later had fewer crashes against it at one of them, so that it went on to reach engines.

For one that was answered before its crashes it named the moment before the last of them, which clears the others where it arrives.

It now names the moment before the first crash that stands, or the last that was cleared. A section of the unit test: 1 instead of 3 crashes before. Found while tracing soak, which has another cause.

--- a/modules/zr_request/crash_attribution.cc
+++ b/modules/zr_request/crash_attribution.cc
@@ -145,20 +145,28 @@
 CrashEvidence CrashAttribution::Snapshot(TimePoint now) const {
   CrashEvidence evidence;
   constexpr Duration kBefore = Duration::Microseconds(1);
-  std::map<Fingerprint, TimePoint> answered;  // since that time, or later
+  std::map<Fingerprint, TimePoint> cleared_until;  // by an answer
+  std::map<Fingerprint, TimePoint> answered_before;
   for (const auto& [key, crash] : crashes_) {
     if (crash.dismissed) continue;
     SuspectedCrash item{key.first, key.second, now - crash.time, {}};
     for (const auto& [fingerprint, suspicion] : crash.suspects) {
       item.suspects.push_back({fingerprint, suspicion.specificity});
-      if (!suspicion.answered_before) continue;
-      TimePoint& last = answered[fingerprint];
-      last =
-          std::max(last, suspicion.cleared ? crash.time : crash.time - kBefore);
+      if (suspicion.cleared) {
+        TimePoint& last = cleared_until[fingerprint];
+        last = std::max(last, crash.time);
+      } else if (suspicion.answered_before) {
+        // An answer in between would have cleared the earlier crashes.
+        TimePoint& first =
+            answered_before.try_emplace(fingerprint, TimePoint::Max())
+                .first->second;
+        first = std::min(first, crash.time - kBefore);
+      }
     }
     evidence.crashes.push_back(std::move(item));
   }
-  for (const auto& [fingerprint, time] : answered) {
+  cleared_until.merge(answered_before);
+  for (const auto& [fingerprint, time] : cleared_until) {
     evidence.answered.push_back({fingerprint, now - time});
   }
   return evidence;
--- a/modules/zr_request/tests/crash_attribution_test.cc
+++ b/modules/zr_request/tests/crash_attribution_test.cc
@@ -134,6 +134,16 @@
     other.Merge(At(5000), table.Snapshot(At(5000)));
     REQUIRE_FALSE(other.IsBlamed(At(5000), kDeadly));
   }
+  SECTION("an answer from before all crashes clears none of them there") {
+    CrashAttribution first;
+    first.OnAnswered(At(0), {{kDeadly, 1}});
+    for (int i = 0; i < 3; ++i) {
+      first.Merge(At(100 * (i + 1)), Crash(i, {{kDeadly, 1}}));
+    }
+    CrashAttribution other;
+    other.Merge(At(900), first.Snapshot(At(900)));
+    REQUIRE(other.CountCrashes(kDeadly) == 3);
+  }
   SECTION("an answer that was seen before the crash was reported counts") {
     CrashAttribution other;
     other.OnAnswered(At(250), {{kDeadly, 1}});
