--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -129,4 +129,5 @@
 
 #include "zr_gateway_host/gateway_node_impl.h"
 // Uses the constants of gateway_node_impl.h.
+#include "zr_gateway_host/gateway_config_impl.h"
 #include "zr_gateway_host/gateway_store_impl.h"
