--- a/modules/zr_gateway_host/forwarded_request_suspects_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_suspects_impl.h
@@ -27,9 +27,12 @@
         {Fingerprint(HashFields({"part", service.value(), part})),
          static_cast<uint32_t>(suspects.size())});
   }
+  std::string shared;
+  for (const std::string& part : request.shared_parts) shared += part + ",";
   suspects.push_back(
-      {Fingerprint(HashFields({"request", service.value(), team.value(),
-                               request.method, request.target, request.body})),
+      {Fingerprint(
+           HashFields({"request", service.value(), team.value(), request.method,
+                       request.target, shared, request.body})),
        CrashSuspect::kWholeRequest});
   return suspects;
 }
