--- a/modules/zr_gateway_host/gateway_store_impl.h
+++ b/modules/zr_gateway_host/gateway_store_impl.h
@@ -26,6 +26,7 @@
     endpoints_known_ = true;
   } else if (kind == gateway_internal::kMemberKind) {
     std::vector<MemberRecord> records;
+    records.reserve(items.size());
     for (const StoreItem& item : items) records.push_back(ToMember(item));
     members_.OnList(records, restored);
     UpdateMembership();
