Reproduce changes of a large configuration that VMs miss (CONFIG)

Users report on both grown deployments that a confirmed change was not in force in time. Own test: six VMs, links of 14 Mbit/s to the store. For a change of one route they read six copies (2,428,584 bytes of a configuration of 402,953).

--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -231,6 +231,7 @@
     def __init__(self, port, target):
         self.target, self.mode, self.pairs = target, "open", []
         self.bytes_per_s = None  # of each direction of a connection; None for no limit
+        self.answered_bytes = 0  # forwarded from the target
         self.muted = set()  # ends of connections that stay silent for good
         self.listener = socket.create_server(("127.0.0.1", port))
         threading.Thread(target=self.accept, daemon=True).start()
@@ -260,6 +261,8 @@
                 if self.bytes_per_s:
                     time.sleep(len(data) / self.bytes_per_s)
                 sink.sendall(data)
+                if direction == "back":
+                    self.answered_bytes += len(data)
         except OSError:
             pass
         finally:
