Bound the pauses of the store's answers instead of their length (CONFIG)

What callers saw: a VM that starts, or lists after a return of the store, with a large configuration on a slow link never serves it.

Cause: the time-out of 0.4 s, meant to notice a silent connection, covered the whole answer. 870 KB take 0.5 s on 14 Mbit/s, so each call was given up near its end and made again, whole. Now an answer has to begin in time and may not pause for longer, and takes 10 s at most. Bytes that wait in the socket while the process is busy count: a call is silent only after another 20 ms.

The harness now ends the processes of a deployment that doesn't start.

--- a/modules/zr_http/client/http_call.cc
+++ b/modules/zr_http/client/http_call.cc
@@ -119,6 +119,7 @@
   auto* call = static_cast<EasyCall*>(self);
   std::string_view line(data, size * count);
   call->header_bytes_ += line.size();
+  call->bytes_received_ += line.size();
   if (call->header_bytes_ > kMaxHeaderBytes) {
     call->exceeded_ = "response headers";
     return 0;  // fails the call
@@ -151,6 +152,7 @@
 
 size_t EasyCall::OnWrite(char* data, size_t size, size_t count, void* self) {
   auto* call = static_cast<EasyCall*>(self);
+  call->bytes_received_ += size * count;
   if (!call->listener_) return size * count;
   const size_t limit = call->request_.max_body_bytes;
   if (limit > 0 && call->body_bytes_ + size * count > limit) {
--- a/modules/zr_http/client/http_call.h
+++ b/modules/zr_http/client/http_call.h
@@ -20,6 +20,14 @@
   EasyCall& operator=(const EasyCall&) = delete;
 
   CURL* easy() const { return easy_; }
+  /** Longest time from now until the next byte of the answer; 0 for no limit.
+   */
+  Duration silence_timeout() const {
+    return bytes_received_ > 0 ? request_.pause_timeout
+                               : request_.answer_timeout;
+  }
+  /** Bytes of the answer, interim answers included. */
+  size_t bytes_received() const { return bytes_received_; }
   /** Reports the end of the call to the listener; later calls do nothing. */
   void Finish(CURLcode code);
   /** Releases the listener; it is not called again. */
@@ -38,8 +46,9 @@
   HttpHeaders response_headers_;
   bool headers_delivered_ = false;
   bool request_sent_ = false;
-  size_t header_bytes_ = 0;         // received, including interim responses
-  size_t body_bytes_ = 0;           // received
+  size_t header_bytes_ = 0;  // received, including interim responses
+  size_t body_bytes_ = 0;    // received
+  size_t bytes_received_ = 0;
   const char* exceeded_ = nullptr;  // the part that exceeds its limit
   char error_text_[CURL_ERROR_SIZE] = {};
 };
--- a/modules/zr_http/client/http_client.cc
+++ b/modules/zr_http/client/http_client.cc
@@ -18,6 +18,9 @@
 // Idle connections kept for reuse.
 // NOLINTNEXTLINE(google-runtime-int): libcurl's type
 constexpr long kConnectionCacheSize = 4096;
+// Bytes may have arrived while this process was busy, so they get this long to
+// be read before a call counts as silent.
+constexpr std::chrono::milliseconds kSilenceGrace(20);
 
 class CurlClient;
 
@@ -25,8 +28,11 @@
 class CallHandle final : public HttpCall,
                          public std::enable_shared_from_this<CallHandle> {
  public:
-  CallHandle(std::weak_ptr<CurlClient> client, std::unique_ptr<EasyCall> call)
-      : client_(std::move(client)), call_(std::move(call)) {}
+  CallHandle(std::weak_ptr<CurlClient> client, std::unique_ptr<EasyCall> call,
+             asio::strand<asio::io_context::executor_type>& strand)
+      : client_(std::move(client)),
+        call_(std::move(call)),
+        silence_timer_(strand) {}
 
   void Cancel() override;
   void Resume() override;
@@ -34,10 +40,12 @@
   /** The call on libcurl's side; null after its end. Used on the client's
    * strand only. */
   std::unique_ptr<EasyCall>& call() { return call_; }
+  asio::steady_timer& silence_timer() { return silence_timer_; }
 
  private:
   std::weak_ptr<CurlClient> client_;
   std::unique_ptr<EasyCall> call_;
+  asio::steady_timer silence_timer_;
 };
 
 class CurlClient final : public HttpClient,
@@ -70,7 +78,8 @@
                                   std::shared_ptr<Listener> listener) override {
     auto handle = std::make_shared<CallHandle>(
         weak_from_this(),
-        std::make_unique<EasyCall>(std::move(request), std::move(listener)));
+        std::make_unique<EasyCall>(std::move(request), std::move(listener)),
+        strand_);
     asio::post(strand_, [self = shared_from_this(), handle] {
       self->StartOnStrand(handle);
     });
@@ -128,6 +137,36 @@
     }
     running_[handle->call()->easy()] = handle;
     curl_multi_add_handle(multi_, handle->call()->easy());
+    WaitForBytes(handle);
+  }
+
+  /** Ends the call unless more bytes arrive in time. */
+  void WaitForBytes(const std::shared_ptr<CallHandle>& handle) {
+    const Duration timeout = handle->call()->silence_timeout();
+    if (timeout <= Duration()) return;
+    CheckSilence(handle, handle->call()->bytes_received(),
+                 std::chrono::microseconds(timeout.microseconds()), false);
+  }
+
+  void CheckSilence(const std::shared_ptr<CallHandle>& handle, size_t received,
+                    std::chrono::microseconds wait, bool last) {
+    handle->silence_timer().expires_after(wait);
+    handle->silence_timer().async_wait(asio::bind_executor(
+        strand_, [weak = weak_from_this(), weak_handle = std::weak_ptr(handle),
+                  received, last](const asio::error_code& error) {
+          auto self = weak.lock();
+          auto handle = weak_handle.lock();
+          if (error || !self || !handle || !handle->call()) return;
+          if (handle->call()->bytes_received() != received) {
+            return self->WaitForBytes(handle);
+          }
+          if (!last) {
+            return self->CheckSilence(handle, received, kSilenceGrace, true);
+          }
+          self->Remove(handle->call()->easy());
+          handle->call()->Finish(CURLE_OPERATION_TIMEDOUT);
+          self->DestroyLater(handle);
+        }));
   }
 
   void Remove(CURL* easy) {
--- a/modules/zr_http/client/http_client.h
+++ b/modules/zr_http/client/http_client.h
@@ -19,6 +19,11 @@
   std::string body;
   Duration connect_timeout = Duration::Seconds(2);
   Duration total_timeout;  // 0 for no timeout
+  /** Longest time until the first byte of the answer; 0 for no limit. */
+  Duration answer_timeout;
+  /** Longest pause within the answer, so that a large one may take longer than
+   * a silent connection is waited for; 0 for no limit. */
+  Duration pause_timeout;
   /** A longer body ends the call with kTooLarge; 0 for no limit. */
   size_t max_body_bytes = 0;
   /**
--- a/modules/zr_http/tests/http_test.cc
+++ b/modules/zr_http/tests/http_test.cc
@@ -229,6 +229,51 @@
   }
 }
 
+// Guards against a large answer that is given up because it takes long.
+TEST_CASE("An answer may take longer than a pause within it") {
+  constexpr std::chrono::milliseconds kPieceDelay{100};
+  constexpr int kPieces = 20;
+  std::vector<std::thread> writers;
+  Fixture fixture([&](HttpRequest request, HttpResponsePtr response) {
+    if (request.path == "/mute") {
+      // Kept open without an answer.
+      return response->OnClosed([response] {});
+    }
+    response->Begin(200, {});
+    response->Write("x", nullptr);
+    if (request.path == "/stalled") return response->OnClosed([response] {});
+    writers.emplace_back([=] {
+      for (int i = 1; i < kPieces; ++i) {
+        std::this_thread::sleep_for(kPieceDelay);
+        response->Write("x", nullptr);
+      }
+      response->End();
+    });
+  });
+  const auto fetch = [&fixture](const char* path) {
+    ClientRequest request = Post(path, "");
+    request.answer_timeout = Duration::Milliseconds(1500);
+    request.pause_timeout = Duration::Milliseconds(1500);
+    return fixture.Fetch(request);
+  };
+  SECTION("while bytes arrive") {
+    auto result = fetch("/slow");
+    for (std::thread& writer : writers) writer.join();
+    REQUIRE(result);
+    CHECK(result->body == std::string(kPieces, 'x'));
+  }
+  SECTION("but not if they stop") {
+    auto result = fetch("/stalled");
+    REQUIRE_FALSE(result);
+    CHECK(result.error().error.code == ErrorCode::kUnknownOutcome);
+  }
+  SECTION("or never begin") {
+    auto result = fetch("/mute");
+    REQUIRE_FALSE(result);
+    CHECK(result.error().request_sent);
+  }
+}
+
 // Guards against "not run" for a call whose bytes may have reached the server.
 TEST_CASE("A refused connection counts as not sent") {
   Fixture fixture([](HttpRequest, HttpResponsePtr response) {
--- a/modules/zr_platform/object_store.h
+++ b/modules/zr_platform/object_store.h
@@ -24,6 +24,8 @@
 
 struct ObjectStoreOptions {
   std::string address;  // "ip:port"
+  /** Longest time until an answer begins, besides the wait of a watch, and
+   * longest pause within it. */
   Duration request_timeout = Duration::Seconds(2);
   StoreBudgetOptions budget;
 };
@@ -81,7 +83,7 @@
   void Watch(StorePurpose purpose, const std::string& kind, ObjectVersion after,
              Duration wait, Callback done) {
     ClientRequest request = Format::Watch(kind, after, wait);
-    request.total_timeout = wait + options_.request_timeout;
+    request.answer_timeout = wait + options_.request_timeout;
     Call(purpose, Access::kWatch, std::move(request), std::move(done));
   }
 
@@ -99,6 +101,8 @@
 
   // Larger than a list page that holds the largest objects.
   static constexpr size_t kMaxReplyBytes = size_t{64} << 20;
+  // Bounds an answer whose bytes come one by one.
+  static constexpr Duration kMaxTransfer = Duration::Seconds(10);
 
   bool TryAcquireBudget(StorePurpose purpose, Access access) {
     const TimePoint now = clock_();
@@ -123,9 +127,11 @@
       return;
     }
     request.url = "http://" + options_.address + request.url;
-    if (request.total_timeout == Duration()) {
-      request.total_timeout = options_.request_timeout;
+    if (request.answer_timeout == Duration()) {
+      request.answer_timeout = options_.request_timeout;
     }
+    request.pause_timeout = options_.request_timeout;
+    request.total_timeout = request.answer_timeout + kMaxTransfer;
     // On a reused connection libcurl may resend the request, and a resent
     // conditional write would conflict with the first attempt.
     request.fresh_connection = access == Access::kWrite;
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -78,6 +78,7 @@
     def __init__(self, base, vms=3, engines=3, plain=2):
         self.base, self.vm_count, self.store_port = base, vms, base
         self.store_ports = {}  # by VM, where it differs from store_port
+        self.config_ms = 2000  # bound on the time until a change is in force
         self.folder = tempfile.mkdtemp(prefix="zinniarill-platform-")
         self.store = Store(base)
         self.version = 2
@@ -105,10 +106,14 @@
         return [e for e in self.endpoints if e.service == service]
 
     def __enter__(self):
-        for vm in range(self.vm_count):
-            self.start(vm)
-        for vm in range(self.vm_count):
-            wait_until(f"VM {vm} is ready", lambda vm=vm: self.ready(vm))
+        try:
+            for vm in range(self.vm_count):
+                self.start(vm)
+            for vm in range(self.vm_count):
+                wait_until(f"VM {vm} is ready", lambda vm=vm: self.ready(vm))
+        except BaseException:
+            self.__exit__()
+            raise
         return self
 
     def __exit__(self, *_):
@@ -131,7 +136,8 @@
                        f"portRange={self.port(vm, 2)},{self.port(vm, 3)}\n"
                        f"platform.addr=127.0.0.1:{self.store_ports.get(vm, self.store_port)}\n"
                        "bounds.revokeMs=5000\nbounds.graceS=8\n"
-                       "bounds.configMs=2000\nbounds.drainMs=2000\nbounds.evacMs=5000\n")
+                       f"bounds.configMs={self.config_ms}\n"
+                       "bounds.drainMs=2000\nbounds.evacMs=5000\n")
         log = open(os.path.join(self.folder, f"vm-{vm}.log"), "a")
         self.processes[vm] = subprocess.Popen(
             [os.path.join(BUILD, "platform", "zinniarill-entry")], stdout=log, stderr=log,
