Send VMs what a configuration changes instead of reading it whole (CONFIG)

Cause: every VM read the whole configuration at the store for each change and parsed it twice, in one piece, between the events of its streams. 133 copies of 0.5 MB fill the store's link for 0.5 s, and each VM that had to try again added one. Class of fault: the cost of a change grows with the state, not with the change.

Now the VMs that watch the store read it; the others name the digest of their document in each query and get the delta to the newest, decode only its new items and check the digest of the result. If it doesn't fit they read the store, as does a VM that reaches no other.

VMs of older releases that have lost the store don't get configurations from VMs with this change.

--- a/modules/zr_gateway/config_versions.h
+++ b/modules/zr_gateway/config_versions.h
@@ -38,6 +38,7 @@
   }
   /** The store has this version. */
   void OnStored(int64_t version) { stored_ = version; }
+  int64_t stored() const { return stored_; }
   void OnStoreRestored(TimePoint now) { restored_at_ = now; }
   /** No other VM is registered. */
   void OnAlone() { peer_deadline_ = TimePoint(); }
--- a/modules/zr_gateway/store_mirror.cc
+++ b/modules/zr_gateway/store_mirror.cc
@@ -64,7 +64,7 @@
   update.last_changed = changed_.version;
   update.store_reachable = reachable_;
   update.age = now - verified_;
-  if (changed_ <= known || (large_ && !peer.store_unreachable)) return update;
+  if (changed_ <= known || is_document_) return update;
   update.complete = known < listed_at_;
   size_t bytes = 0;
   for (const auto& [name, entry] : objects_) {
@@ -87,6 +87,7 @@
     return UpdateAction::kIgnore;
   }
   if (update.last_change() <= known) return UpdateAction::kUnchanged;
+  if (!update.deltas.empty()) return UpdateAction::kApplyDelta;
   const bool usable =
       update.has_objects && (update.era == known.era || update.complete);
   return usable ? UpdateAction::kApply : UpdateAction::kFetch;
--- a/modules/zr_gateway/store_mirror.h
+++ b/modules/zr_gateway/store_mirror.h
@@ -19,11 +19,10 @@
  */
 class StoreMirror {
  public:
-  /** @param large_objects  objects are relayed only to VMs that can't reach the
-   * store
-   */
-  StoreMirror(std::string kind, bool large_objects)
-      : kind_(std::move(kind)), large_(large_objects) {}
+  /** @param is_document  the objects are one document, of which VMs get
+   * deltas; the mirror then relays no objects */
+  StoreMirror(std::string kind, bool is_document)
+      : kind_(std::move(kind)), is_document_(is_document) {}
 
   /** Replaces all objects by those of a store version. */
   void OnList(StorePosition at, std::vector<RelayedObject> objects);
@@ -52,7 +51,7 @@
   void Store(StorePosition at, std::vector<RelayedObject> objects);
 
   std::string kind_;
-  bool large_;
+  bool is_document_;
   std::map<std::string, Entry> objects_;
   StorePosition listed_at_;  // earlier removals are unknown
   StorePosition position_;   // all changes up to it are known
@@ -63,10 +62,11 @@
 
 /** How a VM handles an update from another VM. */
 enum class UpdateAction : uint8_t {
-  kIgnore,     // too old, or the other VM can't reach the store
-  kUnchanged,  // verified: there are no changes
-  kApply,      // the update holds all changes
-  kFetch,      // the changes must be read from the store
+  kIgnore,      // too old, or the other VM can't reach the store
+  kUnchanged,   // verified: there are no changes
+  kApply,       // the update holds all changes
+  kApplyDelta,  // it holds them as a delta of the kind's document
+  kFetch,       // the changes must be read from the store
 };
 
 /** @param known  position up to which all changes are known */
--- a/modules/zr_gateway/tests/store_mirror_test.cc
+++ b/modules/zr_gateway/tests/store_mirror_test.cc
@@ -73,7 +73,7 @@
     REQUIRE(ClassifyUpdate(update, P(100)) == UpdateAction::kFetch);
     REQUIRE(update.objects.empty());
   }
-  SECTION("so are those of a kind with large objects") {
+  SECTION("so are those of a document, unless a delta holds them") {
     StoreMirror config("config", true);
     config.OnStoreReachable(true);
     config.OnList(P(5), {Object("main", 5)});
@@ -81,11 +81,15 @@
     REQUIRE(ClassifyUpdate(config.UpdateSince(
                                At(1000), {"config", V(4), false, StoreEra(1)}),
                            P(4)) == UpdateAction::kFetch);
-    SECTION("unless the requester can't reach the store") {
-      const KindUpdate update =
-          config.UpdateSince(At(1000), {"config", V(4), true, StoreEra(1)});
-      REQUIRE(ClassifyUpdate(update, P(4)) == UpdateAction::kApply);
-      REQUIRE(update.objects.size() == 1);
+    KindUpdate update =
+        config.UpdateSince(At(1000), {"config", V(4), true, StoreEra(1)});
+    REQUIRE(ClassifyUpdate(update, P(4)) == UpdateAction::kFetch);
+    SECTION("whether the requester reaches the store or not") {
+      update.deltas.emplace_back();
+      REQUIRE(ClassifyUpdate(update, P(4)) == UpdateAction::kApplyDelta);
+      REQUIRE(ClassifyUpdate(update, P(3, 0)) == UpdateAction::kApplyDelta);
+      REQUIRE(ClassifyUpdate(update, P(5)) == UpdateAction::kUnchanged);
+      REQUIRE(ClassifyUpdate(update, P(1, 2)) == UpdateAction::kIgnore);
     }
   }
   SECTION("updates that were verified too long ago are ignored") {
--- a/modules/zr_gateway/zr_gateway.h
+++ b/modules/zr_gateway/zr_gateway.h
@@ -13,6 +13,7 @@
 #include "zr_gateway/attempt_rules.h"
 #include "zr_gateway/buffer_budget.h"
 #include "zr_gateway/call_endpoints.h"
+#include "zr_gateway/config_document.h"
 #include "zr_gateway/config_freshness.h"
 #include "zr_gateway/config_versions.h"
 #include "zr_gateway/endpoint_directory.h"
--- a/modules/zr_gateway_host/gateway_config_impl.h
+++ b/modules/zr_gateway_host/gateway_config_impl.h
@@ -8,12 +8,73 @@
 
 namespace zr {
 
+namespace gateway_internal {
+
+// Larger configurations are read at the store only: the largest frame of a link
+// holds 1 MB, with the overhead of its encoding.
+inline constexpr size_t kMaxWholeConfig = 600 << 10;
+
+}  // namespace gateway_internal
+
 template <GatewayFormat Format>
 void GatewayNode<Format>::ApplyStoredConfig(const StoreItem& item) {
   if (item.name != Format::kConfigName) return;
-  if (const auto version = ApplyConfig(item)) {
-    config_versions_.OnStored(*version);
+  auto texts = Format::SplitConfig(item.value);
+  if (!texts) return RejectConfig("store", texts.error());
+  auto document =
+      ConfigDocument::Create(std::move(*texts), &Format::DecodeConfigItem,
+                             config_history_.newest().get());
+  if (!document) return RejectConfig("store", document.error());
+  const int64_t version = (*document)->version();
+  if (PutInForce(std::move(*document), "store")) {
+    config_versions_.OnStored(version);
+  }
+}
+
+//==============================================================================
+// Other VMs
+
+template <GatewayFormat Format>
+std::optional<DocumentDelta> GatewayNode<Format>::DeltaFor(
+    const KindVersion& requester) {
+  auto delta = DeltaFrom(requester.digest);
+  if (!delta && requester.store_unreachable) {
+    delta = DeltaFrom(ConfigDocument::kEmptyDigest);
+  }
+  return delta;
+}
+
+template <GatewayFormat Format>
+std::optional<DocumentDelta> GatewayNode<Format>::DeltaFrom(uint64_t digest) {
+  const ConfigDocument::Ptr& newest = config_history_.newest();
+  if (!newest || (digest == ConfigDocument::kEmptyDigest &&
+                  newest->bytes() > gateway_internal::kMaxWholeConfig)) {
+    return std::nullopt;
+  }
+  auto delta = config_history_.DeltaFrom(digest);
+  if (delta) {
+    delta->stored_version = static_cast<uint64_t>(config_versions_.stored());
   }
+  return delta;
+}
+
+template <GatewayFormat Format>
+bool GatewayNode<Format>::OnDelta(const DocumentDelta& delta) {
+  if (delta.target != config_history_.digest()) {
+    const bool whole = delta.base == ConfigDocument::kEmptyDigest;
+    auto document =
+        ConfigDocument::Apply(whole ? nullptr : config_history_.newest().get(),
+                              delta, &Format::DecodeConfigItem);
+    if (!document) {
+      RejectConfig("delta", document.error());
+      return false;
+    }
+    if (!PutInForce(std::move(*document), whole ? "peer" : "delta")) {
+      return false;
+    }
+  }
+  config_versions_.OnStored(static_cast<int64_t>(delta.stored_version));
+  return true;
 }
 
 template <GatewayFormat Format>
@@ -33,7 +94,8 @@
                          {{"peer", vm.value()},
                           {"version", notice->version},
                           {"in_force", own}});
-        dispatch_->Send(vm, ConfigFetch{ObjectVersion(notice->version)});
+        dispatch_->Send(vm, ConfigFetch{ObjectVersion(notice->version),
+                                        config_history_.digest()});
         break;
       case NoticeAction::kNotify:
         dispatch_->Send(vm, ConfigNotice{own});
@@ -42,9 +104,17 @@
     UpdateFreshness(now);
   } else if (const auto* fetch = std::get_if<ConfigFetch>(&message)) {
     if (own == 0 || own < fetch->min_version.value()) return;
-    dispatch_->Send(vm, ConfigOffer{ObjectVersion(own), "", config_document_});
+    auto delta = DeltaFrom(fetch->base);
+    if (!delta) delta = DeltaFrom(ConfigDocument::kEmptyDigest);
+    if (!delta) return;
+    dispatch_->Send(
+        vm, ConfigOffer{ObjectVersion(own), "", "", {std::move(*delta)}});
   } else if (const auto* offer = std::get_if<ConfigOffer>(&message)) {
-    ApplyConfig({Format::kConfigName, ObjectVersion(), offer->document});
+    if (offer->deltas.empty()) return;
+    // What the sender has read at the store is not this VM's evidence.
+    DocumentDelta delta = offer->deltas.front();
+    delta.stored_version = static_cast<uint64_t>(config_versions_.stored());
+    OnDelta(delta);
     if (state_.config && state_.config->version() > static_cast<int64_t>(own)) {
       dispatch_->SendConfigNotices();
     }
@@ -52,46 +122,53 @@
   }
 }
 
+//==============================================================================
+// The configuration in force
+
 template <GatewayFormat Format>
-std::optional<int64_t> GatewayNode<Format>::ApplyConfig(const StoreItem& item) {
+void GatewayNode<Format>::RejectConfig(const char* source, const Error& error) {
+  state_.log.Write(BootNow(), "config_rejected",
+                   {{"source", source}, {"reason", ToString(error)}});
+  state_.metrics.Count("zr_gateway_configs_rejected_total",
+                       {{"source", source}});
+}
+
+template <GatewayFormat Format>
+bool GatewayNode<Format>::PutInForce(ConfigDocument::Ptr document,
+                                     const char* source) {
   const TimePoint now = BootNow();
-  auto parts = Format::DecodeConfig(item.value);
-  if (!parts) {
-    state_.log.Write(now, "config_rejected",
-                     {{"revision", item.version.value()},
-                      {"reason", ToString(parts.error())}});
-    return std::nullopt;
-  }
-  const int64_t version = parts->version;
+  const int64_t version = document->version();
   const bool first = !state_.config;
-  if (state_.config && version <= state_.config->version()) {
+  if (!first && version <= state_.config->version()) {
     if (version < state_.config->version()) {
       state_.log.Write(now, "config_older",
                        {{"version", version},
                         {"in_force", state_.config->version()},
-                        {"revision", item.version.value()}});
+                        {"source", source}});
     }
-    return version;
+    return true;
   }
-  auto config = GatewayConfig::Create(std::move(*parts));
+  auto config = GatewayConfig::Create(document->Parts());
   if (!config) {
-    state_.log.Write(now, "config_rejected",
-                     {{"revision", item.version.value()},
-                      {"reason", ToString(config.error())}});
-    return std::nullopt;
+    RejectConfig(source, config.error());
+    return false;
   }
   state_.config = std::move(*config);
-  config_document_ = item.value;
+  config_history_.Add(std::move(document));
   config_versions_.OnInForce(now, version);
   dispatch_->SetPools(state_.config->ModelPools());
   // Decoding endpoint entries needs the services of the configuration.
   if (first) feeds_[kEndpointFeed]->Start();
   state_.log.Write(now, "config_in_force",
                    {{"version", version},
-                    {"revision", item.version.value()},
+                    {"source", source},
+                    {"digest", config_history_.digest()},
                     {"config_age_ms", state_.freshness.Age(now).milliseconds()},
+                    {"apply_us", (BootNow() - now).microseconds()},
                     {"routes", state_.config->routes().size()}});
-  return version;
+  state_.metrics.Count("zr_gateway_configs_in_force_total",
+                       {{"source", source}});
+  return true;
 }
 
 template <GatewayFormat Format>
--- a/modules/zr_gateway_host/gateway_format.h
+++ b/modules/zr_gateway_host/gateway_format.h
@@ -81,7 +81,8 @@
   { F::WriteMemoryOrder(order) } -> std::same_as<ClientRequest>;
   { F::ReadHead(status, headers) } -> std::same_as<AnswerHead>;
   { F::WriteOwnAnswerHeaders(caller.id, answer) } -> std::same_as<HttpHeaders>;
-  { F::DecodeConfig(text) } -> std::same_as<Result<GatewayConfigParts>>;
+  { F::SplitConfig(text) } -> std::same_as<Result<std::vector<std::string>>>;
+  { F::DecodeConfigItem(text) } -> std::same_as<ConfigPart>;
   { F::DecodeEndpoint(text, text) } -> std::same_as<Result<ListedEndpoint>>;
   { F::kReadyPath } -> std::convertible_to<const char*>;
   { F::kConfigKind } -> std::convertible_to<const char*>;
--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -24,7 +24,8 @@
  * configuration. Runs on a single thread.
  */
 template <GatewayFormat Format>
-class GatewayNode : public StoreFeed<typename Format::Store>::Listener {
+class GatewayNode : public StoreFeed<typename Format::Store>::Listener,
+                    private RelayedDocument {
  public:
   /** Reads the settings again; on an error the current ones stay in force. */
   using SettingsReader = std::function<Result<GatewaySettings>()>;
@@ -64,10 +65,18 @@
                        StorePosition now) override;
   void OnUpdatesEnded(const std::string& kind, Duration evidence_age) override;
 
-  /** Puts a configuration in force unless it is older than the known one.
-   * @returns its version; std::nullopt if it is invalid */
-  std::optional<int64_t> ApplyConfig(const StoreItem& item);
+  // RelayedDocument
+  uint64_t document_digest() const override { return config_history_.digest(); }
+  std::optional<DocumentDelta> DeltaFor(const KindVersion& requester) override;
+  bool OnDelta(const DocumentDelta& delta) override;
+
+  std::optional<DocumentDelta> DeltaFrom(uint64_t digest);
   void ApplyStoredConfig(const StoreItem& item);
+  /** Puts a configuration in force unless it is older than the known one.
+   * @param source  where it came from, for the log
+   * @returns false if it is invalid */
+  bool PutInForce(ConfigDocument::Ptr document, const char* source);
+  void RejectConfig(const char* source, const Error& error);
   /** Notices, queries and configurations of other VMs. */
   void OnConfigMessage(const VmId& vm, const Message& message);
   /** The store's last answer shows that the configuration is the newest one,
@@ -110,7 +119,7 @@
   std::unique_ptr<HttpServer> probe_server_;
   std::list<std::shared_ptr<Request>> requests_;
   ConfigVersions config_versions_;
-  std::string config_document_;               // in force, as in the store
+  ConfigHistory config_history_;              // newest: in force
   std::optional<TimePoint> config_verified_;  // start of the last call
   EvacuationRegister evacuations_;
   MemberRecords members_;
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -140,9 +140,8 @@
   const auto add_feed = [this](const char* kind, StorePurpose purpose,
                                Duration wait, Duration batch_delay = {}) {
     typename Feed::Options feed;
-    // A configuration may be far larger than a message between VMs can be.
-    feed.large = purpose == StorePurpose::kConfig;
     if (purpose == StorePurpose::kConfig) {
+      feed.document = this;
       feed.max_shared_wait = kSharedConfigWatch;
     }
     feed.kind = kind;
--- a/modules/zr_gateway_host/store_feed.h
+++ b/modules/zr_gateway_host/store_feed.h
@@ -40,8 +40,8 @@
     Duration max_backoff = Duration::Milliseconds(800);
     /** Pause after a change, so that one call fetches those that follow. */
     Duration batch_delay;
-    /** Objects are relayed only to VMs that have lost the store. */
-    bool large = false;
+    /** Outlives the feed; null if objects are relayed one by one. */
+    RelayedDocument* document = nullptr;
   };
 
   /** Receives objects and state of the store. */
@@ -81,7 +81,7 @@
         options_(std::move(options)),
         listener_(listener),
         timer_(io),
-        mirror_(options_.kind, options_.large) {}
+        mirror_(options_.kind, options_.document != nullptr) {}
 
   void Start() { List(""); }
   void Stop() {
@@ -109,23 +109,39 @@
   const std::string& kind() const override { return options_.kind; }
   KindVersion known_version() const override {
     const StorePosition position = cursor_.position();
-    return {options_.kind, position.version, !reachable_, position.era};
+    return {options_.kind, position.version, !reachable_, position.era,
+            options_.document == nullptr
+                ? 0
+                : options_.document->document_digest()};
   }
   KindUpdate UpdateSince(TimePoint now,
                          const KindVersion& requester) const override {
-    return mirror_.UpdateSince(now, requester);
+    KindUpdate update = mirror_.UpdateSince(now, requester);
+    if (options_.document == nullptr ||
+        update.last_change() <= requester.position()) {
+      return update;
+    }
+    if (auto delta = options_.document->DeltaFor(requester)) {
+      update.deltas.push_back(std::move(*delta));
+    }
+    return update;
   }
   void SetWatching(bool watching) override { watching_ = watching; }
   void OnUpdate(TimePoint queried_at, const KindUpdate& update) override {
     if (stopped_ || !listed_ || watching_) return;
     const StorePosition known = cursor_.position();
-    const UpdateAction verdict = ClassifyUpdate(update, known);
+    UpdateAction verdict = ClassifyUpdate(update, known);
     if (verdict == UpdateAction::kIgnore) return;
+    if (verdict == UpdateAction::kApplyDelta &&
+        (options_.document == nullptr ||
+         !options_.document->OnDelta(update.deltas.front()))) {
+      verdict = UpdateAction::kFetch;
+    }
     // The other VM may have lost the store without knowing it yet.
     relayed_until_ = std::max(
         relayed_until_, queried_at - update.age + options_.limits.max_age());
     if (verdict == UpdateAction::kFetch) {
-      // A large configuration takes longer than a probe may.
+      // A large document takes longer than a probe may.
       if (idle_) Fetch(update);
       return;
     }
@@ -134,6 +150,9 @@
       listener_.OnStoreRestored(options_.kind, known, cursor_.position());
     }
     if (verdict == UpdateAction::kApply) ApplyUpdate(update);
+    if (verdict == UpdateAction::kApplyDelta) {
+      mirror_.OnList(update.position(), {});
+    }
     OnSuccess(queried_at - update.age);
   }
 
@@ -281,12 +300,14 @@
     }
   }
 
-  static std::vector<RelayedObject> Relayed(
-      const std::vector<StoreItem>& items) {
+  std::vector<RelayedObject> Relayed(
+      const std::vector<StoreItem>& items) const {
     std::vector<RelayedObject> objects;
     objects.reserve(items.size());
     for (const StoreItem& item : items) {
-      objects.push_back({item.name, item.version, item.value, item.deleted});
+      objects.push_back({item.name, item.version,
+                         options_.document == nullptr ? item.value : "",
+                         item.deleted});
     }
     return objects;
   }
--- a/modules/zr_gateway_host/store_relay.h
+++ b/modules/zr_gateway_host/store_relay.h
@@ -11,6 +11,20 @@
 
 namespace zr {
 
+/** A kind's objects as one document, which VMs exchange as deltas. */
+class RelayedDocument {
+ public:
+  virtual ~RelayedDocument() = default;
+  /** Digest of the document in force here. */
+  virtual uint64_t document_digest() const = 0;
+  /** @returns std::nullopt if the requester has to read it at the store */
+  virtual std::optional<DocumentDelta> DeltaFor(
+      const KindVersion& requester) = 0;
+  /** @returns whether the document in force here now is as new as that of the
+   * sender */
+  virtual bool OnDelta(const DocumentDelta& delta) = 0;
+};
+
 /** Store objects of one kind whose changes VMs exchange. */
 class RelayedKind {
  public:
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -87,8 +87,17 @@
     m.fingerprint, m.conflict, m.done, m.authoritative, m.grants);
 }
 template <typename A>
+void Fields(A& a, DocumentPiece& m) {
+  a(m.first, m.count, m.inserted);
+}
+template <typename A>
+void Fields(A& a, DocumentDelta& m) {
+  a(m.base, m.target, m.stored_version, m.pieces);
+}
+template <typename A>
 void Fields(A& a, ConfigOffer& m) {
   a(m.version, m.digest, m.document);
+  a.Optional(m.deltas);
 }
 template <typename A>
 void Fields(A& a, ConfigNotice& m) {
@@ -97,6 +106,7 @@
 template <typename A>
 void Fields(A& a, ConfigFetch& m) {
   a(m.min_version);
+  a.Optional(m.base);
 }
 template <typename A>
 void Fields(A& a, GatherReserve& m) {
@@ -171,6 +181,7 @@
 void Fields(A& a, KindVersion& m) {
   a(m.kind, m.version, m.store_unreachable);
   a.Optional(m.era);
+  a.Optional(m.digest);
 }
 template <typename A>
 void Fields(A& a, StoreQuery& m) {
@@ -185,6 +196,7 @@
   a(m.kind, m.version, m.last_changed, m.store_reachable, m.age, m.has_objects,
     m.complete, m.objects);
   a.Optional(m.era);
+  a.Optional(m.deltas);
 }
 template <typename A>
 void Fields(A& a, StoreUpdate& m) {
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -246,11 +246,31 @@
                           const StreamLocation&) = default;
 };
 
+/** Items of a document: some that the receiver has, then new ones. */
+struct DocumentPiece {
+  uint32_t first = 0;  // of the items that are copied from the base
+  uint32_t count = 0;
+  std::vector<std::string> inserted;
+  friend auto operator<=>(const DocumentPiece&, const DocumentPiece&) = default;
+};
+
+/** How to make a document from one that the receiver has; see ConfigDocument.
+ */
+struct DocumentDelta {
+  uint64_t base = 0;            // digest; 0 for a whole document
+  uint64_t target = 0;          // digest
+  uint64_t stored_version = 0;  // of the document that the sender last read at
+                                // the store
+  std::vector<DocumentPiece> pieces;
+  friend auto operator<=>(const DocumentDelta&, const DocumentDelta&) = default;
+};
+
 /** A configuration document with its version. */
 struct ConfigOffer {
   ObjectVersion version;
   std::string digest;    // hex SHA-256 of the document; empty for none
-  std::string document;  // INI text, or an object of a platform's store
+  std::string document;  // INI text; empty if there is a delta
+  std::vector<DocumentDelta> deltas;  // of an entry VM: one, else none
   friend auto operator<=>(const ConfigOffer&, const ConfigOffer&) = default;
 };
 
@@ -263,6 +283,7 @@
 /** Asks a VM for a configuration of at least the given version. */
 struct ConfigFetch {
   ObjectVersion min_version;
+  uint64_t base = 0;  // digest of the document that the sender has
   friend auto operator<=>(const ConfigFetch&, const ConfigFetch&) = default;
 };
 
@@ -496,8 +517,9 @@
   std::string kind;
   ObjectVersion version;  // all changes up to it are known
   bool store_unreachable =
-      false;     // the VM can't read changes from the store itself
-  StoreEra era;  // of `version`
+      false;            // the VM can't read changes from the store itself
+  StoreEra era;         // of `version`
+  uint64_t digest = 0;  // of the sender's document, if the kind has one
 
   StorePosition position() const { return {era, version}; }
 
@@ -531,7 +553,8 @@
   bool has_objects = false;  // false: changes must be read from the store
   bool complete = false;     // `objects` holds all objects of the kind
   std::vector<RelayedObject> objects;
-  StoreEra era;  // of all versions
+  StoreEra era;                       // of all versions
+  std::vector<DocumentDelta> deltas;  // one if it holds the changes, else none
 
   StorePosition position() const { return {era, version}; }
   StorePosition last_change() const { return {era, last_changed}; }
--- a/modules/zr_wire/tests/wire_test.cc
+++ b/modules/zr_wire/tests/wire_test.cc
@@ -37,10 +37,14 @@
        {{Fingerprint(5), 1}, {Fingerprint(6), CrashSuspect::kWholeRequest}}}};
   evidence.answered = {{Fingerprint(5), Duration::Milliseconds(1)}};
   evidence.live = {{EndpointId("e-1"), BootNumber(7), Duration()}};
+  KindUpdate changed;
+  changed.kind = "config";
+  changed.deltas = {{1, 2, 3, {{4, 5, {"inserted"}}}}};
+  const StoreUpdate update{6, {changed}};
   for (const Message& message : std::vector<Message>{
            SampleAdmission(), heartbeat, refusal, held, EndpointSummary{},
            Grant{}, GrantRelease{}, Suspect{}, GatherReply{}, ConfigOffer{},
-           evidence, ConfigNotice{5}}) {
+           evidence, ConfigNotice{5}, update}) {
     auto decoded = DecodeMessage(EncodeMessage(message));
     REQUIRE(decoded);
     REQUIRE(*decoded == message);
@@ -48,15 +52,17 @@
 }
 
 // Guards against queries that VMs of different releases can't read.
-TEST_CASE("A query without the store's era is of era 0") {
+TEST_CASE("A query without the store's era and a digest is of era 0") {
   const Message query =
-      StoreQuery{7, {{"config", ObjectVersion(5), true, StoreEra(9)}}};
+      StoreQuery{7, {{"config", ObjectVersion(5), true, StoreEra(9), 4}}};
   std::vector<uint8_t> frame = EncodeMessage(query);
   REQUIRE(*DecodeMessage(frame) == query);
-  // The frame ends with [["config", 5, true, 9]]; removes the era.
+  // The frame ends with [["config", 5, true, 9, 4]]; removes the last two.
+  REQUIRE(frame.back() == 4);
+  frame.pop_back();
   REQUIRE(frame.back() == 9);
   frame.pop_back();
-  REQUIRE(frame[frame.size() - 10] == 0x84);
+  REQUIRE(frame[frame.size() - 10] == 0x85);
   frame[frame.size() - 10] = 0x83;
   const auto decoded = DecodeMessage(frame);
   REQUIRE(decoded);
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -54,6 +54,10 @@
 eras|-DM_VERSION_ONLY|vm_state[v]==
 eras|-DM_NO_LIST|vm_state[v]==
 eras|-DM_NO_FROM|vm_state[v]==
+deltas||-
+deltas|-DREACH_NEWEST|read_store
+deltas|-DM_NO_DIGEST|document==
+deltas|-DM_NO_VERSION|>=vm_version[1]
 END
 
 check() {
--- a/tests/platform/large_config.py
+++ b/tests/platform/large_config.py
@@ -23,6 +23,7 @@
 
     def __init__(self, deployment):
         self.d, self.version = deployment, 10
+        deployment.config_ms = 1000 * CONFIG_S
         self.paths = [Proxy(deployment.base + 80 + vm, deployment.base) for vm in range(VMS)]
         for vm, path in enumerate(self.paths):
             path.bytes_per_s = LINK_BYTES_PER_S
