Send no delta of a configuration that a watching VM can't send to all

With 1,800 routes added at once, the two VMs that watch the store sent 0.45 MB to each of 65 others, over links of 14 Mbit/s, and answered no query for seconds; the others then read every change at the store.

--- a/modules/zr_gateway/config_document.cc
+++ b/modules/zr_gateway/config_document.cc
@@ -150,6 +150,14 @@
   return delta;
 }
 
+size_t InsertedBytes(const DocumentDelta& delta) {
+  size_t bytes = 0;
+  for (const DocumentPiece& piece : delta.pieces) {
+    for (const std::string& text : piece.inserted) bytes += text.size();
+  }
+  return bytes;
+}
+
 void ConfigHistory::Add(ConfigDocument::Ptr document) {
   deltas_.clear();
   newest_ = std::move(document);
--- a/modules/zr_gateway/config_document.h
+++ b/modules/zr_gateway/config_document.h
@@ -114,6 +114,9 @@
 DocumentDelta MakeDelta(const ConfigDocument* base,
                         const ConfigDocument& target);
 
+/** Size of the items that a delta inserts. */
+size_t InsertedBytes(const DocumentDelta& delta);
+
 /** Documents that VMs may still have, for deltas to the newest one. */
 class ConfigHistory {
  public:
--- a/modules/zr_gateway_host/gateway_config_impl.h
+++ b/modules/zr_gateway_host/gateway_config_impl.h
@@ -10,9 +10,12 @@
 
 namespace gateway_internal {
 
-// Larger configurations are read at the store only: the largest frame of a link
-// holds 1 MB, with the overhead of its encoding.
-inline constexpr size_t kMaxWholeConfig = 600 << 10;
+// Larger deltas are read at the store, as a small VM that watches it can't send
+// them to all others in time.
+inline constexpr size_t kMaxDeltaBytes = 16 << 10;
+// The same for VMs that can't reach the store; below the largest frame of a
+// link.
+inline constexpr size_t kMaxDeltaBytesWithoutStore = 600 << 10;
 
 }  // namespace gateway_internal
 
@@ -37,24 +40,29 @@
 template <GatewayFormat Format>
 std::optional<DocumentDelta> GatewayNode<Format>::DeltaFor(
     const KindVersion& requester) {
-  auto delta = DeltaFrom(requester.digest);
-  if (!delta && requester.store_unreachable) {
-    delta = DeltaFrom(ConfigDocument::kEmptyDigest);
+  using namespace gateway_internal;
+  if (!requester.store_unreachable) {
+    return DeltaFrom(requester.digest, kMaxDeltaBytes);
   }
-  return delta;
+  return DeltaOrWhole(requester.digest);
 }
 
 template <GatewayFormat Format>
-std::optional<DocumentDelta> GatewayNode<Format>::DeltaFrom(uint64_t digest) {
-  const ConfigDocument::Ptr& newest = config_history_.newest();
-  if (!newest || (digest == ConfigDocument::kEmptyDigest &&
-                  newest->bytes() > gateway_internal::kMaxWholeConfig)) {
-    return std::nullopt;
-  }
+std::optional<DocumentDelta> GatewayNode<Format>::DeltaOrWhole(
+    uint64_t digest) {
+  using namespace gateway_internal;
+  auto delta = DeltaFrom(digest, kMaxDeltaBytesWithoutStore);
+  return delta ? std::move(delta)
+               : DeltaFrom(ConfigDocument::kEmptyDigest,
+                           kMaxDeltaBytesWithoutStore);
+}
+
+template <GatewayFormat Format>
+std::optional<DocumentDelta> GatewayNode<Format>::DeltaFrom(uint64_t digest,
+                                                            size_t max_bytes) {
   auto delta = config_history_.DeltaFrom(digest);
-  if (delta) {
-    delta->stored_version = static_cast<uint64_t>(config_versions_.stored());
-  }
+  if (!delta || InsertedBytes(*delta) > max_bytes) return std::nullopt;
+  delta->stored_version = static_cast<uint64_t>(config_versions_.stored());
   return delta;
 }
 
@@ -104,8 +112,7 @@
     UpdateFreshness(now);
   } else if (const auto* fetch = std::get_if<ConfigFetch>(&message)) {
     if (own == 0 || own < fetch->min_version.value()) return;
-    auto delta = DeltaFrom(fetch->base);
-    if (!delta) delta = DeltaFrom(ConfigDocument::kEmptyDigest);
+    auto delta = DeltaOrWhole(fetch->base);
     if (!delta) return;
     dispatch_->Send(
         vm, ConfigOffer{ObjectVersion(own), "", "", {std::move(*delta)}});
--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -70,7 +70,10 @@
   std::optional<DocumentDelta> DeltaFor(const KindVersion& requester) override;
   bool OnDelta(const DocumentDelta& delta) override;
 
-  std::optional<DocumentDelta> DeltaFrom(uint64_t digest);
+  /** @param digest  of the document that a VM without the store has */
+  std::optional<DocumentDelta> DeltaOrWhole(uint64_t digest);
+  /** @returns std::nullopt also if the delta inserts more than max_bytes */
+  std::optional<DocumentDelta> DeltaFrom(uint64_t digest, size_t max_bytes);
   void ApplyStoredConfig(const StoreItem& item);
   /** Puts a configuration in force unless it is older than the known one.
    * @param source  where it came from, for the log
