--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -68,10 +68,13 @@
         self.history_start = 0  # watches from an earlier revision get 410
         self.fault = None  # None, "refuse", "reset", "silent"
         self.lose_answers = False  # reset the connection after a write took effect
+        self.views = {}  # port -> {address of an endpoint: address seen through that port}
         store = self
 
         class StoreHandler(Handler):
             def answer_json(self, status, value, headers=None):
+                for real, seen in store.views.get(self.server.server_port, {}).items():
+                    value = json.loads(json.dumps(value).replace(f'"{real}"', f'"{seen}"'))
                 super().answer_json(status, value, {"Store-Era": str(store.era), **(headers or {})})
 
             def do_GET(self):
@@ -85,9 +88,18 @@
             def do_DELETE(self):
                 store.delete(self)
 
-        self.server = Server(("127.0.0.1", port), StoreHandler)
+        self.handler = StoreHandler
+        self.listen(port)
+
+    def listen(self, port):
+        self.server = Server(("127.0.0.1", port), self.handler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
+    def add_view(self, port, addresses):
+        """Serves on another port, where endpoints have other addresses."""
+        self.views[port] = addresses
+        self.listen(port)
+
     def put(self, kind, name, spec):
         """Writes an object as an operator or an endpoint would and returns its revision."""
         with self.lock:
@@ -233,12 +245,45 @@
         self.bytes_per_s = None  # of each direction of a connection; None for no limit
         self.answered_bytes = 0  # forwarded from the target
         self.muted = set()  # ends of connections that stay silent for good
-        self.listener = socket.create_server(("127.0.0.1", port))
-        threading.Thread(target=self.accept, daemon=True).start()
+        self.port, self.fillers = port, []
+        self.listen()
+
+    def listen(self):
+        self.listener = socket.create_server(("127.0.0.1", self.port))
+        threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
 
-    def accept(self):
+    def cut(self, how):
+        """Ends the path: `how` is "silent" (connections hang), "reset" (they are reset and new ones
+        refused) or "refused" (open ones live on)."""
+        try:
+            self.listener.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self.listener.close()
+        if how == "reset":
+            self.reset()
+        if how == "silent":
+            self.mute_connections()
+            # Connections beyond a full queue are not answered.
+            self.listener = socket.create_server(("127.0.0.1", self.port), backlog=0)
+            for _ in range(4):
+                filler = socket.socket()
+                filler.setblocking(False)
+                filler.connect_ex(("127.0.0.1", self.port))
+                self.fillers.append(filler)
+
+    def heal(self):
+        for end in [*self.fillers, self.listener]:
+            end.close()
+        self.fillers = []
+        self.listen()
+
+    def accept(self, listener):
         while True:
-            client, _ = self.listener.accept()
+            try:
+                client, _ = listener.accept()
+            except OSError:
+                return
             try:
                 upstream = socket.create_connection(("127.0.0.1", self.target), timeout=5)
                 upstream.settimeout(None)
