--- a/modules/zr_gateway/zr_gateway.h
+++ b/modules/zr_gateway/zr_gateway.h
@@ -18,6 +18,7 @@
 #include "zr_gateway/config_versions.h"
 #include "zr_gateway/endpoint_directory.h"
 #include "zr_gateway/endpoint_limits.h"
+#include "zr_gateway/endpoint_paths.h"
 #include "zr_gateway/endpoint_tracker.h"
 #include "zr_gateway/evacuation_register.h"
 #include "zr_gateway/event_splitter.h"
--- a/modules/zr_gateway_host/dispatch_client.cc
+++ b/modules/zr_gateway_host/dispatch_client.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "zr_gateway_host/limit_exchange.h"
+#include "zr_gateway_host/path_exchange.h"
 #include "zr_gateway_host/suspect_exchange.h"
 #include "zr_wire/zr_wire.h"
 
@@ -223,6 +224,9 @@
   state_.limits->Exchange(now, IsHub(), [this](const Message& message) {
     for (const VmId& vm : linked_) Send(vm, message);
   });
+  state_.paths->Exchange(now, IsHub(), [this](const Message& message) {
+    for (const VmId& vm : linked_) Send(vm, message);
+  });
   std::vector<DispatchKey> overdue;
   std::set<VmId> silent;
   for (const auto& [key, pending] : pending_) {
@@ -318,6 +322,8 @@
     state_.suspects->OnEvidence(now, vm, *evidence);
   } else if (const auto* limits = std::get_if<LimitReport>(&*message)) {
     state_.limits->OnReport(now, vm, *limits);
+  } else if (const auto* paths = std::get_if<PathReport>(&*message)) {
+    state_.paths->OnReport(now, *paths);
   } else {
     on_config_message_(vm, *message);
   }
--- a/modules/zr_gateway_host/dispatch_client.h
+++ b/modules/zr_gateway_host/dispatch_client.h
@@ -68,6 +68,8 @@
   PoolDispatcher& dispatcher() { return dispatcher_; }
   /** Exchange of store changes between VMs, over the same links. */
   StoreRelay& relay() { return relay_; }
+  /** The VM has said that it is about to stop. */
+  bool IsLeaving(const VmId& vm) const { return leaving_.contains(vm); }
   /** This VM is the dispatcher of a pool. */
   bool IsDispatcher() const;
   bool Send(const VmId& vm, const Message& message);
--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -11,6 +11,7 @@
 #include "zr_gateway_host/gateway_format.h"
 #include "zr_gateway_host/gateway_state.h"
 #include "zr_gateway_host/limit_exchange.h"
+#include "zr_gateway_host/path_exchange.h"
 #include "zr_gateway_host/reservation_keeper.h"
 #include "zr_gateway_host/suspect_exchange.h"
 
@@ -47,6 +48,9 @@
    public:
     CallListener(std::weak_ptr<ForwardedRequest> owner, int number)
         : owner_(std::move(owner)), number_(number) {}
+    void OnConnected(bool is_new) override {
+      if (auto owner = OwnerIfCurrent()) owner->OnConnected(is_new);
+    }
     void OnHeaders(int status, const HttpHeaders& headers) override {
       if (auto owner = OwnerIfCurrent()) owner->OnHead(status, headers);
     }
@@ -84,7 +88,10 @@
     BufferBudget::Share buffer;  // of the body
     bool prefilling = true;      // the prompt has not been read in full
     bool dispatched = false;     // a dispatcher has chosen its endpoints
-    bool reserving = false;      // engines have not confirmed their memory
+    std::optional<CallHelperVm> through;  // none: this VM's own path
+    std::set<VmId> helpers_tried;
+    int connections = 0;     // tried, each on another path
+    bool reserving = false;  // engines have not confirmed their memory
     std::shared_ptr<HttpCall> handle;
   };
 
@@ -119,6 +126,10 @@
     return route_->retry_policy == RetryPolicy::kAtMostOnce;
   }
   void OnReserved(TimePoint now, bool held);
+  void OnConnected(bool is_new);
+  /** No connection was made, so nothing was sent: takes another path or fails
+   * the call. */
+  void OnNotConnected(const std::string& why);
   void OnHead(int status, const HttpHeaders& headers);
   /** The answer has the form of the one that has been forwarded in part. */
   bool ContinuesAnswer(const AnswerHead& head) const;
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -101,6 +101,13 @@
   call.fresh_connection = NeedsFreshConnection();
   call.max_idle = kMaxIdleConnection;
 
+  call_->through =
+      state_.paths->ChooseHelper(now, service_->name, call_->helpers_tried);
+  if (call_->through) {
+    state_.paths->Apply(*call_->through, target.endpoint, call);
+    call_->helpers_tried.insert(call_->through->vm);
+  }
+  ++call_->connections;
   ++possible_runs_;
   tried_.insert(plan.primary.endpoint);
   call_->started = now;
@@ -110,6 +117,31 @@
       std::make_shared<CallListener>(this->weak_from_this(), calls_started_));
 }
 
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::OnConnected(bool is_new) {
+  if (!is_new) return;
+  state_.paths->OnConnection(BootNow(), call_->plan.primary.endpoint,
+                             call_->through ? &*call_->through : nullptr, true);
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::OnNotConnected(const std::string& why) {
+  using namespace gateway_internal;
+  const TimePoint now = BootNow();
+  state_.paths->OnConnection(now, call_->plan.primary.endpoint,
+                             call_->through ? &*call_->through : nullptr,
+                             false);
+  const bool other_path =
+      call_->connections < kMaxConnections && deadline_ - now > kMinTimeLeft &&
+      state_.paths->ChooseHelper(now, service_->name, call_->helpers_tried);
+  if (!other_path) {
+    return FailCall(CallFailure::kNotConnected, CallResult::kConnectionBroken,
+                    why);
+  }
+  --possible_runs_;
+  SendCall(now);
+}
+
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::OnHead(int status, const HttpHeaders& headers) {
   const TimePoint now = BootNow();
@@ -247,10 +279,7 @@
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::OnCallEnd(std::optional<ClientFailure> failure) {
   if (failure) {
-    if (!failure->request_sent) {
-      return FailCall(CallFailure::kNotConnected, CallResult::kConnectionBroken,
-                      failure->error.message);
-    }
+    if (!failure->request_sent) return OnNotConnected(failure->error.message);
     return FailBrokenCall(failure->error.message);
   }
   if (!call_->head) {
--- a/modules/zr_gateway_host/forwarded_request_failure_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_failure_impl.h
@@ -177,6 +177,7 @@
   fields["call_ms"] = (now - call_->started).milliseconds();
   fields["last_event"] = last_event_.value_or(-1);
   fields["began"] = !call_->prefilling;
+  if (call_->through) fields["through"] = call_->through->vm.value();
   fields["parts"] = request_.shared_parts;
   return fields;
 }
@@ -220,6 +221,10 @@
     return std::max({kEventTimeout, route_->latency_objective * 3,
                      route_->gap_objective.value_or(Duration()) * 6});
   }
+  if (!call_->through && !call_->head &&
+      state_.paths->IsCutOff(service_->name)) {
+    return kLostPathTimeout;
+  }
   // The forecast is part of the timeout, so that a loaded engine isn't taken
   // for a silent one: running its requests again elsewhere adds to the load.
   return kFirstByteTimeout + route_->latency_objective / 2 +
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -10,6 +10,11 @@
 
 // Connecting takes two round trips of a few milliseconds in a region.
 inline constexpr Duration kConnectTimeout = Duration::Milliseconds(300);
+// Paths on which the connection of a call is tried: the VM's own one and those
+// through other VMs.
+inline constexpr int kMaxConnections = 3;
+// Time until a call over a path that was lost meanwhile counts as silent.
+inline constexpr Duration kLostPathTimeout = Duration::Milliseconds(400);
 // Connections idle for longer are not reused, because endpoints close idle
 // connections without notice.
 inline constexpr Duration kMaxIdleConnection = Duration::Seconds(3);
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -106,6 +106,11 @@
       });
   state_.limits = std::make_shared<LimitExchange>(
       state_, dispatch_->dispatcher().tracker());
+  state_.paths = std::make_shared<PathExchange>(
+      io_, state_, [this](const VmId& vm) { return dispatch_->IsLeaving(vm); });
+  if (auto started = state_.paths->Start(settings_.peers_address); !started) {
+    return tl::unexpected(started.error());
+  }
   dispatch_directory_ =
       std::make_unique<EndpointDirectory>(dispatch_->dispatcher().tracker());
 
@@ -329,7 +334,7 @@
   if (!state_.stopping) return;
   const Duration stopping = now - state_.stop_began;
   if (requests_.empty() && caller_server_->unsent_responses() == 0 &&
-      stopping > kStopLinger) {
+      state_.paths->tunnels() == 0 && stopping > kStopLinger) {
     FinishStop("idle");
   }
   if (stopping > settings_.grace - kStopMargin) FinishStop("grace expired");
@@ -371,6 +376,7 @@
   for (const auto& request : requests_) request->Abandon();
   for (const auto& feed : feeds_) feed->Stop();
   dispatch_->Stop();
+  state_.paths->Stop();
   io_.stop();
 }
 
--- a/modules/zr_gateway_host/gateway_state.h
+++ b/modules/zr_gateway_host/gateway_state.h
@@ -16,6 +16,7 @@
 
 class DispatchClient;
 class LimitExchange;
+class PathExchange;
 class ReservationKeeper;
 class SuspectExchange;
 
@@ -76,6 +77,7 @@
   std::shared_ptr<ReservationKeeper> reservations;
   std::shared_ptr<SuspectExchange> suspects;
   std::shared_ptr<LimitExchange> limits;
+  std::shared_ptr<PathExchange> paths;
   VmId vm;
   bool stopping = false;
   TimePoint stop_began;  // if stopping
--- a/modules/zr_gateway_host/gateway_store_impl.h
+++ b/modules/zr_gateway_host/gateway_store_impl.h
@@ -253,6 +253,7 @@
   if (key != link_key_ && dispatch_->started()) {
     state_.log.Write(BootNow(), "link_key_changed", {});
     dispatch_->SetKey(key);
+    state_.paths->SetKey(key);
     link_key_ = key;
   }
   if (!key.empty() && !dispatch_->started() && !state_.stopping) {
@@ -260,11 +261,13 @@
       state_.log.Write(BootNow(), "peers_failed",
                        {{"reason", ToString(started.error())}});
     }
+    state_.paths->SetKey(key);
     link_key_ = key;
     state_.dispatch = dispatch_;
   }
   const std::map<VmId, std::string> addresses = members_.addresses();
   if (addresses.size() <= 1) config_versions_.OnAlone();
+  state_.paths->SetVms(addresses);
   if (!state_.stopping) dispatch_->SetVms(addresses);
 }
 
--- /dev/null
+++ b/modules/zr_gateway_host/path_exchange.cc
@@ -0,0 +1,217 @@
+#include "zr_gateway_host/path_exchange.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <utility>
+
+#include "zr_config/digest.h"
+
+namespace zr {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr std::chrono::milliseconds kProbeTimeout(250);
+
+/** Tunnels have the port after that of the links. */
+std::optional<std::string> TunnelAddress(const std::string& links_address) {
+  const auto parsed = ParseAddress(links_address);
+  if (!parsed || parsed->second == UINT16_MAX) return std::nullopt;
+  return parsed->first + ":" + std::to_string(parsed->second + 1);
+}
+
+/** A connection that only shows whether an endpoint can be reached. */
+struct ProbeConnection {
+  explicit ProbeConnection(asio::io_context& io) : socket(io), timer(io) {}
+  tcp::socket socket;
+  asio::steady_timer timer;
+  bool ended = false;
+};
+
+}  // namespace
+
+PathExchange::PathExchange(asio::io_context& io, GatewayState& state,
+                           VmPredicate is_leaving)
+    : io_(io),
+      state_(state),
+      is_leaving_(std::move(is_leaving)),
+      paths_(state.vm) {}
+
+Result<void> PathExchange::Start(const std::string& links_address) {
+  const auto address = TunnelAddress(links_address);
+  if (!address) {
+    return Fail(ErrorCode::kInvalidArgument, "tunnels", links_address,
+                "no port after that of the links");
+  }
+  auto server = TunnelServer::Start(io_, *address, *this);
+  if (!server) return tl::unexpected(server.error());
+  server_ = std::move(*server);
+  return {};
+}
+
+void PathExchange::SetVms(const std::map<VmId, std::string>& addresses) {
+  addresses_.clear();
+  std::vector<VmId> vms;
+  for (const auto& [vm, address] : addresses) {
+    const auto tunnel = TunnelAddress(address);
+    if (!tunnel) continue;
+    addresses_[vm] = *tunnel;
+    vms.push_back(vm);
+  }
+  paths_.SetVms(vms);
+}
+
+void PathExchange::SetKey(const std::string& key) {
+  previous_token_ =
+      std::exchange(token_, Sha256Hex("zinniarill tunnel " + key));
+}
+
+void PathExchange::Stop() {
+  if (server_) server_->Stop();
+}
+
+//==============================================================================
+// Calls
+
+std::optional<CallHelperVm> PathExchange::ChooseHelper(
+    TimePoint now, const ServiceName& service, const std::set<VmId>& tried) {
+  if (!paths_.IsCutOff(service) || token_.empty()) return std::nullopt;
+  const auto vm = paths_.ChooseHelper(
+      now, service, tried, [this](const VmId& id) { return !is_leaving_(id); },
+      state_.random);
+  if (!vm) return std::nullopt;
+  return CallHelperVm{*vm, addresses_.at(*vm)};
+}
+
+void PathExchange::Apply(const CallHelperVm& helper, const EndpointId& endpoint,
+                         ClientRequest& request) const {
+  request.proxy = helper.address;
+  request.proxy_user = token_ + " " + endpoint.value();
+  request.fresh_connection = true;
+}
+
+void PathExchange::OnConnection(TimePoint now, const EndpointId& endpoint,
+                                const CallHelperVm* through, bool connected) {
+  if (through == nullptr) return OnOwnConnection(now, endpoint, connected);
+  paths_.OnHelped(now, through->vm, connected);
+  state_.metrics.Count("zr_gateway_calls_through_vms_total",
+                       {{"connected", connected ? "yes" : "no"}});
+  state_.log.Write(now, "call_through_vm",
+                   {{"endpoint", endpoint.value()},
+                    {"vm", through->vm.value()},
+                    {"connected", connected}});
+}
+
+void PathExchange::OnOwnConnection(TimePoint now, const EndpointId& endpoint,
+                                   bool connected) {
+  const EndpointState* state = state_.tracker.Find(endpoint);
+  if (state == nullptr) return;
+  const ServiceName& service = state->listed.service;
+  const bool before = paths_.IsCutOff(service);
+  const size_t active = state_.tracker.CountActive(service);
+  if (connected) {
+    paths_.OnConnected(now, service);
+  } else {
+    paths_.OnUnreachable(now, service, endpoint, active);
+  }
+  const bool after = paths_.IsCutOff(service);
+  if (before == after) return;
+  state_.log.Write(now, after ? "cut_off" : "cut_off_ended",
+                   {{"service", service.value()},
+                    {"endpoint", endpoint.value()},
+                    {"endpoints", active}});
+  state_.metrics.Set("zr_gateway_cut_off", {{"service", service.value()}},
+                     after ? 1 : 0);
+}
+
+void PathExchange::Probe(TimePoint now, const ServiceName& service) {
+  const auto endpoints =
+      state_.tracker.Available(now, service, {}, std::nullopt);
+  if (endpoints.empty()) return;
+  const ListedEndpoint listed =
+      endpoints[state_.random.Below(endpoints.size())]->listed;
+  const auto parsed = ParseAddress(listed.address);
+  asio::error_code error;
+  if (!parsed) return;
+  const auto ip = asio::ip::make_address(parsed->first, error);
+  if (error) return;
+  auto probe = std::make_shared<ProbeConnection>(io_);
+  const auto end = [this, probe, id = listed.id](bool connected) {
+    if (std::exchange(probe->ended, true)) return;
+    probe->timer.cancel();
+    asio::error_code ignored;  // it may not be open
+    probe->socket.close(ignored);
+    OnOwnConnection(BootNow(), id, connected);
+  };
+  probe->timer.expires_after(kProbeTimeout);
+  probe->timer.async_wait([end](const asio::error_code& timer_error) {
+    if (!timer_error) end(false);
+  });
+  probe->socket.async_connect(
+      {ip, parsed->second},
+      [end](const asio::error_code& connect_error) { end(!connect_error); });
+}
+
+//==============================================================================
+// Other VMs
+
+std::optional<std::string> PathExchange::OnTunnelRequest(
+    const std::string& user) {
+  const TimePoint now = BootNow();
+  const size_t space = user.find(' ');
+  const std::string token = user.substr(0, space);
+  const EndpointId endpoint(
+      space == std::string::npos ? "" : user.substr(space + 1));
+  const EndpointState* known = state_.tracker.Find(endpoint);
+  const char* reason = nullptr;
+  if (token_.empty() || (token != token_ && token != previous_token_)) {
+    reason = "unknown key";
+  } else if (state_.stopping) {
+    reason = "VM is stopping";
+  } else if (known == nullptr || !state_.tracker.MayCall(endpoint)) {
+    reason = "endpoint may not be called";
+  } else if (paths_.IsCutOff(known->listed.service)) {
+    reason = "VM is cut off, too";
+  }
+  if (reason == nullptr) return known->listed.address;
+  state_.log.Write(now, "tunnel_refused",
+                   {{"endpoint", endpoint.value()}, {"reason", reason}});
+  state_.metrics.Count("zr_gateway_tunnels_total", {{"result", "refused"}});
+  return std::nullopt;
+}
+
+void PathExchange::OnTunnelConnected(const std::string& user, bool connected) {
+  const TimePoint now = BootNow();
+  const EndpointId endpoint(user.substr(user.find(' ') + 1));
+  state_.log.Write(now, "tunnel",
+                   {{"endpoint", endpoint.value()}, {"connected", connected}});
+  state_.metrics.Count("zr_gateway_tunnels_total",
+                       {{"result", connected ? "connected" : "unreachable"}});
+  OnOwnConnection(now, endpoint, connected);
+}
+
+void PathExchange::OnReport(TimePoint now, const PathReport& report) {
+  if (!paths_.OnReport(now, report)) return;
+  LogFields fields = {{"vm", report.vm.value()},
+                      {"services", LogFields::array()}};
+  for (const ServiceName& service : report.cut_off) {
+    fields["services"].push_back(service.value());
+  }
+  state_.log.Write(now, "vm_cut_off", fields);
+  outbox_.push_back(report);
+}
+
+void PathExchange::Exchange(TimePoint now, bool forwards,
+                            const Sender& send_to_all) {
+  while (const auto service = paths_.NextProbe(now)) Probe(now, *service);
+  if (!forwards) outbox_.clear();
+  if (auto report = paths_.NextReport(now)) {
+    outbox_.push_back(std::move(*report));
+  }
+  for (const PathReport& report : std::exchange(outbox_, {})) {
+    send_to_all(report);
+  }
+}
+
+}  // namespace zr
--- a/modules/zr_gateway_host/reservation_keeper.cc
+++ b/modules/zr_gateway_host/reservation_keeper.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "zr_gateway_host/path_exchange.h"
+
 namespace zr {
 namespace {
 
@@ -71,12 +73,20 @@
     request.connect_timeout = kOrderTimeout;
     request.total_timeout = kOrderTimeout;
     request.no_resend = true;
+    const EndpointId endpoint = order.endpoint.endpoint;
+    const auto helper = HelperFor(endpoint);
+    if (helper) state_.paths->Apply(*helper, endpoint, request);
     state_.http->Fetch(
         std::move(request), kMaxOrderAnswer,
-        [this, name, order](tl::expected<ClientResponse, ClientFailure> reply) {
+        [this, name, order,
+         helper](tl::expected<ClientResponse, ClientFailure> reply) {
           // An order of which nothing was sent was not carried out.
           const bool unsent = !reply && !reply.error().request_sent;
           constexpr int kUnsentStatus = -1;
+          if (unsent) {
+            state_.paths->OnConnection(BootNow(), order.endpoint.endpoint,
+                                       helper ? &*helper : nullptr, false);
+          }
           OnOutcome(name, order,
                     reply    ? reply->status
                     : unsent ? kUnsentStatus
@@ -85,6 +95,13 @@
   }
 }
 
+std::optional<CallHelperVm> ReservationKeeper::HelperFor(
+    const EndpointId& endpoint) const {
+  const EndpointState* state = state_.tracker.Find(endpoint);
+  if (state == nullptr) return std::nullopt;
+  return state_.paths->ChooseHelper(BootNow(), state->listed.service, {});
+}
+
 void ReservationKeeper::OnOutcome(const std::string& name,
                                   const MemoryOrder& order, int status) {
   auto it = sets_.find(name);
--- a/modules/zr_gateway_host/reservation_keeper.h
+++ b/modules/zr_gateway_host/reservation_keeper.h
@@ -2,10 +2,12 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "zr_gateway_host/gateway_format.h"
 #include "zr_gateway_host/gateway_state.h"
+#include "zr_gateway_host/path_exchange.h"
 
 namespace zr {
 
@@ -48,6 +50,7 @@
 
   static std::string Name(const CallKey& call);
   void Send(const std::string& name, const ReservationSet::Orders& orders);
+  std::optional<CallHelperVm> HelperFor(const EndpointId& endpoint) const;
   void OnOutcome(const std::string& name, const MemoryOrder& order, int status);
   /** Calls the callback once the result is known; erases ended sets. */
   void NotifyResult(TimePoint now, const std::string& name);
--- a/modules/zr_http/client/http_call.cc
+++ b/modules/zr_http/client/http_call.cc
@@ -67,7 +67,13 @@
   curl_easy_setopt(easy_, CURLOPT_URL, request_.url.c_str());
   curl_easy_setopt(easy_, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt(easy_, CURLOPT_PATH_AS_IS, 1L);
-  curl_easy_setopt(easy_, CURLOPT_PROXY, "");
+  // Without a proxy, libcurl must not take one from the environment.
+  const std::string proxy =
+      request_.proxy.empty() ? "" : "socks4://" + request_.proxy;
+  curl_easy_setopt(easy_, CURLOPT_PROXY, proxy.c_str());
+  if (!request_.proxy_user.empty()) {
+    curl_easy_setopt(easy_, CURLOPT_PROXYUSERNAME, request_.proxy_user.c_str());
+  }
   curl_easy_setopt(easy_, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy_, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(
@@ -112,6 +118,9 @@
     return CURL_PREREQFUNC_ABORT;
   }
   call->request_sent_ = true;
+  long connects = 0;  // NOLINT(google-runtime-int): libcurl's type
+  curl_easy_getinfo(call->easy_, CURLINFO_NUM_CONNECTS, &connects);
+  if (auto listener = call->listener_) listener->OnConnected(connects > 0);
   return CURL_PREREQFUNC_OK;
 }
 
--- a/modules/zr_http/client/http_client.h
+++ b/modules/zr_http/client/http_client.h
@@ -36,6 +36,10 @@
    * a response; ClientFailure::request_sent is then true.
    */
   bool no_resend = false;
+  /** Address, "ip:port", of a SOCKS 4 proxy, and the user name for it; empty
+   * for none. */
+  std::string proxy;
+  std::string proxy_user;
   /** Reuses only connections that were idle for less than this, in whole
    * seconds; 0 for libcurl's default. */
   Duration max_idle;
@@ -78,6 +82,9 @@
   class Listener {
    public:
     virtual ~Listener() = default;
+    /** The connection is there, and the request is about to be sent.
+     * @param is_new  it was made for this call */
+    virtual void OnConnected(bool is_new) { static_cast<void>(is_new); }
     virtual void OnHeaders(int status, const HttpHeaders& headers) = 0;
     /** @returns false to pause; the same data is delivered again after Resume()
      */
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -233,6 +233,11 @@
   a(m.observations);
 }
 
+template <typename A>
+void Fields(A& a, PathReport& m) {
+  a(m.vm, m.number, m.cut_off);
+}
+
 /** Largest valid value of each enumeration on the wire. */
 template <typename E>
 inline constexpr uint8_t kEnumMax = 0;
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -636,6 +636,14 @@
   friend auto operator<=>(const LimitReport&, const LimitReport&) = default;
 };
 
+/** Tells the services whose endpoints a VM can't reach itself. */
+struct PathReport {
+  VmId vm;
+  uint64_t number = 0;          // of the VM's reports; the highest counts
+  std::vector<PoolId> cut_off;  // services; empty if there are none any more
+  friend auto operator<=>(const PathReport&, const PathReport&) = default;
+};
+
 /** Any message between entry VMs. The order of the alternatives is part of the
  * wire format. */
 using Message =
@@ -646,7 +654,7 @@
                  TakeoverReply, SuspectLeaseRequest, SuspectLeaseReply,
                  MembershipDigest, DispatchRequest, DispatchReply, CallProgress,
                  InFlightCalls, StoreQuery, StoreUpdate, CrashEvidence,
-                 LimitReport, ConfigNotice>;
+                 LimitReport, ConfigNotice, PathReport>;
 
 /** A message and its destination. */
 struct OutgoingMessage {
--- a/modules/zr_wire/tests/wire_test.cc
+++ b/modules/zr_wire/tests/wire_test.cc
@@ -37,6 +37,7 @@
        {{Fingerprint(5), 1}, {Fingerprint(6), CrashSuspect::kWholeRequest}}}};
   evidence.answered = {{Fingerprint(5), Duration::Milliseconds(1)}};
   evidence.live = {{EndpointId("e-1"), BootNumber(7), Duration()}};
+  const PathReport paths{VmId("vm-1"), 8, {PoolId("llm"), PoolId("plain")}};
   KindUpdate changed;
   changed.kind = "config";
   changed.deltas = {{1, 2, 3, {{4, 5, {"inserted"}}}}};
@@ -44,7 +45,7 @@
   for (const Message& message : std::vector<Message>{
            SampleAdmission(), heartbeat, refusal, held, EndpointSummary{},
            Grant{}, GrantRelease{}, Suspect{}, GatherReply{}, ConfigOffer{},
-           evidence, ConfigNotice{5}, update}) {
+           evidence, ConfigNotice{5}, update, paths}) {
     auto decoded = DecodeMessage(EncodeMessage(message));
     REQUIRE(decoded);
     REQUIRE(*decoded == message);
