Judge each entry of the store's lists alone, within bounds (LOST)

Reported by other operators: an odd entry among those of the endpoints ended the processes that read the list, or stopped them from following it.

ReadJson leaves out what is nested deeper than 32 levels while it parses, and reads a text that fails once more with such numbers as null and such bytes as question marks. The daemon reads objects of the store and reports of engines in the same way. Why the fuzzer didn't find it: no target decodes what the store sends.

--- a/modules/zr_daemon/control/config_object.cc
+++ b/modules/zr_daemon/control/config_object.cc
@@ -3,6 +3,8 @@
 #include <ctime>
 #include <nlohmann/json.hpp>
 
+#include "zr_platform/json_text.h"
+
 namespace zr {
 
 using Json = nlohmann::json;
@@ -15,7 +17,7 @@
 }
 
 Result<ConfigObject> DecodeConfigObject(const std::string& text) {
-  const Json json = Json::parse(text, nullptr, false);
+  const Json json = ReadJson(text);
   if (!json.is_object() || !json.contains("document") ||
       !json["document"].is_string()) {
     return Fail(ErrorCode::kInvalidArgument, "configuration", "object API",
--- a/modules/zr_daemon/control/control_plane.cc
+++ b/modules/zr_daemon/control/control_plane.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "zr_daemon/net/message_bus.h"
+#include "zr_platform/json_text.h"
 
 namespace zr {
 namespace {
@@ -54,7 +55,7 @@
 
 Result<EndpointInfo> ParseEndpointInfo(const std::string& name,
                                        const std::string& value) {
-  const auto json = nlohmann::json::parse(value, nullptr, false);
+  const auto json = ReadJson(value);
   auto text = [&json](const char* key) {
     auto it = json.find(key);
     return it != json.end() && it->is_string() ? it->get<std::string>()
--- a/modules/zr_daemon/control/lease_codec.cc
+++ b/modules/zr_daemon/control/lease_codec.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "zr_platform/json_text.h"
+
 namespace zr {
 namespace {
 
@@ -20,7 +22,7 @@
 }
 
 Result<LeaseValue> DecodeLease(std::string_view text) {
-  const auto json = nlohmann::json::parse(text, nullptr, false);
+  const auto json = ReadJson(text);
   const auto number = [&json](const char* key) {
     const auto it = json.find(key);
     return it != json.end() && it->is_number_unsigned()
--- a/modules/zr_daemon/endpoint/engine_codec.cc
+++ b/modules/zr_daemon/endpoint/engine_codec.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "zr_platform/json_text.h"
+
 namespace zr {
 namespace {
 
@@ -38,7 +40,7 @@
 }
 
 Result<Json> ParseWithBoot(std::string_view text, const char* step) {
-  Json json = Json::parse(text, nullptr, false);
+  Json json = ReadJson(text);
   if (!json.is_object() || !json.contains("boot")) {
     return Fail(ErrorCode::kInvalidArgument, step, "",
                 "report has no boot number");
--- a/modules/zr_platform/object_format.cc
+++ b/modules/zr_platform/object_format.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "zr_platform/json_text.h"
+
 namespace zr {
 namespace {
 
@@ -136,7 +138,7 @@
 StoreReply NativeObjectFormat::Decode(const ClientResponse& response) {
   StoreReply reply;
   reply.status = StoreStatusFromHttp(response.status);
-  const Json json = Json::parse(response.body, nullptr, false);
+  const Json json = ReadJson(response.body);
   if (!json.is_object()) {
     if (reply.status == StoreStatus::kOk) reply.status = StoreStatus::kUnknown;
     return reply;
--- a/modules/zr_platform/object_store.cc
+++ b/modules/zr_platform/object_store.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "zr_platform/json_text.h"
+
 namespace zr {
 namespace {
 
@@ -29,7 +31,7 @@
       std::move(request), kMaxReplyBytes,
       [done = std::move(done)](auto result) {
         if (!result) return done(tl::unexpected(result.error().error));
-        const Json json = Json::parse(result->body, nullptr, false);
+        const Json json = ReadJson(result->body);
         if (result->status != 200 || !json.is_object() ||
             !json.contains("vms")) {
           return done(Fail(ErrorCode::kUnavailable, "object API", "",
