Wait for an endpoint with room when a stream has broken off (LOST)

What callers saw: a stream that had begun was cut, although its endpoints were only full for a moment.

Cause: each rejection of the continuation was tried again at once, at another endpoint, and the third ended the request; the wait of up to a second was used only if no endpoint could be placed at all.

Now a continuation that is rejected is tried again every 0.2 s, eight sends at most, also at the endpoints that rejected it. The test, with engines that reject for 0.3 s, failed before (cut after 63 bytes) and passes (1 run each).

--- a/modules/zr_gateway/attempt_rules.cc
+++ b/modules/zr_gateway/attempt_rules.cc
@@ -6,6 +6,9 @@
 // Limit of calls for one request regardless of their results. Bounds the load
 // that rejected calls put on the endpoints.
 constexpr int kMaxSends = 3;
+// The same for the rest of an answer that has begun; its caller can't repeat
+// the request, so it waits for an endpoint with room.
+constexpr int kMaxSendsAfterBegin = 8;
 
 }  // namespace
 
@@ -33,7 +36,9 @@
        context.possible_runs < context.max_runs);
   const bool continuable = !context.answer_started ||
                            context.retry_policy == RetryPolicy::kResumable;
-  if (may_run_again && continuable && context.sends < kMaxSends &&
+  const int max_sends =
+      context.answer_started ? kMaxSendsAfterBegin : kMaxSends;
+  if (may_run_again && continuable && context.sends < max_sends &&
       context.time_left && context.candidate_left) {
     return FailureAction::kRetry;
   }
--- a/modules/zr_gateway_host/forwarded_request_failure_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_failure_impl.h
@@ -41,7 +41,15 @@
   ReleaseCall();
   switch (step) {
     case FailureAction::kRetry:
-      return Place(now);
+      if (!answer_started_ || failure != CallFailure::kNotRun) {
+        return Place(now);
+      }
+      // The endpoints are full, so another one would reject it at once, too.
+      // All of them may have room later.
+      tried_.erase(endpoint);
+      waiting_ = true;
+      deferred_until_ = now + kResumePeriod;
+      return;
     case FailureAction::kForwardAnswer:
       response_->Send(head->status, AnswerHeaders(head->headers),
                       std::move(body));
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -36,6 +36,9 @@
 // part of the answer.
 inline constexpr Duration kMaxPlacementWait = Duration::Milliseconds(300);
 inline constexpr Duration kMaxResumeWait = Duration::Milliseconds(1000);
+// Time between two attempts to go on with a broken stream that endpoints
+// reject.
+inline constexpr Duration kResumePeriod = Duration::Milliseconds(200);
 // Time between two attempts to find another endpoint for a silent call, which
 // goes on meanwhile.
 inline constexpr Duration kSeekPeriod = Duration::Milliseconds(200);
--- a/tests/platform/faulty_answers.py
+++ b/tests/platform/faulty_answers.py
@@ -157,7 +157,45 @@
             0, "POST", f"/{k}/x", f"sound-{next(numbers)}").status == 200)
 
 
-STEPS = (refusal_is_written_again, error_follows_a_broken_stream, head_is_cut_short)
+# Time for which endpoints reject everything after a stream has broken off, in seconds; callers
+# are kept waiting for up to a second.
+FULL_S = 0.3
+
+
+def endpoints_are_full_when_a_stream_breaks(d):
+    engines = d.endpoints_of("llm")
+    for n in range(3):
+        broken_at = []
+
+        def answer(endpoint, handler, common):
+            if not broken_at:
+                broken_at.append(time.monotonic())
+                stream = {**common, "Content-Type": "text/event-stream",
+                          "Transfer-Encoding": "chunked"}
+                handler.wfile.write(head("200 OK", stream))
+                for piece in events_from(handler)[:3]:
+                    handler.wfile.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+                handler.wfile.flush()
+                time.sleep(0.05)
+                return handler.reset()
+            if time.monotonic() < broken_at[0] + FULL_S:
+                with endpoint.lock:
+                    endpoint.runs[common["X-Request-Id"]] -= 1
+                return handler.answer(503, b"", {"X-Request-Id": common["X-Request-Id"],
+                                                 "X-Not-Run": "1"})
+            return endpoint.stream(handler, common)
+
+        for engine in engines:
+            engine.fault = answer
+        got = d.call(0, "POST", "/stream/x", f"full-{n}")
+        for engine in engines:
+            engine.fault = None
+        check(got.complete and got.body == full_stream(), f"cut after {len(got.body)} bytes")
+        for _ in range(20):  # adds to the retry budget
+            d.call(0, "POST", "/stream/x", f"sound-{next(numbers)}")
+
+
+STEPS = (endpoints_are_full_when_a_stream_breaks, refusal_is_written_again, error_follows_a_broken_stream, head_is_cut_short)
 
 
 def test(d):
