Answer what is left at the end of a stop's grace instead of cutting it (LOST)

Reported by other operators, and seen here in the test: a request that came during the grace was passed on with its whole time, and its connection closed without an answer at the end of the grace (RemoteDisconnected, a request that may run once, 2 s into the stop, 1 run).

Cause: admission looked at the deadline only from 2.8 s on, and nothing bounded what had been admitted before. Now the exit bounds the deadline of every request, which the endpoint is told, too: 0.4 s before the kill a request that was sent is answered 504, one that wasn't 503, and 0.25 s are left to write it.

The test covers requests from 0.5 s before to 5 s into the stop; it failed before and passes (1 run each), as do the other steps of stops.py.

--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -35,6 +36,10 @@
   void Start();
   /** Handles the deadline, silent endpoints and placements to be retried. */
   void Tick(TimePoint now);
+  /** The process exits at that time: the request has to be answered before. */
+  void LimitDeadline(TimePoint latest) {
+    deadline_ = std::min(deadline_, latest);
+  }
   /** Aborts the request without an answer, when the process exits. */
   void Abandon();
 
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -73,6 +73,7 @@
                "VM is stopping and the answer may not end in time"},
          Duration()});
   }
+  if (state_.stopping) LimitDeadline(state_.stop_ends);
   suspects_ = SuspectsOf(request_, service_->name, team_);
   if (RejectBlamed(arrived_)) return;
   state_.BudgetOf(service_->name).OnSuccess();
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -19,8 +19,11 @@
 // A stopping VM still gets new connections until two readiness probes of the
 // load balancer, one per second, have failed.
 inline constexpr Duration kStopLinger = Duration::Milliseconds(3500);
-// Time reserved for an orderly exit before the process is killed.
+// Time reserved for an orderly exit before the process is killed: requests that
+// are not answered by its begin get an answer that says so.
 inline constexpr Duration kStopMargin = Duration::Milliseconds(400);
+// The part of it that is left for the exit itself.
+inline constexpr Duration kExitMargin = Duration::Milliseconds(150);
 // Watches of the configuration provide the evidence that it is current; the
 // other watches may be longer.
 inline constexpr Duration kConfigWatch = Duration::Milliseconds(1400);
@@ -337,7 +340,7 @@
       state_.paths->tunnels() == 0 && stopping > kStopLinger) {
     FinishStop("idle");
   }
-  if (stopping > settings_.grace - kStopMargin) FinishStop("grace expired");
+  if (stopping > settings_.grace - kExitMargin) FinishStop("grace expired");
 }
 
 template <GatewayFormat Format>
@@ -363,6 +366,9 @@
   state_.stop_began = BootNow();
   state_.stop_ends =
       state_.stop_began + settings_.grace - gateway_internal::kStopMargin;
+  for (const auto& request : requests_) {
+    request->LimitDeadline(state_.stop_ends);
+  }
   dispatch_->Retire();
   state_.log.Write(state_.stop_began, "stopping",
                    {{"requests", requests_.size()},
--- a/tests/platform/stops.py
+++ b/tests/platform/stops.py
@@ -119,8 +119,38 @@
         endpoint.answer_bytes = 0
 
 
+def requests_that_outlast_the_grace_are_answered(d):
+    """Endpoints need longer than the VM has left; no connection closes without an answer."""
+    for endpoint in d.endpoints_of("plain"):
+        endpoint.event_s = 20
+    answers = {}
+
+    def call(request, path):
+        try:
+            answers[request] = d.call(0, "POST", path, request).status
+        except OSError as error:
+            answers[request] = repr(error)
+
+    callers = []
+    for delay in (-0.5, 0.2, 1.0, 2.0, 2.6, 3.2, 5.0):
+        for path in ("/once/x", "/many/x"):
+            caller = threading.Timer(1 + delay, call, (f"late{path}{delay}", path))
+            caller.start()
+            callers.append(caller)
+    time.sleep(1)
+    d.signal(0, signal.SIGTERM)
+    for caller in callers:
+        caller.join()
+    for request, status in answers.items():
+        runs = d.run_count(request)
+        check(status in ((502, 504) if runs else (503,)), f"{request}: {status}, {runs} runs")
+    restart(d, 0)
+    for endpoint in d.endpoints_of("plain"):
+        endpoint.event_s = 0.01
+
+
 def test(d):
-    for step in (silent_stream_goes_on_when_no_endpoint_is_granted,
+    for step in (requests_that_outlast_the_grace_are_answered,silent_stream_goes_on_when_no_endpoint_is_granted,
                  stream_without_events_is_not_taken_for_whole, cut_answer_has_one_outcome,
                  slow_reader_gets_all_when_its_vm_stops):
         print(f"- {step.__name__}", flush=True)
