--- a/modules/zr_gateway/endpoint_paths.cc
+++ b/modules/zr_gateway/endpoint_paths.cc
@@ -60,24 +60,25 @@
 }
 
 void EndpointPaths::SetVms(const std::vector<VmId>& vms) {
-  std::map<VmId, Helper> helpers;
+  std::map<VmId, OtherVm> others;
   for (const VmId& vm : vms) {
-    if (vm != self_) helpers[vm] = std::move(helpers_[vm]);
+    if (vm != self_) others[vm] = std::move(others_[vm]);
   }
-  helpers_ = std::move(helpers);
+  others_ = std::move(others);
 }
 
-void EndpointPaths::OnHelped(TimePoint now, const VmId& vm, bool reached) {
-  const auto it = helpers_.find(vm);
-  if (it == helpers_.end()) return;
-  Helper& helper = it->second;
-  helper.trusted_until = reached ? now + kHelperTrust : TimePoint();
-  helper.backoff_until = reached ? TimePoint() : now + kHelperBackoff;
+void EndpointPaths::OnTunnelResult(TimePoint now, const VmId& vm,
+                                   bool reached) {
+  const auto it = others_.find(vm);
+  if (it == others_.end()) return;
+  OtherVm& other = it->second;
+  other.trusted_until = reached ? now + kTunnelTrust : TimePoint();
+  other.backoff_until = reached ? TimePoint() : now + kTunnelBackoff;
 }
 
 bool EndpointPaths::OnReport(TimePoint now, const PathReport& report) {
-  const auto it = helpers_.find(report.vm);
-  if (it == helpers_.end() || report.number <= it->second.report) return false;
+  const auto it = others_.find(report.vm);
+  if (it == others_.end() || report.number <= it->second.report) return false;
   it->second.report = report.number;
   it->second.cut_off = {report.cut_off.begin(), report.cut_off.end()};
   it->second.reported_at = now;
@@ -96,7 +97,7 @@
   return PathReport{self_, number, {lost.begin(), lost.end()}};
 }
 
-std::optional<VmId> EndpointPaths::ChooseHelper(
+std::optional<VmId> EndpointPaths::ChooseTunnelVm(
     TimePoint now, const ServiceName& service, const std::set<VmId>& excluded,
     const std::function<bool(const VmId&)>& usable, Random& random) const {
   constexpr double kSearchChance = 0.25;
@@ -104,20 +105,20 @@
   std::vector<VmId> others;
   std::optional<VmId> last_resort;
   TimePoint soonest;
-  for (const auto& [vm, helper] : helpers_) {
-    const bool reported = now - helper.reported_at < kReportLife &&
-                          helper.cut_off.contains(service);
+  for (const auto& [vm, other] : others_) {
+    const bool reported = now - other.reported_at < kReportLife &&
+                          other.cut_off.contains(service);
     if (reported || excluded.contains(vm) || !usable(vm)) continue;
-    if (now < helper.backoff_until) {
-      if (!last_resort || helper.backoff_until < soonest) {
+    if (now < other.backoff_until) {
+      if (!last_resort || other.backoff_until < soonest) {
         last_resort = vm;
-        soonest = helper.backoff_until;
+        soonest = other.backoff_until;
       }
       continue;
     }
-    (now < helper.trusted_until ? trusted : others).push_back(vm);
+    (now < other.trusted_until ? trusted : others).push_back(vm);
   }
-  const bool search = trusted.size() < kEnoughHelpers && !others.empty() &&
+  const bool search = trusted.size() < kEnoughTunnelVms && !others.empty() &&
                       random.Chance(kSearchChance);
   const auto& candidates = trusted.empty() || search ? others : trusted;
   if (candidates.empty()) return last_resort;
--- a/modules/zr_gateway/endpoint_paths.h
+++ b/modules/zr_gateway/endpoint_paths.h
@@ -35,11 +35,11 @@
   static constexpr size_t kRecentProbes = 3;
   static constexpr size_t kMinGoodProbes = 2;
   // A VM through which no endpoint could be reached is not asked for this long.
-  static constexpr Duration kHelperBackoff = Duration::Seconds(1);
+  static constexpr Duration kTunnelBackoff = Duration::Seconds(1);
   // Time for which a VM through which one was reached is preferred.
-  static constexpr Duration kHelperTrust = Duration::Seconds(2);
+  static constexpr Duration kTunnelTrust = Duration::Seconds(2);
   // More of them are searched while fewer are known, to spread the load.
-  static constexpr size_t kEnoughHelpers = 3;
+  static constexpr size_t kEnoughTunnelVms = 3;
   // Period of the reports of a VM that is cut off, and time after which they
   // lapse.
   static constexpr Duration kReportPeriod = Duration::Seconds(1);
@@ -68,7 +68,7 @@
 
   void SetVms(const std::vector<VmId>& vms);
   /** An endpoint was reached through the VM, or not. */
-  void OnHelped(TimePoint now, const VmId& vm, bool reached);
+  void OnTunnelResult(TimePoint now, const VmId& vm, bool reached);
   /** @returns whether the report is new and has to be passed on */
   bool OnReport(TimePoint now, const PathReport& report);
   /** This VM's report, if it is due. */
@@ -80,7 +80,7 @@
    * @param usable  whether the VM may be asked at all
    * @returns std::nullopt if there is none
    */
-  std::optional<VmId> ChooseHelper(
+  std::optional<VmId> ChooseTunnelVm(
       TimePoint now, const ServiceName& service, const std::set<VmId>& excluded,
       const std::function<bool(const VmId&)>& usable, Random& random) const;
 
@@ -91,7 +91,7 @@
     std::vector<bool> probes;  // results since it is cut off, newest last
     TimePoint next_probe;
   };
-  struct Helper {
+  struct OtherVm {
     TimePoint backoff_until;
     TimePoint trusted_until;
     uint64_t report = 0;  // number of the last one
@@ -103,7 +103,7 @@
 
   VmId self_;
   std::map<ServiceName, ServicePaths> services_;
-  std::map<VmId, Helper> helpers_;
+  std::map<VmId, OtherVm> others_;
   TimePoint next_report_;
   std::set<ServiceName> reported_;
 };
--- a/modules/zr_gateway/tests/endpoint_paths_test.cc
+++ b/modules/zr_gateway/tests/endpoint_paths_test.cc
@@ -58,7 +58,7 @@
   Random random(1);
   paths.SetVms({Vm(0), Vm(1), Vm(2), Vm(3)});
   const auto choose = [&](int64_t ms, const std::set<VmId>& excluded = {}) {
-    return paths.ChooseHelper(At(ms), kService, excluded, &AnyVm, random);
+    return paths.ChooseTunnelVm(At(ms), kService, excluded, &AnyVm, random);
   };
   SECTION("never itself") {
     for (int i = 0; i < 50; ++i) REQUIRE(choose(i) != Vm(0));
@@ -79,7 +79,7 @@
   }
   SECTION("first one through which endpoints were reached") {
     for (uint64_t vm : {1, 2, 3}) {
-      paths.OnHelped(At(0), Vm(vm), vm == 2);
+      paths.OnTunnelResult(At(0), Vm(vm), vm == 2);
     }
     for (int i = 0; i < 50; ++i) REQUIRE(choose(i) == Vm(2));
     SECTION("or the one that failed first, if all did") {
@@ -132,14 +132,14 @@
         }
         std::set<VmId> tried;
         bool reached = false;
-        while (const auto helper = paths.ChooseHelper(At(ms), kService, tried,
-                                                      &AnyVm, random)) {
-          REQUIRE(*helper != Vm(vm));
-          REQUIRE(tried.insert(*helper).second);
+        while (const auto other = paths.ChooseTunnelVm(At(ms), kService, tried,
+                                                       &AnyVm, random)) {
+          REQUIRE(*other != Vm(vm));
+          REQUIRE(tried.insert(*other).second);
           const auto index = static_cast<uint64_t>(
-              std::find(names.begin(), names.end(), *helper) - names.begin());
+              std::find(names.begin(), names.end(), *other) - names.begin());
           reached = !lost[index];
-          paths.OnHelped(At(ms), *helper, reached);
+          paths.OnTunnelResult(At(ms), *other, reached);
           if (reached) break;
         }
         // All other VMs that have had their paths for long were candidates.
--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -90,11 +90,11 @@
     std::optional<AnswerHead> head;
     EventSplitter events;
     std::string body;
-    BufferBudget::Share buffer;  // of the body
-    bool prefilling = true;      // the prompt has not been read in full
-    bool dispatched = false;     // a dispatcher has chosen its endpoints
-    std::optional<CallHelperVm> through;  // none: this VM's own path
-    std::set<VmId> helpers_tried;
+    BufferBudget::Share buffer;       // of the body
+    bool prefilling = true;           // the prompt has not been read in full
+    bool dispatched = false;          // a dispatcher has chosen its endpoints
+    std::optional<TunnelVm> through;  // none: this VM's own path
+    std::set<VmId> tunnel_vms_tried;
     int connections = 0;     // tried, each on another path
     bool reserving = false;  // engines have not confirmed their memory
     std::shared_ptr<HttpCall> handle;
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -101,11 +101,11 @@
   call.fresh_connection = NeedsFreshConnection();
   call.max_idle = kMaxIdleConnection;
 
-  call_->through =
-      state_.paths->ChooseHelper(now, service_->name, call_->helpers_tried);
+  call_->through = state_.paths->ChooseTunnelVm(now, service_->name,
+                                                call_->tunnel_vms_tried);
   if (call_->through) {
     state_.paths->Apply(*call_->through, target.endpoint, call);
-    call_->helpers_tried.insert(call_->through->vm);
+    call_->tunnel_vms_tried.insert(call_->through->vm);
   }
   ++call_->connections;
   ++possible_runs_;
@@ -131,9 +131,10 @@
   state_.paths->OnConnection(now, call_->plan.primary.endpoint,
                              call_->through ? &*call_->through : nullptr,
                              false);
-  const bool other_path =
-      call_->connections < kMaxConnections && deadline_ - now > kMinTimeLeft &&
-      state_.paths->ChooseHelper(now, service_->name, call_->helpers_tried);
+  const bool other_path = call_->connections < kMaxConnections &&
+                          deadline_ - now > kMinTimeLeft &&
+                          state_.paths->ChooseTunnelVm(now, service_->name,
+                                                       call_->tunnel_vms_tried);
   if (!other_path) {
     return FailCall(CallFailure::kNotConnected, CallResult::kConnectionBroken,
                     why);
--- a/modules/zr_gateway_host/path_exchange.cc
+++ b/modules/zr_gateway_host/path_exchange.cc
@@ -74,27 +74,27 @@
 //==============================================================================
 // Calls
 
-std::optional<CallHelperVm> PathExchange::ChooseHelper(
+std::optional<TunnelVm> PathExchange::ChooseTunnelVm(
     TimePoint now, const ServiceName& service, const std::set<VmId>& tried) {
   if (!paths_.IsCutOff(service) || token_.empty()) return std::nullopt;
-  const auto vm = paths_.ChooseHelper(
+  const auto vm = paths_.ChooseTunnelVm(
       now, service, tried, [this](const VmId& id) { return !is_leaving_(id); },
       state_.random);
   if (!vm) return std::nullopt;
-  return CallHelperVm{*vm, addresses_.at(*vm)};
+  return TunnelVm{*vm, addresses_.at(*vm)};
 }
 
-void PathExchange::Apply(const CallHelperVm& helper, const EndpointId& endpoint,
+void PathExchange::Apply(const TunnelVm& through, const EndpointId& endpoint,
                          ClientRequest& request) const {
-  request.proxy = helper.address;
+  request.proxy = through.address;
   request.proxy_user = token_ + " " + endpoint.value();
   request.fresh_connection = true;
 }
 
 void PathExchange::OnConnection(TimePoint now, const EndpointId& endpoint,
-                                const CallHelperVm* through, bool connected) {
+                                const TunnelVm* through, bool connected) {
   if (through == nullptr) return OnOwnConnection(now, endpoint, connected);
-  paths_.OnHelped(now, through->vm, connected);
+  paths_.OnTunnelResult(now, through->vm, connected);
   state_.metrics.Count("zr_gateway_calls_through_vms_total",
                        {{"connected", connected ? "yes" : "no"}});
   state_.log.Write(now, "call_through_vm",
--- a/modules/zr_gateway_host/path_exchange.h
+++ b/modules/zr_gateway_host/path_exchange.h
@@ -15,7 +15,7 @@
 namespace zr {
 
 /** A VM through which a call goes. */
-struct CallHelperVm {
+struct TunnelVm {
   VmId vm;
   std::string address;  // of its tunnels
 };
@@ -55,16 +55,16 @@
   }
   /** The VM through which a call has to go; std::nullopt if it goes directly.
    * @param tried  VMs that were tried for the call */
-  std::optional<CallHelperVm> ChooseHelper(TimePoint now,
-                                           const ServiceName& service,
-                                           const std::set<VmId>& tried);
+  std::optional<TunnelVm> ChooseTunnelVm(TimePoint now,
+                                         const ServiceName& service,
+                                         const std::set<VmId>& tried);
   /** Makes a request go through the VM. */
-  void Apply(const CallHelperVm& helper, const EndpointId& endpoint,
+  void Apply(const TunnelVm& through, const EndpointId& endpoint,
              ClientRequest& request) const;
   /** A new connection for a call was established, or not.
    * @param through  the VM through which it goes, or null */
   void OnConnection(TimePoint now, const EndpointId& endpoint,
-                    const CallHelperVm* through, bool connected);
+                    const TunnelVm* through, bool connected);
 
   //============================================================================
   // Other VMs
--- a/modules/zr_gateway_host/reservation_keeper.cc
+++ b/modules/zr_gateway_host/reservation_keeper.cc
@@ -74,18 +74,18 @@
     request.total_timeout = kOrderTimeout;
     request.no_resend = true;
     const EndpointId endpoint = order.endpoint.endpoint;
-    const auto helper = HelperFor(endpoint);
-    if (helper) state_.paths->Apply(*helper, endpoint, request);
+    const auto through = TunnelVmFor(endpoint);
+    if (through) state_.paths->Apply(*through, endpoint, request);
     state_.http->Fetch(
         std::move(request), kMaxOrderAnswer,
         [this, name, order,
-         helper](tl::expected<ClientResponse, ClientFailure> reply) {
+         through](tl::expected<ClientResponse, ClientFailure> reply) {
           // An order of which nothing was sent was not carried out.
           const bool unsent = !reply && !reply.error().request_sent;
           constexpr int kUnsentStatus = -1;
           if (unsent) {
             state_.paths->OnConnection(BootNow(), order.endpoint.endpoint,
-                                       helper ? &*helper : nullptr, false);
+                                       through ? &*through : nullptr, false);
           }
           OnOutcome(name, order,
                     reply    ? reply->status
@@ -95,11 +95,11 @@
   }
 }
 
-std::optional<CallHelperVm> ReservationKeeper::HelperFor(
+std::optional<TunnelVm> ReservationKeeper::TunnelVmFor(
     const EndpointId& endpoint) const {
   const EndpointState* state = state_.tracker.Find(endpoint);
   if (state == nullptr) return std::nullopt;
-  return state_.paths->ChooseHelper(BootNow(), state->listed.service, {});
+  return state_.paths->ChooseTunnelVm(BootNow(), state->listed.service, {});
 }
 
 void ReservationKeeper::OnOutcome(const std::string& name,
--- a/modules/zr_gateway_host/reservation_keeper.h
+++ b/modules/zr_gateway_host/reservation_keeper.h
@@ -50,7 +50,7 @@
 
   static std::string Name(const CallKey& call);
   void Send(const std::string& name, const ReservationSet::Orders& orders);
-  std::optional<CallHelperVm> HelperFor(const EndpointId& endpoint) const;
+  std::optional<TunnelVm> TunnelVmFor(const EndpointId& endpoint) const;
   void OnOutcome(const std::string& name, const MemoryOrder& order, int status);
   /** Calls the callback once the result is known; erases ended sets. */
   void NotifyResult(TimePoint now, const std::string& name);
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -58,6 +58,10 @@
 deltas|-DREACH_NEWEST|read_store
 deltas|-DM_NO_DIGEST|document==
 deltas|-DM_NO_VERSION|>=vm_version[1]
+paths||-
+paths|-DREACH_RUN|runs==0
+paths|-DM_RESEND|runs<=1
+paths|-DM_CHAIN|hops<=1
 END
 
 check() {
