--- a/modules/zr_gateway/tests/config_document_test.cc
+++ b/modules/zr_gateway/tests/config_document_test.cc
@@ -30,8 +30,10 @@
 
 // Guards against a change that costs each VM the whole configuration.
 TEST_CASE("A delta holds what has changed") {
+  constexpr int kRoutes = 1850;
   std::vector<std::string> routes;
-  for (int i = 0; i < 1850; ++i) routes.push_back(std::to_string(i));
+  routes.reserve(kRoutes);
+  for (int i = 0; i < kRoutes; ++i) routes.push_back(std::to_string(i));
   const auto before = Document(1, routes);
   routes[900] = "moved";
   routes.erase(routes.begin() + 7);
