--- /dev/null
+++ b/modules/zr_gateway_host/tests/tunnel_server_test.cc
@@ -0,0 +1,69 @@
+#include "zr_gateway_host/tunnel_server.h"
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <thread>
+
+namespace zr {
+namespace {
+
+using asio::ip::tcp;
+
+// Longer than a tunnel's connection may take.
+constexpr std::chrono::milliseconds kBusy{300};
+constexpr std::chrono::milliseconds kRunTime{100};
+
+std::string Text(const tcp::endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+class OneEndpoint : public TunnelServer::Listener {
+ public:
+  explicit OneEndpoint(std::string address) : address_(std::move(address)) {}
+  std::optional<std::string> OnTunnelRequest(const std::string&) override {
+    requested = true;
+    return address_;
+  }
+  void OnTunnelConnected(const std::string&, bool) override {}
+  bool requested = false;
+
+ private:
+  std::string address_;
+};
+
+// Guards against a refusal within the bytes of a tunnel of a busy VM.
+TEST_CASE("A tunnel that is established late is not refused afterwards") {
+  asio::io_context io;
+  asio::io_context blocking;
+  tcp::acceptor endpoint(blocking, {asio::ip::address_v4::loopback(), 0});
+  tcp::acceptor free_port(blocking, {asio::ip::address_v4::loopback(), 0});
+  const tcp::endpoint address = free_port.local_endpoint();
+  free_port.close();
+  OneEndpoint listener(Text(endpoint.local_endpoint()));
+  auto server = TunnelServer::Start(io, Text(address), listener);
+  REQUIRE(server);
+  tcp::socket caller(blocking);
+  caller.connect(address);
+  const std::array<char, 10> request = {4, 1, 0, 0, 0, 0, 0, 0, 'u', 0};
+  asio::write(caller, asio::buffer(request));
+  while (!listener.requested) REQUIRE(io.run_one() == 1);
+  // The connection and its time-out are both due when the VM goes on.
+  std::this_thread::sleep_for(kBusy);
+  io.run_for(kRunTime);
+  tcp::socket worker = endpoint.accept();
+  asio::write(worker, asio::buffer("answer", 6));
+  io.run_for(kRunTime);
+  REQUIRE((*server)->active() == 1);
+  std::array<char, 14> received{};
+  asio::read(caller, asio::buffer(received));
+  CHECK(std::string(received.data() + 8, 6) == "answer");
+}
+
+}  // namespace
+}  // namespace zr
--- a/modules/zr_gateway_host/tunnel_server.cc
+++ b/modules/zr_gateway_host/tunnel_server.cc
@@ -83,7 +83,10 @@
     timer_.expires_after(timeout);
     timer_.async_wait([weak = weak_from_this()](const asio::error_code& error) {
       if (error) return;
-      if (auto self = weak.lock()) self->Refuse();
+      auto self = weak.lock();
+      // On a busy VM the time-out may already be due when the connection is
+      // established.
+      if (self && !self->established_) self->Refuse();
     });
   }
 
@@ -131,6 +134,7 @@
           if (self->closed_ || !self->connecting_) return;
           if (connect_error) return self->Refuse();
           self->connecting_ = false;
+          self->established_ = true;
           self->timer_.cancel();
           self->server_->listener_.OnTunnelConnected(self->user_, true);
           SetKeepAlive(self->endpoint_.socket);
@@ -207,6 +211,7 @@
   std::string user_;
   std::array<uint8_t, kHeadBytes> reply_{};
   bool connecting_ = false;
+  bool established_ = false;
   bool closed_ = false;
 };
 
