--- a/modules/zr_platform/json_text.cc
+++ b/modules/zr_platform/json_text.cc
@@ -9,7 +9,7 @@
 
 using Json = nlohmann::json;
 
-// Writing and destroying a value take a stack frame a level.
+// Writing a value takes a stack frame a level.
 constexpr int kMaxDepth = 32;
 
 Json ParseWithinDepth(std::string_view text) {
