--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -15,10 +15,13 @@
 os.environ["BUILD"] = os.path.join(ROOT, "target")
 os.environ.setdefault("WAIT_S", "30")
 
+import deployment  # noqa: E402
 from deployment import DOMAINS, Deployment, wait_until  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 PORTS = 100
+# Exit code of a case that broke its rule; differs from that of a failed script.
+BROKEN = 3
 
 # Bounds of the small installations (sites/ordvakt-fjord.toml).
 SETTINGS = """node=edge-{vm}
@@ -157,9 +160,9 @@
         with case:
             case.note(f"all VMs are ready; TROUBLE={int(TROUBLE)}")
             test(case)
-        code = 1 if case.broken else 0
-        case.note(f"exit code {code}: the rule {'was broken' if code else 'held'}")
-        print(f"{'broken' if code else 'held'}: {case.broken[:3] if code else ''}")
+        code = BROKEN if case.broken else 0
+        case.note(f"the rule {'was broken' if code else 'held'}")
+        print(f"{'broken' if code else 'held'} {case.broken[:3] if code else ''}")
     except BaseException:
         traceback.print_exc()
         if case:
@@ -169,4 +172,4 @@
     os._exit(code)
 
 
-__all__ = ["Case", "TROUBLE", "main", "wait_until"]
+__all__ = ["Case", "TROUBLE", "deployment", "main", "wait_until"]
--- a/review/lib/run.sh
+++ b/review/lib/run.sh
@@ -3,4 +3,9 @@
 # case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 export PYTHONDONTWRITEBYTECODE=1
-exec timeout -k 5 115 python3 "review/$1/case.py"
+timeout -k 5 110 python3 "review/$1/case.py"
+case $? in
+  0) exit 0 ;;
+  3) exit 1 ;;
+  *) exit 2 ;;
+esac
