--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # nothing is built; the entry program comes from the build of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-for file in review/lib/*.py review/[0-9]/*.py tests/platform/deployment.py tests/platform/standins.py; do
+for file in review/lib/*.py review/[0-9]/*.py review/more/*/*.py tests/platform/deployment.py tests/platform/standins.py; do
   [ -e "$file" ] || continue
   python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read(), sys.argv[1])' "$file"
 done
--- /dev/null
+++ b/review/more/leaving/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec bash "$(dirname "$0")/../../lib/run.sh" more/leaving
