--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -167,7 +167,9 @@
         traceback.print_exc()
         if case:
             case.note("could not run: " + traceback.format_exc())
-    if case:
+    if case and os.environ.get("KEEP"):
+        print(f"logs: {case.folder}")
+    elif case:
         shutil.rmtree(case.folder, ignore_errors=True)
     os._exit(code)
 
