--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -2,6 +2,7 @@
 
 import os
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -124,6 +125,7 @@
         super().__init__(free_ports(), **options)
         self.record_file = open(os.path.join(folder, "record.txt"), "w")
         self.record_lock = threading.Lock()
+        self.start_lock, self.closing = threading.Lock(), False
         self.began = time.monotonic()
         self.broken = []
 
@@ -137,7 +139,17 @@
         self.broken.append(text)
         self.note(f"BROKEN: {text}")
 
+    def __exit__(self, *error):
+        with self.start_lock:  # no thread of a case starts a process after this
+            self.closing = True
+        super().__exit__(*error)
+
     def start(self, vm):
+        with self.start_lock:
+            if not self.closing:
+                self.launch(vm)
+
+    def launch(self, vm):
         settings = os.path.join(self.folder, f"edge-{vm}.conf")
         with open(settings, "w") as file:
             file.write(SETTINGS.format(
@@ -155,6 +167,8 @@
 def main(test, folder, **options):
     code = 2
     case = None
+    # A script that is stopped ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         case = Case(folder, **options)
         with case:
