Make suspects of all parts of a prompt

Cause: only the first 16 shared parts became suspects; the others were left out without a log line, so what all crashes had in common was not in the evidence. Ruled out: a wrong verdict (with 16 parts three crashes) and evidence lost between VMs.

Change: all parts are suspects. Of those that endpoints have answered, the 16 that were not answered for the longest time are told, which keeps the traffic small. The same class: suspects of a crash and in all are bounded by memory and counted when dropped; simultaneous crashes, as of a lost failure domain, no longer displace others; more answers are remembered; evidence is divided into messages that a link takes; zinniarilld tracks all blocks that it hashes. A request is checked again only after a new verdict.

--- a/modules/zr_daemon/request/suspect_registry.cc
+++ b/modules/zr_daemon/request/suspect_registry.cc
@@ -17,22 +17,11 @@
   return options;
 }
 
-// Blocks of a prompt that are tracked as suspects.
-constexpr size_t kMaxSuspectBlocks = 32;
-// Prompts that an endpoint may be reading when it fails.
-constexpr size_t kMaxSuspectPrompts = 16;
-
-CrashAttribution::Options AttributionOptions() {
-  CrashAttribution::Options options;
-  options.max_suspects = kMaxSuspectBlocks * kMaxSuspectPrompts;
-  return options;
-}
-
 /** The more blocks a prefix has, the more specific it is. */
 std::vector<CrashSuspect> SuspectsOf(const std::vector<PrefixHash>& prefixes) {
   std::vector<CrashSuspect> suspects;
+  suspects.reserve(prefixes.size());
   for (const PrefixHash prefix : prefixes) {
-    if (suspects.size() == kMaxSuspectBlocks) break;
     suspects.push_back(
         {Fingerprint(prefix.value()), static_cast<uint32_t>(suspects.size())});
   }
@@ -42,10 +31,7 @@
 }  // namespace
 
 SuspectRegistry::SuspectRegistry(NodeContext& context)
-    : context_(context),
-      table_(TableOptions()),
-      leases_(table_),
-      attribution_(AttributionOptions()) {}
+    : context_(context), table_(TableOptions()), leases_(table_) {}
 
 DomainId SuspectRegistry::DomainOf(const EndpointId& endpoint) const {
   const auto snapshot = context_.cluster->Get();
@@ -109,7 +95,9 @@
   for (const VmId& vm : joined) {
     if (vm == context_.settings.vm) continue;
     for (const Suspect& suspect : recent) context_.bus->Send(vm, suspect);
-    if (!IsEmpty(evidence)) context_.bus->Send(vm, evidence);
+    for (const CrashEvidence& message : SplitEvidence(evidence)) {
+      context_.bus->Send(vm, message);
+    }
   }
 }
 
@@ -125,12 +113,15 @@
   CrashAttribution::News news;
   {
     std::lock_guard lock(mutex_);
+    const std::vector<CrashSuspect> suspects =
+        attribution_.SelectSuspects(SuspectsOf(prefixes));
     news = attribution_.Merge(
-        SteadyNow(),
-        {{{endpoint, boot, Duration(), SuspectsOf(prefixes)}}, {}, {}});
+        SteadyNow(), {{{endpoint, boot, Duration(), suspects}}, {}, {}});
   }
   Append(news.reported, std::move(news.contradicting));
-  if (!IsEmpty(news.reported)) context_.bus->Broadcast(news.reported);
+  for (const CrashEvidence& message : SplitEvidence(std::move(news.reported))) {
+    context_.bus->Broadcast(message);
+  }
   RefuseBlamedRequests();
 }
 
--- a/modules/zr_gateway_host/dispatch_client.cc
+++ b/modules/zr_gateway_host/dispatch_client.cc
@@ -283,8 +283,9 @@
   if (retired_) Retire();
   const TimePoint now = BootNow();
   state_.log.Write(now, "peer_up", {{"peer", vm.value()}});
-  const CrashEvidence evidence = state_.suspects->Snapshot(now);
-  if (!IsEmpty(evidence)) Send(vm, evidence);
+  for (const CrashEvidence& evidence : state_.suspects->Snapshot(now)) {
+    Send(vm, evidence);
+  }
   const LimitReport limits = state_.limits->Snapshot(now);
   if (!limits.observations.empty()) Send(vm, limits);
   Send(vm, ConfigNotice{config_version_()});
--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -181,6 +181,14 @@
   const ServicePolicy* service_ = nullptr;
   TeamId team_;
   std::vector<CrashSuspect> suspects_;  // parts in order, then the request
+  /** The last verdict that did not reject the request. */
+  struct CheckedVerdict {
+    uint64_t number = 0;
+    bool is_reading = false;  // an endpoint was reading it
+    friend bool operator==(const CheckedVerdict&,
+                           const CheckedVerdict&) = default;
+  };
+  CheckedVerdict checked_;
 
   std::optional<Call> call_;
   std::set<EndpointId> tried_;
--- a/modules/zr_gateway_host/forwarded_request_suspects_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_suspects_impl.h
@@ -3,13 +3,12 @@
 // Implementation of forwarded_request.h: requests that may crash endpoints.
 
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace zr {
 namespace gateway_internal {
 
-// Parts of a prompt that are tracked as suspects.
-inline constexpr size_t kMaxSuspectParts = 16;
 // Parts that an error message names.
 inline constexpr size_t kMaxNamedParts = 4;
 // Retry-After of requests that are blamed for crashes of endpoints; the
@@ -23,8 +22,8 @@
     const CallerRequest& request, const ServiceName& service,
     const TeamId& team) {
   std::vector<CrashSuspect> suspects;
+  suspects.reserve(request.shared_parts.size() + 1);
   for (const std::string& part : request.shared_parts) {
-    if (suspects.size() == gateway_internal::kMaxSuspectParts) break;
     suspects.push_back(
         {Fingerprint(HashFields({"part", service.value(), part})),
          static_cast<uint32_t>(suspects.size())});
@@ -59,6 +58,8 @@
 template <GatewayFormat Format>
 bool ForwardedRequest<Format>::RejectBlamed(TimePoint now) {
   const bool is_reading = call_ && !call_->reserving && call_->handle;
+  const CheckedVerdict verdict{state_.suspects->verdicts(now), is_reading};
+  if (verdict == std::exchange(checked_, verdict)) return false;
   const Blame* blame = is_reading
                            ? state_.suspects->FindCancelled(now, suspects_)
                            : state_.suspects->FindBlame(now, suspects_);
--- a/modules/zr_gateway_host/suspect_exchange.cc
+++ b/modules/zr_gateway_host/suspect_exchange.cc
@@ -16,8 +16,8 @@
 constexpr Duration kMaxWritePeriod = Duration::Seconds(8);
 // Names of removed records that are remembered.
 constexpr size_t kMaxRemoved = 1024;
-// Suspects of a blame that a log line lists.
-constexpr size_t kMaxLoggedSuspects = 16;
+// Suspects that a log line lists.
+constexpr size_t kMaxLoggedSuspects = 64;
 
 void AddToAges(CrashEvidence& evidence, Duration duration) {
   for (auto& crash : evidence.crashes) crash.age = crash.age + duration;
@@ -40,14 +40,15 @@
 void SuspectExchange::OnCallBroken(TimePoint now, const RequestId& request,
                                    const EndpointId& endpoint, bool began,
                                    const std::vector<CrashSuspect>& suspects) {
-  const SuspectedCrash crash{endpoint, BootOf(endpoint), Duration(),
-                             began ? WholeRequestOf(suspects) : suspects};
-  LogFields fields = {{"request", request.value()},
-                      {"endpoint", endpoint.value()},
-                      {"boot", crash.boot.value()},
-                      {"began", began},
-                      {"suspects", LogFields::array()}};
+  const SuspectedCrash crash{
+      endpoint, BootOf(endpoint), Duration(),
+      attribution_.SelectSuspects(began ? WholeRequestOf(suspects) : suspects)};
+  LogFields fields = {
+      {"request", request.value()}, {"endpoint", endpoint.value()},
+      {"boot", crash.boot.value()}, {"began", began},
+      {"of", suspects.size()},      {"suspects", LogFields::array()}};
   for (const CrashSuspect& suspect : crash.suspects) {
+    if (fields["suspects"].size() == kMaxLoggedSuspects) break;
     fields["suspects"].push_back(ToHex(suspect.fingerprint));
   }
   state_.log.Write(now, "crash_suspected", fields);
@@ -90,10 +91,26 @@
                                const Sender& send_to_all) {
   forwards_ = forwards;
   LogVerdicts(now);
+  LogDropped(now);
   if (IsEmpty(outbox_) || !pace_.TryBegin(now, linked)) return;
   CrashEvidence evidence = std::exchange(outbox_, {});
   AddToAges(evidence, now - outbox_time_);
-  send_to_all(evidence);
+  for (const CrashEvidence& message : SplitEvidence(std::move(evidence))) {
+    send_to_all(message);
+  }
+}
+
+void SuspectExchange::LogDropped(TimePoint now) {
+  const CrashAttribution::Dropped& dropped = attribution_.dropped();
+  if (dropped == logged_dropped_) return;
+  logged_dropped_ = dropped;
+  state_.log.Write(
+      now, "crash_evidence_dropped",
+      {{"crashes", dropped.crashes}, {"suspects", dropped.suspects}});
+  state_.metrics.Set("zr_gateway_dropped_crashes", {},
+                     static_cast<double>(dropped.crashes));
+  state_.metrics.Set("zr_gateway_dropped_suspects", {},
+                     static_cast<double>(dropped.suspects));
 }
 
 void SuspectExchange::LogVerdicts(TimePoint now) {
--- a/modules/zr_gateway_host/suspect_exchange.h
+++ b/modules/zr_gateway_host/suspect_exchange.h
@@ -60,13 +60,17 @@
     return attribution_.FindCancelled(now, suspects);
   }
 
+  /** Number of verdicts so far; between two verdicts the results of FindBlame()
+   * and FindCancelled() stay the same. */
+  uint64_t verdicts(TimePoint now) { return attribution_.verdicts(now); }
+
   //============================================================================
   // Other VMs
 
   void OnEvidence(TimePoint now, const VmId& vm, const CrashEvidence& evidence);
-  /** For a VM that has just been linked. */
-  CrashEvidence Snapshot(TimePoint now) const {
-    return attribution_.Snapshot(now);
+  /** For a VM that has just been linked, in several messages if it is long. */
+  std::vector<CrashEvidence> Snapshot(TimePoint now) const {
+    return SplitEvidence(attribution_.Snapshot(now));
   }
   /** @param forwards  this VM passes on what it is told
    *  @param linked  number of linked VMs
@@ -101,6 +105,7 @@
   BootNumber BootOf(const EndpointId& endpoint) const;
   void Publish(TimePoint now, CrashEvidence evidence);
   void LogVerdicts(TimePoint now);
+  void LogDropped(TimePoint now);
   bool IsNeeded(const StoredRecord& record,
                 const std::set<Blame>& blames) const;
 
@@ -111,6 +116,7 @@
   BroadcastPace pace_;
   bool forwards_ = false;
   std::set<Blame> logged_;  // blamed in the log's last lines
+  CrashAttribution::Dropped logged_dropped_;
   std::map<std::string, StoredRecord> records_;  // by name
   std::set<std::string> removed_;  // records that were in the store
   std::map<std::string, PendingWrite> writes_;  // of records to be changed
--- a/modules/zr_request/crash_attribution.cc
+++ b/modules/zr_request/crash_attribution.cc
@@ -6,6 +6,9 @@
 namespace zr {
 namespace {
 
+// Suspects and answers in a message between VMs; some 16 bytes each.
+constexpr size_t kMaxMessageItems = 16'384;
+
 /** A blame of which all suspects are in the list, or null. */
 const Blame* FindContained(const std::set<Blame>& blames,
                            const std::vector<CrashSuspect>& suspects) {
@@ -60,6 +63,30 @@
   return news;
 }
 
+std::vector<CrashSuspect> CrashAttribution::SelectSuspects(
+    const std::vector<CrashSuspect>& suspects) const {
+  std::vector<TimePoint> answered;
+  for (const CrashSuspect& suspect : suspects) {
+    const TimePoint time = LastAnswered(suspect.fingerprint);
+    if (time > TimePoint()) answered.push_back(time);
+  }
+  if (answered.size() <= options_.max_answered_suspects) return suspects;
+  const auto limit = answered.begin() + static_cast<std::ptrdiff_t>(
+                                            options_.max_answered_suspects);
+  std::nth_element(answered.begin(), limit, answered.end());
+  // Of those that were answered at the limit, some fit.
+  auto left = limit - answered.begin() -
+              std::count_if(answered.begin(), limit,
+                            [&](TimePoint time) { return time < *limit; });
+  std::vector<CrashSuspect> selected;
+  for (const CrashSuspect& suspect : suspects) {
+    const TimePoint time = LastAnswered(suspect.fingerprint);
+    if (time > *limit || (time == *limit && left-- <= 0)) continue;
+    selected.push_back(suspect);
+  }
+  return selected;
+}
+
 bool CrashAttribution::AddCrash(TimePoint time, const SuspectedCrash& crash) {
   const CrashKey key(crash.endpoint, crash.boot);
   auto [it, is_new] = crashes_.try_emplace(key);
@@ -70,27 +97,65 @@
   for (const CrashSuspect& suspect : crash.suspects) {
     const TimePoint answered = LastAnswered(suspect.fingerprint);
     if (!known.suspects.contains(suspect.fingerprint)) {
-      if (known.suspects.size() >= options_.max_suspects) continue;
+      if (known.suspects.size() >= options_.max_suspects) {
+        ++dropped_.suspects;
+        continue;
+      }
       known.suspects[suspect.fingerprint] = {
           suspect.IsWholeRequest(), suspect.specificity, answered > TimePoint(),
           answered >= known.time};
+      ++suspects_;
+      open_.insert(suspect.fingerprint);
     }
     call.push_back(suspect.fingerprint);
   }
   std::sort(call.begin(), call.end());
   const bool is_news = known.calls.insert(std::move(call)).second;
-  bool is_dropped = false;
-  if (is_new && crashes_.size() > options_.max_crashes) {
-    const auto oldest = std::min_element(crashes_.begin(), crashes_.end(),
-                                         [](const auto& a, const auto& b) {
-                                           return a.second.time < b.second.time;
-                                         });
-    is_dropped = oldest->first == key;
-    crashes_.erase(oldest);
-  }
   next_expiry_ = std::min(next_expiry_, time + options_.retention);
   outdated_ = true;
-  return is_news && !is_dropped;
+  return DropExcess(key) && is_news;
+}
+
+void CrashAttribution::DropCrash(std::map<CrashKey, Crash>::iterator crash) {
+  suspects_ -= crash->second.suspects.size();
+  crashes_.erase(crash);
+}
+
+bool CrashAttribution::DropExcess(const CrashKey& added) {
+  while (crashes_.size() > options_.max_crashes ||
+         (suspects_ > options_.max_all_suspects && crashes_.size() > 1)) {
+    ++dropped_.crashes;
+    DropCrash(LeastCrash());
+  }
+  return crashes_.contains(added);
+}
+
+std::map<CrashAttribution::CrashKey, CrashAttribution::Crash>::iterator
+CrashAttribution::LeastCrash() {
+  // Of simultaneous crashes, as of a lost failure domain, two are as much
+  // evidence as all of them.
+  constexpr size_t kMinCrowd = 3;
+  const auto is_crowded = [this](const Crash& crash) {
+    const auto count =
+        std::count_if(crashes_.begin(), crashes_.end(), [&](const auto& other) {
+          const Duration distance = other.second.time - crash.time;
+          return distance <= options_.verdict.simultaneous &&
+                 Duration() - distance <= options_.verdict.simultaneous;
+        });
+    return static_cast<size_t>(count) >= kMinCrowd;
+  };
+  auto least = crashes_.begin();
+  bool least_is_crowded = is_crowded(least->second);
+  for (auto it = std::next(least); it != crashes_.end(); ++it) {
+    const bool crowded = is_crowded(it->second);
+    if (crowded < least_is_crowded) continue;
+    if (crowded == least_is_crowded && it->second.time >= least->second.time) {
+      continue;
+    }
+    least = it;
+    least_is_crowded = crowded;
+  }
+  return least;
 }
 
 void CrashAttribution::Remember(TimePoint time, Fingerprint fingerprint) {
@@ -109,17 +174,27 @@
   return TimePoint();
 }
 
-bool CrashAttribution::AddAnswered(TimePoint time, Fingerprint fingerprint) {
-  Remember(time, fingerprint);
+bool CrashAttribution::ClearOfCrashes(TimePoint time, Fingerprint fingerprint) {
+  if (!open_.contains(fingerprint)) return false;
   bool matters = false;
+  bool is_open = false;
   for (auto& [key, crash] : crashes_) {
     const auto it = crash.suspects.find(fingerprint);
     if (it == crash.suspects.end()) continue;
     Suspicion& suspicion = it->second;
     matters = !std::exchange(suspicion.answered_before, true) || matters;
-    if (crash.time > time) continue;
-    matters = !std::exchange(suspicion.cleared, true) || matters;
+    if (crash.time <= time) {
+      matters = !std::exchange(suspicion.cleared, true) || matters;
+    }
+    is_open = is_open || !suspicion.cleared;
   }
+  if (!is_open) open_.erase(fingerprint);
+  return matters;
+}
+
+bool CrashAttribution::AddAnswered(TimePoint time, Fingerprint fingerprint) {
+  Remember(time, fingerprint);
+  bool matters = ClearOfCrashes(time, fingerprint);
   for (auto& [blame, record] : records_) {
     if (record.since > time || !blame.contains(fingerprint)) continue;
     matters = record.cleared.insert(fingerprint).second || matters;
@@ -287,6 +362,7 @@
 }
 
 void CrashAttribution::Revise() {
+  ++verdicts_;
   verdict_ = JudgeEvidence();
   std::set<Blame> recorded;
   for (const auto& [blame, record] : records_) {
@@ -308,9 +384,16 @@
 
 void CrashAttribution::Expire(TimePoint now) {
   if (now < next_expiry_) return;
-  std::erase_if(crashes_, [&](const auto& item) {
-    return item.second.time + options_.retention <= now;
-  });
+  for (auto it = crashes_.begin(); it != crashes_.end();) {
+    const auto crash = it++;
+    if (crash->second.time + options_.retention <= now) DropCrash(crash);
+  }
+  open_.clear();
+  for (const auto& [key, crash] : crashes_) {
+    for (const auto& [fingerprint, suspicion] : crash.suspects) {
+      if (!suspicion.cleared) open_.insert(fingerprint);
+    }
+  }
   std::erase_if(records_, [&](const auto& item) {
     return item.second.since + options_.retention <= now;
   });
@@ -339,6 +422,30 @@
   return whole;
 }
 
+std::vector<CrashEvidence> SplitEvidence(CrashEvidence evidence) {
+  std::vector<CrashEvidence> messages;
+  size_t items = kMaxMessageItems;
+  const auto message_for = [&](size_t more) -> CrashEvidence& {
+    if (items + more > kMaxMessageItems) {
+      messages.emplace_back();
+      items = 0;
+    }
+    items += more;
+    return messages.back();
+  };
+  for (SuspectedCrash& crash : evidence.crashes) {
+    const size_t more = crash.suspects.size() + 1;
+    message_for(more).crashes.push_back(std::move(crash));
+  }
+  for (const AnsweredSuspect& answered : evidence.answered) {
+    message_for(1).answered.push_back(answered);
+  }
+  for (LiveEndpoint& live : evidence.live) {
+    message_for(1).live.push_back(std::move(live));
+  }
+  return messages;
+}
+
 bool IsEmpty(const CrashEvidence& evidence) {
   return evidence.crashes.empty() && evidence.answered.empty() &&
          evidence.live.empty();
--- a/modules/zr_request/crash_attribution.h
+++ b/modules/zr_request/crash_attribution.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <set>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -38,9 +39,15 @@
     Duration min_alive_delay = Duration::Milliseconds(150);
     /** What an endpoint sends later may come from its next incarnation. */
     Duration max_alive_delay = Duration::Milliseconds(1500);
-    size_t max_crashes = kMaxTrackedCrashes;  // the oldest are dropped
-    size_t max_suspects = 96;                 // of a crash
-    size_t max_answered = 4096;  // remembered; the oldest half is dropped
+    /** Of those suspects of a call that endpoints have answered; the ones that
+     * were not answered for the longest time are kept. */
+    size_t max_answered_suspects = 16;
+    /** Simultaneous crashes are dropped first, then the oldest. */
+    size_t max_crashes = kMaxTrackedCrashes;
+    /** Of a crash; a prompt has as many parts as fit into its headers. */
+    size_t max_suspects = 16'384;
+    size_t max_all_suspects = 65'536;  // the oldest crashes are dropped
+    size_t max_answered = 32'768;      // remembered; the oldest half is dropped
   };
 
   CrashAttribution() : CrashAttribution(Options{}) {}
@@ -55,6 +62,10 @@
     CrashEvidence contradicting;  // what this VM has observed itself
   };
 
+  /** Those suspects of a call that are evidence if it breaks: all that were
+   * never answered, and some that were. */
+  std::vector<CrashSuspect> SelectSuspects(
+      const std::vector<CrashSuspect>& suspects) const;
   /** Adds observations of this or another VM. */
   News Merge(TimePoint now, const CrashEvidence& evidence);
   /** These suspects are harmless, as an endpoint has answered.
@@ -90,6 +101,20 @@
   /** Age of the oldest of them; 0 if there is none. */
   Duration OldestCrash(TimePoint now, const Blame& blame) const;
   size_t crashes() const { return crashes_.size(); }
+  /** Number of verdicts so far; a new one may differ. */
+  uint64_t verdicts(TimePoint now) {
+    Blames(now);
+    return verdicts_;
+  }
+
+  /** Evidence that did not fit, since the start. */
+  struct Dropped {
+    size_t crashes = 0;
+    size_t suspects = 0;
+
+    friend bool operator==(const Dropped&, const Dropped&) = default;
+  };
+  const Dropped& dropped() const { return dropped_; }
 
  private:
   using CrashKey = std::pair<EndpointId, BootNumber>;
@@ -114,7 +139,14 @@
   /** Adds a call that broke.
    * @returns whether it is new */
   bool AddCrash(TimePoint time, const SuspectedCrash& crash);
+  void DropCrash(std::map<CrashKey, Crash>::iterator crash);
+  /** Drops crashes until the evidence is within its limits.
+   * @returns whether `added` was kept */
+  bool DropExcess(const CrashKey& added);
+  /** The crash that says least. */
+  std::map<CrashKey, Crash>::iterator LeastCrash();
   bool AddAnswered(TimePoint time, Fingerprint fingerprint);
+  bool ClearOfCrashes(TimePoint time, Fingerprint fingerprint);
   bool AddAlive(TimePoint time, const CrashKey& key);
   void Remember(TimePoint time, Fingerprint fingerprint);
   TimePoint LastAnswered(Fingerprint fingerprint) const;
@@ -126,12 +158,17 @@
 
   Options options_;
   std::map<CrashKey, Crash> crashes_;
+  size_t suspects_ = 0;  // of all crashes
+  // Suspects for which an answer may matter.
+  std::unordered_set<Fingerprint> open_;
   std::map<Blame, Record> records_;
   // Times of answers, for crashes that are reported after them. The older half
   // is dropped when the newer one is full.
   std::map<Fingerprint, TimePoint> answered_;
   std::map<Fingerprint, TimePoint> answered_before_;
   CrashVerdict verdict_;
+  uint64_t verdicts_ = 1;
+  Dropped dropped_;
   bool outdated_ = false;  // evidence has changed since the last verdict
   TimePoint next_expiry_ = TimePoint::Max();
 };
@@ -142,6 +179,9 @@
 std::vector<CrashSuspect> WholeRequestOf(
     const std::vector<CrashSuspect>& suspects);
 
+/** Divides evidence into messages of a bounded size, in any order of which the
+ * receiver comes to the same verdict. */
+std::vector<CrashEvidence> SplitEvidence(CrashEvidence evidence);
 /** Nothing was observed. */
 bool IsEmpty(const CrashEvidence& evidence);
 /** Adds the observations of `more`. */
--- a/modules/zr_request/crash_verdict.cc
+++ b/modules/zr_request/crash_verdict.cc
@@ -18,6 +18,8 @@
         const std::vector<CrashedCalls>& crashes, const VerdictOptions& options)
       : crashes_(crashes), options_(options) {
     for (const auto& [fingerprint, item] : cases) {
+      // What is in one crash only is no companion either.
+      if (item.crashes.count() + 1 < options_.min_crashes) continue;
       suspects_.emplace(fingerprint, Suspect{item, 0, 0});
     }
     for (const CrashedCalls& crash : crashes_) {
--- a/modules/zr_request/tests/crash_attribution_test.cc
+++ b/modules/zr_request/tests/crash_attribution_test.cc
@@ -1,5 +1,6 @@
 #include "zr_request/crash_attribution.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <functional>
@@ -221,6 +222,80 @@
   }
 }
 
+std::vector<CrashSuspect> LongPrompt(uint64_t parts, uint64_t request) {
+  std::vector<CrashSuspect> suspects;
+  for (uint64_t part = 0; part < parts; ++part) {
+    suspects.push_back({Fingerprint(1000 + part), static_cast<uint32_t>(part)});
+  }
+  suspects.push_back({Fingerprint(request), CrashSuspect::kWholeRequest});
+  return suspects;
+}
+
+// Guards against evidence that is left out silently because there is much.
+TEST_CASE("Evidence is kept with prompts of many parts and many crashes") {
+  constexpr uint64_t kParts = 3000;
+  const Fingerprint last_part(1000 + kParts - 1);
+  CrashAttribution table;
+  SECTION("the last of many parts is found") {
+    for (int i = 0; i < 6; ++i) {
+      const auto calls = LongPrompt(kParts, 100 + static_cast<uint64_t>(i));
+      REQUIRE(table.SelectSuspects(calls) == calls);
+      table.Merge(At(100 * i), Crash(i, calls));
+    }
+    auto sound = LongPrompt(kParts - 1, 200);
+    REQUIRE(Rejects(table, 600, LongPrompt(kParts, 200)));
+    REQUIRE_FALSE(Rejects(table, 600, sound));
+    table.OnAnswered(At(700), sound);
+    REQUIRE(table.Blames(At(700)) == Blames({{last_part}}));
+    REQUIRE(table.dropped() == CrashAttribution::Dropped());
+    SECTION("by a VM that is told in several messages") {
+      CrashAttribution other;
+      const auto messages = SplitEvidence(table.Snapshot(At(800)));
+      REQUIRE(messages.size() > 1);
+      for (auto it = messages.rbegin(); it != messages.rend(); ++it) {
+        other.Merge(At(800), *it);
+      }
+      REQUIRE(other.Blames(At(800)) == Blames({{last_part}}));
+    }
+  }
+  SECTION("what endpoints answered is told up to a limit, never the others") {
+    table.OnAnswered(At(-2000), {{last_part, 0}});
+    table.OnAnswered(At(-1000), LongPrompt(kParts - 1, 200));
+    const auto calls = LongPrompt(kParts, 100);
+    const auto selected = table.SelectSuspects(calls);
+    REQUIRE(selected.size() ==
+            CrashAttribution::Options().max_answered_suspects + 1);
+    REQUIRE(selected.back().IsWholeRequest());
+    REQUIRE(std::find(selected.begin(), selected.end(), calls[kParts - 1]) !=
+            selected.end());
+  }
+  SECTION("a lost failure domain does not displace other crashes") {
+    uint64_t request = 100;
+    for (int i = 0; i < 3; ++i) {
+      table.Merge(At(100 * i), Crash(i, Prompt(++request)));
+    }
+    for (int i = 0; i < 200; ++i) {
+      const uint64_t id = 10'000 + static_cast<uint64_t>(i);
+      table.Merge(At(5000 + i / 10), Crash(100 + i, {{Fingerprint(id), 0}}));
+    }
+    REQUIRE(Rejects(table, 6000, Prompt(++request)));
+    REQUIRE(table.dropped().crashes > 0);
+  }
+  SECTION("what does not fit is dropped with the oldest crashes, and counted") {
+    for (int i = 0; i < 40; ++i) {
+      auto calls = LongPrompt(kParts, 100 + static_cast<uint64_t>(i));
+      for (CrashSuspect& suspect : calls) {
+        const uint64_t offset = 10'000 * static_cast<uint64_t>(i);
+        suspect.fingerprint = Fingerprint(suspect.fingerprint.value() + offset);
+      }
+      table.Merge(At(1000 * i), Crash(i, calls));
+    }
+    REQUIRE(table.crashes() ==
+            CrashAttribution::Options().max_all_suspects / (kParts + 1));
+    REQUIRE(table.dropped().crashes == 40 - table.crashes());
+  }
+}
+
 //==============================================================================
 // Eight VMs that exchange evidence through two hubs, under faults
 
--- a/tests/platform/deadly_company.py
+++ b/tests/platform/deadly_company.py
@@ -133,15 +133,27 @@
     check(late <= MAX_LATER, f"{late} deadly prompts reached endpoints after the restart")
 
 
-STEPS = [new_part_follows, new_part_precedes, new_parts_around, company_changes,
-         parts_always_come_together]
+def deadly_among_many(d):
+    """Guards against evidence that is left out because a prompt has many parts."""
+    parts = [f"shared-{n}" for n in range(39)]
+    play(d, [["first", *parts[:18], DEADLY + "-6", *parts[18:]]], [["first", *parts]])
+
+
+def deadly_behind_many(d):
+    """The same beside many other prompts, whose answers are remembered as well."""
+    families = [[f"{family}-{n}" for n in range(200)] for family in range(12)]
+    play(d, [["first", *families[0], DEADLY + "-7"]],
+         [["first", *family] for other in families for family in (families[0], families[0], other)])
+
+
+COMPANY = [new_part_follows, new_part_precedes, new_parts_around, company_changes,
+           parts_always_come_together]
+STEPS = [*COMPANY, deadly_among_many, deadly_behind_many]
 
 
 def test(d):
     Endpoint.prefill_s, Endpoint.down_s = 0.05, 2.0
-    for step in STEPS:
-        if len(sys.argv) > 2 and step.__name__ not in sys.argv[2:]:
-            continue
+    for step in [s for s in STEPS if s.__name__ in sys.argv[2:]] or COMPANY:
         print(f"- {step.__name__}", flush=True)
         step(d)
 
--- a/tests/system/engines_crashed_by_one_beginning.py
+++ b/tests/system/engines_crashed_by_one_beginning.py
@@ -5,27 +5,29 @@
 
 # Prompts are compared by blocks of this size, in bytes.
 BLOCK = 1024
-SHARED = "a" * BLOCK
-DEADLY = SHARED + "[[crash]]".ljust(BLOCK, "b")
+# Blocks that sound prompts have in common with those that crash engines.
+SHARED_BLOCKS = (1, 100)
 
 
-def crash_engines(cluster):
+def crash_engines(cluster, shared):
+    deadly = shared + "[[crash]]".ljust(BLOCK, "b")
     refusals = []
     for turn in range(10):
-        cluster.answer(turn % 4, f"{SHARED} sound {turn}", 3)
-        stream = cluster.open(turn % 4, f"{DEADLY} of caller {turn}", 20).read()
+        cluster.answer(turn % 4, f"{shared} sound {turn}", 3)
+        stream = cluster.open(turn % 4, f"{deadly} of caller {turn}", 20).read()
         check(not stream.done, "a crashing prompt was answered")
         refusals.append((stream.status, stream.error["code"]))
     crashes = sum(s["counters"].get("crashes", 0) for s in cluster.engine_states().values())
     check(1 <= crashes <= 5, f"{crashes} engines crashed; answers: {refusals}")
     check(refusals[-1] == (422, "suspect_request"), f"answers: {refusals}")
-    cluster.answer(1, f"{SHARED} sound afterwards", 3)
+    cluster.answer(1, f"{shared} sound afterwards", 3)
 
 
 def test(base):
-    with Cluster(base, vms=4, engines=8) as cluster:
-        crash_engines(cluster)
-        cluster.check_invariants()
+    for blocks in SHARED_BLOCKS:
+        with Cluster(base, vms=4, engines=8) as cluster:
+            crash_engines(cluster, "a" * blocks * BLOCK)
+            cluster.check_invariants()
 
 
 if __name__ == "__main__":
