Bound what all answers without end take together

Cause: each call was bounded, but not the sum. A short header line costs many times its bytes in the client's library and the map of headers, and an incomplete event of up to 256 KB was outside the budget of buffered bodies. Ruled out: bodies that are buffered whole, interim answers.

Change: an answer may have 512 header lines; an incomplete event counts against the budget.

--- a/modules/zr_gateway/buffer_budget.h
+++ b/modules/zr_gateway/buffer_budget.h
@@ -6,7 +6,8 @@
 namespace zr {
 
 /**
- * Bounds the memory of answers that are buffered whole. Each answer may hold a
+ * Bounds the memory of answers that are buffered whole and of incomplete events
+ * of those that are streamed. Each answer may hold a
  * quarter of what all others leave free, so that answers without end run into
  * their limit early and leave room for the rest; a small answer always fits.
  */
@@ -28,11 +29,16 @@
 
     /** @returns false if the answer exceeds its limit */
     [[nodiscard]] bool TryGrow(size_t bytes) {
-      if (held_ + bytes > std::max(kSmallAnswer, budget_->free() / 4)) {
+      return TryResize(held_ + bytes);
+    }
+    /** @returns false if the answer exceeds its limit */
+    [[nodiscard]] bool TryResize(size_t bytes) {
+      if (bytes > held_ &&
+          bytes > std::max(kSmallAnswer, budget_->free() / 4)) {
         return false;
       }
-      held_ += bytes;
-      budget_->held_ += bytes;
+      budget_->held_ += bytes - held_;
+      held_ = bytes;
       return true;
     }
 
--- a/modules/zr_gateway/tests/buffer_budget_test.cc
+++ b/modules/zr_gateway/tests/buffer_budget_test.cc
@@ -28,6 +28,10 @@
       BufferBudget::Share small(budget);
       REQUIRE(small.TryGrow(BufferBudget::kSmallAnswer));
     }
+    SECTION("and give back what they have passed on") {
+      for (auto& answer : answers) REQUIRE(answer.TryResize(0));
+      REQUIRE(budget.held() == 0);
+    }
     SECTION("and give it back at their end") {
       answers.clear();
       REQUIRE(budget.held() == 0);
--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -90,7 +90,7 @@
     std::optional<AnswerHead> head;
     EventSplitter events;
     std::string body;
-    BufferBudget::Share buffer;       // of the body
+    BufferBudget::Share buffer;       // of the body, or of an incomplete event
     bool prefilling = true;           // the prompt has not been read in full
     bool dispatched = false;          // a dispatcher has chosen its endpoints
     std::optional<TunnelVm> through;  // none: this VM's own path
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -218,7 +218,9 @@
   if (route_->streaming && call_->head->status == 200) {
     call_->events.Append(data);
     ForwardEvents();
-    if (call_->events.pending_bytes() > EventSplitter::kMaxEventBytes) {
+    const size_t pending = call_->events.pending_bytes();
+    if (pending > EventSplitter::kMaxEventBytes ||
+        !call_->buffer.TryResize(pending)) {
       FailCall(CallFailure::kConnectionBroken, CallResult::kConnectionBroken,
                "event is too large");
     }
--- a/modules/zr_http/client/http_call.cc
+++ b/modules/zr_http/client/http_call.cc
@@ -23,6 +23,8 @@
 // Limit on all header lines of a call. Real responses stay far below it; a
 // faulty server may send lines without end.
 constexpr size_t kMaxHeaderBytes = size_t{64} << 10;
+// The same for their number, as a short line costs many times its bytes.
+constexpr size_t kMaxHeaderLines = 512;
 
 int OnSocketCreated(void*, curl_socket_t fd, curlsocktype) {
   // Best effort: where the option is not supported, the call's deadline
@@ -147,7 +149,8 @@
   std::string_view line(data, size * count);
   call->header_bytes_ += line.size();
   call->bytes_received_ += line.size();
-  if (call->header_bytes_ > kMaxHeaderBytes) {
+  if (call->header_bytes_ > kMaxHeaderBytes ||
+      ++call->header_lines_ > kMaxHeaderLines) {
     call->exceeded_ = "response headers";
     return 0;  // fails the call
   }
--- a/modules/zr_http/client/http_call.h
+++ b/modules/zr_http/client/http_call.h
@@ -52,6 +52,7 @@
   bool headers_delivered_ = false;
   bool request_sent_ = false;
   size_t header_bytes_ = 0;  // received, including interim responses
+  size_t header_lines_ = 0;  // of all answers, interim ones as well
   size_t body_bytes_ = 0;    // received
   size_t bytes_received_ = 0;
   const char* exceeded_ = nullptr;  // the part that exceeds its limit
--- a/modules/zr_http/tests/http_test.cc
+++ b/modules/zr_http/tests/http_test.cc
@@ -305,6 +305,28 @@
   std::promise<std::optional<ClientFailure>>& ended_;
 };
 
+// Guards against answers whose many short header lines use up the memory.
+TEST_CASE("An answer with too many header lines is rejected") {
+  size_t lines = 0;
+  Fixture fixture(
+      [&lines](const HttpRequest&, std::shared_ptr<HttpResponse> response) {
+        HttpHeaders headers;
+        for (size_t i = 0; i < lines; ++i)
+          headers["x-" + std::to_string(i)] = "y";
+        response->Send(200, headers, "");
+      });
+  SECTION("but many are allowed") {
+    lines = 400;
+    REQUIRE(fixture.Fetch(Post("/", "")).has_value());
+  }
+  SECTION("far below the limit on their bytes") {
+    lines = 600;
+    const auto result = fixture.Fetch(Post("/", ""));
+    REQUIRE_FALSE(result);
+    REQUIRE(result.error().error.code == ErrorCode::kTooLarge);
+  }
+}
+
 TEST_CASE("An exception does not end the process") {
   using At = ThrowingListener::At;
   Fixture fixture([](const HttpRequest&, const HttpResponsePtr& response) {
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -348,6 +348,7 @@
 ENDLESS = {
     "junk": (b"", b"x" * 65536),
     "header lines": (b"HTTP/1.1 200 OK\r\n", b"X-%d: y\r\n" * 1000),
+    "small fields": (b"HTTP/1.1 200 OK\r\n", b"".join(b"%x:\r\n" % n for n in range(1000))),
     "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1000),
     "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65536),
     "chunks": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -356,6 +357,8 @@
                  b"X-Trailer: y\r\n" * 1000),
     "events without id": (b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
                           b"data: x\n\n" * 1000),
+    "long event": (b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ",
+                   b"x" * 8192),
     "error body": (b"HTTP/1.1 500 Error\r\n\r\n", b"x" * 65536),
 }
 
