--- a/modules/zr_http/tests/http_test.cc
+++ b/modules/zr_http/tests/http_test.cc
@@ -311,8 +311,9 @@
   Fixture fixture(
       [&lines](const HttpRequest&, std::shared_ptr<HttpResponse> response) {
         HttpHeaders headers;
-        for (size_t i = 0; i < lines; ++i)
+        for (size_t i = 0; i < lines; ++i) {
           headers["x-" + std::to_string(i)] = "y";
+        }
         response->Send(200, headers, "");
       });
   SECTION("but many are allowed") {
--- a/modules/zr_request/crash_verdict.cc
+++ b/modules/zr_request/crash_verdict.cc
@@ -18,8 +18,11 @@
         const std::vector<CrashedCalls>& crashes, const VerdictOptions& options)
       : crashes_(crashes), options_(options) {
     for (const auto& [fingerprint, item] : cases) {
-      // What is in one crash only is no companion either.
-      if (item.crashes.count() + 1 < options_.min_crashes) continue;
+      // Too few for a companion: these lack less than `min_separating` crashes.
+      if (item.crashes.count() + options_.min_separating <=
+          options_.min_crashes) {
+        continue;
+      }
       suspects_.emplace(fingerprint, Suspect{item, 0, 0});
     }
     for (const CrashedCalls& crash : crashes_) {
