--- a/modules/zr_gateway_host/suspect_exchange.cc
+++ b/modules/zr_gateway_host/suspect_exchange.cc
@@ -64,6 +64,20 @@
   Publish(now, attribution_.OnAlive(now, endpoint, BootOf(endpoint)));
 }
 
+const Blame* SuspectExchange::FindBlame(
+    TimePoint now, const std::vector<CrashSuspect>& suspects) {
+  const Blame* blame = attribution_.FindBlame(now, suspects);
+  if (blame != nullptr) LogVerdicts(now);
+  return blame;
+}
+
+const Blame* SuspectExchange::FindCancelled(
+    TimePoint now, const std::vector<CrashSuspect>& suspects) {
+  const Blame* blame = attribution_.FindCancelled(now, suspects);
+  if (blame != nullptr) LogVerdicts(now);
+  return blame;
+}
+
 //==============================================================================
 // Other VMs
 
--- a/modules/zr_gateway_host/suspect_exchange.h
+++ b/modules/zr_gateway_host/suspect_exchange.h
@@ -49,17 +49,13 @@
   }
   /** The endpoint sent a part of an answer. */
   void OnAlive(TimePoint now, const EndpointId& endpoint);
-  /** The blame for which these must not reach an endpoint, or null. */
+  /** The blame for which these must not reach an endpoint, or null. Its line is
+   * in the log before that of the rejected request. */
   const Blame* FindBlame(TimePoint now,
-                         const std::vector<CrashSuspect>& suspects) {
-    return attribution_.FindBlame(now, suspects);
-  }
+                         const std::vector<CrashSuspect>& suspects);
   /** The blame for which a call that an endpoint is reading has to end. */
   const Blame* FindCancelled(TimePoint now,
-                             const std::vector<CrashSuspect>& suspects) {
-    return attribution_.FindCancelled(now, suspects);
-  }
-
+                             const std::vector<CrashSuspect>& suspects);
   /** Number of verdicts so far; between two verdicts the results of FindBlame()
    * and FindCancelled() stay the same. */
   uint64_t verdicts(TimePoint now) { return attribution_.verdicts(now); }
