--- a/modules/zr_request/crash_attribution.cc
+++ b/modules/zr_request/crash_attribution.cc
@@ -94,6 +94,7 @@
   if (!is_new && time > known.time + options_.max_break_delay) return false;
   if (is_new || time < known.time) known.time = time;
   std::vector<Fingerprint> call;
+  size_t added_bytes = 0;
   for (const CrashSuspect& suspect : crash.suspects) {
     const TimePoint answered = LastAnswered(suspect.fingerprint);
     if (!known.suspects.contains(suspect.fingerprint)) {
@@ -104,26 +105,30 @@
       known.suspects[suspect.fingerprint] = {
           suspect.IsWholeRequest(), suspect.specificity, answered > TimePoint(),
           answered >= known.time};
-      ++suspects_;
+      added_bytes += kSuspectBytes;
       open_.insert(suspect.fingerprint);
     }
     call.push_back(suspect.fingerprint);
   }
   std::sort(call.begin(), call.end());
+  const size_t mentions = call.size();
   const bool is_news = known.calls.insert(std::move(call)).second;
+  if (is_news) added_bytes += mentions * kMentionBytes;
+  known.bytes += added_bytes;
+  bytes_ += added_bytes;
   next_expiry_ = std::min(next_expiry_, time + options_.retention);
   outdated_ = true;
   return DropExcess(key) && is_news;
 }
 
 void CrashAttribution::DropCrash(std::map<CrashKey, Crash>::iterator crash) {
-  suspects_ -= crash->second.suspects.size();
+  bytes_ -= crash->second.bytes;
   crashes_.erase(crash);
 }
 
 bool CrashAttribution::DropExcess(const CrashKey& added) {
   while (crashes_.size() > options_.max_crashes ||
-         (suspects_ > options_.max_all_suspects && crashes_.size() > 1)) {
+         (bytes_ > options_.max_bytes && crashes_.size() > 1)) {
     ++dropped_.crashes;
     DropCrash(LeastCrash());
   }
--- a/modules/zr_request/crash_attribution.h
+++ b/modules/zr_request/crash_attribution.h
@@ -46,10 +46,15 @@
     size_t max_crashes = kMaxTrackedCrashes;
     /** Of a crash; a prompt has as many parts as fit into its headers. */
     size_t max_suspects = 16'384;
-    size_t max_all_suspects = 65'536;  // the oldest crashes are dropped
-    size_t max_answered = 32'768;      // remembered; the oldest half is dropped
+    /** Of suspects and calls of all crashes; the oldest are dropped. */
+    size_t max_bytes = size_t{6} << 20;
+    size_t max_answered = 32'768;  // remembered; the oldest half is dropped
   };
 
+  /** Memory of a suspect of a crash, and of its mention by a call. */
+  static constexpr size_t kSuspectBytes = 80;
+  static constexpr size_t kMentionBytes = sizeof(Fingerprint);
+
   CrashAttribution() : CrashAttribution(Options{}) {}
   explicit CrashAttribution(Options options) : options_(options) {}
 
@@ -129,6 +134,7 @@
     std::map<Fingerprint, Suspicion> suspects;
     // Suspects of each call that broke, ascending.
     std::set<std::vector<Fingerprint>> calls;
+    size_t bytes = 0;        // of both
     bool dismissed = false;  // the endpoint is alive
   };
   struct Record {
@@ -158,7 +164,7 @@
 
   Options options_;
   std::map<CrashKey, Crash> crashes_;
-  size_t suspects_ = 0;  // of all crashes
+  size_t bytes_ = 0;  // of all crashes
   // Suspects for which an answer may matter.
   std::unordered_set<Fingerprint> open_;
   std::map<Blame, Record> records_;
--- a/modules/zr_request/tests/crash_attribution_test.cc
+++ b/modules/zr_request/tests/crash_attribution_test.cc
@@ -290,8 +290,11 @@
       }
       table.Merge(At(1000 * i), Crash(i, calls));
     }
+    constexpr size_t kCrashBytes =
+        (kParts + 1) *
+        (CrashAttribution::kSuspectBytes + CrashAttribution::kMentionBytes);
     REQUIRE(table.crashes() ==
-            CrashAttribution::Options().max_all_suspects / (kParts + 1));
+            CrashAttribution::Options().max_bytes / kCrashBytes);
     REQUIRE(table.dropped().crashes == 40 - table.crashes());
   }
 }
