--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -278,6 +278,8 @@
     return;
   }
   const bool ready = Ready();
+  // Requests that follow this answer must not wait for the next tick.
+  if (ready) state_.startup.OnServing();
   if (ready != was_ready_) {
     const TimePoint now = BootNow();
     state_.log.Write(
--- a/tests/system/engines_crashed_by_one_beginning.py
+++ b/tests/system/engines_crashed_by_one_beginning.py
@@ -9,7 +9,7 @@
 SHARED_BLOCKS = (1, 100)
 
 
-def crash_engines(cluster, shared):
+def crash_engines(cluster, shared="a" * BLOCK):
     deadly = shared + "[[crash]]".ljust(BLOCK, "b")
     refusals = []
     for turn in range(10):
