Let a record of several suspects yield to a VM's own evidence

Cause: since blames have several suspects, a record was overruled only if each of them is known from three crashes; a companion may be known from two. Evidence: the line suspect_blamed with 0 crashes, 0.2 s after that of the VM that wrote the record.

Change: a record yields to answers since the known crashes, and to evidence of three crashes of one suspect and of two of each. Both new sections failed before.

--- a/modules/zr_request/crash_attribution.cc
+++ b/modules/zr_request/crash_attribution.cc
@@ -126,12 +126,23 @@
   crashes_.erase(crash);
 }
 
+void CrashAttribution::IndexOpen() {
+  open_.clear();
+  for (const auto& [key, crash] : crashes_) {
+    for (const auto& [fingerprint, suspicion] : crash.suspects) {
+      if (!suspicion.cleared) open_.insert(fingerprint);
+    }
+  }
+}
+
 bool CrashAttribution::DropExcess(const CrashKey& added) {
   while (crashes_.size() > options_.max_crashes ||
          (bytes_ > options_.max_bytes && crashes_.size() > 1)) {
     ++dropped_.crashes;
     DropCrash(LeastCrash());
   }
+  // The index still has the suspects of dropped crashes.
+  if (open_.size() > 2 * options_.max_bytes / kSuspectBytes) IndexOpen();
   return crashes_.contains(added);
 }
 
@@ -241,6 +252,13 @@
   return news;
 }
 
+std::optional<TimePoint> CrashAttribution::CrashTime(const EndpointId& endpoint,
+                                                     BootNumber boot) const {
+  const auto it = crashes_.find({endpoint, boot});
+  if (it == crashes_.end()) return std::nullopt;
+  return it->second.time;
+}
+
 CrashEvidence CrashAttribution::Snapshot(TimePoint now) const {
   CrashEvidence evidence;
   constexpr Duration kBefore = Duration::Microseconds(1);
@@ -351,6 +369,24 @@
   return JudgeCrashes(cases, broken, options_.verdict);
 }
 
+size_t CrashAttribution::CountAppearances(Fingerprint fingerprint) const {
+  return static_cast<size_t>(std::count_if(
+      crashes_.begin(), crashes_.end(), [fingerprint](const auto& item) {
+        return item.second.suspects.contains(fingerprint);
+      }));
+}
+
+bool CrashAttribution::WasAnsweredSince(Fingerprint fingerprint) const {
+  bool is_known = false;
+  for (const auto& [key, crash] : crashes_) {
+    const auto it = crash.suspects.find(fingerprint);
+    if (it == crash.suspects.end() || crash.dismissed) continue;
+    if (!it->second.cleared) return false;
+    is_known = true;
+  }
+  return is_known;
+}
+
 bool CrashAttribution::IsOverruled(const Blame& recorded) const {
   const bool is_confirmed = std::any_of(
       verdict_.blames.begin(), verdict_.blames.end(), [&](const Blame& blame) {
@@ -358,12 +394,17 @@
                              recorded.end());
       });
   if (is_confirmed) return false;
-  return std::all_of(recorded.begin(), recorded.end(), [&](Fingerprint f) {
-    const auto appearances = std::count_if(
-        crashes_.begin(), crashes_.end(),
-        [&](const auto& item) { return item.second.suspects.contains(f); });
-    return static_cast<size_t>(appearances) >= options_.verdict.min_crashes;
-  });
+  // A blame has one suspect of enough crashes; its companions may lack some.
+  const VerdictOptions& verdict = options_.verdict;
+  size_t most = 0;
+  size_t fewest = SIZE_MAX;
+  for (const Fingerprint fingerprint : recorded) {
+    const size_t appearances = CountAppearances(fingerprint);
+    most = std::max(most, appearances);
+    fewest = std::min(fewest, appearances);
+  }
+  return most >= verdict.min_crashes &&
+         fewest + verdict.min_separating > verdict.min_crashes;
 }
 
 void CrashAttribution::Revise() {
@@ -372,9 +413,12 @@
   std::set<Blame> recorded;
   for (const auto& [blame, record] : records_) {
     Blame suspects;
-    std::set_difference(blame.begin(), blame.end(), record.cleared.begin(),
-                        record.cleared.end(),
-                        std::inserter(suspects, suspects.end()));
+    for (const Fingerprint fingerprint : blame) {
+      if (!record.cleared.contains(fingerprint) &&
+          !WasAnsweredSince(fingerprint)) {
+        suspects.insert(fingerprint);
+      }
+    }
     // Suspects of as many crashes that are not blamed say more than a record
     // that was made from less evidence.
     if (!suspects.empty() && !IsOverruled(suspects)) {
@@ -393,12 +437,7 @@
     const auto crash = it++;
     if (crash->second.time + options_.retention <= now) DropCrash(crash);
   }
-  open_.clear();
-  for (const auto& [key, crash] : crashes_) {
-    for (const auto& [fingerprint, suspicion] : crash.suspects) {
-      if (!suspicion.cleared) open_.insert(fingerprint);
-    }
-  }
+  IndexOpen();
   std::erase_if(records_, [&](const auto& item) {
     return item.second.since + options_.retention <= now;
   });
--- a/modules/zr_request/crash_attribution.h
+++ b/modules/zr_request/crash_attribution.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_set>
 #include <utility>
@@ -81,6 +82,9 @@
    * @returns what matters to other VMs */
   CrashEvidence OnAlive(TimePoint now, const EndpointId& endpoint,
                         BootNumber boot);
+  /** When the endpoint crashed, if it is known. */
+  std::optional<TimePoint> CrashTime(const EndpointId& endpoint,
+                                     BootNumber boot) const;
   /** All evidence, for a VM that has just been linked. */
   CrashEvidence Snapshot(TimePoint now) const;
 
@@ -149,6 +153,7 @@
   /** Drops crashes until the evidence is within its limits.
    * @returns whether `added` was kept */
   bool DropExcess(const CrashKey& added);
+  void IndexOpen();
   /** The crash that says least. */
   std::map<CrashKey, Crash>::iterator LeastCrash();
   bool AddAnswered(TimePoint time, Fingerprint fingerprint);
@@ -158,6 +163,10 @@
   TimePoint LastAnswered(Fingerprint fingerprint) const;
   std::vector<TimePoint> CrashTimes(const Blame& blame) const;
   CrashVerdict JudgeEvidence() const;
+  /** Number of known crashes of which it is a suspect, cleared or not. */
+  size_t CountAppearances(Fingerprint fingerprint) const;
+  /** An endpoint has answered it since the last of its known crashes. */
+  bool WasAnsweredSince(Fingerprint fingerprint) const;
   bool IsOverruled(const Blame& recorded) const;
   void Revise();
   void Expire(TimePoint now);
--- a/modules/zr_request/tests/crash_attribution_test.cc
+++ b/modules/zr_request/tests/crash_attribution_test.cc
@@ -198,6 +198,26 @@
     table.OnRecorded(At(300), {kDeadly});
     REQUIRE(table.Blames(At(300)) == Blames({{kDeadly}}));
   }
+  SECTION("a record yields to answers since the crashes") {
+    CrashAttribution other;
+    other.Merge(At(0), Crash(1, Prompt(100)));
+    other.Merge(At(100), Crash(2, Prompt(101)));
+    other.OnAnswered(At(200), {{kFirst, 0}, {kDeadly, 1}});
+    other.OnRecorded(At(300), {kFirst, kDeadly});
+    REQUIRE(other.Blames(At(300)).empty());
+  }
+  SECTION("a record yields to evidence of as many crashes") {
+    const Fingerprint companion(3);
+    CrashAttribution other;
+    for (int i = 0; i < 5; ++i) {
+      std::vector<CrashSuspect> suspects = {{kDeadly, 0}};
+      if (i < 3) suspects.push_back({kFirst, 1});
+      if (i < 2) suspects.push_back({companion, 2});
+      other.Merge(At(100 * i), Crash(i, suspects));
+    }
+    other.OnRecorded(At(500), {kFirst, companion});
+    REQUIRE(other.Blames(At(500)) == Blames({{kDeadly}}));
+  }
   SECTION("a record yields to evidence of which it is no part") {
     const Fingerprint kOther(3);
     CrashAttribution other;
