Blame a part before a whole request unless two crashes differ

Cause: the end of an answer clears a whole request, the beginning of an answer a part, so whole requests gather crashes for longer.

--- a/modules/zr_request/crash_verdict.cc
+++ b/modules/zr_request/crash_verdict.cc
@@ -95,18 +95,23 @@
     Recount();
   }
 
+  /** What is blamed first: of two that explain as much, the one in fewer calls
+   * costs less if the choice is wrong. */
+  auto Rank(const Suspect& suspect) const {
+    // Only the end of an answer clears a whole request, so sound requests that
+    // are alike are suspects for longer than the parts of a prompt.
+    const size_t lead =
+        suspect.item.is_whole_request ? options_.min_separating - 1 : 0;
+    return std::tuple(!suspect.item.answered_before, suspect.count - lead,
+                      !suspect.item.is_whole_request,
+                      -static_cast<int64_t>(suspect.calls));
+  }
+
   std::optional<Fingerprint> FindBest() const {
-    // Of two that explain as much, the one in fewer calls costs less if the
-    // choice is wrong.
-    const auto rank = [](const Suspect& suspect) {
-      return std::tuple(!suspect.item.answered_before, suspect.count,
-                        !suspect.item.is_whole_request,
-                        -static_cast<int64_t>(suspect.calls));
-    };
     auto best = suspects_.end();
     for (auto it = suspects_.begin(); it != suspects_.end(); ++it) {
       if (it->second.count < options_.min_crashes) continue;
-      if (best == suspects_.end() || rank(it->second) > rank(best->second)) {
+      if (best == suspects_.end() || Rank(it->second) > Rank(best->second)) {
         best = it;
       }
     }
@@ -142,8 +147,8 @@
     return shared;
   }
 
-  /** Others that explain nearly all its crashes, each by calls with it; none
-   * if some are left. */
+  /** Others that explain nearly all its crashes, each by calls with it, in the
+   * order in which they are blamed; none if some are left. */
   std::vector<Fingerprint> ExplainingCompanions(Fingerprint fingerprint) const {
     const Suspect& suspect = suspects_.at(fingerprint);
     std::vector<Fingerprint> companions;
@@ -160,6 +165,10 @@
       }
     }
     if (IsSeparate(suspect.item.crashes & ~explained)) companions.clear();
+    std::stable_sort(companions.begin(), companions.end(),
+                     [this](Fingerprint a, Fingerprint b) {
+                       return Rank(suspects_.at(a)) > Rank(suspects_.at(b));
+                     });
     return companions;
   }
 
--- a/modules/zr_request/tests/crash_verdict_test.cc
+++ b/modules/zr_request/tests/crash_verdict_test.cc
@@ -14,7 +14,8 @@
 constexpr uint64_t kUsual = 5;  // sound, answered before the crashes
 
 /** Crashes one after the other, each with the calls that broke. */
-CrashVerdict Judge(const std::vector<std::vector<Call>>& calls_of_crashes) {
+CrashVerdict Judge(const std::vector<std::vector<Call>>& calls_of_crashes,
+                   const std::set<uint64_t>& whole_requests = {}) {
   std::map<Fingerprint, CrashCase> cases;
   std::vector<CrashedCalls> crashes;
   for (const auto& calls : calls_of_crashes) {
@@ -29,6 +30,7 @@
         suspects.push_back(suspect);
         cases[suspect].crashes.set(number);
         cases[suspect].answered_before = value == kUsual;
+        cases[suspect].is_whole_request = whole_requests.contains(value);
       }
       std::sort(suspects.begin(), suspects.end());
       crash.calls.push_back(std::move(suspects));
@@ -97,6 +99,17 @@
   }
 }
 
+// Guards against sound requests that are alike and lead by one crash.
+TEST_CASE("A part is blamed before a whole request unless two crashes differ") {
+  constexpr uint64_t kRequest = 7;  // the fingerprint of several sound requests
+  const std::vector<Call> both = {{kDeadly}, {kRequest}};
+  const std::vector<Call> request = {{kRequest}};
+  REQUIRE(Judge({both, both, both, request}, {kRequest}).blames ==
+          Blames({{kDeadly}}));
+  REQUIRE(Judge({both, both, both, request, request}, {kRequest}).blames ==
+          Blames({{kRequest}}));
+}
+
 // Guards against the end of sound calls whose answers would show that the blame
 // is wrong.
 TEST_CASE("Calls in progress go on while other parts may be deadly") {
