Count a cancelled call if its endpoint crashes soon afterwards

A cancelled call is now reported once the crash of its endpoint is known, from this VM or another, within 0.5 s.

--- a/modules/zr_gateway/buffer_budget.h
+++ b/modules/zr_gateway/buffer_budget.h
@@ -7,9 +7,9 @@
 
 /**
  * Bounds the memory of answers that are buffered whole and of incomplete events
- * of those that are streamed. Each answer may hold a
- * quarter of what all others leave free, so that answers without end run into
- * their limit early and leave room for the rest; a small answer always fits.
+ * of those that are streamed. Each answer may hold a quarter of what all others
+ * leave free, so that answers without end run into their limit early and leave
+ * room for the rest; a small answer always fits.
  */
 class BufferBudget {
  public:
--- a/modules/zr_gateway_host/forwarded_request_suspects_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_suspects_impl.h
@@ -64,6 +64,10 @@
                            ? state_.suspects->FindCancelled(now, suspects_)
                            : state_.suspects->FindBlame(now, suspects_);
   if (blame == nullptr) return false;
+  if (is_reading) {
+    state_.suspects->OnCallCancelled(now, request_.id,
+                                     call_->plan.primary.endpoint, suspects_);
+  }
   ReleaseCall();
   state_.metrics.Count("zr_gateway_blamed_requests_total",
                        {{"service", service_->name.value()}});
--- a/modules/zr_gateway_host/suspect_exchange.cc
+++ b/modules/zr_gateway_host/suspect_exchange.cc
@@ -14,6 +14,12 @@
 // does not take it.
 constexpr Duration kWritePeriod = Duration::Milliseconds(500);
 constexpr Duration kMaxWritePeriod = Duration::Seconds(8);
+// An endpoint may crash by a cancelled call for this long; the time in which
+// other VMs tell of the crash comes on top.
+constexpr Duration kMaxCancelDelay = Duration::Milliseconds(500);
+constexpr Duration kEvidenceDelay = Duration::Milliseconds(500);
+// Cancelled calls that are remembered; the oldest are dropped.
+constexpr size_t kMaxCancelled = 64;
 // Names of removed records that are remembered.
 constexpr size_t kMaxRemoved = 1024;
 // Suspects that a log line lists.
@@ -40,20 +46,52 @@
 void SuspectExchange::OnCallBroken(TimePoint now, const RequestId& request,
                                    const EndpointId& endpoint, bool began,
                                    const std::vector<CrashSuspect>& suspects) {
-  const SuspectedCrash crash{
-      endpoint, BootOf(endpoint), Duration(),
-      attribution_.SelectSuspects(began ? WholeRequestOf(suspects) : suspects)};
+  ReportCrash(now, {request,
+                    began,
+                    false,
+                    {endpoint, BootOf(endpoint), Duration(),
+                     attribution_.SelectSuspects(
+                         began ? WholeRequestOf(suspects) : suspects)}});
+}
+
+void SuspectExchange::OnCallCancelled(
+    TimePoint now, const RequestId& request, const EndpointId& endpoint,
+    const std::vector<CrashSuspect>& suspects) {
+  if (cancelled_.size() >= kMaxCancelled) cancelled_.pop_front();
+  cancelled_.push_back({now,
+                        {request,
+                         false,
+                         true,
+                         {endpoint, BootOf(endpoint), Duration(),
+                          attribution_.SelectSuspects(suspects)}}});
+}
+
+void SuspectExchange::ReportCancelledCalls(TimePoint now) {
+  std::erase_if(cancelled_, [&](CancelledCall& cancelled) {
+    SuspectedCrash& crash = cancelled.call.crash;
+    const auto time = attribution_.CrashTime(crash.endpoint, crash.boot);
+    if (!time) return now > cancelled.time + kMaxCancelDelay + kEvidenceDelay;
+    if (*time > cancelled.time + kMaxCancelDelay) return true;
+    crash.age = now - *time;
+    ReportCrash(now, cancelled.call);
+    return true;
+  });
+}
+
+void SuspectExchange::ReportCrash(TimePoint now, const BrokenCall& call) {
+  const SuspectedCrash& crash = call.crash;
   LogFields fields = {
-      {"request", request.value()}, {"endpoint", endpoint.value()},
-      {"boot", crash.boot.value()}, {"began", began},
-      {"of", suspects.size()},      {"suspects", LogFields::array()}};
+      {"request", call.request.value()}, {"endpoint", crash.endpoint.value()},
+      {"boot", crash.boot.value()},      {"began", call.began},
+      {"cancelled", call.cancelled},     {"age_ms", crash.age.milliseconds()},
+      {"suspects", LogFields::array()},  {"of", crash.suspects.size()}};
   for (const CrashSuspect& suspect : crash.suspects) {
     if (fields["suspects"].size() == kMaxLoggedSuspects) break;
     fields["suspects"].push_back(ToHex(suspect.fingerprint));
   }
   state_.log.Write(now, "crash_suspected", fields);
   state_.metrics.Count("zr_gateway_suspected_crashes_total",
-                       {{"endpoint", endpoint.value()}});
+                       {{"endpoint", crash.endpoint.value()}});
   CrashAttribution::News news = attribution_.Merge(now, {{crash}, {}, {}});
   Append(news.reported, std::move(news.contradicting));
   Publish(now, std::move(news.reported));
@@ -104,6 +142,7 @@
 void SuspectExchange::Exchange(TimePoint now, bool forwards, size_t linked,
                                const Sender& send_to_all) {
   forwards_ = forwards;
+  ReportCancelledCalls(now);
   LogVerdicts(now);
   LogDropped(now);
   if (IsEmpty(outbox_) || !pace_.TryBegin(now, linked)) return;
--- a/modules/zr_gateway_host/suspect_exchange.h
+++ b/modules/zr_gateway_host/suspect_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -38,6 +39,11 @@
   void OnCallBroken(TimePoint now, const RequestId& request,
                     const EndpointId& endpoint, bool began,
                     const std::vector<CrashSuspect>& suspects);
+  /** A call that an endpoint was reading was cancelled. The endpoint may not
+   * notice it in time and crash all the same. */
+  void OnCallCancelled(TimePoint now, const RequestId& request,
+                       const EndpointId& endpoint,
+                       const std::vector<CrashSuspect>& suspects);
   /** An endpoint began to answer. */
   void OnAnswerBegan(TimePoint now, const std::vector<CrashSuspect>& suspects) {
     Publish(now, attribution_.OnAnswered(now, PartsOf(suspects)));
@@ -93,6 +99,17 @@
     Blame blame;
     ObjectVersion version;
   };
+  /** A call that may have crashed its endpoint. */
+  struct BrokenCall {
+    RequestId request;
+    bool began = false;      // the endpoint had begun to answer it
+    bool cancelled = false;  // before the crash
+    SuspectedCrash crash;
+  };
+  struct CancelledCall {
+    TimePoint time;
+    BrokenCall call;
+  };
   struct PendingWrite {
     TimePoint due;
     Duration period;  // until the next attempt
@@ -102,12 +119,16 @@
   void Publish(TimePoint now, CrashEvidence evidence);
   void LogVerdicts(TimePoint now);
   void LogDropped(TimePoint now);
+  void ReportCrash(TimePoint now, const BrokenCall& call);
+  /** Reports cancelled calls whose endpoints crashed soon afterwards. */
+  void ReportCancelledCalls(TimePoint now);
   bool IsNeeded(const StoredRecord& record,
                 const std::set<Blame>& blames) const;
 
   GatewayState& state_;
   CrashAttribution attribution_;
-  CrashEvidence outbox_;  // ages as of outbox_time_
+  std::deque<CancelledCall> cancelled_;  // lately
+  CrashEvidence outbox_;                 // ages as of outbox_time_
   TimePoint outbox_time_;
   BroadcastPace pace_;
   bool forwards_ = false;
