--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -156,16 +156,27 @@
 void Fields(A& a, DispatchRequest& m) {
   a(m.request, m.call_number, m.pool, m.prompt, m.max_answer, m.objective,
     m.max_gap, m.time_left, m.excluded, m.deferred);
+  a.Optional(m.team);
+  a.Optional(m.domain);
+  a.Optional(m.priority);
+  a.Optional(m.waited);
+  a.Optional(m.fingerprint);
+  a.Optional(m.reads_grants);
 }
 template <typename A>
 void Fields(A& a, DispatchReply& m) {
   a(m.request, m.call_number, m.endpoint, m.helpers, m.prefill_us, m.forecast,
     m.retry_after, m.kv_holders, m.kv_per_holder, m.defer_for,
     m.deadline_unreachable);
+  a.Optional(m.queued);
+  a.Optional(m.expected_wait);
 }
 template <typename A>
 void Fields(A& a, CallProgress& m) {
   a(m.request, m.call_number, m.pool, m.stage, m.result);
+  a.Optional(m.elapsed);
+  a.Optional(m.longest_pause);
+  a.Optional(m.pause_ended_ago);
 }
 template <typename A>
 void Fields(A& a, InFlightCall& m) {
@@ -173,8 +184,13 @@
     m.max_gap, m.time_left, m.value, m.kv_holders, m.kv_per_holder);
 }
 template <typename A>
+void Fields(A& a, EndpointAllowance& m) {
+  a(m.endpoint, m.boot, m.calls, m.calls_per_1000s);
+}
+template <typename A>
 void Fields(A& a, InFlightCalls& m) {
   a(m.pool, m.calls);
+  a.Optional(m.allowances);
 }
 
 template <typename A>
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -439,6 +439,12 @@
   Duration time_left;                // until the deadline
   std::vector<EndpointId> excluded;  // already tried
   bool deferred = false;             // the dispatcher deferred it earlier
+  TeamId team;                       // empty on anonymous routes
+  DomainId domain;                   // of the VM that has the caller
+  int32_t priority = 0;              // 0 is the most urgent
+  Duration waited;                   // since the request arrived at its VM
+  Fingerprint fingerprint{0};        // the same for a repeat; 0: not known
+  bool reads_grants = false;         // a second reply may follow a queued one
   friend auto operator<=>(const DispatchRequest&,
                           const DispatchRequest&) = default;
 };
@@ -457,6 +463,8 @@
   Duration retry_after;      // if no endpoint accepts the call
   Duration defer_for;        // if above 0, the call is deferred; ask again then
   bool deadline_unreachable = false;  // can't be answered before its deadline
+  bool queued = false;  // waits; another reply follows, with a grant or refusal
+  Duration expected_wait;  // if it is queued or was refused
   friend auto operator<=>(const DispatchReply&, const DispatchReply&) = default;
 };
 
@@ -485,6 +493,9 @@
   PoolId pool;
   CallStage stage = CallStage::kEnded;
   CallResult result = CallResult::kAnswered;  // valid with kEnded
+  Duration elapsed;          // from the call to its first event or its end
+  Duration longest_pause;    // between two events; valid with kEnded
+  Duration pause_ended_ago;  // end of that pause
   friend auto operator<=>(const CallProgress&, const CallProgress&) = default;
 };
 
@@ -505,10 +516,21 @@
   friend auto operator<=>(const InFlightCall&, const InFlightCall&) = default;
 };
 
+/** Load that an endpoint has been found to take. */
+struct EndpointAllowance {
+  EndpointId endpoint;
+  BootNumber boot;
+  uint32_t calls = 0;            // at once
+  uint32_t calls_per_1000s = 0;  // started; 0 if not limited
+  friend auto operator<=>(const EndpointAllowance&,
+                          const EndpointAllowance&) = default;
+};
+
 /** All calls of a VM in a pool; replaces the list that the dispatcher has. */
 struct InFlightCalls {
   PoolId pool;
   std::vector<InFlightCall> calls;
+  std::vector<EndpointAllowance> allowances;
   friend auto operator<=>(const InFlightCalls&, const InFlightCalls&) = default;
 };
 
--- a/modules/zr_wire/tests/wire_test.cc
+++ b/modules/zr_wire/tests/wire_test.cc
@@ -47,10 +47,27 @@
   changed.kind = "config";
   changed.deltas = {{1, 2, 3, {{4, 5, {"inserted"}}}}};
   const StoreUpdate update{6, {changed}};
+  DispatchRequest dispatch;
+  dispatch.team = TeamId("customs");
+  dispatch.domain = DomainId("sala");
+  dispatch.priority = 2;
+  dispatch.waited = Duration::Milliseconds(40);
+  dispatch.fingerprint = Fingerprint(77);
+  dispatch.reads_grants = true;
+  DispatchReply reply;
+  reply.queued = true;
+  reply.expected_wait = Duration::Milliseconds(120);
+  CallProgress progress;
+  progress.elapsed = Duration::Milliseconds(90);
+  progress.longest_pause = Duration::Milliseconds(260);
+  progress.pause_ended_ago = Duration::Milliseconds(700);
+  InFlightCalls in_flight;
+  in_flight.allowances = {{EndpointId("e-1"), BootNumber(7), 3, 12'500}};
   for (const Message& message : std::vector<Message>{
            SampleAdmission(), heartbeat, refusal, held, EndpointSummary{},
            Grant{}, GrantRelease{}, Suspect{}, GatherReply{}, ConfigOffer{},
-           evidence, ConfigNotice{5}, update, paths, advice}) {
+           evidence, ConfigNotice{5}, update, paths, advice, dispatch, reply,
+           progress, in_flight}) {
     auto decoded = DecodeMessage(EncodeMessage(message));
     REQUIRE(decoded);
     REQUIRE(*decoded == message);
