Forecast the passes of an engine from the calls placed there

A prompt that arrives during a pass is prefilled in the next one, so prompts that arrive during a long pass add up. Plans say whether they meet the objective and stall no stream.

--- a/modules/zr_gateway/endpoint_tracker.cc
+++ b/modules/zr_gateway/endpoint_tracker.cc
@@ -60,6 +60,7 @@
   EndpointState* state = FindMutable(id);
   if (state == nullptr) return;
   state->calls.push_back(load);
+  state->calls.back().placed = now;
   if (load.prefill_ms > 0) {
     state->prefill_until =
         std::max(state->prefill_until, now) +
@@ -73,7 +74,9 @@
   EndpointState* state = FindMutable(id);
   if (state == nullptr) return;
   for (CallLoad& call : state->calls) {
-    if (call.key == key) call.prefill_ms = 0;
+    if (call.key != key) continue;
+    if (call.takes_slot && call.prefill_ms > 0) state->pass_began = now;
+    call.prefill_ms = 0;
   }
   CapPrefillEnd(now, *state);
 }
--- a/modules/zr_gateway/endpoint_tracker.h
+++ b/modules/zr_gateway/endpoint_tracker.h
@@ -31,6 +31,7 @@
   bool takes_slot = true;  // occupies a slot; false for helpers
   double value = 0;        // see RequestValue()
   TimePoint expires;       // dropped then even if the end was not reported
+  TimePoint placed;        // set by EndpointTracker::OnStart()
   friend auto operator<=>(const CallLoad&, const CallLoad&) = default;
 };
 
@@ -39,6 +40,8 @@
   ListedEndpoint listed;
   std::vector<CallLoad> calls;
   TimePoint prefill_until;  // forecast end of prefill
+  TimePoint pass_began;     // the last known begin of a pass of an engine
+  double slowness = 1;      // duration of its passes / that of the profile
   std::optional<ReportedLoad> report;
   TimePoint reported_at;
   TimePoint cold_until;
--- a/modules/zr_gateway/placement_policy.cc
+++ b/modules/zr_gateway/placement_policy.cc
@@ -5,17 +5,23 @@
 #include <tuple>
 #include <utility>
 
+#include "zr_gateway/engine_passes.h"
+
 namespace zr {
 
 /** Snapshot of an engine's load for one choice. */
 struct PlacementPolicy::EngineView {
   const EndpointState* state = nullptr;
-  double calls = 0;       // calls that occupy a slot
-  double backlog_ms = 0;  // pending prefill
-  double pass_ms = 0;     // time of a pass without prefill
+  double calls = 0;    // calls that occupy a slot
+  double rest_ms = 0;  // of the current pass
+  double next_ms = 0;  // length of the next pass
   double free_tokens = 0;
   uint64_t rank = 0;  // breaks ties
 
+  /** Length of the next pass if it prefills a further segment. */
+  double PassWith(double prefill_ms) const {
+    return next_ms + prefill_ms * state->slowness;
+  }
   PlacedEndpoint ToPlacedEndpoint() const {
     return {state->listed.id, state->listed.address};
   }
@@ -129,10 +135,17 @@
     EngineView view;
     view.state = state;
     view.calls = EstimateCalls(now, *state);
-    view.backlog_ms = state->BacklogMs(now);
     const double held = static_cast<double>(state->KvInUse().value());
-    view.pass_ms = PassMilliseconds(*engine, static_cast<int>(view.calls),
-                                    view.calls > 0 ? held / view.calls : 0);
+    const PassForecast passes = ForecastPasses(now, *state, *engine);
+    view.rest_ms = passes.rest_ms;
+    // Calls that other VMs have placed by themselves are known by number only.
+    const int known = state->OccupiedSlots();
+    const int unknown = static_cast<int>(view.calls) - known;
+    view.next_ms = passes.next_ms;
+    if (unknown > 0) {
+      view.next_ms += PassMilliseconds(*engine, passes.streams + unknown, 0) -
+                      PassMilliseconds(*engine, passes.streams, 0);
+    }
     view.free_tokens = capacity * (1 - options_.kv_reserve) - held;
     view.rank = TieBreak(*state, tie_seed);
     engines.push_back(view);
@@ -174,14 +187,16 @@
   // Prefers the fullest engine that has room and stalls no stream, otherwise
   // the engine with the earliest first token.
   const auto score = [&](const EngineView& engine) {
+    const double pass_ms = engine.PassWith(total_prefill_ms);
     const double first_token_ms =
-        engine.backlog_ms + total_prefill_ms + engine.pass_ms +
+        engine.rest_ms + pass_ms +
         std::max(0.0, engine.calls + 1 - profile.slots) * kSlotPenaltyMs +
         (needed > engine.free_tokens ? kMemoryPenaltyMs : 0);
     const bool undisturbed =
         engine.calls + 1 <= max_packed_calls && needed <= engine.free_tokens &&
+        pass_ms <= max_pause_ms &&
         first_token_ms <=
-            std::min(max_pause_ms, ToMilliseconds(requirements.objective));
+            ToMilliseconds(requirements.objective) * options_.max_gap_share;
     const double packed = options_.pack ? -engine.calls : engine.calls;
     return std::tuple(undisturbed ? 0 : 1,
                       undisturbed ? packed : first_token_ms, engine.rank);
@@ -194,8 +209,9 @@
   PlacementPlan plan;
   plan.primary = best->ToPlacedEndpoint();
   plan.prefill_ms = total_prefill_ms;
+  plan.undisturbed = std::get<0>(score(*best)) == 0;
   plan.expected_first_token =
-      FromMilliseconds(best->backlog_ms + total_prefill_ms + best->pass_ms);
+      FromMilliseconds(best->rest_ms + best->PassWith(total_prefill_ms));
   return plan;
 }
 
@@ -225,12 +241,11 @@
     };
     std::vector<Candidate> candidates;
     for (const EngineView& engine : engines) {
-      const double stretched_pass_ms =
-          engine.pass_ms + engine.backlog_ms + prefill_ms;
-      candidates.push_back({&engine,
-                            engine.state->ValueStalledBy(
-                                stretched_pass_ms / options_.max_gap_share),
-                            stretched_pass_ms});
+      const double pass_ms = engine.PassWith(prefill_ms);
+      candidates.push_back(
+          {&engine,
+           engine.state->ValueStalledBy(pass_ms / options_.max_gap_share),
+           engine.rest_ms + pass_ms});
     }
     std::sort(
         candidates.begin(), candidates.end(),
@@ -285,6 +300,8 @@
       best->kv_per_holder = split->kv_per_holder;
     }
     best->prefill_ms = prefill_ms;
+    best->undisturbed =
+        split && stalled_value <= 0 && first_token_ms <= objective_ms;
     best->expected_first_token = FromMilliseconds(first_token_ms);
   }
   return best;
--- a/modules/zr_gateway/placement_policy.h
+++ b/modules/zr_gateway/placement_policy.h
@@ -29,6 +29,9 @@
   TokenCount kv_per_holder;       // memory to reserve at each of them
   double prefill_ms = 0;          // prefill time of each segment
   Duration expected_first_token;  // from the engine profile and the known load
+  /** Expected to meet the objective without stalling the endpoints' streams for
+   * longer than their callers tolerate. */
+  bool undisturbed = true;
 
   CallEndpoints Endpoints() const;
 };
