Model engines that decode nothing apart; a segment delays other prompts

An engine that decodes nothing prefills in chunks, segments of other engines' prompts first; only an engine that decodes has long passes.

--- a/modules/zr_gateway/engine_passes.cc
+++ b/modules/zr_gateway/engine_passes.cc
@@ -1,89 +1,153 @@
 #include "zr_gateway/engine_passes.h"
 
 #include <algorithm>
-#include <utility>
+#include <tuple>
+#include <vector>
 
 #include "zr_gateway/placement_policy.h"
 
 namespace zr {
 namespace {
 
-// Rest assumed for a pass that takes longer than forecast.
-constexpr double kOverdueMs = 10;
-// Passes of an engine without a report that are simulated. Streams end within
-// fewer passes, and the rest of a later pass is known no better.
-constexpr int kMaxPasses = 64;
+// Time from a placement until the call is at its engine, and from the first
+// event until its report is here.
+constexpr Duration kTransit = Duration::Milliseconds(4);
+// Bound on the simulated steps of one forecast.
+constexpr int kMaxSteps = 256;
 
-double Milliseconds(Duration duration) { return duration.seconds() * 1000; }
+/** Prefill that is not reported as done. */
+struct PendingPrefill {
+  TimePoint arrives;
+  double left_ms;
+  bool is_segment;
+  double context;
+};
 
-}  // namespace
+/** Simulates an engine from the last known end of a pass. */
+class PassSimulation {
+ public:
+  PassSimulation(const EndpointState& state, const EngineProfile& profile)
+      : profile_(profile), slowness_(state.slowness), time_(state.pass_began) {
+    for (const CallLoad& call : state.calls) {
+      const auto context = static_cast<double>(call.kv_tokens.value());
+      if (call.prefill_ms > 0) {
+        pending_.push_back({call.placed + kTransit, slowness_ * call.prefill_ms,
+                            !call.takes_slot, context});
+      } else if (call.takes_slot) {
+        ++streams_;
+        context_ += context;
+      }
+    }
+    // The order in which the engine takes them.
+    std::stable_sort(pending_.begin(), pending_.end(),
+                     [](const PendingPrefill& a, const PendingPrefill& b) {
+                       return std::tuple(!a.is_segment, a.arrives) <
+                              std::tuple(!b.is_segment, b.arrives);
+                     });
+  }
 
-PassForecast ForecastPasses(TimePoint now, const EndpointState& state,
-                            const EngineProfile& profile) {
-  int streams = 0;
-  double context = 0;
-  std::vector<const CallLoad*> waiting;
-  for (const CallLoad& call : state.calls) {
-    if (call.prefill_ms > 0) {
-      waiting.push_back(&call);
-    } else if (call.takes_slot) {
-      ++streams;
-      context += static_cast<double>(call.kv_tokens.value());
+  PassForecast Run(TimePoint now) {
+    double rest_ms = 0;
+    for (int step = 0; step < kMaxSteps && time_ < now; ++step) {
+      if (streams_ == 0) {
+        if (!PrefillOnly(now)) break;
+        continue;
+      }
+      const double length_ms = DecodeMs() + ArrivedMs();
+      const TimePoint end = time_ + Duration::Microseconds(
+                                        static_cast<int64_t>(1000 * length_ms));
+      const bool ended = end <= now;
+      FinishArrived();
+      if (ended) {
+        time_ = end;
+        continue;
+      }
+      rest_ms = (end - now).seconds() * 1000;
+      break;
     }
+    return Forecast(rest_ms);
   }
-  std::sort(
-      waiting.begin(), waiting.end(), [](const CallLoad* a, const CallLoad* b) {
-        return std::pair(a->placed, a->key) < std::pair(b->placed, b->key);
-      });
 
-  PassForecast forecast;
-  TimePoint begin = state.pass_began;
-  auto next = waiting.begin();
-  for (int pass = 0; pass < kMaxPasses; ++pass) {
-    // An idle engine begins with the first prompt that arrives.
-    if (streams == 0) {
-      if (next == waiting.end()) break;
-      begin = std::max(begin, (*next)->placed);
+ private:
+  double DecodeMs() const {
+    return slowness_ * PassMilliseconds(profile_, streams_,
+                                        streams_ > 0 ? context_ / streams_ : 0);
+  }
+  double ArrivedMs() const {
+    double sum = 0;
+    for (const PendingPrefill& prefill : pending_) {
+      if (prefill.arrives <= time_) sum += prefill.left_ms;
     }
-    double prefill_ms = 0;
-    bool reported = false;  // its end will be
-    int joining = 0;
-    double joining_context = 0;
-    for (; next != waiting.end() && (*next)->placed <= begin; ++next) {
-      prefill_ms += (*next)->prefill_ms;
-      if (!(*next)->takes_slot) continue;
-      reported = true;
-      ++joining;
-      joining_context += static_cast<double>((*next)->kv_tokens.value());
+    return sum;
+  }
+  void FinishArrived() {
+    for (PendingPrefill& prefill : pending_) {
+      if (prefill.arrives <= time_) Finish(prefill);
     }
-    const double length_ms =
-        state.slowness *
-        (PassMilliseconds(profile, streams,
-                          streams > 0 ? context / streams : 0) +
-         prefill_ms);
-    if (length_ms <= 0) break;
-    const double elapsed_ms = Milliseconds(now - begin);
-    streams += joining;
-    context += joining_context;
-    const bool ended = elapsed_ms >= length_ms;
-    if (!ended || reported) {
-      forecast.rest_ms =
-          ended ? kOverdueMs : std::min(length_ms - elapsed_ms, length_ms);
-      break;
+  }
+  void Finish(PendingPrefill& prefill) {
+    if (prefill.left_ms <= 0) return;
+    prefill.left_ms = 0;
+    if (prefill.is_segment) return;
+    ++streams_;
+    context_ += prefill.context;
+  }
+  /** Prefills until something arrives or a prompt becomes a stream.
+   * @returns false if nothing is left */
+  bool PrefillOnly(TimePoint now) {
+    TimePoint until = now;
+    PendingPrefill* first = nullptr;
+    for (PendingPrefill& prefill : pending_) {
+      if (prefill.left_ms <= 0) continue;
+      if (prefill.arrives > time_) {
+        until = std::min(until, prefill.arrives);
+      } else if (first == nullptr) {
+        first = &prefill;
+      }
+    }
+    if (first == nullptr) {
+      time_ = until;
+      return until < now;
+    }
+    const double available_ms = (until - time_).seconds() * 1000;
+    if (first->left_ms > available_ms) {
+      first->left_ms -= available_ms;
+      time_ = until;
+    } else {
+      time_ = time_ + Duration::Microseconds(
+                          static_cast<int64_t>(1000 * first->left_ms));
+      Finish(*first);
     }
-    begin =
-        begin + Duration::Microseconds(static_cast<int64_t>(1000 * length_ms));
+    return true;
   }
-  for (; next != waiting.end(); ++next) {
-    forecast.prefill_ms += (*next)->prefill_ms;
+  PassForecast Forecast(double rest_ms) const {
+    PassForecast forecast;
+    forecast.rest_ms = rest_ms;
+    forecast.streams = streams_;
+    forecast.decode_ms = DecodeMs();
+    for (const PendingPrefill& prefill : pending_) {
+      forecast.prefill_ms += prefill.left_ms;
+      // A pass that decodes prefills everything that waits for it.
+      if (prefill.is_segment || streams_ > 0) {
+        forecast.segments_ms += prefill.left_ms;
+      }
+    }
+    return forecast;
   }
-  forecast.streams = streams;
-  forecast.prefill_ms *= state.slowness;
-  forecast.next_ms =
-      forecast.prefill_ms +
-      state.slowness * PassMilliseconds(profile, streams,
-                                        streams > 0 ? context / streams : 0);
-  return forecast;
+
+  const EngineProfile& profile_;
+  double slowness_;
+  TimePoint time_;
+  int streams_ = 0;
+  double context_ = 0;  // tokens of all streams
+  std::vector<PendingPrefill> pending_;
+};
+
+}  // namespace
+
+PassForecast ForecastPasses(TimePoint now, const EndpointState& state,
+                            const EngineProfile& profile) {
+  return PassSimulation(state, profile).Run(now);
 }
 
 }  // namespace zr
--- a/modules/zr_gateway/placement_policy.cc
+++ b/modules/zr_gateway/placement_policy.cc
@@ -12,15 +12,19 @@
 /** Snapshot of an engine's load for one choice. */
 struct PlacementPolicy::EngineView {
   const EndpointState* state = nullptr;
-  double calls = 0;    // calls that occupy a slot
-  double rest_ms = 0;  // of the current pass
-  double next_ms = 0;  // length of the next pass
+  double calls = 0;  // calls that occupy a slot
+  PassForecast passes;
+  double waiting_value = 0;  // of its own prompts that are not prefilled yet
   double free_tokens = 0;
   uint64_t rank = 0;  // breaks ties
 
-  /** Length of the next pass if it prefills a further segment. */
+  /** Length of the next pass if it prefills a further prompt. */
   double PassWith(double prefill_ms) const {
-    return next_ms + prefill_ms * state->slowness;
+    return passes.decode_ms + passes.prefill_ms + prefill_ms * state->slowness;
+  }
+  /** The same for a segment of another engine's prompt. */
+  double PassWithSegment(double prefill_ms) const {
+    return passes.decode_ms + passes.segments_ms + prefill_ms * state->slowness;
   }
   PlacedEndpoint ToPlacedEndpoint() const {
     return {state->listed.id, state->listed.address};
@@ -136,15 +140,19 @@
     view.state = state;
     view.calls = EstimateCalls(now, *state);
     const double held = static_cast<double>(state->KvInUse().value());
-    const PassForecast passes = ForecastPasses(now, *state, *engine);
-    view.rest_ms = passes.rest_ms;
+    view.passes = ForecastPasses(now, *state, *engine);
     // Calls that other VMs have placed by themselves are known by number only.
-    const int known = state->OccupiedSlots();
-    const int unknown = static_cast<int>(view.calls) - known;
-    view.next_ms = passes.next_ms;
+    const int unknown = static_cast<int>(view.calls) - state->OccupiedSlots();
     if (unknown > 0) {
-      view.next_ms += PassMilliseconds(*engine, passes.streams + unknown, 0) -
-                      PassMilliseconds(*engine, passes.streams, 0);
+      const int streams = view.passes.streams;
+      view.passes.decode_ms +=
+          state->slowness * (PassMilliseconds(*engine, streams + unknown, 0) -
+                             PassMilliseconds(*engine, streams, 0));
+    }
+    for (const CallLoad& call : state->calls) {
+      if (call.takes_slot && call.prefill_ms > 0) {
+        view.waiting_value += call.value;
+      }
     }
     view.free_tokens = capacity * (1 - options_.kv_reserve) - held;
     view.rank = TieBreak(*state, tie_seed);
@@ -189,7 +197,7 @@
   const auto score = [&](const EngineView& engine) {
     const double pass_ms = engine.PassWith(total_prefill_ms);
     const double first_token_ms =
-        engine.rest_ms + pass_ms +
+        engine.passes.rest_ms + pass_ms +
         std::max(0.0, engine.calls + 1 - profile.slots) * kSlotPenaltyMs +
         (needed > engine.free_tokens ? kMemoryPenaltyMs : 0);
     const bool undisturbed =
@@ -211,7 +219,7 @@
   plan.prefill_ms = total_prefill_ms;
   plan.undisturbed = std::get<0>(score(*best)) == 0;
   plan.expected_first_token =
-      FromMilliseconds(best->rest_ms + best->PassWith(total_prefill_ms));
+      FromMilliseconds(best->passes.rest_ms + best->PassWith(total_prefill_ms));
   return plan;
 }
 
@@ -222,10 +230,10 @@
       (requirements.shape.prompt + requirements.shape.max_answer).value());
   const double objective_ms = ToMilliseconds(requirements.objective);
   const double value = RequestValue(requirements.shape);
+  const double safe_ms = options_.safe_objective_share * objective_ms;
+  const double risky_ms = std::max(1.0, objective_ms - safe_ms);
   const auto lateness_risk = [&](double first_token_ms) {
-    const double safe = options_.safe_objective_share * objective_ms;
-    return std::clamp((first_token_ms - safe) / (objective_ms - safe), 0.0,
-                      1.0);
+    return std::clamp((first_token_ms - safe_ms) / risky_ms, 0.0, 1.0);
   };
   const size_t max_engines = std::min(engines.size(), options_.max_helpers + 1);
 
@@ -241,11 +249,15 @@
     };
     std::vector<Candidate> candidates;
     for (const EngineView& engine : engines) {
-      const double pass_ms = engine.PassWith(prefill_ms);
+      const double pass_ms = engine.PassWithSegment(prefill_ms);
+      // A segment goes before the engine's own prompts, which become later.
+      const double delayed_value =
+          engine.waiting_value * std::min(1.0, prefill_ms / risky_ms);
       candidates.push_back(
           {&engine,
-           engine.state->ValueStalledBy(pass_ms / options_.max_gap_share),
-           engine.rest_ms + pass_ms});
+           engine.state->ValueStalledBy(pass_ms / options_.max_gap_share) +
+               delayed_value,
+           engine.passes.rest_ms + pass_ms});
     }
     std::sort(
         candidates.begin(), candidates.end(),
@@ -267,16 +279,24 @@
       stalled_value += candidate.stalled_value;
       first_token_ms = std::max(first_token_ms, candidate.first_token_ms);
     }
-    // The engine with the most free memory runs the request, unless one may
-    // not help.
+    // The engine that prefills its own prompts first runs the request if its
+    // memory suffices, otherwise the one with the most free memory, unless one
+    // may not help.
+    const auto preference = [needed](const Candidate& candidate) {
+      const EngineView& engine = *candidate.engine;
+      const bool fits = needed <= engine.free_tokens;
+      return std::tuple(engine.state->limit.has_value(), fits,
+                        fits ? -engine.passes.prefill_ms : 0.0,
+                        engine.free_tokens);
+    };
     std::stable_sort(candidates.begin(), candidates.end(),
-                     [](const Candidate& a, const Candidate& b) {
-                       return std::pair(a.engine->state->limit.has_value(),
-                                        a.engine->free_tokens) >
-                              std::pair(b.engine->state->limit.has_value(),
-                                        b.engine->free_tokens);
+                     [&](const Candidate& a, const Candidate& b) {
+                       return preference(a) > preference(b);
                      });
     const EngineView* primary = candidates.front().engine;
+    first_token_ms =
+        std::max(first_token_ms,
+                 primary->passes.rest_ms + primary->PassWith(prefill_ms));
     std::vector<double> free_helpers;
     for (size_t i = 1; i < candidates.size(); ++i) {
       free_helpers.push_back(candidates[i].engine->free_tokens);
