Log and count why an answer was late

Nobody could tell from the logs whether an answer was late by waiting for an endpoint, by its prefill, by a pause or by a failed call.

ClassifyLateness() derives the cause from the times of a request. The line "finished" has it as late_by, with team, domain, endpoint, first_event_ms and the endpoint and time of the longest pause; metrics count it by route. VMs report the longest pause of a call to the dispatcher, which writes long_pause with the prefill that it had placed beside the stream. Time that a slow caller takes to read no longer counts as a pause. scripts/lateness_table.py prints how requests ended by route, team, domain and endpoint.

--- a/modules/zr_gateway/pool_dispatcher.cc
+++ b/modules/zr_gateway/pool_dispatcher.cc
@@ -107,20 +107,25 @@
   calls_[key] = {pool, std::move(endpoints), load.expires};
 }
 
-void PoolDispatcher::OnProgress(TimePoint now, const VmId& vm,
-                                const CallProgress& progress) {
+std::optional<LongPause> PoolDispatcher::OnProgress(
+    TimePoint now, const VmId& vm, const CallProgress& progress) {
   const CallKey key = MakeCallKey(vm, progress.request, progress.call_number);
   auto it = calls_.find(key);
-  if (it == calls_.end()) return;
+  if (it == calls_.end()) return std::nullopt;
   const CallEndpoints& endpoints = it->second.endpoints;
+  pauses_.OnPrefillEnded(now, tracker_, endpoints, key);
   if (progress.stage == CallStage::kPrefillDone) {
-    return FinishPrefill(now, tracker_, endpoints, key);
+    FinishPrefill(now, tracker_, endpoints, key);
+    return std::nullopt;
   }
+  auto long_pause =
+      pauses_.OnCallEnded(now, tracker_, endpoints.primary, key, progress);
   // With helpers, it is unknown which of the endpoints rejected the call.
   if (endpoints.helpers.empty() || progress.result != CallResult::kRejected) {
     tracker_.OnCallResult(now, endpoints.primary, progress.result);
   }
   RemoveCall(now, key);
+  return long_pause;
 }
 
 void PoolDispatcher::RemoveCall(TimePoint now, const CallKey& key) {
--- a/modules/zr_gateway/pool_dispatcher.h
+++ b/modules/zr_gateway/pool_dispatcher.h
@@ -9,6 +9,7 @@
 #include "zr_gateway/call_endpoints.h"
 #include "zr_gateway/endpoint_tracker.h"
 #include "zr_gateway/gateway_config.h"
+#include "zr_gateway/lateness.h"
 #include "zr_gateway/placement_policy.h"
 #include "zr_gateway/prefill_admission.h"
 #include "zr_wire/messages.h"
@@ -38,7 +39,10 @@
   DispatchReply OnDispatchRequest(TimePoint now, const VmId& vm,
                                   const GatewayConfig& config,
                                   const DispatchRequest& request);
-  void OnProgress(TimePoint now, const VmId& vm, const CallProgress& progress);
+  /** @returns the longest pause of an ended call, if its caller does not allow
+   * it */
+  std::optional<LongPause> OnProgress(TimePoint now, const VmId& vm,
+                                      const CallProgress& progress);
   void OnInFlightCalls(TimePoint now, const VmId& vm,
                        const InFlightCalls& in_flight);
   void OnVmDown(TimePoint now, const VmId& vm);
@@ -66,6 +70,7 @@
   Random random_;
   EndpointTracker tracker_;
   std::map<CallKey, PlacedCall> calls_;
+  PauseHistory pauses_;
   std::map<PoolId, PrefillAdmission> prefill_admissions_;
 };
 
--- a/modules/zr_gateway/zr_gateway.h
+++ b/modules/zr_gateway/zr_gateway.h
@@ -27,6 +27,7 @@
 #include "zr_gateway/evidence_limits.h"
 #include "zr_gateway/gateway_config.h"
 #include "zr_gateway/gateway_types.h"
+#include "zr_gateway/lateness.h"
 #include "zr_gateway/member_records.h"
 #include "zr_gateway/placement_policy.h"
 #include "zr_gateway/pool_dispatcher.h"
--- a/modules/zr_gateway_host/dispatch_client.cc
+++ b/modules/zr_gateway_host/dispatch_client.cc
@@ -218,12 +218,25 @@
 void DispatchClient::Report(const CallProgress& progress) {
   const VmId vm = DispatcherFor(progress.pool);
   if (vm == settings_.vm) {
-    dispatcher_.OnProgress(BootNow(), vm, progress);
+    OnProgress(BootNow(), vm, progress);
   } else if (!vm.empty()) {
     Send(vm, progress);
   }
 }
 
+void DispatchClient::OnProgress(TimePoint now, const VmId& vm,
+                                const CallProgress& progress) {
+  const auto long_pause = dispatcher_.OnProgress(now, vm, progress);
+  if (!long_pause) return;
+  state_.log.Write(
+      now, "long_pause",
+      {{"request", progress.request.value()},
+       {"endpoint", long_pause->endpoint.value()},
+       {"pause_ms", long_pause->pause.milliseconds()},
+       {"prefill_ms", static_cast<int64_t>(long_pause->prefill_ms)},
+       {"streams", long_pause->streams}});
+}
+
 void DispatchClient::Tick(TimePoint now) {
   dispatcher_.Tick(now);
   relay_.Tick(
@@ -322,7 +335,7 @@
     const DispatchKey key(reply->request, reply->call_number);
     CompleteDispatch(key, std::move(*reply));
   } else if (const auto* progress = std::get_if<CallProgress>(&*message)) {
-    dispatcher_.OnProgress(now, vm, *progress);
+    OnProgress(now, vm, *progress);
   } else if (const auto* calls = std::get_if<InFlightCalls>(&*message)) {
     dispatcher_.OnInFlightCalls(now, vm, *calls);
   } else if (const auto* heartbeat = std::get_if<Heartbeat>(&*message)) {
--- a/modules/zr_gateway_host/dispatch_client.h
+++ b/modules/zr_gateway_host/dispatch_client.h
@@ -96,6 +96,8 @@
 
   DispatchReply Dispatch(TimePoint now, const VmId& vm,
                          const DispatchRequest& call);
+  /** Tells the dispatcher here, and logs pauses that are too long. */
+  void OnProgress(TimePoint now, const VmId& vm, const CallProgress& progress);
   void ChooseTargets();
   /** There is a link to the VM, and the VM is not about to stop. */
   bool IsUsable(const VmId& vm) const {
--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -87,6 +87,7 @@
     CallResult result = CallResult::kAborted;  // reported to the dispatcher
     TimePoint started;
     TimePoint last_progress;  // headers, bytes of a body or a complete event
+    PauseMeter pauses;        // between its own events
     std::optional<AnswerHead> head;
     EventSplitter events;
     std::string body;
@@ -169,7 +170,12 @@
   bool IsSilent(TimePoint now) const;
   LogFields FailureFields(TimePoint now, CallFailure failure,
                           const std::string& why) const;
-  void CountFailure(CallFailure failure) const;
+  void CountFailure(CallFailure failure);
+  /** What the dispatcher is told when the call ends. */
+  CallProgress EndOfCall(TimePoint now) const;
+  /** Adds why the request was late, and counts it. */
+  void AddLateness(TimePoint now, std::string_view outcome, int status,
+                   LogFields& fields);
 
   GatewayState& state_;
   CallerRequest request_;
@@ -204,8 +210,11 @@
   int reservation_failures_ = 0;
   std::optional<int64_t> last_event_;  // id of the last event forwarded
   bool answer_started_ = false;
-  Duration longest_pause_;    // between events that were forwarded
-  TimePoint last_forwarded_;  // time of the last of them
+  PauseMeter pauses_;                     // between events that were forwarded
+  std::optional<TimePoint> first_event_;  // or the complete plain answer
+  std::optional<TimePoint> last_call_started_;  // until the first event
+  int failed_calls_ = 0;                        // before it
+  EndpointId last_endpoint_;                    // of the last call sent
   std::string content_type_;  // of the answer, if it has started
   bool ended_ = false;
   size_t unsent_bytes_ = 0;  // written, not yet sent to the caller
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -123,6 +123,8 @@
   ++possible_runs_;
   tried_.insert(plan.primary.endpoint);
   call_->started = now;
+  if (!first_event_) last_call_started_ = now;
+  last_endpoint_ = plan.primary.endpoint;
   call_->last_progress = now;
   call_->handle = state_.http->Start(
       std::move(call),
@@ -248,10 +250,9 @@
   if (bytes.empty()) return;
   const TimePoint now = BootNow();
   call_->last_progress = now;
-  if (answer_started_) {
-    longest_pause_ = std::max(longest_pause_, now - last_forwarded_);
-  }
-  last_forwarded_ = now;
+  call_->pauses.OnEvent(now, call_->plan.primary.endpoint);
+  pauses_.OnEvent(now, call_->plan.primary.endpoint);
+  if (!first_event_) first_event_ = now;
   state_.suspects->OnAlive(now, call_->plan.primary.endpoint);
   RecordFirstEvent();
   if (!answer_started_) BeginAnswer();
@@ -264,6 +265,8 @@
         self->unsent_bytes_ -= std::min(size, self->unsent_bytes_);
         if (self->paused_ && self->unsent_bytes_ == 0 && self->call_) {
           self->paused_ = false;
+          self->pauses_.OnCallerRead(BootNow());
+          self->call_->pauses.OnCallerRead(BootNow());
           self->call_->handle->Resume();
         }
       });
@@ -349,6 +352,7 @@
   }
   response_->Send(status, AnswerHeaders(call_->head->headers),
                   std::move(call_->body));
+  first_event_ = now;
   ReleaseCall();
   Finish("completed", status);
 }
--- a/modules/zr_gateway_host/forwarded_request_failure_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_failure_impl.h
@@ -73,16 +73,32 @@
   if (!call_) return;
   if (call_->handle) call_->handle->Cancel();
   const TimePoint now = BootNow();
+  if (call_->result != CallResult::kAnswered && !paused_) {
+    call_->pauses.OnBroken(now);
+  }
   EndCall(now, state_.tracker, call_->plan.Endpoints(), Key());
   if (call_->plan.kv_holders > 0) state_.reservations->Release(now, Key());
   if (state_.dispatch && (service_->engine || call_->dispatched)) {
-    state_.dispatch->Report(
-        {request_.id, AttemptNumber(static_cast<uint64_t>(call_->number)),
-         service_->name, CallStage::kEnded, call_->result});
+    state_.dispatch->Report(EndOfCall(now));
   }
   call_.reset();
 }
 
+template <GatewayFormat Format>
+CallProgress ForwardedRequest<Format>::EndOfCall(TimePoint now) const {
+  CallProgress progress;
+  progress.request = request_.id;
+  progress.call_number = AttemptNumber(static_cast<uint64_t>(call_->number));
+  progress.pool = service_->name;
+  progress.stage = CallStage::kEnded;
+  progress.result = call_->result;
+  progress.longest_pause = call_->pauses.longest();
+  if (progress.longest_pause > Duration()) {
+    progress.pause_ended_ago = now - call_->pauses.ended();
+  }
+  return progress;
+}
+
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::OnCallerDisconnected() {
   if (ended_) return;
@@ -196,12 +212,51 @@
 }
 
 template <GatewayFormat Format>
-void ForwardedRequest<Format>::CountFailure(CallFailure failure) const {
+void ForwardedRequest<Format>::CountFailure(CallFailure failure) {
+  if (!first_event_) ++failed_calls_;
+  pauses_.OnCallFailed();
   state_.metrics.Count(
       "zr_gateway_call_failures_total",
       {{"service", service_->name.value()}, {"failure", ToString(failure)}});
 }
 
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::AddLateness(TimePoint now,
+                                           std::string_view outcome, int status,
+                                           LogFields& fields) {
+  if (route_ == nullptr) return;
+  const MetricLabels labels = {{"route", route_->name}};
+  if (!team_.empty()) fields["team"] = team_.value();
+  if (!last_endpoint_.empty()) fields["endpoint"] = last_endpoint_.value();
+  if (first_event_) {
+    fields["first_event_ms"] = (*first_event_ - arrived_).milliseconds();
+  }
+  if (outcome != "completed" && !paused_) pauses_.OnBroken(now);
+  if (pauses_.longest() > Duration()) {
+    fields["longest_pause_ms"] = pauses_.longest().milliseconds();
+    fields["pause_endpoint"] = pauses_.endpoint().value();
+    fields["pause_at_ms"] = (pauses_.ended() - arrived_).milliseconds();
+    state_.metrics.Observe("zr_gateway_longest_pause_seconds", labels,
+                           pauses_.longest());
+  }
+  // A refused request has no answer that could be late.
+  if (outcome == "own answer" && (status < 500 || status == 503)) return;
+  RequestTimes times;
+  times.arrived = arrived_;
+  times.call_started = last_call_started_;
+  times.first_event = first_event_.value_or(now);
+  times.failed_calls = failed_calls_;
+  times.longest_pause = pauses_.longest();
+  times.pause_had_failed_call = pauses_.had_failed_call();
+  const Lateness lateness =
+      ClassifyLateness(times, route_->latency_objective, route_->gap_objective);
+  if (lateness == Lateness::kInTime) return;
+  fields["late_by"] = ToString(lateness);
+  state_.metrics.Count(
+      "zr_gateway_late_total",
+      {{"route", route_->name}, {"cause", ToString(lateness)}});
+}
+
 template <GatewayFormat Format>
 RetryContext ForwardedRequest<Format>::MakeRetryContext(TimePoint now) const {
   RetryContext context;
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -375,9 +375,8 @@
   LogFields fields = CommonFields(now);
   fields["outcome"] = outcome;
   fields["status"] = status;
-  if (longest_pause_ > Duration()) {
-    fields["longest_pause_ms"] = longest_pause_.milliseconds();
-  }
+  fields["domain"] = state_.domain.value();
+  AddLateness(now, outcome, status, fields);
   state_.log.Write(now, "finished", fields);
   const std::string route = route_ != nullptr ? route_->name : "none";
   state_.metrics.Count("zr_gateway_requests_total",
--- a/tests/platform/serve.py
+++ b/tests/platform/serve.py
@@ -2,11 +2,13 @@
 """End-to-end test of real entry processes: each route type, rejections, faults and stops."""
 
 import json
+import os
 import signal
+import subprocess
 import threading
 import time
 
-from deployment import (EVENTS, Endpoint, check, configuration, main, route, wait_until,
+from deployment import (EVENTS, ROOT, Endpoint, check, configuration, main, route, wait_until,
                         full_stream)
 
 
@@ -141,6 +143,18 @@
     answer = d.call(0, "POST", "/stream/x", "pause-alone")
     check(answer.complete and answer.body == full_stream(), f"cut: {answer.body}")
     check(d.run_count("pause-alone") == 1, "ran more than once with a single engine")
+    line = wait_until("the end of the paused stream in the log", lambda: [
+        json.loads(l) for l in d.log(0).splitlines()
+        if '"request":"pause-alone"' in l and '"event":"finished"' in l])[0]
+    # The first event may be late, too, on a slow machine; then that is the cause.
+    check(line.get("late_by") in (["pause"] if line["first_event_ms"] <= 300 else ["prefill", "wait"]),
+          f"wrong cause: {line}")
+    check(line["pause_endpoint"] == engines[0].id and line["longest_pause_ms"] > 200 and
+          line["pause_at_ms"] <= line["age_ms"] and line["team"] == "customs" and
+          line["domain"] == "sala", f"{line}")
+    wait_until("the dispatcher's line on the pause", lambda: any(
+        '"event":"long_pause"' in l and '"request":"pause-alone"' in l
+        for vm in range(3) for l in d.log(vm).splitlines()))
     engines[0].fault = None
     for engine in engines:
         d.store.put("servers", engine.id, engine.entry())
@@ -304,7 +318,19 @@
     events = {line["event"] for line in lines}
     for event in ("start", "config_in_force", "store_lost", "store_back", "own_answer"):
         check(event in events, f"no line for {event}")
+    prefixed = d.log(0).replace('{"time"', 'Dec 06 vm-0 entry[7]: {"time"')
+    path = os.path.join(d.folder, "prefixed.log")
+    with open(path, "w") as file:
+        file.write(prefixed)
+    table = subprocess.run([os.path.join(ROOT, "scripts", "lateness_table.py"), "--by", "team", path],
+                           capture_output=True, text=True, check=True).stdout.splitlines()
+    finished = sum(line["event"] == "finished" for line in lines)
+    row = [int(n) for n in table[-1].split()[1:]]
+    check(table[-1].startswith("all ") and row[0] == finished and sum(row[1:]) == finished,
+          f"{finished} requests: {table}")
     text = d.call(0, "GET", "/metrics", port=d.port(0, 1)).body.decode()
+    check("zr_gateway_longest_pause_seconds" in text and
+          'zr_gateway_late_total{route="stream"' in text, "no metric of lateness")
     check("zr_gateway_requests_total" in text and "zr_gateway_request_seconds" in text, text[:500])
 
 
