--- a/modules/zr_gateway/endpoint_tracker.cc
+++ b/modules/zr_gateway/endpoint_tracker.cc
@@ -285,13 +285,12 @@
   return chosen;
 }
 
-double EndpointTracker::MeanBacklogMs(TimePoint now,
-                                      const ServiceName& service) const {
+double EndpointTracker::MeanBacklogMs(const ServiceName& service) const {
   double sum = 0;
   int count = 0;
   for (const auto& [id, state] : endpoints_) {
     if (state.listed.service != service || !AcceptsCalls(state)) continue;
-    sum += state.BacklogMs(now);
+    for (const CallLoad& call : state.calls) sum += call.prefill_ms;
     ++count;
   }
   return count > 0 ? sum / count : 0;
--- a/modules/zr_gateway/endpoint_tracker.h
+++ b/modules/zr_gateway/endpoint_tracker.h
@@ -155,8 +155,13 @@
                                 const ServiceName& service) const;
   /** Number of the service's endpoints for which MayCall() is true. */
   size_t CountActive(const ServiceName& service) const;
-  /** Mean prefill backlog of these endpoints. */
-  double MeanBacklogMs(TimePoint now, const ServiceName& service) const;
+  /**
+   * Mean prefill of these endpoints that is not reported as done. Engines
+   * prefill segments of other engines' prompts first, so in an overload prompts
+   * wait far longer than forecast, and a forecast of what is done would hide
+   * the overload.
+   */
+  double MeanBacklogMs(const ServiceName& service) const;
   size_t size() const { return endpoints_.size(); }
   const std::unordered_map<EndpointId, EndpointState>& endpoints() const {
     return endpoints_;
--- a/modules/zr_gateway/pool_dispatcher.cc
+++ b/modules/zr_gateway/pool_dispatcher.cc
@@ -93,7 +93,7 @@
   PrefillAdmission& policy = prefill_admissions_[request.pool];
   if (!request.deferred) policy.OnArrival(now, prompt.prefill_ms, prompt.value);
   if (!plan) return policy.DecideWithoutMemory(prompt);
-  return policy.Decide(tracker_.MeanBacklogMs(now, request.pool), prompt);
+  return policy.Decide(tracker_.MeanBacklogMs(request.pool), prompt);
 }
 
 void PoolDispatcher::AddCall(TimePoint now, const CallKey& key,
