--- a/modules/zr_gateway/placement_policy.cc
+++ b/modules/zr_gateway/placement_policy.cc
@@ -189,11 +189,12 @@
     const CallRequirements& requirements, double total_prefill_ms) const {
   const double needed = static_cast<double>(
       (requirements.shape.prompt + requirements.shape.max_answer).value());
-  const double max_pause_ms =
-      ToMilliseconds(requirements.max_gap) * options_.max_gap_share;
+  const double max_gap_ms = ToMilliseconds(requirements.max_gap);
+  const double max_pause_ms = max_gap_ms * options_.max_gap_share;
+  const double max_packed_ms = max_gap_ms * options_.packed_gap_share;
   const double max_packed_calls = profile.slots * (1 - options_.slot_reserve);
-  // Prefers the fullest engine that has room and stalls no stream, otherwise
-  // the engine with the earliest first token.
+  // Prefers the fullest engine that has room and short passes, then one that
+  // has room and stalls no stream, then the one with the earliest first token.
   const auto score = [&](const EngineView& engine) {
     const double pass_ms = engine.PassWith(total_prefill_ms);
     const double first_token_ms =
@@ -205,9 +206,12 @@
         pass_ms <= max_pause_ms &&
         first_token_ms <=
             ToMilliseconds(requirements.objective) * options_.max_gap_share;
-    const double packed = options_.pack ? -engine.calls : engine.calls;
-    return std::tuple(undisturbed ? 0 : 1,
-                      undisturbed ? packed : first_token_ms, engine.rank);
+    if (!undisturbed) return std::tuple(2, first_token_ms, engine.rank);
+    if (options_.pack && pass_ms > max_packed_ms) {
+      return std::tuple(1, first_token_ms, engine.rank);
+    }
+    return std::tuple(0, options_.pack ? -engine.calls : engine.calls,
+                      engine.rank);
   };
   const auto best =
       std::min_element(engines.begin(), engines.end(),
@@ -217,7 +221,7 @@
   PlacementPlan plan;
   plan.primary = best->ToPlacedEndpoint();
   plan.prefill_ms = total_prefill_ms;
-  plan.undisturbed = std::get<0>(score(*best)) == 0;
+  plan.undisturbed = std::get<0>(score(*best)) < 2;
   plan.expected_first_token =
       FromMilliseconds(best->passes.rest_ms + best->PassWith(total_prefill_ms));
   return plan;
--- a/modules/zr_gateway/placement_policy.h
+++ b/modules/zr_gateway/placement_policy.h
@@ -125,6 +125,9 @@
     double safe_objective_share = 0.1;
     /** Share of a tolerated pause that a forecast may use. */
     double max_gap_share = 0.85;
+    /** The same while short prompts are packed. Above it they are spread, as
+     * packing would bring many passes close to the tolerated pause. */
+    double packed_gap_share = 0.5;
     /** Requests that short prompts leave to long ones within the limit that an
      * engine names. */
     double limit_spare = 1;
