Learn from its answers what an endpoint may get

Cause: a starting or failing endpoint was limited by a fixed rate and by a back-off that doubled from 0.7 s to 6 s, and got any number of calls otherwise.

Change: EndpointPace limits the calls at once after a start, a rejection or a failure, and lifts the limit as answers come in time. SlownessEstimate is the lower median of observed / forecast times and sets EndpointState::slowness. A new dispatcher gets both limits with InFlightCalls. The setting `pace` (learned, fixed) chooses; the cold rate's bucket is the same in both.

--- a/modules/zr_gateway/call_endpoints.cc
+++ b/modules/zr_gateway/call_endpoints.cc
@@ -9,6 +9,7 @@
   const auto shared = static_cast<int64_t>(endpoints.kv_holders) *
                       endpoints.kv_per_holder.value();
   CallLoad part = load;
+  part.split = !endpoints.helpers.empty();
   part.kv_tokens =
       TokenCount(std::max(int64_t{0}, load.kv_tokens.value() - shared));
   tracker.OnStart(now, endpoints.primary, part);
@@ -21,7 +22,12 @@
 }
 
 void FinishPrefill(TimePoint now, EndpointTracker& tracker,
-                   const CallEndpoints& endpoints, const CallKey& key) {
+                   const CallEndpoints& endpoints, const CallKey& key,
+                   std::optional<Duration> elapsed) {
+  std::vector<EndpointId> engines = {endpoints.primary};
+  engines.insert(engines.end(), endpoints.helpers.begin(),
+                 endpoints.helpers.end());
+  tracker.OnFirstEvent(now, engines, key, elapsed);
   tracker.OnPrefillDone(now, endpoints.primary, key);
   for (size_t i = 0; i < endpoints.helpers.size(); ++i) {
     if (i < endpoints.kv_holders) {
--- a/modules/zr_gateway/call_endpoints.h
+++ b/modules/zr_gateway/call_endpoints.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 #include "zr_gateway/endpoint_tracker.h"
@@ -25,9 +26,11 @@
 void StartCall(TimePoint now, EndpointTracker& tracker,
                const CallEndpoints& endpoints, const CallLoad& load);
 
-/** Prefill is complete: removes the call from helpers that keep no memory. */
+/** Prefill is complete: removes the call from helpers that keep no memory.
+ * @param elapsed  from the call to its first event, if known */
 void FinishPrefill(TimePoint now, EndpointTracker& tracker,
-                   const CallEndpoints& endpoints, const CallKey& key);
+                   const CallEndpoints& endpoints, const CallKey& key,
+                   std::optional<Duration> elapsed = std::nullopt);
 
 /** Removes a call from all its endpoints. */
 void EndCall(TimePoint now, EndpointTracker& tracker,
--- a/modules/zr_gateway/endpoint_tracker.cc
+++ b/modules/zr_gateway/endpoint_tracker.cc
@@ -1,6 +1,7 @@
 #include "zr_gateway/endpoint_tracker.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace zr {
@@ -27,8 +28,17 @@
     state.backoff_until = TimePoint();
     state.report.reset();
     state.limit.reset();
+    state.slowness_estimate = {};
+    state.slowness = 1;
   }
   state.listed = listed;
+  state.cold_rate = cold_rate;
+  if (cold_rate > 0 && options_.pace == PaceMode::kLearned) {
+    state.learned = true;
+  }
+  if (restarted && state.learned) {
+    state.pace.OnStart(StartCalls(listed.service));
+  }
   EndpointId& newest = newest_at_address_[listed.address];
   const EndpointState* other = Find(newest);
   if (other == nullptr || other->listed.address != listed.address ||
@@ -59,7 +69,7 @@
                               const CallLoad& load) {
   EndpointState* state = FindMutable(id);
   if (state == nullptr) return;
-  state->calls.push_back(load);
+  OnPlacedLoad(now, *state, load);
   state->calls.back().placed = now;
   if (load.prefill_ms > 0) {
     state->prefill_until =
@@ -87,6 +97,7 @@
   if (state == nullptr) return;
   std::erase_if(state->calls,
                 [&key](const CallLoad& call) { return call.key == key; });
+  BeginWaiting(now, *state);
   CapPrefillEnd(now, *state);
 }
 
@@ -149,19 +160,25 @@
 }
 
 void EndpointTracker::OnCallResult(TimePoint now, const EndpointId& id,
-                                   CallResult result) {
+                                   CallResult result,
+                                   std::optional<Duration> answered_in) {
   EndpointState* state = FindMutable(id);
   if (state == nullptr) return;
   switch (result) {
     case CallResult::kAnswered:
       state->failures = 0;
       state->backoff_until = TimePoint();
+      OnAnswered(now, *state, answered_in);
       return;
     case CallResult::kAborted:
       return;
     case CallResult::kRejected:
       state->backoff_until =
           std::max(state->backoff_until, now + options_.rejected_backoff);
+      if (state->learned) {
+        SetBack(*state);
+        state->pace.OnRejected(now, state->OccupiedSlots() - 1);
+      }
       return;
     case CallResult::kErrorAnswer:
     case CallResult::kConnectionBroken:
@@ -173,6 +190,10 @@
   // several in a row.
   state->failures = std::min(state->failures + 1, kMaxCountedFailures);
   if (result == CallResult::kErrorAnswer && state->failures < 2) return;
+  if (state->learned) {
+    SetBack(*state);
+    state->pace.OnFailed(now, state->failures);
+  }
   const int64_t factor = int64_t{1} << (state->failures - 1);
   state->backoff_until =
       now + std::min(options_.initial_backoff * factor, options_.max_backoff);
@@ -192,6 +213,8 @@
   if (state == nullptr || cold_rate <= 0) return;
   if (now >= state->cold_until) {
     state->throttle = TokenBucket(cold_rate * options_.cold_share, 1);
+    state->cold_rate = cold_rate;
+    if (state->learned) state->pace.OnStart(StartCalls(state->listed.service));
   }
   state->cold_until = std::max(state->cold_until, now + left);
 }
@@ -269,12 +292,26 @@
     const std::set<EndpointId>& excluded, std::optional<double> spare) const {
   std::vector<const EndpointState*> healthy;
   std::vector<const EndpointState*> backing_off;
+  bool slot_free = false;
   for (const auto& [id, state] : endpoints_) {
     if (state.listed.service != service || !AcceptsCalls(state)) continue;
     if (excluded.contains(id)) continue;
     if (now < state.cold_until && state.throttle.LevelAt(now) < 1) continue;
     if (spare && !state.WithinLimit(now, *spare)) continue;
-    (now < state.backoff_until ? backing_off : healthy).push_back(&state);
+    if (!state.HasRoom(now)) continue;
+    if (now < state.backoff_until) {
+      backing_off.push_back(&state);
+      continue;
+    }
+    healthy.push_back(&state);
+    slot_free = slot_free || state.OccupiedSlots() < state.listed.slots;
+  }
+  // Callers wait, so endpoints that failed are probed.
+  if (!healthy.empty() && !slot_free) {
+    std::copy_if(backing_off.begin(), backing_off.end(),
+                 std::back_inserter(healthy), [](const EndpointState* state) {
+                   return state->learned && state->pace.probing();
+                 });
   }
   // Sorted by id so that ties between equal loads are resolved the same way in
   // every run.
--- a/modules/zr_gateway/endpoint_tracker.h
+++ b/modules/zr_gateway/endpoint_tracker.h
@@ -8,7 +8,9 @@
 #include <vector>
 
 #include "zr_base/zr_base.h"
+#include "zr_gateway/endpoint_pace.h"
 #include "zr_gateway/gateway_types.h"
+#include "zr_gateway/slowness_estimate.h"
 #include "zr_wire/messages.h"
 
 namespace zr {
@@ -31,7 +33,15 @@
   bool takes_slot = true;  // occupies a slot; false for helpers
   double value = 0;        // see RequestValue()
   TimePoint expires;       // dropped then even if the end was not reported
-  TimePoint placed;        // set by EndpointTracker::OnStart()
+  /** Forecast time to its first event; 0 if unknown. */
+  double forecast_ms = 0;
+  bool split = false;  // over several engines; set by StartCall()
+  TimePoint placed;    // set by EndpointTracker::OnStart()
+  /** Set by OnStart(): its slowness then, the time from which the forecast
+   * counts, and whether the call still waits for a slot. */
+  double slowness = 1;
+  TimePoint began;
+  bool waits = false;
   friend auto operator<=>(const CallLoad&, const CallLoad&) = default;
 };
 
@@ -41,10 +51,20 @@
   std::vector<CallLoad> calls;
   TimePoint prefill_until;  // forecast end of prefill
   TimePoint pass_began;     // the last known begin of a pass of an engine
-  double slowness = 1;      // duration of its passes / that of the profile
+  double slowness = 1;      // observed / forecast times; see SlownessEstimate
+  SlownessEstimate slowness_estimate;
+  EndpointPace pace;
+  bool learned = false;  // `pace` and `slowness` are in use
+  TimePoint sound_at;    // last took part in a first event in time
+  TimePoint active_at;   // a call was placed, answered or ended
+  /** Weight of load reports; falls if they contradict its answers. */
+  double report_trust = 1;
+  int logged_calls = 0;  // of `pace`, in the last PaceChange
+  double logged_slowness = 1;
   std::optional<ReportedLoad> report;
   TimePoint reported_at;
   TimePoint cold_until;
+  double cold_rate = 0;     // while cold, of all VMs together; 0: no limit
   int failures = 0;         // consecutive
   TimePoint backoff_until;  // gets calls before only if no other is available
   TokenBucket throttle{0, 1};   // limits calls while cold
@@ -53,6 +73,8 @@
 
   /** Number of calls that occupy a slot. */
   int OccupiedSlots() const;
+  /** `pace` allows one more call. */
+  bool HasRoom(TimePoint now) const;
   /** Total value of the calls whose callers do not tolerate such a pause. */
   double ValueStalledBy(double pause_ms) const;
   /** Forecast time until its prompts are prefilled. */
@@ -63,6 +85,15 @@
   bool WithinLimit(TimePoint now, double spare) const;
 };
 
+/** A change of what an endpoint may get, for the log. */
+struct PaceChange {
+  EndpointId endpoint;
+  int before = 0;  // calls at once; 0 if not limited
+  int now = 0;
+  double slowness = 1;
+  EndpointPace::Reason reason = EndpointPace::Reason::kNone;
+};
+
 /**
  * Tracks load, health and cold starts of the endpoints of all services, as seen
  * by one VM. Health follows from the results of calls, not from health checks.
@@ -78,6 +109,8 @@
     double cold_share = 0.05;
     /** The same of the limit that an endpoint names. */
     double limit_share = 0.02;
+    /** Of endpoints that are engines or have a cold rate. */
+    PaceMode pace = PaceMode::kFixed;
   };
 
   EndpointTracker() : EndpointTracker(Options{}) {}
@@ -87,6 +120,8 @@
   void SetLimitShare(double share) { options_.limit_share = share; }
   /** Sets Options::cold_share. */
   void SetColdShare(double share) { options_.cold_share = share; }
+  /** Sets Options::pace; ends the limits that were learned. */
+  void SetPace(PaceMode pace);
 
   //============================================================================
   // Updates from the platform
@@ -111,7 +146,20 @@
   void RemoveVmCalls(TimePoint now, const VmId& vm);
   /** Drops calls that must have ended. */
   void Expire(TimePoint now);
-  void OnCallResult(TimePoint now, const EndpointId& id, CallResult result);
+  /** @param answered_in  time to the answer of a plain service, if known */
+  void OnCallResult(TimePoint now, const EndpointId& id, CallResult result,
+                    std::optional<Duration> answered_in = std::nullopt);
+  /**
+   * The first event of a call has arrived. Of a call that is split over several
+   * engines, the time counts only if it is clear which of them was slow.
+   *
+   * @param engines  those that prefill the prompt; the first runs the request
+   * @param elapsed  since the call began; nothing if unknown
+   */
+  void OnFirstEvent(TimePoint now, const std::vector<EndpointId>& engines,
+                    const CallKey& key, std::optional<Duration> elapsed);
+  /** Updates what overdue calls tell; call every few ten milliseconds. */
+  void UpdatePace(TimePoint now);
   void OnLoad(TimePoint now, const EndpointId& id, const ReportedLoad& load);
   void OnCold(TimePoint now, const EndpointId& id, Duration left,
               double cold_rate);
@@ -122,6 +170,21 @@
   /** This VM begins to place requests for all VMs; what it did not use of the
    * limits before, others have used. */
   void RestartLimits(TimePoint now);
+  /** Limits that were found to hold, for another dispatcher.
+   * @param knows_all_calls  false if only this VM's calls are tracked; limits
+   * from rejections are then left out, as they are a part of the endpoint's */
+  std::vector<EndpointAllowance> Allowances(TimePoint now,
+                                            const ServiceName& service,
+                                            bool knows_all_calls) const;
+  /** This VM begins to place calls for all VMs: forgets limits of earlier times
+   * at which it did, except those of cold endpoints, which start anew. */
+  void RestartPace(TimePoint now);
+  /** Takes what another VM has found; the smallest counts. */
+  void OnAllowances(TimePoint now,
+                    const std::vector<EndpointAllowance>& allowances);
+  /** Changes since the last call. */
+  std::vector<PaceChange> TakePaceChanges();
+
   /** This VM places a request at the endpoint. */
   void CountRequest(TimePoint now, const EndpointId& id);
 
@@ -168,12 +231,25 @@
   bool Superseded(const ListedEndpoint& listed) const;
   static void CapPrefillEnd(TimePoint now, EndpointState& state);
   EndpointState* FindMutable(const EndpointId& id);
+  void OnPlacedLoad(TimePoint now, EndpointState& state, const CallLoad& load);
+  void OnAnswered(TimePoint now, EndpointState& state,
+                  std::optional<Duration> elapsed);
+  void LearnSlowness(TimePoint now, const std::vector<EndpointState*>& engines,
+                     double ratio);
+  void SetBack(EndpointState& state);
+  /** A call has ended, so that one which waits has a slot. */
+  static void BeginWaiting(TimePoint now, EndpointState& state);
+  void AnsweredInTime(TimePoint now, EndpointState& state);
+  /** What the service's endpoints sustained at their start. */
+  double& StartCalls(const ServiceName& service);
 
   Options options_;
   std::unordered_map<EndpointId, EndpointState> endpoints_;
   /** The most recently started endpoint of each address. */
   std::unordered_map<std::string, EndpointId> newest_at_address_;
   std::set<DomainId> evacuated_;
+  std::map<ServiceName, double> start_calls_;
+  std::map<ServiceName, double> usual_answer_ms_;  // of plain services
 };
 
 }  // namespace zr
--- a/modules/zr_gateway/placement_policy.cc
+++ b/modules/zr_gateway/placement_policy.cc
@@ -43,9 +43,15 @@
 double EstimateCalls(TimePoint now, const EndpointState& state) {
   const int tracked = state.OccupiedSlots();
   if (!state.report || now - state.reported_at > kMaxReportAge) return tracked;
-  const int reported = state.report->running + state.report->waiting;
+  int reported = state.report->running + state.report->waiting;
+  if (state.learned) {
+    // Only a hint: it may be wrong by any amount.
+    const int most = tracked + 2 * state.listed.slots;
+    reported = std::clamp(reported, 0, most);
+  }
   const double age = (now - state.reported_at).seconds();
-  const double weight = 1.0 - age / kMaxReportAge.seconds();
+  const double weight =
+      state.report_trust * (1.0 - age / kMaxReportAge.seconds());
   return tracked + std::max(0, reported - tracked) * weight;
 }
 
@@ -152,9 +158,17 @@
   }
   const double total_prefill_ms =
       PrefillMilliseconds(*engine, requirements.shape.prompt);
+  const auto is_probe = [](const EngineView& engine) {
+    return engine.state->learned && engine.state->pace.probing();
+  };
   if (IsShortPrefill(total_prefill_ms)) {
     return PackShort(engines, *engine, requirements, total_prefill_ms);
   }
+  // A long prompt fails if one of its engines does, so it is no probe unless
+  // all are.
+  if (!std::all_of(engines.begin(), engines.end(), is_probe)) {
+    std::erase_if(engines, is_probe);
+  }
   return SplitLong(engines, *engine, requirements, total_prefill_ms);
 }
 
@@ -162,9 +176,10 @@
     TimePoint now, const std::vector<const EndpointState*>& candidates,
     uint64_t tie_seed) const {
   const auto score = [&](const EndpointState* state) {
-    return std::pair(
-        EstimateCalls(now, *state) / std::max(1, state->listed.slots),
-        TieBreak(*state, tie_seed));
+    // With this call, less what it adds to an endpoint that is not slow.
+    const double calls = (EstimateCalls(now, *state) + 1) * state->slowness - 1;
+    return std::pair(calls / std::max(1, state->listed.slots),
+                     TieBreak(*state, tie_seed));
   };
   const auto best =
       std::min_element(candidates.begin(), candidates.end(),
@@ -210,6 +225,8 @@
   plan.primary = best->ToPlacedEndpoint();
   plan.prefill_ms = total_prefill_ms;
   plan.undisturbed = std::get<0>(score(*best)) == 0;
+  plan.starts_at_once =
+      best->calls + 1 <= profile.slots && needed <= best->free_tokens;
   plan.expected_first_token =
       FromMilliseconds(best->rest_ms + best->PassWith(total_prefill_ms));
   return plan;
@@ -300,6 +317,8 @@
       best->kv_per_holder = split->kv_per_holder;
     }
     best->prefill_ms = prefill_ms;
+    best->starts_at_once =
+        split.has_value() && primary->calls + 1 <= profile.slots;
     best->undisturbed =
         split && stalled_value <= 0 && first_token_ms <= objective_ms;
     best->expected_first_token = FromMilliseconds(first_token_ms);
--- a/modules/zr_gateway/placement_policy.h
+++ b/modules/zr_gateway/placement_policy.h
@@ -32,6 +32,9 @@
   /** Expected to meet the objective without stalling the endpoints' streams for
    * longer than their callers tolerate. */
   bool undisturbed = true;
+  /** The engines have a free slot and memory for it, so that the time to its
+   * first token shows how fast they are. */
+  bool starts_at_once = false;
 
   CallEndpoints Endpoints() const;
 };
--- a/modules/zr_gateway/pool_dispatcher.cc
+++ b/modules/zr_gateway/pool_dispatcher.cc
@@ -64,6 +64,9 @@
   load.prefill_ms = plan->prefill_ms;
   load.kv_tokens = request.prompt + request.max_answer;
   load.max_gap = request.max_gap;
+  if (plan->starts_at_once) {
+    load.forecast_ms = plan->expected_first_token.seconds() * 1000;
+  }
   load.value = RequestValue(requirements.shape);
   load.expires = now + request.time_left + kExpiryGrace;
   AddCall(now, MakeCallKey(vm, request.request, request.call_number),
@@ -104,7 +107,8 @@
   CallLoad keyed_load = load;
   keyed_load.key = key;
   StartCall(now, tracker_, endpoints, keyed_load);
-  calls_[key] = {pool, std::move(endpoints), load.expires};
+  calls_[key] = {pool, std::move(endpoints), load.expires,
+                 load.prefill_ms <= 0 && load.kv_tokens == TokenCount()};
 }
 
 void PoolDispatcher::OnProgress(TimePoint now, const VmId& vm,
@@ -113,12 +117,16 @@
   auto it = calls_.find(key);
   if (it == calls_.end()) return;
   const CallEndpoints& endpoints = it->second.endpoints;
+  // VMs of earlier versions don't tell the time.
+  std::optional<Duration> elapsed;
+  if (progress.elapsed > Duration()) elapsed = progress.elapsed;
   if (progress.stage == CallStage::kPrefillDone) {
-    return FinishPrefill(now, tracker_, endpoints, key);
+    return FinishPrefill(now, tracker_, endpoints, key, elapsed);
   }
   // With helpers, it is unknown which of the endpoints rejected the call.
   if (endpoints.helpers.empty() || progress.result != CallResult::kRejected) {
-    tracker_.OnCallResult(now, endpoints.primary, progress.result);
+    tracker_.OnCallResult(now, endpoints.primary, progress.result,
+                          it->second.plain ? elapsed : std::nullopt);
   }
   RemoveCall(now, key);
 }
@@ -153,6 +161,7 @@
     AddCall(now, MakeCallKey(vm, call.request, call.call_number),
             in_flight.pool, std::move(endpoints), load);
   }
+  tracker_.OnAllowances(now, in_flight.allowances);
 }
 
 void PoolDispatcher::OnVmDown(TimePoint now, const VmId& vm) {
@@ -169,6 +178,7 @@
     if (now > placed.expires) expired.push_back(key);
   }
   for (const CallKey& key : expired) RemoveCall(now, key);
+  tracker_.UpdatePace(now);
 }
 
 }  // namespace zr
--- a/modules/zr_gateway/pool_dispatcher.h
+++ b/modules/zr_gateway/pool_dispatcher.h
@@ -51,6 +51,7 @@
     PoolId pool;
     CallEndpoints endpoints;
     TimePoint expires;
+    bool plain = false;  // of a plain service
   };
 
   /** Decides whether a long prompt starts now; see PrefillAdmission. */
--- a/modules/zr_gateway_host/dispatch_client.cc
+++ b/modules/zr_gateway_host/dispatch_client.cc
@@ -163,11 +163,16 @@
                       {"before", current_dispatchers_[pool].value()},
                       {"now", vm.value()},
                       {"vms", vms_.size()}});
+    const bool was_dispatcher = current_dispatchers_[pool] == settings_.vm;
     current_dispatchers_[pool] = vm;
     if (vm.empty()) continue;
-    InFlightCalls calls{pool, in_flight_calls_(pool)};
+    const EndpointTracker& known =
+        was_dispatcher ? dispatcher_.tracker() : state_.tracker;
+    InFlightCalls calls{pool, in_flight_calls_(pool),
+                        known.Allowances(now, pool, was_dispatcher)};
     if (vm == settings_.vm) {
       dispatcher_.tracker().RestartLimits(now);
+      dispatcher_.tracker().RestartPace(now);
       dispatcher_.OnInFlightCalls(now, vm, calls);
     } else {
       Send(vm, calls);
@@ -224,8 +229,33 @@
   }
 }
 
+void DispatchClient::ReportPace(TimePoint now) {
+  const auto report = [&](EndpointTracker& tracker, bool dispatcher) {
+    for (const PaceChange& change : tracker.TakePaceChanges()) {
+      const EndpointState* endpoint = tracker.Find(change.endpoint);
+      const ServiceName& service = endpoint->listed.service;
+      const VmId vm =
+          ranked_.contains(service) ? DispatcherFor(service) : VmId();
+      if (dispatcher ? vm != settings_.vm : !vm.empty()) continue;
+      state_.log.Write(now, "pace",
+                       {{"endpoint", change.endpoint.value()},
+                        {"allowance", change.now},
+                        {"before", change.before},
+                        {"slowness", change.slowness},
+                        {"reason", ToString(change.reason)},
+                        {"by", dispatcher ? "dispatcher" : "this VM"}});
+      state_.metrics.Set("zr_gateway_endpoint_pace",
+                         {{"endpoint", change.endpoint.value()}},
+                         change.now > 0 ? change.now : endpoint->listed.slots);
+    }
+  };
+  report(dispatcher_.tracker(), true);
+  report(state_.tracker, false);
+}
+
 void DispatchClient::Tick(TimePoint now) {
   dispatcher_.Tick(now);
+  ReportPace(now);
   relay_.Tick(
       now, [this](const VmId& vm) { return IsUsable(vm); },
       [this](const VmId& vm, const Message& message) {
--- a/modules/zr_gateway_host/dispatch_client.h
+++ b/modules/zr_gateway_host/dispatch_client.h
@@ -107,6 +107,8 @@
   /** The VMs of which that is true, as far as there is a link to them. */
   std::set<VmId> LinkedHubs() const;
   void UpdateDispatchers();
+  /** Logs changes of what endpoints may get, where this VM places the calls. */
+  void ReportPace(TimePoint now);
   void CompleteDispatch(const DispatchKey& key,
                         std::optional<DispatchReply> reply);
 
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -30,6 +30,10 @@
   load.max_gap = route_->gap_objective.value_or(Duration::Max());
   load.value = RequestValue(request_.shape);
   load.expires = deadline_ + Duration::Seconds(1);
+  // The dispatcher, which knows all calls, learns from those that it placed.
+  if (!dispatched && call_->plan.starts_at_once) {
+    load.forecast_ms = call_->plan.expected_first_token.seconds() * 1000;
+  }
   StartCall(now, state_.tracker, call_->plan.Endpoints(), load);
   LogFields fields = CommonFields(now);
   fields["endpoint"] = call_->plan.primary.endpoint.value();
@@ -275,11 +279,14 @@
   call_->prefilling = false;
   const TimePoint now = BootNow();
   state_.suspects->OnAnswerBegan(now, suspects_);
-  zr::FinishPrefill(now, state_.tracker, call_->plan.Endpoints(), Key());
+  const Duration elapsed = now - call_->started;
+  zr::FinishPrefill(now, state_.tracker, call_->plan.Endpoints(), Key(),
+                    elapsed);
   if (state_.dispatch && (service_->engine || call_->dispatched)) {
     state_.dispatch->Report(
         {request_.id, AttemptNumber(static_cast<uint64_t>(call_->number)),
-         service_->name, CallStage::kPrefillDone, CallResult::kAnswered});
+         service_->name, CallStage::kPrefillDone, CallResult::kAnswered,
+         elapsed});
   }
   LogFields fields = CommonFields(now);
   fields["endpoint"] = call_->plan.primary.endpoint.value();
@@ -338,8 +345,12 @@
         "status " + std::to_string(status));
   }
   state_.suspects->OnAnswerCompleted(now, suspects_);
+  std::optional<Duration> answered_in;
+  if (!service_->engine && !route_->streaming) {
+    answered_in = now - call_->started;
+  }
   state_.tracker.OnCallResult(now, call_->plan.primary.endpoint,
-                              CallResult::kAnswered);
+                              CallResult::kAnswered, answered_in);
   call_->result = CallResult::kAnswered;
   if (route_->streaming && status == 200) {
     if (!answer_started_) BeginAnswer();
--- a/modules/zr_gateway_host/forwarded_request_failure_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_failure_impl.h
@@ -78,7 +78,8 @@
   if (state_.dispatch && (service_->engine || call_->dispatched)) {
     state_.dispatch->Report(
         {request_.id, AttemptNumber(static_cast<uint64_t>(call_->number)),
-         service_->name, CallStage::kEnded, call_->result});
+         service_->name, CallStage::kEnded, call_->result,
+         now - call_->started});
   }
   call_.reset();
 }
--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -50,6 +50,7 @@
   Result<void> Open();
   /** Applies the time bounds of the settings. */
   void ApplyBounds();
+  void ApplyPace();
 
   // StoreFeed::Listener
   void OnList(const std::string& kind,
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -175,9 +175,16 @@
   add_feed(kMemberKind, StorePurpose::kStatus, kMemberWatch, kMemberBatchDelay);
   add_feed(kSuspectKind, StorePurpose::kStatus, kSuspectWatch);
   ApplyBounds();
+  ApplyPace();
   return {};
 }
 
+template <GatewayFormat Format>
+void GatewayNode<Format>::ApplyPace() {
+  state_.tracker.SetPace(settings_.pace);
+  dispatch_->dispatcher().tracker().SetPace(settings_.pace);
+}
+
 template <GatewayFormat Format>
 void GatewayNode<Format>::ApplyBounds() {
   const std::map<std::string, Duration> bounds = {
@@ -345,6 +352,7 @@
   if (repeat || members_.KeyWriteDue(now)) UpdateMembership();
   state_.reservations->Tick(now);
   state_.tracker.Expire(now);
+  state_.tracker.UpdatePace(now);
   dispatch_->Tick(now);
   UpdateSuspectRecords(now);
   if (now >= next_settings_check_) {
@@ -373,6 +381,7 @@
   // Addresses are bound at the start only; all other settings apply at once.
   settings_ = std::move(*read);
   ApplyBounds();
+  ApplyPace();
   state_.log.Write(now, "reload", {{"cause", cause}});
 }
 
--- a/modules/zr_gateway_host/gateway_settings.h
+++ b/modules/zr_gateway_host/gateway_settings.h
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "zr_base/zr_base.h"
+#include "zr_gateway/endpoint_pace.h"
 
 namespace zr {
 
@@ -33,6 +34,8 @@
   Duration reservation_max_idle = Duration::Seconds(9);
   /** Retries of a service per window, as a share of its requests on all VMs. */
   double retry_ratio = 0.2;
+  /** Of engines and of services with a cold rate. */
+  PaceMode pace = PaceMode::kLearned;
   friend auto operator<=>(const GatewaySettings&,
                           const GatewaySettings&) = default;
 };
