--- a/modules/zr_gateway/pool_dispatcher.cc
+++ b/modules/zr_gateway/pool_dispatcher.cc
@@ -64,6 +64,9 @@
   load.prefill_ms = plan->prefill_ms;
   load.kv_tokens = request.prompt + request.max_answer;
   load.max_gap = request.max_gap;
+  if (plan->starts_at_once) {
+    load.forecast_ms = plan->expected_first_token.seconds() * 1000;
+  }
   load.value = RequestValue(requirements.shape);
   load.expires = now + request.time_left + kExpiryGrace;
   AddCall(now, MakeCallKey(vm, request.request, request.call_number),
@@ -104,7 +107,8 @@
   CallLoad keyed_load = load;
   keyed_load.key = key;
   StartCall(now, tracker_, endpoints, keyed_load);
-  calls_[key] = {pool, std::move(endpoints), load.expires};
+  calls_[key] = {pool, std::move(endpoints), load.expires,
+                 load.prefill_ms <= 0 && load.kv_tokens == TokenCount()};
 }
 
 std::optional<LongPause> PoolDispatcher::OnProgress(
@@ -113,16 +117,20 @@
   auto it = calls_.find(key);
   if (it == calls_.end()) return std::nullopt;
   const CallEndpoints& endpoints = it->second.endpoints;
+  // VMs of earlier versions don't tell the time.
+  std::optional<Duration> elapsed;
+  if (progress.elapsed > Duration()) elapsed = progress.elapsed;
   pauses_.OnPrefillEnded(now, tracker_, endpoints, key);
   if (progress.stage == CallStage::kPrefillDone) {
-    FinishPrefill(now, tracker_, endpoints, key);
+    FinishPrefill(now, tracker_, endpoints, key, elapsed);
     return std::nullopt;
   }
   auto long_pause =
       pauses_.OnCallEnded(now, tracker_, endpoints.primary, key, progress);
   // With helpers, it is unknown which of the endpoints rejected the call.
   if (endpoints.helpers.empty() || progress.result != CallResult::kRejected) {
-    tracker_.OnCallResult(now, endpoints.primary, progress.result);
+    tracker_.OnCallResult(now, endpoints.primary, progress.result,
+                          it->second.plain ? elapsed : std::nullopt);
   }
   RemoveCall(now, key);
   return long_pause;
@@ -158,6 +166,7 @@
     AddCall(now, MakeCallKey(vm, call.request, call.call_number),
             in_flight.pool, std::move(endpoints), load);
   }
+  tracker_.OnAllowances(now, in_flight.allowances);
 }
 
 void PoolDispatcher::OnVmDown(TimePoint now, const VmId& vm) {
@@ -174,6 +183,7 @@
     if (now > placed.expires) expired.push_back(key);
   }
   for (const CallKey& key : expired) RemoveCall(now, key);
+  tracker_.UpdatePace(now);
 }
 
 }  // namespace zr
--- a/modules/zr_gateway_host/forwarded_request_failure_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_failure_impl.h
@@ -92,6 +92,7 @@
   progress.pool = service_->name;
   progress.stage = CallStage::kEnded;
   progress.result = call_->result;
+  progress.elapsed = now - call_->started;
   progress.longest_pause = call_->pauses.longest();
   if (progress.longest_pause > Duration()) {
     progress.pause_ended_ago = now - call_->pauses.ended();
