Queue requests for engines at their dispatcher

In an overload all short prompts waited in engines in order of arrival, so nearly all were late. A VM without a dispatcher places a bounded number of calls. The setting queue.fair=off restores the old path.

Forecasts: a prompt that is placed when the end of a pass is reported arrives after the next pass has begun, and the end of an answer ends a pass, too. Before, grants made at the end of a pass were forecast too early by one pass.

--- a/modules/zr_gateway/endpoint_tracker.cc
+++ b/modules/zr_gateway/endpoint_tracker.cc
@@ -90,6 +90,11 @@
   CapPrefillEnd(now, *state);
 }
 
+void EndpointTracker::OnPassEnd(TimePoint now, const EndpointId& id) {
+  EndpointState* state = FindMutable(id);
+  if (state != nullptr) state->pass_began = now;
+}
+
 void EndpointTracker::RemoveVmCalls(TimePoint now, const VmId& vm) {
   for (auto& [id, state] : endpoints_) {
     std::erase_if(state.calls,
@@ -132,6 +137,17 @@
   return value;
 }
 
+double EndpointState::ValueDelayedTo(TimePoint first_token,
+                                     TimePoint pass_began) const {
+  double value = 0;
+  for (const CallLoad& call : calls) {
+    const bool waits =
+        call.takes_slot && call.prefill_ms > 0 && call.placed >= pass_began;
+    if (waits && call.first_token_by < first_token) value += call.value;
+  }
+  return value;
+}
+
 double EndpointState::BacklogMs(TimePoint now) const {
   // Remaining time assumed for prefill that takes longer than forecast.
   constexpr double kOverdueMs = 10;
--- a/modules/zr_gateway/endpoint_tracker.h
+++ b/modules/zr_gateway/endpoint_tracker.h
@@ -21,13 +21,20 @@
   friend auto operator<=>(const CallKey&, const CallKey&) = default;
 };
 
+inline CallKey MakeCallKey(const VmId& vm, const RequestId& request,
+                           AttemptNumber call_number) {
+  return {vm, request, static_cast<int>(call_number.value())};
+}
+
 /** Load that a call puts on an endpoint. */
 struct CallLoad {
   CallKey key;
   double prefill_ms = 0;  // time to prefill its segment; 0 afterwards
   TokenCount kv_tokens;   // memory until the call ends
   Duration max_gap =
-      Duration::Max();     // longest pause that the caller tolerates
+      Duration::Max();  // longest pause that the caller tolerates
+  /** Its first token is late afterwards; Max if it is late anyway. */
+  TimePoint first_token_by = TimePoint::Max();
   bool takes_slot = true;  // occupies a slot; false for helpers
   double value = 0;        // see RequestValue()
   TimePoint expires;       // dropped then even if the end was not reported
@@ -55,6 +62,11 @@
   int OccupiedSlots() const;
   /** Total value of the calls whose callers do not tolerate such a pause. */
   double ValueStalledBy(double pause_ms) const;
+  /** Total value of the calls that wait for the pass after the current one and
+   * whose first token would be late.
+   * @param pass_began  of the current pass
+   * @param first_token  end of the next one */
+  double ValueDelayedTo(TimePoint first_token, TimePoint pass_began) const;
   /** Forecast time until its prompts are prefilled. */
   double BacklogMs(TimePoint now) const;
   TokenCount KvInUse() const;
@@ -107,6 +119,8 @@
   /** The first token has arrived, so prefill is complete. */
   void OnPrefillDone(TimePoint now, const EndpointId& id, const CallKey& key);
   void OnEnd(TimePoint now, const EndpointId& id, const CallKey& key);
+  /** An engine wrote the last event of an answer, which ends a pass. */
+  void OnPassEnd(TimePoint now, const EndpointId& id);
   /** Drops the calls of a failed VM. */
   void RemoveVmCalls(TimePoint now, const VmId& vm);
   /** Drops calls that must have ended. */
--- a/modules/zr_gateway/engine_passes.cc
+++ b/modules/zr_gateway/engine_passes.cc
@@ -41,7 +41,8 @@
   auto next = waiting.begin();
   for (int pass = 0; pass < kMaxPasses; ++pass) {
     // An idle engine begins with the first prompt that arrives.
-    if (streams == 0) {
+    const bool idle = streams == 0;
+    if (idle) {
       if (next == waiting.end()) break;
       begin = std::max(begin, (*next)->placed);
     }
@@ -49,7 +50,12 @@
     bool reported = false;  // its end will be
     int joining = 0;
     double joining_context = 0;
-    for (; next != waiting.end() && (*next)->placed <= begin; ++next) {
+    // A prompt that is placed when the end of a pass is reported arrives after
+    // the next one has begun.
+    const auto is_read = [&](const CallLoad* call) {
+      return idle ? call->placed <= begin : call->placed < begin;
+    };
+    for (; next != waiting.end() && is_read(*next); ++next) {
       prefill_ms += (*next)->prefill_ms;
       if (!(*next)->takes_slot) continue;
       reported = true;
@@ -63,6 +69,7 @@
          prefill_ms);
     if (length_ms <= 0) break;
     const double elapsed_ms = Milliseconds(now - begin);
+    forecast.began = begin;
     streams += joining;
     context += joining_context;
     const bool ended = elapsed_ms >= length_ms;
--- a/modules/zr_gateway/engine_passes.h
+++ b/modules/zr_gateway/engine_passes.h
@@ -14,6 +14,7 @@
   double next_ms = 0;
   double prefill_ms = 0;  // of the prompts in the next pass
   int streams = 0;        // decoded in the next pass
+  TimePoint began;        // of the current pass
   friend auto operator<=>(const PassForecast&, const PassForecast&) = default;
 };
 
--- a/modules/zr_gateway/gateway_config.cc
+++ b/modules/zr_gateway/gateway_config.cc
@@ -18,6 +18,10 @@
     : parts_(std::move(parts)) {
   for (const Route& route : parts_.routes) {
     routes_[RouteKey(route.host, route.path_prefix)] = &route;
+    if (route.latency_objective <= Duration()) continue;
+    for (const WeightedService& weighted : route.services) {
+      with_objective_.insert(weighted.service);
+    }
   }
   for (const ServicePolicy& service : parts_.services) {
     services_[service.name] = &service;
--- a/modules/zr_gateway/gateway_config.h
+++ b/modules/zr_gateway/gateway_config.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -47,6 +48,11 @@
   const TeamKeys* FindTeam(std::string_view key) const;
   /** The services whose endpoints are model engines, sorted by name. */
   std::vector<PoolId> ModelPools() const;
+  /** A route of the service names a latency objective. */
+  bool HasObjective(const ServiceName& service) const {
+    return with_objective_.contains(service);
+  }
+  size_t team_count() const { return parts_.teams.size(); }
   /** Routes that are not anonymous require a key. */
   bool needs_keys() const { return parts_.has_teams; }
 
@@ -57,6 +63,7 @@
   std::unordered_map<std::string, const Route*> routes_;  // by host and prefix
   std::map<ServiceName, const ServicePolicy*> services_;
   std::map<std::string, const TeamKeys*, std::less<>> keys_;
+  std::set<ServiceName> with_objective_;
 };
 
 using GatewayConfigPtr = std::shared_ptr<const GatewayConfig>;
--- a/modules/zr_gateway/placement_policy.cc
+++ b/modules/zr_gateway/placement_policy.cc
@@ -12,16 +12,31 @@
 /** Snapshot of an engine's load for one choice. */
 struct PlacementPolicy::EngineView {
   const EndpointState* state = nullptr;
-  double calls = 0;    // calls that occupy a slot
-  double rest_ms = 0;  // of the current pass
-  double next_ms = 0;  // length of the next pass
+  double calls = 0;               // calls that occupy a slot
+  double rest_ms = 0;             // of the current pass
+  double next_ms = 0;             // length of the next pass
+  double waiting_prefill_ms = 0;  // of the prompts in the next pass
   double free_tokens = 0;
   uint64_t rank = 0;  // breaks ties
+  TimePoint now;
+  TimePoint pass_began;
 
   /** Length of the next pass if it prefills a further segment. */
   double PassWith(double prefill_ms) const {
     return next_ms + prefill_ms * state->slowness;
   }
+  /** Value of the calls that are late, or whose streams stall, only because the
+   * next pass prefills a further segment.
+   * @param max_gap_share  share of a tolerated pause that the pass may take */
+  double ValueHarmedBy(double prefill_ms, double max_gap_share) const {
+    const auto harmed = [&](double pass_ms) {
+      const TimePoint ends = now + Duration::Microseconds(static_cast<int64_t>(
+                                       1000 * (rest_ms + pass_ms)));
+      return state->ValueStalledBy(pass_ms / max_gap_share) +
+             state->ValueDelayedTo(ends, pass_began);
+    };
+    return harmed(PassWith(prefill_ms)) - harmed(next_ms);
+  }
   PlacedEndpoint ToPlacedEndpoint() const {
     return {state->listed.id, state->listed.address};
   }
@@ -137,7 +152,10 @@
     view.calls = EstimateCalls(now, *state);
     const double held = static_cast<double>(state->KvInUse().value());
     const PassForecast passes = ForecastPasses(now, *state, *engine);
+    view.now = now;
+    view.pass_began = passes.began;
     view.rest_ms = passes.rest_ms;
+    view.waiting_prefill_ms = passes.prefill_ms;
     // Calls that other VMs have placed by themselves are known by number only.
     const int known = state->OccupiedSlots();
     const int unknown = static_cast<int>(view.calls) - known;
@@ -184,6 +202,12 @@
   const double max_pause_ms =
       ToMilliseconds(requirements.max_gap) * options_.max_gap_share;
   const double max_packed_calls = profile.slots * (1 - options_.slot_reserve);
+  const auto has_room = [&](const EngineView& engine) {
+    return engine.calls + 1 <= profile.slots && needed <= engine.free_tokens;
+  };
+  const auto harmed_value = [&](const EngineView& engine) {
+    return engine.ValueHarmedBy(total_prefill_ms, options_.max_gap_share);
+  };
   // Prefers the fullest engine that has room and stalls no stream, otherwise
   // the engine with the earliest first token.
   const auto score = [&](const EngineView& engine) {
@@ -198,8 +222,11 @@
         first_token_ms <=
             ToMilliseconds(requirements.objective) * options_.max_gap_share;
     const double packed = options_.pack ? -engine.calls : engine.calls;
-    return std::tuple(undisturbed ? 0 : 1,
-                      undisturbed ? packed : first_token_ms, engine.rank);
+    int tier = undisturbed ? 0 : 1;
+    if (!undisturbed && requirements.prefers_room) {
+      tier = !has_room(engine) ? 3 : harmed_value(engine) > 0 ? 2 : 1;
+    }
+    return std::tuple(tier, undisturbed ? packed : first_token_ms, engine.rank);
   };
   const auto best =
       std::min_element(engines.begin(), engines.end(),
@@ -210,6 +237,9 @@
   plan.primary = best->ToPlacedEndpoint();
   plan.prefill_ms = total_prefill_ms;
   plan.undisturbed = std::get<0>(score(*best)) == 0;
+  plan.has_room = has_room(*best);
+  plan.harmed_value = harmed_value(*best);
+  plan.shares_pass = best->waiting_prefill_ms > 0;
   plan.expected_first_token =
       FromMilliseconds(best->rest_ms + best->PassWith(total_prefill_ms));
   return plan;
@@ -260,6 +290,18 @@
       return candidate.engine->state->limit && std::exchange(limited, true);
     });
     if (candidates.size() < engine_count) break;
+    const auto has_slot = [&profile](const Candidate& candidate) {
+      return candidate.engine->calls + 1 <= profile.slots;
+    };
+    if (requirements.prefers_room) {
+      // One of the engines has to run the request.
+      const auto first =
+          std::find_if(candidates.begin(), candidates.end(), has_slot);
+      const auto last =
+          candidates.begin() + static_cast<ptrdiff_t>(engine_count) - 1;
+      if (first != candidates.end() && first > last)
+        std::iter_swap(first, last);
+    }
     candidates.resize(engine_count);
     double stalled_value = 0;
     double first_token_ms = 0;
@@ -269,12 +311,14 @@
     }
     // The engine with the most free memory runs the request, unless one may
     // not help.
+    const auto runs_rank = [&](const Candidate& candidate) {
+      return std::tuple(candidate.engine->state->limit.has_value(),
+                        !requirements.prefers_room || has_slot(candidate),
+                        candidate.engine->free_tokens);
+    };
     std::stable_sort(candidates.begin(), candidates.end(),
-                     [](const Candidate& a, const Candidate& b) {
-                       return std::pair(a.engine->state->limit.has_value(),
-                                        a.engine->free_tokens) >
-                              std::pair(b.engine->state->limit.has_value(),
-                                        b.engine->free_tokens);
+                     [&](const Candidate& a, const Candidate& b) {
+                       return runs_rank(a) > runs_rank(b);
                      });
     const EngineView* primary = candidates.front().engine;
     std::vector<double> free_helpers;
@@ -302,6 +346,8 @@
     best->prefill_ms = prefill_ms;
     best->undisturbed =
         split && stalled_value <= 0 && first_token_ms <= objective_ms;
+    best->has_room = split && has_slot(candidates.front());
+    best->harmed_value = stalled_value;
     best->expected_first_token = FromMilliseconds(first_token_ms);
   }
   return best;
--- a/modules/zr_gateway/placement_policy.h
+++ b/modules/zr_gateway/placement_policy.h
@@ -32,6 +32,13 @@
   /** Expected to meet the objective without stalling the endpoints' streams for
    * longer than their callers tolerate. */
   bool undisturbed = true;
+  /** The endpoint has a free slot, and all have memory for the request. */
+  bool has_room = true;
+  /** Value of the calls that are late, or whose streams stall for longer than
+   * their callers tolerate, only because of this prompt. */
+  double harmed_value = 0;
+  /** Other prompts wait for the same pass of the engine, if it is short. */
+  bool shares_pass = false;
 
   CallEndpoints Endpoints() const;
 };
@@ -44,6 +51,9 @@
       Duration::Max();            // longest pause that the caller tolerates
   Duration time_left;             // until the deadline
   std::set<EndpointId> excluded;  // already tried
+  /** Prefers endpoints with room to those with an earlier first token, if none
+   * is undisturbed. */
+  bool prefers_room = false;
   friend auto operator<=>(const CallRequirements&,
                           const CallRequirements&) = default;
 };
--- a/modules/zr_gateway/pool_dispatcher.cc
+++ b/modules/zr_gateway/pool_dispatcher.cc
@@ -12,11 +12,6 @@
 // Interval at which a VM asks again for a deferred prompt.
 constexpr Duration kDeferInterval = Duration::Milliseconds(200);
 
-CallKey MakeCallKey(const VmId& vm, const RequestId& request,
-                    AttemptNumber call_number) {
-  return {vm, request, static_cast<int>(call_number.value())};
-}
-
 }  // namespace
 
 DispatchReply PoolDispatcher::OnDispatchRequest(
@@ -28,12 +23,10 @@
   reply.retry_after = Duration::Milliseconds(300);
   const ServicePolicy* service = config.FindService(request.pool);
   if (service == nullptr) return reply;
-  CallRequirements requirements;
-  requirements.shape = {request.prompt, request.max_answer};
-  requirements.objective = request.objective;
-  requirements.max_gap = request.max_gap;
-  requirements.time_left = request.time_left;
-  requirements.excluded = {request.excluded.begin(), request.excluded.end()};
+  if (MayQueue(config, *service, request)) {
+    return OnQueueableRequest(now, vm, *service->engine, request);
+  }
+  const CallRequirements requirements = RequirementsOf(request);
   const auto plan =
       placement_.Choose(now, tracker_, request.pool,
                         service->engine ? &*service->engine : nullptr,
@@ -50,25 +43,45 @@
         reply.retry_after, tracker_.TimeUntilWithinLimit(now, request.pool));
     return reply;
   }
-  tracker_.CountRequest(now, plan->primary.endpoint);
+  Grant(now, vm, request, *plan, request.time_left, now + request.objective,
+        reply);
+  return reply;
+}
+
+CallRequirements PoolDispatcher::RequirementsOf(
+    const DispatchRequest& request) const {
+  CallRequirements requirements;
+  requirements.shape = {request.prompt, request.max_answer};
+  requirements.objective = request.objective;
+  requirements.max_gap = request.max_gap;
+  requirements.time_left = request.time_left;
+  requirements.excluded = {request.excluded.begin(), request.excluded.end()};
+  return requirements;
+}
+
+void PoolDispatcher::Grant(TimePoint now, const VmId& vm,
+                           const DispatchRequest& request,
+                           const PlacementPlan& plan, Duration time_left,
+                           TimePoint first_token_by, DispatchReply& reply) {
+  tracker_.CountRequest(now, plan.primary.endpoint);
 
-  CallEndpoints endpoints = plan->Endpoints();
+  CallEndpoints endpoints = plan.Endpoints();
   reply.endpoint = endpoints.primary;
   reply.helpers = endpoints.helpers;
   reply.kv_holders = static_cast<uint32_t>(endpoints.kv_holders);
   reply.kv_per_holder = endpoints.kv_per_holder;
-  reply.prefill_us = static_cast<uint32_t>(1000 * plan->prefill_ms);
-  reply.forecast = plan->expected_first_token;
+  reply.prefill_us = static_cast<uint32_t>(1000 * plan.prefill_ms);
+  reply.forecast = plan.expected_first_token;
 
   CallLoad load;
-  load.prefill_ms = plan->prefill_ms;
+  load.prefill_ms = plan.prefill_ms;
   load.kv_tokens = request.prompt + request.max_answer;
   load.max_gap = request.max_gap;
-  load.value = RequestValue(requirements.shape);
-  load.expires = now + request.time_left + kExpiryGrace;
+  load.first_token_by = first_token_by;
+  load.value = RequestValue({request.prompt, request.max_answer});
+  load.expires = now + time_left + kExpiryGrace;
   AddCall(now, MakeCallKey(vm, request.request, request.call_number),
           request.pool, std::move(endpoints), load);
-  return reply;
 }
 
 PrefillDecision PoolDispatcher::DecidePrefill(
@@ -111,16 +124,27 @@
                                 const CallProgress& progress) {
   const CallKey key = MakeCallKey(vm, progress.request, progress.call_number);
   auto it = calls_.find(key);
-  if (it == calls_.end()) return;
+  if (it == calls_.end()) {
+    // The caller of a queued request has left.
+    const auto queued = queued_pools_.find(progress.pool);
+    if (queued != queued_pools_.end()) queued->second.queue.Remove(key);
+    return;
+  }
+  const PoolId pool = it->second.pool;
   const CallEndpoints& endpoints = it->second.endpoints;
   if (progress.stage == CallStage::kPrefillDone) {
-    return FinishPrefill(now, tracker_, endpoints, key);
+    FinishPrefill(now, tracker_, endpoints, key);
+    return ServeQueue(now, pool);
   }
   // With helpers, it is unknown which of the endpoints rejected the call.
   if (endpoints.helpers.empty() || progress.result != CallResult::kRejected) {
     tracker_.OnCallResult(now, endpoints.primary, progress.result);
   }
+  if (progress.result == CallResult::kAnswered) {
+    tracker_.OnPassEnd(now, endpoints.primary);
+  }
   RemoveCall(now, key);
+  ServeQueue(now, pool, true);
 }
 
 void PoolDispatcher::RemoveCall(TimePoint now, const CallKey& key) {
@@ -161,6 +185,10 @@
     if (key.vm == vm) known.push_back(key);
   }
   for (const CallKey& key : known) RemoveCall(now, key);
+  for (auto& [pool_id, pool] : queued_pools_) {
+    pool.queue.RemoveVm(vm);
+    ServeQueue(now, pool_id);
+  }
 }
 
 void PoolDispatcher::Tick(TimePoint now) {
@@ -169,6 +197,10 @@
     if (now > placed.expires) expired.push_back(key);
   }
   for (const CallKey& key : expired) RemoveCall(now, key);
+  for (auto& [pool_id, pool] : queued_pools_) {
+    RefuseHopeless(now, pool_id, pool);
+    ServeQueue(now, pool_id);
+  }
 }
 
 }  // namespace zr
--- /dev/null
+++ b/modules/zr_gateway/tests/pool_queue_test.cc
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
--- a/modules/zr_gateway_host/dispatch_client.cc
+++ b/modules/zr_gateway_host/dispatch_client.cc
@@ -18,6 +18,17 @@
 // A dispatcher answers within a round trip of a few milliseconds; the link to a
 // VM that takes longer is closed and dialled again.
 constexpr Duration kDispatchTimeout = Duration::Milliseconds(60);
+// A queued request is granted or refused within the wait of its caller, 2 s,
+// several objectives or several pauses. Without a reply this long afterwards
+// the dispatcher has lost it.
+constexpr Duration kMinQueuedTimeout = Duration::Seconds(2);
+constexpr int64_t kQueuedObjectives = 4;
+constexpr int64_t kQueuedGaps = 8;
+// Calls that all VMs together place without a dispatcher, for each slot of the
+// pool, and the least for one VM: callers of one VM may be many more than its
+// share of them.
+constexpr int kLocalCallsPerSlot = 4;
+constexpr int kMinLocalCalls = 2;
 // Lower bound on the size of a deployment, used while fewer VMs are known.
 constexpr size_t kMinVms = 8;
 // Send buffer of a link between entry VMs; configurations are the largest
@@ -35,6 +46,18 @@
 // Ranked instead of a pool if there is no pool of engines.
 constexpr const char* kNoPoolRank = "no pool of engines";
 
+/** Says that a request is not waiting any more, or that a grant isn't used. */
+CallProgress Aborted(const RequestId& request, AttemptNumber call_number,
+                     const PoolId& pool) {
+  CallProgress progress;
+  progress.request = request;
+  progress.call_number = call_number;
+  progress.pool = pool;
+  progress.stage = CallStage::kEnded;
+  progress.result = CallResult::kAborted;
+  return progress;
+}
+
 }  // namespace
 
 DispatchClient::DispatchClient(asio::io_context& io,
@@ -49,6 +72,7 @@
       relay_(state) {
   dispatcher_.tracker().SetColdShare(kDispatcherColdShare);
   dispatcher_.tracker().SetLimitShare(kDispatcherLimitShare);
+  SetFairQueue(settings.fair_queue);
 }
 
 Result<void> DispatchClient::Start(const std::string& key) {
@@ -173,6 +197,7 @@
       Send(vm, calls);
     }
   }
+  MoveQueuedRequests(now);
 }
 
 //==============================================================================
@@ -182,14 +207,182 @@
                                      DispatchCallback done) {
   const VmId vm = DispatcherFor(call.pool);
   if (vm.empty() || !state_.config) return done(std::nullopt);
+  PendingDispatch pending;
+  pending.done = std::move(done);
+  pending.call = call;
+  pending.asked = now;
+  Ask(now, vm, std::move(pending));
+}
+
+void DispatchClient::Ask(TimePoint now, const VmId& vm,
+                         PendingDispatch pending) {
+  const DispatchKey key(pending.call.request, pending.call.call_number);
+  pending.dispatcher = vm;
+  pending.queued = false;
+  pending.deadline = now + kDispatchTimeout;
+  if (vm != settings_.vm) {
+    if (!Send(vm, pending.call)) return pending.done(std::nullopt);
+    pending_[key] = std::move(pending);
+    return;
+  }
+  DispatchReply reply = Dispatch(now, vm, pending.call);
+  if (!reply.queued) return pending.done(std::move(reply));
+  pending_[key] = std::move(pending);
+  OnDispatchReply(now, vm, std::move(reply));
+  DeliverQueueEvents(now);
+}
+
+void DispatchClient::OnDispatchReply(TimePoint now, const VmId& vm,
+                                     DispatchReply reply) {
+  const DispatchKey key(reply.request, reply.call_number);
+  const auto it = pending_.find(key);
+  if (it == pending_.end() || it->second.dispatcher != vm) {
+    // The request has gone, or asks another dispatcher by now.
+    if (reply.endpoint.empty() && !reply.queued) return;
+    DispatchRequest call;
+    call.request = reply.request;
+    call.call_number = reply.call_number;
+    if (it != pending_.end()) call.pool = it->second.call.pool;
+    return ReturnGrant(vm, call);
+  }
+  if (!reply.queued) return CompleteDispatch(key, std::move(reply));
+  PendingDispatch& pending = it->second;
+  pending.queued = true;
+  Duration wait =
+      std::max(kMinQueuedTimeout, pending.call.objective * kQueuedObjectives);
+  if (pending.call.max_gap < pending.call.time_left) {
+    wait = std::max(wait, pending.call.max_gap * kQueuedGaps);
+  }
+  pending.deadline =
+      now + std::min(wait, pending.call.time_left) + kDispatchTimeout;
+}
+
+void DispatchClient::ReturnGrant(const VmId& vm, const DispatchRequest& call) {
+  const CallProgress progress =
+      Aborted(call.request, call.call_number, call.pool);
   if (vm == settings_.vm) {
-    return done(Dispatch(now, vm, call));
+    const TimePoint now = BootNow();
+    dispatcher_.OnProgress(now, vm, progress);
+    DeliverQueueEvents(now);
+  } else if (linked_.contains(vm)) {
+    Send(vm, progress);
+  }
+}
+
+void DispatchClient::CancelDispatch(const RequestId& request,
+                                    AttemptNumber call_number) {
+  const auto it = pending_.find({request, call_number});
+  if (it == pending_.end()) return;
+  const VmId vm = it->second.dispatcher;
+  const DispatchRequest call = std::move(it->second.call);
+  pending_.erase(it);
+  ReturnGrant(vm, call);
+}
+
+void DispatchClient::MoveQueuedRequests(TimePoint now) {
+  std::vector<PendingDispatch> moved;
+  for (auto it = pending_.begin(); it != pending_.end();) {
+    PendingDispatch& pending = it->second;
+    if (pending.queued &&
+        pending.dispatcher != DispatcherFor(pending.call.pool)) {
+      moved.push_back(std::move(pending));
+      it = pending_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  for (PendingDispatch& pending : moved) {
+    ReturnGrant(pending.dispatcher, pending.call);
+    const Duration elapsed = now - pending.asked;
+    DispatchRequest& call = pending.call;
+    call.waited = call.waited + elapsed;
+    call.objective = std::max(Duration(), call.objective - elapsed);
+    call.time_left = std::max(Duration(), call.time_left - elapsed);
+    pending.asked = now;
+    const VmId vm = DispatcherFor(call.pool);
+    state_.log.Write(now, "queue_moved",
+                     {{"request", call.request.value()},
+                      {"before", pending.dispatcher.value()},
+                      {"now", vm.value()},
+                      {"waited_ms", call.waited.milliseconds()}});
+    if (vm.empty()) {
+      pending.done(std::nullopt);
+    } else {
+      Ask(now, vm, std::move(pending));
+    }
   }
-  if (!Send(vm, call)) return done(std::nullopt);
-  pending_[{call.request, call.call_number}] = {vm, now + kDispatchTimeout,
-                                                std::move(done)};
 }
 
+std::optional<int> DispatchClient::MaxLocalCalls(
+    const GatewayConfig& config, const ServicePolicy& service) const {
+  if (!dispatcher_.HasQueue(config, service)) return std::nullopt;
+  int slots = 0;
+  for (const auto& [id, state] : state_.tracker.endpoints()) {
+    if (state.listed.service == service.name && state_.tracker.MayCall(id)) {
+      slots += state.listed.slots;
+    }
+  }
+  const int vms = static_cast<int>(std::max<size_t>(1, vms_.size()));
+  return std::max(kMinLocalCalls, kLocalCallsPerSlot * slots / vms);
+}
+
+//==============================================================================
+// The queue of this dispatcher
+
+void DispatchClient::DeliverQueueEvents(TimePoint now) {
+  for (QueueEvent& event : dispatcher_.TakeEvents()) {
+    LogQueueEvent(now, event);
+    if (!event.push) continue;
+    if (event.vm == settings_.vm) {
+      OnDispatchReply(now, event.vm, std::move(event.reply));
+    } else if (!Send(event.vm, event.reply)) {
+      // The grant is lost with the link.
+      dispatcher_.OnProgress(
+          now, event.vm,
+          Aborted(event.reply.request, event.reply.call_number, event.pool));
+    }
+  }
+}
+
+void DispatchClient::LogQueueEvent(TimePoint now, const QueueEvent& event) {
+  const std::string pool = event.pool.value();
+  LogFields fields = {{"request", event.reply.request.value()},
+                      {"asked_by", event.vm.value()},
+                      {"pool", pool},
+                      {"team", event.team.value()}};
+  switch (event.kind) {
+    case QueueEvent::Kind::kQueued:
+      fields["position"] = event.position;
+      fields["expected_wait_ms"] = event.reply.expected_wait.milliseconds();
+      state_.log.Write(now, "queued", fields);
+      return;
+    case QueueEvent::Kind::kGranted:
+      state_.metrics.Count("zr_gateway_team_engine_seconds_total",
+                           {{"team", event.team.value()}},
+                           event.engine_ms / 1000);
+      if (!event.push) return;  // it has not waited
+      state_.metrics.Observe("zr_gateway_queue_wait_seconds", {{"pool", pool}},
+                             event.waited);
+      fields["waited_ms"] = event.waited.milliseconds();
+      fields["endpoint"] = event.reply.endpoint.value();
+      fields["forecast_ms"] = event.reply.forecast.milliseconds();
+      state_.log.Write(now, "granted", fields);
+      return;
+    case QueueEvent::Kind::kRefused:
+      state_.metrics.Count("zr_gateway_queue_refusals_total",
+                           {{"pool", pool}, {"reason", event.reason}});
+      fields["reason"] = event.reason;
+      fields["waited_ms"] = event.waited.milliseconds();
+      fields["expected_wait_ms"] = event.reply.expected_wait.milliseconds();
+      fields["retry_after_ms"] = event.reply.retry_after.milliseconds();
+      state_.log.Write(now, "refused", fields);
+      return;
+  }
+}
+
+//==============================================================================
+// Dispatching
+
 DispatchReply DispatchClient::Dispatch(TimePoint now, const VmId& vm,
                                        const DispatchRequest& call) {
   DispatchReply answer;
@@ -198,6 +391,8 @@
   if (state_.config) {
     answer = dispatcher_.OnDispatchRequest(now, vm, *state_.config, call);
   }
+  // Queued and refused requests have lines of their own.
+  if (answer.queued || answer.expected_wait > Duration()) return answer;
   LogFields fields = {{"request", call.request.value()},
                       {"asked_by", vm.value()},
                       {"call", call.call_number.value()},
@@ -218,7 +413,9 @@
 void DispatchClient::Report(const CallProgress& progress) {
   const VmId vm = DispatcherFor(progress.pool);
   if (vm == settings_.vm) {
-    dispatcher_.OnProgress(BootNow(), vm, progress);
+    const TimePoint now = BootNow();
+    dispatcher_.OnProgress(now, vm, progress);
+    DeliverQueueEvents(now);
   } else if (!vm.empty()) {
     Send(vm, progress);
   }
@@ -226,6 +423,11 @@
 
 void DispatchClient::Tick(TimePoint now) {
   dispatcher_.Tick(now);
+  DeliverQueueEvents(now);
+  for (const auto& [pool, length] : dispatcher_.QueueLengths()) {
+    state_.metrics.Set("zr_gateway_queue_length", {{"pool", pool.value()}},
+                       static_cast<double>(length));
+  }
   relay_.Tick(
       now, [this](const VmId& vm) { return IsUsable(vm); },
       [this](const VmId& vm, const Message& message) {
@@ -245,7 +447,7 @@
   for (const auto& [key, pending] : pending_) {
     if (now < pending.deadline) continue;
     overdue.push_back(key);
-    silent.insert(pending.dispatcher);
+    if (pending.dispatcher != settings_.vm) silent.insert(pending.dispatcher);
   }
   for (const VmId& vm : silent) {
     state_.log.Write(now, "dispatcher_silent", {{"peer", vm.value()}});
@@ -298,6 +500,7 @@
   const TimePoint now = BootNow();
   state_.log.Write(now, "peer_down", {{"peer", vm.value()}});
   dispatcher_.OnVmDown(now, vm);
+  DeliverQueueEvents(now);
   UpdateDispatchers();
   std::vector<DispatchKey> lost;
   for (const auto& [key, pending] : pending_) {
@@ -318,11 +521,12 @@
   }
   if (const auto* call = std::get_if<DispatchRequest>(&*message)) {
     Send(vm, Dispatch(now, vm, *call));
+    DeliverQueueEvents(now);
   } else if (auto* reply = std::get_if<DispatchReply>(&*message)) {
-    const DispatchKey key(reply->request, reply->call_number);
-    CompleteDispatch(key, std::move(*reply));
+    OnDispatchReply(now, vm, std::move(*reply));
   } else if (const auto* progress = std::get_if<CallProgress>(&*message)) {
     dispatcher_.OnProgress(now, vm, *progress);
+    DeliverQueueEvents(now);
   } else if (const auto* calls = std::get_if<InFlightCalls>(&*message)) {
     dispatcher_.OnInFlightCalls(now, vm, *calls);
   } else if (const auto* heartbeat = std::get_if<Heartbeat>(&*message)) {
--- a/modules/zr_gateway_host/dispatch_client.h
+++ b/modules/zr_gateway_host/dispatch_client.h
@@ -76,8 +76,19 @@
   bool Send(const VmId& vm, const Message& message);
   /** Tells all linked VMs the version of the configuration in force here. */
   void SendConfigNotices();
+  /** A request that the dispatcher queues is answered when it is granted or
+   * refused; if its dispatcher changes meanwhile, the next one is asked. */
   void RequestDispatch(TimePoint now, const DispatchRequest& call,
                        DispatchCallback done);
+  /** Gives up a request that has not been answered; its grant is returned. */
+  void CancelDispatch(const RequestId& request, AttemptNumber call_number);
+  /** Enables the queue of the dispatcher. */
+  void SetFairQueue(bool enabled) { dispatcher_.SetFairQueue(enabled); }
+  /** Calls that this VM may place by itself in a pool at a time, so that the
+   * sum of all VMs stays bounded without a dispatcher; nothing if the service
+   * has no queue. */
+  std::optional<int> MaxLocalCalls(const GatewayConfig& config,
+                                   const ServicePolicy& service) const;
   void Report(const CallProgress& progress);
   void Tick(TimePoint now);
 
@@ -86,6 +97,9 @@
     VmId dispatcher;
     TimePoint deadline;
     DispatchCallback done;
+    DispatchRequest call;
+    TimePoint asked;      // time to which the durations of `call` refer
+    bool queued = false;  // the dispatcher has said that it waits
   };
   using DispatchKey = std::pair<RequestId, AttemptNumber>;
 
@@ -109,6 +123,16 @@
   void UpdateDispatchers();
   void CompleteDispatch(const DispatchKey& key,
                         std::optional<DispatchReply> reply);
+  /** Sends the request, or queues it here. */
+  void Ask(TimePoint now, const VmId& vm, PendingDispatch pending);
+  void OnDispatchReply(TimePoint now, const VmId& vm, DispatchReply reply);
+  /** Tells a dispatcher that a request is not waiting, or a grant not used. */
+  void ReturnGrant(const VmId& vm, const DispatchRequest& call);
+  /** Asks the dispatchers that are now responsible for queued requests. */
+  void MoveQueuedRequests(TimePoint now);
+  /** Logs what has happened in this dispatcher's queues, and tells the VMs. */
+  void DeliverQueueEvents(TimePoint now);
+  void LogQueueEvent(TimePoint now, const QueueEvent& event);
 
   asio::io_context& io_;
   const GatewaySettings settings_;
--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -119,6 +119,8 @@
   bool IsDispatched() const;
   void Place(TimePoint now);
   void PlaceByDispatcher(TimePoint now);
+  /** This VM has placed as many calls by itself as it may at a time. */
+  bool HasMaxLocalCalls() const;
   void OnDispatchReply(TimePoint now, std::optional<DispatchReply> reply);
   void SeekContinuation(TimePoint now);
   void KeepSilentCall(TimePoint now, const char* reason);
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -21,6 +21,7 @@
   call_->plan = std::move(plan);
   call_->dispatched = dispatched;
   if (!dispatched) {
+    ++state_.local_calls[service_->name];
     state_.tracker.CountRequest(now, call_->plan.primary.endpoint);
   }
   CallLoad load;
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -46,6 +46,9 @@
 inline constexpr int kMaxReservationFailures = 3;
 // Retry-After of rejected requests.
 inline constexpr Duration kRetryAfter = Duration::Milliseconds(300);
+// Callers that a VM without a dispatcher refuses come back spread over this
+// time, in which a dispatcher is usually found.
+inline constexpr Duration kRetrySpread = Duration::Milliseconds(700);
 
 }  // namespace gateway_internal
 
@@ -199,6 +202,13 @@
   dispatch_request.time_left = requirements.time_left;
   dispatch_request.excluded = {tried_.begin(), tried_.end()};
   dispatch_request.deferred = deferred_until_ > TimePoint() || call_;
+  dispatch_request.team = team_;
+  dispatch_request.domain = state_.domain;
+  dispatch_request.priority = route_->priority;
+  dispatch_request.waited = now - arrived_;
+  dispatch_request.fingerprint = suspects_.back().fingerprint;
+  // An answer that has begun can't wait, and a silent call goes on meanwhile.
+  dispatch_request.reads_grants = !call_ && !answer_started_;
   awaiting_dispatch_ = true;
   const int number = ++dispatch_requests_;
   state_.dispatch->RequestDispatch(
@@ -240,11 +250,14 @@
     return;
   }
   if (reply->deadline_unreachable) {
-    return SendOwnAnswer(
-        {503,
-         Error{ErrorCode::kOverloaded, "placement", service_->name.value(),
-               "prompt can't be read and answered before its deadline"},
-         reply->retry_after});
+    const char* reason =
+        reply->expected_wait > Duration()
+            ? "the wait for an engine is longer than the caller's"
+            : "prompt can't be read and answered before its deadline";
+    return SendOwnAnswer({503,
+                          Error{ErrorCode::kOverloaded, "placement",
+                                service_->name.value(), reason},
+                          reply->retry_after});
   }
   if (reply->endpoint.empty()) return OnNoEndpoint(now, reply->retry_after);
   // This VM calls no endpoint that it knows to be leaving, even if the
@@ -269,8 +282,28 @@
   BeginCall(now, std::move(plan), true);
 }
 
+template <GatewayFormat Format>
+bool ForwardedRequest<Format>::HasMaxLocalCalls() const {
+  if (!state_.dispatch) return false;
+  const auto max_calls = state_.dispatch->MaxLocalCalls(*config_, *service_);
+  const auto it = state_.local_calls.find(service_->name);
+  return max_calls && it != state_.local_calls.end() &&
+         it->second >= *max_calls;
+}
+
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::PlaceLocally(TimePoint now) {
+  using namespace gateway_internal;
+  if (!call_ && !answer_started_ && HasMaxLocalCalls()) {
+    return SendOwnAnswer(
+        {503,
+         Error{ErrorCode::kOverloaded, "placement", service_->name.value(),
+               "no dispatcher is reached, and this VM has as many calls as it "
+               "may place by itself"},
+         kRetryAfter + Duration::Microseconds(static_cast<int64_t>(
+                           state_.random.Unit() *
+                           static_cast<double>(kRetrySpread.microseconds())))});
+  }
   const EngineProfile* engine = service_->engine ? &*service_->engine : nullptr;
   auto plan =
       state_.local_placement.Choose(now, state_.tracker, service_->name, engine,
@@ -371,6 +404,10 @@
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::Finish(const char* outcome, int status) {
   ended_ = true;
+  if (std::exchange(awaiting_dispatch_, false)) {
+    state_.dispatch->CancelDispatch(
+        request_.id, AttemptNumber(static_cast<uint64_t>(calls_started_ + 1)));
+  }
   const TimePoint now = BootNow();
   LogFields fields = CommonFields(now);
   fields["outcome"] = outcome;
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -373,6 +373,7 @@
   // Addresses are bound at the start only; all other settings apply at once.
   settings_ = std::move(*read);
   ApplyBounds();
+  dispatch_->SetFairQueue(settings_.fair_queue);
   state_.log.Write(now, "reload", {{"cause", cause}});
 }
 
--- a/modules/zr_gateway_host/gateway_settings.h
+++ b/modules/zr_gateway_host/gateway_settings.h
@@ -33,6 +33,8 @@
   Duration reservation_max_idle = Duration::Seconds(9);
   /** Retries of a service per window, as a share of its requests on all VMs. */
   double retry_ratio = 0.2;
+  /** Requests wait at their dispatcher in the order of PoolQueue. */
+  bool fair_queue = true;
   friend auto operator<=>(const GatewaySettings&,
                           const GatewaySettings&) = default;
 };
--- a/modules/zr_gateway_host/gateway_state.h
+++ b/modules/zr_gateway_host/gateway_state.h
@@ -36,7 +36,8 @@
         freshness(settings.revocation_bound - kWatchGap, settings.config_bound),
         random(Hash64(settings.callers_address)),
         retry_ratio(settings.retry_ratio),
-        vm(settings.vm) {}
+        vm(settings.vm),
+        domain(settings.domain) {}
 
   RetryBudget& BudgetOf(const ServiceName& service) {
     return budgets
@@ -79,6 +80,9 @@
   std::shared_ptr<LimitExchange> limits;
   std::shared_ptr<PathExchange> paths;
   VmId vm;
+  DomainId domain;  // of this VM
+  /** Calls in progress that this VM has placed by itself, by pool. */
+  std::unordered_map<PoolId, int> local_calls;
   StartupHold startup{BootNow()};
   bool stopping = false;
   TimePoint stop_began;  // if stopping
