--- a/modules/zr_gateway/placement_policy.cc
+++ b/modules/zr_gateway/placement_policy.cc
@@ -220,7 +220,8 @@
         engine.calls + 1 <= max_packed_calls && needed <= engine.free_tokens &&
         pass_ms <= max_pause_ms &&
         first_token_ms <=
-            ToMilliseconds(requirements.objective) * options_.max_gap_share;
+            ToMilliseconds(requirements.objective) * options_.max_gap_share &&
+        (!requirements.prefers_room || harmed_value(engine) <= 0);
     const double packed = options_.pack ? -engine.calls : engine.calls;
     int tier = undisturbed ? 0 : 1;
     if (!undisturbed && requirements.prefers_room) {
