--- a/modules/zr_gateway/engine_passes.cc
+++ b/modules/zr_gateway/engine_passes.cc
@@ -123,6 +123,7 @@
   PassForecast Forecast(double rest_ms) const {
     PassForecast forecast;
     forecast.rest_ms = rest_ms;
+    forecast.began = time_;
     forecast.streams = streams_;
     forecast.decode_ms = DecodeMs();
     for (const PendingPrefill& prefill : pending_) {
--- a/modules/zr_gateway/engine_passes.h
+++ b/modules/zr_gateway/engine_passes.h
@@ -17,6 +17,7 @@
   /** Prefill that precedes a further prompt of the engine's own. */
   double prefill_ms = 0;
   int streams = 0;  // decoded in the next pass
+  TimePoint began;  // of the current pass
   friend auto operator<=>(const PassForecast&, const PassForecast&) = default;
 };
 
--- a/modules/zr_gateway/placement_policy.cc
+++ b/modules/zr_gateway/placement_policy.cc
@@ -17,6 +17,7 @@
   double waiting_value = 0;  // of its own prompts that are not prefilled yet
   double free_tokens = 0;
   uint64_t rank = 0;  // breaks ties
+  TimePoint now;
 
   /** Length of the next pass if it prefills a further prompt. */
   double PassWith(double prefill_ms) const {
@@ -26,6 +27,18 @@
   double PassWithSegment(double prefill_ms) const {
     return passes.decode_ms + passes.segments_ms + prefill_ms * state->slowness;
   }
+  /** Value of the calls that are late, or whose streams stall, only because the
+   * next pass prefills a further segment.
+   * @param max_gap_share  share of a tolerated pause that the pass may take */
+  double ValueHarmedBy(double prefill_ms, double max_gap_share) const {
+    const auto harmed = [&](double pass_ms) {
+      const TimePoint ends = now + Duration::Microseconds(static_cast<int64_t>(
+                                       1000 * (passes.rest_ms + pass_ms)));
+      return state->ValueStalledBy(pass_ms / max_gap_share) +
+             state->ValueDelayedTo(ends, passes.began);
+    };
+    return harmed(PassWith(prefill_ms)) - harmed(PassWith(0));
+  }
   PlacedEndpoint ToPlacedEndpoint() const {
     return {state->listed.id, state->listed.address};
   }
@@ -146,6 +159,7 @@
     view.state = state;
     view.calls = EstimateCalls(now, *state);
     const double held = static_cast<double>(state->KvInUse().value());
+    view.now = now;
     view.passes = ForecastPasses(now, *state, *engine);
     // Calls that other VMs have placed by themselves are known by number only.
     const int unknown = static_cast<int>(view.calls) - state->OccupiedSlots();
@@ -208,6 +222,12 @@
   const double max_pause_ms = max_gap_ms * options_.max_gap_share;
   const double max_packed_ms = max_gap_ms * options_.packed_gap_share;
   const double max_packed_calls = profile.slots * (1 - options_.slot_reserve);
+  const auto has_room = [&](const EngineView& engine) {
+    return engine.calls + 1 <= profile.slots && needed <= engine.free_tokens;
+  };
+  const auto harmed_value = [&](const EngineView& engine) {
+    return engine.ValueHarmedBy(total_prefill_ms, options_.max_gap_share);
+  };
   // Prefers the fullest engine that has room and short passes, then one that
   // has room and stalls no stream, then the one with the earliest first token.
   const auto score = [&](const EngineView& engine) {
@@ -220,8 +240,14 @@
         engine.calls + 1 <= max_packed_calls && needed <= engine.free_tokens &&
         pass_ms <= max_pause_ms &&
         first_token_ms <=
-            ToMilliseconds(requirements.objective) * options_.max_gap_share;
-    if (!undisturbed) return std::tuple(2, first_token_ms, engine.rank);
+            ToMilliseconds(requirements.objective) * options_.max_gap_share &&
+        (!requirements.prefers_room || harmed_value(engine) <= 0);
+    if (!undisturbed) {
+      int tier = 2;
+      if (requirements.prefers_room && harmed_value(engine) > 0) tier = 3;
+      if (requirements.prefers_room && !has_room(engine)) tier = 4;
+      return std::tuple(tier, first_token_ms, engine.rank);
+    }
     if (options_.pack && pass_ms > max_packed_ms) {
       return std::tuple(1, first_token_ms, engine.rank);
     }
@@ -237,8 +263,10 @@
   plan.primary = best->ToPlacedEndpoint();
   plan.prefill_ms = total_prefill_ms;
   plan.undisturbed = std::get<0>(score(*best)) < 2;
-  plan.starts_at_once =
-      best->calls + 1 <= profile.slots && needed <= best->free_tokens;
+  plan.has_room = has_room(*best);
+  plan.starts_at_once = plan.has_room;
+  plan.harmed_value = harmed_value(*best);
+  plan.shares_pass = best->passes.prefill_ms > 0;
   plan.expected_first_token =
       FromMilliseconds(best->passes.rest_ms + best->PassWith(total_prefill_ms));
   return plan;
@@ -293,6 +321,18 @@
       return candidate.engine->state->limit && std::exchange(limited, true);
     });
     if (candidates.size() < engine_count) break;
+    const auto has_slot = [&profile](const Candidate& candidate) {
+      return candidate.engine->calls + 1 <= profile.slots;
+    };
+    if (requirements.prefers_room) {
+      // One of the engines has to run the request.
+      const auto first =
+          std::find_if(candidates.begin(), candidates.end(), has_slot);
+      const auto last =
+          candidates.begin() + static_cast<ptrdiff_t>(engine_count) - 1;
+      if (first != candidates.end() && first > last)
+        std::iter_swap(first, last);
+    }
     candidates.resize(engine_count);
     double stalled_value = 0;
     double first_token_ms = 0;
@@ -303,10 +343,11 @@
     // The engine that prefills its own prompts first runs the request if its
     // memory suffices, otherwise the one with the most free memory, unless one
     // may not help.
-    const auto preference = [needed](const Candidate& candidate) {
+    const auto preference = [&](const Candidate& candidate) {
       const EngineView& engine = *candidate.engine;
       const bool fits = needed <= engine.free_tokens;
-      return std::tuple(engine.state->limit.has_value(), fits,
+      return std::tuple(engine.state->limit.has_value(),
+                        !requirements.prefers_room || has_slot(candidate), fits,
                         fits ? -engine.passes.prefill_ms : 0.0,
                         engine.free_tokens);
     };
@@ -345,6 +386,8 @@
         split.has_value() && primary->calls + 1 <= profile.slots;
     best->undisturbed =
         split && stalled_value <= 0 && first_token_ms <= objective_ms;
+    best->has_room = split && has_slot(candidates.front());
+    best->harmed_value = stalled_value;
     best->expected_first_token = FromMilliseconds(first_token_ms);
   }
   return best;
--- a/modules/zr_gateway/placement_policy.h
+++ b/modules/zr_gateway/placement_policy.h
@@ -35,6 +35,13 @@
   /** The engines have a free slot and memory for it, so that the time to its
    * first token shows how fast they are. */
   bool starts_at_once = false;
+  /** The endpoint has a free slot, and all have memory for the request. */
+  bool has_room = true;
+  /** Value of the calls that are late, or whose streams stall for longer than
+   * their callers tolerate, only because of this prompt. */
+  double harmed_value = 0;
+  /** Other prompts wait for the same pass of the engine, if it is short. */
+  bool shares_pass = false;
 
   CallEndpoints Endpoints() const;
 };
@@ -47,6 +54,9 @@
       Duration::Max();            // longest pause that the caller tolerates
   Duration time_left;             // until the deadline
   std::set<EndpointId> excluded;  // already tried
+  /** Prefers endpoints with room to those with an earlier first token, if none
+   * is undisturbed. */
+  bool prefers_room = false;
   friend auto operator<=>(const CallRequirements&,
                           const CallRequirements&) = default;
 };
--- a/modules/zr_gateway_host/forwarded_request_failure_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_failure_impl.h
@@ -72,6 +72,7 @@
 void ForwardedRequest<Format>::ReleaseCall() {
   if (!call_) return;
   if (call_->handle) call_->handle->Cancel();
+  if (!call_->dispatched) --state_.local_calls[service_->name];
   const TimePoint now = BootNow();
   if (call_->result != CallResult::kAnswered && !paused_) {
     call_->pauses.OnBroken(now);
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -382,6 +382,7 @@
   settings_ = std::move(*read);
   ApplyBounds();
   ApplyPace();
+  dispatch_->SetFairQueue(settings_.fair_queue);
   state_.log.Write(now, "reload", {{"cause", cause}});
 }
 
--- a/modules/zr_gateway_host/gateway_settings.h
+++ b/modules/zr_gateway_host/gateway_settings.h
@@ -36,6 +36,8 @@
   double retry_ratio = 0.2;
   /** Of engines and of services with a cold rate. */
   PaceMode pace = PaceMode::kLearned;
+  /** Requests wait at their dispatcher in the order of PoolQueue. */
+  bool fair_queue = true;
   friend auto operator<=>(const GatewaySettings&,
                           const GatewaySettings&) = default;
 };
--- a/modules/zr_gateway_host/gateway_state.h
+++ b/modules/zr_gateway_host/gateway_state.h
@@ -81,6 +81,8 @@
   std::shared_ptr<PathExchange> paths;
   VmId vm;
   DomainId domain;  // failure domain of this VM and of its callers
+  /** Calls in progress that this VM has placed by itself, by pool. */
+  std::unordered_map<PoolId, int> local_calls;
   StartupHold startup{BootNow()};
   bool stopping = false;
   TimePoint stop_began;  // if stopping
