Take an answer without its request's id as broken

The id was compared only if the answer had one.

A success that does not name its request is now a broken answer on any connection: 502, or another call where the request may run again. A failure without the id is accepted only on a connection that was made for the call, where it can't be another request's; before, all but refusals were. Its effect on the endpoint's health is that of an error answer for 5xx, as before.

The new step answer_names_no_request of faulty_answers.py passes. Tests' stand-ins echo the id in all answers that are meant to be accepted.

--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -95,8 +95,9 @@
     bool dispatched = false;          // a dispatcher has chosen its endpoints
     std::optional<TunnelVm> through;  // none: this VM's own path
     std::set<VmId> tunnel_vms_tried;
-    int connections = 0;     // tried, each on another path
-    bool reserving = false;  // engines have not confirmed their memory
+    int connections = 0;             // tried, each on another path
+    bool is_new_connection = false;  // no bytes of earlier answers come on it
+    bool reserving = false;          // engines have not confirmed their memory
     std::shared_ptr<HttpCall> handle;
   };
 
@@ -143,6 +144,11 @@
    * the call. */
   void OnNotConnected(const std::string& why);
   void OnHead(int status, const HttpHeaders& headers);
+  /** An answer without the id of its request may be the one of the call. A
+   * success never may. A failure may come from a part of the endpoint that does
+   * not read requests, but on a kept connection it may be an earlier answer,
+   * written once more. */
+  bool MayBeUnnamed(int status) const;
   /** The answer has the form of the one that has been forwarded in part. */
   bool ContinuesAnswer(const AnswerHead& head) const;
   bool OnBody(std::string_view data);
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -131,6 +131,7 @@
 
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::OnConnected(bool is_new) {
+  call_->is_new_connection = is_new;
   if (!is_new) return;
   state_.paths->OnConnection(BootNow(), call_->plan.primary.endpoint,
                              call_->through ? &*call_->through : nullptr, true);
@@ -165,12 +166,13 @@
                     CallResult::kConnectionBroken,
                     "answer belongs to another request");
   }
-  // It may be an earlier refusal, written once more on a kept connection.
-  if ((head.misdirected || head.not_run) && head.request.empty() &&
-      !NeedsFreshConnection()) {
-    return FailCall(CallFailure::kConnectionBroken,
-                    CallResult::kConnectionBroken,
-                    "refusal does not name its request");
+  if (head.request.empty() && !MayBeUnnamed(status)) {
+    // Single error answers don't count against the endpoint's health.
+    return FailCall(
+        CallFailure::kConnectionBroken,
+        status >= 500 ? CallResult::kErrorAnswer
+                      : CallResult::kConnectionBroken,
+        "answer does not name its request, status " + std::to_string(status));
   }
   if (head.encoded) {
     return FailCall(CallFailure::kConnectionBroken,
@@ -200,6 +202,12 @@
   call_->head = std::move(head);
 }
 
+template <GatewayFormat Format>
+bool ForwardedRequest<Format>::MayBeUnnamed(int status) const {
+  constexpr int kFirstFailure = 400;
+  return status >= kFirstFailure && call_->is_new_connection;
+}
+
 template <GatewayFormat Format>
 bool ForwardedRequest<Format>::ContinuesAnswer(const AnswerHead& head) const {
   const auto type = head.headers.find("content-type");
--- a/tests/platform/faulty_answers.py
+++ b/tests/platform/faulty_answers.py
@@ -238,9 +238,50 @@
         endpoint.fault = None
 
 
+class StrayAnswer:
+    """Writes an answer that names no request before each later answer on a connection."""
+
+    def __init__(self, status):
+        self.bytes, self.used = head(status, {"Content-Type": "text/plain"}, 5) + b"stray", set()
+        self.written = 0
+
+    def __call__(self, endpoint, handler, common):
+        if handler.connection in self.used:
+            handler.wfile.write(self.bytes)
+            self.written += 1
+            time.sleep(0.01)
+        self.used.add(handler.connection)
+        body = f"answer to {common['X-Request-Id']}".encode()
+        handler.wfile.write(head("200 OK", common, len(body)) + body)
+
+
+def answer_names_no_request(d):
+    """Guards against callers that get bytes which an endpoint has written for another request."""
+    plain = d.endpoints_of("plain")
+    for status in ("200 OK", "204 Empty", "302 Moved", "404 None", "500 Error"):
+        fault = StrayAnswer(status)
+        for endpoint in plain:
+            endpoint.fault = fault
+        for n in range(24):
+            request = f"stray-{next(numbers)}"
+            got = d.call(0, "POST", "/many/x", request)
+            check(got.status == 502 or got.body == f"answer to {request}".encode(),
+                  f"{status}: {request} got {got.status} {got.body}")
+        check(fault.written > 0, "no stray answer was written")
+    for kind, status in itertools.product(("once", "many", "stream"), (200, 404)):
+        for endpoint in d.endpoints:
+            endpoint.fault = lambda e, handler, common, s=status: handler.answer(s, b"unnamed")
+        got = d.call(0, "POST", f"/{kind}/x", f"unnamed-{next(numbers)}")
+        # A failure on a new connection can't be another request's.
+        allowed = (502,) if status == 200 else (404,) if kind == "once" else (404, 502)
+        check(got.status in allowed, f"{kind}, {status} without id: {got.status} {got.body[:80]}")
+    for endpoint in d.endpoints:
+        endpoint.fault = None
+
+
 STEPS = (endpoints_are_full_when_a_stream_breaks, refusal_is_written_again,
          error_follows_a_broken_stream, head_is_cut_short, upload_is_answered_and_cut,
-         status_is_none)
+         status_is_none, answer_names_no_request)
 
 
 def test(d):
