Bound what slow readers and large bodies hold

A stream whose caller reads nothing was not read from its endpoint until the caller's time limit, so it kept an engine's slot; nothing bounded the sum over the streams of a VM. ReaderBudget, a core class, pauses a stream above 64 KiB, a quarter of the VM's part for one client address, or the VM's part (1/16 of its memory), and ends a paused stream whose caller took nothing for 1.5 s, and the slowest first when the part is full. The answer is cut and the call cancelled. A stream that holds nothing may always read on, so callers that read are not stopped by others.

BodyBudget bounds the bodies that a VM has in flight to an endpoint by its slots x maxBodyBytes; other endpoints are placed at, or the request waits and is refused as not run.

--- a/modules/zr_gateway/zr_gateway.h
+++ b/modules/zr_gateway/zr_gateway.h
@@ -11,6 +11,7 @@
  */
 
 #include "zr_gateway/attempt_rules.h"
+#include "zr_gateway/body_budget.h"
 #include "zr_gateway/broadcast_pace.h"
 #include "zr_gateway/buffer_budget.h"
 #include "zr_gateway/call_endpoints.h"
@@ -31,6 +32,7 @@
 #include "zr_gateway/placement_policy.h"
 #include "zr_gateway/pool_dispatcher.h"
 #include "zr_gateway/prefill_admission.h"
+#include "zr_gateway/reader_budget.h"
 #include "zr_gateway/reservation_set.h"
 #include "zr_gateway/startup_hold.h"
 #include "zr_gateway/store_cursor.h"
--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -29,6 +29,7 @@
  public:
   ForwardedRequest(GatewayState& state, CallerRequest request,
                    HttpResponsePtr response, TimePoint arrived);
+  ~ForwardedRequest();
   ForwardedRequest(const ForwardedRequest&) = delete;
   ForwardedRequest& operator=(const ForwardedRequest&) = delete;
 
@@ -40,6 +41,9 @@
   void LimitDeadline(TimePoint latest) {
     deadline_ = std::min(deadline_, latest);
   }
+  /** Cuts the answer if its stream is among those that have to be ended. */
+  void EndIfOverdue(TimePoint now,
+                    const std::vector<ReaderBudget::StreamId>& overdue);
   /** Aborts the request without an answer, when the process exits. */
   void Abandon();
 
@@ -90,6 +94,7 @@
     std::optional<AnswerHead> head;
     EventSplitter events;
     std::string body;
+    std::optional<BodyBudget::Share> sent_body;  // in flight to the endpoint
     BufferBudget::Share buffer;       // of the body, or of an incomplete event
     bool prefilling = true;           // the prompt has not been read in full
     bool dispatched = false;          // a dispatcher has chosen its endpoints
@@ -129,6 +134,10 @@
   void ReturnGrant();
   void OnNoEndpoint(TimePoint now, Duration retry_after);
   CallRequirements Requirements(TimePoint now) const;
+  /** The endpoint may get the body beside those that are in flight to it. */
+  bool BodyFits(const EndpointId& endpoint) const;
+  /** Endpoints that were tried or have no room for the body. */
+  std::set<EndpointId> ExcludedEndpoints() const;
   CallKey Key() const { return {state_.vm, request_.id, call_->number}; }
   void BeginCall(TimePoint now, PlacementPlan plan, bool dispatched);
   void SendCall(TimePoint now);
@@ -152,6 +161,12 @@
   /** The answer has the form of the one that has been forwarded in part. */
   bool ContinuesAnswer(const AnswerHead& head) const;
   bool OnBody(std::string_view data);
+  /** Further bytes may be read from the endpoint. */
+  bool MayRead(size_t bytes);
+  void WriteToCaller(std::string bytes);
+  /** The caller's connection took bytes of a stream, or failed.
+   * @param resume  the stream was paused for its budget and may go on */
+  void OnWritten(size_t bytes, bool resume);
   void ForwardEvents();
   void OnCallEnd(std::optional<ClientFailure> failure);
   void CompleteCall();
@@ -215,7 +230,8 @@
   std::string content_type_;  // of the answer, if it has started
   bool ended_ = false;
   size_t unsent_bytes_ = 0;  // written, not yet sent to the caller
-  bool paused_ = false;
+  bool paused_ = false;      // reading from the endpoint
+  std::optional<ReaderBudget::StreamId> reader_;  // of a stream that has begun
 };
 
 }  // namespace zr
@@ -224,4 +240,5 @@
 // Uses the constants of forwarded_request_impl.h.
 #include "zr_gateway_host/forwarded_request_call_impl.h"
 #include "zr_gateway_host/forwarded_request_failure_impl.h"
+#include "zr_gateway_host/forwarded_request_reader_impl.h"
 #include "zr_gateway_host/forwarded_request_suspects_impl.h"
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -20,6 +20,8 @@
   call_->kv_tokens = request_.shape.prompt + request_.shape.max_answer;
   call_->plan = std::move(plan);
   call_->dispatched = dispatched;
+  call_->sent_body.emplace(state_.bodies, call_->plan.primary.endpoint,
+                           request_.body.size());
   if (!dispatched) {
     state_.tracker.CountRequest(now, call_->plan.primary.endpoint);
   }
@@ -217,8 +219,7 @@
 
 template <GatewayFormat Format>
 bool ForwardedRequest<Format>::OnBody(std::string_view data) {
-  using namespace gateway_internal;
-  if (unsent_bytes_ > kMaxUnsentBytes) {
+  if (!MayRead(data.size())) {
     paused_ = true;
     return false;
   }
@@ -263,18 +264,7 @@
   state_.suspects->OnAlive(now, call_->plan.primary.endpoint);
   RecordFirstEvent();
   if (!answer_started_) BeginAnswer();
-  unsent_bytes_ += bytes.size();
-  const size_t size = bytes.size();
-  response_->Write(
-      std::move(bytes), [weak = this->weak_from_this(), size](bool) {
-        auto self = weak.lock();
-        if (!self) return;
-        self->unsent_bytes_ -= std::min(size, self->unsent_bytes_);
-        if (self->paused_ && self->unsent_bytes_ == 0 && self->call_) {
-          self->paused_ = false;
-          self->call_->handle->Resume();
-        }
-      });
+  WriteToCaller(std::move(bytes));
 }
 
 template <GatewayFormat Format>
--- a/modules/zr_gateway_host/forwarded_request_failure_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_failure_impl.h
@@ -72,6 +72,7 @@
 void ForwardedRequest<Format>::ReleaseCall() {
   if (!call_) return;
   if (call_->handle) call_->handle->Cancel();
+  paused_ = false;
   const TimePoint now = BootNow();
   EndCall(now, state_.tracker, call_->plan.Endpoints(), Key());
   if (call_->plan.kv_holders > 0) state_.reservations->Release(now, Key());
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -162,7 +162,7 @@
       std::max(Duration(), arrived_ + route_->latency_objective - now);
   requirements.max_gap = route_->gap_objective.value_or(Duration::Max());
   requirements.time_left = deadline_ - now;
-  requirements.excluded = tried_;
+  requirements.excluded = ExcludedEndpoints();
   return requirements;
 }
 
@@ -197,7 +197,8 @@
   dispatch_request.max_gap =
       std::min(requirements.max_gap, requirements.time_left);
   dispatch_request.time_left = requirements.time_left;
-  dispatch_request.excluded = {tried_.begin(), tried_.end()};
+  dispatch_request.excluded = {requirements.excluded.begin(),
+                               requirements.excluded.end()};
   dispatch_request.deferred = deferred_until_ > TimePoint() || call_;
   awaiting_dispatch_ = true;
   const int number = ++dispatch_requests_;
@@ -253,7 +254,9 @@
   endpoints.push_back(reply->endpoint);
   PlacementPlan plan;
   for (const EndpointId& endpoint : endpoints) {
-    if (!state_.tracker.MayCall(endpoint)) {
+    // Other bodies may have taken the room meanwhile.
+    const bool fits = endpoint != reply->endpoint || BodyFits(endpoint);
+    if (!state_.tracker.MayCall(endpoint) || !fits) {
       ReturnGrant();
       return PlaceLocally(now);
     }
@@ -318,6 +321,9 @@
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::BeginAnswer() {
   answer_started_ = true;
+  if (state_.readers) {
+    reader_ = state_.readers->Add(BootNow(), request_.client);
+  }
   const auto type = call_->head->headers.find("content-type");
   if (type != call_->head->headers.end()) content_type_ = type->second;
   response_->Begin(call_->head->status, AnswerHeaders(call_->head->headers));
--- a/modules/zr_gateway_host/gateway_format.h
+++ b/modules/zr_gateway_host/gateway_format.h
@@ -26,6 +26,7 @@
   std::vector<std::string> shared_parts;
   HttpHeaders headers;  // forwarded unchanged
   std::string body;
+  std::string client;  // address of the caller, without its port
 };
 
 /** An engine that reads a part of the prompt for the called endpoint. */
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -228,6 +228,7 @@
   }
   const ClientLimits limits =
       state_.config ? state_.config->limits() : ClientLimits{};
+  std::string client = request.remote.substr(0, request.remote.rfind(':'));
   auto caller = Format::ReadRequest(std::move(request));
   std::optional<OwnAnswer> refusal;
   if (header_bytes > limits.max_header_bytes) {
@@ -248,6 +249,7 @@
                       {"reason", refusal->error.message}});
     return;
   }
+  caller->client = std::move(client);
   auto forwarded = std::make_shared<Request>(state_, std::move(*caller),
                                              std::move(response), now);
   requests_.push_back(forwarded);
@@ -331,7 +333,10 @@
   using namespace gateway_internal;
   const TimePoint now = BootNow();
   if (Ready()) state_.startup.OnServing();
+  std::vector<ReaderBudget::StreamId> overdue;
+  if (state_.readers) overdue = state_.readers->TakeOverdue(now);
   for (auto it = requests_.begin(); it != requests_.end();) {
+    if (!overdue.empty()) (*it)->EndIfOverdue(now, overdue);
     (*it)->Tick(now);
     it = (*it)->ended() ? requests_.erase(it) : std::next(it);
   }
--- a/modules/zr_gateway_host/gateway_settings.h
+++ b/modules/zr_gateway_host/gateway_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 #include "zr_base/zr_base.h"
@@ -33,6 +34,11 @@
   Duration reservation_max_idle = Duration::Seconds(9);
   /** Retries of a service per window, as a share of its requests on all VMs. */
   double retry_ratio = 0.2;
+  /** Bounds what is held for callers that read slowly, and the bodies that are
+   * in flight to an endpoint at once. */
+  bool slow_readers = false;
+  /** Memory of the VM in bytes; 0 if it is not known. */
+  size_t memory_bytes = 0;
   friend auto operator<=>(const GatewaySettings&,
                           const GatewaySettings&) = default;
 };
--- a/modules/zr_gateway_host/gateway_state.h
+++ b/modules/zr_gateway_host/gateway_state.h
@@ -36,7 +36,11 @@
         freshness(settings.revocation_bound - kWatchGap, settings.config_bound),
         random(Hash64(settings.callers_address)),
         retry_ratio(settings.retry_ratio),
-        vm(settings.vm) {}
+        vm(settings.vm) {
+    if (!settings.slow_readers) return;
+    readers = std::make_shared<ReaderBudget>(
+        ReaderBudget::LimitsFor(settings.memory_bytes));
+  }
 
   RetryBudget& BudgetOf(const ServiceName& service) {
     return budgets
@@ -61,6 +65,10 @@
   Metrics& metrics;
   DecisionLog log;
   BufferBudget answer_buffers{kAnswerBuffers};
+  /** Null if slow readers and bodies in flight are not bounded, see
+   * GatewaySettings::slow_readers. */
+  std::shared_ptr<ReaderBudget> readers;
+  BodyBudget bodies;        // in flight to endpoints
   GatewayConfigPtr config;  // null until the first configuration was read
   ConfigFreshness freshness;
   EndpointTracker tracker;
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -80,6 +80,7 @@
     def __init__(self, base, vms=3, engines=3, plain=2):
         self.base, self.vm_count, self.store_port = base, vms, base
         self.store_ports = {}  # by VM, where it differs from store_port
+        self.more_settings = ""  # lines added to the settings of each VM
         self.config_ms = 2000  # bound on the time until a change is in force
         self.folder = tempfile.mkdtemp(prefix="zinniarill-platform-")
         self.store = Store(base)
@@ -144,7 +145,7 @@
                        f"platform.addr=127.0.0.1:{self.store_ports.get(vm, self.store_port)}\n"
                        "bounds.revokeMs=5000\nbounds.graceS=8\n"
                        f"bounds.configMs={self.config_ms}\n"
-                       "bounds.drainMs=2000\nbounds.evacMs=5000\n")
+                       "bounds.drainMs=2000\nbounds.evacMs=5000\n" + self.more_settings)
         log = open(os.path.join(self.folder, f"vm-{vm}.log"), "a")
         self.processes[vm] = subprocess.Popen(
             [os.path.join(self.build(vm), "platform", "zinniarill-entry")], stdout=log, stderr=log,
