--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -20,6 +20,8 @@
   call_->kv_tokens = request_.shape.prompt + request_.shape.max_answer;
   call_->plan = std::move(plan);
   call_->dispatched = dispatched;
+  call_->sent_body.emplace(state_.bodies, call_->plan.primary.endpoint,
+                           request_.body.size());
   if (!dispatched) {
     ++state_.local_calls[service_->name];
     state_.tracker.CountRequest(now, call_->plan.primary.endpoint);
@@ -138,6 +140,7 @@
 
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::OnConnected(bool is_new) {
+  call_->is_new_connection = is_new;
   if (!is_new) return;
   state_.paths->OnConnection(BootNow(), call_->plan.primary.endpoint,
                              call_->through ? &*call_->through : nullptr, true);
@@ -172,12 +175,13 @@
                     CallResult::kConnectionBroken,
                     "answer belongs to another request");
   }
-  // It may be an earlier refusal, written once more on a kept connection.
-  if ((head.misdirected || head.not_run) && head.request.empty() &&
-      !NeedsFreshConnection()) {
-    return FailCall(CallFailure::kConnectionBroken,
-                    CallResult::kConnectionBroken,
-                    "refusal does not name its request");
+  if (head.request.empty() && !MayBeUnnamed(status)) {
+    // Single error answers don't count against the endpoint's health.
+    return FailCall(
+        CallFailure::kConnectionBroken,
+        status >= 500 ? CallResult::kErrorAnswer
+                      : CallResult::kConnectionBroken,
+        "answer does not name its request, status " + std::to_string(status));
   }
   if (head.encoded) {
     return FailCall(CallFailure::kConnectionBroken,
@@ -207,6 +211,12 @@
   call_->head = std::move(head);
 }
 
+template <GatewayFormat Format>
+bool ForwardedRequest<Format>::MayBeUnnamed(int status) const {
+  constexpr int kFirstFailure = 400;
+  return status >= kFirstFailure && call_->is_new_connection;
+}
+
 template <GatewayFormat Format>
 bool ForwardedRequest<Format>::ContinuesAnswer(const AnswerHead& head) const {
   const auto type = head.headers.find("content-type");
@@ -216,8 +226,7 @@
 
 template <GatewayFormat Format>
 bool ForwardedRequest<Format>::OnBody(std::string_view data) {
-  using namespace gateway_internal;
-  if (unsent_bytes_ > kMaxUnsentBytes) {
+  if (!MayRead(data.size())) {
     paused_ = true;
     return false;
   }
@@ -261,20 +270,7 @@
   state_.suspects->OnAlive(now, call_->plan.primary.endpoint);
   RecordFirstEvent();
   if (!answer_started_) BeginAnswer();
-  unsent_bytes_ += bytes.size();
-  const size_t size = bytes.size();
-  response_->Write(
-      std::move(bytes), [weak = this->weak_from_this(), size](bool) {
-        auto self = weak.lock();
-        if (!self) return;
-        self->unsent_bytes_ -= std::min(size, self->unsent_bytes_);
-        if (self->paused_ && self->unsent_bytes_ == 0 && self->call_) {
-          self->paused_ = false;
-          self->pauses_.OnCallerRead(BootNow());
-          self->call_->pauses.OnCallerRead(BootNow());
-          self->call_->handle->Resume();
-        }
-      });
+  WriteToCaller(std::move(bytes));
 }
 
 template <GatewayFormat Format>
--- a/modules/zr_gateway_host/forwarded_request_failure_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_failure_impl.h
@@ -77,6 +77,7 @@
   if (call_->result != CallResult::kAnswered && !paused_) {
     call_->pauses.OnBroken(now);
   }
+  paused_ = false;
   EndCall(now, state_.tracker, call_->plan.Endpoints(), Key());
   if (call_->plan.kv_holders > 0) state_.reservations->Release(now, Key());
   if (state_.dispatch && (service_->engine || call_->dispatched)) {
--- a/modules/zr_gateway_host/gateway_settings.h
+++ b/modules/zr_gateway_host/gateway_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 #include "zr_base/zr_base.h"
@@ -38,6 +39,11 @@
   PaceMode pace = PaceMode::kLearned;
   /** Requests wait at their dispatcher in the order of PoolQueue. */
   bool fair_queue = true;
+  /** Bounds what is held for callers that read slowly, and the bodies that are
+   * in flight to an endpoint at once. */
+  bool slow_readers = false;
+  /** Memory of the VM in bytes; 0 if it is not known. */
+  size_t memory_bytes = 0;
   friend auto operator<=>(const GatewaySettings&,
                           const GatewaySettings&) = default;
 };
