--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -81,6 +81,7 @@
         self.base, self.vm_count, self.store_port = base, vms, base
         self.store_ports = {}  # by VM, where it differs from store_port
         self.config_ms = 2000  # bound on the time until a change is in force
+        self.settings = ""  # further lines of the settings files
         self.folder = tempfile.mkdtemp(prefix="zinniarill-platform-")
         self.store = Store(base)
         self.version = 2
@@ -144,7 +145,7 @@
                        f"platform.addr=127.0.0.1:{self.store_ports.get(vm, self.store_port)}\n"
                        "bounds.revokeMs=5000\nbounds.graceS=8\n"
                        f"bounds.configMs={self.config_ms}\n"
-                       "bounds.drainMs=2000\nbounds.evacMs=5000\n")
+                       "bounds.drainMs=2000\nbounds.evacMs=5000\n" + self.settings)
         log = open(os.path.join(self.folder, f"vm-{vm}.log"), "a")
         self.processes[vm] = subprocess.Popen(
             [os.path.join(self.build(vm), "platform", "zinniarill-entry")], stdout=log, stderr=log,
--- a/tests/system/harness.py
+++ b/tests/system/harness.py
@@ -102,6 +102,7 @@
         self.document = os.path.join(ROOT, "examples", document)
         self.dir = tempfile.mkdtemp(prefix="zr-system-")
         self.processes, self.vms = [], {}
+        self.limits = "max_body_bytes = 1048576\n"  # lines of the settings section
 
     def __enter__(self):
         try:
@@ -179,8 +180,7 @@
 [platform]
 address = 127.0.0.1:{self.base}
 [limits]
-max_body_bytes = 1048576
-""")
+{self.limits}""")
         self.vms[vm] = self.spawn("apps/zinniarilld/zinniarilld", f"--settings={path}",
                                   log=f"vm-{vm}")
 
