Bound what clients hold of a process's memory and connections

Cause: bodies were received up to 32 MiB each, held three times, and records of one-byte chunks took 48 times their bytes; connections had no bound, and RESTinio stops accepting for good when descriptors run out.

Change: MeteredSocket reads for RESTinio. RequestReader follows the framing (http_parser), merges chunks and recognises requests above the limits, which get 413 or 431 at once. ClientGuard reserves the cost of each request from MemoryAccount before it is passed on, lets requests wait while memory is short, and sheds in the order of ShedOrder. Bodies are shared instead of copied. The limits come from limits.memoryMb, limits.maxFds and the configuration; the daemon has settings keys for them.

--- a/modules/zr_base/zr_base.h
+++ b/modules/zr_base/zr_base.h
@@ -14,6 +14,7 @@
 #include "zr_base/ids.h"
 #include "zr_base/invariants.h"
 #include "zr_base/log_level.h"
+#include "zr_base/memory_account.h"
 #include "zr_base/random.h"
 #include "zr_base/time.h"
 #include "zr_base/token_bucket.h"
--- a/modules/zr_config/settings.cc
+++ b/modules/zr_config/settings.cc
@@ -115,6 +115,33 @@
       {Integer("limits", "max_header_bytes", "bytes", 1'024, kMiB, "16384",
                "Largest header block of a caller's request."),
        [](Settings& s, const KeyValue& v) { s.max_header_bytes = v.integer; }},
+      {Integer("limits", "memory_mb", "MB", 64, 1'048'576, "1024",
+               "Memory that the process may take; callers' requests may hold "
+               "a part of it."),
+       [](Settings& s, const KeyValue& v) { s.memory_mb = v.integer; }},
+      {Integer("limits", "max_connections", "connections", 16, 1'000'000,
+               "10000",
+               "Most connections of callers; less if the system allows fewer "
+               "descriptors."),
+       [](Settings& s, const KeyValue& v) { s.max_connections = v.integer; }},
+      {Integer("limits", "max_connections_per_address", "connections", 16,
+               1'000'000, "1000000",
+               "Most connections from one address; a load balancer may hide "
+               "the callers' own."),
+       [](Settings& s, const KeyValue& v) {
+         s.max_connections_per_address = v.integer;
+       }},
+      {Integer("limits", "header_timeout_ms", "ms", 100, 600'000, "10000",
+               "Longest time from the first byte of a request to the end of "
+               "its headers."),
+       [](Settings& s, const KeyValue& v) {
+         s.header_timeout = Duration::Milliseconds(v.integer);
+       }},
+      {Integer("limits", "body_timeout_ms", "ms", 100, 600'000, "30000",
+               "Longest time without progress while a body is received."),
+       [](Settings& s, const KeyValue& v) {
+         s.body_timeout = Duration::Milliseconds(v.integer);
+       }},
       {Integer("limits", "stream_buffer_bytes", "bytes", 1'024, kMiB, "32768",
                "Answer bytes held for a caller that reads slowly, then the "
                "engine is held back."),
--- a/modules/zr_config/settings.h
+++ b/modules/zr_config/settings.h
@@ -35,6 +35,11 @@
   RoutingPolicy routing_policy = RoutingPolicy::kGrants;
   int64_t max_body_bytes = 0;       // of a caller's request
   int64_t max_header_bytes = 0;     // of a caller's request
+  int64_t memory_mb = 0;            // of the VM, for this process
+  int64_t max_connections = 0;      // of callers
+  int64_t max_connections_per_address = 0;  // of one caller's address
+  Duration header_timeout;          // from the first byte of a head to its end
+  Duration body_timeout;            // longest pause of a body's sender
   int64_t stream_buffer_bytes = 0;  // answer bytes buffered for a slow caller
   int64_t worker_threads = 0;
   Duration
--- a/modules/zr_daemon/api/operator_api.cc
+++ b/modules/zr_daemon/api/operator_api.cc
@@ -94,7 +94,7 @@
 
 void OperatorApi::PutConfig(const HttpRequest& request,
                             HttpResponsePtr response) {
-  auto parsed = Environment::Parse(request.body);
+  auto parsed = Environment::Parse(request.body.text());
   if (!parsed) {
     return SendProblem(*response, 422, parsed.error().code,
                        parsed.error().message);
@@ -107,7 +107,7 @@
         *response, 400, ErrorCode::kInvalidArgument,
         "If-Match must name the version to replace, 0 for the first document");
   }
-  Write(request.body, ObjectVersion(expected),
+  Write(request.body.text(), ObjectVersion(expected),
         std::string(request.Header("x-zr-author")), std::move(response));
 }
 
@@ -193,7 +193,7 @@
 
 void OperatorApi::Trial(const HttpRequest& request,
                         HttpResponse& response) const {
-  auto parsed = Environment::Parse(request.body);
+  auto parsed = Environment::Parse(request.body.text());
   if (!parsed) {
     return SendProblem(response, 422, parsed.error().code,
                        parsed.error().message);
@@ -211,7 +211,7 @@
                        {"after", change.after}});
   }
   SendJson(response, 200,
-           {{"digest", DocumentDigest(request.body)}, {"changes", changes}});
+           {{"digest", DocumentDigest(request.body.text())}, {"changes", changes}});
 }
 
 void OperatorApi::ChangeDrain(const HttpRequest& request,
--- a/modules/zr_daemon/node.cc
+++ b/modules/zr_daemon/node.cc
@@ -109,24 +109,7 @@
     teams_.OnPeerDemand(heartbeat.origin.vm, heartbeat.team_demand);
   };
 
-  HttpServerOptions server;
-  server.address = settings_.caller_listener.ToString();
-  server.max_body_bytes = static_cast<size_t>(settings_.max_body_bytes);
-  server.max_header_bytes = static_cast<size_t>(settings_.max_header_bytes);
-  auto callers = HttpServer::Start(
-      io_, server, [this](HttpRequest request, HttpResponsePtr r) {
-        caller_api_.Handle(std::move(request), std::move(r));
-      });
-  if (!callers) return tl::unexpected(callers.error());
-  caller_server_ = std::move(*callers);
-  server.address = settings_.operator_listener.ToString();
-  auto operators = HttpServer::Start(
-      io_, server, [this](HttpRequest request, HttpResponsePtr r) {
-        operator_api_.Handle(std::move(request), std::move(r));
-      });
-  if (!operators) return tl::unexpected(operators.error());
-  operator_server_ = std::move(*operators);
-  return {};
+  return OpenServers();
 }
 
 int Node::Run() {
--- a/modules/zr_daemon/node.h
+++ b/modules/zr_daemon/node.h
@@ -59,6 +59,10 @@
   void RouteGrant(const Grant& grant);
   void AnswerBaseline(const VmId& from, const AdmissionRequest& request);
   void ScheduleHeldGrants();
+  Result<void> OpenServers();
+  ClientGuardOptions GuardOptions(bool callers) const;
+  void LogRefusal(const ClientRefusal& refusal);
+  void UpdateClientMetrics();
   void BeginStop();
   void FinishStop();
 
@@ -83,6 +87,8 @@
   std::shared_ptr<RetentionRunner> retention_;
   CallerApi caller_api_;
   OperatorApi operator_api_;
+  std::shared_ptr<ClientGuard> caller_guard_;
+  std::shared_ptr<ClientGuard> operator_guard_;
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> operator_server_;
   asio::signal_set signals_;
--- a/modules/zr_gateway/gateway_types.h
+++ b/modules/zr_gateway/gateway_types.h
@@ -83,6 +83,7 @@
 struct ClientLimits {
   size_t max_header_bytes = 16 << 10;
   size_t max_body_bytes = 4 << 20;
+  Duration header_timeout = Duration::Seconds(10);
   Duration idle_timeout = Duration::Seconds(15);
   friend auto operator<=>(const ClientLimits&, const ClientLimits&) = default;
 };
--- a/modules/zr_gateway_host/forwarded_request_suspects_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_suspects_impl.h
@@ -33,7 +33,7 @@
   suspects.push_back(
       {Fingerprint(
            HashFields({"request", service.value(), team.value(), request.method,
-                       request.target, shared, request.body})),
+                       request.target, shared, request.body.text()})),
        CrashSuspect::kWholeRequest});
   return suspects;
 }
--- a/modules/zr_gateway_host/gateway_config_impl.h
+++ b/modules/zr_gateway_host/gateway_config_impl.h
@@ -167,6 +167,7 @@
   state_.config = std::move(*config);
   config_history_.Add(std::move(document));
   config_versions_.OnInForce(now, version);
+  ApplyClientLimits();
   dispatch_->SetPools(state_.config->ModelPools());
   // Decoding endpoint entries needs the services of the configuration.
   if (first) feeds_[kEndpointFeed]->StartFromOthers();
--- a/modules/zr_gateway_host/gateway_format.h
+++ b/modules/zr_gateway_host/gateway_format.h
@@ -25,7 +25,7 @@
   /** Ids of the parts of the prompt that other requests may share. */
   std::vector<std::string> shared_parts;
   HttpHeaders headers;  // forwarded unchanged
-  std::string body;
+  SharedBody body;
 };
 
 /** An engine that reads a part of the prompt for the called endpoint. */
--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -50,6 +50,13 @@
   Result<void> Open();
   /** Applies the time bounds of the settings. */
   void ApplyBounds();
+  /** Opens the listeners for callers and probes. */
+  Result<void> OpenServers();
+  /** Applies the limits on clients of the settings and the configuration. */
+  void ApplyClientLimits();
+  ClientGuardOptions GuardOptions(bool callers) const;
+  void LogRefusal(const ClientRefusal& refusal);
+  void UpdateClientMetrics();
 
   // StoreFeed::Listener
   void OnList(const std::string& kind,
@@ -120,6 +127,8 @@
   std::shared_ptr<Store> store_;
   StoreOutage store_outage_;
   std::vector<std::shared_ptr<Feed>> feeds_;
+  std::shared_ptr<ClientGuard> caller_guard_;
+  std::shared_ptr<ClientGuard> probe_guard_;
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> probe_server_;
   std::list<std::shared_ptr<Request>> requests_;
@@ -144,5 +153,6 @@
 
 #include "zr_gateway_host/gateway_node_impl.h"
 // Uses the constants of gateway_node_impl.h.
+#include "zr_gateway_host/gateway_clients_impl.h"
 #include "zr_gateway_host/gateway_config_impl.h"
 #include "zr_gateway_host/gateway_store_impl.h"
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -58,10 +58,6 @@
 inline constexpr int kKeyWords = 8;
 // Timeout of a call to the store, added to the wait of a watch.
 inline constexpr Duration kStoreTimeout = Duration::Milliseconds(400);
-// Larger headers and bodies end the connection; the lower bounds of the
-// configuration are answered with 431 and 413.
-inline constexpr size_t kMaxHeaderBytes = 64 << 10;
-inline constexpr size_t kMaxBodyBytes = 16 << 20;
 // Clients reuse connections that were idle for up to the configured timeout.
 inline constexpr Duration kIdleTimeout = Duration::Seconds(30);
 
@@ -122,24 +118,7 @@
       ReservationKeeper::Codec{&Format::WriteMemoryOrder,
                                &Format::WriteUseQuery, &Format::ReadUse});
 
-  HttpServerOptions options;
-  options.max_header_bytes = kMaxHeaderBytes;
-  options.max_body_bytes = kMaxBodyBytes;
-  options.idle_timeout = kIdleTimeout;
-  options.address = settings_.callers_address;
-  auto callers = HttpServer::Start(
-      io_, options, [this](HttpRequest request, HttpResponsePtr response) {
-        HandleCaller(std::move(request), std::move(response));
-      });
-  if (!callers) return tl::unexpected(callers.error());
-  caller_server_ = std::move(*callers);
-  options.address = settings_.ready_address;
-  auto probes = HttpServer::Start(
-      io_, options, [this](HttpRequest request, HttpResponsePtr response) {
-        HandleProbe(request, std::move(response));
-      });
-  if (!probes) return tl::unexpected(probes.error());
-  probe_server_ = std::move(*probes);
+  if (auto opened = OpenServers(); !opened) return opened;
 
   ObjectStoreOptions store;
   store.address = settings_.store_address;
@@ -260,6 +239,7 @@
   if (request.path == "/metrics") {
     metrics_.Set("zr_gateway_requests_in_progress", {},
                  static_cast<double>(requests_.size()));
+    UpdateClientMetrics();
     metrics_.Set("zr_gateway_log_lines_dropped", {},
                  static_cast<double>(state_.log.dropped()));
     for (const auto& feed : feeds_) {
@@ -373,6 +353,7 @@
   // Addresses are bound at the start only; all other settings apply at once.
   settings_ = std::move(*read);
   ApplyBounds();
+  ApplyClientLimits();
   state_.log.Write(now, "reload", {{"cause", cause}});
 }
 
--- a/modules/zr_gateway_host/gateway_state.h
+++ b/modules/zr_gateway_host/gateway_state.h
@@ -33,6 +33,7 @@
   GatewayState(const GatewaySettings& settings, Metrics& metrics_registry)
       : metrics(metrics_registry),
         log(settings.vm.value()),
+        answer_buffers(MemoryAccount::AnswerBytes(settings.memory_bytes)),
         freshness(settings.revocation_bound - kWatchGap, settings.config_bound),
         random(Hash64(settings.callers_address)),
         retry_ratio(settings.retry_ratio),
@@ -55,12 +56,9 @@
   /** A watch may miss changes for about a second before it is cut off. */
   static constexpr Duration kWatchGap = Duration::Milliseconds(1300);
 
-  // Memory of the answers that are not streamed; the smallest VMs have 112 MB.
-  static constexpr size_t kAnswerBuffers = size_t{24} << 20;
-
   Metrics& metrics;
   DecisionLog log;
-  BufferBudget answer_buffers{kAnswerBuffers};
+  BufferBudget answer_buffers;  // of the answers that are not streamed
   GatewayConfigPtr config;  // null until the first configuration was read
   ConfigFreshness freshness;
   EndpointTracker tracker;
--- a/modules/zr_http/client/http_client.h
+++ b/modules/zr_http/client/http_client.h
@@ -16,7 +16,7 @@
   std::string method = "GET";
   std::string url;  // "http://ip:port/path"
   HttpHeaders headers;
-  std::string body;
+  SharedBody body;
   Duration connect_timeout = Duration::Seconds(2);
   Duration total_timeout;  // 0 for no timeout
   /** Longest time until the first byte of the answer; 0 for no limit. */
--- a/modules/zr_http/server/http_server.cc
+++ b/modules/zr_http/server/http_server.cc
@@ -8,6 +8,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "zr_http/server/metered_socket.h"
+
 namespace zr {
 namespace {
 
@@ -18,6 +20,9 @@
 // With a second pipelined request RESTinio keeps reading while a response is in
 // progress, so that it notices a closed connection immediately.
 constexpr size_t kPipelinedRequests = 2;
+// Bytes that the kernel receives for a connection before they are read; they
+// count as memory of the process. Enough for 200 Mbit/s at a delay of 1 ms.
+constexpr int kReceiveBuffer = 64 << 10;
 
 /** Tracks the open connections and runs the callbacks of their responses when a
  * connection is closed. */
@@ -84,6 +89,7 @@
 struct Traits : public restinio::default_traits_t {
   using logger_t = restinio::null_logger_t;
   using connection_state_listener_t = ConnectionRegistry;
+  using stream_socket_t = MeteredSocket;
 };
 
 restinio::http_status_line_t StatusLine(int status) {
@@ -120,16 +126,31 @@
  * kernel or its connection has failed. */
 class UnsentResponse {
  public:
-  explicit UnsentResponse(std::shared_ptr<std::atomic<size_t>> count)
-      : count_(std::move(count)) {
+  UnsentResponse(std::shared_ptr<std::atomic<size_t>> count,
+                 std::shared_ptr<ClientGuard> guard,
+                 ClientGuard::ConnectionPtr connection)
+      : count_(std::move(count)),
+        guard_(std::move(guard)),
+        connection_(std::move(connection)) {
     ++*count_;
   }
-  ~UnsentResponse() { --*count_; }
+  ~UnsentResponse() {
+    --*count_;
+    if (connection_) guard_->OnAnswered(connection_);
+  }
   UnsentResponse(const UnsentResponse&) = delete;
   UnsentResponse& operator=(const UnsentResponse&) = delete;
 
  private:
   std::shared_ptr<std::atomic<size_t>> count_;
+  std::shared_ptr<ClientGuard> guard_;
+  ClientGuard::ConnectionPtr connection_;
+};
+
+/** A request of the server with the memory that is reserved for it. */
+struct HeldRequest {
+  restinio::request_handle_t request;
+  std::shared_ptr<ClientGuard::Charge> charge;
 };
 
 template <typename Response>
@@ -145,11 +166,12 @@
 
 class RestinioResponse final : public HttpResponse {
  public:
-  RestinioResponse(restinio::request_handle_t request,
+  RestinioResponse(std::shared_ptr<HeldRequest> held,
                    std::shared_ptr<ConnectionRegistry> registry,
                    std::shared_ptr<UnsentResponse> unsent)
       : unsent_(std::move(unsent)),
-        request_(std::move(request)),
+        held_(std::move(held)),
+        request_(held_->request),
         connection_(restinio::impl::access_req_connection(*request_)),
         request_id_(request_->request_id()),
         connection_id_(request_->connection_id()),
@@ -231,6 +253,7 @@
   }
 
   std::shared_ptr<UnsentResponse> unsent_;
+  std::shared_ptr<HeldRequest> held_;
   restinio::request_handle_t request_;
   restinio::impl::connection_handle_t connection_;
   restinio::request_id_t request_id_;
@@ -242,7 +265,8 @@
   bool ended_ = false;
 };
 
-HttpRequest ConvertRequest(restinio::request_t& request, size_t* header_bytes) {
+HttpRequest ConvertRequest(const std::shared_ptr<HeldRequest>& held) {
+  const restinio::request_t& request = *held->request;
   HttpRequest out;
   out.method = request.header().method().c_str();
   out.path = std::string(request.header().path());
@@ -252,21 +276,15 @@
     std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
       return static_cast<char>(std::tolower(c));
     });
-    *header_bytes += name.size() + field.value().size();
     out.headers[std::move(name)] = std::string(field.value());
   });
   out.remote = request.remote_endpoint().address().to_string() + ":" +
                std::to_string(request.remote_endpoint().port());
-  out.body = request.body();
+  out.body = SharedBody(
+      std::shared_ptr<const std::string>(held, &request.body()));
   return out;
 }
 
-std::string TooLargeError(const char* what, size_t limit) {
-  return std::string("{\"error\":{\"code\":\"too_large\",\"message\":\"") +
-         what + " is larger than " + std::to_string(limit) +
-         " bytes\",\"run\":\"not-run\",\"step\":\"request\",\"peer\":\"\"}}";
-}
-
 class RestinioServer final : public HttpServer {
  public:
   using Server = restinio::http_server_t<Traits>;
@@ -274,17 +292,22 @@
   RestinioServer(asio::io_context& context, const HttpServerOptions& options,
                  std::string ip, uint16_t port, HttpHandler handler)
       : registry_(std::make_shared<ConnectionRegistry>()),
-        unsent_(std::make_shared<std::atomic<size_t>>(0)) {
+        unsent_(std::make_shared<std::atomic<size_t>>(0)),
+        metering_(std::make_shared<ServerMetering>(
+            options.guard ? options.guard
+                          : std::make_shared<ClientGuard>(
+                                context, ClientGuardOptions{}))) {
+    metering_->body_copies = options.body_copies;
+    SetLimits(options.max_header_bytes, options.max_body_bytes);
+    // MeteredStream enforces the limits on heads and bodies.
     restinio::incoming_http_msg_limits_t limits;
-    limits.max_body_size(2 * static_cast<uint64_t>(options.max_body_bytes))
-        .max_field_name_size(2 * options.max_header_bytes)
-        .max_field_value_size(2 * options.max_header_bytes)
-        .max_field_count(200);
+    limits.max_field_count(RequestReader::kMaxFields + 1);
     server_ = std::make_unique<Server>(
         restinio::external_io_context(context), [&](auto& settings) {
           settings.address(ip)
               .port(port)
               .incoming_http_msg_limits(limits)
+              .metering(metering_)
               .max_pipelined_requests(kPipelinedRequests)
               .handle_request_timeout(kHandlerTimeout)
               .write_http_response_timelimit(kWriteTimeout)
@@ -294,17 +317,21 @@
               .acceptor_options_setter([](auto& o) {
                 o.set_option(
                     restinio::asio_ns::ip::tcp::acceptor::reuse_address(true));
+                // Connections inherit it.
+                o.set_option(
+                    restinio::asio_ns::socket_base::receive_buffer_size(
+                        kReceiveBuffer));
               })
               .socket_options_setter([](auto& o) {
                 o.set_option(restinio::asio_ns::ip::tcp::no_delay(true));
               })
               .cleanup_func([] {})
-              .request_handler([registry = registry_, unsent = unsent_, options,
+              .request_handler([registry = registry_, unsent = unsent_,
+                                metering = metering_,
                                 handler = std::move(handler)](
                                    restinio::request_handle_t request) {
-                return Dispatch(std::move(request), registry,
-                                std::make_shared<UnsentResponse>(unsent),
-                                options, handler);
+                return Dispatch(std::move(request), registry, unsent, metering,
+                                handler);
               });
         });
   }
@@ -339,31 +366,33 @@
 
   size_t unsent_responses() const override { return *unsent_; }
 
+  void SetLimits(size_t max_header_bytes, size_t max_body_bytes) override {
+    metering_->max_header_bytes = max_header_bytes;
+    metering_->max_body_bytes = max_body_bytes;
+  }
+
  private:
   static restinio::request_handling_status_t Dispatch(
       restinio::request_handle_t request,
       const std::shared_ptr<ConnectionRegistry>& registry,
-      std::shared_ptr<UnsentResponse> unsent, const HttpServerOptions& options,
+      const std::shared_ptr<std::atomic<size_t>>& unsent,
+      const std::shared_ptr<ServerMetering>& metering,
       const HttpHandler& handler) {
-    size_t header_bytes = 0;
-    HttpRequest converted = ConvertRequest(*request, &header_bytes);
+    const auto connection = metering->Find(request->connection_id());
+    auto held = std::make_shared<HeldRequest>();
+    held->request = std::move(request);
+    if (connection) held->charge = metering->guard->TakeCharge(connection);
+    HttpRequest converted = ConvertRequest(held);
     auto response = std::make_shared<RestinioResponse>(
-        std::move(request), registry, std::move(unsent));
-    const HttpHeaders json = {{"content-type", "application/json"},
-                              {"x-zr-run", "not-run"}};
-    if (header_bytes > options.max_header_bytes) {
-      response->Send(431, json,
-                     TooLargeError("header", options.max_header_bytes));
-    } else if (converted.body.size() > options.max_body_bytes) {
-      response->Send(413, json, TooLargeError("body", options.max_body_bytes));
-    } else {
-      handler(std::move(converted), response);
-    }
+        std::move(held), registry,
+        std::make_shared<UnsentResponse>(unsent, metering->guard, connection));
+    handler(std::move(converted), std::move(response));
     return restinio::request_accepted();
   }
 
   std::shared_ptr<ConnectionRegistry> registry_;
   std::shared_ptr<std::atomic<size_t>> unsent_;  // responses
+  std::shared_ptr<ServerMetering> metering_;
   std::unique_ptr<Server> server_;
   std::atomic<bool> stopped_{false};
 };
--- a/modules/zr_http/server/http_server.h
+++ b/modules/zr_http/server/http_server.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "zr_http/server/client_guard.h"
 #include "zr_http/server/http_types.h"
 
 namespace zr {
@@ -54,12 +55,16 @@
   std::string address;  // "ip:port"
   size_t max_body_bytes = 16 << 20;
   size_t max_header_bytes = 32 << 10;              // total of names and values
+  size_t body_copies = 1;  // of a body that the handler makes, with the body
   Duration idle_timeout = Duration::Seconds(120);  // between two requests
+  /** Shared by the servers of a process; null for one of this server only. */
+  std::shared_ptr<ClientGuard> guard;
 };
 
 /**
  * An HTTP server on an io_context. Bodies and headers above their limits are
- * answered with 413 and 431; above twice the limit the connection is closed.
+ * answered with 413 and 431 as soon as the limit is announced or exceeded, and
+ * the connection is closed.
  */
 class HttpServer {
  public:
@@ -79,6 +84,8 @@
   /** Number of responses whose last byte has not been passed to the kernel;
    * those whose connection has failed don't count. */
   virtual size_t unsent_responses() const = 0;
+  /** Applies to bytes that are read from now on. */
+  virtual void SetLimits(size_t max_header_bytes, size_t max_body_bytes) = 0;
   /** Closes the server; call when the io_context no longer runs handlers. */
   virtual void Close() = 0;
 };
--- a/modules/zr_http/server/http_types.h
+++ b/modules/zr_http/server/http_types.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "zr_base/zr_base.h"
+#include "zr_http/server/shared_body.h"
 
 namespace zr {
 
@@ -19,7 +20,7 @@
   std::string path;    // still percent-encoded, without the query
   std::string query;   // without '?'
   HttpHeaders headers;
-  std::string body;
+  SharedBody body;
   std::string remote;  // "ip:port" of the client
 
   /** Value of a header, empty if absent. */
--- a/standins/engine/engine.cc
+++ b/standins/engine/engine.cc
@@ -122,7 +122,7 @@
 
 void Engine::HandleCompletion(const HttpRequest& request,
                               const HttpResponsePtr& response) {
-  const auto body = ParseJson(request.body);
+  const auto body = ParseJson(request.body.text());
   if (!body.is_object()) {
     SendError(response, 400, "invalid_argument", "the body is no JSON object");
     return;
@@ -208,7 +208,7 @@
     SendJson(response, found ? 200 : 404, nlohmann::json::object());
     return;
   }
-  const auto body = ParseJson(request.body);
+  const auto body = ParseJson(request.body.text());
   if (request.method != "POST" || !body.is_object() || !body.contains("id")) {
     SendError(response, 400, "invalid_argument",
               "an import or export needs an id");
--- a/standins/engine/engine_state.cc
+++ b/standins/engine/engine_state.cc
@@ -113,7 +113,7 @@
 
 void Engine::HandleOrder(const HttpRequest& request,
                          const HttpResponsePtr& response) {
-  const auto body = ParseJson(request.body);
+  const auto body = ParseJson(request.body.text());
   if (!body.is_object() || !body.contains("kind") || !body.contains("name")) {
     SendError(response, 400, "invalid_argument",
               "an order needs kind and name");
--- a/standins/platform/platform_server.cc
+++ b/standins/platform/platform_server.cc
@@ -256,7 +256,7 @@
 void PlatformServer::HandleVms(const HttpRequest& request,
                                const HttpResponsePtr& response) {
   if (request.method == "POST") {
-    const auto body = ParseJson(request.body);
+    const auto body = ParseJson(request.body.text());
     if (!body.is_object() || !body.contains("name")) {
       SendError(response, 400, "invalid_argument", "a VM needs a name");
       return;
