--- a/modules/zr_gateway_host/gateway_settings.h
+++ b/modules/zr_gateway_host/gateway_settings.h
@@ -17,6 +17,8 @@
   std::string peers_address;    // "ip:port" of the links between entry VMs
   std::string store_address;    // "ip:port" of the platform's store
   double cores = 0;             // processor share; 0 if it is not known
+  size_t memory_bytes = 0;      // of the VM; 0 if it is not known
+  size_t max_descriptors = 0;   // of the VM; 0 if it is not known
   double store_reads_per_s = 2000;  // budget of all VMs together
   double store_writes_per_s = 400;  // budget of all VMs together
   /** Time after a key's revocation within which all VMs reject it. */
@@ -42,8 +44,6 @@
   /** Bounds what is held for callers that read slowly, and the bodies that are
    * in flight to an endpoint at once. */
   bool slow_readers = false;
-  /** Memory of the VM in bytes; 0 if it is not known. */
-  size_t memory_bytes = 0;
   friend auto operator<=>(const GatewaySettings&,
                           const GatewaySettings&) = default;
 };
--- a/tests/platform/slow_readers.py
+++ b/tests/platform/slow_readers.py
@@ -129,7 +129,7 @@
 
 
 def prepare(d):
-    d.more_settings = "contracts=base,pressure\nlimits.memoryMb=112\n"
+    d.settings = "contracts=base,pressure\nlimits.memoryMb=112\n"
     document = configuration(d.version + 1)
     document["limits"]["maxBodyBytes"] = MAX_BODY
     for route in document["routes"]:
--- a/tests/system/faulty_endpoints.py
+++ b/tests/system/faulty_endpoints.py
@@ -122,7 +122,7 @@
 
     def __init__(self, base):
         self.cluster = Cluster(base, vms=1, engines=0, services=0)
-        self.cluster.max_body_bytes = 16 << 20
+        self.cluster.limits = f"max_body_bytes = {16 << 20}\n"
         document = open(self.cluster.document, encoding="utf-8").read()
         with tempfile.NamedTemporaryFile("w", suffix=".ini", delete=False) as file:
             file.write(document.replace("fresh_requests = 8\nrepeatable = false",
