Find slow engines behind split prompts

Cause: long prompts are read by up to 17 engines, and the slowest one decides when the first token comes. Short calls alone rarely reach a slow engine, as they are packed elsewhere, so three engines slower by 10 were hardly noticed.

Change: a split call that is late or overdue makes its engines suspects, unless they have just been sound; the next short call at a suspect shows whether it is slow. Prompts of others that may delay a call count as part of its forecast.

--- a/modules/zr_gateway/endpoint_tracker.h
+++ b/modules/zr_gateway/endpoint_tracker.h
@@ -42,6 +42,10 @@
   double slowness = 1;
   TimePoint began;
   bool waits = false;
+  /** Prefill of other prompts that may delay it beyond its forecast, as they
+   * were placed later or are read in another order. */
+  double contention_ms = 0;
+  bool blamed = false;  // its engines have been suspected as it was overdue
   friend auto operator<=>(const CallLoad&, const CallLoad&) = default;
 };
 
@@ -57,6 +61,11 @@
   bool learned = false;  // `pace` and `slowness` are in use
   TimePoint sound_at;    // last took part in a first event in time
   TimePoint active_at;   // a call was placed, answered or ended
+  /** Observed / forecast time of a call that it shared with others, any of
+   * which may have been slow; 0 if there is none. A short call there shows
+   * whether it was this one. */
+  double suspicion = 0;
+  TimePoint suspected_at;
   /** Weight of load reports; falls if they contradict its answers. */
   double report_trust = 1;
   int logged_calls = 0;  // of `pace`, in the last PaceChange
@@ -75,6 +84,8 @@
   int OccupiedSlots() const;
   /** `pace` allows one more call. */
   bool HasRoom(TimePoint now) const;
+  /** The next short call should show whether the endpoint is slow. */
+  bool WantsTest() const;
   /** Total value of the calls whose callers do not tolerate such a pause. */
   double ValueStalledBy(double pause_ms) const;
   /** Forecast time until its prompts are prefilled. */
@@ -234,8 +245,21 @@
   void OnPlacedLoad(TimePoint now, EndpointState& state, const CallLoad& load);
   void OnAnswered(TimePoint now, EndpointState& state,
                   std::optional<Duration> elapsed);
-  void LearnSlowness(TimePoint now, const std::vector<EndpointState*>& engines,
-                     double ratio);
+  void LearnFromSplit(TimePoint now, const std::vector<EndpointState*>& engines,
+                      double ratio);
+  /** @param slowness  that the call's forecast assumed, if it is not split */
+  void LearnRatio(TimePoint now, const std::vector<EndpointId>& engines,
+                  double ratio, double slowness);
+  /** Adds what a call on a single endpoint shows. */
+  static void LearnSlowness(TimePoint now, EndpointState& state, double ratio);
+  /** At least one of the engines was slow. */
+  static void Suspect(TimePoint now, const std::vector<EndpointState*>& engines,
+                      double ratio);
+  /** Longest contention of a call at one of its engines. */
+  double ContentionMs(const std::vector<EndpointId>& engines,
+                      const CallKey& key) const;
+  /** Suspects the engines of split calls that are overdue. */
+  void SuspectOverdue(TimePoint now);
   void SetBack(EndpointState& state);
   /** A call has ended, so that one which waits has a slot. */
   static void BeginWaiting(TimePoint now, EndpointState& state);
--- a/modules/zr_gateway/endpoint_tracker_pace.cc
+++ b/modules/zr_gateway/endpoint_tracker_pace.cc
@@ -23,10 +23,11 @@
 // A sound answer of an engine clears it from suspicion in a split call for this
 // long.
 constexpr Duration kClearedFor = Duration::Seconds(2);
-// Cold period of an endpoint whose rest is not known.
-constexpr Duration kHandoverCold = Duration::Seconds(1);
-// Failures that are older are not handed over.
-constexpr Duration kHandoverAge = Duration::Seconds(10);
+// Ratio that shows slowness in spite of contention, whose length is not known
+// exactly. With 3, long prompts that pile up made sound engines look slow.
+constexpr double kContendedSlowRatio = 4;
+// A suspicion for which no test came is dropped after this time.
+constexpr Duration kSuspectedFor = Duration::Seconds(3);
 // A limit that is used up allows one more call if nothing was heard of its
 // calls for this long: their ends may have been lost.
 constexpr Duration kStalled = Duration::Seconds(1);
@@ -34,8 +35,6 @@
 // that reports more calls than it has slots, and after other answers in time.
 constexpr double kContradicted = 0.5;
 constexpr double kConfirmed = 1.05;
-// Smallest change of the slowness that is logged.
-constexpr double kLoggedFactor = 1.5;
 
 double Milliseconds(Duration duration) { return duration.seconds() * 1000; }
 
@@ -45,6 +44,11 @@
          std::max(kMinForecastMs, forecast_ms);
 }
 
+/** Smallest ratio that shows slowness. */
+double SlowRatio(double contention_ms) {
+  return contention_ms > 0 ? kContendedSlowRatio : SlownessEstimate::kSlowRatio;
+}
+
 }  // namespace
 
 bool EndpointState::HasRoom(TimePoint now) const {
@@ -57,6 +61,13 @@
          now - active_at >= kStalled;
 }
 
+bool EndpointState::WantsTest() const {
+  if (suspicion <= 0 || slowness > 1) return false;
+  return std::none_of(calls.begin(), calls.end(), [this](const CallLoad& call) {
+    return !call.split && call.placed >= suspected_at;
+  });
+}
+
 void EndpointTracker::SetPace(PaceMode pace) {
   if (options_.pace == pace) return;
   options_.pace = pace;
@@ -85,6 +96,18 @@
   call.waits = call.takes_slot && state.OccupiedSlots() > state.listed.slots;
   call.began = now;
   call.slowness = state.slowness;
+  for (CallLoad& other : state.calls) {
+    if (&other == &call || other.prefill_ms <= 0) continue;
+    if (call.split) other.contention_ms += call.prefill_ms * state.slowness;
+    // One that should have ended long ago shows that the endpoint is slow.
+    const bool overdue =
+        other.forecast_ms > 0 &&
+        RatioOf(Milliseconds(now - other.began),
+                other.forecast_ms + other.contention_ms) >= kContendedSlowRatio;
+    if (other.split && !overdue) {
+      call.contention_ms += other.prefill_ms * state.slowness;
+    }
+  }
   state.active_at = now;
 }
 
@@ -154,159 +177,159 @@
       std::find_if(primary->calls.begin(), primary->calls.end(),
                    [&key](const CallLoad& load) { return load.key == key; });
   if (call == primary->calls.end()) return;
-  std::optional<double> ratio;
-  if (call->forecast_ms > 0 && !call->waits) {
-    const bool waited = call->began > call->placed;
-    const Duration since_begin = now - call->began;
-    ratio = RatioOf(
-        Milliseconds(waited ? since_begin : elapsed.value_or(since_begin)),
-        call->forecast_ms);
-    std::vector<EndpointState*> readers;
-    for (const EndpointId& id : engines) {
-      EndpointState* state = FindMutable(id);
-      if (state != nullptr) readers.push_back(state);
-    }
-    if (readers.size() == 1) {
-      primary->slowness_estimate.Add(now, *ratio * call->slowness);
-      primary->slowness = primary->slowness_estimate.value();
-      if (*ratio < SlownessEstimate::kSlowRatio && primary->slowness <= 1) {
-        primary->sound_at = now;
-      }
-    } else if (readers.size() == engines.size()) {
-      LearnSlowness(now, readers, *ratio);
-    }
+  if (call->forecast_ms <= 0 || call->waits) {
+    return AnsweredInTime(now, *primary);
   }
-  if (!ratio || *ratio < SlownessEstimate::kSlowRatio) {
+  const Duration since_begin = now - call->began;
+  const bool waited = call->began > call->placed;
+  const double elapsed_ms =
+      Milliseconds(waited ? since_begin : elapsed.value_or(since_begin));
+  const double contention_ms = ContentionMs(engines, key);
+  const double ratio = RatioOf(elapsed_ms, call->forecast_ms + contention_ms);
+  // Below the bound for contended calls it shows nothing.
+  const bool late = ratio >= SlowRatio(contention_ms);
+  if (contention_ms <= 0 || late) {
+    LearnRatio(now, engines, ratio, call->slowness);
+  }
+  if (!late) {
     AnsweredInTime(now, *primary);
   } else if (engines.size() == 1) {
     primary->pace.OnLate(now);
   }
 }
 
-void EndpointTracker::LearnSlowness(TimePoint now,
-                                    const std::vector<EndpointState*>& engines,
+void EndpointTracker::LearnRatio(TimePoint now,
+                                 const std::vector<EndpointId>& engines,
+                                 double ratio, double slowness) {
+  std::vector<EndpointState*> readers;
+  for (const EndpointId& id : engines) {
+    EndpointState* state = FindMutable(id);
+    if (state != nullptr) readers.push_back(state);
+  }
+  if (readers.size() < engines.size()) return;
+  if (readers.size() > 1) return LearnFromSplit(now, readers, ratio);
+  EndpointState& state = *readers.front();
+  LearnSlowness(now, state, ratio * slowness);
+  const bool sound =
+      ratio < SlownessEstimate::kSlowRatio && state.slowness <= 1;
+  if (sound) state.sound_at = now;
+}
+
+void EndpointTracker::LearnSlowness(TimePoint now, EndpointState& state,
                                     double ratio) {
-  // The slowest engine determines the time, so an answer in time shows that
-  // each was as fast as forecast, and a late one that at least one was not.
-  std::vector<EndpointState*> slow;
+  // The call that it shared is a second witness.
+  if (state.suspicion > 0) {
+    state.slowness_estimate.Add(now, std::min(state.suspicion, ratio));
+    state.suspicion = 0;
+  }
+  state.slowness_estimate.Add(now, ratio);
+  state.slowness = state.slowness_estimate.value();
+}
+
+void EndpointTracker::Suspect(TimePoint now,
+                              const std::vector<EndpointState*>& engines,
+                              double ratio) {
   std::vector<EndpointState*> suspects;
   for (EndpointState* state : engines) {
-    if (state->slowness > 1) slow.push_back(state);
     const bool cleared =
         state->sound_at != TimePoint() && now - state->sound_at < kClearedFor;
-    if (!cleared) suspects.push_back(state);
+    if (!cleared && state->slowness <= 1) suspects.push_back(state);
   }
-  const auto learn = [now](EndpointState& state, double value) {
-    state.slowness_estimate.Add(now, value);
-    state.slowness = state.slowness_estimate.value();
-  };
-  if (slow.size() == 1) {
-    learn(*slow.front(), ratio * slow.front()->slowness);
-  } else if (slow.empty() && ratio < SlownessEstimate::kSlowRatio) {
-    for (EndpointState* state : engines) {
-      learn(*state, ratio);
-      state->sound_at = now;
-    }
-  } else if (slow.empty() && suspects.size() == 1) {
-    learn(*suspects.front(), ratio);
+  if (suspects.size() == 1) {
+    return LearnSlowness(now, *suspects.front(), ratio);
+  }
+  for (EndpointState* state : suspects) {
+    state->suspicion = std::max(state->suspicion, ratio);
+    state->suspected_at = now;
   }
 }
 
-void EndpointTracker::UpdatePace(TimePoint now) {
-  for (auto& [id, state] : endpoints_) {
-    if (!state.learned) continue;
-    std::vector<double> overdue;
-    for (const CallLoad& call : state.calls) {
-      const bool counts = call.takes_slot && !call.split && !call.waits &&
-                          call.prefill_ms > 0 && call.forecast_ms > 0;
-      if (!counts) continue;
-      const double ratio =
-          RatioOf(Milliseconds(now - call.began), call.forecast_ms) *
-          call.slowness;
-      if (ratio >= SlownessEstimate::kSlowRatio) overdue.push_back(ratio);
+void EndpointTracker::LearnFromSplit(TimePoint now,
+                                     const std::vector<EndpointState*>& engines,
+                                     double ratio) {
+  if (ratio >= SlownessEstimate::kSlowRatio) {
+    return Suspect(now, engines, ratio);
+  }
+  // The slowest engine determines the time, so an answer in time shows that
+  // none was slower than forecast.
+  std::vector<EndpointState*> slow;
+  for (EndpointState* state : engines) {
+    if (state->slowness > 1) slow.push_back(state);
+  }
+  if (slow.size() == 1) {
+    LearnSlowness(now, *slow.front(), ratio * slow.front()->slowness);
+  } else if (slow.empty()) {
+    for (EndpointState* state : engines) {
+      LearnSlowness(now, *state, ratio);
+      state->sound_at = now;
     }
-    state.slowness_estimate.Update(now, overdue);
-    state.slowness = state.slowness_estimate.value();
   }
 }
 
-//==============================================================================
-// Handover and log
-
-std::vector<EndpointAllowance> EndpointTracker::Allowances(
-    TimePoint now, const ServiceName& service, bool knows_all_calls) const {
-  std::vector<EndpointAllowance> allowances;
-  for (const auto& [id, state] : endpoints_) {
-    if (!state.learned || state.listed.service != service) continue;
-    const bool failed =
-        state.pace.probing() && now - state.pace.last_failure() < kHandoverAge;
-    const bool cold = now < state.cold_until;
-    const auto calls = state.pace.calls();
-    const bool limited = knows_all_calls && calls && !state.pace.probing();
-    if (!failed && !cold && !limited) continue;
-    EndpointAllowance allowance;
-    allowance.endpoint = id;
-    allowance.boot = state.listed.boot();
-    allowance.calls = static_cast<uint32_t>(
-        calls && (failed || knows_all_calls)
-            ? *calls
-            : static_cast<int>(EndpointPace::kMinStartCalls));
-    if (cold) {
-      allowance.calls_per_1000s =
-          static_cast<uint32_t>(std::lround(1000 * state.cold_rate));
+double EndpointTracker::ContentionMs(const std::vector<EndpointId>& engines,
+                                     const CallKey& key) const {
+  double longest = 0;
+  for (const EndpointId& id : engines) {
+    const EndpointState* state = Find(id);
+    if (state == nullptr) continue;
+    for (const CallLoad& call : state->calls) {
+      if (call.key == key) longest = std::max(longest, call.contention_ms);
     }
-    allowances.push_back(std::move(allowance));
   }
-  return allowances;
+  return longest;
 }
 
-void EndpointTracker::RestartPace(TimePoint now) {
+void EndpointTracker::SuspectOverdue(TimePoint now) {
   for (auto& [id, state] : endpoints_) {
-    if (!state.learned) continue;
-    state.pace = {};
-    if (now >= state.cold_until) continue;
-    state.pace.OnStart(EndpointPace::kMinStartCalls);
-  }
-}
-
-void EndpointTracker::OnAllowances(
-    TimePoint now, const std::vector<EndpointAllowance>& allowances) {
-  for (const EndpointAllowance& allowance : allowances) {
-    EndpointState* state = FindMutable(allowance.endpoint);
-    if (state == nullptr || !state->learned ||
-        state->listed.boot() != allowance.boot || allowance.calls == 0) {
-      continue;
-    }
-    if (allowance.calls_per_1000s > 0 && now >= state->cold_until) {
-      // The sender knows of a cold period, but not here how long it is.
-      OnCold(now, allowance.endpoint, kHandoverCold,
-             allowance.calls_per_1000s / 1000.0);
+    for (CallLoad& call : state.calls) {
+      const bool counts = call.takes_slot && call.split && !call.waits &&
+                          !call.blamed && call.prefill_ms > 0 &&
+                          call.forecast_ms > 0;
+      if (!counts) continue;
+      const double elapsed_ms = Milliseconds(now - call.began);
+      if (RatioOf(elapsed_ms, call.forecast_ms) <
+          SlownessEstimate::kSlowRatio) {
+        continue;
+      }
+      std::vector<EndpointState*> engines;
+      double contention_ms = 0;
+      for (auto& [other_id, other] : endpoints_) {
+        for (const CallLoad& load : other.calls) {
+          if (load.key != call.key) continue;
+          engines.push_back(&other);
+          contention_ms = std::max(contention_ms, load.contention_ms);
+        }
+      }
+      const double ratio =
+          RatioOf(elapsed_ms, call.forecast_ms + contention_ms);
+      if (ratio < SlowRatio(contention_ms)) continue;
+      call.blamed = true;
+      Suspect(now, engines, ratio);
     }
-    state->pace.OnHandover(now, allowance.calls);
   }
 }
 
-std::vector<PaceChange> EndpointTracker::TakePaceChanges() {
-  std::vector<PaceChange> changes;
+void EndpointTracker::UpdatePace(TimePoint now) {
+  if (options_.pace == PaceMode::kLearned) SuspectOverdue(now);
   for (auto& [id, state] : endpoints_) {
     if (!state.learned) continue;
-    const int calls = state.pace.calls().value_or(0);
-    const double factor = state.slowness / state.logged_slowness;
-    const bool slower = factor >= kLoggedFactor || factor <= 1 / kLoggedFactor;
-    // A limit that rises step by step is not logged.
-    const bool changed =
-        (calls == 0) != (state.logged_calls == 0) || calls < state.logged_calls;
-    if (!changed && !slower) {
-      state.logged_calls = calls;
-      continue;
+    std::vector<double> overdue;
+    for (const CallLoad& call : state.calls) {
+      const bool counts = call.takes_slot && !call.split && !call.waits &&
+                          call.prefill_ms > 0 && call.forecast_ms > 0;
+      if (!counts) continue;
+      const double ratio = RatioOf(Milliseconds(now - call.began),
+                                   call.forecast_ms + call.contention_ms) *
+                           call.slowness;
+      if (ratio >= SlowRatio(call.contention_ms)) overdue.push_back(ratio);
+    }
+    if (now - state.suspected_at > kSuspectedFor) state.suspicion = 0;
+    if (state.suspicion > 0 && !overdue.empty()) {
+      overdue.push_back(std::min(state.suspicion, overdue.front()));
     }
-    changes.push_back({id, state.logged_calls, calls, state.slowness,
-                       slower && !changed ? EndpointPace::Reason::kNone
-                                          : state.pace.reason()});
-    state.logged_calls = calls;
-    state.logged_slowness = state.slowness;
+    state.slowness_estimate.Update(now, overdue);
+    state.slowness = state.slowness_estimate.value();
   }
-  return changes;
 }
 
 }  // namespace zr
--- a/modules/zr_gateway/placement_policy.cc
+++ b/modules/zr_gateway/placement_policy.cc
@@ -199,8 +199,9 @@
   const double max_pause_ms =
       ToMilliseconds(requirements.max_gap) * options_.max_gap_share;
   const double max_packed_calls = profile.slots * (1 - options_.slot_reserve);
-  // Prefers the fullest engine that has room and stalls no stream, otherwise
-  // the engine with the earliest first token.
+  // Prefers an engine that may be slow and is to be tested, then the fullest
+  // engine that has room and stalls no stream, otherwise the engine with the
+  // earliest first token.
   const auto score = [&](const EngineView& engine) {
     const double pass_ms = engine.PassWith(total_prefill_ms);
     const double first_token_ms =
@@ -212,7 +213,8 @@
         pass_ms <= max_pause_ms &&
         first_token_ms <=
             ToMilliseconds(requirements.objective) * options_.max_gap_share;
-    const double packed = options_.pack ? -engine.calls : engine.calls;
+    double packed = options_.pack ? -engine.calls : engine.calls;
+    if (engine.state->WantsTest()) packed -= profile.slots;
     return std::tuple(undisturbed ? 0 : 1,
                       undisturbed ? packed : first_token_ms, engine.rank);
   };
--- a/modules/zr_gateway/tests/endpoint_pace_test.cc
+++ b/modules/zr_gateway/tests/endpoint_pace_test.cc
@@ -1,8 +1,10 @@
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <cstdlib>
+#include <utility>
 
 #include "zr_gateway/tests/paced_endpoints.h"
+#include "zr_gateway/tests/placed_load.h"
 
 namespace zr {
 namespace {
@@ -13,6 +15,12 @@
 /** Prints a row of the comparison if ZR_PACE_TABLE is set. */
 void Print(const char* scenario, PaceMode pace, const PaceResult& result) {
   if (std::getenv("ZR_PACE_TABLE") == nullptr) return;
+  static bool has_head = false;
+  if (!std::exchange(has_head, true)) {
+    std::printf(
+        "| scenario, callers always wait  | pace    | answers | late | "
+        "rejected | failed | cold starts/s | full rate ms | idle ms |\n");
+  }
   std::printf("| %-28s | %-7s | %6d | %6d | %7d | %6d | %6d | %8d | %6d |\n",
               scenario, pace == PaceMode::kFixed ? "fixed" : "learned",
               result.answered, result.late, result.rejected, result.failed,
@@ -163,6 +171,42 @@
   REQUIRE(learned == RunScenario(scenario, PaceMode::kFixed));
 }
 
+// Guards against calls that a dispatcher keeps sending to engines that have
+// become slow, and against engines that are taken for slow under usual load.
+TEST_CASE("A dispatcher learns which engines are slow") {
+  // No deployment may lose more than 0.03 of its score.
+  constexpr double kLeastShare = 0.97;
+  for (const SlowEngines& slow :
+       {SlowEngines{0, 1}, SlowEngines{3, 2.5}, SlowEngines{3, 10}}) {
+    LoadResult sums[2];
+    for (uint64_t seed : {1, 2, 3, 4, 5, 6}) {
+      for (PaceMode pace : {PaceMode::kFixed, PaceMode::kLearned}) {
+        LoadResult& sum = sums[pace == PaceMode::kLearned ? 1 : 0];
+        const LoadResult result =
+            SimulateLoad(seed, DispatchMode::kDispatcher, slow, pace);
+        sum.short_offered += result.short_offered;
+        sum.short_in_time += result.short_in_time;
+        sum.long_offered += result.long_offered;
+        sum.long_in_time += result.long_in_time;
+        sum.value_in_time += result.value_in_time;
+      }
+    }
+    for (const LoadResult& sum : sums) {
+      if (std::getenv("ZR_PACE_TABLE") == nullptr) break;
+      std::printf(
+          "| %zu engines slower by %4.1f | %-7s | %4d of %4d short | "
+          "%3d of %3d long | %10.0f |\n",
+          slow.count, slow.factor, &sum == sums ? "fixed" : "learned",
+          sum.short_in_time, sum.short_offered, sum.long_in_time,
+          sum.long_offered, sum.value_in_time);
+    }
+    CAPTURE(slow.count, slow.factor);
+    const double least = slow.count == 0 ? kLeastShare : 1;
+    REQUIRE(sums[1].short_in_time >= least * sums[0].short_in_time);
+    REQUIRE(sums[1].value_in_time >= least * sums[0].value_in_time);
+  }
+}
+
 // Guards against estimates that follow a single late call.
 TEST_CASE("Slowness is robust against outliers") {
   const auto at = [](int64_t ms) {
--- a/modules/zr_gateway/tests/placed_load.h
+++ b/modules/zr_gateway/tests/placed_load.h
@@ -39,6 +39,12 @@
 /** Whether each VM or one dispatcher chooses the endpoints. */
 enum class DispatchMode { kEachVm, kDispatcher };
 
+/** The first engines are slower by a factor from 2 s to 12 s. */
+struct SlowEngines {
+  size_t count = 0;
+  double factor = 1;
+};
+
 /** Results of a simulated load. */
 struct LoadResult {
   int short_offered = 0;
@@ -52,7 +58,9 @@
  * Simulates 20 s of arrivals in virtual time with 16 engines and 13 VMs: first
  * mostly long prompts, then mostly short ones, then long ones again.
  */
-inline LoadResult SimulateLoad(uint64_t seed, DispatchMode mode) {
+inline LoadResult SimulateLoad(uint64_t seed, DispatchMode mode,
+                               const SlowEngines& slow = {},
+                               PaceMode pace = PaceMode::kFixed) {
   constexpr size_t kEngines = 16;
   constexpr size_t kVms = 13;
   constexpr Duration kLength = Duration::Seconds(20);
@@ -64,6 +72,7 @@
   std::vector<EndpointTracker> trackers(mode == DispatchMode::kEachVm ? kVms
                                                                       : 1);
   for (EndpointTracker& tracker : trackers) {
+    tracker.SetPace(pace);
     for (size_t i = 0; i < kEngines; ++i) {
       tracker.Upsert(TimePoint(), ExampleEndpoint(static_cast<int>(i)), 0);
     }
@@ -95,6 +104,10 @@
     load.max_gap = requirements.max_gap;
     load.value = RequestValue(requirements.shape);
     load.expires = now + requirements.time_left;
+    if (plan->starts_at_once) {
+      load.forecast_ms = plan->expected_first_token.seconds() * 1000;
+    }
+    load.split = !plan->helpers.empty();
     const auto index = [](const PlacedEndpoint& placed) {
       return static_cast<size_t>(std::stoi(placed.endpoint.value().substr(1)));
     };
@@ -121,6 +134,11 @@
           *first ? requirements.objective : requirements.max_gap;
       if (at - (*first ? now : *last) > bound) *in_time = false;
       if (*first) {
+        std::vector<EndpointId> readers = {plan.primary.endpoint};
+        for (const auto& helper : plan.helpers) {
+          readers.push_back(helper.endpoint);
+        }
+        tracker.OnFirstEvent(at, readers, key, at - now);
         tracker.OnPrefillDone(at, plan.primary.endpoint, key);
         for (const auto& helper : plan.helpers) {
           tracker.OnEnd(at, helper.endpoint, key);
@@ -132,6 +150,7 @@
     const double value = load.value;
     job->on_end = [&tracker, &result, plan = *plan, key, in_time, is_long,
                    value](TimePoint at) {
+      tracker.OnCallResult(at, plan.primary.endpoint, CallResult::kAnswered);
       tracker.OnEnd(at, plan.primary.endpoint, key);
       if (!*in_time) return;
       ++(is_long ? result.long_in_time : result.short_in_time);
@@ -153,10 +172,22 @@
   };
   TimePoint next_short = TimePoint() + gap(TimePoint(), false);
   TimePoint next_long = TimePoint() + gap(TimePoint(), true);
+  TimePoint next_update;
   for (;;) {
     const TimePoint next =
         std::min({next_short, next_long, engines.NextEvent()});
     if (next == TimePoint::Max()) break;
+    for (; next_update < next;
+         next_update = next_update + Duration::Milliseconds(40)) {
+      for (EndpointTracker& tracker : trackers) {
+        tracker.UpdatePace(next_update);
+      }
+      const bool is_slow = next_update.microseconds() >= 2'000'000 &&
+                           next_update.microseconds() < 12'000'000;
+      for (size_t i = 0; i < slow.count; ++i) {
+        engines.SetSlowness(i, is_slow ? slow.factor : 1);
+      }
+    }
     engines.Advance(next);
     if (next == next_short) {
       arrive(next, false);
--- a/modules/zr_gateway/tests/simulated_engines.h
+++ b/modules/zr_gateway/tests/simulated_engines.h
@@ -37,6 +37,11 @@
 
   size_t size() const { return engines_.size(); }
 
+  /** Passes that an engine begins from now on take so many times longer. */
+  void SetSlowness(size_t engine, double factor) {
+    engines_[engine].slowness = factor;
+  }
+
   /** Starts a job on an engine, with segments of its prompt on helpers. */
   void Start(TimePoint now, size_t engine, const JobPtr& job,
              const std::vector<size_t>& helpers, double part_ms) {
@@ -78,6 +83,7 @@
     std::list<JobPtr> decoding;
     double prefill_budget_ms = 0;  // prefill done in the current pass
     TimePoint ends = TimePoint::Max();
+    double slowness = 1;
   };
 
   void StartPass(TimePoint now, size_t index) {
@@ -102,8 +108,9 @@
     for (const JobPtr& job : engine.decoding) context += job->context_tokens;
     const int count = static_cast<int>(engine.decoding.size());
     const double pass =
-        PassMilliseconds(profile_, count, decodes ? context / count : 0) +
-        engine.prefill_budget_ms;
+        engine.slowness *
+        (PassMilliseconds(profile_, count, decodes ? context / count : 0) +
+         engine.prefill_budget_ms);
     engine.ends = now + Duration::Microseconds(
                             std::max<int64_t>(1000, int64_t(pass * 1000)));
   }
