--- a/modules/zr_gateway/placement_policy.cc
+++ b/modules/zr_gateway/placement_policy.cc
@@ -228,8 +228,9 @@
   const auto harmed_value = [&](const EngineView& engine) {
     return engine.ValueHarmedBy(total_prefill_ms, options_.max_gap_share);
   };
-  // Prefers the fullest engine that has room and short passes, then one that
-  // has room and stalls no stream, then the one with the earliest first token.
+  // Prefers an engine that may be slow and is to be tested, then the fullest
+  // engine that has room and short passes, then one that has room and stalls no
+  // stream, then the one with the earliest first token.
   const auto score = [&](const EngineView& engine) {
     const double pass_ms = engine.PassWith(total_prefill_ms);
     const double first_token_ms =
@@ -251,8 +252,9 @@
     if (options_.pack && pass_ms > max_packed_ms) {
       return std::tuple(1, first_token_ms, engine.rank);
     }
-    return std::tuple(0, options_.pack ? -engine.calls : engine.calls,
-                      engine.rank);
+    double packed = options_.pack ? -engine.calls : engine.calls;
+    if (engine.state->WantsTest()) packed -= profile.slots;
+    return std::tuple(0, packed, engine.rank);
   };
   const auto best =
       std::min_element(engines.begin(), engines.end(),
