Obey Server-Leaving and Retry-After in answers of endpoints

EndpointNotices, a core class, keeps what any VM has seen in answers. Notices go to linked VMs in LimitReport, as an optional field at its end that earlier versions leave out.

--- a/modules/zr_gateway/endpoint_tracker.cc
+++ b/modules/zr_gateway/endpoint_tracker.cc
@@ -27,6 +27,8 @@
     state.backoff_until = TimePoint();
     state.report.reset();
     state.limit.reset();
+    state.leaving = false;
+    state.paused_until = TimePoint();
   }
   state.listed = listed;
   EndpointId& newest = newest_at_address_[listed.address];
@@ -218,6 +220,14 @@
   state->limiter.Configure(limit * options_.limit_share, burst);
 }
 
+void EndpointTracker::SetNotice(const EndpointId& id, BootNumber boot,
+                                bool leaving, TimePoint paused_until) {
+  EndpointState* state = FindMutable(id);
+  if (state == nullptr || state->listed.boot() != boot) return;
+  state->leaving = leaving;
+  state->paused_until = paused_until;
+}
+
 void EndpointTracker::RestartLimits(TimePoint now) {
   for (auto& [id, state] : endpoints_) {
     if (!state.limit) continue;
@@ -260,8 +270,8 @@
 }
 
 bool EndpointTracker::AcceptsCalls(const EndpointState& state) const {
-  return !state.listed.draining && !evacuated_.contains(state.listed.domain) &&
-         !Superseded(state.listed);
+  return !state.listed.draining && !state.leaving &&
+         !evacuated_.contains(state.listed.domain) && !Superseded(state.listed);
 }
 
 std::vector<const EndpointState*> EndpointTracker::Available(
@@ -271,7 +281,7 @@
   std::vector<const EndpointState*> backing_off;
   for (const auto& [id, state] : endpoints_) {
     if (state.listed.service != service || !AcceptsCalls(state)) continue;
-    if (excluded.contains(id)) continue;
+    if (excluded.contains(id) || now < state.paused_until) continue;
     if (now < state.cold_until && state.throttle.LevelAt(now) < 1) continue;
     if (spare && !state.WithinLimit(now, *spare)) continue;
     (now < state.backoff_until ? backing_off : healthy).push_back(&state);
--- a/modules/zr_gateway/endpoint_tracker.h
+++ b/modules/zr_gateway/endpoint_tracker.h
@@ -48,6 +48,8 @@
   int failures = 0;         // consecutive
   TimePoint backoff_until;  // gets calls before only if no other is available
   TokenBucket throttle{0, 1};   // limits calls while cold
+  bool leaving = false;         // as its answers say
+  TimePoint paused_until;       // gets no calls before, as its answers say
   std::optional<double> limit;  // requests per second of all VMs together
   TokenBucket limiter{0, 1};    // of the requests that this VM places
 
@@ -119,6 +121,9 @@
   /** Sets the limit of an endpoint's requests per second, or ends it. */
   void SetLimit(TimePoint now, const EndpointId& id, BootNumber boot,
                 std::optional<double> rate);
+  /** The endpoint has said that it leaves, or when it takes calls again. */
+  void SetNotice(const EndpointId& id, BootNumber boot, bool leaving,
+                 TimePoint paused_until);
   /** This VM begins to place requests for all VMs; what it did not use of the
    * limits before, others have used. */
   void RestartLimits(TimePoint now);
@@ -129,7 +134,7 @@
   // Queries
 
   const EndpointState* Find(const EndpointId& id) const;
-  /** The endpoint is listed and not draining, its domain is not evacuated, and
+  /** The endpoint is listed and not leaving, its domain is not evacuated, and
    * no other endpoint has taken its address. */
   bool MayCall(const EndpointId& id) const {
     const EndpointState* state = Find(id);
--- a/modules/zr_gateway/zr_gateway.h
+++ b/modules/zr_gateway/zr_gateway.h
@@ -21,6 +21,7 @@
 #include "zr_gateway/duty_rank.h"
 #include "zr_gateway/endpoint_directory.h"
 #include "zr_gateway/endpoint_limits.h"
+#include "zr_gateway/endpoint_notices.h"
 #include "zr_gateway/endpoint_paths.h"
 #include "zr_gateway/endpoint_tracker.h"
 #include "zr_gateway/evacuation_register.h"
--- a/modules/zr_gateway_host/dispatch_client.cc
+++ b/modules/zr_gateway_host/dispatch_client.cc
@@ -287,7 +287,7 @@
     Send(vm, evidence);
   }
   const LimitReport limits = state_.limits->Snapshot(now);
-  if (!limits.observations.empty()) Send(vm, limits);
+  if (!limits.observations.empty() || !limits.notices.empty()) Send(vm, limits);
   Send(vm, ConfigNotice{config_version_()});
   UpdateDispatchers();
 }
--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -153,6 +153,8 @@
    * the call. */
   void OnNotConnected(const std::string& why);
   void OnHead(int status, const HttpHeaders& headers);
+  /** Passes on that the endpoint leaves or wants a pause. */
+  void NoteNotice(TimePoint now, const AnswerHead& head);
   /** An answer without the id of its request may be the one of the call. A
    * success never may. A failure may come from a part of the endpoint that does
    * not read requests, but on a kept connection it may be an earlier answer,
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -187,6 +187,7 @@
   if (!head.misdirected) {
     state_.limits->OnAnswer(now, call_->plan.primary.endpoint, head.limit);
   }
+  if (!head.misdirected) NoteNotice(now, head);
   if (head.misdirected) {
     return FailCall(CallFailure::kNotRun, CallResult::kMisdirected,
                     "another endpoint has the address");
@@ -204,6 +205,18 @@
   call_->head = std::move(head);
 }
 
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::NoteNotice(TimePoint now,
+                                          const AnswerHead& head) {
+  // A rejection with helpers doesn't show which engine wants the pause.
+  const bool own_pause = head.not_run && call_->plan.helpers.empty();
+  const Duration pause =
+      own_pause ? head.retry_after.value_or(Duration()) : Duration();
+  if (!head.leaving && pause <= Duration()) return;
+  state_.limits->OnNotice(now, call_->plan.primary.endpoint, head.leaving,
+                          pause);
+}
+
 template <GatewayFormat Format>
 bool ForwardedRequest<Format>::MayBeUnnamed(int status) const {
   constexpr int kFirstFailure = 400;
--- a/modules/zr_gateway_host/gateway_format.h
+++ b/modules/zr_gateway_host/gateway_format.h
@@ -56,6 +56,9 @@
   std::optional<ReportedLoad> load;
   /** Requests per second that the endpoint takes from all VMs together. */
   std::optional<double> limit;
+  bool leaving = false;  // the endpoint takes no further requests
+  /** The endpoint wants no requests for this time. */
+  std::optional<Duration> retry_after;
   std::string faulty_address;  // of the endpoint at fault; empty if not named
   HttpHeaders headers;         // forwarded to the caller
 };
--- a/modules/zr_wire/message_fields.h
+++ b/modules/zr_wire/message_fields.h
@@ -245,8 +245,13 @@
   a(m.endpoint, m.boot, m.limited, m.requests_per_1000_s, m.age);
 }
 template <typename A>
+void Fields(A& a, EndpointNotice& m) {
+  a(m.endpoint, m.boot, m.leaving, m.pause_left);
+}
+template <typename A>
 void Fields(A& a, LimitReport& m) {
   a(m.observations);
+  a.Optional(m.notices);
 }
 
 template <typename A>
--- a/modules/zr_wire/messages.h
+++ b/modules/zr_wire/messages.h
@@ -652,9 +652,21 @@
                           const LimitObservation&) = default;
 };
 
-/** Reports changes of the limits that endpoints name. */
+/** An endpoint has said in an answer that it leaves or wants a pause; see
+ * EndpointNotices. */
+struct EndpointNotice {
+  EndpointId endpoint;
+  BootNumber boot;
+  bool leaving = false;
+  Duration pause_left;  // the endpoint wants no requests before its end
+  friend auto operator<=>(const EndpointNotice&,
+                          const EndpointNotice&) = default;
+};
+
+/** Reports changes of the limits that endpoints name, and their notices. */
 struct LimitReport {
   std::vector<LimitObservation> observations;
+  std::vector<EndpointNotice> notices;
   friend auto operator<=>(const LimitReport&, const LimitReport&) = default;
 };
 
--- a/modules/zr_wire/tests/recorded_samples.h
+++ b/modules/zr_wire/tests/recorded_samples.h
@@ -97,7 +97,7 @@
 
   return {leaving,          request,   reply,
           progress,         in_flight, query,
-          update,           evidence,  LimitReport{{limit}},
+          update,           evidence,  LimitReport{{limit}, {}},
           ConfigNotice{55}, fetch};
 }
 
--- a/modules/zr_wire/tests/wire_test.cc
+++ b/modules/zr_wire/tests/wire_test.cc
@@ -63,11 +63,29 @@
   progress.pause_ended_ago = Duration::Milliseconds(700);
   InFlightCalls in_flight;
   in_flight.allowances = {{EndpointId("e-1"), BootNumber(7), 3, 12'500}};
-  for (const Message& message : std::vector<Message>{
-           SampleAdmission(), heartbeat, refusal, held, EndpointSummary{},
-           Grant{}, GrantRelease{}, Suspect{}, GatherReply{}, ConfigOffer{},
-           evidence, ConfigNotice{5}, update, paths, advice, dispatch, reply,
-           progress, in_flight}) {
+  LimitReport notices;
+  notices.notices = {
+      {EndpointId("e-1"), BootNumber(7), true, Duration::Milliseconds(1500)}};
+  for (const Message& message : std::vector<Message>{SampleAdmission(),
+                                                     heartbeat,
+                                                     refusal,
+                                                     held,
+                                                     EndpointSummary{},
+                                                     Grant{},
+                                                     GrantRelease{},
+                                                     Suspect{},
+                                                     GatherReply{},
+                                                     ConfigOffer{},
+                                                     evidence,
+                                                     ConfigNotice{5},
+                                                     update,
+                                                     paths,
+                                                     advice,
+                                                     dispatch,
+                                                     reply,
+                                                     progress,
+                                                     in_flight,
+                                                     notices}) {
     auto decoded = DecodeMessage(EncodeMessage(message));
     REQUIRE(decoded);
     REQUIRE(*decoded == message);
