Take allowances for engines that have had no call yet

Cause: a new dispatcher ignored what VMs report of an engine whose service has no cold rate, as long as it had placed no call there.

Change: the report itself shows that the pace is in use. A test checks that a dispatcher learns from the times in CallProgress.

--- a/modules/zr_gateway/endpoint_tracker_handover.cc
+++ b/modules/zr_gateway/endpoint_tracker_handover.cc
@@ -58,10 +58,11 @@
     TimePoint now, const std::vector<EndpointAllowance>& allowances) {
   for (const EndpointAllowance& allowance : allowances) {
     EndpointState* state = FindMutable(allowance.endpoint);
-    if (state == nullptr || !state->learned ||
-        state->listed.boot() != allowance.boot || allowance.calls == 0) {
+    if (state == nullptr || state->listed.boot() != allowance.boot ||
+        allowance.calls == 0 || options_.pace != PaceMode::kLearned) {
       continue;
     }
+    state->learned = true;
     if (allowance.calls_per_1000s > 0 && now >= state->cold_until) {
       // The sender knows of a cold period, but not here how long it is.
       OnCold(now, allowance.endpoint, kHandoverCold,
--- a/modules/zr_gateway/tests/endpoint_pace_test.cc
+++ b/modules/zr_gateway/tests/endpoint_pace_test.cc
@@ -230,6 +230,49 @@
   }
 }
 
+// Guards against a dispatcher that learns nothing, as VMs don't tell the time
+// of the first event or it is taken from another clock.
+TEST_CASE("A dispatcher learns from the times that VMs report") {
+  const auto at = [](int64_t ms) {
+    return TimePoint() + Duration::Milliseconds(ms);
+  };
+  GatewayConfigParts parts;
+  ServicePolicy policy;
+  policy.name = ServiceName("pool");
+  policy.engine = ExampleEngine();
+  parts.services = {policy};
+  const auto config = *GatewayConfig::Create(parts);
+  const PlacementPolicy placement;
+  PoolDispatcher dispatcher(placement, 1);
+  dispatcher.tracker().SetPace(PaceMode::kLearned);
+  dispatcher.tracker().Upsert(at(0), ExampleEndpoint(0), 0);
+  const auto slowness_after = [&](Duration elapsed) {
+    for (int i = 0; i < 3; ++i) {
+      DispatchRequest ask;
+      ask.request = RequestId("r" + std::to_string(i));
+      ask.pool = policy.name;
+      ask.prompt = TokenCount(4960);
+      ask.max_answer = TokenCount(1600);
+      ask.objective = ask.max_gap = Duration::Milliseconds(300);
+      ask.time_left = Duration::Seconds(10);
+      dispatcher.OnDispatchRequest(at(i), VmId("vm"), *config, ask);
+      CallProgress progress;
+      progress.request = ask.request;
+      progress.pool = ask.pool;
+      progress.stage = CallStage::kPrefillDone;
+      progress.elapsed = elapsed;
+      dispatcher.OnProgress(at(i), VmId("vm"), progress);
+    }
+    return dispatcher.tracker().Find(ExampleEndpoint(0).id)->slowness;
+  };
+  SECTION("usual ones change nothing") {
+    REQUIRE(slowness_after(Duration::Milliseconds(90)) == 1);
+  }
+  SECTION("long ones show that the engine is slow") {
+    REQUIRE(slowness_after(Duration::Milliseconds(700)) > 3);
+  }
+}
+
 // Guards against a new dispatcher that floods endpoints whose limits the VMs
 // had found.
 TEST_CASE("A new dispatcher takes the smallest allowance reported") {
--- a/modules/zr_gateway/tests/paced_endpoints.h
+++ b/modules/zr_gateway/tests/paced_endpoints.h
@@ -80,6 +80,7 @@
   PlacementPolicy policy;
   Random random(7);
   std::vector<EndpointTracker> trackers;
+  trackers.reserve(scenario.dispatchers);
   for (int i = 0; i < scenario.dispatchers; ++i) {
     trackers.emplace_back(
         EndpointTracker::Options{.cold_share = 0.5, .pace = pace});
