Let each upload of the cut-off VM's test go through another VM

The test failed once after the step "refused": the stream that looked whole had no `call_through_vm` line. It went over a connection that was open before the cut, through the test's own stand-in for paths, which ends a connection in order after a reset. The step now resets the open connections, and checks that no call used them, so that it tests the tunnel only.

--- a/tests/platform/cutoff.py
+++ b/tests/platform/cutoff.py
@@ -108,10 +108,13 @@
 def upload_is_answered_and_cut(fleet):
     """The part of an answer must not be taken for the whole on the way through another VM."""
     accept_uploads(fleet.d)
-    fleet.cut("refused")
+    # Open connections must not live on: the paths' stand-in ends them in order after a reset.
+    fleet.cut("reset")
     wait_until("the VM calls endpoints through the other one", lambda: (
         fleet.calls(6) and "call_through_vm" in fleet.d.log(CUT_OFF)), 30)
+    before = fleet.direct_connections()
     check_uploads(fleet.d, CUT_OFF)
+    check(fleet.direct_connections() == before == 0, "a call did not go through the other VM")
 
 
 STEPS = {"refused": cut("refused"), "silent": cut("silent"), "reset": cut("reset"),
