--- a/modules/zr_gateway/placement_policy.cc
+++ b/modules/zr_gateway/placement_policy.cc
@@ -261,7 +261,7 @@
   const size_t max_engines = std::min(engines.size(), options_.max_helpers + 1);
 
   std::optional<PlacementPlan> best;
-  std::pair<double, double> best_score;
+  std::tuple<bool, double, double> best_score;
   for (size_t engine_count = 1; engine_count <= max_engines; ++engine_count) {
     const double prefill_ms =
         total_prefill_ms / static_cast<double>(engine_count);
@@ -331,8 +331,10 @@
       if (needed > static_cast<double>(profile.kv_capacity.value())) continue;
       first_token_ms += kMemoryPenaltyMs;
     }
-    const std::pair score(stalled_value + value * lateness_risk(first_token_ms),
-                          first_token_ms);
+    const bool has_room = split && has_slot(candidates.front());
+    const std::tuple score(
+        requirements.needs_room && !has_room,
+        stalled_value + value * lateness_risk(first_token_ms), first_token_ms);
     if (best && !(score < best_score)) continue;
     best_score = score;
     best.emplace();
@@ -347,7 +349,7 @@
     best->prefill_ms = prefill_ms;
     best->undisturbed =
         split && stalled_value <= 0 && first_token_ms <= objective_ms;
-    best->has_room = split && has_slot(candidates.front());
+    best->has_room = has_room;
     best->harmed_value = stalled_value;
     best->expected_first_token = FromMilliseconds(first_token_ms);
   }
--- a/modules/zr_gateway/placement_policy.h
+++ b/modules/zr_gateway/placement_policy.h
@@ -54,6 +54,8 @@
   /** Prefers endpoints with room to those with an earlier first token, if none
    * is undisturbed. */
   bool prefers_room = false;
+  /** Splits a prompt over engines with room, also if it harms more calls. */
+  bool needs_room = false;
   friend auto operator<=>(const CallRequirements&,
                           const CallRequirements&) = default;
 };
--- a/modules/zr_gateway/pool_dispatcher_queue.cc
+++ b/modules/zr_gateway/pool_dispatcher_queue.cc
@@ -11,6 +11,9 @@
 // A class of requests that found no room is not tried again sooner. Bounds the
 // processor time for attempts, each of which takes some 100 us.
 constexpr Duration kAttemptPeriod = Duration::Milliseconds(4);
+// The same for prompts that are not short, for which an attempt takes up to
+// 1 ms; also if a slot has become free meanwhile.
+constexpr Duration kLongAttemptPeriod = Duration::Milliseconds(20);
 // Attempts after one event.
 constexpr int kMaxAttempts = 8;
 // A deferred long prompt is tried again after this time; the price of prefill
@@ -160,6 +163,7 @@
   requirements.objective = std::max(Duration(), call.objective_at - now);
   requirements.time_left = call.deadline - now;
   requirements.prefers_room = true;
+  requirements.needs_room = pool.queue.HasStarved(now, call);
   const auto plan =
       placement_.Choose(now, tracker_, call.request.pool, &pool.engine,
                         requirements, random_.Next());
@@ -215,14 +219,19 @@
   const auto it = queued_pools_.find(pool_id);
   if (it == queued_pools_.end() || it->second.queue.empty()) return;
   QueuedPool& pool = it->second;
-  if (room_freed) pool.blocked_until = {};
+  if (room_freed) {
+    pool.blocked_until[PoolQueue::kShortClass] = TimePoint();
+    pool.blocked_until[PoolQueue::kShortClass + 1] = TimePoint();
+  }
   PoolQueue::Skipped skipped;
   for (size_t i = 0; i < skipped.classes.size(); ++i) {
     skipped.classes[i] = now < pool.blocked_until[i];
   }
   const auto block = [&](size_t index) {
     skipped.classes[index] = true;
-    pool.blocked_until[index] = now + kAttemptPeriod;
+    pool.blocked_until[index] =
+        now + (index < PoolQueue::kShortClass + 2 ? kAttemptPeriod
+                                                  : kLongAttemptPeriod);
   };
   for (int attempts = 0; attempts < kMaxAttempts; ++attempts) {
     QueuedCall* next = pool.queue.Next(now, skipped);
--- a/modules/zr_gateway/pool_queue.h
+++ b/modules/zr_gateway/pool_queue.h
@@ -76,12 +76,14 @@
  */
 class PoolQueue {
  public:
-  /** Below the shortest wait of a caller (1.7 s), so that any request can get
-   * a turn, and rare against grants, so that it costs the others little. */
-  static constexpr Duration kStarvationBound = Duration::Milliseconds(500);
+  /** Long prompts wait longest, and each that is served in an overload makes
+   * some 24 streams late, so a turn is rare. Short requests of all teams and
+   * domains are served by their shares. */
+  static constexpr Duration kStarvationBound = Duration::Seconds(3);
   static constexpr int kRepeatTurn = 8;
   /** Numbers the combinations of size and lateness. */
   static constexpr size_t kClasses = 6;
+  static constexpr size_t kShortClass = 0;  // in time; late ones have the next
 
   /** Requests that are passed over. */
   struct Skipped {
--- a/modules/zr_gateway/tests/pool_queue_test.cc
+++ b/modules/zr_gateway/tests/pool_queue_test.cc
@@ -72,13 +72,14 @@
     REQUIRE(NextName(queue, 1010) == "repeat");
   }
   SECTION("the longest-waiting request gets a turn in each bound") {
-    queue.Push(Call("small", "small", 1500));
-    REQUIRE(NextName(queue, 1499) == "small");
-    REQUIRE(NextName(queue, 1500) == "large");
+    const int64_t due = 1000 + PoolQueue::kStarvationBound.milliseconds();
+    queue.Push(Call("small", "small", due));
+    REQUIRE(NextName(queue, due - 1) == "small");
+    REQUIRE(NextName(queue, due) == "large");
     const QueuedCall large = *queue.Find(Call("large", "", 0).key);
-    queue.OnGranted(At(1500), large, Duration());
+    queue.OnGranted(At(due), large, Duration());
     queue.Push(Call("old", "large", 900));
-    REQUIRE(NextName(queue, 1510) == "small");
+    REQUIRE(NextName(queue, due + 10) == "small");
   }
 }
 
--- a/modules/zr_gateway/tests/queued_load.h
+++ b/modules/zr_gateway/tests/queued_load.h
@@ -27,7 +27,8 @@
   int unanswered = 0;
   int over_slots = 0;  // grants at an engine that had no free slot
   std::map<TeamId, Team> teams;
-  double busy_slots = 0;  // share while requests waited, mean
+  std::map<int64_t, Team> sizes;  // by length of the prompt
+  double busy_slots = 0;          // share while requests waited, mean
   std::vector<Duration> retry_after;
   Duration longest_refusal_wait;
 };
@@ -39,6 +40,8 @@
   double base_rate = 216;    // callers a second, in three domains
   double wave_factor = 3.5;  // of one of the domains
   size_t engines = 54;
+  double medium_rate = 0;  // callers with prompts of 45,000 tokens a second
+  double long_rate = 0;    // the same, 190,000 tokens
 };
 
 /**
@@ -65,7 +68,7 @@
     route.name = "r";
     route.path_prefix = "/";
     route.services = {{service.name, 1}};
-    route.latency_objective = kObjective;
+    route.latency_objective = Short().objective;
     parts.routes = {route};
     parts.teams = {{TeamId("a"), {"1"}, {}}, {TeamId("b"), {"2"}, {}}};
     config_ = *GatewayConfig::Create(parts);
@@ -94,7 +97,9 @@
   }
 
   WaveResult Run() {
-    for (int i = 0; i < 3; ++i) ScheduleArrival(TimePoint(), i);
+    for (int i = 0; i < 3; ++i) ScheduleArrival(TimePoint(), i, Short());
+    ScheduleArrival(TimePoint(), 1, Medium());
+    ScheduleArrival(TimePoint(), 2, Long());
     At(TimePoint() + kTick, [this](TimePoint now) { Tick(now); });
     while (true) {
       const TimePoint timer =
@@ -115,9 +120,43 @@
  private:
   static constexpr Duration kTick = Duration::Milliseconds(40);
   static constexpr Duration kEnd = Duration::Seconds(14);
-  static constexpr Duration kObjective = Duration::Milliseconds(250);
-  static constexpr Duration kGap = Duration::Milliseconds(250);
-  static constexpr Duration kLimit = Duration::Seconds(10);
+  struct Kind {
+    int64_t prompt = 0;
+    int events = 0;
+    Duration objective;
+    Duration gap;
+    Duration limit;
+    double rate = 0;  // of callers of one domain
+    double wave_factor = 1;
+  };
+  Kind Short() const {
+    return {4960,
+            31,
+            Duration::Milliseconds(250),
+            Duration::Milliseconds(250),
+            Duration::Seconds(10),
+            load_.base_rate / 3,
+            load_.wave_factor};
+  }
+  Kind Medium() const {
+    return {45'000,
+            18,
+            Duration::Milliseconds(1500),
+            Duration::Milliseconds(600),
+            Duration::Seconds(10),
+            load_.medium_rate,
+            1};
+  }
+  Kind Long() const {
+    return {190'000,
+            15,
+            Duration::Milliseconds(6000),
+            Duration::Milliseconds(1000),
+            Duration::Seconds(15),
+            load_.long_rate,
+            1};
+  }
+  static constexpr Duration kLimit = Duration::Seconds(15);
 
   struct Timer {
     TimePoint at;
@@ -128,6 +167,7 @@
     }
   };
   struct Caller {
+    Kind kind;
     TimePoint first_attempt;
     uint64_t fingerprint = 0;
     TeamId team;
@@ -142,15 +182,18 @@
     timers_.push({at, ++timer_count_, std::move(run)});
   }
 
-  void ScheduleArrival(TimePoint now, int domain) {
+  void ScheduleArrival(TimePoint now, int domain, const Kind& kind) {
+    if (kind.rate <= 0) return;
     const bool in_wave = domain == 0 && now > TimePoint() + kWaveBegin &&
                          now < TimePoint() + kWaveBegin + kWaveLength;
-    const double rate = load_.base_rate / 3 * (in_wave ? load_.wave_factor : 1);
+    const double rate = kind.rate * (in_wave ? kind.wave_factor : 1);
     const TimePoint at = now + Duration::Microseconds(static_cast<int64_t>(
                                    -1e6 * std::log(1 - random_.Unit()) / rate));
     if (at > TimePoint() + kEnd) return;
-    At(at, [this, domain](TimePoint when) {
+    At(at, [this, domain, kind](TimePoint when) {
       auto caller = std::make_shared<Caller>();
+      caller->kind = kind;
+      ++result_.sizes[kind.prompt].callers;
       caller->first_attempt = when;
       caller->fingerprint = ++caller_count_;
       const double pick = random_.Unit();
@@ -162,7 +205,7 @@
       ++result_.callers;
       ++result_.teams[caller->team].callers;
       Ask(when, caller);
-      ScheduleArrival(when, domain);
+      ScheduleArrival(when, domain, kind);
     });
   }
 
@@ -174,11 +217,11 @@
                                 std::to_string(caller->attempts));
     request.call_number = AttemptNumber(1);
     request.pool = PoolId("pool");
-    request.prompt = TokenCount(4960);
-    request.max_answer = TokenCount(1488);
-    request.objective = kObjective;
-    request.max_gap = kGap;
-    request.time_left = kLimit - (now - caller->first_attempt);
+    request.prompt = TokenCount(caller->kind.prompt);
+    request.max_answer = TokenCount(48 * caller->kind.events);
+    request.objective = caller->kind.objective;
+    request.max_gap = caller->kind.gap;
+    request.time_left = caller->kind.limit - (now - caller->first_attempt);
     request.team = caller->team;
     request.domain = caller->domain;
     request.fingerprint = Fingerprint(caller->fingerprint);
@@ -218,8 +261,8 @@
         static_cast<size_t>(std::stoi(reply.endpoint.value().substr(1)));
     if (++calls_at_[engine] > profile_.slots) ++result_.over_slots;
     auto job = std::make_shared<SimulatedEngines::Job>();
-    job->events_left = 31;
-    job->context_tokens = 4960;
+    job->events_left = caller->kind.events;
+    job->context_tokens = static_cast<double>(caller->kind.prompt);
     auto last = std::make_shared<TimePoint>();
     auto in_time = std::make_shared<bool>(true);
     const CallProgress progress{reply.request, reply.call_number,
@@ -227,24 +270,32 @@
                                 CallResult::kAnswered};
     job->on_event = [this, caller, last, in_time, progress](TimePoint at) {
       if (*last == TimePoint()) {
-        *in_time = at - caller->first_attempt <= kObjective;
+        *in_time = at - caller->first_attempt <= caller->kind.objective;
         *last = at;
         dispatcher_.OnProgress(at, VmId("vm"), progress);
         return Later(at);
       }
-      if (at - *last > kGap) *in_time = false;
+      if (at - *last > caller->kind.gap) *in_time = false;
       *last = at;
     };
     job->on_end = [this, caller, in_time, progress, engine](TimePoint at) {
       --calls_at_[engine];
       ++(*in_time ? result_.in_time : result_.late);
-      if (*in_time) ++result_.teams[caller->team].in_time;
+      if (*in_time) {
+        ++result_.teams[caller->team].in_time;
+        ++result_.sizes[caller->kind.prompt].in_time;
+      }
       CallProgress ended = progress;
       ended.stage = CallStage::kEnded;
       dispatcher_.OnProgress(at, VmId("vm"), ended);
       Later(at);
     };
-    engines_.Start(now, engine, job, {}, reply.prefill_us / 1000.0);
+    std::vector<size_t> helpers;
+    for (const EndpointId& helper : reply.helpers) {
+      helpers.push_back(
+          static_cast<size_t>(std::stoi(helper.value().substr(1))));
+    }
+    engines_.Start(now, engine, job, helpers, reply.prefill_us / 1000.0);
   }
 
   /** Replies start jobs, which can't be done while a pass ends. */
