--- a/modules/zr_gateway/placement_policy.cc
+++ b/modules/zr_gateway/placement_policy.cc
@@ -300,8 +300,9 @@
           std::find_if(candidates.begin(), candidates.end(), has_slot);
       const auto last =
           candidates.begin() + static_cast<ptrdiff_t>(engine_count) - 1;
-      if (first != candidates.end() && first > last)
+      if (first != candidates.end() && first > last) {
         std::iter_swap(first, last);
+      }
     }
     candidates.resize(engine_count);
     double stalled_value = 0;
