--- a/modules/zr_gateway/placement_policy.cc
+++ b/modules/zr_gateway/placement_policy.cc
@@ -289,7 +289,7 @@
   const size_t max_engines = std::min(engines.size(), options_.max_helpers + 1);
 
   std::optional<PlacementPlan> best;
-  std::pair<double, double> best_score;
+  std::tuple<bool, double, double> best_score;
   for (size_t engine_count = 1; engine_count <= max_engines; ++engine_count) {
     const double prefill_ms =
         total_prefill_ms / static_cast<double>(engine_count);
@@ -332,8 +332,9 @@
           std::find_if(candidates.begin(), candidates.end(), has_slot);
       const auto last =
           candidates.begin() + static_cast<ptrdiff_t>(engine_count) - 1;
-      if (first != candidates.end() && first > last)
+      if (first != candidates.end() && first > last) {
         std::iter_swap(first, last);
+      }
     }
     candidates.resize(engine_count);
     double stalled_value = 0;
@@ -370,8 +371,10 @@
       if (needed > static_cast<double>(profile.kv_capacity.value())) continue;
       first_token_ms += kMemoryPenaltyMs;
     }
-    const std::pair score(stalled_value + value * lateness_risk(first_token_ms),
-                          first_token_ms);
+    const bool has_room = split && has_slot(candidates.front());
+    const std::tuple score(
+        requirements.needs_room && !has_room,
+        stalled_value + value * lateness_risk(first_token_ms), first_token_ms);
     if (best && !(score < best_score)) continue;
     best_score = score;
     best.emplace();
@@ -388,7 +391,7 @@
         split.has_value() && primary->calls + 1 <= profile.slots;
     best->undisturbed =
         split && stalled_value <= 0 && first_token_ms <= objective_ms;
-    best->has_room = split && has_slot(candidates.front());
+    best->has_room = has_room;
     best->harmed_value = stalled_value;
     best->expected_first_token = FromMilliseconds(first_token_ms);
   }
