Place a request if its dispatcher does not know the endpoints yet

A VM that starts together with its dispatcher may know the endpoints earlier. The dispatcher answered that no endpoint takes the call, and the request was refused after 75 ms. Its reply is now recognised as empty, and the VM places the request itself.

--- a/modules/zr_gateway_host/dispatch_client.cc
+++ b/modules/zr_gateway_host/dispatch_client.cc
@@ -393,7 +393,9 @@
   DispatchReply answer;
   answer.request = call.request;
   answer.call_number = call.call_number;
-  if (state_.config) {
+  // A VM that has just started can't tell that no endpoint takes the call; the
+  // empty reply lets the other VM place it.
+  if (state_.config && state_.endpoints_known) {
     answer = dispatcher_.OnDispatchRequest(now, vm, *state_.config, call);
   }
   // Queued and refused requests have lines of their own.
--- a/modules/zr_gateway_host/forwarded_request_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_impl.h
@@ -260,7 +260,11 @@
                                 service_->name.value(), reason},
                           reply->retry_after});
   }
-  if (reply->endpoint.empty()) return OnNoEndpoint(now, reply->retry_after);
+  if (reply->endpoint.empty()) {
+    // The dispatcher has just started and knows no endpoints yet.
+    if (reply->retry_after <= Duration()) return PlaceLocally(now);
+    return OnNoEndpoint(now, reply->retry_after);
+  }
   // This VM calls no endpoint that it knows to be leaving, even if the
   // dispatcher chose it.
   std::vector<EndpointId> endpoints = reply->helpers;
--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -142,7 +142,6 @@
   TimePoint next_member_write_;  // of a write that failed; 0 if there is none
   /** Kinds of which the first list of the store's new era is to come. */
   std::set<std::string> restored_kinds_;
-  bool endpoints_known_ = false;
   bool members_known_ = false;
   bool was_ready_ = false;
   asio::signal_set signals_;
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -284,7 +284,7 @@
 
 template <GatewayFormat Format>
 bool GatewayNode<Format>::Ready() const {
-  return !state_.stopping && state_.config && endpoints_known_ &&
+  return !state_.stopping && state_.config && state_.endpoints_known &&
          state_.freshness.Fresh(BootNow());
 }
 
--- a/modules/zr_gateway_host/gateway_state.h
+++ b/modules/zr_gateway_host/gateway_state.h
@@ -67,8 +67,9 @@
   /** Null if slow readers and bodies in flight are not bounded, see
    * GatewaySettings::slow_readers. */
   std::shared_ptr<ReaderBudget> readers;
-  BodyBudget bodies;        // in flight to endpoints
-  GatewayConfigPtr config;  // null until the first configuration was read
+  BodyBudget bodies;             // in flight to endpoints
+  GatewayConfigPtr config;       // null until the first configuration was read
+  bool endpoints_known = false;  // the first list of endpoints was read
   ConfigFreshness freshness;
   EndpointTracker tracker;
   PlacementPolicy
--- a/modules/zr_gateway_host/gateway_store_impl.h
+++ b/modules/zr_gateway_host/gateway_store_impl.h
@@ -23,7 +23,7 @@
     directory_.OnList(now, entries);
     dispatch_directory_->OnList(now, entries);
     for (const DirectoryEntry& entry : entries) LogIfOutdated(now, entry);
-    endpoints_known_ = true;
+    state_.endpoints_known = true;
   } else if (kind == gateway_internal::kMemberKind) {
     std::vector<MemberRecord> records;
     records.reserve(items.size());
