Explain placements with the code that decides them

Operators could not ask where a request would go. PlacementReport lists the endpoints considered with load, forecast and the reason each was passed over. EndpointTracker::AvailabilityOf() and PlacementPolicy::Forecasts() share their code with Available() and Choose(); PoolDispatcher::Explain() adds the admission of long prompts, on a copy of its state.

--- a/modules/zr_gateway/endpoint_tracker.cc
+++ b/modules/zr_gateway/endpoint_tracker.cc
@@ -17,6 +17,28 @@
 
 }  // namespace
 
+const char* ToString(Availability availability) {
+  switch (availability) {
+    case Availability::kAvailable:
+      return "";
+    case Availability::kDraining:
+      return "is draining";
+    case Availability::kEvacuated:
+      return "its domain is evacuated";
+    case Availability::kSuperseded:
+      return "another endpoint has its address";
+    case Availability::kExcluded:
+      return "the request has tried it";
+    case Availability::kCold:
+      return "is cold and its cold rate is used up";
+    case Availability::kLimited:
+      return "the limit that it names is used up";
+    case Availability::kBackoff:
+      return "failed or rejected a call just before";
+  }
+  return "";
+}
+
 void EndpointTracker::Upsert(TimePoint now, const ListedEndpoint& listed,
                              double cold_rate) {
   auto [it, added] = endpoints_.try_emplace(listed.id);
@@ -264,17 +286,31 @@
          !Superseded(state.listed);
 }
 
+Availability EndpointTracker::AvailabilityOf(
+    TimePoint now, const EndpointState& state,
+    const std::set<EndpointId>& excluded, std::optional<double> spare) const {
+  if (state.listed.draining) return Availability::kDraining;
+  if (evacuated_.contains(state.listed.domain)) return Availability::kEvacuated;
+  if (Superseded(state.listed)) return Availability::kSuperseded;
+  if (excluded.contains(state.listed.id)) return Availability::kExcluded;
+  if (now < state.cold_until && state.throttle.LevelAt(now) < 1) {
+    return Availability::kCold;
+  }
+  if (spare && !state.WithinLimit(now, *spare)) return Availability::kLimited;
+  return now < state.backoff_until ? Availability::kBackoff
+                                   : Availability::kAvailable;
+}
+
 std::vector<const EndpointState*> EndpointTracker::Available(
     TimePoint now, const ServiceName& service,
     const std::set<EndpointId>& excluded, std::optional<double> spare) const {
   std::vector<const EndpointState*> healthy;
   std::vector<const EndpointState*> backing_off;
   for (const auto& [id, state] : endpoints_) {
-    if (state.listed.service != service || !AcceptsCalls(state)) continue;
-    if (excluded.contains(id)) continue;
-    if (now < state.cold_until && state.throttle.LevelAt(now) < 1) continue;
-    if (spare && !state.WithinLimit(now, *spare)) continue;
-    (now < state.backoff_until ? backing_off : healthy).push_back(&state);
+    if (state.listed.service != service) continue;
+    const Availability found = AvailabilityOf(now, state, excluded, spare);
+    if (found == Availability::kAvailable) healthy.push_back(&state);
+    if (found == Availability::kBackoff) backing_off.push_back(&state);
   }
   // Sorted by id so that ties between equal loads are resolved the same way in
   // every run.
--- a/modules/zr_gateway/endpoint_tracker.h
+++ b/modules/zr_gateway/endpoint_tracker.h
@@ -63,6 +63,21 @@
   bool WithinLimit(TimePoint now, double spare) const;
 };
 
+/** Whether an endpoint may get a call now, or why not. */
+enum class Availability : uint8_t {
+  kAvailable,
+  kDraining,
+  kEvacuated,   // its domain
+  kSuperseded,  // another endpoint has its address
+  kExcluded,    // the request has tried it already
+  kCold,        // its cold rate is used up
+  kLimited,     // the limit that it names is used up
+  kBackoff,     // it failed or rejected; called only if no other is available
+};
+
+/** A short reason for operators; empty if available. */
+const char* ToString(Availability availability);
+
 /**
  * Tracks load, health and cold starts of the endpoints of all services, as seen
  * by one VM. Health follows from the results of calls, not from health checks.
@@ -135,6 +150,10 @@
     const EndpointState* state = Find(id);
     return state != nullptr && AcceptsCalls(*state);
   }
+  /** Whether one endpoint may get a call now; parameters as of Available(). */
+  Availability AvailabilityOf(TimePoint now, const EndpointState& state,
+                              const std::set<EndpointId>& excluded,
+                              std::optional<double> spare = 0) const;
   /**
    * Endpoints of a service that may get a call now. Endpoints in backoff are
    * returned only if there are no others.
--- a/modules/zr_gateway/gateway_config.cc
+++ b/modules/zr_gateway/gateway_config.cc
@@ -1,5 +1,6 @@
 #include "zr_gateway/gateway_config.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace zr {
@@ -64,6 +65,11 @@
   return it == keys_.end() ? nullptr : it->second;
 }
 
+bool GatewayConfig::HasTeam(const TeamId& team) const {
+  return std::any_of(parts_.teams.begin(), parts_.teams.end(),
+                     [&](const TeamKeys& keys) { return keys.team == team; });
+}
+
 std::vector<PoolId> GatewayConfig::ModelPools() const {
   std::vector<PoolId> pools;
   for (const auto& [name, service] : services_) {
--- a/modules/zr_gateway/gateway_config.h
+++ b/modules/zr_gateway/gateway_config.h
@@ -45,6 +45,8 @@
   const ServicePolicy* FindService(const ServiceName& name) const;
   /** The team that holds the key, or null. */
   const TeamKeys* FindTeam(std::string_view key) const;
+  /** A team has the name. */
+  bool HasTeam(const TeamId& team) const;
   /** The services whose endpoints are model engines, sorted by name. */
   std::vector<PoolId> ModelPools() const;
   /** Routes that are not anonymous require a key. */
--- a/modules/zr_gateway/placement_policy.cc
+++ b/modules/zr_gateway/placement_policy.cc
@@ -120,35 +120,14 @@
     TimePoint now, const EndpointTracker& tracker, const ServiceName& service,
     const EngineProfile* engine, const CallRequirements& requirements,
     uint64_t tie_seed) const {
-  const bool leaves_spare =
-      options_.pack && engine != nullptr &&
-      IsShortPrefill(PrefillMilliseconds(*engine, requirements.shape.prompt));
-  const auto candidates =
-      tracker.Available(now, service, requirements.excluded,
-                        leaves_spare ? options_.limit_spare : 0);
+  const auto candidates = tracker.Available(now, service, requirements.excluded,
+                                            LimitSpare(engine, requirements));
   if (candidates.empty()) return std::nullopt;
   if (engine == nullptr) return ChoosePlain(now, candidates, tie_seed);
 
-  const auto capacity = static_cast<double>(engine->kv_capacity.value());
   std::vector<EngineView> engines;
   for (const EndpointState* state : candidates) {
-    EngineView view;
-    view.state = state;
-    view.calls = EstimateCalls(now, *state);
-    const double held = static_cast<double>(state->KvInUse().value());
-    const PassForecast passes = ForecastPasses(now, *state, *engine);
-    view.rest_ms = passes.rest_ms;
-    // Calls that other VMs have placed by themselves are known by number only.
-    const int known = state->OccupiedSlots();
-    const int unknown = static_cast<int>(view.calls) - known;
-    view.next_ms = passes.next_ms;
-    if (unknown > 0) {
-      view.next_ms += PassMilliseconds(*engine, passes.streams + unknown, 0) -
-                      PassMilliseconds(*engine, passes.streams, 0);
-    }
-    view.free_tokens = capacity * (1 - options_.kv_reserve) - held;
-    view.rank = TieBreak(*state, tie_seed);
-    engines.push_back(view);
+    engines.push_back(MakeView(now, *state, *engine, tie_seed));
   }
   const double total_prefill_ms =
       PrefillMilliseconds(*engine, requirements.shape.prompt);
@@ -158,6 +137,87 @@
   return SplitLong(engines, *engine, requirements, total_prefill_ms);
 }
 
+double PlacementPolicy::LimitSpare(const EngineProfile* engine,
+                                   const CallRequirements& requirements) const {
+  const bool leaves_spare =
+      options_.pack && engine != nullptr &&
+      IsShortPrefill(PrefillMilliseconds(*engine, requirements.shape.prompt));
+  return leaves_spare ? options_.limit_spare : 0;
+}
+
+PlacementPolicy::EngineView PlacementPolicy::MakeView(
+    TimePoint now, const EndpointState& state, const EngineProfile& engine,
+    uint64_t tie_seed) const {
+  EngineView view;
+  view.state = &state;
+  view.calls = EstimateCalls(now, state);
+  const double held = static_cast<double>(state.KvInUse().value());
+  const PassForecast passes = ForecastPasses(now, state, engine);
+  view.rest_ms = passes.rest_ms;
+  // Calls that other VMs have placed by themselves are known by number only.
+  const int known = state.OccupiedSlots();
+  const int unknown = static_cast<int>(view.calls) - known;
+  view.next_ms = passes.next_ms;
+  if (unknown > 0) {
+    view.next_ms += PassMilliseconds(engine, passes.streams + unknown, 0) -
+                    PassMilliseconds(engine, passes.streams, 0);
+  }
+  const auto capacity = static_cast<double>(engine.kv_capacity.value());
+  view.free_tokens = capacity * (1 - options_.kv_reserve) - held;
+  view.rank = TieBreak(state, tie_seed);
+  return view;
+}
+
+std::vector<EndpointForecast> PlacementPolicy::Forecasts(
+    TimePoint now, const EndpointTracker& tracker, const ServiceName& service,
+    const EngineProfile* engine, const CallRequirements& requirements) const {
+  std::vector<EndpointForecast> forecasts;
+  for (const EndpointState* state :
+       tracker.Available(now, service, requirements.excluded,
+                         LimitSpare(engine, requirements))) {
+    if (engine == nullptr) {
+      forecasts.push_back({state, EstimateCalls(now, *state), 0, 0, 0, 0, {}});
+    } else {
+      EndpointForecast forecast = ForecastAlone(
+          MakeView(now, *state, *engine, 0), *engine, requirements,
+          PrefillMilliseconds(*engine, requirements.shape.prompt));
+      forecast.stalled_value =
+          state->ValueStalledBy(forecast.pass_ms / options_.max_gap_share);
+      forecasts.push_back(forecast);
+    }
+  }
+  return forecasts;
+}
+
+EndpointForecast PlacementPolicy::ForecastAlone(
+    const EngineView& engine, const EngineProfile& profile,
+    const CallRequirements& requirements, double total_prefill_ms) const {
+  const double needed = static_cast<double>(
+      (requirements.shape.prompt + requirements.shape.max_answer).value());
+  const double max_packed_calls = profile.slots * (1 - options_.slot_reserve);
+  EndpointForecast forecast;
+  forecast.state = engine.state;
+  forecast.calls = engine.calls;
+  forecast.free_tokens = engine.free_tokens;
+  forecast.pass_ms = engine.PassWith(total_prefill_ms);
+  forecast.first_token_ms =
+      engine.rest_ms + forecast.pass_ms +
+      std::max(0.0, engine.calls + 1 - profile.slots) * kSlotPenaltyMs +
+      (needed > engine.free_tokens ? kMemoryPenaltyMs : 0);
+  if (engine.calls + 1 > max_packed_calls) {
+    forecast.drawback = "its slots are nearly or fully used";
+  } else if (needed > engine.free_tokens) {
+    forecast.drawback = "has too little free memory";
+  } else if (forecast.pass_ms >
+             ToMilliseconds(requirements.max_gap) * options_.max_gap_share) {
+    forecast.drawback = "its next pass is longer than the allowed pause";
+  } else if (forecast.first_token_ms >
+             ToMilliseconds(requirements.objective) * options_.max_gap_share) {
+    forecast.drawback = "its first token would come too late";
+  }
+  return forecast;
+}
+
 std::optional<PlacementPlan> PlacementPolicy::ChoosePlain(
     TimePoint now, const std::vector<const EndpointState*>& candidates,
     uint64_t tie_seed) const {
@@ -179,27 +239,16 @@
 std::optional<PlacementPlan> PlacementPolicy::PackShort(
     const std::vector<EngineView>& engines, const EngineProfile& profile,
     const CallRequirements& requirements, double total_prefill_ms) const {
-  const double needed = static_cast<double>(
-      (requirements.shape.prompt + requirements.shape.max_answer).value());
-  const double max_pause_ms =
-      ToMilliseconds(requirements.max_gap) * options_.max_gap_share;
-  const double max_packed_calls = profile.slots * (1 - options_.slot_reserve);
   // Prefers the fullest engine that has room and stalls no stream, otherwise
   // the engine with the earliest first token.
   const auto score = [&](const EngineView& engine) {
-    const double pass_ms = engine.PassWith(total_prefill_ms);
-    const double first_token_ms =
-        engine.rest_ms + pass_ms +
-        std::max(0.0, engine.calls + 1 - profile.slots) * kSlotPenaltyMs +
-        (needed > engine.free_tokens ? kMemoryPenaltyMs : 0);
-    const bool undisturbed =
-        engine.calls + 1 <= max_packed_calls && needed <= engine.free_tokens &&
-        pass_ms <= max_pause_ms &&
-        first_token_ms <=
-            ToMilliseconds(requirements.objective) * options_.max_gap_share;
+    const EndpointForecast forecast =
+        ForecastAlone(engine, profile, requirements, total_prefill_ms);
+    const bool undisturbed = forecast.drawback == nullptr;
     const double packed = options_.pack ? -engine.calls : engine.calls;
     return std::tuple(undisturbed ? 0 : 1,
-                      undisturbed ? packed : first_token_ms, engine.rank);
+                      undisturbed ? packed : forecast.first_token_ms,
+                      engine.rank);
   };
   const auto best =
       std::min_element(engines.begin(), engines.end(),
--- a/modules/zr_gateway/placement_policy.h
+++ b/modules/zr_gateway/placement_policy.h
@@ -48,6 +48,18 @@
                           const CallRequirements&) = default;
 };
 
+/** What PlacementPolicy takes into account of one endpoint for a request. */
+struct EndpointForecast {
+  const EndpointState* state = nullptr;
+  double calls = 0;           // calls that occupy a slot
+  double first_token_ms = 0;  // if it runs the request alone; engines only
+  double pass_ms = 0;         // pass that reads the prompt; engines only
+  double free_tokens = 0;     // engines only
+  double stalled_value = 0;   // of streams that the pass stalls; engines only
+  /** Why the request would be late or disturb others there; null if not. */
+  const char* drawback = nullptr;
+};
+
 /** Limit of helpers that an engine accepts for one prompt. */
 inline constexpr size_t kMaxHelpers = 16;
 
@@ -151,9 +163,26 @@
                                       const CallRequirements& requirements,
                                       uint64_t tie_seed) const;
 
+  /** The endpoints that Choose() would consider now, each as if it ran the
+   * request alone, sorted by id. */
+  std::vector<EndpointForecast> Forecasts(
+      TimePoint now, const EndpointTracker& tracker, const ServiceName& service,
+      const EngineProfile* engine, const CallRequirements& requirements) const;
+  /** Requests for which an endpoint with a limit has to leave room. */
+  double LimitSpare(const EngineProfile* engine,
+                    const CallRequirements& requirements) const;
+  bool packs() const { return options_.pack; }
+
  private:
   struct EngineView;
 
+  EngineView MakeView(TimePoint now, const EndpointState& state,
+                      const EngineProfile& engine, uint64_t tie_seed) const;
+  EndpointForecast ForecastAlone(const EngineView& engine,
+                                 const EngineProfile& profile,
+                                 const CallRequirements& requirements,
+                                 double total_prefill_ms) const;
+
   std::optional<PlacementPlan> ChoosePlain(
       TimePoint now, const std::vector<const EndpointState*>& candidates,
       uint64_t tie_seed) const;
--- a/modules/zr_gateway/pool_dispatcher.cc
+++ b/modules/zr_gateway/pool_dispatcher.cc
@@ -12,6 +12,16 @@
 // Interval at which a VM asks again for a deferred prompt.
 constexpr Duration kDeferInterval = Duration::Milliseconds(200);
 
+CallRequirements RequirementsOf(const DispatchRequest& request) {
+  CallRequirements requirements;
+  requirements.shape = {request.prompt, request.max_answer};
+  requirements.objective = request.objective;
+  requirements.max_gap = request.max_gap;
+  requirements.time_left = request.time_left;
+  requirements.excluded = {request.excluded.begin(), request.excluded.end()};
+  return requirements;
+}
+
 CallKey MakeCallKey(const VmId& vm, const RequestId& request,
                     AttemptNumber call_number) {
   return {vm, request, static_cast<int>(call_number.value())};
@@ -28,19 +38,15 @@
   reply.retry_after = Duration::Milliseconds(300);
   const ServicePolicy* service = config.FindService(request.pool);
   if (service == nullptr) return reply;
-  CallRequirements requirements;
-  requirements.shape = {request.prompt, request.max_answer};
-  requirements.objective = request.objective;
-  requirements.max_gap = request.max_gap;
-  requirements.time_left = request.time_left;
-  requirements.excluded = {request.excluded.begin(), request.excluded.end()};
+  const CallRequirements requirements = RequirementsOf(request);
   const auto plan =
       placement_.Choose(now, tracker_, request.pool,
                         service->engine ? &*service->engine : nullptr,
                         requirements, random_.Next());
   if (service->engine) {
     const PrefillDecision decision =
-        DecidePrefill(now, *service->engine, request, requirements, plan);
+        DecidePrefill(now, *service->engine, request, requirements, plan,
+                      prefill_admissions_[request.pool]);
     if (decision == PrefillDecision::kDefer) reply.defer_for = kDeferInterval;
     reply.deadline_unreachable = decision == PrefillDecision::kRefuse;
     if (decision != PrefillDecision::kStart) return reply;
@@ -71,10 +77,36 @@
   return reply;
 }
 
+PlacementReport PoolDispatcher::Explain(TimePoint now,
+                                        const ServicePolicy& service,
+                                        const DispatchRequest& request) const {
+  const CallRequirements requirements = RequirementsOf(request);
+  PlacementReport report =
+      ExplainPlacement(now, placement_, tracker_, service, requirements);
+  if (!service.engine) return report;
+  const auto known = prefill_admissions_.find(request.pool);
+  PrefillAdmission policy =
+      known == prefill_admissions_.end() ? PrefillAdmission() : known->second;
+  const PrefillDecision decision = DecidePrefill(
+      now, *service.engine, request, requirements, report.plan, policy);
+  report.facts.emplace_back("mean_backlog_ms",
+                            tracker_.MeanBacklogMs(now, request.pool));
+  if (decision == PrefillDecision::kDefer) {
+    report.decision = PlacementDecision::kWait;
+    report.reason =
+        "the engines' prefill time is worth more to other prompts; it asks "
+        "again every 200 ms";
+  } else if (decision == PrefillDecision::kRefuse) {
+    report.decision = PlacementDecision::kRefuse;
+    report.reason = "it can't be read and answered before its deadline";
+  }
+  return report;
+}
+
 PrefillDecision PoolDispatcher::DecidePrefill(
     TimePoint now, const EngineProfile& engine, const DispatchRequest& request,
     const CallRequirements& requirements,
-    const std::optional<PlacementPlan>& plan) {
+    const std::optional<PlacementPlan>& plan, PrefillAdmission& policy) const {
   PrefillCandidate prompt;
   prompt.prefill_ms = PrefillMilliseconds(engine, request.prompt);
   if (placement_.IsShortPrefill(prompt.prefill_ms) ||
@@ -90,7 +122,6 @@
       1000 * prompt.prefill_ms / static_cast<double>(readers)));
   prompt.objective_left = requirements.objective;
   prompt.time_left = requirements.time_left;
-  PrefillAdmission& policy = prefill_admissions_[request.pool];
   if (!request.deferred) policy.OnArrival(now, prompt.prefill_ms, prompt.value);
   if (!plan) return policy.DecideWithoutMemory(prompt);
   return policy.Decide(tracker_.MeanBacklogMs(now, request.pool), prompt);
--- a/modules/zr_gateway/pool_dispatcher.h
+++ b/modules/zr_gateway/pool_dispatcher.h
@@ -11,6 +11,7 @@
 #include "zr_gateway/gateway_config.h"
 #include "zr_gateway/lateness.h"
 #include "zr_gateway/placement_policy.h"
+#include "zr_gateway/placement_report.h"
 #include "zr_gateway/prefill_admission.h"
 #include "zr_wire/messages.h"
 
@@ -48,6 +49,10 @@
   void OnVmDown(TimePoint now, const VmId& vm);
   void Tick(TimePoint now);
 
+  /** Explains what OnDispatchRequest() would decide; changes nothing. */
+  PlacementReport Explain(TimePoint now, const ServicePolicy& service,
+                          const DispatchRequest& request) const;
+
   size_t calls() const { return calls_.size(); }
 
  private:
@@ -61,7 +66,8 @@
   PrefillDecision DecidePrefill(TimePoint now, const EngineProfile& engine,
                                 const DispatchRequest& request,
                                 const CallRequirements& requirements,
-                                const std::optional<PlacementPlan>& plan);
+                                const std::optional<PlacementPlan>& plan,
+                                PrefillAdmission& policy) const;
   void AddCall(TimePoint now, const CallKey& key, const PoolId& pool,
                CallEndpoints endpoints, const CallLoad& load);
   void RemoveCall(TimePoint now, const CallKey& key);
--- a/modules/zr_gateway/zr_gateway.h
+++ b/modules/zr_gateway/zr_gateway.h
@@ -30,6 +30,7 @@
 #include "zr_gateway/lateness.h"
 #include "zr_gateway/member_records.h"
 #include "zr_gateway/placement_policy.h"
+#include "zr_gateway/placement_report.h"
 #include "zr_gateway/pool_dispatcher.h"
 #include "zr_gateway/prefill_admission.h"
 #include "zr_gateway/reservation_set.h"
