Serve explanations of placements to operators of the entry process

GET /v1/explain on the operators' address (listen.operators, with operators.token; absent: not served) tells where a request of a route, team and size would go now, with the endpoints considered, the reason each was passed over and the age of the information. zinniarillctl explain prints it as text or JSON; with an id it prints the lines of log files, as scripts/explain_request.py does.

--- a/apps/zinniarillctl/commands.cc
+++ b/apps/zinniarillctl/commands.cc
@@ -52,6 +52,7 @@
   static constexpr std::string_view kServerCommands[] = {
       "diff",  "trial",   "promote", "apply",     "get",
       "drain", "undrain", "status",  "endpoints", "operations"};
+  if (words.size() == 1 && words[0] == "explain") return true;
   return !words.empty() &&
          std::find(std::begin(kServerCommands), std::end(kServerCommands),
                    words[0]) != std::end(kServerCommands);
@@ -75,6 +76,11 @@
          "endpoints                            endpoints with owner and load\n"
          "operations show TEAM/SERVICE/KEY     record of a non-repeatable "
          "operation\n"
+         "explain --route R --team T --kind K --tokens N [--answer_tokens M]\n"
+         "                                     where a request would go now, "
+         "and why\n"
+         "explain ID LOG...                    what log files say of a "
+         "request\n"
          "settings-reference                   the daemon's settings in "
          "Markdown\n"
          "document-reference                   the environment document's keys "
@@ -94,6 +100,7 @@
 ExitCode Commands::Dispatch(const std::vector<std::string>& words) {
   if (words.empty()) return UsageError("a command is missing");
   const std::string& command = words[0];
+  if (command == "explain") return Explain(words);
   if (words.size() == 1) {
     if (command == "get") return Get();
     if (command == "status") return Status();
--- a/apps/zinniarillctl/commands.h
+++ b/apps/zinniarillctl/commands.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <ostream>
@@ -29,6 +30,9 @@
   std::string digest;  // promote: the digest that trial printed
   std::optional<int64_t> base_version;  // the version that a change replaces
   std::string author;
+  /** explain: fields of the request by name, as the operator port reads them;
+   * those that were not given are absent. */
+  std::map<std::string, std::string> description;
 };
 
 /** What commands need from the outside. */
@@ -71,6 +75,12 @@
   ExitCode Status();
   ExitCode Endpoints();
   ExitCode ShowOperation(const std::string& name);
+  ExitCode Explain(const std::vector<std::string>& words);
+  /** Asks where the request of the options would go. */
+  ExitCode ExplainNow();
+  /** Prints what log files say of a request; `words` are explain, its id and
+   * the files. */
+  ExitCode ExplainPast(const std::vector<std::string>& words);
 
   /** Reads and validates a document; reports problems and sets `code` on
    * failure. */
--- a/apps/zinniarillctl/main.cc
+++ b/apps/zinniarillctl/main.cc
@@ -26,6 +26,14 @@
 DEFINE_int64(base_version, -1,
              "the version that a change replaces; the current one if negative");
 
+DEFINE_string(route, "", "explain: name of the route, or of the service");
+DEFINE_string(team, "", "explain: name of the team");
+DEFINE_string(kind, "",
+              "explain: kind of the request; at an entry process stream, "
+              "repeatable or once, at the daemon a class");
+DEFINE_string(tokens, "", "explain: size of the prompt in tokens");
+DEFINE_string(answer_tokens, "", "explain: longest answer in tokens");
+
 namespace zr {
 namespace {
 
@@ -109,6 +117,12 @@
   options.timeout = Duration::Milliseconds(FLAGS_timeout_ms);
   options.digest = FLAGS_digest;
   options.author = author;
+  for (const auto& [name, value] :
+       {std::pair("route", FLAGS_route), std::pair("team", FLAGS_team),
+        std::pair("kind", FLAGS_kind), std::pair("tokens", FLAGS_tokens),
+        std::pair("answer_tokens", FLAGS_answer_tokens)}) {
+    if (!value.empty()) options.description[name] = value;
+  }
   if (FLAGS_base_version >= 0) options.base_version = FLAGS_base_version;
   auto sleep = [](Duration duration) {
     std::this_thread::sleep_for(
--- a/apps/zinniarillctl/tests/commands_test.cc
+++ b/apps/zinniarillctl/tests/commands_test.cc
@@ -28,6 +28,7 @@
                                 .dump()};
     }
     if (call.path == "/v1/status") return Status();
+    if (call.path.starts_with("/v1/explain")) return explanation;
     if (call.path == "/v1/config/trial") {
       return HttpReply{200, json{{"digest", DocumentDigest(call.body)},
                                  {"changes", json::array()}}
@@ -40,6 +41,7 @@
   std::string document = kOld;
   std::string author = "ada";
   int64_t version = 7;
+  HttpReply explanation;
   int lost_answers = 0;  // writes that take effect and whose answer is lost
   int lost_calls = 0;    // writes that are lost on the way
   int polls_until_in_force = 0;
@@ -192,6 +194,81 @@
   }
 }
 
+// Guards against an explanation that hides why an endpoint was passed over, or
+// that its information is old, and against bad input that looks like a failure.
+TEST_CASE_METHOD(Fixture, "explain shows where a request would go") {
+  options.description = {{"route", "chat/1"}, {"tokens", "4960"}};
+  daemon.explanation = {
+      200, json{{"vm", "vm1"},
+                {"information", {{"is_old", true}}},
+                {"admission", {{"decision", "admit"}, {"reason", ""}}},
+                {"services",
+                 {{{"service", "pool"},
+                   {"decision", "place"},
+                   {"reason", "meets its objectives"},
+                   {"endpoints",
+                    {{{"endpoint", "e1"},
+                      {"domain", "sala"},
+                      {"chosen", false},
+                      {"values", {{"calls", 3}}},
+                      {"reason", "is draining"}}}}}}}}
+               .dump()};
+  SECTION("as text") {
+    CHECK(Run({"explain"}) == ExitCode::kDone);
+    CHECK(daemon.calls.back() == "GET /v1/explain?route=chat%2F1&tokens=4960");
+    CHECK_THAT(out.str(), Catch::Contains("information is old"));
+    CHECK_THAT(out.str(), Catch::Contains("e1") &&
+                              Catch::Contains("is draining  calls=3"));
+  }
+  SECTION("as JSON") {
+    options.json = true;
+    CHECK(Run({"explain"}) == ExitCode::kDone);
+    CHECK(json::parse(out.str()) == json::parse(daemon.explanation.body));
+  }
+  SECTION("and bad input names the field") {
+    daemon.explanation = {
+        400, R"({"error": {"message": "team: no team has the name 'x'"}})"};
+    CHECK(Run({"explain"}) == ExitCode::kInvalid);
+    CHECK(err.str() == "zinniarillctl: team: no team has the name 'x'\n");
+  }
+  SECTION("and a process that does not serve operators is a failure") {
+    daemon.explanation = {404, ""};
+    CHECK(Run({"explain"}) == ExitCode::kFailed);
+  }
+}
+
+// Guards against lines of other requests, or out of order, in the history of a
+// request.
+TEST_CASE_METHOD(Fixture, "explain tells from logs what was decided") {
+  file =
+      "Dec 06 vm2 entry[7]: {\"time\":12.5,\"vm\":\"vm2\",\"event\":"
+      "\"finished\",\"request\":\"id-1\",\"late_by\":\"wait\"}\n"
+      "no JSON id-1\n{\"time\":broken id-1\n"
+      "{\"time\":12.0,\"vm\":\"vm1\",\"event\":\"placed\",\"request\":"
+      "\"id-1\",\"endpoint\":\"e1\"}\n"
+      "{\"time\":11.0,\"vm\":\"vm1\",\"event\":\"placed\",\"request\":"
+      "\"id-12\",\"endpoint\":\"e2\"}\n";
+  SECTION("as text") {
+    CHECK(Run({"explain", "id-1", "log"}) == ExitCode::kDone);
+    const std::string text = out.str();
+    CHECK_THAT(text, Catch::Contains("0.0 ms  vm1  placed") &&
+                         Catch::Contains("500.0 ms  vm2  finished") &&
+                         Catch::EndsWith("late by wait\n"));
+    CHECK(text.find("placed") < text.find("finished"));
+    CHECK_THAT(text, !Catch::Contains("e2"));
+    CHECK(daemon.calls.empty());
+  }
+  SECTION("as JSON") {
+    options.json = true;
+    CHECK(Run({"explain", "id-1", "log"}) == ExitCode::kDone);
+    CHECK(json::parse(out.str()).at("lines").size() == 2);
+  }
+  SECTION("an unknown id is a failure, a missing file bad usage") {
+    CHECK(Run({"explain", "id-3", "log"}) == ExitCode::kFailed);
+    CHECK(Run({"explain", "id-1"}) == ExitCode::kInvalid);
+  }
+}
+
 // Guards against an invalid document that reaches a daemon, and against wrong
 // exit codes.
 TEST_CASE_METHOD(Fixture, "Documents are checked before anything is sent") {
--- a/modules/zr_gateway_host/dispatch_client.h
+++ b/modules/zr_gateway_host/dispatch_client.h
@@ -81,6 +81,10 @@
   void Report(const CallProgress& progress);
   void Tick(TimePoint now);
 
+  /** The VM that places the requests of a pool now; empty if none is reached.
+   */
+  VmId DispatcherFor(const PoolId& pool) const;
+
  private:
   struct PendingDispatch {
     VmId dispatcher;
@@ -103,7 +107,6 @@
   bool IsUsable(const VmId& vm) const {
     return linked_.contains(vm) && !leaving_.contains(vm);
   }
-  VmId DispatcherFor(const PoolId& pool) const;
   /** Most VMs keep a link to this one. */
   bool IsHub() const;
   /** The VMs of which that is true, as far as there is a link to them. */
--- a/modules/zr_gateway_host/gateway_node.h
+++ b/modules/zr_gateway_host/gateway_node.h
@@ -100,6 +100,15 @@
 
   void HandleCaller(HttpRequest request, HttpResponsePtr response);
   void HandleProbe(const HttpRequest& request, HttpResponsePtr response);
+  /** Answers an operator; every request needs the token. */
+  void HandleOperator(const HttpRequest& request, HttpResponsePtr response);
+  nlohmann::ordered_json Explain(TimePoint now,
+                                 const DescribedRequest& request) const;
+  /** Where a service would get the request now. */
+  nlohmann::ordered_json ExplainService(TimePoint now,
+                                        const DescribedRequest& request,
+                                        const ServicePolicy& service) const;
+  Result<void> ServeOperators();
   bool Ready() const;
 
   void WaitForSignal();
@@ -122,6 +131,7 @@
   std::vector<std::shared_ptr<Feed>> feeds_;
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> probe_server_;
+  std::unique_ptr<HttpServer> operator_server_;  // null: not served
   std::list<std::shared_ptr<Request>> requests_;
   ConfigVersions config_versions_;
   ConfigHistory config_history_;              // newest: in force
@@ -145,4 +155,5 @@
 #include "zr_gateway_host/gateway_node_impl.h"
 // Uses the constants of gateway_node_impl.h.
 #include "zr_gateway_host/gateway_config_impl.h"
+#include "zr_gateway_host/gateway_explain_impl.h"
 #include "zr_gateway_host/gateway_store_impl.h"
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -140,6 +140,9 @@
       });
   if (!probes) return tl::unexpected(probes.error());
   probe_server_ = std::move(*probes);
+  if (auto served = ServeOperators(); !served) {
+    return tl::unexpected(served.error());
+  }
 
   ObjectStoreOptions store;
   store.address = settings_.store_address;
--- a/modules/zr_gateway_host/gateway_settings.h
+++ b/modules/zr_gateway_host/gateway_settings.h
@@ -14,7 +14,10 @@
   std::string ready_address;    // "ip:port" of the readiness probe and metrics
   std::string peers_address;    // "ip:port" of the links between entry VMs
   std::string store_address;    // "ip:port" of the platform's store
-  double cores = 0;             // processor share; 0 if it is not known
+  /** "ip:port" of the operators' listener; empty: there is none. */
+  std::string operators_address;
+  std::string operator_token;       // bearer token that operators send
+  double cores = 0;                 // processor share; 0 if it is not known
   double store_reads_per_s = 2000;  // budget of all VMs together
   double store_writes_per_s = 400;  // budget of all VMs together
   /** Time after a key's revocation within which all VMs reject it. */
