Check explanations of the entry process end to end

tests/platform/serve.py asks each VM with zinniarillctl where a prompt would go: one VM decides, every endpoint has a reason, bad fields exit with 2.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -80,6 +80,7 @@
     def __init__(self, base, vms=3, engines=3, plain=2):
         self.base, self.vm_count, self.store_port = base, vms, base
         self.store_ports = {}  # by VM, where it differs from store_port
+        self.operator_token = None  # if set, VMs serve operators, see operators_port()
         self.config_ms = 2000  # bound on the time until a change is in force
         self.folder = tempfile.mkdtemp(prefix="zinniarill-platform-")
         self.store = Store(base)
@@ -129,6 +130,9 @@
     def port(self, vm, offset):
         return self.base + 40 + 4 * vm + offset
 
+    def operators_port(self, vm):
+        return self.base + 90 + vm
+
     def build(self, vm):
         """The build of the VM's next start: with two versions, half of the VMs begin with each."""
         self.starts[vm] = self.starts.get(vm, 0) + 1
@@ -145,6 +149,9 @@
                        "bounds.revokeMs=5000\nbounds.graceS=8\n"
                        f"bounds.configMs={self.config_ms}\n"
                        "bounds.drainMs=2000\nbounds.evacMs=5000\n")
+            if self.operator_token:
+                file.write(f"listen.operators=127.0.0.1:{self.operators_port(vm)}\n"
+                           f"operators.token={self.operator_token}\n")
         log = open(os.path.join(self.folder, f"vm-{vm}.log"), "a")
         self.processes[vm] = subprocess.Popen(
             [os.path.join(self.build(vm), "platform", "zinniarill-entry")], stdout=log, stderr=log,
--- a/tests/platform/serve.py
+++ b/tests/platform/serve.py
@@ -8,7 +8,7 @@
 import threading
 import time
 
-from deployment import (EVENTS, ROOT, Endpoint, check, configuration, main, route, wait_until,
+from deployment import (BUILD, EVENTS, ROOT, Endpoint, check, configuration, main, route, wait_until,
                         full_stream)
 
 
@@ -90,6 +90,42 @@
         engine.event_s = 0.01
 
 
+def explain(d, vm, *words, token=None):
+    return subprocess.run(
+        [os.path.join(BUILD, "apps", "zinniarillctl", "zinniarillctl"), "explain", *words,
+         f"--server=127.0.0.1:{d.operators_port(vm)}", f"--token={token or d.operator_token}"],
+        capture_output=True, text=True, check=False)
+
+
+def operators_learn_where_a_request_would_go(d):
+    described = ["--route=stream", "--team=customs", "--kind=stream", "--tokens=4960"]
+    reports = []
+    for vm in range(3):
+        shown = explain(d, vm, *described, "--output=json")
+        check(shown.returncode == 0, f"{shown.returncode} {shown.stderr}")
+        reports.append(json.loads(shown.stdout))
+    deciders = {report["services"][0]["decided_by"] for report in reports}
+    check(len(deciders) == 1, f"several VMs decide: {deciders}")
+    decided = [r["services"][0] for r in reports if r["vm"] in deciders][0]
+    check(decided["decision"] == "place" and "note" not in decided, f"{decided}")
+    check({e["endpoint"] for e in decided["endpoints"]} ==
+          {e.id for e in d.endpoints_of("llm")}, f"{decided['endpoints']}")
+    check(sum(e["chosen"] for e in decided["endpoints"]) == 1 and
+          all(e["reason"] for e in decided["endpoints"]), f"{decided['endpoints']}")
+    check(not reports[0]["information"]["is_old"], f"{reports[0]['information']}")
+    for words, field in ((described + ["--route=other"], "route"), (["--route=stream"], "team"),
+                         (described + ["--kind=once"], "kind"),
+                         (described + ["--tokens=x"], "tokens")):
+        shown = explain(d, 0, *words)
+        check(shown.returncode == 2 and f"{field}:" in shown.stderr,
+              f"{words}: {shown.returncode} {shown.stderr}")
+    shown = explain(d, 0, *described, token="not the token")
+    check(shown.returncode == 1 and "token" in shown.stderr, f"{shown.returncode} {shown.stderr}")
+    check(d.run_count("") == 0, "an explanation ran as a request")
+    shown = explain(d, 0, "served-0-stream", os.path.join(d.folder, "vm-0.log"))
+    check(shown.returncode == 0 and "finished" in shown.stdout, f"{shown.stderr}")
+
+
 def failed_calls(d):
     plain, engines = d.endpoints_of("plain"), d.endpoints_of("llm")
     for engine in engines[1:]:
@@ -337,7 +373,7 @@
 def test(d):
     for step in (each_route_type_is_served, invalid_requests_are_rejected,
                  oversized_prompt_is_rejected_immediately, prompt_larger_than_one_engine,
-                 failed_calls, silent_stream,
+                 operators_learn_where_a_request_would_go, failed_calls, silent_stream,
                  configuration_changes, store_outage,
                  confirmed_change_survives_the_loss_of_all_vms, removal_after_outage,
                  caller_disconnects, waiting_prompt_is_rejected_on_stop, graceful_stop,
@@ -346,4 +382,9 @@
         step(d)
 
 
-main(test)
+def serve_operators(d):
+    d.operator_token = "an operator's token"
+    return d
+
+
+main(test, serve_operators)
