Explain requests at the daemon's operator port

RouteSelector::Explain() runs the selection on copies of its state, since a choice draws random numbers and the share of long prompts has a hysteresis.

--- a/modules/zr_admission/endpoint_selector.h
+++ b/modules/zr_admission/endpoint_selector.h
@@ -99,7 +99,7 @@
     std::vector<const SelectionCandidate*> preferred;
     std::vector<const SelectionCandidate*> avoided;
     for (const SelectionCandidate& candidate : candidates) {
-      if (!Eligible(candidate, query)) continue;
+      if (Ineligible(candidate, query) != nullptr) continue;
       const bool avoid =
           query.avoided_domains.contains(candidate.summary.domain);
       (avoid ? avoided : preferred).push_back(&candidate);
@@ -109,23 +109,25 @@
     return rule_.Choose(eligible, candidates, query, random_);
   }
 
- private:
-  static bool Eligible(const SelectionCandidate& candidate,
-                       const SelectionQuery& query) {
+  /** Why a candidate can't be chosen at all; null if it can. */
+  static const char* Ineligible(const SelectionCandidate& candidate,
+                                const SelectionQuery& query) {
     const EndpointSummary& summary = candidate.summary;
-    if (summary.pool != query.pool ||
-        query.excluded.contains(summary.endpoint)) {
-      return false;
+    if (summary.pool != query.pool) return "is of another pool";
+    if (query.excluded.contains(summary.endpoint)) {
+      return "the request has tried it";
     }
-    if (!summary.accepts_new) return false;
+    if (!summary.accepts_new) return "takes no new work";
     if constexpr (Rule::kUsesSummaries) {
-      return query.plain_service ||
-             summary.kv_capacity >= query.prompt + query.max_answer;
+      const bool fits = query.plain_service ||
+                        summary.kv_capacity >= query.prompt + query.max_answer;
+      return fits ? nullptr : "prompt and answer exceed its memory";
     } else {
-      return !candidate.load || !candidate.load->leaving;
+      return candidate.load && candidate.load->leaving ? "is leaving" : nullptr;
     }
   }
 
+ private:
   Rule rule_;
   Random random_;
 };
--- a/modules/zr_daemon/api/operator_api.cc
+++ b/modules/zr_daemon/api/operator_api.cc
@@ -65,6 +65,9 @@
   }
   if (what == "status" && get) return Status(*response);
   if (what == "endpoints" && get) return Endpoints(*response);
+  if (what == "explain" && path.size() == 2 && get) {
+    return Explain(request, *response);
+  }
   if (what == "drains" && path.size() == 4) {
     return ChangeDrain(request, std::move(response), path);
   }
--- a/modules/zr_daemon/api/operator_api.h
+++ b/modules/zr_daemon/api/operator_api.h
@@ -26,6 +26,8 @@
   void Trial(const HttpRequest& request, HttpResponse& response) const;
   void Status(HttpResponse& response) const;
   void Endpoints(HttpResponse& response) const;
+  /** Where a request that the query describes would go now. */
+  void Explain(const HttpRequest& request, HttpResponse& response) const;
   void ChangeDrain(const HttpRequest& request, HttpResponsePtr response,
                    const std::vector<std::string>& path);
   void ShowOperation(HttpResponsePtr response,
--- a/modules/zr_daemon/request/route_selector.cc
+++ b/modules/zr_daemon/request/route_selector.cc
@@ -35,6 +35,13 @@
   return count == 0 ? fallback : sum / count;
 }
 
+/** @param ineligible  null if the endpoint could be chosen */
+std::string ReasonFor(size_t rank, const char* ineligible) {
+  if (rank == 1) return "tried first";
+  if (rank == 2) return "tried if the first one refuses";
+  return ineligible != nullptr ? ineligible : "others are as good or better";
+}
+
 }  // namespace
 
 RouteSelector::RouteSelector(NodeContext& context)
@@ -92,9 +99,8 @@
 }
 
 std::vector<SelectionCandidate> RouteSelector::CollectCandidates(
-    const PoolId& pool, const ClusterSnapshot& snapshot, TimePoint now) {
-  const bool baseline =
-      context_.settings.routing_policy == RoutingPolicy::kBaseline;
+    const PoolId& pool, const ClusterSnapshot& snapshot, TimePoint now) const {
+  const bool baseline = UsesBaseline();
   std::vector<SelectionCandidate> candidates;
   for (const SummaryCandidate& found :
        summaries_.Candidates(now, pool, OwnerLookupFor(snapshot))) {
@@ -111,7 +117,8 @@
 }
 
 std::optional<TokenCount> RouteSelector::MaxGatherTokens(
-    const PoolPolicy& pool, const ClusterSnapshot& snapshot, TimePoint now) {
+    const PoolPolicy& pool, const ClusterSnapshot& snapshot,
+    TimePoint now) const {
   const auto owners = OwnerLookupFor(snapshot);
   std::vector<GatherCandidate> all;
   for (const auto& [endpoint, info] : *snapshot.endpoints) {
@@ -128,11 +135,12 @@
   return GatherCoordinator::MaxGatherTokens(all, pool);
 }
 
-RouteChoice RouteSelector::Choose(const RequestOptions& request,
-                                  const SelectCandidates& action) {
-  const TimePoint now = SteadyNow();
-  const auto snapshot = context_.cluster->Get();
-  SelectionQuery query;
+RouteSelector::Input RouteSelector::CollectInput(
+    const RequestOptions& request, const SelectCandidates& action,
+    const ClusterSnapshot& snapshot, TimePoint now,
+    LongPromptShare& share) const {
+  Input input;
+  SelectionQuery& query = input.query;
   query.pool = request.pool.pool;
   query.prompt = request.prompt;
   query.max_answer = request.max_answer;
@@ -142,33 +150,50 @@
   query.excluded = action.excluded;
   if (action.avoid_domain) query.avoided_domains.insert(*action.avoid_domain);
   query.prefill_tokens_per_second = request.pool.prefill_tokens_per_second;
+  input.candidates = CollectCandidates(query.pool, snapshot, now);
+  query.long_prompt_endpoints = share.LongPromptEndpoints(
+      now, query.pool, static_cast<int64_t>(input.candidates.size()),
+      MeanPrefillSpeed(input.candidates, query.prefill_tokens_per_second));
+  return input;
+}
 
+RouteChoice RouteSelector::Choose(const RequestOptions& request,
+                                  const SelectCandidates& action) {
+  const TimePoint now = SteadyNow();
+  const auto snapshot = context_.cluster->Get();
   std::lock_guard lock(mutex_);
-  const auto candidates = CollectCandidates(query.pool, *snapshot, now);
-  query.long_prompt_endpoints = long_prompt_share_.LongPromptEndpoints(
-      now, query.pool, static_cast<int64_t>(candidates.size()),
-      MeanPrefillSpeed(candidates, query.prefill_tokens_per_second));
-  const bool baseline =
-      context_.settings.routing_policy == RoutingPolicy::kBaseline;
-  const Selection selection = baseline ? baseline_.Choose(candidates, query)
-                                       : selector_.Choose(candidates, query);
+  const Input input =
+      CollectInput(request, action, *snapshot, now, long_prompt_share_);
+  const Selection selection =
+      UsesBaseline() ? baseline_.Choose(input.candidates, input.query)
+                     : selector_.Choose(input.candidates, input.query);
+  return MakeChoice(request, input, selection, *snapshot, now);
+}
+
+RouteChoice RouteSelector::MakeChoice(const RequestOptions& request,
+                                      const Input& input,
+                                      const Selection& selection,
+                                      const ClusterSnapshot& snapshot,
+                                      TimePoint now) const {
+  const auto& candidates = input.candidates;
   RouteChoice choice;
   for (const EndpointId& endpoint : selection) {
     auto found = std::find_if(candidates.begin(), candidates.end(),
                               [&endpoint](const auto& candidate) {
                                 return candidate.summary.endpoint == endpoint;
                               });
-    const VmId owner = baseline ? context_.settings.vm : found->summary.owner;
+    const VmId owner =
+        UsesBaseline() ? context_.settings.vm : found->summary.owner;
     choice.candidates.push_back({endpoint, found->summary.domain, owner});
   }
-  if (choice.candidates.empty() && !query.plain_service) {
+  if (choice.candidates.empty() && !input.query.plain_service) {
     const TokenCount needed = request.prompt + request.max_answer;
     const bool fits = std::any_of(
         candidates.begin(), candidates.end(),
         [&](const auto& c) { return c.summary.kv_capacity >= needed; });
     choice.gather = !fits && !candidates.empty();
     if (choice.gather) {
-      choice.pool_kv = MaxGatherTokens(request.pool, *snapshot, now);
+      choice.pool_kv = MaxGatherTokens(request.pool, snapshot, now);
     }
     if (choice.pool_kv && *choice.pool_kv >= needed) {
       choice.pool_kv.reset();
@@ -177,6 +202,62 @@
   return choice;
 }
 
+RouteReport RouteSelector::Explain(const RequestOptions& request) const {
+  const TimePoint now = SteadyNow();
+  const auto snapshot = context_.cluster->Get();
+  const auto owners = OwnerLookupFor(*snapshot);
+  std::lock_guard lock(mutex_);
+  // Copies, since a choice draws random numbers and the share of long prompts
+  // has a hysteresis.
+  LongPromptShare share = long_prompt_share_;
+  EndpointSelector selector = selector_;
+  BaselineSelector baseline = baseline_;
+  const Input input = CollectInput(request, {}, *snapshot, now, share);
+  const Selection selection =
+      UsesBaseline() ? baseline.Choose(input.candidates, input.query)
+                     : selector.Choose(input.candidates, input.query);
+  RouteReport report;
+  report.choice = MakeChoice(request, input, selection, *snapshot, now);
+  report.long_prompt = input.query.long_prompt;
+  report.long_prompt_endpoints = input.query.long_prompt_endpoints;
+  for (const auto& [id, info] : *snapshot->endpoints) {
+    if (info.pool != request.pool.pool) continue;
+    ReportedEndpoint row{id, info.domain, {}, 0, {}, {}, {}, ""};
+    const auto chosen = std::find(selection.begin(), selection.end(), id);
+    if (chosen != selection.end()) {
+      row.rank = static_cast<size_t>(chosen - selection.begin()) + 1;
+    }
+    if (const auto found = summaries_.Find(now, id, owners)) {
+      row.summary = *found->summary;
+      row.summary_age = now - found->received_at;
+      row.owner = found->summary->owner;
+    }
+    const auto candidate = std::find_if(
+        input.candidates.begin(), input.candidates.end(),
+        [&id = id](const auto& c) { return c.summary.endpoint == id; });
+    if (candidate != input.candidates.end()) {
+      row.forecast = ScoredRule::Score(*candidate, input.query);
+      row.reason = ReasonFor(
+          row.rank,
+          UsesBaseline()
+              ? BaselineSelector::Ineligible(*candidate, input.query)
+              : EndpointSelector::Ineligible(*candidate, input.query));
+    } else if (!row.summary) {
+      row.reason = "its owner has sent no summary";
+    } else {
+      // The table leaves it out of the candidates.
+      row.reason = row.summary->accepts_new ? "its summary names another pool"
+                                            : "takes no new work";
+    }
+    report.endpoints.push_back(std::move(row));
+  }
+  std::stable_sort(report.endpoints.begin(), report.endpoints.end(),
+                   [](const auto& a, const auto& b) {
+                     return a.rank != 0 && (b.rank == 0 || a.rank < b.rank);
+                   });
+  return report;
+}
+
 std::vector<GatherCandidate> RouteSelector::GatherCandidates(
     const PoolId& pool) {
   const auto snapshot = context_.cluster->Get();
--- a/modules/zr_daemon/request/route_selector.h
+++ b/modules/zr_daemon/request/route_selector.h
@@ -22,6 +22,26 @@
   std::optional<TokenCount> pool_kv;
 };
 
+/** An endpoint of a pool and why it was chosen or passed over. */
+struct ReportedEndpoint {
+  EndpointId endpoint;
+  DomainId domain;
+  VmId owner;
+  size_t rank = 0;  // 1 is tried first, 2 next; 0: passed over
+  std::optional<EndpointSummary> summary;  // none: its owner has sent none
+  Duration summary_age;
+  Duration forecast;  // of the first token, from the owner's expected wait
+  std::string reason;
+};
+
+/** Where a request would go now. */
+struct RouteReport {
+  RouteChoice choice;
+  bool long_prompt = false;
+  int64_t long_prompt_endpoints = 0;        // endpoints that take long prompts
+  std::vector<ReportedEndpoint> endpoints;  // chosen ones first, then by id
+};
+
 /**
  * Selects endpoints for the requests of this VM from the summaries that owners
  * publish, or by the baseline policy. Thread-safe.
@@ -49,6 +69,9 @@
 
   RouteChoice Choose(const RequestOptions& request,
                      const SelectCandidates& action);
+  /** Explains what Choose() would return for a first attempt; changes
+   * nothing. */
+  RouteReport Explain(const RequestOptions& request) const;
   std::vector<PoolDemand> OwnDemand();
   /** Current summaries of a pool, for its gather coordinator. */
   std::vector<GatherCandidate> GatherCandidates(const PoolId& pool);
@@ -59,6 +82,12 @@
   std::vector<EndpointSummary> Summaries();
 
  private:
+  /** What a selection depends on. */
+  struct Input {
+    SelectionQuery query;
+    std::vector<SelectionCandidate> candidates;
+  };
+
   struct LastSummaryEntry {
     EndpointSummary summary;
     TimePoint received_at;
@@ -68,13 +97,23 @@
    * capacity of an endpoint is unknown. */
   std::optional<TokenCount> MaxGatherTokens(const PoolPolicy& pool,
                                             const ClusterSnapshot& snapshot,
-                                            TimePoint now);
+                                            TimePoint now) const;
   std::vector<SelectionCandidate> CollectCandidates(
-      const PoolId& pool, const ClusterSnapshot& snapshot, TimePoint now);
+      const PoolId& pool, const ClusterSnapshot& snapshot, TimePoint now) const;
+  Input CollectInput(const RequestOptions& request,
+                     const SelectCandidates& action,
+                     const ClusterSnapshot& snapshot, TimePoint now,
+                     LongPromptShare& share) const;
+  RouteChoice MakeChoice(const RequestOptions& request, const Input& input,
+                         const Selection& selection,
+                         const ClusterSnapshot& snapshot, TimePoint now) const;
+  bool UsesBaseline() const {
+    return context_.settings.routing_policy == RoutingPolicy::kBaseline;
+  }
   Duration RoundTripTo(const DomainId& domain) const;
 
   NodeContext& context_;
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   SummaryTable summaries_;
   // Kept after the failure of the owner.
   std::map<EndpointId, LastSummaryEntry> last_summaries_;
