--- a/modules/zr_gateway/placement_policy.cc
+++ b/modules/zr_gateway/placement_policy.cc
@@ -126,6 +126,7 @@
   if (engine == nullptr) return ChoosePlain(now, candidates, tie_seed);
 
   std::vector<EngineView> engines;
+  engines.reserve(candidates.size());
   for (const EndpointState* state : candidates) {
     engines.push_back(MakeView(now, *state, *engine, tie_seed));
   }
