--- a/modules/zr_gateway/placement_policy.cc
+++ b/modules/zr_gateway/placement_policy.cc
@@ -143,40 +143,15 @@
     TimePoint now, const EndpointTracker& tracker, const ServiceName& service,
     const EngineProfile* engine, const CallRequirements& requirements,
     uint64_t tie_seed) const {
-  const bool leaves_spare =
-      options_.pack && engine != nullptr &&
-      IsShortPrefill(PrefillMilliseconds(*engine, requirements.shape.prompt));
-  const auto candidates =
-      tracker.Available(now, service, requirements.excluded,
-                        leaves_spare ? options_.limit_spare : 0);
+  const auto candidates = tracker.Available(now, service, requirements.excluded,
+                                            LimitSpare(engine, requirements));
   if (candidates.empty()) return std::nullopt;
   if (engine == nullptr) return ChoosePlain(now, candidates, tie_seed);
 
-  const auto capacity = static_cast<double>(engine->kv_capacity.value());
   std::vector<EngineView> engines;
+  engines.reserve(candidates.size());
   for (const EndpointState* state : candidates) {
-    EngineView view;
-    view.state = state;
-    view.calls = EstimateCalls(now, *state);
-    const double held = static_cast<double>(state->KvInUse().value());
-    view.now = now;
-    view.passes = ForecastPasses(now, *state, *engine);
-    // Calls that other VMs have placed by themselves are known by number only.
-    const int unknown = static_cast<int>(view.calls) - state->OccupiedSlots();
-    if (unknown > 0) {
-      const int streams = view.passes.streams;
-      view.passes.decode_ms +=
-          state->slowness * (PassMilliseconds(*engine, streams + unknown, 0) -
-                             PassMilliseconds(*engine, streams, 0));
-    }
-    for (const CallLoad& call : state->calls) {
-      if (call.takes_slot && call.prefill_ms > 0) {
-        view.waiting_value += call.value;
-      }
-    }
-    view.free_tokens = capacity * (1 - options_.kv_reserve) - held;
-    view.rank = TieBreak(*state, tie_seed);
-    engines.push_back(view);
+    engines.push_back(MakeView(now, *state, *engine, tie_seed));
   }
   const double total_prefill_ms =
       PrefillMilliseconds(*engine, requirements.shape.prompt);
@@ -194,6 +169,91 @@
   return SplitLong(engines, *engine, requirements, total_prefill_ms);
 }
 
+double PlacementPolicy::LimitSpare(const EngineProfile* engine,
+                                   const CallRequirements& requirements) const {
+  const bool leaves_spare =
+      options_.pack && engine != nullptr &&
+      IsShortPrefill(PrefillMilliseconds(*engine, requirements.shape.prompt));
+  return leaves_spare ? options_.limit_spare : 0;
+}
+
+PlacementPolicy::EngineView PlacementPolicy::MakeView(
+    TimePoint now, const EndpointState& state, const EngineProfile& engine,
+    uint64_t tie_seed) const {
+  EngineView view;
+  view.state = &state;
+  view.calls = EstimateCalls(now, state);
+  view.now = now;
+  view.passes = ForecastPasses(now, state, engine);
+  // Calls that other VMs have placed by themselves are known by number only.
+  const int unknown = static_cast<int>(view.calls) - state.OccupiedSlots();
+  if (unknown > 0) {
+    const int streams = view.passes.streams;
+    view.passes.decode_ms +=
+        state.slowness * (PassMilliseconds(engine, streams + unknown, 0) -
+                          PassMilliseconds(engine, streams, 0));
+  }
+  for (const CallLoad& call : state.calls) {
+    if (call.takes_slot && call.prefill_ms > 0)
+      view.waiting_value += call.value;
+  }
+  const auto capacity = static_cast<double>(engine.kv_capacity.value());
+  view.free_tokens = capacity * (1 - options_.kv_reserve) -
+                     static_cast<double>(state.KvInUse().value());
+  view.rank = TieBreak(state, tie_seed);
+  return view;
+}
+
+std::vector<EndpointForecast> PlacementPolicy::Forecasts(
+    TimePoint now, const EndpointTracker& tracker, const ServiceName& service,
+    const EngineProfile* engine, const CallRequirements& requirements) const {
+  std::vector<EndpointForecast> forecasts;
+  for (const EndpointState* state :
+       tracker.Available(now, service, requirements.excluded,
+                         LimitSpare(engine, requirements))) {
+    if (engine == nullptr) {
+      forecasts.push_back({state, EstimateCalls(now, *state), 0, 0, 0, 0, {}});
+    } else {
+      EndpointForecast forecast = ForecastAlone(
+          MakeView(now, *state, *engine, 0), *engine, requirements,
+          PrefillMilliseconds(*engine, requirements.shape.prompt));
+      forecast.stalled_value =
+          state->ValueStalledBy(forecast.pass_ms / options_.max_gap_share);
+      forecasts.push_back(forecast);
+    }
+  }
+  return forecasts;
+}
+
+EndpointForecast PlacementPolicy::ForecastAlone(
+    const EngineView& engine, const EngineProfile& profile,
+    const CallRequirements& requirements, double total_prefill_ms) const {
+  const double needed = static_cast<double>(
+      (requirements.shape.prompt + requirements.shape.max_answer).value());
+  const double max_packed_calls = profile.slots * (1 - options_.slot_reserve);
+  EndpointForecast forecast;
+  forecast.state = engine.state;
+  forecast.calls = engine.calls;
+  forecast.free_tokens = engine.free_tokens;
+  forecast.pass_ms = engine.PassWith(total_prefill_ms);
+  forecast.first_token_ms =
+      engine.passes.rest_ms + forecast.pass_ms +
+      std::max(0.0, engine.calls + 1 - profile.slots) * kSlotPenaltyMs +
+      (needed > engine.free_tokens ? kMemoryPenaltyMs : 0);
+  if (engine.calls + 1 > max_packed_calls) {
+    forecast.drawback = "its slots are nearly or fully used";
+  } else if (needed > engine.free_tokens) {
+    forecast.drawback = "has too little free memory";
+  } else if (forecast.pass_ms >
+             ToMilliseconds(requirements.max_gap) * options_.max_gap_share) {
+    forecast.drawback = "its next pass is longer than the allowed pause";
+  } else if (forecast.first_token_ms >
+             ToMilliseconds(requirements.objective) * options_.max_gap_share) {
+    forecast.drawback = "its first token would come too late";
+  }
+  return forecast;
+}
+
 std::optional<PlacementPlan> PlacementPolicy::ChoosePlain(
     TimePoint now, const std::vector<const EndpointState*>& candidates,
     uint64_t tie_seed) const {
@@ -218,10 +278,8 @@
     const CallRequirements& requirements, double total_prefill_ms) const {
   const double needed = static_cast<double>(
       (requirements.shape.prompt + requirements.shape.max_answer).value());
-  const double max_gap_ms = ToMilliseconds(requirements.max_gap);
-  const double max_pause_ms = max_gap_ms * options_.max_gap_share;
-  const double max_packed_ms = max_gap_ms * options_.packed_gap_share;
-  const double max_packed_calls = profile.slots * (1 - options_.slot_reserve);
+  const double max_packed_ms =
+      ToMilliseconds(requirements.max_gap) * options_.packed_gap_share;
   const auto has_room = [&](const EngineView& engine) {
     return engine.calls + 1 <= profile.slots && needed <= engine.free_tokens;
   };
@@ -232,25 +290,19 @@
   // engine that has room and short passes, then one that has room and stalls no
   // stream, then the one with the earliest first token.
   const auto score = [&](const EngineView& engine) {
-    const double pass_ms = engine.PassWith(total_prefill_ms);
-    const double first_token_ms =
-        engine.passes.rest_ms + pass_ms +
-        std::max(0.0, engine.calls + 1 - profile.slots) * kSlotPenaltyMs +
-        (needed > engine.free_tokens ? kMemoryPenaltyMs : 0);
+    const EndpointForecast forecast =
+        ForecastAlone(engine, profile, requirements, total_prefill_ms);
     const bool undisturbed =
-        engine.calls + 1 <= max_packed_calls && needed <= engine.free_tokens &&
-        pass_ms <= max_pause_ms &&
-        first_token_ms <=
-            ToMilliseconds(requirements.objective) * options_.max_gap_share &&
+        forecast.drawback == nullptr &&
         (!requirements.prefers_room || harmed_value(engine) <= 0);
     if (!undisturbed) {
       int tier = 2;
       if (requirements.prefers_room && harmed_value(engine) > 0) tier = 3;
       if (requirements.prefers_room && !has_room(engine)) tier = 4;
-      return std::tuple(tier, first_token_ms, engine.rank);
+      return std::tuple(tier, forecast.first_token_ms, engine.rank);
     }
-    if (options_.pack && pass_ms > max_packed_ms) {
-      return std::tuple(1, first_token_ms, engine.rank);
+    if (options_.pack && forecast.pass_ms > max_packed_ms) {
+      return std::tuple(1, forecast.first_token_ms, engine.rank);
     }
     double packed = options_.pack ? -engine.calls : engine.calls;
     if (engine.state->WantsTest()) packed -= profile.slots;
--- a/modules/zr_gateway/pool_dispatcher.cc
+++ b/modules/zr_gateway/pool_dispatcher.cc
@@ -33,7 +33,8 @@
                         requirements, random_.Next());
   if (service->engine) {
     const PrefillDecision decision =
-        DecidePrefill(now, *service->engine, request, requirements, plan);
+        DecidePrefill(now, *service->engine, request, requirements, plan,
+                      prefill_admissions_[request.pool]);
     if (decision == PrefillDecision::kDefer) reply.defer_for = kDeferInterval;
     reply.deadline_unreachable = decision == PrefillDecision::kRefuse;
     if (decision != PrefillDecision::kStart) return reply;
@@ -87,10 +88,46 @@
           request.pool, std::move(endpoints), load);
 }
 
+PlacementReport PoolDispatcher::Explain(TimePoint now,
+                                        const ServicePolicy& service,
+                                        const DispatchRequest& request) const {
+  const CallRequirements requirements = RequirementsOf(request);
+  PlacementReport report =
+      ExplainPlacement(now, placement_, tracker_, service, requirements);
+  if (!service.engine) return report;
+  const auto known = prefill_admissions_.find(request.pool);
+  PrefillAdmission policy =
+      known == prefill_admissions_.end() ? PrefillAdmission() : known->second;
+  const PrefillDecision decision = DecidePrefill(
+      now, *service.engine, request, requirements, report.plan, policy);
+  report.facts.emplace_back("mean_backlog_ms",
+                            tracker_.MeanBacklogMs(request.pool));
+  if (const PoolQueue* queue = QueueOf(request.pool)) {
+    report.facts.emplace_back("queue_length",
+                              static_cast<double>(queue->size()));
+    if (report.plan && !report.plan->undisturbed) {
+      report.decision = PlacementDecision::kWait;
+      report.reason =
+          "no engine would answer it in time without making others late, so it "
+          "waits in the queue of the pool";
+    }
+  }
+  if (decision == PrefillDecision::kDefer) {
+    report.decision = PlacementDecision::kWait;
+    report.reason =
+        "the engines' prefill time is worth more to other prompts; it asks "
+        "again every 200 ms";
+  } else if (decision == PrefillDecision::kRefuse) {
+    report.decision = PlacementDecision::kRefuse;
+    report.reason = "it can't be read and answered before its deadline";
+  }
+  return report;
+}
+
 PrefillDecision PoolDispatcher::DecidePrefill(
     TimePoint now, const EngineProfile& engine, const DispatchRequest& request,
     const CallRequirements& requirements,
-    const std::optional<PlacementPlan>& plan) {
+    const std::optional<PlacementPlan>& plan, PrefillAdmission& policy) const {
   PrefillCandidate prompt;
   prompt.prefill_ms = PrefillMilliseconds(engine, request.prompt);
   if (placement_.IsShortPrefill(prompt.prefill_ms) ||
@@ -106,7 +143,6 @@
       1000 * prompt.prefill_ms / static_cast<double>(readers)));
   prompt.objective_left = requirements.objective;
   prompt.time_left = requirements.time_left;
-  PrefillAdmission& policy = prefill_admissions_[request.pool];
   if (!request.deferred) policy.OnArrival(now, prompt.prefill_ms, prompt.value);
   if (!plan) return policy.DecideWithoutMemory(prompt);
   return policy.Decide(tracker_.MeanBacklogMs(request.pool), prompt);
--- a/modules/zr_gateway/pool_dispatcher.h
+++ b/modules/zr_gateway/pool_dispatcher.h
@@ -12,6 +12,7 @@
 #include "zr_gateway/gateway_config.h"
 #include "zr_gateway/lateness.h"
 #include "zr_gateway/placement_policy.h"
+#include "zr_gateway/placement_report.h"
 #include "zr_gateway/pool_queue.h"
 #include "zr_gateway/prefill_admission.h"
 #include "zr_gateway/refusal_memory.h"
@@ -88,6 +89,10 @@
     return std::exchange(events_, std::vector<QueueEvent>());
   }
 
+  /** Explains what OnDispatchRequest() would decide; changes nothing. */
+  PlacementReport Explain(TimePoint now, const ServicePolicy& service,
+                          const DispatchRequest& request) const;
+
   size_t calls() const { return calls_.size(); }
   /** Length of the queue of each pool that has had one. */
   std::map<PoolId, size_t> QueueLengths() const;
@@ -161,7 +166,8 @@
   PrefillDecision DecidePrefill(TimePoint now, const EngineProfile& engine,
                                 const DispatchRequest& request,
                                 const CallRequirements& requirements,
-                                const std::optional<PlacementPlan>& plan);
+                                const std::optional<PlacementPlan>& plan,
+                                PrefillAdmission& policy) const;
   void AddCall(TimePoint now, const CallKey& key, const PoolId& pool,
                CallEndpoints endpoints, const CallLoad& load);
   void RemoveCall(TimePoint now, const CallKey& key);
--- a/modules/zr_gateway/pool_dispatcher_queue.cc
+++ b/modules/zr_gateway/pool_dispatcher_queue.cc
@@ -175,7 +175,8 @@
   } else {
     DispatchRequest counted = call.request;
     counted.deferred = true;  // counted when it arrived
-    switch (DecidePrefill(now, pool.engine, counted, requirements, plan)) {
+    switch (DecidePrefill(now, pool.engine, counted, requirements, plan,
+                          prefill_admissions_[call.request.pool])) {
       case PrefillDecision::kDefer:
         return Attempt::kDefer;
       case PrefillDecision::kRefuse:
--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -119,6 +119,9 @@
                                &Format::WriteUseQuery, &Format::ReadUse});
 
   if (auto opened = OpenServers(); !opened) return opened;
+  if (auto served = ServeOperators(); !served) {
+    return tl::unexpected(served.error());
+  }
 
   ObjectStoreOptions store;
   store.address = settings_.store_address;
