--- a/modules/zr_gateway/tests/simulated_engines.h
+++ b/modules/zr_gateway/tests/simulated_engines.h
@@ -147,8 +147,9 @@
     for (const JobPtr& job : decoding) EmitEvent(now, engine, job);
     for (auto it = engine.segments.begin(); it != engine.segments.end();) {
       if (read(it->left_ms)) {
-        if (--it->job->segments_left == 0)
+        if (--it->job->segments_left == 0) {
           prefilled_.push_back(it->job->engine);
+        }
         it = engine.segments.erase(it);
       } else {
         ++it;
