--- a/modules/zr_gateway_host/gateway_settings.h
+++ b/modules/zr_gateway_host/gateway_settings.h
@@ -43,7 +43,7 @@
   /** Of engines and of services with a cold rate. */
   PaceMode pace = PaceMode::kLearned;
   /** Requests wait at their dispatcher in the order of PoolQueue. */
-  bool fair_queue = true;
+  bool fair_queue = false;
   /** Bounds what is held for callers that read slowly, and the bodies that are
    * in flight to an endpoint at once. */
   bool slow_readers = false;
--- a/tests/platform/pool_queue.py
+++ b/tests/platform/pool_queue.py
@@ -33,6 +33,7 @@
 
 
 def prepare(d):
+    d.settings = "queue.fair=on\n"
     d.version += 1
     config = configuration(d.version)
     config["services"][0]["engine"] = {**config["services"][0]["engine"], "slots": SLOTS}
