--- a/modules/zr_gateway/placement_policy.cc
+++ b/modules/zr_gateway/placement_policy.cc
@@ -194,8 +194,9 @@
                           PassMilliseconds(engine, streams, 0));
   }
   for (const CallLoad& call : state.calls) {
-    if (call.takes_slot && call.prefill_ms > 0)
+    if (call.takes_slot && call.prefill_ms > 0) {
       view.waiting_value += call.value;
+    }
   }
   const auto capacity = static_cast<double>(engine.kv_capacity.value());
   view.free_tokens = capacity * (1 - options_.kv_reserve) -
