--- a/modules/zr_gateway/endpoint_tracker.cc
+++ b/modules/zr_gateway/endpoint_tracker.cc
@@ -13,6 +13,9 @@
 // Short of the 5 that endpoints tolerate, as two dispatchers may place at once.
 constexpr double kLimitBurst = 2;
 constexpr double kLimitBurstSeconds = 0.25;
+// An engine that is busy for longer, as with a prompt of 800,000 tokens, is one
+// engine less for the others; it does not make all of them wait as long.
+constexpr double kMaxCountedBacklogMs = 1200;
 // An endpoint that takes no request would never say that it takes some again.
 constexpr double kMinLimit = 0.2;  // requests per second
 
@@ -391,7 +394,9 @@
   int count = 0;
   for (const auto& [id, state] : endpoints_) {
     if (state.listed.service != service || !AcceptsCalls(state)) continue;
-    for (const CallLoad& call : state.calls) sum += call.prefill_ms;
+    double backlog_ms = 0;
+    for (const CallLoad& call : state.calls) backlog_ms += call.prefill_ms;
+    sum += std::min(backlog_ms, kMaxCountedBacklogMs);
     ++count;
   }
   return count > 0 ? sum / count : 0;
--- a/modules/zr_gateway/tests/endpoint_tracker_test.cc
+++ b/modules/zr_gateway/tests/endpoint_tracker_test.cc
@@ -196,5 +196,33 @@
   }
 }
 
+// Guards against a single giant prompt that defers all other long prompts for
+// as long as its engines prefill it.
+TEST_CASE("A giant prompt counts in the backlog as engines that are busy") {
+  const auto at = [](int64_t ms) {
+    return TimePoint::FromMicroseconds(ms * 1000);
+  };
+  const ServiceName pool("giants");
+  EndpointTracker tracker;
+  for (const char* name : {"g1", "g2", "g3", "g4"}) {
+    ListedEndpoint listed;
+    listed.id = EndpointId(name);
+    listed.service = pool;
+    listed.address = std::string(name) + ":1";
+    tracker.Upsert(at(0), listed, 0);
+  }
+  CallLoad load;
+  load.key = {VmId("vm"), RequestId("r"), 1};
+  load.expires = at(60'000);
+  load.prefill_ms = 800;
+  tracker.OnStart(at(0), EndpointId("g1"), load);
+  // Counts until it is reported as done, however long that takes.
+  REQUIRE(tracker.MeanBacklogMs(pool) == 200);
+  load.key.request = RequestId("giant");
+  load.prefill_ms = 10'000;
+  tracker.OnStart(at(1), EndpointId("g2"), load);
+  REQUIRE(tracker.MeanBacklogMs(pool) == 500);
+}
+
 }  // namespace
 }  // namespace zr
