--- a/modules/zr_gateway/endpoint_tracker.cc
+++ b/modules/zr_gateway/endpoint_tracker.cc
@@ -402,6 +402,18 @@
   return count > 0 ? sum / count : 0;
 }
 
+double EndpointTracker::MeanForecastBacklogMs(
+    TimePoint now, const ServiceName& service) const {
+  double sum = 0;
+  int count = 0;
+  for (const auto& [id, state] : endpoints_) {
+    if (state.listed.service != service || !AcceptsCalls(state)) continue;
+    sum += state.BacklogMs(now);
+    ++count;
+  }
+  return count > 0 ? sum / count : 0;
+}
+
 size_t EndpointTracker::CountActive(const ServiceName& service) const {
   return static_cast<size_t>(std::count_if(
       endpoints_.begin(), endpoints_.end(), [&](const auto& entry) {
--- a/modules/zr_gateway/endpoint_tracker.h
+++ b/modules/zr_gateway/endpoint_tracker.h
@@ -276,6 +276,8 @@
    * the overload.
    */
   double MeanBacklogMs(const ServiceName& service) const;
+  /** The same with the prefill that is forecast to be left. */
+  double MeanForecastBacklogMs(TimePoint now, const ServiceName& service) const;
   size_t size() const { return endpoints_.size(); }
   const std::unordered_map<EndpointId, EndpointState>& endpoints() const {
     return endpoints_;
--- a/modules/zr_gateway/placement_policy.cc
+++ b/modules/zr_gateway/placement_policy.cc
@@ -184,6 +184,18 @@
   view.state = &state;
   view.calls = EstimateCalls(now, state);
   view.now = now;
+  const auto capacity = static_cast<double>(engine.kv_capacity.value());
+  const double held = static_cast<double>(state.KvInUse().value());
+  view.free_tokens = capacity * (1 - options_.kv_reserve) - held;
+  view.rank = TieBreak(state, tie_seed);
+  if (!options_.forecast_passes) {
+    view.passes.prefill_ms = view.passes.segments_ms = state.BacklogMs(now);
+    view.passes.decode_ms =
+        PassMilliseconds(engine, static_cast<int>(view.calls),
+                         view.calls > 0 ? held / view.calls : 0);
+    view.passes.began = now;
+    return view;
+  }
   view.passes = ForecastPasses(now, state, engine);
   // Calls that other VMs have placed by themselves are known by number only.
   const int unknown = static_cast<int>(view.calls) - state.OccupiedSlots();
@@ -198,10 +210,6 @@
       view.waiting_value += call.value;
     }
   }
-  const auto capacity = static_cast<double>(engine.kv_capacity.value());
-  view.free_tokens = capacity * (1 - options_.kv_reserve) -
-                     static_cast<double>(state.KvInUse().value());
-  view.rank = TieBreak(state, tie_seed);
   return view;
 }
 
@@ -249,7 +257,8 @@
              ToMilliseconds(requirements.max_gap) * options_.max_gap_share) {
     forecast.drawback = "its next pass is longer than the allowed pause";
   } else if (forecast.first_token_ms >
-             ToMilliseconds(requirements.objective) * options_.max_gap_share) {
+             ToMilliseconds(requirements.objective) *
+                 (options_.forecast_passes ? options_.max_gap_share : 1)) {
     forecast.drawback = "its first token would come too late";
   }
   return forecast;
@@ -302,7 +311,8 @@
       if (requirements.prefers_room && !has_room(engine)) tier = 4;
       return std::tuple(tier, forecast.first_token_ms, engine.rank);
     }
-    if (options_.pack && forecast.pass_ms > max_packed_ms) {
+    if (options_.pack && options_.forecast_passes &&
+        forecast.pass_ms > max_packed_ms) {
       return std::tuple(1, forecast.first_token_ms, engine.rank);
     }
     double packed = options_.pack ? -engine.calls : engine.calls;
@@ -402,10 +412,12 @@
     const auto preference = [&](const Candidate& candidate) {
       const EngineView& engine = *candidate.engine;
       const bool fits = needed <= engine.free_tokens;
-      return std::tuple(engine.state->limit.has_value(),
-                        !requirements.prefers_room || has_slot(candidate), fits,
-                        fits ? -engine.passes.prefill_ms : 0.0,
-                        engine.free_tokens);
+      return std::tuple(
+          engine.state->limit.has_value(),
+          !requirements.prefers_room || has_slot(candidate),
+          options_.forecast_passes && fits,
+          options_.forecast_passes && fits ? -engine.passes.prefill_ms : 0.0,
+          engine.free_tokens);
     };
     std::stable_sort(candidates.begin(), candidates.end(),
                      [&](const Candidate& a, const Candidate& b) {
--- a/modules/zr_gateway/placement_policy.h
+++ b/modules/zr_gateway/placement_policy.h
@@ -158,11 +158,16 @@
     /** Requests that short prompts leave to long ones within the limit that an
      * engine names. */
     double limit_spare = 1;
+    /** Uses ForecastPasses(); otherwise prompts count as prefilled one after
+     * the other from the time at which they are placed. */
+    bool forecast_passes = true;
   };
 
   PlacementPolicy() : PlacementPolicy(Options{}) {}
   explicit PlacementPolicy(Options options) : options_(options) {}
 
+  /** See Options::forecast_passes. */
+  bool forecasts_passes() const { return options_.forecast_passes; }
   /** A prompt with this prefill time is not split. */
   bool IsShortPrefill(double total_prefill_ms) const {
     return total_prefill_ms <= options_.max_unsplit_prefill_ms;
--- a/modules/zr_gateway/pool_dispatcher.cc
+++ b/modules/zr_gateway/pool_dispatcher.cc
@@ -145,7 +145,10 @@
   prompt.time_left = requirements.time_left;
   if (!request.deferred) policy.OnArrival(now, prompt.prefill_ms, prompt.value);
   if (!plan) return policy.DecideWithoutMemory(prompt);
-  return policy.Decide(tracker_.MeanBacklogMs(request.pool), prompt);
+  return policy.Decide(placement_.forecasts_passes()
+                           ? tracker_.MeanBacklogMs(request.pool)
+                           : tracker_.MeanForecastBacklogMs(now, request.pool),
+                       prompt);
 }
 
 void PoolDispatcher::AddCall(TimePoint now, const CallKey& key,
--- a/modules/zr_gateway_host/gateway_settings.h
+++ b/modules/zr_gateway_host/gateway_settings.h
@@ -41,9 +41,11 @@
   /** Retries of a service per window, as a share of its requests on all VMs. */
   double retry_ratio = 0.2;
   /** Of engines and of services with a cold rate. */
-  PaceMode pace = PaceMode::kLearned;
+  PaceMode pace = PaceMode::kFixed;
   /** Requests wait at their dispatcher in the order of PoolQueue. */
   bool fair_queue = false;
+  /** See PlacementPolicy::Options::forecast_passes; applies from the start. */
+  bool forecast_passes = false;
   /** Bounds what is held for callers that read slowly, and the bodies that are
    * in flight to an endpoint at once. */
   bool slow_readers = false;
--- a/modules/zr_gateway_host/gateway_state.h
+++ b/modules/zr_gateway_host/gateway_state.h
@@ -35,6 +35,10 @@
         log(settings.vm.value()),
         answer_buffers(MemoryAccount::AnswerBytes(settings.memory_bytes)),
         freshness(settings.revocation_bound - kWatchGap, settings.config_bound),
+        placement(PlacementPolicy::Options{.forecast_passes =
+                                               settings.forecast_passes}),
+        local_placement(PlacementPolicy::Options{
+            .pack = false, .forecast_passes = settings.forecast_passes}),
         random(Hash64(settings.callers_address)),
         retry_ratio(settings.retry_ratio),
         vm(settings.vm),
@@ -72,11 +76,11 @@
   bool endpoints_known = false;  // the first list of endpoints was read
   ConfigFreshness freshness;
   EndpointTracker tracker;
-  PlacementPolicy
-      placement;  // of the dispatcher, which knows the calls of all VMs
+  /** Of the dispatcher, which knows the calls of all VMs. */
+  PlacementPolicy placement;
   /** Used without a dispatcher. Knows only the calls of this VM, so it spreads
    * them instead of packing them. */
-  PlacementPolicy local_placement{PlacementPolicy::Options{.pack = false}};
+  PlacementPolicy local_placement;
   Random random;
   double retry_ratio;
   std::unordered_map<ServiceName, RetryBudget> budgets;
