--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -6,6 +6,7 @@
 import json
 import os
 import re
+import signal
 import socket
 import sys
 import threading
@@ -52,9 +53,16 @@
             self.file.flush()
 
 
+def stop_in_order(*_):
+    """Ends the case when it takes too long, and the processes that it started."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    sys.exit("takes too long")
+
+
 def run_case(folder, test, prepare=lambda deployment: None, **options):
     """Runs test(deployment, record); it returns what broke the rule, or None."""
     record = Record(folder)
+    signal.signal(signal.SIGTERM, stop_in_order)
     record(f"TROUBLE={os.environ.get('TROUBLE', '1')}")
     code, deployment = 2, None
     try:
