--- a/review/6/case.py
+++ b/review/6/case.py
@@ -63,7 +63,7 @@
             thread.join()
 
     def round(self):
-        self.requests(90, 0.003)
+        self.requests(60, 0.008)
         time.sleep(PAUSE_S)
         self.requests(6, 0.07)
 
