--- a/tests/platform/crowd.py
+++ b/tests/platform/crowd.py
@@ -37,22 +37,22 @@
     return CALLERS.tiny_chunks(port, "/stream/x")
 
 
-def restart(d):
-    d.processes[0].kill()
-    d.processes[0].wait()
-    d.start(0)
-    wait_until("the VM is ready", lambda: d.ready(0))
-    return Watch(d.processes[0].pid, [d.port(0, n) for n in range(4)])
+def restart(d, vm=0):
+    d.processes[vm].kill()
+    d.processes[vm].wait()
+    d.start(vm)
+    wait_until("the VM is ready", lambda: d.ready(vm))
+    return Watch(d.processes[vm].pid, [*(d.port(vm, n) for n in range(4)), d.operators_port(vm)])
 
 
-def served(d, key="key-1"):
-    return d.call(0, "GET", "/many/x", f"ordinary-{time.monotonic()}", key=key,
+def served(d, key="key-1", vm=0):
+    return d.call(vm, "GET", "/many/x", f"ordinary-{time.monotonic()}", key=key,
                   timeout=20).status == 200
 
 
-def crowd(d, shape, offset, name):
+def crowd(d, shape, port, name, memory_mb=MEMORY_MB, max_fds=MAX_FDS, max_sockets=None):
     watch = restart(d)
-    clients = shape(d.port(0, offset))
+    clients = shape(port)
     wait_for(clients, watch.ports)
     check(d.processes[0].poll() is None, f"the process has ended: {name}")
     failures = []
@@ -61,7 +61,7 @@
         wait_until("the probe is answered", lambda: d.ready(0), 30)
     except AssertionError as error:
         failures.append(f"{name}: {error}")
-    return failures + watch.failures(name, MEMORY_MB, MAX_FDS)
+    return failures + watch.failures(name, memory_mb, max_fds, max_sockets)
 
 
 def largest_requests(d):
@@ -108,7 +108,7 @@
         for shape in [*CALLERS.shapes(), streams_in_tiny_chunks][:None if offset == 0 else -1]:
             name = f"{shape.__name__} at the port of {where}"
             if not names or shape.__name__ in names or where in names:
-                failures += crowd(d, shape, offset, name)
+                failures += crowd(d, shape, d.port(0, offset), name)
     for step in (largest_requests, stop_and_change):
         if not names or step.__name__ in names:
             failures += step(d)
@@ -120,4 +120,5 @@
     return d
 
 
-main(test, prepare, vms=2)
+if __name__ == "__main__":
+    main(test, prepare, vms=2)
--- a/tests/platform/crowd_clients.py
+++ b/tests/platform/crowd_clients.py
@@ -26,13 +26,24 @@
     return total
 
 
+def count_sockets(folder, names):
+    """Sockets and pipes among the descriptors."""
+    count = 0
+    for name in names:
+        try:
+            count += os.readlink(os.path.join(folder, name)).startswith(("socket:", "pipe:"))
+        except OSError:
+            pass  # closed meanwhile
+    return count
+
+
 class Watch(threading.Thread):
     """Peak of a process's private memory with its unread bytes, and of its open descriptors."""
 
     def __init__(self, pid, ports):
         super().__init__(daemon=True)
         self.pid, self.ports = pid, ports
-        self.peak_mb, self.peak_fds, self.ended = 0, 0, False
+        self.peak_mb, self.peak_fds, self.peak_sockets, self.ended = 0, 0, 0, False
         self.start()
 
     def run(self):
@@ -42,23 +53,30 @@
                 with open(f"/proc/{self.pid}/status") as status:
                     held = next(int(line.split()[1]) for line in status
                                 if line.startswith("RssAnon")) * 1024
-                self.peak_fds = max(self.peak_fds, len(os.listdir(f"/proc/{self.pid}/fd")))
-                held += unread_bytes(self.ports) if count % 10 == 0 else 0
+                names = os.listdir(f"/proc/{self.pid}/fd")
+                self.peak_fds = max(self.peak_fds, len(names))
+                if count % 10 == 0:
+                    held += unread_bytes(self.ports)
+                    self.peak_sockets = max(self.peak_sockets, count_sockets(
+                        f"/proc/{self.pid}/fd", names))
             except (OSError, StopIteration):
                 return
             self.peak_mb = max(self.peak_mb, held / (1 << 20))
             count += 1
             time.sleep(SAMPLE_S)
 
-    def failures(self, name, memory_mb, max_fds):
+    def failures(self, name, memory_mb, max_fds, max_sockets=None):
         """Ends the watch; what exceeded its bound."""
         self.ended = True
-        print(f"  {name}: {self.peak_mb:.0f} MB, {self.peak_fds} descriptors", flush=True)
+        print(f"  {name}: {self.peak_mb:.0f} MB, {self.peak_fds} descriptors, "
+              f"{self.peak_sockets} sockets", flush=True)
         failures = []
         if self.peak_mb >= memory_mb:
             failures.append(f"{name}: {self.peak_mb:.0f} MB of {memory_mb}")
         if self.peak_fds >= max_fds:
             failures.append(f"{name}: {self.peak_fds} descriptors of {max_fds}")
+        if max_sockets is not None and self.peak_sockets > max_sockets:
+            failures.append(f"{name}: {self.peak_sockets} sockets of {max_sockets}")
         return failures
 
 
--- /dev/null
+++ b/tests/platform/crowd_ports.py
@@ -0,0 +1,204 @@
+#!/usr/bin/env python3
+"""Crowds at the ports of links, tunnels and operators, and at all ports at once, must not end a
+process by memory or descriptors, nor keep true VMs from linking to it."""
+
+import json
+import select
+import socket
+import sys
+import threading
+
+import crowd as callers
+from crowd import BODY_BYTES, CALLERS, CROWD, crowd, restart, served
+from crowd_clients import STALL_S, wait_for
+from deployment import check, main, route, signal, wait_until
+from link_crowd import LinkCrowd, hello, upgrade
+
+# Limits of the VM, lowered so that a small crowd exceeds them; 200 descriptors are for files.
+MEMORY_MB, MAX_FDS, FILE_DESCRIPTORS = 64, 400, 200
+MAX_SOCKETS = MAX_FDS - FILE_DESCRIPTORS
+# With a crowd at each port and the largest configuration, the limits of the smallest VM's memory.
+ALL_MEMORY_MB, ALL_MAX_FDS = 112, 600
+MESSAGES = 96  # links that send a message of the largest size
+IDLE = 420  # more than the descriptors
+ROUTES = 2000
+LINKS, TUNNELS = 2, 3  # offsets of the ports
+POOL = "llm"
+OPERATOR_TOKEN = "token-of-the-operators"
+
+LINK_CROWD = LinkCrowd(BODY_BYTES, CROWD, MESSAGES, IDLE)
+
+
+def begun_tunnels(port):
+    """More connections than descriptors that stop within their request."""
+    return LINK_CROWD.connections(port, b"\4\1\0\0\0\0\0\0token")
+
+
+def wrong_tunnels(port):
+    return LINK_CROWD.connections(port, b"\4\1\0\0\0\0\0\0a-wrong-token endpoint\0")
+
+
+def links(d, wanted):
+    return shapes_at(d, [*CALLERS.shapes(), *LINK_CROWD.shapes()], d.port(0, LINKS), "links",
+                     wanted)
+
+
+def tunnels(d, wanted):
+    return shapes_at(d, [*CALLERS.shapes(), begun_tunnels, wrong_tunnels], d.port(0, TUNNELS),
+                     "tunnels", wanted)
+
+
+def operators(d, wanted):
+    return shapes_at(d, CALLERS.shapes(), d.operators_port(0), "operators", wanted)
+
+
+def shapes_at(d, shapes, port, where, wanted):
+    failures = []
+    for shape in shapes:
+        if not wanted or shape.__name__ in wanted:
+            failures += crowd(d, shape, port, f"{shape.__name__} at the port of {where}",
+                              MEMORY_MB, MAX_FDS, MAX_SOCKETS)
+    return failures
+
+
+#===================================================================================================
+# All ports
+
+
+def at_all_ports(d, vm=0):
+    clients = CALLERS.mixed(d.port(vm, 0))
+    for port in (d.port(vm, 1), d.operators_port(vm)):
+        clients += CALLERS.mixed(port) + CALLERS.idle_connections(port)
+    clients += begun_tunnels(d.port(vm, TUNNELS))
+    for shape in (LINK_CROWD.messages_short_of_their_end, LINK_CROWD.pings_without_reading,
+                  LINK_CROWD.upgrades_with_bodies, LINK_CROWD.unproved_links):
+        clients += shape(d.port(vm, LINKS))
+    return clients + CALLERS.idle_connections(d.port(vm, 0))
+
+
+def all_ports(d, _):
+    """The sum over all sockets, with the largest configuration in force."""
+    d.version += 1
+    d.store.put("config", "main", callers.configuration(d.version, extra_routes=[
+        route(f"filler-{n}", f"/filler-{n}/", "idempotent", "plain") for n in range(ROUTES)]))
+    bounds = (ALL_MEMORY_MB, ALL_MAX_FDS, ALL_MAX_FDS - FILE_DESCRIPTORS)
+    failures = crowd(d, lambda _: at_all_ports(d), 0, "all ports", *bounds)
+    watch = restart(d)
+    clients = at_all_ports(d)
+    d.signal(0, signal.SIGTERM)
+    code = d.processes[0].wait(60)
+    if code != 0:
+        failures.append(f"exit code {code} after SIGTERM")
+    wait_for(clients)
+    d.start(0)
+    return failures + watch.failures("stop beside a crowd at all ports", *bounds)
+
+
+#===================================================================================================
+# Links of true VMs
+
+
+class ReturningLinks(threading.Thread):
+    """Links without a proof that come again as soon as they are closed."""
+
+    def __init__(self, port):
+        super().__init__(daemon=True)
+        self.port, self.ended = port, False
+        self.start()
+
+    def run(self):
+        open_links, poll = {}, select.poll()
+        while not self.ended:
+            for _ in range(IDLE - len(open_links)):
+                try:
+                    channel = socket.create_connection(("127.0.0.1", self.port), STALL_S)
+                    channel.sendall(upgrade() + hello())
+                except OSError:
+                    break
+                open_links[channel.fileno()] = channel
+                poll.register(channel, select.POLLIN)
+            for number, _ in poll.poll(100):
+                try:
+                    closed = not open_links[number].recv(4096)
+                except OSError:
+                    closed = True
+                if closed:
+                    poll.unregister(number)
+                    open_links.pop(number).close()
+        for channel in open_links.values():
+            channel.close()
+
+
+def events(d, vm, start=0):
+    """Events of a VM's log from a position on."""
+    found = []
+    for line in d.log(vm)[start:].splitlines():
+        try:
+            found.append(json.loads(line))
+        except ValueError:
+            pass  # the line is being written
+    return [event for event in found if isinstance(event, dict)]
+
+
+def dispatcher(d, vm, start=0):
+    """Name of the VM that the given one takes for the dispatcher."""
+    names = [event["now"] for event in events(d, vm, start)
+             if event.get("event") == "dispatcher" and event.get("pool") == POOL]
+    return names[-1] if names else ""
+
+
+def true_links(d, _):
+    """Links of true VMs stay, and a VM that has just started reaches the dispatcher, beside links
+    without a proof at the ports of both."""
+    wait_until("a dispatcher is known to both VMs",
+               lambda: dispatcher(d, 0) and dispatcher(d, 0) == dispatcher(d, 1))
+    victim = int(dispatcher(d, 0).removeprefix("vm-"))
+    other = 1 - victim
+    name = f"vm-{victim}"
+    start = len(d.log(other))
+    watch = restart(d, victim)
+    wait_until("the VMs are linked", lambda: dispatcher(d, other, start) == name)
+    before = len(d.log(other))
+    crowds = [ReturningLinks(d.port(vm, LINKS)) for vm in (victim, other)]
+    failures = []
+
+    def dispatched(vm, log_start):
+        d.call(vm, "GET", "/stream/x", f"stream-{len(d.log(vm))}")
+        return any(event.get("by") == "dispatcher" for event in events(d, vm, log_start))
+
+    try:
+        for _ in range(20):
+            wait_until("a stream is dispatched", lambda: dispatched(other, before))
+        if any(event.get("event") == "peer_down" for event in events(d, other, before)):
+            failures.append("a link between true VMs was closed")
+        after = len(d.log(other))
+        restart(d, other).ended = True
+        wait_until("a started VM reaches the dispatcher",
+                   lambda: dispatcher(d, other, after) == name)
+        wait_until("a stream of the started VM is dispatched", lambda: dispatched(other, after))
+        wait_until("an ordinary request is answered", lambda: served(d, vm=victim))
+    except AssertionError as error:
+        failures.append(str(error))
+    for links_of_crowd in crowds:
+        links_of_crowd.ended = True
+    return failures + watch.failures("true links", MEMORY_MB, MAX_FDS, MAX_SOCKETS)
+
+
+STEPS = {step.__name__: step for step in (links, tunnels, operators, all_ports, true_links)}
+
+
+def test(d):
+    step, wanted = STEPS[sys.argv[2]], sys.argv[3:]
+    failures = step(d, wanted)
+    check(not failures, "; ".join(failures))
+
+
+def prepare(d):
+    memory, descriptors = ((ALL_MEMORY_MB, ALL_MAX_FDS) if sys.argv[2] == "all_ports"
+                           else (MEMORY_MB, MAX_FDS))
+    d.settings = f"limits.memoryMb={memory}\nlimits.maxFds={descriptors}\n"
+    d.operator_token = OPERATOR_TOKEN
+    return d
+
+
+main(test, prepare, vms=2)
--- a/tests/system/crowd.py
+++ b/tests/system/crowd.py
@@ -54,7 +54,7 @@
                  [cluster.caller(0), cluster.operator(0), cluster.peer(0)])
 
 
-def crowd(cluster, shape, port, name):
+def crowd(cluster, shape, port, name, max_fds=MAX_FDS, max_sockets=None):
     watch = restart(cluster)
     clients = shape(port)
     wait_for(clients, watch.ports)
@@ -64,7 +64,7 @@
         wait_until("an ordinary request is answered", lambda: ordinary(cluster), 40)
     except AssertionError as error:
         failures.append(f"{name}: {error}")
-    return failures + watch.failures(name, MEMORY_MB, MAX_FDS)
+    return failures + watch.failures(name, MEMORY_MB, max_fds, max_sockets)
 
 
 def stop(cluster):
@@ -94,4 +94,5 @@
         check(not failures, "; ".join(failures))
 
 
-main(test)
+if __name__ == "__main__":
+    main(test)
--- a/tests/system/harness.py
+++ b/tests/system/harness.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -103,6 +104,7 @@
         self.dir = tempfile.mkdtemp(prefix="zr-system-")
         self.processes, self.vms = [], {}
         self.limits = "max_body_bytes = 1048576\n"  # lines of the settings section
+        self.max_descriptors = None  # of a daemon, where it differs from that of the test
 
     def __enter__(self):
         try:
@@ -126,10 +128,14 @@
     def peer(self, vm):
         return self.base + 22 + 3 * vm
 
-    def spawn(self, program, *flags, log):
+    def spawn(self, program, *flags, log, max_descriptors=None):
+        def limit():
+            resource.setrlimit(resource.RLIMIT_NOFILE, (max_descriptors, max_descriptors))
+
         with open(os.path.join(self.dir, log + ".log"), "ab") as file:
             process = subprocess.Popen([os.path.join(BUILD, program), *flags], stderr=file,
-                                       stdout=file, stdin=subprocess.DEVNULL)
+                                       stdout=file, stdin=subprocess.DEVNULL,
+                                       preexec_fn=limit if max_descriptors else None)
         self.processes.append(process)
         return process
 
@@ -182,7 +188,7 @@
 [limits]
 {self.limits}""")
         self.vms[vm] = self.spawn("apps/zinniarilld/zinniarilld", f"--settings={path}",
-                                  log=f"vm-{vm}")
+                                  log=f"vm-{vm}", max_descriptors=self.max_descriptors)
 
     def wait_ready(self):
         for vm in range(self.vm_count):
