Links: bound what is read before the proof of the key

Callers saw: clients without the key at the port of links end a process. Cause: the websocket library reads an upgrade's body of 32 MB, 16,000 bytes of head, messages of 1 MiB and control frames, whose replies it queues without bound, before anybody has proved who sends. Neither the number of such links nor the time after the upgrade was bounded, and no listener counted the sockets of the others. Change: until the proof a link reads 1,024 bytes in all (LimitedStream, under the library) and messages of that size, and has 5 s. Of more such links than SocketShares allows, the oldest gives way. Metrics zr_unproved_links and zr_link_refusals_total, log line links_refused, once a second at most. Why it works: a VM needs 368 bytes at most and few round trips, so the oldest link without a proof is the least likely to be a VM's; a VM dials again.

--- a/modules/zr_base/memory_account.cc
+++ b/modules/zr_base/memory_account.cc
@@ -21,12 +21,16 @@
 constexpr size_t kMinClientBytes = size_t{12} << 20;
 
 size_t Rest(size_t vm_bytes) {
-  if (vm_bytes == 0) vm_bytes = kSmallestVm;
+  vm_bytes = MemoryAccount::VmBytes(vm_bytes);
   return vm_bytes - std::min(vm_bytes, kProgramBytes);
 }
 
 }  // namespace
 
+size_t MemoryAccount::VmBytes(size_t vm_bytes) {
+  return vm_bytes == 0 ? kSmallestVm : vm_bytes;
+}
+
 size_t MemoryAccount::ClientBytes(size_t vm_bytes) {
   return std::max(kMinClientBytes, Rest(vm_bytes) / 100 * kClientPercent);
 }
--- a/modules/zr_base/zr_base.h
+++ b/modules/zr_base/zr_base.h
@@ -16,6 +16,7 @@
 #include "zr_base/log_level.h"
 #include "zr_base/memory_account.h"
 #include "zr_base/random.h"
+#include "zr_base/socket_shares.h"
 #include "zr_base/time.h"
 #include "zr_base/token_bucket.h"
 #include "zr_base/token_count.h"
--- a/modules/zr_daemon/net/message_bus.cc
+++ b/modules/zr_daemon/net/message_bus.cc
@@ -38,6 +38,14 @@
   Log(LogLevel::kDebug, "peer", "Link to " + vm.value() + " is down.");
 }
 
+void MessageBus::OnLinksRefused(const char* reason, uint64_t count) {
+  context_.metrics.Count("zr_link_refusals_total", {{"reason", reason}},
+                         static_cast<double>(count));
+  Log(LogLevel::kWarning, "links_refused",
+      std::to_string(count) + " links ended without a proof of the key (" +
+          reason + ").");
+}
+
 void MessageBus::OnPeerMessage(const VmId& vm, std::string_view payload) {
   auto message = DecodeMessage(std::span(
       reinterpret_cast<const uint8_t*>(payload.data()), payload.size()));
--- a/modules/zr_daemon/net/message_bus.h
+++ b/modules/zr_daemon/net/message_bus.h
@@ -34,6 +34,7 @@
   void OnPeerUp(const VmId& vm, Incarnation incarnation) override;
   void OnPeerDown(const VmId& vm) override;
   void OnPeerMessage(const VmId& vm, std::string_view payload) override;
+  void OnLinksRefused(const char* reason, uint64_t count) override;
 
   NodeContext& context_;
   std::shared_ptr<PeerLinks> links_;
--- a/modules/zr_daemon/node.cc
+++ b/modules/zr_daemon/node.cc
@@ -87,6 +87,7 @@
   peer.incarnation = context_.incarnation;
   peer.listen_address = settings_.peer_listener.ToString();
   peer.key = settings_.peer_key;
+  peer.max_unproved_links = Sockets().unproved_links;
   auto links = PeerLinks::Start(io_, peer, bus_);
   if (!links) return tl::unexpected(links.error());
   links_ = *links;
--- a/modules/zr_daemon/node.h
+++ b/modules/zr_daemon/node.h
@@ -60,6 +60,8 @@
   void AnswerBaseline(const VmId& from, const AdmissionRequest& request);
   void ScheduleHeldGrants();
   Result<void> OpenServers();
+  /** Sockets of the process by the system's limit. */
+  SocketShares Sockets() const;
   ClientGuardOptions GuardOptions(bool callers) const;
   void LogRefusal(const ClientRefusal& refusal);
   void UpdateClientMetrics();
--- a/modules/zr_daemon/node_clients.cc
+++ b/modules/zr_daemon/node_clients.cc
@@ -1,17 +1,12 @@
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <string>
 
 #include "zr_daemon/node.h"
+#include "zr_http/server/descriptor_limit.h"
 
 namespace zr {
 namespace {
 
-// Descriptors that are kept for files and the object API.
-constexpr size_t kKeptDescriptors = 200;
-// Of the others, one is for a caller and one for its call or a link.
-constexpr size_t kDescriptorsPerCaller = 2;
 constexpr size_t kMinConnections = 16;
 constexpr size_t kOperatorConnections = 64;
 // Part of the clients' memory that callers cannot take from operators.
@@ -54,17 +49,16 @@
   return {};
 }
 
+SocketShares Node::Sockets() const {
+  return SocketShares::Of(DescriptorLimit(0),
+                          static_cast<size_t>(settings_.memory_mb) << 20,
+                          kOperatorConnections);
+}
+
 ClientGuardOptions Node::GuardOptions(bool callers) const {
   const size_t memory = MemoryAccount::ClientBytes(
       static_cast<size_t>(settings_.memory_mb) << 20);
-  rlimit limit{};
-  size_t allowed = kMinConnections;
-  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
-    const auto descriptors = static_cast<size_t>(limit.rlim_cur);
-    allowed = std::max(kMinConnections,
-                       (descriptors - std::min(descriptors, kKeptDescriptors)) /
-                           kDescriptorsPerCaller);
-  }
+  const size_t allowed = std::max(kMinConnections, Sockets().callers);
   ClientGuardOptions options;
   options.memory_bytes = std::max(
       callers ? memory - memory / kOperatorShare : memory / kOperatorShare,
@@ -95,6 +89,8 @@
 void Node::UpdateClientMetrics() {
   const ClientGuard::Usage callers = caller_guard_->usage();
   const ClientGuard::Usage operators = operator_guard_->usage();
+  metrics_.Set("zr_unproved_links", {},
+               static_cast<double>(links_->unproved()));
   metrics_.Set(
       "zr_client_connections", {},
       static_cast<double>(callers.connections + operators.connections));
--- a/modules/zr_gateway_host/dispatch_client.cc
+++ b/modules/zr_gateway_host/dispatch_client.cc
@@ -83,6 +83,7 @@
   options.listen_address = settings_.peers_address;
   options.key = key;
   options.max_buffered_bytes = kMaxLinkBytes;
+  options.max_unproved_links = settings_.Sockets().unproved_links;
   auto links = PeerLinks::Start(io_, options, weak_from_this());
   if (!links) return tl::unexpected(links.error());
   links_ = std::move(*links);
@@ -554,6 +555,13 @@
   for (const DispatchKey& key : lost) CompleteDispatch(key, std::nullopt);
 }
 
+void DispatchClient::OnLinksRefused(const char* reason, uint64_t count) {
+  state_.log.Write(BootNow(), "links_refused",
+                   {{"reason", reason}, {"count", count}});
+  state_.metrics.Count("zr_link_refusals_total", {{"reason", reason}},
+                       static_cast<double>(count));
+}
+
 void DispatchClient::OnPeerMessage(const VmId& vm, std::string_view payload) {
   const TimePoint now = BootNow();
   auto message = DecodeMessage(std::span(
--- a/modules/zr_gateway_host/dispatch_client.h
+++ b/modules/zr_gateway_host/dispatch_client.h
@@ -49,6 +49,8 @@
   }
   /** Opens the links; @returns an error if the address cannot be bound */
   Result<void> Start(const std::string& key);
+  /** Number of incoming links without a proof of the key. */
+  size_t unproved_links() const { return links_ ? links_->unproved() : 0; }
   /** Sets the key of links that are opened from now on. */
   void SetKey(const std::string& key) { links_->SetKey(key); }
   bool started() const { return links_ != nullptr; }
@@ -111,6 +113,7 @@
   void OnPeerUp(const VmId& vm, Incarnation incarnation) override;
   void OnPeerDown(const VmId& vm) override;
   void OnPeerMessage(const VmId& vm, std::string_view payload) override;
+  void OnLinksRefused(const char* reason, uint64_t count) override;
 
   DispatchReply Dispatch(TimePoint now, const VmId& vm,
                          const DispatchRequest& call);
--- a/modules/zr_gateway_host/gateway_clients_impl.h
+++ b/modules/zr_gateway_host/gateway_clients_impl.h
@@ -2,32 +2,16 @@
 
 // Implementation of gateway_node.h: listeners and limits on their clients.
 
-#include <sys/resource.h>
-
 #include <algorithm>
 
 namespace zr {
 namespace gateway_internal {
 
-// Descriptors that are kept for files and the store.
-inline constexpr size_t kKeptDescriptors = 200;
-// Of the others, one is for a client and one for its call, a link or a tunnel.
-inline constexpr size_t kDescriptorsPerClient = 2;
 inline constexpr size_t kMinClientConnections = 64;
-// Probes and readers of metrics, apart from the callers' connections.
-inline constexpr size_t kProbeConnections = 32;
 inline constexpr size_t kProbeBodyBytes = size_t{4} << 10;
 // Part of the clients' memory that callers cannot take from the probes.
 inline constexpr size_t kProbeShare = 16;
 
-/** Descriptors that the process may open, also by the system's limit. */
-inline size_t DescriptorLimit(size_t configured) {
-  rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return configured;
-  const auto allowed = static_cast<size_t>(limit.rlim_cur);
-  return configured == 0 ? allowed : std::min(configured, allowed);
-}
-
 }  // namespace gateway_internal
 
 template <GatewayFormat Format>
@@ -69,7 +53,6 @@
   const ClientLimits limits =
       state_.config ? state_.config->limits() : ClientLimits{};
   const size_t memory = MemoryAccount::ClientBytes(settings_.memory_bytes);
-  const size_t descriptors = DescriptorLimit(settings_.max_descriptors);
   ClientGuardOptions options;
   options.memory_bytes =
       callers ? std::max(memory - memory / kProbeShare,
@@ -77,11 +60,8 @@
                                                    limits.max_body_bytes, 1}))
               : memory / kProbeShare;
   options.max_connections =
-      callers
-          ? std::max(kMinClientConnections,
-                     (descriptors - std::min(descriptors, kKeptDescriptors)) /
-                         kDescriptorsPerClient)
-          : kProbeConnections;
+      callers ? std::max(kMinClientConnections, settings_.Sockets().callers)
+              : kProbeConnections;
   options.max_connections_per_address = options.max_connections;
   options.head_timeout = limits.header_timeout;
   options.body_timeout = limits.idle_timeout;
@@ -112,6 +92,8 @@
 void GatewayNode<Format>::UpdateClientMetrics() {
   const ClientGuard::Usage callers = caller_guard_->usage();
   const ClientGuard::Usage probes = probe_guard_->usage();
+  metrics_.Set("zr_unproved_links", {},
+               static_cast<double>(dispatch_->unproved_links()));
   metrics_.Set("zr_client_connections", {},
                static_cast<double>(callers.connections + probes.connections));
   metrics_.Set(
--- a/modules/zr_gateway_host/gateway_settings.h
+++ b/modules/zr_gateway_host/gateway_settings.h
@@ -5,9 +5,13 @@
 
 #include "zr_base/zr_base.h"
 #include "zr_gateway/endpoint_pace.h"
+#include "zr_http/server/descriptor_limit.h"
 
 namespace zr {
 
+/** Connections of probes, readers of metrics and operators. */
+inline constexpr size_t kProbeConnections = 32;
+
 /** Settings of a gateway process; see GatewayNode for their reload. */
 struct GatewaySettings {
   VmId vm;
@@ -51,6 +55,12 @@
   bool slow_readers = false;
   friend auto operator<=>(const GatewaySettings&,
                           const GatewaySettings&) = default;
+
+  /** Sockets of the process, also by the system's limit. */
+  SocketShares Sockets() const {
+    return SocketShares::Of(DescriptorLimit(max_descriptors), memory_bytes,
+                            kProbeConnections);
+  }
 };
 
 }  // namespace zr
--- a/modules/zr_peer/peer_links.cc
+++ b/modules/zr_peer/peer_links.cc
@@ -6,6 +6,16 @@
 namespace zr {
 namespace {
 
+// Bounds the log of a VM whose port others fill.
+constexpr Duration kReportPeriod = Duration::Seconds(1);
+
+TimePoint Now() {
+  return TimePoint::FromMicroseconds(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::steady_clock::now().time_since_epoch())
+          .count());
+}
+
 Result<std::pair<std::string, uint16_t>> SplitAddress(
     const std::string& address) {
   const size_t colon = address.rfind(':');
@@ -33,10 +43,13 @@
   if (!address) return tl::unexpected(address.error());
   std::shared_ptr<PeerLinks> links(
       new PeerLinks(context, std::move(options), std::move(listener)));
+  UnprovedLinkLimits limits;
+  limits.max_links = links->options_.max_unproved_links;
+  limits.timeout_ms = links->options_.proof_timeout.milliseconds();
   std::string error;
   links->transport_ = WebsocketTransport::Create(
       context, address->first, address->second,
-      links->options_.max_message_bytes, links, &error);
+      links->options_.max_message_bytes, limits, links, &error);
   if (!links->transport_) {
     return Fail(ErrorCode::kUnavailable, "peer link",
                 links->options_.listen_address, "cannot listen: " + error);
@@ -81,6 +94,8 @@
   return vms;
 }
 
+size_t PeerLinks::unproved() const { return transport_->unproved(); }
+
 uint64_t PeerLinks::rejected() const {
   std::lock_guard lock(mutex_);
   return rejected_;
@@ -148,6 +163,7 @@
   VmId up;
   Incarnation incarnation;
   LinkId close = 0;
+  bool proved = false;
   {
     std::lock_guard lock(mutex_);
     auto it = links_.find(link);
@@ -160,6 +176,7 @@
     } else if (*progress == FrameAuthenticator::Progress::kSendProof) {
       proof = auth.MakeProof();
     } else {
+      proved = true;
       if (!it->second.address.empty()) {
         address_of_[auth.peer()] = it->second.address;
       }
@@ -173,6 +190,7 @@
       }
     }
   }
+  if (proved) transport_->Admit(link);
   if (!proof.empty()) {
     transport_->Send(link, proof, options_.max_buffered_bytes);
   }
@@ -245,6 +263,8 @@
     auto self = weak.lock();
     if (!self || error) return;
     self->DialMissing();
+    self->transport_->CloseOverdue();
+    self->ReportRefusals();
     std::lock_guard lock(self->mutex_);
     if (!self->stopped_) self->ScheduleDial();
   });
@@ -282,4 +302,20 @@
   }
 }
 
+void PeerLinks::ReportRefusals() {
+  const TimePoint now = Now();
+  if (now - refusals_reported_ < kReportPeriod) return;
+  refusals_reported_ = now;
+  const LinkRefusals refusals = transport_->TakeRefusals();
+  const auto listener = listener_.lock();
+  if (!listener) return;
+  const std::pair<const char*, uint64_t> counts[] = {
+      {"displaced", refusals.displaced},
+      {"overdue", refusals.overdue},
+      {"failed", refusals.failed}};
+  for (const auto& [reason, count] : counts) {
+    if (count > 0) listener->OnLinksRefused(reason, count);
+  }
+}
+
 }  // namespace zr
--- a/modules/zr_peer/peer_links.h
+++ b/modules/zr_peer/peer_links.h
@@ -24,6 +24,9 @@
   size_t max_buffered_bytes =
       4 << 20;  // a link whose peer reads too slowly is closed
   Duration redial_period = Duration::Milliseconds(250);
+  /** Of incoming links until the peer has proved that it knows the key. */
+  size_t max_unproved_links = 64;
+  Duration proof_timeout = Duration::Seconds(5);
 };
 
 /**
@@ -42,6 +45,9 @@
     virtual void OnPeerUp(const VmId& vm, Incarnation incarnation) = 0;
     virtual void OnPeerDown(const VmId& vm) = 0;
     virtual void OnPeerMessage(const VmId& vm, std::string_view payload) = 0;
+    /** Incoming links ended without a proof; called now and then.
+     * @param reason  displaced, overdue or failed */
+    virtual void OnLinksRefused(const char* reason, uint64_t count) = 0;
   };
 
   //============================================================================
@@ -76,6 +82,8 @@
   // Queries
 
   std::vector<VmId> Connected() const;
+  /** Number of incoming links without a proof. */
+  size_t unproved() const;
   /** Number of handshakes and frames that failed authentication. */
   uint64_t rejected() const;
   /** Bytes of data frames sent and received on authenticated links. */
@@ -102,6 +110,7 @@
   bool OnHandshake(LinkId link, const std::string& payload);
   void ScheduleDial();
   void DialMissing();
+  void ReportRefusals();
   bool AddressLinked(const std::string& address) const;
   /**
    * Decides between two links to the same VM; returns the one to close, or 0.
@@ -122,6 +131,7 @@
   uint64_t bytes_sent_ = 0;
   uint64_t bytes_received_ = 0;
   bool stopped_ = false;
+  TimePoint refusals_reported_;
 };
 
 }  // namespace zr
--- a/modules/zr_peer/tests/peer_test.cc
+++ b/modules/zr_peer/tests/peer_test.cc
@@ -1,5 +1,7 @@
 #include <asio/executor_work_guard.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <condition_variable>
 #include <thread>
@@ -28,6 +30,9 @@
   void OnPeerMessage(const VmId& vm, std::string_view payload) override {
     Add(vm.value() + ": " + std::string(payload));
   }
+  void OnLinksRefused(const char* reason, uint64_t) override {
+    Add(std::string("refused: ") + reason);
+  }
   bool WaitFor(const std::string& event, size_t count = 1) {
     std::unique_lock lock(mutex_);
     return changed_.wait_for(lock, kTimeout, [&] {
@@ -59,8 +64,8 @@
   std::shared_ptr<PeerLinks> Start(const std::string& vm,
                                    const std::string& address,
                                    const std::string& key,
-                                   std::shared_ptr<EventRecorder> recorder) {
-    PeerOptions options;
+                                   std::shared_ptr<EventRecorder> recorder,
+                                   PeerOptions options = {}) {
     options.self = VmId(vm);
     options.incarnation = Incarnation(++incarnation);
     options.listen_address = address;
@@ -138,6 +143,108 @@
   CHECK_FALSE(links_a->Send(VmId("vm-b"), "x"));
 }
 
+/** A client without the key at the port of a VM's links. */
+class Stranger {
+ public:
+  explicit Stranger(const std::string& address) : socket_(context_) {
+    const size_t colon = address.rfind(':');
+    socket_.connect(
+        {asio::ip::make_address(address.substr(0, colon)),
+         static_cast<uint16_t>(std::stoi(address.substr(colon + 1)))});
+  }
+  void Send(const std::string& text) {
+    asio::error_code ignored;  // the VM may have closed the link
+    asio::write(socket_, asio::buffer(text), ignored);
+  }
+  void Upgrade() {
+    Send(
+        "GET /peer HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
+        "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+        "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n");
+  }
+  /** Reads until the VM closes the connection. */
+  void WaitForEnd() {
+    std::string received;
+    asio::error_code end;
+    asio::read(socket_, asio::dynamic_buffer(received), end);
+  }
+
+ private:
+  asio::io_context context_;
+  asio::ip::tcp::socket socket_;
+};
+
+// Guards against clients without the key that fill the memory and the
+// descriptors of a VM before they prove who they are.
+TEST_CASE("Links without a proof of the key are bounded") {
+  Fixture fixture;
+  const std::string a = FreeAddress();
+  const std::string b = FreeAddress();
+  const std::string key = "a shared key of the test";
+  auto recorder = std::make_shared<EventRecorder>();
+  auto recorder_b = std::make_shared<EventRecorder>();
+  PeerOptions options;
+  options.max_unproved_links = 2;
+  SECTION("in bytes of the head of the upgrade") {
+    auto links = fixture.Start("vm-a", a, key, recorder, options);
+    fixture.Run();
+    Stranger stranger(a);
+    stranger.Send("GET /peer HTTP/1.1\r\n" + std::string(2000, 'x'));
+    stranger.WaitForEnd();
+    CHECK(recorder->WaitFor("refused: failed"));
+    CHECK(links->unproved() == 0);
+  }
+  SECTION("in bytes of frames") {
+    auto links = fixture.Start("vm-a", a, key, recorder, options);
+    fixture.Run();
+    Stranger stranger(a);
+    stranger.Upgrade();
+    // A message of 1 MiB, the largest between VMs, without its end.
+    stranger.Send(std::string("\x82\xff\0\0\0\0\0\x10\0\0\0\0\0\0", 14) +
+                  std::string(2000, 'x'));
+    stranger.WaitForEnd();
+    CHECK(recorder->WaitFor("refused: failed"));
+  }
+  SECTION("in their number: the oldest one gives way") {
+    auto links = fixture.Start("vm-a", a, key, recorder, options);
+    fixture.Run();
+    Stranger oldest(a);
+    oldest.Upgrade();
+    Stranger second(a);
+    Stranger third(a);
+    oldest.WaitForEnd();
+    CHECK(recorder->WaitFor("refused: displaced"));
+    CHECK(links->unproved() <= 2);
+  }
+  SECTION("in time") {
+    options.proof_timeout = Duration::Milliseconds(50);
+    auto links = fixture.Start("vm-a", a, key, recorder, options);
+    fixture.Run();
+    Stranger stranger(a);
+    stranger.Upgrade();
+    stranger.WaitForEnd();
+    CHECK(recorder->WaitFor("refused: overdue"));
+  }
+  SECTION("a VM is linked beside them, and its messages may be large") {
+    auto links = fixture.Start("vm-a", a, key, recorder, options);
+    fixture.Run();
+    std::vector<std::unique_ptr<Stranger>> strangers;
+    for (int i = 0; i < 5; ++i) {
+      strangers.push_back(std::make_unique<Stranger>(a));
+      strangers.back()->Upgrade();
+    }
+    auto links_b = fixture.Start("vm-b", b, key, recorder_b);
+    links_b->SetTargets({a});
+    REQUIRE(recorder_b->WaitFor("up vm-a"));
+    REQUIRE(recorder->WaitFor("up vm-b"));
+    const std::string large(1 << 20, 'y');
+    REQUIRE(links_b->Send(VmId("vm-a"), large));
+    REQUIRE(links->Send(VmId("vm-b"), large));
+    CHECK(recorder->WaitFor("vm-b: " + large));
+    CHECK(recorder_b->WaitFor("vm-a: " + large));
+  }
+}
+
 // Guards against frames that are replayed, reordered or altered in transit.
 TEST_CASE("Sealed frames open once and in order") {
   FrameAuthenticator a("key", VmId("a"), Incarnation(1));
--- a/modules/zr_peer/websocket/websocket_transport.cc
+++ b/modules/zr_peer/websocket/websocket_transport.cc
@@ -1,19 +1,38 @@
 #include "zr_peer/websocket/websocket_transport.h"
 
+#include <asio/post.hpp>
+#include <chrono>
+#include <list>
 #include <map>
 #include <mutex>
 #include <utility>
+#include <vector>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include "zr_peer/websocket/limited_socket.h"
+
 namespace zr {
 namespace {
 
-using Server = websocketpp::server<websocketpp::config::asio>;
-using Client = websocketpp::client<websocketpp::config::asio_client>;
+/** A configuration of websocketpp, with limited sockets. */
+template <typename Base>
+struct LimitedConfig : Base {
+  using type = LimitedConfig<Base>;
+  struct transport_config : Base::transport_config {
+    using socket_type = LimitedSocketEndpoint;
+  };
+  using transport_type =
+      websocketpp::transport::asio::endpoint<transport_config>;
+};
+
+using Server = websocketpp::server<LimitedConfig<websocketpp::config::asio>>;
+using Client =
+    websocketpp::client<LimitedConfig<websocketpp::config::asio_client>>;
 using ConnectionHandle = websocketpp::connection_hdl;
+using Clock = std::chrono::steady_clock;
 
 // NOLINTBEGIN(google-runtime-int): websocketpp's type
 constexpr long kOpenTimeoutMs = 2000;
@@ -23,8 +42,11 @@
 class Transport final : public WebsocketTransport,
                         public std::enable_shared_from_this<Transport> {
  public:
-  Transport(size_t max_message_bytes, std::weak_ptr<Listener> listener)
-      : max_message_bytes_(max_message_bytes), listener_(std::move(listener)) {}
+  Transport(size_t max_message_bytes, UnprovedLinkLimits limits,
+            std::weak_ptr<Listener> listener)
+      : max_message_bytes_(max_message_bytes),
+        limits_(limits),
+        listener_(std::move(listener)) {}
 
   bool Open(asio::io_context& context, const std::string& ip, uint16_t port,
             std::string* error) {
@@ -33,6 +55,7 @@
     if (!code) SetUp(client_, context, code);
     if (!code) {
       server_.set_reuse_addr(true);
+      server_.set_max_http_body_size(0);
       server_.listen(ip, std::to_string(port), code);
     }
     if (!code) server_.start_accept(code);
@@ -81,6 +104,42 @@
     }
   }
 
+  void Admit(LinkId link) override {
+    Link found;
+    if (!Find(link, &found)) return;
+    if (found.outgoing) {
+      LiftLimits(client_, found.handle);
+    } else {
+      LiftLimits(server_, found.handle);
+      std::lock_guard<std::mutex> lock(mutex_);
+      EraseUnproved(found.handle);
+    }
+  }
+
+  void CloseOverdue() override {
+    const auto limit =
+        Clock::now() - std::chrono::milliseconds(limits_.timeout_ms);
+    std::vector<ConnectionHandle> overdue;
+    {
+      std::lock_guard<std::mutex> lock(mutex_);
+      while (!unproved_.empty() && unproved_.front().since < limit) {
+        overdue.push_back(EraseOldestUnproved());
+        ++refusals_.overdue;
+      }
+    }
+    for (const auto& handle : overdue) Terminate(handle);
+  }
+
+  size_t unproved() const override {
+    std::lock_guard<std::mutex> lock(mutex_);
+    return unproved_.size();
+  }
+
+  LinkRefusals TakeRefusals() override {
+    std::lock_guard<std::mutex> lock(mutex_);
+    return std::exchange(refusals_, LinkRefusals{});
+  }
+
   void Stop() override {
     websocketpp::lib::error_code code;
     if (server_.is_listening()) server_.stop_listening(code);
@@ -97,6 +156,11 @@
     ConnectionHandle handle;
     bool outgoing = false;
   };
+  struct UnprovedLink {
+    ConnectionHandle handle;
+    Clock::time_point since;
+  };
+  using UnprovedLinks = std::list<UnprovedLink>;
 
   template <typename E>
   void SetUp(E& endpoint, asio::io_context& context,
@@ -105,11 +169,19 @@
     endpoint.clear_error_channels(websocketpp::log::elevel::all);
     endpoint.init_asio(&context, code);
     if (code) return;
-    endpoint.set_max_message_size(max_message_bytes_);
+    endpoint.set_max_message_size(limits_.max_bytes);
     endpoint.set_open_handshake_timeout(kOpenTimeoutMs);
     endpoint.set_close_handshake_timeout(kCloseTimeoutMs);
     std::weak_ptr<Transport> weak = shared_from_this();
     const bool outgoing = std::is_same<E, Client>::value;
+    endpoint.set_tcp_pre_init_handler(
+        [weak, outgoing, &endpoint](ConnectionHandle handle) {
+          auto self = weak.lock();
+          if (!self) return;
+          endpoint.get_con_from_hdl(handle)->get_socket().SetAllowance(
+              self->limits_.max_bytes);
+          if (!outgoing) self->HandleAccepted(handle);
+        });
     endpoint.set_open_handler(
         [weak, outgoing, &endpoint](ConnectionHandle handle) {
           asio::error_code ignored;
@@ -141,6 +213,10 @@
     auto self = weak.lock();
     if (!self) return;
     auto connection = endpoint.get_con_from_hdl(handle);
+    {
+      std::lock_guard<std::mutex> lock(self->mutex_);
+      if (self->EraseUnproved(handle)) ++self->refusals_.failed;
+    }
     const LinkId link = self->RemoveLink(handle);
     if (link != 0) self->NotifyClosed(link, connection->get_ec().message());
   }
@@ -169,6 +245,64 @@
     if (auto listener = listener_.lock()) listener->OnOpen(link, outgoing);
   }
 
+  //============================================================================
+  // Links without a proof
+
+  void HandleAccepted(const ConnectionHandle& handle) {
+    std::vector<ConnectionHandle> displaced;
+    {
+      std::lock_guard<std::mutex> lock(mutex_);
+      // The handshake of a VM takes few round trips, so that the oldest link is
+      // the least likely to be a VM's.
+      while (!unproved_.empty() && unproved_.size() >= limits_.max_links) {
+        displaced.push_back(EraseOldestUnproved());
+        ++refusals_.displaced;
+      }
+      unproved_by_handle_[handle] =
+          unproved_.insert(unproved_.end(), {handle, Clock::now()});
+    }
+    for (const auto& oldest : displaced) Terminate(oldest);
+  }
+
+  // The mutex must be held for the following two.
+
+  bool EraseUnproved(const ConnectionHandle& handle) {
+    auto it = unproved_by_handle_.find(handle);
+    if (it == unproved_by_handle_.end()) return false;
+    unproved_.erase(it->second);
+    unproved_by_handle_.erase(it);
+    return true;
+  }
+
+  ConnectionHandle EraseOldestUnproved() {
+    const ConnectionHandle oldest = unproved_.front().handle;
+    EraseUnproved(oldest);
+    return oldest;
+  }
+
+  /** Ends an incoming connection in any state, without a closing handshake. */
+  void Terminate(const ConnectionHandle& handle) {
+    websocketpp::lib::error_code code;
+    auto connection = server_.get_con_from_hdl(handle, code);
+    if (code) return;
+    asio::post(*connection->get_strand(), [connection] {
+      connection->terminate(websocketpp::error::make_error_code(
+          websocketpp::error::open_handshake_timeout));
+    });
+  }
+
+  template <typename E>
+  void LiftLimits(E& endpoint, const ConnectionHandle& handle) {
+    websocketpp::lib::error_code code;
+    auto connection = endpoint.get_con_from_hdl(handle, code);
+    if (code) return;
+    connection->get_socket().SetAllowance(LimitedStream::kUnlimited);
+    connection->set_max_message_size(max_message_bytes_);
+  }
+
+  //============================================================================
+  // Ids of links
+
   LinkId IdOf(const ConnectionHandle& handle) {
     std::lock_guard<std::mutex> lock(mutex_);
     auto it = ids_.find(handle);
@@ -202,24 +336,30 @@
     if (auto listener = listener_.lock()) listener->OnClosed(link, reason);
   }
 
-  size_t max_message_bytes_;
+  const size_t max_message_bytes_;
+  const UnprovedLinkLimits limits_;
   std::weak_ptr<Listener> listener_;
   Server server_;
   Client client_;
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   LinkId last_id_ = 0;
   std::map<LinkId, Link> links_;
   std::map<ConnectionHandle, LinkId, std::owner_less<ConnectionHandle>> ids_;
+  UnprovedLinks unproved_;  // incoming, in the order of their connections
+  std::map<ConnectionHandle, UnprovedLinks::iterator,
+           std::owner_less<ConnectionHandle>>
+      unproved_by_handle_;
+  LinkRefusals refusals_;
 };
 
 }  // namespace
 
 std::shared_ptr<WebsocketTransport> WebsocketTransport::Create(
     asio::io_context& context, const std::string& listen_ip, uint16_t port,
-    size_t max_message_bytes, std::weak_ptr<Listener> listener,
-    std::string* error) {
-  auto transport =
-      std::make_shared<Transport>(max_message_bytes, std::move(listener));
+    size_t max_message_bytes, UnprovedLinkLimits limits,
+    std::weak_ptr<Listener> listener, std::string* error) {
+  auto transport = std::make_shared<Transport>(max_message_bytes, limits,
+                                               std::move(listener));
   if (!transport->Open(context, listen_ip, port, error)) return nullptr;
   return transport;
 }
