Tunnels: bound the connections that have not asked for one

Callers saw: 441 of 400 descriptors taken at the port of tunnels by clients that connect or stop within their request; at all ports of an entry process with 112 MB and 600 descriptors 568 MB and 1,017 descriptors. Cause: 512 tunnels were allowed whatever the descriptors are, and a connection without a request counted as one. Log lines tunnels_displaced (once a second at most) and tunnel_refused with "too many tunnels", metric zr_gateway_tunnels_total. Why it works: a VM sends its request at once and is never the oldest for long; without the token nobody gets further.

--- a/modules/zr_gateway_host/gateway_node_impl.h
+++ b/modules/zr_gateway_host/gateway_node_impl.h
@@ -107,7 +107,10 @@
       state_, dispatch_->dispatcher().tracker());
   state_.paths = std::make_shared<PathExchange>(
       io_, state_, [this](const VmId& vm) { return dispatch_->IsLeaving(vm); });
-  if (auto started = state_.paths->Start(settings_.peers_address); !started) {
+  const SocketShares sockets = settings_.Sockets();
+  if (auto started = state_.paths->Start(
+          settings_.peers_address, {sockets.begun_tunnels, sockets.tunnels});
+      !started) {
     return tl::unexpected(started.error());
   }
   dispatch_directory_ =
--- a/modules/zr_gateway_host/path_exchange.cc
+++ b/modules/zr_gateway_host/path_exchange.cc
@@ -13,6 +13,8 @@
 using asio::ip::tcp;
 
 constexpr std::chrono::milliseconds kProbeTimeout(250);
+// Bounds the log of a VM whose port others fill.
+constexpr Duration kReportPeriod = Duration::Seconds(1);
 
 /** Tunnels have the port after that of the links. */
 std::optional<std::string> TunnelAddress(const std::string& links_address) {
@@ -38,13 +40,14 @@
       is_leaving_(std::move(is_leaving)),
       paths_(state.vm) {}
 
-Result<void> PathExchange::Start(const std::string& links_address) {
+Result<void> PathExchange::Start(const std::string& links_address,
+                                 const TunnelServer::Limits& limits) {
   const auto address = TunnelAddress(links_address);
   if (!address) {
     return Fail(ErrorCode::kInvalidArgument, "tunnels", links_address,
                 "no port after that of the links");
   }
-  auto server = TunnelServer::Start(io_, *address, *this);
+  auto server = TunnelServer::Start(io_, *address, limits, *this);
   if (!server) return tl::unexpected(server.error());
   server_ = std::move(*server);
   return {};
@@ -158,7 +161,6 @@
 
 std::optional<std::string> PathExchange::OnTunnelRequest(
     const std::string& user) {
-  const TimePoint now = BootNow();
   const size_t space = user.find(' ');
   const std::string token = user.substr(0, space);
   const EndpointId endpoint(
@@ -175,10 +177,20 @@
     reason = "VM is cut off, too";
   }
   if (reason == nullptr) return known->listed.address;
-  state_.log.Write(now, "tunnel_refused",
+  ReportRefused(endpoint, reason);
+  return std::nullopt;
+}
+
+void PathExchange::OnTooManyTunnels(const std::string& user) {
+  ReportRefused(EndpointId(user.substr(user.find(' ') + 1)),
+                "too many tunnels");
+}
+
+void PathExchange::ReportRefused(const EndpointId& endpoint,
+                                 const char* reason) {
+  state_.log.Write(BootNow(), "tunnel_refused",
                    {{"endpoint", endpoint.value()}, {"reason", reason}});
   state_.metrics.Count("zr_gateway_tunnels_total", {{"result", "refused"}});
-  return std::nullopt;
 }
 
 void PathExchange::OnTunnelConnected(const std::string& user, bool connected) {
@@ -215,10 +227,20 @@
 
 void PathExchange::Exchange(TimePoint now, const std::set<VmId>& hubs,
                             const Sender& send) {
+  ReportDisplaced(now);
   while (const auto service = paths_.NextProbe(now)) Probe(now, *service);
   const auto report = paths_.NextReport(now);
   if (!report) return;
   for (const VmId& hub : hubs) send(hub, *report);
 }
 
+void PathExchange::ReportDisplaced(TimePoint now) {
+  if (displaced_ == 0 || now - displaced_reported_ < kReportPeriod) return;
+  state_.log.Write(now, "tunnels_displaced", {{"count", displaced_}});
+  state_.metrics.Count("zr_gateway_tunnels_total", {{"result", "displaced"}},
+                       static_cast<double>(displaced_));
+  displaced_ = 0;
+  displaced_reported_ = now;
+}
+
 }  // namespace zr
--- a/modules/zr_gateway_host/path_exchange.h
+++ b/modules/zr_gateway_host/path_exchange.h
@@ -40,7 +40,8 @@
 
   /** Takes the tunnels of other VMs.
    * @param links_address  of this VM; tunnels have the port after it */
-  Result<void> Start(const std::string& links_address);
+  Result<void> Start(const std::string& links_address,
+                     const TunnelServer::Limits& limits);
   /** @param addresses  of the links of all VMs */
   void SetVms(const std::map<VmId, std::string>& addresses);
   /** @param key  of the links; shows that a VM is one of these */
@@ -85,6 +86,10 @@
   // TunnelServer::Listener
   std::optional<std::string> OnTunnelRequest(const std::string& user) override;
   void OnTunnelConnected(const std::string& user, bool connected) override;
+  void OnTooManyTunnels(const std::string& user) override;
+  void OnTunnelDisplaced() override { ++displaced_; }
+  void ReportDisplaced(TimePoint now);
+  void ReportRefused(const EndpointId& endpoint, const char* reason);
 
   void Probe(TimePoint now, const ServiceName& service);
   void OnOwnConnection(TimePoint now, const EndpointId& endpoint,
@@ -98,6 +103,8 @@
   std::map<VmId, std::string> addresses_;  // of tunnels
   std::string token_;           // in the user names of this VM's tunnels
   std::string previous_token_;  // other VMs may have the former key
+  size_t displaced_ = 0;        // since the last report
+  TimePoint displaced_reported_;
 };
 
 }  // namespace zr
--- a/modules/zr_gateway_host/tests/tunnel_server_test.cc
+++ b/modules/zr_gateway_host/tests/tunnel_server_test.cc
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace zr {
 namespace {
@@ -31,7 +32,11 @@
     return address_;
   }
   void OnTunnelConnected(const std::string&, bool) override {}
+  void OnTooManyTunnels(const std::string&) override { ++too_many; }
+  void OnTunnelDisplaced() override { ++displaced; }
   bool requested = false;
+  int too_many = 0;
+  int displaced = 0;
 
  private:
   std::string address_;
@@ -46,7 +51,7 @@
   const tcp::endpoint address = free_port.local_endpoint();
   free_port.close();
   OneEndpoint listener(Text(endpoint.local_endpoint()));
-  auto server = TunnelServer::Start(io, Text(address), listener);
+  auto server = TunnelServer::Start(io, Text(address), {}, listener);
   REQUIRE(server);
   tcp::socket caller(blocking);
   caller.connect(address);
@@ -65,6 +70,58 @@
   CHECK(std::string(received.data() + 8, 6) == "answer");
 }
 
+// Guards against clients without the key that take the descriptors of a VM.
+TEST_CASE("Connections that ask for no tunnel give way to others") {
+  asio::io_context io;
+  asio::io_context blocking;
+  tcp::acceptor endpoint(blocking, {asio::ip::address_v4::loopback(), 0});
+  tcp::acceptor free_port(blocking, {asio::ip::address_v4::loopback(), 0});
+  const tcp::endpoint address = free_port.local_endpoint();
+  free_port.close();
+  OneEndpoint listener(Text(endpoint.local_endpoint()));
+  auto server = TunnelServer::Start(
+      io, Text(address), {.max_begun = 2, .max_tunnels = 1}, listener);
+  REQUIRE(server);
+  std::vector<tcp::socket> idle;
+  for (int i = 0; i < 5; ++i) {
+    idle.emplace_back(blocking).connect(address);
+  }
+  io.run_for(kRunTime);
+  CHECK((*server)->active() == 2);
+  CHECK(listener.displaced == 3);
+
+  const std::array<char, 10> request = {4, 1, 0, 0, 0, 0, 0, 0, 'u', 0};
+  std::array<char, 8> reply{};
+  tcp::socket caller(blocking);
+  caller.connect(address);
+  asio::write(caller, asio::buffer(request));
+  io.run_for(kRunTime);
+  asio::read(caller, asio::buffer(reply));
+  CHECK(reply[1] == 0x5A);
+
+  SECTION("a tunnel stays") {
+    for (int i = 0; i < 5; ++i) {
+      idle.emplace_back(blocking).connect(address);
+    }
+    io.run_for(kRunTime);
+    tcp::socket worker = endpoint.accept();
+    asio::write(worker, asio::buffer("answer", 6));
+    io.run_for(kRunTime);
+    std::array<char, 6> received{};
+    asio::read(caller, asio::buffer(received));
+    CHECK(std::string(received.data(), received.size()) == "answer");
+  }
+  SECTION("tunnels above their own limit are refused") {
+    tcp::socket second(blocking);
+    second.connect(address);
+    asio::write(second, asio::buffer(request));
+    io.run_for(kRunTime);
+    asio::read(second, asio::buffer(reply));
+    CHECK(reply[1] == 0x5B);
+    CHECK(listener.too_many == 1);
+  }
+}
+
 // Guards against a part of an answer that is taken for the whole: a write to
 // the endpoint takes the error of its reset, so a read sees the end of its
 // bytes.
@@ -76,7 +133,7 @@
   const tcp::endpoint address = free_port.local_endpoint();
   free_port.close();
   OneEndpoint listener(Text(endpoint.local_endpoint()));
-  auto server = TunnelServer::Start(io, Text(address), listener);
+  auto server = TunnelServer::Start(io, Text(address), {}, listener);
   REQUIRE(server);
   tcp::socket caller(blocking);
   caller.connect(address);
--- a/modules/zr_gateway_host/tunnel_server.cc
+++ b/modules/zr_gateway_host/tunnel_server.cc
@@ -16,7 +16,6 @@
 
 using asio::ip::tcp;
 
-constexpr size_t kMaxTunnels = 512;
 constexpr size_t kBufferBytes = size_t{8} << 10;
 // A request has 8 bytes and a user name.
 constexpr size_t kHeadBytes = 8;
@@ -62,7 +61,8 @@
 
 }  // namespace
 
-class TunnelServer::Tunnel : public std::enable_shared_from_this<Tunnel> {
+class TunnelServer::Tunnel : public TunnelServer::BegunTunnel,
+                             public std::enable_shared_from_this<Tunnel> {
  public:
   Tunnel(TunnelServer& server, tcp::socket caller)
       : server_(&server),
@@ -77,7 +77,7 @@
   }
 
   /** Ends both connections; the other sides see a reset. */
-  void Reset() {
+  void Reset() override {
     SetResetOnClose(caller_.socket, true);
     SetResetOnClose(endpoint_.socket, true);
     Close();
@@ -129,6 +129,11 @@
         address ? ParseAddress(*address)
                 : Fail(ErrorCode::kUnavailable, "tunnel", "", "refused");
     if (!parsed) return Refuse();
+    if (!server_->HasRoom()) {
+      server_->listener_.OnTooManyTunnels(user_);
+      return Refuse();
+    }
+    unlink();  // from those that have begun
     Connect(parsed->first, parsed->second);
   }
 
@@ -207,6 +212,7 @@
 
   void Close() {
     if (std::exchange(closed_, true)) return;
+    if (is_linked()) unlink();
     timer_.cancel();
     asio::error_code ignored;  // the sockets may be closed
     caller_.socket.close(ignored);
@@ -226,16 +232,18 @@
   bool closed_ = false;
 };
 
-TunnelServer::TunnelServer(asio::io_context& io, Listener& listener)
-    : io_(io), listener_(listener), acceptor_(io) {}
+TunnelServer::TunnelServer(asio::io_context& io, const Limits& limits,
+                           Listener& listener)
+    : io_(io), limits_(limits), listener_(listener), acceptor_(io) {}
 
 TunnelServer::~TunnelServer() { Stop(); }
 
 Result<std::unique_ptr<TunnelServer>> TunnelServer::Start(
-    asio::io_context& io, const std::string& address, Listener& listener) {
+    asio::io_context& io, const std::string& address, const Limits& limits,
+    Listener& listener) {
   const auto parsed = ParseAddress(address);
   if (!parsed) return tl::unexpected(parsed.error());
-  std::unique_ptr<TunnelServer> server(new TunnelServer(io, listener));
+  std::unique_ptr<TunnelServer> server(new TunnelServer(io, limits, listener));
   asio::error_code error;
   const auto ip = asio::ip::make_address(parsed->first, error);
   const tcp::endpoint at(ip, parsed->second);
@@ -255,15 +263,28 @@
   acceptor_.async_accept(
       [this](const asio::error_code& error, tcp::socket socket) {
         if (error == asio::error::operation_aborted || stopped_) return;
-        if (!error && tunnels_.size() < kMaxTunnels) {
-          auto tunnel = std::make_shared<Tunnel>(*this, std::move(socket));
-          tunnels_.insert(tunnel);
-          tunnel->Start();
-        }
+        if (!error) Add(std::move(socket));
         Accept();
       });
 }
 
+void TunnelServer::Add(tcp::socket socket) {
+  // A VM asks at once, so that the oldest connection is the least likely to be
+  // a VM's.
+  while (begun_.size() >= limits_.max_begun) {
+    begun_.front().Reset();
+    listener_.OnTunnelDisplaced();
+  }
+  auto tunnel = std::make_shared<Tunnel>(*this, std::move(socket));
+  tunnels_.insert(tunnel);
+  begun_.push_back(*tunnel);
+  tunnel->Start();
+}
+
+bool TunnelServer::HasRoom() const {
+  return tunnels_.size() - begun_.size() < limits_.max_tunnels;
+}
+
 void TunnelServer::Stop() {
   if (std::exchange(stopped_, true)) return;
   asio::error_code ignored;  // nothing to do if it is closed
