Clients: bound the requests that wait for memory by their unread bytes

Callers saw: a full crowd at the ports of the smallest VM with its own limits (112 MB, 2,870 descriptors, 1,400 clients with bodies of 4 MiB that stop short) takes 133 MB, of which 92 MB are bytes that the kernel has received; the process would be killed. Cause: while the account is full, a connection that waits is not read, and up to 85 KB of it stay in the kernel. Their number was bounded by the descriptors only. Change: of more waiting requests than fit 15% of the memory beside the program's own, the one that wants the most is refused at once with 503 (not run), of several the last (ShedOrder::ForWaiting). The largest crowd test and one of six crowds in a row in one process are new; a watch prints what is unread. Why it works: a refused connection is closed, which frees what its kernel holds; ordinary requests are small and have room above the soft bound.

--- a/modules/zr_base/memory_account.cc
+++ b/modules/zr_base/memory_account.cc
@@ -14,9 +14,10 @@
 // Answers of all requests; at 30% of the rest, the smallest VM has this much.
 constexpr size_t kMaxAnswerBytes = size_t{24} << 20;
 // Shares, in percent of the memory beside the program's own state. The rest is
-// for bytes in the kernel and unused memory of the allocator.
+// for unused memory of the allocator.
 constexpr size_t kClientPercent = 40;
 constexpr size_t kAnswerPercent = 30;
+constexpr size_t kUnreadPercent = 15;
 // One request of 4 MiB in chunks, whose buffer doubles, fits on any VM.
 constexpr size_t kMinClientBytes = size_t{12} << 20;
 
@@ -35,6 +36,10 @@
   return std::max(kMinClientBytes, Rest(vm_bytes) / 100 * kClientPercent);
 }
 
+size_t MemoryAccount::UnreadBytes(size_t vm_bytes) {
+  return Rest(vm_bytes) / 100 * kUnreadPercent;
+}
+
 size_t MemoryAccount::AnswerBytes(size_t vm_bytes) {
   return std::min(kMaxAnswerBytes, Rest(vm_bytes) / 100 * kAnswerPercent);
 }
--- a/modules/zr_base/memory_account.h
+++ b/modules/zr_base/memory_account.h
@@ -29,6 +29,8 @@
   static size_t ClientBytes(size_t vm_bytes);
   /** Memory of the VM, or the least that one has if it is not known. */
   static size_t VmBytes(size_t vm_bytes);
+  /** Part that may be taken by bytes of callers that wait in the kernel. */
+  static size_t UnreadBytes(size_t vm_bytes);
   /** Part that may be held for answers that are buffered whole. */
   static size_t AnswerBytes(size_t vm_bytes);
 
--- a/modules/zr_daemon/node_clients.cc
+++ b/modules/zr_daemon/node_clients.cc
@@ -72,6 +72,8 @@
   options.max_connections_per_address =
       callers ? static_cast<size_t>(settings_.max_connections_per_address)
               : kOperatorConnections;
+  options.max_waiting = ClientGuard::WaitingFor(MemoryAccount::UnreadBytes(
+      static_cast<size_t>(settings_.memory_mb) << 20));
   options.head_timeout = settings_.header_timeout;
   options.body_timeout = settings_.body_timeout;
   return options;
--- a/modules/zr_gateway_host/gateway_clients_impl.h
+++ b/modules/zr_gateway_host/gateway_clients_impl.h
@@ -63,6 +63,8 @@
       callers ? std::max(kMinClientConnections, settings_.Sockets().callers)
               : kProbeConnections;
   options.max_connections_per_address = options.max_connections;
+  options.max_waiting = ClientGuard::WaitingFor(
+      MemoryAccount::UnreadBytes(settings_.memory_bytes));
   options.head_timeout = limits.header_timeout;
   options.body_timeout = limits.idle_timeout;
   return options;
--- a/modules/zr_http/server/client_guard.cc
+++ b/modules/zr_http/server/client_guard.cc
@@ -15,6 +15,10 @@
 constexpr size_t kConnectionBytes = size_t{8} << 10;
 // Requests up to this may use the room between the soft and the hard bound.
 constexpr size_t kSmallRequest = size_t{64} << 10;
+// Bytes that the kernel keeps for a connection that is not read: the receive
+// buffer of HttpServer and what a segment exceeds it by.
+constexpr size_t kUnreadBytes = size_t{85} << 10;
+constexpr size_t kMinWaiting = 8;
 // Received bytes that count as progress: single bytes now and then don't.
 constexpr size_t kProgressBytes = 4096;
 // Connections beyond the limit while those that give way are being closed.
@@ -64,10 +68,15 @@
     load.served = served;
     load.last_progress = last_progress;
     load.held = incoming;
+    load.wanted = wanted;
     return load;
   }
 };
 
+size_t ClientGuard::WaitingFor(size_t unread_bytes) {
+  return std::max(kMinWaiting, unread_bytes / kUnreadBytes);
+}
+
 ClientGuard::Charge::~Charge() {
   Lock lock(guard_->mutex_);
   guard_->Release(Purpose::kRunning, bytes_);
@@ -194,7 +203,8 @@
   connection->waiting = true;
   waiters_.push_back(connection.get());
   ArmTimer();
-  return Decision::kWait;
+  if (waiters_.size() > options_.max_waiting) ShedWaiting();
+  return connection->refused ? Decision::kRefused : Decision::kWait;
 }
 
 bool ClientGuard::TryGrant(Connection& connection) {
@@ -356,6 +366,16 @@
   }
 }
 
+void ClientGuard::ShedWaiting() {
+  ShedOrder::Loads loads;
+  loads.reserve(waiters_.size());
+  for (const Connection* waiter : waiters_) loads.push_back(waiter->Load());
+  if (const auto index = ShedOrder::ForWaiting(loads)) {
+    Refuse(**std::next(waiters_.begin(), static_cast<ptrdiff_t>(*index)), 503,
+           "memory");
+  }
+}
+
 void ClientGuard::ArmTimer() {
   if (armed_) return;
   armed_ = true;
--- a/modules/zr_http/server/client_guard.h
+++ b/modules/zr_http/server/client_guard.h
@@ -23,6 +23,8 @@
   size_t max_connections = 10000;
   /** Of one address; a load balancer may hide the clients' own. */
   size_t max_connections_per_address = 10000;
+  /** Requests that wait for memory; their bytes stay unread in the kernel. */
+  size_t max_waiting = 10000;
   /** Time from the first byte of a request to the end of its head. */
   Duration head_timeout = Duration::Seconds(10);
   /** Longest time without progress within a body. */
@@ -75,6 +77,9 @@
     size_t limit = 0;                            // bytes
   };
 
+  /** Number of waiting requests whose unread bytes take this much. */
+  static size_t WaitingFor(size_t unread_bytes);
+
   ClientGuard(asio::io_context& context, ClientGuardOptions options,
               Listener listener = {});
 
@@ -119,6 +124,7 @@
   bool MakeRoom(const std::string& address);
   ShedOrder::Loads Loads(std::vector<Connection*>* connections) const;
   void ShedMemory(TimePoint now);
+  void ShedWaiting();
   void ArmTimer();
   void Sweep();
 
--- a/modules/zr_http/server/shed_order.cc
+++ b/modules/zr_http/server/shed_order.cc
@@ -55,6 +55,15 @@
       });
 }
 
+std::optional<size_t> ShedOrder::ForWaiting(const Loads& waiting) {
+  std::optional<size_t> chosen;
+  for (size_t i = 0; i < waiting.size(); ++i) {
+    if (waiting[i].state != State::kWaiting) continue;
+    if (!chosen || waiting[i].wanted >= waiting[*chosen].wanted) chosen = i;
+  }
+  return chosen;
+}
+
 std::optional<size_t> ShedOrder::ForConnection(const Loads& loads,
                                                TimePoint now) {
   const auto rank = [](const ClientLoad& load) {
--- a/modules/zr_http/server/shed_order.h
+++ b/modules/zr_http/server/shed_order.h
@@ -21,6 +21,7 @@
   bool served = false;      // has had an answer
   TimePoint last_progress;  // received a noticeable part of a request
   size_t held = 0;          // bytes for requests that are not complete
+  size_t wanted = 0;        // the same with the bytes that it waits for
   friend auto operator<=>(const ClientLoad&, const ClientLoad&) = default;
 };
 
@@ -46,6 +47,11 @@
    * @returns the index of the client whose memory is freed, if any */
   static std::optional<size_t> ForMemory(const Loads& loads, TimePoint now,
                                          TimePoint last_release);
+  /** Which of too many that wait for memory is refused: they hold bytes that
+   * were received and not read. The one that wants the most, of several the
+   * last.
+   * @param waiting  in the order of arrival */
+  static std::optional<size_t> ForWaiting(const Loads& waiting);
   /** @returns the index of the connection that makes room for a new one */
   static std::optional<size_t> ForConnection(const Loads& loads, TimePoint now);
 };
--- a/modules/zr_http/tests/shed_order_test.cc
+++ b/modules/zr_http/tests/shed_order_test.cc
@@ -43,6 +43,23 @@
   }
 }
 
+// Guards against a VM whose memory is taken by bytes that its kernel received
+// for requests that wait.
+TEST_CASE("Of too many that wait for memory the largest gives way") {
+  ShedOrder::Loads waiting = {{State::kWaiting, false, At(0), 0, 500},
+                              {State::kWaiting, false, At(0), 0, 4000},
+                              {State::kWaiting, false, At(0), 90, 4000},
+                              {State::kRunning, true, At(0), 0, 9000},
+                              {State::kWaiting, false, At(0), 0, 10}};
+  SECTION("the last one of several") {
+    CHECK(ShedOrder::ForWaiting(waiting) == 2);
+  }
+  SECTION("but none behind a request that runs") {
+    waiting = {{State::kRunning, true, At(0), 0, 9000}};
+    CHECK(ShedOrder::ForWaiting(waiting) == std::nullopt);
+  }
+}
+
 // Guards against clients that keep all connections for themselves.
 TEST_CASE("Connections give way by their use") {
   const TimePoint now = At(0);
--- a/tests/platform/crowd_clients.py
+++ b/tests/platform/crowd_clients.py
@@ -1,6 +1,7 @@
 """Clients that send too much, too little or too slowly, and what a process holds for them."""
 
 import os
+import select
 import socket
 import threading
 import time
@@ -44,6 +45,7 @@
         super().__init__(daemon=True)
         self.pid, self.ports = pid, ports
         self.peak_mb, self.peak_fds, self.peak_sockets, self.ended = 0, 0, 0, False
+        self.private_mb, self.peak_unread_mb = 0, 0  # at present; in the kernel
         self.start()
 
     def run(self):
@@ -53,10 +55,13 @@
                 with open(f"/proc/{self.pid}/status") as status:
                     held = next(int(line.split()[1]) for line in status
                                 if line.startswith("RssAnon")) * 1024
+                self.private_mb = held / (1 << 20)
                 names = os.listdir(f"/proc/{self.pid}/fd")
                 self.peak_fds = max(self.peak_fds, len(names))
                 if count % 10 == 0:
-                    held += unread_bytes(self.ports)
+                    unread = unread_bytes(self.ports)
+                    self.peak_unread_mb = max(self.peak_unread_mb, unread / (1 << 20))
+                    held += unread
                     self.peak_sockets = max(self.peak_sockets, count_sockets(
                         f"/proc/{self.pid}/fd", names))
             except (OSError, StopIteration):
@@ -68,7 +73,8 @@
     def failures(self, name, memory_mb, max_fds, max_sockets=None):
         """Ends the watch; what exceeded its bound."""
         self.ended = True
-        print(f"  {name}: {self.peak_mb:.0f} MB, {self.peak_fds} descriptors, "
+        print(f"  {name}: {self.peak_mb:.0f} MB with {self.peak_unread_mb:.0f} MB unread at most, "
+              f"{self.peak_fds} descriptors, "
               f"{self.peak_sockets} sockets", flush=True)
         failures = []
         if self.peak_mb >= memory_mb:
@@ -99,6 +105,48 @@
             pass  # refused, closed or not taken any further
 
 
+class Uploads(threading.Thread):
+    """Connections that all send a body as far as it is taken, and stay open."""
+
+    def __init__(self, port, head, body_bytes, count):
+        super().__init__(daemon=True)
+        self.channels = {}  # by descriptor, with the bytes that are left
+        self.piece = b"x" * PIECE
+        for _ in range(count):
+            try:
+                channel = socket.create_connection(("127.0.0.1", port), timeout=STALL_S)
+                channel.sendall(head)
+            except OSError:
+                continue
+            channel.setblocking(False)
+            self.channels[channel.fileno()] = [channel, body_bytes]
+        self.start()
+
+    def run(self):
+        poll = select.poll()
+        for number in self.channels:
+            poll.register(number, select.POLLOUT)
+        stalled = 0
+        while stalled < STALL_S:
+            ready = poll.poll(100)
+            stalled = 0 if ready else stalled + 0.1
+            for number, _ in ready:
+                channel, left = self.channels[number]
+                try:
+                    left -= channel.send(self.piece[:left])
+                except BlockingIOError:
+                    continue
+                except OSError:
+                    left = 0
+                self.channels[number][1] = left
+                if left == 0:
+                    poll.unregister(number)
+
+    def close(self):
+        for channel, _ in self.channels.values():
+            channel.close()
+
+
 def chunked(size, chunk, missing=0, end=True):
     """A body in chunks; the last `missing` bytes are not sent."""
     full = b"%x\r\n%s\r\n" % (chunk, b"x" * chunk)
@@ -186,11 +234,19 @@
                 self.over_the_limit, self.heads_without_end, self.idle_connections]
 
 
+def leave(clients):
+    """Ends the clients and closes their connections."""
+    for client in clients:
+        if isinstance(client, threading.Thread):
+            client.join()
+        (client.channel if isinstance(client, Client) else client).close()
+
+
 def wait_for(clients, ports=()):
     """Waits until each client has sent what it wants, or is stopped, and until the process has
     read what it wants of that."""
     for client in clients:
-        if isinstance(client, Client):
+        if isinstance(client, threading.Thread):
             client.join()
     end = time.monotonic() + SETTLE_S
     before, steady = None, 0
--- a/tests/platform/crowd_ports.py
+++ b/tests/platform/crowd_ports.py
@@ -7,10 +7,11 @@
 import socket
 import sys
 import threading
+import time
 
 import crowd as callers
 from crowd import BODY_BYTES, CALLERS, CROWD, crowd, restart, served
-from crowd_clients import STALL_S, wait_for
+from crowd_clients import STALL_S, Uploads, leave, wait_for
 from deployment import check, main, route, signal, wait_until
 from link_crowd import LinkCrowd, hello, upgrade
 
@@ -19,11 +20,16 @@
 MAX_SOCKETS = MAX_FDS - FILE_DESCRIPTORS
 # With a crowd at each port and the largest configuration, the limits of the smallest VM's memory.
 ALL_MEMORY_MB, ALL_MAX_FDS = 112, 600
+# The smallest VM as it is, and more connections than it takes.
+SMALLEST_MEMORY_MB, SMALLEST_MAX_FDS, FULL_CROWD = 112, 2870, 1400
 MESSAGES = 96  # links that send a message of the largest size
 IDLE = 420  # more than the descriptors
 ROUTES = 2000
 LINKS, TUNNELS = 2, 3  # offsets of the ports
 POOL = "llm"
+SERIES = 6  # crowds, one after the other
+LEFT_S = 3  # from the end of a crowd until what it leaves behind is measured
+GROWTH_MB = 8  # what a process may hold more after the last crowd than after the second
 OPERATOR_TOKEN = "token-of-the-operators"
 
 LINK_CROWD = LinkCrowd(BODY_BYTES, CROWD, MESSAGES, IDLE)
@@ -76,11 +82,15 @@
     return clients + CALLERS.idle_connections(d.port(vm, 0))
 
 
-def all_ports(d, _):
-    """The sum over all sockets, with the largest configuration in force."""
+def large_configuration(d):
     d.version += 1
     d.store.put("config", "main", callers.configuration(d.version, extra_routes=[
         route(f"filler-{n}", f"/filler-{n}/", "idempotent", "plain") for n in range(ROUTES)]))
+
+
+def all_ports(d, _):
+    """The sum over all sockets, with the largest configuration in force."""
+    large_configuration(d)
     bounds = (ALL_MEMORY_MB, ALL_MAX_FDS, ALL_MAX_FDS - FILE_DESCRIPTORS)
     failures = crowd(d, lambda _: at_all_ports(d), 0, "all ports", *bounds)
     watch = restart(d)
@@ -94,6 +104,44 @@
     return failures + watch.failures("stop beside a crowd at all ports", *bounds)
 
 
+def smallest_vm(d, _):
+    """A full crowd at each port of the smallest VM, with its own limits."""
+    large_configuration(d)
+    head = "\r\n".join([*CALLERS.head("/many/x", "upload"),
+                        f"Content-Length: {BODY_BYTES}", "", ""]).encode()
+
+    def shape(_):
+        clients = [Uploads(d.port(0, 0), head, BODY_BYTES - 100, FULL_CROWD)]
+        clients += [Uploads(port, head, BODY_BYTES - 100, IDLE)
+                    for port in (d.port(0, 1), d.operators_port(0), d.port(0, LINKS))]
+        return clients + LINK_CROWD.unproved_links(d.port(0, LINKS)) + \
+            begun_tunnels(d.port(0, TUNNELS))
+    return crowd(d, shape, 0, "smallest VM", SMALLEST_MEMORY_MB, SMALLEST_MAX_FDS,
+                 SMALLEST_MAX_FDS - FILE_DESCRIPTORS)
+
+
+def series(d, _):
+    """A process holds no more memory after each further crowd."""
+    watch = restart(d)
+    left = []
+    for _ in range(SERIES):
+        clients = (CALLERS.mixed(d.port(0, 0)) + CALLERS.mixed(d.port(0, 1)) +
+                   CALLERS.bodies_in_pieces(d.port(0, 0)) +
+                   LINK_CROWD.messages_short_of_their_end(d.port(0, LINKS)) +
+                   LINK_CROWD.upgrades_with_short_lines(d.port(0, LINKS)) +
+                   begun_tunnels(d.port(0, TUNNELS)))
+        wait_for(clients, watch.ports)
+        leave(clients)
+        wait_until("an ordinary request is answered", lambda: served(d), 30)
+        time.sleep(LEFT_S)
+        left.append(watch.private_mb)
+    print("  left after each crowd, MB:", " ".join(f"{mb:.1f}" for mb in left), flush=True)
+    failures = watch.failures("crowds one after the other", MEMORY_MB, MAX_FDS, MAX_SOCKETS)
+    if left[-1] > left[1] + GROWTH_MB:
+        failures.append(f"memory grows from crowd to crowd: {left}")
+    return failures
+
+
 #===================================================================================================
 # Links of true VMs
 
@@ -184,7 +232,8 @@
     return failures + watch.failures("true links", MEMORY_MB, MAX_FDS, MAX_SOCKETS)
 
 
-STEPS = {step.__name__: step for step in (links, tunnels, operators, all_ports, true_links)}
+STEPS = {step.__name__: step for step in (links, tunnels, operators, all_ports, smallest_vm,
+                                             series, true_links)}
 
 
 def test(d):
@@ -194,8 +243,10 @@
 
 
 def prepare(d):
-    memory, descriptors = ((ALL_MEMORY_MB, ALL_MAX_FDS) if sys.argv[2] == "all_ports"
-                           else (MEMORY_MB, MAX_FDS))
+    memory, descriptors = {
+        "all_ports": (ALL_MEMORY_MB, ALL_MAX_FDS),
+        "smallest_vm": (SMALLEST_MEMORY_MB, SMALLEST_MAX_FDS),
+    }.get(sys.argv[2], (MEMORY_MB, MAX_FDS))
     d.settings = f"limits.memoryMb={memory}\nlimits.maxFds={descriptors}\n"
     d.operator_token = OPERATOR_TOKEN
     return d
