--- a/modules/zr_peer/websocket/websocket_transport.cc
+++ b/modules/zr_peer/websocket/websocket_transport.cc
@@ -21,6 +21,7 @@
 template <typename Base>
 struct LimitedConfig : Base {
   using type = LimitedConfig<Base>;
+  // NOLINTNEXTLINE(readability-identifier-naming): websocketpp's name
   struct transport_config : Base::transport_config {
     using socket_type = LimitedSocketEndpoint;
   };
@@ -275,7 +276,7 @@
   }
 
   ConnectionHandle EraseOldestUnproved() {
-    const ConnectionHandle oldest = unproved_.front().handle;
+    ConnectionHandle oldest = unproved_.front().handle;
     EraseUnproved(oldest);
     return oldest;
   }
--- a/tests/platform/crowd.py
+++ b/tests/platform/crowd.py
@@ -81,6 +81,15 @@
     return failures + watch.failures("largest requests", MEMORY_MB, MAX_FDS)
 
 
+def stop(d, clients):
+    """A stop among clients that are still connected, and a start."""
+    d.signal(0, signal.SIGTERM)
+    code = d.processes[0].wait(60)
+    wait_for(clients)
+    d.start(0)
+    return [f"exit code {code} after SIGTERM"] if code != 0 else []
+
+
 def stop_and_change(d):
     """A change of the configuration and a stop are carried out among such clients."""
     watch = restart(d)
@@ -92,12 +101,7 @@
     except AssertionError as error:
         failures.append(str(error))
     clients += CALLERS.mixed(d.port(0, 0))
-    d.signal(0, signal.SIGTERM)
-    code = d.processes[0].wait(60)
-    if code != 0:
-        failures.append(f"exit code {code} after SIGTERM")
-    wait_for(clients)
-    d.start(0)
+    failures += stop(d, clients)
     return failures + watch.failures("stop and change", MEMORY_MB, MAX_FDS)
 
 
--- a/tests/platform/crowd_ports.py
+++ b/tests/platform/crowd_ports.py
@@ -10,9 +10,9 @@
 import time
 
 import crowd as callers
-from crowd import BODY_BYTES, CALLERS, CROWD, crowd, restart, served
+from crowd import BODY_BYTES, CALLERS, CROWD, crowd, restart, served, stop
 from crowd_clients import STALL_S, Uploads, leave, wait_for
-from deployment import check, main, route, signal, wait_until
+from deployment import check, main, route, wait_until
 from link_crowd import LinkCrowd, hello, upgrade
 
 # Limits of the VM, lowered so that a small crowd exceeds them; 200 descriptors are for files.
@@ -94,13 +94,7 @@
     bounds = (ALL_MEMORY_MB, ALL_MAX_FDS, ALL_MAX_FDS - FILE_DESCRIPTORS)
     failures = crowd(d, lambda _: at_all_ports(d), 0, "all ports", *bounds)
     watch = restart(d)
-    clients = at_all_ports(d)
-    d.signal(0, signal.SIGTERM)
-    code = d.processes[0].wait(60)
-    if code != 0:
-        failures.append(f"exit code {code} after SIGTERM")
-    wait_for(clients)
-    d.start(0)
+    failures += stop(d, at_all_ports(d))
     return failures + watch.failures("stop beside a crowd at all ports", *bounds)
 
 
--- a/tests/system/crowd_ports.py
+++ b/tests/system/crowd_ports.py
@@ -7,6 +7,7 @@
 import crowd as callers
 from crowd import BODY_BYTES, CALLERS, CROWD, LIMITS, OPERATORS, crowd
 from harness import Cluster, check, main, wait_until
+from crowd_clients import Uploads
 from link_crowd import LinkCrowd
 
 # Limits of the daemon, lowered so that a small crowd exceeds them; 200 descriptors are for files.
@@ -16,6 +17,8 @@
 MAX_SOCKETS = MAX_FDS - FILE_DESCRIPTORS
 # With a crowd at each port.
 ALL_MAX_FDS = 600
+# With more connections than a small VM takes.
+FULL_MAX_FDS, FULL_CROWD = 2870, 1400
 
 LINK_CROWD = LinkCrowd(BODY_BYTES, CROWD, MESSAGES, IDLE)
 
@@ -40,6 +43,21 @@
     return crowd(cluster, shape, 0, "all ports", ALL_MAX_FDS, ALL_MAX_FDS - FILE_DESCRIPTORS)
 
 
+def full_crowd(cluster, _):
+    """A full crowd at the ports of callers and operators, with the descriptors of a small VM."""
+    def head(crowd_of, path):
+        return "\r\n".join([*crowd_of.head(path, "upload"),
+                            f"Content-Length: {BODY_BYTES}", "", ""]).encode()
+
+    def shape(_):
+        return [Uploads(cluster.caller(0), head(CALLERS, CALLERS.path), BODY_BYTES - 100,
+                        FULL_CROWD),
+                Uploads(cluster.operator(0), head(OPERATORS, OPERATORS.path), BODY_BYTES - 100,
+                        IDLE)]
+    cluster.limits = LIMITS.replace("max_connections = 200", "max_connections = 10000")
+    return crowd(cluster, shape, 0, "full crowd", FULL_MAX_FDS, FULL_MAX_FDS - FILE_DESCRIPTORS)
+
+
 def true_links(cluster, _):
     """A daemon that has just started links to one whose port a crowd fills."""
     watch = callers.restart(cluster)
@@ -60,14 +78,15 @@
     return failures + watch.failures("true links", MEMORY_MB, MAX_FDS, MAX_SOCKETS)
 
 
-STEPS = {step.__name__: step for step in (links, all_ports, true_links)}
+STEPS = {step.__name__: step for step in (links, all_ports, full_crowd, true_links)}
 
 
 def test(base):
     step, wanted = STEPS[sys.argv[2]], sys.argv[3:]
     with Cluster(base, vms=2, engines=2) as cluster:
         cluster.limits = LIMITS
-        cluster.max_descriptors = ALL_MAX_FDS if step is all_ports else MAX_FDS
+        cluster.max_descriptors = {all_ports: ALL_MAX_FDS, full_crowd: FULL_MAX_FDS}.get(
+            step, MAX_FDS)
         failures = step(cluster, wanted)
         check(not failures, "; ".join(failures))
 
