--- a/tests/platform/crowd_ports.py
+++ b/tests/platform/crowd_ports.py
@@ -190,8 +190,8 @@
 
 
 def true_links(d, _):
-    """Links of true VMs stay, and a VM that has just started reaches the dispatcher, beside links
-    without a proof at the ports of both."""
+    """Links of true VMs stay, a VM that has just started reaches the dispatcher, and a change gets
+    into force, beside links without a proof at the ports of both."""
     wait_until("a dispatcher is known to both VMs",
                lambda: dispatcher(d, 0) and dispatcher(d, 0) == dispatcher(d, 1))
     victim = int(dispatcher(d, 0).removeprefix("vm-"))
@@ -218,7 +218,10 @@
         wait_until("a started VM reaches the dispatcher",
                    lambda: dispatcher(d, other, after) == name)
         wait_until("a stream of the started VM is dispatched", lambda: dispatched(other, after))
-        wait_until("an ordinary request is answered", lambda: served(d, vm=victim))
+        d.version += 1
+        d.store.put("config", "main", callers.configuration(d.version, keys=("key-1", "key-2")))
+        for vm in (victim, other):
+            wait_until("the change is in force", lambda vm=vm: served(d, "key-2", vm))
     except AssertionError as error:
         failures.append(str(error))
     for links_of_crowd in crowds:
--- a/tests/system/crowd_ports.py
+++ b/tests/system/crowd_ports.py
@@ -6,8 +6,8 @@
 
 import crowd as callers
 from crowd import BODY_BYTES, CALLERS, CROWD, LIMITS, OPERATORS, crowd
-from harness import Cluster, check, main, wait_until
 from crowd_clients import Uploads
+from harness import Cluster, check, main, wait_until
 from link_crowd import LinkCrowd
 
 # Limits of the daemon, lowered so that a small crowd exceeds them; 200 descriptors are for files.
