--- a/modules/zr_gateway_host/forwarded_request_failure_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_failure_impl.h
@@ -209,6 +209,7 @@
   fields["call_ms"] = (now - call_->started).milliseconds();
   fields["last_event"] = last_event_.value_or(-1);
   fields["began"] = !call_->prefilling;
+  fields["new_connection"] = call_->is_new_connection;
   if (call_->through) fields["through"] = call_->through->vm.value();
   fields["parts"] = request_.shared_parts;
   return fields;
