Calls: a dropped idle connection is not a crash of its endpoint

Cause: a reset on a kept connection, before any byte of an answer, was taken for a call that the endpoint had begun: it used up a run of the request, counted against the endpoint's health and made the prompt's parts suspects of a crash. Three of them in a row blame the part that all prompts share, and no answer can clear a part whose prompts are all rejected. Evidence: call_failed with new_connection: the five suspected crashes are on kept connections, 0 to 3 ms after sending; no engine crashed or came back with another boot number, and no answer was in progress between them. Change: the HTTP client says that a kept connection was lost within 0.3 s and before any byte of an answer, and makes no further connection in that case; other kept ones stay. ForwardedRequest sends such a call once more to the same endpoint, on a new connection. The first send stays a possible run. Why it works: only a new connection tells a dropped one from a crash. Refused or reset, the call is evidence as before, as of the first loss; answered, nothing has happened. What may run once never used kept connections. Ruled out: crashes beside the deadly part; answers that were not counted.

--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -104,6 +104,9 @@
     int connections = 0;             // tried, each on another path
     bool is_new_connection = false;  // no bytes of earlier answers come on it
     bool reserving = false;          // engines have not confirmed their memory
+    // When the kept connection on which it was sent first turned out to have
+    // been dropped; it was sent again.
+    std::optional<TimePoint> dropped;
     std::shared_ptr<HttpCall> handle;
   };
 
@@ -175,8 +178,12 @@
   void ForwardEvents();
   void OnCallEnd(std::optional<ClientFailure> failure);
   void CompleteCall();
+  bool MayResendCall(TimePoint now) const;
+  /** Sends the call once more, on a new connection: only that tells a dropped
+   * connection from an endpoint that has crashed. */
+  void ResendCall(TimePoint now, const std::string& why);
   /** The connection broke or ended early, as when the endpoint crashes. */
-  void FailBrokenCall(const std::string& why);
+  void FailBrokenCall(TimePoint broken, const std::string& why);
   void FailCall(CallFailure failure, CallResult result, const std::string& why);
   void ReleaseCall();
   void RecordFirstEvent();
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -118,6 +118,7 @@
   call.connect_timeout = std::min(kConnectTimeout, target.time_left);
   call.no_resend = true;
   call.fresh_connection = NeedsFreshConnection();
+  call.new_connection = call_->dropped.has_value();
   call.max_idle = kMaxIdleConnection;
 
   call_->through = state_.paths->ChooseTunnelVm(now, service_->name,
@@ -127,7 +128,7 @@
     call_->tunnel_vms_tried.insert(call_->through->vm);
   }
   ++call_->connections;
-  ++possible_runs_;
+  if (!call_->dropped) ++possible_runs_;
   tried_.insert(plan.primary.endpoint);
   call_->started = now;
   if (!first_event_) last_call_started_ = now;
@@ -157,12 +158,14 @@
                           deadline_ - now > kMinTimeLeft &&
                           state_.paths->ChooseTunnelVm(now, service_->name,
                                                        call_->tunnel_vms_tried);
-  if (!other_path) {
-    return FailCall(CallFailure::kNotConnected, CallResult::kConnectionBroken,
-                    why);
+  if (other_path) {
+    if (!call_->dropped) --possible_runs_;
+    return SendCall(now);
   }
-  --possible_runs_;
-  SendCall(now);
+  if (call_->dropped) {
+    return FailBrokenCall(*call_->dropped, why);
+  }
+  FailCall(CallFailure::kNotConnected, CallResult::kConnectionBroken, why);
 }
 
 template <GatewayFormat Format>
@@ -318,9 +321,13 @@
 
 template <GatewayFormat Format>
 void ForwardedRequest<Format>::OnCallEnd(std::optional<ClientFailure> failure) {
+  const TimePoint now = BootNow();
   if (failure) {
     if (!failure->request_sent) return OnNotConnected(failure->error.message);
-    return FailBrokenCall(failure->error.message);
+    if (failure->idle_connection_dropped && MayResendCall(now)) {
+      return ResendCall(now, failure->error.message);
+    }
+    return FailBrokenCall(now, failure->error.message);
   }
   if (!call_->head) {
     return FailCall(CallFailure::kConnectionBroken,
@@ -328,18 +335,40 @@
                     "answer ended without a status");
   }
   if (call_->events.pending_bytes() > 0) {
-    return FailBrokenCall("answer ended within an event");
+    return FailBrokenCall(now, "answer ended within an event");
   }
   if (route_->streaming && call_->head->status == 200 && call_->prefilling &&
       !last_event_) {
-    return FailBrokenCall("answer ended before its first event");
+    return FailBrokenCall(now, "answer ended before its first event");
   }
   CompleteCall();
 }
 
 template <GatewayFormat Format>
-void ForwardedRequest<Format>::FailBrokenCall(const std::string& why) {
-  state_.suspects->OnCallBroken(BootNow(), request_.id,
+bool ForwardedRequest<Format>::MayResendCall(TimePoint now) const {
+  return !call_->dropped && route_->retry_policy != RetryPolicy::kAtMostOnce &&
+         deadline_ - now > gateway_internal::kMinTimeLeft;
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::ResendCall(TimePoint now,
+                                          const std::string& why) {
+  LogFields fields = CommonFields(now);
+  fields["endpoint"] = call_->plan.primary.endpoint.value();
+  fields["reason"] = why;
+  fields["call_ms"] = (now - call_->started).milliseconds();
+  state_.log.Write(now, "call_resent", fields);
+  state_.metrics.Count("zr_gateway_lost_connections_total",
+                       {{"service", service_->name.value()}});
+  call_->dropped = now;
+  call_->handle.reset();
+  SendCall(now);
+}
+
+template <GatewayFormat Format>
+void ForwardedRequest<Format>::FailBrokenCall(TimePoint broken,
+                                              const std::string& why) {
+  state_.suspects->OnCallBroken(BootNow(), broken, request_.id,
                                 call_->plan.primary.endpoint,
                                 !call_->prefilling, suspects_);
   FailCall(CallFailure::kConnectionBroken, CallResult::kConnectionBroken, why);
--- a/modules/zr_gateway_host/suspect_exchange.cc
+++ b/modules/zr_gateway_host/suspect_exchange.cc
@@ -43,13 +43,14 @@
 //==============================================================================
 // Calls of this VM
 
-void SuspectExchange::OnCallBroken(TimePoint now, const RequestId& request,
+void SuspectExchange::OnCallBroken(TimePoint now, TimePoint broken,
+                                   const RequestId& request,
                                    const EndpointId& endpoint, bool began,
                                    const std::vector<CrashSuspect>& suspects) {
   ReportCrash(now, {request,
                     began,
                     false,
-                    {endpoint, BootOf(endpoint), Duration(),
+                    {endpoint, BootOf(endpoint), now - broken,
                      attribution_.SelectSuspects(
                          began ? WholeRequestOf(suspects) : suspects)}});
 }
--- a/modules/zr_gateway_host/suspect_exchange.h
+++ b/modules/zr_gateway_host/suspect_exchange.h
@@ -35,8 +35,9 @@
   // Calls of this VM
 
   /** A call broke.
+   * @param broken  when it did
    * @param began  the endpoint had begun to answer it */
-  void OnCallBroken(TimePoint now, const RequestId& request,
+  void OnCallBroken(TimePoint now, TimePoint broken, const RequestId& request,
                     const EndpointId& endpoint, bool began,
                     const std::vector<CrashSuspect>& suspects);
   /** A call that an endpoint was reading was cancelled. The endpoint may not
--- a/modules/zr_http/client/http_call.cc
+++ b/modules/zr_http/client/http_call.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <chrono>
 #include <exception>
 #include <string_view>
 #include <utility>
@@ -25,6 +26,9 @@
 constexpr size_t kMaxHeaderBytes = size_t{64} << 10;
 // The same for their number, as a short line costs many times its bytes.
 constexpr size_t kMaxHeaderLines = 512;
+// A connection that the server has dropped is reset within a round trip after a
+// request was sent on it; a lost packet is sent again after 200 ms.
+constexpr std::chrono::milliseconds kMaxDropDelay(300);
 
 /** A status line names a status of three digits: an interim one (1xx) or one
  * from 200 to 599. No call asks for a switch of protocols (101). */
@@ -99,6 +103,8 @@
   curl_easy_setopt(
       easy_, CURLOPT_TIMEOUT_MS,
       static_cast<long>(request_.total_timeout.milliseconds()));  // NOLINT
+  curl_easy_setopt(easy_, CURLOPT_OPENSOCKETFUNCTION, &EasyCall::OnOpenSocket);
+  curl_easy_setopt(easy_, CURLOPT_OPENSOCKETDATA, this);
   curl_easy_setopt(easy_, CURLOPT_SOCKOPTFUNCTION, &OnSocketCreated);
   curl_easy_setopt(easy_, CURLOPT_TCP_KEEPALIVE, 1L);
   curl_easy_setopt(easy_, CURLOPT_TCP_KEEPIDLE, kKeepAliveSeconds);
@@ -107,8 +113,10 @@
     curl_easy_setopt(easy_, CURLOPT_MAXAGE_CONN,
                      static_cast<long>(request_.max_idle.seconds()));  // NOLINT
   }
-  if (request_.fresh_connection) {
+  if (request_.fresh_connection || request_.new_connection) {
     curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 1L);
+  }
+  if (request_.fresh_connection) {
     curl_easy_setopt(easy_, CURLOPT_FORBID_REUSE, 1L);
   }
   if (!request_.body.empty() || request_.method == "POST" ||
@@ -143,12 +151,31 @@
   }
 }
 
+curl_socket_t EasyCall::OnOpenSocket(void* self, curlsocktype,
+                                     curl_sockaddr* address) {
+  // Fails the call before a connection is made that would not be used.
+  if (static_cast<EasyCall*>(self)->OnConnectionLost()) return CURL_SOCKET_BAD;
+  return socket(address->family, address->socktype, address->protocol);
+}
+
+bool EasyCall::OnConnectionLost() {
+  if (!request_sent_ || !request_.no_resend) return false;
+  if (!std::exchange(connection_lost_, true)) {
+    lost_after_ = std::chrono::steady_clock::now() - sent_at_;
+  }
+  return true;
+}
+
 int EasyCall::OnRequestStart(void* self, char*, char*, int, int) {
   auto* call = static_cast<EasyCall*>(self);
-  if (call->request_sent_ && call->request_.no_resend) {
-    return CURL_PREREQFUNC_ABORT;
-  }
+  if (call->OnConnectionLost()) return CURL_PREREQFUNC_ABORT;
   call->request_sent_ = true;
+  call->sent_at_ = std::chrono::steady_clock::now();
+  if (call->request_.no_resend) {
+    // Keeps libcurl from resending on another kept connection, which the
+    // refusal would close.
+    curl_easy_setopt(call->easy_, CURLOPT_FRESH_CONNECT, 1L);
+  }
   long connects = 0;  // NOLINT(google-runtime-int): libcurl's type
   curl_easy_getinfo(call->easy_, CURLINFO_NUM_CONNECTS, &connects);
   const bool called =
@@ -233,31 +260,31 @@
     return;
   }
   if (!listener_error_.empty()) {
-    listener->OnEnd(ClientFailure{
-        Error{ErrorCode::kInternal, "call", request_.url, listener_error_},
-        request_sent_});
+    listener->OnEnd(FailureOf(ErrorCode::kInternal, listener_error_));
     return;
   }
   if (invalid_ != nullptr) {
-    listener->OnEnd(ClientFailure{
-        Error{ErrorCode::kUnavailable, "call", request_.url, invalid_},
-        request_sent_});
+    listener->OnEnd(FailureOf(ErrorCode::kUnavailable, invalid_));
     return;
   }
   if (exceeded_ != nullptr) {
-    listener->OnEnd(
-        ClientFailure{Error{ErrorCode::kTooLarge, "call", request_.url,
-                            std::string(exceeded_) + " exceed the limit"},
-                      request_sent_});
+    listener->OnEnd(FailureOf(ErrorCode::kTooLarge,
+                              std::string(exceeded_) + " exceed the limit"));
     return;
   }
-  const std::string text =
-      error_text_[0] != 0 ? error_text_ : curl_easy_strerror(code);
+  const std::string text = connection_lost_
+                               ? "connection closed before an answer"
+                           : error_text_[0] != 0 ? error_text_
+                                                 : curl_easy_strerror(code);
   const ErrorCode error_code = code == CURLE_OPERATION_TIMEDOUT && request_sent_
                                    ? ErrorCode::kUnknownOutcome
                                    : ErrorCode::kUnavailable;
-  listener->OnEnd(ClientFailure{Error{error_code, "call", request_.url, text},
-                                request_sent_});
+  listener->OnEnd(FailureOf(error_code, text));
+}
+
+ClientFailure EasyCall::FailureOf(ErrorCode code, std::string text) const {
+  return {Error{code, "call", request_.url, std::move(text)}, request_sent_,
+          connection_lost_ && lost_after_ <= kMaxDropDelay};
 }
 
 }  // namespace zr
--- a/modules/zr_http/client/http_call.h
+++ b/modules/zr_http/client/http_call.h
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 
+#include <chrono>
 #include <concepts>
 #include <memory>
 #include <string>
@@ -38,11 +39,18 @@
   static size_t OnWrite(char* data, size_t size, size_t count, void* self);
   static size_t OnHeader(char* data, size_t size, size_t count, void* self);
   static int OnRequestStart(void* self, char*, char*, int, int);
+  static curl_socket_t OnOpenSocket(void* self, curlsocktype purpose,
+                                    curl_sockaddr* address);
   void ApplyOptions();
   /** Calls the listener from one of libcurl's callbacks, which no exception may
    * leave. @returns false if it threw; the call then fails */
   template <std::invocable<HttpClient::Listener&> F>
   bool CallListener(F call);
+  ClientFailure FailureOf(ErrorCode code, std::string text) const;
+  /** libcurl would send the request once more, against `no_resend`, as it was
+   * sent on a kept connection that was lost before any byte of an answer.
+   * @returns whether to end the call */
+  bool OnConnectionLost();
 
   ClientRequest request_;
   std::shared_ptr<HttpClient::Listener> listener_;
@@ -57,7 +65,10 @@
   size_t bytes_received_ = 0;
   const char* exceeded_ = nullptr;  // the part that exceeds its limit
   const char* invalid_ = nullptr;   // what makes the answer invalid
-  std::string listener_error_;      // what the listener threw
+  bool connection_lost_ = false;    // a kept one, before any byte of an answer
+  std::chrono::steady_clock::time_point sent_at_;
+  std::chrono::steady_clock::duration lost_after_{};  // since sent_at_
+  std::string listener_error_;                        // what the listener threw
   char error_text_[CURL_ERROR_SIZE] = {};
 };
 
--- a/modules/zr_http/client/http_client.h
+++ b/modules/zr_http/client/http_client.h
@@ -27,13 +27,17 @@
   /** A longer body ends the call with kTooLarge; 0 for no limit. */
   size_t max_body_bytes = 0;
   /**
-   * Uses a new connection. libcurl silently resends a request whose reused
-   * connection closes before a response, so non-repeatable calls need this.
+   * Uses a new connection and closes it after the call. libcurl silently
+   * resends a request whose reused connection closes before a response, so
+   * non-repeatable calls need this.
    */
   bool fresh_connection = false;
+  /** Uses a new connection, which later calls may reuse. */
+  bool new_connection = false;
   /**
    * Fails instead of resending a request whose reused connection closed before
-   * a response; ClientFailure::request_sent is then true.
+   * a response; ClientFailure::request_sent is then true. No further connection
+   * is made.
    */
   bool no_resend = false;
   /** Address, "ip:port", of a SOCKS 4 proxy, and the user name for it; empty
@@ -49,6 +53,12 @@
 struct ClientFailure {
   Error error;
   bool request_sent = false;  // false: no byte of the request left this process
+  /**
+   * The request was sent on a kept connection only, which was lost before any
+   * byte of an answer and so soon that the server had probably dropped it while
+   * it was idle. Set for calls with ClientRequest::no_resend.
+   */
+  bool idle_connection_dropped = false;
 };
 
 /** A complete response. */
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -7,6 +7,7 @@
 import collections
 import itertools
 import json
+import select
 import socket
 import struct
 import threading
@@ -384,6 +385,9 @@
     prefill_s = 0  # of an engine, before the first event
     slow_part, slow_s = None, 0  # prompts with this text take so much longer
     down_s = 1.5  # after a crash
+    closes_when_down = False  # refuses connections then and closes those that it has; else it resets requests
+    drops_after_s = None  # drops a connection that was idle for so long, and resets what comes on it later
+    drop_times = []  # of requests that came on a dropped connection, of all endpoints
     crash_times = []  # of all endpoints
 
     def __init__(self, port, service, domain, events=0):
@@ -422,9 +426,58 @@
 
             do_POST = do_GET
 
-        self.server = Server(("127.0.0.1", port), EndpointHandler)
+            def setup(self):
+                super().setup()
+                self.kept = False
+                with endpoint.lock:
+                    endpoint.connections.add(self.connection)
+
+            def finish(self):
+                with endpoint.lock:
+                    endpoint.connections.discard(self.connection)
+                super().finish()
+
+            def handle_one_request(self):
+                if self.kept and endpoint.drops_after_s is not None and endpoint.was_dropped(self):
+                    return
+                super().handle_one_request()
+                self.kept = True
+
+        self.handler = EndpointHandler
+        self.connections = set()
+        self.listen()
+
+    def listen(self):
+        self.server = Server(("127.0.0.1", self.port), self.handler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
+    def stop_listening(self):
+        """Refuses connections and closes those that are open, as when the process has ended."""
+        server = self.server
+        with self.lock:
+            ends = [server.socket, *self.connections]
+        for end in ends:
+            try:
+                end.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        server.shutdown()
+        server.server_close()
+
+    def was_dropped(self, handler):
+        """Waits for the next request; whether the connection had been dropped when it came."""
+        if select.select([handler.connection], [], [], self.drops_after_s)[0]:
+            return False
+        select.select([handler.connection], [], [])
+        try:
+            if handler.connection.recv(1, socket.MSG_PEEK):
+                self.drop_times.append(time.monotonic())
+                handler.reset()
+        except OSError:
+            pass
+        handler.close_connection = True
+        return True
+
     def set_limit(self, limit):
         self.limit, self.limited_since = limit, time.monotonic() if limit is not None else None
 
@@ -496,12 +549,16 @@
             self.down = True
             self.crashes += 1
             self.crash_times.append(time.monotonic())
+        if self.closes_when_down:
+            threading.Thread(target=self.stop_listening, daemon=True).start()
 
         def restart():
             old = self.id
             if not self.keeps_id:
                 self.id = f"i-{next(self.numbers):04x}"
             self.born, self.writes = int(time.time() * 1000), 0
+            if self.closes_when_down:
+                self.listen()
             self.down = False
             self.on_restart(old)
 
