Reservations: orders on dropped idle connections are sent again

Callers saw: after a pause, long prompts that need the memory of several engines got 503 "engines have no memory for the prompt" or 502, while all engines were free. Change: such an order, and a query of its use, is sent again on a new connection. The first send of a reservation counts as unanswered, so its release is repeated until it can't take effect any more. Why it works: an order names its reservation, so a second one changes nothing, and an engine that has crashed refuses the new connection.

--- a/modules/zr_gateway/reservation_set.cc
+++ b/modules/zr_gateway/reservation_set.cc
@@ -69,9 +69,7 @@
                                                  OrderOutcome outcome) {
   Lease& lease = leases_[order.engine];
   const bool unknown = outcome == OrderOutcome::kUnknown;
-  if (unknown) {
-    lease.late_until = std::max(lease.late_until, now + kMaxOrderDelay);
-  }
+  if (unknown) NoteUnanswered(now, lease);
   if (order.kind == MemoryOrder::Kind::kRelease) {
     lease.releasing = false;
     if (!unknown && now >= lease.late_until) lease.may_exist = false;
@@ -99,6 +97,16 @@
   return {};
 }
 
+void ReservationSet::OnSentAgain(TimePoint now, const MemoryOrder& order) {
+  // A late release does no harm.
+  if (order.kind == MemoryOrder::Kind::kRelease) return;
+  NoteUnanswered(now, leases_[order.engine]);
+}
+
+void ReservationSet::NoteUnanswered(TimePoint now, Lease& lease) {
+  lease.late_until = std::max(lease.late_until, now + kMaxOrderDelay);
+}
+
 ReservationSet::Orders ReservationSet::Tick(TimePoint now) {
   Orders orders;
   const bool ending = state_ != State::kPending && state_ != State::kHeld;
--- a/modules/zr_gateway/reservation_set.h
+++ b/modules/zr_gateway/reservation_set.h
@@ -70,6 +70,9 @@
   /** An order was answered or has timed out. */
   Orders OnOutcome(TimePoint now, const MemoryOrder& order,
                    OrderOutcome outcome);
+  /** An order is sent again, as the connection on which it was sent first was
+   * lost. */
+  void OnSentAgain(TimePoint now, const MemoryOrder& order);
   /** Sends the renewals and repeated releases that are due. */
   Orders Tick(TimePoint now);
   /** The call has ended or will not begin. */
@@ -102,6 +105,8 @@
   MemoryOrder Reserve(size_t engine, TimePoint now);
   MemoryOrder Release(size_t engine, TimePoint now);
   void UpdateState();
+  /** An order to the engine has no answer and may still take effect. */
+  static void NoteUnanswered(TimePoint now, Lease& lease);
 
   std::string name_;
   std::vector<PlacedEndpoint> engines_;
--- a/modules/zr_gateway/tests/reservation_test.cc
+++ b/modules/zr_gateway/tests/reservation_test.cc
@@ -176,6 +176,38 @@
     REQUIRE(last > At(5'000));
     REQUIRE(set.state() == State::kClosed);
   }
+  SECTION("an order that is sent again keeps its set") {
+    set.OnSentAgain(At(1), asked[0]);
+    set.OnOutcome(At(2), asked[0], OrderOutcome::kDone);
+    set.OnOutcome(At(2), asked[1], OrderOutcome::kDone);
+    REQUIRE(set.state() == State::kHeld);
+    const auto release_all = [&set](int64_t ms) {
+      auto orders =
+          set.state() == State::kHeld ? set.End(At(ms)) : set.Tick(At(ms));
+      for (const auto& order : orders) {
+        set.OnOutcome(At(ms), order, OrderOutcome::kDone);
+      }
+      return orders;
+    };
+    SECTION("and is released until the first one can't take effect") {
+      REQUIRE(Count(release_all(100), Kind::kRelease) == 2);
+      REQUIRE(set.state() == State::kReleasing);
+      const auto repeated = release_all(1'000);
+      REQUIRE(Count(repeated, Kind::kRelease) == 1);
+      REQUIRE(repeated[0].endpoint == engines[0]);
+    }
+    SECTION("and once if that is long ago") {
+      REQUIRE(Count(release_all(6'100), Kind::kRelease) == 2);
+      REQUIRE(set.state() == State::kClosed);
+    }
+    SECTION("a release that is sent again adds none") {
+      for (const auto& order : set.End(At(6'100))) {
+        set.OnSentAgain(At(6'101), order);
+        set.OnOutcome(At(6'102), order, OrderOutcome::kDone);
+      }
+      REQUIRE(set.state() == State::kClosed);
+    }
+  }
 }
 
 // Guards against memory that stays reserved beside an engine that does not
--- a/modules/zr_gateway_host/reservation_keeper.cc
+++ b/modules/zr_gateway_host/reservation_keeper.cc
@@ -85,28 +85,37 @@
                     reply    ? reply->status
                     : unsent ? kUnsentStatus
                              : 0);
-        });
+        },
+        [this, name, order] { OnSentAgain(name, order); });
   }
 }
 
 void ReservationKeeper::Fetch(
     const EndpointId& endpoint, ClientRequest request,
-    std::function<void(tl::expected<ClientResponse, ClientFailure>)> done) {
+    std::function<void(tl::expected<ClientResponse, ClientFailure>)> done,
+    std::function<void()> on_sent_again) {
   request.connect_timeout = kOrderTimeout;
   request.total_timeout = kOrderTimeout;
   request.no_resend = true;
   const auto through = TunnelVmFor(endpoint);
   if (through) state_.paths->Apply(*through, endpoint, request);
-  state_.http->Fetch(std::move(request), kMaxAnswerBytes,
-                     [this, endpoint, through, done = std::move(done)](
-                         tl::expected<ClientResponse, ClientFailure> reply) {
-                       if (!reply && !reply.error().request_sent) {
-                         state_.paths->OnConnection(
-                             BootNow(), endpoint, through ? &*through : nullptr,
-                             false);
-                       }
-                       done(std::move(reply));
-                     });
+  ClientRequest again = request;
+  again.new_connection = true;
+  state_.http->Fetch(
+      std::move(request), kMaxAnswerBytes,
+      [this, endpoint, through, again = std::move(again),
+       done = std::move(done), on_sent_again = std::move(on_sent_again)](
+          tl::expected<ClientResponse, ClientFailure> reply) {
+        if (!reply && reply.error().idle_connection_dropped) {
+          if (on_sent_again) on_sent_again();
+          return Fetch(endpoint, again, done);
+        }
+        if (!reply && !reply.error().request_sent) {
+          state_.paths->OnConnection(BootNow(), endpoint,
+                                     through ? &*through : nullptr, false);
+        }
+        done(std::move(reply));
+      });
 }
 
 void ReservationKeeper::QueryUse(const std::string& name) {
@@ -162,6 +171,17 @@
   NotifyResult(now, name);
 }
 
+void ReservationKeeper::OnSentAgain(const std::string& name,
+                                    const MemoryOrder& order) {
+  auto it = sets_.find(name);
+  if (it == sets_.end()) return;
+  const TimePoint now = BootNow();
+  it->second.set.OnSentAgain(now, order);
+  state_.log.Write(now, "order_sent_again",
+                   {{"request", it->second.request.value()},
+                    {"endpoint", order.endpoint.endpoint.value()}});
+}
+
 void ReservationKeeper::NotifyResult(TimePoint now, const std::string& name) {
   auto it = sets_.find(name);
   if (it == sets_.end()) return;
--- a/modules/zr_gateway_host/reservation_keeper.h
+++ b/modules/zr_gateway_host/reservation_keeper.h
@@ -69,12 +69,16 @@
   /** Asks the first engine whether a request uses the memory. */
   void QueryUse(const std::string& name);
   void OnUse(const std::string& name, ReservationUse use);
-  /** Sends a request to an engine, through another VM if own paths are lost. */
+  /** Sends a request to an engine, through another VM if own paths are lost; on
+   * a new connection if the engine has dropped the one that was kept.
+   * @param on_sent_again  called in that case; may be null */
   void Fetch(
       const EndpointId& endpoint, ClientRequest request,
-      std::function<void(tl::expected<ClientResponse, ClientFailure>)> done);
+      std::function<void(tl::expected<ClientResponse, ClientFailure>)> done,
+      std::function<void()> on_sent_again = nullptr);
   std::optional<TunnelVm> TunnelVmFor(const EndpointId& endpoint) const;
   void OnOutcome(const std::string& name, const MemoryOrder& order, int status);
+  void OnSentAgain(const std::string& name, const MemoryOrder& order);
   /** Calls the callback once the result is known; erases ended sets. */
   void NotifyResult(TimePoint now, const std::string& name);
 
--- a/tests/platform/dropped_channels.py
+++ b/tests/platform/dropped_channels.py
@@ -13,7 +13,7 @@
 import threading
 import time
 
-from deployment import check, main, wait_until
+from deployment import check, configuration, main, route, wait_until
 from standins import STABLE_S, Endpoint
 
 VMS = 2
@@ -173,8 +173,27 @@
     check(len(Endpoint.drop_times) > before, "no connection was dropped")
 
 
+def reserved_memory(d):
+    """Orders for memory that the parts of a long prompt need meet dropped connections, too."""
+    long_route = route("long", "/long/", "streaming", "llm", resumable=True, sticky=True,
+                       gapAimMs=800, timeoutMs=20000, targetLatencyMs=4000)
+    d.store.put("config", "main", configuration(3, extra_routes=[long_route]))
+    time.sleep(STABLE_S)
+    Endpoint.drops_after_s = DROP_S
+    before, answers = len(Endpoint.drop_times), []
+    # A prompt that needs the memory of two engines.
+    headers = {"X-Token-Count": "600000,80", "X-Model": "m", "X-Timeout-Ms": "20000"}
+    for round_number in range(6):
+        answers += together([lambda n=n: d.call(n, "GET", "/long/x", f"long-{round_number}-{n}",
+                                                headers=headers) for n in range(VMS)], 0.02)
+        time.sleep(PAUSE_S)
+    check_served(answers, "whose memory is reserved after a pause")
+    check(len(Endpoint.drop_times) > before, "no connection was dropped")
+
+
 STEPS = {step.__name__: step for step in (drops_in_a_quiet_time, deadly_part,
-                                          deadly_part_ends_engines, plain_requests)}
+                                          deadly_part_ends_engines, plain_requests,
+                                          reserved_memory)}
 
 
 def test(d):
