Clients: names and comments of the resend after a dropped connection

Cause: read as a newcomer, OnConnectionLost() was a predicate, and dropped an optional time. Change: RefuseResend(), lost_after_ without a flag of its own, dropped_at. No change of behaviour.

--- a/modules/zr_gateway_host/forwarded_request.h
+++ b/modules/zr_gateway_host/forwarded_request.h
@@ -104,9 +104,9 @@
     int connections = 0;             // tried, each on another path
     bool is_new_connection = false;  // no bytes of earlier answers come on it
     bool reserving = false;          // engines have not confirmed their memory
-    // When the kept connection on which it was sent first turned out to have
-    // been dropped; it was sent again.
-    std::optional<TimePoint> dropped;
+    // When it turned out that the endpoint had dropped the kept connection on
+    // which the call was sent first; it was sent again then.
+    std::optional<TimePoint> dropped_at;
     std::shared_ptr<HttpCall> handle;
   };
 
@@ -182,7 +182,8 @@
   /** Sends the call once more, on a new connection: only that tells a dropped
    * connection from an endpoint that has crashed. */
   void ResendCall(TimePoint now, const std::string& why);
-  /** The connection broke or ended early, as when the endpoint crashes. */
+  /** The connection broke or ended early, as when the endpoint crashes.
+   * @param broken  when it did */
   void FailBrokenCall(TimePoint broken, const std::string& why);
   void FailCall(CallFailure failure, CallResult result, const std::string& why);
   void ReleaseCall();
--- a/modules/zr_gateway_host/forwarded_request_call_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_call_impl.h
@@ -118,7 +118,7 @@
   call.connect_timeout = std::min(kConnectTimeout, target.time_left);
   call.no_resend = true;
   call.fresh_connection = NeedsFreshConnection();
-  call.new_connection = call_->dropped.has_value();
+  call.new_connection = call_->dropped_at.has_value();
   call.max_idle = kMaxIdleConnection;
 
   call_->through = state_.paths->ChooseTunnelVm(now, service_->name,
@@ -128,7 +128,7 @@
     call_->tunnel_vms_tried.insert(call_->through->vm);
   }
   ++call_->connections;
-  if (!call_->dropped) ++possible_runs_;
+  if (!call_->dropped_at) ++possible_runs_;
   tried_.insert(plan.primary.endpoint);
   call_->started = now;
   if (!first_event_) last_call_started_ = now;
@@ -159,11 +159,11 @@
                           state_.paths->ChooseTunnelVm(now, service_->name,
                                                        call_->tunnel_vms_tried);
   if (other_path) {
-    if (!call_->dropped) --possible_runs_;
+    if (!call_->dropped_at) --possible_runs_;
     return SendCall(now);
   }
-  if (call_->dropped) {
-    return FailBrokenCall(*call_->dropped, why);
+  if (call_->dropped_at) {
+    return FailBrokenCall(*call_->dropped_at, why);
   }
   FailCall(CallFailure::kNotConnected, CallResult::kConnectionBroken, why);
 }
@@ -346,7 +346,8 @@
 
 template <GatewayFormat Format>
 bool ForwardedRequest<Format>::MayResendCall(TimePoint now) const {
-  return !call_->dropped && route_->retry_policy != RetryPolicy::kAtMostOnce &&
+  return !call_->dropped_at &&
+         route_->retry_policy != RetryPolicy::kAtMostOnce &&
          deadline_ - now > gateway_internal::kMinTimeLeft;
 }
 
@@ -360,7 +361,7 @@
   state_.log.Write(now, "call_resent", fields);
   state_.metrics.Count("zr_gateway_lost_connections_total",
                        {{"service", service_->name.value()}});
-  call_->dropped = now;
+  call_->dropped_at = now;
   call_->handle.reset();
   SendCall(now);
 }
--- a/modules/zr_gateway_host/forwarded_request_failure_impl.h
+++ b/modules/zr_gateway_host/forwarded_request_failure_impl.h
@@ -19,9 +19,9 @@
   if (call_->plan.helpers.empty() || result != CallResult::kRejected) {
     state_.tracker.OnCallResult(now, endpoint, result);
   }
-  // The same is not known of the call's first send, if its connection was lost.
-  if (!call_->dropped && (failure == CallFailure::kNotRun ||
-                          failure == CallFailure::kNotConnected)) {
+  // A call that was sent again may have run the first time.
+  if (!call_->dropped_at && (failure == CallFailure::kNotRun ||
+                             failure == CallFailure::kNotConnected)) {
     --possible_runs_;
   }
   LogFields fields = FailureFields(now, failure, why);
--- a/modules/zr_http/client/http_call.cc
+++ b/modules/zr_http/client/http_call.cc
@@ -154,21 +154,19 @@
 curl_socket_t EasyCall::OnOpenSocket(void* self, curlsocktype,
                                      curl_sockaddr* address) {
   // Fails the call before a connection is made that would not be used.
-  if (static_cast<EasyCall*>(self)->OnConnectionLost()) return CURL_SOCKET_BAD;
+  if (static_cast<EasyCall*>(self)->RefuseResend()) return CURL_SOCKET_BAD;
   return socket(address->family, address->socktype, address->protocol);
 }
 
-bool EasyCall::OnConnectionLost() {
+bool EasyCall::RefuseResend() {
   if (!request_sent_ || !request_.no_resend) return false;
-  if (!std::exchange(connection_lost_, true)) {
-    lost_after_ = std::chrono::steady_clock::now() - sent_at_;
-  }
+  if (!lost_after_) lost_after_ = std::chrono::steady_clock::now() - sent_at_;
   return true;
 }
 
 int EasyCall::OnRequestStart(void* self, char*, char*, int, int) {
   auto* call = static_cast<EasyCall*>(self);
-  if (call->OnConnectionLost()) return CURL_PREREQFUNC_ABORT;
+  if (call->RefuseResend()) return CURL_PREREQFUNC_ABORT;
   call->request_sent_ = true;
   call->sent_at_ = std::chrono::steady_clock::now();
   if (call->request_.no_resend) {
@@ -272,8 +270,7 @@
                               std::string(exceeded_) + " exceed the limit"));
     return;
   }
-  const std::string text = connection_lost_
-                               ? "connection closed before an answer"
+  const std::string text = lost_after_ ? "connection closed before an answer"
                            : error_text_[0] != 0 ? error_text_
                                                  : curl_easy_strerror(code);
   const ErrorCode error_code = code == CURLE_OPERATION_TIMEDOUT && request_sent_
@@ -284,7 +281,7 @@
 
 ClientFailure EasyCall::FailureOf(ErrorCode code, std::string text) const {
   return {Error{code, "call", request_.url, std::move(text)}, request_sent_,
-          connection_lost_ && lost_after_ <= kMaxDropDelay};
+          lost_after_ && *lost_after_ <= kMaxDropDelay};
 }
 
 }  // namespace zr
--- a/modules/zr_http/client/http_call.h
+++ b/modules/zr_http/client/http_call.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <concepts>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "zr_http/client/http_client.h"
@@ -47,10 +48,10 @@
   template <std::invocable<HttpClient::Listener&> F>
   bool CallListener(F call);
   ClientFailure FailureOf(ErrorCode code, std::string text) const;
-  /** libcurl would send the request once more, against `no_resend`, as it was
-   * sent on a kept connection that was lost before any byte of an answer.
-   * @returns whether to end the call */
-  bool OnConnectionLost();
+  /** Called before a connection is made or used. If the request was sent
+   * already, its kept connection was lost before any byte of an answer.
+   * @returns whether `no_resend` ends the call */
+  bool RefuseResend();
 
   ClientRequest request_;
   std::shared_ptr<HttpClient::Listener> listener_;
@@ -65,10 +66,10 @@
   size_t bytes_received_ = 0;
   const char* exceeded_ = nullptr;  // the part that exceeds its limit
   const char* invalid_ = nullptr;   // what makes the answer invalid
-  bool connection_lost_ = false;    // a kept one, before any byte of an answer
+  std::string listener_error_;      // what the listener threw
   std::chrono::steady_clock::time_point sent_at_;
-  std::chrono::steady_clock::duration lost_after_{};  // since sent_at_
-  std::string listener_error_;                        // what the listener threw
+  // From sent_at_ to the loss of the kept connection that ended the call.
+  std::optional<std::chrono::steady_clock::duration> lost_after_;
   char error_text_[CURL_ERROR_SIZE] = {};
 };
 
