--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -10,8 +10,8 @@
 the seed. Each third seed has planned work only (stops in series, reloads,
 changes, draining endpoints) beside endpoints that pause; in another third, a
 part of some prompts crashes each engine that begins to answer them. In each
-second run, some endpoints name a limit. Checks, by what callers and endpoints
-receive:
+second run, some endpoints name a limit; in each fourth, they drop connections
+that were idle for a moment. Checks, by what callers and endpoints receive:
 
   - a request that may run once runs at most once;
   - a rejected request (408, 421, 429, 503) has not run and never runs;
@@ -53,6 +53,8 @@
 # later than STABLE_S after the crash with this number.
 DEADLY_SHARE, DEADLY_LATER, DEADLY_CRASHES = 0.15, 3, 5
 DEADLY_PART = "deadly"
+# Time after which endpoints drop an idle connection, in seconds.
+DROP_S = 0.3
 
 
 class Connection:
@@ -97,6 +99,8 @@
         self.planned_only = seed % 3 == 0
         if seed % 3 == 1:
             Endpoint.deadly, Endpoint.prefill_s = DEADLY_PART, 0.03
+        if seed % 4 == 3:
+            Endpoint.drops_after_s = DROP_S
         self.deadly_later = 0  # deadly prompts that reached engines although VMs must know them
         self.core_disturbed = time.monotonic()
         self.sent_by = {}  # VM of each request
