Tests: names of the kept connections' tests say which failure they guard against

Cause: read again, two cases were named after their subject and had comments of several lines; one name was figurative. Change: names and comments only.

--- a/modules/zr_http/tests/kept_connection_test.cc
+++ b/modules/zr_http/tests/kept_connection_test.cc
@@ -22,12 +22,13 @@
 
 /** Answers requests without a body with the number of their connection; the
  * path says what else becomes of the connection. */
-class KeepingServer {
+class KeepAliveServer {
  public:
-  KeepingServer() : acceptor_(context_, {asio::ip::address_v4::loopback(), 0}) {
+  KeepAliveServer()
+      : acceptor_(context_, {asio::ip::address_v4::loopback(), 0}) {
     thread_ = std::thread([this] { Accept(); });
   }
-  ~KeepingServer() {
+  ~KeepAliveServer() {
     ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
     thread_.join();
     for (Connection& connection : connections_) {
@@ -35,8 +36,8 @@
       connection.thread.join();
     }
   }
-  KeepingServer(const KeepingServer&) = delete;
-  KeepingServer& operator=(const KeepingServer&) = delete;
+  KeepAliveServer(const KeepAliveServer&) = delete;
+  KeepAliveServer& operator=(const KeepAliveServer&) = delete;
 
   std::string Url(const std::string& path) const {
     return "http://127.0.0.1:" +
@@ -142,15 +143,13 @@
   return request;
 }
 
-// Guards against connections that a server has dropped while they were idle and
-// that are taken for a crash of the server, or cost it a connection that is
-// never used.
-TEST_CASE("A call on a kept connection") {
-  KeepingServer server;
+// Guards against a dropped idle connection that is taken for a crash.
+TEST_CASE("A lost kept connection is told from a crash of its server") {
+  KeepAliveServer server;
   Caller caller;
   REQUIRE(caller.Fetch(NoResend(server.Url("/")))->body == "1");
 
-  SECTION("that is lost before any byte of an answer") {
+  SECTION("lost before any byte of an answer") {
     const Reply reply = caller.Fetch(NoResend(server.Url("/reset")));
     REQUIRE_FALSE(reply);
     CHECK(reply.error().request_sent);
@@ -161,7 +160,7 @@
     }
   }
 
-  SECTION("that is lost later was not dropped while it was idle") {
+  SECTION("lost later, it was not dropped while it was idle") {
     const auto* path = GENERATE("/interim/reset", "/late/reset");
     const Reply reply = caller.Fetch(NoResend(server.Url(path)));
     REQUIRE_FALSE(reply);
@@ -169,7 +168,7 @@
     CHECK_FALSE(reply.error().idle_connection_dropped);
   }
 
-  SECTION("may be made on a new one instead") {
+  SECTION("and a new one may be used instead") {
     ClientRequest request = NoResend(server.Url("/"));
     request.new_connection = true;
     REQUIRE(caller.Fetch(request)->body == "2");
@@ -187,8 +186,8 @@
 }
 
 // Guards against connections that are closed because another one was lost.
-TEST_CASE("A lost connection leaves the other kept ones") {
-  KeepingServer server;
+TEST_CASE("A lost kept connection does not close the other ones") {
+  KeepAliveServer server;
   Caller caller;
   auto held = caller.Begin(NoResend(server.Url("/held")));
   while (server.connections() == 0) std::this_thread::yield();
--- a/tests/platform/dropped_channels.py
+++ b/tests/platform/dropped_channels.py
@@ -1,10 +1,5 @@
 #!/usr/bin/env python3
-"""Endpoints drop idle connections without notice and reset what is sent on them next.
-
-No request may fail for that, and no endpoint be taken for crashed: else the parts that sound
-prompts share are blamed for crashes and every prompt with them is rejected. A part that does
-crash endpoints is still found.
-"""
+"""Requests fail, or endpoints count as crashed, for idle connections that endpoints have dropped."""
 
 import collections
 import itertools
