Fix: connections lost while a body was sent were taken for crashes

A large request on a connection that its endpoint had dropped counted as a crash, with the same results as a small one before: a run of the request, the endpoint's health, suspects.

Cause: libcurl tries a request again, and so asks for a connection, when reading fails or when the first piece is not sent; when sending the rest of a body fails it ends the call with CURLE_SEND_ERROR. The client only saw the first kind.

Change: such an end on a kept connection, before any byte of an answer, is a lost connection, too.

--- a/modules/zr_http/client/http_call.cc
+++ b/modules/zr_http/client/http_call.cc
@@ -161,10 +161,14 @@
 
 bool EasyCall::RefuseResend() {
   if (!request_sent_ || !request_.no_resend) return false;
-  if (!lost_after_) lost_after_ = std::chrono::steady_clock::now() - sent_at_;
+  NoteConnectionLoss();
   return true;
 }
 
+void EasyCall::NoteConnectionLoss() {
+  if (!lost_after_) lost_after_ = std::chrono::steady_clock::now() - sent_at_;
+}
+
 int EasyCall::OnRequestStart(void* self, char*, char*, int, int) {
   auto* call = static_cast<EasyCall*>(self);
   if (call->RefuseResend()) return CURL_PREREQFUNC_ABORT;
@@ -177,6 +181,7 @@
   }
   long connects = 0;  // NOLINT(google-runtime-int): libcurl's type
   curl_easy_getinfo(call->easy_, CURLINFO_NUM_CONNECTS, &connects);
+  call->uses_kept_connection_ = connects == 0;
   const bool called =
       call->CallListener([connects](HttpClient::Listener& listener) {
         listener.OnConnected(connects > 0);
@@ -251,6 +256,11 @@
 void EasyCall::Finish(CURLcode code) {
   auto listener = std::exchange(listener_, nullptr);
   if (!listener) return;
+  // libcurl doesn't resend a request whose body was being sent.
+  if (code == CURLE_SEND_ERROR && request_.no_resend && uses_kept_connection_ &&
+      bytes_received_ == 0) {
+    NoteConnectionLoss();
+  }
   // libcurl accepts an answer that ends after its interim responses.
   if (code == CURLE_OK && !headers_delivered_) {
     invalid_ = "response ended without a final status";
--- a/modules/zr_http/client/http_call.h
+++ b/modules/zr_http/client/http_call.h
@@ -52,6 +52,8 @@
    * already, its kept connection was lost before any byte of an answer.
    * @returns whether `no_resend` ends the call */
   bool RefuseResend();
+  /** The kept connection was lost before any byte of an answer. */
+  void NoteConnectionLoss();
 
   ClientRequest request_;
   std::shared_ptr<HttpClient::Listener> listener_;
@@ -60,6 +62,7 @@
   HttpHeaders response_headers_;
   bool headers_delivered_ = false;
   bool request_sent_ = false;
+  bool uses_kept_connection_ = false;
   size_t header_bytes_ = 0;  // received, including interim responses
   size_t header_lines_ = 0;  // of all answers, interim ones as well
   size_t body_bytes_ = 0;    // received
--- a/modules/zr_http/tests/kept_connection_test.cc
+++ b/modules/zr_http/tests/kept_connection_test.cc
@@ -163,6 +163,14 @@
     }
   }
 
+  SECTION("lost while its body is sent") {
+    ClientRequest request = NoResend(server.Url("/reset"));
+    request.body = std::string(size_t{16} << 20, 'x');
+    const Reply reply = caller.Fetch(request);
+    REQUIRE_FALSE(reply);
+    CHECK(reply.error().idle_connection_dropped);
+  }
+
   SECTION("lost after a delay that lost packets explain") {
     const Reply reply = caller.Fetch(NoResend(server.Url("/slow/reset")));
     REQUIRE_FALSE(reply);
